--- /dev/null
+++ b/crates/hawthorn-types/src/reason.rs
@@ -0,0 +1,146 @@
+//! Reasons, one value for each cause that is counted and told to a caller.
+
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+use strum::Display;
+use strum::EnumCount;
+use strum::EnumIter;
+use strum::EnumString;
+use strum::IntoStaticStr;
+
+macro_rules! reason_enum {
+    ($(#[$doc:meta])* $name:ident { $($(#[$vdoc:meta])* $variant:ident,)+ }) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
+            Display, EnumCount, EnumIter, EnumString, IntoStaticStr,
+        )]
+        #[serde(rename_all = "kebab-case")]
+        #[strum(serialize_all = "kebab-case")]
+        pub enum $name { $($(#[$vdoc])* $variant,)+ }
+    };
+}
+
+reason_enum! {
+    /// Why a request was not run. Used only when no attempt can have reached a
+    /// target, so a caller may send the request again without risk.
+    RefusalReason {
+        /// The request's body is larger than the limit.
+        BodyTooLarge,
+        /// The request could not be understood.
+        BadRequest,
+        /// The caller is not named in the rules.
+        UnknownCaller,
+        /// The service is not named in the inventory.
+        UnknownService,
+        /// The deadline is zero or already past.
+        DeadlinePast,
+        /// The caller's request id is longer than allowed or malformed.
+        BadRequestId,
+        /// The client sent its request too slowly.
+        SlowClient,
+        /// The expected wait is longer than the time that is left.
+        WaitBeyondDeadline,
+        /// A bounded queue is full.
+        QueueFull,
+        /// The caller holds its full share and others are waiting.
+        CallerOverShare,
+        /// No target that holds the key is reachable.
+        NoTarget,
+        /// The deadline passed while the request still waited in a queue.
+        ExpiredInQueue,
+        /// The host is stopping and takes no new requests.
+        Stopping,
+        /// The host has no configuration yet.
+        NoConfiguration,
+        /// The claim that keeps a request to one run could not be recorded.
+        ClaimUnavailable,
+        /// The caller's request id is older than the window in which claims are kept.
+        RequestIdTooOld,
+        /// The caller's request id is stamped later than the host's clock.
+        RequestIdInFuture,
+        /// The target refused before it ran the request.
+        TargetRefused,
+        /// No host that owns the target could be reached.
+        OwnerUnreachable,
+    }
+}
+
+reason_enum! {
+    /// Why it is not known whether a non-idempotent request ran.
+    UnknownReason {
+        /// The connection broke after the request was sent.
+        ConnectionLost,
+        /// The deadline passed after the request was sent.
+        DeadlinePast,
+        /// An earlier send of the same request id holds the claim and its outcome is not known.
+        ClaimedEarlier,
+        /// The claim may or may not have been recorded.
+        ClaimUncertain,
+        /// The host that was running the request could not be reached again.
+        OwnerLost,
+    }
+}
+
+reason_enum! {
+    /// Why a request that ran did not succeed.
+    FailureReason {
+        /// The target ran the request and reported an error.
+        TargetError,
+        /// The target's answer did not echo the request, or could not be read.
+        BadAnswer,
+    }
+}
+
+reason_enum! {
+    /// Why a range is missing from an answer.
+    MissingReason {
+        /// No target that is switched on holds the range.
+        NoReplica,
+        /// Targets hold the range, but none can be reached.
+        Unreachable,
+        /// No reachable target holds the range at the answer's version.
+        VersionMissing,
+        /// The targets that hold the range are shedding load.
+        Shedding,
+        /// No slot became free before the deadline.
+        QueuedPastDeadline,
+        /// The target did not answer before the deadline.
+        DeadlinePast,
+        /// The target answered something that was not the answer to this request.
+        BadAnswer,
+        /// The target's answer was larger than the limit.
+        AnswerTooLarge,
+        /// The owner of the targets could not be reached.
+        OwnerUnreachable,
+        /// The shard was repartitioned and the rest was not found in time.
+        Repartitioned,
+        /// The retry budget was spent.
+        BudgetSpent,
+    }
+}
+
+reason_enum! {
+    /// Why a further attempt was made.
+    RetryReason {
+        /// The first attempt is slower than the hedge delay.
+        Hedge,
+        /// The connection failed.
+        ConnectionFailed,
+        /// The target refused: it is shedding load.
+        Shedding,
+        /// The target refused: it is draining.
+        Draining,
+        /// The target refused: it is cold.
+        Cold,
+        /// The target no longer holds the version.
+        VersionRetired,
+        /// The target searched less than was asked.
+        Repartitioned,
+        /// The target's answer did not belong to the request.
+        CrossedAnswer,
+        /// The owner did not answer, and another owner holds replicas.
+        OwnerLost,
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! hawthornroute: a query tier over many shards.
+fn main() {}
