feat(standin): stand-ins for targets, the platform and a deployment

Cause: tests need something that speaks the outside contracts and fails on demand.

Change: a target with slots, an inner queue, connection limit and cost, cold start, lagging or lying state, cancellation, deadlines, versions and repartition; a platform with compare-and-swap, leases, watches, rates, outages, lost answers and restore; a deployment that starts them and writes the matching inventory and rules; a typed history of what targets ran.

--- /dev/null
+++ b/crates/hawthorn-standin/src/deployment.rs
@@ -0,0 +1,356 @@
+//! The stand-ins of one scaled-down deployment, with the inventory and rules
+//! that match their addresses.
+
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthorn_types::IndexVersion;
+use hawthorn_types::KeyRange;
+use hawthorn_types::RangeSet;
+use hawthorn_types::target::HeldRanges;
+use quick_error::quick_error;
+use tokio_util::sync::CancellationToken;
+
+use crate::corpus::Corpus;
+use crate::corpus::CorpusFlavour;
+use crate::corpus::CorpusOptions;
+use crate::history::History;
+use crate::platform;
+use crate::platform::PlatformOptions;
+use crate::platform::PlatformStandin;
+use crate::target;
+use crate::target::ServiceTime;
+use crate::target::TargetOptions;
+use crate::target::TargetStandin;
+
+quick_error! {
+    /// Why a deployment could not start.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The description names no availability zone.
+        NoZone {
+            display("a deployment needs an availability zone")
+        }
+        /// A target could not start.
+        Target(err: target::Error) {
+            display("a target could not start: {err}")
+            source(err)
+            from()
+        }
+        /// The platform could not start.
+        Platform(err: platform::Error) {
+            display("the platform could not start: {err}")
+            source(err)
+            from()
+        }
+    }
+}
+
+/// One service of a deployment.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceDescription {
+    /// Its name.
+    pub name: String,
+    /// Shard NN of N holds `KeyRange::part(NN, N)`.
+    pub shards: u32,
+    /// Targets that hold each shard, in zones one after the other.
+    pub replicas: u32,
+    /// Shards a target holds.
+    pub shards_per_target: u32,
+    /// Slots of each target.
+    pub slots: u32,
+    /// Connections of each target.
+    pub connections: u32,
+    /// How long a new connection takes.
+    pub connect_cost: Duration,
+    /// Service times of each target.
+    pub service_time: ServiceTime,
+    /// Its documents.
+    pub corpus: CorpusOptions,
+}
+
+impl ServiceDescription {
+    /// A service of eight shards with two replicas each, one shard a target,
+    /// with the limits of the desk services.
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            shards: 8,
+            replicas: 2,
+            shards_per_target: 1,
+            slots: 2,
+            connections: 25,
+            connect_cost: Duration::from_millis(6),
+            service_time: ServiceTime::default(),
+            corpus: CorpusOptions::default(),
+        }
+    }
+}
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct DeploymentOptions {
+    /// The region of all zones.
+    pub region: String,
+    /// The availability zones.
+    pub zones: Vec<String>,
+    /// The services.
+    pub services: Vec<ServiceDescription>,
+    /// The callers of the rules.
+    pub callers: Vec<String>,
+    /// The version every target holds at the start.
+    pub version: IndexVersion,
+    /// Attempts that wait inside a target beyond its slots.
+    pub queue: u32,
+    /// How long a target is cold after its start.
+    pub cold_start: Duration,
+    /// How old `/state` is.
+    pub state_lag: Duration,
+    /// The platform's rates and lags.
+    pub platform: PlatformOptions,
+    /// The same seed gives the same documents and service times.
+    pub seed: u64,
+    /// Where targets record their work.
+    pub history: History,
+    /// Stops everything.
+    pub stop: CancellationToken,
+}
+
+impl Default for DeploymentOptions {
+    fn default() -> Self {
+        Self::dar_port()
+    }
+}
+
+impl DeploymentOptions {
+    /// Dar Port, scaled down: one desk service and the port feed.
+    pub fn dar_port() -> Self {
+        let desk = ServiceDescription::new("agent-desk");
+        let feed = ServiceDescription {
+            shards: 4,
+            connections: 110,
+            connect_cost: Duration::from_millis(1),
+            ..ServiceDescription::new("port-feed")
+        };
+        Self {
+            region: "dar-port".to_owned(),
+            zones: names(&["kurasini", "kigamboni", "mbagala"]),
+            services: vec![desk, feed],
+            callers: names(&["bunker-desk", "ship-agents", "suppliers"]),
+            version: IndexVersion(1),
+            queue: 8,
+            cold_start: Duration::ZERO,
+            state_lag: Duration::ZERO,
+            platform: PlatformOptions::default(),
+            seed: 1,
+            history: History::default(),
+            stop: CancellationToken::new(),
+        }
+    }
+
+    /// Poland, scaled down: the claim desk and the archive.
+    pub fn poland() -> Self {
+        let corpus = CorpusOptions { flavour: CorpusFlavour::Claims, ..CorpusOptions::default() };
+        let desk =
+            ServiceDescription { corpus: corpus.clone(), ..ServiceDescription::new("claim-desk") };
+        let archive = ServiceDescription {
+            shards: 3,
+            slots: 6,
+            connections: 50,
+            connect_cost: Duration::from_millis(1),
+            corpus,
+            ..ServiceDescription::new("archive-reader")
+        };
+        Self {
+            region: "poland".to_owned(),
+            zones: names(&["hall-kato", "hall-krak", "hall-gliw"]),
+            services: vec![desk, archive],
+            callers: names(&["slask-geo", "tatra-kop", "odra-min"]),
+            ..Self::dar_port()
+        }
+    }
+}
+
+fn names(list: &[&str]) -> Vec<String> {
+    list.iter().map(|&name| name.to_owned()).collect()
+}
+
+/// One target of a running deployment.
+#[derive(Debug)]
+pub struct DeployedTarget {
+    /// The running target.
+    pub standin: TargetStandin,
+    /// Its name.
+    pub name: String,
+    /// Its service.
+    pub service: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// The numbers of the shards it holds.
+    pub shards: Vec<u32>,
+}
+
+/// A running deployment; stops when dropped.
+#[derive(Debug)]
+pub struct StandinDeployment {
+    /// The platform.
+    pub platform: PlatformStandin,
+    /// The targets, by service and then by number.
+    pub targets: Vec<DeployedTarget>,
+    /// The documents of each service.
+    pub corpora: Vec<Arc<Corpus>>,
+    options: DeploymentOptions,
+}
+
+impl StandinDeployment {
+    /// Starts the platform and all targets.
+    pub async fn start(options: DeploymentOptions) -> Result<Self, Error> {
+        if options.zones.is_empty() {
+            return Err(Error::NoZone);
+        }
+        let stop = options.stop.child_token();
+        let platform_options = PlatformOptions { stop, ..options.platform.clone() };
+        let platform = PlatformStandin::start(platform_options).await?;
+        let mut targets = Vec::new();
+        let mut corpora = Vec::new();
+        for service in &options.services {
+            let corpus = Arc::new(Corpus::generate(&service.name, &service.corpus));
+            for placed in place(service, &options.zones) {
+                let number = targets.len() as u64;
+                targets.push(start_target(&options, service, &corpus, placed, number).await?);
+            }
+            corpora.push(corpus);
+        }
+        Ok(Self { platform, targets, corpora, options })
+    }
+
+    /// What was started.
+    pub fn options(&self) -> &DeploymentOptions {
+        &self.options
+    }
+
+    /// The history that targets record their work in.
+    pub fn history(&self) -> &History {
+        &self.options.history
+    }
+
+    /// The target of that name.
+    pub fn target(&self, name: &str) -> Option<&DeployedTarget> {
+        self.targets.iter().find(|target| target.name == name)
+    }
+
+    /// The documents of `service`.
+    pub fn corpus(&self, service: &str) -> Option<&Arc<Corpus>> {
+        self.corpora.iter().find(|corpus| corpus.service() == service)
+    }
+
+    /// The inventory that matches the running targets.
+    pub fn inventory_toml(&self) -> String {
+        let mut text = String::new();
+        for zone in &self.options.zones {
+            push(&mut text, format_args!("[[zone]]\nname = \"{zone}\"\n"));
+            push(&mut text, format_args!("region = \"{}\"\n\n", self.options.region));
+        }
+        for service in &self.options.services {
+            push(&mut text, format_args!("[[service]]\nname = \"{}\"\n", service.name));
+            push(&mut text, format_args!("shards = {}\n", service.shards));
+            push(&mut text, format_args!("slots = {}\n", service.slots));
+            push(&mut text, format_args!("connections = {}\n", service.connections));
+            let cost = service.connect_cost.as_millis();
+            push(&mut text, format_args!("connect_cost = \"{cost}ms\"\n\n"));
+        }
+        for (number, target) in self.targets.iter().enumerate() {
+            push(&mut text, format_args!("[[target]]\nname = \"{}\"\n", target.name));
+            push(&mut text, format_args!("asset = \"HW-{:04}\"\n", number + 1));
+            push(&mut text, format_args!("service = \"{}\"\n", target.service));
+            push(&mut text, format_args!("zone = \"{}\"\n", target.zone));
+            push(&mut text, format_args!("address = \"{}\"\n", target.standin.address()));
+            let shards: Vec<String> = target
+                .shards
+                .iter()
+                .map(|shard| format!("\"{}\"", shard_name(&target.service, *shard)))
+                .collect();
+            push(&mut text, format_args!("shards = [{}]\n\n", shards.join(", ")));
+        }
+        text
+    }
+
+    /// Rules that name the callers.
+    pub fn rules_toml(&self) -> String {
+        let mut text = String::new();
+        for caller in &self.options.callers {
+            push(&mut text, format_args!("[[caller]]\nname = \"{caller}\"\n\n"));
+        }
+        text
+    }
+}
+
+/// A shard as operators write it: `agent-desk/03`.
+pub fn shard_name(service: &str, number: u32) -> String {
+    format!("{service}/{number:02}")
+}
+
+fn push(text: &mut String, line: std::fmt::Arguments<'_>) {
+    text.write_fmt(line).expect("writing to a string never fails");
+}
+
+/// Where one target goes.
+struct PlacedTarget {
+    name: String,
+    zone: String,
+    shards: Vec<u32>,
+}
+
+/// Places the targets of `service`: replica R of a group of shards stands R
+/// zones after the first, so that no zone holds two replicas while there are
+/// zones left.
+fn place(service: &ServiceDescription, zones: &[String]) -> Vec<PlacedTarget> {
+    let width = service.shards_per_target.max(1);
+    let numbers: Vec<u32> = (0..service.shards).collect();
+    let mut placed = Vec::new();
+    for (group, shards) in numbers.chunks(width as usize).enumerate() {
+        for replica in 0..service.replicas as usize {
+            let zone = zones[(group + replica) % zones.len()].clone();
+            let name = format!("{}-{:02}", service.name, placed.len());
+            placed.push(PlacedTarget { name, zone, shards: shards.to_vec() });
+        }
+    }
+    placed
+}
+
+async fn start_target(
+    options: &DeploymentOptions,
+    service: &ServiceDescription,
+    corpus: &Arc<Corpus>,
+    placed: PlacedTarget,
+    number: u64,
+) -> Result<DeployedTarget, target::Error> {
+    let ranges: RangeSet =
+        placed.shards.iter().map(|&shard| KeyRange::part(shard, service.shards)).collect();
+    let held = HeldRanges { service: service.name.clone(), version: options.version, ranges };
+    let standin = TargetStandin::start(TargetOptions {
+        name: placed.name.clone(),
+        corpora: vec![Arc::clone(corpus)],
+        held: vec![held],
+        slots: service.slots,
+        queue: options.queue,
+        connections: service.connections,
+        connect_cost: service.connect_cost,
+        service_time: service.service_time,
+        cold_start: options.cold_start,
+        state_lag: options.state_lag,
+        seed: options.seed.wrapping_add(number),
+        history: options.history.clone(),
+        stop: options.stop.child_token(),
+        ..TargetOptions::default()
+    })
+    .await?;
+    Ok(DeployedTarget {
+        standin,
+        name: placed.name,
+        service: service.name.clone(),
+        zone: placed.zone,
+        shards: placed.shards,
+    })
+}
--- /dev/null
+++ b/crates/hawthorn-standin/src/platform/serving.rs
@@ -0,0 +1,274 @@
+//! The HTTP interface of the platform.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthorn_types::platform::LeaseGrant;
+use hawthorn_types::platform::StoreEntry;
+use hawthorn_types::platform::StorePut;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::control::CallKind;
+use super::control::PlatformControl;
+use super::control::Shared;
+use super::faults::PlatformFaults;
+use super::faults::StoreOutage;
+use super::store::WriteError;
+use crate::wire;
+use crate::wire::Handler;
+use crate::wire::Reply;
+use crate::wire::Unanswered;
+
+pub(super) struct PlatformHandler {
+    shared: Arc<Shared>,
+}
+
+impl PlatformHandler {
+    pub(super) fn new(control: PlatformControl) -> Self {
+        Self { shared: control.shared }
+    }
+}
+
+/// One call, understood.
+#[derive(Debug)]
+enum PlatformCall {
+    Get { key: String },
+    Put { key: String, put: StorePut },
+    Delete { key: String, expect: u64 },
+    List { prefix: String },
+    Watch { key: String, after: u64, wait: Duration },
+    Grant { ttl: Duration },
+    Renew { lease: u64 },
+    Hosts,
+}
+
+impl PlatformCall {
+    fn kind(&self) -> CallKind {
+        match self {
+            Self::Get { .. } => CallKind::Get,
+            Self::Put { .. } => CallKind::Put,
+            Self::Delete { .. } => CallKind::Delete,
+            Self::List { .. } => CallKind::List,
+            Self::Watch { .. } => CallKind::Watch,
+            Self::Grant { .. } => CallKind::Grant,
+            Self::Renew { .. } => CallKind::Renew,
+            Self::Hosts => CallKind::Hosts,
+        }
+    }
+}
+
+impl Handler for PlatformHandler {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Reply, Unanswered> {
+        let Some(call) = understand(request).await else {
+            return Ok(wire::empty(StatusCode::BAD_REQUEST));
+        };
+        let kind = call.kind();
+        if !self.within_rate(kind) {
+            return Ok(wire::empty(StatusCode::TOO_MANY_REQUESTS));
+        }
+        let faults = *self.shared.faults.borrow();
+        tokio::time::sleep(self.shared.delay + faults.extra_delay).await;
+        if self.wait_out(kind).await {
+            return Ok(wire::empty(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        let reply = self.answer(call).await;
+        self.lose(kind, reply)
+    }
+}
+
+impl PlatformHandler {
+    fn within_rate(&self, kind: CallKind) -> bool {
+        let now = self.shared.now();
+        let mut state = self.shared.lock();
+        let within = match kind.writes() {
+            true => state.writes.take(now),
+            false => state.reads.take(now),
+        };
+        let counters = state.counters.entry(kind).or_default();
+        counters.calls += 1;
+        counters.over_rate += u64::from(!within);
+        within
+    }
+
+    /// Whether the call met an outage; one that hangs is sat out.
+    async fn wait_out(&self, kind: CallKind) -> bool {
+        let outage = self.shared.faults.borrow().outage;
+        if outage == StoreOutage::None {
+            return false;
+        }
+        self.shared.lock().counters.entry(kind).or_default().in_outage += 1;
+        let mut faults = self.shared.faults.subscribe();
+        let over = |faults: &PlatformFaults| faults.outage != StoreOutage::Hang;
+        // The sender lives as long as this handler, so the wait cannot fail.
+        faults.wait_for(over).await.is_ok()
+    }
+
+    async fn answer(&self, call: PlatformCall) -> Reply {
+        let now = self.shared.now();
+        match call {
+            PlatformCall::Get { key } => found(self.shared.lock().store.get(&key)),
+            PlatformCall::List { prefix } => {
+                wire::json(StatusCode::OK, &self.shared.lock().store.list(&prefix))
+            }
+            PlatformCall::Put { key, put } => self.put(&key, put),
+            PlatformCall::Delete { key, expect } => self.delete(&key, expect),
+            PlatformCall::Watch { key, after, wait } => self.watch(&key, after, wait).await,
+            PlatformCall::Grant { ttl } => {
+                wire::json(StatusCode::OK, &self.shared.lock().store.grant(ttl, now))
+            }
+            PlatformCall::Renew { lease } => match self.shared.lock().store.renew(lease, now) {
+                Some(answer) => wire::json(StatusCode::OK, &answer),
+                None => wire::empty(StatusCode::NOT_FOUND),
+            },
+            PlatformCall::Hosts => wire::json(StatusCode::OK, &self.shared.lock().hosts.at(now)),
+        }
+    }
+
+    fn put(&self, key: &str, put: StorePut) -> Reply {
+        let written = self.shared.lock().store.put(key, put);
+        self.shared.changed();
+        match written {
+            Ok(entry) => wire::json(StatusCode::OK, &entry),
+            Err(err) => refused(&err),
+        }
+    }
+
+    fn delete(&self, key: &str, expect: u64) -> Reply {
+        let deleted = self.shared.lock().store.delete(key, expect);
+        self.shared.changed();
+        match deleted {
+            Ok(()) => wire::empty(StatusCode::OK),
+            Err(err) => refused(&err),
+        }
+    }
+
+    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Reply {
+        let deadline = Instant::now() + wait.min(self.shared.watch_limit);
+        let mut changes = self.shared.changes.subscribe();
+        let mut faults = self.shared.faults.subscribe();
+        loop {
+            changes.mark_unchanged();
+            let entry = self.shared.lock().store.get(key);
+            if let Some(entry) = entry.filter(|entry| entry.revision > after) {
+                return wire::json(StatusCode::OK, &entry);
+            }
+            tokio::select! {
+                biased;
+                // A watch that is open when an outage begins meets it like any call.
+                () = outage_begins(&mut faults) => {
+                    self.wait_out(CallKind::Watch).await;
+                    return wire::empty(StatusCode::SERVICE_UNAVAILABLE);
+                }
+                _ = changes.changed() => {}
+                () = tokio::time::sleep_until(deadline) => {
+                    return wire::empty(StatusCode::NO_CONTENT);
+                }
+            }
+        }
+    }
+
+    /// Loses the answer of a write that took effect, when a test asks for it.
+    fn lose(&self, kind: CallKind, reply: Reply) -> Result<Reply, Unanswered> {
+        if !kind.writes() || reply.status() != StatusCode::OK {
+            return Ok(reply);
+        }
+        let mut lost = false;
+        let mut unavailable = false;
+        self.shared.faults.send_if_modified(|faults| {
+            lost = use_up(&mut faults.lost_write_answers);
+            unavailable = !lost && use_up(&mut faults.applied_unavailable);
+            lost || unavailable
+        });
+        match (lost, unavailable) {
+            (true, _) => Err(Unanswered::Lost),
+            (_, true) => Ok(wire::empty(StatusCode::SERVICE_UNAVAILABLE)),
+            _ => Ok(reply),
+        }
+    }
+}
+
+async fn outage_begins(faults: &mut watch::Receiver<PlatformFaults>) {
+    let begun = |faults: &PlatformFaults| faults.outage != StoreOutage::None;
+    // An error means that the platform is going away, which ends the watch too.
+    drop(faults.wait_for(begun).await);
+}
+
+fn use_up(count: &mut u32) -> bool {
+    let had = *count > 0;
+    *count = count.saturating_sub(1);
+    had
+}
+
+fn found(entry: Option<StoreEntry>) -> Reply {
+    match entry {
+        Some(entry) => wire::json(StatusCode::OK, &entry),
+        None => wire::empty(StatusCode::NOT_FOUND),
+    }
+}
+
+fn refused(err: &WriteError) -> Reply {
+    match err {
+        WriteError::Conflict(conflict) => wire::json(StatusCode::CONFLICT, conflict),
+        WriteError::TooLarge => wire::empty(StatusCode::PAYLOAD_TOO_LARGE),
+        WriteError::LeaseLapsed | WriteError::Absent => wire::empty(StatusCode::NOT_FOUND),
+    }
+}
+
+async fn understand(request: Request<Incoming>) -> Option<PlatformCall> {
+    let method = request.method().clone();
+    let path = decoded(request.uri().path())?;
+    let query = request.uri().query().unwrap_or_default().to_owned();
+    let number = |name: &str| parameter(&query, name).and_then(|text| text.parse::<u64>().ok());
+    let body = request.into_body();
+    let (route, rest) = path.strip_prefix('/')?.split_once('/').unwrap_or((&path[1..], ""));
+    let key = rest.to_owned();
+    match (method, route) {
+        (Method::GET, "kv") => Some(PlatformCall::Get { key }),
+        (Method::PUT, "kv") => Some(PlatformCall::Put { key, put: wire::read(body).await.ok()? }),
+        (Method::DELETE, "kv") => Some(PlatformCall::Delete { key, expect: number("expect")? }),
+        (Method::GET, "list") => Some(PlatformCall::List { prefix: key }),
+        (Method::GET, "watch") => {
+            let wait = Duration::from_millis(number("wait_ms")?);
+            Some(PlatformCall::Watch { key, after: number("after")?, wait })
+        }
+        (Method::GET, "hosts") => Some(PlatformCall::Hosts),
+        (Method::POST, "leases") if rest.is_empty() => {
+            let grant: LeaseGrant = wire::read(body).await.ok()?;
+            Some(PlatformCall::Grant { ttl: Duration::from_millis(grant.ttl_ms) })
+        }
+        (Method::POST, "leases") => {
+            let lease = rest.strip_suffix("/renew")?.parse().ok()?;
+            Some(PlatformCall::Renew { lease })
+        }
+        _ => None,
+    }
+}
+
+fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query
+        .split('&')
+        .find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name))
+        .map(|(_, value)| value)
+}
+
+/// The path with `%XX` decoded; nothing when that is not UTF-8.
+fn decoded(path: &str) -> Option<String> {
+    const HEX: u32 = 16;
+    let mut bytes = Vec::with_capacity(path.len());
+    let mut rest = path.bytes();
+    while let Some(byte) = rest.next() {
+        if byte != b'%' {
+            bytes.push(byte);
+            continue;
+        }
+        let high = char::from(rest.next()?).to_digit(HEX)?;
+        let low = char::from(rest.next()?).to_digit(HEX)?;
+        bytes.push(u8::try_from(high * HEX + low).ok()?);
+    }
+    String::from_utf8(bytes).ok()
+}
--- /dev/null
+++ b/crates/hawthorn-standin/src/target/serving.rs
@@ -0,0 +1,401 @@
+//! The HTTP interface of a target.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hawthorn_types::IndexVersion;
+use hawthorn_types::RangeSet;
+use hawthorn_types::target::CancelAttempt;
+use hawthorn_types::target::RefusedAttempt;
+use hawthorn_types::target::RunAnswer;
+use hawthorn_types::target::ShardAnswer;
+use hawthorn_types::target::ShardSearch;
+use hawthorn_types::target::TargetIntent;
+use hawthorn_types::target::TargetRefusal;
+use hawthorn_types::target::TargetRun;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::control::Shared;
+use super::control::TargetControl;
+use super::faults::use_up;
+use crate::history::HistoryEvent;
+use crate::history::TargetWork;
+use crate::history::WorkKind;
+use crate::history::WorkPhase;
+use crate::wire;
+use crate::wire::Handler;
+use crate::wire::Reply;
+use crate::wire::Unanswered;
+
+pub(super) struct TargetHandler {
+    control: TargetControl,
+}
+
+impl TargetHandler {
+    pub(super) fn new(control: TargetControl) -> Self {
+        Self { control }
+    }
+}
+
+impl Handler for TargetHandler {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Reply, Unanswered> {
+        let method = request.method().clone();
+        let path = request.uri().path().to_owned();
+        let body = request.into_body();
+        match (method, path.as_str()) {
+            (Method::GET, "/state") => Ok(wire::json(StatusCode::OK, &self.control.shown())),
+            (Method::POST, "/search") => match wire::read::<ShardSearch>(body).await {
+                Ok(search) => self.detached(search_attempt(self.shared(), search)).await,
+                Err(_) => Ok(wire::empty(StatusCode::BAD_REQUEST)),
+            },
+            (Method::POST, "/run") => match wire::read::<TargetRun>(body).await {
+                Ok(run) => self.detached(run_attempt(self.shared(), run)).await,
+                Err(_) => Ok(wire::empty(StatusCode::BAD_REQUEST)),
+            },
+            (Method::POST, "/cancel") => match wire::read::<CancelAttempt>(body).await {
+                Ok(cancel) => Ok(self.cancel(cancel)),
+                Err(_) => Ok(wire::empty(StatusCode::BAD_REQUEST)),
+            },
+            (Method::POST, "/intent") => match wire::read::<TargetIntent>(body).await {
+                Ok(intent) => Ok(self.intend(&intent)),
+                Err(_) => Ok(wire::empty(StatusCode::BAD_REQUEST)),
+            },
+            _ => Ok(wire::empty(StatusCode::NOT_FOUND)),
+        }
+    }
+}
+
+impl TargetHandler {
+    fn shared(&self) -> Arc<Shared> {
+        Arc::clone(&self.control.shared)
+    }
+
+    /// Runs an attempt on a task of its own. Failure prevented: a client that
+    /// closes its connection would otherwise stop the attempt, and no test could
+    /// show work that runs although nobody waits for it any more.
+    async fn detached(
+        &self,
+        attempt: impl Future<Output = Result<Reply, Unanswered>> + Send + 'static,
+    ) -> Result<Reply, Unanswered> {
+        tokio::spawn(attempt).await.unwrap_or(Err(Unanswered::Lost))
+    }
+
+    fn cancel(&self, cancel: CancelAttempt) -> Reply {
+        let state = self.control.shared.lock();
+        if state.faults.ignore_cancel {
+            return wire::empty(StatusCode::OK);
+        }
+        match state.attempts.get(&(cancel.request, cancel.attempt)) {
+            Some(token) => {
+                token.cancel();
+                wire::empty(StatusCode::OK)
+            }
+            None => wire::empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn intend(&self, intent: &TargetIntent) -> Reply {
+        if !self.control.faults().ignore_intent {
+            self.control.set_wanted(intent.wanted);
+        }
+        wire::empty(StatusCode::OK)
+    }
+}
+
+/// Echo fields and record of one attempt, whatever its phase.
+#[derive(Clone)]
+struct AttemptEcho {
+    shared: Arc<Shared>,
+    request: String,
+    attempt: u64,
+    kind: WorkKind,
+}
+
+impl AttemptEcho {
+    fn record(&self, phase: WorkPhase) {
+        self.shared.record(HistoryEvent::Work(TargetWork {
+            target: self.shared.options.name.clone(),
+            request: self.request.clone(),
+            attempt: self.attempt,
+            kind: self.kind.clone(),
+            phase,
+        }));
+    }
+
+    fn arrive(&self) {
+        self.shared.lock().counters.arrived += 1;
+        self.record(WorkPhase::Arrived);
+    }
+
+    fn refuse(&self, refusal: TargetRefusal, versions: Vec<IndexVersion>) -> Reply {
+        if refusal == TargetRefusal::Cancelled {
+            self.shared.lock().counters.cancelled += 1;
+            self.record(WorkPhase::Cancelled);
+        } else {
+            self.shared.lock().counters.refused += 1;
+            self.record(WorkPhase::Refused(refusal));
+        }
+        let status = match refusal {
+            TargetRefusal::Shedding | TargetRefusal::Draining | TargetRefusal::Cold => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            TargetRefusal::BadRequest => StatusCode::BAD_REQUEST,
+            TargetRefusal::VersionRetired
+            | TargetRefusal::RangeMoved
+            | TargetRefusal::Cancelled => StatusCode::CONFLICT,
+        };
+        let request = self.request.clone();
+        wire::json(status, &RefusedAttempt { request, attempt: self.attempt, refusal, versions })
+    }
+}
+
+/// An attempt that waits for a slot; leaves the queue when dropped.
+struct WaitingAttempt {
+    echo: AttemptEcho,
+    cancel: CancellationToken,
+    left: bool,
+}
+
+/// An attempt that holds a slot; gives it back when dropped.
+struct RunningAttempt {
+    echo: AttemptEcho,
+    cancel: CancellationToken,
+    takes: Duration,
+    // Dropped after `drop` has counted the attempt out, so that the count never
+    // exceeds the slots.
+    _permit: OwnedSemaphorePermit,
+}
+
+impl WaitingAttempt {
+    /// Waits for a slot until `deadline`, or gives the reason it got none.
+    async fn run(mut self, deadline: Instant) -> Result<RunningAttempt, Reply> {
+        let slots = Arc::clone(&self.echo.shared.slots);
+        let permit = match Arc::clone(&slots).try_acquire_owned() {
+            Ok(permit) => permit,
+            Err(_) => {
+                self.echo.shared.lock().queued();
+                tokio::select! {
+                    biased;
+                    () = self.cancel.cancelled() => {
+                        return Err(self.echo.refuse(TargetRefusal::Cancelled, Vec::new()));
+                    }
+                    // It never got a slot in its time: to the caller that is load.
+                    () = tokio::time::sleep_until(deadline) => {
+                        return Err(self.echo.refuse(TargetRefusal::Shedding, Vec::new()));
+                    }
+                    permit = slots.acquire_owned() => {
+                        permit.expect("the slots are never closed")
+                    }
+                }
+            }
+        };
+        self.left = true;
+        let takes = self.echo.shared.lock().run(Instant::now());
+        self.echo.record(WorkPhase::Started);
+        let echo = self.echo.clone();
+        Ok(RunningAttempt { echo, cancel: self.cancel.clone(), takes, _permit: permit })
+    }
+}
+
+impl Drop for WaitingAttempt {
+    fn drop(&mut self) {
+        if !self.left {
+            let mut state = self.echo.shared.lock();
+            state.counters.waiting -= 1;
+            state.attempts.remove(&(self.echo.request.clone(), self.echo.attempt));
+        }
+    }
+}
+
+impl Drop for RunningAttempt {
+    fn drop(&mut self) {
+        let mut state = self.echo.shared.lock();
+        state.end(Instant::now());
+        state.attempts.remove(&(self.echo.request.clone(), self.echo.attempt));
+    }
+}
+
+async fn search_attempt(shared: Arc<Shared>, search: ShardSearch) -> Result<Reply, Unanswered> {
+    let deadline = Instant::now() + Duration::from_millis(search.deadline_ms);
+    let service = search.shard.service().to_owned();
+    let kind = WorkKind::Search { service: service.clone(), version: search.version };
+    let echo = AttemptEcho {
+        shared: Arc::clone(&shared),
+        request: search.request.clone(),
+        attempt: search.attempt,
+        kind,
+    };
+    echo.arrive();
+    let admitted = |state: &super::state::State| {
+        state.admit_search(&service, search.version, search.range, Instant::now())
+    };
+    let waiting = match wait(echo, admitted) {
+        Ok(waiting) => waiting,
+        Err((echo, refusal)) => {
+            let versions = shared.lock().versions(&service);
+            return Ok(echo.refuse(refusal, versions));
+        }
+    };
+    let running = match waiting.run(deadline).await {
+        Ok(running) => running,
+        Err(reply) => return Ok(reply),
+    };
+    shared.lock().counters.searches += 1;
+    tokio::select! {
+        biased;
+        () = running.cancel.cancelled() => {
+            return Ok(running.echo.refuse(TargetRefusal::Cancelled, Vec::new()));
+        }
+        () = tokio::time::sleep_until(deadline) => {
+            return Ok(running.echo.refuse(TargetRefusal::Cancelled, Vec::new()));
+        }
+        () = shared.serve(running.takes) => {}
+    }
+    finish_search(&running, &search, &service)
+}
+
+fn finish_search(
+    running: &RunningAttempt,
+    search: &ShardSearch,
+    service: &str,
+) -> Result<Reply, Unanswered> {
+    let shared = &running.echo.shared;
+    // Looked up at the end, so that a repartition during the search shows.
+    let held = shared.lock().holds(service, search.version).cloned();
+    let Some(held) = held else {
+        let versions = shared.lock().versions(service);
+        return Ok(running.echo.refuse(TargetRefusal::VersionRetired, versions));
+    };
+    let searched = held.clip(search.range);
+    if searched.is_empty() {
+        let versions = shared.lock().versions(service);
+        return Ok(running.echo.refuse(TargetRefusal::RangeMoved, versions));
+    }
+    let answer = shard_answer(shared, search, service, searched);
+    running.echo.record(WorkPhase::Finished);
+    faulty_answer(shared, answer)
+}
+
+fn shard_answer(
+    shared: &Shared,
+    search: &ShardSearch,
+    service: &str,
+    searched: RangeSet,
+) -> ShardAnswer {
+    let found = shared
+        .corpus(service)
+        .map(|corpus| corpus.search(search.version, &searched, &search.text, search.limit as usize))
+        .unwrap_or_default();
+    ShardAnswer {
+        request: search.request.clone(),
+        attempt: search.attempt,
+        shard: search.shard.clone(),
+        version: search.version,
+        searched,
+        total: found.total,
+        matches: found.matches,
+    }
+}
+
+/// Sends `answer` as the faults in force would have it.
+fn faulty_answer(shared: &Shared, answer: ShardAnswer) -> Result<Reply, Unanswered> {
+    let mut state = shared.lock();
+    let earlier = state.last_answer.replace(answer.clone());
+    if use_up(&mut state.faults.lost_answers) {
+        return Err(Unanswered::Lost);
+    }
+    if use_up(&mut state.faults.crossed_answers) {
+        let crossed = earlier.unwrap_or_else(|| of_another_request(answer));
+        return Ok(wire::json(StatusCode::OK, &crossed));
+    }
+    if use_up(&mut state.faults.garbled_answers) {
+        let garbled = Bytes::from_static(b"{\"request\":");
+        return Ok(Response::new(Full::new(garbled)));
+    }
+    if use_up(&mut state.faults.oversized_answers) {
+        let padding = state.faults.oversized_bytes;
+        return Ok(wire::json(StatusCode::OK, &padded(answer, padding)));
+    }
+    Ok(wire::json(StatusCode::OK, &answer))
+}
+
+fn of_another_request(mut answer: ShardAnswer) -> ShardAnswer {
+    answer.request = answer.request.chars().rev().collect();
+    answer.attempt += 1;
+    answer
+}
+
+fn padded(mut answer: ShardAnswer, padding: usize) -> ShardAnswer {
+    let text = "x".repeat(padding);
+    answer.matches.push(hawthorn_types::target::DocumentMatch {
+        key: answer.searched.ranges().first().map_or(0, |range| range.start),
+        id: "padding".to_owned(),
+        score: 0.0,
+        text,
+    });
+    answer
+}
+
+async fn run_attempt(shared: Arc<Shared>, run: TargetRun) -> Result<Reply, Unanswered> {
+    let deadline = Instant::now() + Duration::from_millis(run.deadline_ms);
+    let kind =
+        WorkKind::Run { caller: run.caller.clone(), caller_request: run.caller_request.clone() };
+    let echo = AttemptEcho {
+        shared: Arc::clone(&shared),
+        request: run.request.clone(),
+        attempt: run.attempt,
+        kind,
+    };
+    echo.arrive();
+    let waiting = match wait(echo, |state| state.admit(Instant::now())) {
+        Ok(waiting) => waiting,
+        Err((echo, refusal)) => return Ok(echo.refuse(refusal, Vec::new())),
+    };
+    let running = match waiting.run(deadline).await {
+        Ok(running) => running,
+        Err(reply) => return Ok(reply),
+    };
+    shared.lock().counters.runs += 1;
+    // Once started, a run ends by itself: an answer "not run" would be a lie.
+    shared.serve(running.takes).await;
+    running.echo.record(WorkPhase::Finished);
+    finish_run(&shared, run)
+}
+
+fn finish_run(shared: &Shared, run: TargetRun) -> Result<Reply, Unanswered> {
+    let mut state = shared.lock();
+    if use_up(&mut state.faults.lost_answers) {
+        return Err(Unanswered::Lost);
+    }
+    let (status, result) = match use_up(&mut state.faults.failed_runs) {
+        true => (StatusCode::INTERNAL_SERVER_ERROR, "failed".to_owned()),
+        false => (StatusCode::OK, format!("done: {}", run.body)),
+    };
+    Ok(wire::json(status, &RunAnswer { request: run.request, attempt: run.attempt, result }))
+}
+
+/// Admits an attempt and lets it wait, in one step under the lock.
+fn wait(
+    echo: AttemptEcho,
+    admitted: impl FnOnce(&super::state::State) -> Result<(), TargetRefusal>,
+) -> Result<WaitingAttempt, (AttemptEcho, TargetRefusal)> {
+    let cancel = CancellationToken::new();
+    let shared = Arc::clone(&echo.shared);
+    let mut state = shared.lock();
+    if let Err(refusal) = admitted(&state) {
+        drop(state);
+        return Err((echo, refusal));
+    }
+    state.wait((echo.request.clone(), echo.attempt), cancel.clone());
+    drop(state);
+    Ok(WaitingAttempt { echo, cancel, left: false })
+}
--- /dev/null
+++ b/crates/hawthorn-standin/tests/deployment.rs
@@ -0,0 +1,99 @@
+//! The deployment gives what the inventory says.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use hawthorn_standin::DeploymentOptions;
+use hawthorn_standin::StandinDeployment;
+use hawthorn_standin::deployment::Error;
+use hawthorn_types::KeyRange;
+use hawthorn_types::RangeSet;
+use hawthorn_types::target::TargetState;
+use support::Client;
+use support::TestResult;
+
+#[tokio::test]
+async fn every_target_answers_at_its_address() -> TestResult {
+    for options in [DeploymentOptions::dar_port(), DeploymentOptions::poland()] {
+        let deployment = StandinDeployment::start(options).await?;
+        let inventory = deployment.inventory_toml();
+        for target in &deployment.targets {
+            let address = target.standin.address();
+            assert!(inventory.contains(&format!("address = \"{address}\"")));
+            let state = Client::connect(address).await?.get("/state").await?;
+            assert_eq!(state.json::<TargetState>()?.target, target.name);
+        }
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn replicas_cover_every_key_in_different_zones() -> TestResult {
+    let deployment = StandinDeployment::start(DeploymentOptions::dar_port()).await?;
+    for service in &deployment.options().services {
+        let mut covered = RangeSet::default();
+        for shard in 0..service.shards {
+            covered.insert(KeyRange::part(shard, service.shards));
+            let zones: BTreeSet<&str> = deployment
+                .targets
+                .iter()
+                .filter(|target| target.service == service.name && target.shards.contains(&shard))
+                .map(|target| target.zone.as_str())
+                .collect();
+            assert_eq!(zones.len(), service.replicas as usize, "{} {shard}", service.name);
+        }
+        assert_eq!(covered, RangeSet::from(KeyRange::WHOLE));
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn the_inventory_has_the_agreed_shape() -> TestResult {
+    let mut options = DeploymentOptions::dar_port();
+    options.services.truncate(1);
+    options.services[0].shards = 1;
+    options.services[0].replicas = 1;
+    options.zones.truncate(1);
+    let deployment = StandinDeployment::start(options).await?;
+    let address = deployment.targets[0].standin.address().to_string();
+    let inventory = deployment.inventory_toml().replace(&address, "ADDRESS");
+    insta::assert_snapshot!(inventory, @r#"
+    [[zone]]
+    name = "kurasini"
+    region = "dar-port"
+
+    [[service]]
+    name = "agent-desk"
+    shards = 1
+    slots = 2
+    connections = 25
+    connect_cost = "6ms"
+
+    [[target]]
+    name = "agent-desk-00"
+    asset = "HW-0001"
+    service = "agent-desk"
+    zone = "kurasini"
+    address = "ADDRESS"
+    shards = ["agent-desk/00"]
+    "#);
+    insta::assert_snapshot!(deployment.rules_toml(), @r#"
+    [[caller]]
+    name = "bunker-desk"
+
+    [[caller]]
+    name = "ship-agents"
+
+    [[caller]]
+    name = "suppliers"
+    "#);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_deployment_without_a_zone_is_refused() {
+    let options = DeploymentOptions { zones: Vec::new(), ..DeploymentOptions::dar_port() };
+    let started = StandinDeployment::start(options).await;
+    assert!(matches!(started, Err(Error::NoZone)));
+}
