--- a/crates/hawthorn-standin/src/platform/rate.rs
+++ b/crates/hawthorn-standin/src/platform/rate.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-/// Calls a second, with bursts up to a tenth of a second's worth.
+/// Calls a second, with bursts up to a tenth of a second's worth and of at
+/// least one call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CallRate {
     per_second: f64,
--- a/crates/hawthorn-standin/tests/platform.rs
+++ b/crates/hawthorn-standin/tests/platform.rs
@@ -166,7 +166,7 @@
 
 #[tokio::test]
 async fn calls_over_the_rate_are_refused_and_counted() -> TestResult {
-    let options = PlatformOptions { writes_per_second: 1, reads_per_second: 10_000, ..options() };
+    let options = PlatformOptions { writes_per_second: 0, reads_per_second: 10_000, ..options() };
     let platform = PlatformStandin::start(options).await?;
     let mut client = Client::connect(platform.address()).await?;
     assert_eq!(client.put("/kv/a", &put(0, "a")).await?.status, 200);
--- /dev/null
+++ b/crates/hawthorn-standin/tests/proxy.rs
@@ -0,0 +1,292 @@
+//! Each fault of the proxies brings about its effect.
+
+mod support;
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::slice;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthorn_standin::proxy::DripRate;
+use hawthorn_standin::proxy::LinkFaults;
+use hawthorn_standin::proxy::NetworkOptions;
+use hawthorn_standin::proxy::NetworkPlace;
+use hawthorn_standin::proxy::StandinNetwork;
+use hawthorn_standin::proxy::TcpProxy;
+use hawthorn_standin::proxy::UdpProxy;
+use support::Fallible;
+use support::TestResult;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+/// Long enough that anything on its way would have arrived.
+const SILENCE: Duration = Duration::from_millis(60);
+
+/// An address that sends every byte back.
+async fn echo() -> Fallible<SocketAddr> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (mut reader, mut writer) = stream.split();
+                tokio::io::copy(&mut reader, &mut writer).await
+            });
+        }
+    });
+    Ok(address)
+}
+
+async fn proxy(faults: LinkFaults) -> Fallible<TcpProxy> {
+    Ok(TcpProxy::start(echo().await?, 1, faults, &CancellationToken::new()).await?)
+}
+
+async fn round_trip(stream: &mut TcpStream, bytes: &[u8]) -> Fallible<Vec<u8>> {
+    stream.write_all(bytes).await?;
+    let mut back = vec![0; bytes.len()];
+    stream.read_exact(&mut back).await?;
+    Ok(back)
+}
+
+#[tokio::test]
+async fn bytes_pass_unchanged_and_in_order() -> TestResult {
+    let jitter = Duration::from_millis(3);
+    let proxy = proxy(LinkFaults { jitter, ..LinkFaults::default() }).await?;
+    let sent: Vec<u8> = (0..=u8::MAX).cycle().take(300_000).collect();
+    let stream = TcpStream::connect(proxy.address()).await?;
+    let (mut reader, mut writer) = stream.into_split();
+    let copy = sent.clone();
+    let writing = tokio::spawn(async move {
+        writer.write_all(&copy).await?;
+        writer.shutdown().await
+    });
+    let mut back = Vec::new();
+    reader.read_to_end(&mut back).await?;
+    writing.await??;
+    assert!(back == sent);
+    assert_eq!(proxy.control().counters().bytes_backward, 300_000);
+    Ok(())
+}
+
+struct DelayCase {
+    name: &'static str,
+    faults: LinkFaults,
+    bytes: usize,
+    at_least: Duration,
+}
+
+#[tokio::test]
+async fn delays_are_never_shorter_than_told() -> TestResult {
+    let drip = DripRate { bytes: 2, every: Duration::from_millis(5) };
+    let cases = [
+        DelayCase {
+            name: "latency, both ways",
+            faults: LinkFaults { latency: Duration::from_millis(20), ..LinkFaults::default() },
+            bytes: 1,
+            at_least: Duration::from_millis(40),
+        },
+        DelayCase {
+            name: "drip, five lots forward",
+            faults: LinkFaults { drip: Some(drip), ..LinkFaults::default() },
+            bytes: 10,
+            at_least: Duration::from_millis(25),
+        },
+    ];
+    for case in cases {
+        let proxy = proxy(case.faults).await?;
+        let mut stream = TcpStream::connect(proxy.address()).await?;
+        let start = Instant::now();
+        round_trip(&mut stream, &vec![7; case.bytes]).await?;
+        assert!(start.elapsed() >= case.at_least, "{}", case.name);
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn resets_end_new_and_open_connections() -> TestResult {
+    let proxy = proxy(LinkFaults::default()).await?;
+    let mut open = TcpStream::connect(proxy.address()).await?;
+    round_trip(&mut open, b"a").await?;
+    proxy.control().reset_connections();
+    assert!(round_trip(&mut open, b"b").await.is_err());
+    proxy.control().set_faults(|faults| faults.resets = 1.0);
+    let mut new = TcpStream::connect(proxy.address()).await?;
+    assert!(round_trip(&mut new, b"c").await.is_err());
+    assert_eq!(proxy.control().counters().resets, 2);
+    Ok(())
+}
+
+/// A caller waits until its deadline although the target is gone: the kernel
+/// accepted the connection and nobody reads it.
+#[tokio::test]
+async fn a_black_hole_accepts_and_stays_silent() -> TestResult {
+    let proxy = proxy(LinkFaults::default()).await?;
+    let mut open = TcpStream::connect(proxy.address()).await?;
+    round_trip(&mut open, b"a").await?;
+    proxy.control().set_faults(|faults| faults.black_hole = true);
+    let mut new = TcpStream::connect(proxy.address()).await?;
+    assert!(timeout(SILENCE, round_trip(&mut open, b"b")).await.is_err());
+    assert!(timeout(SILENCE, round_trip(&mut new, b"b")).await.is_err());
+    proxy.control().set_faults(|faults| faults.black_hole = false);
+    assert!(timeout(SILENCE, open.read_u8()).await.is_err());
+    Ok(())
+}
+
+struct CutCase {
+    name: &'static str,
+    cut: fn(&mut LinkFaults),
+    reached: u64,
+}
+
+/// A target runs what it is sent and no answer comes back, or hears nothing at
+/// all: one way of the network is cut. What waited must arrive once it heals.
+#[tokio::test]
+async fn a_one_way_cut_holds_bytes_back_until_it_heals() -> TestResult {
+    let cases = [
+        CutCase { name: "forward", cut: |faults| faults.cut_forward = true, reached: 1 },
+        CutCase { name: "backward", cut: |faults| faults.cut_backward = true, reached: 2 },
+    ];
+    for case in cases {
+        let proxy = proxy(LinkFaults::default()).await?;
+        let mut stream = TcpStream::connect(proxy.address()).await?;
+        round_trip(&mut stream, b"a").await?;
+        proxy.control().set_faults(case.cut);
+        stream.write_all(b"b").await?;
+        assert!(timeout(SILENCE, stream.read_u8()).await.is_err(), "{}", case.name);
+        assert_eq!(proxy.control().counters().bytes_forward, case.reached, "{}", case.name);
+        proxy.control().set_faults(|faults| *faults = LinkFaults::default());
+        assert_eq!(stream.read_u8().await?, b'b', "{}", case.name);
+    }
+    Ok(())
+}
+
+/// An order is confirmed and its sender never hears: the connection broke after
+/// the request had passed and before the answer did.
+#[tokio::test]
+async fn an_answer_can_be_lost_after_its_request_passed() -> TestResult {
+    let proxy = proxy(LinkFaults { lost_answers: 1, ..LinkFaults::default() }).await?;
+    let mut first = TcpStream::connect(proxy.address()).await?;
+    assert!(round_trip(&mut first, b"a").await.is_err());
+    assert_eq!(proxy.control().counters().bytes_forward, 1);
+    let mut second = TcpStream::connect(proxy.address()).await?;
+    assert_eq!(round_trip(&mut second, b"a").await?, b"a");
+    Ok(())
+}
+
+struct LossCase {
+    name: &'static str,
+    faults: LinkFaults,
+    received: std::ops::RangeInclusive<usize>,
+}
+
+#[tokio::test]
+async fn datagrams_are_lost_doubled_and_cut() -> TestResult {
+    let none = LinkFaults::default();
+    let cases = [
+        LossCase { name: "no fault", faults: none, received: 100..=100 },
+        LossCase { name: "loss", faults: LinkFaults { loss: 0.5, ..none }, received: 30..=70 },
+        LossCase {
+            name: "doubled",
+            faults: LinkFaults { duplicates: 1.0, ..none },
+            received: 200..=200,
+        },
+        LossCase {
+            name: "cut forward",
+            faults: LinkFaults { cut_forward: true, ..none },
+            received: 0..=0,
+        },
+    ];
+    for case in cases {
+        let mut counts = Vec::new();
+        for _run in 0..2 {
+            counts.push(received(case.faults).await?);
+        }
+        assert!(case.received.contains(&counts[0]), "{}: {}", case.name, counts[0]);
+        assert_eq!(counts[0], counts[1], "{}: the same seed, the same fate", case.name);
+    }
+    Ok(())
+}
+
+/// How many of a hundred datagrams arrive.
+async fn received(faults: LinkFaults) -> Fallible<usize> {
+    let upstream = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    let stop = CancellationToken::new();
+    let proxy = UdpProxy::start(upstream.local_addr()?, 1, faults, &stop).await?;
+    let client = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    for number in 0..100_u8 {
+        client.send_to(&[number], proxy.address()).await?;
+    }
+    let met = || {
+        let counters = proxy.control().counters();
+        counters.datagrams + counters.datagrams_lost
+    };
+    while met() < 100 {
+        tokio::task::yield_now().await;
+    }
+    let each = if faults.duplicates > 0.0 { 2 } else { 1 };
+    let expected = usize::try_from(proxy.control().counters().datagrams)? * each;
+    let mut buffer = [0; 8];
+    for _datagram in 0..expected {
+        upstream.recv_from(&mut buffer).await?;
+    }
+    assert!(timeout(SILENCE, upstream.recv_from(&mut buffer)).await.is_err());
+    Ok(expected)
+}
+
+#[tokio::test]
+async fn datagrams_are_answered_through_the_forwarder() -> TestResult {
+    let upstream = Arc::new(UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?);
+    let proxy = UdpProxy::start(
+        upstream.local_addr()?,
+        1,
+        LinkFaults::default(),
+        &CancellationToken::new(),
+    )
+    .await?;
+    let client = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    client.send_to(b"ping", proxy.address()).await?;
+    let mut buffer = [0; 8];
+    let (_, sender) = upstream.recv_from(&mut buffer).await?;
+    upstream.send_to(b"pong", sender).await?;
+    let (length, from) = client.recv_from(&mut buffer).await?;
+    assert_eq!((&buffer[..length], from), (&b"pong"[..], proxy.address()));
+    Ok(())
+}
+
+/// Two zones stop hearing each other while both reach a third and the platform
+/// is out of reach for all.
+#[tokio::test]
+async fn partitions_cut_by_place_and_heal() -> TestResult {
+    let kurasini = NetworkPlace::zone("kurasini");
+    let kigamboni = NetworkPlace::zone("kigamboni");
+    let mbagala = NetworkPlace::zone("mbagala");
+    let mut network = StandinNetwork::new(NetworkOptions::dar_port());
+    let places = [&kigamboni, &mbagala, &NetworkPlace::Platform];
+    let mut streams = Vec::new();
+    for place in places {
+        let address = network.link_tcp(kurasini.clone(), place.clone(), echo().await?).await?;
+        let mut stream = TcpStream::connect(address).await?;
+        round_trip(&mut stream, b"a").await?;
+        streams.push(stream);
+    }
+    network.partition(&[slice::from_ref(&kurasini), slice::from_ref(&kigamboni)]);
+    network.cut_platform();
+    round_trip(&mut streams[1], b"b").await?;
+    for cut in [0, 2] {
+        let stream = &mut streams[cut];
+        assert!(timeout(SILENCE, round_trip(stream, b"b")).await.is_err());
+    }
+    network.heal();
+    assert_eq!(streams[0].read_u8().await?, b'b');
+    assert_eq!(streams[2].read_u8().await?, b'b');
+    let latency = network.controls(&kurasini, &kigamboni)[0].faults().latency;
+    assert_eq!(latency, Duration::from_micros(1_500));
+    Ok(())
+}
