feat(standin): checker of broken promises over a typed history

Cause: a run under faults proves nothing unless every answer is held against what the targets really held and ran.

Change: one checker for mixed versions, overstated coverage, doubled runs, false "not run", configuration going back, work to leaving targets, requests cut off by a planned stop and crossed answers.

Conclusion: every promise has a planted violation that the checker finds.

--- a/crates/hawthorn-standin/src/history.rs
+++ b/crates/hawthorn-standin/src/history.rs
@@ -78,6 +78,11 @@
         /// The daemon, by the name used in [`SentQuery::front`].
         daemon: String,
     },
+    /// A daemon is ready again after a stop or a kill.
+    Started {
+        /// The daemon.
+        daemon: String,
+    },
     /// A daemon was killed without warning: what it cuts off is no broken promise.
     Killed {
         /// The daemon.
--- a/crates/hawthorn-standin/src/lib.rs
+++ b/crates/hawthorn-standin/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
+pub mod check;
 pub mod corpus;
 pub mod deployment;
 pub mod history;
--- /dev/null
+++ b/crates/hawthorn-standin/tests/check.rs
@@ -0,0 +1,397 @@
+//! The checker finds each planted violation, and nothing in a right history.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthorn_standin::Corpus;
+use hawthorn_standin::check;
+use hawthorn_standin::check::BrokenPromise;
+use hawthorn_standin::corpus::CorpusOptions;
+use hawthorn_standin::history::HistoryEvent;
+use hawthorn_standin::history::HistoryRecord;
+use hawthorn_standin::history::SentOnce;
+use hawthorn_standin::history::SentQuery;
+use hawthorn_standin::history::TargetWork;
+use hawthorn_standin::history::WorkKind;
+use hawthorn_standin::history::WorkPhase;
+use hawthorn_types::AnswerCoverage;
+use hawthorn_types::CallerAnswer;
+use hawthorn_types::CallerOutcome;
+use hawthorn_types::ConfigRevision;
+use hawthorn_types::ConfigStamp;
+use hawthorn_types::IndexVersion;
+use hawthorn_types::KEY_SPACE;
+use hawthorn_types::KeyRange;
+use hawthorn_types::MissingRange;
+use hawthorn_types::MissingReason;
+use hawthorn_types::OnceRequest;
+use hawthorn_types::RangeSet;
+use hawthorn_types::RefusalReason;
+use hawthorn_types::SearchQuery;
+use hawthorn_types::UnknownReason;
+use hawthorn_types::UrgencyClass;
+use strum::IntoEnumIterator;
+use support::SERVICE;
+use support::TestResult;
+
+const TEXT: &str = "mv-uhuru";
+const LIMIT: u32 = 5;
+
+fn corpus() -> Arc<Corpus> {
+    Arc::new(Corpus::generate(SERVICE, &CorpusOptions::default()))
+}
+
+fn query_sent(send: u64) -> HistoryEvent {
+    HistoryEvent::QuerySent(SentQuery {
+        send,
+        front: "entry-1".to_owned(),
+        query: SearchQuery {
+            caller: "bunker-desk".to_owned(),
+            service: SERVICE.to_owned(),
+            text: TEXT.to_owned(),
+            range: None,
+            limit: LIMIT,
+            deadline_ms: 1_000,
+            urgency: UrgencyClass::Urgent,
+            request_id: Some(format!("q-{send}")),
+        },
+    })
+}
+
+/// The right answer to [`query_sent`], with the upper half of the keys missing.
+fn half_answer(send: u64) -> CallerAnswer {
+    let half = KeyRange::new(0, KEY_SPACE / 2);
+    let rest = KeyRange::new(KEY_SPACE / 2, KEY_SPACE);
+    let found = corpus().search(IndexVersion(2), &RangeSet::from(half), TEXT, LIMIT as usize);
+    CallerAnswer {
+        request: format!("{send:032x}"),
+        request_id: Some(format!("q-{send}")),
+        outcome: CallerOutcome::Answer,
+        retry_after_ms: None,
+        index_version: Some(IndexVersion(2)),
+        coverage: Some(AnswerCoverage {
+            fraction: 0.5,
+            covered: vec![half],
+            missing: vec![MissingRange { range: rest, reason: MissingReason::Unreachable }],
+        }),
+        configuration: ConfigStamp { revision: ConfigRevision(3), age_ms: 0 },
+        total: found.total,
+        matches: found.matches,
+        result: None,
+        elapsed_ms: 1,
+    }
+}
+
+fn answered(send: u64, change: impl FnOnce(&mut CallerAnswer)) -> HistoryEvent {
+    let mut answer = half_answer(send);
+    change(&mut answer);
+    HistoryEvent::Answered { send, answer }
+}
+
+fn once_sent(send: u64, request_id: &str) -> HistoryEvent {
+    HistoryEvent::OnceSent(SentOnce {
+        send,
+        front: "entry-1".to_owned(),
+        request: OnceRequest {
+            caller: "bunker-desk".to_owned(),
+            service: SERVICE.to_owned(),
+            key: 1,
+            body: "confirm order 7".to_owned(),
+            deadline_ms: 1_000,
+            request_id: request_id.to_owned(),
+        },
+    })
+}
+
+fn once_answered(send: u64, request_id: &str, outcome: CallerOutcome) -> HistoryEvent {
+    answered(send, |answer| {
+        answer.request_id = Some(request_id.to_owned());
+        answer.outcome = outcome;
+        answer.coverage = None;
+        answer.matches.clear();
+    })
+}
+
+fn run_phase(request: u64, request_id: &str, phase: WorkPhase) -> HistoryEvent {
+    HistoryEvent::Work(TargetWork {
+        target: "agent-desk-00".to_owned(),
+        request: format!("{request:032x}"),
+        attempt: 1,
+        kind: WorkKind::Run {
+            caller: "bunker-desk".to_owned(),
+            caller_request: request_id.to_owned(),
+        },
+        phase,
+    })
+}
+
+fn leaving() -> HistoryEvent {
+    HistoryEvent::TargetLeaving { target: "agent-desk-00".to_owned() }
+}
+
+fn serving() -> HistoryEvent {
+    HistoryEvent::TargetServing { target: "agent-desk-00".to_owned() }
+}
+
+fn config(revision: u64) -> HistoryEvent {
+    HistoryEvent::ConfigSeen { daemon: "entry-1".to_owned(), revision: ConfigRevision(revision) }
+}
+
+fn stop_began() -> HistoryEvent {
+    HistoryEvent::StopBegan { daemon: "entry-1".to_owned() }
+}
+
+const NOT_RUN: CallerOutcome = CallerOutcome::NotRun(RefusalReason::QueueFull);
+const LOST: CallerOutcome = CallerOutcome::Unknown(UnknownReason::ConnectionLost);
+
+struct HistoryCase {
+    name: &'static str,
+    /// One event a second.
+    events: Vec<HistoryEvent>,
+    broken: Vec<BrokenPromise>,
+}
+
+fn records(events: Vec<HistoryEvent>) -> Vec<HistoryRecord> {
+    (0_u64..)
+        .zip(events)
+        .map(|(second, event)| HistoryRecord { at: Duration::from_secs(second), event })
+        .collect()
+}
+
+fn check_all(cases: Vec<HistoryCase>) -> Vec<BrokenPromise> {
+    let options = check::Options { corpora: vec![corpus()], ..check::Options::default() };
+    let mut planted = Vec::new();
+    for case in cases {
+        let found = check::check(&records(case.events), &options);
+        let found: Vec<BrokenPromise> = found.iter().map(|violation| violation.promise).collect();
+        assert_eq!(found, case.broken, "{}", case.name);
+        planted.extend(found);
+    }
+    planted
+}
+
+#[test]
+fn right_histories_pass() -> TestResult {
+    let mut later = vec![leaving()];
+    later.extend(std::iter::repeat_n(config(1), 9));
+    later.push(serving());
+    later.push(run_phase(1, "1-a", WorkPhase::Arrived));
+    let cases = vec![
+        HistoryCase {
+            name: "an answer that says what it covers",
+            events: vec![query_sent(1), answered(1, |_| {})],
+            broken: vec![],
+        },
+        HistoryCase {
+            name: "not run, sent again, run once",
+            events: vec![
+                once_sent(1, "1-a"),
+                once_answered(1, "1-a", NOT_RUN),
+                once_sent(2, "1-a"),
+                run_phase(2, "1-a", WorkPhase::Started),
+                once_answered(2, "1-a", CallerOutcome::Answer),
+            ],
+            broken: vec![],
+        },
+        HistoryCase {
+            name: "run once, its answer lost, truly unknown",
+            events: vec![
+                once_sent(1, "1-a"),
+                run_phase(1, "1-a", WorkPhase::Started),
+                HistoryEvent::Cut { send: 1 },
+                once_sent(2, "1-a"),
+                once_answered(2, "1-a", LOST),
+            ],
+            broken: vec![],
+        },
+        HistoryCase {
+            name: "work within the grace, and after the target serves again",
+            events: vec![leaving(), run_phase(1, "1-a", WorkPhase::Arrived), config(1)],
+            broken: vec![],
+        },
+        HistoryCase { name: "work after the target serves again", events: later, broken: vec![] },
+        HistoryCase {
+            name: "a killed daemon cuts requests off",
+            events: vec![
+                stop_began(),
+                HistoryEvent::Started { daemon: "entry-1".to_owned() },
+                query_sent(1),
+                HistoryEvent::Killed { daemon: "entry-1".to_owned() },
+                HistoryEvent::Cut { send: 1 },
+            ],
+            broken: vec![],
+        },
+        HistoryCase {
+            name: "an answer made before a change overtaken by one made after",
+            events: vec![
+                query_sent(1),
+                query_sent(2),
+                answered(2, |answer| answer.configuration.revision = ConfigRevision(4)),
+                answered(1, |_| {}),
+            ],
+            broken: vec![],
+        },
+    ];
+    assert_eq!(check_all(cases), []);
+    Ok(())
+}
+
+/// Each case is one thing a caller must never see; the checker is worth nothing
+/// for those that it lets pass, so every promise has at least one.
+#[test]
+fn planted_violations_are_found() -> TestResult {
+    let mut planted = check_all(answer_cases());
+    planted.extend(check_all(run_cases()));
+    planted.extend(check_all(fleet_cases()));
+    for promise in BrokenPromise::iter() {
+        assert!(planted.contains(&promise), "{promise} has no planted violation");
+    }
+    Ok(())
+}
+
+fn answer_case(
+    name: &'static str,
+    change: fn(&mut CallerAnswer),
+    broken: Vec<BrokenPromise>,
+) -> HistoryCase {
+    HistoryCase { name, events: vec![query_sent(1), answered(1, change)], broken }
+}
+
+fn answer_cases() -> Vec<HistoryCase> {
+    let overstated = || vec![BrokenPromise::OverstatedCoverage];
+    vec![
+        answer_case(
+            "one document of another version",
+            |answer| {
+                answer.matches[0].text = answer.matches[0].text.replace("edition-2", "edition-1")
+            },
+            vec![BrokenPromise::MixedVersions, BrokenPromise::OverstatedCoverage],
+        ),
+        answer_case(
+            "no version stated",
+            |answer| answer.index_version = None,
+            vec![BrokenPromise::MixedVersions],
+        ),
+        answer_case(
+            "a missing shard claimed as covered",
+            |answer| {
+                let coverage = AnswerCoverage {
+                    fraction: 1.0,
+                    covered: vec![KeyRange::WHOLE],
+                    missing: vec![],
+                };
+                answer.coverage = Some(coverage);
+            },
+            overstated(),
+        ),
+        answer_case(
+            "a gap that is neither covered nor missing",
+            |answer| {
+                answer.coverage.iter_mut().for_each(|coverage| coverage.missing.clear());
+            },
+            overstated(),
+        ),
+        answer_case(
+            "a fraction of one with a range missing",
+            |answer| answer.coverage.iter_mut().for_each(|coverage| coverage.fraction = 1.0),
+            overstated(),
+        ),
+        answer_case("no coverage stated", |answer| answer.coverage = None, overstated()),
+        answer_case("a match lost", |answer| drop(answer.matches.remove(1)), overstated()),
+        answer_case(
+            "a match doubled",
+            |answer| answer.matches[1] = answer.matches[0].clone(),
+            overstated(),
+        ),
+        answer_case("a total too small", |answer| answer.total -= 1, overstated()),
+        answer_case(
+            "another request's id",
+            |answer| answer.request_id = Some("q-2".to_owned()),
+            vec![BrokenPromise::CrossedAnswer],
+        ),
+        answer_case(
+            "documents that were not asked for",
+            |answer| {
+                let half = RangeSet::from(KeyRange::new(0, KEY_SPACE / 2));
+                let other = corpus().search(IndexVersion(2), &half, "mv-pemba", LIMIT as usize);
+                answer.matches = other.matches;
+            },
+            vec![BrokenPromise::CrossedAnswer, BrokenPromise::OverstatedCoverage],
+        ),
+    ]
+}
+
+fn run_cases() -> Vec<HistoryCase> {
+    vec![
+        HistoryCase {
+            name: "an order confirmed twice",
+            events: vec![
+                once_sent(1, "1-a"),
+                run_phase(1, "1-a", WorkPhase::Started),
+                HistoryEvent::Cut { send: 1 },
+                once_sent(2, "1-a"),
+                run_phase(2, "1-a", WorkPhase::Started),
+            ],
+            broken: vec![BrokenPromise::DoubledRun],
+        },
+        HistoryCase {
+            name: "not run said after it ran",
+            events: vec![
+                once_sent(1, "1-a"),
+                run_phase(1, "1-a", WorkPhase::Started),
+                once_answered(1, "1-a", NOT_RUN),
+            ],
+            broken: vec![BrokenPromise::FalseNotRun],
+        },
+        HistoryCase {
+            name: "not run said before it runs",
+            events: vec![
+                once_sent(1, "1-a"),
+                once_answered(1, "1-a", NOT_RUN),
+                run_phase(1, "1-a", WorkPhase::Started),
+            ],
+            broken: vec![BrokenPromise::FalseNotRun],
+        },
+        HistoryCase {
+            name: "not run said of a second send of what ran",
+            events: vec![
+                once_sent(1, "1-a"),
+                run_phase(1, "1-a", WorkPhase::Started),
+                HistoryEvent::Cut { send: 1 },
+                once_sent(2, "1-a"),
+                once_answered(2, "1-a", NOT_RUN),
+            ],
+            broken: vec![BrokenPromise::FalseNotRun],
+        },
+    ]
+}
+
+fn fleet_cases() -> Vec<HistoryCase> {
+    let mut late = vec![leaving()];
+    late.extend(std::iter::repeat_n(config(1), 6));
+    late.push(run_phase(1, "1-a", WorkPhase::Arrived));
+    vec![
+        HistoryCase {
+            name: "a daemon goes back",
+            events: vec![config(2), config(1)],
+            broken: vec![BrokenPromise::ConfigWentBack],
+        },
+        HistoryCase {
+            name: "an answer sent for later is made under an older configuration",
+            events: vec![config(4), query_sent(1), answered(1, |_| {})],
+            broken: vec![BrokenPromise::ConfigWentBack],
+        },
+        HistoryCase {
+            name: "work seven seconds after a target began to leave",
+            events: late,
+            broken: vec![BrokenPromise::WorkToLeaving],
+        },
+        HistoryCase {
+            name: "a planned stop cuts a request off",
+            events: vec![query_sent(1), stop_began(), HistoryEvent::Cut { send: 1 }],
+            broken: vec![BrokenPromise::RequestCutOff],
+        },
+    ]
+}
