--- a/crates/hawthorn-standin/src/history.rs
+++ b/crates/hawthorn-standin/src/history.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hawthorn_types::CallerAnswer;
@@ -23,6 +25,7 @@
 #[derive(Debug)]
 struct SharedRecords {
     start: Instant,
+    sends: AtomicU64,
     records: Mutex<Vec<HistoryRecord>>,
 }
 
@@ -163,7 +166,9 @@
 
 impl Default for History {
     fn default() -> Self {
-        let shared = SharedRecords { start: Instant::now(), records: Mutex::default() };
+        let start = Instant::now();
+        let shared =
+            SharedRecords { start, sends: AtomicU64::default(), records: Mutex::default() };
         Self { shared: Arc::new(shared) }
     }
 }
@@ -177,6 +182,16 @@
         records.push(HistoryRecord { at, event });
     }
 
+    /// Time since the history began.
+    pub fn now(&self) -> Duration {
+        self.shared.start.elapsed()
+    }
+
+    /// A number for a send that no other send of this history has.
+    pub fn next_send(&self) -> u64 {
+        self.shared.sends.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// A copy of all records so far, in the order of their times.
     pub fn records(&self) -> Vec<HistoryRecord> {
         self.lock().clone()
--- a/crates/hawthorn-standin/src/lib.rs
+++ b/crates/hawthorn-standin/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod corpus;
 pub mod deployment;
 pub mod history;
+pub mod load;
 pub mod platform;
 pub mod proxy;
 pub mod target;
--- /dev/null
+++ b/crates/hawthorn-standin/src/load/pool.rs
@@ -0,0 +1,131 @@
+//! A bounded pool of HTTP/1.1 connections to one address, first come first
+//! served.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HOST;
+use hyper_util::rt::TokioIo;
+use quick_error::quick_error;
+use serde::Serialize;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+
+/// Largest answer that is read.
+const ANSWER_LIMIT: usize = 64 << 20;
+
+quick_error! {
+    /// Why a request has no answer.
+    #[derive(Debug)]
+    pub enum Error {
+        /// No connection could be made: nothing was sent.
+        Connect(err: io::Error) {
+            display("cannot connect: {err}")
+            source(err)
+            from()
+        }
+        /// The connection broke or the answer was too large, after the request
+        /// was sent.
+        Cut {
+            display("the connection broke before the whole answer came")
+        }
+    }
+}
+
+/// Connections to one address. Clones share the connections.
+#[derive(Clone, Debug)]
+pub struct ConnectionPool {
+    address: SocketAddr,
+    idle: Arc<Mutex<Vec<SendRequest<Full<Bytes>>>>>,
+    limit: Arc<Semaphore>,
+}
+
+impl ConnectionPool {
+    /// A pool of at most `limit` connections.
+    pub fn new(address: SocketAddr, limit: usize) -> Self {
+        Self { address, idle: Arc::default(), limit: Arc::new(Semaphore::new(limit)) }
+    }
+
+    /// The address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Posts `body` as JSON, once a connection is free.
+    pub async fn post<T: Serialize>(
+        &self,
+        path: &str,
+        body: &T,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let body =
+            serde_json::to_vec(body).expect("the messages of the contracts have string keys");
+        self.send(Method::POST, path, body).await
+    }
+
+    /// Sends `body`, once a connection is free.
+    pub async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, self.address.to_string())
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .expect("the paths of the contracts are well formed");
+        let _permit = self.limit.acquire().await.expect("the pool is never closed");
+        let mut sender = self.connection().await?;
+        let response = sender.send_request(request).await.map_err(|_| Error::Cut)?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), ANSWER_LIMIT);
+        let bytes = body.collect().await.map_err(|_| Error::Cut)?.to_bytes();
+        self.lock().push(sender);
+        Ok((status, bytes))
+    }
+
+    /// Closes the connections that are idle.
+    pub fn close_idle(&self) {
+        self.lock().clear();
+    }
+
+    /// An idle connection that is still open, or a new one.
+    async fn connection(&self) -> Result<SendRequest<Full<Bytes>>, Error> {
+        loop {
+            let idle = self.lock().pop();
+            let Some(mut sender) = idle else { break };
+            if sender.ready().await.is_ok() {
+                return Ok(sender);
+            }
+        }
+        let stream = TcpStream::connect(self.address).await?;
+        stream.set_nodelay(true)?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|_| Error::Cut)?;
+        tokio::spawn(async move {
+            if let Err(err) = connection.await {
+                log::debug!("a connection of the load generator ended early: {err}");
+            }
+        });
+        Ok(sender)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<SendRequest<Full<Bytes>>>> {
+        self.idle.lock().expect("nothing panics while it holds the connections")
+    }
+}
--- /dev/null
+++ b/crates/hawthorn-standin/src/load/remote.rs
@@ -0,0 +1,90 @@
+//! Stand-in targets of another process, told by HTTP what a scenario needs.
+//!
+//! Each call takes one of the target's connections for a moment.
+
+use std::collections::HashMap;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use futures::future::join_all;
+use hyper::Method;
+
+use super::inventory::TargetInventory;
+use super::pool::ConnectionPool;
+use super::scenario::LoadScenario;
+use super::stage::LoadStage;
+use super::stage::TargetSlowness;
+use crate::target::TargetCounters;
+
+/// The stand-in targets of an inventory.
+#[derive(Debug)]
+pub struct RemoteStage {
+    targets: Vec<RemoteTarget>,
+    shards: HashMap<String, u32>,
+}
+
+#[derive(Debug)]
+struct RemoteTarget {
+    service: String,
+    pool: ConnectionPool,
+}
+
+impl RemoteStage {
+    /// The targets of `inventory`.
+    pub fn new(inventory: &TargetInventory) -> Self {
+        let targets = inventory
+            .target
+            .iter()
+            .map(|target| RemoteTarget {
+                service: target.service.clone(),
+                pool: ConnectionPool::new(target.address, 1),
+            })
+            .collect();
+        let shards = inventory
+            .service
+            .iter()
+            .map(|service| (service.name.clone(), service.shards))
+            .collect();
+        Self { targets, shards }
+    }
+
+    async fn slow(&self, slowness: impl Fn(usize) -> TargetSlowness) {
+        let told = self.targets.iter().enumerate().map(|(number, target)| {
+            let slowness = slowness(number);
+            async move {
+                if let Err(err) = target.pool.post("/standin/slowness", &slowness).await {
+                    log::warn!("{} was not told its slowness: {err}", target.pool.address());
+                }
+                target.pool.close_idle();
+            }
+        });
+        join_all(told).await;
+    }
+}
+
+impl LoadStage for RemoteStage {
+    fn begin(&self, scenario: LoadScenario) -> BoxFuture<'_, ()> {
+        self.slow(move |number| TargetSlowness::of(scenario, number)).boxed()
+    }
+
+    fn end(&self) -> BoxFuture<'_, ()> {
+        self.slow(|_| TargetSlowness::NONE).boxed()
+    }
+
+    fn attempts<'a>(&'a self, service: &'a str) -> BoxFuture<'a, u64> {
+        let targets = self.targets.iter().filter(move |target| target.service == service);
+        let counted = targets.map(|target| async move {
+            let heard = target.pool.send(Method::GET, "/standin/counters", Vec::new()).await;
+            target.pool.close_idle();
+            let counters = heard
+                .ok()
+                .and_then(|(_, bytes)| serde_json::from_slice::<TargetCounters>(&bytes).ok());
+            counters.map_or(0, |counters| counters.arrived)
+        });
+        join_all(counted).map(|counts| counts.into_iter().sum()).boxed()
+    }
+
+    fn shards(&self, service: &str) -> u32 {
+        self.shards.get(service).copied().unwrap_or_default()
+    }
+}
--- a/crates/hawthorn-standin/src/target/control.rs
+++ b/crates/hawthorn-standin/src/target/control.rs
@@ -23,6 +23,7 @@
 use super::state::TargetCounters;
 use crate::corpus::Corpus;
 use crate::history::HistoryEvent;
+use crate::load::stage::TargetSlowness;
 
 /// Changes and reads a running target. Clones share the target.
 #[derive(Clone, Debug)]
@@ -147,6 +148,18 @@
         self.shared.lock().service_time = service_time;
     }
 
+    /// Makes it as slow as a load scenario asks, counted from its options.
+    pub fn set_slowness(&self, slowness: TargetSlowness) {
+        let usual = self.shared.options.service_time;
+        let mut state = self.shared.lock();
+        state.faults.slow_factor = slowness.slow_factor;
+        state.service_time = ServiceTime {
+            straggler_share: slowness.straggler_share.unwrap_or(usual.straggler_share),
+            straggler_factor: slowness.straggler_factor.unwrap_or(usual.straggler_factor),
+            ..usual
+        };
+    }
+
     /// Puts it in `wanted`, as `POST /intent` does.
     pub fn set_wanted(&self, wanted: WantedState) {
         let mut state = self.shared.lock();
--- a/crates/hawthorn-standin/src/target/serving.rs
+++ b/crates/hawthorn-standin/src/target/serving.rs
@@ -1,4 +1,5 @@
-//! The HTTP interface of a target.
+//! The HTTP interface of a target: the contract, and `/standin/...` by which a
+//! load generator in another process reads counters and brings about slowness.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -69,6 +70,16 @@
                 Ok(intent) => Ok(self.intend(&intent)),
                 Err(_) => Ok(wire::empty(StatusCode::BAD_REQUEST)),
             },
+            (Method::GET, "/standin/counters") => {
+                Ok(wire::json(StatusCode::OK, &self.control.counters()))
+            }
+            (Method::POST, "/standin/slowness") => match wire::read(body).await {
+                Ok(slowness) => {
+                    self.control.set_slowness(slowness);
+                    Ok(wire::empty(StatusCode::OK))
+                }
+                Err(_) => Ok(wire::empty(StatusCode::BAD_REQUEST)),
+            },
             _ => Ok(wire::empty(StatusCode::NOT_FOUND)),
         }
     }
--- a/crates/hawthorn-standin/src/target/state.rs
+++ b/crates/hawthorn-standin/src/target/state.rs
@@ -16,6 +16,8 @@
 use hawthorn_types::target::TargetState;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -27,7 +29,7 @@
 pub(super) type AttemptName = (String, u64);
 
 /// What a target has done so far.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct TargetCounters {
     /// Attempts that reached it, refused ones included.
     pub arrived: u64,
