--- a/crates/hawthorn-standin/src/target/mod.rs
+++ b/crates/hawthorn-standin/src/target/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::wire;
 
+mod attempt;
 pub mod control;
 pub mod faults;
 pub mod options;
