feat(standin): lose a target and bring it back; addresses behind proxies

Cause: a replica that is lost and returns, and targets behind proxies, are part of what integration tests need.

--- a/crates/hawthorn-standin/src/deployment.rs
+++ b/crates/hawthorn-standin/src/deployment.rs
@@ -2,6 +2,7 @@
 //! that match their addresses.
 
 use std::fmt::Write;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -247,6 +248,11 @@
 
     /// The inventory that matches the running targets.
     pub fn inventory_toml(&self) -> String {
+        self.inventory_toml_via(|target| target.standin.address())
+    }
+
+    /// The same with other addresses, for targets behind proxies.
+    pub fn inventory_toml_via(&self, via: impl Fn(&DeployedTarget) -> SocketAddr) -> String {
         let mut text = String::new();
         for zone in &self.options.zones {
             push(&mut text, format_args!("[[zone]]\nname = \"{zone}\"\n"));
@@ -265,7 +271,7 @@
             push(&mut text, format_args!("asset = \"HW-{:04}\"\n", number + 1));
             push(&mut text, format_args!("service = \"{}\"\n", target.service));
             push(&mut text, format_args!("zone = \"{}\"\n", target.zone));
-            push(&mut text, format_args!("address = \"{}\"\n", target.standin.address()));
+            push(&mut text, format_args!("address = \"{}\"\n", via(target)));
             let shards: Vec<String> = target
                 .shards
                 .iter()
--- a/crates/hawthorn-standin/src/target/control.rs
+++ b/crates/hawthorn-standin/src/target/control.rs
@@ -37,6 +37,7 @@
     pub(super) slots: Arc<Semaphore>,
     state: Mutex<State>,
     held_back: watch::Sender<bool>,
+    down: watch::Sender<bool>,
 }
 
 impl Shared {
@@ -82,6 +83,7 @@
                 slots,
                 state,
                 held_back: watch::Sender::new(false),
+                down: watch::Sender::new(false),
             }),
         }
     }
@@ -143,6 +145,19 @@
         self.shared.held_back.send_replace(held_back);
     }
 
+    /// Loses the target or brings it back at the same address: while it is down
+    /// every connection, open or new, is closed. Attempts that run go on unheard.
+    pub fn set_down(&self, down: bool) {
+        self.shared.down.send_replace(down);
+    }
+
+    /// Ends once the target is down.
+    pub(super) async fn goes_down(&self) {
+        let mut down = self.shared.down.subscribe();
+        // It fails only when the target is gone, and then it is down for good.
+        drop(down.wait_for(|down| *down).await);
+    }
+
     /// Changes the service times of attempts that start from now on.
     pub fn set_service_time(&self, service_time: ServiceTime) {
         self.shared.lock().service_time = service_time;
--- a/crates/hawthorn-standin/src/target/mod.rs
+++ b/crates/hawthorn-standin/src/target/mod.rs
@@ -88,13 +88,21 @@
 }
 
 async fn connection(stream: TcpStream, control: TargetControl, stop: CancellationToken) {
-    // Beyond its limit a target closes a connection at once; the caller sees an
-    // early end of file.
-    let Some(_held) = control.open_connection() else { return };
-    if let Err(err) = stream.set_nodelay(true) {
-        log::debug!("a connection closed at once: {err}");
-        return;
+    let served = async {
+        // Beyond its limit a target closes a connection at once; the caller sees
+        // an early end of file.
+        let Some(_held) = control.open_connection() else { return };
+        if let Err(err) = stream.set_nodelay(true) {
+            log::debug!("a connection closed at once: {err}");
+            return;
+        }
+        tokio::time::sleep(control.connect_cost()).await;
+        let handler = Arc::new(serving::TargetHandler::new(control.clone()));
+        wire::serve_connection(stream, handler, stop).await;
+    };
+    tokio::select! {
+        biased;
+        () = control.goes_down() => {}
+        () = served => {}
     }
-    tokio::time::sleep(control.connect_cost()).await;
-    wire::serve_connection(stream, Arc::new(serving::TargetHandler::new(control)), stop).await;
 }
--- a/crates/hawthorn-standin/tests/target.rs
+++ b/crates/hawthorn-standin/tests/target.rs
@@ -376,6 +376,23 @@
     Ok(())
 }
 
+/// A replica is lost in the middle of a search and comes back at its address:
+/// its caller sees a closed connection, never a refusal.
+#[tokio::test]
+async fn a_lost_target_closes_connections_and_comes_back() -> TestResult {
+    let target = TargetStandin::start(options()).await?;
+    target.control().hold_back(true);
+    let running = tokio::spawn(open_search(target.address(), 1));
+    until(|| target.control().counters().busy == 1).await?;
+    target.control().set_down(true);
+    assert_eq!(running.await?, 0);
+    assert_eq!(open_search(target.address(), 2).await, 0);
+    target.control().set_down(false);
+    target.control().hold_back(false);
+    assert_eq!(open_search(target.address(), 3).await, 200);
+    Ok(())
+}
+
 #[tokio::test]
 async fn versions_are_published_and_retired() -> TestResult {
     let target = TargetStandin::start(options()).await?;
