feat(standin): targets that leave by themselves, histories that keep nothing

Cause: a planned stop by the platform drains a target whatever intent says; a demonstration that runs for long must not grow; a load needs the capacity.

Change: `TargetControl::set_leaving`, `History::discarding`, `ServiceDescription::capacity`, and texts to search for by flavour.

Conclusion: a leaving target refuses although it is told to serve.

--- a/crates/hawthorn-standin/src/bin/hawthorn-load.rs
+++ b/crates/hawthorn-standin/src/bin/hawthorn-load.rs
@@ -20,6 +20,7 @@
 use hawthorn_standin::Corpus;
 use hawthorn_standin::DeploymentOptions;
 use hawthorn_standin::StandinDeployment;
+use hawthorn_standin::corpus::CorpusFlavour;
 use hawthorn_standin::corpus::CorpusOptions;
 use hawthorn_standin::load;
 use hawthorn_standin::load::DeploymentStage;
@@ -68,6 +69,8 @@
     seed: u64,
     seconds: f64,
     capacity: f64,
+    flavour: CorpusFlavour,
+    version: u64,
     deadline_ms: u64,
     once_share: f64,
     caller: Vec<String>,
@@ -100,6 +103,14 @@
         .help("Queries a second that the targets could serve")
         .argument("N")
         .fallback(200.0);
+    let flavour = long("flavour")
+        .help("What the stand-ins' documents speak of: bunker or claims")
+        .argument("NAME")
+        .fallback(CorpusFlavour::Bunker);
+    let version = long("version")
+        .help("The index version that the naive client asks for")
+        .argument("N")
+        .fallback(1);
     let deadline_ms =
         long("deadline-ms").help("How long a caller waits").argument("N").fallback(500);
     let once_share = long("once-share")
@@ -121,6 +132,8 @@
         seed,
         seconds,
         capacity,
+        flavour,
+        version,
         deadline_ms,
         once_share,
         caller,
@@ -141,7 +154,11 @@
 
 /// Loads stand-ins of its own with the naive client.
 async fn run_alone(arguments: &Arguments) -> Result<String, Box<dyn Error>> {
-    let deployment = StandinDeployment::start(DeploymentOptions::dar_port()).await?;
+    let described = match arguments.flavour {
+        CorpusFlavour::Bunker => DeploymentOptions::dar_port(),
+        CorpusFlavour::Claims => DeploymentOptions::poland(),
+    };
+    let deployment = StandinDeployment::start(described).await?;
     let stage = DeploymentStage::new(&deployment);
     let mut output = Output::new(arguments.json);
     for scenario in scenarios(arguments) {
@@ -175,7 +192,8 @@
             continue;
         }
         let known = inventory.known_services()?;
-        let naive = Arc::new(NaiveTier::new(known, IndexVersion(1), arguments.seed));
+        let naive =
+            Arc::new(NaiveTier::new(known, IndexVersion(arguments.version), arguments.seed));
         let compared = load::compare(Arc::clone(&tier), naive, first, None, &options).await?;
         output.push(&compared, format!("{}{}", compared.tier, compared.baseline))?;
     }
@@ -201,11 +219,13 @@
         duration: Duration::from_secs_f64(arguments.seconds),
         capacity: arguments.capacity,
         callers,
+        texts: arguments.flavour.query_texts(),
         once_share: arguments.once_share,
         ..usual
     };
     // The stand-ins of a deployment hold these documents unless told otherwise.
-    let corpus = Corpus::generate(&arguments.service, &CorpusOptions::default());
+    let corpus_options = CorpusOptions { flavour: arguments.flavour, ..CorpusOptions::default() };
+    let corpus = Corpus::generate(&arguments.service, &corpus_options);
     load::run::Options {
         schedule,
         service: arguments.service.clone(),
--- a/crates/hawthorn-standin/src/corpus.rs
+++ b/crates/hawthorn-standin/src/corpus.rs
@@ -42,6 +42,17 @@
     Claims,
 }
 
+impl CorpusFlavour {
+    /// Texts that some documents hold, and the empty one that all do.
+    pub fn query_texts(self) -> Vec<String> {
+        let texts: &[&str] = match self {
+            Self::Bunker => &["mv-uhuru", "mv-pemba", "stem vlsfo", "order kurasini", ""],
+            Self::Claims => &["miedz", "olkusz", "claim srebro", "filing lubin", ""],
+        };
+        texts.iter().map(|&text| text.to_owned()).collect()
+    }
+}
+
 /// How to generate a corpus.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CorpusOptions {
--- a/crates/hawthorn-standin/src/deployment.rs
+++ b/crates/hawthorn-standin/src/deployment.rs
@@ -89,6 +89,17 @@
     }
 }
 
+impl ServiceDescription {
+    /// Queries a second that its targets could serve if every slot were busy all
+    /// the time. Timers step in milliseconds, so that short service times come
+    /// out longer and the real capacity lower.
+    pub fn capacity(&self) -> f64 {
+        let slots = f64::from(self.slots) * f64::from(self.replicas);
+        let seconds = self.service_time.mean().as_secs_f64();
+        slots / (f64::from(self.shards_per_target.max(1)) * seconds.max(f64::MIN_POSITIVE))
+    }
+}
+
 /// What to start.
 #[derive(Clone, Debug)]
 pub struct DeploymentOptions {
@@ -110,7 +121,7 @@
     pub state_lag: Duration,
     /// The platform's rates and lags.
     pub platform: PlatformOptions,
-    /// The same seed gives the same documents and service times.
+    /// The same seed draws the same service times.
     pub seed: u64,
     /// Where targets record their work.
     pub history: History,
--- a/crates/hawthorn-standin/src/history.rs
+++ b/crates/hawthorn-standin/src/history.rs
@@ -26,6 +26,7 @@
 struct SharedRecords {
     start: Instant,
     sends: AtomicU64,
+    keeps: bool,
     records: Mutex<Vec<HistoryRecord>>,
 }
 
@@ -166,16 +167,28 @@
 
 impl Default for History {
     fn default() -> Self {
-        let start = Instant::now();
-        let shared =
-            SharedRecords { start, sends: AtomicU64::default(), records: Mutex::default() };
-        Self { shared: Arc::new(shared) }
+        Self::new(true)
     }
 }
 
 impl History {
+    /// A history that keeps nothing, for stand-ins that run for long.
+    pub fn discarding() -> Self {
+        Self::new(false)
+    }
+
+    fn new(keeps: bool) -> Self {
+        let start = Instant::now();
+        let sends = AtomicU64::default();
+        let shared = SharedRecords { start, sends, keeps, records: Mutex::default() };
+        Self { shared: Arc::new(shared) }
+    }
+
     /// Adds `event`, stamped now.
     pub fn record(&self, event: HistoryEvent) {
+        if !self.shared.keeps {
+            return;
+        }
         let mut records = self.lock();
         // Stamped under the lock, so that records stand in the order of their times.
         let at = self.shared.start.elapsed();
--- a/crates/hawthorn-standin/src/load/schedule.rs
+++ b/crates/hawthorn-standin/src/load/schedule.rs
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::scenario::LoadScenario;
+use crate::corpus::CorpusFlavour;
 
 /// How to draw a schedule.
 #[derive(Clone, Debug, PartialEq)]
@@ -34,14 +35,14 @@
 
 impl Default for ScheduleOptions {
     fn default() -> Self {
-        let owned = |list: &[&str]| list.iter().map(|&text| text.to_owned()).collect();
+        let callers = ["bunker-desk", "ship-agents", "suppliers"];
         Self {
             scenario: LoadScenario::Calm,
             seed: 1,
             duration: Duration::from_secs(5),
             capacity: 100.0,
-            callers: owned(&["bunker-desk", "ship-agents", "suppliers"]),
-            texts: owned(&["mv-uhuru", "mv-pemba", "stem vlsfo", "order kurasini", ""]),
+            callers: callers.map(str::to_owned).to_vec(),
+            texts: CorpusFlavour::Bunker.query_texts(),
             urgent_share: 0.7,
             once_share: 0.0,
         }
--- a/crates/hawthorn-standin/src/target/control.rs
+++ b/crates/hawthorn-standin/src/target/control.rs
@@ -177,16 +177,36 @@
 
     /// Puts it in `wanted`, as `POST /intent` does.
     pub fn set_wanted(&self, wanted: WantedState) {
+        self.change_leaving(|state, now| {
+            let was = std::mem::replace(&mut state.wanted, wanted);
+            // A target that was off starts again from cold.
+            if was == WantedState::Off && wanted != WantedState::Off {
+                state.ready_at = now + self.shared.options.cold_start;
+            }
+        });
+    }
+
+    /// Lets it drain by itself, whatever intent says, as before a planned stop
+    /// by the platform; or lets it go on.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.change_leaving(|state, _now| state.leaving = leaving);
+    }
+
+    /// Makes a change and records whether the target began or ceased to leave.
+    fn change_leaving(&self, change: impl FnOnce(&mut State, Instant)) {
         let mut state = self.shared.lock();
-        let was = std::mem::replace(&mut state.wanted, wanted);
         let now = Instant::now();
-        // A target that was off starts again from cold.
-        if was == WantedState::Off && wanted != WantedState::Off {
-            state.ready_at = now + self.shared.options.cold_start;
-        }
+        let left = state.leaves();
+        change(&mut state, now);
         state.note(now);
+        let leaves = state.leaves();
         drop(state);
-        self.record_leaving(was, wanted);
+        let target = self.name().to_owned();
+        match (left, leaves) {
+            (false, true) => self.shared.record(HistoryEvent::TargetLeaving { target }),
+            (true, false) => self.shared.record(HistoryEvent::TargetServing { target }),
+            _ => {}
+        }
     }
 
     /// Restarts it from cold, with nothing cut off.
@@ -257,14 +277,4 @@
     pub fn held(&self) -> Vec<HeldRanges> {
         self.shared.lock().held.clone()
     }
-
-    fn record_leaving(&self, was: WantedState, wanted: WantedState) {
-        let leaves = |state: WantedState| matches!(state, WantedState::Drain | WantedState::Off);
-        let target = self.name().to_owned();
-        match (leaves(was), leaves(wanted)) {
-            (false, true) => self.shared.record(HistoryEvent::TargetLeaving { target }),
-            (true, false) => self.shared.record(HistoryEvent::TargetServing { target }),
-            _ => {}
-        }
-    }
 }
--- a/crates/hawthorn-standin/src/target/options.rs
+++ b/crates/hawthorn-standin/src/target/options.rs
@@ -36,6 +36,11 @@
 }
 
 impl ServiceTime {
+    /// The mean of the times drawn.
+    pub fn mean(&self) -> Duration {
+        self.typical.mul_f64(1.0 + self.straggler_share * (self.straggler_factor - 1.0))
+    }
+
     /// Draws the time of one attempt.
     pub fn draw(&self, rng: &mut ChaCha8Rng) -> Duration {
         // All draws are made whatever the settings, so that the same seed gives
--- a/crates/hawthorn-standin/src/target/state.rs
+++ b/crates/hawthorn-standin/src/target/state.rs
@@ -60,6 +60,7 @@
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) wanted: WantedState,
+    pub(super) leaving: bool,
     pub(super) ready_at: Instant,
     pub(super) held: Vec<HeldRanges>,
     pub(super) faults: TargetFaults,
@@ -82,6 +83,7 @@
         let now = Instant::now();
         let mut state = Self {
             wanted: WantedState::Serve,
+            leaving: false,
             ready_at: now + options.cold_start,
             held: options.held.clone(),
             faults: TargetFaults::default(),
@@ -104,6 +106,7 @@
     /// The true phase.
     pub(super) fn phase(&self, now: Instant) -> TargetPhase {
         match self.wanted {
+            _ if self.leaving => TargetPhase::Draining,
             WantedState::Drain | WantedState::Off => TargetPhase::Draining,
             _ if now < self.ready_at => TargetPhase::Cold,
             WantedState::Standby => TargetPhase::Standby,
@@ -210,6 +213,11 @@
         TargetState { target: name.to_owned(), phase, busy, slots: self.slots, held }
     }
 
+    /// Whether it takes no new work because it is on its way out.
+    pub(super) fn leaves(&self) -> bool {
+        self.leaving || matches!(self.wanted, WantedState::Drain | WantedState::Off)
+    }
+
     /// Off, and everything that was running has ended.
     fn is_off(&self) -> bool {
         self.wanted == WantedState::Off && self.counters.busy + self.counters.waiting == 0
--- a/crates/hawthorn-standin/tests/deployment.rs
+++ b/crates/hawthorn-standin/tests/deployment.rs
@@ -4,12 +4,17 @@
 
 use std::collections::BTreeSet;
 
+use hawthorn_standin::Corpus;
 use hawthorn_standin::DeploymentOptions;
 use hawthorn_standin::StandinDeployment;
+use hawthorn_standin::corpus::CorpusFlavour;
+use hawthorn_standin::corpus::CorpusOptions;
 use hawthorn_standin::deployment::Error;
+use hawthorn_types::IndexVersion;
 use hawthorn_types::KeyRange;
 use hawthorn_types::RangeSet;
 use hawthorn_types::target::TargetState;
+use strum::IntoEnumIterator;
 use support::Client;
 use support::TestResult;
 
@@ -48,6 +53,19 @@
     Ok(())
 }
 
+#[test]
+fn every_text_to_search_for_is_found() {
+    let whole = RangeSet::from(KeyRange::WHOLE);
+    for flavour in CorpusFlavour::iter() {
+        let options = CorpusOptions { flavour, ..CorpusOptions::default() };
+        let corpus = Corpus::generate("any", &options);
+        for text in flavour.query_texts() {
+            let found = corpus.search(IndexVersion(1), &whole, &text, 0);
+            assert!(found.total > 0, "{flavour}: {text}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn the_inventory_has_the_agreed_shape() -> TestResult {
     let mut options = DeploymentOptions::dar_port();
--- a/crates/hawthorn-standin/tests/target.rs
+++ b/crates/hawthorn-standin/tests/target.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use hawthorn_standin::Corpus;
+use hawthorn_standin::History;
 use hawthorn_standin::TargetOptions;
 use hawthorn_standin::TargetStandin;
 use hawthorn_standin::corpus::CorpusOptions;
+use hawthorn_standin::history::HistoryEvent;
 use hawthorn_standin::target::ServiceTime;
 use hawthorn_standin::target::StateLie;
 use hawthorn_standin::target::TargetFaults;
@@ -96,6 +98,15 @@
             status: 503,
             refusal: TargetRefusal::Draining,
         },
+        RefusalCase {
+            name: "leaving by itself although intent says serve",
+            prepare: |target| {
+                target.control().set_leaving(true);
+                target.control().set_wanted(WantedState::Serve);
+            },
+            status: 503,
+            refusal: TargetRefusal::Draining,
+        },
         RefusalCase {
             name: "standby",
             prepare: |target| target.control().set_wanted(WantedState::Standby),
@@ -326,7 +337,9 @@
 
 #[tokio::test]
 async fn intent_is_obeyed() -> TestResult {
-    let target = TargetStandin::start(options()).await?;
+    let history = History::default();
+    let target =
+        TargetStandin::start(TargetOptions { history: history.clone(), ..options() }).await?;
     let cases = [
         (WantedState::Standby, TargetPhase::Standby, 1),
         (WantedState::Drain, TargetPhase::Draining, 1),
@@ -339,6 +352,11 @@
         let shown: TargetState = shown.json()?;
         assert_eq!((shown.phase, shown.held.len()), (phase, held), "{wanted}");
     }
+    let recorded: Vec<HistoryEvent> =
+        history.records().into_iter().map(|record| record.event).collect();
+    let name = || target.control().name().to_owned();
+    let leaving = HistoryEvent::TargetLeaving { target: name() };
+    assert_eq!(recorded, [leaving, HistoryEvent::TargetServing { target: name() }]);
     target.control().set_faults(|faults| faults.ignore_intent = true);
     let drain = TargetIntent { wanted: WantedState::Drain };
     support::post(target.address(), "/intent", &drain).await?;
