perf(standin): sleep to the kernel's precision instead of whole milliseconds

Cause: tokio's timer rounds up to the next millisecond, so service times of 2 ms took about 3 and the figures measured the timer.

--- a/crates/hawthorn-standin/src/lib.rs
+++ b/crates/hawthorn-standin/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod platform;
 pub mod proxy;
 pub mod target;
+mod timer;
 mod wire;
 
 pub use corpus::Corpus;
--- a/crates/hawthorn-standin/src/load/run.rs
+++ b/crates/hawthorn-standin/src/load/run.rs
@@ -11,7 +11,6 @@
 use quick_error::quick_error;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
-use tokio::time::sleep_until;
 use tokio::time::timeout;
 
 use super::report::LoadReport;
@@ -32,6 +31,7 @@
 use crate::history::HistoryEvent;
 use crate::history::SentOnce;
 use crate::history::SentQuery;
+use crate::timer;
 
 /// How much longer than its deadline a caller waits before it gives up.
 const CALLER_PATIENCE: Duration = Duration::from_secs(1);
@@ -161,7 +161,7 @@
     let mut under_way = JoinSet::new();
     for (number, request) in planned.into_iter().enumerate() {
         let due = load.start + request.at;
-        sleep_until(due).await;
+        timer::sleep_until(due.into_std()).await;
         while let Some(sample) = under_way.try_join_next() {
             samples.push(sample);
         }
--- a/crates/hawthorn-standin/src/platform/serving.rs
+++ b/crates/hawthorn-standin/src/platform/serving.rs
@@ -19,6 +19,7 @@
 use super::faults::PlatformFaults;
 use super::faults::StoreOutage;
 use super::store::WriteError;
+use crate::timer;
 use crate::wire;
 use crate::wire::Handler;
 use crate::wire::Reply;
@@ -72,7 +73,7 @@
             return Ok(wire::empty(StatusCode::TOO_MANY_REQUESTS));
         }
         let faults = *self.shared.faults.borrow();
-        tokio::time::sleep(self.shared.delay + faults.extra_delay).await;
+        timer::sleep(self.shared.delay + faults.extra_delay).await;
         if self.wait_out(kind).await {
             return Ok(wire::empty(StatusCode::SERVICE_UNAVAILABLE));
         }
--- a/crates/hawthorn-standin/src/proxy/mod.rs
+++ b/crates/hawthorn-standin/src/proxy/mod.rs
@@ -4,8 +4,6 @@
 //! - [`faults`]: what can go wrong on one link.
 //! - [`tcp`] and [`udp`]: one proxy in front of one address.
 //! - [`network`]: all links of a test, by the places they join.
-//!
-//! Timers step in milliseconds, so a latency is kept to the next one above.
 
 use std::io;
 
--- a/crates/hawthorn-standin/src/proxy/tcp.rs
+++ b/crates/hawthorn-standin/src/proxy/tcp.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use bytes::Bytes;
 use rand::RngExt;
@@ -13,7 +14,6 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
 
@@ -21,6 +21,7 @@
 use super::faults::LinkControl;
 use super::faults::LinkDirection;
 use super::faults::LinkFaults;
+use crate::timer;
 use crate::wire;
 
 /// Bytes read at a time.
@@ -195,7 +196,7 @@
         let mut faults = self.control.watch_faults();
         let mut first = true;
         while let Some((due, chunk)) = receiver.recv().await {
-            tokio::time::sleep_until(due).await;
+            timer::sleep_until(due).await;
             let passes = |faults: &LinkFaults| faults.black_hole || !faults.is_cut(direction);
             let met = faults.wait_for(passes).await.map(|faults| *faults);
             let Ok(met) = met else { return Ok(()) };
@@ -232,7 +233,7 @@
 ) -> io::Result<()> {
     let Some(drip) = faults.drip else { return writer.write_all(chunk).await };
     for lot in chunk.chunks(drip.bytes.max(1)) {
-        tokio::time::sleep(drip.every).await;
+        timer::sleep(drip.every).await;
         writer.write_all(lot).await?;
     }
     Ok(())
--- a/crates/hawthorn-standin/src/proxy/udp.rs
+++ b/crates/hawthorn-standin/src/proxy/udp.rs
@@ -18,6 +18,7 @@
 use super::faults::LinkControl;
 use super::faults::LinkDirection;
 use super::faults::LinkFaults;
+use crate::timer;
 
 /// Larger than any datagram.
 const DATAGRAM: usize = 1 << 16;
@@ -152,7 +153,7 @@
             let socket = Arc::clone(&self.from);
             let to = self.to;
             tokio::spawn(async move {
-                tokio::time::sleep(delay).await;
+                timer::sleep(delay).await;
                 if let Err(err) = socket.send_to(&datagram, to).await {
                     log::debug!("a datagram found nobody: {err}");
                 }
--- a/crates/hawthorn-standin/src/target/control.rs
+++ b/crates/hawthorn-standin/src/target/control.rs
@@ -24,6 +24,7 @@
 use crate::corpus::Corpus;
 use crate::history::HistoryEvent;
 use crate::load::stage::TargetSlowness;
+use crate::timer;
 
 /// Changes and reads a running target. Clones share the target.
 #[derive(Clone, Debug)]
@@ -43,7 +44,7 @@
 impl Shared {
     /// Passes the service time of an attempt, and longer while work is held back.
     pub(super) async fn serve(&self, takes: Duration) {
-        tokio::time::sleep(takes).await;
+        timer::sleep(takes).await;
         let mut held_back = self.held_back.subscribe();
         // It fails only when the target is gone, and then nobody waits.
         drop(held_back.wait_for(|held_back| !held_back).await);
--- a/crates/hawthorn-standin/src/target/mod.rs
+++ b/crates/hawthorn-standin/src/target/mod.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
 
+use crate::timer;
 use crate::wire;
 
 mod attempt;
@@ -96,7 +97,7 @@
             log::debug!("a connection closed at once: {err}");
             return;
         }
-        tokio::time::sleep(control.connect_cost()).await;
+        timer::sleep(control.connect_cost()).await;
         let handler = Arc::new(serving::TargetHandler::new(control.clone()));
         wire::serve_connection(stream, handler, stop).await;
     };
