--- a/crates/hawthorn-standin/src/load/naive.rs
+++ b/crates/hawthorn-standin/src/load/naive.rs
@@ -291,7 +291,9 @@
     match timeout(left, pool.post("/run", &run)).await {
         Err(_) => CallerOutcome::Unknown(UnknownReason::DeadlinePast),
         Ok(Err(Error::Cut)) => CallerOutcome::Unknown(UnknownReason::ConnectionLost),
-        Ok(Err(Error::Connect(_))) => CallerOutcome::NotRun(RefusalReason::NoTarget),
+        Ok(Err(Error::Connect(_) | Error::Closed)) => {
+            CallerOutcome::NotRun(RefusalReason::NoTarget)
+        }
         Ok(Ok((StatusCode::OK, bytes))) => match serde_json::from_slice::<RunAnswer>(&bytes) {
             Ok(_) => CallerOutcome::Answer,
             Err(_) => CallerOutcome::Failed(FailureReason::BadAnswer),
--- a/crates/hawthorn-standin/src/load/tier.rs
+++ b/crates/hawthorn-standin/src/load/tier.rs
@@ -67,7 +67,7 @@
                 Err(_) => HeardAnswer::Cut,
             },
             Err(Error::Cut) => HeardAnswer::Cut,
-            Err(Error::Connect(_)) => HeardAnswer::NotSent,
+            Err(Error::Connect(_) | Error::Closed) => HeardAnswer::NotSent,
         }
     }
 }
