--- /dev/null
+++ b/crates/hawthorn-daemon/src/connection/peer.rs
@@ -0,0 +1,221 @@
+//! Calls between daemons, by tarpc over TCP.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::StreamExt;
+use hawthorn_types::ConfigRevision;
+use quick_error::quick_error;
+use tarpc::client;
+use tarpc::context;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tarpc::tokio_serde::formats::Bincode;
+use tokio_util::sync::CancellationToken;
+
+use crate::connection::message::BatchAnswer;
+use crate::connection::message::ClaimOutcome;
+use crate::connection::message::ClaimRequest;
+use crate::connection::message::ConfigCopy;
+use crate::connection::message::OnceBatch;
+use crate::connection::message::OnceOutcome;
+use crate::connection::message::OwnerView;
+use crate::connection::message::SearchBatch;
+use crate::process::events::LogEvent;
+
+/// A message between daemons is at most so large: a configuration document of
+/// a megabyte, or the matches of a batch.
+const MAX_FRAME_BYTES: usize = 64 << 20;
+
+/// Opening a connection to a daemon takes at most so long: longer than any
+/// round trip in a region, far shorter than a caller waits.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// After a failed connect, calls fail at once for so long instead of each
+/// waiting for its own connect.
+const CONNECT_BACKOFF: Duration = Duration::from_millis(250);
+
+#[allow(missing_docs)]
+mod service {
+    use super::BatchAnswer;
+    use super::ClaimOutcome;
+    use super::ClaimRequest;
+    use super::ConfigCopy;
+    use super::ConfigRevision;
+    use super::OnceBatch;
+    use super::OnceOutcome;
+    use super::OwnerView;
+    use super::SearchBatch;
+
+    /// What each daemon offers the others.
+    #[tarpc::service]
+    pub trait PeerService {
+        /// Searches the pieces at targets that this host owns.
+        async fn search(batch: SearchBatch) -> BatchAnswer;
+        /// Runs a non-idempotent request, whose claim is granted, at a target that this host owns.
+        async fn run(batch: OnceBatch) -> OnceOutcome;
+        /// Records a claim in the platform's store.
+        async fn claim(claim: ClaimRequest) -> ClaimOutcome;
+        /// The owner's view of its shards.
+        async fn view() -> OwnerView;
+        /// The configuration in force, when newer than `have`.
+        async fn pull_config(have: ConfigRevision) -> Option<ConfigCopy>;
+        /// Offers a configuration; answers the revision in force afterwards.
+        async fn push_config(copy: ConfigCopy) -> ConfigRevision;
+    }
+}
+pub use service::PeerService;
+pub use service::PeerServiceClient;
+
+quick_error! {
+    /// Why a call to a daemon brought no answer.
+    #[derive(Debug)]
+    pub enum Error {
+        /// Nothing was sent: there is no connection.
+        NotSent(text: String) {
+            display("not sent: {text}")
+        }
+        /// It may have been received.
+        Lost(text: String) {
+            display("no answer: {text}")
+        }
+    }
+}
+
+/// Serves calls of other daemons until cancelled. Calls in flight then are
+/// given up; the process first waits for them (see the stop sequence).
+///
+/// # Errors
+/// When the address cannot be bound.
+pub async fn serve<S>(
+    address: SocketAddr,
+    service: S,
+    stop: CancellationToken,
+) -> std::io::Result<SocketAddr>
+where
+    S: PeerService + Clone + Send + 'static,
+{
+    let mut listener = tarpc::serde_transport::tcp::listen(address, Bincode::default).await?;
+    listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
+    let local = listener.local_addr();
+    tokio::spawn(async move {
+        loop {
+            let accepted = tokio::select! {
+                () = stop.cancelled() => return,
+                accepted = listener.next() => accepted,
+            };
+            let transport = match accepted {
+                None => return,
+                Some(Err(error)) => {
+                    let event = LogEvent::PeerMessageBad;
+                    crate::log_event!(log::Level::Warn, event, "accepting a peer: {error}");
+                    continue;
+                }
+                Some(Ok(transport)) => transport,
+            };
+            let channel = BaseChannel::with_defaults(transport);
+            let calls = channel.execute(service.clone().serve()).for_each_concurrent(
+                None,
+                |call| async move {
+                    tokio::spawn(call);
+                },
+            );
+            let stop = stop.clone();
+            tokio::spawn(async move {
+                tokio::select! {
+                    () = stop.cancelled() => {}
+                    () = calls => {}
+                }
+            });
+        }
+    });
+    Ok(local)
+}
+
+/// One peer's connection, or when connecting to it last failed.
+#[derive(Clone, Debug)]
+enum PeerLink {
+    Open(PeerServiceClient),
+    Failed(Instant),
+}
+
+/// Connections to other daemons, opened when first needed and kept.
+#[derive(Debug, Default)]
+pub struct PeerLinks {
+    links: Mutex<HashMap<SocketAddr, PeerLink>>,
+}
+
+impl PeerLinks {
+    /// A client for the daemon at `address`.
+    ///
+    /// # Errors
+    /// [`Error::NotSent`] when it cannot be connected.
+    pub async fn client(&self, address: SocketAddr) -> Result<PeerServiceClient, Error> {
+        match self.link(address) {
+            Some(PeerLink::Open(client)) => return Ok(client),
+            Some(PeerLink::Failed(at)) if at.elapsed() < CONNECT_BACKOFF => {
+                return Err(Error::NotSent("connecting failed a moment ago".into()));
+            }
+            _ => {}
+        }
+        match Self::connect(address).await {
+            Ok(client) => {
+                self.set(address, PeerLink::Open(client.clone()));
+                Ok(client)
+            }
+            Err(error) => {
+                self.set(address, PeerLink::Failed(Instant::now()));
+                Err(error)
+            }
+        }
+    }
+
+    fn link(&self, address: SocketAddr) -> Option<PeerLink> {
+        self.links.lock().expect("no holder of the lock panics").get(&address).cloned()
+    }
+
+    fn set(&self, address: SocketAddr, link: PeerLink) {
+        self.links.lock().expect("no holder of the lock panics").insert(address, link);
+    }
+
+    /// Forgets the connection, so that the next call opens a new one.
+    pub fn forget(&self, address: SocketAddr) {
+        self.links.lock().expect("no holder of the lock panics").remove(&address);
+    }
+
+    async fn connect(address: SocketAddr) -> Result<PeerServiceClient, Error> {
+        let mut connecting = tarpc::serde_transport::tcp::connect(address, Bincode::default);
+        connecting.config_mut().max_frame_length(MAX_FRAME_BYTES);
+        let transport = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .map_err(|_| Error::NotSent("connecting took too long".into()))?
+            .map_err(|error| Error::NotSent(error.to_string()))?;
+        Ok(PeerServiceClient::new(client::Config::default(), transport).spawn())
+    }
+
+    /// Reads what an error of a call means for whether it was received, and
+    /// forgets the connection when it is broken.
+    pub fn judge(&self, address: SocketAddr, error: client::RpcError) -> Error {
+        match error {
+            client::RpcError::Shutdown => {
+                self.forget(address);
+                Error::Lost("connection closed".into())
+            }
+            client::RpcError::Send(error) | client::RpcError::Receive(error) => {
+                self.forget(address);
+                Error::Lost(error.to_string())
+            }
+            other => Error::Lost(other.to_string()),
+        }
+    }
+}
+
+/// The context of a call that is of use only for `left`.
+pub fn call_context(left: Duration) -> context::Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + left;
+    context
+}
--- /dev/null
+++ b/crates/hawthorn-daemon/src/owner/batch.rs
@@ -0,0 +1,98 @@
+//! Batches and pieces while the duty works on them.
+
+use std::collections::HashMap;
+
+use hawthorn_decide::message::PieceKey;
+use hawthorn_decide::time::TickTime;
+use hawthorn_types::IndexVersion;
+use hawthorn_types::KeyRange;
+use hawthorn_types::ShardName;
+use tokio::sync::oneshot;
+
+use super::BatchKey;
+use crate::connection::message::BatchAnswer;
+use crate::connection::message::OnceBatch;
+use crate::connection::message::OnceOutcome;
+use crate::connection::message::PieceOutcome;
+use crate::connection::message::SearchBatch;
+
+/// A batch of a query, open until each of its pieces has ended.
+pub(crate) struct OpenSearch {
+    pub(crate) batch: SearchBatch,
+    /// The request id as targets get it.
+    pub(crate) request: String,
+    pub(crate) parts: Vec<(u32, PieceOutcome)>,
+    pub(crate) left: usize,
+    pub(crate) reply: oneshot::Sender<BatchAnswer>,
+}
+
+/// A non-idempotent request, open until its one attempt has ended.
+pub(crate) struct OpenRun {
+    pub(crate) batch: OnceBatch,
+    pub(crate) request: String,
+    pub(crate) reply: oneshot::Sender<OnceOutcome>,
+}
+
+/// What the duty holds open.
+pub(crate) enum OpenBatch {
+    Search(OpenSearch),
+    Run(OpenRun),
+}
+
+/// One piece in the decisions' hands.
+pub(crate) struct OpenPiece {
+    pub(crate) batch: BatchKey,
+    pub(crate) number: u32,
+    pub(crate) shard: ShardName,
+    pub(crate) version: IndexVersion,
+    pub(crate) range: KeyRange,
+    pub(crate) deadline: TickTime,
+}
+
+/// All open batches and their pieces.
+#[derive(Default)]
+pub(crate) struct BatchTable {
+    pub(crate) batches: HashMap<BatchKey, OpenBatch>,
+    pub(crate) pieces: HashMap<PieceKey, OpenPiece>,
+    next_piece: u64,
+}
+
+impl BatchTable {
+    /// Adds a piece and names it.
+    pub(crate) fn add_piece(&mut self, piece: OpenPiece) -> PieceKey {
+        self.next_piece += 1;
+        let key = PieceKey(self.next_piece);
+        self.pieces.insert(key, piece);
+        key
+    }
+
+    /// Takes a batch out with the keys of the pieces still open.
+    pub(crate) fn withdraw(&mut self, batch: BatchKey) -> Vec<PieceKey> {
+        if self.batches.remove(&batch).is_none() {
+            return Vec::new();
+        }
+        let open = self.pieces.iter().filter(|(_, piece)| piece.batch == batch);
+        open.map(|(&key, _)| key).collect()
+    }
+
+    /// Notes the end of a piece of a search; gives the batch once it was the last.
+    pub(crate) fn end_piece(
+        &mut self,
+        key: PieceKey,
+        outcome: PieceOutcome,
+    ) -> Option<OpenSearch> {
+        let piece = self.pieces.remove(&key)?;
+        let Some(OpenBatch::Search(open)) = self.batches.get_mut(&piece.batch) else {
+            return None;
+        };
+        open.parts.push((piece.number, outcome));
+        open.left -= 1;
+        if open.left > 0 {
+            return None;
+        }
+        match self.batches.remove(&piece.batch) {
+            Some(OpenBatch::Search(open)) => Some(open),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hawthorn-daemon/src/owner/view.rs
@@ -0,0 +1,65 @@
+//! What an owner tells fronts: who can search what, and how long it waits.
+
+use std::collections::BTreeMap;
+
+use hawthorn_types::IndexVersion;
+use hawthorn_types::RangeSet;
+use hawthorn_types::ShardName;
+use hawthorn_types::target::HeldRanges;
+
+use crate::connection::message::OwnerView;
+use crate::connection::message::ShardView;
+
+/// Waits are told in steps of this many microseconds: a smaller change is no
+/// reason to send the view again.
+const WAIT_STEP_US: u64 = 1_000;
+
+/// What the duty holds at a moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OwnerGauges {
+    /// Batches open.
+    pub batches: u64,
+    /// Pieces queued.
+    pub queued: u64,
+    /// Slots in use.
+    pub slots_in_use: u64,
+    /// Targets owned.
+    pub targets: u64,
+    /// Attempts sent, since the start.
+    pub attempts: u64,
+    /// Of them hedges and retries.
+    pub extra_attempts: u64,
+}
+
+/// One usable replica.
+pub(crate) struct UsableReplica<'a> {
+    pub(crate) shard: &'a ShardName,
+    pub(crate) held: &'a [HeldRanges],
+}
+
+/// Puts replicas together by shard.
+pub(crate) fn shards<'a>(
+    replicas: impl Iterator<Item = UsableReplica<'a>>,
+    wait_us: impl Fn(&ShardName) -> u64,
+) -> Vec<ShardView> {
+    let mut shards: BTreeMap<&ShardName, BTreeMap<IndexVersion, RangeSet>> = BTreeMap::new();
+    for replica in replicas {
+        let versions = shards.entry(replica.shard).or_default();
+        let service = replica.shard.service();
+        for held in replica.held.iter().filter(|held| held.service == service) {
+            versions.entry(held.version).or_default().extend(&held.ranges);
+        }
+    }
+    let view = |(shard, versions): (&ShardName, BTreeMap<IndexVersion, RangeSet>)| ShardView {
+        shard: shard.clone(),
+        wait_us: wait_us(shard) / WAIT_STEP_US * WAIT_STEP_US,
+        held: versions.values().next_back().cloned().unwrap_or_default(),
+        versions: versions.into_keys().collect(),
+    };
+    shards.into_iter().map(view).collect()
+}
+
+/// The next view, when it differs from the last.
+pub(crate) fn next(last: &OwnerView, shards: Vec<ShardView>) -> Option<OwnerView> {
+    (last.shards != shards).then(|| OwnerView { generation: last.generation + 1, shards })
+}
--- /dev/null
+++ b/crates/hawthorn-daemon/src/process/mod.rs
@@ -0,0 +1,5 @@
+//! What lives as long as the process: logs, metrics, the threads of its duties.
+
+pub mod events;
+pub mod logs;
+pub mod metrics;
--- /dev/null
+++ b/crates/hawthorn-daemon/src/request/body.rs
@@ -0,0 +1,53 @@
+//! Reading a caller's request: bounded in bytes and in time, every fault typed.
+
+use std::time::Duration;
+
+use dropshot::StreamingBody;
+use futures::StreamExt;
+use futures::pin_mut;
+use hawthorn_types::RefusalReason;
+use serde::de::DeserializeOwned;
+
+/// Bounds on reading a body.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Bytes, at the most.
+    pub max_bytes: usize,
+    /// From the head of the request to the end of its body, at the most. A
+    /// client that trickles would otherwise hold its place for ever.
+    pub timeout: Duration,
+}
+
+/// Reads the whole body and parses it as JSON.
+///
+/// # Errors
+/// [`RefusalReason::BodyTooLarge`], [`RefusalReason::SlowClient`] or
+/// [`RefusalReason::BadRequest`].
+pub async fn read<T: DeserializeOwned>(
+    body: StreamingBody,
+    options: Options,
+) -> Result<T, RefusalReason> {
+    let bytes = tokio::time::timeout(options.timeout, collect(body, options.max_bytes))
+        .await
+        .map_err(|_| RefusalReason::SlowClient)??;
+    serde_json::from_slice(&bytes).map_err(|_| RefusalReason::BadRequest)
+}
+
+async fn collect(body: StreamingBody, max_bytes: usize) -> Result<Vec<u8>, RefusalReason> {
+    let stream = body.into_stream();
+    pin_mut!(stream);
+    let mut bytes = Vec::new();
+    while let Some(chunk) = stream.next().await {
+        // Dropshot ends the stream with an error at its own, equal limit.
+        let chunk = chunk.map_err(|error| match error.status_code.as_u16() {
+            413 => RefusalReason::BodyTooLarge,
+            _ if bytes.len() >= max_bytes => RefusalReason::BodyTooLarge,
+            _ => RefusalReason::BadRequest,
+        })?;
+        if bytes.len() + chunk.len() > max_bytes {
+            return Err(RefusalReason::BodyTooLarge);
+        }
+        bytes.extend_from_slice(&chunk);
+    }
+    Ok(bytes)
+}
