feat(decide): one state machine for an owner's decisions under load

Cause: many fronts that each guess overfill targets of two slots; one owner a target has to queue, place, hedge and shift, and to be driven without sockets. Change: OwnerState over small modules: start-time fair queueing in slot time, admission by expected wait, placement by own observations, hedges and retries from one budget, ejection and ramp, slots given back exactly once. Conclusion: the API stands and the daemon can drive it.

--- /dev/null
+++ b/crates/hawthorn-decide/src/counter.rs
@@ -0,0 +1,111 @@
+//! Counters for each refusal and retry reason, and gauges of the moment.
+
+use hawthorn_types::MissingReason;
+use hawthorn_types::RefusalReason;
+use hawthorn_types::RetryReason;
+use hawthorn_types::UnknownReason;
+use strum::EnumCount;
+
+/// Totals since the owner started, and a few gauges. Counts are of pieces
+/// unless a field says attempts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnerCounters {
+    /// Pieces accepted into a queue.
+    pub queued: u64,
+    /// Pieces answered.
+    pub answered: u64,
+    /// Attempts sent, first ones and extra ones.
+    pub attempts: u64,
+    /// Non-idempotent pieces that ran and whose answer cannot be used.
+    pub failed: u64,
+    /// Pieces withdrawn by the front.
+    pub withdrawn: u64,
+    /// Hedges not made because no slot was spare.
+    pub hedges_without_slot: u64,
+    /// Hedges not made because the budget was spent.
+    pub hedges_without_budget: u64,
+    /// Answers to attempts whose piece was already finished; dropped.
+    pub late_answers: u64,
+    /// Ends of attempts that this owner does not know; dropped.
+    pub unknown_attempts: u64,
+    /// Answers that echoed something else; dropped.
+    pub crossed_answers: u64,
+    /// Cancelled attempts that were never acknowledged; their connections were closed.
+    pub unacknowledged: u64,
+    /// Times a target was ejected.
+    pub ejections: u64,
+    /// Times an ejection was due and not made: too few replicas would remain.
+    pub ejections_spared: u64,
+    /// Gauge: pieces waiting, urgent and normal.
+    pub waiting: [u32; 2],
+    /// Gauge: slots taken.
+    pub slots_taken: u32,
+    refused: [u64; RefusalReason::COUNT],
+    missing: [u64; MissingReason::COUNT],
+    unknown: [u64; UnknownReason::COUNT],
+    retried: [u64; RetryReason::COUNT],
+}
+
+impl Default for OwnerCounters {
+    fn default() -> Self {
+        Self {
+            queued: 0,
+            answered: 0,
+            attempts: 0,
+            failed: 0,
+            withdrawn: 0,
+            hedges_without_slot: 0,
+            hedges_without_budget: 0,
+            late_answers: 0,
+            unknown_attempts: 0,
+            crossed_answers: 0,
+            unacknowledged: 0,
+            ejections: 0,
+            ejections_spared: 0,
+            waiting: [0; 2],
+            slots_taken: 0,
+            refused: [0; RefusalReason::COUNT],
+            missing: [0; MissingReason::COUNT],
+            unknown: [0; UnknownReason::COUNT],
+            retried: [0; RetryReason::COUNT],
+        }
+    }
+}
+
+impl OwnerCounters {
+    /// Pieces not run for `reason`, refused at once or later.
+    pub fn refused(&self, reason: RefusalReason) -> u64 {
+        self.refused[reason as usize]
+    }
+
+    /// Pieces left without an answer for `reason`.
+    pub fn missing(&self, reason: MissingReason) -> u64 {
+        self.missing[reason as usize]
+    }
+
+    /// Pieces whose outcome is not known for `reason`.
+    pub fn unknown(&self, reason: UnknownReason) -> u64 {
+        self.unknown[reason as usize]
+    }
+
+    /// Further attempts made for `reason`.
+    pub fn retried(&self, reason: RetryReason) -> u64 {
+        self.retried[reason as usize]
+    }
+
+    pub(crate) fn count_refused(&mut self, reason: RefusalReason) {
+        self.refused[reason as usize] += 1;
+    }
+
+    pub(crate) fn count_missing(&mut self, reason: MissingReason) {
+        self.missing[reason as usize] += 1;
+    }
+
+    pub(crate) fn count_unknown(&mut self, reason: UnknownReason) {
+        self.unknown[reason as usize] += 1;
+    }
+
+    pub(crate) fn count_retried(&mut self, reason: RetryReason) {
+        self.retried[reason as usize] += 1;
+    }
+}
--- /dev/null
+++ b/crates/hawthorn-decide/src/owner/dispatch.rs
@@ -0,0 +1,248 @@
+//! From the queue to a target: first attempts and hedges.
+
+use hawthorn_types::RetryReason;
+use hawthorn_types::ShardKey;
+use hawthorn_types::TargetKey;
+use rand::Rng;
+use smallvec::SmallVec;
+
+use super::LiveShard;
+use super::OwnerState;
+use super::target::LiveTarget;
+use crate::arena::Handle;
+use crate::hedge;
+use crate::message::OwnerAction;
+use crate::piece::LiveAttempt;
+use crate::piece::LivePiece;
+use crate::place;
+use crate::place::Candidate;
+use crate::queue::Verdict;
+use crate::time::TickTime;
+use crate::timer::Alarm;
+
+type CandidateList = SmallVec<[Candidate; 4]>;
+
+/// What the last look at a shard's queue found.
+struct PumpView<'a> {
+    now: TickTime,
+    shard: &'a LiveShard,
+    targets: &'a [LiveTarget],
+    alone: bool,
+    tie: u64,
+}
+
+impl PumpView<'_> {
+    fn candidates(&self, piece: &LivePiece) -> CandidateList {
+        let median = self.shard.times.median();
+        let mut list = CandidateList::new();
+        for key in &self.shard.replicas {
+            let target = &self.targets[key.index()];
+            if !target.in_service() || piece.refused.contains(key) {
+                continue;
+            }
+            list.push(Candidate {
+                target: *key,
+                latency: target.latency(self.now, median),
+                taken: target.count.taken(),
+                limit: target.limit(self.alone),
+                pause: target.shift.send_at(self.alone).micros_since(self.now),
+                seen_version: target.lists(piece.ask.shard, piece.ask.version),
+                used: false,
+            });
+        }
+        list
+    }
+
+    fn place(&self, piece: &LivePiece) -> place::Outcome {
+        let candidates = self.candidates(piece);
+        let options = place::Options {
+            backlog: 0,
+            waited: self.now.micros_since(piece.queued_at),
+            hedge: false,
+            tie: self.tie,
+        };
+        place::choose(&candidates, options)
+    }
+
+    fn has_room(&self) -> bool {
+        self.shard.replicas.iter().any(|key| {
+            let target = &self.targets[key.index()];
+            let paused = target.shift.send_at(self.alone) > self.now;
+            !paused && target.count.taken() < target.limit(self.alone)
+        })
+    }
+}
+
+impl OwnerState {
+    /// Sends what the shard's queue holds for as long as slots are free.
+    pub(super) fn pump(&mut self, now: TickTime, shard: ShardKey) {
+        while !self.shards[shard.index()].queue.is_empty() {
+            let Some((index, target)) = self.pick(now, shard) else {
+                self.arm_rooms(now, shard);
+                return;
+            };
+            let piece = self.pieces.handle_at(index);
+            self.leave_queue(piece);
+            self.send(now, piece, target);
+        }
+    }
+
+    /// The piece whose turn it is, and its target.
+    fn pick(&mut self, now: TickTime, shard: ShardKey) -> Option<(u32, TargetKey)> {
+        let live = &self.shards[shard.index()];
+        let alone = self.is_alone(live);
+        let tie = self.rng.next_u64();
+        let view = PumpView { now, shard: live, targets: &self.targets, alone, tie };
+        if !view.has_room() {
+            return None;
+        }
+        let slots = self.slots_of(live) as u32;
+        let mut chosen = None;
+        let mut patience: Option<u64> = None;
+        let index = live.queue.pick(&self.pieces, slots, |piece| match view.place(piece) {
+            place::Outcome::Send(target) => {
+                chosen = Some(target);
+                Verdict::Send
+            }
+            place::Outcome::WaitAtMost(span) => {
+                patience = Some(patience.map_or(span, |least| least.min(span)));
+                Verdict::Wait
+            }
+            place::Outcome::Wait => Verdict::Wait,
+        });
+        if let Some(span) = patience
+            && let Some(&target) = live.replicas.first()
+        {
+            self.arm_room(now, target, now.plus(span.max(1)));
+        }
+        index.zip(chosen)
+    }
+
+    /// Wakes the shard when a paused replica may be sent to again.
+    fn arm_rooms(&mut self, now: TickTime, shard: ShardKey) {
+        let live = &self.shards[shard.index()];
+        let alone = self.is_alone(live);
+        let replicas = live.replicas.clone();
+        for key in replicas {
+            let target = &self.targets[key.index()];
+            let at = target.shift.send_at(alone);
+            if target.in_service() && at > now {
+                self.arm_room(now, key, at);
+            }
+        }
+    }
+
+    pub(super) fn arm_room(&mut self, now: TickTime, key: TargetKey, at: TickTime) {
+        let target = &mut self.targets[key.index()];
+        let armed = target.room_at > now && target.room_at <= at;
+        if !armed {
+            target.room_at = at;
+            self.timers.arm(at, Alarm::Room(key));
+        }
+    }
+
+    fn send(&mut self, now: TickTime, handle: Handle, target: TargetKey) {
+        let piece = self.pieces.at(handle.index);
+        let lane = piece.lane();
+        let cost = piece.cost;
+        let shard = piece.ask.shard;
+        // A further attempt was paid for from the budget already.
+        if !piece.sent {
+            self.budget.earn();
+        }
+        self.shards[shard.index()].queue.charge_lane(lane, cost);
+        self.attempt(now, handle, target);
+        if !self.pieces.at(handle.index).ask.once {
+            let delay = hedge::delay(&self.shards[shard.index()].times, self.options.hedge);
+            self.timers.arm(now.plus(delay), Alarm::Hedge(handle));
+        }
+    }
+
+    /// Takes a slot and sends an attempt.
+    fn attempt(&mut self, now: TickTime, handle: Handle, target: TargetKey) {
+        let piece = self.pieces.at_mut(handle.index);
+        let live = &mut self.targets[target.index()];
+        let taken = live.count.take(live.slots);
+        assert!(taken, "a target is chosen only while it has a free slot");
+        live.shift.on_sent(now);
+        let caller = piece.ask.caller.0;
+        let shard = piece.ask.shard;
+        self.shards[shard.index()].queue.charge(caller, piece.cost);
+        let attempt = self.attempts.insert(LiveAttempt {
+            piece: handle,
+            target,
+            shard,
+            caller,
+            sent_at: now,
+            charged: piece.cost,
+            cancelled_at: None,
+        });
+        piece.attempts.push(attempt);
+        piece.sent = true;
+        self.counters.attempts += 1;
+        self.counters.slots_taken += 1;
+        self.actions.push_back(OwnerAction::Send {
+            attempt: LiveAttempt::id(attempt),
+            piece: piece.ask.piece,
+            target,
+            deadline: piece.ask.deadline,
+        });
+    }
+
+    /// The piece has been on its way for the hedge delay: another attempt is
+    /// made if a slot is spare and the budget allows.
+    ///
+    /// A slot is spare only when nothing waits for it. Under saturation there
+    /// is none, so hedges stop by themselves where they would do harm.
+    pub(super) fn on_hedge_due(&mut self, now: TickTime, handle: Handle) {
+        let Some(piece) = self.pieces.get(handle) else { return };
+        let on_way = piece.attempts.len();
+        if piece.waiting || on_way == 0 || on_way >= self.options.hedge.most_attempts {
+            return;
+        }
+        let shard = piece.ask.shard;
+        let delay = hedge::delay(&self.shards[shard.index()].times, self.options.hedge);
+        let newest = piece.attempts.last().and_then(|attempt| self.attempts.get(*attempt));
+        let due = newest.map_or(now, |attempt| attempt.sent_at.plus(delay));
+        if due > now {
+            self.timers.arm(due, Alarm::Hedge(handle));
+            return;
+        }
+        match self.spare_target(now, handle) {
+            None => self.counters.hedges_without_slot += 1,
+            Some(_) if !self.budget.spend_hedge() => self.counters.hedges_without_budget += 1,
+            Some(target) => {
+                self.counters.count_retried(RetryReason::Hedge);
+                self.attempt(now, handle, target);
+            }
+        }
+        self.timers.arm(now.plus(delay), Alarm::Hedge(handle));
+    }
+
+    fn spare_target(&mut self, now: TickTime, handle: Handle) -> Option<TargetKey> {
+        let tie = self.rng.next_u64();
+        let piece = self.pieces.at(handle.index);
+        let live = &self.shards[piece.ask.shard.index()];
+        let alone = self.is_alone(live);
+        let view = PumpView { now, shard: live, targets: &self.targets, alone, tie };
+        let mut candidates = view.candidates(piece);
+        candidates.retain(|each| self.is_unwanted(each.target));
+        for each in &mut candidates {
+            let busy = |attempt: &Handle| {
+                self.attempts.get(*attempt).is_some_and(|attempt| attempt.target == each.target)
+            };
+            each.used = piece.attempts.iter().any(busy);
+        }
+        let options = place::Options { backlog: 0, waited: 0, hedge: true, tie };
+        match place::choose(&candidates, options) {
+            place::Outcome::Send(target) => Some(target),
+            place::Outcome::Wait | place::Outcome::WaitAtMost(_) => None,
+        }
+    }
+
+    /// Whether nothing waits for the target's slots.
+    fn is_unwanted(&self, target: TargetKey) -> bool {
+        let shards = &self.targets[target.index()].shards;
+        shards.iter().all(|shard| self.shards[shard.index()].queue.is_empty())
+    }
+}
--- /dev/null
+++ b/crates/hawthorn-decide/src/owner/mod.rs
@@ -0,0 +1,379 @@
+//! The decisions of an owner as one state machine that its daemon drives.
+//!
+//! The daemon calls in with what happened and the time, then takes actions out
+//! until there are none, and calls [`OwnerState::tick`] no later than
+//! [`OwnerState::next_wake`]. All state is in arenas and rings sized when the
+//! owner is made, so that steady work allocates nothing.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use smallvec::SmallVec;
+
+use hawthorn_types::CallerKey;
+use hawthorn_types::RefusalReason;
+use hawthorn_types::ShardKey;
+use hawthorn_types::TargetKey;
+use hawthorn_types::caller::UrgencyClass;
+
+use crate::admit;
+use crate::arena::Arena;
+use crate::arena::Handle;
+use crate::budget;
+use crate::budget::RetryBudget;
+use crate::counter::OwnerCounters;
+use crate::hedge;
+use crate::latency::ServiceTimes;
+use crate::message::OwnerAction;
+use crate::message::PieceKey;
+use crate::message::PieceResult;
+use crate::message::QueuedPiece;
+use crate::piece::LiveAttempt;
+use crate::piece::LivePiece;
+use crate::queue;
+use crate::queue::Joining;
+use crate::queue::NORMAL;
+use crate::queue::ShardQueue;
+use crate::queue::URGENT;
+use crate::shift;
+use crate::slots;
+use crate::time::TickTime;
+use crate::time::micros;
+use crate::timer::Alarm;
+use crate::timer::TimerQueue;
+
+use target::LiveTarget;
+
+mod dispatch;
+mod finish;
+mod target;
+mod watch;
+
+/// Limits of all decisions of an owner.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Options {
+    /// Pieces not finished, waiting or on their way, over all shards. 65,536:
+    /// half a second of a large daemon's work at today's speed, 20 MB.
+    pub piece_limit: usize,
+    /// Of queues.
+    pub queue: queue::Options,
+    /// Of admission.
+    pub admit: admit::Options,
+    /// Of hedging.
+    pub hedge: hedge::Options,
+    /// Of the budget for hedges and retries.
+    pub budget: budget::Options,
+    /// Of shifting load.
+    pub shift: shift::Options,
+    /// Of slots.
+    pub slots: slots::Options,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            piece_limit: 65_536,
+            queue: queue::Options::default(),
+            admit: admit::Options::default(),
+            hedge: hedge::Options::default(),
+            budget: budget::Options::default(),
+            shift: shift::Options::default(),
+            slots: slots::Options::default(),
+        }
+    }
+}
+
+/// What a front asks before it sends a query's pieces.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BatchAsk<'a> {
+    /// Whose request it is.
+    pub caller: CallerKey,
+    /// How much a late answer hurts.
+    pub urgency: UrgencyClass,
+    /// The shards of the batch.
+    pub shards: &'a [ShardKey],
+    /// When the answers are of no more use.
+    pub deadline: TickTime,
+}
+
+#[derive(Debug)]
+struct LiveShard {
+    replicas: SmallVec<[TargetKey; 4]>,
+    queue: ShardQueue,
+    times: ServiceTimes,
+}
+
+/// Everything an owner knows. See the module's documentation.
+#[derive(Debug)]
+pub struct OwnerState {
+    options: Options,
+    shards: Vec<LiveShard>,
+    targets: Vec<LiveTarget>,
+    pieces: Arena<LivePiece>,
+    by_key: HashMap<PieceKey, Handle>,
+    attempts: Arena<LiveAttempt>,
+    timers: TimerQueue,
+    budget: RetryBudget,
+    actions: VecDeque<OwnerAction>,
+    counters: OwnerCounters,
+    rng: StdRng,
+}
+
+/// Room for attempts and actions made at the start; both grow to the number of
+/// slots owned and stay there.
+const FIRST_CAPACITY: usize = 4096;
+
+impl OwnerState {
+    /// An owner of no targets. `seed` decides ties and spreads probes; the
+    /// same seed and calls give the same decisions.
+    pub fn new(options: Options, seed: u64) -> Self {
+        let capacity = options.piece_limit.min(FIRST_CAPACITY);
+        Self {
+            options,
+            shards: Vec::new(),
+            targets: Vec::new(),
+            pieces: Arena::with_capacity(options.piece_limit, 0),
+            by_key: HashMap::with_capacity(options.piece_limit),
+            attempts: Arena::with_capacity(capacity, seed as u32 | 1),
+            timers: TimerQueue::with_capacity(capacity),
+            budget: RetryBudget::new(options.budget),
+            actions: VecDeque::with_capacity(capacity),
+            counters: OwnerCounters::default(),
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Whether all pieces of a query could be done in time. A front asks this
+    /// before it submits any of them: a query refused in part has cost the
+    /// targets the rest for nothing.
+    pub fn admit_batch(&mut self, now: TickTime, batch: &BatchAsk<'_>) -> admit::Outcome {
+        for &shard in batch.shards {
+            let outcome = self.admit(now, batch.caller, batch.urgency, shard, batch.deadline);
+            if let admit::Outcome::Refused { reason, .. } = outcome {
+                self.counters.count_refused(reason);
+                return outcome;
+            }
+        }
+        admit::Outcome::Queued
+    }
+
+    /// Takes in one piece, or refuses it at once.
+    pub fn submit(&mut self, now: TickTime, piece: QueuedPiece) -> admit::Outcome {
+        let outcome = self.admit_piece(now, &piece);
+        if let admit::Outcome::Refused { reason, .. } = outcome {
+            self.counters.count_refused(reason);
+            return outcome;
+        }
+        self.counters.queued += 1;
+        let shard = piece.shard;
+        let deadline = piece.deadline;
+        let handle = self.pieces.insert(LivePiece::new(piece, now));
+        self.by_key.insert(piece.piece, handle);
+        self.timers.arm(deadline, Alarm::Deadline(handle));
+        self.join_queue(handle, Joining::Back);
+        self.pump(now, shard);
+        self.tidy();
+        outcome
+    }
+
+    /// The front no longer wants the piece. Unknown pieces are ignored: they
+    /// finished meanwhile.
+    pub fn cancel(&mut self, now: TickTime, piece: PieceKey) {
+        let Some(&handle) = self.by_key.get(&piece) else { return };
+        let sent = self.pieces.get(handle).is_some_and(|piece| piece.sent);
+        self.counters.withdrawn += 1;
+        self.finish(now, handle, PieceResult::Withdrawn { sent });
+    }
+
+    /// Takes the next action; the daemon calls it until there is none.
+    pub fn poll_action(&mut self) -> Option<OwnerAction> {
+        self.actions.pop_front()
+    }
+
+    /// When [`OwnerState::tick`] is next due.
+    pub fn next_wake(&self) -> Option<TickTime> {
+        self.timers.next()
+    }
+
+    /// Does what has become due.
+    pub fn tick(&mut self, now: TickTime) {
+        while let Some(alarm) = self.timers.fire(now) {
+            match alarm {
+                Alarm::Deadline(piece) => self.on_deadline(now, piece),
+                Alarm::Hedge(piece) => self.on_hedge_due(now, piece),
+                Alarm::Grace(attempt) => self.on_grace_over(now, attempt),
+                Alarm::Room(target) => self.on_room(now, target),
+                Alarm::Probe(target) => self.on_probe_due(now, target),
+            }
+        }
+        self.tidy();
+    }
+
+    /// The wait of a new piece of a caller that has nothing waiting, for fronts
+    /// to place queries by.
+    pub fn expected_wait(&self, shard: ShardKey, urgency: UrgencyClass) -> Duration {
+        Duration::from_micros(self.wait_of(CallerKey(u32::MAX), urgency, shard))
+    }
+
+    /// The wait of a new piece of `caller`.
+    pub fn expected_wait_of(
+        &self,
+        caller: CallerKey,
+        shard: ShardKey,
+        urgency: UrgencyClass,
+    ) -> Duration {
+        Duration::from_micros(self.wait_of(caller, urgency, shard))
+    }
+
+    /// The 90th percentile of a shard's service time, as seen by this owner.
+    pub fn service_time(&self, shard: ShardKey) -> Duration {
+        let known = self.shards.get(shard.index());
+        Duration::from_micros(known.map_or(0, |shard| shard.times.ninetieth()))
+    }
+
+    /// How the owner uses a target; none when it owns no such target or gives
+    /// it nothing because it is not wanted or leaving.
+    pub fn phase(&self, target: TargetKey) -> Option<shift::Phase> {
+        let target = self.targets.get(target.index())?;
+        target.in_service().then_some(target.shift.phase)
+    }
+
+    /// Slots taken of a target.
+    pub fn slots_taken(&self, target: TargetKey) -> u16 {
+        self.targets.get(target.index()).map_or(0, |target| target.count.taken())
+    }
+
+    /// Totals and gauges.
+    pub fn counters(&self) -> &OwnerCounters {
+        &self.counters
+    }
+
+    fn admit_piece(&self, now: TickTime, piece: &QueuedPiece) -> admit::Outcome {
+        let least = self.options.admit.least_retry;
+        if piece.caller.0 >= self.options.queue.caller_limit {
+            return refuse(RefusalReason::UnknownCaller, self.options.admit.most_retry);
+        }
+        // Two pieces of one key could not be told apart when they finish.
+        if self.by_key.contains_key(&piece.piece) {
+            return refuse(RefusalReason::BadRequest, least);
+        }
+        if self.pieces.len() >= self.options.piece_limit {
+            return refuse(RefusalReason::QueueFull, least);
+        }
+        self.admit(now, piece.caller, piece.urgency, piece.shard, piece.deadline)
+    }
+
+    fn admit(
+        &self,
+        now: TickTime,
+        caller: CallerKey,
+        urgency: UrgencyClass,
+        shard: ShardKey,
+        deadline: TickTime,
+    ) -> admit::Outcome {
+        let least = self.options.admit.least_retry;
+        let most = self.options.admit.most_retry;
+        if deadline <= now {
+            return refuse(RefusalReason::DeadlinePast, least);
+        }
+        let Some(live) = self.shards.get(shard.index()) else {
+            return refuse(RefusalReason::NoTarget, most);
+        };
+        if self.slots_of(live) == 0 {
+            return refuse(RefusalReason::NoTarget, most);
+        }
+        let wait = self.wait_of(caller, urgency, shard);
+        let retry = |span: u64| Duration::from_micros(span).clamp(least, most);
+        let room = live.queue.room();
+        if room == 0 {
+            return refuse(RefusalReason::QueueFull, retry(wait));
+        }
+        // Dynamic thresholds (Choudhury and Hahne, 1998): nobody waits with
+        // more pieces than there is room left, so a flood never fills the
+        // queue and the next caller always finds a place.
+        if live.queue.waiting_of(caller.0) >= room {
+            return refuse(RefusalReason::CallerOverShare, retry(wait));
+        }
+        let needed = (wait as f64 * self.options.admit.wait_margin) as u64 + live.times.median();
+        let left = deadline.micros_since(now);
+        if wait > 0 && needed > left {
+            return refuse(RefusalReason::WaitBeyondDeadline, retry(needed - left));
+        }
+        admit::Outcome::Queued
+    }
+
+    fn wait_of(&self, caller: CallerKey, urgency: UrgencyClass, shard: ShardKey) -> u64 {
+        let Some(live) = self.shards.get(shard.index()) else { return 0 };
+        if live.queue.is_empty() && self.has_free_slot(live) {
+            return 0;
+        }
+        admit::expected_wait(
+            &live.queue,
+            caller.0,
+            urgency as usize,
+            self.slots_of(live),
+            live.times.median(),
+            self.options.queue.normal_share,
+        )
+    }
+
+    fn slots_of(&self, shard: &LiveShard) -> u64 {
+        let alone = self.is_alone(shard);
+        let limits = shard.replicas.iter().map(|key| self.targets[key.index()].limit(alone));
+        limits.map(u64::from).sum()
+    }
+
+    fn has_free_slot(&self, shard: &LiveShard) -> bool {
+        shard.replicas.iter().any(|key| {
+            let target = &self.targets[key.index()];
+            target.count.taken() < target.limit(false)
+        })
+    }
+
+    /// Whether no replica of the shard takes full work.
+    fn is_alone(&self, shard: &LiveShard) -> bool {
+        !shard.replicas.iter().any(|key| self.targets[key.index()].is_full())
+    }
+
+    fn join_queue(&mut self, handle: Handle, joining: Joining) {
+        let piece = self.pieces.at(handle.index);
+        let shard = &mut self.shards[piece.ask.shard.index()];
+        let average = shard.queue.cost_of(piece.ask.caller.0, shard.times.median());
+        let cost = piece.ask.expected_cost.map_or(average, micros);
+        self.counters.waiting[piece.lane()] += 1;
+        self.pieces.at_mut(handle.index).cost = cost;
+        shard.queue.join(&mut self.pieces, handle.index, joining);
+    }
+
+    fn leave_queue(&mut self, handle: Handle) {
+        let piece = self.pieces.at(handle.index);
+        if !piece.waiting {
+            return;
+        }
+        self.counters.waiting[piece.lane()] -= 1;
+        let shard = piece.ask.shard.index();
+        self.shards[shard].queue.leave(&mut self.pieces, handle.index);
+    }
+
+    fn tidy(&mut self) {
+        // Each piece has a deadline and a hedge alarm, each attempt a grace.
+        let live = 2 * self.pieces.len() + self.attempts.len() + 2 * self.targets.len();
+        let pieces = &self.pieces;
+        let attempts = &self.attempts;
+        self.timers.compact(live, |alarm| match alarm {
+            Alarm::Deadline(piece) | Alarm::Hedge(piece) => pieces.get(*piece).is_some(),
+            Alarm::Grace(attempt) => attempts.get(*attempt).is_some(),
+            Alarm::Room(_) | Alarm::Probe(_) => true,
+        });
+    }
+}
+
+fn refuse(reason: RefusalReason, retry_after: Duration) -> admit::Outcome {
+    admit::Outcome::Refused { reason, retry_after }
+}
+
+const _: () = assert!(UrgencyClass::Urgent as usize == URGENT);
+const _: () = assert!(UrgencyClass::Normal as usize == NORMAL);
--- /dev/null
+++ b/crates/hawthorn-decide/src/shift.rs
@@ -0,0 +1,308 @@
+//! Shifting load on to and away from one target: cold ones ramp up, failing
+//! ones are ejected and come back by probe, leaving ones get nothing new.
+//!
+//! Judged by the owner's own attempts. What a target or the platform says of
+//! it can only take work away (it says it leaves, it says it is cold); it
+//! never alone brings work back.
+
+use std::time::Duration;
+
+use hawthorn_types::WantedState;
+
+use crate::message::LeavingSource;
+use crate::time::TickTime;
+use crate::time::micros;
+
+/// Limits of shifting.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Options {
+    /// A ramping target gets one request at a time, at first so far apart,
+    /// then twice as often after each good answer. 100 ms: seven good answers
+    /// bring it to full work in a fifth of a second, while a target that is
+    /// still loading slows one request in a hundred milliseconds and no more.
+    pub ramp_gap: Duration,
+    /// The ramp is over when the gap is shorter: less than a service time.
+    pub ramp_end: Duration,
+    /// Failures in a row after which a target is ejected. 3: one broken
+    /// connection is ordinary, three in a row are not chance.
+    pub failure_limit: u32,
+    /// Slow answers in a row after which it is ejected. 5: with 5 % stragglers
+    /// five in a row are chance three times in ten million.
+    pub slow_limit: u32,
+    /// An answer is slow when it takes so many times the shard's median.
+    pub slow_factor: u64,
+    /// Of a shard's replicas in service at most this part is ejected; the
+    /// rest would drown in the work of those taken out.
+    pub most_ejected: f64,
+    /// How long an ejected target is left alone at first; doubled each time it
+    /// fails again on its return.
+    pub first_backoff: Duration,
+    /// The longest it is left alone. 30 s: a repaired target is back in work
+    /// within half a minute.
+    pub most_backoff: Duration,
+    /// How long a target that sheds load is left alone at first; doubled with
+    /// each further refusal. 5 ms: one service time, in which a slot can free.
+    pub shed_pause: Duration,
+    /// The longest pause of a target that sheds.
+    pub most_pause: Duration,
+    /// How long a target's own leaving sign holds although its state page says
+    /// ready again: the page lags by seconds.
+    pub leaving_hold: Duration,
+    /// Good answers this fresh outweigh a state page that says cold.
+    pub answer_trust: Duration,
+    /// How often each target is probed. 1 s: a leaving target is seen within
+    /// 2 s, at one small request a second.
+    pub probe_interval: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            ramp_gap: Duration::from_millis(100),
+            ramp_end: Duration::from_millis(2),
+            failure_limit: 3,
+            slow_limit: 5,
+            slow_factor: 5,
+            most_ejected: 0.5,
+            first_backoff: Duration::from_secs(1),
+            most_backoff: Duration::from_secs(30),
+            shed_pause: Duration::from_millis(5),
+            most_pause: Duration::from_millis(320),
+            leaving_hold: Duration::from_secs(5),
+            answer_trust: Duration::from_secs(1),
+            probe_interval: Duration::from_secs(1),
+        }
+    }
+}
+
+/// How the owner uses a target that operators want to serve.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Takes work on all its slots.
+    Serving,
+    /// Takes one request at a time, `gap` microseconds apart.
+    Ramping {
+        /// The least time between two sends.
+        gap: u64,
+    },
+    /// Takes no work until it answers a probe after `until`.
+    Ejected {
+        /// When it is probed.
+        until: TickTime,
+    },
+}
+
+/// What a failure or a slow answer calls for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Judgement {
+    /// Nothing.
+    Keep,
+    /// Ejection, if enough replicas remain.
+    Eject,
+}
+
+/// The life of one target as the owner sees it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TargetShift {
+    pub(crate) wanted: WantedState,
+    pub(crate) phase: Phase,
+    leaving: u8,
+    leaving_at: TickTime,
+    failures: u32,
+    slow: u32,
+    backoff: u64,
+    pause: u64,
+    paused_until: TickTime,
+    next_send: TickTime,
+    good_at: Option<TickTime>,
+}
+
+impl TargetShift {
+    pub(crate) fn new(wanted: WantedState) -> Self {
+        Self {
+            wanted,
+            phase: Phase::Serving,
+            leaving: 0,
+            leaving_at: TickTime::default(),
+            failures: 0,
+            slow: 0,
+            backoff: 0,
+            pause: 0,
+            paused_until: TickTime::default(),
+            next_send: TickTime::default(),
+            good_at: None,
+        }
+    }
+
+    /// Whether it may get work at all, now or after a wait.
+    pub(crate) fn in_service(&self) -> bool {
+        self.wanted == WantedState::Serve && self.leaving == 0
+    }
+
+    pub(crate) fn is_ejected(&self) -> bool {
+        matches!(self.phase, Phase::Ejected { .. })
+    }
+
+    /// Slots that may be taken. `alone`: no other replica takes full work; the
+    /// ramp and the ejection then protect nobody, and only deny service.
+    pub(crate) fn limit(&self, slots: u16, alone: bool) -> u16 {
+        match self.phase {
+            _ if !self.in_service() => 0,
+            Phase::Serving => slots,
+            Phase::Ramping { .. } => slots.min(1),
+            Phase::Ejected { .. } if alone => slots.min(1),
+            Phase::Ejected { .. } => 0,
+        }
+    }
+
+    /// The earliest time of the next send.
+    pub(crate) fn send_at(&self, alone: bool) -> TickTime {
+        match self.phase {
+            Phase::Ramping { .. } if !alone => self.paused_until.max(self.next_send),
+            _ => self.paused_until,
+        }
+    }
+
+    pub(crate) fn on_sent(&mut self, now: TickTime) {
+        if let Phase::Ramping { gap } = self.phase {
+            self.next_send = now.plus(gap);
+        }
+    }
+
+    pub(crate) fn on_good(&mut self, now: TickTime, options: &Options) {
+        self.failures = 0;
+        self.slow = 0;
+        self.pause = 0;
+        self.good_at = Some(now);
+        match self.phase {
+            Phase::Serving => {}
+            Phase::Ramping { gap } if gap / 2 < micros(options.ramp_end) => {
+                self.phase = Phase::Serving;
+                self.backoff = 0;
+            }
+            Phase::Ramping { gap } => {
+                self.phase = Phase::Ramping { gap: gap / 2 };
+                self.next_send = self.next_send.min(now.plus(gap / 2));
+            }
+            // An answer from before the ejection, or to work sent for want of
+            // any other replica: the probe decides.
+            Phase::Ejected { .. } => {}
+        }
+    }
+
+    /// A slow answer; a ramping target is expected to be slow.
+    pub(crate) fn on_slow(&mut self, options: &Options) -> Judgement {
+        if self.phase != Phase::Serving {
+            return Judgement::Keep;
+        }
+        self.slow += 1;
+        if self.slow >= options.slow_limit { Judgement::Eject } else { Judgement::Keep }
+    }
+
+    /// A failure; one is enough on the way back from an ejection.
+    pub(crate) fn on_failure(&mut self, options: &Options) -> Judgement {
+        self.failures += 1;
+        let returning = matches!(self.phase, Phase::Ramping { .. }) && self.backoff > 0;
+        match self.phase {
+            Phase::Ejected { .. } => Judgement::Keep,
+            _ if returning || self.failures >= options.failure_limit => Judgement::Eject,
+            _ => Judgement::Keep,
+        }
+    }
+
+    /// Ejects it; `jitter` within 0 to 1 spreads the probes of targets that
+    /// failed together. Returns when to probe.
+    pub(crate) fn eject(&mut self, now: TickTime, jitter: f64, options: &Options) -> TickTime {
+        let first = micros(options.first_backoff);
+        self.backoff = (self.backoff * 2).clamp(first, micros(options.most_backoff));
+        self.failures = 0;
+        self.slow = 0;
+        let wait = self.backoff + (self.backoff as f64 * jitter / 2.0) as u64;
+        let until = now.plus(wait);
+        self.phase = Phase::Ejected { until };
+        until
+    }
+
+    /// It stays in service although it was to be ejected: judged anew.
+    pub(crate) fn pardon(&mut self) {
+        self.failures = 0;
+        self.slow = 0;
+    }
+
+    /// It sheds load. Returns when it may be asked again.
+    pub(crate) fn on_shed(&mut self, now: TickTime, options: &Options) -> TickTime {
+        let first = micros(options.shed_pause);
+        self.pause = (self.pause * 2).clamp(first, micros(options.most_pause));
+        self.paused_until = now.plus(self.pause);
+        self.paused_until
+    }
+
+    /// It is cold: it ramps from the start.
+    pub(crate) fn on_cold(&mut self, now: TickTime, options: &Options) {
+        if self.is_ejected() {
+            return;
+        }
+        let gap = micros(options.ramp_gap);
+        self.phase = Phase::Ramping { gap };
+        self.next_send = now.plus(gap);
+    }
+
+    /// Its state page says cold or standby.
+    pub(crate) fn on_cold_page(&mut self, now: TickTime, options: &Options) {
+        let trusted = self.good_at.is_some_and(|at| now.since(at) < options.answer_trust);
+        if !trusted && self.phase == Phase::Serving {
+            self.on_cold(now, options);
+        }
+    }
+
+    /// Its state page says ready, which is no more than a permission to try.
+    pub(crate) fn on_ready_page(&mut self, now: TickTime, options: &Options) {
+        let held = now.since(self.leaving_at) >= options.leaving_hold;
+        if held {
+            self.clear_leaving(LeavingSource::Target, now, options);
+        }
+        if let Phase::Ejected { until } = self.phase
+            && now >= until
+        {
+            self.phase = Phase::Ramping { gap: micros(options.ramp_gap) };
+            self.next_send = now;
+        }
+    }
+
+    /// A leaving sign, from wherever: nothing new from this call on.
+    pub(crate) fn on_leaving(&mut self, source: LeavingSource, now: TickTime) {
+        self.leaving |= bit_of(source);
+        self.leaving_at = now;
+    }
+
+    /// A source takes its leaving sign back; the target starts anew.
+    pub(crate) fn clear_leaving(
+        &mut self,
+        source: LeavingSource,
+        now: TickTime,
+        options: &Options,
+    ) {
+        if self.leaving & bit_of(source) == 0 {
+            return;
+        }
+        self.leaving &= !bit_of(source);
+        if self.leaving == 0 {
+            self.on_cold(now, options);
+        }
+    }
+
+    /// Operators want something else of it.
+    pub(crate) fn want(&mut self, wanted: WantedState, now: TickTime, options: &Options) {
+        let starts = wanted == WantedState::Serve && self.wanted != WantedState::Serve;
+        self.wanted = wanted;
+        if starts {
+            self.on_cold(now, options);
+            // Unlike one that has just refused as cold, it may be tried at once.
+            self.next_send = now;
+        }
+    }
+}
+
+fn bit_of(source: LeavingSource) -> u8 {
+    1 << source as u8
+}
