--- /dev/null
+++ b/crates/hawthorn-plan/src/plan.rs
@@ -0,0 +1,418 @@
+//! Plans a query: one index version, and one owner for each piece.
+//!
+//! Pieces are disjoint by construction, so totals may be added up; a key that
+//! no one can search at the version is listed as missing with its reason.
+
+use std::time::Duration;
+
+use hawthorn_types::HostKey;
+use hawthorn_types::IndexVersion;
+use hawthorn_types::KeyRange;
+use hawthorn_types::MissingRange;
+use hawthorn_types::MissingReason;
+use hawthorn_types::RangeSet;
+use hawthorn_types::ShardKey;
+use hawthorn_types::ZoneKey;
+use smallvec::SmallVec;
+
+use crate::table::ReplicaOption;
+use crate::table::ShardRecord;
+use crate::table::ShardTable;
+
+/// How a zone is chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// What a piece in another zone costs beyond the wait there: the round
+    /// trip between zones.
+    pub cross_zone_cost: Duration,
+    /// How much better another zone must look before work is sent there.
+    /// Reports lag by about a heartbeat; smaller differences are noise.
+    pub shift_margin: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { cross_zone_cost: Duration::from_millis(3), shift_margin: Duration::from_millis(2) }
+    }
+}
+
+/// An owner that has already failed to search a shard for this query.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TriedOwner {
+    /// The shard.
+    pub shard: ShardKey,
+    /// The owner.
+    pub host: HostKey,
+}
+
+/// What an owner said a shard holds now, newer than the table.
+#[derive(Clone, Debug)]
+pub struct LearnedVersions {
+    /// The shard.
+    pub shard: ShardKey,
+    /// The owner.
+    pub host: HostKey,
+    /// All versions that its targets hold.
+    pub versions: SmallVec<[IndexVersion; 2]>,
+}
+
+/// Which versions a plan may choose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub enum VersionChoice {
+    /// The newest of those that cover most.
+    #[default]
+    Any,
+    /// As `Any`, of those newer than this.
+    NewerThan(IndexVersion),
+    /// This one.
+    Exactly(IndexVersion),
+}
+
+/// What a plan is made from.
+#[derive(Clone, Copy, Debug)]
+pub struct PlanInput<'a> {
+    /// The shards of the service.
+    pub table: &'a ShardTable,
+    /// The keys asked for.
+    pub range: KeyRange,
+    /// The zone of this front.
+    pub own_zone: ZoneKey,
+    /// How long the caller still waits.
+    pub remaining: Duration,
+    /// Which versions may be chosen.
+    pub version: VersionChoice,
+    /// Owners that cannot be reached.
+    pub lost: &'a [HostKey],
+    /// Owners that have failed with a shard.
+    pub tried: &'a [TriedOwner],
+    /// What owners said of versions since the table was made, ascending by
+    /// shard and host.
+    pub learned: &'a [LearnedVersions],
+    /// Any random number; spreads work that shifts between zones.
+    pub draw: u64,
+}
+
+impl<'a> PlanInput<'a> {
+    /// A first plan for `range`, with nothing tried and nothing learned.
+    pub fn first(
+        table: &'a ShardTable,
+        range: KeyRange,
+        own_zone: ZoneKey,
+        remaining: Duration,
+    ) -> Self {
+        Self {
+            table,
+            range,
+            own_zone,
+            remaining,
+            version: VersionChoice::Any,
+            lost: &[],
+            tried: &[],
+            learned: &[],
+            draw: 0,
+        }
+    }
+}
+
+/// A part of the query for one shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlannedPiece {
+    /// The shard.
+    pub shard: ShardKey,
+    /// The zone whose replicas are to search it.
+    pub zone: ZoneKey,
+    /// The keys to search.
+    pub range: KeyRange,
+}
+
+/// Everything that goes to one owner in one message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnerBatch {
+    /// The owner.
+    pub host: HostKey,
+    /// The pieces, ascending by range.
+    pub pieces: Vec<PlannedPiece>,
+}
+
+/// A plan; kept and filled again by [`plan_into`] it stops allocating.
+#[derive(Clone, Debug, Default)]
+pub struct QueryPlan {
+    /// The one version; `None` when nothing can be searched.
+    pub version: Option<IndexVersion>,
+    /// One batch for each owner.
+    pub batches: SmallVec<[OwnerBatch; 8]>,
+    /// What cannot be searched at the version, ascending.
+    pub missing: Vec<MissingRange>,
+    spare: Vec<Vec<PlannedPiece>>,
+    tally: SmallVec<[VersionTally; 4]>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct VersionTally {
+    version: IndexVersion,
+    keys: u64,
+    counted: u32,
+}
+
+impl QueryPlan {
+    /// How many pieces are to be sent.
+    pub fn piece_count(&self) -> usize {
+        self.batches.iter().map(|batch| batch.pieces.len()).sum()
+    }
+
+    /// How many keys are to be searched.
+    pub fn planned_keys(&self) -> u64 {
+        let pieces = self.batches.iter().flat_map(|batch| &batch.pieces);
+        pieces.map(|piece| u64::from(piece.range.len())).sum()
+    }
+
+    fn reset(&mut self) {
+        for batch in self.batches.drain(..) {
+            let mut pieces = batch.pieces;
+            pieces.clear();
+            self.spare.push(pieces);
+        }
+        self.version = None;
+        self.missing.clear();
+        self.tally.clear();
+    }
+
+    fn push(&mut self, host: HostKey, piece: PlannedPiece) {
+        if let Some(batch) = self.batches.iter_mut().find(|batch| batch.host == host) {
+            batch.pieces.push(piece);
+            return;
+        }
+        let mut pieces = self.spare.pop().unwrap_or_default();
+        pieces.push(piece);
+        self.batches.push(OwnerBatch { host, pieces });
+    }
+}
+
+/// Plans into a new [`QueryPlan`].
+pub fn plan(input: &PlanInput<'_>, options: &Options) -> QueryPlan {
+    let mut plan = QueryPlan::default();
+    plan_into(input, &mut plan, options);
+    plan
+}
+
+/// Plans into `plan`, whose buffers are used again.
+pub fn plan_into(input: &PlanInput<'_>, plan: &mut QueryPlan, options: &Options) {
+    plan.reset();
+    plan.version = choose_version(input, &mut plan.tally);
+    let mut cursor = input.range.start;
+    if let Some(version) = plan.version {
+        for shard in input.table.near(input.range) {
+            cursor = place_shard(input, plan, shard, version, cursor, options);
+        }
+    }
+    fill_gap(input, plan, KeyRange::new(cursor, input.range.end), options);
+}
+
+/// Places what `shard` adds beyond `cursor`, and returns the new cursor.
+fn place_shard(
+    input: &PlanInput<'_>,
+    plan: &mut QueryPlan,
+    shard: &ShardRecord,
+    version: IndexVersion,
+    cursor: u32,
+    options: &Options,
+) -> u32 {
+    let mut cursor = cursor;
+    let window = shard.range.intersect(KeyRange::new(cursor, input.range.end));
+    if window.is_empty() {
+        return cursor;
+    }
+    let Some(option) = choose_option(input, shard, version, options) else {
+        return cursor;
+    };
+    for held in shard.held.ranges() {
+        let range = held.intersect(window);
+        if range.is_empty() {
+            continue;
+        }
+        fill_gap(input, plan, KeyRange::new(cursor, range.start), options);
+        plan.push(option.owner, PlannedPiece { shard: shard.shard, zone: option.zone, range });
+        cursor = range.end;
+    }
+    cursor
+}
+
+/// Chooses the one version: the newest of those that cover most keys.
+///
+/// Load: an index version being published reaches targets over seconds. The
+/// newest alone would answer from a handful of shards; mixing would break the
+/// one snapshot. Coverage decides first, age second.
+fn choose_version(
+    input: &PlanInput<'_>,
+    tally: &mut SmallVec<[VersionTally; 4]>,
+) -> Option<IndexVersion> {
+    if let VersionChoice::Exactly(version) = input.version {
+        return Some(version);
+    }
+    for (number, shard) in (1..).zip(input.table.near(input.range)) {
+        let keys = u64::from(shard.range.intersect(input.range).len());
+        if keys == 0 {
+            continue;
+        }
+        for option in usable(input, shard) {
+            for &version in versions(input, shard, option) {
+                count(tally, version, keys, number);
+            }
+        }
+    }
+    let allowed = tally.iter().filter(|entry| is_allowed(input.version, entry.version));
+    allowed.max_by_key(|entry| (entry.keys, entry.version)).map(|entry| entry.version)
+}
+
+/// Counts `keys` for `version`, once for each shard `number`.
+fn count(tally: &mut SmallVec<[VersionTally; 4]>, version: IndexVersion, keys: u64, number: u32) {
+    match tally.iter_mut().find(|entry| entry.version == version) {
+        Some(entry) if entry.counted == number => {}
+        Some(entry) => {
+            entry.keys += keys;
+            entry.counted = number;
+        }
+        None => tally.push(VersionTally { version, keys, counted: number }),
+    }
+}
+
+fn is_allowed(choice: VersionChoice, version: IndexVersion) -> bool {
+    match choice {
+        VersionChoice::Any => true,
+        VersionChoice::NewerThan(least) => version > least,
+        VersionChoice::Exactly(exact) => version == exact,
+    }
+}
+
+fn usable<'a>(
+    input: &'a PlanInput<'_>,
+    shard: &'a ShardRecord,
+) -> impl Iterator<Item = &'a ReplicaOption> {
+    shard.options.iter().filter(move |option| {
+        let tried = TriedOwner { shard: shard.shard, host: option.owner };
+        !input.lost.contains(&option.owner) && !input.tried.contains(&tried)
+    })
+}
+
+/// What the owner said last, or else what the table says.
+fn versions<'a>(
+    input: &'a PlanInput<'_>,
+    shard: &ShardRecord,
+    option: &'a ReplicaOption,
+) -> &'a [IndexVersion] {
+    let owner = (shard.shard, option.owner);
+    let said = input.learned.binary_search_by_key(&owner, |learned| (learned.shard, learned.host));
+    said.map_or(&option.versions, |index| &input.learned[index].versions)
+}
+
+/// Chooses the zone that searches `shard`.
+///
+/// Load: one zone's replicas fall behind while its fronts see all their
+/// traffic. The own zone is taken by default: no round trip between zones, and
+/// a partition cuts nothing off. Another zone is taken when the own one cannot
+/// make the deadline, or with a chance that grows with the difference. All
+/// fronts read the same lagging reports; if each moved all its work the queue
+/// would only change places, so a part moves and the next report corrects.
+fn choose_option<'a>(
+    input: &'a PlanInput<'_>,
+    shard: &'a ShardRecord,
+    version: IndexVersion,
+    options: &Options,
+) -> Option<&'a ReplicaOption> {
+    let mut own = None;
+    let mut best = None;
+    for option in usable(input, shard) {
+        if !versions(input, shard, option).contains(&version) {
+            continue;
+        }
+        let is_own = option.zone == input.own_zone;
+        let cost =
+            option.expected_wait + if is_own { Duration::ZERO } else { options.cross_zone_cost };
+        if is_own {
+            own = Some((cost, option));
+        }
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, option));
+        }
+    }
+    let (Some((own_cost, own)), Some((best_cost, best))) = (own, best) else {
+        return best.map(|(_, option)| option);
+    };
+    let gain = own_cost.saturating_sub(best_cost);
+    if gain <= options.shift_margin {
+        return Some(own);
+    }
+    let hopeless = own_cost >= input.remaining && best_cost < input.remaining;
+    let shift = hopeless || is_drawn(input.draw, shard.shard, gain, own_cost);
+    Some(if shift { best } else { own })
+}
+
+/// True with the chance `gain / cost`.
+fn is_drawn(draw: u64, shard: ShardKey, gain: Duration, cost: Duration) -> bool {
+    // The finalizer of splitmix64 turns neighbouring shards into unrelated numbers.
+    let mut mixed = draw ^ u64::from(shard.0).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    let unit = (mixed >> 32) as f64 / f64::from(u32::MAX);
+    unit * cost.as_secs_f64() < gain.as_secs_f64()
+}
+
+/// Places keys of `gap` that shards hold beyond their nominal range, and lists the rest.
+fn fill_gap(input: &PlanInput<'_>, plan: &mut QueryPlan, gap: KeyRange, options: &Options) {
+    if gap.is_empty() {
+        return;
+    }
+    let mut rest = RangeSet::from(gap);
+    if let Some(version) = plan.version {
+        for shard in input.table.moved() {
+            let held = shard.held.clip(gap);
+            let Some(option) = choose_option(input, shard, version, options) else {
+                continue;
+            };
+            for &part in held.ranges() {
+                for &range in rest.clip(part).ranges() {
+                    let piece = PlannedPiece { shard: shard.shard, zone: option.zone, range };
+                    plan.push(option.owner, piece);
+                }
+                rest.remove(part);
+            }
+        }
+    }
+    for &range in rest.ranges() {
+        explain(input, plan, range);
+    }
+}
+
+/// Lists `range` as missing, split where the reason changes.
+fn explain(input: &PlanInput<'_>, plan: &mut QueryPlan, range: KeyRange) {
+    let mut rest = RangeSet::from(range);
+    for shard in input.table.near(range) {
+        let part = shard.range.intersect(range);
+        if part.is_empty() {
+            continue;
+        }
+        let reason = reason(input, shard);
+        for &range in rest.clip(part).ranges() {
+            plan.missing.push(MissingRange { range, reason });
+        }
+        rest.remove(part);
+    }
+    let nobody = rest.ranges().iter();
+    plan.missing
+        .extend(nobody.map(|&range| MissingRange { range, reason: MissingReason::NoReplica }));
+    plan.missing.sort_by_key(|missing| missing.range);
+}
+
+fn reason(input: &PlanInput<'_>, shard: &ShardRecord) -> MissingReason {
+    let holds = |option: &&ReplicaOption| !versions(input, shard, option).is_empty();
+    if usable(input, shard).any(|option| holds(&option)) {
+        return MissingReason::VersionMissing;
+    }
+    if shard.options.iter().any(|option| input.lost.contains(&option.owner)) {
+        return MissingReason::OwnerUnreachable;
+    }
+    match shard.options.iter().any(|option| holds(&option)) {
+        true => MissingReason::Unreachable,
+        false => MissingReason::NoReplica,
+    }
+}
