--- a/crates/hawthorn-daemon/src/owner/duty.rs
+++ b/crates/hawthorn-daemon/src/owner/duty.rs
@@ -241,9 +241,10 @@
         let catalog = &config.catalog;
         let mut records = Vec::new();
         for (_, target) in catalog.targets() {
-            let Some(share) = owned.share(catalog.group(target.group).id) else { continue };
-            if target.wanted() == WantedState::Off {
-                // Switched off on purpose: nothing to ask it, nothing to report.
+            let zone = &catalog.zone(target.zone).name;
+            let share = owned.share(zone, catalog.group(target.group).bucket);
+            // Switched off on purpose: nothing to ask it, nothing to report.
+            if share == SlotShare::None || target.wanted() == WantedState::Off {
                 continue;
             }
             let names: Vec<ShardName> =
@@ -251,12 +252,7 @@
             let key = TargetKey(self.target_names.intern(&target.name));
             let shards =
                 names.iter().map(|name| ShardKey(self.shard_names.intern(name))).collect();
-            let slots = u16::try_from(target.slots).unwrap_or(u16::MAX);
-            let slots = match share {
-                SlotShare::Full => slots,
-                SlotShare::Half => slots / 2,
-                SlotShare::None => 0,
-            };
+            let slots = u16::try_from(share.slots(target.slots)).unwrap_or(u16::MAX);
             self.keep_target(key, names, target.address, slots_connections(target));
             records.push(TargetRecord { key, slots, wanted: target.wanted(), shards });
         }
