--- /dev/null
+++ b/crates/hawthorn-fleet/src/handover/bucket.rs
@@ -0,0 +1,57 @@
+//! The life of one bucket at one host.
+
+use std::time::Duration;
+
+use super::SlotShare;
+use crate::message::MemberId;
+
+/// Where a bucket stands: foreign, taking, owned, yielding, draining, foreign.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BucketState {
+    /// Another host owns it; nothing of it runs here.
+    Foreign,
+    /// Owned, but `former` may still use it.
+    Taking {
+        /// Who owned it before, if known.
+        former: Option<MemberId>,
+        /// When it was gained.
+        since: Duration,
+        /// When `former` was last asked to let go.
+        asked: Option<Duration>,
+    },
+    /// Owned alone.
+    Owned {
+        /// Another host claims it until then; past when nobody does.
+        contested: Duration,
+    },
+    /// Another host owns it; fronts that have not heard are still served.
+    Yielding {
+        /// The new owner.
+        to: Option<MemberId>,
+        /// When it was lost.
+        since: Duration,
+    },
+    /// Nothing new is started; what runs may finish.
+    Draining {
+        /// The new owner, told when nothing runs any more.
+        to: Option<MemberId>,
+    },
+}
+
+impl BucketState {
+    /// Just gained.
+    pub(super) fn taking(now: Duration, former: Option<MemberId>) -> Self {
+        Self::Taking { former, since: now, asked: None }
+    }
+
+    /// The share in this state. A daemon that may be the cut-off one never
+    /// uses more than half: the others may have taken over already.
+    pub(super) fn share(self, now: Duration, quorate: bool) -> SlotShare {
+        match self {
+            Self::Foreign | Self::Draining { .. } => SlotShare::None,
+            Self::Taking { .. } | Self::Yielding { .. } => SlotShare::Half,
+            Self::Owned { contested } if contested > now || !quorate => SlotShare::Half,
+            Self::Owned { .. } => SlotShare::Full,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hawthorn-fleet/src/handover/mod.rs
@@ -0,0 +1,454 @@
+//! How many slots of a group a host may use while the group changes hands.
+//!
+//! Two hosts may both believe they own a target, as their views of the zone
+//! differ for a while. The target's slots would then be used twice. So a new
+//! owner begins with half of the slots, a former owner drops to half at the
+//! first sign of another, and the new one takes all only when the former has
+//! let go, has left, or has been dead for a stated window. Connections are
+//! always limited to half, whatever the share: a target's connection limit
+//! holds even when two owners last.
+//!
+//! | seen at the former owner | its share | seen at the new owner | its share |
+//! |---|---|---|---|
+//! | the new owner, in its view or by its word | half, then none | the former, live | half until it lets go |
+//! | nobody of its zone, or a minority | half | the former, dead | half for the window, then all |
+//! | that it stood still or was held for dead | half until the runner-up lets go | the former, left | all |
+
+mod bucket;
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use hawthorn_types::HostKey;
+
+use crate::message::BucketList;
+use crate::message::HandoverMessage;
+use crate::message::MemberId;
+use crate::ownership;
+use crate::ownership::GroupId;
+use crate::ownership::OwnerCandidate;
+use bucket::BucketState;
+
+/// How much of a group's slots this host may use now.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Default,
+    strum::Display,
+    strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum SlotShare {
+    /// None: start nothing; what runs may finish.
+    #[default]
+    None,
+    /// Half, rounded up: see [`SlotShare::slots`].
+    Half,
+    /// All.
+    Full,
+}
+
+impl SlotShare {
+    /// How many of a target's `slots` may be used. Half of an odd number is
+    /// rounded up, so that a target with one slot is served at all.
+    pub fn slots(self, slots: u32) -> u32 {
+        match self {
+            SlotShare::None => 0,
+            SlotShare::Half => slots.div_ceil(2),
+            SlotShare::Full => slots,
+        }
+    }
+}
+
+/// What this daemon knows of one host of its zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HostStanding {
+    /// May own groups.
+    Serving,
+    /// Runs, but owns nothing new: joining or leaving.
+    Idle,
+    /// Held for dead since this time.
+    Dead(Duration),
+    /// Said that it stopped.
+    Left,
+}
+
+/// This daemon's zone as it sees it, from [`MemberTable::zone_view`](crate::MemberTable::zone_view).
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ZoneView {
+    /// The zone.
+    pub zone: String,
+    /// All known hosts of the zone, this one included.
+    pub hosts: BTreeMap<MemberId, HostStanding>,
+    /// This daemon hears nobody although it should.
+    pub deaf: bool,
+    /// This daemon hears from another zone.
+    pub witnessed: bool,
+}
+
+/// Times and sizes of the hand-over.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Buckets of a zone.
+    pub buckets: u16,
+    /// How long a new owner stays at half after the former was held for dead.
+    /// Longer than a cut-off host needs to notice (600 ms of silence) plus the
+    /// longest request that it may still run.
+    pub dead_window: Duration,
+    /// How long a former owner goes on at half for fronts that have not heard.
+    /// A rumor reaches a zone of 160 hosts within this time.
+    pub yield_window: Duration,
+    /// Between requests to let go.
+    pub ask_again: Duration,
+    /// How long a new owner waits for a live former owner that never lets go.
+    pub ask_limit: Duration,
+    /// How long another host's claim keeps an owner at half.
+    pub contest_window: Duration,
+    /// How long dead hosts of the zone count when a daemon asks itself whether
+    /// it is in the smaller part of a split zone.
+    pub split_window: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            buckets: ownership::DEFAULT_BUCKETS,
+            dead_window: Duration::from_secs(3),
+            yield_window: Duration::from_secs(1),
+            ask_again: Duration::from_millis(500),
+            ask_limit: Duration::from_secs(30),
+            contest_window: Duration::from_secs(2),
+            split_window: Duration::from_secs(30),
+        }
+    }
+}
+
+/// What the daemon must do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HandoverAction {
+    /// Pass to [`MemberTable::send_handover`](crate::MemberTable::send_handover).
+    Send {
+        /// The other owner.
+        to: MemberId,
+        /// What to tell it.
+        message: HandoverMessage,
+    },
+    /// This host's share of a bucket changed.
+    ShareChanged {
+        /// The bucket.
+        bucket: u16,
+        /// The share from now on.
+        share: SlotShare,
+    },
+}
+
+/// Counts since the start, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HandoverCounters {
+    /// Buckets taken over.
+    pub taken: u64,
+    /// Buckets handed over.
+    pub yielded: u64,
+    /// Claims by others on buckets owned here.
+    pub contested: u64,
+    /// Buckets taken whole though a live former owner never let go.
+    pub unconfirmed: u64,
+}
+
+/// Shares of all buckets of this daemon's zone. One lives as long as the process.
+#[derive(Debug)]
+pub struct Handover {
+    options: Options,
+    me: MemberId,
+    view: ZoneView,
+    buckets: Vec<BucketState>,
+    shares: Vec<SlotShare>,
+    /// The owner of each bucket in the last view.
+    owners: Vec<Option<MemberId>>,
+    released: BTreeMap<MemberId, BucketList>,
+    asked: BTreeMap<MemberId, BucketList>,
+    actions: VecDeque<HandoverAction>,
+    counters: HandoverCounters,
+}
+
+impl Handover {
+    /// Owns nothing yet.
+    pub fn new(me: MemberId, options: Options) -> Self {
+        let count = usize::from(options.buckets);
+        Self {
+            options,
+            me,
+            view: ZoneView::default(),
+            buckets: vec![BucketState::Foreign; count],
+            shares: vec![SlotShare::None; count],
+            owners: vec![None; count],
+            released: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            actions: VecDeque::new(),
+            counters: HandoverCounters::default(),
+        }
+    }
+
+    /// Takes a new view of the zone. Call it when the view changed and about
+    /// every heartbeat, as silence changes it too.
+    pub fn observe(&mut self, now: Duration, view: ZoneView) {
+        let moved = view.hosts != self.view.hosts || view.zone != self.view.zone;
+        self.view = view;
+        if moved {
+            self.reassign(now);
+        }
+        self.refresh(now);
+    }
+
+    fn reassign(&mut self, now: Duration) {
+        let candidates = self.candidates();
+        for bucket in 0..self.options.buckets {
+            let group = GroupId::new(&self.view.zone, bucket);
+            let (owner, second) = ownership::ranked(group, candidates.iter().copied());
+            let index = usize::from(bucket);
+            let before = self.owners[index].filter(|&id| id != self.me);
+            self.owners[index] = owner.map(|candidate| candidate.id);
+            let mine = owner.is_some_and(|candidate| candidate.id == self.me);
+            let former = before.or(second.map(|candidate| candidate.id));
+            let state = self.buckets[index];
+            self.buckets[index] = if mine {
+                self.gain(now, state, former)
+            } else {
+                self.lose(now, state, owner.map(|candidate| candidate.id))
+            };
+        }
+    }
+
+    fn gain(&mut self, now: Duration, state: BucketState, former: Option<MemberId>) -> BucketState {
+        match state {
+            BucketState::Foreign | BucketState::Draining { .. } => {
+                self.counters.taken += 1;
+                BucketState::taking(now, former)
+            }
+            BucketState::Yielding { to, .. } => BucketState::taking(now, to),
+            BucketState::Taking { .. } | BucketState::Owned { .. } => state,
+        }
+    }
+
+    fn lose(&mut self, now: Duration, state: BucketState, to: Option<MemberId>) -> BucketState {
+        match state {
+            BucketState::Taking { .. } | BucketState::Owned { .. } => {
+                self.counters.yielded += 1;
+                BucketState::Yielding { to, since: now }
+            }
+            BucketState::Yielding { since, .. } => BucketState::Yielding { to, since },
+            BucketState::Draining { .. } => BucketState::Draining { to },
+            BucketState::Foreign => state,
+        }
+    }
+
+    /// Serving hosts; the key is not needed here.
+    fn candidates(&self) -> Vec<OwnerCandidate> {
+        self.view
+            .hosts
+            .iter()
+            .filter(|(_, standing)| **standing == HostStanding::Serving)
+            .map(|(&id, _)| OwnerCandidate { key: HostKey::default(), id })
+            .collect()
+    }
+
+    /// This process stood still or was held for dead: another may have taken
+    /// its buckets meanwhile. Failure: a paused owner wakes and goes on at all
+    /// slots beside the new one. Each bucket falls back to half until the
+    /// runner-up says that it holds nothing.
+    pub fn resumed(&mut self, now: Duration) {
+        let candidates = self.candidates();
+        for bucket in 0..self.options.buckets {
+            let index = usize::from(bucket);
+            if !matches!(self.buckets[index], BucketState::Owned { .. }) {
+                continue;
+            }
+            let group = GroupId::new(&self.view.zone, bucket);
+            let others = candidates.iter().copied().filter(|other| other.id != self.me);
+            let second = ownership::ranked(group, others).0;
+            self.buckets[index] = BucketState::taking(now, second.map(|other| other.id));
+        }
+        self.refresh(now);
+    }
+
+    /// Takes a message of another host of the zone.
+    pub fn receive(&mut self, now: Duration, from: MemberId, message: HandoverMessage) {
+        match message {
+            HandoverMessage::Ask(buckets) => {
+                for bucket in buckets {
+                    self.take_ask(now, from, bucket);
+                }
+            }
+            HandoverMessage::Released(buckets) => {
+                for bucket in buckets {
+                    self.take_release(from, bucket);
+                }
+            }
+        }
+        self.refresh(now);
+        self.flush();
+    }
+
+    fn take_ask(&mut self, now: Duration, from: MemberId, bucket: u16) {
+        let Some(state) = self.buckets.get_mut(usize::from(bucket)) else { return };
+        match state {
+            BucketState::Foreign => self.released.entry(from).or_default().push(bucket),
+            BucketState::Owned { contested } => {
+                self.counters.contested += 1;
+                *contested = now + self.options.contest_window;
+            }
+            BucketState::Yielding { to, .. } | BucketState::Draining { to } => *to = Some(from),
+            BucketState::Taking { .. } => {}
+        }
+    }
+
+    fn take_release(&mut self, from: MemberId, bucket: u16) {
+        let Some(state) = self.buckets.get_mut(usize::from(bucket)) else { return };
+        if matches!(*state, BucketState::Taking { former: Some(former), .. } if former == from) {
+            *state = BucketState::Owned { contested: Duration::ZERO };
+        }
+    }
+
+    /// Does what is due. `busy` tells whether requests of a bucket still run here.
+    pub fn tick(&mut self, now: Duration, busy: impl Fn(u16) -> bool) {
+        let quorate = self.is_quorate(now);
+        for bucket in 0..self.options.buckets {
+            let state = self.buckets[usize::from(bucket)];
+            let next = match state {
+                BucketState::Taking { former, since, asked } => {
+                    self.advance_taking(now, bucket, quorate, (former, since, asked))
+                }
+                BucketState::Yielding { to, since } => {
+                    let over = now.saturating_sub(since) >= self.options.yield_window;
+                    if over { BucketState::Draining { to } } else { state }
+                }
+                BucketState::Draining { to } if !busy(bucket) => {
+                    if let Some(to) = to {
+                        self.released.entry(to).or_default().push(bucket);
+                    }
+                    BucketState::Foreign
+                }
+                BucketState::Draining { .. } | BucketState::Owned { .. } | BucketState::Foreign => {
+                    state
+                }
+            };
+            self.buckets[usize::from(bucket)] = next;
+        }
+        self.refresh(now);
+        self.flush();
+    }
+
+    fn advance_taking(
+        &mut self,
+        now: Duration,
+        bucket: u16,
+        quorate: bool,
+        (former, since, asked): (Option<MemberId>, Duration, Option<Duration>),
+    ) -> BucketState {
+        let waiting = BucketState::Taking { former, since, asked };
+        let owned = BucketState::Owned { contested: Duration::ZERO };
+        let standing = former.and_then(|id| self.view.hosts.get(&id).copied());
+        match (former, standing) {
+            (_, Some(HostStanding::Left)) => owned,
+            (_, Some(HostStanding::Dead(at))) => {
+                let over = now.saturating_sub(at.max(since)) >= self.options.dead_window;
+                if over && quorate { owned } else { waiting }
+            }
+            (Some(former), Some(_)) => {
+                if now.saturating_sub(since) >= self.options.ask_limit {
+                    self.counters.unconfirmed += 1;
+                    return owned;
+                }
+                let due = asked.is_none_or(|at| now.saturating_sub(at) >= self.options.ask_again);
+                if !due {
+                    return waiting;
+                }
+                self.asked.entry(former).or_default().push(bucket);
+                BucketState::Taking { former: Some(former), since, asked: Some(now) }
+            }
+            (None, _) | (_, None) => {
+                let over = now.saturating_sub(since) >= self.options.dead_window;
+                if over && quorate { owned } else { waiting }
+            }
+        }
+    }
+
+    /// This host's share of a bucket.
+    pub fn share(&self, bucket: u16) -> SlotShare {
+        self.shares.get(usize::from(bucket)).copied().unwrap_or_default()
+    }
+
+    /// The next thing to do.
+    pub fn poll_action(&mut self) -> Option<HandoverAction> {
+        self.actions.pop_front()
+    }
+
+    /// Counts since the start.
+    pub fn counters(&self) -> HandoverCounters {
+        self.counters
+    }
+
+    /// Whether this daemon may hold that hosts it can't hear are gone.
+    ///
+    /// Failure: a zone splits, both sides hold the other for dead, and both
+    /// take all slots. A side that hears another zone is taken to be the one
+    /// that counts, as hosts of other zones ping on behalf of its probes;
+    /// without other zones, the greater half. The other side stays at half
+    /// until the dead have been so for the split window: by then it is more
+    /// likely that they really are, and half of the slots for longer would do
+    /// more harm to callers than targets that shed.
+    pub fn is_quorate(&self, now: Duration) -> bool {
+        let mut live = 1usize;
+        let mut dead = 0usize;
+        for (&id, standing) in &self.view.hosts {
+            match standing {
+                _ if id == self.me => {}
+                HostStanding::Serving | HostStanding::Idle => live += 1,
+                HostStanding::Dead(at) if now.saturating_sub(*at) < self.options.split_window => {
+                    dead += 1;
+                }
+                HostStanding::Dead(_) | HostStanding::Left => {}
+            }
+        }
+        if live == 1 && dead == 0 {
+            return true;
+        }
+        !self.view.deaf && (self.view.witnessed || live > dead)
+    }
+
+    /// Works the shares out again and reports those that changed.
+    fn refresh(&mut self, now: Duration) {
+        let quorate = self.is_quorate(now);
+        for bucket in 0..self.options.buckets {
+            let index = usize::from(bucket);
+            let share = self.buckets[index].share(now, quorate);
+            if share != self.shares[index] {
+                self.shares[index] = share;
+                self.actions.push_back(HandoverAction::ShareChanged { bucket, share });
+            }
+        }
+    }
+
+    fn flush(&mut self) {
+        for (to, buckets) in std::mem::take(&mut self.asked) {
+            self.actions
+                .push_back(HandoverAction::Send { to, message: HandoverMessage::Ask(buckets) });
+        }
+        for (to, buckets) in std::mem::take(&mut self.released) {
+            let buckets: SmallVec<_> = buckets;
+            self.actions.push_back(HandoverAction::Send {
+                to,
+                message: HandoverMessage::Released(buckets),
+            });
+        }
+    }
+}
--- a/crates/hawthorn-fleet/src/lib.rs
+++ b/crates/hawthorn-fleet/src/lib.rs
@@ -1,3 +1,35 @@
 //! Membership, ownership of target groups, and the spread of configuration, as pure state machines.
+//!
+//! Nothing here opens a socket, reads a clock or starts a thread. Time is a
+//! [`Duration`](std::time::Duration) since any fixed instant of the process
+//! and only moves forward; randomness comes from a seed. The daemon hands in
+//! datagrams and time, and carries out the actions that are polled.
+//!
+//! - [`member`]: which hosts are live, by heartbeats over UDP.
+//! - [`ownership`]: which host owns a group of targets, by rendezvous hashing.
+//! - [`handover`]: how many slots an owner may use while owners change.
+//! - [`spread`]: which configuration revision is in force, and whom to ask.
+//! - [`message`]: the datagrams between daemons.
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
+
+pub mod action;
+pub mod handover;
+pub mod member;
+pub mod message;
+pub mod ownership;
+pub mod spread;
+
+pub use action::FleetAction;
+pub use handover::SlotShare;
+pub use member::MemberRecord;
+pub use member::MemberTable;
+pub use message::FleetMessage;
+pub use message::MemberDigest;
+pub use message::MemberHealth;
+pub use message::MemberId;
+pub use message::MemberPhase;
+pub use message::MemberPlace;
+pub use message::MemberStamp;
+pub use ownership::GroupId;
+pub use spread::SpreadState;
--- /dev/null
+++ b/crates/hawthorn-fleet/src/member/mod.rs
@@ -0,0 +1,471 @@
+//! Which hosts are live: heartbeats, suspicion, rumors.
+//!
+//! The protocol follows SWIM (Das, Gupta, Motivala 2002): every heartbeat a
+//! daemon pings one member of its own zone; one that does not answer is pinged
+//! through others, then suspected, and dead unless it refutes. What is found
+//! travels on heartbeats. Two things differ:
+//!
+//! - **Only a zone judges its members.** Other zones keep what it last said and
+//!   mark the zone lost as a whole when nothing is heard from it. A partition
+//!   between zones kills nobody, so nothing needs refuting when it heals.
+//! - **A daemon doubts itself first.** One that heard nobody for a while, or
+//!   stood still, keeps its suspicions to itself and takes longer over them.
+//!
+//! Cost per daemon does not grow with the fleet: a fixed number of datagrams a
+//! second, each with a bounded part of rumors.
+
+mod apply;
+mod arena;
+mod probe;
+mod receive;
+mod rumor;
+mod send;
+mod zone;
+
+pub use arena::MemberRecord;
+
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use smallvec::SmallVec;
+
+use hawthorn_types::HostKey;
+use hawthorn_types::platform::HostEntry;
+
+use crate::action::FleetAction;
+use crate::handover::HostStanding;
+use crate::handover::ZoneView;
+use crate::message::HandoverMessage;
+use crate::message::MemberDigest;
+use crate::message::MemberHealth;
+use crate::message::MemberId;
+use crate::message::MemberPhase;
+use crate::message::MemberPlace;
+use crate::message::MemberRumor;
+use crate::message::MemberStamp;
+use crate::message::SenderHeader;
+use crate::ownership::OwnerCandidate;
+use arena::MemberArena;
+use probe::Probe;
+use probe::Relay;
+use probe::Suspicion;
+use rumor::RumorQueue;
+use zone::ZoneTable;
+
+/// Times and bounds of the membership protocol.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// A hash of the fleet's name; datagrams of other fleets are refused.
+    pub fleet: u32,
+    /// Between pings to members of the own zone. Every member is pinged about
+    /// once in this time, whatever the size of the zone.
+    pub heartbeat: Duration,
+    /// After so long without an ack, others are asked to ping. Many round
+    /// trips within a zone (1 ms), so that a busy member has time to answer.
+    pub ack_timeout: Duration,
+    /// After so long without an ack by any way, the member is suspect.
+    pub probe_timeout: Duration,
+    /// How many others are asked to ping.
+    pub helpers: usize,
+    /// How long a suspect may refute. Five heartbeats: with 5 % of datagrams
+    /// lost, five pings all fail about once in 100,000.
+    pub suspicion: Duration,
+    /// Having heard nobody for so long, a daemon takes itself for cut off.
+    pub deaf_after: Duration,
+    /// How long a daemon that is cut off waits before it holds others for dead.
+    pub deaf_suspicion: Duration,
+    /// Between pings to members of other zones.
+    pub across: Duration,
+    /// A zone that nothing was heard from for so long is lost.
+    pub zone_timeout: Duration,
+    /// Between pings to one dead member of the own zone, or one hinted address
+    /// without a live member, so that the parts of a partition find each other.
+    pub retry: Duration,
+    /// Between requests for a part of a member list that differs.
+    pub repair: Duration,
+    /// A gap between calls longer than this means that the process stood still.
+    pub pause: Duration,
+    /// How long dead members are kept and retried: longer than regions lose
+    /// each other.
+    pub dead_kept: Duration,
+    /// How long members that left are kept, so that late rumors find them.
+    pub left_kept: Duration,
+    /// Bytes of rumors in one datagram. With ten datagrams a second this is
+    /// what bounds a daemon's bytes during a storm of changes.
+    pub rumor_bytes: usize,
+    /// Each rumor is sent so many times the logarithm of the member count.
+    pub rumor_factor: u32,
+    /// How many members hear at once of a new configuration revision or phase.
+    pub push: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            fleet: 0,
+            heartbeat: Duration::from_millis(200),
+            ack_timeout: Duration::from_millis(80),
+            probe_timeout: Duration::from_millis(320),
+            helpers: 2,
+            suspicion: Duration::from_secs(1),
+            deaf_after: Duration::from_millis(600),
+            deaf_suspicion: Duration::from_secs(5),
+            across: Duration::from_secs(1),
+            zone_timeout: Duration::from_secs(4),
+            retry: Duration::from_secs(5),
+            repair: Duration::from_secs(2),
+            pause: Duration::from_secs(1),
+            dead_kept: Duration::from_secs(3 * 60 * 60),
+            left_kept: Duration::from_secs(10 * 60),
+            rumor_bytes: 400,
+            rumor_factor: 3,
+            push: 3,
+        }
+    }
+}
+
+/// Counts since the start, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MemberCounters {
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Bytes sent, without UDP and IP headers.
+    pub sent_bytes: u64,
+    /// Datagrams received and understood.
+    pub received: u64,
+    /// Datagrams refused.
+    pub refused: u64,
+    /// Pings through others.
+    pub indirect: u64,
+    /// Suspicions begun here.
+    pub suspicions: u64,
+    /// Deaths confirmed here.
+    pub deaths: u64,
+    /// Times this host refuted.
+    pub refutations: u64,
+    /// Times this process stood still.
+    pub pauses: u64,
+}
+
+/// A sync of the whole list from one peer.
+#[derive(Debug)]
+struct SyncProgress {
+    peer: SocketAddr,
+    after: u64,
+    asked: Duration,
+}
+
+/// When each periodic duty is next due.
+#[derive(Debug, Default)]
+struct DutyTimes {
+    heartbeat: Duration,
+    across: Duration,
+    retry: Duration,
+    hint: Duration,
+    repair: Duration,
+    zones: Duration,
+    forget: Duration,
+}
+
+/// This daemon's view of the fleet. One lives as long as the process.
+#[derive(Debug)]
+pub struct MemberTable {
+    options: Options,
+    rng: StdRng,
+    me: HostKey,
+    my_id: MemberId,
+    my_zone: String,
+    arena: MemberArena,
+    zones: ZoneTable,
+    rumors: RumorQueue,
+    /// Members of the own zone, in the order of this round's pings.
+    ring: Vec<HostKey>,
+    ring_next: usize,
+    across_next: usize,
+    probes: SmallVec<[Probe; 8]>,
+    relays: SmallVec<[Relay; 8]>,
+    suspicions: Vec<Suspicion>,
+    next_number: u32,
+    settings_hints: BTreeSet<SocketAddr>,
+    platform_hints: BTreeSet<SocketAddr>,
+    hint_next: usize,
+    sync: Option<SyncProgress>,
+    synced: bool,
+    repair_peer: Option<SocketAddr>,
+    repair_after: u64,
+    digest: MemberDigest,
+    digest_set: Duration,
+    last_call: Option<Duration>,
+    last_heard: Duration,
+    due: DutyTimes,
+    actions: VecDeque<FleetAction>,
+    generation: u64,
+    view_changed: bool,
+    counters: MemberCounters,
+}
+
+impl MemberTable {
+    /// A table that knows this host alone.
+    ///
+    /// `incarnation` is the start time of the process in Unix milliseconds,
+    /// `seed` anything that differs between processes.
+    pub fn new(place: MemberPlace, incarnation: u64, options: Options, seed: u64) -> Self {
+        let start = Duration::ZERO;
+        let mut zones = ZoneTable::default();
+        zones.add(start, &place.zone);
+        let rumor = MemberRumor {
+            id: MemberId::of(&place.host),
+            stamp: MemberStamp { incarnation, update: 0 },
+            phase: MemberPhase::Joining,
+            health: MemberHealth::Alive,
+            place: None,
+        };
+        let my_zone = place.zone.clone();
+        let mut arena = MemberArena::default();
+        let me = arena.insert(start, &rumor, place);
+        let mut rumors = RumorQueue::default();
+        rumors.push(rumor.id);
+        Self {
+            options,
+            rng: StdRng::seed_from_u64(seed),
+            me,
+            my_id: rumor.id,
+            my_zone,
+            arena,
+            zones,
+            rumors,
+            ring: Vec::new(),
+            ring_next: 0,
+            across_next: 0,
+            probes: SmallVec::new(),
+            relays: SmallVec::new(),
+            suspicions: Vec::new(),
+            next_number: 0,
+            settings_hints: BTreeSet::new(),
+            platform_hints: BTreeSet::new(),
+            hint_next: 0,
+            sync: None,
+            synced: false,
+            repair_peer: None,
+            repair_after: 0,
+            digest: MemberDigest::default(),
+            digest_set: start,
+            last_call: None,
+            last_heard: start,
+            due: DutyTimes::default(),
+            actions: VecDeque::new(),
+            generation: 0,
+            view_changed: true,
+            counters: MemberCounters::default(),
+        }
+    }
+
+    /// Takes the addresses of the settings. They are asked for the member list
+    /// on the next tick, and again while no live member is behind them.
+    pub fn seed(&mut self, _now: Duration, peers: &[SocketAddr]) {
+        self.settings_hints.extend(peers);
+    }
+
+    /// Takes the platform's list of hosts, in place of the one before.
+    ///
+    /// The list lags: it names hosts that are gone and omits live ones. Its
+    /// addresses are only tried, so it neither kills a live member nor revives
+    /// a dead one.
+    pub fn seed_platform(&mut self, _now: Duration, hosts: &[HostEntry]) {
+        self.platform_hints = hosts.iter().map(|entry| entry.peer).collect();
+    }
+
+    /// Says what heartbeats should carry. Readiness moves this host between
+    /// joining and serving; a greater revision is pushed to a few members at
+    /// once rather than waiting for heartbeats.
+    pub fn set_digest(&mut self, now: Duration, digest: MemberDigest) {
+        let newer = digest.revision > self.digest.revision;
+        self.digest = digest;
+        self.digest_set = now;
+        let phase = self.record_of_self().phase;
+        let wanted = if digest.ready { MemberPhase::Serving } else { MemberPhase::Joining };
+        let settled = matches!(phase, MemberPhase::Leaving | MemberPhase::Left);
+        if phase != wanted && !settled {
+            self.announce(now, wanted);
+        } else if newer {
+            self.push_notice(now);
+        }
+    }
+
+    /// Announces that this host finishes what it has and takes nothing new.
+    pub fn leave(&mut self, now: Duration) {
+        if self.record_of_self().phase < MemberPhase::Leaving {
+            self.announce(now, MemberPhase::Leaving);
+        }
+    }
+
+    /// Announces that this process stops now. Sent to several members, since
+    /// the process will not be there to repeat it.
+    pub fn depart(&mut self, now: Duration) {
+        self.announce(now, MemberPhase::Left);
+        self.push_notice(now);
+    }
+
+    /// Sends a hand-over message to a member.
+    pub fn send_handover(&mut self, now: Duration, to: MemberId, message: HandoverMessage) {
+        let Some(peer) = self.arena.by_id(to).map(|record| record.place.peer) else { return };
+        self.send(now, peer, crate::message::FleetBody::Handover(message), &[]);
+    }
+
+    /// The next thing to do, none when all is done.
+    pub fn poll_action(&mut self) -> Option<FleetAction> {
+        if let Some(action) = self.actions.pop_front() {
+            return Some(action);
+        }
+        if !self.view_changed {
+            return None;
+        }
+        self.view_changed = false;
+        self.generation += 1;
+        Some(FleetAction::ViewChanged(self.generation))
+    }
+
+    /// The record behind a key, none when it was forgotten.
+    pub fn record(&self, key: HostKey) -> Option<&MemberRecord> {
+        self.arena.get(key)
+    }
+
+    /// The record of a host by its name's hash.
+    pub fn record_by_id(&self, id: MemberId) -> Option<&MemberRecord> {
+        self.arena.by_id(id)
+    }
+
+    /// This host.
+    pub fn me(&self) -> HostKey {
+        self.me
+    }
+
+    /// All known members of the fleet, this host and dead ones included.
+    pub fn records(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.arena.iter()
+    }
+
+    /// The live members of a zone, this host included; those of a lost zone too.
+    pub fn hosts<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = &'a MemberRecord> {
+        self.arena.iter().filter(move |record| record.is_live() && record.place.zone == zone)
+    }
+
+    /// The members of a zone that may own groups, for [`ownership::owner`](crate::ownership::owner).
+    /// None when the zone is lost: its hosts can't be reached from here.
+    pub fn owners<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = OwnerCandidate> + 'a {
+        let reachable = zone == self.my_zone || self.zones.reachable(zone);
+        self.hosts(zone)
+            .filter(move |record| reachable && record.may_own())
+            .map(|record| OwnerCandidate { key: record.key, id: record.id })
+    }
+
+    /// The members of a zone that stay, ready or not, for
+    /// [`SpreadState::set_zone`](crate::SpreadState::set_zone): those that join
+    /// count too, or a whole zone that starts at once would ask the store.
+    pub fn staying<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = OwnerCandidate> + 'a {
+        self.hosts(zone)
+            .filter(|record| record.phase < MemberPhase::Leaving)
+            .map(|record| OwnerCandidate { key: record.key, id: record.id })
+    }
+
+    /// Names of all zones that have or had members.
+    pub fn zones(&self) -> impl Iterator<Item = &str> {
+        self.zones.names()
+    }
+
+    /// Whether the zone has been heard from within the zone timeout.
+    pub fn zone_reachable(&self, zone: &str) -> bool {
+        zone == self.my_zone || self.zones.reachable(zone)
+    }
+
+    /// Whether any other zone has been heard from within the zone timeout.
+    pub fn others_reachable(&self) -> bool {
+        self.zones.others_reachable(&self.my_zone)
+    }
+
+    /// Whether this daemon has heard nobody lately although others should be there.
+    pub fn is_deaf(&self, now: Duration) -> bool {
+        let silent = now.saturating_sub(self.last_heard) > self.options.deaf_after;
+        silent && self.arena.iter().any(|record| record.key != self.me && expects_word(record))
+    }
+
+    /// The own zone, for [`Handover::observe`](crate::handover::Handover::observe).
+    pub fn zone_view(&self, now: Duration) -> ZoneView {
+        let hosts = self
+            .arena
+            .iter()
+            .filter(|record| record.place.zone == self.my_zone)
+            .map(|record| (record.id, standing(record)))
+            .collect();
+        ZoneView {
+            zone: self.my_zone.clone(),
+            hosts,
+            deaf: self.is_deaf(now),
+            witnessed: self.others_reachable(),
+        }
+    }
+
+    /// Whether the whole list was read from a peer once.
+    pub fn is_synced(&self) -> bool {
+        self.synced
+    }
+
+    /// Counts since the start.
+    pub fn counters(&self) -> MemberCounters {
+        self.counters
+    }
+
+    /// An estimate of the bytes this table holds on the heap.
+    pub fn memory_bytes(&self) -> usize {
+        const INDEX_BYTES: usize = 96;
+        let names: usize = self
+            .arena
+            .iter()
+            .map(|record| record.place.host.capacity() + record.place.zone.capacity())
+            .sum();
+        let fixed = std::mem::size_of::<Option<MemberRecord>>() + INDEX_BYTES;
+        names + self.arena.len() * fixed + self.rumors.len() * INDEX_BYTES
+    }
+
+    fn record_of_self(&self) -> &MemberRecord {
+        self.arena.get(self.me).expect("the own record is never removed")
+    }
+
+    fn header(&self, now: Duration) -> SenderHeader {
+        let record = self.record_of_self();
+        SenderHeader {
+            id: record.id,
+            stamp: record.stamp,
+            phase: record.phase,
+            digest: self.digest_at(now),
+            fingerprint: self.arena.fingerprint(),
+        }
+    }
+
+    /// The digest with its age as of now.
+    fn digest_at(&self, now: Duration) -> MemberDigest {
+        let passed = now.saturating_sub(self.digest_set).as_millis();
+        let passed = u32::try_from(passed).unwrap_or(u32::MAX);
+        let confirmed_ms = self.digest.confirmed_ms.saturating_add(passed);
+        MemberDigest { confirmed_ms, ..self.digest }
+    }
+}
+
+fn standing(record: &MemberRecord) -> HostStanding {
+    match (record.phase, record.health) {
+        (MemberPhase::Left, _) => HostStanding::Left,
+        (_, MemberHealth::Dead) => HostStanding::Dead(record.changed),
+        (MemberPhase::Serving, _) => HostStanding::Serving,
+        _ => HostStanding::Idle,
+    }
+}
+
+/// Whether silence from this member means something: it was believed to run
+/// until this daemon stopped hearing.
+fn expects_word(record: &MemberRecord) -> bool {
+    record.is_live() || record.private
+}
--- /dev/null
+++ b/crates/hawthorn-fleet/src/member/probe.rs
@@ -0,0 +1,433 @@
+//! What is due by the clock: heartbeats, probes, suspicions, repairs.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::seq::SliceRandom;
+
+use hawthorn_types::HostKey;
+
+use super::MemberRecord;
+use super::MemberTable;
+use super::SyncProgress;
+use crate::action::FleetAction;
+use crate::message::FleetBody;
+use crate::message::MemberHealth;
+use crate::message::MemberPhase;
+use crate::message::MemberRumor;
+use crate::message::MemberStamp;
+
+/// Between looks at which zones are reachable.
+const ZONE_REVIEW: Duration = Duration::from_millis(500);
+
+/// Between sweeps for records to forget.
+const FORGET_SWEEP: Duration = Duration::from_secs(30);
+
+/// A part of a member list that was asked for and did not come is asked for
+/// again, of another peer, after this time.
+const SYNC_RETRY: Duration = Duration::from_millis(500);
+
+/// Addresses tried at once while no other member is known.
+const HINTS_AT_START: usize = 3;
+
+/// Between rounds of tries while no other member is known.
+const START_RETRY: Duration = Duration::from_millis(500);
+
+/// A ping that waits for its ack.
+#[derive(Debug)]
+pub(super) struct Probe {
+    pub(super) number: u32,
+    key: HostKey,
+    sent: Duration,
+    helped: bool,
+    /// Whether failing makes the target suspect: a member of the own zone.
+    judged: bool,
+}
+
+/// A ping passed on for another.
+#[derive(Debug)]
+pub(super) struct Relay {
+    pub(super) number: u32,
+    pub(super) origin: SocketAddr,
+    pub(super) origin_number: u32,
+    pub(super) expires: Duration,
+}
+
+/// A suspect's time to refute.
+#[derive(Debug)]
+pub(super) struct Suspicion {
+    pub(super) key: HostKey,
+    pub(super) stamp: MemberStamp,
+    pub(super) deadline: Duration,
+    /// Begun by this daemon's own probe, which then keeps pinging.
+    pub(super) own: bool,
+}
+
+impl MemberTable {
+    /// Does what is due.
+    pub fn tick(&mut self, now: Duration) {
+        self.note_time(now);
+        self.relays.retain(|relay| relay.expires > now);
+        self.review_probes(now);
+        self.review_suspicions(now);
+        if now >= self.due.heartbeat {
+            self.due.heartbeat = now + self.options.heartbeat;
+            self.ping_next(now);
+            self.ping_suspects(now);
+        }
+        if now >= self.due.across {
+            self.due.across = now + self.options.across;
+            self.ping_across(now);
+        }
+        if now >= self.due.retry {
+            self.due.retry = now + self.options.retry;
+            self.ping_dead(now);
+        }
+        if now >= self.due.hint {
+            self.try_hints(now);
+        }
+        if now >= self.due.repair {
+            self.due.repair = now + self.options.repair;
+            self.ask_repair(now);
+        }
+        if now >= self.due.zones {
+            self.due.zones = now + ZONE_REVIEW;
+            self.review_zones(now);
+        }
+        if now >= self.due.forget {
+            self.due.forget = now + FORGET_SWEEP;
+            self.forget(now);
+        }
+        self.retry_sync(now);
+    }
+
+    /// When `tick` is worth calling next; never later than a heartbeat, so
+    /// that a longer gap shows that the process stood still.
+    pub fn next_wake(&self) -> Duration {
+        let ack = self.options.ack_timeout;
+        let timeout = self.options.probe_timeout;
+        let probes =
+            self.probes.iter().map(|probe| probe.sent + if probe.helped { timeout } else { ack });
+        let suspicions = self.suspicions.iter().map(|suspicion| suspicion.deadline);
+        probes.chain(suspicions).fold(self.due.heartbeat, Duration::min)
+    }
+
+    /// Notices that this process stood still. Failure: a paused process wakes
+    /// with every timer overdue and would hold its whole zone for dead, while
+    /// the zone holds it for dead. The gap between calls shows it. All waiting
+    /// probes are void, suspicions begin again, and the host announces itself
+    /// anew before it hears what was said of it.
+    pub(super) fn note_time(&mut self, now: Duration) {
+        let gap = self.last_call.map_or(Duration::ZERO, |last| now.saturating_sub(last));
+        self.last_call = Some(now);
+        if gap <= self.options.pause {
+            return;
+        }
+        self.counters.pauses += 1;
+        self.probes.clear();
+        self.relays.clear();
+        self.last_heard = now;
+        self.zones.shift(gap);
+        self.restart_suspicions(now);
+        self.refute(now, 0);
+        self.sync = None;
+        self.start_sync(now);
+        self.view_changed = true;
+        self.actions.push_back(FleetAction::SelfPaused(gap));
+    }
+
+    /// Gives all suspects their full time again.
+    pub(super) fn restart_suspicions(&mut self, now: Duration) {
+        for suspicion in &mut self.suspicions {
+            suspicion.deadline = now + self.options.suspicion;
+        }
+    }
+
+    pub(super) fn take_number(&mut self) -> u32 {
+        self.next_number = self.next_number.wrapping_add(1);
+        self.next_number
+    }
+
+    /// Pings the next member of the zone. Each round goes through all members
+    /// once, in a new order, so that none waits longer than two rounds.
+    fn ping_next(&mut self, now: Duration) {
+        for _ in 0..self.ring.len() {
+            if self.ring_next >= self.ring.len() {
+                self.begin_round();
+            }
+            let Some(&key) = self.ring.get(self.ring_next) else { return };
+            self.ring_next += 1;
+            let pingable = |record: &MemberRecord| {
+                record.is_live()
+                    && record.place.zone == self.my_zone
+                    && record.health == MemberHealth::Alive
+            };
+            if self.arena.get(key).is_some_and(pingable) {
+                return self.ping(now, key, true, &[]);
+            }
+        }
+    }
+
+    fn begin_round(&mut self) {
+        self.ring_next = 0;
+        let arena = &self.arena;
+        let zone = &self.my_zone;
+        self.ring.retain(|&key| {
+            arena.get(key).is_some_and(|record| record.is_live() && record.place.zone == *zone)
+        });
+        self.ring.shuffle(&mut self.rng);
+    }
+
+    fn ping(&mut self, now: Duration, key: HostKey, judged: bool, front: &[MemberRumor]) {
+        let Some(record) = self.arena.get(key) else { return };
+        let peer = record.place.peer;
+        let number = self.take_number();
+        self.probes.push(Probe { number, key, sent: now, helped: false, judged });
+        self.send(now, peer, FleetBody::Ping { number }, front);
+    }
+
+    /// Pings again those that this daemon suspects, telling them so: a live one
+    /// refutes in its ack.
+    fn ping_suspects(&mut self, now: Duration) {
+        let keys: Vec<HostKey> =
+            self.suspicions.iter().filter(|found| found.own).map(|found| found.key).collect();
+        for key in keys {
+            let Some(record) = self.arena.get(key) else { continue };
+            let (peer, private, rumor) = (record.place.peer, record.private, record.rumor());
+            let number = self.take_number();
+            let front = if private { &[][..] } else { std::slice::from_ref(&rumor) };
+            self.send(now, peer, FleetBody::Ping { number }, front);
+            self.ask_to_ping(now, key, number, 1);
+        }
+    }
+
+    /// Pings one member of the next other zone, lost zones included: that is
+    /// how a partition's end is noticed.
+    fn ping_across(&mut self, now: Duration) {
+        let zones: Vec<String> =
+            self.zones.names().filter(|&name| name != self.my_zone).map(str::to_owned).collect();
+        if zones.is_empty() {
+            return;
+        }
+        self.across_next = (self.across_next + 1) % zones.len();
+        let zone = zones[self.across_next].clone();
+        if let Some(&key) = self.pick(1, |record, _| record.place.zone == zone).first() {
+            self.ping(now, key, false, &[]);
+        }
+    }
+
+    /// Pings one dead member of the own zone, telling it so. Failure: two parts
+    /// of a zone that were cut off from each other hold each other for dead and
+    /// would stay apart for ever. A live one refutes and both lists meet.
+    fn ping_dead(&mut self, now: Duration) {
+        let dead: Vec<(SocketAddr, MemberRumor)> = self
+            .arena
+            .iter()
+            .filter(|record| record.health == MemberHealth::Dead)
+            .filter(|record| record.phase != MemberPhase::Left)
+            .filter(|record| record.place.zone == self.my_zone)
+            .map(|record| (record.place.peer, record.rumor()))
+            .collect();
+        if dead.is_empty() {
+            return;
+        }
+        let (peer, rumor) = &dead[self.rng.random_range(0..dead.len())];
+        let number = self.take_number();
+        self.send(now, *peer, FleetBody::Ping { number }, std::slice::from_ref(rumor));
+    }
+
+    /// Asks hinted addresses without a live member behind them for their list.
+    fn try_hints(&mut self, now: Duration) {
+        let alone = !self.arena.iter().any(|record| record.key != self.me && record.is_live());
+        let (count, wait) =
+            if alone { (HINTS_AT_START, START_RETRY) } else { (1, self.options.retry) };
+        self.due.hint = now + wait;
+        let here = self.record_of_self().place.peer;
+        let open: Vec<SocketAddr> = self
+            .settings_hints
+            .union(&self.platform_hints)
+            .copied()
+            .filter(|&peer| peer != here)
+            .filter(|&peer| !self.arena.by_peer(peer).is_some_and(MemberRecord::is_live))
+            .collect();
+        let own = self.own_rumor();
+        for _ in 0..count.min(open.len()) {
+            self.hint_next = (self.hint_next + 1) % open.len();
+            let peer = open[self.hint_next];
+            self.send(now, peer, FleetBody::SyncAsk { after: 0 }, std::slice::from_ref(&own));
+        }
+    }
+
+    fn review_probes(&mut self, now: Duration) {
+        let mut index = 0;
+        while index < self.probes.len() {
+            let probe = &self.probes[index];
+            let waited = now.saturating_sub(probe.sent);
+            if waited >= self.options.probe_timeout {
+                let probe = self.probes.swap_remove(index);
+                self.probe_failed(now, &probe);
+                continue;
+            }
+            if waited >= self.options.ack_timeout && !probe.helped {
+                let (key, number) = (probe.key, probe.number);
+                self.probes[index].helped = true;
+                self.ask_to_ping(now, key, number, self.options.helpers);
+            }
+            index += 1;
+        }
+    }
+
+    /// Asks others to ping. Failure: the way from here to the target is cut in
+    /// one direction, or one datagram was lost, while the target is well.
+    /// Helpers are of the target's zone, which knows best; if that has no
+    /// others, of any zone.
+    fn ask_to_ping(&mut self, now: Duration, key: HostKey, number: u32, count: usize) {
+        let Some(record) = self.arena.get(key) else { return };
+        let (id, place) = (record.id, record.place.clone());
+        let mut helpers = self.pick(count, |record, _| {
+            record.key != key
+                && record.place.zone == place.zone
+                && record.health == MemberHealth::Alive
+        });
+        if helpers.len() < count {
+            let rest = count - helpers.len();
+            helpers.extend(self.pick(rest, |record, _| record.place.zone != place.zone));
+        }
+        for helper in helpers {
+            let Some(to) = self.arena.get(helper).map(|record| record.place.peer) else { continue };
+            self.counters.indirect += 1;
+            let body = FleetBody::PingRequest { number, target: id, peer: place.peer };
+            self.send(now, to, body, &[]);
+        }
+    }
+
+    fn probe_failed(&mut self, now: Duration, probe: &Probe) {
+        let alive =
+            self.arena.get(probe.key).is_some_and(|record| record.health == MemberHealth::Alive);
+        if !probe.judged || !alive {
+            return;
+        }
+        self.counters.suspicions += 1;
+        let private = self.is_deaf(now);
+        self.set_health(now, probe.key, MemberHealth::Suspect, private);
+        if let Some(suspicion) = self.suspicions.iter_mut().find(|found| found.key == probe.key) {
+            suspicion.own = true;
+        }
+    }
+
+    fn review_suspicions(&mut self, now: Duration) {
+        let due: Vec<(HostKey, MemberStamp)> = self
+            .suspicions
+            .iter()
+            .filter(|suspicion| suspicion.deadline <= now)
+            .map(|suspicion| (suspicion.key, suspicion.stamp))
+            .collect();
+        for (key, stamp) in due {
+            self.confirm(now, key, stamp);
+        }
+    }
+
+    /// A suspect did not refute. A daemon that hears nobody can't know whether
+    /// it did: it waits longer and then keeps the verdict to itself.
+    fn confirm(&mut self, now: Duration, key: HostKey, stamp: MemberStamp) {
+        let silent = now.saturating_sub(self.last_heard);
+        let deaf = self.is_deaf(now);
+        if deaf && silent < self.options.deaf_suspicion {
+            let deadline = self.last_heard + self.options.deaf_suspicion;
+            for suspicion in self.suspicions.iter_mut().filter(|found| found.key == key) {
+                suspicion.deadline = deadline;
+            }
+            return;
+        }
+        self.suspicions.retain(|suspicion| suspicion.key != key);
+        let Some(record) = self.arena.get(key) else { return };
+        if record.stamp == stamp && record.health == MemberHealth::Suspect {
+            self.counters.deaths += 1;
+            self.set_health(now, key, MemberHealth::Dead, deaf);
+        }
+    }
+
+    fn review_zones(&mut self, now: Duration) {
+        let timeout = self.options.zone_timeout;
+        for (zone, reachable) in self.zones.review(now, timeout) {
+            if zone == self.my_zone {
+                continue;
+            }
+            self.view_changed = true;
+            self.actions.push_back(if reachable {
+                FleetAction::ZoneFound(zone)
+            } else {
+                FleetAction::ZoneLost(zone)
+            });
+        }
+    }
+
+    /// Drops records nobody needs any more.
+    fn forget(&mut self, now: Duration) {
+        let old: Vec<HostKey> = self
+            .arena
+            .iter()
+            .filter(|record| record.key != self.me && !record.is_live())
+            .filter(|record| {
+                let left = record.phase == MemberPhase::Left;
+                let kept = if left { self.options.left_kept } else { self.options.dead_kept };
+                now.saturating_sub(record.changed) > kept
+            })
+            .map(|record| record.key)
+            .collect();
+        for key in old {
+            self.ring.retain(|&member| member != key);
+            self.arena.remove(key);
+            self.actions.push_back(FleetAction::MemberForgotten(key));
+        }
+    }
+
+    /// Asks a peer whose list differs for one part of it, each time the next.
+    /// Failure: a rumor was lost to this daemon by every way it travelled.
+    fn ask_repair(&mut self, now: Duration) {
+        if self.sync.is_some() {
+            return;
+        }
+        let Some(peer) = self.repair_peer.take() else { return };
+        let after = self.repair_after;
+        self.send(now, peer, FleetBody::SyncAsk { after }, &[]);
+    }
+
+    /// The first other member was met: read the whole list from one.
+    pub(super) fn start_sync_if_first(&mut self) {
+        if self.synced || self.sync.is_some() {
+            return;
+        }
+        if let Some(now) = self.last_call {
+            self.start_sync(now);
+        }
+    }
+
+    fn start_sync(&mut self, now: Duration) {
+        self.ask_sync(now, 0);
+    }
+
+    fn retry_sync(&mut self, now: Duration) {
+        let Some(sync) = &self.sync else { return };
+        if now.saturating_sub(sync.asked) >= SYNC_RETRY {
+            self.ask_sync(now, sync.after);
+        }
+    }
+
+    /// Asks a live member, of the own zone if there is one, for its list.
+    fn ask_sync(&mut self, now: Duration, after: u64) {
+        let mut picked = self.pick(1, |record, zone| record.place.zone == zone);
+        if picked.is_empty() {
+            picked = self.pick(1, |_, _| true);
+        }
+        let Some(record) = picked.first().and_then(|&key| self.arena.get(key)) else {
+            self.sync = None;
+            return;
+        };
+        let peer = record.place.peer;
+        let own = self.own_rumor();
+        self.send(now, peer, FleetBody::SyncAsk { after }, &[own]);
+        self.sync = Some(SyncProgress { peer, after, asked: now });
+    }
+}
--- /dev/null
+++ b/crates/hawthorn-fleet/src/member/receive.rs
@@ -0,0 +1,239 @@
+//! Taking in a datagram.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use hawthorn_types::HostKey;
+
+use super::MemberTable;
+use super::SyncProgress;
+use super::probe::Relay;
+use super::zone::zone_hash;
+use crate::action::FleetAction;
+use crate::message;
+use crate::message::Error;
+use crate::message::FleetBody;
+use crate::message::FleetMessage;
+use crate::message::MemberHealth;
+use crate::message::MemberId;
+use crate::message::MemberRumor;
+use crate::message::SenderHeader;
+
+/// The most pings for others kept waiting; more are not worth passing on late.
+const RELAY_LIMIT: usize = 256;
+
+impl MemberTable {
+    /// Takes in a datagram. An error changes nothing but the counters.
+    pub fn receive(&mut self, now: Duration, from: SocketAddr, bytes: &[u8]) -> Result<(), Error> {
+        self.note_time(now);
+        let (message, rumors) = match self.read(bytes) {
+            Ok(read) => read,
+            Err(error) => {
+                self.counters.refused += 1;
+                return Err(error);
+            }
+        };
+        self.counters.received += 1;
+        if message.sender.id == self.my_id {
+            self.meet_twin(now, from, &message.sender);
+            return Ok(());
+        }
+        self.note_heard(now);
+        let page = matches!(message.body, FleetBody::SyncPage { .. });
+        for rumor in rumors {
+            if page {
+                self.contradict(&rumor);
+            }
+            self.apply(now, rumor);
+        }
+        let sender = self.apply_header(now, &message.sender);
+        if let Some(key) = sender {
+            self.note_sender(now, from, key, &message);
+        }
+        self.answer(now, from, sender, message);
+        Ok(())
+    }
+
+    fn read(&self, bytes: &[u8]) -> Result<(FleetMessage, Vec<MemberRumor>), Error> {
+        let (message, rumors) = message::decode(bytes)?;
+        if message.fleet != self.options.fleet {
+            return Err(Error::OtherFleet(message.fleet));
+        }
+        Ok((message, rumors))
+    }
+
+    /// Another process says it is this host.
+    fn meet_twin(&mut self, now: Duration, from: SocketAddr, sender: &SenderHeader) {
+        let mut place = self.record_of_self().place.clone();
+        place.peer = from;
+        let rumor = MemberRumor {
+            id: sender.id,
+            stamp: sender.stamp,
+            phase: sender.phase,
+            health: MemberHealth::Alive,
+            place: Some(place),
+        };
+        self.apply(now, rumor);
+    }
+
+    /// Hearing anyone after hearing nobody: what was suspected meanwhile gets
+    /// its full time again, as the fault was on this side.
+    fn note_heard(&mut self, now: Duration) {
+        if self.is_deaf(now) {
+            self.restart_suspicions(now);
+        }
+        self.last_heard = now;
+    }
+
+    fn note_sender(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        key: HostKey,
+        message: &FleetMessage,
+    ) {
+        let Some(record) = self.arena.get(key) else { return };
+        let zone = record.place.zone.clone();
+        self.zones.hear(now, zone_hash(&zone), Duration::ZERO);
+        if zone == self.my_zone {
+            for age in &message.zones {
+                self.zones.hear(now, age.zone, Duration::from_millis(u64::from(age.age_ms)));
+            }
+        }
+        if message.sender.fingerprint != self.arena.fingerprint() {
+            self.repair_peer = Some(from);
+        }
+        self.actions
+            .push_back(FleetAction::DigestHeard { peer: key, digest: message.sender.digest });
+    }
+
+    /// The peer lists a member live that is known to be dead here. Failure:
+    /// after a partition within a zone the two sides hold each other for dead
+    /// and tell nobody any more. Passing it on again lets the member refute.
+    fn contradict(&mut self, rumor: &MemberRumor) {
+        let dead = self.arena.by_id(rumor.id).is_some_and(|record| {
+            record.health == MemberHealth::Dead && !record.private && record.stamp >= rumor.stamp
+        });
+        if dead {
+            self.rumors.push(rumor.id);
+        }
+    }
+
+    fn answer(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        sender: Option<HostKey>,
+        message: FleetMessage,
+    ) {
+        let front = self.doubts_of(&message.sender);
+        match message.body {
+            FleetBody::Ping { number } => {
+                let unknown = sender.is_none();
+                self.send(now, from, FleetBody::Ack { number, unknown }, &front);
+            }
+            FleetBody::Ack { number, unknown } => self.take_ack(now, from, number, unknown),
+            FleetBody::PingRequest { number, target, peer } => {
+                self.pass_ping(now, from, number, target, peer);
+            }
+            FleetBody::Notice if !front.is_empty() => {
+                self.send(now, from, FleetBody::Notice, &front);
+            }
+            FleetBody::Notice => {}
+            FleetBody::SyncAsk { after } => self.send_page(now, from, after),
+            FleetBody::SyncPage { next } => self.take_page(now, from, next),
+            FleetBody::Handover(message) => {
+                let Some(peer) = sender.and_then(|key| self.arena.get(key)) else { return };
+                let peer = peer.id;
+                self.actions.push_back(FleetAction::HandoverHeard { peer, message });
+            }
+        }
+    }
+
+    /// What the sender should know is said of it, so that it can refute.
+    fn doubts_of(&self, sender: &SenderHeader) -> SmallVec<[MemberRumor; 1]> {
+        let record = self.arena.by_id(sender.id).filter(|record| {
+            !record.private
+                && record.stamp >= sender.stamp
+                && (record.stamp > sender.stamp || record.health != MemberHealth::Alive)
+        });
+        record
+            .map(|record| MemberRumor { place: Some(record.place.clone()), ..record.rumor() })
+            .into_iter()
+            .collect()
+    }
+
+    fn take_ack(&mut self, now: Duration, from: SocketAddr, number: u32, unknown: bool) {
+        self.probes.retain(|probe| probe.number != number);
+        if let Some(index) = self.relays.iter().position(|relay| relay.number == number) {
+            let relay = self.relays.swap_remove(index);
+            let ack = FleetBody::Ack { number: relay.origin_number, unknown: false };
+            self.send(now, relay.origin, ack, &[]);
+        }
+        if unknown {
+            let own = self.own_rumor();
+            self.send(now, from, FleetBody::Notice, &[own]);
+        }
+    }
+
+    /// Pings for another. If the target is known to be gone, the asker is told
+    /// so at once: this is how other zones learn of a death they missed.
+    fn pass_ping(
+        &mut self,
+        now: Duration,
+        origin: SocketAddr,
+        origin_number: u32,
+        target: MemberId,
+        peer: SocketAddr,
+    ) {
+        let gone = self
+            .arena
+            .by_id(target)
+            .filter(|record| !record.is_live() && !record.private)
+            .filter(|record| record.place.zone == self.my_zone);
+        if let Some(record) = gone {
+            let rumor = record.rumor();
+            return self.send(now, origin, FleetBody::Notice, &[rumor]);
+        }
+        if self.relays.len() >= RELAY_LIMIT {
+            return;
+        }
+        // Tells the asker that it can still hear: see `MemberTable::is_deaf`.
+        self.send(now, origin, FleetBody::Notice, &[]);
+        let number = self.take_number();
+        let expires = now + self.options.probe_timeout;
+        self.relays.push(Relay { number, origin, origin_number, expires });
+        let front: SmallVec<[MemberRumor; 1]> = self
+            .arena
+            .by_id(target)
+            .filter(|record| record.health != MemberHealth::Alive && !record.private)
+            .map(super::MemberRecord::rumor)
+            .into_iter()
+            .collect();
+        self.send(now, peer, FleetBody::Ping { number }, &front);
+    }
+
+    fn take_page(&mut self, now: Duration, from: SocketAddr, next: Option<u64>) {
+        let syncing = self.sync.as_ref().is_some_and(|sync| sync.peer == from);
+        if !syncing {
+            self.repair_after = next.unwrap_or(0);
+            return;
+        }
+        let Some(after) = next else {
+            self.sync = None;
+            if !self.synced {
+                self.synced = true;
+                self.actions.push_back(FleetAction::Synced);
+            }
+            return;
+        };
+        // A doubled page would ask again from where the list already went on.
+        if self.sync.as_ref().is_some_and(|sync| sync.after >= after) {
+            return;
+        }
+        self.sync = Some(SyncProgress { peer: from, after, asked: now });
+        self.send(now, from, FleetBody::SyncAsk { after }, &[]);
+    }
+}
--- /dev/null
+++ b/crates/hawthorn-fleet/src/member/send.rs
@@ -0,0 +1,155 @@
+//! Sending: every datagram carries the header and the rumors that fit.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::RngExt;
+
+use hawthorn_types::HostKey;
+
+use super::MemberRecord;
+use super::MemberTable;
+use crate::action::FleetAction;
+use crate::message::DATAGRAM_LIMIT;
+use crate::message::DatagramWriter;
+use crate::message::FleetBody;
+use crate::message::FleetMessage;
+use crate::message::MESSAGE_FORMAT;
+use crate::message::MemberId;
+use crate::message::MemberPhase;
+use crate::message::MemberRumor;
+
+/// Rumors looked at for one datagram; more never fit in its part for rumors.
+const RUMORS_TRIED: usize = 24;
+
+impl MemberTable {
+    /// Sends `body`, first the rumors in `front`, then others that fit.
+    pub(super) fn send(
+        &mut self,
+        now: Duration,
+        to: SocketAddr,
+        body: FleetBody,
+        front: &[MemberRumor],
+    ) {
+        let mut writer = DatagramWriter::new(&self.message(now, to, body));
+        for rumor in front {
+            writer.push(rumor, DATAGRAM_LIMIT);
+        }
+        self.add_rumors(&mut writer, front);
+        self.send_bytes(to, writer.finish());
+    }
+
+    /// Sends the part of the list after `after`, in order of id.
+    pub(super) fn send_page(&mut self, now: Duration, to: SocketAddr, after: u64) {
+        // The place of the next part is known only when this one is full, and
+        // comes before it; so the part is chosen first.
+        let longest = FleetBody::SyncPage { next: Some(u64::MAX) };
+        let mut trial = DatagramWriter::new(&self.message(now, to, longest));
+        let mut page = Vec::new();
+        let mut next = None;
+        for record in self.arena.after(after).filter(|record| record.is_live() && !record.private) {
+            let rumor = record.rumor();
+            if !trial.push(&rumor, DATAGRAM_LIMIT) {
+                next = page.last().map(|rumor: &MemberRumor| rumor.id.0);
+                break;
+            }
+            page.push(rumor);
+        }
+        let mut writer = DatagramWriter::new(&self.message(now, to, FleetBody::SyncPage { next }));
+        for rumor in &page {
+            writer.push(rumor, DATAGRAM_LIMIT);
+        }
+        self.send_bytes(to, writer.finish());
+    }
+
+    /// Moves this host to a phase and tells a few members at once.
+    pub(super) fn announce(&mut self, now: Duration, phase: MemberPhase) {
+        self.arena.update(self.me, |record| {
+            record.phase = phase;
+            record.stamp.update += 1;
+            record.changed = now;
+        });
+        self.rumors.push(self.my_id);
+        self.view_changed = true;
+        self.push_notice(now);
+    }
+
+    /// Sends a notice to a few members of the own zone and one of another.
+    pub(super) fn push_notice(&mut self, now: Duration) {
+        let own = self.own_rumor();
+        let mut peers = self.pick(self.options.push, |record, zone| record.place.zone == zone);
+        peers.extend(self.pick(1, |record, zone| record.place.zone != zone));
+        for key in peers {
+            let Some(peer) = self.arena.get(key).map(|record| record.place.peer) else { continue };
+            self.send(now, peer, FleetBody::Notice, std::slice::from_ref(&own));
+        }
+    }
+
+    /// This host's whole record.
+    pub(super) fn own_rumor(&self) -> MemberRumor {
+        let record = self.record_of_self();
+        MemberRumor { place: Some(record.place.clone()), ..record.rumor() }
+    }
+
+    /// Up to `count` live members, at random, among those that `fits` allows;
+    /// it is given the record and the own zone.
+    pub(super) fn pick(
+        &mut self,
+        count: usize,
+        fits: impl Fn(&MemberRecord, &str) -> bool,
+    ) -> Vec<HostKey> {
+        let mut keys: Vec<HostKey> = self
+            .arena
+            .iter()
+            .filter(|record| record.key != self.me && record.is_live())
+            .filter(|record| fits(record, &self.my_zone))
+            .map(|record| record.key)
+            .collect();
+        let mut picked = Vec::with_capacity(count);
+        while picked.len() < count && !keys.is_empty() {
+            let index = self.rng.random_range(0..keys.len());
+            picked.push(keys.swap_remove(index));
+        }
+        picked
+    }
+
+    fn message(&self, now: Duration, to: SocketAddr, body: FleetBody) -> FleetMessage {
+        let near = self.arena.by_peer(to).is_some_and(|record| record.place.zone == self.my_zone);
+        FleetMessage {
+            format: MESSAGE_FORMAT,
+            fleet: self.options.fleet,
+            sender: self.header(now),
+            body,
+            zones: if near { self.zones.ages(now) } else { Default::default() },
+        }
+    }
+
+    fn add_rumors(&mut self, writer: &mut DatagramWriter, front: &[MemberRumor]) {
+        let limit = writer.len() + self.options.rumor_bytes;
+        let members = u32::try_from(self.arena.len()).unwrap_or(u32::MAX);
+        let times = self.options.rumor_factor * (members.max(1).ilog2() + 1);
+        for id in self.rumors.first(RUMORS_TRIED) {
+            if front.iter().any(|rumor| rumor.id == id) {
+                continue;
+            }
+            let Some(rumor) = self.rumor_of(id) else {
+                self.rumors.remove(id);
+                continue;
+            };
+            if !writer.push(&rumor, limit) {
+                break;
+            }
+            self.rumors.mark_sent(id, times);
+        }
+    }
+
+    fn rumor_of(&self, id: MemberId) -> Option<MemberRumor> {
+        self.arena.by_id(id).filter(|record| !record.private).map(MemberRecord::rumor)
+    }
+
+    fn send_bytes(&mut self, to: SocketAddr, bytes: Vec<u8>) {
+        self.counters.sent += 1;
+        self.counters.sent_bytes += bytes.len() as u64;
+        self.actions.push_back(FleetAction::Send { to, bytes });
+    }
+}
--- /dev/null
+++ b/crates/hawthorn-fleet/src/ownership.rs
@@ -0,0 +1,84 @@
+//! Which host owns a group of targets: rendezvous (highest random weight) hashing.
+//!
+//! A group is all targets of one zone whose shard hashes to one bucket. Each
+//! host scores every group, and the live host with the highest score owns it.
+//! Every daemon with the same list of hosts names the same owner without a
+//! word exchanged, and a host that joins or leaves moves only its own groups.
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use hawthorn_types::HostKey;
+
+use crate::message::MemberId;
+
+/// Buckets of one zone, unless the settings say otherwise.
+///
+/// Chosen for 2 to 160 hosts a zone. Fewer, and with 8 hosts some own twice
+/// the mean; more, and a query to 270 targets splits into more batches than it
+/// has owners to send to, and each change names more buckets in one datagram.
+pub const DEFAULT_BUCKETS: u16 = 64;
+
+/// Names a group everywhere: a hash of its zone and bucket.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct GroupId(pub u64);
+
+impl GroupId {
+    /// The group of this bucket of the zone.
+    pub fn new(zone: &str, bucket: u16) -> Self {
+        Self(xxh3_64_with_seed(zone.as_bytes(), u64::from(bucket)))
+    }
+}
+
+/// The bucket, below `buckets`, that a shard (`service/number`) falls into.
+pub fn bucket(shard: &str, buckets: u16) -> u16 {
+    let share = xxh3_64(shard.as_bytes()) % u64::from(buckets.max(1));
+    u16::try_from(share).expect("a remainder is smaller than its u16 divisor")
+}
+
+/// A host that may own groups.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OwnerCandidate {
+    /// The host in this process.
+    pub key: HostKey,
+    /// The host everywhere; what is hashed.
+    pub id: MemberId,
+}
+
+/// The host that owns the group, none when there are no hosts.
+pub fn owner(group: GroupId, hosts: impl IntoIterator<Item = OwnerCandidate>) -> Option<HostKey> {
+    ranked(group, hosts).0.map(|candidate| candidate.key)
+}
+
+/// The owner of the group and the runner-up, which owns it when the owner goes.
+pub fn ranked(
+    group: GroupId,
+    hosts: impl IntoIterator<Item = OwnerCandidate>,
+) -> (Option<OwnerCandidate>, Option<OwnerCandidate>) {
+    let mut first: Option<(u64, OwnerCandidate)> = None;
+    let mut second: Option<(u64, OwnerCandidate)> = None;
+    for candidate in hosts {
+        let scored = (score(group, candidate.id), candidate);
+        if first.is_none_or(|best| rank(scored) > rank(best)) {
+            second = first.replace(scored);
+        } else if second.is_none_or(|best| rank(scored) > rank(best)) {
+            second = Some(scored);
+        }
+    }
+    (first.map(|scored| scored.1), second.map(|scored| scored.1))
+}
+
+/// How strongly the host claims the group. The incarnation is left out, so
+/// that a restart gets its groups back.
+pub fn score(group: GroupId, host: MemberId) -> u64 {
+    xxh3_64_with_seed(&host.0.to_le_bytes(), group.0)
+}
+
+fn rank((score, candidate): (u64, OwnerCandidate)) -> (u64, MemberId) {
+    (score, candidate.id)
+}
