--- a/crates/hawthorn-daemon/src/connection/message.rs
+++ b/crates/hawthorn-daemon/src/connection/message.rs
@@ -153,33 +153,6 @@
     Failed(FailureReason),
 }
 
-/// A claim on a caller's request id, on its way to the host that commits the
-/// claims of its bucket.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClaimRequest {
-    /// The caller's name.
-    pub caller: String,
-    /// The caller's own request id.
-    pub caller_request: String,
-    /// Random; tells this send's claim from another's.
-    pub nonce: u128,
-    /// Microseconds left until the caller's deadline.
-    pub left_us: u64,
-}
-
-/// What became of a claim.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ClaimOutcome {
-    /// The request is this send's to run.
-    Granted,
-    /// An earlier send holds it.
-    HeldEarlier,
-    /// It was not recorded, for this reason.
-    Refused(RefusalReason),
-    /// It may or may not have been recorded.
-    Uncertain,
-}
-
 /// A configuration document and its standing, passed on between daemons.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigCopy {
--- a/crates/hawthorn-daemon/src/connection/mod.rs
+++ b/crates/hawthorn-daemon/src/connection/mod.rs
@@ -3,3 +3,4 @@
 pub mod message;
 pub mod peer;
 pub mod pool;
+pub mod serve;
--- a/crates/hawthorn-daemon/src/connection/peer.rs
+++ b/crates/hawthorn-daemon/src/connection/peer.rs
@@ -6,29 +6,22 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use futures::StreamExt;
 use hawthorn_types::ConfigRevision;
 use quick_error::quick_error;
 use tarpc::client;
 use tarpc::context;
-use tarpc::server::BaseChannel;
-use tarpc::server::Channel;
 use tarpc::tokio_serde::formats::Bincode;
-use tokio_util::sync::CancellationToken;
 
 use crate::connection::message::BatchAnswer;
-use crate::connection::message::ClaimOutcome;
-use crate::connection::message::ClaimRequest;
 use crate::connection::message::ConfigCopy;
 use crate::connection::message::OnceBatch;
 use crate::connection::message::OnceOutcome;
 use crate::connection::message::OwnerView;
 use crate::connection::message::SearchBatch;
-use crate::process::events::LogEvent;
 
 /// A message between daemons is at most so large: a configuration document of
 /// a megabyte, or the matches of a batch.
-const MAX_FRAME_BYTES: usize = 64 << 20;
+pub(crate) const MAX_FRAME_BYTES: usize = 64 << 20;
 
 /// Opening a connection to a daemon takes at most so long: longer than any
 /// round trip in a region, far shorter than a caller waits.
@@ -41,8 +34,6 @@
 #[allow(missing_docs)]
 mod service {
     use super::BatchAnswer;
-    use super::ClaimOutcome;
-    use super::ClaimRequest;
     use super::ConfigCopy;
     use super::ConfigRevision;
     use super::OnceBatch;
@@ -55,10 +46,8 @@
     pub trait PeerService {
         /// Searches the pieces at targets that this host owns.
         async fn search(batch: SearchBatch) -> BatchAnswer;
-        /// Runs a non-idempotent request, whose claim is granted, at a target that this host owns.
+        /// Claims a non-idempotent request and runs it at a target that this host owns.
         async fn run(batch: OnceBatch) -> OnceOutcome;
-        /// Records a claim in the platform's store.
-        async fn claim(claim: ClaimRequest) -> ClaimOutcome;
         /// The owner's view of its shards.
         async fn view() -> OwnerView;
         /// The configuration in force, when newer than `have`.
@@ -69,6 +58,8 @@
 }
 pub use service::PeerService;
 pub use service::PeerServiceClient;
+pub use service::PeerServiceRequest;
+pub use service::PeerServiceResponse;
 
 quick_error! {
     /// Why a call to a daemon brought no answer.
@@ -85,56 +76,6 @@
     }
 }
 
-/// Serves calls of other daemons until cancelled. Calls in flight then are
-/// given up; the process first waits for them (see the stop sequence).
-///
-/// # Errors
-/// When the address cannot be bound.
-pub async fn serve<S>(
-    address: SocketAddr,
-    service: S,
-    stop: CancellationToken,
-) -> std::io::Result<SocketAddr>
-where
-    S: PeerService + Clone + Send + 'static,
-{
-    let mut listener = tarpc::serde_transport::tcp::listen(address, Bincode::default).await?;
-    listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
-    let local = listener.local_addr();
-    tokio::spawn(async move {
-        loop {
-            let accepted = tokio::select! {
-                () = stop.cancelled() => return,
-                accepted = listener.next() => accepted,
-            };
-            let transport = match accepted {
-                None => return,
-                Some(Err(error)) => {
-                    let event = LogEvent::PeerMessageBad;
-                    crate::log_event!(log::Level::Warn, event, "accepting a peer: {error}");
-                    continue;
-                }
-                Some(Ok(transport)) => transport,
-            };
-            let channel = BaseChannel::with_defaults(transport);
-            let calls = channel.execute(service.clone().serve()).for_each_concurrent(
-                None,
-                |call| async move {
-                    tokio::spawn(call);
-                },
-            );
-            let stop = stop.clone();
-            tokio::spawn(async move {
-                tokio::select! {
-                    () = stop.cancelled() => {}
-                    () = calls => {}
-                }
-            });
-        }
-    });
-    Ok(local)
-}
-
 /// One peer's connection, or when connecting to it last failed.
 #[derive(Clone, Debug)]
 enum PeerLink {
@@ -204,7 +145,7 @@
                 self.forget(address);
                 Error::Lost("connection closed".into())
             }
-            client::RpcError::Send(error) | client::RpcError::Receive(error) => {
+            client::RpcError::Channel(error) => {
                 self.forget(address);
                 Error::Lost(error.to_string())
             }
--- /dev/null
+++ b/crates/hawthorn-daemon/src/connection/serve.rs
@@ -0,0 +1,112 @@
+//! This host's side of calls between daemons.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::StreamExt;
+use hawthorn_types::ConfigRevision;
+use tarpc::context::Context;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tarpc::tokio_serde::formats::Bincode;
+use tokio_util::sync::CancellationToken;
+
+use crate::connection::message::BatchAnswer;
+use crate::connection::message::ConfigCopy;
+use crate::connection::message::OnceBatch;
+use crate::connection::message::OnceOutcome;
+use crate::connection::message::OwnerView;
+use crate::connection::message::SearchBatch;
+use crate::connection::peer::MAX_FRAME_BYTES;
+use crate::connection::peer::PeerService;
+use crate::owner::OwnerHandle;
+use crate::process::events::LogEvent;
+use crate::process::fleet::FleetHandle;
+use crate::request::runner::OnceRunner;
+
+/// Serves other daemons. Cloned for each connection.
+#[derive(Clone, Debug)]
+pub struct PeerServer {
+    /// The duty that holds targets.
+    pub owner: OwnerHandle,
+    /// The duty that holds the configuration.
+    pub fleet: FleetHandle,
+    /// Runs non-idempotent requests.
+    pub runner: Arc<OnceRunner>,
+}
+
+impl PeerService for PeerServer {
+    async fn search(self, _: Context, batch: SearchBatch) -> BatchAnswer {
+        self.owner.search(batch).await
+    }
+
+    async fn run(self, _: Context, batch: OnceBatch) -> OnceOutcome {
+        // In a task of its own: the call is dropped when its front goes away,
+        // but a request that is claimed has to be seen to its end.
+        let running = tokio::spawn(async move { self.runner.run(batch).await });
+        let lost = OnceOutcome::Unknown(hawthorn_types::UnknownReason::OwnerLost);
+        running.await.unwrap_or(lost)
+    }
+
+    async fn view(self, _: Context) -> OwnerView {
+        (*self.owner.view()).clone()
+    }
+
+    async fn pull_config(self, _: Context, have: ConfigRevision) -> Option<ConfigCopy> {
+        self.fleet.copy().filter(|copy| copy.revision > have)
+    }
+
+    async fn push_config(self, _: Context, copy: ConfigCopy) -> ConfigRevision {
+        self.fleet.offer(copy).await
+    }
+}
+
+/// Serves calls until cancelled. The process first waits for calls in flight
+/// (see the stop sequence), so that nothing is cut off.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub async fn start(
+    address: SocketAddr,
+    server: PeerServer,
+    stop: CancellationToken,
+) -> std::io::Result<()> {
+    let mut listener = tarpc::serde_transport::tcp::listen(address, Bincode::default).await?;
+    listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
+    tokio::spawn(async move {
+        loop {
+            let accepted = tokio::select! {
+                () = stop.cancelled() => return,
+                accepted = listener.next() => accepted,
+            };
+            match accepted {
+                None => return,
+                Some(Err(error)) => {
+                    let event = LogEvent::PeerMessageBad;
+                    crate::log_event!(log::Level::Warn, event, "accepting a peer: {error}");
+                }
+                Some(Ok(transport)) => {
+                    let channel = BaseChannel::with_defaults(transport);
+                    tokio::spawn(serve(channel, server.clone(), stop.clone()));
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn serve<C>(channel: C, server: PeerServer, stop: CancellationToken)
+where
+    C: Channel<Req = crate::connection::peer::PeerServiceRequest, Resp = crate::connection::peer::PeerServiceResponse>
+        + Send
+        + 'static,
+    C::Transport: Send,
+{
+    let calls = channel.execute(server.serve()).for_each(|call| async move {
+        tokio::spawn(call);
+    });
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = calls => {}
+    }
+}
--- a/crates/hawthorn-daemon/src/owner/batch.rs
+++ b/crates/hawthorn-daemon/src/owner/batch.rs
@@ -76,11 +76,7 @@
     }
 
     /// Notes the end of a piece of a search; gives the batch once it was the last.
-    pub(crate) fn end_piece(
-        &mut self,
-        key: PieceKey,
-        outcome: PieceOutcome,
-    ) -> Option<OpenSearch> {
+    pub(crate) fn end_piece(&mut self, key: PieceKey, outcome: PieceOutcome) -> Option<OpenSearch> {
         let piece = self.pieces.remove(&key)?;
         let Some(OpenBatch::Search(open)) = self.batches.get_mut(&piece.batch) else {
             return None;
--- a/crates/hawthorn-daemon/src/owner/duty.rs
+++ b/crates/hawthorn-daemon/src/owner/duty.rs
@@ -113,7 +113,8 @@
     let (commands, receiver) = mpsc::channel(options.ring);
     let (view_sender, view) = watch::channel(Arc::default());
     let (gauge_sender, gauges) = watch::channel(OwnerGauges::default());
-    let handle = OwnerHandle { commands, view, gauges, next_batch: Arc::default() };
+    let (busy_sender, busy) = watch::channel(Arc::default());
+    let handle = OwnerHandle { commands, view, gauges, busy, next_batch: Arc::default() };
     let duty = async move {
         let (ends, ended) = mpsc::channel(options.ring);
         OwnerDuty {
@@ -131,6 +132,8 @@
             ends,
             view: view_sender,
             gauges: gauge_sender,
+            busy: busy_sender,
+            buckets: HashMap::new(),
         }
         .run(receiver, ended, inputs, stop)
         .await;
@@ -168,6 +171,10 @@
     ends: mpsc::Sender<TaskEnd>,
     view: watch::Sender<Arc<OwnerView>>,
     gauges: watch::Sender<OwnerGauges>,
+    busy: watch::Sender<Arc<HashSet<u16>>>,
+    /// The bucket of every target owned so far: what still runs at one that
+    /// was given up keeps its bucket busy.
+    buckets: HashMap<TargetKey, u16>,
 }
 
 struct OpenAttempt {
@@ -250,8 +257,10 @@
             let names: Vec<ShardName> =
                 target.shards.iter().map(|&shard| catalog.shard(shard).name.clone()).collect();
             let key = TargetKey(self.target_names.intern(&target.name));
-            let shards =
-                names.iter().map(|name| ShardKey(self.shard_names.intern(name))).collect();
+            if let Ok(bucket) = u16::try_from(catalog.group(target.group).bucket) {
+                self.buckets.insert(key, bucket);
+            }
+            let shards = names.iter().map(|name| ShardKey(self.shard_names.intern(name))).collect();
             let slots = u16::try_from(share.slots(target.slots)).unwrap_or(u16::MAX);
             self.keep_target(key, names, target.address, slots_connections(target));
             records.push(TargetRecord { key, slots, wanted: target.wanted(), shards });
@@ -477,9 +486,7 @@
         for shard in &target.shards {
             let number = self.shard_names.number(shard).map(ShardKey)?;
             let of_shard = state.held.iter().filter(|held| held.service == shard.service());
-            held.extend(
-                of_shard.map(|held| HeldShard { shard: number, version: held.version }),
-            );
+            held.extend(of_shard.map(|held| HeldShard { shard: number, version: held.version }));
         }
         Some(held)
     }
@@ -498,13 +505,7 @@
         }
     }
 
-    fn send(
-        &mut self,
-        attempt: AttemptId,
-        piece: PieceKey,
-        target: TargetKey,
-        deadline: TickTime,
-    ) {
+    fn send(&mut self, attempt: AttemptId, piece: PieceKey, target: TargetKey, deadline: TickTime) {
         let Some(owned) = self.targets.get(&target) else {
             let failed = AttemptResult::ConnectionFailed { sent: false };
             let now = self.now();
@@ -673,13 +674,17 @@
             extra_attempts: extra_attempts(counters),
         };
         self.gauges.send_if_modified(|last| std::mem::replace(last, gauges) != gauges);
+        let running = self.buckets.iter().filter(|(key, _)| self.state.slots_taken(**key) > 0);
+        let busy: HashSet<u16> = running.map(|(_, &bucket)| bucket).collect();
+        if **self.busy.borrow() != busy {
+            self.busy.send_replace(Arc::new(busy));
+        }
     }
 
     fn shard_views(&self) -> Vec<crate::connection::message::ShardView> {
         let usable = self.targets.iter().filter(|(key, target)| {
             let phase = self.state.phase(**key);
-            target.reachable
-                && matches!(phase, Some(Phase::Serving | Phase::Ramping { .. }))
+            target.reachable && matches!(phase, Some(Phase::Serving | Phase::Ramping { .. }))
         });
         let replicas = usable.flat_map(|(_, target)| {
             target.shards.iter().map(|shard| UsableReplica { shard, held: &target.held })
--- a/crates/hawthorn-daemon/src/owner/mod.rs
+++ b/crates/hawthorn-daemon/src/owner/mod.rs
@@ -11,6 +11,7 @@
 mod probe;
 mod view;
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -36,8 +37,16 @@
 
 /// What the duty is asked.
 pub(crate) enum OwnerCommand {
-    Search { key: BatchKey, batch: SearchBatch, reply: oneshot::Sender<BatchAnswer> },
-    Run { key: BatchKey, batch: OnceBatch, reply: oneshot::Sender<OnceOutcome> },
+    Search {
+        key: BatchKey,
+        batch: SearchBatch,
+        reply: oneshot::Sender<BatchAnswer>,
+    },
+    Run {
+        key: BatchKey,
+        batch: OnceBatch,
+        reply: oneshot::Sender<OnceOutcome>,
+    },
     /// Nobody waits for the batch any more.
     Withdraw(BatchKey),
 }
@@ -49,6 +58,7 @@
     commands: mpsc::Sender<OwnerCommand>,
     view: watch::Receiver<Arc<OwnerView>>,
     gauges: watch::Receiver<OwnerGauges>,
+    busy: watch::Receiver<Arc<HashSet<u16>>>,
     next_batch: Arc<std::sync::atomic::AtomicU64>,
 }
 
@@ -119,6 +129,11 @@
         *self.gauges.borrow()
     }
 
+    /// Buckets whose requests still run here.
+    pub fn busy(&self) -> watch::Receiver<Arc<HashSet<u16>>> {
+        self.busy.clone()
+    }
+
     /// Resolves once the duty holds no batch, or after `grace`; tells whether
     /// it was idle in time.
     pub async fn idle(&mut self, grace: Duration) -> bool {
--- a/crates/hawthorn-daemon/src/process/events.rs
+++ b/crates/hawthorn-daemon/src/process/events.rs
@@ -41,6 +41,10 @@
     OwnershipChanged = 302,
     /// The process noticed that it had been paused.
     PauseNoticed = 303,
+    /// Nothing is heard from any host of a zone.
+    ZoneLost = 304,
+    /// A zone is heard from again.
+    ZoneFound = 305,
     /// A target cannot be reached, or answers nothing.
     TargetLost = 400,
     /// A target answers again.
--- /dev/null
+++ b/crates/hawthorn-daemon/src/request/mod.rs
@@ -0,0 +1,9 @@
+//! What lives as long as a request.
+
+pub mod api;
+pub mod body;
+pub mod front;
+pub mod once;
+pub mod query;
+pub mod runner;
+pub mod status;
--- /dev/null
+++ b/crates/hawthorn-daemon/src/request/query.rs
@@ -0,0 +1,361 @@
+//! One query in the front: checked, admitted whole, planned, sent, merged.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use hawthorn_plan::admit;
+use hawthorn_plan::admit::FrontStage;
+use hawthorn_plan::admit::QueryAsk;
+use hawthorn_plan::admit::WaitReport;
+use hawthorn_plan::track;
+use hawthorn_plan::track::Action;
+use hawthorn_plan::track::BatchId;
+use hawthorn_plan::track::BatchSend;
+use hawthorn_plan::track::Event;
+use hawthorn_plan::track::FinishedQuery;
+use hawthorn_plan::track::PieceAnswer;
+use hawthorn_plan::track::PieceId;
+use hawthorn_plan::track::Step;
+use hawthorn_plan::track::TrackContext;
+use hawthorn_plan::track::TrackedQuery;
+use hawthorn_types::CallerAnswer;
+use hawthorn_types::CallerKey;
+use hawthorn_types::CallerOutcome;
+use hawthorn_types::HostKey;
+use hawthorn_types::KeyRange;
+use hawthorn_types::MissingReason;
+use hawthorn_types::RefusalReason;
+use hawthorn_types::RequestId;
+use hawthorn_types::RetryReason;
+use hawthorn_types::SearchQuery;
+use hawthorn_types::ServiceKey;
+use strum::IntoEnumIterator;
+use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
+
+use crate::connection::message::BatchHop;
+use crate::connection::message::BatchPiece;
+use crate::connection::message::PieceOutcome;
+use crate::connection::message::SearchBatch;
+use crate::connection::peer;
+use crate::request::front::FrontContext;
+use crate::request::front::new_request;
+use crate::version::config::ConfigInForce;
+
+/// What the metrics call this kind of request.
+const KIND: &str = "query";
+
+/// A query that passed its checks.
+struct CheckedQuery {
+    query: SearchQuery,
+    caller: CallerKey,
+    service: ServiceKey,
+    range: KeyRange,
+    deadline: Duration,
+    config: Arc<ConfigInForce>,
+}
+
+/// Answers a caller's query.
+pub async fn answer(front: &FrontContext, query: SearchQuery) -> CallerAnswer {
+    let began = front.now();
+    let checked = match check(front, query, began) {
+        Ok(checked) => checked,
+        Err((request_id, reason)) => return front.refuse(request_id, reason, None),
+    };
+    let _admitted = match admit(front, &checked, began) {
+        Ok(admitted) => admitted,
+        Err((reason, retry_after)) => {
+            return front.refuse(checked.query.request_id, reason, retry_after);
+        }
+    };
+    let request = new_request();
+    let found = search(front, &checked, request).await;
+    let took = front.now().saturating_sub(began);
+    count(front, &found, took);
+    let mut answer =
+        front.bare_answer(request, checked.query.request_id, CallerOutcome::Answer);
+    answer.index_version = found.version;
+    answer.coverage = Some(found.coverage);
+    answer.total = found.total;
+    answer.matches = found.matches;
+    answer.elapsed_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+    answer
+}
+
+fn check(
+    front: &FrontContext,
+    query: SearchQuery,
+    began: Duration,
+) -> Result<CheckedQuery, (Option<String>, RefusalReason)> {
+    let id = query.request_id.clone();
+    let refuse = |reason| (id.clone(), reason);
+    if query.request_id.as_deref().is_some_and(|id| !front.is_fit_id(id)) {
+        // An id that may not be used is not echoed either.
+        return Err((None, RefusalReason::BadRequestId));
+    }
+    let config = front.config().ok_or_else(|| refuse(RefusalReason::NoConfiguration))?;
+    let catalog = &config.catalog;
+    let caller = catalog
+        .caller_named(&query.caller)
+        .ok_or_else(|| refuse(RefusalReason::UnknownCaller))?;
+    let service = catalog
+        .service_named(&query.service)
+        .ok_or_else(|| refuse(RefusalReason::UnknownService))?;
+    if query.deadline_ms == 0 {
+        return Err(refuse(RefusalReason::DeadlinePast));
+    }
+    let range = query.range.unwrap_or(KeyRange::WHOLE);
+    let range_is_fit = !range.is_empty() && range.end <= KeyRange::WHOLE.end;
+    if !range_is_fit || query.limit > front.options.max_limit {
+        return Err(refuse(RefusalReason::BadRequest));
+    }
+    let wait = Duration::from_millis(query.deadline_ms).min(front.options.max_deadline);
+    Ok(CheckedQuery { caller, service, range, deadline: began + wait, config, query })
+}
+
+/// Gives an admitted query's place back when dropped, whatever ends it.
+struct AdmittedQuery<'a> {
+    front: &'a FrontContext,
+    caller: CallerKey,
+    began: Duration,
+}
+
+impl Drop for AdmittedQuery<'_> {
+    fn drop(&mut self) {
+        let took = self.front.now().saturating_sub(self.began);
+        let mut load = self.front.load.lock().expect("no holder of the lock panics");
+        load.finished(self.caller, took);
+    }
+}
+
+fn admit<'a>(
+    front: &'a FrontContext,
+    checked: &CheckedQuery,
+    began: Duration,
+) -> Result<AdmittedQuery<'a>, (RefusalReason, Option<Duration>)> {
+    let ready = front.fleet.status.borrow().ready;
+    let ask = QueryAsk {
+        caller: checked.caller,
+        now: began,
+        deadline: checked.deadline,
+        expected_wait: expected_wait(front, checked),
+        stage: if ready { FrontStage::Serving } else { FrontStage::Unconfigured },
+        draw: rand::random(),
+    };
+    let mut load = front.load.lock().expect("no holder of the lock panics");
+    match admit::admit(&mut load, &ask, &front.options.admit) {
+        admit::Outcome::Admitted => Ok(AdmittedQuery { front, caller: checked.caller, began }),
+        admit::Outcome::Refused { reason, retry_after } => Err((reason, retry_after)),
+    }
+}
+
+/// The longest wait among the shards asked, each at its best zone.
+fn expected_wait(front: &FrontContext, checked: &CheckedQuery) -> Duration {
+    let fleet = front.fleet_view();
+    let table =
+        front.tables.table(checked.service, &checked.config, &fleet, &front.views);
+    let now = front.now();
+    let shards = table.near(checked.range).iter();
+    let reports = shards.filter_map(|shard| {
+        let usable = shard.options.iter().filter(|option| !option.versions.is_empty());
+        let best = usable.min_by_key(|option| option.expected_wait)?;
+        let host = fleet.hosts.get(&best.owner)?;
+        let age = front.views.get(host.id)?.at.elapsed();
+        Some(WaitReport {
+            wait: best.expected_wait,
+            reported_at: now.saturating_sub(age),
+        })
+    });
+    admit::expected_wait(reports, now, &front.options.admit)
+}
+
+/// What a batch came to.
+struct BatchEnd {
+    batch: BatchId,
+    host: HostKey,
+    pieces: Option<Vec<PieceAnswer>>,
+}
+
+async fn search(
+    front: &FrontContext,
+    checked: &CheckedQuery,
+    request: RequestId,
+) -> FinishedQuery {
+    let tracked = TrackedQuery {
+        range: checked.range,
+        limit: checked.query.limit as usize,
+        deadline: checked.deadline,
+        draw: rand::random(),
+    };
+    let mut batches = FuturesUnordered::new();
+    let mut guards: Vec<(BatchId, DropGuard)> = Vec::new();
+    let mut wake = checked.deadline;
+    let mut step = with_context(front, checked, |context| {
+        track::start(tracked, context, front.options.track)
+    });
+    loop {
+        let (track, actions) = match step {
+            // Dropping the guards withdraws whatever is still open.
+            Step::Finished(found, _) => return *found,
+            Step::Waiting(track, actions) => (track, actions),
+        };
+        for action in actions {
+            match action {
+                Action::Send(send) => {
+                    let stop = CancellationToken::new();
+                    guards.push((send.batch, stop.clone().drop_guard()));
+                    batches.push(send_batch(front, checked, request, send, stop));
+                }
+                Action::Cancel { batch, .. } => guards.retain(|(known, _)| *known != batch),
+                Action::Wake(at) => wake = at,
+            }
+        }
+        let event = next_event(front, &mut batches, wake).await;
+        step = with_context(front, checked, |context| track.step(event, context));
+    }
+}
+
+async fn next_event<F>(
+    front: &FrontContext,
+    batches: &mut FuturesUnordered<F>,
+    wake: Duration,
+) -> Event
+where
+    F: Future<Output = Option<BatchEnd>>,
+{
+    let timer = tokio::time::sleep_until(front.started + wake);
+    tokio::pin!(timer);
+    loop {
+        tokio::select! {
+            Some(end) = batches.next() => match end {
+                Some(BatchEnd { batch, host, pieces: Some(pieces) }) => {
+                    return Event::BatchAnswered { batch, host, pieces };
+                }
+                Some(BatchEnd { host, .. }) => return Event::OwnerLost(host),
+                // It was cancelled; nobody waits for it.
+                None => {}
+            },
+            () = &mut timer => return Event::Timer,
+        }
+    }
+}
+
+/// Runs a step of the track with what is known now.
+fn with_context<T>(
+    front: &FrontContext,
+    checked: &CheckedQuery,
+    run: impl FnOnce(&mut TrackContext<'_>) -> T,
+) -> T {
+    let fleet = front.fleet_view();
+    let table =
+        front.tables.table(checked.service, &checked.config, &fleet, &front.views);
+    let own_zone = checked.config.catalog.zone_named(&front.zone).unwrap_or_default();
+    let mut budget = front.budget.lock().expect("no holder of the lock panics");
+    run(&mut TrackContext { now: front.now(), table: &table, own_zone, budget: &mut budget })
+}
+
+async fn send_batch(
+    front: &FrontContext,
+    checked: &CheckedQuery,
+    request: RequestId,
+    send: BatchSend,
+    stop: CancellationToken,
+) -> Option<BatchEnd> {
+    let batch = batch_of(front, checked, request, &send);
+    let asked = tokio::select! {
+        () = stop.cancelled() => return None,
+        asked = ask_owner(front, send.host, batch) => asked,
+    };
+    let pieces = asked.map(|parts| parts.into_iter().filter_map(piece_answer).collect());
+    Some(BatchEnd { batch: send.batch, host: send.host, pieces })
+}
+
+fn batch_of(
+    front: &FrontContext,
+    checked: &CheckedQuery,
+    request: RequestId,
+    send: &BatchSend,
+) -> SearchBatch {
+    let catalog = &checked.config.catalog;
+    let left = checked.deadline.saturating_sub(front.now());
+    let left = left.saturating_sub(front.options.track.answer_reserve);
+    let fleet = front.fleet_view();
+    let view = fleet.hosts.get(&send.host).map_or(0, |host| front.views.generation_of(host.id));
+    let pieces = send.pieces.iter().map(|piece| BatchPiece {
+        number: piece.piece.0,
+        shard: catalog.shard(piece.shard).name.clone(),
+        version: send.version,
+        range: piece.range,
+    });
+    SearchBatch {
+        request,
+        caller: checked.query.caller.clone(),
+        urgency: checked.query.urgency,
+        text: checked.query.text.clone(),
+        limit: checked.query.limit,
+        left_us: u64::try_from(left.as_micros()).unwrap_or(u64::MAX),
+        hop: BatchHop::Front,
+        view,
+        pieces: pieces.collect(),
+    }
+}
+
+/// Sends a batch to its owner, here or on another host; none when the owner
+/// cannot be reached.
+pub(crate) async fn ask_owner(
+    front: &FrontContext,
+    host: HostKey,
+    batch: SearchBatch,
+) -> Option<Vec<(u32, PieceOutcome)>> {
+    let fleet = front.fleet_view();
+    let record = fleet.hosts.get(&host)?;
+    let request = batch.request;
+    let answer = if host == fleet.me {
+        front.owner.search(batch).await
+    } else {
+        let client = front.links.client(record.peer).await.ok()?;
+        let context = peer::call_context(Duration::from_micros(batch.left_us));
+        client
+            .search(context, batch)
+            .await
+            .map_err(|error| front.links.judge(record.peer, error))
+            .ok()?
+    };
+    if let Some(view) = answer.view {
+        front.views.hear(record.id, view);
+    }
+    if answer.request != request {
+        front.metrics.count_dropped(1);
+        return None;
+    }
+    Some(answer.parts)
+}
+
+fn piece_answer((number, outcome): (u32, PieceOutcome)) -> Option<PieceAnswer> {
+    let outcome = match outcome {
+        PieceOutcome::Answered { version, searched, total, matches } => {
+            track::PieceOutcome::Answered { version, searched, total, matches }
+        }
+        PieceOutcome::Missing(reason) => track::PieceOutcome::Missing(reason),
+        PieceOutcome::Retired(versions) => track::PieceOutcome::VersionRetired { versions },
+        PieceOutcome::NotOwner => track::PieceOutcome::Missing(MissingReason::OwnerUnreachable),
+    };
+    Some(PieceAnswer { piece: PieceId(number), outcome })
+}
+
+fn count(front: &FrontContext, found: &FinishedQuery, took: Duration) {
+    front.metrics.count_answer(KIND, took);
+    front.metrics.count_dropped(u64::from(found.counts.late + found.counts.crossed));
+    for reason in RetryReason::iter() {
+        let retried = found.counts.retried(reason);
+        if retried > 0 {
+            front.metrics.count_retries(reason, u64::from(retried));
+        }
+    }
+    for missing in &found.coverage.missing {
+        front.metrics.count_missing(missing.reason, 1);
+    }
+}
+
--- a/crates/hawthorn-daemon/src/version/fleet.rs
+++ b/crates/hawthorn-daemon/src/version/fleet.rs
@@ -111,9 +111,10 @@
 
     /// Members that are live.
     pub fn live(&self) -> usize {
-        let live = self.hosts.values().filter(|host| {
-            host.health != MemberHealth::Dead && host.phase != MemberPhase::Left
-        });
+        let live = self
+            .hosts
+            .values()
+            .filter(|host| host.health != MemberHealth::Dead && host.phase != MemberPhase::Left);
         live.count()
     }
 }
--- a/crates/hawthorn-daemon/src/version/views.rs
+++ b/crates/hawthorn-daemon/src/version/views.rs
@@ -50,10 +50,12 @@
         }
     }
 
-    /// Forgets an owner, whose process was replaced or is gone.
-    pub fn forget(&self, owner: MemberId) {
+    /// Forgets all owners but those: their processes were replaced or are gone.
+    pub fn keep(&self, is_kept: impl Fn(MemberId) -> bool) {
         let mut state = self.views.lock().expect("no holder of the lock panics");
-        if state.views.remove(&owner).is_some() {
+        let before = state.views.len();
+        state.views.retain(|&id, _| is_kept(id));
+        if state.views.len() != before {
             state.generation += 1;
         }
     }
