--- /dev/null
+++ b/crates/hawthorn-intent/src/check/names.rs
@@ -0,0 +1,161 @@
+//! Names, assets and addresses: each claimed once, and each that is used is there.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use crate::check::CheckedFiles;
+use crate::fault::ConfigFault;
+use crate::fault::FaultKind;
+use crate::inventory::ServiceEntry;
+use crate::inventory::TargetEntry;
+use crate::inventory::shard_name;
+use crate::inventory::shard_number;
+use crate::settings::NO_ADDRESS;
+
+pub(super) fn check(files: &CheckedFiles<'_, '_>, faults: &mut Vec<ConfigFault>) {
+    faults.extend(duplicates(files));
+    let zones: HashSet<&str> = files.inventory.zones.iter().map(|zone| &*zone.name).collect();
+    let services: HashMap<&str, &ServiceEntry> =
+        files.inventory.services.iter().map(|service| (&*service.name, service)).collect();
+    for (index, target) in files.inventory.targets.iter().enumerate() {
+        if !target.zone.is_empty() && !zones.contains(&*target.zone) {
+            let expected = one_of("zone", files.inventory.zones.iter().map(|zone| &*zone.name));
+            let path = format!("target[{index}].zone");
+            faults.push(dangling(files, path, &target.zone, expected));
+        }
+        match services.get(&*target.service) {
+            Some(service) => check_shards(files, index, target, service, faults),
+            None if target.service.is_empty() => {}
+            None => {
+                let names = files.inventory.services.iter().map(|service| &*service.name);
+                let path = format!("target[{index}].service");
+                faults.push(dangling(files, path, &target.service, one_of("service", names)));
+            }
+        }
+    }
+}
+
+fn check_shards(
+    files: &CheckedFiles<'_, '_>,
+    index: usize,
+    target: &TargetEntry,
+    service: &ServiceEntry,
+    faults: &mut Vec<ConfigFault>,
+) {
+    let mut held = HashSet::new();
+    for (position, shard) in target.shards.iter().enumerate() {
+        let path = format!("target[{index}].shards[{position}]");
+        if shard_number(service, shard).is_none() {
+            let first = shard_name(&service.name, 0, service.shards);
+            let last = shard_name(&service.name, service.shards.saturating_sub(1), service.shards);
+            faults.push(dangling(files, path, &shard.0, format!("{first} to {last}")));
+        } else if !held.insert(shard) {
+            let expected = "each shard once".to_owned();
+            let found = format!("{:?} again", shard.0);
+            faults.push(files.in_inventory(path, FaultKind::Duplicate, found, expected));
+        }
+    }
+}
+
+fn dangling(
+    files: &CheckedFiles<'_, '_>,
+    path: String,
+    name: &str,
+    expected: String,
+) -> ConfigFault {
+    files.in_inventory(path, FaultKind::DanglingName, format!("{name:?}"), expected)
+}
+
+/// Most names that a message lists.
+const LISTED_NAMES: usize = 8;
+
+/// What a name of `kind` may be, for messages.
+pub(super) fn one_of<'n>(kind: &str, names: impl ExactSizeIterator<Item = &'n str>) -> String {
+    if names.len() > LISTED_NAMES {
+        return format!("one of the {} {kind}s of the inventory", names.len());
+    }
+    let names: Vec<&str> = names.collect();
+    format!("a {kind} of the inventory: {}", names.join(", "))
+}
+
+/// Where a value that must be unique was first seen.
+#[derive(Default)]
+struct FirstPaths {
+    paths: HashMap<String, String>,
+}
+
+impl FirstPaths {
+    /// The path that claimed `value` before, if any.
+    fn claim(&mut self, value: &str, path: &str) -> Option<&str> {
+        if value.is_empty() {
+            return None;
+        }
+        if self.paths.contains_key(value) {
+            return self.paths.get(value).map(String::as_str);
+        }
+        self.paths.insert(value.to_owned(), path.to_owned());
+        None
+    }
+}
+
+/// One value that must be unique among the entries of its list.
+struct UniqueValue {
+    list: &'static str,
+    index: usize,
+    key: &'static str,
+    value: String,
+}
+
+impl UniqueValue {
+    fn new(list: &'static str, index: usize, key: &'static str, value: &str) -> Self {
+        Self { list, index, key, value: value.to_owned() }
+    }
+}
+
+fn duplicates(files: &CheckedFiles<'_, '_>) -> Vec<ConfigFault> {
+    let mut faults = Vec::new();
+    let mut seen: HashMap<(&str, &str), FirstPaths> = HashMap::new();
+    for unique in inventory_values(files).into_iter().chain(rule_values(files)) {
+        let path = format!("{}[{}].{}", unique.list, unique.index, unique.key);
+        let firsts = seen.entry((unique.list, unique.key)).or_default();
+        let Some(first) = firsts.claim(&unique.value, &path) else { continue };
+        let found = format!("{:?}, as at {first}", unique.value);
+        let expected = format!("another {} for each {}", unique.key, unique.list);
+        let in_rules = matches!(unique.list, "caller" | "rule");
+        let source = if in_rules { files.rules_source } else { files.inventory_source };
+        faults.push(source.fault(path, FaultKind::Duplicate, found, expected));
+    }
+    faults
+}
+
+fn inventory_values(files: &CheckedFiles<'_, '_>) -> Vec<UniqueValue> {
+    let mut values = Vec::new();
+    for (index, zone) in files.inventory.zones.iter().enumerate() {
+        values.push(UniqueValue::new("zone", index, "name", &zone.name));
+    }
+    for (index, service) in files.inventory.services.iter().enumerate() {
+        values.push(UniqueValue::new("service", index, "name", &service.name));
+    }
+    for (index, target) in files.inventory.targets.iter().enumerate() {
+        values.push(UniqueValue::new("target", index, "name", &target.name));
+        values.push(UniqueValue::new("target", index, "asset", &target.asset));
+        // Two targets at one address: the tier would count one server's slots
+        // twice, and each would answer `GET /state` with the other's name.
+        if target.address != NO_ADDRESS {
+            let address = target.address.to_string();
+            values.push(UniqueValue::new("target", index, "address", &address));
+        }
+    }
+    values
+}
+
+fn rule_values(files: &CheckedFiles<'_, '_>) -> Vec<UniqueValue> {
+    let mut values = Vec::new();
+    for (index, caller) in files.rules.callers.iter().enumerate() {
+        values.push(UniqueValue::new("caller", index, "name", &caller.name));
+    }
+    for (index, rule) in files.rules.rules.iter().enumerate() {
+        values.push(UniqueValue::new("rule", index, "name", &rule.name));
+    }
+    values
+}
--- /dev/null
+++ b/crates/hawthorn-intent/src/check/placing.rs
@@ -0,0 +1,105 @@
+//! Each shard keeps a target that serves it, and better two zones that do.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use hawthorn_types::ShardName;
+use hawthorn_types::WantedState;
+use smallvec::SmallVec;
+
+use crate::check::CheckedFiles;
+use crate::fault::ConfigFault;
+use crate::fault::FaultKind;
+use crate::inventory::ServiceEntry;
+use crate::inventory::shard_name;
+use crate::wanted::WantedCause;
+
+/// Positions of the targets that hold each shard.
+type ShardHolders<'c> = HashMap<&'c ShardName, SmallVec<[usize; 4]>>;
+
+/// Load: operators switch hardware off to save money. Harm prevented: a rule
+/// that leaves a shard with no target on makes every answer incomplete, and a
+/// conflict check that misses one shard may hide an overlapping claim. Such a
+/// configuration is refused before it comes into force.
+pub(super) fn check(files: &CheckedFiles<'_, '_>, faults: &mut Vec<ConfigFault>) {
+    let mut holders: ShardHolders<'_> = HashMap::new();
+    for (index, target) in files.inventory.targets.iter().enumerate() {
+        for shard in &target.shards {
+            holders.entry(shard).or_default().push(index);
+        }
+    }
+    for (index, service) in files.inventory.services.iter().enumerate() {
+        check_service(files, index, service, &holders, faults);
+    }
+}
+
+fn check_service(
+    files: &CheckedFiles<'_, '_>,
+    index: usize,
+    service: &ServiceEntry,
+    holders: &ShardHolders<'_>,
+    faults: &mut Vec<ConfigFault>,
+) {
+    let mut unheld = Vec::new();
+    let mut one_zone = Vec::new();
+    let mut switched_off: BTreeMap<String, Vec<ShardName>> = BTreeMap::new();
+    for number in 0..service.shards {
+        let shard = shard_name(&service.name, number, service.shards);
+        let Some(holding) = holders.get(&shard) else {
+            unheld.push(shard);
+            continue;
+        };
+        let mut zones: SmallVec<[&str; 4]> = serving_zones(files, holding);
+        zones.sort_unstable();
+        zones.dedup();
+        match zones.len() {
+            0 => switched_off.entry(cause_path(files, holding[0])).or_default().push(shard),
+            1 => one_zone.push(shard),
+            _ => {}
+        }
+    }
+    let path = format!("service[{index}].shards");
+    if !unheld.is_empty() {
+        let found = format!("no target for {}", listed(&unheld));
+        let expected = "each shard in the shards of a target".to_owned();
+        let kind = FaultKind::NoServingReplica;
+        faults.push(files.in_inventory(path.clone(), kind, found, expected));
+    }
+    if !one_zone.is_empty() && files.inventory.zones.len() > 1 {
+        let found = format!("targets in one zone only for {}", listed(&one_zone));
+        let expected = "targets that serve in two zones or more".to_owned();
+        faults.push(files.in_inventory(path, FaultKind::OneZone, found, expected));
+    }
+    for (path, shards) in switched_off {
+        let found = format!("no target that serves for {}", listed(&shards));
+        let expected = "at least one target that serves for each shard".to_owned();
+        let in_rules = path.starts_with("rule");
+        let source = if in_rules { files.rules_source } else { files.inventory_source };
+        faults.push(source.fault(path, FaultKind::NoServingReplica, found, expected));
+    }
+}
+
+fn serving_zones<'c>(files: &CheckedFiles<'c, '_>, holding: &[usize]) -> SmallVec<[&'c str; 4]> {
+    let serves = |index: &&usize| files.decisions[**index].state == WantedState::Serve;
+    holding.iter().filter(serves).map(|&index| &*files.inventory.targets[index].zone).collect()
+}
+
+/// The key that took the target out of service.
+fn cause_path(files: &CheckedFiles<'_, '_>, target: usize) -> String {
+    match files.decisions[target].cause {
+        WantedCause::Rule(rule) | WantedCause::KeptReplica(rule) => format!("rule[{rule}].wanted"),
+        WantedCause::SpareDefault | WantedCause::ServeDefault => format!("target[{target}].spare"),
+    }
+}
+
+/// Most shards that a message names.
+const LISTED_SHARDS: usize = 4;
+
+fn listed(shards: &[ShardName]) -> String {
+    let names: Vec<&str> = shards.iter().take(LISTED_SHARDS).map(|shard| &*shard.0).collect();
+    let names = names.join(", ");
+    match shards.len().checked_sub(LISTED_SHARDS) {
+        Some(more) if more > 0 => format!("{names} and {more} more"),
+        _ => names,
+    }
+}
--- a/crates/hawthorn-intent/src/fault.rs
+++ b/crates/hawthorn-intent/src/fault.rs
@@ -81,6 +81,8 @@
     NoServingReplica,
     /// A rule matches no target.
     NeverMatches,
+    /// Other rules decide every target that a rule matches.
+    NeverDecides,
     /// All targets that serve a shard are in one zone.
     OneZone,
     /// A caller would be ahead of another although all are to be equal.
@@ -102,7 +104,7 @@
     /// Whether a fault of this kind stops the configuration from being accepted.
     pub fn severity(self) -> FaultSeverity {
         match self {
-            Self::NeverMatches | Self::OneZone => FaultSeverity::Warning,
+            Self::NeverMatches | Self::NeverDecides | Self::OneZone => FaultSeverity::Warning,
             _ => FaultSeverity::Error,
         }
     }
--- a/crates/hawthorn-intent/src/inventory.rs
+++ b/crates/hawthorn-intent/src/inventory.rs
@@ -211,10 +211,14 @@
     c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.')
 }
 
+/// Whether `name` can be a name.
+pub(crate) fn is_name(name: &str) -> bool {
+    !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.chars().all(is_name_char)
+}
+
 /// Notes a fault when `name` at `key` can't be a name; an absent one was noted before.
 pub(crate) fn check_name(reader: &mut TableReader<'_, '_>, key: &str, name: &str) {
-    let good = !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.chars().all(is_name_char);
-    if !good && reader.has_text(key) {
+    if !is_name(name) && reader.has_text(key) {
         let expected = format!("1 to {MAX_NAME_BYTES} of a-z, A-Z, 0-9, -, _ and .");
         reader.reject(key, FaultKind::BadName, format!("{name:?}"), expected);
     }
--- /dev/null
+++ b/crates/hawthorn-intent/src/reconcile.rs
@@ -0,0 +1,378 @@
+//! What to tell targets so that the fleet comes to match the intent.
+//!
+//! One round looks at every target that this host owns, compares what is
+//! wanted with what is seen, and gives out orders (`POST /intent`). A target
+//! on its way out goes on serving until another one is ready for each of its
+//! shards, then drains, and is switched off once nothing runs on it.
+//!
+//! Orders are idempotent: a lost one is given again, two hosts that both
+//! believe they own a target give the same one under one revision.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Duration;
+
+use hawthorn_types::ConfigRevision;
+use hawthorn_types::ShardKey;
+use hawthorn_types::TargetKey;
+use hawthorn_types::TargetPhase;
+use hawthorn_types::WantedState;
+use serde::Serialize;
+use strum::Display;
+
+use crate::catalog::FleetCatalog;
+use crate::catalog::TargetRecord;
+
+/// What is known of one target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SeenTarget {
+    /// The target.
+    pub target: TargetKey,
+    /// The phase it last reported; `None` when it can't be reached.
+    pub phase: Option<TargetPhase>,
+    /// Requests that this host has at the target. Known exactly, unlike what
+    /// the target reports.
+    pub in_flight: u32,
+    /// Whether this host owns the target. Another host's target is looked at
+    /// for coverage only, never told anything.
+    pub owned: bool,
+}
+
+/// Limits of one round.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Most orders given in one round.
+    ///
+    /// Load: one edit changes the intent of a whole zone. Harm prevented: all
+    /// its targets connect, load and drain in one moment. At a round a second
+    /// 16 orders reach the 40 targets of a service of today in three rounds.
+    pub orders_per_round: usize,
+    /// The same order is given again after so long without effect: targets
+    /// report late, so a shorter time only repeats what was heard.
+    pub retry_after: Duration,
+    /// How long a target drains before it may be switched off, at least: other
+    /// hosts that owned it a moment ago stop within this time.
+    pub drain_time: Duration,
+    /// No target leaves service until a revision has been in force here for so
+    /// long.
+    ///
+    /// Failure guarded against: two hosts are at neighbouring revisions, each
+    /// sees the one target ready that its own revision wants and drains the
+    /// other's, and the shard is left with none. Revisions spread within a
+    /// second or so; after twice that the hosts that can be reached agree.
+    pub settle_time: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            orders_per_round: 16,
+            retry_after: Duration::from_secs(5),
+            drain_time: Duration::from_secs(3),
+            settle_time: Duration::from_secs(2),
+        }
+    }
+}
+
+/// One order to give: `POST /intent` to the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct IntentOrder {
+    /// The target.
+    pub target: TargetKey,
+    /// What to tell it, which is not always what is wanted in the end: a
+    /// target drains before it is switched off.
+    pub tell: WantedState,
+}
+
+/// Why a target that differs from the intent is not simply told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Display)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum DriftCause {
+    /// The order goes out in this round.
+    Told,
+    /// The order was given and has had no effect yet.
+    Waiting,
+    /// Loading, on its way to serving or standing by.
+    Warming,
+    /// Goes on serving until another target is ready for one of its shards.
+    HeldForShard,
+    /// Goes on serving until the revision has been in force for a moment.
+    Settling,
+    /// Still has requests, or drains for too short a time, to be switched off.
+    Draining,
+    /// The round has given all the orders it may.
+    RateLimited,
+    /// Can't be reached, so it can't be told or seen to change.
+    Unreachable,
+}
+
+/// One target that is not in the state wanted of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DriftRecord {
+    /// The target.
+    pub target: TargetKey,
+    /// What is wanted.
+    pub wanted: WantedState,
+    /// What is seen; `None` when it can't be reached.
+    pub seen: Option<TargetPhase>,
+    /// When the difference was first seen, on the clock given to the rounds.
+    pub since: Duration,
+    /// Why it lasts.
+    pub cause: DriftCause,
+    /// The shard that it is held for.
+    pub held_for: Option<ShardKey>,
+}
+
+/// What one round gave.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Outcome {
+    /// Orders to give, the ones that add to coverage first.
+    pub orders: Vec<IntentOrder>,
+    /// Every owned target that is not as wanted. A target that is wanted off
+    /// and can't be reached is as wanted.
+    pub drift: Vec<DriftRecord>,
+}
+
+impl Outcome {
+    /// Targets that still take new work although another state is wanted: they
+    /// are ready and were not told to leave yet.
+    pub fn held(&self) -> impl Iterator<Item = TargetKey> {
+        let held = self.drift.iter().filter(|drift| drift.is_held());
+        held.map(|drift| drift.target)
+    }
+}
+
+impl DriftRecord {
+    fn is_held(&self) -> bool {
+        let untold = matches!(
+            self.cause,
+            DriftCause::HeldForShard | DriftCause::Settling | DriftCause::RateLimited
+        );
+        self.wanted != WantedState::Serve && untold && self.seen == Some(TargetPhase::Ready)
+    }
+}
+
+/// What is remembered of a target between rounds.
+#[derive(Clone, Copy, Debug, Default)]
+struct TargetMemory {
+    told: Option<(WantedState, Duration)>,
+    drift: Option<(WantedState, Duration)>,
+    draining_since: Option<Duration>,
+}
+
+/// Remembers orders and drift by target name, as keys change with the revision.
+/// Losing it, as when a host is replaced, only repeats orders.
+#[derive(Clone, Debug, Default)]
+pub struct ReconcileMemory {
+    targets: HashMap<String, TargetMemory>,
+    revision: Option<(ConfigRevision, Duration)>,
+}
+
+/// Runs one round at `now`, which is time since any fixed moment.
+///
+/// A target that `seen` doesn't mention counts as not ready.
+pub fn reconcile(
+    catalog: &FleetCatalog,
+    seen: &[SeenTarget],
+    memory: &mut ReconcileMemory,
+    now: Duration,
+    options: &Options,
+) -> Outcome {
+    let in_force_since = memory.enter(catalog, seen, now);
+    let mut round = Round {
+        catalog,
+        now,
+        options,
+        is_settled: now.saturating_sub(in_force_since) >= options.settle_time,
+        covered: covered_shards(catalog, seen),
+        outcome: Outcome::default(),
+    };
+    let mut owned: Vec<&SeenTarget> = seen.iter().filter(|seen| seen.owned).collect();
+    owned.sort_by_cached_key(|seen| {
+        let record = catalog.target(seen.target);
+        (memory.told_at(&record.name), record.wanted(), seen.target)
+    });
+    for seen in owned {
+        let name = &catalog.target(seen.target).name;
+        let target_memory = memory.targets.entry(name.clone()).or_default();
+        round.visit(seen, target_memory);
+    }
+    round.outcome
+}
+
+impl ReconcileMemory {
+    /// Forgets targets that this host no longer owns; says since when the
+    /// catalog's revision is in force here.
+    fn enter(&mut self, catalog: &FleetCatalog, seen: &[SeenTarget], now: Duration) -> Duration {
+        let owned = seen.iter().filter(|seen| seen.owned);
+        let names: HashSet<&str> = owned.map(|seen| &*catalog.target(seen.target).name).collect();
+        self.targets.retain(|name, _| names.contains(&**name));
+        let known = self.revision.filter(|(revision, _)| *revision == catalog.revision());
+        let (_, since) = *self.revision.insert(known.unwrap_or((catalog.revision(), now)));
+        since
+    }
+
+    /// When a target was last told anything. Targets are visited in this order,
+    /// never told ones first, so that orders repeated to targets that are down
+    /// don't use up the round for the rest.
+    fn told_at(&self, name: &str) -> Option<Duration> {
+        self.targets.get(name)?.told.map(|(_, at)| at)
+    }
+}
+
+/// Shards with a target that is ready and wanted to serve.
+///
+/// One that is ready but on its way out doesn't count: two targets that leave
+/// together, perhaps told by two hosts, would each be let go for the other's
+/// sake.
+fn covered_shards(catalog: &FleetCatalog, seen: &[SeenTarget]) -> HashSet<ShardKey> {
+    let ready = seen.iter().filter(|seen| seen.phase == Some(TargetPhase::Ready));
+    let records = ready.map(|seen| catalog.target(seen.target));
+    let serving = records.filter(|record| record.wanted() == WantedState::Serve);
+    serving.flat_map(|record| record.shards.iter().copied()).collect()
+}
+
+/// One round in work.
+struct Round<'c> {
+    catalog: &'c FleetCatalog,
+    now: Duration,
+    options: &'c Options,
+    is_settled: bool,
+    covered: HashSet<ShardKey>,
+    outcome: Outcome,
+}
+
+/// What is to be done about one target.
+enum TargetStep {
+    /// It is as wanted.
+    Settled,
+    /// Tell it.
+    Tell(WantedState),
+    /// Nothing can or need be told now.
+    Wait(DriftCause),
+    /// It goes on serving for a shard.
+    Hold(ShardKey),
+}
+
+impl Round<'_> {
+    fn visit(&mut self, seen: &SeenTarget, memory: &mut TargetMemory) {
+        let record = self.catalog.target(seen.target);
+        memory.note_phase(seen.phase, self.now);
+        let step = self.step(record, seen, memory);
+        let (cause, held_for) = match step {
+            TargetStep::Settled => {
+                memory.drift = None;
+                memory.told = None;
+                return;
+            }
+            TargetStep::Tell(state) => (self.tell(seen, state, memory), None),
+            TargetStep::Wait(cause) => (cause, None),
+            TargetStep::Hold(shard) => (DriftCause::HeldForShard, Some(shard)),
+        };
+        let wanted = record.wanted();
+        let since = memory.drift_since(wanted, self.now);
+        let (target, seen) = (seen.target, seen.phase);
+        self.outcome.drift.push(DriftRecord { target, wanted, seen, since, cause, held_for });
+    }
+
+    fn step(&self, record: &TargetRecord, seen: &SeenTarget, memory: &TargetMemory) -> TargetStep {
+        use TargetPhase::Cold;
+        use TargetPhase::Draining;
+        use TargetPhase::Ready;
+        use TargetPhase::Standby;
+        match (record.wanted(), seen.phase) {
+            (WantedState::Serve, Some(Ready))
+            | (WantedState::Standby, Some(Standby))
+            | (WantedState::Drain, Some(Draining) | None)
+            | (WantedState::Off, None) => TargetStep::Settled,
+            (WantedState::Serve, Some(Cold)) if memory.was_told(WantedState::Serve) => {
+                TargetStep::Wait(DriftCause::Warming)
+            }
+            (WantedState::Standby, Some(Cold)) if memory.was_told(WantedState::Standby) => {
+                TargetStep::Wait(DriftCause::Warming)
+            }
+            (WantedState::Standby | WantedState::Drain, Some(Ready)) => {
+                self.leave(record, record.wanted())
+            }
+            (WantedState::Serve | WantedState::Standby, _) => TargetStep::Tell(record.wanted()),
+            (WantedState::Drain, Some(Cold | Standby)) => TargetStep::Tell(WantedState::Drain),
+            (WantedState::Off, Some(Ready)) => self.leave(record, WantedState::Drain),
+            (WantedState::Off, Some(Draining)) => self.switch_off(seen, memory),
+            (WantedState::Off, Some(Cold | Standby)) if seen.in_flight > 0 => {
+                TargetStep::Tell(WantedState::Drain)
+            }
+            (WantedState::Off, Some(Cold | Standby)) => TargetStep::Tell(WantedState::Off),
+        }
+    }
+
+    /// Takes a ready target out of service once another is ready for each shard.
+    ///
+    /// Load: one edit turns a new target on and the old one off, and the new
+    /// one loads for its cold start. Harm prevented: in between the shard has
+    /// no target and every answer has a hole. The hold has no end in time: a
+    /// hole in a conflict check is worse than a target that stays on, and the
+    /// drift record shows it with the shard.
+    fn leave(&self, record: &TargetRecord, state: WantedState) -> TargetStep {
+        let uncovered = record.shards.iter().find(|shard| !self.covered.contains(shard));
+        match uncovered {
+            Some(&shard) => TargetStep::Hold(shard),
+            None if !self.is_settled => TargetStep::Wait(DriftCause::Settling),
+            None => TargetStep::Tell(state),
+        }
+    }
+
+    /// Switches a draining target off when nothing runs on it any more.
+    ///
+    /// Failure guarded against: a target switched off with a request on it,
+    /// which shows as a cut connection and, for a non-idempotent request, as an
+    /// unknown outcome. What the target reports lags, so this host's own count
+    /// decides, and the drain time covers hosts that owned it a moment ago.
+    fn switch_off(&self, seen: &SeenTarget, memory: &TargetMemory) -> TargetStep {
+        let drained_for =
+            memory.draining_since.map_or(Duration::ZERO, |since| self.now.saturating_sub(since));
+        if seen.in_flight > 0 || drained_for < self.options.drain_time {
+            return TargetStep::Wait(DriftCause::Draining);
+        }
+        TargetStep::Tell(WantedState::Off)
+    }
+
+    fn tell(
+        &mut self,
+        seen: &SeenTarget,
+        state: WantedState,
+        memory: &mut TargetMemory,
+    ) -> DriftCause {
+        if memory.told_within(state, self.now, self.options.retry_after) {
+            let unreachable = seen.phase.is_none();
+            return if unreachable { DriftCause::Unreachable } else { DriftCause::Waiting };
+        }
+        if self.outcome.orders.len() >= self.options.orders_per_round {
+            return DriftCause::RateLimited;
+        }
+        memory.told = Some((state, self.now));
+        self.outcome.orders.push(IntentOrder { target: seen.target, tell: state });
+        DriftCause::Told
+    }
+}
+
+impl TargetMemory {
+    fn was_told(&self, state: WantedState) -> bool {
+        self.told.is_some_and(|(told, _)| told == state)
+    }
+
+    fn told_within(&self, state: WantedState, now: Duration, time: Duration) -> bool {
+        self.told.is_some_and(|(told, at)| told == state && now.saturating_sub(at) < time)
+    }
+
+    fn note_phase(&mut self, phase: Option<TargetPhase>, now: Duration) {
+        let draining = phase == Some(TargetPhase::Draining);
+        self.draining_since = draining.then(|| self.draining_since.unwrap_or(now));
+    }
+
+    fn drift_since(&mut self, wanted: WantedState, now: Duration) -> Duration {
+        let since = self.drift.filter(|(state, _)| *state == wanted).map_or(now, |(_, at)| at);
+        self.drift = Some((wanted, since));
+        since
+    }
+}
