--- a/crates/hawthorn-intent/src/fault.rs
+++ b/crates/hawthorn-intent/src/fault.rs
@@ -69,6 +69,8 @@
     WrongUnit,
     /// The value is outside its limits.
     OutOfRange,
+    /// A word that is not one of those allowed.
+    UnknownWord,
     /// A name is empty or has characters that names may not have.
     BadName,
     /// An address is not a usable `IP:PORT`.
--- a/crates/hawthorn-intent/src/field.rs
+++ b/crates/hawthorn-intent/src/field.rs
@@ -125,7 +125,7 @@
     const EXPECTED: &'static str = "serve, standby, drain or off";
 
     fn read(value: &DeValue<'_>) -> Result<Self, FaultKind> {
-        text(value)?.parse().map_err(|_| FaultKind::OutOfRange)
+        text(value)?.parse().map_err(|_| FaultKind::UnknownWord)
     }
 
     fn show(&self) -> String {
@@ -137,7 +137,7 @@
     const EXPECTED: &'static str = "urgent or normal";
 
     fn read(value: &DeValue<'_>) -> Result<Self, FaultKind> {
-        text(value)?.parse().map_err(|_| FaultKind::OutOfRange)
+        text(value)?.parse().map_err(|_| FaultKind::UnknownWord)
     }
 
     fn show(&self) -> String {
