--- a/crates/hawthorn-intent/src/fault.rs
+++ b/crates/hawthorn-intent/src/fault.rs
@@ -69,6 +69,8 @@
     WrongUnit,
     /// The value is outside its limits.
     OutOfRange,
+    /// A word that is not one of those allowed.
+    UnknownWord,
     /// A name is empty or has characters that names may not have.
     BadName,
     /// An address is not a usable `IP:PORT`.
@@ -81,6 +83,8 @@
     NoServingReplica,
     /// A rule matches no target.
     NeverMatches,
+    /// Other rules decide every target that a rule matches.
+    NeverDecides,
     /// All targets that serve a shard are in one zone.
     OneZone,
     /// A caller would be ahead of another although all are to be equal.
@@ -102,7 +106,7 @@
     /// Whether a fault of this kind stops the configuration from being accepted.
     pub fn severity(self) -> FaultSeverity {
         match self {
-            Self::NeverMatches | Self::OneZone => FaultSeverity::Warning,
+            Self::NeverMatches | Self::NeverDecides | Self::OneZone => FaultSeverity::Warning,
             _ => FaultSeverity::Error,
         }
     }
