--- a/crates/hawthorn-daemon/src/owner/batch.rs
+++ b/crates/hawthorn-daemon/src/owner/batch.rs
@@ -4,6 +4,7 @@
 
 use hawthorn_decide::message::PieceKey;
 use hawthorn_decide::time::TickTime;
+use hawthorn_store::claim::ClaimGrant;
 use hawthorn_types::IndexVersion;
 use hawthorn_types::KeyRange;
 use hawthorn_types::ShardName;
@@ -30,6 +31,8 @@
 pub(crate) struct OpenRun {
     pub(crate) batch: OnceBatch,
     pub(crate) request: String,
+    /// Spent when the request is sent.
+    pub(crate) grant: Option<ClaimGrant>,
     pub(crate) reply: oneshot::Sender<OnceOutcome>,
 }
 
@@ -39,6 +42,16 @@
     Run(OpenRun),
 }
 
+impl OpenBatch {
+    /// The request id as targets get it.
+    pub(crate) fn request(&self) -> &str {
+        match self {
+            Self::Search(search) => &search.request,
+            Self::Run(run) => &run.request,
+        }
+    }
+}
+
 /// One piece in the decisions' hands.
 pub(crate) struct OpenPiece {
     pub(crate) batch: BatchKey,
--- a/crates/hawthorn-daemon/src/owner/duty.rs
+++ b/crates/hawthorn-daemon/src/owner/duty.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use hawthorn_decide::counter::OwnerCounters;
 use hawthorn_decide::message::AttemptResult;
 use hawthorn_decide::message::HeldShard;
@@ -20,6 +21,7 @@
 use hawthorn_decide::shift::Phase;
 use hawthorn_decide::time::TickTime;
 use hawthorn_fleet::SlotShare;
+use hawthorn_store::claim::ClaimGrant;
 use hawthorn_types::AttemptId;
 use hawthorn_types::CallerKey;
 use hawthorn_types::FailureReason;
@@ -69,6 +71,7 @@
 use crate::connection::pool;
 use crate::connection::pool::TargetPool;
 use crate::process::events::LogEvent;
+use crate::request::runner::unix_now;
 use crate::version::config::ConfigInForce;
 use crate::version::owned::OwnedGroups;
 
@@ -102,6 +105,8 @@
     pub config: watch::Receiver<Option<Arc<ConfigInForce>>>,
     /// The groups owned.
     pub owned: watch::Receiver<Arc<OwnedGroups>>,
+    /// Where to tell the buckets whose requests still run here.
+    pub busy: watch::Sender<Arc<HashSet<u16>>>,
 }
 
 /// Starts the duty on the current runtime, which its thread runs alone.
@@ -113,8 +118,7 @@
     let (commands, receiver) = mpsc::channel(options.ring);
     let (view_sender, view) = watch::channel(Arc::default());
     let (gauge_sender, gauges) = watch::channel(OwnerGauges::default());
-    let (busy_sender, busy) = watch::channel(Arc::default());
-    let handle = OwnerHandle { commands, view, gauges, busy, next_batch: Arc::default() };
+    let handle = OwnerHandle { commands, view, gauges, next_batch: Arc::default() };
     let duty = async move {
         let (ends, ended) = mpsc::channel(options.ring);
         OwnerDuty {
@@ -132,7 +136,7 @@
             ends,
             view: view_sender,
             gauges: gauge_sender,
-            busy: busy_sender,
+            busy: inputs.busy.clone(),
             buckets: HashMap::new(),
         }
         .run(receiver, ended, inputs, stop)
@@ -296,7 +300,9 @@
     fn take_command(&mut self, command: OwnerCommand) {
         match command {
             OwnerCommand::Search { key, batch, reply } => self.take_search(key, batch, reply),
-            OwnerCommand::Run { key, batch, reply } => self.take_run(key, batch, reply),
+            OwnerCommand::Run { key, batch, grant, reply } => {
+                self.take_run(key, batch, grant, reply);
+            }
             OwnerCommand::Withdraw(key) => {
                 let now = self.now();
                 for piece in self.table.withdraw(key) {
@@ -368,7 +374,13 @@
         }
     }
 
-    fn take_run(&mut self, key: BatchKey, batch: OnceBatch, reply: oneshot::Sender<OnceOutcome>) {
+    fn take_run(
+        &mut self,
+        key: BatchKey,
+        batch: OnceBatch,
+        grant: ClaimGrant,
+        reply: oneshot::Sender<OnceOutcome>,
+    ) {
         let now = self.now();
         let deadline = now.after(Duration::from_micros(batch.left_us));
         let caller = CallerKey(self.caller_names.intern(&batch.caller));
@@ -386,7 +398,8 @@
             deadline,
         });
         let request = batch.request.to_string();
-        self.table.batches.insert(key, OpenBatch::Run(OpenRun { batch, request, reply }));
+        let open = OpenRun { batch, request, grant: Some(grant), reply };
+        self.table.batches.insert(key, OpenBatch::Run(open));
         let queued = QueuedPiece {
             piece,
             caller,
@@ -505,23 +518,39 @@
         }
     }
 
-    fn send(&mut self, attempt: AttemptId, piece: PieceKey, target: TargetKey, deadline: TickTime) {
-        let Some(owned) = self.targets.get(&target) else {
-            let failed = AttemptResult::ConnectionFailed { sent: false };
+    fn send(
+        &mut self,
+        attempt: AttemptId,
+        piece: PieceKey,
+        target: TargetKey,
+        deadline: TickTime,
+    ) {
+        if !self.try_send(attempt, piece, target, deadline) {
             let now = self.now();
-            return self.state.complete(now, attempt, failed);
-        };
+            let unsent = AttemptResult::ConnectionFailed { sent: false };
+            self.state.complete(now, attempt, unsent);
+        }
+    }
+
+    /// Starts the attempt; false when nothing was sent and nothing will be.
+    fn try_send(
+        &mut self,
+        attempt: AttemptId,
+        piece: PieceKey,
+        target: TargetKey,
+        deadline: TickTime,
+    ) -> bool {
+        let left = self.left(deadline);
+        let Some(owned) = self.targets.get(&target) else { return false };
+        let Some(open) = self.table.pieces.get(&piece) else { return false };
+        let Some(batch) = self.table.batches.get_mut(&open.batch) else { return false };
+        let deadline_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1);
+        let request = batch.request().to_owned();
         let pool = Arc::clone(&owned.pool);
-        let Some(open) = self.table.pieces.get(&piece) else {
-            let now = self.now();
-            return self.state.complete(now, attempt, AttemptResult::Cancelled);
-        };
-        let deadline_ms = u64::try_from(self.left(deadline).as_millis()).unwrap_or(u64::MAX).max(1);
-        let ends = self.ends.clone();
-        let (request, task) = match self.table.batches.get(&open.batch) {
-            Some(OpenBatch::Search(search)) => {
+        let exchange = match batch {
+            OpenBatch::Search(search) => {
                 let ask = ShardSearch {
-                    request: search.request.clone(),
+                    request: request.clone(),
                     attempt: attempt.0,
                     shard: open.shard.clone(),
                     version: open.version,
@@ -530,15 +559,13 @@
                     limit: search.batch.limit,
                     deadline_ms,
                 };
-                let task = tokio::spawn(async move {
-                    let end = attempt::search(pool, ask).await;
-                    let _stopped = ends.send(TaskEnd::Attempt(end)).await;
-                });
-                (search.request.clone(), task)
+                attempt::search(pool, ask).boxed()
             }
-            Some(OpenBatch::Run(run)) => {
+            OpenBatch::Run(run) => {
+                let Some(grant) = run.grant.take() else { return false };
+                let Ok(_permit) = grant.dispatch(Instant::now(), unix_now()) else { return false };
                 let ask = TargetRun {
-                    request: run.request.clone(),
+                    request: request.clone(),
                     attempt: attempt.0,
                     caller: run.batch.caller.clone(),
                     caller_request: run.batch.caller_request.clone(),
@@ -546,19 +573,17 @@
                     body: run.batch.body.clone(),
                     deadline_ms,
                 };
-                let task = tokio::spawn(async move {
-                    let end = attempt::run(pool, ask).await;
-                    let _stopped = ends.send(TaskEnd::Attempt(end)).await;
-                });
-                (run.request.clone(), task)
-            }
-            None => {
-                let now = self.now();
-                return self.state.complete(now, attempt, AttemptResult::Cancelled);
+                attempt::run(pool, ask).boxed()
             }
         };
+        let ends = self.ends.clone();
+        let task = tokio::spawn(async move {
+            let end = exchange.await;
+            let _stopped = ends.send(TaskEnd::Attempt(end)).await;
+        });
         let open = OpenAttempt { request, piece, target, task: task.abort_handle() };
         self.attempts.insert(attempt, open);
+        true
     }
 
     fn cancel(&mut self, attempt: AttemptId, target: TargetKey) {
--- a/crates/hawthorn-daemon/src/owner/mod.rs
+++ b/crates/hawthorn-daemon/src/owner/mod.rs
@@ -11,10 +11,10 @@
 mod probe;
 mod view;
 
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
+use hawthorn_store::claim::ClaimGrant;
 use hawthorn_types::MissingReason;
 use hawthorn_types::RefusalReason;
 use tokio::sync::mpsc;
@@ -58,7 +58,6 @@
     commands: mpsc::Sender<OwnerCommand>,
     view: watch::Receiver<Arc<OwnerView>>,
     gauges: watch::Receiver<OwnerGauges>,
-    busy: watch::Receiver<Arc<HashSet<u16>>>,
     next_batch: Arc<std::sync::atomic::AtomicU64>,
 }
 
@@ -108,11 +107,12 @@
         answer
     }
 
-    /// Runs a non-idempotent request whose claim is granted.
-    pub async fn run(&self, batch: OnceBatch) -> OnceOutcome {
+    /// Runs a non-idempotent request. The grant is spent when the request is
+    /// sent, and given back when it never is.
+    pub async fn run(&self, batch: OnceBatch, grant: ClaimGrant) -> OnceOutcome {
         let key = self.next_key();
         let (reply, answer) = oneshot::channel();
-        if self.commands.try_send(OwnerCommand::Run { key, batch, reply }).is_err() {
+        if self.commands.try_send(OwnerCommand::Run { key, batch, grant, reply }).is_err() {
             return OnceOutcome::NotRun(RefusalReason::QueueFull);
         }
         let lost = OnceOutcome::Unknown(hawthorn_types::UnknownReason::OwnerLost);
@@ -129,11 +129,6 @@
         *self.gauges.borrow()
     }
 
-    /// Buckets whose requests still run here.
-    pub fn busy(&self) -> watch::Receiver<Arc<HashSet<u16>>> {
-        self.busy.clone()
-    }
-
     /// Resolves once the duty holds no batch, or after `grace`; tells whether
     /// it was idle in time.
     pub async fn idle(&mut self, grace: Duration) -> bool {
--- a/crates/hawthorn-daemon/src/process/events.rs
+++ b/crates/hawthorn-daemon/src/process/events.rs
@@ -21,6 +21,8 @@
     StopCutShort = 104,
     /// A duty's thread ended although the process was not stopping.
     DutyEnded = 105,
+    /// The process listens; it is ready once its configuration is current.
+    Listening = 106,
     /// A configuration came into force.
     ConfigInForce = 200,
     /// A configuration older than the one in force was offered and refused.
--- a/crates/hawthorn-daemon/src/process/mod.rs
+++ b/crates/hawthorn-daemon/src/process/mod.rs
@@ -1,6 +1,12 @@
 //! What lives as long as the process: logs, metrics, the threads of its duties.
 
+pub mod daemon;
 pub mod events;
 pub mod fleet;
 pub mod logs;
 pub mod metrics;
+pub mod options;
+pub mod refresh;
+pub mod sample;
+pub mod store;
+pub mod sweep;
--- /dev/null
+++ b/crates/hawthorn-daemon/src/process/sample.rs
@@ -0,0 +1,38 @@
+//! Writes gauges from what the duties hold, once a second.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio_util::sync::CancellationToken;
+
+use crate::request::front::FrontContext;
+
+const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Runs until cancelled.
+pub(crate) async fn run(front: Arc<FrontContext>, stop: CancellationToken) {
+    let mut beat = tokio::time::interval(SAMPLE_INTERVAL);
+    beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            _ = beat.tick() => sample(&front),
+        }
+    }
+}
+
+fn sample(front: &FrontContext) {
+    let gauges = front.owner.gauges();
+    let fleet = front.fleet_view();
+    let stamp = front.stamp();
+    let metrics = front.metrics();
+    metrics.set_gauge("owned-targets", gauges.targets);
+    metrics.set_gauge("slots-in-use", gauges.slots_in_use);
+    metrics.set_gauge("queued-pieces", gauges.queued);
+    metrics.set_gauge("open-batches", gauges.batches);
+    metrics.set_gauge("live-hosts", fleet.live() as u64);
+    metrics.set_gauge("lost-zones", fleet.lost_zones.len() as u64);
+    metrics.set_gauge("configuration-revision", stamp.revision.0);
+    metrics.set_gauge("configuration-age-ms", stamp.age_ms);
+    metrics.set_gauge("alarms", front.fleet.status.borrow().alarms.len() as u64);
+}
