--- /dev/null
+++ b/crates/hawthorn-store/src/claim/committer.rs
@@ -0,0 +1,257 @@
+//! One bucket's task: gathers the claims that wait, writes them together.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::mem;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::select;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+use tokio_util::sync::CancellationToken;
+
+use super::Options;
+use super::Outcome;
+use super::UnavailableCause;
+use super::count::ClaimCounts;
+use super::count::ClaimEvent;
+use super::grant::ClaimGrant;
+use super::grant::ReleasedNonce;
+use super::group::ClaimGroup;
+use super::ledger::ClaimLedger;
+use super::ledger::ClaimName;
+use super::ledger::Nonce;
+use super::stamp::forgotten_at;
+use crate::store::Store;
+
+/// A claim on its way to the store.
+#[derive(Debug)]
+pub(super) struct WaitingClaim {
+    pub(super) name: ClaimName,
+    pub(super) minute: u64,
+    pub(super) deadline: Instant,
+    pub(super) unix_now: Duration,
+    pub(super) forgotten_at: Duration,
+    /// Set by the first of the two that may: see `keeper::given_up`.
+    pub(super) taken: Arc<AtomicBool>,
+    pub(super) reply: oneshot::Sender<Outcome>,
+}
+
+/// The task of one bucket.
+pub(super) struct Committer<S> {
+    pub(super) store: Arc<S>,
+    pub(super) options: Options,
+    pub(super) counts: Arc<ClaimCounts>,
+    pub(super) ledgers: BTreeMap<u64, ClaimLedger>,
+    bucket: u32,
+    arrivals: mpsc::Receiver<WaitingClaim>,
+    releases: mpsc::UnboundedReceiver<ReleasedNonce>,
+    releaser: mpsc::UnboundedSender<ReleasedNonce>,
+    waiting: VecDeque<WaitingClaim>,
+    cancel: CancellationToken,
+    next_write: Instant,
+    clean_at: Option<Instant>,
+    unix_now: Duration,
+    nonces: u64,
+}
+
+impl<S: Store> Committer<S> {
+    pub(super) fn new(
+        store: Arc<S>,
+        bucket: u32,
+        options: Options,
+        arrivals: mpsc::Receiver<WaitingClaim>,
+        counts: Arc<ClaimCounts>,
+        cancel: CancellationToken,
+    ) -> Self {
+        let (releaser, releases) = mpsc::unbounded_channel();
+        Self {
+            store,
+            options,
+            counts,
+            ledgers: BTreeMap::new(),
+            bucket,
+            arrivals,
+            releases,
+            releaser,
+            waiting: VecDeque::new(),
+            cancel,
+            next_write: Instant::now(),
+            clean_at: None,
+            unix_now: Duration::ZERO,
+            nonces: 0,
+        }
+    }
+
+    pub(super) async fn run(mut self) {
+        while self.wait().await {
+            if self.waiting.is_empty() {
+                self.clean().await;
+            } else {
+                self.commit_first().await;
+            }
+            self.next_write = Instant::now() + self.options.min_interval;
+            self.forget_old();
+        }
+        self.stop().await;
+    }
+
+    /// Waits until there is something to write and a write is due; `false`
+    /// when the keeper stops.
+    ///
+    /// Load: a burst of claims. Each on its own write would fill the store's
+    /// several hundred writes a second, which all hosts share. A claim that
+    /// comes alone is written at once; those that come within `min_interval`
+    /// of a write, or while it lasts, go together in the next one.
+    async fn wait(&mut self) -> bool {
+        loop {
+            self.take_arrivals();
+            let now = Instant::now();
+            let due = !self.waiting.is_empty() || self.clean_at.is_some_and(|at| at <= now);
+            if due && self.next_write <= now {
+                return !self.cancel.is_cancelled();
+            }
+            let wake = if due { Some(self.next_write) } else { self.clean_at };
+            select! {
+                biased;
+                () = self.cancel.cancelled() => return false,
+                arrival = self.arrivals.recv() => match arrival {
+                    Some(claim) => self.waiting.push_back(claim),
+                    None => return false,
+                },
+                released = self.releases.recv() => self.bury(released),
+                () = sleep_until(wake.unwrap_or(now)), if wake.is_some() => {}
+            }
+        }
+    }
+
+    fn take_arrivals(&mut self) {
+        while self.waiting.len() < self.options.max_waiting {
+            let Ok(claim) = self.arrivals.try_recv() else {
+                break;
+            };
+            self.waiting.push_back(claim);
+        }
+        while let Ok(released) = self.releases.try_recv() {
+            self.bury(Some(released));
+        }
+    }
+
+    fn bury(&mut self, released: Option<ReleasedNonce>) {
+        let Some(ReleasedNonce { minute, nonce }) = released else {
+            return;
+        };
+        self.counts.add(ClaimEvent::Released);
+        self.ledgers.entry(minute).or_default().bury(nonce);
+        self.clean_soon();
+    }
+
+    /// Sets the time of the next write that takes dead claims out.
+    pub(super) fn clean_soon(&mut self) {
+        let soon = Instant::now() + self.options.release_delay;
+        self.clean_at.get_or_insert(soon);
+    }
+
+    /// Writes the claims that wait for the minute of the first one.
+    async fn commit_first(&mut self) {
+        let Some(first) = self.waiting.front() else {
+            return;
+        };
+        let minute = first.minute;
+        let group = self.gather(minute);
+        self.commit(minute, group, self.options.max_attempts).await;
+    }
+
+    /// Takes the claims of `minute` that still wait, each name once: a second
+    /// send of the same id goes in a later group and finds the first.
+    fn gather(&mut self, minute: u64) -> ClaimGroup {
+        let mut group = ClaimGroup::default();
+        let mut left = VecDeque::new();
+        let now = Instant::now();
+        for claim in mem::take(&mut self.waiting) {
+            let full = group.len() >= self.options.max_group;
+            if claim.minute != minute || full || group.has(&claim.name) {
+                left.push_back(claim);
+                continue;
+            }
+            self.unix_now = self.unix_now.max(claim.unix_now);
+            // Whoever sets the mark first decides; see `keeper::given_up`.
+            let withdrawn = claim.taken.swap(true, Ordering::AcqRel);
+            if withdrawn {
+                continue;
+            }
+            if claim.deadline <= now {
+                answer(claim, Outcome::Unavailable(UnavailableCause::Expired));
+                continue;
+            }
+            let nonce = self.next_nonce();
+            group.push(claim, nonce);
+        }
+        self.waiting = left;
+        group
+    }
+
+    fn next_nonce(&mut self) -> Nonce {
+        self.nonces += 1;
+        format!("{:x}.{:x}.{:x}", self.options.seed, self.bucket, self.nonces)
+    }
+
+    /// Takes dead claims out of the values that may hold them.
+    async fn clean(&mut self) {
+        self.clean_at = None;
+        let dead = self.ledgers.iter().filter(|(_, ledger)| ledger.has_dead());
+        let minutes: Vec<u64> = dead.map(|(minute, _)| *minute).collect();
+        for minute in minutes {
+            self.commit(minute, ClaimGroup::default(), CLEAN_ATTEMPTS).await;
+        }
+        if self.ledgers.values().any(ClaimLedger::has_dead) {
+            self.clean_soon();
+        }
+    }
+
+    /// Drops what is known of minutes whose ids every host refuses.
+    fn forget_old(&mut self) {
+        let options = &self.options;
+        let now = self.unix_now;
+        self.ledgers.retain(|minute, _| now < forgotten_at(*minute, options));
+    }
+
+    async fn stop(mut self) {
+        self.arrivals.close();
+        self.take_arrivals();
+        for claim in mem::take(&mut self.waiting) {
+            // A claim that has withdrawn reads no answer.
+            let _ = claim.taken.swap(true, Ordering::AcqRel);
+            answer(claim, Outcome::Unavailable(UnavailableCause::Stopping));
+        }
+        self.clean().await;
+    }
+
+    pub(super) fn key(&self, minute: u64) -> String {
+        format!("claims/{}/{minute}", self.bucket)
+    }
+
+    /// Hands out a claim that is recorded.
+    pub(super) fn grant(&self, claim: WaitingClaim, nonce: Nonce) {
+        let grant = ClaimGrant {
+            released: Some(ReleasedNonce { minute: claim.minute, nonce }),
+            releases: self.releaser.clone(),
+            deadline: claim.deadline,
+            forgotten_at: claim.forgotten_at,
+        };
+        answer(claim, Outcome::Granted(grant));
+    }
+}
+
+/// A read and a write; the next cleaning follows soon if they fail.
+const CLEAN_ATTEMPTS: u32 = 2;
+
+/// Answers a claim. If nobody reads the answer, dropping it gives a grant back.
+pub(super) fn answer(claim: WaitingClaim, outcome: Outcome) {
+    let _ = claim.reply.send(outcome);
+}
--- /dev/null
+++ b/crates/hawthorn-store/src/claim/grant.rs
@@ -0,0 +1,83 @@
+//! A claim that was granted, from the answer of the store to the dispatch.
+
+use std::time::Duration;
+
+use quick_error::quick_error;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::Instant;
+
+use super::ledger::Nonce;
+
+/// A nonce to give up, and the minute whose value holds it.
+#[derive(Clone, Debug)]
+pub(super) struct ReleasedNonce {
+    pub(super) minute: u64,
+    pub(super) nonce: Nonce,
+}
+
+/// The right to dispatch one request once.
+///
+/// Dropped without [`ClaimGrant::dispatch`], it is given back: the entry is
+/// taken out of the store, and the same request id may be sent again.
+#[derive(Debug)]
+pub struct ClaimGrant {
+    pub(super) released: Option<ReleasedNonce>,
+    pub(super) releases: UnboundedSender<ReleasedNonce>,
+    pub(super) deadline: Instant,
+    pub(super) forgotten_at: Duration,
+}
+
+/// Shown to whatever sends the request to a target.
+#[derive(Debug)]
+#[must_use = "the claim is spent: send the request now or report that it may have run"]
+pub struct DispatchPermit {
+    _private: (),
+}
+
+quick_error! {
+    /// Why a grant can no longer be used. The request was not run.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum GrantExpired {
+        /// The caller no longer waits.
+        DeadlinePast {
+            display("the deadline passed between the claim and the dispatch")
+        }
+        /// The claim is older than claims are kept.
+        Forgotten {
+            display("the claim is older than claims are kept")
+        }
+    }
+}
+
+impl ClaimGrant {
+    /// Spends the grant. To be called right before the request is sent.
+    ///
+    /// Failure: the process is paused between claim and dispatch and wakes
+    /// after the caller has given up; the caller sees a barge it no longer
+    /// expects. The monotonic clock tells that, except where it stands still
+    /// while a virtual machine is paused; then Unix time tells whether the
+    /// claim may already be gone from the store.
+    pub fn dispatch(
+        mut self,
+        now: Instant,
+        unix_now: Duration,
+    ) -> Result<DispatchPermit, GrantExpired> {
+        if now >= self.deadline {
+            return Err(GrantExpired::DeadlinePast);
+        }
+        if unix_now >= self.forgotten_at {
+            return Err(GrantExpired::Forgotten);
+        }
+        self.released = None;
+        Ok(DispatchPermit { _private: () })
+    }
+}
+
+impl Drop for ClaimGrant {
+    fn drop(&mut self) {
+        if let Some(released) = self.released.take() {
+            // The keeper is gone: the entry stays until claims of its minute are swept.
+            let _ = self.releases.send(released);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hawthorn-store/src/claim/keeper.rs
@@ -0,0 +1,136 @@
+//! The handle through which a host claims.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use hawthorn_types::RefusalReason;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::ClaimAsk;
+use super::Options;
+use super::Outcome;
+use super::UnavailableCause;
+use super::committer::Committer;
+use super::committer::WaitingClaim;
+use super::count::ClaimCounts;
+use super::count::ClaimEvent;
+use super::ledger::ClaimName;
+use super::stamp::RequestStamp;
+use super::stamp::forgotten_at;
+use crate::store::Store;
+
+/// Claims for one host; clones share their tasks and counts.
+#[derive(Clone, Debug)]
+pub struct ClaimKeeper {
+    buckets: Arc<[mpsc::Sender<WaitingClaim>]>,
+    counts: Arc<ClaimCounts>,
+    options: Options,
+}
+
+/// The bucket of a claim; the same on every host.
+pub fn bucket_of(caller: &str, request_id: &str, buckets: u32) -> u32 {
+    let name = format!("{caller}\n{request_id}");
+    let bucket = xxh3_64(name.as_bytes()) % u64::from(buckets.max(1));
+    u32::try_from(bucket).expect("a remainder of a u32 fits one")
+}
+
+impl ClaimKeeper {
+    /// Starts one task for each bucket; they end, and give back what they
+    /// can, when `cancel` is cancelled.
+    pub fn spawn<S: Store>(store: Arc<S>, options: Options, cancel: &CancellationToken) -> Self {
+        let counts = Arc::new(ClaimCounts::default());
+        let start = |bucket| {
+            let (sender, receiver) = mpsc::channel(options.max_waiting.max(1));
+            let counts = Arc::clone(&counts);
+            let cancel = cancel.child_token();
+            let committer =
+                Committer::new(Arc::clone(&store), bucket, options, receiver, counts, cancel);
+            tokio::spawn(committer.run());
+            sender
+        };
+        let buckets = (0..options.buckets.max(1)).map(start).collect();
+        Self { buckets, counts, options }
+    }
+
+    /// What the claims came to and cost.
+    pub fn counts(&self) -> &ClaimCounts {
+        &self.counts
+    }
+
+    /// Claims a request. Returns by the deadline of `ask`.
+    pub async fn claim(&self, ask: ClaimAsk) -> Outcome {
+        let outcome = match self.check(&ask) {
+            Ok(stamp) => self.record(ask, stamp).await,
+            Err(reason) => return Outcome::Refused(reason),
+        };
+        if let Some(event) = event_of(&outcome) {
+            self.counts.add(event);
+        }
+        outcome
+    }
+
+    fn check(&self, ask: &ClaimAsk) -> Result<RequestStamp, RefusalReason> {
+        let stamp = RequestStamp::parse(&ask.request_id);
+        let stamp = stamp.map_err(|_| RefusalReason::BadRequestId)?;
+        stamp.check(ask.unix_now, &self.options)?;
+        if ask.deadline <= Instant::now() {
+            return Err(RefusalReason::DeadlinePast);
+        }
+        Ok(stamp)
+    }
+
+    async fn record(&self, ask: ClaimAsk, stamp: RequestStamp) -> Outcome {
+        let bucket = bucket_of(&ask.caller, &ask.request_id, self.options.buckets);
+        let (reply, answer) = oneshot::channel();
+        let taken = Arc::new(AtomicBool::new(false));
+        let claim = WaitingClaim {
+            name: ClaimName { caller: ask.caller, request_id: ask.request_id },
+            minute: stamp.minute(),
+            deadline: ask.deadline,
+            unix_now: ask.unix_now,
+            forgotten_at: forgotten_at(stamp.minute(), &self.options),
+            taken: Arc::clone(&taken),
+            reply,
+        };
+        match self.buckets[bucket as usize].try_send(claim) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_)) => return Outcome::Unavailable(UnavailableCause::QueueFull),
+            Err(TrySendError::Closed(_)) => {
+                return Outcome::Unavailable(UnavailableCause::Stopping);
+            }
+        }
+        match timeout_at(ask.deadline, answer).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) => given_up(&taken, UnavailableCause::Stopping),
+            Err(_) => given_up(&taken, UnavailableCause::Expired),
+        }
+    }
+}
+
+/// What to say of a claim that got no answer. Whoever sets `taken` first, the
+/// keeper by giving up or the committer by taking the claim into a write,
+/// decides whether it can have been recorded. An answer that is sent after
+/// this finds no receiver, and its grant goes back by being dropped.
+fn given_up(taken: &AtomicBool, cause: UnavailableCause) -> Outcome {
+    match taken.swap(true, Ordering::AcqRel) {
+        true => Outcome::Uncertain,
+        false => Outcome::Unavailable(cause),
+    }
+}
+
+fn event_of(outcome: &Outcome) -> Option<ClaimEvent> {
+    match outcome {
+        Outcome::Granted(_) => Some(ClaimEvent::Granted),
+        Outcome::HeldEarlier => Some(ClaimEvent::HeldEarlier),
+        Outcome::Unavailable(_) => Some(ClaimEvent::Unavailable),
+        Outcome::Uncertain => Some(ClaimEvent::Uncertain),
+        Outcome::Refused(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/hawthorn-store/tests/support/mod.rs
@@ -0,0 +1,279 @@
+//! A store in memory whose calls take virtual time and fail as they are told.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use hawthorn_store::DeleteOutcome;
+use hawthorn_store::NotRunCause;
+use hawthorn_store::ReadError;
+use hawthorn_store::Store;
+use hawthorn_store::UncertainCause;
+use hawthorn_store::WriteOutcome;
+use hawthorn_types::platform::StoreEntry;
+use hawthorn_types::platform::StorePut;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::time::sleep;
+
+/// What goes wrong with one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    None,
+    /// Answered 429; not run.
+    RateLimited,
+    /// Answered 503; not run, which the client cannot know.
+    Outage,
+    /// Run, and the answer is lost.
+    LostAnswer,
+    /// The answer is lost at once, and the call runs so much later.
+    RunsLater(Duration),
+}
+
+/// How often random faults come, in percent of all calls.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FaultRates {
+    pub outage: u32,
+    pub lost_answer: u32,
+    pub runs_later: u32,
+    pub rate_limited: u32,
+}
+
+#[derive(Debug)]
+struct State {
+    entries: BTreeMap<String, StoreEntry>,
+    revision: u64,
+    script: VecDeque<Fault>,
+    rates: FaultRates,
+    random: StdRng,
+    down: bool,
+    pub gets: u64,
+    pub puts: u64,
+    pub lists: u64,
+    pub deletes: u64,
+}
+
+/// The store; clones are the same store.
+#[derive(Clone, Debug)]
+pub struct FakeStore {
+    state: Arc<Mutex<State>>,
+    latency: Duration,
+}
+
+/// Calls made so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Calls {
+    pub gets: u64,
+    pub puts: u64,
+    pub lists: u64,
+    pub deletes: u64,
+}
+
+impl FakeStore {
+    pub fn new(latency: Duration) -> Self {
+        Self::seeded(latency, FaultRates::default(), 0)
+    }
+
+    pub fn seeded(latency: Duration, rates: FaultRates, seed: u64) -> Self {
+        let state = State {
+            entries: BTreeMap::new(),
+            revision: 0,
+            script: VecDeque::new(),
+            rates,
+            random: StdRng::seed_from_u64(seed),
+            down: false,
+            gets: 0,
+            puts: 0,
+            lists: 0,
+            deletes: 0,
+        };
+        Self { state: Arc::new(Mutex::new(state)), latency }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no test panics while it holds the lock")
+    }
+
+    /// What happens to the next writes and deletions, in order.
+    pub fn script(&self, faults: impl IntoIterator<Item = Fault>) {
+        self.lock().script.extend(faults);
+    }
+
+    pub fn set_down(&self, down: bool) {
+        self.lock().down = down;
+    }
+
+    pub fn stop_random_faults(&self) {
+        self.lock().rates = FaultRates::default();
+    }
+
+    pub fn calls(&self) -> Calls {
+        let state = self.lock();
+        Calls { gets: state.gets, puts: state.puts, lists: state.lists, deletes: state.deletes }
+    }
+
+    pub fn value(&self, key: &str) -> Option<String> {
+        self.lock().entries.get(key).map(|entry| entry.value.clone())
+    }
+
+    pub fn keys(&self) -> Vec<String> {
+        self.lock().entries.keys().cloned().collect()
+    }
+
+    /// A copy of everything, to come back to.
+    pub fn backup(&self) -> BTreeMap<String, StoreEntry> {
+        self.lock().entries.clone()
+    }
+
+    /// Goes back to a copy, revisions included.
+    pub fn restore(&self, backup: BTreeMap<String, StoreEntry>) {
+        let mut state = self.lock();
+        state.revision = backup.values().map(|entry| entry.revision).max().unwrap_or(0);
+        state.entries = backup;
+    }
+
+    /// Writes without any fault, as another client would.
+    pub fn force(&self, key: &str, value: &str) {
+        let mut state = self.lock();
+        let expect = state.entries.get(key).map_or(0, |entry| entry.revision);
+        state.put(key, &StorePut { expect, value: value.to_owned(), lease: None });
+    }
+
+    fn write_fault(&self) -> Fault {
+        let mut state = self.lock();
+        if state.down {
+            return Fault::Outage;
+        }
+        match state.script.pop_front() {
+            Some(fault) => fault,
+            None => state.random_fault(),
+        }
+    }
+
+    fn read_fault(&self) -> Fault {
+        let mut state = self.lock();
+        if state.down { Fault::Outage } else { state.random_fault() }
+    }
+
+    /// Runs `effect` now, later or not at all, as the fault says.
+    async fn write<T: Send + 'static>(
+        &self,
+        effect: impl FnOnce(&mut State) -> T + Send + 'static,
+    ) -> Result<T, Fault> {
+        let fault = self.write_fault();
+        sleep(self.latency).await;
+        match fault {
+            Fault::None => Ok(effect(&mut self.lock())),
+            Fault::RateLimited | Fault::Outage => Err(fault),
+            Fault::LostAnswer => {
+                effect(&mut self.lock());
+                Err(fault)
+            }
+            Fault::RunsLater(after) => {
+                let store = self.clone();
+                tokio::spawn(async move {
+                    sleep(after).await;
+                    effect(&mut store.lock());
+                });
+                Err(fault)
+            }
+        }
+    }
+
+    async fn read<T>(&self, effect: impl FnOnce(&mut State) -> T) -> Result<T, ReadError> {
+        let fault = self.read_fault();
+        sleep(self.latency).await;
+        match fault {
+            Fault::None | Fault::RunsLater(_) => Ok(effect(&mut self.lock())),
+            Fault::RateLimited => Err(ReadError::NotRun(NotRunCause::RateLimited)),
+            Fault::Outage => Err(ReadError::NoAnswer(UncertainCause::Outage)),
+            Fault::LostAnswer => Err(ReadError::NoAnswer(UncertainCause::Timeout)),
+        }
+    }
+}
+
+impl State {
+    fn random_fault(&mut self) -> Fault {
+        let drawn = self.random.random_range(0..100);
+        let FaultRates { outage, lost_answer, runs_later, rate_limited } = self.rates;
+        let edges = [outage, outage + lost_answer, outage + lost_answer + runs_later];
+        if drawn < edges[0] {
+            Fault::Outage
+        } else if drawn < edges[1] {
+            Fault::LostAnswer
+        } else if drawn < edges[2] {
+            Fault::RunsLater(Duration::from_millis(self.random.random_range(1..200)))
+        } else if drawn < edges[2] + rate_limited {
+            Fault::RateLimited
+        } else {
+            Fault::None
+        }
+    }
+
+    fn put(&mut self, key: &str, put: &StorePut) -> WriteOutcome {
+        let found = self.entries.get(key).map_or(0, |entry| entry.revision);
+        if found != put.expect {
+            return WriteOutcome::Conflict { found };
+        }
+        self.revision += 1;
+        let entry =
+            StoreEntry { key: key.to_owned(), revision: self.revision, value: put.value.clone() };
+        self.entries.insert(key.to_owned(), entry);
+        WriteOutcome::Written { revision: self.revision }
+    }
+
+    fn delete(&mut self, key: &str, expect: u64) -> DeleteOutcome {
+        match self.entries.get(key).map(|entry| entry.revision) {
+            None => DeleteOutcome::Absent,
+            Some(found) if found != expect => DeleteOutcome::Conflict,
+            Some(_) => {
+                self.entries.remove(key);
+                DeleteOutcome::Deleted
+            }
+        }
+    }
+}
+
+impl Store for FakeStore {
+    async fn get(&self, key: &str) -> Result<Option<StoreEntry>, ReadError> {
+        self.lock().gets += 1;
+        self.read(|state| state.entries.get(key).cloned()).await
+    }
+
+    async fn put(&self, key: &str, put: StorePut) -> WriteOutcome {
+        self.lock().puts += 1;
+        let key = key.to_owned();
+        match self.write(move |state| state.put(&key, &put)).await {
+            Ok(outcome) => outcome,
+            Err(Fault::RateLimited) => WriteOutcome::NotRun(NotRunCause::RateLimited),
+            Err(Fault::Outage) => WriteOutcome::Uncertain(UncertainCause::Outage),
+            Err(_) => WriteOutcome::Uncertain(UncertainCause::Timeout),
+        }
+    }
+
+    async fn delete(&self, key: &str, expect: u64) -> DeleteOutcome {
+        self.lock().deletes += 1;
+        let key = key.to_owned();
+        match self.write(move |state| state.delete(&key, expect)).await {
+            Ok(outcome) => outcome,
+            Err(Fault::RateLimited) => DeleteOutcome::NotRun(NotRunCause::RateLimited),
+            Err(Fault::Outage) => DeleteOutcome::Uncertain(UncertainCause::Outage),
+            Err(_) => DeleteOutcome::Uncertain(UncertainCause::Timeout),
+        }
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<StoreEntry>, ReadError> {
+        self.lock().lists += 1;
+        let listed = |state: &mut State| {
+            let entries = state.entries.values().filter(|entry| entry.key.starts_with(prefix));
+            entries.map(|entry| StoreEntry { value: String::new(), ..entry.clone() }).collect()
+        };
+        self.read(listed).await
+    }
+}
