feat(decide): hedge while it is calm, sooner while the budget is full

Cause: hedges waited for a slot that nothing queued for, so at 40 % load p99 of a query with 1 % stragglers was 55 ms and a straggler kept its slot for 100 ms. Change: a hedge that is due takes the next free slot while waiting pieces wait for less than the hedge delay; the delay grows as the budget is spent. Conclusion: cancelling a straggler early gives back more slot time than the hedge takes, so it goes first while there is no saturation.

--- a/crates/hawthorn-decide/src/budget.rs
+++ b/crates/hawthorn-decide/src/budget.rs
@@ -54,6 +54,13 @@
         self.spend(self.options.retry_reserve)
     }
 
+    /// How much of what hedges may use is left, 0 to 1.
+    pub fn fullness(&self) -> f64 {
+        let left = self.tokens - self.options.retry_reserve;
+        let whole = self.options.burst - self.options.retry_reserve;
+        if whole > 0.0 { (left / whole).clamp(0.0, 1.0) } else { 0.0 }
+    }
+
     fn spend(&mut self, keep: f64) -> bool {
         if self.tokens < keep + 1.0 {
             return false;
--- a/crates/hawthorn-decide/src/hedge.rs
+++ b/crates/hawthorn-decide/src/hedge.rs
@@ -3,20 +3,26 @@
 //! The load it is for: one to five requests in a hundred take twenty times as
 //! long, and a query is as slow as its slowest shard. The harm it prevents:
 //! most queries waiting for a straggler. The limit: extra attempts come out of
-//! one budget, and only ever take slots that nothing waits for.
+//! one budget, and are made only while waiting pieces wait for less than the
+//! hedge delay: under saturation there are none.
 
 use std::time::Duration;
 
 use crate::latency::ServiceTimes;
+use crate::time::micros;
 
 /// Limits of hedging.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Options {
-    /// The delay is so many times the 90th percentile of the service time.
-    /// The 90th, because stragglers up to a tenth of requests do not move it;
-    /// a higher one becomes the stragglers' own time and the hedge comes too
-    /// late. 1.5 times, because ordinary requests rarely take so long.
-    pub delay_factor: f64,
+    /// While the budget is full, the delay is so many times the 90th
+    /// percentile of the service time. The 90th, because stragglers up to a
+    /// tenth of requests do not move it; a higher one becomes the stragglers'
+    /// own time and the hedge comes too late. 1.25 times, because about one
+    /// ordinary request in a hundred takes so long.
+    pub eager_factor: f64,
+    /// And so many times when it is nearly spent. 3: no ordinary request takes
+    /// so long, so that what is left goes to stragglers only.
+    pub patient_factor: f64,
     /// Never sooner than this. 1 ms: twice the way between zones, so that a
     /// hedge is not spent on the network.
     pub least_delay: Duration,
@@ -28,12 +34,20 @@
 
 impl Default for Options {
     fn default() -> Self {
-        Self { delay_factor: 1.5, least_delay: Duration::from_millis(1), most_attempts: 3 }
+        Self {
+            eager_factor: 1.25,
+            patient_factor: 3.0,
+            least_delay: Duration::from_millis(1),
+            most_attempts: 3,
+        }
     }
 }
 
-/// The delay after which an attempt counts as slow, in microseconds.
-pub(crate) fn delay(times: &ServiceTimes, options: Options) -> u64 {
-    let delay = times.ninetieth() as f64 * options.delay_factor;
-    (delay as u64).max(crate::time::micros(options.least_delay))
+/// The delay after which an attempt counts as slow, in microseconds. `fullness`
+/// is how much of the budget for hedges is left, 0 to 1.
+pub(crate) fn delay(times: &ServiceTimes, fullness: f64, options: Options) -> u64 {
+    let spread = options.patient_factor - options.eager_factor;
+    let factor = options.eager_factor + (1.0 - fullness) * spread;
+    let delay = times.ninetieth() as f64 * factor;
+    (delay as u64).max(micros(options.least_delay))
 }
--- a/crates/hawthorn-decide/src/owner/dispatch.rs
+++ b/crates/hawthorn-decide/src/owner/dispatch.rs
@@ -10,7 +10,6 @@
 use super::OwnerState;
 use super::target::LiveTarget;
 use crate::arena::Handle;
-use crate::hedge;
 use crate::message::OwnerAction;
 use crate::piece::LiveAttempt;
 use crate::piece::LivePiece;
@@ -76,6 +75,7 @@
 impl OwnerState {
     /// Sends what the shard's queue holds for as long as slots are free.
     pub(super) fn pump(&mut self, now: TickTime, shard: ShardKey) {
+        self.hedge_due(now, shard);
         while !self.shards[shard.index()].queue.is_empty() {
             let Some((index, target)) = self.pick(now, shard) else {
                 self.arm_rooms(now, shard);
@@ -153,7 +153,7 @@
         self.shards[shard.index()].queue.charge_lane(lane, cost);
         self.attempt(now, handle, target);
         if !self.pieces.at(handle.index).ask.once {
-            let delay = hedge::delay(&self.shards[shard.index()].times, self.options.hedge);
+            let delay = self.hedge_delay(shard);
             self.timers.arm(now.plus(delay), Alarm::Hedge(handle));
         }
     }
@@ -190,32 +190,83 @@
     }
 
     /// The piece has been on its way for the hedge delay: another attempt is
-    /// made if a slot is spare and the budget allows.
-    ///
-    /// A slot is spare only when nothing waits for it. Under saturation there
-    /// is none, so hedges stop by themselves where they would do harm.
+    /// made if a slot is spare and the budget allows, and as soon as one is.
     pub(super) fn on_hedge_due(&mut self, now: TickTime, handle: Handle) {
         let Some(piece) = self.pieces.get(handle) else { return };
-        let on_way = piece.attempts.len();
-        if piece.waiting || on_way == 0 || on_way >= self.options.hedge.most_attempts {
+        if piece.hedge_due || !self.may_hedge(piece) {
             return;
         }
         let shard = piece.ask.shard;
-        let delay = hedge::delay(&self.shards[shard.index()].times, self.options.hedge);
         let newest = piece.attempts.last().and_then(|attempt| self.attempts.get(*attempt));
-        let due = newest.map_or(now, |attempt| attempt.sent_at.plus(delay));
+        let sent_at = newest.map_or(now, |attempt| attempt.sent_at);
+        let due = sent_at.plus(self.hedge_delay(shard));
         if due > now {
             self.timers.arm(due, Alarm::Hedge(handle));
             return;
         }
-        match self.spare_target(now, handle) {
-            None => self.counters.hedges_without_slot += 1,
-            Some(_) if !self.budget.spend_hedge() => self.counters.hedges_without_budget += 1,
-            Some(target) => {
-                self.counters.count_retried(RetryReason::Hedge);
-                self.attempt(now, handle, target);
+        if !self.is_calm(shard) {
+            self.put_off_hedge(now, handle);
+            return;
+        }
+        self.pieces.at_mut(handle.index).hedge_due = true;
+        self.shards[shard.index()].due.push_back(handle);
+        self.hedge_due(now, shard);
+    }
+
+    fn may_hedge(&self, piece: &LivePiece) -> bool {
+        let on_way = piece.attempts.len();
+        !piece.waiting && on_way > 0 && on_way < self.options.hedge.most_attempts
+    }
+
+    /// A slot is spare when what waits for it waits for less than the hedge
+    /// delay. The load is saturation: were hedges made then, each would hold
+    /// up pieces that have not been sent even once. While it is calm a hedge
+    /// goes first: its piece has waited longest, and the loser's cancellation
+    /// gives back a slot that a straggler would have held for much longer.
+    fn is_calm(&self, shard: ShardKey) -> bool {
+        let live = &self.shards[shard.index()];
+        if live.queue.is_empty() {
+            return true;
+        }
+        let wait = live.queue.backlog(live.times.median()) / self.slots_of(live).max(1);
+        wait <= self.hedge_delay(shard)
+    }
+
+    fn put_off_hedge(&mut self, now: TickTime, handle: Handle) {
+        let piece = self.pieces.at_mut(handle.index);
+        piece.hedge_due = false;
+        let shard = piece.ask.shard;
+        self.counters.hedges_without_slot += 1;
+        self.timers.arm(now.plus(self.hedge_delay(shard)), Alarm::Hedge(handle));
+    }
+
+    /// Makes the hedges that are due for as long as slots are spare.
+    fn hedge_due(&mut self, now: TickTime, shard: ShardKey) {
+        let calm = self.is_calm(shard);
+        while let Some(&handle) = self.shards[shard.index()].due.front() {
+            let live = self.pieces.get(handle).is_some_and(|piece| self.may_hedge(piece));
+            if live && calm {
+                let Some(target) = self.spare_target(now, handle) else { return };
+                self.make_hedge(now, handle, target);
+            } else if live {
+                self.put_off_hedge(now, handle);
+            } else if let Some(piece) = self.pieces.get_mut(handle) {
+                piece.hedge_due = false;
             }
+            self.shards[shard.index()].due.pop_front();
+        }
+    }
+
+    fn make_hedge(&mut self, now: TickTime, handle: Handle, target: TargetKey) {
+        self.pieces.at_mut(handle.index).hedge_due = false;
+        if self.budget.spend_hedge() {
+            self.counters.count_retried(RetryReason::Hedge);
+            self.attempt(now, handle, target);
+        } else {
+            self.counters.hedges_without_budget += 1;
         }
+        let shard = self.pieces.at(handle.index).ask.shard;
+        let delay = self.hedge_delay(shard);
         self.timers.arm(now.plus(delay), Alarm::Hedge(handle));
     }
 
@@ -226,7 +277,7 @@
         let alone = self.is_alone(live);
         let view = PumpView { now, shard: live, targets: &self.targets, alone, tie };
         let mut candidates = view.candidates(piece);
-        candidates.retain(|each| self.is_unwanted(each.target));
+        candidates.retain(|each| self.is_spare(each.target));
         for each in &mut candidates {
             let busy = |attempt: &Handle| {
                 self.attempts.get(*attempt).is_some_and(|attempt| attempt.target == each.target)
@@ -240,9 +291,8 @@
         }
     }
 
-    /// Whether nothing waits for the target's slots.
-    fn is_unwanted(&self, target: TargetKey) -> bool {
-        let shards = &self.targets[target.index()].shards;
-        shards.iter().all(|shard| self.shards[shard.index()].queue.is_empty())
+    /// Whether the target's slots are spare for all its shards.
+    fn is_spare(&self, target: TargetKey) -> bool {
+        self.targets[target.index()].shards.iter().all(|shard| self.is_calm(*shard))
     }
 }
--- a/crates/hawthorn-decide/src/owner/finish.rs
+++ b/crates/hawthorn-decide/src/owner/finish.rs
@@ -11,7 +11,6 @@
 
 use super::OwnerState;
 use crate::arena::Handle;
-use crate::hedge;
 use crate::message::AttemptResult;
 use crate::message::LeavingSource;
 use crate::message::OwnerAction;
@@ -245,11 +244,11 @@
     /// A cancelled attempt that had run for longer than the hedge delay says
     /// that its target is slow, as much as an answer would.
     fn learn_slow(&mut self, now: TickTime, attempt: &LiveAttempt) {
-        let times = &mut self.shards[attempt.shard.index()].times;
         let elapsed = now.micros_since(attempt.sent_at);
-        if elapsed < hedge::delay(times, self.options.hedge) {
+        if elapsed < self.hedge_delay(attempt.shard) {
             return;
         }
+        let times = &mut self.shards[attempt.shard.index()].times;
         let median = times.median();
         times.record(elapsed);
         let target = &mut self.targets[attempt.target.index()];
--- a/crates/hawthorn-decide/src/owner/mod.rs
+++ b/crates/hawthorn-decide/src/owner/mod.rs
@@ -104,6 +104,8 @@
     replicas: SmallVec<[TargetKey; 4]>,
     queue: ShardQueue,
     times: ServiceTimes,
+    /// Pieces on their way for too long, waiting for a slot for a hedge.
+    due: VecDeque<Handle>,
 }
 
 /// Everything an owner knows. See the module's documentation.
@@ -358,6 +360,12 @@
         self.shards[shard].queue.leave(&mut self.pieces, handle.index);
     }
 
+    /// The hedge delay of a shard now, in microseconds.
+    fn hedge_delay(&self, shard: ShardKey) -> u64 {
+        let times = &self.shards[shard.index()].times;
+        hedge::delay(times, self.budget.fullness(), self.options.hedge)
+    }
+
     fn tidy(&mut self) {
         // Each piece has a deadline and a hedge alarm, each attempt a grace.
         let live = 2 * self.pieces.len() + self.attempts.len() + 2 * self.targets.len();
--- a/crates/hawthorn-decide/src/owner/watch.rs
+++ b/crates/hawthorn-decide/src/owner/watch.rs
@@ -1,5 +1,7 @@
 //! What the owner learns of its targets other than from attempts.
 
+use std::collections::VecDeque;
+
 use hawthorn_types::MissingReason;
 use hawthorn_types::RefusalReason;
 use hawthorn_types::ShardKey;
@@ -71,6 +73,7 @@
                         replicas: Default::default(),
                         queue: ShardQueue::new(self.options.queue),
                         times: ServiceTimes::new(guess),
+                        due: VecDeque::new(),
                     });
                 }
                 self.shards[key.index()].replicas.push(target.key);
--- a/crates/hawthorn-decide/src/piece.rs
+++ b/crates/hawthorn-decide/src/piece.rs
@@ -30,6 +30,8 @@
     pub(crate) refused: SmallVec<[TargetKey; 3]>,
     /// Why the last of them did.
     pub(crate) last_reason: MissingReason,
+    /// Whether it waits for a slot for a hedge.
+    pub(crate) hedge_due: bool,
     /// Whether an attempt may have reached a target.
     pub(crate) sent: bool,
 }
@@ -46,6 +48,7 @@
             attempts: SmallVec::new(),
             refused: SmallVec::new(),
             last_reason: MissingReason::NoReplica,
+            hedge_due: false,
             sent: false,
         }
     }
--- a/crates/hawthorn-decide/src/queue.rs
+++ b/crates/hawthorn-decide/src/queue.rs
@@ -161,6 +161,12 @@
         })
     }
 
+    /// Slot time waiting in both lanes.
+    pub(crate) fn backlog(&self, guess: u64) -> u64 {
+        let lanes = (0..LANE_COUNT).flat_map(|lane| self.backlogs(lane, guess));
+        lanes.map(|(_, backlog)| backlog).sum()
+    }
+
     pub(crate) fn join(&mut self, pieces: &mut Arena<LivePiece>, index: u32, joining: Joining) {
         let piece = pieces.at(index);
         let lane = piece.lane();
