feat(decide): give up an attempt that is late beyond doubt when no slot is spare

Cause: stragglers could hold all slots of a shard; pieces then waited, no slot was spare, no hedge was made, and the shard stood still for 100 ms. Five slow answers in a row also ejected targets by chance. Change: one restart a piece, from the same budget; eight slow answers in a row; long work stretches its own hedge delay. Conclusion: the restart takes no slot beyond the one it returns.

--- a/crates/hawthorn-decide/examples/tails.rs
+++ b/crates/hawthorn-decide/examples/tails.rs
@@ -50,6 +50,11 @@
                 ];
                 for (policy_name, policy) in policies {
                     let world = run(site, policy, load);
+                    if let Some(front) = world.fronts.first()
+                        && std::env::args().len() > 1
+                    {
+                        println!("{:?}", front.counters());
+                    }
                     println!(
                         "| {name} | {} % | {} % | {policy_name} | {:.1} | {:.1} | {:.1} | {:.6} | {:.2} % | {:.2} |",
                         stragglers * 100.0,
--- a/crates/hawthorn-decide/src/counter.rs
+++ b/crates/hawthorn-decide/src/counter.rs
@@ -22,6 +22,8 @@
     pub withdrawn: u64,
     /// Hedges not made because no slot was spare.
     pub hedges_without_slot: u64,
+    /// Attempts cancelled and sent again in their own place; counted as hedges too.
+    pub restarts: u64,
     /// Hedges not made because the budget was spent.
     pub hedges_without_budget: u64,
     /// Answers to attempts whose piece was already finished; dropped.
@@ -55,6 +57,7 @@
             failed: 0,
             withdrawn: 0,
             hedges_without_slot: 0,
+            restarts: 0,
             hedges_without_budget: 0,
             late_answers: 0,
             unknown_attempts: 0,
--- a/crates/hawthorn-decide/src/hedge.rs
+++ b/crates/hawthorn-decide/src/hedge.rs
@@ -44,10 +44,23 @@
 }
 
 /// The delay after which an attempt counts as slow, in microseconds. `fullness`
-/// is how much of the budget for hedges is left, 0 to 1.
-pub(crate) fn delay(times: &ServiceTimes, fullness: f64, options: Options) -> u64 {
+/// is how much of the budget for hedges is left, 0 to 1; `cost` is the average
+/// slot time of the caller's work.
+pub(crate) fn delay(times: &ServiceTimes, cost: u64, fullness: f64, options: Options) -> u64 {
     let spread = options.patient_factor - options.eager_factor;
     let factor = options.eager_factor + (1.0 - fullness) * spread;
-    let delay = times.ninetieth() as f64 * factor;
+    let delay = times.ninetieth() as f64 * factor * stretch(times, cost);
     (delay as u64).max(micros(options.least_delay))
 }
+
+/// How much longer than usual a caller's work takes, when it is long work: the
+/// shard's quantiles say nothing of it, and hedging it would spend the budget
+/// on requests that are not late.
+fn stretch(times: &ServiceTimes, cost: u64) -> f64 {
+    let ratio = cost as f64 / times.median().max(1) as f64;
+    if ratio > LONG_WORK { ratio } else { 1.0 }
+}
+
+/// Averages up to this many times the shard's median come from stragglers: at
+/// 5 % of 20 times the median the average is twice the median, and wanders.
+const LONG_WORK: f64 = 4.0;
--- a/crates/hawthorn-decide/src/owner/dispatch.rs
+++ b/crates/hawthorn-decide/src/owner/dispatch.rs
@@ -10,11 +10,13 @@
 use super::OwnerState;
 use super::target::LiveTarget;
 use crate::arena::Handle;
+use crate::hedge;
 use crate::message::OwnerAction;
 use crate::piece::LiveAttempt;
 use crate::piece::LivePiece;
 use crate::place;
 use crate::place::Candidate;
+use crate::queue::Joining;
 use crate::queue::Verdict;
 use crate::time::TickTime;
 use crate::timer::Alarm;
@@ -153,7 +155,7 @@
         self.shards[shard.index()].queue.charge_lane(lane, cost);
         self.attempt(now, handle, target);
         if !self.pieces.at(handle.index).ask.once {
-            let delay = self.hedge_delay(shard);
+            let delay = self.hedge_delay(shard, self.pieces.at(handle.index).ask.caller.0);
             self.timers.arm(now.plus(delay), Alarm::Hedge(handle));
         }
     }
@@ -199,7 +201,7 @@
         let shard = piece.ask.shard;
         let newest = piece.attempts.last().and_then(|attempt| self.attempts.get(*attempt));
         let sent_at = newest.map_or(now, |attempt| attempt.sent_at);
-        let due = sent_at.plus(self.hedge_delay(shard));
+        let due = sent_at.plus(self.hedge_delay(shard, piece.ask.caller.0));
         if due > now {
             self.timers.arm(due, Alarm::Hedge(handle));
             return;
@@ -218,8 +220,8 @@
         !piece.waiting && on_way > 0 && on_way < self.options.hedge.most_attempts
     }
 
-    /// A slot is spare when what waits for it waits for less than the hedge
-    /// delay. The load is saturation: were hedges made then, each would hold
+    /// A slot is spare when what waits for it waits for less than an ordinary
+    /// request takes. The load is saturation: were hedges made then, each would hold
     /// up pieces that have not been sent even once. While it is calm a hedge
     /// goes first: its piece has waited longest, and the loser's cancellation
     /// gives back a slot that a straggler would have held for much longer.
@@ -229,15 +231,46 @@
             return true;
         }
         let wait = live.queue.backlog(live.times.median()) / self.slots_of(live).max(1);
-        wait <= self.hedge_delay(shard)
+        wait <= live.times.ninetieth()
     }
 
     fn put_off_hedge(&mut self, now: TickTime, handle: Handle) {
-        let piece = self.pieces.at_mut(handle.index);
-        piece.hedge_due = false;
-        let shard = piece.ask.shard;
+        self.pieces.at_mut(handle.index).hedge_due = false;
+        if self.should_restart(now, handle) && self.budget.spend_hedge() {
+            self.restart(now, handle);
+            return;
+        }
         self.counters.hedges_without_slot += 1;
-        self.timers.arm(now.plus(self.hedge_delay(shard)), Alarm::Hedge(handle));
+        let ask = &self.pieces.at(handle.index).ask;
+        let delay = self.hedge_delay(ask.shard, ask.caller.0);
+        self.timers.arm(now.plus(delay), Alarm::Hedge(handle));
+    }
+
+    /// Stragglers can hold every slot of a shard: pieces then wait, no slot is
+    /// spare, no hedge is made, and the stragglers stay for their whole time.
+    /// It shows as a shard that stands still for twenty service times. An
+    /// attempt that is late beyond doubt is therefore given up for another in
+    /// its place, once a piece: that takes no slot beyond the one it returns.
+    fn should_restart(&self, now: TickTime, handle: Handle) -> bool {
+        let piece = self.pieces.at(handle.index);
+        let [attempt] = piece.attempts.as_slice() else { return false };
+        let Some(attempt) = self.attempts.get(*attempt) else { return false };
+        let live = &self.shards[attempt.shard.index()];
+        let cost = live.queue.cost_of(attempt.caller, live.times.median());
+        let beyond_doubt = hedge::delay(&live.times, cost, 0.0, self.options.hedge);
+        !piece.restarted && now.micros_since(attempt.sent_at) >= beyond_doubt
+    }
+
+    fn restart(&mut self, now: TickTime, handle: Handle) {
+        let piece = self.pieces.at_mut(handle.index);
+        piece.restarted = true;
+        let attempts = std::mem::take(&mut piece.attempts);
+        for attempt in attempts {
+            self.cancel_attempt(now, attempt);
+        }
+        self.counters.restarts += 1;
+        self.counters.count_retried(RetryReason::Hedge);
+        self.join_queue(handle, Joining::Front);
     }
 
     /// Makes the hedges that are due for as long as slots are spare.
@@ -265,8 +298,8 @@
         } else {
             self.counters.hedges_without_budget += 1;
         }
-        let shard = self.pieces.at(handle.index).ask.shard;
-        let delay = self.hedge_delay(shard);
+        let ask = &self.pieces.at(handle.index).ask;
+        let delay = self.hedge_delay(ask.shard, ask.caller.0);
         self.timers.arm(now.plus(delay), Alarm::Hedge(handle));
     }
 
--- a/crates/hawthorn-decide/src/owner/finish.rs
+++ b/crates/hawthorn-decide/src/owner/finish.rs
@@ -36,7 +36,10 @@
         }
         self.release(now, &attempt);
         self.learn(now, &attempt, result);
-        if self.pieces.get(attempt.piece).is_some() {
+        // A restarted piece is live while its first attempt ends: its answer
+        // still counts, its cancellation says nothing.
+        let counts = attempt.cancelled_at.is_none() || result == AttemptResult::Answered;
+        if counts && self.pieces.get(attempt.piece).is_some() {
             self.conclude(now, handle, &attempt, result);
         } else if result == AttemptResult::Answered {
             self.counters.late_answers += 1;
@@ -228,7 +231,7 @@
 
     /// Cancels an attempt that nobody waits for. Its slot stays taken until
     /// the target acknowledges or the grace is over.
-    fn cancel_attempt(&mut self, now: TickTime, handle: Handle) {
+    pub(super) fn cancel_attempt(&mut self, now: TickTime, handle: Handle) {
         let Some(attempt) = self.attempts.get_mut(handle) else { return };
         attempt.cancelled_at = Some(now);
         let attempt = *attempt;
@@ -245,7 +248,7 @@
     /// that its target is slow, as much as an answer would.
     fn learn_slow(&mut self, now: TickTime, attempt: &LiveAttempt) {
         let elapsed = now.micros_since(attempt.sent_at);
-        if elapsed < self.hedge_delay(attempt.shard) {
+        if elapsed < self.hedge_delay(attempt.shard, attempt.caller) {
             return;
         }
         let times = &mut self.shards[attempt.shard.index()].times;
--- a/crates/hawthorn-decide/src/owner/mod.rs
+++ b/crates/hawthorn-decide/src/owner/mod.rs
@@ -360,10 +360,11 @@
         self.shards[shard].queue.leave(&mut self.pieces, handle.index);
     }
 
-    /// The hedge delay of a shard now, in microseconds.
-    fn hedge_delay(&self, shard: ShardKey) -> u64 {
-        let times = &self.shards[shard.index()].times;
-        hedge::delay(times, self.budget.fullness(), self.options.hedge)
+    /// The hedge delay of a caller's pieces at a shard now, in microseconds.
+    fn hedge_delay(&self, shard: ShardKey, caller: u32) -> u64 {
+        let live = &self.shards[shard.index()];
+        let cost = live.queue.cost_of(caller, live.times.median());
+        hedge::delay(&live.times, cost, self.budget.fullness(), self.options.hedge)
     }
 
     fn tidy(&mut self) {
--- a/crates/hawthorn-decide/src/piece.rs
+++ b/crates/hawthorn-decide/src/piece.rs
@@ -32,6 +32,8 @@
     pub(crate) last_reason: MissingReason,
     /// Whether it waits for a slot for a hedge.
     pub(crate) hedge_due: bool,
+    /// Whether an attempt was given up for another in its place.
+    pub(crate) restarted: bool,
     /// Whether an attempt may have reached a target.
     pub(crate) sent: bool,
 }
@@ -49,6 +51,7 @@
             refused: SmallVec::new(),
             last_reason: MissingReason::NoReplica,
             hedge_due: false,
+            restarted: false,
             sent: false,
         }
     }
--- a/crates/hawthorn-decide/src/shift.rs
+++ b/crates/hawthorn-decide/src/shift.rs
@@ -26,8 +26,10 @@
     /// Failures in a row after which a target is ejected. 3: one broken
     /// connection is ordinary, three in a row are not chance.
     pub failure_limit: u32,
-    /// Slow answers in a row after which it is ejected. 5: with 5 % stragglers
-    /// five in a row are chance three times in ten million.
+    /// Slow answers in a row after which it is ejected. 8: with 5 % stragglers
+    /// eight in a row are chance four times in 10^11. At 5 (three in 10^7) a
+    /// zone's targets are ejected by chance every few minutes, and the replica
+    /// that is left then carries twice its load.
     pub slow_limit: u32,
     /// An answer is slow when it takes so many times the shard's median.
     pub slow_factor: u64,
@@ -61,7 +63,7 @@
             ramp_gap: Duration::from_millis(100),
             ramp_end: Duration::from_millis(2),
             failure_limit: 3,
-            slow_limit: 5,
+            slow_limit: 8,
             slow_factor: 5,
             most_ejected: 0.5,
             first_backoff: Duration::from_secs(1),
