feat(decide): hedge a second time eagerly, and at twice the 90th percentile when short

Cause: the second straggler in a row decides p99 when 3 to 5 % straggle, and its hedge waited as patiently as the first. Change: second hedges use the eager delay; the patient one is 2 times the 90th percentile instead of 3.

--- a/crates/hawthorn-decide/src/hedge.rs
+++ b/crates/hawthorn-decide/src/hedge.rs
@@ -20,8 +20,8 @@
     /// own time and the hedge comes too late. 1.25 times, because about one
     /// ordinary request in a hundred takes so long.
     pub eager_factor: f64,
-    /// And so many times when it is nearly spent. 3: no ordinary request takes
-    /// so long, so that what is left goes to stragglers only.
+    /// And so many times when it is nearly spent. 2: hardly an ordinary request
+    /// takes so long, so that what is left goes to stragglers.
     pub patient_factor: f64,
     /// Never sooner than this. 1 ms: twice the way between zones, so that a
     /// hedge is not spent on the network.
@@ -36,7 +36,7 @@
     fn default() -> Self {
         Self {
             eager_factor: 1.25,
-            patient_factor: 3.0,
+            patient_factor: 2.0,
             least_delay: Duration::from_millis(1),
             most_attempts: 3,
         }
@@ -45,7 +45,8 @@
 
 /// The delay after which an attempt counts as slow, in microseconds. `fullness`
 /// is how much of the budget for hedges is left, 0 to 1; `cost` is the average
-/// slot time of the caller's work.
+/// slot time of the caller's work. The second hedge of a piece is always eager:
+/// few pieces come to it, and each is the slowest of its query.
 pub(crate) fn delay(times: &ServiceTimes, cost: u64, fullness: f64, options: Options) -> u64 {
     let spread = options.patient_factor - options.eager_factor;
     let factor = options.eager_factor + (1.0 - fullness) * spread;
--- a/crates/hawthorn-decide/src/owner/dispatch.rs
+++ b/crates/hawthorn-decide/src/owner/dispatch.rs
@@ -10,7 +10,6 @@
 use super::OwnerState;
 use super::target::LiveTarget;
 use crate::arena::Handle;
-use crate::hedge;
 use crate::message::OwnerAction;
 use crate::piece::LiveAttempt;
 use crate::piece::LivePiece;
@@ -155,7 +154,7 @@
         self.shards[shard.index()].queue.charge_lane(lane, cost);
         self.attempt(now, handle, target);
         if !self.pieces.at(handle.index).ask.once {
-            let delay = self.hedge_delay(shard, self.pieces.at(handle.index).ask.caller.0);
+            let delay = self.piece_delay(self.pieces.at(handle.index));
             self.timers.arm(now.plus(delay), Alarm::Hedge(handle));
         }
     }
@@ -201,7 +200,7 @@
         let shard = piece.ask.shard;
         let newest = piece.attempts.last().and_then(|attempt| self.attempts.get(*attempt));
         let sent_at = newest.map_or(now, |attempt| attempt.sent_at);
-        let due = sent_at.plus(self.hedge_delay(shard, piece.ask.caller.0));
+        let due = sent_at.plus(self.piece_delay(piece));
         if due > now {
             self.timers.arm(due, Alarm::Hedge(handle));
             return;
@@ -241,8 +240,7 @@
             return;
         }
         self.counters.hedges_without_slot += 1;
-        let ask = &self.pieces.at(handle.index).ask;
-        let delay = self.hedge_delay(ask.shard, ask.caller.0);
+        let delay = self.piece_delay(self.pieces.at(handle.index));
         self.timers.arm(now.plus(delay), Alarm::Hedge(handle));
     }
 
@@ -255,9 +253,7 @@
         let piece = self.pieces.at(handle.index);
         let [attempt] = piece.attempts.as_slice() else { return false };
         let Some(attempt) = self.attempts.get(*attempt) else { return false };
-        let live = &self.shards[attempt.shard.index()];
-        let cost = live.queue.cost_of(attempt.caller, live.times.median());
-        let beyond_doubt = hedge::delay(&live.times, cost, 0.0, self.options.hedge);
+        let beyond_doubt = self.hedge_delay_at(attempt.shard, attempt.caller, 0.0);
         !piece.restarted && now.micros_since(attempt.sent_at) >= beyond_doubt
     }
 
@@ -298,8 +294,7 @@
         } else {
             self.counters.hedges_without_budget += 1;
         }
-        let ask = &self.pieces.at(handle.index).ask;
-        let delay = self.hedge_delay(ask.shard, ask.caller.0);
+        let delay = self.piece_delay(self.pieces.at(handle.index));
         self.timers.arm(now.plus(delay), Alarm::Hedge(handle));
     }
 
--- a/crates/hawthorn-decide/src/owner/mod.rs
+++ b/crates/hawthorn-decide/src/owner/mod.rs
@@ -362,9 +362,20 @@
 
     /// The hedge delay of a caller's pieces at a shard now, in microseconds.
     fn hedge_delay(&self, shard: ShardKey, caller: u32) -> u64 {
+        self.hedge_delay_at(shard, caller, self.budget.fullness())
+    }
+
+    fn hedge_delay_at(&self, shard: ShardKey, caller: u32, fullness: f64) -> u64 {
         let live = &self.shards[shard.index()];
         let cost = live.queue.cost_of(caller, live.times.median());
-        hedge::delay(&live.times, cost, self.budget.fullness(), self.options.hedge)
+        hedge::delay(&live.times, cost, fullness, self.options.hedge)
+    }
+
+    /// The hedge delay of the piece's newest attempt.
+    fn piece_delay(&self, piece: &LivePiece) -> u64 {
+        let first = piece.attempts.len() <= 1 && !piece.restarted;
+        let fullness = if first { self.budget.fullness() } else { 1.0 };
+        self.hedge_delay_at(piece.ask.shard, piece.ask.caller.0, fullness)
     }
 
     fn tidy(&mut self) {
