--- a/crates/hawthorn-decide/src/owner/dispatch.rs
+++ b/crates/hawthorn-decide/src/owner/dispatch.rs
@@ -10,12 +10,12 @@
 use super::OwnerState;
 use super::target::LiveTarget;
 use crate::arena::Handle;
-use crate::hedge;
 use crate::message::OwnerAction;
 use crate::piece::LiveAttempt;
 use crate::piece::LivePiece;
 use crate::place;
 use crate::place::Candidate;
+use crate::queue::Joining;
 use crate::queue::Verdict;
 use crate::time::TickTime;
 use crate::timer::Alarm;
@@ -76,6 +76,7 @@
 impl OwnerState {
     /// Sends what the shard's queue holds for as long as slots are free.
     pub(super) fn pump(&mut self, now: TickTime, shard: ShardKey) {
+        self.hedge_due(now, shard);
         while !self.shards[shard.index()].queue.is_empty() {
             let Some((index, target)) = self.pick(now, shard) else {
                 self.arm_rooms(now, shard);
@@ -153,7 +154,7 @@
         self.shards[shard.index()].queue.charge_lane(lane, cost);
         self.attempt(now, handle, target);
         if !self.pieces.at(handle.index).ask.once {
-            let delay = hedge::delay(&self.shards[shard.index()].times, self.options.hedge);
+            let delay = self.piece_delay(self.pieces.at(handle.index));
             self.timers.arm(now.plus(delay), Alarm::Hedge(handle));
         }
     }
@@ -190,32 +191,110 @@
     }
 
     /// The piece has been on its way for the hedge delay: another attempt is
-    /// made if a slot is spare and the budget allows.
-    ///
-    /// A slot is spare only when nothing waits for it. Under saturation there
-    /// is none, so hedges stop by themselves where they would do harm.
+    /// made if a slot is spare and the budget allows, and as soon as one is.
     pub(super) fn on_hedge_due(&mut self, now: TickTime, handle: Handle) {
         let Some(piece) = self.pieces.get(handle) else { return };
-        let on_way = piece.attempts.len();
-        if piece.waiting || on_way == 0 || on_way >= self.options.hedge.most_attempts {
+        if piece.hedge_due || !self.may_hedge(piece) {
             return;
         }
         let shard = piece.ask.shard;
-        let delay = hedge::delay(&self.shards[shard.index()].times, self.options.hedge);
         let newest = piece.attempts.last().and_then(|attempt| self.attempts.get(*attempt));
-        let due = newest.map_or(now, |attempt| attempt.sent_at.plus(delay));
+        let sent_at = newest.map_or(now, |attempt| attempt.sent_at);
+        let due = sent_at.plus(self.piece_delay(piece));
         if due > now {
             self.timers.arm(due, Alarm::Hedge(handle));
             return;
         }
-        match self.spare_target(now, handle) {
-            None => self.counters.hedges_without_slot += 1,
-            Some(_) if !self.budget.spend_hedge() => self.counters.hedges_without_budget += 1,
-            Some(target) => {
-                self.counters.count_retried(RetryReason::Hedge);
-                self.attempt(now, handle, target);
+        if !self.is_calm(shard) {
+            self.put_off_hedge(now, handle);
+            return;
+        }
+        self.pieces.at_mut(handle.index).hedge_due = true;
+        self.shards[shard.index()].due.push_back(handle);
+        self.hedge_due(now, shard);
+    }
+
+    fn may_hedge(&self, piece: &LivePiece) -> bool {
+        let on_way = piece.attempts.len();
+        !piece.waiting && on_way > 0 && on_way < self.options.hedge.most_attempts
+    }
+
+    /// A slot is spare when what waits for it waits for less than an ordinary
+    /// request takes. The load is saturation: were hedges made then, each would hold
+    /// up pieces that have not been sent even once. While it is calm a hedge
+    /// goes first: its piece has waited longest, and the loser's cancellation
+    /// gives back a slot that a straggler would have held for much longer.
+    fn is_calm(&self, shard: ShardKey) -> bool {
+        let live = &self.shards[shard.index()];
+        if live.queue.is_empty() {
+            return true;
+        }
+        let wait = live.queue.backlog(live.times.median()) / self.slots_of(live).max(1);
+        wait <= live.times.ninetieth()
+    }
+
+    fn put_off_hedge(&mut self, now: TickTime, handle: Handle) {
+        self.pieces.at_mut(handle.index).hedge_due = false;
+        if self.should_restart(now, handle) && self.budget.spend_hedge() {
+            self.restart(now, handle);
+            return;
+        }
+        self.counters.hedges_without_slot += 1;
+        let delay = self.piece_delay(self.pieces.at(handle.index));
+        self.timers.arm(now.plus(delay), Alarm::Hedge(handle));
+    }
+
+    /// Stragglers can hold every slot of a shard: pieces then wait, no slot is
+    /// spare, no hedge is made, and the stragglers stay for their whole time.
+    /// It shows as a shard that stands still for twenty service times. An
+    /// attempt that is late beyond doubt is therefore given up for another in
+    /// its place, once a piece: that takes no slot beyond the one it returns.
+    fn should_restart(&self, now: TickTime, handle: Handle) -> bool {
+        let piece = self.pieces.at(handle.index);
+        let [attempt] = piece.attempts.as_slice() else { return false };
+        let Some(attempt) = self.attempts.get(*attempt) else { return false };
+        let beyond_doubt = self.hedge_delay_at(attempt.shard, attempt.caller, 0.0);
+        !piece.restarted && now.micros_since(attempt.sent_at) >= beyond_doubt
+    }
+
+    fn restart(&mut self, now: TickTime, handle: Handle) {
+        let piece = self.pieces.at_mut(handle.index);
+        piece.restarted = true;
+        let attempts = std::mem::take(&mut piece.attempts);
+        for attempt in attempts {
+            self.cancel_attempt(now, attempt);
+        }
+        self.counters.restarts += 1;
+        self.counters.count_retried(RetryReason::Hedge);
+        self.join_queue(handle, Joining::Front);
+    }
+
+    /// Makes the hedges that are due for as long as slots are spare.
+    fn hedge_due(&mut self, now: TickTime, shard: ShardKey) {
+        let calm = self.is_calm(shard);
+        while let Some(&handle) = self.shards[shard.index()].due.front() {
+            let live = self.pieces.get(handle).is_some_and(|piece| self.may_hedge(piece));
+            if live && calm {
+                let Some(target) = self.spare_target(now, handle) else { return };
+                self.make_hedge(now, handle, target);
+            } else if live {
+                self.put_off_hedge(now, handle);
+            } else if let Some(piece) = self.pieces.get_mut(handle) {
+                piece.hedge_due = false;
             }
+            self.shards[shard.index()].due.pop_front();
+        }
+    }
+
+    fn make_hedge(&mut self, now: TickTime, handle: Handle, target: TargetKey) {
+        self.pieces.at_mut(handle.index).hedge_due = false;
+        if self.budget.spend_hedge() {
+            self.counters.count_retried(RetryReason::Hedge);
+            self.attempt(now, handle, target);
+        } else {
+            self.counters.hedges_without_budget += 1;
         }
+        let delay = self.piece_delay(self.pieces.at(handle.index));
         self.timers.arm(now.plus(delay), Alarm::Hedge(handle));
     }
 
@@ -226,7 +305,7 @@
         let alone = self.is_alone(live);
         let view = PumpView { now, shard: live, targets: &self.targets, alone, tie };
         let mut candidates = view.candidates(piece);
-        candidates.retain(|each| self.is_unwanted(each.target));
+        candidates.retain(|each| self.is_spare(each.target));
         for each in &mut candidates {
             let busy = |attempt: &Handle| {
                 self.attempts.get(*attempt).is_some_and(|attempt| attempt.target == each.target)
@@ -240,9 +319,8 @@
         }
     }
 
-    /// Whether nothing waits for the target's slots.
-    fn is_unwanted(&self, target: TargetKey) -> bool {
-        let shards = &self.targets[target.index()].shards;
-        shards.iter().all(|shard| self.shards[shard.index()].queue.is_empty())
+    /// Whether the target's slots are spare for all its shards.
+    fn is_spare(&self, target: TargetKey) -> bool {
+        self.targets[target.index()].shards.iter().all(|shard| self.is_calm(*shard))
     }
 }
--- a/crates/hawthorn-decide/src/owner/finish.rs
+++ b/crates/hawthorn-decide/src/owner/finish.rs
@@ -11,7 +11,6 @@
 
 use super::OwnerState;
 use crate::arena::Handle;
-use crate::hedge;
 use crate::message::AttemptResult;
 use crate::message::LeavingSource;
 use crate::message::OwnerAction;
@@ -37,7 +36,10 @@
         }
         self.release(now, &attempt);
         self.learn(now, &attempt, result);
-        if self.pieces.get(attempt.piece).is_some() {
+        // A restarted piece is live while its first attempt ends: its answer
+        // still counts, its cancellation says nothing.
+        let counts = attempt.cancelled_at.is_none() || result == AttemptResult::Answered;
+        if counts && self.pieces.get(attempt.piece).is_some() {
             self.conclude(now, handle, &attempt, result);
         } else if result == AttemptResult::Answered {
             self.counters.late_answers += 1;
@@ -229,7 +231,7 @@
 
     /// Cancels an attempt that nobody waits for. Its slot stays taken until
     /// the target acknowledges or the grace is over.
-    fn cancel_attempt(&mut self, now: TickTime, handle: Handle) {
+    pub(super) fn cancel_attempt(&mut self, now: TickTime, handle: Handle) {
         let Some(attempt) = self.attempts.get_mut(handle) else { return };
         attempt.cancelled_at = Some(now);
         let attempt = *attempt;
@@ -245,11 +247,11 @@
     /// A cancelled attempt that had run for longer than the hedge delay says
     /// that its target is slow, as much as an answer would.
     fn learn_slow(&mut self, now: TickTime, attempt: &LiveAttempt) {
-        let times = &mut self.shards[attempt.shard.index()].times;
         let elapsed = now.micros_since(attempt.sent_at);
-        if elapsed < hedge::delay(times, self.options.hedge) {
+        if elapsed < self.hedge_delay(attempt.shard, attempt.caller) {
             return;
         }
+        let times = &mut self.shards[attempt.shard.index()].times;
         let median = times.median();
         times.record(elapsed);
         let target = &mut self.targets[attempt.target.index()];
--- a/crates/hawthorn-decide/src/piece.rs
+++ b/crates/hawthorn-decide/src/piece.rs
@@ -30,6 +30,10 @@
     pub(crate) refused: SmallVec<[TargetKey; 3]>,
     /// Why the last of them did.
     pub(crate) last_reason: MissingReason,
+    /// Whether it waits for a slot for a hedge.
+    pub(crate) hedge_due: bool,
+    /// Whether an attempt was given up for another in its place.
+    pub(crate) restarted: bool,
     /// Whether an attempt may have reached a target.
     pub(crate) sent: bool,
 }
@@ -46,6 +50,8 @@
             attempts: SmallVec::new(),
             refused: SmallVec::new(),
             last_reason: MissingReason::NoReplica,
+            hedge_due: false,
+            restarted: false,
             sent: false,
         }
     }
--- a/crates/hawthorn-standin/src/lib.rs
+++ b/crates/hawthorn-standin/src/lib.rs
@@ -7,10 +7,12 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
+pub mod check;
 pub mod corpus;
 pub mod deployment;
 pub mod history;
 pub mod platform;
+pub mod proxy;
 pub mod target;
 mod wire;
 
