--- a/crates/hawthorn-intent/src/explain.rs
+++ b/crates/hawthorn-intent/src/explain.rs
@@ -175,10 +175,10 @@
         writeln!(f, "  decided by: {name} ({wanted}, priority {priority}): {reason}")?;
         match (self.basis, replicas) {
             (DecisionBasis::KeptReplica, Some(replicas)) => {
-                writeln!(f, "  kept serving: the rule keeps {replicas} replicas of each shard")
+                writeln!(f, "  kept serving: the rule keeps {replicas} serving for each shard")
             }
             (_, Some(replicas)) if self.wanted != WantedState::Serve => {
-                writeln!(f, "  not kept: {replicas} others serve each of its shards")
+                writeln!(f, "  not kept: others are the {replicas} that serve each of its shards")
             }
             _ => Ok(()),
         }
--- a/crates/hawthorn-intent/src/import.rs
+++ b/crates/hawthorn-intent/src/import.rs
@@ -93,6 +93,9 @@
     /// The service has no such shard.
     #[strum(to_string = "the service has no shard {0:?}")]
     UnknownShard(String),
+    /// The row names a shard twice.
+    #[strum(to_string = "shard {0:?} twice")]
+    RepeatedShard(String),
     /// Not an IP number with a port.
     #[strum(to_string = "not an IP number with a port: {0:?}")]
     BadAddress(String),
@@ -340,7 +343,7 @@
         let mut shards = SmallVec::new();
         for shard in cell.split_whitespace().map(|shard| ShardName(shard.to_owned())) {
             if shards.contains(&shard) {
-                self.reasons.push(SkipReason::Duplicate(shard.0.clone()));
+                self.reasons.push(SkipReason::RepeatedShard(shard.0.clone()));
             }
             shards.push(shard);
         }
--- a/crates/hawthorn-intent/src/reconcile.rs
+++ b/crates/hawthorn-intent/src/reconcile/mod.rs
@@ -8,11 +8,11 @@
 //! Orders are idempotent: a lost one is given again, two hosts that both
 //! believe they own a target give the same one under one revision.
 
-use std::collections::HashMap;
+mod memory;
+
 use std::collections::HashSet;
 use std::time::Duration;
 
-use hawthorn_types::ConfigRevision;
 use hawthorn_types::ShardKey;
 use hawthorn_types::TargetKey;
 use hawthorn_types::TargetPhase;
@@ -23,6 +23,9 @@
 use crate::catalog::FleetCatalog;
 use crate::catalog::TargetRecord;
 
+pub use memory::ReconcileMemory;
+use memory::TargetMemory;
+
 /// What is known of one target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SeenTarget {
@@ -53,13 +56,15 @@
     /// How long a target drains before it may be switched off, at least: other
     /// hosts that owned it a moment ago stop within this time.
     pub drain_time: Duration,
-    /// No target leaves service until a revision has been in force here for so
-    /// long.
+    /// No target leaves service until that has been wanted here for so long,
+    /// and none counts as ready until it has been wanted to serve, and told
+    /// nothing else, for so long.
     ///
-    /// Failure guarded against: two hosts are at neighbouring revisions, each
-    /// sees the one target ready that its own revision wants and drains the
-    /// other's, and the shard is left with none. Revisions spread within a
-    /// second or so; after twice that the hosts that can be reached agree.
+    /// Failures guarded against, each of which leaves a shard with no target:
+    /// two hosts at neighbouring revisions each drain the target that the other
+    /// one wants; or the next edit comes while a target that was told to drain
+    /// still reports that it is ready. Must be longer than a revision takes to
+    /// spread, and than an order takes to show.
     pub settle_time: Duration,
 }
 
@@ -69,7 +74,7 @@
             orders_per_round: 16,
             retry_after: Duration::from_secs(5),
             drain_time: Duration::from_secs(3),
-            settle_time: Duration::from_secs(2),
+            settle_time: Duration::from_secs(5),
         }
     }
 }
@@ -97,7 +102,7 @@
     Warming,
     /// Goes on serving until another target is ready for one of its shards.
     HeldForShard,
-    /// Goes on serving until the revision has been in force for a moment.
+    /// Goes on serving until another state has been wanted for a moment.
     Settling,
     /// Still has requests, or drains for too short a time, to be switched off.
     Draining,
@@ -153,22 +158,6 @@
     }
 }
 
-/// What is remembered of a target between rounds.
-#[derive(Clone, Copy, Debug, Default)]
-struct TargetMemory {
-    told: Option<(WantedState, Duration)>,
-    drift: Option<(WantedState, Duration)>,
-    draining_since: Option<Duration>,
-}
-
-/// Remembers orders and drift by target name, as keys change with the revision.
-/// Losing it, as when a host is replaced, only repeats orders.
-#[derive(Clone, Debug, Default)]
-pub struct ReconcileMemory {
-    targets: HashMap<String, TargetMemory>,
-    revision: Option<(ConfigRevision, Duration)>,
-}
-
 /// Runs one round at `now`, which is time since any fixed moment.
 ///
 /// A target that `seen` doesn't mention counts as not ready.
@@ -179,15 +168,9 @@
     now: Duration,
     options: &Options,
 ) -> Outcome {
-    let in_force_since = memory.enter(catalog, seen, now);
-    let mut round = Round {
-        catalog,
-        now,
-        options,
-        is_settled: now.saturating_sub(in_force_since) >= options.settle_time,
-        covered: covered_shards(catalog, seen),
-        outcome: Outcome::default(),
-    };
+    memory.enter(catalog, seen, now);
+    let covered = covered_shards(catalog, seen, memory, now.checked_sub(options.settle_time));
+    let mut round = Round { catalog, now, options, covered, outcome: Outcome::default() };
     let mut owned: Vec<&SeenTarget> = seen.iter().filter(|seen| seen.owned).collect();
     owned.sort_by_cached_key(|seen| {
         let record = catalog.target(seen.target);
@@ -195,39 +178,31 @@
     });
     for seen in owned {
         let name = &catalog.target(seen.target).name;
-        let target_memory = memory.targets.entry(name.clone()).or_default();
-        round.visit(seen, target_memory);
+        let target_memory = memory.targets.get_mut(name);
+        round.visit(seen, target_memory.expect("entered for each owned target"));
     }
     round.outcome
 }
 
-impl ReconcileMemory {
-    /// Forgets targets that this host no longer owns; says since when the
-    /// catalog's revision is in force here.
-    fn enter(&mut self, catalog: &FleetCatalog, seen: &[SeenTarget], now: Duration) -> Duration {
-        let owned = seen.iter().filter(|seen| seen.owned);
-        let names: HashSet<&str> = owned.map(|seen| &*catalog.target(seen.target).name).collect();
-        self.targets.retain(|name, _| names.contains(&**name));
-        let known = self.revision.filter(|(revision, _)| *revision == catalog.revision());
-        let (_, since) = *self.revision.insert(known.unwrap_or((catalog.revision(), now)));
-        since
-    }
-
-    /// When a target was last told anything. Targets are visited in this order,
-    /// never told ones first, so that orders repeated to targets that are down
-    /// don't use up the round for the rest.
-    fn told_at(&self, name: &str) -> Option<Duration> {
-        self.targets.get(name)?.told.map(|(_, at)| at)
-    }
-}
-
 /// Shards with a target that is ready and wanted to serve.
 ///
 /// One that is ready but on its way out doesn't count: two targets that leave
 /// together, perhaps told by two hosts, would each be let go for the other's
-/// sake.
-fn covered_shards(catalog: &FleetCatalog, seen: &[SeenTarget]) -> HashSet<ShardKey> {
+/// sake. Nor does one that was told something after `before`: what it reports
+/// may be from before the order.
+fn covered_shards(
+    catalog: &FleetCatalog,
+    seen: &[SeenTarget],
+    memory: &ReconcileMemory,
+    before: Option<Duration>,
+) -> HashSet<ShardKey> {
+    let is_trusted = |seen: &&SeenTarget| {
+        let memory = memory.targets.get(&catalog.target(seen.target).name);
+        let served = memory.zip(before).is_some_and(|(memory, at)| memory.has_served_since(at));
+        !seen.owned || served
+    };
     let ready = seen.iter().filter(|seen| seen.phase == Some(TargetPhase::Ready));
+    let ready = ready.filter(is_trusted);
     let records = ready.map(|seen| catalog.target(seen.target));
     let serving = records.filter(|record| record.wanted() == WantedState::Serve);
     serving.flat_map(|record| record.shards.iter().copied()).collect()
@@ -238,7 +213,6 @@
     catalog: &'c FleetCatalog,
     now: Duration,
     options: &'c Options,
-    is_settled: bool,
     covered: HashSet<ShardKey>,
     outcome: Outcome,
 }
@@ -262,8 +236,7 @@
         let step = self.step(record, seen, memory);
         let (cause, held_for) = match step {
             TargetStep::Settled => {
-                memory.drift = None;
-                memory.told = None;
+                memory.note_settled();
                 return;
             }
             TargetStep::Tell(state) => (self.tell(seen, state, memory), None),
@@ -271,7 +244,7 @@
             TargetStep::Hold(shard) => (DriftCause::HeldForShard, Some(shard)),
         };
         let wanted = record.wanted();
-        let since = memory.drift_since(wanted, self.now);
+        let since = memory.note_drift(self.now);
         let (target, seen) = (seen.target, seen.phase);
         self.outcome.drift.push(DriftRecord { target, wanted, seen, since, cause, held_for });
     }
@@ -285,7 +258,10 @@
             (WantedState::Serve, Some(Ready))
             | (WantedState::Standby, Some(Standby))
             | (WantedState::Drain, Some(Draining) | None)
-            | (WantedState::Off, None) => TargetStep::Settled,
+            | (WantedState::Off, None) => match memory.other_order(record.wanted()) {
+                true => TargetStep::Tell(record.wanted()),
+                false => TargetStep::Settled,
+            },
             (WantedState::Serve, Some(Cold)) if memory.was_told(WantedState::Serve) => {
                 TargetStep::Wait(DriftCause::Warming)
             }
@@ -293,11 +269,11 @@
                 TargetStep::Wait(DriftCause::Warming)
             }
             (WantedState::Standby | WantedState::Drain, Some(Ready)) => {
-                self.leave(record, record.wanted())
+                self.leave(record, memory, record.wanted())
             }
             (WantedState::Serve | WantedState::Standby, _) => TargetStep::Tell(record.wanted()),
             (WantedState::Drain, Some(Cold | Standby)) => TargetStep::Tell(WantedState::Drain),
-            (WantedState::Off, Some(Ready)) => self.leave(record, WantedState::Drain),
+            (WantedState::Off, Some(Ready)) => self.leave(record, memory, WantedState::Drain),
             (WantedState::Off, Some(Draining)) => self.switch_off(seen, memory),
             (WantedState::Off, Some(Cold | Standby)) if seen.in_flight > 0 => {
                 TargetStep::Tell(WantedState::Drain)
@@ -313,11 +289,19 @@
     /// no target and every answer has a hole. The hold has no end in time: a
     /// hole in a conflict check is worse than a target that stays on, and the
     /// drift record shows it with the shard.
-    fn leave(&self, record: &TargetRecord, state: WantedState) -> TargetStep {
+    fn leave(
+        &self,
+        record: &TargetRecord,
+        memory: &TargetMemory,
+        state: WantedState,
+    ) -> TargetStep {
         let uncovered = record.shards.iter().find(|shard| !self.covered.contains(shard));
+        let settled_for = self.now.saturating_sub(memory.wanted_since);
         match uncovered {
             Some(&shard) => TargetStep::Hold(shard),
-            None if !self.is_settled => TargetStep::Wait(DriftCause::Settling),
+            None if settled_for < self.options.settle_time => {
+                TargetStep::Wait(DriftCause::Settling)
+            }
             None => TargetStep::Tell(state),
         }
     }
@@ -329,9 +313,7 @@
     /// unknown outcome. What the target reports lags, so this host's own count
     /// decides, and the drain time covers hosts that owned it a moment ago.
     fn switch_off(&self, seen: &SeenTarget, memory: &TargetMemory) -> TargetStep {
-        let drained_for =
-            memory.draining_since.map_or(Duration::ZERO, |since| self.now.saturating_sub(since));
-        if seen.in_flight > 0 || drained_for < self.options.drain_time {
+        if seen.in_flight > 0 || memory.drained_for(self.now) < self.options.drain_time {
             return TargetStep::Wait(DriftCause::Draining);
         }
         TargetStep::Tell(WantedState::Off)
@@ -355,24 +337,3 @@
         DriftCause::Told
     }
 }
-
-impl TargetMemory {
-    fn was_told(&self, state: WantedState) -> bool {
-        self.told.is_some_and(|(told, _)| told == state)
-    }
-
-    fn told_within(&self, state: WantedState, now: Duration, time: Duration) -> bool {
-        self.told.is_some_and(|(told, at)| told == state && now.saturating_sub(at) < time)
-    }
-
-    fn note_phase(&mut self, phase: Option<TargetPhase>, now: Duration) {
-        let draining = phase == Some(TargetPhase::Draining);
-        self.draining_since = draining.then(|| self.draining_since.unwrap_or(now));
-    }
-
-    fn drift_since(&mut self, wanted: WantedState, now: Duration) -> Duration {
-        let since = self.drift.filter(|(state, _)| *state == wanted).map_or(now, |(_, at)| at);
-        self.drift = Some((wanted, since));
-        since
-    }
-}
