feat: the whole path, thin: command line, daemon, owners, targets and back

Cause: everything else stands on one query served end to end. Change: a binary with serve, check, query, request, status, explain, apply, diff, history, import and demo; a daemon of four duties (front, owner, fleet, store) on threads of their own; three daemons and 48 stand-in targets on loopback in the demo.

--- a/crates/hawthorn-daemon/src/connection/peer.rs
+++ b/crates/hawthorn-daemon/src/connection/peer.rs
@@ -58,8 +58,6 @@
 }
 pub use service::PeerService;
 pub use service::PeerServiceClient;
-pub use service::PeerServiceRequest;
-pub use service::PeerServiceResponse;
 
 quick_error! {
     /// Why a call to a daemon brought no answer.
--- a/crates/hawthorn-daemon/src/connection/serve.rs
+++ b/crates/hawthorn-daemon/src/connection/serve.rs
@@ -86,27 +86,21 @@
                     crate::log_event!(log::Level::Warn, event, "accepting a peer: {error}");
                 }
                 Some(Ok(transport)) => {
-                    let channel = BaseChannel::with_defaults(transport);
-                    tokio::spawn(serve(channel, server.clone(), stop.clone()));
+                    let calls = BaseChannel::with_defaults(transport)
+                        .execute(server.clone().serve())
+                        .for_each(|call| async move {
+                            tokio::spawn(call);
+                        });
+                    let stop = stop.clone();
+                    tokio::spawn(async move {
+                        tokio::select! {
+                            () = stop.cancelled() => {}
+                            () = calls => {}
+                        }
+                    });
                 }
             }
         }
     });
     Ok(())
 }
-
-async fn serve<C>(channel: C, server: PeerServer, stop: CancellationToken)
-where
-    C: Channel<Req = crate::connection::peer::PeerServiceRequest, Resp = crate::connection::peer::PeerServiceResponse>
-        + Send
-        + 'static,
-    C::Transport: Send,
-{
-    let calls = channel.execute(server.serve()).for_each(|call| async move {
-        tokio::spawn(call);
-    });
-    tokio::select! {
-        () = stop.cancelled() => {}
-        () = calls => {}
-    }
-}
--- a/crates/hawthorn-daemon/src/owner/attempt.rs
+++ b/crates/hawthorn-daemon/src/owner/attempt.rs
@@ -32,7 +32,7 @@
     /// It ran and succeeded.
     Ran(String),
     /// It ran and failed.
-    RanAndFailed(String),
+    RanAndFailed,
 }
 
 /// The end of an attempt.
@@ -101,7 +101,7 @@
     };
     let ran = |parsed: RunAnswer| match answer.status {
         StatusCode::OK => AttemptAnswer::Ran(parsed.result),
-        _ => AttemptAnswer::RanAndFailed(parsed.result),
+        _ => AttemptAnswer::RanAndFailed,
     };
     match answer.status {
         StatusCode::OK | StatusCode::INTERNAL_SERVER_ERROR => {
--- a/crates/hawthorn-daemon/src/owner/duty.rs
+++ b/crates/hawthorn-daemon/src/owner/duty.rs
@@ -339,7 +339,6 @@
                 shard: piece.shard,
                 version,
                 range: piece.range,
-                deadline,
             };
             let key = self.table.add_piece(open);
             match shard {
@@ -395,7 +394,6 @@
             shard: batch.shard.clone(),
             version,
             range: KeyRange::new(batch.key, batch.key + 1),
-            deadline,
         });
         let request = batch.request.to_string();
         let open = OpenRun { batch, request, grant: Some(grant), reply };
@@ -518,13 +516,7 @@
         }
     }
 
-    fn send(
-        &mut self,
-        attempt: AttemptId,
-        piece: PieceKey,
-        target: TargetKey,
-        deadline: TickTime,
-    ) {
+    fn send(&mut self, attempt: AttemptId, piece: PieceKey, target: TargetKey, deadline: TickTime) {
         if !self.try_send(attempt, piece, target, deadline) {
             let now = self.now();
             let unsent = AttemptResult::ConnectionFailed { sent: false };
@@ -652,7 +644,7 @@
                 self.end_search_piece(piece, outcome);
             }
             Some(AttemptAnswer::Ran(result)) => self.end_run(piece, OnceOutcome::Ran(result)),
-            Some(AttemptAnswer::RanAndFailed(_)) => {
+            Some(AttemptAnswer::RanAndFailed) => {
                 self.end_run(piece, OnceOutcome::Failed(FailureReason::TargetError));
             }
             None => {
--- a/crates/hawthorn-daemon/src/owner/mod.rs
+++ b/crates/hawthorn-daemon/src/owner/mod.rs
@@ -22,6 +22,7 @@
 use tokio::sync::watch;
 
 pub use self::duty::Options;
+pub use self::duty::OwnerInputs;
 pub use self::duty::start;
 pub use self::view::OwnerGauges;
 use crate::connection::message::BatchAnswer;
@@ -45,6 +46,7 @@
     Run {
         key: BatchKey,
         batch: OnceBatch,
+        grant: ClaimGrant,
         reply: oneshot::Sender<OnceOutcome>,
     },
     /// Nobody waits for the batch any more.
--- a/crates/hawthorn-daemon/src/process/daemon.rs
+++ b/crates/hawthorn-daemon/src/process/daemon.rs
@@ -89,13 +89,11 @@
 pub trait ProcessState {}
 
 /// Requests are served.
-#[derive(Debug)]
 pub struct Serving {
     http: HttpServer<Arc<FrontContext>>,
 }
 
 /// Nothing new is taken; what is in flight is finished.
-#[derive(Debug)]
 pub struct Draining {
     http: HttpServer<Arc<FrontContext>>,
 }
@@ -104,7 +102,6 @@
 impl ProcessState for Draining {}
 
 /// One running daemon.
-#[derive(Debug)]
 pub struct DaemonProcess<S: ProcessState> {
     state: S,
     settings: DaemonSettings,
@@ -142,8 +139,7 @@
     let duties = start_duties(&settings, &runtime, &stop)?;
     let _inside = runtime.enter();
     let claims = StoreClient::new(settings.platform, options::store_client());
-    let keeper =
-        ClaimKeeper::spawn(Arc::new(claims.clone()), options::claims(&settings), &stop);
+    let keeper = ClaimKeeper::spawn(Arc::new(claims.clone()), options::claims(&settings), &stop);
     let runner = Arc::new(OnceRunner::new(keeper, duties.owner.clone()));
     let front = Arc::new(FrontContext::new(FrontParts {
         options: options::front(&settings),
@@ -216,8 +212,7 @@
         zone: settings.zone.clone(),
         peer: peer_address,
     };
-    let inputs =
-        fleet::FleetInputs { socket, links: Arc::clone(&links), store: store_calls, busy };
+    let inputs = fleet::FleetInputs { socket, links: Arc::clone(&links), store: store_calls, busy };
     let (fleet, fleet_duty) = fleet::start(options::fleet(settings, place), inputs, stop.clone());
     let inputs = owner::OwnerInputs {
         config: fleet.config.clone(),
--- a/crates/hawthorn-daemon/src/request/api.rs
+++ b/crates/hawthorn-daemon/src/request/api.rs
@@ -34,13 +34,13 @@
 /// When two endpoints clash, which a test rules out.
 pub fn describe() -> Result<ApiDescription<Arc<FrontContext>>, ApiDescriptionRegisterError> {
     let mut api = ApiDescription::new();
-    api.register(query)?;
-    api.register(request)?;
-    api.register(status)?;
-    api.register(explain)?;
-    api.register(live)?;
-    api.register(ready)?;
-    api.register(metrics)?;
+    api.register(run_query)?;
+    api.register(run_request)?;
+    api.register(fleet_status)?;
+    api.register(explain_target)?;
+    api.register(get_live)?;
+    api.register(get_ready)?;
+    api.register(get_metrics)?;
     Ok(api)
 }
 
@@ -48,7 +48,7 @@
 ///
 /// The body is a SearchQuery, the answer a CallerAnswer. Idempotent.
 #[endpoint { method = POST, path = "/v1/query" }]
-async fn query(context: ApiContext, body: StreamingBody) -> ApiResponse {
+async fn run_query(context: ApiContext, body: StreamingBody) -> ApiResponse {
     let front = context.context();
     let _held = front.hold_open();
     let answer = match body::read::<SearchQuery>(body, front.body_options()).await {
@@ -63,7 +63,7 @@
 /// The body is a OnceRequest, the answer a CallerAnswer. Sending the same
 /// request id again never runs it a second time.
 #[endpoint { method = POST, path = "/v1/request" }]
-async fn request(context: ApiContext, body: StreamingBody) -> ApiResponse {
+async fn run_request(context: ApiContext, body: StreamingBody) -> ApiResponse {
     let front = Arc::clone(context.context());
     let held = front.hold_open();
     let answer = match body::read::<OnceRequest>(body, front.body_options()).await {
@@ -84,7 +84,7 @@
 
 /// State of the fleet as this host sees it
 #[endpoint { method = GET, path = "/v1/status" }]
-async fn status(context: ApiContext) -> ApiResponse {
+async fn fleet_status(context: ApiContext) -> ApiResponse {
     json(StatusCode::OK, &context.context().status())
 }
 
@@ -97,7 +97,7 @@
 
 /// Why a target is in the state it is wanted in
 #[endpoint { method = GET, path = "/v1/explain" }]
-async fn explain(context: ApiContext, query: Query<ExplainQuery>) -> ApiResponse {
+async fn explain_target(context: ApiContext, query: Query<ExplainQuery>) -> ApiResponse {
     match context.context().explain(&query.into_inner().target) {
         Some(text) => plain(StatusCode::OK, text),
         None => plain(StatusCode::NOT_FOUND, "no such target in the inventory\n".into()),
@@ -106,13 +106,13 @@
 
 /// Whether the process works at all
 #[endpoint { method = GET, path = "/live" }]
-async fn live(_context: ApiContext) -> ApiResponse {
+async fn get_live(_context: ApiContext) -> ApiResponse {
     plain(StatusCode::OK, "live\n".into())
 }
 
 /// Whether the balancer should send callers here
 #[endpoint { method = GET, path = "/ready" }]
-async fn ready(context: ApiContext) -> ApiResponse {
+async fn get_ready(context: ApiContext) -> ApiResponse {
     match context.context().not_ready() {
         None => plain(StatusCode::OK, "ready\n".into()),
         Some(reason) => plain(StatusCode::SERVICE_UNAVAILABLE, format!("not ready: {reason}\n")),
@@ -121,7 +121,7 @@
 
 /// Counters, histograms and gauges in the Prometheus text format
 #[endpoint { method = GET, path = "/metrics" }]
-async fn metrics(context: ApiContext) -> ApiResponse {
+async fn get_metrics(context: ApiContext) -> ApiResponse {
     plain(StatusCode::OK, context.context().metrics().render())
 }
 
--- a/crates/hawthorn-daemon/src/request/front.rs
+++ b/crates/hawthorn-daemon/src/request/front.rs
@@ -185,9 +185,8 @@
     pub(crate) fn stamp(&self) -> ConfigStamp {
         let revision = self.config().map(|config| config.document.revision).unwrap_or_default();
         let confirmed = self.fleet.status.borrow().confirmed_at;
-        let age_ms = confirmed.map_or(u64::MAX, |at| {
-            u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX)
-        });
+        let age_ms = confirmed
+            .map_or(u64::MAX, |at| u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX));
         ConfigStamp { revision, age_ms }
     }
 
--- a/crates/hawthorn-daemon/src/request/once.rs
+++ b/crates/hawthorn-daemon/src/request/once.rs
@@ -116,11 +116,7 @@
 /// which sends two barges to one vessel. So the next owner is tried only when
 /// the one before certainly did not get the request, or said that it did not
 /// run it and left no claim.
-async fn hand_over(
-    front: &FrontContext,
-    checked: &CheckedOnce,
-    request: RequestId,
-) -> OnceOutcome {
+async fn hand_over(front: &FrontContext, checked: &CheckedOnce, request: RequestId) -> OnceOutcome {
     let mut last = RefusalReason::NoTarget;
     for host in owners(front, checked) {
         let left = checked.deadline.saturating_sub(front.now()).saturating_sub(ANSWER_RESERVE);
--- a/crates/hawthorn-daemon/src/request/query.rs
+++ b/crates/hawthorn-daemon/src/request/query.rs
@@ -74,8 +74,7 @@
     let found = search(front, &checked, request).await;
     let took = front.now().saturating_sub(began);
     count(front, &found, took);
-    let mut answer =
-        front.bare_answer(request, checked.query.request_id, CallerOutcome::Answer);
+    let mut answer = front.bare_answer(request, checked.query.request_id, CallerOutcome::Answer);
     answer.index_version = found.version;
     answer.coverage = Some(found.coverage);
     answer.total = found.total;
@@ -97,9 +96,8 @@
     }
     let config = front.config().ok_or_else(|| refuse(RefusalReason::NoConfiguration))?;
     let catalog = &config.catalog;
-    let caller = catalog
-        .caller_named(&query.caller)
-        .ok_or_else(|| refuse(RefusalReason::UnknownCaller))?;
+    let caller =
+        catalog.caller_named(&query.caller).ok_or_else(|| refuse(RefusalReason::UnknownCaller))?;
     let service = catalog
         .service_named(&query.service)
         .ok_or_else(|| refuse(RefusalReason::UnknownService))?;
@@ -154,8 +152,7 @@
 /// The longest wait among the shards asked, each at its best zone.
 fn expected_wait(front: &FrontContext, checked: &CheckedQuery) -> Duration {
     let fleet = front.fleet_view();
-    let table =
-        front.tables.table(checked.service, &checked.config, &fleet, &front.views);
+    let table = front.tables.table(checked.service, &checked.config, &fleet, &front.views);
     let now = front.now();
     let shards = table.near(checked.range).iter();
     let reports = shards.filter_map(|shard| {
@@ -163,10 +160,7 @@
         let best = usable.min_by_key(|option| option.expected_wait)?;
         let host = fleet.hosts.get(&best.owner)?;
         let age = front.views.get(host.id)?.at.elapsed();
-        Some(WaitReport {
-            wait: best.expected_wait,
-            reported_at: now.saturating_sub(age),
-        })
+        Some(WaitReport { wait: best.expected_wait, reported_at: now.saturating_sub(age) })
     });
     admit::expected_wait(reports, now, &front.options.admit)
 }
@@ -178,11 +172,7 @@
     pieces: Option<Vec<PieceAnswer>>,
 }
 
-async fn search(
-    front: &FrontContext,
-    checked: &CheckedQuery,
-    request: RequestId,
-) -> FinishedQuery {
+async fn search(front: &FrontContext, checked: &CheckedQuery, request: RequestId) -> FinishedQuery {
     let tracked = TrackedQuery {
         range: checked.range,
         limit: checked.query.limit as usize,
@@ -192,9 +182,8 @@
     let mut batches = FuturesUnordered::new();
     let mut guards: Vec<(BatchId, DropGuard)> = Vec::new();
     let mut wake = checked.deadline;
-    let mut step = with_context(front, checked, |context| {
-        track::start(tracked, context, front.options.track)
-    });
+    let mut step =
+        with_context(front, checked, |context| track::start(tracked, context, front.options.track));
     loop {
         let (track, actions) = match step {
             // Dropping the guards withdraws whatever is still open.
@@ -249,8 +238,7 @@
     run: impl FnOnce(&mut TrackContext<'_>) -> T,
 ) -> T {
     let fleet = front.fleet_view();
-    let table =
-        front.tables.table(checked.service, &checked.config, &fleet, &front.views);
+    let table = front.tables.table(checked.service, &checked.config, &fleet, &front.views);
     let own_zone = checked.config.catalog.zone_named(&front.zone).unwrap_or_default();
     let mut budget = front.budget.lock().expect("no holder of the lock panics");
     run(&mut TrackContext { now: front.now(), table: &table, own_zone, budget: &mut budget })
@@ -358,4 +346,3 @@
         front.metrics.count_missing(missing.reason, 1);
     }
 }
-
--- a/crates/hawthorn-daemon/src/request/status.rs
+++ b/crates/hawthorn-daemon/src/request/status.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use hawthorn_intent::catalog::FleetCatalog;
+use hawthorn_intent::explain;
 use hawthorn_types::ConfigStamp;
 use hawthorn_types::WantedState;
 use schemars::JsonSchema;
@@ -114,15 +115,24 @@
         }
     }
 
+    /// Why a target, or an asset, is in the state wanted of it; none when the
+    /// inventory does not have it.
+    pub fn explain(&self, name: &str) -> Option<String> {
+        let config = self.config()?;
+        let explained = explain::explain(&config.inventory, &config.rules, name);
+        explained.ok().map(|explanation| explanation.to_string())
+    }
+
     fn uncovered(&self) -> Vec<String> {
         let Some(config) = self.config() else { return Vec::new() };
         let fleet = self.fleet_view();
         let mut names = Vec::new();
         for (service, _) in config.catalog.services() {
             let table = self.tables.table(service, &config, &fleet, &self.views);
-            let bare = table.shards().iter().filter(|shard| {
-                shard.options.iter().all(|option| option.versions.is_empty())
-            });
+            let bare = table
+                .shards()
+                .iter()
+                .filter(|shard| shard.options.iter().all(|option| option.versions.is_empty()));
             names.extend(bare.map(|shard| config.catalog.shard(shard.shard).name.to_string()));
         }
         names
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,366 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use bpaf::OptionParser;
+use bpaf::Parser;
+use bpaf::construct;
+use bpaf::long;
+use bpaf::positional;
+use log::LevelFilter;
+
+/// What was asked for.
+#[derive(Clone, Debug)]
+pub(crate) enum CliCommand {
+    Serve(ServeOptions),
+    Check(CheckOptions),
+    Query(QueryOptions),
+    Request(RequestOptions),
+    Status(StatusOptions),
+    Explain(ExplainOptions),
+    Apply(ApplyOptions),
+    Diff(DiffOptions),
+    History(HistoryOptions),
+    Import(ImportOptions),
+    #[cfg(feature = "demo")]
+    Demo,
+}
+
+/// Of `serve`.
+#[derive(Clone, Debug)]
+pub(crate) struct ServeOptions {
+    pub(crate) settings: PathBuf,
+    pub(crate) log: LevelFilter,
+}
+
+/// Of `check`.
+#[derive(Clone, Debug)]
+pub(crate) struct CheckOptions {
+    pub(crate) json: bool,
+    pub(crate) directory: PathBuf,
+}
+
+/// Of `query`.
+#[derive(Clone, Debug)]
+pub(crate) struct QueryOptions {
+    pub(crate) at: SocketAddr,
+    pub(crate) caller: String,
+    pub(crate) service: String,
+    pub(crate) text: String,
+    pub(crate) range: Option<String>,
+    pub(crate) limit: u32,
+    pub(crate) deadline_ms: u64,
+    pub(crate) normal: bool,
+    pub(crate) id: Option<String>,
+    pub(crate) json: bool,
+}
+
+/// Of `request`.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestOptions {
+    pub(crate) at: SocketAddr,
+    pub(crate) caller: String,
+    pub(crate) service: String,
+    pub(crate) key: u32,
+    pub(crate) body: String,
+    pub(crate) id: String,
+    pub(crate) deadline_ms: u64,
+    pub(crate) json: bool,
+}
+
+/// Of `status`.
+#[derive(Clone, Debug)]
+pub(crate) struct StatusOptions {
+    pub(crate) at: SocketAddr,
+    pub(crate) json: bool,
+}
+
+/// Of `explain`.
+#[derive(Clone, Debug)]
+pub(crate) struct ExplainOptions {
+    pub(crate) at: SocketAddr,
+    pub(crate) target: String,
+}
+
+/// Of `apply`.
+#[derive(Clone, Debug)]
+pub(crate) struct ApplyOptions {
+    pub(crate) platform: SocketAddr,
+    pub(crate) author: String,
+    pub(crate) base: u64,
+    pub(crate) edit_id: Option<String>,
+    pub(crate) directory: PathBuf,
+}
+
+/// Of `diff`.
+#[derive(Clone, Debug)]
+pub(crate) struct DiffOptions {
+    pub(crate) platform: SocketAddr,
+    pub(crate) revision: Option<u64>,
+    pub(crate) json: bool,
+    pub(crate) directory: PathBuf,
+}
+
+/// Of `history`.
+#[derive(Clone, Debug)]
+pub(crate) struct HistoryOptions {
+    pub(crate) platform: SocketAddr,
+    pub(crate) write: Option<PathBuf>,
+    pub(crate) revision: Option<u64>,
+}
+
+/// Of `import`.
+#[derive(Clone, Debug)]
+pub(crate) struct ImportOptions {
+    pub(crate) base: PathBuf,
+    pub(crate) register: PathBuf,
+}
+
+fn at() -> impl Parser<SocketAddr> {
+    long("at").help("A host's caller_address, IP:PORT").argument::<SocketAddr>("ADDRESS")
+}
+
+fn platform() -> impl Parser<SocketAddr> {
+    long("platform").help("The platform's service, IP:PORT").argument::<SocketAddr>("ADDRESS")
+}
+
+fn caller() -> impl Parser<String> {
+    long("caller").help("Who asks, as named in the rules").argument::<String>("NAME")
+}
+
+fn service() -> impl Parser<String> {
+    long("service").help("The service, as named in the inventory").argument::<String>("NAME")
+}
+
+fn deadline() -> impl Parser<u64> {
+    long("deadline-ms")
+        .help("How long to wait, in milliseconds")
+        .argument::<u64>("N")
+        .fallback(2_000)
+        .display_fallback()
+}
+
+fn json() -> impl Parser<bool> {
+    long("json").help("Print JSON for scripts").switch()
+}
+
+fn directory() -> impl Parser<PathBuf> {
+    positional::<PathBuf>("DIRECTORY").help("Holds inventory.toml and rules.toml")
+}
+
+fn serve() -> impl Parser<CliCommand> {
+    let settings = long("settings").short('s').help("The file of settings, TOML").argument("FILE");
+    let log = long("log")
+        .help("error, warn, info, debug or trace")
+        .argument::<LevelFilter>("LEVEL")
+        .fallback(LevelFilter::Info)
+        .display_fallback();
+    construct!(ServeOptions { settings, log })
+        .map(CliCommand::Serve)
+        .to_options()
+        .descr("Run a daemon of the tier until SIGTERM or SIGINT")
+        .footer("Example: hawthornroute serve --settings /etc/hawthornroute/daemon.toml")
+        .command("serve")
+}
+
+fn check() -> impl Parser<CliCommand> {
+    let json = json();
+    let directory = directory();
+    construct!(CheckOptions { json, directory })
+        .map(CliCommand::Check)
+        .to_options()
+        .descr("Find every fault of inventory.toml, rules.toml and, if there, daemon.toml")
+        .footer("Example: hawthornroute check examples/dar-port")
+        .command("check")
+}
+
+fn query() -> impl Parser<CliCommand> {
+    let at = at();
+    let caller = caller();
+    let service = service();
+    let text = long("text")
+        .help("Words a document must all contain")
+        .argument::<String>("WORDS")
+        .fallback(String::new());
+    let range =
+        long("range").help("Keys to search, START..END").argument::<String>("RANGE").optional();
+    let limit =
+        long("limit").help("Most matches").argument::<u32>("N").fallback(20).display_fallback();
+    let deadline_ms = deadline();
+    let normal = long("normal").help("May wait behind urgent queries").switch();
+    let id = long("id").help("Your own id, echoed").argument::<String>("ID").optional();
+    let json = json();
+    construct!(QueryOptions {
+        at,
+        caller,
+        service,
+        text,
+        range,
+        limit,
+        deadline_ms,
+        normal,
+        id,
+        json
+    })
+    .map(CliCommand::Query)
+    .to_options()
+    .descr("Search all shards of a service")
+    .footer(
+        "Example: hawthornroute query --at 10.1.0.1:8400 --caller bunker-desk \
+         --service agent-desk --text 'stem ready'",
+    )
+    .command("query")
+}
+
+fn request() -> impl Parser<CliCommand> {
+    let at = at();
+    let caller = caller();
+    let service = service();
+    let key = long("key").help("The key that chooses the shard").argument::<u32>("N");
+    let body = long("body").help("What to do").argument::<String>("TEXT");
+    let id = long("id")
+        .help("Your own id, SECONDS-REST; the same again for the same request")
+        .argument::<String>("ID");
+    let deadline_ms = deadline();
+    let json = json();
+    construct!(RequestOptions { at, caller, service, key, body, id, deadline_ms, json })
+        .map(CliCommand::Request)
+        .to_options()
+        .descr("Run a non-idempotent request at most once")
+        .footer(
+            "Example: hawthornroute request --at 10.1.0.1:8400 --caller bunker-desk \
+             --service agent-desk --key 4711 --body 'confirm order 88' --id $(date +%s)-88",
+        )
+        .command("request")
+}
+
+fn status() -> impl Parser<CliCommand> {
+    let at = at();
+    let json = json();
+    construct!(StatusOptions { at, json })
+        .map(CliCommand::Status)
+        .to_options()
+        .descr("Show the fleet, the configuration in force and drift, as one host sees them")
+        .footer("Example: hawthornroute status --at 10.1.0.1:8400")
+        .command("status")
+}
+
+fn explain() -> impl Parser<CliCommand> {
+    let at = at();
+    let target = positional::<String>("TARGET").help("A target's name or asset number");
+    construct!(ExplainOptions { at, target })
+        .map(CliCommand::Explain)
+        .to_options()
+        .descr("Say why a target is wanted in the state it is")
+        .footer("Example: hawthornroute explain --at 10.1.0.1:8400 agent-desk-07-a")
+        .command("explain")
+}
+
+fn apply() -> impl Parser<CliCommand> {
+    let platform = platform();
+    let author = long("author").help("Who edits").argument::<String>("NAME");
+    let base = long("base")
+        .help("The revision the edit was made on, as diff shows it; 0 for the first")
+        .argument::<u64>("REVISION");
+    let edit_id = long("edit-id")
+        .help("Repeat an edit whose outcome is not known, by the id it printed")
+        .argument::<String>("ID")
+        .optional();
+    let directory = directory();
+    construct!(ApplyOptions { platform, author, base, edit_id, directory })
+        .map(CliCommand::Apply)
+        .to_options()
+        .descr("Check a configuration and bring it into force")
+        .footer(
+            "Example: hawthornroute apply --platform 10.1.0.9:2379 --author asha --base 41 dar-port",
+        )
+        .command("apply")
+}
+
+fn diff() -> impl Parser<CliCommand> {
+    let platform = platform();
+    let revision = long("revision")
+        .help("Compare with this earlier revision instead of the one in force")
+        .argument::<u64>("REVISION")
+        .optional();
+    let json = json();
+    let directory = directory();
+    construct!(DiffOptions { platform, revision, json, directory })
+        .map(CliCommand::Diff)
+        .to_options()
+        .descr("Show what a configuration would change")
+        .footer("Example: hawthornroute diff --platform 10.1.0.9:2379 dar-port")
+        .command("diff")
+}
+
+fn history() -> impl Parser<CliCommand> {
+    let platform = platform();
+    let write = long("write")
+        .help("Write the revision's inventory.toml and rules.toml into this directory")
+        .argument::<PathBuf>("DIRECTORY")
+        .optional();
+    let revision = long("revision").help("One revision").argument::<u64>("REVISION").optional();
+    construct!(HistoryOptions { platform, write, revision })
+        .map(CliCommand::History)
+        .to_options()
+        .descr("List earlier configurations, as far as the store holds them")
+        .footer("Example: hawthornroute history --platform 10.1.0.9:2379 --revision 41 --write old")
+        .command("history")
+}
+
+fn import() -> impl Parser<CliCommand> {
+    let base = long("base")
+        .help("An inventory.toml whose zones and services are taken over")
+        .argument::<PathBuf>("FILE");
+    let register = positional::<PathBuf>("REGISTER").help("The asset register, CSV");
+    construct!(ImportOptions { base, register })
+        .map(CliCommand::Import)
+        .to_options()
+        .descr("Make an inventory from an asset register; the inventory goes to standard output")
+        .footer(
+            "Example: hawthornroute import --base examples/dar-port/inventory.toml \
+             examples/dar-port/asset-register.csv > inventory.toml",
+        )
+        .command("import")
+}
+
+#[cfg(feature = "demo")]
+fn demo() -> impl Parser<CliCommand> {
+    bpaf::pure(CliCommand::Demo)
+        .to_options()
+        .descr("Run the whole path on loopback with stand-ins, for ten seconds at the most")
+        .command("demo")
+}
+
+/// The parser of the whole command line.
+pub(crate) fn command() -> OptionParser<CliCommand> {
+    let serve = serve();
+    let check = check();
+    let query = query();
+    let request = request();
+    let status = status();
+    let explain = explain();
+    let apply = apply();
+    let diff = diff();
+    let history = history();
+    let import = import();
+    #[cfg(feature = "demo")]
+    let parser = {
+        let demo = demo();
+        construct!([
+            serve, check, query, request, status, explain, apply, diff, history, import, demo
+        ])
+    };
+    #[cfg(not(feature = "demo"))]
+    let parser =
+        construct!([serve, check, query, request, status, explain, apply, diff, history, import]);
+    parser
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("A query tier over many shards")
+        .footer(
+            "Exit codes: 0 done; 1 not run or not accepted; 2 usage; 3 not known whether it ran; \
+             4 answer incomplete; 5 ran and failed; 6 unreachable",
+        )
+}
