--- a/crates/hawthorn-decide/tests/admit.rs
+++ b/crates/hawthorn-decide/tests/admit.rs
@@ -31,7 +31,7 @@
     extra: f64,
 }
 
-const SECONDS: u64 = 10;
+const SECONDS: u64 = 5;
 
 /// Ship agents search faster than the targets can answer. Queries that cannot
 /// be done in time would fill the queues, and every answer would come too late
--- a/crates/hawthorn-decide/tests/support/mod.rs
+++ b/crates/hawthorn-decide/tests/support/mod.rs
@@ -35,6 +35,7 @@
 use rand_chacha::ChaCha8Rng;
 use smallvec::smallvec;
 
+pub mod model;
 pub mod naive;
 
 pub const MILLI: u64 = 1_000;
