perf(fleet): fewer false suspicions and no storm of rumors after a sync

Cause: at 5 % of datagrams lost, 256 daemons confirmed 3 deaths of live members in 20 s and sent 4,873 bytes/s each; a daemon that joined passed the whole list on again; every daemon that heard of a suspicion confirmed it after 1 s, while the refutation was still on its way. Change: a ping is sent again twice, directly and through others, before the member is suspect; daemons that only heard of a suspicion wait 3 s; records read in a sync are not passed on; a part of a list with much news is followed by the next at once.

--- a/crates/hawthorn-fleet/src/handover/mod.rs
+++ b/crates/hawthorn-fleet/src/handover/mod.rs
@@ -32,6 +32,9 @@
 use crate::ownership::OwnerCandidate;
 use bucket::BucketState;
 
+/// Buckets named in one message; at most three bytes each, so that it fits a datagram.
+const BUCKETS_SENT: usize = 256;
+
 /// How much of a group's slots this host may use now.
 #[derive(
     Clone,
@@ -440,15 +443,22 @@
 
     fn flush(&mut self) {
         for (to, buckets) in std::mem::take(&mut self.asked) {
-            self.actions
-                .push_back(HandoverAction::Send { to, message: HandoverMessage::Ask(buckets) });
+            self.send_parts(to, &buckets, HandoverMessage::Ask);
         }
         for (to, buckets) in std::mem::take(&mut self.released) {
-            let buckets: SmallVec<_> = buckets;
-            self.actions.push_back(HandoverAction::Send {
-                to,
-                message: HandoverMessage::Released(buckets),
-            });
+            self.send_parts(to, &buckets, HandoverMessage::Released);
+        }
+    }
+
+    fn send_parts(
+        &mut self,
+        to: MemberId,
+        buckets: &[u16],
+        message: impl Fn(BucketList) -> HandoverMessage,
+    ) {
+        for part in buckets.chunks(BUCKETS_SENT) {
+            let message = message(SmallVec::from_slice(part));
+            self.actions.push_back(HandoverAction::Send { to, message });
         }
     }
 }
--- a/crates/hawthorn-fleet/src/member/apply.rs
+++ b/crates/hawthorn-fleet/src/member/apply.rs
@@ -17,8 +17,14 @@
 use crate::message::SenderHeader;
 
 impl MemberTable {
-    /// Takes in a rumor, from anyone.
-    pub(super) fn apply(&mut self, now: Duration, rumor: MemberRumor) {
+    /// Takes in a rumor, from anyone; true when it was news.
+    pub(super) fn apply(&mut self, now: Duration, rumor: MemberRumor) -> bool {
+        let before = self.arena.fingerprint();
+        self.take_rumor(now, rumor);
+        self.arena.fingerprint() != before
+    }
+
+    fn take_rumor(&mut self, now: Duration, rumor: MemberRumor) {
         if rumor.id == self.my_id {
             return self.judge_self(now, rumor);
         }
@@ -226,7 +232,7 @@
     fn suspect_later(&mut self, now: Duration, key: HostKey, private: bool) {
         let Some(stamp) = self.arena.get(key).map(|record| record.stamp) else { return };
         self.suspicions.retain(|suspicion| suspicion.key != key);
-        let wait = if private { self.options.deaf_suspicion } else { self.options.suspicion };
+        let wait = if private { self.options.deaf_suspicion } else { self.options.suspicion_heard };
         self.suspicions.push(Suspicion { key, stamp, deadline: now + wait, own: false });
     }
 
--- a/crates/hawthorn-fleet/src/member/mod.rs
+++ b/crates/hawthorn-fleet/src/member/mod.rs
@@ -74,6 +74,9 @@
     /// How long a suspect may refute. Five heartbeats: with 5 % of datagrams
     /// lost, five pings all fail about once in 100,000.
     pub suspicion: Duration,
+    /// How long a suspect may refute at daemons that only heard of the
+    /// suspicion: they confirm it in case the first daemon dies too.
+    pub suspicion_heard: Duration,
     /// Having heard nobody for so long, a daemon takes itself for cut off.
     pub deaf_after: Duration,
     /// How long a daemon that is cut off waits before it holds others for dead.
@@ -85,7 +88,8 @@
     /// Between pings to one dead member of the own zone, or one hinted address
     /// without a live member, so that the parts of a partition find each other.
     pub retry: Duration,
-    /// Between requests for a part of a member list that differs.
+    /// Between requests for a part of a member list that differs. While the
+    /// parts bring much that is new, the next one is asked for at once.
     pub repair: Duration,
     /// A gap between calls longer than this means that the process stood still.
     pub pause: Duration,
@@ -97,7 +101,8 @@
     /// Bytes of rumors in one datagram. With ten datagrams a second this is
     /// what bounds a daemon's bytes during a storm of changes.
     pub rumor_bytes: usize,
-    /// Each rumor is sent so many times the logarithm of the member count.
+    /// Each rumor is sent so many times the binary logarithm of the member
+    /// count: enough that all but a few hear of it; repair reaches those.
     pub rumor_factor: u32,
     /// How many members hear at once of a new configuration revision or phase.
     pub push: usize,
@@ -112,6 +117,7 @@
             probe_timeout: Duration::from_millis(320),
             helpers: 2,
             suspicion: Duration::from_secs(1),
+            suspicion_heard: Duration::from_secs(3),
             deaf_after: Duration::from_millis(600),
             deaf_suspicion: Duration::from_secs(5),
             across: Duration::from_secs(1),
@@ -122,7 +128,7 @@
             dead_kept: Duration::from_secs(3 * 60 * 60),
             left_kept: Duration::from_secs(10 * 60),
             rumor_bytes: 400,
-            rumor_factor: 3,
+            rumor_factor: 2,
             push: 3,
         }
     }
--- a/crates/hawthorn-fleet/src/member/probe.rs
+++ b/crates/hawthorn-fleet/src/member/probe.rs
@@ -10,6 +10,7 @@
 
 use super::MemberRecord;
 use super::MemberTable;
+use super::Options;
 use super::SyncProgress;
 use crate::action::FleetAction;
 use crate::message::FleetBody;
@@ -28,6 +29,9 @@
 /// again, of another peer, after this time.
 const SYNC_RETRY: Duration = Duration::from_millis(500);
 
+/// How often a ping without an ack is sent again, directly and through others.
+const PROBE_ROUNDS: u32 = 2;
+
 /// Addresses tried at once while no other member is known.
 const HINTS_AT_START: usize = 3;
 
@@ -39,8 +43,10 @@
 pub(super) struct Probe {
     pub(super) number: u32,
     key: HostKey,
+    peer: SocketAddr,
     sent: Duration,
-    helped: bool,
+    /// How often it was sent again, directly and through others.
+    rounds: u32,
     /// Whether failing makes the target suspect: a member of the own zone.
     judged: bool,
 }
@@ -64,6 +70,23 @@
     pub(super) own: bool,
 }
 
+impl Suspicion {
+    /// How long the suspect may refute. A daemon that only heard of the
+    /// suspicion waits longer: the refutation may still be on its way.
+    fn wait(&self, options: &Options) -> Duration {
+        if self.own { options.suspicion } else { options.suspicion_heard }
+    }
+}
+
+/// How long after a ping it is sent again, or given up.
+///
+/// With 5 % of datagrams lost, a ping with its ack fails one time in ten and
+/// one through others one time in five; after two rounds about one probe in
+/// 100,000 of a live member fails.
+fn again_at(rounds: u32, options: &Options) -> Duration {
+    if rounds < PROBE_ROUNDS { options.ack_timeout * (rounds + 1) } else { options.probe_timeout }
+}
+
 impl MemberTable {
     /// Does what is due.
     pub fn tick(&mut self, now: Duration) {
@@ -105,10 +128,8 @@
     /// When `tick` is worth calling next; never later than a heartbeat, so
     /// that a longer gap shows that the process stood still.
     pub fn next_wake(&self) -> Duration {
-        let ack = self.options.ack_timeout;
-        let timeout = self.options.probe_timeout;
         let probes =
-            self.probes.iter().map(|probe| probe.sent + if probe.helped { timeout } else { ack });
+            self.probes.iter().map(|probe| probe.sent + again_at(probe.rounds, &self.options));
         let suspicions = self.suspicions.iter().map(|suspicion| suspicion.deadline);
         probes.chain(suspicions).fold(self.due.heartbeat, Duration::min)
     }
@@ -140,7 +161,8 @@
     /// Gives all suspects their full time again.
     pub(super) fn restart_suspicions(&mut self, now: Duration) {
         for suspicion in &mut self.suspicions {
-            suspicion.deadline = now + self.options.suspicion;
+            let wait = suspicion.wait(&self.options);
+            suspicion.deadline = now + wait;
         }
     }
 
@@ -183,7 +205,7 @@
         let Some(record) = self.arena.get(key) else { return };
         let peer = record.place.peer;
         let number = self.take_number();
-        self.probes.push(Probe { number, key, sent: now, helped: false, judged });
+        self.probes.push(Probe { number, key, peer, sent: now, rounds: 0, judged });
         self.send(now, peer, FleetBody::Ping { number }, front);
     }
 
@@ -269,9 +291,10 @@
                 self.probe_failed(now, &probe);
                 continue;
             }
-            if waited >= self.options.ack_timeout && !probe.helped {
-                let (key, number) = (probe.key, probe.number);
-                self.probes[index].helped = true;
+            if waited >= again_at(probe.rounds, &self.options) {
+                let (key, peer, number) = (probe.key, probe.peer, probe.number);
+                self.probes[index].rounds += 1;
+                self.send(now, peer, FleetBody::Ping { number }, &[]);
                 self.ask_to_ping(now, key, number, self.options.helpers);
             }
             index += 1;
@@ -313,6 +336,9 @@
         self.set_health(now, probe.key, MemberHealth::Suspect, private);
         if let Some(suspicion) = self.suspicions.iter_mut().find(|found| found.key == probe.key) {
             suspicion.own = true;
+            if !private {
+                suspicion.deadline = now + self.options.suspicion;
+            }
         }
     }
 
--- a/crates/hawthorn-fleet/src/member/receive.rs
+++ b/crates/hawthorn-fleet/src/member/receive.rs
@@ -24,6 +24,9 @@
 /// The most pings for others kept waiting; more are not worth passing on late.
 const RELAY_LIMIT: usize = 256;
 
+/// A part of a peer's list with so much news is worth the next part at once.
+const REPAIR_NEWS: usize = 4;
+
 impl MemberTable {
     /// Takes in a datagram. An error changes nothing but the counters.
     pub fn receive(&mut self, now: Duration, from: SocketAddr, bytes: &[u8]) -> Result<(), Error> {
@@ -41,18 +44,16 @@
             return Ok(());
         }
         self.note_heard(now);
-        let page = matches!(message.body, FleetBody::SyncPage { .. });
-        for rumor in rumors {
-            if page {
-                self.contradict(&rumor);
-            }
-            self.apply(now, rumor);
-        }
+        let news = if matches!(message.body, FleetBody::SyncPage { .. }) {
+            self.apply_page(now, from, rumors)
+        } else {
+            rumors.into_iter().map(|rumor| self.apply(now, rumor)).filter(|&news| news).count()
+        };
         let sender = self.apply_header(now, &message.sender);
         if let Some(key) = sender {
             self.note_sender(now, from, key, &message);
         }
-        self.answer(now, from, sender, message);
+        self.answer(now, from, sender, message, news);
         Ok(())
     }
 
@@ -109,6 +110,31 @@
             .push_back(FleetAction::DigestHeard { peer: key, digest: message.sender.digest });
     }
 
+    fn syncs_from(&self, from: SocketAddr) -> bool {
+        self.sync.as_ref().is_some_and(|sync| sync.peer == from)
+    }
+
+    /// Takes in a part of a peer's list; how much of it was news. What a
+    /// joining daemon learns so is not passed on: the others know it, and
+    /// thousands of records would crowd out real news for minutes.
+    fn apply_page(&mut self, now: Duration, from: SocketAddr, rumors: Vec<MemberRumor>) -> usize {
+        let joining = self.syncs_from(from);
+        let mut news = 0;
+        for rumor in rumors {
+            let id = rumor.id;
+            self.contradict(&rumor);
+            let waiting = self.rumors.contains(id);
+            if !self.apply(now, rumor) {
+                continue;
+            }
+            news += 1;
+            if joining && !waiting && id != self.my_id {
+                self.rumors.remove(id);
+            }
+        }
+        news
+    }
+
     /// The peer lists a member live that is known to be dead here. Failure:
     /// after a partition within a zone the two sides hold each other for dead
     /// and tell nobody any more. Passing it on again lets the member refute.
@@ -127,6 +153,7 @@
         from: SocketAddr,
         sender: Option<HostKey>,
         message: FleetMessage,
+        news: usize,
     ) {
         let front = self.doubts_of(&message.sender);
         match message.body {
@@ -143,7 +170,7 @@
             }
             FleetBody::Notice => {}
             FleetBody::SyncAsk { after } => self.send_page(now, from, after),
-            FleetBody::SyncPage { next } => self.take_page(now, from, next),
+            FleetBody::SyncPage { next } => self.take_page(now, from, next, news),
             FleetBody::Handover(message) => {
                 let Some(peer) = sender.and_then(|key| self.arena.get(key)) else { return };
                 let peer = peer.id;
@@ -215,10 +242,14 @@
         self.send(now, peer, FleetBody::Ping { number }, &front);
     }
 
-    fn take_page(&mut self, now: Duration, from: SocketAddr, next: Option<u64>) {
-        let syncing = self.sync.as_ref().is_some_and(|sync| sync.peer == from);
-        if !syncing {
+    fn take_page(&mut self, now: Duration, from: SocketAddr, next: Option<u64>, news: usize) {
+        if !self.syncs_from(from) {
             self.repair_after = next.unwrap_or(0);
+            if news >= REPAIR_NEWS
+                && let Some(after) = next
+            {
+                self.send(now, from, FleetBody::SyncAsk { after }, &[]);
+            }
             return;
         }
         let Some(after) = next else {
--- a/crates/hawthorn-fleet/src/member/rumor.rs
+++ b/crates/hawthorn-fleet/src/member/rumor.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Whether the host's record waits to be passed on.
+    pub(crate) fn contains(&self, id: MemberId) -> bool {
+        self.sent.contains_key(&id)
+    }
+
     /// How many rumors wait.
     pub(crate) fn len(&self) -> usize {
         self.sent.len()
--- a/crates/hawthorn-fleet/src/ownership.rs
+++ b/crates/hawthorn-fleet/src/ownership.rs
@@ -14,11 +14,13 @@
 
 use crate::message::MemberId;
 
-/// Buckets of one zone, unless the settings say otherwise.
+/// Buckets of one zone, unless the settings say otherwise. The same on all
+/// daemons of a fleet.
 ///
-/// Chosen for 2 to 160 hosts a zone. Fewer, and with 8 hosts some own twice
-/// the mean; more, and a query to 270 targets splits into more batches than it
-/// has owners to send to, and each change names more buckets in one datagram.
+/// Made for zones of 2 to 4 hosts. Sixteen or more buckets for each host keep
+/// the fullest host below twice the mean, so a zone of 160 hosts needs 4,096.
+/// More cost no batches, as a query sends one to each owner and not to each
+/// bucket, but each change of hosts scores every bucket for every host.
 pub const DEFAULT_BUCKETS: u16 = 64;
 
 /// Names a group everywhere: a hash of its zone and bucket.
--- a/crates/hawthorn-fleet/tests/support/mod.rs
+++ b/crates/hawthorn-fleet/tests/support/mod.rs
@@ -48,6 +48,7 @@
     pub spread: SpreadState,
     pub up: bool,
     pub paused: bool,
+    pub ready: bool,
     pub events: Vec<(Duration, FleetAction)>,
     pub alarms: Vec<SpreadAlarm>,
     pub adopted: Vec<(Duration, ConfigEdition)>,
@@ -86,6 +87,8 @@
     pub cuts: BTreeSet<(usize, usize)>,
     /// Wall time spent inside the state machines.
     pub work: Duration,
+    /// Datagrams and bytes sent by all daemons.
+    pub sent: (u64, u64),
     pub member_options: member::Options,
     queue: BinaryHeap<Reverse<Entry>>,
     watches: BTreeMap<u64, (usize, u32)>,
@@ -105,6 +108,7 @@
             delay: (500, 1_500),
             cuts: BTreeSet::new(),
             work: Duration::ZERO,
+            sent: (0, 0),
             member_options: member::Options::default(),
             queue: BinaryHeap::new(),
             watches: BTreeMap::new(),
@@ -146,6 +150,7 @@
             spread: SpreadState::new(spread::Options::default()),
             up: true,
             paused: false,
+            ready: false,
             events: Vec::new(),
             alarms: Vec::new(),
             adopted: Vec::new(),
@@ -182,6 +187,7 @@
         daemon.spread = SpreadState::new(spread::Options::default());
         daemon.up = true;
         daemon.paused = false;
+        daemon.ready = false;
         daemon.held.clear();
         daemon.wake_at = Duration::MAX;
         self.seed(index);
@@ -303,15 +309,15 @@
         let zone = daemon.zone.clone();
         daemon.spread.set_zone(&zone, MemberId::of(&daemon.name), daemon.table.staying(&zone));
         daemon.spread.tick(now);
+        let live = daemon.table.records().filter(|record| record.is_live()).count();
+        let ready = daemon.spread.is_ready(live.saturating_sub(1));
+        daemon.ready = ready && (daemon.table.is_synced() || live == 1);
     }
 
     fn drain(&mut self, index: usize) {
         let now = self.now;
         let daemon = &mut self.daemons[index];
-        let live = daemon.table.records().filter(|record| record.is_live()).count();
-        let ready = daemon.spread.is_ready(live.saturating_sub(1));
-        let ready = ready && (daemon.table.is_synced() || live == 1);
-        daemon.table.set_digest(now, daemon.spread.digest(now, ready, 0));
+        daemon.table.set_digest(now, daemon.spread.digest(now, daemon.ready, 0));
         loop {
             let daemon = &mut self.daemons[index];
             if let Some(action) = daemon.table.poll_action() {
@@ -359,6 +365,7 @@
     fn transmit(&mut self, index: usize, to: SocketAddr, bytes: Vec<u8>) {
         let Some(&target) = self.by_peer.get(&to) else { return };
         let from = self.daemons[index].peer;
+        self.sent = (self.sent.0 + 1, self.sent.1 + bytes.len() as u64);
         let copies = 1 + u32::from(self.rng.random_bool(self.doubled));
         for _ in 0..copies {
             let lost = self.rng.random_bool(self.loss) || self.cuts.contains(&(index, target));
