--- a/crates/hawthorn-intent/tests/reconcile.rs
+++ b/crates/hawthorn-intent/tests/reconcile.rs
@@ -209,6 +209,24 @@
     Ok(())
 }
 
+/// An operator takes an edit back at once. The target was told to drain but
+/// still reports that it is ready, so nothing seemed left to do; then it drained
+/// and stayed so. What was told last therefore counts beside what is seen.
+#[test]
+fn an_order_that_was_overtaken_is_taken_back() -> TestResult {
+    let (keep, leave) = (pair(1, "nothing")?, pair(2, "old")?);
+    let options = Options { settle_time: Duration::ZERO, ..Options::default() };
+    let both = [seen(OLD, Some(Ready)), seen(NEW, Some(Ready))];
+    let mut memory = ReconcileMemory::default();
+    let told = reconcile(&leave, &both, &mut memory, secs(10), &options);
+    assert_eq!(orders(&told), [(OLD, WantedState::Drain)]);
+    let taken_back = reconcile(&keep, &both, &mut memory, secs(11), &options);
+    assert_eq!(orders(&taken_back), [(OLD, WantedState::Serve)]);
+    let settled = reconcile(&keep, &both, &mut memory, secs(12), &options);
+    assert_eq!(settled, Outcome::default());
+    Ok(())
+}
+
 /// An order is lost on its way: the target stays off and the shard short of a
 /// replica. The order is given again, but not in every round, as targets are
 /// slow to show what they were told.
@@ -233,13 +251,13 @@
 /// for hours. So a round begins with those that were never told.
 #[test]
 fn targets_that_are_down_do_not_use_up_the_rounds() -> TestResult {
-    const COUNT: u32 = 48;
+    const COUNT: u32 = 128;
     const LEAVING: u32 = 2;
     let names: Vec<&'static str> =
-        (0..COUNT).map(|index| &*Box::leak(format!("t{index:02}").into_boxed_str())).collect();
+        (0..COUNT).map(|index| &*Box::leak(format!("t{index}").into_boxed_str())).collect();
     let targets: Vec<_> = names.iter().map(|&name| small(name, "east", &["desk/00"])).collect();
     let rules =
-        rule("a", "target = \"t46\"", "drain", "") + &rule("b", "target = \"t47\"", "drain", "");
+        rule("a", "target = \"t126\"", "drain", "") + &rule("b", "target = \"t127\"", "drain", "");
     let catalog = fleet(1, &targets, &rules)?;
     let options = Options { settle_time: Duration::ZERO, ..Options::default() };
     let mut memory = ReconcileMemory::default();
@@ -256,7 +274,7 @@
         }
         assert_eq!(outcome.drift.len() as u32, COUNT - 1, "none is hidden");
     }
-    assert_eq!(drained_at, Some(2), "after two rounds for the 45 that are down");
+    assert_eq!(drained_at, Some(7), "after the orders for the 125 that are down");
     Ok(())
 }
 
