--- a/crates/hawthorn-intent/src/check/names.rs
+++ b/crates/hawthorn-intent/src/check/names.rs
@@ -1,5 +1,6 @@
 //! Names, assets and addresses: each claimed once, and each that is used is there.
 
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::collections::HashSet;
 
@@ -78,57 +79,44 @@
     format!("a {kind} of the inventory: {}", names.join(", "))
 }
 
-/// Where a value that must be unique was first seen.
-#[derive(Default)]
-struct FirstPaths {
-    paths: HashMap<String, String>,
-}
-
-impl FirstPaths {
-    /// The path that claimed `value` before, if any.
-    fn claim(&mut self, value: &str, path: &str) -> Option<&str> {
-        if value.is_empty() {
-            return None;
-        }
-        if self.paths.contains_key(value) {
-            return self.paths.get(value).map(String::as_str);
-        }
-        self.paths.insert(value.to_owned(), path.to_owned());
-        None
-    }
-}
-
 /// One value that must be unique among the entries of its list.
-struct UniqueValue {
+struct UniqueValue<'c> {
     list: &'static str,
     index: usize,
     key: &'static str,
-    value: String,
+    value: Cow<'c, str>,
 }
 
-impl UniqueValue {
-    fn new(list: &'static str, index: usize, key: &'static str, value: &str) -> Self {
-        Self { list, index, key, value: value.to_owned() }
+impl<'c> UniqueValue<'c> {
+    fn new(list: &'static str, index: usize, key: &'static str, value: &'c str) -> Self {
+        Self { list, index, key, value: Cow::Borrowed(value) }
+    }
+
+    fn path(&self) -> String {
+        format!("{}[{}].{}", self.list, self.index, self.key)
     }
 }
 
 fn duplicates(files: &CheckedFiles<'_, '_>) -> Vec<ConfigFault> {
     let mut faults = Vec::new();
-    let mut seen: HashMap<(&str, &str), FirstPaths> = HashMap::new();
-    for unique in inventory_values(files).into_iter().chain(rule_values(files)) {
-        let path = format!("{}[{}].{}", unique.list, unique.index, unique.key);
-        let firsts = seen.entry((unique.list, unique.key)).or_default();
-        let Some(first) = firsts.claim(&unique.value, &path) else { continue };
-        let found = format!("{:?}, as at {first}", unique.value);
+    let values: Vec<UniqueValue<'_>> =
+        inventory_values(files).into_iter().chain(rule_values(files)).collect();
+    let mut firsts: HashMap<(&str, &str, &str), &UniqueValue<'_>> = HashMap::new();
+    for unique in values.iter().filter(|unique| !unique.value.is_empty()) {
+        let first = *firsts.entry((unique.list, unique.key, &unique.value)).or_insert(unique);
+        if first.index == unique.index {
+            continue;
+        }
+        let found = format!("{:?}, as at {}", unique.value, first.path());
         let expected = format!("another {} for each {}", unique.key, unique.list);
         let in_rules = matches!(unique.list, "caller" | "rule");
         let source = if in_rules { files.rules_source } else { files.inventory_source };
-        faults.push(source.fault(path, FaultKind::Duplicate, found, expected));
+        faults.push(source.fault(unique.path(), FaultKind::Duplicate, found, expected));
     }
     faults
 }
 
-fn inventory_values(files: &CheckedFiles<'_, '_>) -> Vec<UniqueValue> {
+fn inventory_values<'c>(files: &CheckedFiles<'c, '_>) -> Vec<UniqueValue<'c>> {
     let mut values = Vec::new();
     for (index, zone) in files.inventory.zones.iter().enumerate() {
         values.push(UniqueValue::new("zone", index, "name", &zone.name));
@@ -142,14 +130,14 @@
         // Two targets at one address: the tier would count one server's slots
         // twice, and each would answer `GET /state` with the other's name.
         if target.address != NO_ADDRESS {
-            let address = target.address.to_string();
-            values.push(UniqueValue::new("target", index, "address", &address));
+            let value = Cow::Owned(target.address.to_string());
+            values.push(UniqueValue { list: "target", index, key: "address", value });
         }
     }
     values
 }
 
-fn rule_values(files: &CheckedFiles<'_, '_>) -> Vec<UniqueValue> {
+fn rule_values<'c>(files: &CheckedFiles<'c, '_>) -> Vec<UniqueValue<'c>> {
     let mut values = Vec::new();
     for (index, caller) in files.rules.callers.iter().enumerate() {
         values.push(UniqueValue::new("caller", index, "name", &caller.name));
--- a/crates/hawthorn-intent/src/check/rules.rs
+++ b/crates/hawthorn-intent/src/check/rules.rs
@@ -1,5 +1,7 @@
 //! Callers' weights, and rules that are for nothing.
 
+use std::collections::HashSet;
+
 use crate::check::CheckedFiles;
 use crate::check::names::one_of;
 use crate::fault::ConfigFault;
@@ -8,11 +10,11 @@
 
 pub(super) fn check(files: &CheckedFiles<'_, '_>, faults: &mut Vec<ConfigFault>) {
     check_weights(files, faults);
+    let names = KnownNames::new(files);
     for (index, rule) in files.rules.rules.iter().enumerate() {
-        let dangling = dangling_names(files, index, rule);
-        let matched = files.decisions.iter().any(|decision| decision.matched.contains(&index));
-        let decides =
-            files.decisions.iter().any(|decision| decision.matched.first() == Some(&index));
+        let dangling = dangling_names(files, &names, index, rule);
+        let matched = names.matching_rules.contains(&index);
+        let decides = names.deciding_rules.contains(&index);
         if dangling.is_empty() && !matched {
             let found = format!("rule {:?} matches no target", rule.name);
             let expected = "a pattern that fits at least one target".to_owned();
@@ -49,32 +51,62 @@
     !pattern.contains(['*', '?'])
 }
 
+/// Everything that rules may name, and which of them match or decide.
+struct KnownNames<'c> {
+    services: HashSet<&'c str>,
+    zones: HashSet<&'c str>,
+    targets: HashSet<&'c str>,
+    assets: HashSet<&'c str>,
+    matching_rules: HashSet<usize>,
+    deciding_rules: HashSet<usize>,
+}
+
+impl<'c> KnownNames<'c> {
+    fn new(files: &CheckedFiles<'c, '_>) -> Self {
+        let inventory = files.inventory;
+        let matched = files.decisions.iter().map(|decision| &decision.matched);
+        Self {
+            services: inventory.services.iter().map(|entry| &*entry.name).collect(),
+            zones: inventory.zones.iter().map(|entry| &*entry.name).collect(),
+            targets: inventory.targets.iter().map(|entry| &*entry.name).collect(),
+            assets: inventory.targets.iter().map(|entry| &*entry.asset).collect(),
+            matching_rules: matched.clone().flatten().copied().collect(),
+            deciding_rules: matched.filter_map(|rules| rules.first().copied()).collect(),
+        }
+    }
+}
+
+fn in_file_order<'c>(files: &CheckedFiles<'c, '_>, kind: &str) -> Vec<&'c str> {
+    let inventory = files.inventory;
+    match kind {
+        "service" => inventory.services.iter().map(|entry| &*entry.name).collect(),
+        "zone" => inventory.zones.iter().map(|entry| &*entry.name).collect(),
+        _ => inventory.targets.iter().map(|entry| &*entry.name).collect(),
+    }
+}
+
 /// Names without `*` or `?` that nothing in the inventory bears.
 fn dangling_names(
     files: &CheckedFiles<'_, '_>,
+    names: &KnownNames<'_>,
     index: usize,
     rule: &RuleEntry,
 ) -> Vec<ConfigFault> {
-    let inventory = files.inventory;
-    let services: Vec<&str> = inventory.services.iter().map(|entry| &*entry.name).collect();
-    let zones: Vec<&str> = inventory.zones.iter().map(|entry| &*entry.name).collect();
-    let targets: Vec<&str> = inventory.targets.iter().map(|entry| &*entry.name).collect();
-    let assets: Vec<&str> = inventory.targets.iter().map(|entry| &*entry.asset).collect();
     let pattern = &rule.pattern;
     let patterns = [
-        ("service", &pattern.service, services),
-        ("zone", &pattern.zone, zones),
-        ("target", &pattern.target, targets),
-        ("asset", &pattern.asset, assets),
+        ("service", &pattern.service, &names.services),
+        ("zone", &pattern.zone, &names.zones),
+        ("target", &pattern.target, &names.targets),
+        ("asset", &pattern.asset, &names.assets),
     ];
     let mut faults = Vec::new();
     for (kind, pattern, names) in patterns {
         let Some(pattern) = pattern.as_deref().filter(|pattern| is_literal(pattern)) else {
             continue;
         };
-        if !names.contains(&pattern) {
+        if !names.contains(pattern) {
             let found = format!("{pattern:?}");
-            let expected = one_of(kind, names.into_iter());
+            let expected = one_of(kind, in_file_order(files, kind).into_iter());
             let path = format!("rule[{index}].match.{kind}");
             faults.push(files.in_rules(path, FaultKind::DanglingName, found, expected));
         }
