--- /dev/null
+++ b/crates/hawthorn-plan/tests/plan.rs
@@ -0,0 +1,313 @@
+//! Plans: one version, disjoint pieces, a reason for each key that is missing.
+
+mod support;
+
+use std::error::Error;
+use std::time::Duration;
+
+use hawthorn_plan::PlanInput;
+use hawthorn_plan::QueryPlan;
+use hawthorn_plan::ShardRecord;
+use hawthorn_plan::ShardTable;
+use hawthorn_plan::plan;
+use hawthorn_plan::plan::VersionChoice;
+use hawthorn_types::HostKey;
+use hawthorn_types::IndexVersion;
+use hawthorn_types::KeyRange;
+use hawthorn_types::MissingReason;
+use hawthorn_types::RangeSet;
+use hawthorn_types::ShardKey;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+
+use support::NEW;
+use support::OLD;
+use support::OWN;
+use support::even_shards;
+use support::even_table;
+use support::ms;
+use support::replica;
+
+type TestResult = Result<(), Box<dyn Error>>;
+
+fn plan_of(table: &ShardTable) -> QueryPlan {
+    let input = PlanInput::first(table, KeyRange::WHOLE, OWN, ms(50));
+    plan::plan(&input, &plan::Options::default())
+}
+
+/// Every shard's versions, as (shard, zone) to versions.
+struct VersionCase {
+    name: &'static str,
+    /// For each of four shards the versions in the own zone and in the other.
+    held: [(&'static [IndexVersion], &'static [IndexVersion]); 4],
+    choice: VersionChoice,
+    version: Option<IndexVersion>,
+    pieces: usize,
+    missing: &'static [MissingReason],
+}
+
+const BOTH: &[IndexVersion] = &[OLD, NEW];
+const ONLY_OLD: &[IndexVersion] = &[OLD];
+const ONLY_NEW: &[IndexVersion] = &[NEW];
+const NONE: &[IndexVersion] = &[];
+
+#[test]
+fn the_newest_of_those_that_cover_most_is_chosen() -> TestResult {
+    let any = VersionChoice::Any;
+    let cases = [
+        VersionCase {
+            name: "both everywhere",
+            held: [(BOTH, BOTH); 4],
+            choice: any,
+            version: Some(NEW),
+            pieces: 4,
+            missing: &[],
+        },
+        VersionCase {
+            name: "the new one has begun to arrive",
+            held: [(BOTH, ONLY_OLD), (ONLY_OLD, ONLY_OLD), (BOTH, BOTH), (ONLY_OLD, BOTH)],
+            choice: any,
+            version: Some(OLD),
+            pieces: 4,
+            missing: &[],
+        },
+        VersionCase {
+            name: "equal coverage goes to the newest",
+            held: [(ONLY_OLD, BOTH), (ONLY_OLD, ONLY_OLD), (ONLY_NEW, ONLY_NEW), (BOTH, NONE)],
+            choice: any,
+            version: Some(NEW),
+            pieces: 3,
+            missing: &[MissingReason::VersionMissing],
+        },
+        VersionCase {
+            name: "one shard is ahead in both zones",
+            held: [(ONLY_OLD, ONLY_OLD), (ONLY_OLD, ONLY_OLD), (ONLY_NEW, ONLY_NEW), (BOTH, NONE)],
+            choice: any,
+            version: Some(OLD),
+            pieces: 3,
+            missing: &[MissingReason::VersionMissing],
+        },
+        VersionCase {
+            name: "the other zone completes the new one",
+            held: [(ONLY_NEW, NONE), (ONLY_OLD, ONLY_NEW), (ONLY_OLD, ONLY_NEW), (NONE, ONLY_NEW)],
+            choice: any,
+            version: Some(NEW),
+            pieces: 4,
+            missing: &[],
+        },
+        VersionCase {
+            name: "a shard with no replica switched on",
+            held: [(ONLY_OLD, NONE), (NONE, NONE), (ONLY_OLD, NONE), (ONLY_OLD, NONE)],
+            choice: any,
+            version: Some(OLD),
+            pieces: 3,
+            missing: &[MissingReason::NoReplica],
+        },
+        VersionCase {
+            name: "only newer ones are wanted",
+            held: [(BOTH, BOTH), (ONLY_OLD, ONLY_OLD), (ONLY_OLD, ONLY_OLD), (ONLY_OLD, ONLY_OLD)],
+            choice: VersionChoice::NewerThan(OLD),
+            version: Some(NEW),
+            pieces: 1,
+            missing: &[MissingReason::VersionMissing],
+        },
+        VersionCase {
+            name: "nothing at all",
+            held: [(NONE, NONE); 4],
+            choice: any,
+            version: None,
+            pieces: 0,
+            missing: &[MissingReason::NoReplica],
+        },
+    ];
+    for case in cases {
+        let shards = (0..).zip(case.held).map(|(number, (own, other))| {
+            let options = [replica(0, own, Duration::ZERO), replica(1, other, Duration::ZERO)];
+            ShardRecord::new(ShardKey(number), KeyRange::part(number, 4), options)
+        });
+        let table = ShardTable::new(shards.collect());
+        let first = PlanInput::first(&table, KeyRange::WHOLE, OWN, ms(50));
+        let input = PlanInput { version: case.choice, ..first };
+        let plan = plan::plan(&input, &plan::Options::default());
+        assert_eq!(plan.version, case.version, "{}", case.name);
+        assert_eq!(plan.piece_count(), case.pieces, "{}", case.name);
+        let mut reasons: Vec<_> = plan.missing.iter().map(|missing| missing.reason).collect();
+        reasons.dedup();
+        assert_eq!(reasons, case.missing, "{}", case.name);
+    }
+    Ok(())
+}
+
+struct ZoneCase {
+    name: &'static str,
+    own_wait: u64,
+    other_wait: u64,
+    remaining: u64,
+    /// How many of 1000 shards go to the other zone, least and most.
+    shifted: (usize, usize),
+}
+
+/// Zone hall-kato is slow this second. All its fronts read the same report, all
+/// send everything to hall-krak, whose queue grows until the next report sends
+/// everything back: callers see latency swing between two zones that could
+/// together serve all of it.
+#[test]
+fn work_shifts_between_zones_in_part() -> TestResult {
+    let cases = [
+        ZoneCase { name: "equal", own_wait: 5, other_wait: 5, remaining: 50, shifted: (0, 0) },
+        ZoneCase {
+            name: "within margin",
+            own_wait: 9,
+            other_wait: 5,
+            remaining: 50,
+            shifted: (0, 0),
+        },
+        ZoneCase {
+            name: "twice as long",
+            own_wait: 26,
+            other_wait: 10,
+            remaining: 50,
+            shifted: (450, 550),
+        },
+        ZoneCase {
+            name: "cannot make the deadline here",
+            own_wait: 60,
+            other_wait: 10,
+            remaining: 50,
+            shifted: (1000, 1000),
+        },
+        ZoneCase {
+            name: "cannot make it anywhere",
+            own_wait: 60,
+            other_wait: 58,
+            remaining: 50,
+            shifted: (0, 0),
+        },
+    ];
+    for case in cases {
+        let shards = (0..1000).map(|number| {
+            let options = [
+                replica(0, ONLY_OLD, ms(case.own_wait)),
+                replica(1, ONLY_OLD, ms(case.other_wait)),
+            ];
+            ShardRecord::new(ShardKey(number), KeyRange::part(number, 1000), options)
+        });
+        let table = ShardTable::new(shards.collect());
+        let first = PlanInput::first(&table, KeyRange::WHOLE, OWN, ms(case.remaining));
+        let plan = plan::plan(&PlanInput { draw: 11, ..first }, &plan::Options::default());
+        let other = plan.batches.iter().find(|batch| batch.host == HostKey(1));
+        let shifted = other.map_or(0, |batch| batch.pieces.len());
+        let (least, most) = case.shifted;
+        assert!((least..=most).contains(&shifted), "{}: {shifted}", case.name);
+    }
+    Ok(())
+}
+
+/// Half of a shard's keys have moved to its neighbour's targets and the
+/// inventory does not say so yet. Asked of the old shard they would come back
+/// unsearched, and each query would pay for a second round.
+#[test]
+fn moved_keys_are_asked_of_those_who_hold_them() -> TestResult {
+    let mut shards = even_shards(2, 1, ONLY_OLD);
+    let quarter = shards[0].range.len() / 2;
+    let moved = KeyRange::new(quarter, shards[0].range.end);
+    shards[0].held.remove(moved);
+    shards[1].held.insert(moved);
+    let plan = plan_of(&ShardTable::new(shards));
+    let pieces: Vec<_> = plan.batches[0].pieces.iter().map(|it| (it.shard.0, it.range)).collect();
+    let second = KeyRange::part(1, 2);
+    assert_eq!(pieces, [(0, KeyRange::new(0, quarter)), (1, moved), (1, second)]);
+    assert!(plan.missing.is_empty());
+    Ok(())
+}
+
+#[test]
+fn one_message_goes_to_each_owner() -> TestResult {
+    let plan = plan_of(&even_table(270, 3, BOTH));
+    assert_eq!(plan.batches.len(), 1);
+    assert_eq!(plan.piece_count(), 270);
+    Ok(())
+}
+
+#[test]
+fn a_plan_kept_is_as_a_fresh_one() -> TestResult {
+    let mut kept = QueryPlan::default();
+    for count in [7, 270, 1, 30] {
+        let table = even_table(count, 3, BOTH);
+        let input = PlanInput::first(&table, KeyRange::WHOLE, OWN, ms(50));
+        plan::plan_into(&input, &mut kept, &plan::Options::default());
+        let fresh = plan_of(&table);
+        assert_eq!(
+            (kept.version, &kept.batches, &kept.missing),
+            (fresh.version, &fresh.batches, &fresh.missing)
+        );
+    }
+    Ok(())
+}
+
+/// The same cases on every run.
+fn runner(cases: u32) -> TestRunner {
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]))
+}
+
+/// Shards that may overlap, leave gaps and hold keys of others.
+fn any_shards() -> impl Strategy<Value = Vec<ShardRecord>> {
+    let part = || (0_u32..1000, 0_u32..300);
+    let versions = || proptest::collection::vec(5_u64..8, 0..3);
+    let shard = (part(), part(), proptest::collection::vec((0_u32..3, versions()), 0..4));
+    proptest::collection::vec(shard, 0..12).prop_map(|shards| {
+        let record = |(number, (range, extra, options)): (u32, AnyShard)| {
+            let options = options.into_iter().map(|(zone, versions)| {
+                let versions: Vec<_> = versions.into_iter().map(IndexVersion).collect();
+                replica(zone, &versions, Duration::ZERO)
+            });
+            let span = |(start, length)| KeyRange::new(start, start + length);
+            let mut record = ShardRecord::new(ShardKey(number), span(range), options);
+            record.held.insert(span(extra));
+            record
+        };
+        (0..).zip(shards).map(record).collect()
+    })
+}
+
+type AnyShard = ((u32, u32), (u32, u32), Vec<(u32, Vec<u64>)>);
+
+#[test]
+fn pieces_and_gaps_make_up_exactly_the_range_asked() -> TestResult {
+    let asked = (0_u32..1200, 0_u32..1200).prop_map(|(a, b)| KeyRange::new(a.min(b), a.max(b)));
+    runner(2000).run(&(any_shards(), asked), |(shards, asked)| {
+        let table = ShardTable::new(shards);
+        let input = PlanInput::first(&table, asked, OWN, ms(50));
+        let plan = plan::plan(&input, &plan::Options::default());
+        let mut union = RangeSet::default();
+        let mut keys = 0_u64;
+        let pieces = plan.batches.iter().flat_map(|batch| &batch.pieces);
+        for piece in pieces.clone() {
+            let record = table.shards().iter().find(|shard| shard.shard == piece.shard);
+            let record = record.ok_or_else(|| TestCaseError::fail("a piece of no shard"))?;
+            let rest = RangeSet::from(piece.range).difference(&record.held);
+            prop_assert!(rest.is_empty(), "asked for keys it does not hold");
+            let version = plan.version.ok_or_else(|| TestCaseError::fail("no version"))?;
+            prop_assert!(
+                record
+                    .options
+                    .iter()
+                    .any(|it| it.zone == piece.zone && it.versions.contains(&version))
+            );
+        }
+        let ranges = pieces.map(|piece| piece.range).chain(plan.missing.iter().map(|it| it.range));
+        for range in ranges {
+            prop_assert!(!range.is_empty());
+            keys += u64::from(range.len());
+            union.insert(range);
+        }
+        prop_assert_eq!(keys, u64::from(union.len()), "pieces or gaps overlap");
+        prop_assert_eq!(union, RangeSet::from(asked));
+        Ok(())
+    })?;
+    Ok(())
+}
