test: a harness of real processes against stand-ins

Cause: promises need proof by real processes. Change: daemons as child processes on loopback, the history of what callers saw, first tests of the whole path and of bad input.

--- a/src/demo.rs
+++ b/src/demo.rs
@@ -26,6 +26,7 @@
 use crate::http;
 
 const SERVICE: &str = "agent-desk";
+const DEMO_TEXT: &str = "stem vlsfo";
 const SHARDS: u32 = 24;
 const READY_LIMIT: Duration = Duration::from_secs(3);
 const LIMIT: u32 = 5;
@@ -49,7 +50,7 @@
     println!("{} daemons serve, one in each zone", daemons.len());
     let at = daemons[0].caller_address();
     let before = runtime.block_on(first_whole_answer(at))?;
-    println!("\n== a query: text \"bunker\" over all shards");
+    println!("\n== a query: text \"{DEMO_TEXT}\" over all shards");
     print!("{}", examine::describe(&before));
     let stopped = deployment.targets.remove(0);
     println!("\n== target {} stops", stopped.name);
@@ -140,7 +141,7 @@
     let query = SearchQuery {
         caller: "bunker-desk".into(),
         service: SERVICE.into(),
-        text: "bunker".into(),
+        text: DEMO_TEXT.into(),
         range: None,
         limit: LIMIT,
         deadline_ms: DEADLINE_MS,
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,137 @@
+//! The whole path through real processes: a query, a request that runs once,
+//! and every kind of bad input.
+
+mod support;
+
+use hawthorn_types::CallerOutcome;
+use hawthorn_types::KEY_SPACE;
+use hawthorn_types::RefusalReason;
+use hawthorn_types::UnknownReason;
+use hyper::Method;
+use hyper::StatusCode;
+use support::FleetOptions;
+use support::TestFleet;
+use support::TestResult;
+use support::fleet::is_whole;
+use support::wire;
+
+#[tokio::test]
+async fn a_query_from_any_host_covers_all_shards() -> TestResult {
+    let fleet = TestFleet::start(FleetOptions::dar_port()).await?;
+    for index in 0..fleet.daemons.len() {
+        for service in ["agent-desk", "port-feed"] {
+            let answer = fleet.send(index, fleet.query(service)).await?;
+            assert_eq!(answer.outcome, CallerOutcome::Answer);
+            assert!(is_whole(&answer), "{answer:?}");
+            assert!(answer.total > 0);
+        }
+    }
+    fleet.check()
+}
+
+/// A ship's agent presses "confirm" twice, at two hosts. The first press runs
+/// the order; the second must not send a second barge, and must not claim that
+/// the order was not run either.
+#[tokio::test]
+async fn a_request_sent_again_elsewhere_does_not_run_again() -> TestResult {
+    let fleet = TestFleet::start(FleetOptions::small()).await?;
+    let request = fleet.once("agent-desk", KEY_SPACE / 3);
+    let first = fleet.send_once(0, request.clone()).await?;
+    assert_eq!(first.outcome, CallerOutcome::Answer, "{first:?}");
+    for index in 0..fleet.daemons.len() {
+        let again = fleet.send_once(index, request.clone()).await?;
+        let claimed = CallerOutcome::Unknown(UnknownReason::ClaimedEarlier);
+        assert_eq!(again.outcome, claimed, "{again:?}");
+    }
+    fleet.check()
+}
+
+struct BadInputCase {
+    name: &'static str,
+    path: &'static str,
+    body: String,
+    status: StatusCode,
+    reason: RefusalReason,
+}
+
+fn query_with(change: &str) -> String {
+    let fields = [
+        ("caller", "\"bunker-desk\""),
+        ("service", "\"agent-desk\""),
+        ("deadline_ms", "500"),
+        ("limit", "5"),
+    ];
+    let (key, value) = change.split_once('=').unwrap_or((change, "null"));
+    let kept = fields.iter().filter(|(name, _)| *name != key);
+    let mut lines: Vec<String> = kept.map(|(name, value)| format!("\"{name}\":{value}")).collect();
+    lines.push(format!("\"{key}\":{value}"));
+    format!("{{{}}}", lines.join(","))
+}
+
+#[tokio::test]
+async fn bad_input_gets_a_typed_refusal_that_is_counted() -> TestResult {
+    let fleet = TestFleet::start(FleetOptions::small()).await?;
+    let once = |id: &str| {
+        format!(
+            r#"{{"caller":"bunker-desk","service":"agent-desk","key":7,"body":"x","deadline_ms":500,"request_id":"{id}"}}"#
+        )
+    };
+    let long = "9".repeat(4_000);
+    let case = |name, path, body, status, reason| BadInputCase { name, path, body, status, reason };
+    let bad = StatusCode::BAD_REQUEST;
+    let cases = [
+        case("not JSON", "/v1/query", "{".into(), bad, RefusalReason::BadRequest),
+        case("unknown key", "/v1/query", query_with("colour=1"), bad, RefusalReason::BadRequest),
+        case(
+            "oversized",
+            "/v1/query",
+            query_with(&format!("text=\"{}\"", "x".repeat(100_000))),
+            StatusCode::PAYLOAD_TOO_LARGE,
+            RefusalReason::BodyTooLarge,
+        ),
+        case(
+            "unknown caller",
+            "/v1/query",
+            query_with("caller=\"nobody\""),
+            StatusCode::FORBIDDEN,
+            RefusalReason::UnknownCaller,
+        ),
+        case(
+            "unknown service",
+            "/v1/query",
+            query_with("service=\"nothing\""),
+            StatusCode::NOT_FOUND,
+            RefusalReason::UnknownService,
+        ),
+        case("no time", "/v1/query", query_with("deadline_ms=0"), bad, RefusalReason::DeadlinePast),
+        case("limit", "/v1/query", query_with("limit=4000000"), bad, RefusalReason::BadRequest),
+        case(
+            "long id",
+            "/v1/query",
+            query_with(&format!("request_id=\"{long}\"")),
+            bad,
+            RefusalReason::BadRequestId,
+        ),
+        case("id without a time", "/v1/request", once("abc"), bad, RefusalReason::BadRequestId),
+        case("old id", "/v1/request", once("1000-a"), bad, RefusalReason::RequestIdTooOld),
+        case(
+            "id from the future",
+            "/v1/request",
+            once("99999999999-a"),
+            bad,
+            RefusalReason::RequestIdInFuture,
+        ),
+    ];
+    for case in cases {
+        let label = format!("reason=\"{}\"", case.reason);
+        let before = fleet.metric(0, "hawthorn_refusals", &label).await?;
+        let at = fleet.daemons[0].caller;
+        let (status, body) = wire::call(at, Method::POST, case.path, case.body.into()).await?;
+        let answer: hawthorn_types::CallerAnswer = serde_json::from_slice(&body)?;
+        assert_eq!(answer.outcome, CallerOutcome::NotRun(case.reason), "{}", case.name);
+        assert_eq!(status, case.status, "{}", case.name);
+        let after = fleet.metric(0, "hawthorn_refusals", &label).await?;
+        assert_eq!(after - before, 1.0, "{} is counted", case.name);
+    }
+    fleet.check()
+}
--- /dev/null
+++ b/tests/support/daemon.rs
@@ -0,0 +1,195 @@
+//! One `hawthornroute serve` process.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+
+use super::TestResult;
+
+/// What the log line of the addresses begins with, after level and thread.
+const LISTENING: &str = "E106 listening: callers ";
+
+/// What a daemon is started with.
+#[derive(Clone, Debug)]
+pub struct DaemonSpec {
+    pub host: String,
+    pub zone: String,
+    pub region: String,
+    pub platform: SocketAddr,
+    pub seeds: Vec<SocketAddr>,
+    /// Ports 0 but for a restart at the same place.
+    pub caller_address: SocketAddr,
+    pub peer_address: SocketAddr,
+    /// Further lines of the settings.
+    pub more: String,
+}
+
+impl DaemonSpec {
+    fn settings(&self) -> String {
+        let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        format!(
+            "host = \"{}\"\nzone = \"{}\"\nregion = \"{}\"\ncaller_address = \"{}\"\n\
+             peer_address = \"{}\"\nplatform = \"{}\"\nseeds = [{}]\n{}",
+            self.host,
+            self.zone,
+            self.region,
+            self.caller_address,
+            self.peer_address,
+            self.platform,
+            seeds.join(", "),
+            self.more
+        )
+    }
+}
+
+/// A running process; killed when dropped.
+#[derive(Debug)]
+pub struct DaemonHost {
+    pub spec: DaemonSpec,
+    pub caller: SocketAddr,
+    pub peer: SocketAddr,
+    child: Child,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+impl DaemonHost {
+    /// Starts the process and waits until it listens.
+    pub fn start(spec: DaemonSpec, directory: &Path) -> TestResult<Self> {
+        let file = directory.join(format!("{}.toml", spec.host));
+        std::fs::write(&file, spec.settings())?;
+        let mut child = Command::new(env!("CARGO_BIN_EXE_hawthornroute"))
+            .arg("serve")
+            .arg("--settings")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()?;
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let stdout = child.stdout.take().ok_or("standard output is piped")?;
+        let stderr = child.stderr.take().ok_or("standard error is piped")?;
+        collect(stdout, Arc::clone(&log));
+        collect(stderr, Arc::clone(&log));
+        let (caller, peer) = wait_for_addresses(&mut child, &log)?;
+        Ok(Self { spec, caller, peer, child, log })
+    }
+
+    /// The spec of the same host at the same addresses.
+    pub fn respec(&self) -> DaemonSpec {
+        DaemonSpec { caller_address: self.caller, peer_address: self.peer, ..self.spec.clone() }
+    }
+
+    /// Lines logged so far.
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().map(|log| log.clone()).unwrap_or_default()
+    }
+
+    /// How many lines of this event were logged.
+    pub fn logged(&self, event: &str) -> usize {
+        self.log().iter().filter(|line| line.contains(event)).count()
+    }
+
+    /// Sends a signal to this process.
+    pub fn signal(&self, signal: Signal) -> TestResult {
+        let pid = i32::try_from(self.child.id())?;
+        let pid = Pid::from_raw(pid).ok_or("a child has a process id")?;
+        Ok(rustix::process::kill_process(pid, signal)?)
+    }
+
+    /// Stops it in its tracks; `thaw` lets it go on.
+    pub fn freeze(&self) -> TestResult {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self) -> TestResult {
+        self.signal(Signal::CONT)
+    }
+
+    /// Kills it without warning.
+    pub fn kill(&mut self) -> TestResult {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
+    /// Orders a planned stop and waits for the end.
+    pub fn stop(&mut self, limit: Duration) -> TestResult<ExitStatus> {
+        self.signal(Signal::TERM)?;
+        self.wait(limit)
+    }
+
+    /// Waits for the end of the process.
+    pub fn wait(&mut self, limit: Duration) -> TestResult<ExitStatus> {
+        let began = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            if began.elapsed() > limit {
+                return Err(format!("{} did not end:\n{}", self.spec.host, self.tail()).into());
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// The last lines of its log, for a failed test.
+    pub fn tail(&self) -> String {
+        let log = self.log();
+        log[log.len().saturating_sub(30)..].join("\n")
+    }
+}
+
+impl Drop for DaemonHost {
+    fn drop(&mut self) {
+        // It may have ended already; then there is nothing to kill.
+        let _ended = self.child.kill();
+        let _reaped = self.child.wait();
+    }
+}
+
+fn collect(stream: impl std::io::Read + Send + 'static, log: Arc<Mutex<Vec<String>>>) {
+    std::thread::spawn(move || {
+        for line in BufReader::new(stream).lines().map_while(Result::ok) {
+            if let Ok(mut log) = log.lock() {
+                log.push(line);
+            }
+        }
+    });
+}
+
+fn wait_for_addresses(
+    child: &mut Child,
+    log: &Mutex<Vec<String>>,
+) -> TestResult<(SocketAddr, SocketAddr)> {
+    let began = Instant::now();
+    loop {
+        let lines = log.lock().map(|log| log.clone()).unwrap_or_default();
+        if let Some(found) = lines.iter().find_map(|line| addresses(line)) {
+            return Ok(found);
+        }
+        let ended = child.try_wait()?;
+        if ended.is_some() || began.elapsed() > Duration::from_secs(10) {
+            return Err(format!("the daemon does not listen:\n{}", lines.join("\n")).into());
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn addresses(line: &str) -> Option<(SocketAddr, SocketAddr)> {
+    let (_, rest) = line.split_once(LISTENING)?;
+    let (caller, peer) = rest.split_once(", peers ")?;
+    Some((caller.trim().parse().ok()?, peer.trim().parse().ok()?))
+}
--- /dev/null
+++ b/tests/support/fleet.rs
@@ -0,0 +1,328 @@
+//! Daemons of all zones, their stand-ins, and the history of what callers saw.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use hawthorn_daemon::request::status::FleetReport;
+use hawthorn_standin::check;
+use hawthorn_standin::deployment::DeploymentOptions;
+use hawthorn_standin::deployment::StandinDeployment;
+use hawthorn_standin::history::History;
+use hawthorn_standin::history::HistoryEvent;
+use hawthorn_standin::history::SentOnce;
+use hawthorn_standin::history::SentQuery;
+use hawthorn_store::StoreClient;
+use hawthorn_store::client;
+use hawthorn_store::edit;
+use hawthorn_store::edit::ProposedEdit;
+use hawthorn_types::CallerAnswer;
+use hawthorn_types::ConfigRevision;
+use hawthorn_types::OnceRequest;
+use hawthorn_types::SearchQuery;
+use hawthorn_types::UrgencyClass;
+use hyper::Method;
+use hyper::StatusCode;
+
+use super::TestResult;
+use super::daemon::DaemonHost;
+use super::daemon::DaemonSpec;
+use super::wire;
+
+/// What is waited for on a machine that is busy with other tests. No verdict
+/// rests on how much of it was used.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// How a fleet is laid out.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    pub deployment: DeploymentOptions,
+    /// Daemons by zone, in the order of the deployment's zones.
+    pub hosts: Vec<usize>,
+    /// The platform as daemons reach it, when not directly.
+    pub platform: Option<SocketAddr>,
+    /// Further lines of every daemon's settings.
+    pub more: String,
+}
+
+impl FleetOptions {
+    /// Dar Port scaled down: 8 daemons in 3 zones.
+    pub fn dar_port() -> Self {
+        Self {
+            deployment: DeploymentOptions::dar_port(),
+            hosts: vec![3, 3, 2],
+            platform: None,
+            more: "[stop]\ngrace = \"5s\"\n".into(),
+        }
+    }
+
+    /// One daemon a zone, for tests of one path.
+    pub fn small() -> Self {
+        Self { hosts: vec![1, 1, 1], ..Self::dar_port() }
+    }
+
+    /// Poland scaled down: 8 daemons in 3 zones.
+    pub fn poland() -> Self {
+        Self { deployment: DeploymentOptions::poland(), ..Self::dar_port() }
+    }
+}
+
+/// Everything of one test.
+#[derive(Debug)]
+pub struct TestFleet {
+    pub deployment: StandinDeployment,
+    pub daemons: Vec<DaemonHost>,
+    pub history: History,
+    pub options: FleetOptions,
+    directory: tempfile::TempDir,
+    next_id: AtomicU64,
+}
+
+impl TestFleet {
+    /// Starts the stand-ins, brings revision 1 into force, starts all daemons
+    /// and waits until each is ready and all shards are covered.
+    pub async fn start(options: FleetOptions) -> TestResult<Self> {
+        let fleet = Self::start_unready(options).await?;
+        fleet.wait_until_ready().await?;
+        Ok(fleet)
+    }
+
+    /// As [`TestFleet::start`], without the wait.
+    pub async fn start_unready(options: FleetOptions) -> TestResult<Self> {
+        let history = options.deployment.history.clone();
+        let deployment = StandinDeployment::start(options.deployment.clone()).await?;
+        let mut fleet = Self {
+            deployment,
+            daemons: Vec::new(),
+            history,
+            options,
+            directory: tempfile::tempdir()?,
+            next_id: AtomicU64::new(0),
+        };
+        fleet.apply(0, "first", &fleet.deployment.rules_toml()).await?;
+        fleet.start_daemons()?;
+        Ok(fleet)
+    }
+
+    fn start_daemons(&mut self) -> TestResult {
+        let zones = self.deployment.options().zones.clone();
+        for (zone, count) in zones.iter().zip(self.options.hosts.clone()) {
+            for number in 1..=count {
+                let spec = self.spec(&format!("{zone}-{number}"), zone);
+                self.start_daemon(spec)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// The spec of a new daemon, seeded with the first two.
+    pub fn spec(&self, host: &str, zone: &str) -> DaemonSpec {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        DaemonSpec {
+            host: host.into(),
+            zone: zone.into(),
+            region: self.deployment.options().region.clone(),
+            platform: self.options.platform.unwrap_or(self.deployment.platform.address()),
+            seeds: self.daemons.iter().take(2).map(|daemon| daemon.peer).collect(),
+            caller_address: any,
+            peer_address: any,
+            more: self.options.more.clone(),
+        }
+    }
+
+    /// Starts one more daemon.
+    pub fn start_daemon(&mut self, spec: DaemonSpec) -> TestResult {
+        self.daemons.push(DaemonHost::start(spec, self.directory.path())?);
+        Ok(())
+    }
+
+    /// Starts a daemon again at the addresses it had.
+    pub fn restart(&mut self, index: usize) -> TestResult {
+        let spec = self.daemons[index].respec();
+        self.daemons[index] = DaemonHost::start(spec, self.directory.path())?;
+        Ok(())
+    }
+
+    /// Waits until every daemon is ready, sees the others, and no shard is bare.
+    pub async fn wait_until_ready(&self) -> TestResult {
+        let expected = self.daemons.len();
+        for index in 0..expected {
+            self.wait_for(index, "readiness", |report| {
+                let live = report.hosts.iter().filter(|host| host.health == "alive").count();
+                let serving = report.hosts.iter().filter(|host| host.phase == "serving").count();
+                report.not_ready.is_none()
+                    && report.uncovered.is_empty()
+                    && live.min(serving) >= expected
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until a daemon's status page passes.
+    pub async fn wait_for(
+        &self,
+        index: usize,
+        what: &str,
+        passes: impl Fn(&FleetReport) -> bool,
+    ) -> TestResult<FleetReport> {
+        let began = Instant::now();
+        loop {
+            let report = self.status(index).await;
+            if let Ok(report) = &report
+                && passes(report)
+            {
+                return Ok(report.clone());
+            }
+            if began.elapsed() > PATIENCE {
+                let log = self.daemons[index].tail();
+                return Err(format!("{what} did not come: {report:#?}\n{log}").into());
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// A daemon's status page; its revision goes into the history.
+    pub async fn status(&self, index: usize) -> TestResult<FleetReport> {
+        let daemon = &self.daemons[index];
+        let (_, text) = wire::page(daemon.caller, "/v1/status").await?;
+        let report: FleetReport = serde_json::from_str(&text)?;
+        self.history.record(HistoryEvent::ConfigSeen {
+            daemon: daemon.spec.host.clone(),
+            revision: report.configuration.revision,
+        });
+        Ok(report)
+    }
+
+    /// Whether a daemon tells the balancer to send callers.
+    pub async fn is_ready(&self, index: usize) -> TestResult<bool> {
+        Ok(wire::page(self.daemons[index].caller, "/ready").await?.0 == StatusCode::OK)
+    }
+
+    /// The value of a counter or gauge line of a daemon's metrics, 0 when absent.
+    pub async fn metric(&self, index: usize, name: &str, label: &str) -> TestResult<f64> {
+        let (_, text) = wire::page(self.daemons[index].caller, "/metrics").await?;
+        let line = text.lines().find(|line| line.starts_with(name) && line.contains(label));
+        Ok(line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0.0))
+    }
+
+    /// A store client of an operator.
+    pub fn store(&self) -> StoreClient {
+        StoreClient::new(self.deployment.platform.address(), client::Options::default())
+    }
+
+    /// Brings a configuration with these rules into force.
+    pub async fn apply(&self, base: u64, edit_id: &str, rules: &str) -> TestResult<edit::Outcome> {
+        let proposed = ProposedEdit {
+            base,
+            edit_id: edit_id.into(),
+            author: "test".into(),
+            changed_at: 0,
+            inventory: self.deployment.inventory_toml(),
+            rules: rules.into(),
+        };
+        Ok(edit::edit(&self.store(), &proposed, &edit::Options::default()).await?)
+    }
+
+    /// Waits until every daemon has at least this revision in force.
+    pub async fn wait_for_revision(&self, revision: u64) -> TestResult {
+        for index in 0..self.daemons.len() {
+            self.wait_for(index, "the revision", |report| {
+                report.configuration.revision >= ConfigRevision(revision)
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// A query for everything of a service.
+    pub fn query(&self, service: &str) -> SearchQuery {
+        SearchQuery {
+            caller: self.deployment.options().callers[0].clone(),
+            service: service.into(),
+            text: String::new(),
+            range: None,
+            limit: 10,
+            deadline_ms: 2_000,
+            urgency: UrgencyClass::Urgent,
+            request_id: None,
+        }
+    }
+
+    /// Sends a query; an error when the connection broke.
+    pub async fn send(&self, index: usize, query: SearchQuery) -> TestResult<CallerAnswer> {
+        let daemon = &self.daemons[index];
+        let send = self.history.next_send();
+        let front = daemon.spec.host.clone();
+        let body = serde_json::to_vec(&query)?;
+        self.history.record(HistoryEvent::QuerySent(SentQuery { send, front, query }));
+        self.hear(send, wire::call(daemon.caller, Method::POST, "/v1/query", body).await)
+    }
+
+    /// A non-idempotent request with a fresh id, stamped now.
+    pub fn once(&self, service: &str, key: u32) -> OnceRequest {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
+        let number = self.next_id.fetch_add(1, Ordering::Relaxed);
+        OnceRequest {
+            caller: self.deployment.options().callers[0].clone(),
+            service: service.into(),
+            key,
+            body: format!("confirm order {number}"),
+            deadline_ms: 2_000,
+            request_id: format!("{now}-{number}"),
+        }
+    }
+
+    /// Sends a non-idempotent request; an error when the connection broke.
+    pub async fn send_once(&self, index: usize, request: OnceRequest) -> TestResult<CallerAnswer> {
+        let daemon = &self.daemons[index];
+        let send = self.history.next_send();
+        let front = daemon.spec.host.clone();
+        let body = serde_json::to_vec(&request)?;
+        self.history.record(HistoryEvent::OnceSent(SentOnce { send, front, request }));
+        self.hear(send, wire::call(daemon.caller, Method::POST, "/v1/request", body).await)
+    }
+
+    fn hear(
+        &self,
+        send: u64,
+        heard: TestResult<(StatusCode, bytes::Bytes)>,
+    ) -> TestResult<CallerAnswer> {
+        let parsed = heard.and_then(|(_, body)| Ok(serde_json::from_slice(&body)?));
+        match parsed {
+            Ok(answer) => {
+                let answer: CallerAnswer = answer;
+                let event = HistoryEvent::Answered { send, answer: answer.clone() };
+                self.history.record(event);
+                Ok(answer)
+            }
+            Err(error) => {
+                self.history.record(HistoryEvent::Cut { send });
+                Err(error)
+            }
+        }
+    }
+
+    /// Fails on every broken promise in the history.
+    pub fn check(&self) -> TestResult {
+        let options = check::Options {
+            corpora: self.deployment.corpora.clone(),
+            ..check::Options::default()
+        };
+        let broken = check::check(&self.history.records(), &options);
+        if broken.is_empty() {
+            return Ok(());
+        }
+        let lines: Vec<String> = broken.iter().map(ToString::to_string).collect();
+        Err(format!("broken promises:\n{}", lines.join("\n")).into())
+    }
+}
+
+/// Whether the answer covers everything asked for.
+pub fn is_whole(answer: &CallerAnswer) -> bool {
+    answer.coverage.as_ref().is_some_and(|coverage| coverage.missing.is_empty())
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,17 @@
+//! Real `serve` processes against stand-ins on loopback, and what callers see.
+//!
+//! One [`TestFleet`] a test. Everything it started ends when it is dropped:
+//! processes by their ids, stand-ins by their tokens.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+pub mod daemon;
+pub mod fleet;
+pub mod wire;
+
+use std::error::Error;
+
+pub use fleet::FleetOptions;
+pub use fleet::TestFleet;
+
+/// Of every test.
+pub type TestResult<T = ()> = Result<T, Box<dyn Error>>;
--- /dev/null
+++ b/tests/support/wire.rs
@@ -0,0 +1,45 @@
+//! A caller's side of the wire.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+
+use super::TestResult;
+
+/// No call of a test hangs longer.
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+
+/// One request on a connection of its own.
+pub async fn call(
+    at: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> TestResult<(StatusCode, Bytes)> {
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{at}{path}"))
+        .header("connection", "close")
+        .body(Full::new(Bytes::from(body)))?;
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let exchange = async {
+        let response = client.request(request).await?;
+        let status = response.status();
+        Ok((status, response.into_body().collect().await?.to_bytes()))
+    };
+    tokio::time::timeout(CALL_LIMIT, exchange).await?
+}
+
+/// The text of a page.
+pub async fn page(at: SocketAddr, path: &str) -> TestResult<(StatusCode, String)> {
+    let (status, body) = call(at, Method::GET, path, Vec::new()).await?;
+    Ok((status, String::from_utf8_lossy(&body).into_owned()))
+}
