feat(intent): warn when no caller is named

Cause: a rules file without callers passed the check and would refuse everyone. Conclusion: the slip shows before it comes into force.

--- a/crates/hawthorn-intent/src/check/rules.rs
+++ b/crates/hawthorn-intent/src/check/rules.rs
@@ -10,6 +10,11 @@
 
 pub(super) fn check(files: &CheckedFiles<'_, '_>, faults: &mut Vec<ConfigFault>) {
     check_weights(files, faults);
+    if files.rules.callers.is_empty() {
+        let found = "no [[caller]]: every request is refused".to_owned();
+        let expected = "the callers by name".to_owned();
+        faults.push(files.in_rules("caller".to_owned(), FaultKind::NoCallers, found, expected));
+    }
     let names = KnownNames::new(files);
     for (index, rule) in files.rules.rules.iter().enumerate() {
         let dangling = dangling_names(files, &names, index, rule);
--- a/crates/hawthorn-intent/src/fault.rs
+++ b/crates/hawthorn-intent/src/fault.rs
@@ -87,6 +87,8 @@
     NeverDecides,
     /// All targets that serve a shard are in one zone.
     OneZone,
+    /// No caller is named, so every request would be refused.
+    NoCallers,
     /// A caller would be ahead of another although all are to be equal.
     UnequalCallers,
 }
@@ -106,7 +108,9 @@
     /// Whether a fault of this kind stops the configuration from being accepted.
     pub fn severity(self) -> FaultSeverity {
         match self {
-            Self::NeverMatches | Self::NeverDecides | Self::OneZone => FaultSeverity::Warning,
+            Self::NeverMatches | Self::NeverDecides | Self::OneZone | Self::NoCallers => {
+                FaultSeverity::Warning
+            }
             _ => FaultSeverity::Error,
         }
     }
--- a/crates/hawthorn-intent/tests/check.rs
+++ b/crates/hawthorn-intent/tests/check.rs
@@ -151,75 +151,74 @@
 fn each_fault_is_refused_or_shown_at_its_key() -> TestResult {
     let fleet = [small("a", "east", &["desk/00"]), small("b", "west", &["desk/00"])];
     let inventory = small_inventory(1, &fleet);
+    let case = |name, inventory, rules, expected| KindCase { name, inventory, rules, expected };
     let cases = [
-        KindCase { name: "good", inventory: "", rules: String::new(), expected: &[] },
-        KindCase {
-            name: "last targets off",
-            inventory: "",
-            rules: rule("off", "", "off", ""),
-            expected: &[(FaultKind::NoServingReplica, "rule[0].wanted")],
-        },
-        KindCase {
-            name: "last targets on standby",
-            inventory: "",
-            rules: rule("rest", "target = \"?\"", "standby", ""),
-            expected: &[(FaultKind::NoServingReplica, "rule[0].wanted")],
-        },
-        KindCase {
-            name: "all off but one kept",
-            inventory: "",
-            rules: rule("off", "", "off", "replicas = 1"),
-            expected: &[(FaultKind::OneZone, "service[0].shards")],
-        },
-        KindCase {
-            name: "matches nothing",
-            inventory: "",
-            rules: rule("lost", "asset = \"B-*\"", "off", ""),
-            expected: &[(FaultKind::NeverMatches, "rule[0].match")],
-        },
-        KindCase {
-            name: "decides nothing",
-            inventory: "",
-            rules: rule("first", "", "serve", "") + &rule("late", "zone = \"east\"", "off", ""),
-            expected: &[(FaultKind::NeverDecides, "rule[1]")],
-        },
-        KindCase {
-            name: "unknown rule key",
-            inventory: "",
-            rules: rule("odd", "", "serve", "until = \"friday\""),
-            expected: &[(FaultKind::UnknownKey, "rule[0].until")],
-        },
-        KindCase {
-            name: "not TOML",
-            inventory: "",
-            rules: "equal_callers = yes please".to_owned(),
-            expected: &[(FaultKind::Syntax, ""), (FaultKind::WrongType, "equal_callers")],
-        },
-        KindCase {
-            name: "service without targets",
-            inventory: "[[service]]\nname = \"feed\"\nshards = 2\nslots = 1\nconnections = 1",
-            rules: String::new(),
-            expected: &[(FaultKind::NoServingReplica, "service[1].shards")],
-        },
-        KindCase {
-            name: "two zones of one name",
-            inventory: "[[zone]]\nname = \"east\"\nregion = \"coast\"",
-            rules: String::new(),
-            expected: &[(FaultKind::Duplicate, "zone[2].name")],
-        },
-        KindCase {
-            name: "an empty entry",
-            inventory: "[[zone]]",
-            rules: String::new(),
-            expected: &[
-                (FaultKind::MissingKey, "zone[2].name"),
-                (FaultKind::MissingKey, "zone[2].region"),
-            ],
-        },
+        case("good", "", String::new(), &[]),
+        case(
+            "last targets off",
+            "",
+            rule("off", "", "off", ""),
+            &[(FaultKind::NoServingReplica, "rule[0].wanted")],
+        ),
+        case(
+            "last targets on standby",
+            "",
+            rule("rest", "target = \"?\"", "standby", ""),
+            &[(FaultKind::NoServingReplica, "rule[0].wanted")],
+        ),
+        case(
+            "all off but one kept",
+            "",
+            rule("off", "", "off", "replicas = 1"),
+            &[(FaultKind::OneZone, "service[0].shards")],
+        ),
+        case(
+            "matches nothing",
+            "",
+            rule("lost", "asset = \"B-*\"", "off", ""),
+            &[(FaultKind::NeverMatches, "rule[0].match")],
+        ),
+        case(
+            "decides nothing",
+            "",
+            rule("first", "", "serve", "") + &rule("late", "zone = \"east\"", "off", ""),
+            &[(FaultKind::NeverDecides, "rule[1]")],
+        ),
+        case(
+            "unknown rule key",
+            "",
+            rule("odd", "", "serve", "until = \"friday\""),
+            &[(FaultKind::UnknownKey, "rule[0].until")],
+        ),
+        case(
+            "not TOML",
+            "",
+            "equal_callers = yes please".to_owned(),
+            &[(FaultKind::Syntax, ""), (FaultKind::WrongType, "equal_callers")],
+        ),
+        case(
+            "service without targets",
+            "[[service]]\nname = \"feed\"\nshards = 2\nslots = 1\nconnections = 1",
+            String::new(),
+            &[(FaultKind::NoServingReplica, "service[1].shards")],
+        ),
+        case(
+            "two zones of one name",
+            "[[zone]]\nname = \"east\"\nregion = \"coast\"",
+            String::new(),
+            &[(FaultKind::Duplicate, "zone[2].name")],
+        ),
+        case(
+            "an empty entry",
+            "[[zone]]",
+            String::new(),
+            &[(FaultKind::MissingKey, "zone[2].name"), (FaultKind::MissingKey, "zone[2].region")],
+        ),
     ];
     for case in cases {
         let inventory = format!("{inventory}{}", case.inventory);
-        let outcome = check(Inputs { settings: None, inventory: &inventory, rules: &case.rules });
+        let rules = format!("{}\n[[caller]]\nname = \"desk\"\n", case.rules);
+        let outcome = check(Inputs { settings: None, inventory: &inventory, rules: &rules });
         let found: Vec<_> =
             outcome.faults.iter().map(|fault| (fault.kind, fault.path.as_str())).collect();
         assert_eq!(found, case.expected, "{}", case.name);
--- a/crates/hawthorn-intent/tests/reconcile.rs
+++ b/crates/hawthorn-intent/tests/reconcile.rs
@@ -76,6 +76,14 @@
     causes: &'static [(TargetKey, DriftCause)],
 }
 
+const fn moment(
+    (at, old, in_flight, new): (u64, Option<TargetPhase>, u32, Option<TargetPhase>),
+    orders: &'static [(TargetKey, WantedState)],
+    causes: &'static [(TargetKey, DriftCause)],
+) -> RoundCase {
+    RoundCase { at, old, in_flight, new, orders, causes }
+}
+
 /// A user's conflict check comes back with a hole: an operator's edit swapped
 /// the one target of a shard for another, the old one drained at once, and the
 /// new one was still loading. So the new one is told first, and the old one
@@ -84,63 +92,34 @@
 fn the_old_target_drains_only_when_the_new_one_is_ready() -> TestResult {
     let catalog = pair(2, "old")?;
     let cases = [
-        RoundCase {
-            at: 0,
-            old: Some(Ready),
-            in_flight: 2,
-            new: None,
-            orders: &[(NEW, WantedState::Serve)],
-            causes: &[(NEW, DriftCause::Told), (OLD, DriftCause::HeldForShard)],
-        },
-        RoundCase {
-            at: 3,
-            old: Some(Ready),
-            in_flight: 2,
-            new: Some(Cold),
-            orders: &[],
-            causes: &[(OLD, DriftCause::HeldForShard), (NEW, DriftCause::Warming)],
-        },
-        RoundCase {
-            at: 90,
-            old: Some(Ready),
-            in_flight: 2,
-            new: Some(Cold),
-            orders: &[],
-            causes: &[(OLD, DriftCause::HeldForShard), (NEW, DriftCause::Warming)],
-        },
-        RoundCase {
-            at: 91,
-            old: Some(Ready),
-            in_flight: 2,
-            new: Some(Ready),
-            orders: &[(OLD, WantedState::Drain)],
-            causes: &[(OLD, DriftCause::Told)],
-        },
-        RoundCase {
-            at: 92,
-            old: Some(Draining),
-            in_flight: 1,
-            new: Some(Ready),
-            orders: &[],
-            causes: &[(OLD, DriftCause::Draining)],
-        },
-        RoundCase {
-            at: 99,
-            old: Some(Draining),
-            in_flight: 1,
-            new: Some(Ready),
-            orders: &[],
-            causes: &[(OLD, DriftCause::Draining)],
-        },
-        RoundCase {
-            at: 100,
-            old: Some(Draining),
-            in_flight: 0,
-            new: Some(Ready),
-            orders: &[(OLD, WantedState::Off)],
-            causes: &[(OLD, DriftCause::Told)],
-        },
-        RoundCase { at: 101, old: None, in_flight: 0, new: Some(Ready), orders: &[], causes: &[] },
+        moment(
+            (0, Some(Ready), 2, None),
+            &[(NEW, WantedState::Serve)],
+            &[(NEW, DriftCause::Told), (OLD, DriftCause::HeldForShard)],
+        ),
+        moment(
+            (3, Some(Ready), 2, Some(Cold)),
+            &[],
+            &[(OLD, DriftCause::HeldForShard), (NEW, DriftCause::Warming)],
+        ),
+        moment(
+            (90, Some(Ready), 2, Some(Cold)),
+            &[],
+            &[(OLD, DriftCause::HeldForShard), (NEW, DriftCause::Warming)],
+        ),
+        moment(
+            (91, Some(Ready), 2, Some(Ready)),
+            &[(OLD, WantedState::Drain)],
+            &[(OLD, DriftCause::Told)],
+        ),
+        moment((92, Some(Draining), 1, Some(Ready)), &[], &[(OLD, DriftCause::Draining)]),
+        moment((99, Some(Draining), 1, Some(Ready)), &[], &[(OLD, DriftCause::Draining)]),
+        moment(
+            (100, Some(Draining), 0, Some(Ready)),
+            &[(OLD, WantedState::Off)],
+            &[(OLD, DriftCause::Told)],
+        ),
+        moment((101, None, 0, Some(Ready)), &[], &[]),
     ];
     let mut memory = ReconcileMemory::default();
     for case in cases {
--- a/crates/hawthorn-intent/tests/settings.rs
+++ b/crates/hawthorn-intent/tests/settings.rs
@@ -55,52 +55,35 @@
     expected: &'static [(FaultKind, &'static str)],
 }
 
+const fn fault(more: &'static str, expected: &'static [(FaultKind, &'static str)]) -> FaultCase {
+    FaultCase { more, expected }
+}
+
 #[test]
 fn each_fault_is_found_at_its_key() -> TestResult {
     let cases = [
-        FaultCase { more: "", expected: &[] },
-        FaultCase { more: "[stop]\ngrace = 30", expected: &[(FaultKind::WrongUnit, "stop.grace")] },
-        FaultCase {
-            more: "[stop]\ngrace = \"1.5s\"",
-            expected: &[(FaultKind::WrongUnit, "stop.grace")],
-        },
-        FaultCase {
-            more: "[stop]\ngrace = \"2d\"",
-            expected: &[(FaultKind::WrongUnit, "stop.grace")],
-        },
-        FaultCase {
-            more: "[stop]\ngrace = \"2h\"",
-            expected: &[(FaultKind::OutOfRange, "stop.grace")],
-        },
-        FaultCase {
-            more: "[hedge]\nbudget_percent = 101",
-            expected: &[(FaultKind::OutOfRange, "hedge.budget_percent")],
-        },
-        FaultCase {
-            more: "[hedge]\nbudget_percent = -1",
-            expected: &[(FaultKind::OutOfRange, "hedge.budget_percent")],
-        },
-        FaultCase {
-            more: "[hedge]\nbudget_percent = \"5\"",
-            expected: &[(FaultKind::WrongType, "hedge.budget_percent")],
-        },
-        FaultCase { more: "hedge = 5", expected: &[(FaultKind::WrongType, "hedge")] },
-        FaultCase {
-            more: "seeds = [\"10.0.0.1:8700\", \"peer:8700\", \"10.0.0.2:0\", 7]",
-            expected: &[
+        fault("", &[]),
+        fault("[stop]\ngrace = 30", &[(FaultKind::WrongUnit, "stop.grace")]),
+        fault("[stop]\ngrace = \"1.5s\"", &[(FaultKind::WrongUnit, "stop.grace")]),
+        fault("[stop]\ngrace = \"2d\"", &[(FaultKind::WrongUnit, "stop.grace")]),
+        fault("[stop]\ngrace = \"2h\"", &[(FaultKind::OutOfRange, "stop.grace")]),
+        fault("[hedge]\nbudget_percent = 101", &[(FaultKind::OutOfRange, "hedge.budget_percent")]),
+        fault("[hedge]\nbudget_percent = -1", &[(FaultKind::OutOfRange, "hedge.budget_percent")]),
+        fault("[hedge]\nbudget_percent = \"5\"", &[(FaultKind::WrongType, "hedge.budget_percent")]),
+        fault("hedge = 5", &[(FaultKind::WrongType, "hedge")]),
+        fault(
+            "seeds = [\"10.0.0.1:8700\", \"peer:8700\", \"10.0.0.2:0\", 7]",
+            &[
                 (FaultKind::BadAddress, "seeds[1]"),
                 (FaultKind::WrongType, "seeds[3]"),
                 (FaultKind::BadAddress, "seeds[2]"),
             ],
-        },
-        FaultCase {
-            more: "[fleet]\nheartbeat = \"1s\"\nsuspect_after = \"2s\"",
-            expected: &[(FaultKind::OutOfRange, "fleet.suspect_after")],
-        },
-        FaultCase {
-            more: "[probe]\ninterval = \"100ms\"",
-            expected: &[(FaultKind::OutOfRange, "probe.timeout")],
-        },
+        ),
+        fault(
+            "[fleet]\nheartbeat = \"1s\"\nsuspect_after = \"2s\"",
+            &[(FaultKind::OutOfRange, "fleet.suspect_after")],
+        ),
+        fault("[probe]\ninterval = \"100ms\"", &[(FaultKind::OutOfRange, "probe.timeout")]),
     ];
     for case in cases {
         let outcome = settings::read(&format!("{LEAST}{}", case.more));
