feat(intent): hold old targets until as many new ones are ready

Cause: an edit that swaps two targets for two others left the shard on one of them for a cold start, with half of its slots. Change: a target waits, for two cold starts at most, until as many others are ready for its shards as are wanted; an order already given is not called rate-limited. Figures: with a cold start of 30 s the old ones drain at 20 s when both new ones are ready at 20 s, and at 60 s when one never is; before, at 5 s in both cases by the settle time. Conclusion: a swap keeps the capacity that is wanted.

--- a/crates/hawthorn-intent/src/reconcile/mod.rs
+++ b/crates/hawthorn-intent/src/reconcile/mod.rs
@@ -10,7 +10,7 @@
 
 mod memory;
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::time::Duration;
 
 use hawthorn_types::ShardKey;
@@ -66,6 +66,10 @@
     /// still reports that it is ready. Must be longer than a revision takes to
     /// spread, and than an order takes to show.
     pub settle_time: Duration,
+    /// A target waits for so many cold starts of its service until as many
+    /// others are ready for its shards as are wanted to serve them. One cold
+    /// start is what they take, the second is for an order that was lost.
+    pub cold_starts_held: u32,
 }
 
 impl Default for Options {
@@ -75,6 +79,7 @@
             retry_after: Duration::from_secs(5),
             drain_time: Duration::from_secs(3),
             settle_time: Duration::from_secs(5),
+            cold_starts_held: 2,
         }
     }
 }
@@ -100,7 +105,7 @@
     Waiting,
     /// Loading, on its way to serving or standing by.
     Warming,
-    /// Goes on serving until another target is ready for one of its shards.
+    /// Goes on serving until others are ready for one of its shards.
     HeldForShard,
     /// Goes on serving until another state has been wanted for a moment.
     Settling,
@@ -169,8 +174,8 @@
     options: &Options,
 ) -> Outcome {
     memory.enter(catalog, seen, now);
-    let covered = covered_shards(catalog, seen, memory, now.checked_sub(options.settle_time));
-    let mut round = Round { catalog, now, options, covered, outcome: Outcome::default() };
+    let ready = ready_counts(catalog, seen, memory, now.checked_sub(options.settle_time));
+    let mut round = Round { catalog, now, options, ready, outcome: Outcome::default() };
     let mut owned: Vec<&SeenTarget> = seen.iter().filter(|seen| seen.owned).collect();
     owned.sort_by_cached_key(|seen| {
         let record = catalog.target(seen.target);
@@ -184,18 +189,18 @@
     round.outcome
 }
 
-/// Shards with a target that is ready and wanted to serve.
+/// How many targets of each shard are ready and wanted to serve.
 ///
 /// One that is ready but on its way out doesn't count: two targets that leave
 /// together, perhaps told by two hosts, would each be let go for the other's
 /// sake. Nor does one that was told something after `before`: what it reports
 /// may be from before the order.
-fn covered_shards(
+fn ready_counts(
     catalog: &FleetCatalog,
     seen: &[SeenTarget],
     memory: &ReconcileMemory,
     before: Option<Duration>,
-) -> HashSet<ShardKey> {
+) -> HashMap<ShardKey, usize> {
     let is_trusted = |seen: &&SeenTarget| {
         let memory = memory.targets.get(&catalog.target(seen.target).name);
         let served = memory.zip(before).is_some_and(|(memory, at)| memory.has_served_since(at));
@@ -205,7 +210,11 @@
     let ready = ready.filter(is_trusted);
     let records = ready.map(|seen| catalog.target(seen.target));
     let serving = records.filter(|record| record.wanted() == WantedState::Serve);
-    serving.flat_map(|record| record.shards.iter().copied()).collect()
+    let mut counts = HashMap::new();
+    for &shard in serving.flat_map(|record| &record.shards) {
+        *counts.entry(shard).or_default() += 1;
+    }
+    counts
 }
 
 /// One round in work.
@@ -213,7 +222,7 @@
     catalog: &'c FleetCatalog,
     now: Duration,
     options: &'c Options,
-    covered: HashSet<ShardKey>,
+    ready: HashMap<ShardKey, usize>,
     outcome: Outcome,
 }
 
@@ -282,22 +291,30 @@
         }
     }
 
-    /// Takes a ready target out of service once another is ready for each shard.
+    /// Takes a ready target out of service once others are ready for each shard.
     ///
-    /// Load: one edit turns a new target on and the old one off, and the new
-    /// one loads for its cold start. Harm prevented: in between the shard has
-    /// no target and every answer has a hole. The hold has no end in time: a
-    /// hole in a conflict check is worse than a target that stays on, and the
-    /// drift record shows it with the shard.
+    /// Load: one edit turns new targets on and the old ones off, and the new
+    /// ones load for their cold start. Harm prevented: in between the shard has
+    /// no target, and every answer has a hole; or it has one where two are
+    /// wanted, and with 2 slots urgent requests queue. The hold for the last
+    /// one has no end in time, as a hole in a conflict check is worse than a
+    /// target that stays on; the hold for the full number ends after
+    /// [`Options::cold_starts_held`], as a target that is down for days must not
+    /// keep another on. The drift record shows both with the shard.
     fn leave(
         &self,
         record: &TargetRecord,
         memory: &TargetMemory,
         state: WantedState,
     ) -> TargetStep {
-        let uncovered = record.shards.iter().find(|shard| !self.covered.contains(shard));
         let settled_for = self.now.saturating_sub(memory.wanted_since);
-        match uncovered {
+        let cold_start = self.catalog.service(record.service).cold_start;
+        let is_hurried = settled_for >= cold_start * self.options.cold_starts_held;
+        let is_short = |shard: &&ShardKey| {
+            let ready = self.ready.get(*shard).copied().unwrap_or(0);
+            ready == 0 || !is_hurried && ready < self.catalog.serving_targets_of(**shard).count()
+        };
+        match record.shards.iter().find(is_short) {
             Some(&shard) => TargetStep::Hold(shard),
             None if settled_for < self.options.settle_time => {
                 TargetStep::Wait(DriftCause::Settling)
@@ -325,12 +342,13 @@
         state: WantedState,
         memory: &mut TargetMemory,
     ) -> DriftCause {
+        let is_unreachable = seen.phase.is_none();
+        let waiting = if is_unreachable { DriftCause::Unreachable } else { DriftCause::Waiting };
         if memory.told_within(state, self.now, self.options.retry_after) {
-            let unreachable = seen.phase.is_none();
-            return if unreachable { DriftCause::Unreachable } else { DriftCause::Waiting };
+            return waiting;
         }
         if self.outcome.orders.len() >= self.options.orders_per_round {
-            return DriftCause::RateLimited;
+            return if memory.was_told(state) { waiting } else { DriftCause::RateLimited };
         }
         memory.told = Some((state, self.now));
         self.outcome.orders.push(IntentOrder { target: seen.target, tell: state });
--- a/crates/hawthorn-intent/tests/reconcile.rs
+++ b/crates/hawthorn-intent/tests/reconcile.rs
@@ -136,6 +136,31 @@
     Ok(())
 }
 
+/// Urgent requests queue for half a minute after an edit that swaps two targets
+/// for two others: both old ones drained when the first new one was ready. They
+/// stay for two cold starts or until both are ready, whichever is sooner, so
+/// that a new one that never comes up does not keep them on for good.
+#[test]
+fn old_targets_stay_until_as_many_new_ones_are_ready() -> TestResult {
+    let targets =
+        ["old-1", "old-2", "new-1", "new-2"].map(|name| small(name, "east", &["desk/00"]));
+    let catalog = fleet(1, &targets, &rule("swap", "target = \"old-?\"", "off", ""))?;
+    let first_drain = |second_ready_at: u64| {
+        let mut memory = ReconcileMemory::default();
+        (0..100).find(|&at| {
+            let second = if at < second_ready_at { Cold } else { Ready };
+            let phases = [Ready, Ready, Ready, second];
+            let round: Vec<_> =
+                (0..4).map(|key| seen(TargetKey(key), Some(phases[key as usize]))).collect();
+            let outcome = reconcile(&catalog, &round, &mut memory, secs(at), &Options::default());
+            outcome.orders.iter().any(|order| order.tell == WantedState::Drain)
+        })
+    };
+    assert_eq!(first_drain(20), Some(20), "both new ones are ready");
+    assert_eq!(first_drain(1_000), Some(60), "one never is: after two cold starts of 30 s");
+    Ok(())
+}
+
 /// A shard vanishes for seconds while an edit spreads: one host still has the
 /// revision that wants `old`, its neighbour already the one that wants `new`.
 /// Both targets are ready, so each host drains the other's. A host therefore
@@ -238,7 +263,8 @@
     let rules =
         rule("a", "target = \"t126\"", "drain", "") + &rule("b", "target = \"t127\"", "drain", "");
     let catalog = fleet(1, &targets, &rules)?;
-    let options = Options { settle_time: Duration::ZERO, ..Options::default() };
+    let options =
+        Options { settle_time: Duration::ZERO, cold_starts_held: 0, ..Options::default() };
     let mut memory = ReconcileMemory::default();
     let mut drained_at = None;
     for at in 0..20 {
