fix(fleet): a new owner takes nothing before the former one is at half

Cause: a host that joined took half of the slots at once while the former owner, which had not heard yet, used all; a daemon that heard nobody told those it held for dead so, which made them refute; a departure reached other zones only with the next ping across. Change: the new owner asks and waits for the former to say that it is at half; a woken host takes nothing until the runner-up is; suspicions of a daemon that hears nobody stay private in every datagram; a phase is told to one member of each other zone at once.

--- a/crates/hawthorn-fleet/examples/slopes.rs
+++ b/crates/hawthorn-fleet/examples/slopes.rs
@@ -95,8 +95,7 @@
             next = (next + 7) % switch.daemons.len();
             // Planned: it says that it leaves before it stops.
             let now = switch.now;
-            switch.daemons[next].table.depart(now);
-            switch.run_for(ms(1));
+            switch.act(next, |daemon, now| daemon.table.depart(now));
             switch.restart(next, now.as_millis() as u64);
         }
     }
--- a/crates/hawthorn-fleet/src/action.rs
+++ b/crates/hawthorn-fleet/src/action.rs
@@ -48,7 +48,8 @@
     /// This process itself stood still for so long: leases may have lapsed and
     /// others may have taken over. Hand it to [`Handover::resumed`](crate::handover::Handover::resumed).
     SelfPaused(Duration),
-    /// A peer held this host for suspect or dead; it has been refuted.
+    /// A peer held this host for dead, and others may have taken over; it has
+    /// been refuted. Hand it to [`Handover::resumed`](crate::handover::Handover::resumed) too.
     SelfDoubted,
     /// Another live process with this host's name and a later incarnation runs
     /// at this address: stop this one.
--- a/crates/hawthorn-fleet/src/handover/bucket.rs
+++ b/crates/hawthorn-fleet/src/handover/bucket.rs
@@ -10,15 +10,8 @@
 pub(super) enum BucketState {
     /// Another host owns it; nothing of it runs here.
     Foreign,
-    /// Owned, but `former` may still use it.
-    Taking {
-        /// Who owned it before, if known.
-        former: Option<MemberId>,
-        /// When it was gained.
-        since: Duration,
-        /// When `former` was last asked to let go.
-        asked: Option<Duration>,
-    },
+    /// Owned, but another host may still use it.
+    Taking(TakingState),
     /// Owned alone.
     Owned {
         /// Another host claims it until then; past when nobody does.
@@ -35,13 +28,31 @@
     Draining {
         /// The new owner, told when nothing runs any more.
         to: Option<MemberId>,
+        /// Not told before this time.
+        until: Duration,
     },
 }
 
+/// A bucket that is being taken over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct TakingState {
+    /// Who owned it before, if known.
+    pub(super) former: Option<MemberId>,
+    /// When it was gained.
+    pub(super) since: Duration,
+    /// When `former` was last asked to let go.
+    pub(super) asked: Option<Duration>,
+    /// Whether `former` uses at most half by now: it said so, or is gone.
+    pub(super) noted: bool,
+}
+
 impl BucketState {
+    /// Owned alone and claimed by nobody.
+    pub(super) const OWNED: Self = Self::Owned { contested: Duration::ZERO };
+
     /// Just gained.
     pub(super) fn taking(now: Duration, former: Option<MemberId>) -> Self {
-        Self::Taking { former, since: now, asked: None }
+        Self::Taking(TakingState { former, since: now, asked: None, noted: false })
     }
 
     /// The share in this state. A daemon that may be the cut-off one never
@@ -49,7 +60,8 @@
     pub(super) fn share(self, now: Duration, quorate: bool) -> SlotShare {
         match self {
             Self::Foreign | Self::Draining { .. } => SlotShare::None,
-            Self::Taking { .. } | Self::Yielding { .. } => SlotShare::Half,
+            Self::Taking(taking) if !taking.noted => SlotShare::None,
+            Self::Taking(_) | Self::Yielding { .. } => SlotShare::Half,
             Self::Owned { contested } if contested > now || !quorate => SlotShare::Half,
             Self::Owned { .. } => SlotShare::Full,
         }
--- a/crates/hawthorn-fleet/src/handover/mod.rs
+++ b/crates/hawthorn-fleet/src/handover/mod.rs
@@ -2,17 +2,18 @@
 //!
 //! Two hosts may both believe they own a target, as their views of the zone
 //! differ for a while. The target's slots would then be used twice. So a new
-//! owner begins with half of the slots, a former owner drops to half at the
-//! first sign of another, and the new one takes all only when the former has
+//! owner asks the former one, which drops to half at once and says so; the new
+//! one then begins with the other half, and takes all only when the former has
 //! let go, has left, or has been dead for a stated window. Connections are
-//! always limited to half, whatever the share: a target's connection limit
-//! holds even when two owners last.
+//! meant to be limited to half by each owner, whatever the share, so that a
+//! target's connection limit holds even when two owners last.
 //!
 //! | seen at the former owner | its share | seen at the new owner | its share |
 //! |---|---|---|---|
-//! | the new owner, in its view or by its word | half, then none | the former, live | half until it lets go |
+//! | the new owner, by its word | half | the former, live | none until it says half |
+//! | the new owner, in its view | half, then none | the former, at half | half until it lets go |
 //! | nobody of its zone, or a minority | half | the former, dead | half for the window, then all |
-//! | that it stood still or was held for dead | half until the runner-up lets go | the former, left | all |
+//! | that it stood still or was held for dead | none until the runner-up is at half | the former, left | all |
 
 mod bucket;
 
@@ -31,6 +32,7 @@
 use crate::ownership::GroupId;
 use crate::ownership::OwnerCandidate;
 use bucket::BucketState;
+use bucket::TakingState;
 
 /// Buckets named in one message; at most three bytes each, so that it fits a datagram.
 const BUCKETS_SENT: usize = 256;
@@ -112,6 +114,11 @@
     pub yield_window: Duration,
     /// Between requests to let go.
     pub ask_again: Duration,
+    /// Between first requests, while the new owner may use nothing yet.
+    pub claim_again: Duration,
+    /// How long a new owner waits with no slot for a live former owner to say
+    /// that it is at half. Longer than a dead one takes to be found out.
+    pub claim_limit: Duration,
     /// How long a new owner waits for a live former owner that never lets go.
     pub ask_limit: Duration,
     /// How long another host's claim keeps an owner at half.
@@ -128,6 +135,8 @@
             dead_window: Duration::from_secs(3),
             yield_window: Duration::from_secs(1),
             ask_again: Duration::from_millis(500),
+            claim_again: Duration::from_millis(50),
+            claim_limit: Duration::from_secs(3),
             ask_limit: Duration::from_secs(30),
             contest_window: Duration::from_secs(2),
             split_window: Duration::from_secs(30),
@@ -177,6 +186,7 @@
     shares: Vec<SlotShare>,
     /// The owner of each bucket in the last view.
     owners: Vec<Option<MemberId>>,
+    noted: BTreeMap<MemberId, BucketList>,
     released: BTreeMap<MemberId, BucketList>,
     asked: BTreeMap<MemberId, BucketList>,
     actions: VecDeque<HandoverAction>,
@@ -194,6 +204,7 @@
             buckets: vec![BucketState::Foreign; count],
             shares: vec![SlotShare::None; count],
             owners: vec![None; count],
+            noted: BTreeMap::new(),
             released: BTreeMap::new(),
             asked: BTreeMap::new(),
             actions: VecDeque::new(),
@@ -238,18 +249,25 @@
                 BucketState::taking(now, former)
             }
             BucketState::Yielding { to, .. } => BucketState::taking(now, to),
-            BucketState::Taking { .. } | BucketState::Owned { .. } => state,
+            BucketState::Taking(_) | BucketState::Owned { .. } => state,
         }
     }
 
     fn lose(&mut self, now: Duration, state: BucketState, to: Option<MemberId>) -> BucketState {
         match state {
-            BucketState::Taking { .. } | BucketState::Owned { .. } => {
+            BucketState::Owned { .. } => {
                 self.counters.yielded += 1;
                 BucketState::Yielding { to, since: now }
             }
+            // The owner before may still be at half, and the next one will be:
+            // nothing is left for this host. It waits until the one before has
+            // surely stopped yielding, as the next one asks this host alone.
+            BucketState::Taking(_) => {
+                self.counters.yielded += 1;
+                BucketState::Draining { to, until: now + self.options.yield_window }
+            }
             BucketState::Yielding { since, .. } => BucketState::Yielding { to, since },
-            BucketState::Draining { .. } => BucketState::Draining { to },
+            BucketState::Draining { until, .. } => BucketState::Draining { to, until },
             BucketState::Foreign => state,
         }
     }
@@ -266,8 +284,8 @@
 
     /// This process stood still or was held for dead: another may have taken
     /// its buckets meanwhile. Failure: a paused owner wakes and goes on at all
-    /// slots beside the new one. Each bucket falls back to half until the
-    /// runner-up says that it holds nothing.
+    /// slots beside the new one. Each bucket falls back to no slot until the
+    /// runner-up says that it uses half or nothing: one round trip.
     pub fn resumed(&mut self, now: Duration) {
         let candidates = self.candidates();
         for bucket in 0..self.options.buckets {
@@ -291,6 +309,11 @@
                     self.take_ask(now, from, bucket);
                 }
             }
+            HandoverMessage::Noted(buckets) => {
+                for bucket in buckets {
+                    self.take_note(from, bucket);
+                }
+            }
             HandoverMessage::Released(buckets) => {
                 for bucket in buckets {
                     self.take_release(from, bucket);
@@ -304,20 +327,38 @@
     fn take_ask(&mut self, now: Duration, from: MemberId, bucket: u16) {
         let Some(state) = self.buckets.get_mut(usize::from(bucket)) else { return };
         match state {
-            BucketState::Foreign => self.released.entry(from).or_default().push(bucket),
+            BucketState::Foreign => {
+                self.released.entry(from).or_default().push(bucket);
+                return;
+            }
             BucketState::Owned { contested } => {
                 self.counters.contested += 1;
                 *contested = now + self.options.contest_window;
             }
-            BucketState::Yielding { to, .. } | BucketState::Draining { to } => *to = Some(from),
-            BucketState::Taking { .. } => {}
+            BucketState::Yielding { to, .. } | BucketState::Draining { to, .. } => *to = Some(from),
+            // Two hosts take over from each other, each after standing still:
+            // the one that was asked first is at half and says so.
+            BucketState::Taking(_) => {}
+        }
+        self.noted.entry(from).or_default().push(bucket);
+    }
+
+    fn take_note(&mut self, from: MemberId, bucket: u16) {
+        if let Some(taking) = self.taking_from(from, bucket) {
+            taking.noted = true;
         }
     }
 
     fn take_release(&mut self, from: MemberId, bucket: u16) {
-        let Some(state) = self.buckets.get_mut(usize::from(bucket)) else { return };
-        if matches!(*state, BucketState::Taking { former: Some(former), .. } if former == from) {
-            *state = BucketState::Owned { contested: Duration::ZERO };
+        if self.taking_from(from, bucket).is_some() {
+            self.buckets[usize::from(bucket)] = BucketState::OWNED;
+        }
+    }
+
+    fn taking_from(&mut self, from: MemberId, bucket: u16) -> Option<&mut TakingState> {
+        match self.buckets.get_mut(usize::from(bucket)) {
+            Some(BucketState::Taking(taking)) if taking.former == Some(from) => Some(taking),
+            _ => None,
         }
     }
 
@@ -327,14 +368,12 @@
         for bucket in 0..self.options.buckets {
             let state = self.buckets[usize::from(bucket)];
             let next = match state {
-                BucketState::Taking { former, since, asked } => {
-                    self.advance_taking(now, bucket, quorate, (former, since, asked))
-                }
+                BucketState::Taking(taking) => self.advance(now, bucket, quorate, taking),
                 BucketState::Yielding { to, since } => {
                     let over = now.saturating_sub(since) >= self.options.yield_window;
-                    if over { BucketState::Draining { to } } else { state }
+                    if over { BucketState::Draining { to, until: now } } else { state }
                 }
-                BucketState::Draining { to } if !busy(bucket) => {
+                BucketState::Draining { to, until } if now >= until && !busy(bucket) => {
                     if let Some(to) = to {
                         self.released.entry(to).or_default().push(bucket);
                     }
@@ -350,38 +389,43 @@
         self.flush();
     }
 
-    fn advance_taking(
+    /// Moves a bucket that is being taken over as far as its former owner allows.
+    fn advance(
         &mut self,
         now: Duration,
         bucket: u16,
         quorate: bool,
-        (former, since, asked): (Option<MemberId>, Duration, Option<Duration>),
+        mut taking: TakingState,
     ) -> BucketState {
-        let waiting = BucketState::Taking { former, since, asked };
-        let owned = BucketState::Owned { contested: Duration::ZERO };
-        let standing = former.and_then(|id| self.view.hosts.get(&id).copied());
-        match (former, standing) {
-            (_, Some(HostStanding::Left)) => owned,
-            (_, Some(HostStanding::Dead(at))) => {
-                let over = now.saturating_sub(at.max(since)) >= self.options.dead_window;
-                if over && quorate { owned } else { waiting }
-            }
-            (Some(former), Some(_)) => {
-                if now.saturating_sub(since) >= self.options.ask_limit {
-                    self.counters.unconfirmed += 1;
-                    return owned;
-                }
-                let due = asked.is_none_or(|at| now.saturating_sub(at) >= self.options.ask_again);
-                if !due {
-                    return waiting;
-                }
-                self.asked.entry(former).or_default().push(bucket);
-                BucketState::Taking { former: Some(former), since, asked: Some(now) }
-            }
-            (None, _) | (_, None) => {
-                let over = now.saturating_sub(since) >= self.options.dead_window;
-                if over && quorate { owned } else { waiting }
-            }
+        let waited = now.saturating_sub(taking.since);
+        let standing = taking.former.and_then(|id| self.view.hosts.get(&id).copied());
+        let gone_since = match standing {
+            Some(HostStanding::Left) => return BucketState::OWNED,
+            Some(HostStanding::Dead(at)) => Some(at.max(taking.since)),
+            Some(HostStanding::Serving | HostStanding::Idle) => None,
+            None => Some(taking.since),
+        };
+        if let Some(since) = gone_since {
+            taking.noted = true;
+            let over = now.saturating_sub(since) >= self.options.dead_window;
+            return if over && quorate { BucketState::OWNED } else { BucketState::Taking(taking) };
+        }
+        if waited >= self.options.ask_limit {
+            self.counters.unconfirmed += 1;
+            return BucketState::OWNED;
+        }
+        taking.noted |= waited >= self.options.claim_limit;
+        self.ask(now, bucket, &mut taking);
+        BucketState::Taking(taking)
+    }
+
+    /// Asks the former owner to let go, if it is time to.
+    fn ask(&mut self, now: Duration, bucket: u16, taking: &mut TakingState) {
+        let Some(former) = taking.former else { return };
+        let wait = if taking.noted { self.options.ask_again } else { self.options.claim_again };
+        if taking.asked.is_none_or(|at| now.saturating_sub(at) >= wait) {
+            taking.asked = Some(now);
+            self.asked.entry(former).or_default().push(bucket);
         }
     }
 
@@ -445,6 +489,9 @@
         for (to, buckets) in std::mem::take(&mut self.asked) {
             self.send_parts(to, &buckets, HandoverMessage::Ask);
         }
+        for (to, buckets) in std::mem::take(&mut self.noted) {
+            self.send_parts(to, &buckets, HandoverMessage::Noted);
+        }
         for (to, buckets) in std::mem::take(&mut self.released) {
             self.send_parts(to, &buckets, HandoverMessage::Released);
         }
--- a/crates/hawthorn-fleet/src/member/apply.rs
+++ b/crates/hawthorn-fleet/src/member/apply.rs
@@ -258,6 +258,8 @@
         self.refute(now, rumor.stamp.update);
         if doubted {
             self.counters.refutations += 1;
+        }
+        if rumor.health == MemberHealth::Dead && doubted {
             self.actions.push_back(FleetAction::SelfDoubted);
         }
     }
--- a/crates/hawthorn-fleet/src/member/probe.rs
+++ b/crates/hawthorn-fleet/src/member/probe.rs
@@ -227,8 +227,7 @@
     /// Pings one member of the next other zone, lost zones included: that is
     /// how a partition's end is noticed.
     fn ping_across(&mut self, now: Duration) {
-        let zones: Vec<String> =
-            self.zones.names().filter(|&name| name != self.my_zone).map(str::to_owned).collect();
+        let zones = self.other_zones();
         if zones.is_empty() {
             return;
         }
@@ -239,24 +238,25 @@
         }
     }
 
-    /// Pings one dead member of the own zone, telling it so. Failure: two parts
+    /// Pings one dead member of the own zone, telling it so if others hold it
+    /// for dead too. Failure: two parts
     /// of a zone that were cut off from each other hold each other for dead and
     /// would stay apart for ever. A live one refutes and both lists meet.
     fn ping_dead(&mut self, now: Duration) {
-        let dead: Vec<(SocketAddr, MemberRumor)> = self
+        let dead: Vec<(SocketAddr, Option<MemberRumor>)> = self
             .arena
             .iter()
             .filter(|record| record.health == MemberHealth::Dead)
             .filter(|record| record.phase != MemberPhase::Left)
             .filter(|record| record.place.zone == self.my_zone)
-            .map(|record| (record.place.peer, record.rumor()))
+            .map(|record| (record.place.peer, (!record.private).then(|| record.rumor())))
             .collect();
         if dead.is_empty() {
             return;
         }
         let (peer, rumor) = &dead[self.rng.random_range(0..dead.len())];
         let number = self.take_number();
-        self.send(now, *peer, FleetBody::Ping { number }, std::slice::from_ref(rumor));
+        self.send(now, *peer, FleetBody::Ping { number }, rumor.as_slice());
     }
 
     /// Asks hinted addresses without a live member behind them for their list.
@@ -332,7 +332,10 @@
             return;
         }
         self.counters.suspicions += 1;
-        let private = self.is_deaf(now);
+        // Helpers answer at once: hearing nothing at all since they were asked
+        // means that the fault is on this side, or that there is nobody else.
+        let asked = probe.sent + self.options.ack_timeout;
+        let private = self.last_heard < asked || self.is_deaf(now);
         self.set_health(now, probe.key, MemberHealth::Suspect, private);
         if let Some(suspicion) = self.suspicions.iter_mut().find(|found| found.key == probe.key) {
             suspicion.own = true;
--- a/crates/hawthorn-fleet/src/member/send.rs
+++ b/crates/hawthorn-fleet/src/member/send.rs
@@ -72,6 +72,19 @@
         self.rumors.push(self.my_id);
         self.view_changed = true;
         self.push_notice(now);
+        self.notice_zones(now);
+    }
+
+    /// Sends a notice to one member of each other zone: rumors cross between
+    /// zones once a second at most, and a phase is worth knowing sooner.
+    fn notice_zones(&mut self, now: Duration) {
+        let own = self.own_rumor();
+        for zone in self.other_zones() {
+            let picked = self.pick(1, |record, _| record.place.zone == zone);
+            let peer = picked.first().and_then(|&key| self.arena.get(key));
+            let Some(peer) = peer.map(|record| record.place.peer) else { continue };
+            self.send(now, peer, FleetBody::Notice, std::slice::from_ref(&own));
+        }
     }
 
     /// Sends a notice to a few members of the own zone and one of another.
@@ -85,6 +98,11 @@
         }
     }
 
+    /// Names of all zones but the own one.
+    pub(super) fn other_zones(&self) -> Vec<String> {
+        self.zones.names().filter(|&name| name != self.my_zone).map(str::to_owned).collect()
+    }
+
     /// This host's whole record.
     pub(super) fn own_rumor(&self) -> MemberRumor {
         let record = self.record_of_self();
--- a/crates/hawthorn-fleet/src/message.rs
+++ b/crates/hawthorn-fleet/src/message.rs
@@ -181,6 +181,8 @@
 pub enum HandoverMessage {
     /// The sender now owns these buckets and asks the former owner to let go.
     Ask(BucketList),
+    /// The sender was asked, and uses at most half of the slots of these buckets.
+    Noted(BucketList),
     /// The sender no longer uses any slot of these buckets.
     Released(BucketList),
 }
--- a/crates/hawthorn-fleet/tests/support/mod.rs
+++ b/crates/hawthorn-fleet/tests/support/mod.rs
@@ -35,7 +35,7 @@
 pub const STORE_DELAY: Duration = Duration::from_millis(5);
 pub const PULL_DELAY: Duration = Duration::from_millis(20);
 
-pub fn ms(count: u64) -> Duration {
+pub const fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
 }
 
@@ -169,6 +169,21 @@
         self.push(start, index, Event::Wake);
     }
 
+    /// Does something at a daemon, and carries out what comes of it.
+    pub fn act(&mut self, index: usize, action: impl FnOnce(&mut Daemon, Duration)) {
+        let now = self.now;
+        action(&mut self.daemons[index], now);
+        self.drain(index);
+    }
+
+    /// Gives a daemon the address of another one, which must be down.
+    pub fn take_address(&mut self, index: usize, other: usize) {
+        self.daemons[index].peer = self.daemons[other].peer;
+        self.by_peer.insert(self.daemons[other].peer, index);
+        let now = self.now.as_millis() as u64;
+        self.restart(index, now);
+    }
+
     pub fn kill(&mut self, index: usize) {
         self.daemons[index].up = false;
         self.daemons[index].life += 1;
