fix(daemon): an oversized body gets its own reason

Cause: the HTTP library's own limit spoke first and called it a bad request. Change: its limit is lifted, ours bounds the bytes held.

--- a/crates/hawthorn-daemon/src/process/daemon.rs
+++ b/crates/hawthorn-daemon/src/process/daemon.rs
@@ -187,8 +187,9 @@
     let api = api::describe().map_err(|error| Error::Api(error.to_string()))?;
     let config = ConfigDropshot {
         bind_address: settings.caller_address,
-        // One more than our own limit, so that ours is the one that speaks.
-        default_request_body_max_bytes: front.body_options().max_bytes + 1,
+        // Our own limit speaks, with a typed reason; a frame that passes it is
+        // dropped as soon as it is seen.
+        default_request_body_max_bytes: usize::MAX,
         default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
         ..ConfigDropshot::default()
     };
--- a/crates/hawthorn-daemon/src/request/body.rs
+++ b/crates/hawthorn-daemon/src/request/body.rs
@@ -38,12 +38,7 @@
     pin_mut!(stream);
     let mut bytes = Vec::new();
     while let Some(chunk) = stream.next().await {
-        // Dropshot ends the stream with an error at its own, equal limit.
-        let chunk = chunk.map_err(|error| match error.status_code.as_u16() {
-            413 => RefusalReason::BodyTooLarge,
-            _ if bytes.len() >= max_bytes => RefusalReason::BodyTooLarge,
-            _ => RefusalReason::BadRequest,
-        })?;
+        let chunk = chunk.map_err(|_| RefusalReason::BadRequest)?;
         if bytes.len() + chunk.len() > max_bytes {
             return Err(RefusalReason::BodyTooLarge);
         }
