--- a/crates/hawthorn-decide/src/owner/mod.rs
+++ b/crates/hawthorn-decide/src/owner/mod.rs
@@ -236,6 +236,12 @@
         Duration::from_micros(known.map_or(0, |shard| shard.times.ninetieth()))
     }
 
+    /// Pieces that wait for a shard, urgent and normal.
+    pub fn waiting_at(&self, shard: ShardKey) -> u32 {
+        let known = self.shards.get(shard.index());
+        known.map_or(0, |shard| shard.queue.waiting(URGENT) + shard.queue.waiting(NORMAL))
+    }
+
     /// How the owner uses a target; none when it owns no such target or gives
     /// it nothing because it is not wanted or leaving.
     pub fn phase(&self, target: TargetKey) -> Option<shift::Phase> {
@@ -284,7 +290,7 @@
         let Some(live) = self.shards.get(shard.index()) else {
             return refuse(RefusalReason::NoTarget, most);
         };
-        if self.slots_of(live) == 0 {
+        if !self.is_served(live) {
             return refuse(RefusalReason::NoTarget, most);
         }
         let wait = self.wait_of(caller, urgency, shard);
@@ -328,6 +334,11 @@
         limits.map(u64::from).sum()
     }
 
+    /// Whether a replica of the shard may get work, now or after a wait.
+    fn is_served(&self, shard: &LiveShard) -> bool {
+        shard.replicas.iter().any(|key| self.targets[key.index()].in_service())
+    }
+
     fn has_free_slot(&self, shard: &LiveShard) -> bool {
         shard.replicas.iter().any(|key| {
             let target = &self.targets[key.index()];
--- a/crates/hawthorn-decide/src/owner/watch.rs
+++ b/crates/hawthorn-decide/src/owner/watch.rs
@@ -157,9 +157,7 @@
     }
 
     fn reassess_shard(&mut self, now: TickTime, shard: ShardKey) {
-        let live = &self.shards[shard.index()];
-        let served = live.replicas.iter().any(|key| self.targets[key.index()].in_service());
-        if served {
+        if self.is_served(&self.shards[shard.index()]) {
             self.pump(now, shard);
         } else {
             self.give_up(now, shard);
