feat(daemon): advertised peer address, and connections from the host's own

Cause: a fault-injecting proxy, or a forwarded port, stands between daemons; a daemon must say where it is reached, and others must see who connects. Change: peer_advertised in the settings; peer connections bind their source. Conclusion: zones can be cut from each other in tests with real processes.

--- a/crates/hawthorn-daemon/src/connection/peer.rs
+++ b/crates/hawthorn-daemon/src/connection/peer.rs
@@ -1,6 +1,7 @@
 //! Calls between daemons, by tarpc over TCP.
 
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -11,6 +12,9 @@
 use tarpc::client;
 use tarpc::context;
 use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::connection::message::BatchAnswer;
 use crate::connection::message::ConfigCopy;
@@ -82,12 +86,20 @@
 }
 
 /// Connections to other daemons, opened when first needed and kept.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PeerLinks {
+    /// Connections come from this host's own address and not from whichever
+    /// the system picks: on a host with several, others could not tell them apart.
+    source: IpAddr,
     links: Mutex<HashMap<SocketAddr, PeerLink>>,
 }
 
 impl PeerLinks {
+    /// No connections yet; later ones come from `source`.
+    pub fn new(source: IpAddr) -> Self {
+        Self { source, links: Mutex::default() }
+    }
+
     /// A client for the daemon at `address`.
     ///
     /// # Errors
@@ -100,7 +112,7 @@
             }
             _ => {}
         }
-        match Self::connect(address).await {
+        match self.connect(address).await {
             Ok(client) => {
                 self.set(address, PeerLink::Open(client.clone()));
                 Ok(client)
@@ -125,16 +137,27 @@
         self.links.lock().expect("no holder of the lock panics").remove(&address);
     }
 
-    async fn connect(address: SocketAddr) -> Result<PeerServiceClient, Error> {
-        let mut connecting = tarpc::serde_transport::tcp::connect(address, Bincode::default);
-        connecting.config_mut().max_frame_length(MAX_FRAME_BYTES);
-        let transport = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+    async fn connect(&self, address: SocketAddr) -> Result<PeerServiceClient, Error> {
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, self.open(address))
             .await
             .map_err(|_| Error::NotSent("connecting took too long".into()))?
             .map_err(|error| Error::NotSent(error.to_string()))?;
+        let framed =
+            LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream);
+        let transport = tarpc::serde_transport::new(framed, Bincode::default());
         Ok(PeerServiceClient::new(client::Config::default(), transport).spawn())
     }
 
+    async fn open(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        if self.source.is_ipv4() == address.is_ipv4() {
+            socket.bind(SocketAddr::new(self.source, 0))?;
+        }
+        let stream = socket.connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+
     /// Reads what an error of a call means for whether it was received, and
     /// forgets the connection when it is broken.
     pub fn judge(&self, address: SocketAddr, error: client::RpcError) -> Error {
--- a/crates/hawthorn-daemon/src/process/daemon.rs
+++ b/crates/hawthorn-daemon/src/process/daemon.rs
@@ -205,13 +205,13 @@
     stop: &CancellationToken,
 ) -> Result<DutySet, Error> {
     let (peer_address, socket) = runtime.block_on(bind_peer(settings.peer_address))?;
-    let links = Arc::new(PeerLinks::default());
+    let links = Arc::new(PeerLinks::new(peer_address.ip()));
     let (store_calls, calls) = mpsc::channel(STORE_RING);
     let (busy_sender, busy) = watch::channel(Arc::default());
     let place = MemberPlace {
         host: settings.host.clone(),
         zone: settings.zone.clone(),
-        peer: peer_address,
+        peer: settings.peer_advertised.unwrap_or(peer_address),
     };
     let inputs = fleet::FleetInputs { socket, links: Arc::clone(&links), store: store_calls, busy };
     let (fleet, fleet_duty) = fleet::start(options::fleet(settings, place), inputs, stop.clone());
--- a/crates/hawthorn-intent/src/settings/mod.rs
+++ b/crates/hawthorn-intent/src/settings/mod.rs
@@ -37,6 +37,9 @@
     pub caller_address: SocketAddr,
     /// Where other daemons reach it, TCP and UDP. Port 0 takes a free one.
     pub peer_address: SocketAddr,
+    /// The address that other daemons are told, when they reach `peer_address`
+    /// by another one.
+    pub peer_advertised: Option<SocketAddr>,
     /// The platform's service, HTTP.
     pub platform: SocketAddr,
     /// Peer addresses to ask first when the platform does not answer.
--- a/crates/hawthorn-intent/src/settings/read.rs
+++ b/crates/hawthorn-intent/src/settings/read.rs
@@ -44,6 +44,7 @@
         region: name(reader, "region"),
         caller_address: listen_address(reader, "caller_address"),
         peer_address: listen_address(reader, "peer_address"),
+        peer_advertised: advertised(reader),
         platform: peer_of(reader, "platform"),
         seeds: seeds(reader),
         limits: reader.table("limits", limits),
@@ -79,6 +80,14 @@
     address
 }
 
+fn advertised(reader: &mut TableReader<'_, '_>) -> Option<SocketAddr> {
+    let address = reader.optional("peer_advertised");
+    if let Some(address) = address.filter(|&address| !is_reachable(address)) {
+        reject_address(reader, "peer_advertised", address);
+    }
+    address
+}
+
 /// Whether a connection to `address` could ever be made.
 pub(crate) fn is_reachable(address: SocketAddr) -> bool {
     address.port() != 0 && !address.ip().is_unspecified() && !address.ip().is_multicast()
--- a/crates/hawthorn-intent/tests/settings.rs
+++ b/crates/hawthorn-intent/tests/settings.rs
@@ -79,6 +79,8 @@
                 (FaultKind::BadAddress, "seeds[2]"),
             ],
         ),
+        fault("peer_advertised = \"10.0.0.9:8700\"", &[]),
+        fault("peer_advertised = \"0.0.0.0:1\"", &[(FaultKind::BadAddress, "peer_advertised")]),
         fault(
             "[fleet]\nheartbeat = \"1s\"\nsuspect_after = \"2s\"",
             &[(FaultKind::OutOfRange, "fleet.suspect_after")],
