fix(decide): spare ejected targets while others ramp, and slots while targets shed

Cause: an ejected target got work while its twin ramped; a target that stayed slow on its return was ramped for ever; two owners during a change of ownership would be refused until their budgets were spent; stale timers could be looked for on every call; pieces about to expire took slots. Change: three grades of relief, slow answers count while ramping, a slot is left unused for a second after a refusal, amortised compaction, hopeless pieces are finished instead of sent.

--- a/crates/hawthorn-decide/src/owner/dispatch.rs
+++ b/crates/hawthorn-decide/src/owner/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::place::Candidate;
 use crate::queue::Joining;
 use crate::queue::Verdict;
+use crate::shift::Relief;
 use crate::time::TickTime;
 use crate::timer::Alarm;
 
@@ -27,7 +28,7 @@
     now: TickTime,
     shard: &'a LiveShard,
     targets: &'a [LiveTarget],
-    alone: bool,
+    relief: Relief,
     tie: u64,
 }
 
@@ -44,8 +45,8 @@
                 target: *key,
                 latency: target.latency(self.now, median),
                 taken: target.count.taken(),
-                limit: target.limit(self.alone),
-                pause: target.shift.send_at(self.alone).micros_since(self.now),
+                limit: target.limit(self.relief),
+                pause: target.shift.send_at(self.relief).micros_since(self.now),
                 seen_version: target.lists(piece.ask.shard, piece.ask.version),
                 used: false,
             });
@@ -67,8 +68,8 @@
     fn has_room(&self) -> bool {
         self.shard.replicas.iter().any(|key| {
             let target = &self.targets[key.index()];
-            let paused = target.shift.send_at(self.alone) > self.now;
-            !paused && target.count.taken() < target.limit(self.alone)
+            let paused = target.shift.send_at(self.relief) > self.now;
+            !paused && target.count.taken() < target.limit(self.relief)
         })
     }
 }
@@ -82,18 +83,25 @@
                 self.arm_rooms(now, shard);
                 return;
             };
-            let piece = self.pieces.handle_at(index);
-            self.leave_queue(piece);
-            self.send(now, piece, target);
+            let handle = self.pieces.handle_at(index);
+            let deadline = self.pieces.at(index).ask.deadline;
+            // Under load the oldest pieces are the next to expire: sent now,
+            // each would take a slot for an answer that comes too late.
+            if self.shards[shard.index()].is_hopeless(deadline.micros_since(now)) {
+                self.expire(now, handle);
+                continue;
+            }
+            self.leave_queue(handle);
+            self.send(now, handle, target);
         }
     }
 
     /// The piece whose turn it is, and its target.
     fn pick(&mut self, now: TickTime, shard: ShardKey) -> Option<(u32, TargetKey)> {
         let live = &self.shards[shard.index()];
-        let alone = self.is_alone(live);
+        let relief = self.relief(live);
         let tie = self.rng.next_u64();
-        let view = PumpView { now, shard: live, targets: &self.targets, alone, tie };
+        let view = PumpView { now, shard: live, targets: &self.targets, relief, tie };
         if !view.has_room() {
             return None;
         }
@@ -122,11 +130,11 @@
     /// Wakes the shard when a paused replica may be sent to again.
     fn arm_rooms(&mut self, now: TickTime, shard: ShardKey) {
         let live = &self.shards[shard.index()];
-        let alone = self.is_alone(live);
+        let relief = self.relief(live);
         let replicas = live.replicas.clone();
         for key in replicas {
             let target = &self.targets[key.index()];
-            let at = target.shift.send_at(alone);
+            let at = target.shift.send_at(relief);
             if target.in_service() && at > now {
                 self.arm_room(now, key, at);
             }
@@ -305,8 +313,8 @@
         let tie = self.rng.next_u64();
         let piece = self.pieces.at(handle.index);
         let live = &self.shards[piece.ask.shard.index()];
-        let alone = self.is_alone(live);
-        let view = PumpView { now, shard: live, targets: &self.targets, alone, tie };
+        let relief = self.relief(live);
+        let view = PumpView { now, shard: live, targets: &self.targets, relief, tie };
         let mut candidates = view.candidates(piece);
         candidates.retain(|each| self.is_spare(each.target));
         for each in &mut candidates {
--- a/crates/hawthorn-decide/src/owner/finish.rs
+++ b/crates/hawthorn-decide/src/owner/finish.rs
@@ -61,7 +61,9 @@
     fn learn(&mut self, now: TickTime, attempt: &LiveAttempt, result: AttemptResult) {
         let options = self.options.shift;
         let key = attempt.target;
-        let shift = &mut self.targets[key.index()].shift;
+        let live = &mut self.targets[key.index()];
+        let slots = live.slots;
+        let shift = &mut live.shift;
         match result {
             AttemptResult::Answered => self.learn_time(now, attempt),
             AttemptResult::ConnectionFailed { .. }
@@ -71,7 +73,7 @@
                 self.follow(now, key, judgement);
             }
             AttemptResult::Refused(TargetRefusal::Shedding) => {
-                let at = shift.on_shed(now, &options);
+                let at = shift.on_shed(now, slots, &options);
                 self.arm_room(now, key, at);
             }
             AttemptResult::Refused(TargetRefusal::Draining) => {
@@ -261,7 +263,14 @@
     }
 
     pub(super) fn on_deadline(&mut self, now: TickTime, handle: Handle) {
-        let Some(piece) = self.pieces.get(handle) else { return };
+        if self.pieces.get(handle).is_some() {
+            self.expire(now, handle);
+        }
+    }
+
+    /// The piece's time is up, wherever it is.
+    pub(super) fn expire(&mut self, now: TickTime, handle: Handle) {
+        let piece = self.pieces.at(handle.index);
         let result = match (piece.ask.once, piece.sent, piece.waiting) {
             (true, true, _) => PieceResult::Unknown(UnknownReason::DeadlinePast),
             (true, false, _) => PieceResult::NotRun(RefusalReason::ExpiredInQueue),
--- a/crates/hawthorn-decide/src/owner/mod.rs
+++ b/crates/hawthorn-decide/src/owner/mod.rs
@@ -39,6 +39,7 @@
 use crate::queue::ShardQueue;
 use crate::queue::URGENT;
 use crate::shift;
+use crate::shift::Relief;
 use crate::slots;
 use crate::time::TickTime;
 use crate::time::micros;
@@ -108,6 +109,13 @@
     due: VecDeque<Handle>,
 }
 
+impl LiveShard {
+    /// Whether hardly any request is answered within `left` microseconds.
+    fn is_hopeless(&self, left: u64) -> bool {
+        left < self.times.median() / 2
+    }
+}
+
 /// Everything an owner knows. See the module's documentation.
 #[derive(Debug)]
 pub struct OwnerState {
@@ -307,8 +315,8 @@
         }
         let needed = (wait as f64 * self.options.admit.wait_margin) as u64 + live.times.median();
         let left = deadline.micros_since(now);
-        if wait > 0 && needed > left {
-            return refuse(RefusalReason::WaitBeyondDeadline, retry(needed - left));
+        if (wait > 0 && needed > left) || live.is_hopeless(left) {
+            return refuse(RefusalReason::WaitBeyondDeadline, retry(needed.saturating_sub(left)));
         }
         admit::Outcome::Queued
     }
@@ -329,8 +337,8 @@
     }
 
     fn slots_of(&self, shard: &LiveShard) -> u64 {
-        let alone = self.is_alone(shard);
-        let limits = shard.replicas.iter().map(|key| self.targets[key.index()].limit(alone));
+        let relief = self.relief(shard);
+        let limits = shard.replicas.iter().map(|key| self.targets[key.index()].limit(relief));
         limits.map(u64::from).sum()
     }
 
@@ -342,13 +350,14 @@
     fn has_free_slot(&self, shard: &LiveShard) -> bool {
         shard.replicas.iter().any(|key| {
             let target = &self.targets[key.index()];
-            target.count.taken() < target.limit(false)
+            target.count.taken() < target.limit(Relief::Full)
         })
     }
 
-    /// Whether no replica of the shard takes full work.
-    fn is_alone(&self, shard: &LiveShard) -> bool {
-        !shard.replicas.iter().any(|key| self.targets[key.index()].is_full())
+    /// What the best of the shard's replicas can take.
+    fn relief(&self, shard: &LiveShard) -> Relief {
+        let targets = shard.replicas.iter().map(|key| &self.targets[key.index()]);
+        targets.map(|target| target.relief()).max().unwrap_or(Relief::None)
     }
 
     fn join_queue(&mut self, handle: Handle, joining: Joining) {
@@ -390,11 +399,9 @@
     }
 
     fn tidy(&mut self) {
-        // Each piece has a deadline and a hedge alarm, each attempt a grace.
-        let live = 2 * self.pieces.len() + self.attempts.len() + 2 * self.targets.len();
         let pieces = &self.pieces;
         let attempts = &self.attempts;
-        self.timers.compact(live, |alarm| match alarm {
+        self.timers.compact(|alarm| match alarm {
             Alarm::Deadline(piece) | Alarm::Hedge(piece) => pieces.get(*piece).is_some(),
             Alarm::Grace(attempt) => attempts.get(*attempt).is_some(),
             Alarm::Room(_) | Alarm::Probe(_) => true,
--- a/crates/hawthorn-decide/src/owner/target.rs
+++ b/crates/hawthorn-decide/src/owner/target.rs
@@ -7,6 +7,7 @@
 use smallvec::SmallVec;
 
 use crate::message::HeldShard;
+use crate::shift::Relief;
 use crate::shift::TargetShift;
 use crate::slots::SlotCount;
 use crate::time::TickTime;
@@ -61,13 +62,13 @@
         self.owned && self.shift.in_service()
     }
 
-    /// Whether it takes work on all its slots.
-    pub(super) fn is_full(&self) -> bool {
-        self.in_service() && self.shift.phase == crate::shift::Phase::Serving
+    /// What it can take while other replicas are spared.
+    pub(super) fn relief(&self) -> Relief {
+        if self.owned { self.shift.relief() } else { Relief::None }
     }
 
-    pub(super) fn limit(&self, alone: bool) -> u16 {
-        if self.owned { self.shift.limit(self.slots, alone) } else { 0 }
+    pub(super) fn limit(&self, relief: Relief) -> u16 {
+        if self.owned { self.shift.limit(self.slots, relief) } else { 0 }
     }
 
     pub(super) fn lists(&self, shard: ShardKey, version: IndexVersion) -> bool {
--- a/crates/hawthorn-decide/src/owner/watch.rs
+++ b/crates/hawthorn-decide/src/owner/watch.rs
@@ -194,10 +194,10 @@
 
     pub(super) fn on_room(&mut self, now: TickTime, key: TargetKey) {
         let shift = &self.targets[key.index()].shift;
-        if let Phase::Ejected { until } = shift.phase
-            && now >= until
-        {
-            self.actions.push_back(OwnerAction::Probe { target: key });
+        match shift.phase {
+            Phase::Ejected { until } if now < until => self.arm_room(now, key, until),
+            Phase::Ejected { .. } => self.actions.push_back(OwnerAction::Probe { target: key }),
+            Phase::Serving | Phase::Ramping { .. } => {}
         }
         self.pump_target(now, key);
     }
--- a/crates/hawthorn-decide/src/shift.rs
+++ b/crates/hawthorn-decide/src/shift.rs
@@ -45,6 +45,9 @@
     /// How long a target that sheds load is left alone at first; doubled with
     /// each further refusal. 5 ms: one service time, in which a slot can free.
     pub shed_pause: Duration,
+    /// How long a slot stays unused after its target shed load. 1 s: ownership
+    /// moves within a few seconds, and one refusal a second costs nothing.
+    pub cut_hold: Duration,
     /// The longest pause of a target that sheds.
     pub most_pause: Duration,
     /// How long a target's own leaving sign holds although its state page says
@@ -69,6 +72,7 @@
             first_backoff: Duration::from_secs(1),
             most_backoff: Duration::from_secs(30),
             shed_pause: Duration::from_millis(5),
+            cut_hold: Duration::from_secs(1),
             most_pause: Duration::from_millis(320),
             leaving_hold: Duration::from_secs(5),
             answer_trust: Duration::from_secs(1),
@@ -94,6 +98,19 @@
     },
 }
 
+/// What the best replica of a shard can take. Ramps and ejections protect a
+/// shard's work by moving it to better replicas; where there is none they would
+/// only deny service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Relief {
+    /// None but ejected ones are in service.
+    None,
+    /// Work one at a time.
+    Ramping,
+    /// Full work.
+    Full,
+}
+
 /// What a failure or a slow answer calls for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Judgement {
@@ -115,6 +132,9 @@
     backoff: u64,
     pause: u64,
     paused_until: TickTime,
+    /// Slots left unused since it shed load.
+    cut: u16,
+    cut_at: TickTime,
     next_send: TickTime,
     good_at: Option<TickTime>,
 }
@@ -131,6 +151,8 @@
             backoff: 0,
             pause: 0,
             paused_until: TickTime::default(),
+            cut: 0,
+            cut_at: TickTime::default(),
             next_send: TickTime::default(),
             good_at: None,
         }
@@ -145,22 +167,32 @@
         matches!(self.phase, Phase::Ejected { .. })
     }
 
-    /// Slots that may be taken. `alone`: no other replica takes full work; the
-    /// ramp and the ejection then protect nobody, and only deny service.
-    pub(crate) fn limit(&self, slots: u16, alone: bool) -> u16 {
+    pub(crate) fn relief(&self) -> Relief {
+        match self.phase {
+            _ if !self.in_service() => Relief::None,
+            Phase::Serving => Relief::Full,
+            Phase::Ramping { .. } => Relief::Ramping,
+            Phase::Ejected { .. } => Relief::None,
+        }
+    }
+
+    /// Slots that may be taken, given the best of the shard's replicas.
+    pub(crate) fn limit(&self, slots: u16, relief: Relief) -> u16 {
         match self.phase {
             _ if !self.in_service() => 0,
-            Phase::Serving => slots,
+            Phase::Serving => slots.saturating_sub(self.cut).max(slots.min(1)),
             Phase::Ramping { .. } => slots.min(1),
-            Phase::Ejected { .. } if alone => slots.min(1),
+            Phase::Ejected { .. } if relief == Relief::None => slots.min(1),
             Phase::Ejected { .. } => 0,
         }
     }
 
     /// The earliest time of the next send.
-    pub(crate) fn send_at(&self, alone: bool) -> TickTime {
+    pub(crate) fn send_at(&self, relief: Relief) -> TickTime {
         match self.phase {
-            Phase::Ramping { .. } if !alone => self.paused_until.max(self.next_send),
+            Phase::Ramping { .. } if relief == Relief::Full => {
+                self.paused_until.max(self.next_send)
+            }
             _ => self.paused_until,
         }
     }
@@ -176,6 +208,10 @@
         self.slow = 0;
         self.pause = 0;
         self.good_at = Some(now);
+        if self.cut > 0 && now.since(self.cut_at) >= options.cut_hold {
+            self.cut -= 1;
+            self.cut_at = now;
+        }
         match self.phase {
             Phase::Serving => {}
             Phase::Ramping { gap } if gap / 2 < micros(options.ramp_end) => {
@@ -192,9 +228,10 @@
         }
     }
 
-    /// A slow answer; a ramping target is expected to be slow.
+    /// A slow answer. A target that is loading is slow too, and is left alone
+    /// for a while like any other.
     pub(crate) fn on_slow(&mut self, options: &Options) -> Judgement {
-        if self.phase != Phase::Serving {
+        if self.is_ejected() {
             return Judgement::Keep;
         }
         self.slow += 1;
@@ -232,7 +269,13 @@
     }
 
     /// It sheds load. Returns when it may be asked again.
-    pub(crate) fn on_shed(&mut self, now: TickTime, options: &Options) -> TickTime {
+    ///
+    /// It has fewer slots for this owner than configured: while ownership
+    /// moves, two owners send to it, and both would be refused again and again
+    /// until their budgets are spent. Each leaves a slot unused instead.
+    pub(crate) fn on_shed(&mut self, now: TickTime, slots: u16, options: &Options) -> TickTime {
+        self.cut = (self.cut + 1).min(slots.saturating_sub(1));
+        self.cut_at = now;
         let first = micros(options.shed_pause);
         self.pause = (self.pause * 2).clamp(first, micros(options.most_pause));
         self.paused_until = now.plus(self.pause);
--- a/crates/hawthorn-decide/src/timer.rs
+++ b/crates/hawthorn-decide/src/timer.rs
@@ -1,8 +1,8 @@
 //! Points in time at which the owner has something to decide.
 //!
 //! A timer is never taken out when its cause goes away: the handle it carries
-//! no longer matches and it is dropped when it fires, or when more than half
-//! of the heap is stale. The heap is thus at most twice the live timers.
+//! no longer matches and it is dropped when it fires, or when the heap has
+//! doubled. The heap is thus about twice the live timers at most.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -59,11 +59,13 @@
 #[derive(Debug)]
 pub(crate) struct TimerQueue {
     heap: BinaryHeap<Reverse<TimerEntry>>,
+    /// The length at which stale entries are looked for.
+    limit: usize,
 }
 
 impl TimerQueue {
     pub(crate) fn with_capacity(capacity: usize) -> Self {
-        Self { heap: BinaryHeap::with_capacity(capacity) }
+        Self { heap: BinaryHeap::with_capacity(capacity), limit: COMPACT_FLOOR }
     }
 
     pub(crate) fn arm(&mut self, at: TickTime, alarm: Alarm) {
@@ -81,12 +83,14 @@
         self.heap.pop().map(|entry| entry.0.alarm)
     }
 
-    /// Drops stale timers once the heap has grown to more than twice `live`.
-    /// Guards against long deadlines at a high rate: pieces that are done in
-    /// milliseconds would each leave a timer for many seconds.
-    pub(crate) fn compact(&mut self, live: usize, is_live: impl Fn(&Alarm) -> bool) {
-        if self.heap.len() > COMPACT_FLOOR + 2 * live {
+    /// Drops stale timers once the heap has doubled since the last time, which
+    /// spreads the cost over as many calls. Guards against long deadlines at a
+    /// high rate: pieces that are done in milliseconds would each leave a timer
+    /// for many seconds.
+    pub(crate) fn compact(&mut self, is_live: impl Fn(&Alarm) -> bool) {
+        if self.heap.len() > self.limit {
             self.heap.retain(|entry| is_live(&entry.0.alarm));
+            self.limit = COMPACT_FLOOR + 2 * self.heap.len();
         }
     }
 }
