test(decide): two owners at once cost no shard

Cause: the window of an ownership change was argued, not run. Change: targets that shed beyond their slots, two fronts that both use them all. Conclusion: the window is harmless to coverage.

--- a/crates/hawthorn-decide/tests/support/mod.rs
+++ b/crates/hawthorn-decide/tests/support/mod.rs
@@ -241,6 +241,8 @@
     /// Slot time spent at targets, also on attempts that were cancelled.
     pub spent: u64,
     pub naive: Option<naive::NaiveState>,
+    /// Targets refuse what comes beyond their slots instead of queueing it.
+    pub sheds: bool,
     whole: bool,
     seed: u64,
     targets: Vec<TargetSim>,
@@ -288,6 +290,7 @@
             sent: 0,
             spent: 0,
             naive,
+            sheds: false,
             whole: true,
             seed,
             targets: (0..site.targets()).map(|_| TargetSim::default()).collect(),
@@ -563,6 +566,10 @@
         }
         if sim.running.len() >= usize::from(self.site.slots) {
             self.overfilled += 1;
+            if self.sheds {
+                let result = AttemptResult::Refused(TargetRefusal::Shedding);
+                return self.end(target, job.key, result);
+            }
             sim.waiting.push_back(job);
             return;
         }
