--- a/crates/hawthorn-daemon/src/process/daemon.rs
+++ b/crates/hawthorn-daemon/src/process/daemon.rs
@@ -297,6 +297,16 @@
 }
 
 impl DaemonProcess<Serving> {
+    /// The settings of this process with the addresses it really has, to start
+    /// it again at the same place.
+    pub fn settings_at_its_addresses(&self) -> DaemonSettings {
+        DaemonSettings {
+            caller_address: self.caller_address,
+            peer_address: self.peer_address,
+            ..self.settings.clone()
+        }
+    }
+
     /// Waits for the order to stop, SIGTERM or SIGINT.
     ///
     /// # Errors
--- /dev/null
+++ b/examples/tier-load/main.rs
@@ -0,0 +1,288 @@
+//! Loads a whole tier on loopback, 8 daemons in 3 zones over stand-in targets
+//! at the brief's sizes, and prints what callers saw beside the naive client.
+//!
+//! `cargo run --release --example tier-load -- [--deployment dar-port|poland]
+//! [--scenario NAME]... [--seconds N] [--share F] [--seed N] [--json]`
+#![forbid(unsafe_code)]
+#![deny(missing_docs, rust_2018_idioms)]
+
+use std::error::Error;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bpaf::Parser;
+use bpaf::construct;
+use bpaf::long;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use hawthorn_daemon::process::daemon;
+use hawthorn_daemon::process::daemon::DaemonProcess;
+use hawthorn_daemon::process::daemon::Serving;
+use hawthorn_intent::DaemonSettings;
+use hawthorn_standin::DeploymentOptions;
+use hawthorn_standin::StandinDeployment;
+use hawthorn_standin::corpus::CorpusFlavour;
+use hawthorn_standin::deployment::ServiceDescription;
+use hawthorn_standin::load;
+use hawthorn_standin::load::DaemonControl;
+use hawthorn_standin::load::DeploymentStage;
+use hawthorn_standin::load::HttpTier;
+use hawthorn_standin::load::LoadScenario;
+use hawthorn_standin::load::NaiveTier;
+use hawthorn_standin::load::report::table_head;
+use hawthorn_standin::load::schedule::ScheduleOptions;
+use hawthorn_standin::load::tier::EntryHost;
+use hawthorn_standin::target::ServiceTime;
+use hawthorn_store::StoreClient;
+use hawthorn_store::client;
+use hawthorn_store::edit;
+use hawthorn_store::edit::ProposedEdit;
+
+type Outcome<T = ()> = Result<T, Box<dyn Error>>;
+
+const HOSTS: [usize; 3] = [3, 3, 2];
+const READY_LIMIT: Duration = Duration::from_secs(10);
+const FRONT_CONNECTIONS: usize = 256;
+/// Owners need a moment to open connections and to time their targets.
+const SETTLE: Duration = Duration::from_secs(2);
+/// One ordinary answer of a target.
+const TYPICAL: Duration = Duration::from_millis(5);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumString, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+enum DeploymentName {
+    DarPort,
+    Poland,
+}
+
+#[derive(Clone, Debug)]
+struct Arguments {
+    deployment: DeploymentName,
+    scenario: Vec<LoadScenario>,
+    seconds: f64,
+    share: f64,
+    stragglers: f64,
+    replicas: u32,
+    seed: u64,
+    json: bool,
+}
+
+fn arguments() -> Arguments {
+    let deployment = long("deployment").argument("NAME").fallback(DeploymentName::DarPort);
+    let scenario = long("scenario").argument("NAME").many();
+    let seconds = long("seconds").argument("N").fallback(5.0);
+    let share = long("share")
+        .help("Of what the targets could serve, taken for the capacity")
+        .argument("F")
+        .fallback(0.5);
+    let stragglers = long("stragglers")
+        .help("The part of attempts that take 20 times as long")
+        .argument("F")
+        .fallback(0.0);
+    let replicas = long("replicas").argument("N").fallback(2);
+    let seed = long("seed").argument("N").fallback(1);
+    let json = long("json").switch();
+    construct!(Arguments { deployment, scenario, seconds, share, stragglers, replicas, seed, json })
+        .to_options()
+        .run()
+}
+
+fn describe(arguments: &Arguments) -> DeploymentOptions {
+    let service_time = ServiceTime {
+        typical: TYPICAL,
+        straggler_share: arguments.stragglers,
+        ..ServiceTime::default()
+    };
+    let (usual, name) = match arguments.deployment {
+        DeploymentName::DarPort => (DeploymentOptions::dar_port(), "agent-desk"),
+        DeploymentName::Poland => (DeploymentOptions::poland(), "claim-desk"),
+    };
+    let corpus = usual.services[0].corpus.clone();
+    let service = ServiceDescription {
+        shards: 20,
+        replicas: arguments.replicas,
+        service_time,
+        corpus,
+        ..ServiceDescription::new(name)
+    };
+    DeploymentOptions { services: vec![service], seed: arguments.seed, ..usual }
+}
+
+/// Daemons in this process, each with threads of its own.
+struct LocalDaemons {
+    running: Mutex<Vec<Option<DaemonProcess<Serving>>>>,
+    names: Vec<String>,
+}
+
+impl DaemonControl for LocalDaemons {
+    fn daemons(&self) -> Vec<String> {
+        self.names.clone()
+    }
+
+    fn restart<'a>(&'a self, daemon: &'a str) -> BoxFuture<'a, ()> {
+        async move {
+            let Some(index) = self.names.iter().position(|name| name == daemon) else { return };
+            let Some(process) = self.take(index) else { return };
+            let again = tokio::task::spawn_blocking(move || {
+                let settings = process.settings_at_its_addresses();
+                process.drain().finish();
+                let process = daemon::start(settings).ok()?;
+                process.wait_until_ready(READY_LIMIT).then_some(process)
+            });
+            if let Ok(process) = again.await {
+                self.put(index, process);
+            }
+        }
+        .boxed()
+    }
+
+    fn cut_zone(&self, _cut: bool) -> BoxFuture<'_, ()> {
+        // Zones are cut by the fault-injecting proxy, in tests/.
+        std::future::ready(()).boxed()
+    }
+}
+
+impl LocalDaemons {
+    fn take(&self, index: usize) -> Option<DaemonProcess<Serving>> {
+        self.running.lock().ok()?[index].take()
+    }
+
+    fn put(&self, index: usize, process: Option<DaemonProcess<Serving>>) {
+        if let Ok(mut running) = self.running.lock() {
+            running[index] = process;
+        }
+    }
+
+    fn start(deployment: &StandinDeployment) -> Outcome<Self> {
+        let platform = deployment.platform.address();
+        let region = &deployment.options().region;
+        let mut seeds: Vec<String> = Vec::new();
+        let mut running = Vec::new();
+        let mut names = Vec::new();
+        for (zone, count) in deployment.options().zones.iter().zip(HOSTS) {
+            for number in 1..=count {
+                let host = format!("{zone}-{number}");
+                let text = format!(
+                    "host = \"{host}\"\nzone = \"{zone}\"\nregion = \"{region}\"\n\
+                     caller_address = \"127.0.0.1:0\"\npeer_address = \"127.0.0.1:0\"\n\
+                     platform = \"{platform}\"\nseeds = [{}]\n[stop]\ngrace = \"5s\"\n",
+                    seeds.join(", ")
+                );
+                let process = daemon::start(DaemonSettings::from_toml(&text)?)?;
+                seeds.push(format!("\"{}\"", process.peer_address()));
+                names.push(host);
+                running.push(Some(process));
+            }
+        }
+        for process in running.iter().flatten() {
+            if !process.wait_until_ready(READY_LIMIT) {
+                return Err("a daemon did not become ready".into());
+            }
+        }
+        Ok(Self { running: Mutex::new(running), names })
+    }
+
+    fn hosts(&self) -> Vec<EntryHost> {
+        let Ok(running) = self.running.lock() else { return Vec::new() };
+        let named = self.names.iter().zip(running.iter());
+        named
+            .filter_map(|(name, process)| {
+                let address = process.as_ref()?.caller_address();
+                Some(EntryHost { name: name.clone(), address })
+            })
+            .collect()
+    }
+
+    fn stop(self) {
+        for process in self.running.into_inner().unwrap_or_default().into_iter().flatten() {
+            process.drain().finish();
+        }
+    }
+}
+
+async fn apply(deployment: &StandinDeployment) -> Outcome {
+    let store = StoreClient::new(deployment.platform.address(), client::Options::default());
+    let proposed = ProposedEdit {
+        base: 0,
+        edit_id: "load".into(),
+        author: "load".into(),
+        changed_at: 0,
+        inventory: deployment.inventory_toml(),
+        rules: deployment.rules_toml(),
+    };
+    edit::edit(&store, &proposed, &edit::Options::default()).await?;
+    Ok(())
+}
+
+fn main() -> Outcome {
+    let arguments = arguments();
+    let runtime = tokio::runtime::Runtime::new()?;
+    let described = describe(&arguments);
+    let deployment = runtime.block_on(StandinDeployment::start(described))?;
+    runtime.block_on(apply(&deployment))?;
+    let daemons = LocalDaemons::start(&deployment)?;
+    std::thread::sleep(SETTLE);
+    let output = runtime.block_on(measure(&arguments, &deployment, &daemons));
+    daemons.stop();
+    print!("{}", output?);
+    runtime.shutdown_timeout(Duration::from_millis(100));
+    Ok(())
+}
+
+async fn measure(
+    arguments: &Arguments,
+    deployment: &StandinDeployment,
+    daemons: &LocalDaemons,
+) -> Outcome<String> {
+    let stage = DeploymentStage::new(deployment);
+    let tier = Arc::new(HttpTier::new(daemons.hosts(), FRONT_CONNECTIONS));
+    let mut output = if arguments.json { String::new() } else { table_head() };
+    let scenarios = match arguments.scenario.is_empty() {
+        true => vec![LoadScenario::Calm],
+        false => arguments.scenario.clone(),
+    };
+    for scenario in scenarios {
+        let options = options(arguments, deployment, scenario);
+        let naive = Arc::new(NaiveTier::of_deployment(deployment, arguments.seed));
+        let control: Option<&dyn DaemonControl> = Some(daemons);
+        let compared =
+            load::compare(Arc::clone(&tier) as Arc<_>, naive, &stage, control, &options).await?;
+        match arguments.json {
+            true => output.push_str(&format!("{}\n", serde_json::to_string(&compared)?)),
+            false => output.push_str(&format!("{}{}", compared.tier, compared.baseline)),
+        }
+    }
+    Ok(output)
+}
+
+fn options(
+    arguments: &Arguments,
+    deployment: &StandinDeployment,
+    scenario: LoadScenario,
+) -> load::run::Options {
+    let service = &deployment.options().services[0];
+    let slots = f64::from(service.replicas * service.slots);
+    let capacity = slots / service.service_time.mean().as_secs_f64() * arguments.share;
+    let flavour = match arguments.deployment {
+        DeploymentName::DarPort => CorpusFlavour::Bunker,
+        DeploymentName::Poland => CorpusFlavour::Claims,
+    };
+    let schedule = ScheduleOptions {
+        scenario,
+        seed: arguments.seed,
+        duration: Duration::from_secs_f64(arguments.seconds),
+        capacity,
+        callers: deployment.options().callers.clone(),
+        texts: flavour.query_texts(),
+        ..ScheduleOptions::default()
+    };
+    load::run::Options {
+        schedule,
+        service: service.name.clone(),
+        deadline_ms: 500,
+        history: deployment.history().clone(),
+        corpora: deployment.corpora.clone(),
+        ..load::run::Options::default()
+    }
+}
