--- a/crates/hawthorn-decide/examples/owners.rs
+++ b/crates/hawthorn-decide/examples/owners.rs
@@ -28,13 +28,15 @@
     greedy: f64,
 }
 
-fn policies() -> [(&'static str, Policy, u64); 4] {
+fn policies() -> [(&'static str, Policy, u64); 5] {
     let options = owner::Options::default();
+    let credits = |recall| Policy::Credits { fronts: FRONTS, period: PERIOD, recall, options };
     [
         ("owner", Policy::Owners(options), HOP),
         ("static shares", Policy::Shares { fronts: FRONTS, slots: 1, options }, 0),
         ("direct subsets", Policy::Subsets { fronts: FRONTS, options }, 0),
-        ("borrowed credits", Policy::Credits { fronts: FRONTS, period: PERIOD, options }, 0),
+        ("credits until idle", credits(false), 0),
+        ("credits called back", credits(true), 0),
     ]
 }
 
--- a/crates/hawthorn-decide/examples/tails.rs
+++ b/crates/hawthorn-decide/examples/tails.rs
@@ -32,7 +32,7 @@
 
 fn main() {
     println!(
-        "| site | stragglers | load | policy | p50 ms | p99 ms | p99.9 ms | coverage | extra |"
+        "| site | stragglers | load | policy | p50 ms | p99 ms | p99.9 ms | coverage | extra | slot time |"
     );
     println!("|---|---|---|---|---|---|---|---|---|---|");
     for (name, site) in [("Dar Port", DAR_PORT), ("Poland", POLAND)] {
@@ -50,11 +50,6 @@
                 ];
                 for (policy_name, policy) in policies {
                     let world = run(site, policy, load);
-                    if let Some(front) = world.fronts.first()
-                        && std::env::args().len() > 1
-                    {
-                        println!("{:?}", front.counters());
-                    }
                     println!(
                         "| {name} | {} % | {} % | {policy_name} | {:.1} | {:.1} | {:.1} | {:.6} | {:.2} % | {:.2} |",
                         stragglers * 100.0,
--- a/crates/hawthorn-decide/tests/support/credits.rs
+++ b/crates/hawthorn-decide/tests/support/credits.rs
@@ -12,6 +12,8 @@
 
 pub struct Lender {
     pub period: u64,
+    /// Whether a loan is called back when somebody waits without any.
+    recall: bool,
     /// Slots lent, by front and target.
     lent: Vec<Vec<u16>>,
     /// The turn in which each was lent.
@@ -20,9 +22,10 @@
 }
 
 impl Lender {
-    pub fn new(period: u64, fronts: usize, targets: usize) -> Self {
+    pub fn new(period: u64, recall: bool, fronts: usize, targets: usize) -> Self {
         Self {
             period,
+            recall,
             lent: vec![vec![0; targets]; fronts],
             since: vec![vec![0; targets]; fronts],
             turn: 0,
@@ -69,7 +72,7 @@
             }
         }
         // Somebody still waits without any: the oldest loan ends with its attempt.
-        if (0..fronts.len()).any(|front| in_want(&self.lent, front)) {
+        if self.recall && (0..fronts.len()).any(|front| in_want(&self.lent, front)) {
             let lent = (0..fronts.len()).filter(|front| self.lent[*front][index] > 0);
             if let Some(oldest) = lent.min_by_key(|front| self.since[*front][index]) {
                 self.lent[oldest][index] -= 1;
--- a/crates/hawthorn-decide/tests/support/mod.rs
+++ b/crates/hawthorn-decide/tests/support/mod.rs
@@ -1,13 +1,12 @@
 //! A small event loop in virtual time: queries over all shards of one site,
 //! targets that work with a few slots, and either owners or a naive sender
 //! between them. Everything is drawn from the seed; nothing reads a clock.
-#![allow(dead_code, missing_docs)]
+// Each test takes in what it needs of it.
+#![allow(dead_code, missing_docs, unused_imports)]
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
-use std::collections::VecDeque;
-use std::time::Duration;
 
 use hawthorn_decide::AttemptResult;
 use hawthorn_decide::Observation;
@@ -16,145 +15,43 @@
 use hawthorn_decide::PieceKey;
 use hawthorn_decide::PieceResult;
 use hawthorn_decide::QueuedPiece;
-use hawthorn_decide::TargetRecord;
 use hawthorn_decide::TickTime;
 use hawthorn_decide::admit;
 use hawthorn_decide::owner;
-use hawthorn_types::AttemptId;
 use hawthorn_types::CallerKey;
 use hawthorn_types::IndexVersion;
 use hawthorn_types::ShardKey;
 use hawthorn_types::TargetKey;
 use hawthorn_types::TargetPhase;
-use hawthorn_types::WantedState;
-use hawthorn_types::caller::UrgencyClass;
-use hawthorn_types::target::TargetRefusal;
 use rand::Rng;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use smallvec::smallvec;
 
+pub use load::Behaviour;
+pub use load::CallerLoad;
+pub use load::DAR_PORT;
+pub use load::POLAND;
+pub use load::QueryRecord;
+pub use load::Site;
+use load::draw;
+pub use policy::Policy;
+use policy::records;
+use target::Job;
+use target::JobKey;
+use target::TargetSim;
+
 pub mod credits;
+pub mod load;
 pub mod model;
 pub mod naive;
+pub mod policy;
+pub mod target;
 
 pub const MILLI: u64 = 1_000;
 pub const SECOND: u64 = 1_000_000;
 
-/// The targets of one service in one zone.
-#[derive(Clone, Copy, Debug)]
-pub struct Site {
-    pub shards: u32,
-    pub replicas: u32,
-    pub slots: u16,
-    /// Median service time.
-    pub service: u64,
-    /// One-way latency between an owner and a target.
-    pub latency: u64,
-    /// Part of requests that take `STRAGGLE` times as long.
-    pub stragglers: f64,
-}
-
-pub const STRAGGLE: f64 = 20.0;
-/// Spread of ordinary service times: standard deviation of their logarithm.
-const SPREAD: f64 = 0.25;
-
-pub const DAR_PORT: Site =
-    Site { shards: 20, replicas: 2, slots: 2, service: 5 * MILLI, latency: 500, stragglers: 0.0 };
-pub const POLAND: Site =
-    Site { shards: 30, replicas: 2, slots: 2, service: 5 * MILLI, latency: 250, stragglers: 0.0 };
-
-impl Site {
-    pub fn targets(&self) -> u32 {
-        self.shards * self.replicas
-    }
-
-    /// Queries a second that take up all slots, without stragglers.
-    pub fn capacity(&self) -> f64 {
-        let mean = self.service as f64 * (SPREAD * SPREAD / 2.0).exp() + 2.0 * self.latency as f64;
-        f64::from(self.replicas) * f64::from(self.slots) * SECOND as f64 / mean
-    }
-}
-
-/// One caller's stream of queries.
-#[derive(Clone, Copy, Debug)]
-pub struct CallerLoad {
-    pub caller: u32,
-    /// Queries a second.
-    pub rate: f64,
-    /// Its work takes so many times longer than the site's.
-    pub weight: f64,
-    pub urgency: UrgencyClass,
-    pub deadline: u64,
-    pub from: u64,
-    pub until: u64,
-    /// Shards of each query, from a random first one.
-    pub breadth: u32,
-}
-
-impl CallerLoad {
-    pub fn new(caller: u32, rate: f64, site: &Site) -> Self {
-        Self {
-            caller,
-            rate,
-            weight: 1.0,
-            urgency: UrgencyClass::Urgent,
-            deadline: SECOND,
-            from: 0,
-            until: 10 * SECOND,
-            breadth: site.shards,
-        }
-    }
-}
-
-/// How one target behaves.
-#[derive(Clone, Copy, Debug)]
-pub struct Behaviour {
-    pub speed: f64,
-    /// Answers nothing but `GET /state` from then on.
-    pub hangs_from: u64,
-    pub hangs_until: u64,
-    /// Refuses as cold until then, and answers slowly for a while.
-    pub cold_until: u64,
-    /// Refuses as draining from then on.
-    pub drains_from: u64,
-}
-
-impl Default for Behaviour {
-    fn default() -> Self {
-        Self {
-            speed: 1.0,
-            hangs_from: u64::MAX,
-            hangs_until: u64::MAX,
-            cold_until: 0,
-            drains_from: u64::MAX,
-        }
-    }
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct JobKey {
-    pub front: usize,
-    pub attempt: u64,
-}
-
-#[derive(Clone, Debug)]
-struct Job {
-    key: JobKey,
-    service: u64,
-    serial: u64,
-    started: u64,
-}
-
-#[derive(Debug, Default)]
-struct TargetSim {
-    running: Vec<Job>,
-    waiting: VecDeque<Job>,
-    hung: Vec<JobKey>,
-    pub received: Vec<u64>,
-}
-
 #[derive(Debug)]
 enum Event {
     Query(usize),
@@ -187,47 +84,6 @@
     }
 }
 
-#[derive(Clone, Debug)]
-pub struct QueryRecord {
-    pub caller: u32,
-    pub number: u64,
-    pub urgency: UrgencyClass,
-    pub weight: f64,
-    pub start: u64,
-    pub deadline: u64,
-    pub shards: Vec<u32>,
-    pub open: u32,
-    pub answered: u32,
-    pub end: u64,
-    /// Refused whole before anything was sent.
-    pub refused: Option<Duration>,
-}
-
-impl QueryRecord {
-    pub fn is_whole(&self) -> bool {
-        self.refused.is_none() && self.answered as usize == self.shards.len()
-    }
-
-    pub fn latency(&self) -> u64 {
-        self.end - self.start
-    }
-}
-
-/// Who stands between queries and targets.
-pub enum Policy {
-    /// Owners; shard `s` belongs to `s % owners`, queries are admitted whole.
-    Owners(owner::Options),
-    /// Fronts that each hold all targets with `slots` slots of their own.
-    Shares { fronts: usize, slots: u16, options: owner::Options },
-    /// Fronts that each hold one replica of each shard alone.
-    Subsets { fronts: usize, options: owner::Options },
-    /// Fronts that borrow slots of all targets from a lender, which gives what
-    /// is idle to those that have work waiting, each `period`.
-    Credits { fronts: usize, period: u64, options: owner::Options },
-    /// Random replica, no hedge, first come first served at the target.
-    Naive,
-}
-
 pub struct World {
     pub site: Site,
     pub now: u64,
@@ -243,14 +99,12 @@
     pub naive: Option<naive::NaiveState>,
     /// Targets refuse what comes beyond their slots instead of queueing it.
     pub sheds: bool,
-    whole: bool,
     seed: u64,
     targets: Vec<TargetSim>,
     events: BinaryHeap<Reverse<Entry>>,
     serial: u64,
     woken: Vec<u64>,
     tries: HashMap<u64, u32>,
-    pub sends: Vec<(u64, u32)>,
     lender: Option<credits::Lender>,
 }
 
@@ -268,8 +122,8 @@
             Policy::Naive => (0, owner::Options::default()),
         };
         let lender = match &policy {
-            Policy::Credits { period, .. } => {
-                Some(credits::Lender::new(*period, count, site.targets() as usize))
+            Policy::Credits { period, recall, .. } => {
+                Some(credits::Lender::new(*period, *recall, count, site.targets() as usize))
             }
             _ => None,
         };
@@ -291,13 +145,11 @@
             spent: 0,
             naive,
             sheds: false,
-            whole: true,
             seed,
             targets: (0..site.targets()).map(|_| TargetSim::default()).collect(),
             events: BinaryHeap::new(),
             serial: 0,
             tries: HashMap::new(),
-            sends: Vec::new(),
             lender,
         };
         if let Some(period) = world.lender.as_ref().map(|lender| lender.period) {
@@ -456,9 +308,8 @@
             shards: &shards,
             deadline: TickTime(query.deadline),
         };
-        if self.whole
-            && let admit::Outcome::Refused { retry_after, .. } =
-                self.fronts[front].admit_batch(now, &batch)
+        if let admit::Outcome::Refused { retry_after, .. } =
+            self.fronts[front].admit_batch(now, &batch)
         {
             self.queries[index].refused = Some(retry_after);
             return;
@@ -544,90 +395,9 @@
             serial: self.serial,
             started: 0,
         };
-        self.sends.push((self.now, target));
         self.push(self.now + self.site.latency, Event::Arrive { target, job });
     }
 
-    fn on_arrive(&mut self, target: u32, job: Job) {
-        let behaviour = self.behaviours[target as usize];
-        let sim = &mut self.targets[target as usize];
-        sim.received.push(self.now);
-        if self.now >= behaviour.hangs_from && self.now < behaviour.hangs_until {
-            sim.hung.push(job.key);
-            return;
-        }
-        let refusal = match self.now {
-            now if now >= behaviour.drains_from => Some(TargetRefusal::Draining),
-            now if now < behaviour.cold_until => Some(TargetRefusal::Cold),
-            _ => None,
-        };
-        if let Some(refusal) = refusal {
-            return self.end(target, job.key, AttemptResult::Refused(refusal));
-        }
-        if sim.running.len() >= usize::from(self.site.slots) {
-            self.overfilled += 1;
-            if self.sheds {
-                let result = AttemptResult::Refused(TargetRefusal::Shedding);
-                return self.end(target, job.key, result);
-            }
-            sim.waiting.push_back(job);
-            return;
-        }
-        self.start(target, job);
-    }
-
-    fn start(&mut self, target: u32, mut job: Job) {
-        job.started = self.now;
-        let done = self.now + job.service;
-        let serial = job.serial;
-        self.targets[target as usize].running.push(job);
-        self.push(done, Event::Done { target, serial });
-    }
-
-    fn on_done(&mut self, target: u32, serial: u64) {
-        let sim = &mut self.targets[target as usize];
-        let Some(position) = sim.running.iter().position(|job| job.serial == serial) else {
-            return;
-        };
-        let job = sim.running.swap_remove(position);
-        self.spent += self.now - job.started;
-        self.end(target, job.key, AttemptResult::Answered);
-        self.start_next(target);
-    }
-
-    fn start_next(&mut self, target: u32) {
-        if let Some(job) = self.targets[target as usize].waiting.pop_front() {
-            self.start(target, job);
-        }
-    }
-
-    fn on_cancel(&mut self, target: u32, key: JobKey) {
-        let sim = &mut self.targets[target as usize];
-        sim.hung.retain(|hung| *hung != key);
-        if let Some(position) = sim.waiting.iter().position(|job| job.key == key) {
-            sim.waiting.remove(position);
-        } else if let Some(position) = sim.running.iter().position(|job| job.key == key) {
-            let job = sim.running.swap_remove(position);
-            self.spent += self.now - job.started;
-            self.start_next(target);
-        } else {
-            return;
-        }
-        self.end(target, key, AttemptResult::Cancelled);
-    }
-
-    fn end(&mut self, target: u32, key: JobKey, result: AttemptResult) {
-        self.push(self.now + self.site.latency, Event::Ended { target, key, result });
-    }
-
-    fn on_ended(&mut self, _target: u32, key: JobKey, result: AttemptResult) {
-        if self.naive.is_some() {
-            return self.close_piece(key.attempt, result == AttemptResult::Answered);
-        }
-        self.fronts[key.front].complete(TickTime(self.now), AttemptId(key.attempt), result);
-        self.act(key.front);
-    }
-
     fn close_piece(&mut self, piece: u64, answered: bool) {
         if let Some(naive) = &mut self.naive
             && !naive.close(piece)
@@ -640,37 +410,3 @@
         query.end = query.end.max(self.now);
     }
 }
-
-/// Targets of shard `s` are `s`, `s + shards`, `s + 2 x shards`, ...
-fn records(site: &Site, policy: &Policy, front: usize) -> Vec<TargetRecord> {
-    let slots = match policy {
-        Policy::Shares { slots, .. } => *slots,
-        Policy::Credits { .. } => 0,
-        _ => site.slots,
-    };
-    let mine = |target: u32| match policy {
-        Policy::Subsets { .. } => (target / site.shards) as usize == front % site.replicas as usize,
-        _ => true,
-    };
-    let record = |target: u32| TargetRecord {
-        key: TargetKey(target),
-        slots,
-        wanted: WantedState::Serve,
-        shards: smallvec![ShardKey(target % site.shards)],
-    };
-    (0..site.targets()).filter(|target| mine(*target)).map(record).collect()
-}
-
-/// The service time of one try of one piece: the same whatever the policy.
-fn draw(site: &Site, seed: u64, queries: &[QueryRecord], piece: u64, try_number: u32) -> f64 {
-    let query = &queries[(piece / PIECES_A_QUERY) as usize];
-    let step = piece % PIECES_A_QUERY;
-    let mix =
-        query.number ^ (step << 8 | u64::from(try_number)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
-    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ mix);
-    let radius = (-2.0 * (1.0 - rng.random::<f64>()).ln()).sqrt();
-    let normal = radius * (std::f64::consts::TAU * rng.random::<f64>()).cos();
-    let straggles = rng.random::<f64>() < site.stragglers;
-    let factor = if straggles { STRAGGLE } else { 1.0 };
-    site.service as f64 * query.weight * factor * (SPREAD * normal).exp()
-}
