refactor(daemon): one module for each job of the owner's duty

Change: reload, take, finish and tell are modules of their own; no line of them changed but visibility.

--- a/crates/hawthorn-daemon/src/owner/mod.rs
+++ b/crates/hawthorn-daemon/src/owner/mod.rs
@@ -7,8 +7,12 @@
 mod attempt;
 mod batch;
 mod duty;
+mod finish;
 mod names;
 mod probe;
+mod reload;
+mod take;
+mod tell;
 mod view;
 
 use std::sync::Arc;
--- /dev/null
+++ b/crates/hawthorn-daemon/src/owner/take.rs
@@ -0,0 +1,152 @@
+//! Takes in batches: each piece goes to the decisions or ends at once.
+
+use std::time::Duration;
+
+use hawthorn_decide::message::PieceKey;
+use hawthorn_decide::message::QueuedPiece;
+use hawthorn_decide::time::TickTime;
+use hawthorn_store::claim::ClaimGrant;
+use hawthorn_types::CallerKey;
+use hawthorn_types::IndexVersion;
+use hawthorn_types::KeyRange;
+use hawthorn_types::MissingReason;
+use hawthorn_types::RefusalReason;
+use hawthorn_types::ShardKey;
+use hawthorn_types::ShardName;
+use hawthorn_types::UrgencyClass;
+use tokio::sync::oneshot;
+
+use super::BatchKey;
+use super::batch::OpenBatch;
+use super::batch::OpenPiece;
+use super::batch::OpenRun;
+use super::batch::OpenSearch;
+use super::duty::OwnerDuty;
+use crate::connection::message::BatchAnswer;
+use crate::connection::message::OnceBatch;
+use crate::connection::message::OnceOutcome;
+use crate::connection::message::PieceOutcome;
+use crate::connection::message::SearchBatch;
+
+impl OwnerDuty {
+    pub(super) fn take_search(
+        &mut self,
+        key: BatchKey,
+        batch: SearchBatch,
+        reply: oneshot::Sender<BatchAnswer>,
+    ) {
+        let now = self.now();
+        let deadline = now.after(Duration::from_micros(batch.left_us));
+        let caller = CallerKey(self.caller_names.intern(&batch.caller));
+        let urgency = batch.urgency;
+        let pieces = batch.pieces.clone();
+        let request = batch.request.to_string();
+        let left = pieces.len();
+        let open = OpenSearch { batch, request, parts: Vec::with_capacity(left), left, reply };
+        if left == 0 {
+            return self.answer(open);
+        }
+        self.table.batches.insert(key, OpenBatch::Search(open));
+        for piece in pieces {
+            let shard = self.shard_names.number(&piece.shard).map(ShardKey);
+            let version = piece.version;
+            let open = OpenPiece {
+                batch: key,
+                number: piece.number,
+                shard: piece.shard,
+                version,
+                range: piece.range,
+            };
+            let key = self.table.add_piece(open);
+            match shard {
+                Some(shard) => self.submit(key, caller, urgency, shard, version, deadline),
+                None => self.end_search_piece(key, PieceOutcome::NotOwner),
+            }
+        }
+    }
+
+    fn submit(
+        &mut self,
+        piece: PieceKey,
+        caller: CallerKey,
+        urgency: UrgencyClass,
+        shard: ShardKey,
+        version: IndexVersion,
+        deadline: TickTime,
+    ) {
+        let queued = QueuedPiece {
+            piece,
+            caller,
+            urgency,
+            shard,
+            version,
+            deadline,
+            expected_cost: None,
+            once: false,
+        };
+        let outcome = self.state.submit(self.now(), queued);
+        if let hawthorn_decide::admit::Outcome::Refused { reason, .. } = outcome {
+            self.end_search_piece(piece, PieceOutcome::Missing(missing_for(reason)));
+        }
+    }
+
+    pub(super) fn take_run(
+        &mut self,
+        key: BatchKey,
+        batch: OnceBatch,
+        grant: ClaimGrant,
+        reply: oneshot::Sender<OnceOutcome>,
+    ) {
+        let now = self.now();
+        let deadline = now.after(Duration::from_micros(batch.left_us));
+        let caller = CallerKey(self.caller_names.intern(&batch.caller));
+        let Some(shard) = self.shard_names.number(&batch.shard).map(ShardKey) else {
+            let _gone = reply.send(OnceOutcome::NotRun(RefusalReason::NoTarget));
+            return;
+        };
+        let version = self.newest_version(&batch.shard);
+        let piece = self.table.add_piece(OpenPiece {
+            batch: key,
+            number: 0,
+            shard: batch.shard.clone(),
+            version,
+            range: KeyRange::new(batch.key, batch.key + 1),
+        });
+        let request = batch.request.to_string();
+        let open = OpenRun { batch, request, grant: Some(grant), reply };
+        self.table.batches.insert(key, OpenBatch::Run(open));
+        let queued = QueuedPiece {
+            piece,
+            caller,
+            urgency: UrgencyClass::Urgent,
+            shard,
+            version,
+            deadline,
+            expected_cost: None,
+            once: true,
+        };
+        let outcome = self.state.submit(now, queued);
+        if let hawthorn_decide::admit::Outcome::Refused { reason, .. } = outcome {
+            self.end_run(piece, OnceOutcome::NotRun(reason));
+        }
+    }
+
+    /// A run is not read at a version, but goes only to a target that holds
+    /// the key now: any holder of the newest version does.
+    fn newest_version(&self, shard: &ShardName) -> IndexVersion {
+        let view = self.view.borrow();
+        let known = view.shards.iter().find(|known| known.shard == *shard);
+        known.and_then(|known| known.versions.last().copied()).unwrap_or_default()
+    }
+}
+
+/// The reason a refused piece of a search is missing for.
+fn missing_for(reason: RefusalReason) -> MissingReason {
+    match reason {
+        RefusalReason::NoTarget => MissingReason::NoReplica,
+        RefusalReason::WaitBeyondDeadline
+        | RefusalReason::ExpiredInQueue
+        | RefusalReason::DeadlinePast => MissingReason::QueuedPastDeadline,
+        _ => MissingReason::Shedding,
+    }
+}
--- /dev/null
+++ b/crates/hawthorn-daemon/src/owner/tell.rs
@@ -0,0 +1,60 @@
+//! Tells other duties, and through them other hosts, what is held here.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use hawthorn_decide::counter::OwnerCounters;
+use hawthorn_decide::shift::Phase;
+use hawthorn_types::ShardKey;
+use hawthorn_types::UrgencyClass;
+
+use super::duty::OwnerDuty;
+use super::view;
+use super::view::OwnerGauges;
+use super::view::UsableReplica;
+
+impl OwnerDuty {
+    /// Tells fronts what can be searched here, and the process what is held.
+    pub(super) fn tell(&mut self) {
+        let shards = self.shard_views();
+        let last = Arc::clone(&self.view.borrow());
+        if let Some(next) = view::next(&last, shards) {
+            self.view.send_replace(Arc::new(next));
+        }
+        let counters = self.state.counters();
+        let gauges = OwnerGauges {
+            batches: self.table.batches.len() as u64,
+            queued: counters.waiting.iter().map(|&count| u64::from(count)).sum(),
+            slots_in_use: u64::from(counters.slots_taken),
+            targets: self.targets.len() as u64,
+            attempts: counters.attempts,
+            extra_attempts: extra_attempts(counters),
+        };
+        self.gauges.send_if_modified(|last| std::mem::replace(last, gauges) != gauges);
+        let running = self.buckets.iter().filter(|(key, _)| self.state.slots_taken(**key) > 0);
+        let busy: HashSet<u16> = running.map(|(_, &bucket)| bucket).collect();
+        if **self.busy.borrow() != busy {
+            self.busy.send_replace(Arc::new(busy));
+        }
+    }
+
+    fn shard_views(&self) -> Vec<crate::connection::message::ShardView> {
+        let usable = self.targets.iter().filter(|(key, target)| {
+            let phase = self.state.phase(**key);
+            target.reachable && matches!(phase, Some(Phase::Serving | Phase::Ramping { .. }))
+        });
+        let replicas = usable.flat_map(|(_, target)| {
+            target.shards.iter().map(|shard| UsableReplica { shard, held: &target.held })
+        });
+        view::shards(replicas, |shard| {
+            let number = self.shard_names.number(shard).map(ShardKey);
+            let wait = number.map(|key| self.state.expected_wait(key, UrgencyClass::Urgent));
+            wait.map_or(0, |wait| u64::try_from(wait.as_micros()).unwrap_or(u64::MAX))
+        })
+    }
+}
+
+fn extra_attempts(counters: &OwnerCounters) -> u64 {
+    use strum::IntoEnumIterator;
+    hawthorn_types::RetryReason::iter().map(|reason| counters.retried(reason)).sum()
+}
