feat(types): orders to targets name the configuration revision

Cause: POST /intent carried a state alone, so a host that was paused with an older configuration could put a target back into a state no longer wanted. Change: TargetIntent.revision, 0 when absent; the stand-in ignores an order of an older revision than it has obeyed. Conclusion: the last word on a target is the newest revision's.

--- a/crates/hawthorn-standin/src/target/control.rs
+++ b/crates/hawthorn-standin/src/target/control.rs
@@ -11,6 +11,7 @@
 use hawthorn_types::TargetPhase;
 use hawthorn_types::WantedState;
 use hawthorn_types::target::HeldRanges;
+use hawthorn_types::target::TargetIntent;
 use hawthorn_types::target::TargetState;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
@@ -189,6 +190,17 @@
         self.record_leaving(was, wanted);
     }
 
+    /// Follows an order, unless a newer revision's was followed before.
+    pub(super) fn obey(&self, intent: &TargetIntent) {
+        let mut state = self.shared.lock();
+        if intent.revision < state.obeyed {
+            return;
+        }
+        state.obeyed = intent.revision;
+        drop(state);
+        self.set_wanted(intent.wanted);
+    }
+
     /// Restarts it from cold, with nothing cut off.
     pub fn restart_cold(&self) {
         let mut state = self.shared.lock();
--- a/crates/hawthorn-standin/src/target/serving.rs
+++ b/crates/hawthorn-standin/src/target/serving.rs
@@ -114,7 +114,7 @@
 
     fn intend(&self, intent: &TargetIntent) -> Reply {
         if !self.control.faults().ignore_intent {
-            self.control.set_wanted(intent.wanted);
+            self.control.obey(intent);
         }
         wire::empty(StatusCode::OK)
     }
--- a/crates/hawthorn-standin/src/target/state.rs
+++ b/crates/hawthorn-standin/src/target/state.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use hawthorn_types::ConfigRevision;
 use hawthorn_types::IndexVersion;
 use hawthorn_types::KeyRange;
 use hawthorn_types::RangeSet;
@@ -60,6 +61,8 @@
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) wanted: WantedState,
+    /// The newest revision that an order was followed of.
+    pub(super) obeyed: ConfigRevision,
     pub(super) ready_at: Instant,
     pub(super) held: Vec<HeldRanges>,
     pub(super) faults: TargetFaults,
@@ -82,6 +85,7 @@
         let now = Instant::now();
         let mut state = Self {
             wanted: WantedState::Serve,
+            obeyed: ConfigRevision::default(),
             ready_at: now + options.cold_start,
             held: options.held.clone(),
             faults: TargetFaults::default(),
--- a/crates/hawthorn-standin/tests/target.rs
+++ b/crates/hawthorn-standin/tests/target.rs
@@ -12,6 +12,7 @@
 use hawthorn_standin::target::ServiceTime;
 use hawthorn_standin::target::StateLie;
 use hawthorn_standin::target::TargetFaults;
+use hawthorn_types::ConfigRevision;
 use hawthorn_types::IndexVersion;
 use hawthorn_types::KEY_SPACE;
 use hawthorn_types::KeyRange;
@@ -334,18 +335,47 @@
         (WantedState::Serve, TargetPhase::Ready, 1),
     ];
     for (wanted, phase, held) in cases {
-        support::post(target.address(), "/intent", &TargetIntent { wanted }).await?;
+        let intent = TargetIntent { wanted, revision: ConfigRevision(7) };
+        support::post(target.address(), "/intent", &intent).await?;
         let shown = Client::connect(target.address()).await?.get("/state").await?;
         let shown: TargetState = shown.json()?;
         assert_eq!((shown.phase, shown.held.len()), (phase, held), "{wanted}");
     }
     target.control().set_faults(|faults| faults.ignore_intent = true);
-    let drain = TargetIntent { wanted: WantedState::Drain };
+    let drain = TargetIntent { wanted: WantedState::Drain, revision: ConfigRevision(7) };
     support::post(target.address(), "/intent", &drain).await?;
     assert_eq!(target.control().phase(), TargetPhase::Ready);
     Ok(())
 }
 
+/// A target that operators had just brought back drains again by itself. A host
+/// was paused with an order of the older revision in hand, and gave it on waking.
+#[tokio::test]
+async fn an_order_of_an_older_revision_is_ignored() -> TestResult {
+    struct OrderCase {
+        revision: u64,
+        wanted: WantedState,
+        phase: TargetPhase,
+    }
+    let target = TargetStandin::start(options()).await?;
+    let case = |revision, wanted, phase| OrderCase { revision, wanted, phase };
+    let cases = [
+        case(0, WantedState::Drain, TargetPhase::Draining),
+        case(4, WantedState::Drain, TargetPhase::Draining),
+        case(5, WantedState::Serve, TargetPhase::Ready),
+        case(4, WantedState::Drain, TargetPhase::Ready),
+        case(0, WantedState::Off, TargetPhase::Ready),
+        case(5, WantedState::Standby, TargetPhase::Standby),
+    ];
+    for case in cases {
+        let revision = ConfigRevision(case.revision);
+        let intent = TargetIntent { wanted: case.wanted, revision };
+        support::post(target.address(), "/intent", &intent).await?;
+        assert_eq!(target.control().phase(), case.phase, "{intent:?}");
+    }
+    Ok(())
+}
+
 /// Half the answers to a search are missing although every target answered: the
 /// shard was split while the search ran. The target must say what it searched.
 #[tokio::test]
--- a/crates/hawthorn-types/src/target.rs
+++ b/crates/hawthorn-types/src/target.rs
@@ -15,6 +15,7 @@
 use crate::KeyRange;
 use crate::RangeSet;
 use crate::ShardName;
+use crate::version::ConfigRevision;
 use crate::version::IndexVersion;
 
 /// The state operators want a target to be in, worked out from the inventory
@@ -201,10 +202,18 @@
 }
 
 /// Body of `POST /intent`: the state operators want.
+///
+/// A target ignores an order of an older revision than one it has obeyed, and
+/// still answers 200. Without that, a host that was paused, or cut off from the
+/// newest configuration, could put a target back into a state that operators
+/// no longer want.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetIntent {
     /// The wanted state.
     pub wanted: WantedState,
+    /// The configuration revision that wants it; 0 when it is not given.
+    #[serde(default)]
+    pub revision: ConfigRevision,
 }
 
 /// Why a target did not run an attempt.
