feat(daemon): read configurations as leniently as the catalog's loader

Cause: version/config.rs read documents by itself. It refused keys that only a newer version knows, which would leave it at its revision, and let through what the check refuses, such as a shard without a serving target. Conclusion: one reading for daemons, passing over unknown keys and nothing else.

--- a/crates/hawthorn-daemon/src/version/config.rs
+++ b/crates/hawthorn-daemon/src/version/config.rs
@@ -8,9 +8,6 @@
 use hawthorn_intent::catalog::FleetCatalog;
 use hawthorn_intent::document;
 use hawthorn_intent::document::ConfigDocument;
-use hawthorn_intent::fault::ConfigFault;
-use hawthorn_intent::inventory;
-use hawthorn_intent::rules;
 use quick_error::quick_error;
 
 quick_error! {
@@ -23,12 +20,8 @@
             source(err)
             from()
         }
-        /// It does not pass its checks.
-        Faulty(faults: Vec<ConfigFault>) {
-            display("{} faults, the first: {}", faults.len(), faults.first().map_or_else(String::new, ToString::to_string))
-        }
-        /// Its parts do not fit together.
-        Catalog(err: catalog::Error) {
+        /// The check refuses it, or its parts do not fit together.
+        Load(err: catalog::LoadError) {
             display("{err}")
             source(err)
             from()
@@ -51,30 +44,19 @@
     pub catalog: FleetCatalog,
 }
 
-/// Reads a document and builds its catalog.
+/// Reads a document and builds its catalog. Keys that this daemon does not know
+/// are passed over: see [`catalog::load`].
 ///
 /// # Errors
 /// When it cannot be read or has a fault that is an error.
 pub fn parse(json: &str) -> Result<Arc<ConfigInForce>, Error> {
     let document = ConfigDocument::from_json(json)?;
-    let inventory = inventory::read(&document.inventory);
-    let rules = rules::read(&document.rules);
-    let faults = inventory.faults.iter().chain(&rules.faults);
-    let errors: Vec<ConfigFault> = faults.filter(|fault| fault.is_error()).cloned().collect();
-    if !errors.is_empty() {
-        return Err(Error::Faulty(errors));
-    }
-    let catalog = catalog::build(
-        &inventory.inventory,
-        &rules.rules,
-        document.revision,
-        catalog::Options::default(),
-    )?;
+    let loaded = catalog::load_parts(&document, catalog::Options::default())?;
     Ok(Arc::new(ConfigInForce {
         json: json.to_owned(),
-        inventory: inventory.inventory,
-        rules: rules.rules,
-        catalog,
+        inventory: loaded.inventory,
+        rules: loaded.rules,
+        catalog: loaded.catalog,
         document,
     }))
 }
--- a/crates/hawthorn-intent/src/catalog/build.rs
+++ b/crates/hawthorn-intent/src/catalog/build.rs
@@ -81,13 +81,30 @@
 /// Keys that are not known are therefore passed over here, and only here; an
 /// edit with one is refused when it is made.
 pub fn load(document: &ConfigDocument, options: Options) -> Result<FleetCatalog, LoadError> {
+    Ok(load_parts(document, options)?.catalog)
+}
+
+/// What [`load_parts`] read.
+#[derive(Clone, Debug)]
+pub struct LoadedConfig {
+    /// The inventory.
+    pub inventory: Inventory,
+    /// The rules.
+    pub rules: RuleSet,
+    /// The catalog built from both.
+    pub catalog: FleetCatalog,
+}
+
+/// As [`load`], and keeps what the catalog was built from, which explanations need.
+pub fn load_parts(document: &ConfigDocument, options: Options) -> Result<LoadedConfig, LoadError> {
     let inputs = Inputs { settings: None, inventory: &document.inventory, rules: &document.rules };
     let mut outcome = check(inputs);
     outcome.faults.retain(|fault| fault.is_error() && fault.kind != FaultKind::UnknownKey);
     if !outcome.faults.is_empty() {
         return Err(LoadError::Faulty(outcome.faults));
     }
-    Ok(build(&outcome.inventory, &outcome.rules, document.revision, options)?)
+    let catalog = build(&outcome.inventory, &outcome.rules, document.revision, options)?;
+    Ok(LoadedConfig { inventory: outcome.inventory, rules: outcome.rules, catalog })
 }
 
 /// Builds the catalog of a configuration that passed the check.
--- a/crates/hawthorn-intent/src/catalog/mod.rs
+++ b/crates/hawthorn-intent/src/catalog/mod.rs
@@ -24,8 +24,10 @@
 
 pub use build::Error;
 pub use build::LoadError;
+pub use build::LoadedConfig;
 pub use build::build;
 pub use build::load;
+pub use build::load_parts;
 pub use record::CallerRecord;
 pub use record::GroupRecord;
 pub use record::ServiceRecord;
