feat: a late piece gets a second chance at another zone's owner

Cause: replicas of a shard stand in different zones, so the owner of one cannot hedge against its only target being late. Found on the way: accepted peer connections lacked TCP_NODELAY, and an answer of two segments waited 40 ms for a delayed acknowledgement. Change: relays, paid from the one budget, taken by the other owner only into a free slot; the option not set is set.

--- a/crates/hawthorn-daemon/src/connection/serve.rs
+++ b/crates/hawthorn-daemon/src/connection/serve.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures::StreamExt;
 use hawthorn_types::ConfigRevision;
@@ -9,6 +10,9 @@
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
 use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::codec::LengthDelimitedCodec;
 use tokio_util::sync::CancellationToken;
 
 use crate::connection::message::BatchAnswer;
@@ -24,6 +28,9 @@
 use crate::process::fleet::FleetHandle;
 use crate::request::runner::OnceRunner;
 
+/// How long after a connection could not be accepted the next is tried.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Serves other daemons. Cloned for each connection.
 #[derive(Clone, Debug)]
 pub struct PeerServer {
@@ -71,36 +78,43 @@
     server: PeerServer,
     stop: CancellationToken,
 ) -> std::io::Result<()> {
-    let mut listener = tarpc::serde_transport::tcp::listen(address, Bincode::default).await?;
-    listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
+    let listener = TcpListener::bind(address).await?;
     tokio::spawn(async move {
         loop {
             let accepted = tokio::select! {
                 () = stop.cancelled() => return,
-                accepted = listener.next() => accepted,
+                accepted = listener.accept() => accepted,
             };
             match accepted {
-                None => return,
-                Some(Err(error)) => {
+                Ok((stream, _)) => serve(stream, server.clone(), &stop),
+                Err(error) => {
                     let event = LogEvent::PeerMessageBad;
                     crate::log_event!(log::Level::Warn, event, "accepting a peer: {error}");
-                }
-                Some(Ok(transport)) => {
-                    let calls = BaseChannel::with_defaults(transport)
-                        .execute(server.clone().serve())
-                        .for_each(|call| async move {
-                            tokio::spawn(call);
-                        });
-                    let stop = stop.clone();
-                    tokio::spawn(async move {
-                        tokio::select! {
-                            () = stop.cancelled() => {}
-                            () = calls => {}
-                        }
-                    });
+                    // Out of file handles, say: at once it would fail again.
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             }
         }
     });
     Ok(())
 }
+
+fn serve(stream: TcpStream, server: PeerServer, stop: &CancellationToken) {
+    // Failure: an answer of more than one segment waits for the other side's
+    // delayed acknowledgement, 40 ms, which shows as a second hump of latencies.
+    let _unset = stream.set_nodelay(true);
+    let framed =
+        LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream);
+    let transport = tarpc::serde_transport::new(framed, Bincode::default());
+    let calls =
+        BaseChannel::with_defaults(transport).execute(server.serve()).for_each(|call| async move {
+            tokio::spawn(call);
+        });
+    let stop = stop.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = calls => {}
+        }
+    });
+}
--- a/crates/hawthorn-daemon/src/owner/batch.rs
+++ b/crates/hawthorn-daemon/src/owner/batch.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use hawthorn_decide::message::PieceKey;
+use hawthorn_decide::time::TickTime;
 use hawthorn_store::claim::ClaimGrant;
 use hawthorn_types::IndexVersion;
 use hawthorn_types::KeyRange;
@@ -58,6 +59,7 @@
     pub(crate) shard: ShardName,
     pub(crate) version: IndexVersion,
     pub(crate) range: KeyRange,
+    pub(crate) deadline: TickTime,
 }
 
 /// All open batches and their pieces.
--- a/crates/hawthorn-daemon/src/owner/duty.rs
+++ b/crates/hawthorn-daemon/src/owner/duty.rs
@@ -14,6 +14,7 @@
 use hawthorn_decide::message::PieceKey;
 use hawthorn_decide::owner;
 use hawthorn_decide::owner::OwnerState;
+use hawthorn_decide::relay as relay_options;
 use hawthorn_decide::time::TickTime;
 use hawthorn_types::AttemptId;
 use hawthorn_types::IndexVersion;
@@ -40,6 +41,9 @@
 use super::names::NameTable;
 use super::probe;
 use super::probe::ProbeEnd;
+use super::relay::RelayEnd;
+use super::relay::RelayLinks;
+use super::relay::RelayTable;
 use super::view::OwnerGauges;
 use crate::connection::message::OwnerView;
 use crate::connection::pool::TargetPool;
@@ -59,6 +63,8 @@
 pub struct Options {
     /// Of the decisions.
     pub decide: owner::Options,
+    /// Of second chances at other zones' owners.
+    pub relay: relay_options::Options,
     /// Commands waiting, at the most.
     pub ring: usize,
     /// Bytes of a target's answer, at the most.
@@ -80,6 +86,8 @@
     pub owned: watch::Receiver<Arc<OwnedGroups>>,
     /// Where to tell the buckets whose requests still run here.
     pub busy: watch::Sender<Arc<HashSet<u16>>>,
+    /// The ways to other zones' owners.
+    pub relays: RelayLinks,
 }
 
 /// Starts the duty on the current runtime, which its thread runs alone.
@@ -111,6 +119,8 @@
             gauges: gauge_sender,
             busy: inputs.busy.clone(),
             buckets: HashMap::new(),
+            config: None,
+            relays: RelayTable::new(inputs.relays.clone(), options.relay),
         }
         .run(receiver, ended, inputs, stop)
         .await;
@@ -122,6 +132,7 @@
 pub(super) enum TaskEnd {
     Attempt(AttemptEnd),
     Probe(ProbeEnd),
+    Relay(RelayEnd),
 }
 
 /// A target this host owns, or owned and still hears from.
@@ -152,6 +163,8 @@
     /// The bucket of every target owned so far: what still runs at one that
     /// was given up keeps its bucket busy.
     pub(super) buckets: HashMap<TargetKey, u16>,
+    pub(super) config: Option<Arc<ConfigInForce>>,
+    pub(super) relays: RelayTable,
 }
 
 pub(super) struct OpenAttempt {
@@ -175,7 +188,8 @@
         let mut new_ends = Vec::with_capacity(DRAIN_LIMIT);
         self.reload(&mut inputs);
         loop {
-            let wake = self.state.next_wake().map(|at| self.instant(at));
+            let wakes = [self.state.next_wake(), self.relays.next_wake()];
+            let wake = wakes.into_iter().flatten().min().map(|at| self.instant(at));
             tokio::select! {
                 () = stop.cancelled() => return,
                 count = ended.recv_many(&mut new_ends, DRAIN_LIMIT) => if count == 0 { return },
@@ -194,6 +208,7 @@
             let now = self.now();
             self.state.tick(now);
             self.act();
+            self.relay_due();
         }
     }
 
@@ -205,7 +220,7 @@
         self.started + Duration::from_micros(at.0)
     }
 
-    fn left(&self, deadline: TickTime) -> Duration {
+    pub(super) fn left(&self, deadline: TickTime) -> Duration {
         deadline.since(self.now())
     }
 
@@ -218,6 +233,7 @@
             OwnerCommand::Withdraw(key) => {
                 let now = self.now();
                 for piece in self.table.withdraw(key) {
+                    self.relays.forget(piece);
                     self.state.cancel(now, piece);
                 }
             }
@@ -228,6 +244,7 @@
         match end {
             TaskEnd::Attempt(end) => self.take_attempt(end),
             TaskEnd::Probe(end) => self.take_probe(end),
+            TaskEnd::Relay(end) => self.take_relay(end),
         }
     }
 
--- a/crates/hawthorn-daemon/src/owner/finish.rs
+++ b/crates/hawthorn-daemon/src/owner/finish.rs
@@ -26,9 +26,7 @@
                 let versions = retired.unwrap_or_else(|| self.versions_of(piece));
                 self.end_search_piece(piece, PieceOutcome::Retired(versions));
             }
-            PieceResult::Missing(reason) => {
-                self.end_search_piece(piece, PieceOutcome::Missing(reason));
-            }
+            PieceResult::Missing(reason) => self.end_missing(piece, reason),
             PieceResult::NotRun(reason) => self.end_run(piece, OnceOutcome::NotRun(reason)),
             PieceResult::Unknown(reason) => self.end_run(piece, OnceOutcome::Unknown(reason)),
             PieceResult::Failed(reason) => self.end_run(piece, OnceOutcome::Failed(reason)),
@@ -38,6 +36,13 @@
         }
     }
 
+    /// Ends a piece of a search that has no answer here.
+    pub(super) fn end_missing(&mut self, piece: PieceKey, reason: MissingReason) {
+        if !self.relay_instead(piece, reason) {
+            self.end_search_piece(piece, PieceOutcome::Missing(reason));
+        }
+    }
+
     fn versions_of(&self, piece: PieceKey) -> Vec<IndexVersion> {
         let Some(open) = self.table.pieces.get(&piece) else { return Vec::new() };
         let service = open.shard.service();
@@ -69,6 +74,7 @@
     }
 
     pub(super) fn end_search_piece(&mut self, piece: PieceKey, outcome: PieceOutcome) {
+        self.relays.forget(piece);
         if let Some(open) = self.table.end_piece(piece, outcome) {
             self.answer(open);
         }
--- a/crates/hawthorn-daemon/src/owner/reload.rs
+++ b/crates/hawthorn-daemon/src/owner/reload.rs
@@ -24,6 +24,7 @@
         let owned = inputs.owned.borrow_and_update().clone();
         let Some(config) = config else { return };
         let records = self.records(&config, &owned);
+        self.config = Some(config);
         let kept: HashSet<TargetKey> = records.iter().map(|record| record.key).collect();
         let now = self.now();
         self.state.set_targets(now, &records);
--- a/crates/hawthorn-daemon/src/owner/take.rs
+++ b/crates/hawthorn-daemon/src/owner/take.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use hawthorn_decide::message::PieceKey;
 use hawthorn_decide::message::QueuedPiece;
-use hawthorn_decide::time::TickTime;
 use hawthorn_store::claim::ClaimGrant;
 use hawthorn_types::CallerKey;
 use hawthorn_types::IndexVersion;
@@ -23,6 +21,7 @@
 use super::batch::OpenSearch;
 use super::duty::OwnerDuty;
 use crate::connection::message::BatchAnswer;
+use crate::connection::message::BatchHop;
 use crate::connection::message::OnceBatch;
 use crate::connection::message::OnceOutcome;
 use crate::connection::message::PieceOutcome;
@@ -40,6 +39,7 @@
         let caller = CallerKey(self.caller_names.intern(&batch.caller));
         let urgency = batch.urgency;
         let pieces = batch.pieces.clone();
+        let hop = batch.hop;
         let request = batch.request.to_string();
         let left = pieces.len();
         let open = OpenSearch { batch, request, parts: Vec::with_capacity(left), left, reply };
@@ -56,37 +56,39 @@
                 shard: piece.shard,
                 version,
                 range: piece.range,
+                deadline,
             };
+            let relayed = hop == BatchHop::Front && self.has_relay(&open.shard);
             let key = self.table.add_piece(open);
-            match shard {
-                Some(shard) => self.submit(key, caller, urgency, shard, version, deadline),
-                None => self.end_search_piece(key, PieceOutcome::NotOwner),
+            let Some(shard) = shard else {
+                self.end_search_piece(key, PieceOutcome::NotOwner);
+                continue;
+            };
+            if hop == BatchHop::Owner && !self.may_take_relayed(shard) {
+                self.end_search_piece(key, PieceOutcome::Missing(MissingReason::Shedding));
+                continue;
             }
+            let queued = QueuedPiece {
+                piece: key,
+                caller,
+                urgency,
+                shard,
+                version,
+                deadline,
+                expected_cost: None,
+                once: false,
+                relayed,
+            };
+            self.submit(queued);
         }
     }
 
-    fn submit(
-        &mut self,
-        piece: PieceKey,
-        caller: CallerKey,
-        urgency: UrgencyClass,
-        shard: ShardKey,
-        version: IndexVersion,
-        deadline: TickTime,
-    ) {
-        let queued = QueuedPiece {
-            piece,
-            caller,
-            urgency,
-            shard,
-            version,
-            deadline,
-            expected_cost: None,
-            once: false,
-        };
+    fn submit(&mut self, queued: QueuedPiece) {
         let outcome = self.state.submit(self.now(), queued);
         if let hawthorn_decide::admit::Outcome::Refused { reason, .. } = outcome {
-            self.end_search_piece(piece, PieceOutcome::Missing(missing_for(reason)));
+            self.end_missing(queued.piece, missing_for(reason));
+        } else if queued.relayed {
+            self.arm_relay(queued.piece, queued.shard);
         }
     }
 
@@ -111,6 +113,7 @@
             shard: batch.shard.clone(),
             version,
             range: KeyRange::new(batch.key, batch.key + 1),
+            deadline,
         });
         let request = batch.request.to_string();
         let open = OpenRun { batch, request, grant: Some(grant), reply };
@@ -124,6 +127,7 @@
             deadline,
             expected_cost: None,
             once: true,
+            relayed: false,
         };
         let outcome = self.state.submit(now, queued);
         if let hawthorn_decide::admit::Outcome::Refused { reason, .. } = outcome {
--- a/crates/hawthorn-daemon/src/process/daemon.rs
+++ b/crates/hawthorn-daemon/src/process/daemon.rs
@@ -119,6 +119,7 @@
     owner: OwnerHandle,
     fleet: FleetHandle,
     links: Arc<PeerLinks>,
+    views: Arc<ViewTable>,
     peer_address: SocketAddr,
 }
 
@@ -148,7 +149,7 @@
         fleet: duties.fleet.clone(),
         owner: duties.owner.clone(),
         links: duties.links,
-        views: Arc::new(ViewTable::default()),
+        views: duties.views,
         runner: Arc::clone(&runner),
         metrics,
     }));
@@ -215,7 +216,14 @@
     };
     let inputs = fleet::FleetInputs { socket, links: Arc::clone(&links), store: store_calls, busy };
     let (fleet, fleet_duty) = fleet::start(options::fleet(settings, place), inputs, stop.clone());
+    let views = Arc::new(ViewTable::default());
     let inputs = owner::OwnerInputs {
+        relays: owner::RelayLinks {
+            fleet: fleet.view.clone(),
+            links: Arc::clone(&links),
+            views: Arc::clone(&views),
+            zone: settings.zone.clone(),
+        },
         config: fleet.config.clone(),
         owned: fleet.owned.clone(),
         busy: busy_sender,
@@ -234,7 +242,7 @@
     spawn_duty("fleet", stop, fleet_duty)?;
     spawn_duty("owner", stop, owner_duty)?;
     spawn_duty("store", stop, store_duty)?;
-    Ok(DutySet { owner, fleet, links, peer_address })
+    Ok(DutySet { owner, fleet, links, views, peer_address })
 }
 
 async fn count_members(
--- a/crates/hawthorn-daemon/src/process/options.rs
+++ b/crates/hawthorn-daemon/src/process/options.rs
@@ -61,6 +61,7 @@
     decide.shift.probe_interval = settings.probe.interval;
     owner::Options {
         decide,
+        relay: hawthorn_decide::relay::Options::default(),
         ring: OWNER_RING,
         max_answer_bytes: usize::try_from(settings.limits.max_answer_bytes).unwrap_or(usize::MAX),
         probe_timeout: settings.probe.timeout,
--- a/crates/hawthorn-decide/benches/decide.rs
+++ b/crates/hawthorn-decide/benches/decide.rs
@@ -82,6 +82,7 @@
                 deadline: TickTime(self.now + SECOND),
                 expected_cost: None,
                 once: false,
+                relayed: false,
             },
         );
         black_box(outcome);
--- a/crates/hawthorn-decide/src/lib.rs
+++ b/crates/hawthorn-decide/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod owner;
 pub mod place;
 pub mod queue;
+pub mod relay;
 pub mod shift;
 pub mod slots;
 pub mod time;
--- a/crates/hawthorn-decide/src/message.rs
+++ b/crates/hawthorn-decide/src/message.rs
@@ -98,6 +98,9 @@
     pub expected_cost: Option<Duration>,
     /// A non-idempotent request: sent at most once, never hedged or retried.
     pub once: bool,
+    /// Another zone's owner can be asked in its stead: a second attempt at a
+    /// target that already has one would spend the budget on the worse chance.
+    pub relayed: bool,
 }
 
 /// How an attempt ended.
--- a/crates/hawthorn-decide/src/owner/dispatch.rs
+++ b/crates/hawthorn-decide/src/owner/dispatch.rs
@@ -323,6 +323,9 @@
             };
             each.used = piece.attempts.iter().any(busy);
         }
+        if piece.ask.relayed {
+            candidates.retain(|each| !each.used);
+        }
         let options = place::Options { backlog: 0, waited: 0, hedge: true, tie };
         match place::choose(&candidates, options) {
             place::Outcome::Send(target) => Some(target),
--- a/crates/hawthorn-decide/src/owner/mod.rs
+++ b/crates/hawthorn-decide/src/owner/mod.rs
@@ -13,6 +13,7 @@
 use rand::rngs::StdRng;
 use smallvec::SmallVec;
 
+use hawthorn_types::RetryReason;
 use hawthorn_types::ShardKey;
 use hawthorn_types::TargetKey;
 use hawthorn_types::caller::UrgencyClass;
@@ -219,6 +220,21 @@
         self.targets.get(target.index()).map_or(0, |target| target.count.taken())
     }
 
+    /// Pays for asking another zone's owner (see [`crate::relay`]) from the one
+    /// budget for extra attempts; false when it is spent.
+    pub fn spend_relay(&mut self, reason: RetryReason) -> bool {
+        let paid = match reason {
+            RetryReason::Hedge => self.budget.spend_hedge(),
+            _ => self.budget.spend_retry(),
+        };
+        if paid {
+            self.counters.count_retried(reason);
+        } else {
+            self.counters.hedges_without_budget += 1;
+        }
+        paid
+    }
+
     /// Totals and gauges.
     pub fn counters(&self) -> &OwnerCounters {
         &self.counters
--- a/crates/hawthorn-decide/tests/owner.rs
+++ b/crates/hawthorn-decide/tests/owner.rs
@@ -73,6 +73,7 @@
         deadline: TickTime(SECOND),
         expected_cost: None,
         once,
+        relayed: false,
     }
 }
 
--- a/crates/hawthorn-decide/tests/support/mod.rs
+++ b/crates/hawthorn-decide/tests/support/mod.rs
@@ -325,6 +325,7 @@
                 deadline: TickTime(query.deadline),
                 expected_cost: None,
                 once: false,
+                relayed: false,
             };
             if self.fronts[front].submit(now, piece) != admit::Outcome::Queued {
                 self.close_piece(piece.piece.0, false);
