--- /dev/null
+++ b/crates/hawthorn-intent/src/settings/read.rs
@@ -0,0 +1,208 @@
+//! Reads the settings key by key, with the limits of each.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::fault::ConfigFault;
+use crate::fault::ConfigFile;
+use crate::fault::FaultKind;
+use crate::field::FieldValue;
+use crate::inventory::check_name;
+use crate::settings::ClaimSettings;
+use crate::settings::DaemonSettings;
+use crate::settings::FleetSettings;
+use crate::settings::HedgeSettings;
+use crate::settings::KIB;
+use crate::settings::LimitSettings;
+use crate::settings::MIB;
+use crate::settings::Outcome;
+use crate::settings::ProbeSettings;
+use crate::settings::StopSettings;
+use crate::source::ConfigSource;
+use crate::source::TableReader;
+
+/// Reads `text` to its end, whatever faults it has.
+pub fn read(text: &str) -> Outcome {
+    let mut faults = Vec::new();
+    let source = ConfigSource::parse(ConfigFile::Settings, text, &mut faults);
+    let mut reader = source.reader(&mut faults);
+    let settings = read_settings(&mut reader);
+    reader.finish();
+    check_order(&source, &settings, &mut faults);
+    Outcome { settings, faults }
+}
+
+/// Stands for an address that could not be read.
+pub(crate) const NO_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
+fn read_settings(reader: &mut TableReader<'_, '_>) -> DaemonSettings {
+    DaemonSettings {
+        host: name(reader, "host"),
+        zone: name(reader, "zone"),
+        region: name(reader, "region"),
+        caller_address: listen_address(reader, "caller_address"),
+        peer_address: listen_address(reader, "peer_address"),
+        peer_advertised: advertised(reader),
+        platform: peer_of(reader, "platform"),
+        seeds: seeds(reader),
+        limits: reader.table("limits", limits),
+        hedge: reader.table("hedge", hedge),
+        stop: reader.table("stop", stop),
+        probe: reader.table("probe", probe),
+        claims: reader.table("claims", claims),
+        fleet: reader.table("fleet", fleet),
+    }
+}
+
+fn name(reader: &mut TableReader<'_, '_>, key: &'static str) -> String {
+    let name: String = reader.required(key, String::new());
+    check_name(reader, key, &name);
+    name
+}
+
+/// An address that this process listens on and that others are told: port 0
+/// is resolved once it listens, an unspecified IP number never is.
+fn listen_address(reader: &mut TableReader<'_, '_>, key: &'static str) -> SocketAddr {
+    let address = reader.required(key, NO_ADDRESS);
+    if address != NO_ADDRESS && address.ip().is_unspecified() {
+        reject_address(reader, key, address);
+    }
+    address
+}
+
+fn peer_of(reader: &mut TableReader<'_, '_>, key: &'static str) -> SocketAddr {
+    let address = reader.required(key, NO_ADDRESS);
+    if address != NO_ADDRESS && !is_reachable(address) {
+        reject_address(reader, key, address);
+    }
+    address
+}
+
+fn advertised(reader: &mut TableReader<'_, '_>) -> Option<SocketAddr> {
+    let address = reader.optional("peer_advertised");
+    if let Some(address) = address.filter(|&address| !is_reachable(address)) {
+        reject_address(reader, "peer_advertised", address);
+    }
+    address
+}
+
+/// Whether a connection to `address` could ever be made.
+pub(crate) fn is_reachable(address: SocketAddr) -> bool {
+    address.port() != 0 && !address.ip().is_unspecified() && !address.ip().is_multicast()
+}
+
+fn reject_address(reader: &mut TableReader<'_, '_>, key: &str, address: SocketAddr) {
+    let expected = "an address that others can connect to".to_owned();
+    reader.reject(key, FaultKind::BadAddress, address.to_string(), expected);
+}
+
+fn seeds(reader: &mut TableReader<'_, '_>) -> Vec<SocketAddr> {
+    let seeds = reader.list::<SocketAddr>("seeds");
+    for &(index, seed) in &seeds {
+        if !is_reachable(seed) {
+            reject_address(reader, &format!("seeds[{index}]"), seed);
+        }
+    }
+    seeds.into_iter().map(|(_, seed)| seed).collect()
+}
+
+const fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+const fn secs(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn limits(reader: &mut TableReader<'_, '_>) -> LimitSettings {
+    let usual = LimitSettings::default();
+    LimitSettings {
+        max_body_bytes: reader.within("max_body_bytes", usual.max_body_bytes, KIB..=16 * MIB),
+        max_answer_bytes: reader.within("max_answer_bytes", usual.max_answer_bytes, KIB..=64 * MIB),
+        max_limit: reader.within("max_limit", usual.max_limit, 1..=100_000),
+        max_request_id_bytes: reader.within(
+            "max_request_id_bytes",
+            usual.max_request_id_bytes,
+            16..=1_024,
+        ),
+        max_deadline: reader.within("max_deadline", usual.max_deadline, ms(1)..=secs(600)),
+        slow_client: reader.within("slow_client", usual.slow_client, ms(10)..=secs(60)),
+        front_queue: reader.within("front_queue", usual.front_queue, 1..=1_000_000),
+        group_queue: reader.within("group_queue", usual.group_queue, 1..=1_000_000),
+        caller_queue: reader.within("caller_queue", usual.caller_queue, 1..=1_000_000),
+    }
+}
+
+fn hedge(reader: &mut TableReader<'_, '_>) -> HedgeSettings {
+    let usual = HedgeSettings::default();
+    HedgeSettings {
+        budget_percent: reader.within("budget_percent", usual.budget_percent, 0..=100),
+        min_delay: reader.within("min_delay", usual.min_delay, Duration::ZERO..=secs(10)),
+    }
+}
+
+fn stop(reader: &mut TableReader<'_, '_>) -> StopSettings {
+    let usual = StopSettings::default();
+    StopSettings { grace: reader.within("grace", usual.grace, ms(100)..=secs(600)) }
+}
+
+fn probe(reader: &mut TableReader<'_, '_>) -> ProbeSettings {
+    let usual = ProbeSettings::default();
+    ProbeSettings {
+        interval: reader.within("interval", usual.interval, ms(20)..=secs(60)),
+        timeout: reader.within("timeout", usual.timeout, ms(1)..=secs(60)),
+    }
+}
+
+fn claims(reader: &mut TableReader<'_, '_>) -> ClaimSettings {
+    let usual = ClaimSettings::default();
+    ClaimSettings {
+        window: reader.within("window", usual.window, secs(60)..=secs(86_400)),
+        buckets: reader.within("buckets", usual.buckets, 1..=256),
+        gather: reader.within("gather", usual.gather, Duration::ZERO..=ms(100)),
+    }
+}
+
+fn fleet(reader: &mut TableReader<'_, '_>) -> FleetSettings {
+    let usual = FleetSettings::default();
+    FleetSettings {
+        heartbeat: reader.within("heartbeat", usual.heartbeat, ms(20)..=secs(10)),
+        suspect_after: reader.within("suspect_after", usual.suspect_after, ms(60)..=secs(60)),
+    }
+}
+
+/// Heartbeats that may be lost in a row before a peer is suspected.
+const LOST_HEARTBEATS: u32 = 3;
+
+/// Faults between two keys that are each good alone.
+fn check_order(
+    source: &ConfigSource<'_>,
+    settings: &DaemonSettings,
+    faults: &mut Vec<ConfigFault>,
+) {
+    let fleet = &settings.fleet;
+    // One lost datagram must not move the ownership of targets: that shows as
+    // a wave of new connections, 6 ms each. Three in a row are not chance.
+    let least = fleet.heartbeat * LOST_HEARTBEATS;
+    if fleet.suspect_after < least {
+        let expected = format!("at least {LOST_HEARTBEATS} heartbeats, {}", least.show());
+        let found = fleet.suspect_after.show();
+        let path = "fleet.suspect_after".to_owned();
+        faults.push(source.fault(path, FaultKind::OutOfRange, found, expected));
+    }
+    let probe = &settings.probe;
+    if probe.timeout > probe.interval {
+        let expected = format!("at most the interval, {}", probe.interval.show());
+        let path = "probe.timeout".to_owned();
+        let found = probe.timeout.show();
+        faults.push(source.fault(path, FaultKind::OutOfRange, found, expected));
+    }
+    let callers = settings.caller_address;
+    if callers == settings.peer_address && callers.port() != 0 {
+        let expected = "an address other than caller_address".to_owned();
+        let path = "peer_address".to_owned();
+        faults.push(source.fault(path, FaultKind::Duplicate, callers.to_string(), expected));
+    }
+}
