fix(standin): extra load counts what answers cover, not what they leave out

Change: a search needs one attempt for each shard it covers.

Conclusion: extra load is 1 or more unless attempts go uncounted.

--- a/crates/hawthorn-standin/src/load/report.rs
+++ b/crates/hawthorn-standin/src/load/report.rs
@@ -109,8 +109,9 @@
     pub coverage_mean: f64,
     /// Least coverage of an answered search.
     pub coverage_least: f64,
-    /// Attempts that reached targets over the attempts that answered requests
-    /// needed: 1 is no extra load.
+    /// Attempts that reached targets over the attempts needed for what answers
+    /// cover: 1 is no extra load. Attempts that were refused, cancelled, hedged
+    /// or late are extra.
     pub extra_load: f64,
     /// Requests that did not run, by reason.
     pub refused: BTreeMap<String, u64>,
@@ -158,7 +159,7 @@
         let coverages: Vec<f64> = samples.iter().filter_map(covered).collect();
         let count =
             |wanted: SampleEnd| samples.iter().filter(|sample| sample.end == wanted).count() as u64;
-        let needed: u64 = samples.iter().map(|sample| attempts_needed(sample, shards)).sum();
+        let needed: f64 = samples.iter().map(|sample| attempts_needed(sample, shards)).sum();
         Self {
             policy: policy.to_owned(),
             scenario: schedule.scenario,
@@ -170,7 +171,7 @@
             latency_complete: latency_report(samples, is_complete),
             coverage_mean: mean(&coverages),
             coverage_least: coverages.iter().copied().fold(1.0, f64::min),
-            extra_load: attempts as f64 / needed.max(1) as f64,
+            extra_load: attempts as f64 / needed.max(1.0),
             refused: refusals(samples),
             unknown: count(SampleEnd::Unknown),
             failed: count(SampleEnd::Failed),
@@ -295,11 +296,11 @@
     }
 }
 
-fn attempts_needed(sample: &Sample, shards: u32) -> u64 {
-    match (is_answered(sample), sample.search) {
-        (false, _) => 0,
-        (true, true) => u64::from(shards),
-        (true, false) => 1,
+/// A search needs one attempt for each shard that it covers.
+fn attempts_needed(sample: &Sample, shards: u32) -> f64 {
+    match sample.search {
+        true => served(sample) * f64::from(shards),
+        false => served(sample),
     }
 }
 
