fix(standin): only writes of keys lose their answers

Cause: a lease renewed in the background used up the one lost answer that a test had asked for the edit.

Change: the counted faults of the platform apply to writes and deletions of keys.

Conclusion: the test now grants a lease between the fault and the write.

--- a/crates/hawthorn-standin/src/platform/faults.rs
+++ b/crates/hawthorn-standin/src/platform/faults.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-/// Faults in force at the platform. The counted ones are used up one a write.
+/// Faults in force at the platform. The counted ones are used up one a
+/// write or deletion of a key; leases leave them alone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
 pub struct PlatformFaults {
     /// Added to the time of each call.
--- a/crates/hawthorn-standin/src/platform/serving.rs
+++ b/crates/hawthorn-standin/src/platform/serving.rs
@@ -175,7 +175,9 @@
 
     /// Loses the answer of a write that took effect, when a test asks for it.
     fn lose(&self, kind: CallKind, reply: Reply) -> Result<Reply, Unanswered> {
-        if !kind.writes() || reply.status() != StatusCode::OK {
+        // Leases are renewed in the background and would use the count up.
+        let key_write = matches!(kind, CallKind::Put | CallKind::Delete);
+        if !key_write || reply.status() != StatusCode::OK {
             return Ok(reply);
         }
         let mut lost = false;
--- a/crates/hawthorn-standin/tests/platform.rs
+++ b/crates/hawthorn-standin/tests/platform.rs
@@ -199,6 +199,8 @@
     for case in cases {
         let (platform, mut client) = start().await?;
         platform.control().set_faults(case.fault);
+        let grant = LeaseGrant { ttl_ms: 60_000 };
+        assert_eq!(client.post("/leases", &grant).await?.status, 200, "{}", case.name);
         let reply = client.put(KEY, &put(0, "a")).await.ok();
         assert_eq!(reply.map(|reply| reply.status), case.status, "{}", case.name);
         let mut again = Client::connect(platform.address()).await?;
