--- a/crates/hawthorn-daemon/src/process/fleet.rs
+++ b/crates/hawthorn-daemon/src/process/fleet.rs
@@ -433,6 +433,9 @@
         let ready = self.spread.is_ready(peers);
         self.table.set_digest(now, self.spread.digest(now, ready, 0));
         let confirmed_at = self.spread.age(now).and_then(|age| Instant::now().checked_sub(age));
+        if ready && !self.status.borrow().ready {
+            crate::log_event!(Level::Info, LogEvent::Ready, "takes callers");
+        }
         self.status.send_if_modified(|status| {
             let changed = status.ready != ready;
             status.ready = ready;
--- a/crates/hawthorn-daemon/src/request/mod.rs
+++ b/crates/hawthorn-daemon/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod api;
 pub mod body;
+pub mod describe;
 pub mod front;
 pub mod once;
 pub mod query;
