--- a/crates/hawthorn-decide/src/owner/mod.rs
+++ b/crates/hawthorn-decide/src/owner/mod.rs
@@ -57,7 +57,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Options {
     /// Pieces not finished, waiting or on their way, over all shards. 65,536:
-    /// half a second of a large daemon's work at today's speed, 20 MB.
+    /// half a second of the shard requests that a daemon of the large fleet takes.
     pub piece_limit: usize,
     /// Of queues.
     pub queue: queue::Options,
--- a/crates/hawthorn-decide/tests/queue.rs
+++ b/crates/hawthorn-decide/tests/queue.rs
@@ -4,14 +4,27 @@
 
 use std::error::Error;
 
+use hawthorn_decide::AttemptResult;
+use hawthorn_decide::OwnerState;
+use hawthorn_decide::PieceKey;
+use hawthorn_decide::QueuedPiece;
+use hawthorn_decide::TargetRecord;
+use hawthorn_decide::TickTime;
 use hawthorn_decide::owner;
+use hawthorn_types::CallerKey;
+use hawthorn_types::IndexVersion;
+use hawthorn_types::ShardKey;
+use hawthorn_types::TargetKey;
+use hawthorn_types::WantedState;
 use hawthorn_types::caller::UrgencyClass;
+use smallvec::smallvec;
 use support::CallerLoad;
 use support::DAR_PORT;
 use support::MILLI;
 use support::Policy;
 use support::SECOND;
 use support::World;
+use support::model::Model;
 
 const SECONDS: u64 = 6;
 
@@ -125,6 +138,96 @@
     Ok(())
 }
 
+struct BoundCase {
+    name: &'static str,
+    /// Service time of each caller's pieces, in microseconds.
+    services: [u64; 2],
+}
+
+/// Two members always have work waiting. However long it lasts, neither is
+/// ahead of the other by more than the slots can hold of the longest work; a
+/// drift would mean that one member's screenings are served first.
+#[test]
+fn neither_of_two_gets_ahead() -> Result<(), Box<dyn Error>> {
+    let cases = [
+        BoundCase { name: "alike", services: [5 * MILLI, 5 * MILLI] },
+        BoundCase { name: "long and short", services: [MILLI, 20 * MILLI] },
+        BoundCase { name: "longer than ever guessed", services: [MILLI, 300 * MILLI] },
+    ];
+    for case in cases {
+        let worst = widest_lead(case.services)?;
+        let longest = case.services[0].max(case.services[1]);
+        let bound = u64::from(BOUND_SLOTS) * longest;
+        println!("{}: {worst} of {bound} microseconds", case.name);
+        assert!(worst <= bound, "{}: ahead by {worst}, bound {bound}", case.name);
+    }
+    Ok(())
+}
+
+const BOUND_SLOTS: u16 = 4;
+/// Pieces that each caller keeps waiting.
+const BACKLOG: usize = 8;
+const STEP: u64 = 500;
+
+/// The most slot time by which one caller was ever ahead of the other.
+fn widest_lead(services: [u64; 2]) -> Result<u64, String> {
+    let mut owner = OwnerState::new(owner::Options::default(), 1);
+    let record = TargetRecord {
+        key: TargetKey(0),
+        slots: BOUND_SLOTS,
+        wanted: WantedState::Serve,
+        shards: smallvec![ShardKey(0)],
+    };
+    owner.set_targets(TickTime(0), &[record]);
+    let mut model = Model::new(owner, BOUND_SLOTS);
+    let mut taken = [0u64; 2];
+    let mut number = 0;
+    let mut worst = 0;
+    while model.now.0 < 20 * SECOND {
+        for caller in 0..2 {
+            while waiting(&model, caller) < BACKLOG {
+                number += 1;
+                model.submit(endless(number, caller))?;
+            }
+        }
+        model.advance(STEP)?;
+        for index in model.open() {
+            let caller = caller_of(&model, index);
+            taken[caller as usize] += STEP;
+            if model.now.0 - model.attempts[index].sent_at.0 >= services[caller as usize] {
+                model.complete(index, AttemptResult::Answered)?;
+            }
+        }
+        model.forget_ended();
+        worst = worst.max(taken[0].abs_diff(taken[1]));
+    }
+    Ok(worst)
+}
+
+fn endless(number: u64, caller: u32) -> QueuedPiece {
+    QueuedPiece {
+        piece: PieceKey(number),
+        caller: CallerKey(caller),
+        urgency: UrgencyClass::Urgent,
+        shard: ShardKey(0),
+        version: IndexVersion(1),
+        deadline: TickTime(1_000 * SECOND),
+        expected_cost: None,
+        once: true,
+    }
+}
+
+fn caller_of(model: &Model, index: usize) -> u32 {
+    model.pieces[&model.attempts[index].piece].0.caller.0
+}
+
+/// Pieces of the caller that have not been sent.
+fn waiting(model: &Model, caller: u32) -> usize {
+    let mine = model.pieces.values().filter(|(ask, end)| ask.caller.0 == caller && end.is_none());
+    let open = model.open();
+    mine.count() - open.iter().filter(|index| caller_of(model, **index) == caller).count()
+}
+
 /// Stem checks alone would take every slot for minutes. Invoice lookups may
 /// wait but must not starve or be lost: they get their eighth of the slot time,
 /// and every query either hears a refusal at once or gets its answer.
--- a/crates/hawthorn-decide/tests/support/model.rs
+++ b/crates/hawthorn-decide/tests/support/model.rs
@@ -20,6 +20,7 @@
     pub attempt: AttemptId,
     pub piece: PieceKey,
     pub target: TargetKey,
+    pub sent_at: TickTime,
     pub result: Option<AttemptResult>,
     pub closed: bool,
 }
@@ -65,6 +66,12 @@
         self.settle()
     }
 
+    /// Drops what has ended, for long runs.
+    pub fn forget_ended(&mut self) {
+        self.attempts.retain(|sent| sent.result.is_none() && !sent.closed);
+        self.pieces.retain(|_, (_, end)| end.is_none());
+    }
+
     pub fn advance(&mut self, span: u64) -> Result<(), String> {
         let until = TickTime(self.now.0 + span);
         while let Some(wake) = self.owner.next_wake().filter(|wake| *wake <= until) {
@@ -114,7 +121,15 @@
         if self.attempts.iter().any(|sent| sent.attempt == attempt) {
             return Err(format!("used {attempt:?} twice"));
         }
-        self.attempts.push(SentAttempt { attempt, piece, target, result: None, closed: false });
+        let sent_at = self.now;
+        self.attempts.push(SentAttempt {
+            attempt,
+            piece,
+            target,
+            sent_at,
+            result: None,
+            closed: false,
+        });
         let open = self.open();
         let held = open.iter().filter(|index| self.attempts[**index].target == target).count();
         if held > usize::from(self.slots) {
