fix(decide): a target's own leaving sign outweighs its state page

Cause: a draining target whose page said ready again after 5 s would have got a request every 5 s. Change: its sign holds for 30 s, or until it was seen down or loading; a limit of placement that was always zero is gone. Conclusion: the page can only take work away.

--- a/crates/hawthorn-decide/src/owner/dispatch.rs
+++ b/crates/hawthorn-decide/src/owner/dispatch.rs
@@ -57,7 +57,6 @@
     fn place(&self, piece: &LivePiece) -> place::Outcome {
         let candidates = self.candidates(piece);
         let options = place::Options {
-            backlog: 0,
             waited: self.now.micros_since(piece.queued_at),
             hedge: false,
             tie: self.tie,
@@ -323,7 +322,7 @@
             };
             each.used = piece.attempts.iter().any(busy);
         }
-        let options = place::Options { backlog: 0, waited: 0, hedge: true, tie };
+        let options = place::Options { waited: 0, hedge: true, tie };
         match place::choose(&candidates, options) {
             place::Outcome::Send(target) => Some(target),
             place::Outcome::Wait | place::Outcome::WaitAtMost(_) => None,
--- a/crates/hawthorn-decide/src/owner/watch.rs
+++ b/crates/hawthorn-decide/src/owner/watch.rs
@@ -104,7 +104,7 @@
                     && now >= until
                 {
                     self.eject_again(now, key);
-                } else if target.shift.on_failure(&options) == Judgement::Eject {
+                } else if target.shift.on_unreachable(&options) == Judgement::Eject {
                     self.eject(now, key);
                 }
             }
--- a/crates/hawthorn-decide/src/place.rs
+++ b/crates/hawthorn-decide/src/place.rs
@@ -60,8 +60,6 @@
 /// What the choice depends on besides the candidates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Options {
-    /// Slot time waiting in front of the piece, in microseconds.
-    pub backlog: u64,
     /// How long the piece has waited, in microseconds.
     pub waited: u64,
     /// Whether a slow replica is better than none: true for a hedge.
@@ -81,7 +79,7 @@
     if options.hedge {
         return Outcome::Send(best.target);
     }
-    match patience(candidates, best, options.backlog) {
+    match patience(candidates, best) {
         Some(patience) if options.waited < patience => {
             Outcome::WaitAtMost(patience - options.waited)
         }
@@ -92,10 +90,10 @@
 /// How long waiting for a busy, faster replica is worth it. Bounded by half of
 /// the slow one's time: the fast one may hang, and the piece must not hang
 /// with it.
-fn patience(candidates: &[Candidate], best: &Candidate, backlog: u64) -> Option<u64> {
+fn patience(candidates: &[Candidate], best: &Candidate) -> Option<u64> {
     let busy = candidates.iter().filter(|each| each.pause == 0 && each.limit > 0);
     let fast = busy.filter(|each| !each.is_free()).min_by_key(|each| each.latency)?;
-    let wait = (backlog + fast.latency) / u64::from(fast.limit);
+    let wait = fast.latency / u64::from(fast.limit);
     let there = wait + fast.latency;
     (best.latency > SLOW_MARGIN * there).then_some(best.latency / 2)
 }
--- a/crates/hawthorn-decide/src/shift.rs
+++ b/crates/hawthorn-decide/src/shift.rs
@@ -51,7 +51,9 @@
     /// The longest pause of a target that sheds.
     pub most_pause: Duration,
     /// How long a target's own leaving sign holds although its state page says
-    /// ready again: the page lags by seconds.
+    /// ready, unless it was seen to stop meanwhile. The page lags or misleads,
+    /// and trusted it would bring a draining target work again. 30 s: a target
+    /// that gave up leaving is missed for so long at most.
     pub leaving_hold: Duration,
     /// Good answers this fresh outweigh a state page that says cold.
     pub answer_trust: Duration,
@@ -74,7 +76,7 @@
             shed_pause: Duration::from_millis(5),
             cut_hold: Duration::from_secs(1),
             most_pause: Duration::from_millis(320),
-            leaving_hold: Duration::from_secs(5),
+            leaving_hold: Duration::from_secs(30),
             answer_trust: Duration::from_secs(1),
             probe_interval: Duration::from_secs(1),
         }
@@ -127,6 +129,8 @@
     pub(crate) phase: Phase,
     leaving: u8,
     leaving_at: TickTime,
+    /// Seen to be down or loading since it said that it leaves.
+    stopped: bool,
     failures: u32,
     slow: u32,
     backoff: u64,
@@ -146,6 +150,7 @@
             phase: Phase::Serving,
             leaving: 0,
             leaving_at: TickTime::default(),
+            stopped: false,
             failures: 0,
             slow: 0,
             backoff: 0,
@@ -262,6 +267,12 @@
         until
     }
 
+    /// Its state page was not answered.
+    pub(crate) fn on_unreachable(&mut self, options: &Options) -> Judgement {
+        self.stopped = true;
+        self.on_failure(options)
+    }
+
     /// It stays in service although it was to be ejected: judged anew.
     pub(crate) fn pardon(&mut self) {
         self.failures = 0;
@@ -294,6 +305,7 @@
 
     /// Its state page says cold or standby.
     pub(crate) fn on_cold_page(&mut self, now: TickTime, options: &Options) {
+        self.stopped = true;
         let trusted = self.good_at.is_some_and(|at| now.since(at) < options.answer_trust);
         if !trusted && self.phase == Phase::Serving {
             self.on_cold(now, options);
@@ -302,8 +314,8 @@
 
     /// Its state page says ready, which is no more than a permission to try.
     pub(crate) fn on_ready_page(&mut self, now: TickTime, options: &Options) {
-        let held = now.since(self.leaving_at) >= options.leaving_hold;
-        if held {
+        let over = now.since(self.leaving_at) >= options.leaving_hold;
+        if over || self.stopped {
             self.clear_leaving(LeavingSource::Target, now, options);
         }
         if let Phase::Ejected { until } = self.phase
@@ -318,6 +330,7 @@
     pub(crate) fn on_leaving(&mut self, source: LeavingSource, now: TickTime) {
         self.leaving |= bit_of(source);
         self.leaving_at = now;
+        self.stopped = false;
     }
 
     /// A source takes its leaving sign back; the target starts anew.
--- a/crates/hawthorn-decide/tests/shift.rs
+++ b/crates/hawthorn-decide/tests/shift.rs
@@ -168,9 +168,7 @@
             world.observe_at(at, ODD, Observation::Leaving(sign));
         }
         world.run((SECONDS + 2) * SECOND);
-        let until =
-            if case.sign == Some(LeavingSource::Target) { at + 5 * SECOND } else { u64::MAX };
-        let work = received(&world, ODD, at + DAR_PORT.latency + 1, until);
+        let work = received(&world, ODD, at + DAR_PORT.latency + 1, u64::MAX);
         assert!(work <= case.work, "{} {:?}: {work} requests", case.name, case.sign);
         assert_eq!(world.coverage(), 1.0, "{} {:?}", case.name, case.sign);
     }
