feat(decide): take a late piece back also while it is calm and raced

Cause: both attempts of one piece could hold both slots of a single replica for 100 ms; no slot was spare, and only a piece with one attempt was taken back, and only under a queue. A restarted piece whose deadline passed was told as without replica. Change: a piece whose newest attempt is late beyond doubt is taken back, once, whenever no slot is spare; its reason is the deadline.

--- a/crates/hawthorn-decide/examples/tails.rs
+++ b/crates/hawthorn-decide/examples/tails.rs
@@ -35,7 +35,8 @@
         "| site | stragglers | load | policy | p50 ms | p99 ms | p99.9 ms | coverage | extra | slot time |"
     );
     println!("|---|---|---|---|---|---|---|---|---|---|");
-    for (name, site) in [("Dar Port", DAR_PORT), ("Poland", POLAND)] {
+    let single = Site { replicas: 1, ..DAR_PORT };
+    for (name, site) in [("Dar Port", DAR_PORT), ("Poland", POLAND), ("one replica", single)] {
         for stragglers in [0.0, 0.01, 0.03, 0.05] {
             for load in [0.2, 0.4] {
                 let site = Site { stragglers, ..site };
--- a/crates/hawthorn-decide/src/owner/dispatch.rs
+++ b/crates/hawthorn-decide/src/owner/dispatch.rs
@@ -201,7 +201,11 @@
     /// made if a slot is spare and the budget allows, and as soon as one is.
     pub(super) fn on_hedge_due(&mut self, now: TickTime, handle: Handle) {
         let Some(piece) = self.pieces.get(handle) else { return };
-        if piece.hedge_due || !self.may_hedge(piece) {
+        if !self.may_hedge(piece) {
+            return;
+        }
+        if piece.hedge_due {
+            self.restart_or_wait(now, handle);
             return;
         }
         let shard = piece.ask.shard;
@@ -219,6 +223,9 @@
         self.pieces.at_mut(handle.index).hedge_due = true;
         self.shards[shard.index()].due.push_back(handle);
         self.hedge_due(now, shard);
+        if self.pieces.get(handle).is_some_and(|piece| piece.hedge_due) {
+            self.restart_or_wait(now, handle);
+        }
     }
 
     fn may_hedge(&self, piece: &LivePiece) -> bool {
@@ -242,24 +249,30 @@
 
     fn put_off_hedge(&mut self, now: TickTime, handle: Handle) {
         self.pieces.at_mut(handle.index).hedge_due = false;
+        self.counters.hedges_without_slot += 1;
+        self.restart_or_wait(now, handle);
+    }
+
+    /// No slot is spare for the piece's hedge.
+    fn restart_or_wait(&mut self, now: TickTime, handle: Handle) {
         if self.should_restart(now, handle) && self.budget.spend_hedge() {
             self.restart(now, handle);
             return;
         }
-        self.counters.hedges_without_slot += 1;
         let delay = self.piece_delay(self.pieces.at(handle.index));
         self.timers.arm(now.plus(delay), Alarm::Hedge(handle));
     }
 
-    /// Stragglers can hold every slot of a shard: pieces then wait, no slot is
-    /// spare, no hedge is made, and the stragglers stay for their whole time.
-    /// It shows as a shard that stands still for twenty service times. An
-    /// attempt that is late beyond doubt is therefore given up for another in
-    /// its place, once a piece: that takes no slot beyond the one it returns.
+    /// Stragglers can hold every slot of a shard, also as both attempts of one
+    /// piece: no slot is spare then, no hedge is made, and the shard stands
+    /// still for twenty service times. A piece whose newest attempt is late
+    /// beyond doubt is therefore taken back and sent anew, which takes no slot
+    /// beyond those it returns. Once only: what is long by its nature, and not
+    /// by its caller's average, must come to its end.
     fn should_restart(&self, now: TickTime, handle: Handle) -> bool {
         let piece = self.pieces.at(handle.index);
-        let [attempt] = piece.attempts.as_slice() else { return false };
-        let Some(attempt) = self.attempts.get(*attempt) else { return false };
+        let newest = piece.attempts.last().and_then(|attempt| self.attempts.get(*attempt));
+        let Some(attempt) = newest else { return false };
         let beyond_doubt = self.hedge_delay_at(attempt.shard, attempt.caller, 0.0);
         !piece.restarted && now.micros_since(attempt.sent_at) >= beyond_doubt
     }
@@ -267,6 +280,7 @@
     fn restart(&mut self, now: TickTime, handle: Handle) {
         let piece = self.pieces.at_mut(handle.index);
         piece.restarted = true;
+        piece.hedge_due = false;
         let attempts = std::mem::take(&mut piece.attempts);
         for attempt in attempts {
             self.cancel_attempt(now, attempt);
@@ -283,7 +297,8 @@
         }
         let calm = self.is_calm(shard);
         while let Some(&handle) = self.shards[shard.index()].due.front() {
-            let live = self.pieces.get(handle).is_some_and(|piece| self.may_hedge(piece));
+            let piece = self.pieces.get(handle);
+            let live = piece.is_some_and(|piece| piece.hedge_due && self.may_hedge(piece));
             if live && calm {
                 let Some(target) = self.spare_target(now, handle) else { return };
                 self.make_hedge(now, handle, target);
--- a/crates/hawthorn-decide/src/piece.rs
+++ b/crates/hawthorn-decide/src/piece.rs
@@ -28,7 +28,7 @@
     pub(crate) attempts: SmallVec<[Handle; 3]>,
     /// Targets that have turned it down or failed it.
     pub(crate) refused: SmallVec<[TargetKey; 3]>,
-    /// Why the last of them did.
+    /// Why the last of them did; until then, what a restarted piece waits with.
     pub(crate) last_reason: MissingReason,
     /// Whether it waits for a slot for a hedge.
     pub(crate) hedge_due: bool,
@@ -49,7 +49,7 @@
             cost: 0,
             attempts: SmallVec::new(),
             refused: SmallVec::new(),
-            last_reason: MissingReason::NoReplica,
+            last_reason: MissingReason::DeadlinePast,
             hedge_due: false,
             restarted: false,
             sent: false,
--- a/crates/hawthorn-decide/tests/hedge.rs
+++ b/crates/hawthorn-decide/tests/hedge.rs
@@ -48,7 +48,9 @@
     let poland = |stragglers| Site { stragglers, ..POLAND };
     // With 5 % stragglers, mending nearly every one takes 5 + 0.25 % extra: the
     // default budget of 5 % cannot, and a share of 6 % is shown beside it.
+    let single = Site { replicas: 1, ..dar(0.01) };
     let cases = [
+        TailCase { name: "one replica 1 %", site: single, load: 0.2, share: 0.05, gain: 4.0 },
         TailCase { name: "Dar Port 1 %", site: dar(0.01), load: 0.2, share: 0.05, gain: 5.0 },
         TailCase { name: "Dar Port 1 %, 40 %", site: dar(0.01), load: 0.4, share: 0.05, gain: 5.0 },
         TailCase { name: "Poland 1 %", site: poland(0.01), load: 0.2, share: 0.05, gain: 5.0 },
@@ -60,6 +62,7 @@
             gain: 5.0,
         },
         TailCase { name: "Dar Port 3 %", site: dar(0.03), load: 0.2, share: 0.05, gain: 5.0 },
+        TailCase { name: "Dar Port 3 %, 40 %", site: dar(0.03), load: 0.4, share: 0.05, gain: 4.0 },
         TailCase { name: "Poland 3 %", site: poland(0.03), load: 0.2, share: 0.05, gain: 5.0 },
         TailCase { name: "Dar Port 5 %", site: dar(0.05), load: 0.2, share: 0.05, gain: 1.5 },
         TailCase { name: "Poland 5 %", site: poland(0.05), load: 0.2, share: 0.05, gain: 1.5 },
