fix(decide): a piece whose target moved hears that it moved

Cause: while ownership moves, waiting pieces were told that no replica exists, and their fronts would have given up ranges that the new owner can search. Change: shards without an owned replica end and refuse pieces as owner-unreachable, with a short time to come back. Conclusion: coverage no longer depends on when ownership moves.

--- a/crates/hawthorn-decide/src/owner/admission.rs
+++ b/crates/hawthorn-decide/src/owner/admission.rs
@@ -85,8 +85,10 @@
         if deadline <= now {
             return refuse(RefusalReason::DeadlinePast, least);
         }
-        let Some(live) = self.shards.get(shard.index()) else {
-            return refuse(RefusalReason::NoTarget, most);
+        // Ownership moved while the front still sent here: its new owner is
+        // known within a moment, so the front may come back soon.
+        let Some(live) = self.shards.get(shard.index()).filter(|live| live.is_owned()) else {
+            return refuse(RefusalReason::OwnerUnreachable, least);
         };
         if !self.is_served(live) {
             return refuse(RefusalReason::NoTarget, most);
--- a/crates/hawthorn-decide/src/owner/mod.rs
+++ b/crates/hawthorn-decide/src/owner/mod.rs
@@ -97,6 +97,11 @@
 }
 
 impl LiveShard {
+    /// Whether this owner owns any replica of it.
+    fn is_owned(&self) -> bool {
+        !self.replicas.is_empty()
+    }
+
     /// Whether hardly any request is answered within `left` microseconds.
     fn is_hopeless(&self, left: u64) -> bool {
         left < self.times.median() / 2
--- a/crates/hawthorn-decide/src/owner/watch.rs
+++ b/crates/hawthorn-decide/src/owner/watch.rs
@@ -12,7 +12,6 @@
 use super::LiveShard;
 use super::OwnerState;
 use super::target::LiveTarget;
-use crate::arena::Handle;
 use crate::latency::ServiceTimes;
 use crate::message::LeavingSource;
 use crate::message::Observation;
@@ -164,15 +163,19 @@
         }
     }
 
-    /// No replica is left: every waiting piece hears so at once.
+    /// No replica is left, or none is owned any more: every waiting piece hears
+    /// so at once, for its front to go elsewhere while there is time.
     fn give_up(&mut self, now: TickTime, shard: ShardKey) {
+        let (missing, refusal) = if self.shards[shard.index()].is_owned() {
+            (MissingReason::NoReplica, RefusalReason::NoTarget)
+        } else {
+            (MissingReason::OwnerUnreachable, RefusalReason::OwnerUnreachable)
+        };
         while let Some(index) = self.shards[shard.index()].queue.any() {
-            let handle: Handle = self.pieces.handle_at(index);
-            let result = if self.pieces.at(index).ask.once {
-                PieceResult::NotRun(RefusalReason::NoTarget)
-            } else {
-                PieceResult::Missing(MissingReason::NoReplica)
-            };
+            let handle = self.pieces.handle_at(index);
+            let once = self.pieces.at(index).ask.once;
+            let result =
+                if once { PieceResult::NotRun(refusal) } else { PieceResult::Missing(missing) };
             self.finish(now, handle, result);
         }
     }
--- a/crates/hawthorn-decide/tests/owner.rs
+++ b/crates/hawthorn-decide/tests/owner.rs
@@ -182,6 +182,28 @@
     Ok(())
 }
 
+/// Ownership of the targets moves to another host while pieces wait. Told that
+/// no replica exists, a front would give up ranges that the new owner can search.
+#[test]
+fn pieces_of_a_moved_target_hear_that_it_moved() -> Result<(), Box<dyn Error>> {
+    let mut model = model();
+    for number in 0..6 {
+        model.submit(piece(number, number == 5))?;
+    }
+    model.owner.set_targets(model.now, &[]);
+    model.settle()?;
+    let missing = PieceResult::Missing(MissingReason::OwnerUnreachable);
+    assert_eq!(model.pieces[&PieceKey(4)].1, Some(missing));
+    let not_run = PieceResult::NotRun(RefusalReason::OwnerUnreachable);
+    assert_eq!(model.pieces[&PieceKey(5)].1, Some(not_run));
+    model.complete(0, AttemptResult::Answered)?;
+    assert!(matches!(model.pieces[&PieceKey(0)].1, Some(PieceResult::Answered { .. })));
+    let outcome = model.submit(piece(7, false))?;
+    let reason = RefusalReason::OwnerUnreachable;
+    assert!(matches!(outcome, admit::Outcome::Refused { reason: given, .. } if given == reason));
+    Ok(())
+}
+
 /// All targets of a shard are switched off or leave while pieces wait. Left
 /// waiting they would time out one by one; their fronts hear at once, and new
 /// ones are refused with a time to come back.
