style(decide): two-word names, imports in three groups

Cause: internal types had one-word names and workspace imports stood with external ones. Change: names and order only.

--- a/crates/hawthorn-decide/benches/decide.rs
+++ b/crates/hawthorn-decide/benches/decide.rs
@@ -11,6 +11,8 @@
 use criterion::Throughput;
 use criterion::criterion_group;
 use criterion::criterion_main;
+use smallvec::smallvec;
+
 use hawthorn_decide::AttemptResult;
 use hawthorn_decide::OwnerAction;
 use hawthorn_decide::OwnerState;
@@ -26,7 +28,6 @@
 use hawthorn_types::TargetKey;
 use hawthorn_types::WantedState;
 use hawthorn_types::caller::UrgencyClass;
-use smallvec::smallvec;
 
 const SHARDS: u32 = 30;
 const REPLICAS: u32 = 2;
--- a/crates/hawthorn-decide/src/admit.rs
+++ b/crates/hawthorn-decide/src/admit.rs
@@ -4,12 +4,12 @@
 //! it prevents: queues that fill up with work nobody waits for any more, so
 //! that every answer comes too late although every slot is busy.
 
-use hawthorn_types::RefusalReason;
 use std::time::Duration;
 
 use crate::queue::NORMAL;
 use crate::queue::ShardQueue;
 use crate::queue::URGENT;
+use hawthorn_types::RefusalReason;
 
 /// Limits of admission.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/hawthorn-decide/src/arena.rs
+++ b/crates/hawthorn-decide/src/arena.rs
@@ -4,12 +4,12 @@
 
 /// Names one entry: the place in the low 32 bits, its generation in the high.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Handle {
+pub(crate) struct ArenaHandle {
     pub(crate) index: u32,
     pub(crate) generation: u32,
 }
 
-impl Handle {
+impl ArenaHandle {
     pub(crate) fn pack(self) -> u64 {
         u64::from(self.generation) << u32::BITS | u64::from(self.index)
     }
@@ -46,18 +46,18 @@
         self.places.len() - self.free.len()
     }
 
-    pub(crate) fn insert(&mut self, entry: T) -> Handle {
+    pub(crate) fn insert(&mut self, entry: T) -> ArenaHandle {
         if let Some(index) = self.free.pop() {
             let place = &mut self.places[index as usize];
             place.entry = Some(entry);
-            return Handle { index, generation: place.generation };
+            return ArenaHandle { index, generation: place.generation };
         }
         let index = u32::try_from(self.places.len()).expect("bounded queues hold fewer than 2^32");
         self.places.push(Place { generation: self.first_generation, entry: Some(entry) });
-        Handle { index, generation: self.first_generation }
+        ArenaHandle { index, generation: self.first_generation }
     }
 
-    pub(crate) fn remove(&mut self, handle: Handle) -> Option<T> {
+    pub(crate) fn remove(&mut self, handle: ArenaHandle) -> Option<T> {
         let place = self.places.get_mut(handle.index as usize)?;
         if place.generation != handle.generation {
             return None;
@@ -68,19 +68,19 @@
         Some(entry)
     }
 
-    pub(crate) fn get(&self, handle: Handle) -> Option<&T> {
+    pub(crate) fn get(&self, handle: ArenaHandle) -> Option<&T> {
         let place = self.places.get(handle.index as usize)?;
         if place.generation == handle.generation { place.entry.as_ref() } else { None }
     }
 
-    pub(crate) fn get_mut(&mut self, handle: Handle) -> Option<&mut T> {
+    pub(crate) fn get_mut(&mut self, handle: ArenaHandle) -> Option<&mut T> {
         let place = self.places.get_mut(handle.index as usize)?;
         if place.generation == handle.generation { place.entry.as_mut() } else { None }
     }
 
     /// The handle of whatever is in the place now.
-    pub(crate) fn handle_at(&self, index: u32) -> Handle {
-        Handle { index, generation: self.places[index as usize].generation }
+    pub(crate) fn handle_at(&self, index: u32) -> ArenaHandle {
+        ArenaHandle { index, generation: self.places[index as usize].generation }
     }
 
     /// The entry in a place that a list inside the arena links to.
--- a/crates/hawthorn-decide/src/counter.rs
+++ b/crates/hawthorn-decide/src/counter.rs
@@ -1,10 +1,11 @@
 //! Counters for each refusal and retry reason, and gauges of the moment.
 
+use strum::EnumCount;
+
 use hawthorn_types::MissingReason;
 use hawthorn_types::RefusalReason;
 use hawthorn_types::RetryReason;
 use hawthorn_types::UnknownReason;
-use strum::EnumCount;
 
 /// Totals since the owner started, and a few gauges. Counts are of pieces
 /// unless a field says attempts.
--- a/crates/hawthorn-decide/src/message.rs
+++ b/crates/hawthorn-decide/src/message.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
+use crate::time::TickTime;
 use hawthorn_types::AttemptId;
 use hawthorn_types::CallerKey;
 use hawthorn_types::FailureReason;
@@ -15,9 +18,6 @@
 use hawthorn_types::WantedState;
 use hawthorn_types::caller::UrgencyClass;
 use hawthorn_types::target::TargetRefusal;
-use smallvec::SmallVec;
-
-use crate::time::TickTime;
 
 /// Names one piece, one shard's part of one request. The daemon chooses it;
 /// unique among the pieces that are not finished.
--- a/crates/hawthorn-decide/src/owner/admission.rs
+++ b/crates/hawthorn-decide/src/owner/admission.rs
@@ -2,16 +2,15 @@
 
 use std::time::Duration;
 
-use hawthorn_types::CallerKey;
-use hawthorn_types::RefusalReason;
-use hawthorn_types::ShardKey;
-use hawthorn_types::caller::UrgencyClass;
-
 use super::LiveShard;
 use super::OwnerState;
 use crate::admit;
 use crate::message::QueuedPiece;
 use crate::time::TickTime;
+use hawthorn_types::CallerKey;
+use hawthorn_types::RefusalReason;
+use hawthorn_types::ShardKey;
+use hawthorn_types::caller::UrgencyClass;
 
 /// What a front asks before it sends a query's pieces.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/hawthorn-decide/src/owner/dispatch.rs
+++ b/crates/hawthorn-decide/src/owner/dispatch.rs
@@ -1,25 +1,25 @@
 //! From the queue to a target: first attempts and hedges.
 
-use hawthorn_types::RetryReason;
-use hawthorn_types::ShardKey;
-use hawthorn_types::TargetKey;
 use rand::Rng;
 use smallvec::SmallVec;
 
 use super::LiveShard;
 use super::OwnerState;
 use super::target::LiveTarget;
-use crate::arena::Handle;
+use crate::arena::ArenaHandle;
 use crate::message::OwnerAction;
 use crate::piece::LiveAttempt;
 use crate::piece::LivePiece;
 use crate::place;
 use crate::place::Candidate;
-use crate::queue::Joining;
-use crate::queue::Verdict;
-use crate::shift::Relief;
+use crate::queue::PieceVerdict;
+use crate::queue::QueueEnd;
+use crate::shift::ReplicaRelief;
 use crate::time::TickTime;
-use crate::timer::Alarm;
+use crate::timer::TimerAlarm;
+use hawthorn_types::RetryReason;
+use hawthorn_types::ShardKey;
+use hawthorn_types::TargetKey;
 
 type CandidateList = SmallVec<[Candidate; 4]>;
 
@@ -28,7 +28,7 @@
     now: TickTime,
     shard: &'a LiveShard,
     targets: &'a [LiveTarget],
-    relief: Relief,
+    relief: ReplicaRelief,
     tie: u64,
 }
 
@@ -110,13 +110,13 @@
         let index = live.queue.pick(&self.pieces, slots, |piece| match view.place(piece) {
             place::Outcome::Send(target) => {
                 chosen = Some(target);
-                Verdict::Send
+                PieceVerdict::Send
             }
             place::Outcome::WaitAtMost(span) => {
                 patience = Some(patience.map_or(span, |least| least.min(span)));
-                Verdict::Wait
+                PieceVerdict::Wait
             }
-            place::Outcome::Wait => Verdict::Wait,
+            place::Outcome::Wait => PieceVerdict::Wait,
         });
         if let Some(span) = patience
             && let Some(&target) = live.replicas.first()
@@ -145,11 +145,11 @@
         let armed = target.room_at > now && target.room_at <= at;
         if !armed {
             target.room_at = at;
-            self.timers.arm(at, Alarm::Room(key));
+            self.timers.arm(at, TimerAlarm::Room(key));
         }
     }
 
-    fn send(&mut self, now: TickTime, handle: Handle, target: TargetKey) {
+    fn send(&mut self, now: TickTime, handle: ArenaHandle, target: TargetKey) {
         let piece = self.pieces.at(handle.index);
         let lane = piece.lane();
         let cost = piece.cost;
@@ -162,12 +162,12 @@
         self.attempt(now, handle, target);
         if !self.pieces.at(handle.index).ask.once {
             let delay = self.piece_delay(self.pieces.at(handle.index));
-            self.timers.arm(now.plus(delay), Alarm::Hedge(handle));
+            self.timers.arm(now.plus(delay), TimerAlarm::Hedge(handle));
         }
     }
 
     /// Takes a slot and sends an attempt.
-    fn attempt(&mut self, now: TickTime, handle: Handle, target: TargetKey) {
+    fn attempt(&mut self, now: TickTime, handle: ArenaHandle, target: TargetKey) {
         let piece = self.pieces.at_mut(handle.index);
         let live = &mut self.targets[target.index()];
         let taken = live.count.take(live.slots);
@@ -199,7 +199,7 @@
 
     /// The piece has been on its way for the hedge delay: another attempt is
     /// made if a slot is spare and the budget allows, and as soon as one is.
-    pub(super) fn on_hedge_due(&mut self, now: TickTime, handle: Handle) {
+    pub(super) fn on_hedge_due(&mut self, now: TickTime, handle: ArenaHandle) {
         let Some(piece) = self.pieces.get(handle) else { return };
         if !self.may_hedge(piece) {
             return;
@@ -213,7 +213,7 @@
         let sent_at = newest.map_or(now, |attempt| attempt.sent_at);
         let due = sent_at.plus(self.piece_delay(piece));
         if due > now {
-            self.timers.arm(due, Alarm::Hedge(handle));
+            self.timers.arm(due, TimerAlarm::Hedge(handle));
             return;
         }
         if !self.is_calm(shard) {
@@ -247,20 +247,20 @@
         wait <= live.times.ninetieth()
     }
 
-    fn put_off_hedge(&mut self, now: TickTime, handle: Handle) {
+    fn put_off_hedge(&mut self, now: TickTime, handle: ArenaHandle) {
         self.pieces.at_mut(handle.index).hedge_due = false;
         self.counters.hedges_without_slot += 1;
         self.restart_or_wait(now, handle);
     }
 
     /// No slot is spare for the piece's hedge.
-    fn restart_or_wait(&mut self, now: TickTime, handle: Handle) {
+    fn restart_or_wait(&mut self, now: TickTime, handle: ArenaHandle) {
         if self.should_restart(now, handle) && self.budget.spend_hedge() {
             self.restart(now, handle);
             return;
         }
         let delay = self.piece_delay(self.pieces.at(handle.index));
-        self.timers.arm(now.plus(delay), Alarm::Hedge(handle));
+        self.timers.arm(now.plus(delay), TimerAlarm::Hedge(handle));
     }
 
     /// Stragglers can hold every slot of a shard, also as both attempts of one
@@ -269,7 +269,7 @@
     /// beyond doubt is therefore taken back and sent anew, which takes no slot
     /// beyond those it returns. Once only: what is long by its nature, and not
     /// by its caller's average, must come to its end.
-    fn should_restart(&self, now: TickTime, handle: Handle) -> bool {
+    fn should_restart(&self, now: TickTime, handle: ArenaHandle) -> bool {
         let piece = self.pieces.at(handle.index);
         let newest = piece.attempts.last().and_then(|attempt| self.attempts.get(*attempt));
         let Some(attempt) = newest else { return false };
@@ -277,7 +277,7 @@
         !piece.restarted && now.micros_since(attempt.sent_at) >= beyond_doubt
     }
 
-    fn restart(&mut self, now: TickTime, handle: Handle) {
+    fn restart(&mut self, now: TickTime, handle: ArenaHandle) {
         let piece = self.pieces.at_mut(handle.index);
         piece.restarted = true;
         piece.hedge_due = false;
@@ -287,7 +287,7 @@
         }
         self.counters.restarts += 1;
         self.counters.count_retried(RetryReason::Hedge);
-        self.join_queue(handle, Joining::Front);
+        self.join_queue(handle, QueueEnd::Front);
     }
 
     /// Makes the hedges that are due for as long as slots are spare.
@@ -311,7 +311,7 @@
         }
     }
 
-    fn make_hedge(&mut self, now: TickTime, handle: Handle, target: TargetKey) {
+    fn make_hedge(&mut self, now: TickTime, handle: ArenaHandle, target: TargetKey) {
         self.pieces.at_mut(handle.index).hedge_due = false;
         if self.budget.spend_hedge() {
             self.counters.count_retried(RetryReason::Hedge);
@@ -320,10 +320,10 @@
             self.counters.hedges_without_budget += 1;
         }
         let delay = self.piece_delay(self.pieces.at(handle.index));
-        self.timers.arm(now.plus(delay), Alarm::Hedge(handle));
+        self.timers.arm(now.plus(delay), TimerAlarm::Hedge(handle));
     }
 
-    fn spare_target(&mut self, now: TickTime, handle: Handle) -> Option<TargetKey> {
+    fn spare_target(&mut self, now: TickTime, handle: ArenaHandle) -> Option<TargetKey> {
         let tie = self.rng.next_u64();
         let piece = self.pieces.at(handle.index);
         let live = &self.shards[piece.ask.shard.index()];
@@ -332,7 +332,7 @@
         let mut candidates = view.candidates(piece);
         candidates.retain(|each| self.is_spare(each.target));
         for each in &mut candidates {
-            let busy = |attempt: &Handle| {
+            let busy = |attempt: &ArenaHandle| {
                 self.attempts.get(*attempt).is_some_and(|attempt| attempt.target == each.target)
             };
             each.used = piece.attempts.iter().any(busy);
--- a/crates/hawthorn-decide/src/owner/finish.rs
+++ b/crates/hawthorn-decide/src/owner/finish.rs
@@ -1,5 +1,16 @@
 //! How attempts and pieces end.
 
+use super::OwnerState;
+use crate::arena::ArenaHandle;
+use crate::message::AttemptResult;
+use crate::message::LeavingSource;
+use crate::message::OwnerAction;
+use crate::message::PieceResult;
+use crate::piece::LiveAttempt;
+use crate::queue::QueueEnd;
+use crate::shift::TargetJudgement;
+use crate::time::TickTime;
+use crate::timer::TimerAlarm;
 use hawthorn_types::AttemptId;
 use hawthorn_types::FailureReason;
 use hawthorn_types::MissingReason;
@@ -9,24 +20,12 @@
 use hawthorn_types::UnknownReason;
 use hawthorn_types::target::TargetRefusal;
 
-use super::OwnerState;
-use crate::arena::Handle;
-use crate::message::AttemptResult;
-use crate::message::LeavingSource;
-use crate::message::OwnerAction;
-use crate::message::PieceResult;
-use crate::piece::LiveAttempt;
-use crate::queue::Joining;
-use crate::shift::Judgement;
-use crate::time::TickTime;
-use crate::timer::Alarm;
-
 impl OwnerState {
     /// An attempt ended. Ends of attempts that are not known, or whose piece is
     /// finished, give their slot back and nothing else: an answer is delivered
     /// only for the attempt that carries it.
     pub fn complete(&mut self, now: TickTime, attempt: AttemptId, result: AttemptResult) {
-        let handle = Handle::unpack(attempt.0);
+        let handle = ArenaHandle::unpack(attempt.0);
         let Some(attempt) = self.attempts.remove(handle) else {
             self.counters.unknown_attempts += 1;
             return;
@@ -120,7 +119,7 @@
     fn conclude(
         &mut self,
         now: TickTime,
-        handle: Handle,
+        handle: ArenaHandle,
         attempt: &LiveAttempt,
         result: AttemptResult,
     ) {
@@ -162,7 +161,7 @@
         }
     }
 
-    fn finish_unless_raced(&mut self, now: TickTime, handle: Handle, result: PieceResult) {
+    fn finish_unless_raced(&mut self, now: TickTime, handle: ArenaHandle, result: PieceResult) {
         if self.pieces.at(handle.index).attempts.is_empty() {
             self.finish(now, handle, result);
         }
@@ -173,7 +172,7 @@
     fn retry(
         &mut self,
         now: TickTime,
-        handle: Handle,
+        handle: ArenaHandle,
         target: TargetKey,
         missing: MissingReason,
         reason: RetryReason,
@@ -197,14 +196,14 @@
             MissingReason::BudgetSpent
         } else {
             self.counters.count_retried(reason);
-            self.join_queue(handle, Joining::Front);
+            self.join_queue(handle, QueueEnd::Front);
             return;
         };
         self.finish(now, handle, PieceResult::Missing(result));
     }
 
     /// Whether a replica in service has not turned the piece down.
-    fn has_untried(&self, handle: Handle) -> bool {
+    fn has_untried(&self, handle: ArenaHandle) -> bool {
         let piece = self.pieces.at(handle.index);
         let replicas = &self.shards[piece.ask.shard.index()].replicas;
         replicas
@@ -213,7 +212,7 @@
     }
 
     /// Ends a piece: once, whatever comes later.
-    pub(super) fn finish(&mut self, now: TickTime, handle: Handle, result: PieceResult) {
+    pub(super) fn finish(&mut self, now: TickTime, handle: ArenaHandle, result: PieceResult) {
         self.leave_queue(handle);
         let piece = self.pieces.remove(handle).expect("only a live piece is finished");
         self.by_key.remove(&piece.ask.piece);
@@ -233,12 +232,12 @@
 
     /// Cancels an attempt that nobody waits for. Its slot stays taken until
     /// the target acknowledges or the grace is over.
-    pub(super) fn cancel_attempt(&mut self, now: TickTime, handle: Handle) {
+    pub(super) fn cancel_attempt(&mut self, now: TickTime, handle: ArenaHandle) {
         let Some(attempt) = self.attempts.get_mut(handle) else { return };
         attempt.cancelled_at = Some(now);
         let attempt = *attempt;
         let grace = now.after(self.options.slots.cancel_grace);
-        self.timers.arm(grace, Alarm::Grace(handle));
+        self.timers.arm(grace, TimerAlarm::Grace(handle));
         self.actions.push_back(OwnerAction::Cancel {
             attempt: LiveAttempt::id(handle),
             target: attempt.target,
@@ -262,14 +261,14 @@
         self.follow(now, attempt.target, judgement);
     }
 
-    pub(super) fn on_deadline(&mut self, now: TickTime, handle: Handle) {
+    pub(super) fn on_deadline(&mut self, now: TickTime, handle: ArenaHandle) {
         if self.pieces.get(handle).is_some() {
             self.expire(now, handle);
         }
     }
 
     /// The piece's time is up, wherever it is.
-    pub(super) fn expire(&mut self, now: TickTime, handle: Handle) {
+    pub(super) fn expire(&mut self, now: TickTime, handle: ArenaHandle) {
         let piece = self.pieces.at(handle.index);
         let result = match (piece.ask.once, piece.sent, piece.waiting) {
             (true, true, _) => PieceResult::Unknown(UnknownReason::DeadlinePast),
@@ -284,7 +283,7 @@
     /// A cancellation was not acknowledged in time: the target hangs, or the
     /// acknowledgement was lost. The connection is closed, which ends the
     /// attempt at the target, and the slot is free again.
-    pub(super) fn on_grace_over(&mut self, now: TickTime, handle: Handle) {
+    pub(super) fn on_grace_over(&mut self, now: TickTime, handle: ArenaHandle) {
         let Some(attempt) = self.attempts.remove(handle) else { return };
         self.counters.unacknowledged += 1;
         self.release(now, &attempt);
@@ -297,8 +296,8 @@
         self.pump_target(now, attempt.target);
     }
 
-    fn follow(&mut self, now: TickTime, target: TargetKey, judgement: Judgement) {
-        if judgement == Judgement::Eject {
+    fn follow(&mut self, now: TickTime, target: TargetKey, judgement: TargetJudgement) {
+        if judgement == TargetJudgement::Eject {
             self.eject(now, target);
         }
     }
--- a/crates/hawthorn-decide/src/owner/mod.rs
+++ b/crates/hawthorn-decide/src/owner/mod.rs
@@ -13,13 +13,9 @@
 use rand::rngs::StdRng;
 use smallvec::SmallVec;
 
-use hawthorn_types::ShardKey;
-use hawthorn_types::TargetKey;
-use hawthorn_types::caller::UrgencyClass;
-
 use crate::admit;
 use crate::arena::Arena;
-use crate::arena::Handle;
+use crate::arena::ArenaHandle;
 use crate::budget;
 use crate::budget::RetryBudget;
 use crate::counter::OwnerCounters;
@@ -32,17 +28,20 @@
 use crate::piece::LiveAttempt;
 use crate::piece::LivePiece;
 use crate::queue;
-use crate::queue::Joining;
 use crate::queue::NORMAL;
+use crate::queue::QueueEnd;
 use crate::queue::ShardQueue;
 use crate::queue::URGENT;
 use crate::shift;
-use crate::shift::Relief;
+use crate::shift::ReplicaRelief;
 use crate::slots;
 use crate::time::TickTime;
 use crate::time::micros;
-use crate::timer::Alarm;
+use crate::timer::TimerAlarm;
 use crate::timer::TimerQueue;
+use hawthorn_types::ShardKey;
+use hawthorn_types::TargetKey;
+use hawthorn_types::caller::UrgencyClass;
 
 pub use admission::BatchAsk;
 use target::LiveTarget;
@@ -93,7 +92,7 @@
     queue: ShardQueue,
     times: ServiceTimes,
     /// Pieces on their way for too long, waiting for a slot for a hedge.
-    due: VecDeque<Handle>,
+    due: VecDeque<ArenaHandle>,
 }
 
 impl LiveShard {
@@ -115,7 +114,7 @@
     shards: Vec<LiveShard>,
     targets: Vec<LiveTarget>,
     pieces: Arena<LivePiece>,
-    by_key: HashMap<PieceKey, Handle>,
+    by_key: HashMap<PieceKey, ArenaHandle>,
     attempts: Arena<LiveAttempt>,
     timers: TimerQueue,
     budget: RetryBudget,
@@ -160,8 +159,8 @@
         let deadline = piece.deadline;
         let handle = self.pieces.insert(LivePiece::new(piece, now));
         self.by_key.insert(piece.piece, handle);
-        self.timers.arm(deadline, Alarm::Deadline(handle));
-        self.join_queue(handle, Joining::Back);
+        self.timers.arm(deadline, TimerAlarm::Deadline(handle));
+        self.join_queue(handle, QueueEnd::Back);
         self.pump(now, shard);
         self.tidy();
         outcome
@@ -190,11 +189,11 @@
     pub fn tick(&mut self, now: TickTime) {
         while let Some(alarm) = self.timers.fire(now) {
             match alarm {
-                Alarm::Deadline(piece) => self.on_deadline(now, piece),
-                Alarm::Hedge(piece) => self.on_hedge_due(now, piece),
-                Alarm::Grace(attempt) => self.on_grace_over(now, attempt),
-                Alarm::Room(target) => self.on_room(now, target),
-                Alarm::Probe(target) => self.on_probe_due(now, target),
+                TimerAlarm::Deadline(piece) => self.on_deadline(now, piece),
+                TimerAlarm::Hedge(piece) => self.on_hedge_due(now, piece),
+                TimerAlarm::Grace(attempt) => self.on_grace_over(now, attempt),
+                TimerAlarm::Room(target) => self.on_room(now, target),
+                TimerAlarm::Probe(target) => self.on_probe_due(now, target),
             }
         }
         self.tidy();
@@ -237,27 +236,27 @@
     fn has_free_slot(&self, shard: &LiveShard) -> bool {
         shard.replicas.iter().any(|key| {
             let target = &self.targets[key.index()];
-            target.count.taken() < target.limit(Relief::Full)
+            target.count.taken() < target.limit(ReplicaRelief::Full)
         })
     }
 
     /// What the best of the shard's replicas can take.
-    fn relief(&self, shard: &LiveShard) -> Relief {
+    fn relief(&self, shard: &LiveShard) -> ReplicaRelief {
         let targets = shard.replicas.iter().map(|key| &self.targets[key.index()]);
-        targets.map(|target| target.relief()).max().unwrap_or(Relief::None)
+        targets.map(|target| target.relief()).max().unwrap_or(ReplicaRelief::None)
     }
 
-    fn join_queue(&mut self, handle: Handle, joining: Joining) {
+    fn join_queue(&mut self, handle: ArenaHandle, end: QueueEnd) {
         let piece = self.pieces.at(handle.index);
         let shard = &mut self.shards[piece.ask.shard.index()];
         let average = shard.queue.cost_of(piece.ask.caller.0, shard.times.median());
         let cost = piece.ask.expected_cost.map_or(average, micros);
         self.counters.waiting[piece.lane()] += 1;
         self.pieces.at_mut(handle.index).cost = cost;
-        shard.queue.join(&mut self.pieces, handle.index, joining);
+        shard.queue.join(&mut self.pieces, handle.index, end);
     }
 
-    fn leave_queue(&mut self, handle: Handle) {
+    fn leave_queue(&mut self, handle: ArenaHandle) {
         let piece = self.pieces.at(handle.index);
         if !piece.waiting {
             return;
@@ -289,9 +288,9 @@
         let pieces = &self.pieces;
         let attempts = &self.attempts;
         self.timers.compact(|alarm| match alarm {
-            Alarm::Deadline(piece) | Alarm::Hedge(piece) => pieces.get(*piece).is_some(),
-            Alarm::Grace(attempt) => attempts.get(*attempt).is_some(),
-            Alarm::Room(_) | Alarm::Probe(_) => true,
+            TimerAlarm::Deadline(piece) | TimerAlarm::Hedge(piece) => pieces.get(*piece).is_some(),
+            TimerAlarm::Grace(attempt) => attempts.get(*attempt).is_some(),
+            TimerAlarm::Room(_) | TimerAlarm::Probe(_) => true,
         });
     }
 }
--- a/crates/hawthorn-decide/src/owner/target.rs
+++ b/crates/hawthorn-decide/src/owner/target.rs
@@ -1,16 +1,16 @@
 //! A target while its owner owns it.
 
-use hawthorn_types::IndexVersion;
-use hawthorn_types::ShardKey;
-use hawthorn_types::TargetKey;
-use hawthorn_types::WantedState;
 use smallvec::SmallVec;
 
 use crate::message::HeldShard;
-use crate::shift::Relief;
+use crate::shift::ReplicaRelief;
 use crate::shift::TargetShift;
 use crate::slots::SlotCount;
 use crate::time::TickTime;
+use hawthorn_types::IndexVersion;
+use hawthorn_types::ShardKey;
+use hawthorn_types::TargetKey;
+use hawthorn_types::WantedState;
 
 /// A new service time counts for an eighth of a target's average.
 const LATENCY_WEIGHT: u64 = 8;
@@ -63,11 +63,11 @@
     }
 
     /// What it can take while other replicas are spared.
-    pub(super) fn relief(&self) -> Relief {
-        if self.owned { self.shift.relief() } else { Relief::None }
+    pub(super) fn relief(&self) -> ReplicaRelief {
+        if self.owned { self.shift.relief() } else { ReplicaRelief::None }
     }
 
-    pub(super) fn limit(&self, relief: Relief) -> u16 {
+    pub(super) fn limit(&self, relief: ReplicaRelief) -> u16 {
         if self.owned { self.shift.limit(self.slots, relief) } else { 0 }
     }
 
--- a/crates/hawthorn-decide/src/owner/watch.rs
+++ b/crates/hawthorn-decide/src/owner/watch.rs
@@ -2,11 +2,6 @@
 
 use std::collections::VecDeque;
 
-use hawthorn_types::MissingReason;
-use hawthorn_types::RefusalReason;
-use hawthorn_types::ShardKey;
-use hawthorn_types::TargetKey;
-use hawthorn_types::TargetPhase;
 use rand::RngExt;
 
 use super::LiveShard;
@@ -19,11 +14,16 @@
 use crate::message::PieceResult;
 use crate::message::TargetRecord;
 use crate::queue::ShardQueue;
-use crate::shift::Judgement;
 use crate::shift::Phase;
+use crate::shift::TargetJudgement;
 use crate::time::TickTime;
 use crate::time::micros;
-use crate::timer::Alarm;
+use crate::timer::TimerAlarm;
+use hawthorn_types::MissingReason;
+use hawthorn_types::RefusalReason;
+use hawthorn_types::ShardKey;
+use hawthorn_types::TargetKey;
+use hawthorn_types::TargetPhase;
 
 impl OwnerState {
     /// The targets owned from now on. Attempts on their way to others run on
@@ -56,7 +56,7 @@
         if !target.probe_armed {
             target.probe_armed = true;
             let first = micros(options.probe_interval) as f64 * jitter;
-            self.timers.arm(now.plus(first as u64), Alarm::Probe(record.key));
+            self.timers.arm(now.plus(first as u64), TimerAlarm::Probe(record.key));
         }
     }
 
@@ -103,7 +103,7 @@
                     && now >= until
                 {
                     self.eject_again(now, key);
-                } else if target.shift.on_unreachable(&options) == Judgement::Eject {
+                } else if target.shift.on_unreachable(&options) == TargetJudgement::Eject {
                     self.eject(now, key);
                 }
             }
@@ -213,6 +213,6 @@
         }
         self.actions.push_back(OwnerAction::Probe { target: key });
         let next = now.after(self.options.shift.probe_interval);
-        self.timers.arm(next, Alarm::Probe(key));
+        self.timers.arm(next, TimerAlarm::Probe(key));
     }
 }
--- a/crates/hawthorn-decide/src/piece.rs
+++ b/crates/hawthorn-decide/src/piece.rs
@@ -1,14 +1,14 @@
 //! A piece and an attempt while they live in the owner's arenas.
 
-use hawthorn_types::AttemptId;
-use hawthorn_types::MissingReason;
-use hawthorn_types::ShardKey;
-use hawthorn_types::TargetKey;
 use smallvec::SmallVec;
 
-use crate::arena::Handle;
+use crate::arena::ArenaHandle;
 use crate::message::QueuedPiece;
 use crate::time::TickTime;
+use hawthorn_types::AttemptId;
+use hawthorn_types::MissingReason;
+use hawthorn_types::ShardKey;
+use hawthorn_types::TargetKey;
 
 /// No piece, in a list.
 pub(crate) const NO_LINK: u32 = u32::MAX;
@@ -25,7 +25,7 @@
     /// Slot time charged for its next attempt, in microseconds.
     pub(crate) cost: u64,
     /// Attempts on their way, oldest first.
-    pub(crate) attempts: SmallVec<[Handle; 3]>,
+    pub(crate) attempts: SmallVec<[ArenaHandle; 3]>,
     /// Targets that have turned it down or failed it.
     pub(crate) refused: SmallVec<[TargetKey; 3]>,
     /// Why the last of them did; until then, what a restarted piece waits with.
@@ -65,7 +65,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LiveAttempt {
     /// The piece; its handle no longer matches once the piece is finished.
-    pub(crate) piece: Handle,
+    pub(crate) piece: ArenaHandle,
     pub(crate) target: TargetKey,
     pub(crate) shard: ShardKey,
     pub(crate) caller: u32,
@@ -77,7 +77,7 @@
 }
 
 impl LiveAttempt {
-    pub(crate) fn id(handle: Handle) -> AttemptId {
+    pub(crate) fn id(handle: ArenaHandle) -> AttemptId {
         AttemptId(handle.pack())
     }
 }
--- a/crates/hawthorn-decide/src/queue.rs
+++ b/crates/hawthorn-decide/src/queue.rs
@@ -81,7 +81,7 @@
 
 /// Where a piece joins its caller's list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Joining {
+pub(crate) enum QueueEnd {
     /// A new piece.
     Back,
     /// A piece whose attempt was refused: it has waited its turn already.
@@ -90,7 +90,7 @@
 
 /// What the owner says of a piece whose turn it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Verdict {
+pub(crate) enum PieceVerdict {
     /// It can be sent now.
     Send,
     /// No target with room can take it now.
@@ -173,7 +173,7 @@
         lanes.sum()
     }
 
-    pub(crate) fn join(&mut self, pieces: &mut Arena<LivePiece>, index: u32, joining: Joining) {
+    pub(crate) fn join(&mut self, pieces: &mut Arena<LivePiece>, index: u32, end: QueueEnd) {
         let piece = pieces.at(index);
         let lane = piece.lane();
         let caller = piece.ask.caller.0;
@@ -189,9 +189,9 @@
             // sent nothing is not saved up, or it could hold up all others.
             flow.tag = flow.tag.max(self.virtual_time);
         }
-        let (prev, next) = match joining {
-            Joining::Back => (list.tail, NO_LINK),
-            Joining::Front => (NO_LINK, list.head),
+        let (prev, next) = match end {
+            QueueEnd::Back => (list.tail, NO_LINK),
+            QueueEnd::Front => (NO_LINK, list.head),
         };
         if prev == NO_LINK {
             list.head = index;
@@ -264,7 +264,7 @@
         &self,
         pieces: &Arena<LivePiece>,
         slots: u32,
-        mut judge: impl FnMut(&LivePiece) -> Verdict,
+        mut judge: impl FnMut(&LivePiece) -> PieceVerdict,
     ) -> Option<u32> {
         let first = self.first_lane();
         let picked = self.pick_lane(first, pieces, slots, &mut judge);
@@ -282,13 +282,13 @@
         lane: usize,
         pieces: &Arena<LivePiece>,
         slots: u32,
-        judge: &mut impl FnMut(&LivePiece) -> Verdict,
+        judge: &mut impl FnMut(&LivePiece) -> PieceVerdict,
     ) -> Option<u32> {
         let mut passed: Option<(u64, u32)> = None;
         for _ in 0..=SKIP_LIMIT {
             let (tag, caller) = self.next_caller(lane, passed, slots)?;
             let head = self.flows[caller as usize].lists[lane].head;
-            if judge(pieces.at(head)) == Verdict::Send {
+            if judge(pieces.at(head)) == PieceVerdict::Send {
                 return Some(head);
             }
             passed = Some((tag, caller));
--- a/crates/hawthorn-decide/src/shift.rs
+++ b/crates/hawthorn-decide/src/shift.rs
@@ -7,11 +7,10 @@
 
 use std::time::Duration;
 
-use hawthorn_types::WantedState;
-
 use crate::message::LeavingSource;
 use crate::time::TickTime;
 use crate::time::micros;
+use hawthorn_types::WantedState;
 
 /// Limits of shifting.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -104,7 +103,7 @@
 /// shard's work by moving it to better replicas; where there is none they would
 /// only deny service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Relief {
+pub(crate) enum ReplicaRelief {
     /// None but ejected ones are in service.
     None,
     /// Work one at a time.
@@ -115,7 +114,7 @@
 
 /// What a failure or a slow answer calls for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Judgement {
+pub(crate) enum TargetJudgement {
     /// Nothing.
     Keep,
     /// Ejection, if enough replicas remain.
@@ -172,30 +171,30 @@
         matches!(self.phase, Phase::Ejected { .. })
     }
 
-    pub(crate) fn relief(&self) -> Relief {
+    pub(crate) fn relief(&self) -> ReplicaRelief {
         match self.phase {
-            _ if !self.in_service() => Relief::None,
-            Phase::Serving => Relief::Full,
-            Phase::Ramping { .. } => Relief::Ramping,
-            Phase::Ejected { .. } => Relief::None,
+            _ if !self.in_service() => ReplicaRelief::None,
+            Phase::Serving => ReplicaRelief::Full,
+            Phase::Ramping { .. } => ReplicaRelief::Ramping,
+            Phase::Ejected { .. } => ReplicaRelief::None,
         }
     }
 
     /// Slots that may be taken, given the best of the shard's replicas.
-    pub(crate) fn limit(&self, slots: u16, relief: Relief) -> u16 {
+    pub(crate) fn limit(&self, slots: u16, relief: ReplicaRelief) -> u16 {
         match self.phase {
             _ if !self.in_service() => 0,
             Phase::Serving => slots.saturating_sub(self.cut).max(slots.min(1)),
             Phase::Ramping { .. } => slots.min(1),
-            Phase::Ejected { .. } if relief == Relief::None => slots.min(1),
+            Phase::Ejected { .. } if relief == ReplicaRelief::None => slots.min(1),
             Phase::Ejected { .. } => 0,
         }
     }
 
     /// The earliest time of the next send.
-    pub(crate) fn send_at(&self, relief: Relief) -> TickTime {
+    pub(crate) fn send_at(&self, relief: ReplicaRelief) -> TickTime {
         match self.phase {
-            Phase::Ramping { .. } if relief == Relief::Full => {
+            Phase::Ramping { .. } if relief == ReplicaRelief::Full => {
                 self.paused_until.max(self.next_send)
             }
             _ => self.paused_until,
@@ -235,22 +234,22 @@
 
     /// A slow answer. A target that is loading is slow too, and is left alone
     /// for a while like any other.
-    pub(crate) fn on_slow(&mut self, options: &Options) -> Judgement {
+    pub(crate) fn on_slow(&mut self, options: &Options) -> TargetJudgement {
         if self.is_ejected() {
-            return Judgement::Keep;
+            return TargetJudgement::Keep;
         }
         self.slow += 1;
-        if self.slow >= options.slow_limit { Judgement::Eject } else { Judgement::Keep }
+        if self.slow >= options.slow_limit { TargetJudgement::Eject } else { TargetJudgement::Keep }
     }
 
     /// A failure; one is enough on the way back from an ejection.
-    pub(crate) fn on_failure(&mut self, options: &Options) -> Judgement {
+    pub(crate) fn on_failure(&mut self, options: &Options) -> TargetJudgement {
         self.failures += 1;
         let returning = matches!(self.phase, Phase::Ramping { .. }) && self.backoff > 0;
         match self.phase {
-            Phase::Ejected { .. } => Judgement::Keep,
-            _ if returning || self.failures >= options.failure_limit => Judgement::Eject,
-            _ => Judgement::Keep,
+            Phase::Ejected { .. } => TargetJudgement::Keep,
+            _ if returning || self.failures >= options.failure_limit => TargetJudgement::Eject,
+            _ => TargetJudgement::Keep,
         }
     }
 
@@ -268,7 +267,7 @@
     }
 
     /// Its state page was not answered.
-    pub(crate) fn on_unreachable(&mut self, options: &Options) -> Judgement {
+    pub(crate) fn on_unreachable(&mut self, options: &Options) -> TargetJudgement {
         self.stopped = true;
         self.on_failure(options)
     }
--- a/crates/hawthorn-decide/src/timer.rs
+++ b/crates/hawthorn-decide/src/timer.rs
@@ -7,20 +7,19 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use hawthorn_types::TargetKey;
-
-use crate::arena::Handle;
+use crate::arena::ArenaHandle;
 use crate::time::TickTime;
+use hawthorn_types::TargetKey;
 
 /// What a timer is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Alarm {
+pub(crate) enum TimerAlarm {
     /// The piece's deadline.
-    Deadline(Handle),
+    Deadline(ArenaHandle),
     /// The piece's attempt is slow enough for a hedge.
-    Hedge(Handle),
+    Hedge(ArenaHandle),
     /// A cancelled attempt was not acknowledged.
-    Grace(Handle),
+    Grace(ArenaHandle),
     /// A target may take work again.
     Room(TargetKey),
     /// A target is due for a probe.
@@ -30,7 +29,7 @@
 #[derive(Clone, Copy, Debug)]
 struct TimerEntry {
     at: TickTime,
-    alarm: Alarm,
+    alarm: TimerAlarm,
 }
 
 impl PartialEq for TimerEntry {
@@ -68,7 +67,7 @@
         Self { heap: BinaryHeap::with_capacity(capacity), limit: COMPACT_FLOOR }
     }
 
-    pub(crate) fn arm(&mut self, at: TickTime, alarm: Alarm) {
+    pub(crate) fn arm(&mut self, at: TickTime, alarm: TimerAlarm) {
         self.heap.push(Reverse(TimerEntry { at, alarm }));
     }
 
@@ -76,7 +75,7 @@
         self.heap.peek().map(|entry| entry.0.at)
     }
 
-    pub(crate) fn fire(&mut self, now: TickTime) -> Option<Alarm> {
+    pub(crate) fn fire(&mut self, now: TickTime) -> Option<TimerAlarm> {
         if self.next()? > now {
             return None;
         }
@@ -87,7 +86,7 @@
     /// spreads the cost over as many calls. Guards against long deadlines at a
     /// high rate: pieces that are done in milliseconds would each leave a timer
     /// for many seconds.
-    pub(crate) fn compact(&mut self, is_live: impl Fn(&Alarm) -> bool) {
+    pub(crate) fn compact(&mut self, is_live: impl Fn(&TimerAlarm) -> bool) {
         if self.heap.len() > self.limit {
             self.heap.retain(|entry| is_live(&entry.0.alarm));
             self.limit = COMPACT_FLOOR + 2 * self.heap.len();
--- a/crates/hawthorn-decide/tests/queue.rs
+++ b/crates/hawthorn-decide/tests/queue.rs
@@ -4,6 +4,8 @@
 
 use std::error::Error;
 
+use smallvec::smallvec;
+
 use hawthorn_decide::AttemptResult;
 use hawthorn_decide::OwnerState;
 use hawthorn_decide::PieceKey;
@@ -17,7 +19,6 @@
 use hawthorn_types::TargetKey;
 use hawthorn_types::WantedState;
 use hawthorn_types::caller::UrgencyClass;
-use smallvec::smallvec;
 use support::CallerLoad;
 use support::DAR_PORT;
 use support::MILLI;
--- a/crates/hawthorn-decide/tests/support/credits.rs
+++ b/crates/hawthorn-decide/tests/support/credits.rs
@@ -1,14 +1,14 @@
 //! Slots borrowed from a lender, one of the ways weighed against owners.
 
+use smallvec::smallvec;
+
+use super::Site;
 use hawthorn_decide::OwnerState;
 use hawthorn_decide::TargetRecord;
 use hawthorn_decide::TickTime;
 use hawthorn_types::ShardKey;
 use hawthorn_types::TargetKey;
 use hawthorn_types::WantedState;
-use smallvec::smallvec;
-
-use super::Site;
 
 pub struct Lender {
     pub period: u64,
--- a/crates/hawthorn-decide/tests/support/load.rs
+++ b/crates/hawthorn-decide/tests/support/load.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use hawthorn_types::caller::UrgencyClass;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -10,6 +9,7 @@
 use super::MILLI;
 use super::PIECES_A_QUERY;
 use super::SECOND;
+use hawthorn_types::caller::UrgencyClass;
 
 /// The targets of one service in one zone.
 #[derive(Clone, Copy, Debug)]
--- a/crates/hawthorn-decide/tests/support/mod.rs
+++ b/crates/hawthorn-decide/tests/support/mod.rs
@@ -8,6 +8,12 @@
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
 
+use rand::Rng;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use smallvec::smallvec;
+
 use hawthorn_decide::AttemptResult;
 use hawthorn_decide::Observation;
 use hawthorn_decide::OwnerAction;
@@ -23,11 +29,6 @@
 use hawthorn_types::ShardKey;
 use hawthorn_types::TargetKey;
 use hawthorn_types::TargetPhase;
-use rand::Rng;
-use rand::RngExt;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
-use smallvec::smallvec;
 
 pub use load::Behaviour;
 pub use load::CallerLoad;
--- a/crates/hawthorn-decide/tests/support/policy.rs
+++ b/crates/hawthorn-decide/tests/support/policy.rs
@@ -1,13 +1,13 @@
 //! Who stands between queries and targets.
 
+use smallvec::smallvec;
+
+use super::Site;
 use hawthorn_decide::TargetRecord;
 use hawthorn_decide::owner;
 use hawthorn_types::ShardKey;
 use hawthorn_types::TargetKey;
 use hawthorn_types::WantedState;
-use smallvec::smallvec;
-
-use super::Site;
 
 /// One of the ways weighed.
 pub enum Policy {
--- a/crates/hawthorn-decide/tests/support/target.rs
+++ b/crates/hawthorn-decide/tests/support/target.rs
@@ -2,14 +2,13 @@
 
 use std::collections::VecDeque;
 
+use super::Event;
+use super::World;
 use hawthorn_decide::AttemptResult;
 use hawthorn_decide::TickTime;
 use hawthorn_types::AttemptId;
 use hawthorn_types::target::TargetRefusal;
 
-use super::Event;
-use super::World;
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct JobKey {
     pub front: usize,
