--- a/crates/hawthorn-fleet/src/member/apply.rs
+++ b/crates/hawthorn-fleet/src/member/apply.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hawthorn_types::HostKey;
+use hawthorn_types::ZoneKey;
 use rand::RngExt;
 
 use super::MemberRecord;
@@ -72,14 +73,8 @@
         {
             return;
         }
-        if self.zones.add(now, &place.zone) {
-            self.actions.push_back(FleetAction::ZoneFound(place.zone.clone()));
-        }
-        let near = place.zone == self.my_zone;
-        let key = self.arena.insert(now, &rumor, place);
-        if near {
-            self.add_to_ring(key);
-        }
+        let zone = self.meet_zone(now, &place.zone);
+        let key = self.arena.insert(now, &rumor, place, zone);
         self.changed(now, key, rumor.id);
         self.start_sync_if_first();
         self.actions.push_back(FleetAction::MemberUp(key));
@@ -156,14 +151,19 @@
         {
             self.replace(now, other, true);
         }
-        if self.zones.add(now, &place.zone) {
-            self.actions.push_back(FleetAction::ZoneFound(place.zone.clone()));
-        }
-        let near = place.zone == self.my_zone;
-        self.arena.update(was.key, |record| record.place = place);
-        if near {
-            self.add_to_ring(was.key);
+        let zone = self.meet_zone(now, &place.zone);
+        self.arena.update(was.key, |record| {
+            record.place = place;
+            record.zone = zone;
+        });
+    }
+
+    fn meet_zone(&mut self, now: Duration, name: &str) -> ZoneKey {
+        let (zone, new) = self.zones.add(now, name);
+        if new {
+            self.actions.push_back(FleetAction::ZoneFound(name.to_owned()));
         }
+        zone
     }
 
     /// Changes what is held of a member with the stamp that it has.
@@ -203,8 +203,8 @@
         self.rumors.push(id);
         self.view_changed = true;
         self.suspicions.retain(|suspicion| suspicion.key != key);
-        let live = self.arena.get(key).is_some_and(MemberRecord::is_live);
-        if live && self.arena.get(key).is_some_and(|record| record.place.zone == self.my_zone) {
+        let near = |record: &MemberRecord| record.is_live() && record.zone == self.my_zone;
+        if self.arena.get(key).is_some_and(near) {
             self.add_to_ring(key);
         }
     }
--- a/crates/hawthorn-fleet/src/member/arena.rs
+++ b/crates/hawthorn-fleet/src/member/arena.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hawthorn_types::HostKey;
+use hawthorn_types::ZoneKey;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::message::MemberDigest;
@@ -24,6 +25,8 @@
     pub id: MemberId,
     /// Its name, zone and address.
     pub place: MemberPlace,
+    /// Its zone in this process.
+    pub zone: ZoneKey,
     /// Orders what is said of it.
     pub stamp: MemberStamp,
     /// What it announced of itself.
@@ -87,6 +90,7 @@
         now: Duration,
         rumor: &MemberRumor,
         place: MemberPlace,
+        zone: ZoneKey,
     ) -> HostKey {
         let key = self.free.pop().unwrap_or_else(|| {
             self.slots.push(None);
@@ -96,6 +100,7 @@
             key,
             id: rumor.id,
             place,
+            zone,
             stamp: rumor.stamp,
             phase: rumor.phase,
             health: rumor.health,
--- a/crates/hawthorn-fleet/src/member/mod.rs
+++ b/crates/hawthorn-fleet/src/member/mod.rs
@@ -34,6 +34,7 @@
 use smallvec::SmallVec;
 
 use hawthorn_types::HostKey;
+use hawthorn_types::ZoneKey;
 use hawthorn_types::platform::HostEntry;
 
 use crate::action::FleetAction;
@@ -186,7 +187,7 @@
     rng: StdRng,
     me: HostKey,
     my_id: MemberId,
-    my_zone: String,
+    my_zone: ZoneKey,
     arena: MemberArena,
     zones: ZoneTable,
     rumors: RumorQueue,
@@ -224,7 +225,7 @@
     pub fn new(place: MemberPlace, incarnation: u64, options: Options, seed: u64) -> Self {
         let start = Duration::ZERO;
         let mut zones = ZoneTable::default();
-        zones.add(start, &place.zone);
+        let (my_zone, _) = zones.add(start, &place.zone);
         let rumor = MemberRumor {
             id: MemberId::of(&place.host),
             stamp: MemberStamp { incarnation, update: 0 },
@@ -232,9 +233,8 @@
             health: MemberHealth::Alive,
             place: None,
         };
-        let my_zone = place.zone.clone();
         let mut arena = MemberArena::default();
-        let me = arena.insert(start, &rumor, place);
+        let me = arena.insert(start, &rumor, place, my_zone);
         let mut rumors = RumorQueue::default();
         rumors.push(rumor.id);
         Self {
@@ -358,14 +358,15 @@
     }
 
     /// The live members of a zone, this host included; those of a lost zone too.
-    pub fn hosts<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = &'a MemberRecord> {
-        self.arena.iter().filter(move |record| record.is_live() && record.place.zone == zone)
+    pub fn hosts(&self, zone: &str) -> impl Iterator<Item = &MemberRecord> + use<'_> {
+        let zone = self.zones.key(zone);
+        self.arena.iter().filter(move |record| record.is_live() && Some(record.zone) == zone)
     }
 
     /// The members of a zone that may own groups, for [`ownership::owner`](crate::ownership::owner).
     /// None when the zone is lost: its hosts can't be reached from here.
-    pub fn owners<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = OwnerCandidate> + 'a {
-        let reachable = zone == self.my_zone || self.zones.reachable(zone);
+    pub fn owners(&self, zone: &str) -> impl Iterator<Item = OwnerCandidate> + use<'_> {
+        let reachable = self.zone_reachable(zone);
         self.hosts(zone)
             .filter(move |record| reachable && record.may_own())
             .map(|record| OwnerCandidate { key: record.key, id: record.id })
@@ -374,7 +375,7 @@
     /// The members of a zone that stay, ready or not, for
     /// [`SpreadState::set_zone`](crate::SpreadState::set_zone): those that join
     /// count too, or a whole zone that starts at once would ask the store.
-    pub fn staying<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = OwnerCandidate> + 'a {
+    pub fn staying(&self, zone: &str) -> impl Iterator<Item = OwnerCandidate> + use<'_> {
         self.hosts(zone)
             .filter(|record| record.phase < MemberPhase::Leaving)
             .map(|record| OwnerCandidate { key: record.key, id: record.id })
@@ -382,17 +383,18 @@
 
     /// Names of all zones that have or had members.
     pub fn zones(&self) -> impl Iterator<Item = &str> {
-        self.zones.names()
+        self.zones.keys().map(|zone| self.zones.name(zone))
     }
 
     /// Whether the zone has been heard from within the zone timeout.
     pub fn zone_reachable(&self, zone: &str) -> bool {
-        zone == self.my_zone || self.zones.reachable(zone)
+        let reachable = |zone| zone == self.my_zone || self.zones.reachable(zone);
+        self.zones.key(zone).is_some_and(reachable)
     }
 
     /// Whether any other zone has been heard from within the zone timeout.
     pub fn others_reachable(&self) -> bool {
-        self.zones.others_reachable(&self.my_zone)
+        self.other_zones().any(|zone| self.zones.reachable(zone))
     }
 
     /// Whether this daemon has heard nobody lately although others should be there.
@@ -406,11 +408,11 @@
         let hosts = self
             .arena
             .iter()
-            .filter(|record| record.place.zone == self.my_zone)
+            .filter(|record| record.zone == self.my_zone)
             .map(|record| (record.id, standing(record)))
             .collect();
         ZoneView {
-            zone: self.my_zone.clone(),
+            zone: self.zones.name(self.my_zone).to_owned(),
             hosts,
             deaf: self.is_deaf(now),
             witnessed: self.others_reachable(),
--- a/crates/hawthorn-fleet/src/member/probe.rs
+++ b/crates/hawthorn-fleet/src/member/probe.rs
@@ -5,8 +5,10 @@
 
 use rand::RngExt;
 use rand::seq::SliceRandom;
+use smallvec::SmallVec;
 
 use hawthorn_types::HostKey;
+use hawthorn_types::ZoneKey;
 
 use super::MemberRecord;
 use super::MemberTable;
@@ -166,37 +168,52 @@
         }
     }
 
+    /// Gives members that this daemon alone holds for dead time to refute.
+    /// Failure: a zone's last host hears nobody while a mate dies, and keeps
+    /// the death to itself for ever, so that other zones send work to the dead.
+    pub(super) fn review_private(&mut self, now: Duration) {
+        let deadline = now + self.options.suspicion;
+        for record in self.arena.iter().filter(|record| record.private && !record.is_live()) {
+            let (key, stamp) = (record.key, record.stamp);
+            self.suspicions.retain(|suspicion| suspicion.key != key);
+            self.suspicions.push(Suspicion { key, stamp, deadline, own: true });
+        }
+    }
+
     pub(super) fn take_number(&mut self) -> u32 {
         self.next_number = self.next_number.wrapping_add(1);
         self.next_number
     }
 
     /// Pings the next member of the zone. Each round goes through all members
-    /// once, in a new order, so that none waits longer than two rounds.
+    /// once, in a new order, so that none waits longer than two rounds. The
+    /// last of its zone pings other zones instead: it must go on hearing often
+    /// to know that it is not the one cut off.
     fn ping_next(&mut self, now: Duration) {
         for _ in 0..self.ring.len() {
             if self.ring_next >= self.ring.len() {
                 self.begin_round();
             }
-            let Some(&key) = self.ring.get(self.ring_next) else { return };
+            let Some(&key) = self.ring.get(self.ring_next) else { break };
             self.ring_next += 1;
             let pingable = |record: &MemberRecord| {
                 record.is_live()
-                    && record.place.zone == self.my_zone
+                    && record.zone == self.my_zone
                     && record.health == MemberHealth::Alive
             };
             if self.arena.get(key).is_some_and(pingable) {
                 return self.ping(now, key, true, &[]);
             }
         }
+        self.ping_across(now);
     }
 
     fn begin_round(&mut self) {
         self.ring_next = 0;
         let arena = &self.arena;
-        let zone = &self.my_zone;
+        let zone = self.my_zone;
         self.ring.retain(|&key| {
-            arena.get(key).is_some_and(|record| record.is_live() && record.place.zone == *zone)
+            arena.get(key).is_some_and(|record| record.is_live() && record.zone == zone)
         });
         self.ring.shuffle(&mut self.rng);
     }
@@ -227,13 +244,13 @@
     /// Pings one member of the next other zone, lost zones included: that is
     /// how a partition's end is noticed.
     fn ping_across(&mut self, now: Duration) {
-        let zones = self.other_zones();
+        let zones: SmallVec<[ZoneKey; 32]> = self.other_zones().collect();
         if zones.is_empty() {
             return;
         }
         self.across_next = (self.across_next + 1) % zones.len();
-        let zone = zones[self.across_next].clone();
-        if let Some(&key) = self.pick(1, |record, _| record.place.zone == zone).first() {
+        let zone = zones[self.across_next];
+        if let Some(&key) = self.pick(1, |record| record.zone == zone).first() {
             self.ping(now, key, false, &[]);
         }
     }
@@ -248,7 +265,7 @@
             .iter()
             .filter(|record| record.health == MemberHealth::Dead)
             .filter(|record| record.phase != MemberPhase::Left)
-            .filter(|record| record.place.zone == self.my_zone)
+            .filter(|record| record.zone == self.my_zone)
             .map(|record| (record.place.peer, (!record.private).then(|| record.rumor())))
             .collect();
         if dead.is_empty() {
@@ -307,20 +324,18 @@
     /// others, of any zone.
     fn ask_to_ping(&mut self, now: Duration, key: HostKey, number: u32, count: usize) {
         let Some(record) = self.arena.get(key) else { return };
-        let (id, place) = (record.id, record.place.clone());
-        let mut helpers = self.pick(count, |record, _| {
-            record.key != key
-                && record.place.zone == place.zone
-                && record.health == MemberHealth::Alive
+        let (id, peer, zone) = (record.id, record.place.peer, record.zone);
+        let mut helpers = self.pick(count, |record| {
+            record.key != key && record.zone == zone && record.health == MemberHealth::Alive
         });
         if helpers.len() < count {
             let rest = count - helpers.len();
-            helpers.extend(self.pick(rest, |record, _| record.place.zone != place.zone));
+            helpers.extend(self.pick(rest, |record| record.zone != zone));
         }
         for helper in helpers {
             let Some(to) = self.arena.get(helper).map(|record| record.place.peer) else { continue };
             self.counters.indirect += 1;
-            let body = FleetBody::PingRequest { number, target: id, peer: place.peer };
+            let body = FleetBody::PingRequest { number, target: id, peer };
             self.send(now, to, body, &[]);
         }
     }
@@ -371,8 +386,9 @@
         }
         self.suspicions.retain(|suspicion| suspicion.key != key);
         let Some(record) = self.arena.get(key) else { return };
-        if record.stamp == stamp && record.health == MemberHealth::Suspect {
-            self.counters.deaths += 1;
+        let doubtful = record.health == MemberHealth::Suspect || record.private;
+        if record.stamp == stamp && doubtful {
+            self.counters.deaths += u64::from(record.is_live());
             self.set_health(now, key, MemberHealth::Dead, deaf);
         }
     }
@@ -384,10 +400,11 @@
                 continue;
             }
             self.view_changed = true;
+            let name = self.zones.name(zone).to_owned();
             self.actions.push_back(if reachable {
-                FleetAction::ZoneFound(zone)
+                FleetAction::ZoneFound(name)
             } else {
-                FleetAction::ZoneLost(zone)
+                FleetAction::ZoneLost(name)
             });
         }
     }
@@ -446,9 +463,10 @@
 
     /// Asks a live member, of the own zone if there is one, for its list.
     fn ask_sync(&mut self, now: Duration, after: u64) {
-        let mut picked = self.pick(1, |record, zone| record.place.zone == zone);
+        let zone = self.my_zone;
+        let mut picked = self.pick(1, |record| record.zone == zone);
         if picked.is_empty() {
-            picked = self.pick(1, |_, _| true);
+            picked = self.pick(1, |_| true);
         }
         let Some(record) = picked.first().and_then(|&key| self.arena.get(key)) else {
             self.sync = None;
--- a/crates/hawthorn-fleet/src/member/receive.rs
+++ b/crates/hawthorn-fleet/src/member/receive.rs
@@ -10,7 +10,6 @@
 use super::MemberTable;
 use super::SyncProgress;
 use super::probe::Relay;
-use super::zone::zone_hash;
 use crate::action::FleetAction;
 use crate::message;
 use crate::message::Error;
@@ -80,10 +79,12 @@
     }
 
     /// Hearing anyone after hearing nobody: what was suspected meanwhile gets
-    /// its full time again, as the fault was on this side.
+    /// its full time again, as the fault was on this side, and what was held
+    /// for dead is looked at once more before anybody is told.
     fn note_heard(&mut self, now: Duration) {
         if self.is_deaf(now) {
             self.restart_suspicions(now);
+            self.review_private(now);
         }
         self.last_heard = now;
     }
@@ -96,12 +97,10 @@
         message: &FleetMessage,
     ) {
         let Some(record) = self.arena.get(key) else { return };
-        let zone = record.place.zone.clone();
-        self.zones.hear(now, zone_hash(&zone), Duration::ZERO);
+        let zone = record.zone;
+        self.zones.hear(now, zone);
         if zone == self.my_zone {
-            for age in &message.zones {
-                self.zones.hear(now, age.zone, Duration::from_millis(u64::from(age.age_ms)));
-            }
+            self.zones.hear_ages(now, &message.zones);
         }
         if message.sender.fingerprint != self.arena.fingerprint() {
             self.repair_peer = Some(from);
@@ -219,7 +218,7 @@
             .arena
             .by_id(target)
             .filter(|record| !record.is_live() && !record.private)
-            .filter(|record| record.place.zone == self.my_zone);
+            .filter(|record| record.zone == self.my_zone);
         if let Some(record) = gone {
             let rumor = record.rumor();
             return self.send(now, origin, FleetBody::Notice, &[rumor]);
--- a/crates/hawthorn-fleet/src/member/send.rs
+++ b/crates/hawthorn-fleet/src/member/send.rs
@@ -6,6 +6,7 @@
 use rand::RngExt;
 
 use hawthorn_types::HostKey;
+use hawthorn_types::ZoneKey;
 
 use super::MemberRecord;
 use super::MemberTable;
@@ -80,7 +81,7 @@
     fn notice_zones(&mut self, now: Duration) {
         let own = self.own_rumor();
         for zone in self.other_zones() {
-            let picked = self.pick(1, |record, _| record.place.zone == zone);
+            let picked = self.pick(1, |record| record.zone == zone);
             let peer = picked.first().and_then(|&key| self.arena.get(key));
             let Some(peer) = peer.map(|record| record.place.peer) else { continue };
             self.send(now, peer, FleetBody::Notice, std::slice::from_ref(&own));
@@ -90,17 +91,19 @@
     /// Sends a notice to a few members of the own zone and one of another.
     pub(super) fn push_notice(&mut self, now: Duration) {
         let own = self.own_rumor();
-        let mut peers = self.pick(self.options.push, |record, zone| record.place.zone == zone);
-        peers.extend(self.pick(1, |record, zone| record.place.zone != zone));
+        let zone = self.my_zone;
+        let mut peers = self.pick(self.options.push, |record| record.zone == zone);
+        peers.extend(self.pick(1, |record| record.zone != zone));
         for key in peers {
             let Some(peer) = self.arena.get(key).map(|record| record.place.peer) else { continue };
             self.send(now, peer, FleetBody::Notice, std::slice::from_ref(&own));
         }
     }
 
-    /// Names of all zones but the own one.
-    pub(super) fn other_zones(&self) -> Vec<String> {
-        self.zones.names().filter(|&name| name != self.my_zone).map(str::to_owned).collect()
+    /// All zones but the own one.
+    pub(super) fn other_zones(&self) -> impl Iterator<Item = ZoneKey> + use<> {
+        let own = self.my_zone;
+        self.zones.keys().filter(move |&zone| zone != own)
     }
 
     /// This host's whole record.
@@ -109,18 +112,17 @@
         MemberRumor { place: Some(record.place.clone()), ..record.rumor() }
     }
 
-    /// Up to `count` live members, at random, among those that `fits` allows;
-    /// it is given the record and the own zone.
+    /// Up to `count` live members, at random, among those that `fits` allows.
     pub(super) fn pick(
         &mut self,
         count: usize,
-        fits: impl Fn(&MemberRecord, &str) -> bool,
+        fits: impl Fn(&MemberRecord) -> bool,
     ) -> Vec<HostKey> {
         let mut keys: Vec<HostKey> = self
             .arena
             .iter()
             .filter(|record| record.key != self.me && record.is_live())
-            .filter(|record| fits(record, &self.my_zone))
+            .filter(|record| fits(record))
             .map(|record| record.key)
             .collect();
         let mut picked = Vec::with_capacity(count);
@@ -132,7 +134,7 @@
     }
 
     fn message(&self, now: Duration, to: SocketAddr, body: FleetBody) -> FleetMessage {
-        let near = self.arena.by_peer(to).is_some_and(|record| record.place.zone == self.my_zone);
+        let near = self.arena.by_peer(to).is_some_and(|record| record.zone == self.my_zone);
         FleetMessage {
             format: MESSAGE_FORMAT,
             fleet: self.options.fleet,
--- a/crates/hawthorn-fleet/src/member/zone.rs
+++ b/crates/hawthorn-fleet/src/member/zone.rs
@@ -1,9 +1,9 @@
 //! When each availability zone was last heard from, by this daemon or by one
 //! of its own zone that passed it on.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
+use hawthorn_types::ZoneKey;
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -13,83 +13,99 @@
 const ZONES_SENT: usize = 32;
 
 /// Names a zone in datagrams: the low half of a hash of its name.
-pub(crate) fn zone_hash(zone: &str) -> u32 {
+fn zone_hash(zone: &str) -> u32 {
     (xxh3_64(zone.as_bytes()) & u64::from(u32::MAX)) as u32
 }
 
 #[derive(Debug)]
 struct ZoneReach {
     name: String,
+    hash: u32,
     heard: Duration,
     reachable: bool,
 }
 
-/// All zones with known members.
+/// All zones that have or had members. Never shrinks, so that keys stay valid.
 #[derive(Debug, Default)]
 pub(crate) struct ZoneTable {
-    zones: BTreeMap<u32, ZoneReach>,
+    zones: Vec<ZoneReach>,
 }
 
 impl ZoneTable {
-    /// Adds the zone if it is new; true when it was.
-    pub(crate) fn add(&mut self, now: Duration, name: &str) -> bool {
+    /// The key of the zone, which is added if it is new; true when it was.
+    pub(crate) fn add(&mut self, now: Duration, name: &str) -> (ZoneKey, bool) {
+        if let Some(key) = self.key(name) {
+            return (key, false);
+        }
         let hash = zone_hash(name);
-        if self.zones.contains_key(&hash) {
-            return false;
+        self.zones.push(ZoneReach { name: name.to_owned(), hash, heard: now, reachable: true });
+        (ZoneKey::from(self.zones.len() - 1), true)
+    }
+
+    /// The key of a known zone.
+    pub(crate) fn key(&self, name: &str) -> Option<ZoneKey> {
+        self.zones.iter().position(|reach| reach.name == name).map(ZoneKey::from)
+    }
+
+    /// Notes that a member of the zone was heard now.
+    pub(crate) fn hear(&mut self, now: Duration, zone: ZoneKey) {
+        if let Some(reach) = self.zones.get_mut(zone.index()) {
+            reach.heard = now;
         }
-        self.zones.insert(hash, ZoneReach { name: name.to_owned(), heard: now, reachable: true });
-        true
     }
 
-    /// Notes that a member of the zone was heard `age` ago.
-    pub(crate) fn hear(&mut self, now: Duration, zone: u32, age: Duration) {
-        if let Some(reach) = self.zones.get_mut(&zone) {
-            reach.heard = reach.heard.max(now.saturating_sub(age));
+    /// Notes what another daemon of the own zone heard.
+    pub(crate) fn hear_ages(&mut self, now: Duration, ages: &[ZoneAge]) {
+        for age in ages {
+            let at = now.saturating_sub(Duration::from_millis(u64::from(age.age_ms)));
+            if let Some(reach) = self.zones.iter_mut().find(|reach| reach.hash == age.zone) {
+                reach.heard = reach.heard.max(at);
+            }
         }
     }
 
     /// Gives every zone its full time again after this process stood still.
     pub(crate) fn shift(&mut self, gap: Duration) {
-        for reach in self.zones.values_mut() {
+        for reach in &mut self.zones {
             reach.heard += gap;
         }
     }
 
     /// Zones that became reachable (true) or lost (false) by now.
-    pub(crate) fn review(&mut self, now: Duration, timeout: Duration) -> Vec<(String, bool)> {
+    pub(crate) fn review(&mut self, now: Duration, timeout: Duration) -> Vec<(ZoneKey, bool)> {
         let mut changed = Vec::new();
-        for reach in self.zones.values_mut() {
+        for (index, reach) in self.zones.iter_mut().enumerate() {
             let reachable = now.saturating_sub(reach.heard) <= timeout;
             if reachable != reach.reachable {
                 reach.reachable = reachable;
-                changed.push((reach.name.clone(), reachable));
+                changed.push((ZoneKey::from(index), reachable));
             }
         }
         changed
     }
 
     /// Whether the zone was heard from within the timeout, as last reviewed.
-    pub(crate) fn reachable(&self, name: &str) -> bool {
-        self.zones.get(&zone_hash(name)).is_some_and(|reach| reach.reachable)
+    pub(crate) fn reachable(&self, zone: ZoneKey) -> bool {
+        self.zones.get(zone.index()).is_some_and(|reach| reach.reachable)
     }
 
-    /// Whether any zone but `own` is reachable.
-    pub(crate) fn others_reachable(&self, own: &str) -> bool {
-        self.zones.values().any(|reach| reach.reachable && reach.name != own)
+    /// All keys.
+    pub(crate) fn keys(&self) -> impl Iterator<Item = ZoneKey> + use<> {
+        (0..self.zones.len()).map(ZoneKey::from)
     }
 
-    /// Names of all zones.
-    pub(crate) fn names(&self) -> impl Iterator<Item = &str> {
-        self.zones.values().map(|reach| reach.name.as_str())
+    /// The zone's name; empty for a key that is not of this table.
+    pub(crate) fn name(&self, zone: ZoneKey) -> &str {
+        self.zones.get(zone.index()).map_or("", |reach| reach.name.as_str())
     }
 
     /// Ages to pass on, without those too old to be of use.
     pub(crate) fn ages(&self, now: Duration) -> SmallVec<[ZoneAge; 4]> {
         self.zones
             .iter()
-            .filter_map(|(&zone, reach)| {
+            .filter_map(|reach| {
                 let age = now.saturating_sub(reach.heard).as_millis();
-                u16::try_from(age).ok().map(|age_ms| ZoneAge { zone, age_ms })
+                u16::try_from(age).ok().map(|age_ms| ZoneAge { zone: reach.hash, age_ms })
             })
             .take(ZONES_SENT)
             .collect()
--- a/crates/hawthorn-fleet/tests/handover.rs
+++ b/crates/hawthorn-fleet/tests/handover.rs
@@ -5,10 +5,20 @@
 use std::error::Error;
 use std::time::Duration;
 
+use hawthorn_fleet::GroupId;
+use hawthorn_fleet::MemberId;
 use hawthorn_fleet::SlotShare;
+use hawthorn_fleet::handover::Handover;
+use hawthorn_fleet::handover::HandoverAction;
+use hawthorn_fleet::handover::HostStanding;
+use hawthorn_fleet::handover::Options;
+use hawthorn_fleet::handover::ZoneView;
+use hawthorn_fleet::ownership;
 use hawthorn_fleet::ownership::DEFAULT_BUCKETS;
+use hawthorn_fleet::ownership::OwnerCandidate;
 use hawthorn_fleet::spread::ConfigEdition;
 use hawthorn_types::ConfigRevision;
+use hawthorn_types::HostKey;
 use support::Switch;
 use support::ms;
 
@@ -169,6 +179,59 @@
     Ok(())
 }
 
+/// A caller's request is cut off or a slot is used twice. Order: a group
+/// changes hands while requests of it still run at the former owner. Cause: it
+/// lets go before they end.
+#[test]
+fn a_bucket_is_let_go_only_when_nothing_of_it_runs() -> TestResult {
+    let ids = [MemberId::of("host-a"), MemberId::of("host-b")];
+    let view = |hosts: &[MemberId]| ZoneView {
+        zone: ZONE.to_owned(),
+        hosts: hosts.iter().map(|&id| (id, HostStanding::Serving)).collect(),
+        deaf: false,
+        witnessed: true,
+    };
+    let options = Options { buckets: 1, ..Options::default() };
+    let (winner, loser) = match ownership_of(&ids) {
+        Some(id) if id == ids[0] => (ids[0], ids[1]),
+        _ => (ids[1], ids[0]),
+    };
+    let mut old = Handover::new(loser, options.clone());
+    let mut new = Handover::new(winner, options);
+    old.observe(ms(0), view(&[loser]));
+    old.tick(ms(4_000), |_| true);
+    assert_eq!(old.share(0), SlotShare::Full, "alone");
+    new.observe(ms(4_000), view(&ids));
+    new.tick(ms(4_000), |_| false);
+    assert_eq!((old.share(0), new.share(0)), (SlotShare::Full, SlotShare::None), "not asked yet");
+    for step in 0..100 {
+        let now = ms(4_000 + step * 100);
+        let busy = step < 60;
+        old.tick(now, |_| busy);
+        new.tick(now, |_| false);
+        pass(now, &mut new, winner, &mut old);
+        pass(now, &mut old, loser, &mut new);
+        old.observe(now, view(&ids));
+        let expected = if busy { SlotShare::Half } else { SlotShare::Full };
+        assert_eq!(new.share(0), expected, "step {step}");
+    }
+    assert_eq!(old.share(0), SlotShare::None);
+    Ok(())
+}
+
+fn ownership_of(ids: &[MemberId]) -> Option<MemberId> {
+    let hosts = ids.iter().map(|&id| OwnerCandidate { key: HostKey::default(), id });
+    ownership::ranked(GroupId::new(ZONE, 0), hosts).0.map(|owner| owner.id)
+}
+
+fn pass(now: Duration, from: &mut Handover, id: MemberId, to: &mut Handover) {
+    while let Some(action) = from.poll_action() {
+        if let HandoverAction::Send { message, .. } = action {
+            to.receive(now, id, message);
+        }
+    }
+}
+
 #[test]
 fn half_of_an_odd_number_is_rounded_up() -> TestResult {
     for (slots, half) in [(0, 0), (1, 1), (2, 1), (6, 3), (7, 4)] {
--- /dev/null
+++ b/crates/hawthorn-fleet/tests/message.rs
@@ -0,0 +1,129 @@
+//! Datagrams: what is written is read, what is not a message is refused.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hawthorn_fleet::FleetAction;
+use hawthorn_fleet::FleetMessage;
+use hawthorn_fleet::MemberDigest;
+use hawthorn_fleet::MemberHealth;
+use hawthorn_fleet::MemberId;
+use hawthorn_fleet::MemberPhase;
+use hawthorn_fleet::MemberPlace;
+use hawthorn_fleet::MemberStamp;
+use hawthorn_fleet::MemberTable;
+use hawthorn_fleet::member::Options;
+use hawthorn_fleet::message;
+use hawthorn_fleet::message::DATAGRAM_LIMIT;
+use hawthorn_fleet::message::DatagramWriter;
+use hawthorn_fleet::message::FleetBody;
+use hawthorn_fleet::message::MESSAGE_FORMAT;
+use hawthorn_fleet::message::MemberRumor;
+use hawthorn_fleet::message::NAME_LIMIT;
+use hawthorn_fleet::message::SenderHeader;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+
+type TestResult = Result<(), Box<dyn Error>>;
+
+fn runner(cases: u32) -> TestRunner {
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+fn message(body: FleetBody) -> FleetMessage {
+    FleetMessage {
+        format: MESSAGE_FORMAT,
+        fleet: 0,
+        sender: SenderHeader {
+            id: MemberId::of("host-a"),
+            stamp: MemberStamp { incarnation: 1_700_000_000_000, update: 3 },
+            phase: MemberPhase::Serving,
+            digest: MemberDigest::default(),
+            fingerprint: 7,
+        },
+        body,
+        zones: Default::default(),
+    }
+}
+
+fn rumor(host: &str) -> Result<MemberRumor, Box<dyn Error>> {
+    Ok(MemberRumor {
+        id: MemberId::of(host),
+        stamp: MemberStamp { incarnation: 1_700_000_000_000, update: 1 },
+        phase: MemberPhase::Serving,
+        health: MemberHealth::Alive,
+        place: Some(MemberPlace {
+            host: host.to_owned(),
+            zone: "kurasini".to_owned(),
+            peer: "10.0.0.1:7000".parse()?,
+        }),
+    })
+}
+
+#[test]
+fn what_is_written_is_read_and_fits() -> TestResult {
+    let message = message(FleetBody::Ping { number: 9 });
+    let mut writer = DatagramWriter::new(&message);
+    let mut written = Vec::new();
+    for number in 0..100 {
+        let rumor = rumor(&format!("host-{number}"))?;
+        if writer.push(&rumor, usize::MAX) {
+            written.push(rumor);
+        }
+    }
+    let bytes = writer.finish();
+    assert!(bytes.len() <= DATAGRAM_LIMIT && written.len() > 20, "{} bytes", bytes.len());
+    assert_eq!(message::decode(&bytes)?, (message, written));
+    Ok(())
+}
+
+#[test]
+fn wrong_datagrams_are_refused() -> TestResult {
+    let mut other_format = message(FleetBody::Notice);
+    other_format.format += 1;
+    let mut bad_name = DatagramWriter::new(&message(FleetBody::Notice));
+    bad_name.push(&MemberRumor { id: MemberId(5), ..rumor("host-a")? }, usize::MAX);
+    let mut long_name = DatagramWriter::new(&message(FleetBody::Notice));
+    long_name.push(&rumor(&"h".repeat(NAME_LIMIT + 1))?, usize::MAX);
+    let refused = |bytes: &[u8]| message::decode(bytes).err();
+    let format = refused(&DatagramWriter::new(&other_format).finish());
+    assert_eq!(format, Some(message::Error::OtherFormat(MESSAGE_FORMAT + 1)));
+    assert_eq!(refused(&bad_name.finish()), Some(message::Error::BadName));
+    assert_eq!(refused(&long_name.finish()), Some(message::Error::BadName));
+    let long = vec![0; DATAGRAM_LIMIT + 1];
+    assert_eq!(refused(&long), Some(message::Error::TooLong(DATAGRAM_LIMIT + 1)));
+    Ok(())
+}
+
+/// The daemon stops. Order: anyone sends it garbage, or the start of a message.
+#[test]
+fn random_bytes_never_panic_and_change_no_member() -> TestResult {
+    let from: SocketAddr = "10.0.0.9:7000".parse()?;
+    let place = rumor("host-b")?.place.ok_or("a place")?;
+    let valid = DatagramWriter::new(&message(FleetBody::SyncAsk { after: 0 })).finish();
+    let bytes = prop_oneof![
+        proptest::collection::vec(any::<u8>(), 0..1_500),
+        (0..valid.len(), any::<u8>()).prop_map(move |(at, value)| {
+            let mut bytes = valid.clone();
+            bytes[at] = value;
+            bytes
+        }),
+    ];
+    runner(2_000).run(&bytes, |bytes| {
+        let mut table = MemberTable::new(place.clone(), 5, Options::default(), 1);
+        let _refused = table.receive(Duration::from_secs(1), from, &bytes);
+        prop_assert_eq!(table.records().count(), 1);
+        while let Some(action) = table.poll_action() {
+            if let FleetAction::Send { bytes, .. } = action {
+                prop_assert!(bytes.len() <= DATAGRAM_LIMIT);
+            }
+        }
+        Ok(())
+    })?;
+    Ok(())
+}
