refactor(fleet): one job a file; each daemon passes rumors on in its own order

Change: options, views, actions and list syncs have files of their own; the order among equals is salted for each daemon; the test switch and its daemons are apart.

--- a/crates/hawthorn-fleet/src/handover/mod.rs
+++ b/crates/hawthorn-fleet/src/handover/mod.rs
@@ -16,6 +16,8 @@
 //! | that it stood still or was held for dead | none until the runner-up is at half | the former, left | all |
 
 mod bucket;
+mod options;
+mod view;
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -33,117 +35,14 @@
 use crate::ownership::OwnerCandidate;
 use bucket::BucketState;
 use bucket::TakingState;
+pub use options::Options;
+pub use view::HostStanding;
+pub use view::SlotShare;
+pub use view::ZoneView;
 
 /// Buckets named in one message; at most three bytes each, so that it fits a datagram.
 const BUCKETS_SENT: usize = 256;
 
-/// How much of a group's slots this host may use now.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Default,
-    strum::Display,
-    strum::IntoStaticStr,
-)]
-#[strum(serialize_all = "kebab-case")]
-pub enum SlotShare {
-    /// None: start nothing; what runs may finish.
-    #[default]
-    None,
-    /// Half, rounded up: see [`SlotShare::slots`].
-    Half,
-    /// All.
-    Full,
-}
-
-impl SlotShare {
-    /// How many of a target's `slots` may be used. Half of an odd number is
-    /// rounded up, so that a target with one slot is served at all.
-    pub fn slots(self, slots: u32) -> u32 {
-        match self {
-            SlotShare::None => 0,
-            SlotShare::Half => slots.div_ceil(2),
-            SlotShare::Full => slots,
-        }
-    }
-}
-
-/// What this daemon knows of one host of its zone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HostStanding {
-    /// May own groups.
-    Serving,
-    /// Runs, but owns nothing new: joining or leaving.
-    Idle,
-    /// Held for dead since this time.
-    Dead(Duration),
-    /// Said that it stopped.
-    Left,
-}
-
-/// This daemon's zone as it sees it, from [`MemberTable::zone_view`](crate::MemberTable::zone_view).
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ZoneView {
-    /// The zone.
-    pub zone: String,
-    /// All known hosts of the zone, this one included.
-    pub hosts: BTreeMap<MemberId, HostStanding>,
-    /// This daemon hears nobody although it should.
-    pub deaf: bool,
-    /// This daemon hears from another zone.
-    pub witnessed: bool,
-}
-
-/// Times and sizes of the hand-over.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Buckets of a zone.
-    pub buckets: u16,
-    /// How long a new owner stays at half after the former was held for dead.
-    /// Longer than a cut-off host needs to notice (600 ms of silence) plus the
-    /// longest request that it may still run.
-    pub dead_window: Duration,
-    /// How long a former owner goes on at half for fronts that have not heard.
-    /// A rumor reaches a zone of 160 hosts within this time.
-    pub yield_window: Duration,
-    /// Between requests to let go.
-    pub ask_again: Duration,
-    /// Between first requests, while the new owner may use nothing yet.
-    pub claim_again: Duration,
-    /// How long a new owner waits with no slot for a live former owner to say
-    /// that it is at half. Longer than a dead one takes to be found out.
-    pub claim_limit: Duration,
-    /// How long a new owner waits for a live former owner that never lets go.
-    pub ask_limit: Duration,
-    /// How long another host's claim keeps an owner at half.
-    pub contest_window: Duration,
-    /// How long dead hosts of the zone count when a daemon asks itself whether
-    /// it is in the smaller part of a split zone.
-    pub split_window: Duration,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            buckets: ownership::DEFAULT_BUCKETS,
-            dead_window: Duration::from_secs(3),
-            yield_window: Duration::from_secs(1),
-            ask_again: Duration::from_millis(500),
-            claim_again: Duration::from_millis(50),
-            claim_limit: Duration::from_secs(3),
-            ask_limit: Duration::from_secs(30),
-            contest_window: Duration::from_secs(2),
-            split_window: Duration::from_secs(30),
-        }
-    }
-}
-
 /// What the daemon must do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HandoverAction {
--- a/crates/hawthorn-fleet/src/member/arena.rs
+++ b/crates/hawthorn-fleet/src/member/arena.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::time::Duration;
 
 use hawthorn_types::HostKey;
@@ -160,10 +161,8 @@
 
     /// Records in order of id, after `after`.
     pub(crate) fn after(&self, after: u64) -> impl Iterator<Item = &MemberRecord> {
-        use std::ops::Bound::Excluded;
-        use std::ops::Bound::Unbounded;
         self.by_id
-            .range((Excluded(MemberId(after)), Unbounded))
+            .range((Bound::Excluded(MemberId(after)), Bound::Unbounded))
             .filter_map(|(_, &key)| self.get(key))
     }
 
--- a/crates/hawthorn-fleet/src/member/mod.rs
+++ b/crates/hawthorn-fleet/src/member/mod.rs
@@ -16,13 +16,17 @@
 
 mod apply;
 mod arena;
+mod options;
 mod probe;
 mod receive;
 mod rumor;
 mod send;
+mod sync;
 mod zone;
 
 pub use arena::MemberRecord;
+pub use options::MemberCounters;
+pub use options::Options;
 
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
@@ -55,119 +59,9 @@
 use probe::Relay;
 use probe::Suspicion;
 use rumor::RumorQueue;
+use sync::SyncProgress;
 use zone::ZoneTable;
 
-/// Times and bounds of the membership protocol.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// A hash of the fleet's name; datagrams of other fleets are refused.
-    pub fleet: u32,
-    /// Between pings to members of the own zone. Every member is pinged about
-    /// once in this time, whatever the size of the zone.
-    pub heartbeat: Duration,
-    /// After so long without an ack, others are asked to ping. Many round
-    /// trips within a zone (1 ms), so that a busy member has time to answer.
-    pub ack_timeout: Duration,
-    /// After so long without an ack by any way, the member is suspect.
-    pub probe_timeout: Duration,
-    /// How many others are asked to ping.
-    pub helpers: usize,
-    /// How long a suspect may refute. Five heartbeats: with 5 % of datagrams
-    /// lost, five pings all fail about once in 100,000.
-    pub suspicion: Duration,
-    /// How long a suspect may refute at daemons that only heard of the
-    /// suspicion: they confirm it in case the first daemon dies too.
-    pub suspicion_heard: Duration,
-    /// Having heard nobody for so long, a daemon takes itself for cut off.
-    pub deaf_after: Duration,
-    /// How long a daemon that is cut off waits before it holds others for dead.
-    pub deaf_suspicion: Duration,
-    /// Between pings to members of other zones.
-    pub across: Duration,
-    /// A zone that nothing was heard from for so long is lost.
-    pub zone_timeout: Duration,
-    /// Between pings to one dead member of the own zone, or one hinted address
-    /// without a live member, so that the parts of a partition find each other.
-    pub retry: Duration,
-    /// Between requests for a part of a member list that differs. While the
-    /// parts bring much that is new, the next one is asked for at once.
-    pub repair: Duration,
-    /// A gap between calls longer than this means that the process stood still.
-    pub pause: Duration,
-    /// How long dead members are kept and retried: longer than regions lose
-    /// each other.
-    pub dead_kept: Duration,
-    /// How long members that left are kept, so that late rumors find them.
-    pub left_kept: Duration,
-    /// Bytes of rumors in one datagram. With ten datagrams a second this is
-    /// what bounds a daemon's bytes during a storm of changes.
-    pub rumor_bytes: usize,
-    /// Each rumor is sent so many times more than the binary logarithm of the
-    /// member count. Sent k times by every daemon, it misses one in e^k of
-    /// them: one in 3,000 of 8 daemons, one in 10 million of 4,000. Repair
-    /// reaches those.
-    pub rumor_extra: u32,
-    /// How many members hear at once of a new configuration revision or phase.
-    pub push: usize,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            fleet: 0,
-            heartbeat: Duration::from_millis(200),
-            ack_timeout: Duration::from_millis(80),
-            probe_timeout: Duration::from_millis(320),
-            helpers: 2,
-            suspicion: Duration::from_secs(1),
-            suspicion_heard: Duration::from_secs(3),
-            deaf_after: Duration::from_millis(600),
-            deaf_suspicion: Duration::from_secs(5),
-            across: Duration::from_secs(1),
-            zone_timeout: Duration::from_secs(4),
-            retry: Duration::from_secs(5),
-            repair: Duration::from_secs(2),
-            pause: Duration::from_secs(1),
-            dead_kept: Duration::from_secs(3 * 60 * 60),
-            left_kept: Duration::from_secs(10 * 60),
-            rumor_bytes: 300,
-            rumor_extra: 4,
-            push: 3,
-        }
-    }
-}
-
-/// Counts since the start, for metrics.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct MemberCounters {
-    /// Datagrams sent.
-    pub sent: u64,
-    /// Bytes sent, without UDP and IP headers.
-    pub sent_bytes: u64,
-    /// Datagrams received and understood.
-    pub received: u64,
-    /// Datagrams refused.
-    pub refused: u64,
-    /// Pings through others.
-    pub indirect: u64,
-    /// Suspicions begun here.
-    pub suspicions: u64,
-    /// Deaths confirmed here.
-    pub deaths: u64,
-    /// Times this host refuted.
-    pub refutations: u64,
-    /// Times this process stood still.
-    pub pauses: u64,
-}
-
-/// A sync of the whole list from one peer.
-#[derive(Debug)]
-struct SyncProgress {
-    peer: SocketAddr,
-    after: u64,
-    asked: Duration,
-}
-
 /// When each periodic duty is next due.
 #[derive(Debug, Default)]
 struct DutyTimes {
@@ -235,7 +129,7 @@
         };
         let mut arena = MemberArena::default();
         let me = arena.insert(start, &rumor, place, my_zone);
-        let mut rumors = RumorQueue::default();
+        let mut rumors = RumorQueue::new(rumor.id.0 ^ seed);
         rumors.push(rumor.id);
         Self {
             options,
--- a/crates/hawthorn-fleet/src/member/probe.rs
+++ b/crates/hawthorn-fleet/src/member/probe.rs
@@ -13,7 +13,6 @@
 use super::MemberRecord;
 use super::MemberTable;
 use super::Options;
-use super::SyncProgress;
 use crate::action::FleetAction;
 use crate::message::FleetBody;
 use crate::message::MemberHealth;
@@ -27,19 +26,9 @@
 /// Between sweeps for records to forget.
 const FORGET_SWEEP: Duration = Duration::from_secs(30);
 
-/// A part of a member list that was asked for and did not come is asked for
-/// again, of another peer, after this time.
-const SYNC_RETRY: Duration = Duration::from_millis(500);
-
 /// How often a ping without an ack is sent again, directly and through others.
 const PROBE_ROUNDS: u32 = 2;
 
-/// Addresses tried at once while no other member is known.
-const HINTS_AT_START: usize = 3;
-
-/// Between rounds of tries while no other member is known.
-const START_RETRY: Duration = Duration::from_millis(500);
-
 /// A ping that waits for its ack.
 #[derive(Debug)]
 pub(super) struct Probe {
@@ -276,28 +265,6 @@
         self.send(now, *peer, FleetBody::Ping { number }, rumor.as_slice());
     }
 
-    /// Asks hinted addresses without a live member behind them for their list.
-    fn try_hints(&mut self, now: Duration) {
-        let alone = !self.arena.iter().any(|record| record.key != self.me && record.is_live());
-        let (count, wait) =
-            if alone { (HINTS_AT_START, START_RETRY) } else { (1, self.options.retry) };
-        self.due.hint = now + wait;
-        let here = self.record_of_self().place.peer;
-        let open: Vec<SocketAddr> = self
-            .settings_hints
-            .union(&self.platform_hints)
-            .copied()
-            .filter(|&peer| peer != here)
-            .filter(|&peer| !self.arena.by_peer(peer).is_some_and(MemberRecord::is_live))
-            .collect();
-        let own = self.own_rumor();
-        for _ in 0..count.min(open.len()) {
-            self.hint_next = (self.hint_next + 1) % open.len();
-            let peer = open[self.hint_next];
-            self.send(now, peer, FleetBody::SyncAsk { after: 0 }, std::slice::from_ref(&own));
-        }
-    }
-
     fn review_probes(&mut self, now: Duration) {
         let mut index = 0;
         while index < self.probes.len() {
@@ -428,53 +395,4 @@
             self.actions.push_back(FleetAction::MemberForgotten(key));
         }
     }
-
-    /// Asks a peer whose list differs for one part of it, each time the next.
-    /// Failure: a rumor was lost to this daemon by every way it travelled.
-    fn ask_repair(&mut self, now: Duration) {
-        if self.sync.is_some() {
-            return;
-        }
-        let Some(peer) = self.repair_peer.take() else { return };
-        let after = self.repair_after;
-        self.send(now, peer, FleetBody::SyncAsk { after }, &[]);
-    }
-
-    /// The first other member was met: read the whole list from one.
-    pub(super) fn start_sync_if_first(&mut self) {
-        if self.synced || self.sync.is_some() {
-            return;
-        }
-        if let Some(now) = self.last_call {
-            self.start_sync(now);
-        }
-    }
-
-    fn start_sync(&mut self, now: Duration) {
-        self.ask_sync(now, 0);
-    }
-
-    fn retry_sync(&mut self, now: Duration) {
-        let Some(sync) = &self.sync else { return };
-        if now.saturating_sub(sync.asked) >= SYNC_RETRY {
-            self.ask_sync(now, sync.after);
-        }
-    }
-
-    /// Asks a live member, of the own zone if there is one, for its list.
-    fn ask_sync(&mut self, now: Duration, after: u64) {
-        let zone = self.my_zone;
-        let mut picked = self.pick(1, |record| record.zone == zone);
-        if picked.is_empty() {
-            picked = self.pick(1, |_| true);
-        }
-        let Some(record) = picked.first().and_then(|&key| self.arena.get(key)) else {
-            self.sync = None;
-            return;
-        };
-        let peer = record.place.peer;
-        let own = self.own_rumor();
-        self.send(now, peer, FleetBody::SyncAsk { after }, &[own]);
-        self.sync = Some(SyncProgress { peer, after, asked: now });
-    }
 }
--- a/crates/hawthorn-fleet/src/member/receive.rs
+++ b/crates/hawthorn-fleet/src/member/receive.rs
@@ -8,7 +8,6 @@
 use hawthorn_types::HostKey;
 
 use super::MemberTable;
-use super::SyncProgress;
 use super::probe::Relay;
 use crate::action::FleetAction;
 use crate::message;
@@ -23,9 +22,6 @@
 /// The most pings for others kept waiting; more are not worth passing on late.
 const RELAY_LIMIT: usize = 256;
 
-/// A part of a peer's list with so much news is worth the next part at once.
-const REPAIR_NEWS: usize = 4;
-
 impl MemberTable {
     /// Takes in a datagram. An error changes nothing but the counters.
     pub fn receive(&mut self, now: Duration, from: SocketAddr, bytes: &[u8]) -> Result<(), Error> {
@@ -109,43 +105,6 @@
             .push_back(FleetAction::DigestHeard { peer: key, digest: message.sender.digest });
     }
 
-    fn syncs_from(&self, from: SocketAddr) -> bool {
-        self.sync.as_ref().is_some_and(|sync| sync.peer == from)
-    }
-
-    /// Takes in a part of a peer's list; how much of it was news. What a
-    /// joining daemon learns so is not passed on: the others know it, and
-    /// thousands of records would crowd out real news for minutes.
-    fn apply_page(&mut self, now: Duration, from: SocketAddr, rumors: Vec<MemberRumor>) -> usize {
-        let joining = self.syncs_from(from);
-        let mut news = 0;
-        for rumor in rumors {
-            let id = rumor.id;
-            self.contradict(&rumor);
-            let waiting = self.rumors.contains(id);
-            if !self.apply(now, rumor) {
-                continue;
-            }
-            news += 1;
-            if joining && !waiting && id != self.my_id {
-                self.rumors.remove(id);
-            }
-        }
-        news
-    }
-
-    /// The peer lists a member live that is known to be dead here. Failure:
-    /// after a partition within a zone the two sides hold each other for dead
-    /// and tell nobody any more. Passing it on again lets the member refute.
-    fn contradict(&mut self, rumor: &MemberRumor) {
-        let dead = self.arena.by_id(rumor.id).is_some_and(|record| {
-            record.health == MemberHealth::Dead && !record.private && record.stamp >= rumor.stamp
-        });
-        if dead {
-            self.rumors.push(rumor.id);
-        }
-    }
-
     fn answer(
         &mut self,
         now: Duration,
@@ -240,30 +199,4 @@
             .collect();
         self.send(now, peer, FleetBody::Ping { number }, &front);
     }
-
-    fn take_page(&mut self, now: Duration, from: SocketAddr, next: Option<u64>, news: usize) {
-        if !self.syncs_from(from) {
-            self.repair_after = next.unwrap_or(0);
-            if news >= REPAIR_NEWS
-                && let Some(after) = next
-            {
-                self.send(now, from, FleetBody::SyncAsk { after }, &[]);
-            }
-            return;
-        }
-        let Some(after) = next else {
-            self.sync = None;
-            if !self.synced {
-                self.synced = true;
-                self.actions.push_back(FleetAction::Synced);
-            }
-            return;
-        };
-        // A doubled page would ask again from where the list already went on.
-        if self.sync.as_ref().is_some_and(|sync| sync.after >= after) {
-            return;
-        }
-        self.sync = Some(SyncProgress { peer: from, after, asked: now });
-        self.send(now, from, FleetBody::SyncAsk { after }, &[]);
-    }
 }
--- a/crates/hawthorn-fleet/src/member/send.rs
+++ b/crates/hawthorn-fleet/src/member/send.rs
@@ -40,29 +40,6 @@
         self.send_bytes(to, writer.finish());
     }
 
-    /// Sends the part of the list after `after`, in order of id.
-    pub(super) fn send_page(&mut self, now: Duration, to: SocketAddr, after: u64) {
-        // The place of the next part is known only when this one is full, and
-        // comes before it; so the part is chosen first.
-        let longest = FleetBody::SyncPage { next: Some(u64::MAX) };
-        let mut trial = DatagramWriter::new(&self.message(now, to, longest));
-        let mut page = Vec::new();
-        let mut next = None;
-        for record in self.arena.after(after).filter(|record| record.is_live() && !record.private) {
-            let rumor = record.rumor();
-            if !trial.push(&rumor, DATAGRAM_LIMIT) {
-                next = page.last().map(|rumor: &MemberRumor| rumor.id.0);
-                break;
-            }
-            page.push(rumor);
-        }
-        let mut writer = DatagramWriter::new(&self.message(now, to, FleetBody::SyncPage { next }));
-        for rumor in &page {
-            writer.push(rumor, DATAGRAM_LIMIT);
-        }
-        self.send_bytes(to, writer.finish());
-    }
-
     /// Moves this host to a phase and tells a few members at once.
     pub(super) fn announce(&mut self, now: Duration, phase: MemberPhase) {
         self.arena.update(self.me, |record| {
@@ -133,7 +110,7 @@
         picked
     }
 
-    fn message(&self, now: Duration, to: SocketAddr, body: FleetBody) -> FleetMessage {
+    pub(super) fn message(&self, now: Duration, to: SocketAddr, body: FleetBody) -> FleetMessage {
         let near = self.arena.by_peer(to).is_some_and(|record| record.zone == self.my_zone);
         FleetMessage {
             format: MESSAGE_FORMAT,
@@ -167,7 +144,7 @@
         self.arena.by_id(id).filter(|record| !record.private).map(MemberRecord::rumor)
     }
 
-    fn send_bytes(&mut self, to: SocketAddr, bytes: Vec<u8>) {
+    pub(super) fn send_bytes(&mut self, to: SocketAddr, bytes: Vec<u8>) {
         self.counters.sent += 1;
         self.counters.sent_bytes += bytes.len() as u64;
         self.actions.push_back(FleetAction::Send { to, bytes });
--- a/crates/hawthorn-fleet/src/spread/mod.rs
+++ b/crates/hawthorn-fleet/src/spread/mod.rs
@@ -8,6 +8,8 @@
 //! What travels here is the pair of revision and edit: the document itself is
 //! the daemon's business.
 
+mod action;
+mod options;
 mod watch;
 
 use std::collections::BTreeSet;
@@ -24,6 +26,9 @@
 use crate::ownership;
 use crate::ownership::GroupId;
 use crate::ownership::OwnerCandidate;
+pub use action::SpreadAction;
+pub use action::SpreadAlarm;
+pub use options::Options;
 pub use watch::StoreAnswer;
 use watch::WatchState;
 
@@ -43,107 +48,6 @@
     pub edit: u64,
 }
 
-/// Times and bounds of the spread.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Daemons of each zone that watch the store. Two, so that one that hangs
-    /// delays nobody; not more, as each waiting watch counts as a call.
-    pub watchers: usize,
-    /// Further daemons that watch when no confirmation came for long: the
-    /// watchers may be cut off from the store alone. Bounded, since in an
-    /// outage of the store the whole fleet would otherwise call it.
-    pub stand_ins: usize,
-    /// The age of the last confirmation at which the first stand-in watches;
-    /// the next one at twice this age.
-    pub stand_in_after: Duration,
-    /// How long the store may hold a watch open.
-    pub watch_wait: Duration,
-    /// Every so many calls the key is read whole, as a watch can't show that
-    /// the store went back to an older value.
-    pub read_every: u32,
-    /// Between an answer and the next call: bounds the calls of a watcher
-    /// during a burst of edits to ten a second.
-    pub call_gap: Duration,
-    /// The first wait after a failed call; doubles up to `retry_limit`.
-    pub retry: Duration,
-    /// The longest wait after a failed call.
-    pub retry_limit: Duration,
-    /// A pull without a result for so long is tried at another peer.
-    pub pull_timeout: Duration,
-    /// Peers that must be heard before a daemon that can't reach the store
-    /// trusts that it knows the newest revision.
-    pub ready_peers: usize,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            watchers: 2,
-            stand_ins: 2,
-            stand_in_after: Duration::from_secs(20),
-            watch_wait: Duration::from_secs(10),
-            read_every: 4,
-            call_gap: Duration::from_millis(100),
-            retry: Duration::from_millis(250),
-            retry_limit: Duration::from_secs(5),
-            pull_timeout: Duration::from_secs(1),
-            ready_peers: 3,
-        }
-    }
-}
-
-/// What the daemon must do or tell its operators.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SpreadAction {
-    /// Fetch the document of at least this revision from the peer, then call
-    /// [`SpreadState::adopt`], or [`SpreadState::pull_failed`].
-    Pull {
-        /// The peer.
-        peer: HostKey,
-        /// The revision it stated.
-        revision: ConfigRevision,
-    },
-    /// Watch the store for a revision after this one, for at most `wait`, then
-    /// call [`SpreadState::store_answered`].
-    Watch {
-        /// The revision in force.
-        after: ConfigRevision,
-        /// How long the store may hold the call.
-        wait: Duration,
-    },
-    /// Read the document from the store, then call [`SpreadState::store_answered`].
-    ReadStore,
-    /// Tell the operators.
-    Alarm(SpreadAlarm),
-}
-
-/// Something operators must look at. Raised once for each edition it concerns.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, strum::IntoStaticStr)]
-#[strum(serialize_all = "kebab-case")]
-pub enum SpreadAlarm {
-    /// A peer or the store holds another edit of the revision in force. Refused.
-    Fork {
-        /// The revision.
-        revision: ConfigRevision,
-        /// The edit in force here.
-        mine: u64,
-        /// The other edit.
-        theirs: u64,
-    },
-    /// The store holds an older revision than the one in force. Refused.
-    StoreBehind {
-        /// What the store holds.
-        store: ConfigRevision,
-        /// What is in force here.
-        in_force: ConfigRevision,
-    },
-    /// The store lost the document while a revision is in force.
-    StoreEmpty {
-        /// What is in force here.
-        in_force: ConfigRevision,
-    },
-}
-
 /// What became of a document offered to [`SpreadState::adopt`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
--- /dev/null
+++ b/crates/hawthorn-fleet/tests/support/daemon.rs
@@ -0,0 +1,222 @@
+//! A daemon of the state machines alone, and the stand-in of the store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hawthorn_fleet::FleetAction;
+use hawthorn_fleet::MemberId;
+use hawthorn_fleet::MemberPlace;
+use hawthorn_fleet::MemberTable;
+use hawthorn_fleet::SlotShare;
+use hawthorn_fleet::SpreadState;
+use hawthorn_fleet::handover;
+use hawthorn_fleet::handover::Handover;
+use hawthorn_fleet::handover::HandoverAction;
+use hawthorn_fleet::member;
+use hawthorn_fleet::spread;
+use hawthorn_fleet::spread::ConfigEdition;
+use hawthorn_fleet::spread::SpreadAction;
+use hawthorn_fleet::spread::SpreadAlarm;
+use hawthorn_fleet::spread::StoreAnswer;
+
+use super::Event;
+use super::Switch;
+use super::ms;
+
+pub const STORE_DELAY: Duration = Duration::from_millis(5);
+pub const PULL_DELAY: Duration = Duration::from_millis(20);
+
+pub struct Daemon {
+    pub name: String,
+    pub zone: String,
+    pub peer: SocketAddr,
+    pub table: MemberTable,
+    pub handover: Handover,
+    pub spread: SpreadState,
+    pub up: bool,
+    pub paused: bool,
+    pub ready: bool,
+    pub events: Vec<(Duration, FleetAction)>,
+    pub alarms: Vec<SpreadAlarm>,
+    pub adopted: Vec<(Duration, ConfigEdition)>,
+    pub(super) held: Vec<Event>,
+    pub(super) wake_at: Duration,
+    pub(super) life: u32,
+}
+
+impl Daemon {
+    pub fn new(name: String, zone: &str, peer: SocketAddr, incarnation: u64, seed: u64) -> Self {
+        let place = MemberPlace { host: name.clone(), zone: zone.to_owned(), peer };
+        Self {
+            table: MemberTable::new(place, incarnation, member::Options::default(), seed),
+            handover: Handover::new(MemberId::of(&name), handover::Options::default()),
+            spread: SpreadState::new(spread::Options::default()),
+            name,
+            zone: zone.to_owned(),
+            peer,
+            up: true,
+            paused: false,
+            ready: false,
+            events: Vec::new(),
+            alarms: Vec::new(),
+            adopted: Vec::new(),
+            held: Vec::new(),
+            wake_at: Duration::MAX,
+            life: 0,
+        }
+    }
+}
+
+#[derive(Default)]
+pub struct Store {
+    pub edition: Option<ConfigEdition>,
+    pub up: bool,
+    pub calls: u64,
+}
+
+impl Switch {
+    /// Whether `index` holds `other` for live.
+    pub fn sees(&self, index: usize, other: usize) -> bool {
+        let id = MemberId::of(&self.daemons[other].name);
+        let table = &self.daemons[index].table;
+        table.record_by_id(id).is_some_and(|record| record.is_live())
+    }
+
+    /// The sum of all shares of a bucket among running daemons of a zone, in halves.
+    pub fn halves(&self, zone: &str, bucket: u16) -> u32 {
+        let daemons = self.daemons.iter().filter(|daemon| daemon.up && !daemon.paused);
+        let share = |daemon: &Daemon| match daemon.handover.share(bucket) {
+            SlotShare::None => 0,
+            SlotShare::Half => 1,
+            SlotShare::Full => 2,
+        };
+        daemons.filter(|daemon| daemon.zone == zone).map(share).sum()
+    }
+
+    pub(super) fn wake(&mut self, index: usize) {
+        let now = self.now;
+        let daemon = &mut self.daemons[index];
+        daemon.wake_at = Duration::MAX;
+        daemon.table.tick(now);
+        daemon.handover.observe(now, daemon.table.zone_view(now));
+        daemon.handover.tick(now, |_| false);
+        let zone = daemon.zone.clone();
+        daemon.spread.set_zone(&zone, MemberId::of(&daemon.name), daemon.table.staying(&zone));
+        daemon.spread.tick(now);
+        let live = daemon.table.records().filter(|record| record.is_live()).count();
+        let ready = daemon.spread.is_ready(live.saturating_sub(1));
+        daemon.ready = ready && (daemon.table.is_synced() || live == 1);
+    }
+
+    pub(super) fn drain(&mut self, index: usize) {
+        let now = self.now;
+        let daemon = &mut self.daemons[index];
+        daemon.table.set_digest(now, daemon.spread.digest(now, daemon.ready, 0));
+        loop {
+            let daemon = &mut self.daemons[index];
+            if let Some(action) = daemon.table.poll_action() {
+                self.carry_out(index, action);
+            } else if let Some(action) = daemon.handover.poll_action() {
+                if let HandoverAction::Send { to, message } = action {
+                    daemon.table.send_handover(now, to, message);
+                }
+            } else if let Some(action) = daemon.spread.poll_action() {
+                self.carry_out_spread(index, action);
+            } else {
+                break;
+            }
+        }
+        let wake = self.daemons[index].table.next_wake().max(now + ms(1));
+        if wake < self.daemons[index].wake_at {
+            self.daemons[index].wake_at = wake;
+            self.push(wake, index, Event::Wake);
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, action: FleetAction) {
+        let now = self.now;
+        let daemon = &mut self.daemons[index];
+        match action {
+            FleetAction::Send { to, bytes } => self.transmit(index, to, bytes),
+            FleetAction::DigestHeard { peer, digest } => daemon.spread.heard(now, peer, digest),
+            FleetAction::HandoverHeard { peer, message } => {
+                daemon.handover.observe(now, daemon.table.zone_view(now));
+                daemon.handover.receive(now, peer, message);
+            }
+            action => {
+                if matches!(action, FleetAction::SelfPaused(_) | FleetAction::SelfDoubted) {
+                    daemon.handover.resumed(now);
+                }
+                if matches!(action, FleetAction::ViewChanged(_)) {
+                    daemon.handover.observe(now, daemon.table.zone_view(now));
+                } else {
+                    daemon.events.push((now, action));
+                }
+            }
+        }
+    }
+
+    fn carry_out_spread(&mut self, index: usize, action: SpreadAction) {
+        match action {
+            SpreadAction::Alarm(alarm) => self.daemons[index].alarms.push(alarm),
+            SpreadAction::Pull { peer, .. } => {
+                let record = self.daemons[index].table.record(peer);
+                let from = record.and_then(|record| self.by_peer.get(&record.place.peer)).copied();
+                let Some(from) = from else { return };
+                self.push(self.now + PULL_DELAY, index, Event::Pulled { from });
+            }
+            SpreadAction::ReadStore => {
+                self.store.calls += 1;
+                self.push(self.now + STORE_DELAY, index, Event::Stored { watch: None });
+            }
+            SpreadAction::Watch { after, wait } => {
+                self.store.calls += 1;
+                let newer = self.store.edition.is_some_and(|held| held.revision > after);
+                let at = if newer || !self.store.up { STORE_DELAY } else { wait };
+                self.sequence += 1;
+                let watch = self.sequence;
+                self.push(self.now + at, index, Event::Stored { watch: Some(watch) });
+                self.watches.insert(watch, (index, self.daemons[index].life));
+            }
+        }
+    }
+
+    pub(super) fn pulled(&mut self, index: usize, from: usize) {
+        let cut = self.cuts.contains(&(from, index)) || self.cuts.contains(&(index, from));
+        let source = &self.daemons[from];
+        let edition = source.spread.in_force().filter(|_| source.up && !source.paused && !cut);
+        // Without one the connection hangs, and the state machine times out.
+        if let Some(edition) = edition {
+            self.adopt(index, edition);
+        }
+    }
+
+    pub fn adopt(&mut self, index: usize, edition: ConfigEdition) {
+        let now = self.now;
+        let daemon = &mut self.daemons[index];
+        if daemon.spread.adopt(now, edition) == spread::Outcome::Adopted {
+            daemon.adopted.push((now, edition));
+        }
+    }
+
+    pub(super) fn stored(&mut self, index: usize, watch: Option<u64>) {
+        let (now, up, edition) = (self.now, self.store.up, self.store.edition);
+        // Answered already, by a write or by the end of its wait.
+        if watch.is_some_and(|watch| self.watches.remove(&watch).is_none()) {
+            return;
+        }
+        let in_force = self.daemons[index].spread.in_force().unwrap_or_default();
+        let answer = match edition {
+            _ if !up => StoreAnswer::Failed,
+            None => StoreAnswer::Empty,
+            Some(held) if watch.is_some() && held.revision <= in_force.revision => {
+                StoreAnswer::Unchanged
+            }
+            Some(held) => StoreAnswer::Holds(held),
+        };
+        if let StoreAnswer::Holds(edition) = answer {
+            self.adopt(index, edition);
+        }
+        self.daemons[index].spread.store_answered(now, answer);
+    }
+}
--- a/crates/hawthorn-fleet/tests/support/mod.rs
+++ b/crates/hawthorn-fleet/tests/support/mod.rs
@@ -1,7 +1,9 @@
-//! An in-memory message switch on virtual time, for daemons that run only the
-//! state machines of this crate. It loses, delays, doubles and cuts.
+//! An in-memory message switch on virtual time: it loses, delays, doubles and
+//! cuts. The daemons at its ports run only the state machines of this crate.
 #![allow(dead_code, reason = "each test uses a part")]
 
+mod daemon;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -16,47 +18,16 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use hawthorn_fleet::FleetAction;
-use hawthorn_fleet::MemberId;
-use hawthorn_fleet::MemberPlace;
-use hawthorn_fleet::MemberTable;
-use hawthorn_fleet::SlotShare;
-use hawthorn_fleet::SpreadState;
-use hawthorn_fleet::handover;
-use hawthorn_fleet::handover::Handover;
-use hawthorn_fleet::handover::HandoverAction;
-use hawthorn_fleet::member;
-use hawthorn_fleet::spread;
 use hawthorn_fleet::spread::ConfigEdition;
-use hawthorn_fleet::spread::SpreadAction;
-use hawthorn_fleet::spread::SpreadAlarm;
-use hawthorn_fleet::spread::StoreAnswer;
 
-pub const STORE_DELAY: Duration = Duration::from_millis(5);
-pub const PULL_DELAY: Duration = Duration::from_millis(20);
+pub use daemon::Daemon;
+use daemon::STORE_DELAY;
+use daemon::Store;
 
 pub const fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
 }
 
-pub struct Daemon {
-    pub name: String,
-    pub zone: String,
-    pub peer: SocketAddr,
-    pub table: MemberTable,
-    pub handover: Handover,
-    pub spread: SpreadState,
-    pub up: bool,
-    pub paused: bool,
-    pub ready: bool,
-    pub events: Vec<(Duration, FleetAction)>,
-    pub alarms: Vec<SpreadAlarm>,
-    pub adopted: Vec<(Duration, ConfigEdition)>,
-    held: Vec<Event>,
-    wake_at: Duration,
-    life: u32,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Wake,
@@ -68,13 +39,6 @@
 /// When, in which order, for which daemon and its which life.
 type Entry = (Duration, u64, usize, u32, Event);
 
-#[derive(Default)]
-pub struct Store {
-    pub edition: Option<ConfigEdition>,
-    pub up: bool,
-    pub calls: u64,
-}
-
 pub struct Switch {
     pub now: Duration,
     pub daemons: Vec<Daemon>,
@@ -89,7 +53,6 @@
     pub work: Duration,
     /// Datagrams and bytes sent by all daemons.
     pub sent: (u64, u64),
-    pub member_options: member::Options,
     queue: BinaryHeap<Reverse<Entry>>,
     watches: BTreeMap<u64, (usize, u32)>,
     by_peer: BTreeMap<SocketAddr, usize>,
@@ -109,7 +72,6 @@
             cuts: BTreeSet::new(),
             work: Duration::ZERO,
             sent: (0, 0),
-            member_options: member::Options::default(),
             queue: BinaryHeap::new(),
             watches: BTreeMap::new(),
             by_peer: BTreeMap::new(),
@@ -137,27 +99,10 @@
         let index = self.daemons.len();
         let name = format!("host-{index:04}");
         let peer = Self::address(index);
-        let place = MemberPlace { host: name.clone(), zone: zone.to_owned(), peer };
         self.by_peer.insert(peer, index);
         let incarnation = self.now.as_millis() as u64;
-        let table = MemberTable::new(place, incarnation, self.member_options.clone(), index as u64);
-        self.daemons.push(Daemon {
-            handover: Handover::new(MemberId::of(&name), handover::Options::default()),
-            name,
-            zone: zone.to_owned(),
-            peer,
-            table,
-            spread: SpreadState::new(spread::Options::default()),
-            up: true,
-            paused: false,
-            ready: false,
-            events: Vec::new(),
-            alarms: Vec::new(),
-            adopted: Vec::new(),
-            held: Vec::new(),
-            wake_at: Duration::MAX,
-            life: 0,
-        });
+        let daemon = Daemon::new(name, zone, peer, incarnation, index as u64);
+        self.daemons.push(daemon);
         self.seed(index);
         index
     }
@@ -193,18 +138,14 @@
     pub fn restart(&mut self, index: usize, incarnation: u64) {
         self.kill(index);
         let daemon = &mut self.daemons[index];
-        let place =
-            MemberPlace { host: daemon.name.clone(), zone: daemon.zone.clone(), peer: daemon.peer };
-        let id = MemberId::of(&daemon.name);
-        let seed = u64::from(daemon.life) << 32 | index as u64;
-        daemon.table = MemberTable::new(place, incarnation, self.member_options.clone(), seed);
-        daemon.handover = Handover::new(id, handover::Options::default());
-        daemon.spread = SpreadState::new(spread::Options::default());
-        daemon.up = true;
-        daemon.paused = false;
-        daemon.ready = false;
-        daemon.held.clear();
-        daemon.wake_at = Duration::MAX;
+        let (name, zone, peer) = (daemon.name.clone(), daemon.zone.clone(), daemon.peer);
+        let life = daemon.life;
+        let seed = u64::from(life) << 32 | index as u64;
+        let old = std::mem::replace(daemon, Daemon::new(name, &zone, peer, incarnation, seed));
+        daemon.life = life;
+        daemon.events = old.events;
+        daemon.alarms = old.alarms;
+        daemon.adopted = old.adopted;
         self.seed(index);
     }
 
@@ -267,24 +208,6 @@
         None
     }
 
-    /// Whether `index` holds `other` for live.
-    pub fn sees(&self, index: usize, other: usize) -> bool {
-        let id = MemberId::of(&self.daemons[other].name);
-        let table = &self.daemons[index].table;
-        table.record_by_id(id).is_some_and(|record| record.is_live())
-    }
-
-    /// The sum of all shares of a bucket among running daemons of a zone, in halves.
-    pub fn halves(&self, zone: &str, bucket: u16) -> u32 {
-        let daemons = self.daemons.iter().filter(|daemon| daemon.up && !daemon.paused);
-        let share = |daemon: &Daemon| match daemon.handover.share(bucket) {
-            SlotShare::None => 0,
-            SlotShare::Half => 1,
-            SlotShare::Full => 2,
-        };
-        daemons.filter(|daemon| daemon.zone == zone).map(share).sum()
-    }
-
     fn push(&mut self, at: Duration, index: usize, event: Event) {
         self.sequence += 1;
         let life = self.daemons[index].life;
@@ -314,69 +237,6 @@
         self.work += begun.elapsed();
     }
 
-    fn wake(&mut self, index: usize) {
-        let now = self.now;
-        let daemon = &mut self.daemons[index];
-        daemon.wake_at = Duration::MAX;
-        daemon.table.tick(now);
-        daemon.handover.observe(now, daemon.table.zone_view(now));
-        daemon.handover.tick(now, |_| false);
-        let zone = daemon.zone.clone();
-        daemon.spread.set_zone(&zone, MemberId::of(&daemon.name), daemon.table.staying(&zone));
-        daemon.spread.tick(now);
-        let live = daemon.table.records().filter(|record| record.is_live()).count();
-        let ready = daemon.spread.is_ready(live.saturating_sub(1));
-        daemon.ready = ready && (daemon.table.is_synced() || live == 1);
-    }
-
-    fn drain(&mut self, index: usize) {
-        let now = self.now;
-        let daemon = &mut self.daemons[index];
-        daemon.table.set_digest(now, daemon.spread.digest(now, daemon.ready, 0));
-        loop {
-            let daemon = &mut self.daemons[index];
-            if let Some(action) = daemon.table.poll_action() {
-                self.carry_out(index, action);
-            } else if let Some(action) = daemon.handover.poll_action() {
-                if let HandoverAction::Send { to, message } = action {
-                    daemon.table.send_handover(now, to, message);
-                }
-            } else if let Some(action) = daemon.spread.poll_action() {
-                self.carry_out_spread(index, action);
-            } else {
-                break;
-            }
-        }
-        let wake = self.daemons[index].table.next_wake().max(now + ms(1));
-        if wake < self.daemons[index].wake_at {
-            self.daemons[index].wake_at = wake;
-            self.push(wake, index, Event::Wake);
-        }
-    }
-
-    fn carry_out(&mut self, index: usize, action: FleetAction) {
-        let now = self.now;
-        let daemon = &mut self.daemons[index];
-        match action {
-            FleetAction::Send { to, bytes } => self.transmit(index, to, bytes),
-            FleetAction::DigestHeard { peer, digest } => daemon.spread.heard(now, peer, digest),
-            FleetAction::HandoverHeard { peer, message } => {
-                daemon.handover.observe(now, daemon.table.zone_view(now));
-                daemon.handover.receive(now, peer, message);
-            }
-            action => {
-                if matches!(action, FleetAction::SelfPaused(_) | FleetAction::SelfDoubted) {
-                    daemon.handover.resumed(now);
-                }
-                if matches!(action, FleetAction::ViewChanged(_)) {
-                    daemon.handover.observe(now, daemon.table.zone_view(now));
-                } else {
-                    daemon.events.push((now, action));
-                }
-            }
-        }
-    }
-
     fn transmit(&mut self, index: usize, to: SocketAddr, bytes: Vec<u8>) {
         let Some(&target) = self.by_peer.get(&to) else { return };
         let from = self.daemons[index].peer;
@@ -391,68 +251,4 @@
             }
         }
     }
-
-    fn carry_out_spread(&mut self, index: usize, action: SpreadAction) {
-        match action {
-            SpreadAction::Alarm(alarm) => self.daemons[index].alarms.push(alarm),
-            SpreadAction::Pull { peer, .. } => {
-                let record = self.daemons[index].table.record(peer);
-                let from = record.and_then(|record| self.by_peer.get(&record.place.peer)).copied();
-                let Some(from) = from else { return };
-                self.push(self.now + PULL_DELAY, index, Event::Pulled { from });
-            }
-            SpreadAction::ReadStore => {
-                self.store.calls += 1;
-                self.push(self.now + STORE_DELAY, index, Event::Stored { watch: None });
-            }
-            SpreadAction::Watch { after, wait } => {
-                self.store.calls += 1;
-                let newer = self.store.edition.is_some_and(|held| held.revision > after);
-                let at = if newer || !self.store.up { STORE_DELAY } else { wait };
-                self.sequence += 1;
-                let watch = self.sequence;
-                self.push(self.now + at, index, Event::Stored { watch: Some(watch) });
-                self.watches.insert(watch, (index, self.daemons[index].life));
-            }
-        }
-    }
-
-    fn pulled(&mut self, index: usize, from: usize) {
-        let cut = self.cuts.contains(&(from, index)) || self.cuts.contains(&(index, from));
-        let source = &self.daemons[from];
-        let edition = source.spread.in_force().filter(|_| source.up && !source.paused && !cut);
-        // Without one the connection hangs, and the state machine times out.
-        if let Some(edition) = edition {
-            self.adopt(index, edition);
-        }
-    }
-
-    pub fn adopt(&mut self, index: usize, edition: ConfigEdition) {
-        let now = self.now;
-        let daemon = &mut self.daemons[index];
-        if daemon.spread.adopt(now, edition) == spread::Outcome::Adopted {
-            daemon.adopted.push((now, edition));
-        }
-    }
-
-    fn stored(&mut self, index: usize, watch: Option<u64>) {
-        let (now, up, edition) = (self.now, self.store.up, self.store.edition);
-        // Answered already, by a write or by the end of its wait.
-        if watch.is_some_and(|watch| self.watches.remove(&watch).is_none()) {
-            return;
-        }
-        let in_force = self.daemons[index].spread.in_force().unwrap_or_default();
-        let answer = match edition {
-            _ if !up => StoreAnswer::Failed,
-            None => StoreAnswer::Empty,
-            Some(held) if watch.is_some() && held.revision <= in_force.revision => {
-                StoreAnswer::Unchanged
-            }
-            Some(held) => StoreAnswer::Holds(held),
-        };
-        if let StoreAnswer::Holds(edition) = answer {
-            self.adopt(index, edition);
-        }
-        self.daemons[index].spread.store_answered(now, answer);
-    }
 }
