fix(fleet): a pull does not take a host out of service; a fleet started at once spares the store

Cause: readiness turned false while a newer revision was being pulled, which moved the host back to joining and its groups away; daemons that started at once knew nobody, and each took itself for a watcher of the store. Change: the phase only advances; the first call to the store waits a second for the zone to be known; a part of a list with any news is followed by the next.

--- a/crates/hawthorn-fleet/src/member/mod.rs
+++ b/crates/hawthorn-fleet/src/member/mod.rs
@@ -181,18 +181,16 @@
         self.platform_hints = hosts.iter().map(|entry| entry.peer).collect();
     }
 
-    /// Says what heartbeats should carry. Readiness moves this host between
-    /// joining and serving; a greater revision is pushed to a few members at
-    /// once rather than waiting for heartbeats.
+    /// Says what heartbeats should carry. Once `ready` is set, this host moves
+    /// from joining to serving and stays there: a daemon that pulls a newer
+    /// configuration serves by the older one meanwhile. A greater revision is
+    /// pushed to a few members at once rather than waiting for heartbeats.
     pub fn set_digest(&mut self, now: Duration, digest: MemberDigest) {
         let newer = digest.revision > self.digest.revision;
         self.digest = digest;
         self.digest_set = now;
-        let phase = self.record_of_self().phase;
-        let wanted = if digest.ready { MemberPhase::Serving } else { MemberPhase::Joining };
-        let settled = matches!(phase, MemberPhase::Leaving | MemberPhase::Left);
-        if phase != wanted && !settled {
-            self.announce(now, wanted);
+        if digest.ready && self.record_of_self().phase == MemberPhase::Joining {
+            self.announce(now, MemberPhase::Serving);
         } else if newer {
             self.push_notice(now);
         }
--- a/crates/hawthorn-fleet/src/member/sync.rs
+++ b/crates/hawthorn-fleet/src/member/sync.rs
@@ -23,7 +23,7 @@
 const START_RETRY: Duration = Duration::from_millis(500);
 
 /// A part of a peer's list with so much news is worth the next part at once.
-const REPAIR_NEWS: usize = 4;
+const REPAIR_NEWS: usize = 1;
 
 /// A sync of the whole list from one peer.
 #[derive(Debug)]
--- a/crates/hawthorn-fleet/src/spread/mod.rs
+++ b/crates/hawthorn-fleet/src/spread/mod.rs
@@ -96,6 +96,8 @@
     /// The latest of the start, the last adoption and the last confirmation:
     /// stand-ins count from here.
     quiet_since: Option<Duration>,
+    /// The first call.
+    started: Option<Duration>,
     /// Peers known to have a newer revision, newest first.
     ahead: SmallVec<[(ConfigRevision, HostKey); PULL_PEERS]>,
     pull: Option<Pull>,
@@ -114,6 +116,7 @@
             in_force: None,
             confirmed: None,
             quiet_since: None,
+            started: None,
             ahead: SmallVec::new(),
             pull: None,
             watch: WatchState::default(),
@@ -220,6 +223,10 @@
             self.pull_failed(now, pull.peer);
         }
         let quiet = self.quiet(now);
+        let started = *self.started.get_or_insert(now);
+        if now.saturating_sub(started) < self.options.start_patience {
+            return;
+        }
         if let Some(call) = self.watch.due(now, quiet, self.revision(), &self.options) {
             self.counters.store_calls += 1;
             self.actions.push_back(call);
@@ -257,7 +264,9 @@
         }
     }
 
-    /// Whether this daemon may say that it is ready.
+    /// Whether this daemon knows enough to begin to serve. For the start
+    /// alone: it is false again while a newer revision is being pulled, which
+    /// is no reason to stop.
     ///
     /// Failure: a daemon that starts while the store is down takes the first
     /// document it gets, perhaps an old one, and serves by it. So it needs the
--- a/crates/hawthorn-fleet/src/spread/options.rs
+++ b/crates/hawthorn-fleet/src/spread/options.rs
@@ -15,6 +15,10 @@
     /// The age of the last confirmation at which the first stand-in watches;
     /// the next one at twice this age.
     pub stand_in_after: Duration,
+    /// How long a daemon waits before its first call. Failure: when all daemons
+    /// of a fleet start at once, each knows nobody yet and takes itself for a
+    /// watcher. Within this time it hears who else is there.
+    pub start_patience: Duration,
     /// How long the store may hold a watch open.
     pub watch_wait: Duration,
     /// Every so many calls the key is read whole, as a watch can't show that
@@ -40,6 +44,7 @@
             watchers: 2,
             stand_ins: 2,
             stand_in_after: Duration::from_secs(20),
+            start_patience: Duration::from_millis(1_000),
             watch_wait: Duration::from_secs(10),
             read_every: 4,
             call_gap: Duration::from_millis(100),
--- a/crates/hawthorn-fleet/tests/spread.rs
+++ b/crates/hawthorn-fleet/tests/spread.rs
@@ -69,18 +69,23 @@
     Ok(())
 }
 
-/// The store refuses everyone over its rate. Order: nothing happens. Cause:
-/// every daemon of the fleet asks it.
+/// The store refuses everyone over its rate. Order: all daemons of the fleet
+/// start at once, then nothing happens. Cause: each of them asks it.
 #[test]
-fn at_rest_two_daemons_of_a_zone_call_the_store() -> TestResult {
+fn two_daemons_of_a_zone_call_the_store() -> TestResult {
     let mut switch = serving(2, 24, 4);
     let calls = switch.store.calls;
+    assert!(calls <= 24, "{calls} calls of 24 daemons that start at once, in 10 s");
     switch.run_for(ms(100_000));
     let calls = switch.store.calls - calls;
     eprintln!("{calls} calls in 100 s");
     let now = switch.now;
     let watching = switch.daemons.iter().filter(|daemon| daemon.spread.is_watching(now)).count();
     assert_eq!(watching, 8);
+    for daemon in &switch.daemons {
+        let age = daemon.spread.age(now);
+        assert!(age.is_some_and(|age| age < ms(12_000)), "{} knows it: {age:?}", daemon.name);
+    }
     assert!(calls <= 8 * 15, "{calls} calls of 8 watchers in 100 s");
     Ok(())
 }
--- a/crates/hawthorn-fleet/tests/support/daemon.rs
+++ b/crates/hawthorn-fleet/tests/support/daemon.rs
@@ -105,7 +105,7 @@
         daemon.spread.tick(now);
         let live = daemon.table.records().filter(|record| record.is_live()).count();
         let ready = daemon.spread.is_ready(live.saturating_sub(1));
-        daemon.ready = ready && (daemon.table.is_synced() || live == 1);
+        daemon.ready |= ready && (daemon.table.is_synced() || live == 1);
     }
 
     pub(super) fn drain(&mut self, index: usize) {
