--- a/crates/hawthorn-fleet/src/handover/mod.rs
+++ b/crates/hawthorn-fleet/src/handover/mod.rs
@@ -15,8 +15,10 @@
 //! | nobody of its zone, or a minority | half | the former, dead | half for the window, then all |
 //! | that it stood still or was held for dead | none until the runner-up is at half | the former, left | all |
 
+mod action;
 mod bucket;
 mod options;
+mod receive;
 mod view;
 
 use std::collections::BTreeMap;
@@ -33,6 +35,8 @@
 use crate::ownership;
 use crate::ownership::GroupId;
 use crate::ownership::OwnerCandidate;
+pub use action::HandoverAction;
+pub use action::HandoverCounters;
 use bucket::BucketState;
 use bucket::TakingState;
 pub use options::Options;
@@ -43,38 +47,6 @@
 /// Buckets named in one message; at most three bytes each, so that it fits a datagram.
 const BUCKETS_SENT: usize = 256;
 
-/// What the daemon must do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum HandoverAction {
-    /// Pass to [`MemberTable::send_handover`](crate::MemberTable::send_handover).
-    Send {
-        /// The other owner.
-        to: MemberId,
-        /// What to tell it.
-        message: HandoverMessage,
-    },
-    /// This host's share of a bucket changed.
-    ShareChanged {
-        /// The bucket.
-        bucket: u16,
-        /// The share from now on.
-        share: SlotShare,
-    },
-}
-
-/// Counts since the start, for metrics.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct HandoverCounters {
-    /// Buckets taken over.
-    pub taken: u64,
-    /// Buckets handed over.
-    pub yielded: u64,
-    /// Claims by others on buckets owned here.
-    pub contested: u64,
-    /// Buckets taken whole though a live former owner never let go.
-    pub unconfirmed: u64,
-}
-
 /// Shares of all buckets of this daemon's zone. One lives as long as the process.
 #[derive(Debug)]
 pub struct Handover {
@@ -200,67 +172,6 @@
         self.refresh(now);
     }
 
-    /// Takes a message of another host of the zone.
-    pub fn receive(&mut self, now: Duration, from: MemberId, message: HandoverMessage) {
-        match message {
-            HandoverMessage::Ask(buckets) => {
-                for bucket in buckets {
-                    self.take_ask(now, from, bucket);
-                }
-            }
-            HandoverMessage::Noted(buckets) => {
-                for bucket in buckets {
-                    self.take_note(from, bucket);
-                }
-            }
-            HandoverMessage::Released(buckets) => {
-                for bucket in buckets {
-                    self.take_release(from, bucket);
-                }
-            }
-        }
-        self.refresh(now);
-        self.flush();
-    }
-
-    fn take_ask(&mut self, now: Duration, from: MemberId, bucket: u16) {
-        let Some(state) = self.buckets.get_mut(usize::from(bucket)) else { return };
-        match state {
-            BucketState::Foreign => {
-                self.released.entry(from).or_default().push(bucket);
-                return;
-            }
-            BucketState::Owned { contested } => {
-                self.counters.contested += 1;
-                *contested = now + self.options.contest_window;
-            }
-            BucketState::Yielding { to, .. } | BucketState::Draining { to, .. } => *to = Some(from),
-            // Two hosts take over from each other, each after standing still:
-            // the one that was asked first is at half and says so.
-            BucketState::Taking(_) => {}
-        }
-        self.noted.entry(from).or_default().push(bucket);
-    }
-
-    fn take_note(&mut self, from: MemberId, bucket: u16) {
-        if let Some(taking) = self.taking_from(from, bucket) {
-            taking.noted = true;
-        }
-    }
-
-    fn take_release(&mut self, from: MemberId, bucket: u16) {
-        if self.taking_from(from, bucket).is_some() {
-            self.buckets[usize::from(bucket)] = BucketState::OWNED;
-        }
-    }
-
-    fn taking_from(&mut self, from: MemberId, bucket: u16) -> Option<&mut TakingState> {
-        match self.buckets.get_mut(usize::from(bucket)) {
-            Some(BucketState::Taking(taking)) if taking.former == Some(from) => Some(taking),
-            _ => None,
-        }
-    }
-
     /// Does what is due. `busy` tells whether requests of a bucket still run here.
     pub fn tick(&mut self, now: Duration, busy: impl Fn(u16) -> bool) {
         let quorate = self.is_quorate(now);
--- a/crates/hawthorn-fleet/src/member/apply.rs
+++ b/crates/hawthorn-fleet/src/member/apply.rs
@@ -75,7 +75,7 @@
         }
         let zone = self.meet_zone(now, &place.zone);
         let key = self.arena.insert(now, &rumor, place, zone);
-        self.changed(now, key, rumor.id);
+        self.changed(key, rumor.id);
         self.start_sync_if_first();
         self.actions.push_back(FleetAction::MemberUp(key));
         if rumor.health == MemberHealth::Suspect {
@@ -135,7 +135,7 @@
             record.private = false;
             record.changed = now;
         });
-        self.changed(now, key, rumor.id);
+        self.changed(key, rumor.id);
         self.report(key, &was, restarted);
         if rumor.health == MemberHealth::Suspect {
             self.suspect_later(now, key, false);
@@ -183,7 +183,7 @@
         if private {
             self.view_changed = true;
         } else {
-            self.changed(now, key, was.id);
+            self.changed(key, was.id);
         }
         self.report(key, &was, false);
         if health == MemberHealth::Suspect {
@@ -199,7 +199,7 @@
         }
     }
 
-    fn changed(&mut self, _now: Duration, key: HostKey, id: MemberId) {
+    fn changed(&mut self, key: HostKey, id: MemberId) {
         self.rumors.push(id);
         self.view_changed = true;
         self.suspicions.retain(|suspicion| suspicion.key != key);
@@ -267,10 +267,13 @@
     /// A rumor of a later life of this host. Failure: either the clock was set
     /// back between two lives, and the fleet would ignore this one; or an
     /// operator started a second process with this name, and the two would
-    /// refute each other for ever. The address tells which.
+    /// refute each other for ever. A later life that runs at another address
+    /// is such a second process.
     fn judge_other_life(&mut self, now: Duration, rumor: MemberRumor) {
         let here = self.record_of_self().place.peer;
-        let twin = rumor.place.as_ref().map(|place| place.peer).filter(|&peer| peer != here);
+        let runs = rumor.health == MemberHealth::Alive && rumor.phase != MemberPhase::Left;
+        let place = rumor.place.as_ref().filter(|_| runs);
+        let twin = place.map(|place| place.peer).filter(|&peer| peer != here);
         if let Some(peer) = twin {
             self.actions.push_back(FleetAction::Superseded(peer));
             return;
--- a/crates/hawthorn-fleet/src/member/mod.rs
+++ b/crates/hawthorn-fleet/src/member/mod.rs
@@ -168,7 +168,8 @@
 
     /// Takes the addresses of the settings. They are asked for the member list
     /// on the next tick, and again while no live member is behind them.
-    pub fn seed(&mut self, _now: Duration, peers: &[SocketAddr]) {
+    pub fn seed(&mut self, now: Duration, peers: &[SocketAddr]) {
+        self.due.hint = now;
         self.settings_hints.extend(peers);
     }
 
@@ -177,7 +178,8 @@
     /// The list lags: it names hosts that are gone and omits live ones. Its
     /// addresses are only tried, so it neither kills a live member nor revives
     /// a dead one.
-    pub fn seed_platform(&mut self, _now: Duration, hosts: &[HostEntry]) {
+    pub fn seed_platform(&mut self, now: Duration, hosts: &[HostEntry]) {
+        self.due.hint = self.due.hint.min(now);
         self.platform_hints = hosts.iter().map(|entry| entry.peer).collect();
     }
 
--- a/crates/hawthorn-fleet/src/member/options.rs
+++ b/crates/hawthorn-fleet/src/member/options.rs
@@ -16,7 +16,7 @@
     /// After so long without an ack by any way, the member is suspect.
     pub probe_timeout: Duration,
     /// How many others are asked to ping.
-    pub helpers: usize,
+    pub relays: usize,
     /// How long a suspect may refute. Five heartbeats: with 5 % of datagrams
     /// lost, five pings all fail about once in 100,000.
     pub suspicion: Duration,
@@ -63,7 +63,7 @@
             heartbeat: Duration::from_millis(200),
             ack_timeout: Duration::from_millis(80),
             probe_timeout: Duration::from_millis(320),
-            helpers: 2,
+            relays: 2,
             suspicion: Duration::from_secs(1),
             suspicion_heard: Duration::from_secs(3),
             deaf_after: Duration::from_millis(600),
--- a/crates/hawthorn-fleet/src/member/probe.rs
+++ b/crates/hawthorn-fleet/src/member/probe.rs
@@ -279,7 +279,7 @@
                 let (key, peer, number) = (probe.key, probe.peer, probe.number);
                 self.probes[index].rounds += 1;
                 self.send(now, peer, FleetBody::Ping { number }, &[]);
-                self.ask_to_ping(now, key, number, self.options.helpers);
+                self.ask_to_ping(now, key, number, self.options.relays);
             }
             index += 1;
         }
@@ -287,20 +287,20 @@
 
     /// Asks others to ping. Failure: the way from here to the target is cut in
     /// one direction, or one datagram was lost, while the target is well.
-    /// Helpers are of the target's zone, which knows best; if that has no
+    /// Relays are of the target's zone, which knows best; if that has no
     /// others, of any zone.
     fn ask_to_ping(&mut self, now: Duration, key: HostKey, number: u32, count: usize) {
         let Some(record) = self.arena.get(key) else { return };
         let (id, peer, zone) = (record.id, record.place.peer, record.zone);
-        let mut helpers = self.pick(count, |record| {
+        let mut relays = self.pick(count, |record| {
             record.key != key && record.zone == zone && record.health == MemberHealth::Alive
         });
-        if helpers.len() < count {
-            let rest = count - helpers.len();
-            helpers.extend(self.pick(rest, |record| record.zone != zone));
+        if relays.len() < count {
+            let rest = count - relays.len();
+            relays.extend(self.pick(rest, |record| record.zone != zone));
         }
-        for helper in helpers {
-            let Some(to) = self.arena.get(helper).map(|record| record.place.peer) else { continue };
+        for relay in relays {
+            let Some(to) = self.arena.get(relay).map(|record| record.place.peer) else { continue };
             self.counters.indirect += 1;
             let body = FleetBody::PingRequest { number, target: id, peer };
             self.send(now, to, body, &[]);
@@ -314,7 +314,7 @@
             return;
         }
         self.counters.suspicions += 1;
-        // Helpers answer at once: hearing nothing at all since they were asked
+        // Relays answer at once: hearing nothing at all since they were asked
         // means that the fault is on this side, or that there is nobody else.
         let asked = probe.sent + self.options.ack_timeout;
         let private = self.last_heard < asked || self.is_deaf(now);
--- a/crates/hawthorn-fleet/src/spread/action.rs
+++ b/crates/hawthorn-fleet/src/spread/action.rs
@@ -9,7 +9,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SpreadAction {
     /// Fetch the document of at least this revision from the peer, then call
-    /// [`SpreadState::adopt`], or [`SpreadState::pull_failed`].
+    /// [`SpreadState::adopt`](crate::SpreadState::adopt), or [`SpreadState::pull_failed`](crate::SpreadState::pull_failed).
     Pull {
         /// The peer.
         peer: HostKey,
@@ -17,14 +17,14 @@
         revision: ConfigRevision,
     },
     /// Watch the store for a revision after this one, for at most `wait`, then
-    /// call [`SpreadState::store_answered`].
+    /// call [`SpreadState::store_answered`](crate::SpreadState::store_answered).
     Watch {
         /// The revision in force.
         after: ConfigRevision,
         /// How long the store may hold the call.
         wait: Duration,
     },
-    /// Read the document from the store, then call [`SpreadState::store_answered`].
+    /// Read the document from the store, then call [`SpreadState::store_answered`](crate::SpreadState::store_answered).
     ReadStore,
     /// Tell the operators.
     Alarm(SpreadAlarm),
