--- a/crates/hawthorn-fleet/src/handover/mod.rs
+++ b/crates/hawthorn-fleet/src/handover/mod.rs
@@ -15,7 +15,11 @@
 //! | nobody of its zone, or a minority | half | the former, dead | half for the window, then all |
 //! | that it stood still or was held for dead | none until the runner-up is at half | the former, left | all |
 
+mod action;
 mod bucket;
+mod options;
+mod receive;
+mod view;
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -31,151 +35,18 @@
 use crate::ownership;
 use crate::ownership::GroupId;
 use crate::ownership::OwnerCandidate;
+pub use action::HandoverAction;
+pub use action::HandoverCounters;
 use bucket::BucketState;
 use bucket::TakingState;
+pub use options::Options;
+pub use view::HostStanding;
+pub use view::SlotShare;
+pub use view::ZoneView;
 
 /// Buckets named in one message; at most three bytes each, so that it fits a datagram.
 const BUCKETS_SENT: usize = 256;
 
-/// How much of a group's slots this host may use now.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Default,
-    strum::Display,
-    strum::IntoStaticStr,
-)]
-#[strum(serialize_all = "kebab-case")]
-pub enum SlotShare {
-    /// None: start nothing; what runs may finish.
-    #[default]
-    None,
-    /// Half, rounded up: see [`SlotShare::slots`].
-    Half,
-    /// All.
-    Full,
-}
-
-impl SlotShare {
-    /// How many of a target's `slots` may be used. Half of an odd number is
-    /// rounded up, so that a target with one slot is served at all.
-    pub fn slots(self, slots: u32) -> u32 {
-        match self {
-            SlotShare::None => 0,
-            SlotShare::Half => slots.div_ceil(2),
-            SlotShare::Full => slots,
-        }
-    }
-}
-
-/// What this daemon knows of one host of its zone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HostStanding {
-    /// May own groups.
-    Serving,
-    /// Runs, but owns nothing new: joining or leaving.
-    Idle,
-    /// Held for dead since this time.
-    Dead(Duration),
-    /// Said that it stopped.
-    Left,
-}
-
-/// This daemon's zone as it sees it, from [`MemberTable::zone_view`](crate::MemberTable::zone_view).
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ZoneView {
-    /// The zone.
-    pub zone: String,
-    /// All known hosts of the zone, this one included.
-    pub hosts: BTreeMap<MemberId, HostStanding>,
-    /// This daemon hears nobody although it should.
-    pub deaf: bool,
-    /// This daemon hears from another zone.
-    pub witnessed: bool,
-}
-
-/// Times and sizes of the hand-over.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Buckets of a zone.
-    pub buckets: u16,
-    /// How long a new owner stays at half after the former was held for dead.
-    /// Longer than a cut-off host needs to notice (600 ms of silence) plus the
-    /// longest request that it may still run.
-    pub dead_window: Duration,
-    /// How long a former owner goes on at half for fronts that have not heard.
-    /// A rumor reaches a zone of 160 hosts within this time.
-    pub yield_window: Duration,
-    /// Between requests to let go.
-    pub ask_again: Duration,
-    /// Between first requests, while the new owner may use nothing yet.
-    pub claim_again: Duration,
-    /// How long a new owner waits with no slot for a live former owner to say
-    /// that it is at half. Longer than a dead one takes to be found out.
-    pub claim_limit: Duration,
-    /// How long a new owner waits for a live former owner that never lets go.
-    pub ask_limit: Duration,
-    /// How long another host's claim keeps an owner at half.
-    pub contest_window: Duration,
-    /// How long dead hosts of the zone count when a daemon asks itself whether
-    /// it is in the smaller part of a split zone.
-    pub split_window: Duration,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            buckets: ownership::DEFAULT_BUCKETS,
-            dead_window: Duration::from_secs(3),
-            yield_window: Duration::from_secs(1),
-            ask_again: Duration::from_millis(500),
-            claim_again: Duration::from_millis(50),
-            claim_limit: Duration::from_secs(3),
-            ask_limit: Duration::from_secs(30),
-            contest_window: Duration::from_secs(2),
-            split_window: Duration::from_secs(30),
-        }
-    }
-}
-
-/// What the daemon must do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum HandoverAction {
-    /// Pass to [`MemberTable::send_handover`](crate::MemberTable::send_handover).
-    Send {
-        /// The other owner.
-        to: MemberId,
-        /// What to tell it.
-        message: HandoverMessage,
-    },
-    /// This host's share of a bucket changed.
-    ShareChanged {
-        /// The bucket.
-        bucket: u16,
-        /// The share from now on.
-        share: SlotShare,
-    },
-}
-
-/// Counts since the start, for metrics.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct HandoverCounters {
-    /// Buckets taken over.
-    pub taken: u64,
-    /// Buckets handed over.
-    pub yielded: u64,
-    /// Claims by others on buckets owned here.
-    pub contested: u64,
-    /// Buckets taken whole though a live former owner never let go.
-    pub unconfirmed: u64,
-}
-
 /// Shares of all buckets of this daemon's zone. One lives as long as the process.
 #[derive(Debug)]
 pub struct Handover {
@@ -301,67 +172,6 @@
         self.refresh(now);
     }
 
-    /// Takes a message of another host of the zone.
-    pub fn receive(&mut self, now: Duration, from: MemberId, message: HandoverMessage) {
-        match message {
-            HandoverMessage::Ask(buckets) => {
-                for bucket in buckets {
-                    self.take_ask(now, from, bucket);
-                }
-            }
-            HandoverMessage::Noted(buckets) => {
-                for bucket in buckets {
-                    self.take_note(from, bucket);
-                }
-            }
-            HandoverMessage::Released(buckets) => {
-                for bucket in buckets {
-                    self.take_release(from, bucket);
-                }
-            }
-        }
-        self.refresh(now);
-        self.flush();
-    }
-
-    fn take_ask(&mut self, now: Duration, from: MemberId, bucket: u16) {
-        let Some(state) = self.buckets.get_mut(usize::from(bucket)) else { return };
-        match state {
-            BucketState::Foreign => {
-                self.released.entry(from).or_default().push(bucket);
-                return;
-            }
-            BucketState::Owned { contested } => {
-                self.counters.contested += 1;
-                *contested = now + self.options.contest_window;
-            }
-            BucketState::Yielding { to, .. } | BucketState::Draining { to, .. } => *to = Some(from),
-            // Two hosts take over from each other, each after standing still:
-            // the one that was asked first is at half and says so.
-            BucketState::Taking(_) => {}
-        }
-        self.noted.entry(from).or_default().push(bucket);
-    }
-
-    fn take_note(&mut self, from: MemberId, bucket: u16) {
-        if let Some(taking) = self.taking_from(from, bucket) {
-            taking.noted = true;
-        }
-    }
-
-    fn take_release(&mut self, from: MemberId, bucket: u16) {
-        if self.taking_from(from, bucket).is_some() {
-            self.buckets[usize::from(bucket)] = BucketState::OWNED;
-        }
-    }
-
-    fn taking_from(&mut self, from: MemberId, bucket: u16) -> Option<&mut TakingState> {
-        match self.buckets.get_mut(usize::from(bucket)) {
-            Some(BucketState::Taking(taking)) if taking.former == Some(from) => Some(taking),
-            _ => None,
-        }
-    }
-
     /// Does what is due. `busy` tells whether requests of a bucket still run here.
     pub fn tick(&mut self, now: Duration, busy: impl Fn(u16) -> bool) {
         let quorate = self.is_quorate(now);
@@ -407,6 +217,7 @@
         };
         if let Some(since) = gone_since {
             taking.noted = true;
+            taking.asked = Some(now);
             let over = now.saturating_sub(since) >= self.options.dead_window;
             return if over && quorate { BucketState::OWNED } else { BucketState::Taking(taking) };
         }
@@ -422,13 +233,36 @@
     /// Asks the former owner to let go, if it is time to.
     fn ask(&mut self, now: Duration, bucket: u16, taking: &mut TakingState) {
         let Some(former) = taking.former else { return };
-        let wait = if taking.noted { self.options.ask_again } else { self.options.claim_again };
+        let wait = self.wait(taking);
         if taking.asked.is_none_or(|at| now.saturating_sub(at) >= wait) {
             taking.asked = Some(now);
             self.asked.entry(former).or_default().push(bucket);
         }
     }
 
+    /// When `tick` is worth calling next, none while no bucket changes hands.
+    pub fn next_wake(&self, now: Duration) -> Option<Duration> {
+        self.buckets.iter().filter_map(|state| self.due(now, *state)).min()
+    }
+
+    fn due(&self, now: Duration, state: BucketState) -> Option<Duration> {
+        match state {
+            BucketState::Foreign => None,
+            BucketState::Taking(taking) => {
+                Some(taking.asked.map_or(now, |at| at + self.wait(&taking)))
+            }
+            BucketState::Yielding { since, .. } => Some(since + self.options.yield_window),
+            // Until then, or until what runs has ended, which is looked at often.
+            BucketState::Draining { until, .. } => Some(until.max(now + self.options.claim_again)),
+            BucketState::Owned { contested } => (contested > now).then_some(contested),
+        }
+    }
+
+    /// Between requests to the former owner of a bucket.
+    fn wait(&self, taking: &TakingState) -> Duration {
+        if taking.noted { self.options.ask_again } else { self.options.claim_again }
+    }
+
     /// This host's share of a bucket.
     pub fn share(&self, bucket: u16) -> SlotShare {
         self.shares.get(usize::from(bucket)).copied().unwrap_or_default()
--- a/crates/hawthorn-fleet/src/member/arena.rs
+++ b/crates/hawthorn-fleet/src/member/arena.rs
@@ -2,9 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::time::Duration;
 
 use hawthorn_types::HostKey;
+use hawthorn_types::ZoneKey;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::message::MemberDigest;
@@ -24,6 +26,8 @@
     pub id: MemberId,
     /// Its name, zone and address.
     pub place: MemberPlace,
+    /// Its zone in this process.
+    pub zone: ZoneKey,
     /// Orders what is said of it.
     pub stamp: MemberStamp,
     /// What it announced of itself.
@@ -87,6 +91,7 @@
         now: Duration,
         rumor: &MemberRumor,
         place: MemberPlace,
+        zone: ZoneKey,
     ) -> HostKey {
         let key = self.free.pop().unwrap_or_else(|| {
             self.slots.push(None);
@@ -96,6 +101,7 @@
             key,
             id: rumor.id,
             place,
+            zone,
             stamp: rumor.stamp,
             phase: rumor.phase,
             health: rumor.health,
@@ -155,10 +161,8 @@
 
     /// Records in order of id, after `after`.
     pub(crate) fn after(&self, after: u64) -> impl Iterator<Item = &MemberRecord> {
-        use std::ops::Bound::Excluded;
-        use std::ops::Bound::Unbounded;
         self.by_id
-            .range((Excluded(MemberId(after)), Unbounded))
+            .range((Bound::Excluded(MemberId(after)), Bound::Unbounded))
             .filter_map(|(_, &key)| self.get(key))
     }
 
--- a/crates/hawthorn-fleet/src/member/receive.rs
+++ b/crates/hawthorn-fleet/src/member/receive.rs
@@ -8,9 +8,7 @@
 use hawthorn_types::HostKey;
 
 use super::MemberTable;
-use super::SyncProgress;
 use super::probe::Relay;
-use super::zone::zone_hash;
 use crate::action::FleetAction;
 use crate::message;
 use crate::message::Error;
@@ -24,9 +22,6 @@
 /// The most pings for others kept waiting; more are not worth passing on late.
 const RELAY_LIMIT: usize = 256;
 
-/// A part of a peer's list with so much news is worth the next part at once.
-const REPAIR_NEWS: usize = 4;
-
 impl MemberTable {
     /// Takes in a datagram. An error changes nothing but the counters.
     pub fn receive(&mut self, now: Duration, from: SocketAddr, bytes: &[u8]) -> Result<(), Error> {
@@ -80,10 +75,12 @@
     }
 
     /// Hearing anyone after hearing nobody: what was suspected meanwhile gets
-    /// its full time again, as the fault was on this side.
+    /// its full time again, as the fault was on this side, and what was held
+    /// for dead is looked at once more before anybody is told.
     fn note_heard(&mut self, now: Duration) {
         if self.is_deaf(now) {
             self.restart_suspicions(now);
+            self.review_private(now);
         }
         self.last_heard = now;
     }
@@ -96,12 +93,10 @@
         message: &FleetMessage,
     ) {
         let Some(record) = self.arena.get(key) else { return };
-        let zone = record.place.zone.clone();
-        self.zones.hear(now, zone_hash(&zone), Duration::ZERO);
+        let zone = record.zone;
+        self.zones.hear(now, zone);
         if zone == self.my_zone {
-            for age in &message.zones {
-                self.zones.hear(now, age.zone, Duration::from_millis(u64::from(age.age_ms)));
-            }
+            self.zones.hear_ages(now, &message.zones);
         }
         if message.sender.fingerprint != self.arena.fingerprint() {
             self.repair_peer = Some(from);
@@ -110,43 +105,6 @@
             .push_back(FleetAction::DigestHeard { peer: key, digest: message.sender.digest });
     }
 
-    fn syncs_from(&self, from: SocketAddr) -> bool {
-        self.sync.as_ref().is_some_and(|sync| sync.peer == from)
-    }
-
-    /// Takes in a part of a peer's list; how much of it was news. What a
-    /// joining daemon learns so is not passed on: the others know it, and
-    /// thousands of records would crowd out real news for minutes.
-    fn apply_page(&mut self, now: Duration, from: SocketAddr, rumors: Vec<MemberRumor>) -> usize {
-        let joining = self.syncs_from(from);
-        let mut news = 0;
-        for rumor in rumors {
-            let id = rumor.id;
-            self.contradict(&rumor);
-            let waiting = self.rumors.contains(id);
-            if !self.apply(now, rumor) {
-                continue;
-            }
-            news += 1;
-            if joining && !waiting && id != self.my_id {
-                self.rumors.remove(id);
-            }
-        }
-        news
-    }
-
-    /// The peer lists a member live that is known to be dead here. Failure:
-    /// after a partition within a zone the two sides hold each other for dead
-    /// and tell nobody any more. Passing it on again lets the member refute.
-    fn contradict(&mut self, rumor: &MemberRumor) {
-        let dead = self.arena.by_id(rumor.id).is_some_and(|record| {
-            record.health == MemberHealth::Dead && !record.private && record.stamp >= rumor.stamp
-        });
-        if dead {
-            self.rumors.push(rumor.id);
-        }
-    }
-
     fn answer(
         &mut self,
         now: Duration,
@@ -219,7 +177,7 @@
             .arena
             .by_id(target)
             .filter(|record| !record.is_live() && !record.private)
-            .filter(|record| record.place.zone == self.my_zone);
+            .filter(|record| record.zone == self.my_zone);
         if let Some(record) = gone {
             let rumor = record.rumor();
             return self.send(now, origin, FleetBody::Notice, &[rumor]);
@@ -241,30 +199,4 @@
             .collect();
         self.send(now, peer, FleetBody::Ping { number }, &front);
     }
-
-    fn take_page(&mut self, now: Duration, from: SocketAddr, next: Option<u64>, news: usize) {
-        if !self.syncs_from(from) {
-            self.repair_after = next.unwrap_or(0);
-            if news >= REPAIR_NEWS
-                && let Some(after) = next
-            {
-                self.send(now, from, FleetBody::SyncAsk { after }, &[]);
-            }
-            return;
-        }
-        let Some(after) = next else {
-            self.sync = None;
-            if !self.synced {
-                self.synced = true;
-                self.actions.push_back(FleetAction::Synced);
-            }
-            return;
-        };
-        // A doubled page would ask again from where the list already went on.
-        if self.sync.as_ref().is_some_and(|sync| sync.after >= after) {
-            return;
-        }
-        self.sync = Some(SyncProgress { peer: from, after, asked: now });
-        self.send(now, from, FleetBody::SyncAsk { after }, &[]);
-    }
 }
