--- /dev/null
+++ b/crates/hawthorn-store/benches/claim.rs
@@ -0,0 +1,53 @@
+//! What claims cost the store, for a whole minute in virtual time: counts, not
+//! processor time, so that every run prints the same.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::error::Error;
+use std::time::Duration;
+
+use hawthorn_store::claim;
+
+use support::load;
+
+const LATENCY: Duration = Duration::from_millis(3);
+const MINUTE: u64 = 60;
+
+struct LoadCase {
+    rate: u64,
+    buckets: u32,
+    span: u64,
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    println!("claims/s buckets span s  calls/100 claims  writes/s     kB/s  median ms  slowest ms");
+    let case = |rate, buckets, span| LoadCase { rate, buckets, span };
+    let cases = [
+        case(10, 8, 10),
+        case(100, 8, 10),
+        case(100, 8, 60),
+        case(300, 8, 10),
+        case(300, 8, 60),
+        case(1000, 8, 1),
+        case(1000, 8, 10),
+        case(1000, 8, 60),
+        case(1000, 2, 10),
+        case(3000, 8, 10),
+    ];
+    for LoadCase { rate, buckets, span } in cases {
+        let mut builder = tokio::runtime::Builder::new_current_thread();
+        let runtime = builder.enable_time().start_paused(true).build()?;
+        let options = claim::Options { buckets, span, ..claim::Options::default() };
+        let cost = runtime.block_on(load::steady(rate, MINUTE, options, LATENCY))?;
+        println!(
+            "{rate:>8} {buckets:>7} {span:>6} {:>17.1} {:>9.0} {:>8.0} {:>10} {:>11}",
+            cost.calls_per_hundred,
+            cost.writes_per_second,
+            cost.kilobytes_per_second,
+            cost.median.as_millis(),
+            cost.slowest.as_millis(),
+        );
+    }
+    Ok(())
+}
--- a/crates/hawthorn-store/src/claim/committer.rs
+++ b/crates/hawthorn-store/src/claim/committer.rs
@@ -33,7 +33,7 @@
 #[derive(Debug)]
 pub(super) struct WaitingClaim {
     pub(super) name: ClaimName,
-    pub(super) minute: u64,
+    pub(super) span: u64,
     pub(super) deadline: Instant,
     pub(super) unix_now: Duration,
     pub(super) forgotten_at: Duration,
@@ -143,11 +143,11 @@
     }
 
     fn bury(&mut self, released: Option<ReleasedNonce>) {
-        let Some(ReleasedNonce { minute, nonce }) = released else {
+        let Some(ReleasedNonce { span, nonce }) = released else {
             return;
         };
         self.counts.add(ClaimEvent::Released);
-        self.ledgers.entry(minute).or_default().bury(nonce);
+        self.ledgers.entry(span).or_default().bury(nonce);
         self.clean_soon();
     }
 
@@ -157,25 +157,25 @@
         self.clean_at.get_or_insert(soon);
     }
 
-    /// Writes the claims that wait for the minute of the first one.
+    /// Writes the claims that wait for the span of the first one.
     async fn commit_first(&mut self) {
         let Some(first) = self.waiting.front() else {
             return;
         };
-        let minute = first.minute;
-        let group = self.gather(minute);
-        self.commit(minute, group, self.options.max_attempts).await;
+        let span = first.span;
+        let group = self.gather(span);
+        self.commit(span, group, self.options.max_attempts).await;
     }
 
-    /// Takes the claims of `minute` that still wait, each name once: a second
+    /// Takes the claims of `span` that still wait, each name once: a second
     /// send of the same id goes in a later group and finds the first.
-    fn gather(&mut self, minute: u64) -> ClaimGroup {
+    fn gather(&mut self, span: u64) -> ClaimGroup {
         let mut group = ClaimGroup::default();
         let mut left = VecDeque::new();
         let now = Instant::now();
         for claim in mem::take(&mut self.waiting) {
             let full = group.len() >= self.options.max_group;
-            if claim.minute != minute || full || group.has(&claim.name) {
+            if claim.span != span || full || group.has(&claim.name) {
                 left.push_back(claim);
                 continue;
             }
@@ -205,20 +205,20 @@
     async fn clean(&mut self) {
         self.clean_at = None;
         let dead = self.ledgers.iter().filter(|(_, ledger)| ledger.has_dead());
-        let minutes: Vec<u64> = dead.map(|(minute, _)| *minute).collect();
-        for minute in minutes {
-            self.commit(minute, ClaimGroup::default(), CLEAN_ATTEMPTS).await;
+        let spans: Vec<u64> = dead.map(|(span, _)| *span).collect();
+        for span in spans {
+            self.commit(span, ClaimGroup::default(), CLEAN_ATTEMPTS).await;
         }
         if self.ledgers.values().any(ClaimLedger::has_dead) {
             self.clean_soon();
         }
     }
 
-    /// Drops what is known of minutes whose ids every host refuses.
+    /// Drops what is known of spans whose ids every host refuses.
     fn forget_old(&mut self) {
         let options = &self.options;
         let now = self.unix_now;
-        self.ledgers.retain(|minute, _| now < forgotten_at(*minute, options));
+        self.ledgers.retain(|span, _| now < forgotten_at(*span, options));
     }
 
     async fn stop(mut self) {
@@ -232,14 +232,14 @@
         self.clean().await;
     }
 
-    pub(super) fn key(&self, minute: u64) -> String {
-        format!("claims/{}/{minute}", self.bucket)
+    pub(super) fn key(&self, span: u64) -> String {
+        format!("claims/{}/{span}", self.bucket)
     }
 
     /// Hands out a claim that is recorded.
     pub(super) fn grant(&self, claim: WaitingClaim, nonce: Nonce) {
         let grant = ClaimGrant {
-            released: Some(ReleasedNonce { minute: claim.minute, nonce }),
+            released: Some(ReleasedNonce { span: claim.span, nonce }),
             releases: self.releaser.clone(),
             deadline: claim.deadline,
             forgotten_at: claim.forgotten_at,
--- a/crates/hawthorn-store/src/claim/grant.rs
+++ b/crates/hawthorn-store/src/claim/grant.rs
@@ -8,10 +8,10 @@
 
 use super::ledger::Nonce;
 
-/// A nonce to give up, and the minute whose value holds it.
+/// A nonce to give up, and the span whose value holds it.
 #[derive(Clone, Debug)]
 pub(super) struct ReleasedNonce {
-    pub(super) minute: u64,
+    pub(super) span: u64,
     pub(super) nonce: Nonce,
 }
 
@@ -76,7 +76,7 @@
 impl Drop for ClaimGrant {
     fn drop(&mut self) {
         if let Some(released) = self.released.take() {
-            // The keeper is gone: the entry stays until claims of its minute are swept.
+            // The keeper is gone: the entry stays until claims of its span are swept.
             let _ = self.releases.send(released);
         }
     }
--- a/crates/hawthorn-store/src/claim/group.rs
+++ b/crates/hawthorn-store/src/claim/group.rs
@@ -23,7 +23,7 @@
 use crate::store::Store;
 use crate::store::WriteOutcome;
 
-/// Claims of one minute, each under its nonce.
+/// Claims of one span, each under its nonce.
 #[derive(Debug, Default)]
 pub(super) struct ClaimGroup {
     claims: BTreeMap<ClaimName, (WaitingClaim, Nonce)>,
@@ -48,6 +48,12 @@
         self.claims.iter().map(|(name, (_, nonce))| (name, nonce))
     }
 
+    /// Whether another send held one of the claims when the value was last
+    /// seen. It may have given it back since, so that alone refuses nobody.
+    fn seems_held(&self, ledger: &ClaimLedger) -> bool {
+        self.nonces().any(|(name, nonce)| ledger.holder(name, nonce) == Holder::Other)
+    }
+
     fn take(
         &mut self,
         mut which: impl FnMut(&WaitingClaim, &Nonce) -> bool,
@@ -58,7 +64,7 @@
 }
 
 impl<S: Store> Committer<S> {
-    /// Writes `group`, and takes the minute's dead claims out along with it.
+    /// Writes `group`, and takes the span's dead claims out along with it.
     ///
     /// Failure: the answer to a write is lost after it took effect. A second
     /// write would then meet the first one's claims and take them for another
@@ -66,11 +72,11 @@
     /// claim. If it is not there, the lost write may still come: the next
     /// write expects the same revision, so that only one of the two can take
     /// effect, and both hold the same nonces.
-    pub(super) async fn commit(&mut self, minute: u64, mut group: ClaimGroup, attempts: u32) {
-        let mut ledger = self.ledgers.remove(&minute).unwrap_or_default();
+    pub(super) async fn commit(&mut self, span: u64, mut group: ClaimGroup, attempts: u32) {
+        let mut ledger = self.ledgers.remove(&span).unwrap_or_default();
         for _ in 0..attempts {
             self.drop_expired(&mut group, &mut ledger);
-            let settled = self.exchange(minute, &mut group, &mut ledger).await;
+            let settled = self.exchange(span, &mut group, &mut ledger).await;
             if settled || (group.claims.is_empty() && !ledger.has_dead()) {
                 break;
             }
@@ -79,18 +85,19 @@
         if ledger.has_dead() {
             self.clean_soon();
         }
-        self.ledgers.insert(minute, ledger);
+        self.ledgers.insert(span, ledger);
     }
 
     /// One read, if one is needed, and one write; `true` when all is settled.
     async fn exchange(
         &mut self,
-        minute: u64,
+        span: u64,
         group: &mut ClaimGroup,
         ledger: &mut ClaimLedger,
     ) -> bool {
-        let key = self.key(minute);
-        if ledger.is_stale() && !self.read(&key, ledger).await {
+        let key = self.key(span);
+        let unsure = ledger.is_stale() || group.seems_held(ledger);
+        if unsure && !self.read(&key, ledger).await {
             sleep(self.options.pause).await;
             return false;
         }
@@ -102,7 +109,7 @@
         let value = encode(&table);
         if value.len() > self.options.max_value && !group.claims.is_empty() {
             let refused = std::mem::take(group);
-            self.give_up(refused, ledger, UnavailableCause::MinuteFull);
+            self.give_up(refused, ledger, UnavailableCause::SpanFull);
             return true;
         }
         self.write(&key, value, table, group, ledger).await
@@ -163,7 +170,7 @@
         false
     }
 
-    /// Answers the claims about which the value last seen decides.
+    /// Answers the claims about which the value just read or written decides.
     fn settle_seen(&self, group: &mut ClaimGroup, ledger: &ClaimLedger) {
         let own = group.take(|claim, nonce| ledger.holder(&claim.name, nonce) == Holder::Own);
         for (claim, nonce) in own {
--- a/crates/hawthorn-store/src/claim/keeper.rs
+++ b/crates/hawthorn-store/src/claim/keeper.rs
@@ -92,10 +92,10 @@
         let taken = Arc::new(AtomicBool::new(false));
         let claim = WaitingClaim {
             name: ClaimName { caller: ask.caller, request_id: ask.request_id },
-            minute: stamp.minute(),
+            span: stamp.span(&self.options),
             deadline: ask.deadline,
             unix_now: ask.unix_now,
-            forgotten_at: forgotten_at(stamp.minute(), &self.options),
+            forgotten_at: forgotten_at(stamp.span(&self.options), &self.options),
             taken: Arc::clone(&taken),
             reply,
         };
--- a/crates/hawthorn-store/src/claim/mod.rs
+++ b/crates/hawthorn-store/src/claim/mod.rs
@@ -33,11 +33,18 @@
 pub use self::sweep::SweepOutcome;
 pub use self::sweep::sweep;
 
-/// Limits of the claims. All hosts have to agree on `buckets` and `window`.
+/// Limits of the claims.
+///
+/// `buckets`, `span`, `window` and `margin` are the same on all hosts, and
+/// `buckets` and `span` of a fleet never change while ids of their window are
+/// in use: two hosts that look for one claim under two keys both grant it.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
-    /// Values that the claims of one minute are spread over.
+    /// Values that the claims of one span are spread over.
     pub buckets: u32,
+    /// Seconds of request ids that share a value. Each write repeats the whole
+    /// value, so a long span costs bytes: see `docs/design/at-most-once.md`.
+    pub span: u64,
     /// How old a request id may be. Claims are kept at least as long.
     pub window: Duration,
     /// How much longer claims are kept than `window`. Has to exceed the
@@ -69,6 +76,7 @@
     fn default() -> Self {
         Self {
             buckets: 8,
+            span: 10,
             window: Duration::from_secs(600),
             margin: Duration::from_secs(300),
             skew: Duration::from_secs(5),
@@ -140,7 +148,7 @@
             Self::QueueFull => RefusalReason::QueueFull,
             Self::Expired => RefusalReason::ExpiredInQueue,
             Self::Stopping => RefusalReason::Stopping,
-            Self::Store | Self::MinuteFull => RefusalReason::ClaimUnavailable,
+            Self::Store | Self::SpanFull => RefusalReason::ClaimUnavailable,
         }
     }
 }
@@ -155,8 +163,8 @@
     Expired,
     /// The store did not run the writes.
     Store,
-    /// The value has no room for further claims of this minute.
-    MinuteFull,
+    /// The value has no room for further claims of this span.
+    SpanFull,
     /// The keeper is stopping.
     Stopping,
 }
--- a/crates/hawthorn-store/src/claim/stamp.rs
+++ b/crates/hawthorn-store/src/claim/stamp.rs
@@ -10,8 +10,6 @@
 /// The longest request id, in bytes: a claim's value holds thousands of them.
 pub const MAX_LENGTH: usize = 128;
 
-const SECONDS_A_MINUTE: u64 = 60;
-
 quick_error! {
     /// Why a text is no request id.
     #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,9 +70,9 @@
         self.second
     }
 
-    /// The Unix minute of that second; it chooses the claim's key.
-    pub fn minute(&self) -> u64 {
-        self.second / SECONDS_A_MINUTE
+    /// The span of [`Options::span`] seconds that it lies in; it chooses the claim's key.
+    pub fn span(&self, options: &Options) -> u64 {
+        self.second / options.span.max(1)
     }
 
     /// Whether the id lies in the time for which claims are kept.
@@ -94,8 +92,8 @@
     }
 }
 
-/// The first moment at which no host accepts an id of `minute` any more.
-pub(super) fn forgotten_at(minute: u64, options: &Options) -> Duration {
-    let end = Duration::from_secs((minute.saturating_add(1)).saturating_mul(SECONDS_A_MINUTE));
+/// The first moment at which no host accepts an id of `span` any more.
+pub(super) fn forgotten_at(span: u64, options: &Options) -> Duration {
+    let end = Duration::from_secs(span.saturating_add(1).saturating_mul(options.span.max(1)));
     end.saturating_add(options.window).saturating_add(options.margin)
 }
--- a/crates/hawthorn-store/src/claim/sweep.rs
+++ b/crates/hawthorn-store/src/claim/sweep.rs
@@ -1,4 +1,4 @@
-//! Deletes claims of minutes whose request ids every host refuses.
+//! Deletes claims of spans whose request ids every host refuses.
 
 use std::time::Duration;
 
@@ -20,11 +20,11 @@
 }
 
 /// Deletes the forgotten values of `bucket`. One list call and one deletion for
-/// each minute; once a minute by the bucket's owner is often enough.
+/// each span; once a minute by the bucket's owner is often enough.
 ///
 /// Failure: a claim deleted too early lets a second send of its id run again.
 /// A value is deleted only when `window` and `margin` have both passed since
-/// the end of its minute, so even a host whose clock is `margin` behind
+/// the end of its span, so even a host whose clock is `margin` behind
 /// refuses its ids by their age.
 pub async fn sweep(
     store: &impl Store,
@@ -35,8 +35,8 @@
     let prefix = format!("claims/{bucket}/");
     let mut outcome = SweepOutcome::default();
     for entry in store.list(&prefix).await? {
-        let minute = entry.key.strip_prefix(&prefix).and_then(|text| text.parse::<u64>().ok());
-        if minute.is_none_or(|minute| unix_now < forgotten_at(minute, options)) {
+        let span = entry.key.strip_prefix(&prefix).and_then(|text| text.parse::<u64>().ok());
+        if span.is_none_or(|span| unix_now < forgotten_at(span, options)) {
             outcome.kept += 1;
             continue;
         }
--- a/crates/hawthorn-store/src/client/call.rs
+++ b/crates/hawthorn-store/src/client/call.rs
@@ -109,13 +109,18 @@
     pub(super) async fn call(&self, call: StoreCall) -> CallReply {
         let deadline = Instant::now() + self.options.call_deadline + call.lasts;
         let mut backoff = self.options.min_backoff;
+        let mut limited = false;
         loop {
-            let reply = self.exchange(&call, deadline).await;
-            if !matches!(reply, CallReply::Answered(StatusCode::TOO_MANY_REQUESTS, _)) {
-                return reply;
+            match self.exchange(&call, deadline).await {
+                CallReply::Answered(StatusCode::TOO_MANY_REQUESTS, _) => limited = true,
+                // The time ran out while backing off.
+                CallReply::NotRun(NotRunCause::QueueFull) if limited => {
+                    return CallReply::NotRun(NotRunCause::RateLimited);
+                }
+                reply => return reply,
             }
             let pause = self.spread(backoff);
-            if Instant::now() + pause >= deadline {
+            if Instant::now() + pause + self.options.min_exchange > deadline {
                 return CallReply::NotRun(NotRunCause::RateLimited);
             }
             sleep(pause).await;
@@ -129,6 +134,12 @@
             self.counts.add(call.kind, CallOutcome::QueueFull);
             return CallReply::NotRun(NotRunCause::QueueFull);
         };
+        // A write sent without time for its answer is a doubt of our own making:
+        // when the store hangs, all that queued would be sent at the deadline.
+        if Instant::now() + self.options.min_exchange > deadline {
+            self.counts.add(call.kind, CallOutcome::QueueFull);
+            return CallReply::NotRun(NotRunCause::QueueFull);
+        }
         let reply = match timeout_at(deadline, self.send(call)).await {
             Ok(reply) => reply,
             Err(_) => CallReply::Uncertain(UncertainCause::Timeout),
--- a/crates/hawthorn-store/src/client/mod.rs
+++ b/crates/hawthorn-store/src/client/mod.rs
@@ -41,6 +41,9 @@
     pub max_watches: usize,
     /// How long a call may take, the wait for a connection and all backing off included.
     pub call_deadline: Duration,
+    /// Time that must be left of a call when it is sent: a few answers of a
+    /// healthy store.
+    pub min_exchange: Duration,
     /// How long connecting may take.
     pub connect_timeout: Duration,
     /// First pause after a 429; doubles with each further one.
@@ -59,6 +62,7 @@
             max_calls: 16,
             max_watches: 4,
             call_deadline: Duration::from_millis(500),
+            min_exchange: Duration::from_millis(20),
             connect_timeout: Duration::from_millis(200),
             min_backoff: Duration::from_millis(10),
             max_backoff: Duration::from_millis(200),
--- a/crates/hawthorn-store/src/edit/mod.rs
+++ b/crates/hawthorn-store/src/edit/mod.rs
@@ -79,7 +79,8 @@
 }
 
 quick_error! {
-    /// Why an edit was not made. It had no effect and never will.
+    /// Why an edit was not made. This making of it had no effect and never
+    /// will; an earlier one of the same id that was uncertain still may.
     #[derive(Clone, Debug, PartialEq, Eq)]
     pub enum Error {
         /// The store could not be read.
--- /dev/null
+++ b/crates/hawthorn-store/tests/client.rs
@@ -0,0 +1,220 @@
+//! The client over real sockets on loopback: what each answer means.
+
+use std::error::Error;
+use std::future::pending;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hawthorn_store::DeleteOutcome;
+use hawthorn_store::NotRunCause;
+use hawthorn_store::ReadError;
+use hawthorn_store::Store;
+use hawthorn_store::StoreClient;
+use hawthorn_store::UncertainCause;
+use hawthorn_store::WriteOutcome;
+use hawthorn_store::client::CallKind;
+use hawthorn_store::client::CallOutcome;
+use hawthorn_store::client::Options;
+use hawthorn_store::client::WatchOutcome;
+use hawthorn_types::platform::StoreEntry;
+use hawthorn_types::platform::StorePut;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+type TestResult = Result<(), Box<dyn Error>>;
+
+/// What the server does with one request.
+#[derive(Clone, Copy, Debug)]
+enum Reply {
+    Say(u16, &'static str),
+    /// Never answers.
+    Hang,
+    /// Reads the request and closes the connection.
+    HangUp,
+}
+
+/// Serves `replies` in order, the last one for ever.
+async fn serve(replies: Vec<Reply>) -> Result<SocketAddr, Box<dyn Error>> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let next = Arc::new(AtomicUsize::new(0));
+    let replies = Arc::new(replies);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (next, replies) = (Arc::clone(&next), Arc::clone(&replies));
+            let answer = move |_: Request<Incoming>| {
+                let number = next.fetch_add(1, Ordering::Relaxed).min(replies.len() - 1);
+                reply(replies[number])
+            };
+            let connection = http1::Builder::new();
+            tokio::spawn(connection.serve_connection(TokioIo::new(stream), service_fn(answer)));
+        }
+    });
+    Ok(address)
+}
+
+async fn reply(reply: Reply) -> Result<Response<Full<Bytes>>, std::io::Error> {
+    match reply {
+        Reply::Say(status, body) => {
+            let response = Response::builder().status(status).body(Full::from(body));
+            response.map_err(std::io::Error::other)
+        }
+        Reply::Hang => pending::<Result<_, _>>().await,
+        Reply::HangUp => Err(std::io::Error::other("hang up")),
+    }
+}
+
+fn options() -> Options {
+    Options {
+        call_deadline: Duration::from_millis(150),
+        min_backoff: Duration::from_millis(1),
+        max_backoff: Duration::from_millis(4),
+        ..Options::default()
+    }
+}
+
+fn put() -> StorePut {
+    StorePut { expect: 4, value: "v".to_owned(), lease: None }
+}
+
+const ENTRY: &str = r#"{"key":"k","revision":5,"value":"v"}"#;
+
+struct WriteCase {
+    name: &'static str,
+    replies: Vec<Reply>,
+    outcome: WriteOutcome,
+    counted: CallOutcome,
+}
+
+/// Whether a write had an effect is read from its answer alone. Taken for "not
+/// run", a lost answer has an edit made twice; taken for "may have run", a 429
+/// has an order wait for nothing.
+#[tokio::test]
+async fn a_write_means_what_its_answer_says() -> TestResult {
+    let cases = [
+        WriteCase {
+            name: "written",
+            replies: vec![Reply::Say(200, ENTRY)],
+            outcome: WriteOutcome::Written { revision: 5 },
+            counted: CallOutcome::Ok,
+        },
+        WriteCase {
+            name: "another revision",
+            replies: vec![Reply::Say(409, r#"{"found":7}"#)],
+            outcome: WriteOutcome::Conflict { found: 7 },
+            counted: CallOutcome::Conflict,
+        },
+        WriteCase {
+            name: "limited once",
+            replies: vec![Reply::Say(429, ""), Reply::Say(200, ENTRY)],
+            outcome: WriteOutcome::Written { revision: 5 },
+            counted: CallOutcome::RateLimited,
+        },
+        WriteCase {
+            name: "limited until the deadline",
+            replies: vec![Reply::Say(429, "")],
+            outcome: WriteOutcome::NotRun(NotRunCause::RateLimited),
+            counted: CallOutcome::RateLimited,
+        },
+        WriteCase {
+            name: "outage",
+            replies: vec![Reply::Say(503, "down")],
+            outcome: WriteOutcome::Uncertain(UncertainCause::Outage),
+            counted: CallOutcome::Outage,
+        },
+        WriteCase {
+            name: "never answered",
+            replies: vec![Reply::Hang],
+            outcome: WriteOutcome::Uncertain(UncertainCause::Timeout),
+            counted: CallOutcome::Timeout,
+        },
+        WriteCase {
+            name: "connection closed",
+            replies: vec![Reply::HangUp],
+            outcome: WriteOutcome::Uncertain(UncertainCause::ConnectionLost),
+            counted: CallOutcome::ConnectionLost,
+        },
+        WriteCase {
+            name: "unreadable",
+            replies: vec![Reply::Say(200, "{")],
+            outcome: WriteOutcome::Uncertain(UncertainCause::BadAnswer),
+            counted: CallOutcome::Ok,
+        },
+    ];
+    for case in cases {
+        let client = StoreClient::new(serve(case.replies).await?, options());
+        assert_eq!(client.put("k", put()).await, case.outcome, "{}", case.name);
+        assert!(client.counts().get(CallKind::Put, case.counted) > 0, "{}", case.name);
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn what_never_left_certainly_did_not_run() -> TestResult {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    drop(listener);
+    let client = StoreClient::new(address, options());
+    let unreachable = WriteOutcome::NotRun(NotRunCause::Unreachable);
+    assert_eq!(client.put("k", put()).await, unreachable);
+    let large = StorePut { value: "x".repeat((1 << 20) + 1), ..put() };
+    assert_eq!(client.put("k", large).await, WriteOutcome::NotRun(NotRunCause::BadRequest));
+    assert_eq!(client.counts().sent(), 0);
+    Ok(())
+}
+
+#[tokio::test]
+async fn reads_leases_and_watches_mean_what_they_say() -> TestResult {
+    let one = |status, body| serve(vec![Reply::Say(status, body)]);
+    let client = |address| StoreClient::new(address, options());
+    let entry = StoreEntry { key: "k".to_owned(), revision: 5, value: "v".to_owned() };
+    assert_eq!(client(one(200, ENTRY).await?).get("k").await, Ok(Some(entry.clone())));
+    assert_eq!(client(one(404, "").await?).get("k").await, Ok(None));
+    let outage = Err(ReadError::NoAnswer(UncertainCause::Outage));
+    assert_eq!(client(one(503, "").await?).get("k").await, outage);
+    let wait = Duration::from_millis(10);
+    let changed = client(one(200, ENTRY).await?).watch("k", 4, wait).await;
+    assert_eq!(changed, Ok(WatchOutcome::Changed(entry)));
+    let unchanged = client(one(204, "").await?).watch("k", 5, wait).await;
+    assert_eq!(unchanged, Ok(WatchOutcome::Unchanged));
+    assert_eq!(client(one(404, "").await?).renew_lease(7).await, Ok(None));
+    let lease = client(one(200, r#"{"lease":7,"ttl_ms":900}"#).await?).grant_lease(wait).await?;
+    assert_eq!((lease.lease, lease.ttl_ms), (7, 900));
+    assert_eq!(client(one(200, "[]").await?).list("p").await, Ok(Vec::new()));
+    assert_eq!(client(one(200, "[]").await?).hosts().await, Ok(Vec::new()));
+    assert_eq!(client(one(200, "").await?).delete("k", 5).await, DeleteOutcome::Deleted);
+    assert_eq!(client(one(404, "").await?).delete("k", 5).await, DeleteOutcome::Absent);
+    assert_eq!(client(one(409, "").await?).delete("k", 5).await, DeleteOutcome::Conflict);
+    Ok(())
+}
+
+/// The store slows down while a host has much to ask. Without a bound each call
+/// opens a connection, and the store that was slow is down.
+#[tokio::test]
+async fn a_slow_store_gets_a_bounded_number_of_calls() -> TestResult {
+    let address = serve(vec![Reply::Hang]).await?;
+    let client = StoreClient::new(address, Options { max_calls: 2, ..options() });
+    let mut calls = JoinSet::new();
+    for _ in 0..20 {
+        let client = client.clone();
+        calls.spawn(async move { client.put("k", put()).await });
+    }
+    let outcomes = calls.join_all().await;
+    let timeout = WriteOutcome::Uncertain(UncertainCause::Timeout);
+    assert_eq!(outcomes.iter().filter(|outcome| **outcome == timeout).count(), 2);
+    let queued = WriteOutcome::NotRun(NotRunCause::QueueFull);
+    assert_eq!(outcomes.iter().filter(|outcome| **outcome == queued).count(), 18);
+    assert_eq!(client.counts().sent(), 2);
+    Ok(())
+}
--- /dev/null
+++ b/crates/hawthorn-store/tests/support/load.rs
@@ -0,0 +1,79 @@
+//! Claims at a steady rate, in virtual time, and what they cost the store.
+
+use std::error::Error;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthorn_store::ClaimKeeper;
+use hawthorn_store::claim;
+use hawthorn_store::claim::ClaimAsk;
+use hawthorn_store::claim::ClaimEvent;
+use hawthorn_store::claim::Outcome;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+use tokio_util::sync::CancellationToken;
+
+use super::FakeStore;
+
+const PATIENCE: Duration = Duration::from_secs(1);
+const MICROS: u64 = 1_000_000;
+const FIRST_SECOND: u64 = 1_700_000_040;
+
+/// What a steady rate of claims cost.
+#[derive(Clone, Copy, Debug)]
+pub struct ClaimCost {
+    pub calls_per_hundred: f64,
+    pub writes_per_second: f64,
+    pub kilobytes_per_second: f64,
+    pub median: Duration,
+    pub slowest: Duration,
+}
+
+/// Claims `rate` a second for `seconds`, each stamped when it is made and used.
+pub async fn steady(
+    rate: u64,
+    seconds: u64,
+    options: claim::Options,
+    latency: Duration,
+) -> Result<ClaimCost, Box<dyn Error>> {
+    let store = FakeStore::new(latency);
+    let keeper = ClaimKeeper::spawn(Arc::new(store.clone()), options, &CancellationToken::new());
+    let started = Instant::now();
+    let mut claims = JoinSet::new();
+    for number in 0..rate * seconds {
+        let at = Duration::from_micros(number * MICROS / rate);
+        sleep_until(started + at).await;
+        let keeper = keeper.clone();
+        claims.spawn(async move {
+            let second = FIRST_SECOND + at.as_secs();
+            let ask = ClaimAsk {
+                caller: "port-desk".to_owned(),
+                request_id: format!("{second}-{number:06}"),
+                deadline: Instant::now() + PATIENCE,
+                unix_now: Duration::from_secs(second),
+            };
+            let asked = Instant::now();
+            match keeper.claim(ask).await {
+                Outcome::Granted(grant) => {
+                    let waited = asked.elapsed();
+                    let permit = grant.dispatch(Instant::now(), Duration::from_secs(second));
+                    permit.map(|_| waited).map_err(|error| error.to_string())
+                }
+                other => Err(format!("not granted: {other:?}")),
+            }
+        });
+    }
+    let mut waits = claims.join_all().await.into_iter().collect::<Result<Vec<_>, _>>()?;
+    waits.sort();
+    let calls = store.calls();
+    let written = keeper.counts().get(ClaimEvent::BytesWritten);
+    let took = started.elapsed().as_secs_f64();
+    Ok(ClaimCost {
+        calls_per_hundred: (calls.puts + calls.gets) as f64 * 100.0 / waits.len() as f64,
+        writes_per_second: calls.puts as f64 / took,
+        kilobytes_per_second: written as f64 / 1000.0 / took,
+        median: waits[waits.len() / 2],
+        slowest: waits[waits.len() - 1],
+    })
+}
--- a/crates/hawthorn-store/tests/support/mod.rs
+++ b/crates/hawthorn-store/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A store in memory whose calls take virtual time and fail as they are told.
 #![allow(dead_code)]
 
+pub mod load;
+
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -53,10 +55,7 @@
     rates: FaultRates,
     random: StdRng,
     down: bool,
-    pub gets: u64,
-    pub puts: u64,
-    pub lists: u64,
-    pub deletes: u64,
+    calls: Calls,
 }
 
 /// The store; clones are the same store.
@@ -67,7 +66,7 @@
 }
 
 /// Calls made so far.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Calls {
     pub gets: u64,
     pub puts: u64,
@@ -88,10 +87,7 @@
             rates,
             random: StdRng::seed_from_u64(seed),
             down: false,
-            gets: 0,
-            puts: 0,
-            lists: 0,
-            deletes: 0,
+            calls: Calls::default(),
         };
         Self { state: Arc::new(Mutex::new(state)), latency }
     }
@@ -114,8 +110,7 @@
     }
 
     pub fn calls(&self) -> Calls {
-        let state = self.lock();
-        Calls { gets: state.gets, puts: state.puts, lists: state.lists, deletes: state.deletes }
+        self.lock().calls
     }
 
     pub fn value(&self, key: &str) -> Option<String> {
@@ -242,12 +237,12 @@
 
 impl Store for FakeStore {
     async fn get(&self, key: &str) -> Result<Option<StoreEntry>, ReadError> {
-        self.lock().gets += 1;
+        self.lock().calls.gets += 1;
         self.read(|state| state.entries.get(key).cloned()).await
     }
 
     async fn put(&self, key: &str, put: StorePut) -> WriteOutcome {
-        self.lock().puts += 1;
+        self.lock().calls.puts += 1;
         let key = key.to_owned();
         match self.write(move |state| state.put(&key, &put)).await {
             Ok(outcome) => outcome,
@@ -258,7 +253,7 @@
     }
 
     async fn delete(&self, key: &str, expect: u64) -> DeleteOutcome {
-        self.lock().deletes += 1;
+        self.lock().calls.deletes += 1;
         let key = key.to_owned();
         match self.write(move |state| state.delete(&key, expect)).await {
             Ok(outcome) => outcome,
@@ -269,7 +264,7 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<StoreEntry>, ReadError> {
-        self.lock().lists += 1;
+        self.lock().calls.lists += 1;
         let listed = |state: &mut State| {
             let entries = state.entries.values().filter(|entry| entry.key.starts_with(prefix));
             entries.map(|entry| StoreEntry { value: String::new(), ..entry.clone() }).collect()
