fix(plan): plan anew at once when a version is dropped for much of a query

Cause: a version dropped everywhere sent each piece to another zone for the old version first, a round trip and as many pieces as planning anew; a grant check of claims used the time of sweeping in place of the window. Change: a third of the query retired in one answer plans anew if the newer version covers as much; fewer pieces still ask the other zone first. Grants expire with the window; refusals of claims say when to come back.

--- a/crates/hawthorn-plan/src/track/answer.rs
+++ b/crates/hawthorn-plan/src/track/answer.rs
@@ -18,6 +18,9 @@
 use super::wire::PieceOutcome;
 use crate::plan::LearnedVersions;
 
+/// A part of the query as large as one zone's owner may have of it, as a divisor.
+const MUCH_DIVISOR: usize = 3;
+
 /// One target's part of the answer.
 struct SearchedPart {
     version: IndexVersion,
@@ -51,6 +54,9 @@
             return;
         }
         let listed = record.pieces.clone();
+        if self.replan_if_much_retired(&listed, host, &answers, context) {
+            return;
+        }
         let mut answered = vec![false; listed.len()];
         for answer in answers {
             match listed.binary_search(&answer.piece) {
@@ -67,6 +73,33 @@
         }
     }
 
+    /// Plans anew at once when an owner has dropped the version of much of the query.
+    ///
+    /// Load: a version is dropped everywhere within moments. To ask another
+    /// zone for the old version, piece by piece, would cost as much as planning
+    /// anew, and most likely find it dropped there as well. Where few pieces
+    /// are retired, or the newer version would cover less, the other zone is
+    /// asked first.
+    fn replan_if_much_retired(
+        &mut self,
+        listed: &[PieceId],
+        host: HostKey,
+        answers: &[PieceAnswer],
+        context: &mut TrackContext<'_>,
+    ) -> bool {
+        let mut retired = 0;
+        for answer in answers {
+            let is_listed = listed.binary_search(&answer.piece).is_ok();
+            if let (true, PieceOutcome::VersionRetired { versions }) = (is_listed, &answer.outcome)
+            {
+                retired += 1;
+                self.learn(answer.piece, host, versions);
+            }
+        }
+        let much = retired * MUCH_DIVISOR >= self.waiting + self.kept;
+        much && self.replan(0, context)
+    }
+
     /// Closes the batches of an owner that cannot be reached.
     pub(super) fn lose_owner(&mut self, host: HostKey, context: &mut TrackContext<'_>) {
         if !self.lost.contains(&host) {
@@ -101,8 +134,7 @@
                 self.take_part(id, host, part, context);
             }
             PieceOutcome::Missing(reason) => self.fail(id, reason, context),
-            PieceOutcome::VersionRetired { versions } => {
-                self.learn(id, host, versions);
+            PieceOutcome::VersionRetired { .. } => {
                 self.fail(id, MissingReason::VersionMissing, context);
             }
         }
@@ -151,9 +183,10 @@
             && part.matches.iter().all(|document| part.searched.contains(document.key))
     }
 
-    fn learn(&mut self, id: PieceId, host: HostKey, versions: Vec<IndexVersion>) {
+    fn learn(&mut self, id: PieceId, host: HostKey, versions: &[IndexVersion]) {
         // What retired may still be listed by a target that lags behind itself.
-        let held = versions.into_iter().filter(|version| Some(*version) != self.version).collect();
+        let held =
+            versions.iter().copied().filter(|version| Some(*version) != self.version).collect();
         let shard = self.asked_shard(id, host);
         let learned = LearnedVersions { shard, host, versions: held };
         let place = self.learned.binary_search_by_key(&(shard, host), |it| (it.shard, it.host));
--- a/crates/hawthorn-plan/src/track/recover.rs
+++ b/crates/hawthorn-plan/src/track/recover.rs
@@ -30,6 +30,7 @@
             return;
         }
         let range = piece.range;
+        self.retired |= reason == MissingReason::VersionMissing;
         let fallback = match retry_for(reason) {
             Some(retry) => self.fall_back(id, retry, reason, context),
             None => Err(reason),
@@ -37,7 +38,6 @@
         if let Err(reason) = fallback {
             self.settle(id);
             self.give_up(range, reason);
-            self.retired |= reason == MissingReason::VersionMissing;
         }
     }
 
@@ -185,30 +185,33 @@
         }
     }
 
-    /// Plans the whole query anew at a newer version, if that covers more.
+    /// Plans the whole query anew at a newer version, if that covers more;
+    /// `true` when it did.
     ///
     /// Load: a new index version is published and the old one dropped while
     /// queries run. The harm would be parts of two snapshots in one answer, so
     /// everything kept is thrown away. That repeats work for every query in
     /// flight at once; limits are the number of times, the time left, the
     /// budget for what was already answered, and that the newer version covers
-    /// more than what is left of the old one. Otherwise the old version is
-    /// answered, with the retired ranges listed as missing.
-    pub(super) fn replan(&mut self, context: &mut TrackContext<'_>) {
+    /// `more` keys than are within reach at the old one. Otherwise the old
+    /// version is answered, with what is gone listed as missing.
+    pub(super) fn replan(&mut self, more: u64, context: &mut TrackContext<'_>) -> bool {
         self.retired = false;
         let Some(version) = self.version else {
-            return;
+            return false;
         };
         let spent = self.counts.replans >= self.options.max_replans;
         if spent || self.remaining(context.now) < self.options.min_replan_time {
-            return;
+            return false;
         }
         let plan = self.plan(self.query.range, VersionChoice::NewerThan(version), &[], context);
-        let within_reach = u64::from(self.query.range.len()) - self.missing_keys();
-        if plan.planned_keys() <= within_reach || !context.budget.take(self.kept) {
-            return;
+        let asked = u64::from(self.query.range.len());
+        let within_reach = asked - self.missing_keys();
+        if plan.planned_keys() < within_reach + more || !context.budget.take(self.kept) {
+            return false;
         }
         self.start_over(plan);
+        true
     }
 
     fn start_over(&mut self, plan: QueryPlan) {
--- a/crates/hawthorn-plan/src/track/state.rs
+++ b/crates/hawthorn-plan/src/track/state.rs
@@ -54,7 +54,7 @@
     pub(super) missing: Vec<MissingRange>,
     pub(super) lost: SmallVec<[HostKey; 2]>,
     pub(super) learned: Vec<LearnedVersions>,
-    /// A piece was given up because its version is retired.
+    /// A piece failed because its version is retired.
     pub(super) retired: bool,
     pub(super) counts: TrackCounts,
     outgoing: Vec<(HostKey, PieceSend)>,
@@ -109,7 +109,7 @@
             Event::Stop => return self.finish(),
         }
         if self.retired {
-            self.replan(context);
+            self.replan(1, context);
         }
         self.go_on(context)
     }
--- a/crates/hawthorn-store/src/claim/committer.rs
+++ b/crates/hawthorn-store/src/claim/committer.rs
@@ -36,7 +36,8 @@
     pub(super) span: u64,
     pub(super) deadline: Instant,
     pub(super) unix_now: Duration,
-    pub(super) forgotten_at: Duration,
+    /// When its id is too old for a claim, in Unix time.
+    pub(super) expires_at: Duration,
     /// Set by the first of the two that may: see `keeper::given_up`.
     pub(super) taken: Arc<AtomicBool>,
     pub(super) reply: oneshot::Sender<Outcome>,
@@ -120,7 +121,7 @@
             select! {
                 biased;
                 () = self.cancel.cancelled() => return false,
-                arrival = self.arrivals.recv() => match arrival {
+                arrival = self.arrivals.recv(), if self.has_room() => match arrival {
                     Some(claim) => self.waiting.push_back(claim),
                     None => return false,
                 },
@@ -130,8 +131,13 @@
         }
     }
 
+    /// Beyond this, claims stay in the channel, and beyond that they are refused.
+    fn has_room(&self) -> bool {
+        self.waiting.len() < self.options.max_waiting
+    }
+
     fn take_arrivals(&mut self) {
-        while self.waiting.len() < self.options.max_waiting {
+        while self.has_room() {
             let Ok(claim) = self.arrivals.try_recv() else {
                 break;
             };
@@ -242,7 +248,7 @@
             released: Some(ReleasedNonce { span: claim.span, nonce }),
             releases: self.releaser.clone(),
             deadline: claim.deadline,
-            forgotten_at: claim.forgotten_at,
+            expires_at: claim.expires_at,
         };
         answer(claim, Outcome::Granted(grant));
     }
--- a/crates/hawthorn-store/src/claim/grant.rs
+++ b/crates/hawthorn-store/src/claim/grant.rs
@@ -24,7 +24,7 @@
     pub(super) released: Option<ReleasedNonce>,
     pub(super) releases: UnboundedSender<ReleasedNonce>,
     pub(super) deadline: Instant,
-    pub(super) forgotten_at: Duration,
+    pub(super) expires_at: Duration,
 }
 
 /// Shown to whatever sends the request to a target.
@@ -42,9 +42,9 @@
         DeadlinePast {
             display("the deadline passed between the claim and the dispatch")
         }
-        /// The claim is older than claims are kept.
-        Forgotten {
-            display("the claim is older than claims are kept")
+        /// The request id is older than ids for which claims are kept.
+        TooOld {
+            display("the request id is older than the window of claims")
         }
     }
 }
@@ -55,8 +55,8 @@
     /// Failure: the process is paused between claim and dispatch and wakes
     /// after the caller has given up; the caller sees a barge it no longer
     /// expects. The monotonic clock tells that, except where it stands still
-    /// while a virtual machine is paused; then Unix time tells whether the
-    /// claim may already be gone from the store.
+    /// while a virtual machine is paused; then Unix time tells that the id has
+    /// left the window, beyond which the claim may be swept.
     pub fn dispatch(
         mut self,
         now: Instant,
@@ -65,8 +65,8 @@
         if now >= self.deadline {
             return Err(GrantExpired::DeadlinePast);
         }
-        if unix_now >= self.forgotten_at {
-            return Err(GrantExpired::Forgotten);
+        if unix_now > self.expires_at {
+            return Err(GrantExpired::TooOld);
         }
         self.released = None;
         Ok(DispatchPermit { _private: () })
--- a/crates/hawthorn-store/src/claim/keeper.rs
+++ b/crates/hawthorn-store/src/claim/keeper.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use hawthorn_types::RefusalReason;
 use tokio::sync::mpsc;
@@ -23,9 +24,13 @@
 use super::count::ClaimEvent;
 use super::ledger::ClaimName;
 use super::stamp::RequestStamp;
-use super::stamp::forgotten_at;
 use crate::store::Store;
 
+/// Writes after which a full bucket has taken in what waited.
+const BUSY_INTERVALS: u32 = 4;
+/// Attempts to take out a claim in doubt before the same id is worth sending.
+const DOUBT_DELAYS: u32 = 4;
+
 /// Claims for one host; clones share their tasks and counts.
 #[derive(Clone, Debug)]
 pub struct ClaimKeeper {
@@ -76,6 +81,25 @@
         outcome
     }
 
+    /// When a request that was not run is worth sending again; `None` when the
+    /// same id would be refused again.
+    ///
+    /// A refusal is given at once; the time until it is worth asking is told,
+    /// not waited out. After a failure of the store that is the time in which
+    /// a claim in doubt is taken out again.
+    pub fn retry_after(&self, outcome: &Outcome) -> Option<Duration> {
+        match outcome {
+            Outcome::Unavailable(UnavailableCause::QueueFull | UnavailableCause::Expired) => {
+                Some(self.options.min_interval * BUSY_INTERVALS)
+            }
+            Outcome::Unavailable(_) | Outcome::Uncertain => {
+                Some(self.options.release_delay * DOUBT_DELAYS)
+            }
+            Outcome::Refused(RefusalReason::RequestIdInFuture) => Some(self.options.skew),
+            Outcome::Granted(_) | Outcome::HeldEarlier | Outcome::Refused(_) => None,
+        }
+    }
+
     fn check(&self, ask: &ClaimAsk) -> Result<RequestStamp, RefusalReason> {
         let stamp = RequestStamp::parse(&ask.request_id);
         let stamp = stamp.map_err(|_| RefusalReason::BadRequestId)?;
@@ -95,7 +119,7 @@
             span: stamp.span(&self.options),
             deadline: ask.deadline,
             unix_now: ask.unix_now,
-            forgotten_at: forgotten_at(stamp.span(&self.options), &self.options),
+            expires_at: stamp.expires_at(&self.options),
             taken: Arc::clone(&taken),
             reply,
         };
--- a/crates/hawthorn-store/src/claim/stamp.rs
+++ b/crates/hawthorn-store/src/claim/stamp.rs
@@ -75,6 +75,11 @@
         self.second / options.span.max(1)
     }
 
+    /// The last moment at which it is accepted, in Unix time.
+    pub fn expires_at(&self, options: &Options) -> Duration {
+        Duration::from_secs(self.second).saturating_add(options.window)
+    }
+
     /// Whether the id lies in the time for which claims are kept.
     ///
     /// Failure: an id older than the claims that are kept would find no claim
@@ -85,7 +90,7 @@
         if made > unix_now.saturating_add(options.skew) {
             return Err(RefusalReason::RequestIdInFuture);
         }
-        if made.saturating_add(options.window) < unix_now {
+        if unix_now > self.expires_at(options) {
             return Err(RefusalReason::RequestIdTooOld);
         }
         Ok(())
