--- a/crates/hawthorn-store/benches/claim.rs
+++ b/crates/hawthorn-store/benches/claim.rs
@@ -10,6 +10,7 @@
 use hawthorn_store::claim;
 
 use support::load;
+use support::load::ClaimLoad;
 
 const LATENCY: Duration = Duration::from_millis(3);
 const MINUTE: u64 = 60;
@@ -18,11 +19,14 @@
     rate: u64,
     buckets: u32,
     span: u64,
+    hosts: u64,
 }
 
 fn main() -> Result<(), Box<dyn Error>> {
-    println!("claims/s buckets span s  calls/100 claims  writes/s     kB/s  median ms  slowest ms");
-    let case = |rate, buckets, span| LoadCase { rate, buckets, span };
+    println!(
+        "claims/s buckets span s hosts  calls/100 claims  writes/s     kB/s  median ms  slowest ms"
+    );
+    let case = |rate, buckets, span| LoadCase { rate, buckets, span, hosts: 1 };
     let cases = [
         case(10, 8, 10),
         case(100, 8, 10),
@@ -34,14 +38,18 @@
         case(1000, 8, 60),
         case(1000, 2, 10),
         case(3000, 8, 10),
+        LoadCase { hosts: 2, ..case(100, 8, 10) },
+        LoadCase { hosts: 8, ..case(100, 8, 10) },
+        LoadCase { hosts: 8, ..case(10, 8, 10) },
     ];
-    for LoadCase { rate, buckets, span } in cases {
+    for LoadCase { rate, buckets, span, hosts } in cases {
         let mut builder = tokio::runtime::Builder::new_current_thread();
         let runtime = builder.enable_time().start_paused(true).build()?;
         let options = claim::Options { buckets, span, ..claim::Options::default() };
-        let cost = runtime.block_on(load::steady(rate, MINUTE, options, LATENCY))?;
+        let load = ClaimLoad { rate, seconds: MINUTE, hosts };
+        let cost = runtime.block_on(load::steady(load, options, LATENCY))?;
         println!(
-            "{rate:>8} {buckets:>7} {span:>6} {:>17.1} {:>9.0} {:>8.0} {:>10} {:>11}",
+            "{rate:>8} {buckets:>7} {span:>6} {hosts:>5} {:>17.1} {:>9.0} {:>8.0} {:>10} {:>11}",
             cost.calls_per_hundred,
             cost.writes_per_second,
             cost.kilobytes_per_second,
--- a/crates/hawthorn-store/tests/claim.rs
+++ b/crates/hawthorn-store/tests/claim.rs
@@ -32,6 +32,7 @@
 use support::Fault;
 use support::FaultRates;
 use support::load;
+use support::load::ClaimLoad;
 
 type TestResult = Result<(), Box<dyn Error>>;
 
@@ -331,7 +332,8 @@
     ];
     for case in cases {
         let options = claim::Options { buckets: case.buckets, ..options(1) };
-        let cost = load::steady(case.rate, 5, options, LATENCY).await?;
+        let load = ClaimLoad { rate: case.rate, seconds: 5, hosts: 1 };
+        let cost = load::steady(load, options, LATENCY).await?;
         assert!(cost.calls_per_hundred <= case.calls, "{} a second: {cost:?}", case.rate);
         assert!(cost.writes_per_second <= case.writes, "{} a second: {cost:?}", case.rate);
         // A write that just left, the pause after it, and the next write.
--- a/crates/hawthorn-store/tests/support/load.rs
+++ b/crates/hawthorn-store/tests/support/load.rs
@@ -30,21 +30,34 @@
     pub slowest: Duration,
 }
 
-/// Claims `rate` a second for `seconds`, each stamped when it is made and used.
+/// Who claims how much.
+#[derive(Clone, Copy, Debug)]
+pub struct ClaimLoad {
+    pub rate: u64,
+    pub seconds: u64,
+    /// Hosts that claim in turn; one when each bucket has one owner.
+    pub hosts: u64,
+}
+
+/// Claims at a steady rate, each stamped when it is made, granted and used.
 pub async fn steady(
-    rate: u64,
-    seconds: u64,
+    load: ClaimLoad,
     options: claim::Options,
     latency: Duration,
 ) -> Result<ClaimCost, Box<dyn Error>> {
     let store = FakeStore::new(latency);
-    let keeper = ClaimKeeper::spawn(Arc::new(store.clone()), options, &CancellationToken::new());
+    let ClaimLoad { rate, seconds, hosts } = load;
+    let keeper = |host| {
+        let options = claim::Options { seed: host, ..options };
+        ClaimKeeper::spawn(Arc::new(store.clone()), options, &CancellationToken::new())
+    };
+    let keepers: Vec<ClaimKeeper> = (0..hosts).map(keeper).collect();
     let started = Instant::now();
     let mut claims = JoinSet::new();
     for number in 0..rate * seconds {
         let at = Duration::from_micros(number * MICROS / rate);
         sleep_until(started + at).await;
-        let keeper = keeper.clone();
+        let keeper = keepers[(number % hosts) as usize].clone();
         claims.spawn(async move {
             let second = FIRST_SECOND + at.as_secs();
             let ask = ClaimAsk {
@@ -67,7 +80,8 @@
     let mut waits = claims.join_all().await.into_iter().collect::<Result<Vec<_>, _>>()?;
     waits.sort();
     let calls = store.calls();
-    let written = keeper.counts().get(ClaimEvent::BytesWritten);
+    let written = keepers.iter().map(|keeper| keeper.counts().get(ClaimEvent::BytesWritten));
+    let written: u64 = written.sum();
     let took = started.elapsed().as_secs_f64();
     Ok(ClaimCost {
         calls_per_hundred: (calls.puts + calls.gets) as f64 * 100.0 / waits.len() as f64,
