fix(store): a process seed without a default makes nonces differ

Cause: two hosts that both left the seed at its default would have had the same nonces, and each would have taken the other's claim for its own. Change: ClaimKeeper::spawn asks for a ProcessSeed; the bench uses one as long as a random one, as nonces are most of a value's bytes. Conclusion: the mistake no longer compiles.

--- a/crates/hawthorn-store/src/claim/committer.rs
+++ b/crates/hawthorn-store/src/claim/committer.rs
@@ -17,6 +17,7 @@
 
 use super::Options;
 use super::Outcome;
+use super::ProcessSeed;
 use super::UnavailableCause;
 use super::count::ClaimCounts;
 use super::count::ClaimEvent;
@@ -50,6 +51,7 @@
     pub(super) counts: Arc<ClaimCounts>,
     pub(super) ledgers: BTreeMap<u64, ClaimLedger>,
     bucket: u32,
+    seed: ProcessSeed,
     arrivals: mpsc::Receiver<WaitingClaim>,
     releases: mpsc::UnboundedReceiver<ReleasedNonce>,
     releaser: mpsc::UnboundedSender<ReleasedNonce>,
@@ -65,6 +67,7 @@
     pub(super) fn new(
         store: Arc<S>,
         bucket: u32,
+        seed: ProcessSeed,
         options: Options,
         arrivals: mpsc::Receiver<WaitingClaim>,
         counts: Arc<ClaimCounts>,
@@ -77,6 +80,7 @@
             counts,
             ledgers: BTreeMap::new(),
             bucket,
+            seed,
             arrivals,
             releases,
             releaser,
@@ -202,9 +206,10 @@
         group
     }
 
+    /// Unique within the bucket, and so within every value that this task writes.
     fn next_nonce(&mut self) -> Nonce {
         self.nonces += 1;
-        format!("{:x}.{:x}.{:x}", self.options.seed, self.bucket, self.nonces)
+        format!("{:x}.{:x}", self.seed.0, self.nonces)
     }
 
     /// Takes dead claims out of the values that may hold them.
--- a/crates/hawthorn-store/src/claim/keeper.rs
+++ b/crates/hawthorn-store/src/claim/keeper.rs
@@ -17,6 +17,7 @@
 use super::ClaimAsk;
 use super::Options;
 use super::Outcome;
+use super::ProcessSeed;
 use super::UnavailableCause;
 use super::committer::Committer;
 use super::committer::WaitingClaim;
@@ -49,14 +50,19 @@
 impl ClaimKeeper {
     /// Starts one task for each bucket; they end, and give back what they
     /// can, when `cancel` is cancelled.
-    pub fn spawn<S: Store>(store: Arc<S>, options: Options, cancel: &CancellationToken) -> Self {
+    pub fn spawn<S: Store>(
+        store: Arc<S>,
+        seed: ProcessSeed,
+        cancel: &CancellationToken,
+        options: Options,
+    ) -> Self {
         let counts = Arc::new(ClaimCounts::default());
         let start = |bucket| {
             let (sender, receiver) = mpsc::channel(options.max_waiting.max(1));
             let counts = Arc::clone(&counts);
             let cancel = cancel.child_token();
             let committer =
-                Committer::new(Arc::clone(&store), bucket, options, receiver, counts, cancel);
+                Committer::new(Arc::clone(&store), bucket, seed, options, receiver, counts, cancel);
             tokio::spawn(committer.run());
             sender
         };
--- a/crates/hawthorn-store/src/claim/mod.rs
+++ b/crates/hawthorn-store/src/claim/mod.rs
@@ -33,6 +33,12 @@
 pub use self::sweep::SweepOutcome;
 pub use self::sweep::sweep;
 
+/// Makes the nonces of two processes differ: a random number, drawn anew at
+/// each start of a process. Two processes with the same one would each take
+/// the other's claims for their own, so there is no default.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProcessSeed(pub u64);
+
 /// Limits of the claims.
 ///
 /// `buckets`, `span`, `window` and `margin` are the same on all hosts, and
@@ -68,8 +74,6 @@
     pub max_value: usize,
     /// How long a claim given back waits for a write to go along with.
     pub release_delay: Duration,
-    /// Makes nonces of two hosts differ: random on each start of a process.
-    pub seed: u64,
 }
 
 impl Default for Options {
@@ -87,7 +91,6 @@
             max_waiting: 4096,
             max_value: 900_000,
             release_delay: Duration::from_millis(250),
-            seed: 0,
         }
     }
 }
--- a/crates/hawthorn-store/tests/claim.rs
+++ b/crates/hawthorn-store/tests/claim.rs
@@ -14,6 +14,7 @@
 use hawthorn_store::claim::ClaimGrant;
 use hawthorn_store::claim::GrantExpired;
 use hawthorn_store::claim::Outcome;
+use hawthorn_store::claim::ProcessSeed;
 use hawthorn_store::claim::UnavailableCause;
 use hawthorn_types::CallerOutcome;
 use hawthorn_types::RefusalReason;
@@ -45,12 +46,13 @@
     Duration::from_secs(second)
 }
 
-fn options(seed: u64) -> claim::Options {
-    claim::Options { buckets: 1, seed, ..claim::Options::default() }
+fn options() -> claim::Options {
+    claim::Options { buckets: 1, ..claim::Options::default() }
 }
 
 fn keeper(store: &FakeStore, seed: u64) -> ClaimKeeper {
-    ClaimKeeper::spawn(Arc::new(store.clone()), options(seed), &CancellationToken::new())
+    let cancel = CancellationToken::new();
+    ClaimKeeper::spawn(Arc::new(store.clone()), ProcessSeed(seed), &cancel, options())
 }
 
 fn ask(request_id: &str) -> ClaimAsk {
@@ -287,7 +289,7 @@
 #[tokio::test(start_paused = true)]
 async fn claims_outlive_every_clock_that_accepts_their_ids() -> TestResult {
     let store = FakeStore::new(LATENCY);
-    let options = options(1);
+    let options = options();
     let span = NOW / options.span;
     let gone_at = unix((span + 1) * options.span) + options.window + options.margin;
     store.force(&format!("claims/0/{span}"), "{}");
@@ -303,7 +305,7 @@
 async fn a_stopping_keeper_grants_nothing() -> TestResult {
     let store = FakeStore::new(LATENCY);
     let cancel = CancellationToken::new();
-    let keeper = ClaimKeeper::spawn(Arc::new(store), options(1), &cancel);
+    let keeper = ClaimKeeper::spawn(Arc::new(store), ProcessSeed(1), &cancel, options());
     cancel.cancel();
     sleep(SETTLED).await;
     let outcome = keeper.claim(ask("1700000000-a")).await;
@@ -331,7 +333,7 @@
         RateCase { rate: 1000, buckets: 2, calls: 8.0, writes: 80.0 },
     ];
     for case in cases {
-        let options = claim::Options { buckets: case.buckets, ..options(1) };
+        let options = claim::Options { buckets: case.buckets, ..options() };
         let load = ClaimLoad { rate: case.rate, seconds: 5, hosts: 1 };
         let cost = load::steady(load, options, LATENCY).await?;
         assert!(cost.calls_per_hundred <= case.calls, "{} a second: {cost:?}", case.rate);
--- a/crates/hawthorn-store/tests/support/load.rs
+++ b/crates/hawthorn-store/tests/support/load.rs
@@ -9,6 +9,7 @@
 use hawthorn_store::claim::ClaimAsk;
 use hawthorn_store::claim::ClaimEvent;
 use hawthorn_store::claim::Outcome;
+use hawthorn_store::claim::ProcessSeed;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
@@ -17,6 +18,8 @@
 use super::FakeStore;
 
 const PATIENCE: Duration = Duration::from_secs(1);
+/// As long in a value as a random one.
+const TYPICAL_SEED: u64 = 0x9e37_79b9_7f4a_7c15;
 const MICROS: u64 = 1_000_000;
 const FIRST_SECOND: u64 = 1_700_000_040;
 
@@ -47,9 +50,10 @@
 ) -> Result<ClaimCost, Box<dyn Error>> {
     let store = FakeStore::new(latency);
     let ClaimLoad { rate, seconds, hosts } = load;
+    let cancel = CancellationToken::new();
     let keeper = |host| {
-        let options = claim::Options { seed: host, ..options };
-        ClaimKeeper::spawn(Arc::new(store.clone()), options, &CancellationToken::new())
+        let seed = ProcessSeed(TYPICAL_SEED + host);
+        ClaimKeeper::spawn(Arc::new(store.clone()), seed, &cancel, options)
     };
     let keepers: Vec<ClaimKeeper> = (0..hosts).map(keeper).collect();
     let started = Instant::now();
