--- a/crates/hawthorn-plan/tests/admit.rs
+++ b/crates/hawthorn-plan/tests/admit.rs
@@ -51,47 +51,29 @@
 
 #[test]
 fn each_reason_has_its_refusal() -> TestResult {
-    let refused = |reason, retry_after: Option<u64>| Outcome::Refused {
-        reason,
-        retry_after: retry_after.map(ms),
-    };
+    let refused =
+        |reason, after: Option<u64>| Outcome::Refused { reason, retry_after: after.map(ms) };
+    let case = |name, ask, outcome| DoorCase { name, ask, outcome };
+    let at = |stage| QueryAsk { stage, ..ask(QUIET) };
+    let until = |deadline| QueryAsk { deadline: ms(deadline), ..ask(QUIET) };
+    let behind = |wait| QueryAsk { expected_wait: ms(wait), ..ask(QUIET) };
+    let stopping = refused(RefusalReason::Stopping, Some(20));
+    let unconfigured = refused(RefusalReason::NoConfiguration, Some(20));
+    let past = refused(RefusalReason::DeadlinePast, None);
+    let wait = |after| refused(RefusalReason::WaitBeyondDeadline, Some(after));
     let cases = [
-        DoorCase { name: "room and time", ask: ask(QUIET), outcome: Outcome::Admitted },
-        DoorCase {
-            name: "no configuration yet",
-            ask: QueryAsk { stage: FrontStage::Unconfigured, ..ask(QUIET) },
-            outcome: refused(RefusalReason::NoConfiguration, Some(20)),
-        },
-        DoorCase {
-            name: "stopping",
-            ask: QueryAsk { stage: FrontStage::Stopping, ..ask(QUIET) },
-            outcome: refused(RefusalReason::Stopping, Some(20)),
-        },
-        DoorCase {
-            name: "stopping goes before a past deadline",
-            ask: QueryAsk { stage: FrontStage::Stopping, deadline: ms(0), ..ask(QUIET) },
-            outcome: refused(RefusalReason::Stopping, Some(20)),
-        },
-        DoorCase {
-            name: "deadline past",
-            ask: QueryAsk { deadline: ms(1000), ..ask(QUIET) },
-            outcome: refused(RefusalReason::DeadlinePast, None),
-        },
-        DoorCase {
-            name: "the wait leaves just the time to search",
-            ask: QueryAsk { expected_wait: ms(45), ..ask(QUIET) },
-            outcome: Outcome::Admitted,
-        },
-        DoorCase {
-            name: "the wait is a millisecond too long",
-            ask: QueryAsk { expected_wait: ms(46), ..ask(QUIET) },
-            outcome: refused(RefusalReason::WaitBeyondDeadline, Some(20)),
-        },
-        DoorCase {
-            name: "the wait is far too long: come back when it has shrunk",
-            ask: QueryAsk { expected_wait: ms(345), ..ask(QUIET) },
-            outcome: refused(RefusalReason::WaitBeyondDeadline, Some(300)),
-        },
+        case("room and time", ask(QUIET), Outcome::Admitted),
+        case("no configuration yet", at(FrontStage::Unconfigured), unconfigured),
+        case("stopping", at(FrontStage::Stopping), stopping),
+        case(
+            "stopping goes before a past deadline",
+            QueryAsk { deadline: ms(0), ..at(FrontStage::Stopping) },
+            stopping,
+        ),
+        case("deadline past", until(1000), past),
+        case("the wait leaves just the time to search", behind(45), Outcome::Admitted),
+        case("the wait is a millisecond too long", behind(46), wait(20)),
+        case("the wait is far too long: come back when it has shrunk", behind(345), wait(300)),
     ];
     for case in cases {
         let outcome = admit::admit(&mut FrontLoad::default(), &case.ask, &options(512));
@@ -108,35 +90,22 @@
     struct FloodCase {
         name: &'static str,
         quiet_before: bool,
-        flood_admitted: u32,
-        quiet_admitted: u32,
-        newcomer_admitted: u32,
+        /// Admitted of the flood, of the quiet caller and of a newcomer.
+        admitted: [u32; 3],
     }
+    let case = |name, quiet_before, admitted| FloodCase { name, quiet_before, admitted };
     let cases = [
-        FloodCase {
-            name: "alone, all is used but what waits for a newcomer",
-            quiet_before: false,
-            flood_admitted: 60,
-            quiet_admitted: 4,
-            newcomer_admitted: 0,
-        },
-        FloodCase {
-            name: "another is present, and keeps its half",
-            quiet_before: true,
-            flood_admitted: 32,
-            quiet_admitted: 31,
-            newcomer_admitted: 1,
-        },
+        case("alone, all is used but what waits for a newcomer", false, [60, 4, 0]),
+        case("another is present, and keeps its half", true, [32, 31, 1]),
     ];
     for case in cases {
         let mut load = FrontLoad::default();
         if case.quiet_before {
             load.asked(QUIET, ms(999));
         }
-        assert_eq!(admit_many(&mut load, FLOOD, 500, 64), case.flood_admitted, "{}", case.name);
-        let quiet = case.quiet_admitted;
+        let [flood, quiet, newcomer] = case.admitted;
+        assert_eq!(admit_many(&mut load, FLOOD, 500, 64), flood, "{}", case.name);
         assert_eq!(admit_many(&mut load, QUIET, quiet, 64), quiet, "{}", case.name);
-        let newcomer = case.newcomer_admitted;
         assert_eq!(admit_many(&mut load, NEWCOMER, newcomer, 64), newcomer, "{}", case.name);
         assert!(load.in_flight() <= 64, "{}", case.name);
     }
--- a/crates/hawthorn-plan/tests/cover.rs
+++ b/crates/hawthorn-plan/tests/cover.rs
@@ -14,73 +14,61 @@
 const SHED: MissingReason = MissingReason::Shedding;
 const LATE: MissingReason = MissingReason::DeadlinePast;
 
+type Ranges = &'static [(u32, u32)];
+type Reasons = &'static [(u32, u32, MissingReason)];
+
 struct CoverCase {
     name: &'static str,
     asked: (u32, u32),
-    searched: &'static [(u32, u32)],
-    given: &'static [(u32, u32, MissingReason)],
-    covered: &'static [(u32, u32)],
-    missing: &'static [(u32, u32, MissingReason)],
+    searched: Ranges,
+    given: Reasons,
+    covered: Ranges,
+    missing: Reasons,
     fraction: f64,
 }
 
 #[test]
 fn what_is_not_searched_is_missing_with_its_reason() -> TestResult {
+    let case = |name, searched, given, covered, missing, fraction| CoverCase {
+        name,
+        asked: (0, 100),
+        searched,
+        given,
+        covered,
+        missing,
+        fraction,
+    };
     let cases = [
+        case("all", &[(0, 60), (60, 100)], &[], &[(0, 100)], &[], 1.0),
+        case("given up, then searched", &[(0, 100)], &[(0, 50, SHED)], &[(0, 100)], &[], 1.0),
+        case(
+            "unexplained is late, not covered",
+            &[(0, 25)],
+            &[(25, 50, SHED)],
+            &[(0, 25)],
+            &[(25, 50, SHED), (50, 100, LATE)],
+            0.25,
+        ),
+        case(
+            "neighbours with one reason are one range",
+            &[],
+            &[(50, 100, SHED), (0, 50, SHED)],
+            &[],
+            &[(0, 100, SHED)],
+            0.0,
+        ),
         CoverCase {
-            name: "all",
-            asked: (0, 100),
-            searched: &[(0, 60), (60, 100)],
-            given: &[],
-            covered: &[(0, 100)],
-            missing: &[],
-            fraction: 1.0,
-        },
-        CoverCase {
-            name: "searched beyond what was asked adds nothing",
             asked: (10, 20),
-            searched: &[(0, 15)],
-            given: &[(15, 40, SHED)],
-            covered: &[(10, 15)],
-            missing: &[(15, 20, SHED)],
-            fraction: 0.5,
-        },
-        CoverCase {
-            name: "a range given up and then searched after all is covered",
-            asked: (0, 100),
-            searched: &[(0, 100)],
-            given: &[(0, 50, SHED)],
-            covered: &[(0, 100)],
-            missing: &[],
-            fraction: 1.0,
-        },
-        CoverCase {
-            name: "unexplained is late, not covered",
-            asked: (0, 100),
-            searched: &[(0, 25)],
-            given: &[(25, 50, SHED)],
-            covered: &[(0, 25)],
-            missing: &[(25, 50, SHED), (50, 100, LATE)],
-            fraction: 0.25,
-        },
-        CoverCase {
-            name: "neighbours with one reason are one range",
-            asked: (0, 100),
-            searched: &[],
-            given: &[(50, 100, SHED), (0, 50, SHED)],
-            covered: &[],
-            missing: &[(0, 100, SHED)],
-            fraction: 0.0,
-        },
-        CoverCase {
-            name: "nothing asked",
-            asked: (5, 5),
-            searched: &[],
-            given: &[],
-            covered: &[],
-            missing: &[],
-            fraction: 1.0,
+            ..case(
+                "searched beyond what was asked adds nothing",
+                &[(0, 15)],
+                &[(15, 40, SHED)],
+                &[(10, 15)],
+                &[(15, 20, SHED)],
+                0.5,
+            )
         },
+        CoverCase { asked: (5, 5), ..case("nothing asked", &[], &[], &[], &[], 1.0) },
     ];
     for case in cases {
         let searched: RangeSet =
--- a/crates/hawthorn-plan/tests/plan.rs
+++ b/crates/hawthorn-plan/tests/plan.rs
@@ -56,71 +56,32 @@
 
 #[test]
 fn the_newest_of_those_that_cover_most_is_chosen() -> TestResult {
-    let any = VersionChoice::Any;
+    let case = |name, held, version, pieces, missing| VersionCase {
+        name,
+        held,
+        choice: VersionChoice::Any,
+        version,
+        pieces,
+        missing,
+    };
+    let lacking = &[MissingReason::VersionMissing];
+    let off = &[MissingReason::NoReplica];
+    let arriving = [(BOTH, ONLY_OLD), (ONLY_OLD, ONLY_OLD), (BOTH, BOTH), (ONLY_OLD, BOTH)];
+    let even = [(ONLY_OLD, BOTH), (ONLY_OLD, ONLY_OLD), (ONLY_NEW, ONLY_NEW), (BOTH, NONE)];
+    let ahead = [(ONLY_OLD, ONLY_OLD), (ONLY_OLD, ONLY_OLD), (ONLY_NEW, ONLY_NEW), (BOTH, NONE)];
+    let split = [(ONLY_NEW, NONE), (ONLY_OLD, ONLY_NEW), (ONLY_OLD, ONLY_NEW), (NONE, ONLY_NEW)];
+    let one_off = [(ONLY_OLD, NONE), (NONE, NONE), (ONLY_OLD, NONE), (ONLY_OLD, NONE)];
     let cases = [
+        case("both everywhere", [(BOTH, BOTH); 4], Some(NEW), 4, &[]),
+        case("the new one has begun to arrive", arriving, Some(OLD), 4, &[]),
+        case("equal coverage goes to the newest", even, Some(NEW), 3, lacking),
+        case("one shard is ahead in both zones", ahead, Some(OLD), 3, lacking),
+        case("the other zone completes the new one", split, Some(NEW), 4, &[]),
+        case("a shard with no replica switched on", one_off, Some(OLD), 3, off),
+        case("nothing at all", [(NONE, NONE); 4], None, 0, off),
         VersionCase {
-            name: "both everywhere",
-            held: [(BOTH, BOTH); 4],
-            choice: any,
-            version: Some(NEW),
-            pieces: 4,
-            missing: &[],
-        },
-        VersionCase {
-            name: "the new one has begun to arrive",
-            held: [(BOTH, ONLY_OLD), (ONLY_OLD, ONLY_OLD), (BOTH, BOTH), (ONLY_OLD, BOTH)],
-            choice: any,
-            version: Some(OLD),
-            pieces: 4,
-            missing: &[],
-        },
-        VersionCase {
-            name: "equal coverage goes to the newest",
-            held: [(ONLY_OLD, BOTH), (ONLY_OLD, ONLY_OLD), (ONLY_NEW, ONLY_NEW), (BOTH, NONE)],
-            choice: any,
-            version: Some(NEW),
-            pieces: 3,
-            missing: &[MissingReason::VersionMissing],
-        },
-        VersionCase {
-            name: "one shard is ahead in both zones",
-            held: [(ONLY_OLD, ONLY_OLD), (ONLY_OLD, ONLY_OLD), (ONLY_NEW, ONLY_NEW), (BOTH, NONE)],
-            choice: any,
-            version: Some(OLD),
-            pieces: 3,
-            missing: &[MissingReason::VersionMissing],
-        },
-        VersionCase {
-            name: "the other zone completes the new one",
-            held: [(ONLY_NEW, NONE), (ONLY_OLD, ONLY_NEW), (ONLY_OLD, ONLY_NEW), (NONE, ONLY_NEW)],
-            choice: any,
-            version: Some(NEW),
-            pieces: 4,
-            missing: &[],
-        },
-        VersionCase {
-            name: "a shard with no replica switched on",
-            held: [(ONLY_OLD, NONE), (NONE, NONE), (ONLY_OLD, NONE), (ONLY_OLD, NONE)],
-            choice: any,
-            version: Some(OLD),
-            pieces: 3,
-            missing: &[MissingReason::NoReplica],
-        },
-        VersionCase {
-            name: "only newer ones are wanted",
-            held: [(BOTH, BOTH), (ONLY_OLD, ONLY_OLD), (ONLY_OLD, ONLY_OLD), (ONLY_OLD, ONLY_OLD)],
             choice: VersionChoice::NewerThan(OLD),
-            version: Some(NEW),
-            pieces: 1,
-            missing: &[MissingReason::VersionMissing],
-        },
-        VersionCase {
-            name: "nothing at all",
-            held: [(NONE, NONE); 4],
-            choice: any,
-            version: None,
-            pieces: 0,
-            missing: &[MissingReason::NoReplica],
+            ..case("only newer ones are wanted", ahead, Some(NEW), 2, lacking)
         },
     ];
     for case in cases {
@@ -145,7 +106,6 @@
     name: &'static str,
     own_wait: u64,
     other_wait: u64,
-    remaining: u64,
     /// How many of 1000 shards go to the other zone, least and most.
     shifted: (usize, usize),
 }
@@ -156,36 +116,14 @@
 /// together serve all of it.
 #[test]
 fn work_shifts_between_zones_in_part() -> TestResult {
+    let case =
+        |name, own_wait, other_wait, shifted| ZoneCase { name, own_wait, other_wait, shifted };
     let cases = [
-        ZoneCase { name: "equal", own_wait: 5, other_wait: 5, remaining: 50, shifted: (0, 0) },
-        ZoneCase {
-            name: "within margin",
-            own_wait: 9,
-            other_wait: 5,
-            remaining: 50,
-            shifted: (0, 0),
-        },
-        ZoneCase {
-            name: "twice as long",
-            own_wait: 26,
-            other_wait: 10,
-            remaining: 50,
-            shifted: (450, 550),
-        },
-        ZoneCase {
-            name: "cannot make the deadline here",
-            own_wait: 60,
-            other_wait: 10,
-            remaining: 50,
-            shifted: (1000, 1000),
-        },
-        ZoneCase {
-            name: "cannot make it anywhere",
-            own_wait: 60,
-            other_wait: 58,
-            remaining: 50,
-            shifted: (0, 0),
-        },
+        case("equal", 5, 5, (0, 0)),
+        case("within the margin", 9, 5, (0, 0)),
+        case("twice as long", 26, 10, (450, 550)),
+        case("cannot make the deadline here", 60, 10, (1000, 1000)),
+        case("cannot make it anywhere", 60, 58, (0, 0)),
     ];
     for case in cases {
         let shards = (0..1000).map(|number| {
@@ -196,7 +134,7 @@
             ShardRecord::new(ShardKey(number), KeyRange::part(number, 1000), options)
         });
         let table = ShardTable::new(shards.collect());
-        let first = PlanInput::first(&table, KeyRange::WHOLE, OWN, ms(case.remaining));
+        let first = PlanInput::first(&table, KeyRange::WHOLE, OWN, ms(50));
         let plan = plan::plan(&PlanInput { draw: 11, ..first }, &plan::Options::default());
         let other = plan.batches.iter().find(|batch| batch.host == HostKey(1));
         let shifted = other.map_or(0, |batch| batch.pieces.len());
--- a/crates/hawthorn-store/benches/claim.rs
+++ b/crates/hawthorn-store/benches/claim.rs
@@ -37,6 +37,7 @@
         case(1000, 8, 10),
         case(1000, 8, 60),
         case(1000, 2, 10),
+        case(3000, 8, 1),
         case(3000, 8, 10),
         LoadCase { hosts: 2, ..case(100, 8, 10) },
         LoadCase { hosts: 8, ..case(100, 8, 10) },
--- a/crates/hawthorn-store/tests/client.rs
+++ b/crates/hawthorn-store/tests/client.rs
@@ -102,55 +102,37 @@
 /// has an order wait for nothing.
 #[tokio::test]
 async fn a_write_means_what_its_answer_says() -> TestResult {
+    let case = |name, replies: &[Reply], outcome, counted| WriteCase {
+        name,
+        replies: replies.to_vec(),
+        outcome,
+        counted,
+    };
+    let written = WriteOutcome::Written { revision: 5 };
+    let moved = WriteOutcome::Conflict { found: 7 };
+    let limited = WriteOutcome::NotRun(NotRunCause::RateLimited);
+    let doubt = WriteOutcome::Uncertain;
+    let (well, limit) = (Reply::Say(200, ENTRY), Reply::Say(429, ""));
+    let conflict = Reply::Say(409, r#"{"found":7}"#);
     let cases = [
-        WriteCase {
-            name: "written",
-            replies: vec![Reply::Say(200, ENTRY)],
-            outcome: WriteOutcome::Written { revision: 5 },
-            counted: CallOutcome::Ok,
-        },
-        WriteCase {
-            name: "another revision",
-            replies: vec![Reply::Say(409, r#"{"found":7}"#)],
-            outcome: WriteOutcome::Conflict { found: 7 },
-            counted: CallOutcome::Conflict,
-        },
-        WriteCase {
-            name: "limited once",
-            replies: vec![Reply::Say(429, ""), Reply::Say(200, ENTRY)],
-            outcome: WriteOutcome::Written { revision: 5 },
-            counted: CallOutcome::RateLimited,
-        },
-        WriteCase {
-            name: "limited until the deadline",
-            replies: vec![Reply::Say(429, "")],
-            outcome: WriteOutcome::NotRun(NotRunCause::RateLimited),
-            counted: CallOutcome::RateLimited,
-        },
-        WriteCase {
-            name: "outage",
-            replies: vec![Reply::Say(503, "down")],
-            outcome: WriteOutcome::Uncertain(UncertainCause::Outage),
-            counted: CallOutcome::Outage,
-        },
-        WriteCase {
-            name: "never answered",
-            replies: vec![Reply::Hang],
-            outcome: WriteOutcome::Uncertain(UncertainCause::Timeout),
-            counted: CallOutcome::Timeout,
-        },
-        WriteCase {
-            name: "connection closed",
-            replies: vec![Reply::HangUp],
-            outcome: WriteOutcome::Uncertain(UncertainCause::ConnectionLost),
-            counted: CallOutcome::ConnectionLost,
-        },
-        WriteCase {
-            name: "unreadable",
-            replies: vec![Reply::Say(200, "{")],
-            outcome: WriteOutcome::Uncertain(UncertainCause::BadAnswer),
-            counted: CallOutcome::Ok,
-        },
+        case("written", &[well], written, CallOutcome::Ok),
+        case("another revision", &[conflict], moved, CallOutcome::Conflict),
+        case("limited once", &[limit, well], written, CallOutcome::RateLimited),
+        case("limited until the deadline", &[limit], limited, CallOutcome::RateLimited),
+        case("outage", &[Reply::Say(503, "")], doubt(UncertainCause::Outage), CallOutcome::Outage),
+        case("no answer", &[Reply::Hang], doubt(UncertainCause::Timeout), CallOutcome::Timeout),
+        case(
+            "connection closed",
+            &[Reply::HangUp],
+            doubt(UncertainCause::ConnectionLost),
+            CallOutcome::ConnectionLost,
+        ),
+        case(
+            "unreadable",
+            &[Reply::Say(200, "{")],
+            doubt(UncertainCause::BadAnswer),
+            CallOutcome::Ok,
+        ),
     ];
     for case in cases {
         let client = StoreClient::new(serve(case.replies).await?, options());
--- a/crates/hawthorn-store/tests/edit.rs
+++ b/crates/hawthorn-store/tests/edit.rs
@@ -62,44 +62,22 @@
     use Fault::None as Well;
     use Fault::Outage;
     let later = |ms| Fault::RunsLater(Duration::from_millis(ms));
+    let case = |name, faults: &[Fault], outcome, in_force| EditCase {
+        name,
+        faults: faults.to_vec(),
+        outcome,
+        in_force,
+    };
+    let limited = Err(edit::Error::NotRun(NotRunCause::RateLimited));
+    let outage = Ok(Outcome::Uncertain { cause: UncertainCause::Outage });
     let cases = [
-        EditCase { name: "well", faults: vec![], outcome: APPLIED, in_force: (2, "b") },
-        EditCase {
-            name: "answer lost",
-            faults: vec![Well, LostAnswer],
-            outcome: APPLIED,
-            in_force: (2, "b"),
-        },
-        EditCase {
-            name: "history's answer lost",
-            faults: vec![LostAnswer],
-            outcome: APPLIED,
-            in_force: (2, "b"),
-        },
-        EditCase {
-            name: "runs before it is read",
-            faults: vec![Well, later(50)],
-            outcome: APPLIED,
-            in_force: (2, "b"),
-        },
-        EditCase {
-            name: "runs after the second write",
-            faults: vec![Well, later(900)],
-            outcome: APPLIED,
-            in_force: (2, "b"),
-        },
-        EditCase {
-            name: "never run",
-            faults: vec![Fault::RateLimited; 6],
-            outcome: Err(edit::Error::NotRun(NotRunCause::RateLimited)),
-            in_force: (1, "a"),
-        },
-        EditCase {
-            name: "outage at each write",
-            faults: [Well, Outage].repeat(6),
-            outcome: Ok(Outcome::Uncertain { cause: UncertainCause::Outage }),
-            in_force: (1, "a"),
-        },
+        case("well", &[], APPLIED, (2, "b")),
+        case("answer lost", &[Well, LostAnswer], APPLIED, (2, "b")),
+        case("history's answer lost", &[LostAnswer], APPLIED, (2, "b")),
+        case("runs before it is read", &[Well, later(50)], APPLIED, (2, "b")),
+        case("runs after the second write", &[Well, later(900)], APPLIED, (2, "b")),
+        case("never run", &[Fault::RateLimited; 6], limited, (1, "a")),
+        case("outage at each write", &[Well, Outage].repeat(6), outage, (1, "a")),
     ];
     for case in cases {
         let store = FakeStore::new(LATENCY);
