feat(daemon): a reconciler drives targets towards the operators' intent

Cause: the owner's duty took the wanted state as it stood in the catalog: it stopped using a target the moment a rule said so, ready replacement or not, told targets nothing, and the drift list of the status page was always empty. Change: a duty of its own runs hawthorn_intent::reconcile once a second, and at once with a new revision, from the configuration, from what the owner's duty shows of its targets and from other owners' views (which now count ready replicas). Orders go out through the owner's own connections, with their revision. A target that a round holds is used on; one that comes back is used once it reports ready. Targets wanted off are asked for their state seldom, and silence of theirs is no event. Drift is on the status page with its cause, in the gauge drift and in log event 403. Fronts plan a shard in a zone whose targets are all on their way out as long as its owner lists it.

--- a/crates/hawthorn-daemon/src/connection/message.rs
+++ b/crates/hawthorn-daemon/src/connection/message.rs
@@ -110,6 +110,9 @@
     pub held: RangeSet,
     /// How long an urgent piece would wait for a slot, in microseconds.
     pub wait_us: u64,
+    /// Replicas that are wanted to serve and have been ready for some seconds:
+    /// another zone may switch one of its own off for their sake.
+    pub ready: u32,
 }
 
 /// What an owner says of all its shards.
@@ -117,10 +120,18 @@
 pub struct OwnerView {
     /// Grows with each change of versions; waits alone do not raise it.
     pub generation: u64,
-    /// The shards.
+    /// The shards, in the order of their names.
     pub shards: Vec<ShardView>,
 }
 
+impl OwnerView {
+    /// What is said of one shard. Shards are listed in the order of their names.
+    pub fn shard(&self, name: &ShardName) -> Option<&ShardView> {
+        let index = self.shards.binary_search_by(|view| view.shard.cmp(name)).ok()?;
+        Some(&self.shards[index])
+    }
+}
+
 /// A non-idempotent request on its way to the owner of its shard.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OnceBatch {
--- a/crates/hawthorn-daemon/src/owner/duty.rs
+++ b/crates/hawthorn-daemon/src/owner/duty.rs
@@ -20,6 +20,7 @@
 use hawthorn_types::ShardKey;
 use hawthorn_types::ShardName;
 use hawthorn_types::TargetKey;
+use hawthorn_types::WantedState;
 use hawthorn_types::target::HeldRanges;
 use hawthorn_types::target::ShardSearch;
 use hawthorn_types::target::TargetRefusal;
@@ -37,9 +38,14 @@
 use super::attempt::AttemptEnd;
 use super::batch::BatchTable;
 use super::batch::OpenBatch;
+use super::intent::OrderEnd;
+use super::intent::TargetSight;
+use super::intent::TargetUse;
 use super::names::NameTable;
 use super::probe;
 use super::probe::ProbeEnd;
+use super::seen::IntentRound;
+use super::seen::SeenReport;
 use super::view::OwnerGauges;
 use crate::connection::message::OwnerView;
 use crate::connection::pool::TargetPool;
@@ -91,7 +97,8 @@
     let (commands, receiver) = mpsc::channel(options.ring);
     let (view_sender, view) = watch::channel(Arc::default());
     let (gauge_sender, gauges) = watch::channel(OwnerGauges::default());
-    let handle = OwnerHandle { commands, view, gauges, next_batch: Arc::default() };
+    let (seen_sender, seen) = watch::channel(Arc::default());
+    let handle = OwnerHandle { commands, view, gauges, seen, next_batch: Arc::default() };
     let duty = async move {
         let (ends, ended) = mpsc::channel(options.ring);
         OwnerDuty {
@@ -111,6 +118,11 @@
             gauges: gauge_sender,
             busy: inputs.busy.clone(),
             buckets: HashMap::new(),
+            config: None,
+            owned: Arc::default(),
+            round: IntentRound::default(),
+            seen: seen_sender,
+            seen_at: Instant::now(),
         }
         .run(receiver, ended, inputs, stop)
         .await;
@@ -122,6 +134,7 @@
 pub(super) enum TaskEnd {
     Attempt(AttemptEnd),
     Probe(ProbeEnd),
+    Order(OrderEnd),
 }
 
 /// A target this host owns, or owned and still hears from.
@@ -130,6 +143,7 @@
     pub(super) shards: Vec<ShardName>,
     pub(super) held: Vec<HeldRanges>,
     pub(super) reachable: bool,
+    pub(super) usage: TargetUse,
 }
 
 pub(super) struct OwnerDuty {
@@ -152,6 +166,12 @@
     /// The bucket of every target owned so far: what still runs at one that
     /// was given up keeps its bucket busy.
     pub(super) buckets: HashMap<TargetKey, u16>,
+    pub(super) config: Option<Arc<ConfigInForce>>,
+    pub(super) owned: Arc<OwnedGroups>,
+    /// The reconciler's last round.
+    pub(super) round: IntentRound,
+    pub(super) seen: watch::Sender<Arc<SeenReport>>,
+    pub(super) seen_at: Instant,
 }
 
 pub(super) struct OpenAttempt {
@@ -215,6 +235,7 @@
             OwnerCommand::Run { key, batch, grant, reply } => {
                 self.take_run(key, batch, grant, reply);
             }
+            OwnerCommand::Intend(round) => self.take_round(round),
             OwnerCommand::Withdraw(key) => {
                 let now = self.now();
                 for piece in self.table.withdraw(key) {
@@ -228,6 +249,7 @@
         match end {
             TaskEnd::Attempt(end) => self.take_attempt(end),
             TaskEnd::Probe(end) => self.take_probe(end),
+            TaskEnd::Order(end) => self.take_order_end(&end),
         }
     }
 
@@ -266,12 +288,21 @@
         let now = self.now();
         let Some(state) = end.state else {
             self.note_reachable(end.target, false);
+            self.note_sight(end.target, TargetSight::LOST);
             self.state.observe(now, end.target, Observation::Unreachable);
-            return;
+            return self.review_use(end.target);
         };
         let Some(held) = self.note_state(end.target, &state) else { return };
         self.note_reachable(end.target, true);
+        self.note_sight(end.target, TargetSight::of(&state));
         self.state.observe(now, end.target, Observation::Reported { phase: state.phase, held });
+        self.review_use(end.target);
+    }
+
+    fn note_sight(&mut self, key: TargetKey, sight: TargetSight) {
+        if let Some(target) = self.targets.get_mut(&key) {
+            target.usage.see(sight);
+        }
     }
 
     fn note_reachable(&mut self, key: TargetKey, reachable: bool) {
@@ -281,6 +312,10 @@
             return;
         }
         target.reachable = reachable;
+        if target.usage.wanted == WantedState::Off {
+            // Gone or back as operators want it: no loss and no news.
+            return;
+        }
         if reachable {
             crate::log_event!(log::Level::Info, LogEvent::TargetBack, "target {name}");
         } else {
@@ -394,6 +429,9 @@
     }
 
     fn probe(&mut self, target: TargetKey) {
+        if !self.take_probe_due(target) {
+            return;
+        }
         let Some(owned) = self.targets.get(&target) else { return };
         let pool = Arc::clone(&owned.pool);
         let name = self.target_names.name(target.0).clone();
--- a/crates/hawthorn-daemon/src/owner/mod.rs
+++ b/crates/hawthorn-daemon/src/owner/mod.rs
@@ -8,11 +8,14 @@
 mod batch;
 mod duty;
 mod finish;
+mod intent;
 mod names;
 mod probe;
 mod reload;
+pub mod seen;
 mod take;
 mod tell;
+pub mod usage;
 mod view;
 
 use std::sync::Arc;
@@ -28,6 +31,8 @@
 pub use self::duty::Options;
 pub use self::duty::OwnerInputs;
 pub use self::duty::start;
+use self::seen::IntentRound;
+use self::seen::SeenReport;
 pub use self::view::OwnerGauges;
 use crate::connection::message::BatchAnswer;
 use crate::connection::message::OnceBatch;
@@ -55,6 +60,8 @@
     },
     /// Nobody waits for the batch any more.
     Withdraw(BatchKey),
+    /// A round of the reconciler.
+    Intend(IntentRound),
 }
 
 /// The way into the owner's duty, for fronts of this host and, through the
@@ -64,6 +71,7 @@
     commands: mpsc::Sender<OwnerCommand>,
     view: watch::Receiver<Arc<OwnerView>>,
     gauges: watch::Receiver<OwnerGauges>,
+    seen: watch::Receiver<Arc<SeenReport>>,
     next_batch: Arc<std::sync::atomic::AtomicU64>,
 }
 
@@ -135,6 +143,17 @@
         *self.gauges.borrow()
     }
 
+    /// What the duty sees of its targets.
+    pub fn seen(&self) -> Arc<SeenReport> {
+        self.seen.borrow().clone()
+    }
+
+    /// Hands a round of the reconciler to the duty. With the ring full it is
+    /// lost: what is held stays so, and orders are given again by later rounds.
+    pub fn intend(&self, round: IntentRound) {
+        let _lost = self.commands.try_send(OwnerCommand::Intend(round));
+    }
+
     /// Resolves once the duty holds no batch, or after `grace`; tells whether
     /// it was idle in time.
     pub async fn idle(&mut self, grace: Duration) -> bool {
--- a/crates/hawthorn-daemon/src/owner/reload.rs
+++ b/crates/hawthorn-daemon/src/owner/reload.rs
@@ -2,9 +2,12 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hawthorn_decide::message::TargetRecord;
 use hawthorn_fleet::SlotShare;
+use hawthorn_intent::catalog;
+use hawthorn_types::ConfigRevision;
 use hawthorn_types::ShardKey;
 use hawthorn_types::ShardName;
 use hawthorn_types::TargetKey;
@@ -13,16 +16,29 @@
 use super::duty::OwnedTarget;
 use super::duty::OwnerDuty;
 use super::duty::OwnerInputs;
+use super::intent::TargetUse;
 use crate::connection::pool;
 use crate::connection::pool::TargetPool;
 use crate::version::config::ConfigInForce;
 use crate::version::owned::OwnedGroups;
 
 impl OwnerDuty {
+    /// Takes in another configuration or ownership.
     pub(super) fn reload(&mut self, inputs: &mut OwnerInputs) {
-        let config = inputs.config.borrow_and_update().clone();
-        let owned = inputs.owned.borrow_and_update().clone();
-        let Some(config) = config else { return };
+        self.config = inputs.config.borrow_and_update().clone();
+        self.owned = inputs.owned.borrow_and_update().clone();
+        self.apply_targets();
+    }
+
+    /// The revision that targets are used by.
+    pub(super) fn revision(&self) -> Option<ConfigRevision> {
+        self.config.as_ref().map(|config| config.catalog.revision())
+    }
+
+    /// Tells the decisions which targets there are and how each is used.
+    pub(super) fn apply_targets(&mut self) {
+        let Some(config) = self.config.clone() else { return };
+        let owned = Arc::clone(&self.owned);
         let records = self.records(&config, &owned);
         let kept: HashSet<TargetKey> = records.iter().map(|record| record.key).collect();
         let now = self.now();
@@ -37,8 +53,7 @@
         for (_, target) in catalog.targets() {
             let zone = &catalog.zone(target.zone).name;
             let share = owned.share(zone, catalog.group(target.group).bucket);
-            // Switched off on purpose: nothing to ask it, nothing to report.
-            if share == SlotShare::None || target.wanted() == WantedState::Off {
+            if share == SlotShare::None {
                 continue;
             }
             let names: Vec<ShardName> =
@@ -49,8 +64,9 @@
             }
             let shards = names.iter().map(|name| ShardKey(self.shard_names.intern(name))).collect();
             let slots = u16::try_from(share.slots(target.slots)).unwrap_or(u16::MAX);
-            self.keep_target(key, names, target.address, slots_connections(target));
-            records.push(TargetRecord { key, slots, wanted: target.wanted(), shards });
+            self.keep_target(key, names, target, catalog.service(target.service).cold_start);
+            let wanted = self.use_target(key, catalog.revision());
+            records.push(TargetRecord { key, slots, wanted, shards });
         }
         records
     }
@@ -59,13 +75,19 @@
         &mut self,
         key: TargetKey,
         shards: Vec<ShardName>,
-        address: std::net::SocketAddr,
-        connections: usize,
+        record: &catalog::TargetRecord,
+        cold_start: Duration,
     ) {
+        let wanted = record.wanted();
+        let connections = slots_connections(record);
         if let Some(known) = self.targets.get_mut(&key)
-            && known.pool.address() == address
+            && known.pool.address() == record.address
         {
             known.shards = shards;
+            if known.usage.wanted == WantedState::Off && wanted != WantedState::Off {
+                warm(&known.pool, connections);
+            }
+            known.usage.want(wanted, cold_start);
             return;
         }
         let options = pool::Options {
@@ -73,21 +95,29 @@
             max_answer_bytes: self.options.max_answer_bytes,
             connect_timeout: self.options.connect_timeout,
         };
-        let pool = Arc::new(TargetPool::new(address, options));
-        let warming = Arc::clone(&pool);
-        tokio::spawn(async move { warming.warm(connections / 2).await });
-        let target = OwnedTarget { pool, shards, held: Vec::new(), reachable: false };
+        let pool = Arc::new(TargetPool::new(record.address, options));
+        // Switched off on purpose: nothing to connect to.
+        if wanted != WantedState::Off {
+            warm(&pool, connections);
+        }
+        let usage = TargetUse::new(wanted, cold_start);
+        let target = OwnedTarget { pool, shards, held: Vec::new(), reachable: false, usage };
         self.targets.insert(key, target);
     }
 }
 
+fn warm(pool: &Arc<TargetPool>, connections: usize) {
+    let pool = Arc::clone(pool);
+    tokio::spawn(async move { pool.warm(connections / 2).await });
+}
+
 /// Connections of one owner to a target, at the most.
 ///
 /// Load: a group changes hands and for a moment two hosts own it. The harm is
 /// a target over its connection limit, which refuses both. No owner ever opens
 /// more than half of what the target takes; within that, room for every slot,
 /// as many cancellations beside them, one probe and one to spare.
-fn slots_connections(target: &hawthorn_intent::catalog::TargetRecord) -> usize {
+fn slots_connections(target: &catalog::TargetRecord) -> usize {
     let useful = target.slots as usize * 2 + 2;
     useful.min((target.connections / 2).max(1) as usize)
 }
--- a/crates/hawthorn-daemon/src/owner/tell.rs
+++ b/crates/hawthorn-daemon/src/owner/tell.rs
@@ -16,6 +16,7 @@
 impl OwnerDuty {
     /// Tells fronts what can be searched here, and the process what is held.
     pub(super) fn tell(&mut self) {
+        self.show_targets();
         let shards = self.shard_views();
         let last = Arc::clone(&self.view.borrow());
         if let Some(next) = view::next(&last, shards) {
@@ -41,10 +42,15 @@
     fn shard_views(&self) -> Vec<crate::connection::message::ShardView> {
         let usable = self.targets.iter().filter(|(key, target)| {
             let phase = self.state.phase(**key);
-            target.reachable && matches!(phase, Some(Phase::Serving | Phase::Ramping { .. }))
+            let is_usable = target.reachable && target.usage.is_usable();
+            is_usable && matches!(phase, Some(Phase::Serving | Phase::Ramping { .. }))
         });
         let replicas = usable.flat_map(|(_, target)| {
-            target.shards.iter().map(|shard| UsableReplica { shard, held: &target.held })
+            target.shards.iter().map(|shard| UsableReplica {
+                shard,
+                held: &target.held,
+                is_ready: target.usage.is_ready(),
+            })
         });
         view::shards(replicas, |shard| {
             let number = self.shard_names.number(shard).map(ShardKey);
--- a/crates/hawthorn-daemon/src/owner/view.rs
+++ b/crates/hawthorn-daemon/src/owner/view.rs
@@ -35,6 +35,15 @@
 pub(crate) struct UsableReplica<'a> {
     pub(crate) shard: &'a ShardName,
     pub(crate) held: &'a [HeldRanges],
+    /// Wanted to serve and warm for a while.
+    pub(crate) is_ready: bool,
+}
+
+/// The replicas of one shard, put together.
+#[derive(Default)]
+struct ShardReplicas {
+    versions: BTreeMap<IndexVersion, RangeSet>,
+    ready: u32,
 }
 
 /// Puts replicas together by shard.
@@ -42,18 +51,20 @@
     replicas: impl Iterator<Item = UsableReplica<'a>>,
     wait_us: impl Fn(&ShardName) -> u64,
 ) -> Vec<ShardView> {
-    let mut shards: BTreeMap<&ShardName, BTreeMap<IndexVersion, RangeSet>> = BTreeMap::new();
+    let mut shards: BTreeMap<&ShardName, ShardReplicas> = BTreeMap::new();
     for replica in replicas {
-        let versions = shards.entry(replica.shard).or_default();
+        let ShardReplicas { versions, ready } = shards.entry(replica.shard).or_default();
+        *ready += u32::from(replica.is_ready);
         let service = replica.shard.service();
         for held in replica.held.iter().filter(|held| held.service == service) {
             versions.entry(held.version).or_default().extend(&held.ranges);
         }
     }
-    let view = |(shard, versions): (&ShardName, BTreeMap<IndexVersion, RangeSet>)| ShardView {
+    let view = |(shard, ShardReplicas { versions, ready }): (&ShardName, _)| ShardView {
         shard: shard.clone(),
         wait_us: wait_us(shard) / WAIT_STEP_US * WAIT_STEP_US,
         held: versions.values().next_back().cloned().unwrap_or_default(),
+        ready,
         versions: versions.into_keys().collect(),
     };
     shards.into_iter().map(view).collect()
--- a/crates/hawthorn-daemon/src/process/daemon.rs
+++ b/crates/hawthorn-daemon/src/process/daemon.rs
@@ -36,6 +36,8 @@
 use crate::process::metrics;
 use crate::process::metrics::MetricSet;
 use crate::process::options;
+use crate::process::reconcile;
+use crate::process::reconcile::DriftSnapshot;
 use crate::process::refresh;
 use crate::process::sample;
 use crate::process::store;
@@ -119,6 +121,8 @@
     owner: OwnerHandle,
     fleet: FleetHandle,
     links: Arc<PeerLinks>,
+    views: Arc<ViewTable>,
+    drift: watch::Receiver<Arc<DriftSnapshot>>,
     peer_address: SocketAddr,
 }
 
@@ -148,7 +152,8 @@
         fleet: duties.fleet.clone(),
         owner: duties.owner.clone(),
         links: duties.links,
-        views: Arc::new(ViewTable::default()),
+        views: duties.views,
+        drift: duties.drift,
         runner: Arc::clone(&runner),
         metrics,
     }));
@@ -231,10 +236,21 @@
         let calls = store::run(client, calls, commands, members, token);
         tokio::join!(count, calls);
     };
+    let views = Arc::new(ViewTable::default());
+    let inputs = reconcile::ReconcileInputs {
+        config: fleet.config.clone(),
+        owned: fleet.owned.clone(),
+        view: fleet.view.clone(),
+        views: Arc::clone(&views),
+        owner: owner.clone(),
+    };
+    let options = hawthorn_intent::reconcile::Options::default();
+    let (drift, reconcile_duty) = reconcile::start(options, inputs, stop.clone());
     spawn_duty("fleet", stop, fleet_duty)?;
     spawn_duty("owner", stop, owner_duty)?;
     spawn_duty("store", stop, store_duty)?;
-    Ok(DutySet { owner, fleet, links, peer_address })
+    spawn_duty("reconcile", stop, reconcile_duty)?;
+    Ok(DutySet { owner, fleet, links, views, drift, peer_address })
 }
 
 async fn count_members(
--- a/crates/hawthorn-daemon/src/process/mod.rs
+++ b/crates/hawthorn-daemon/src/process/mod.rs
@@ -3,9 +3,11 @@
 pub mod daemon;
 pub mod events;
 pub mod fleet;
+pub mod intent;
 pub mod logs;
 pub mod metrics;
 pub mod options;
+pub mod reconcile;
 pub mod refresh;
 pub mod sample;
 pub mod store;
--- a/crates/hawthorn-daemon/src/process/sample.rs
+++ b/crates/hawthorn-daemon/src/process/sample.rs
@@ -34,5 +34,6 @@
     metrics.set_gauge("lost-zones", fleet.lost_zones.len() as u64);
     metrics.set_gauge("configuration-revision", stamp.revision.0);
     metrics.set_gauge("configuration-age-ms", stamp.age_ms);
+    metrics.set_gauge("drift", front.drift.borrow().entries.len() as u64);
     metrics.set_gauge("alarms", front.fleet.status.borrow().alarms.len() as u64);
 }
--- a/crates/hawthorn-daemon/src/request/front.rs
+++ b/crates/hawthorn-daemon/src/request/front.rs
@@ -22,6 +22,7 @@
 use crate::owner::OwnerHandle;
 use crate::process::fleet::FleetHandle;
 use crate::process::metrics::MetricSet;
+use crate::process::reconcile::DriftSnapshot;
 use crate::request::body;
 use crate::request::runner::OnceRunner;
 use crate::version::config::ConfigInForce;
@@ -57,6 +58,7 @@
     pub(crate) owner: OwnerHandle,
     pub(crate) links: Arc<PeerLinks>,
     pub(crate) views: Arc<ViewTable>,
+    pub(crate) drift: watch::Receiver<Arc<DriftSnapshot>>,
     pub(crate) tables: TableCache,
     pub(crate) load: Mutex<FrontLoad>,
     pub(crate) budget: Mutex<RetryBudget>,
@@ -82,6 +84,8 @@
     pub links: Arc<PeerLinks>,
     /// Views of all owners.
     pub views: Arc<ViewTable>,
+    /// Targets owned here that are not as wanted.
+    pub drift: watch::Receiver<Arc<DriftSnapshot>>,
     /// Runs non-idempotent requests at targets owned here.
     pub runner: Arc<OnceRunner>,
     /// Instruments.
@@ -112,6 +116,7 @@
             owner: parts.owner,
             links: parts.links,
             views: parts.views,
+            drift: parts.drift,
             tables: TableCache::default(),
             load: Mutex::default(),
             budget: Mutex::default(),
--- a/crates/hawthorn-daemon/src/request/status.rs
+++ b/crates/hawthorn-daemon/src/request/status.rs
@@ -10,8 +10,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::process::intent::DriftEntry;
+use crate::process::reconcile::DriftSnapshot;
 use crate::request::front::FrontContext;
 
+/// What is seen of a target that does not answer.
+const UNREACHABLE: &str = "unreachable";
+
 /// What this host knows of the fleet.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 pub struct FleetReport {
@@ -73,6 +78,10 @@
     pub seen: String,
     /// For how many milliseconds.
     pub since_ms: u64,
+    /// Why it lasts.
+    pub cause: String,
+    /// The shard that it still serves for want of another target.
+    pub held_for: Option<String>,
 }
 
 impl FrontContext {
@@ -107,7 +116,7 @@
             hosts,
             lost_zones: fleet.lost_zones.clone(),
             wanted: config.as_ref().map(|config| wanted(&config.catalog)).unwrap_or_default(),
-            drift: Vec::new(),
+            drift: drift(&self.drift.borrow()),
             uncovered: self.uncovered(),
             owned_targets: gauges.targets,
             slots_in_use: gauges.slots_in_use,
@@ -139,6 +148,19 @@
     }
 }
 
+fn drift(snapshot: &DriftSnapshot) -> Vec<DriftReport> {
+    let age = snapshot.at.elapsed();
+    let report = |entry: &DriftEntry| DriftReport {
+        target: entry.target.clone(),
+        wanted: entry.wanted.to_string(),
+        seen: entry.seen.map_or_else(|| UNREACHABLE.to_owned(), |phase| phase.to_string()),
+        since_ms: u64::try_from((entry.lasted + age).as_millis()).unwrap_or(u64::MAX),
+        cause: entry.cause.to_string(),
+        held_for: entry.held_for.as_ref().map(ToString::to_string),
+    };
+    snapshot.entries.iter().map(report).collect()
+}
+
 fn wanted(catalog: &FleetCatalog) -> BTreeMap<String, u64> {
     let mut counts = BTreeMap::new();
     for (_, target) in catalog.targets() {
--- a/crates/hawthorn-daemon/src/version/tables.rs
+++ b/crates/hawthorn-daemon/src/version/tables.rs
@@ -15,7 +15,6 @@
 use hawthorn_types::ZoneKey;
 use smallvec::SmallVec;
 
-use crate::connection::message::ShardView;
 use crate::version::config::ConfigInForce;
 use crate::version::fleet::FleetView;
 use crate::version::views::ViewTable;
@@ -78,8 +77,10 @@
 ) -> ShardRecord {
     let catalog = &config.catalog;
     let shard = catalog.shard(key);
-    let mut zones: SmallVec<[ZoneKey; 4]> =
+    let serving: SmallVec<[ZoneKey; 4]> =
         catalog.serving_targets_of(key).map(|target| catalog.target(target).zone).collect();
+    let mut zones: SmallVec<[ZoneKey; 4]> =
+        catalog.targets_of(key).iter().map(|&target| catalog.target(target).zone).collect();
     zones.sort_unstable();
     zones.dedup();
     let mut held = RangeSet::default();
@@ -90,7 +91,12 @@
         let Some(owner) = fleet.owner_of(&catalog.zone(zone).name, bucket) else { continue };
         let Some(host) = fleet.hosts.get(&owner) else { continue };
         let heard = views.get(host.id);
-        let view = heard.as_ref().and_then(|heard| find(&heard.view.shards, &shard.name));
+        let view = heard.as_ref().and_then(|heard| heard.view.shard(&shard.name));
+        // A zone whose targets are all wanted off or on standby is no way to
+        // search the shard, unless its owner still uses one until others can.
+        if view.is_none() && !serving.contains(&zone) {
+            continue;
+        }
         if let Some(view) = view {
             held.extend(&view.held);
         }
@@ -106,9 +112,3 @@
     }
     ShardRecord { shard: key, range: shard.range, held, options }
 }
-
-/// Views list shards in the order of their names.
-fn find<'a>(shards: &'a [ShardView], name: &hawthorn_types::ShardName) -> Option<&'a ShardView> {
-    let index = shards.binary_search_by(|view| view.shard.cmp(name)).ok()?;
-    Some(&shards[index])
-}
--- a/src/examine.rs
+++ b/src/examine.rs
@@ -188,8 +188,13 @@
     ));
     for drift in &report.drift {
         line(format_args!(
-            "drift: {} is wanted {} and is {} ({} ms)",
-            drift.target, drift.wanted, drift.seen, drift.since_ms
+            "drift: {} is wanted {} and is {} ({} ms): {}{}",
+            drift.target,
+            drift.wanted,
+            drift.seen,
+            drift.since_ms,
+            drift.cause,
+            drift.held_for.as_ref().map(|shard| format!(" {shard}")).unwrap_or_default()
         ));
     }
     for shard in &report.uncovered {
