--- a/crates/hawthorn-daemon/src/process/daemon.rs
+++ b/crates/hawthorn-daemon/src/process/daemon.rs
@@ -14,6 +14,7 @@
 use hawthorn_intent::DaemonSettings;
 use hawthorn_store::ClaimKeeper;
 use hawthorn_store::StoreClient;
+use hawthorn_store::claim::ProcessSeed;
 use log::Level;
 use quick_error::quick_error;
 use tokio::net::TcpListener;
@@ -36,6 +37,8 @@
 use crate::process::metrics;
 use crate::process::metrics::MetricSet;
 use crate::process::options;
+use crate::process::reconcile;
+use crate::process::reconcile::DriftSnapshot;
 use crate::process::refresh;
 use crate::process::sample;
 use crate::process::store;
@@ -120,6 +123,7 @@
     fleet: FleetHandle,
     links: Arc<PeerLinks>,
     views: Arc<ViewTable>,
+    drift: watch::Receiver<Arc<DriftSnapshot>>,
     peer_address: SocketAddr,
 }
 
@@ -140,7 +144,12 @@
     let duties = start_duties(&settings, &runtime, &stop)?;
     let _inside = runtime.enter();
     let claims = StoreClient::new(settings.platform, options::store_client());
-    let keeper = ClaimKeeper::spawn(Arc::new(claims.clone()), options::claims(&settings), &stop);
+    let keeper = ClaimKeeper::spawn(
+        Arc::new(claims.clone()),
+        ProcessSeed(rand::random()),
+        &stop,
+        options::claims(&settings),
+    );
     let runner = Arc::new(OnceRunner::new(keeper, duties.owner.clone()));
     let front = Arc::new(FrontContext::new(FrontParts {
         options: options::front(&settings),
@@ -150,6 +159,7 @@
         owner: duties.owner.clone(),
         links: duties.links,
         views: duties.views,
+        drift: duties.drift,
         runner: Arc::clone(&runner),
         metrics,
     }));
@@ -239,10 +249,21 @@
         let calls = store::run(client, calls, commands, members, token);
         tokio::join!(count, calls);
     };
+    let views = Arc::new(ViewTable::default());
+    let inputs = reconcile::ReconcileInputs {
+        config: fleet.config.clone(),
+        owned: fleet.owned.clone(),
+        view: fleet.view.clone(),
+        views: Arc::clone(&views),
+        owner: owner.clone(),
+    };
+    let options = hawthorn_intent::reconcile::Options::default();
+    let (drift, reconcile_duty) = reconcile::start(options, inputs, stop.clone());
     spawn_duty("fleet", stop, fleet_duty)?;
     spawn_duty("owner", stop, owner_duty)?;
     spawn_duty("store", stop, store_duty)?;
-    Ok(DutySet { owner, fleet, links, views, peer_address })
+    spawn_duty("reconcile", stop, reconcile_duty)?;
+    Ok(DutySet { owner, fleet, links, views, drift, peer_address })
 }
 
 async fn count_members(
--- a/crates/hawthorn-daemon/src/process/options.rs
+++ b/crates/hawthorn-daemon/src/process/options.rs
@@ -77,6 +77,7 @@
         seeds: settings.seeds.clone(),
         member: member::Options {
             heartbeat: settings.fleet.heartbeat,
+            suspicion: settings.fleet.suspect_after,
             ..member::Options::default()
         },
         handover: handover::Options::default(),
@@ -87,13 +88,7 @@
 
 /// Of claims.
 pub fn claims(settings: &DaemonSettings) -> claim::Options {
-    claim::Options {
-        buckets: settings.claims.buckets,
-        window: settings.claims.window,
-        min_interval: settings.claims.gather,
-        seed: rand::random(),
-        ..claim::Options::default()
-    }
+    claim::Options { min_interval: settings.claims.gather, ..claim::Options::default() }
 }
 
 /// Of the client of the platform's store.
--- a/crates/hawthorn-decide/tests/queue.rs
+++ b/crates/hawthorn-decide/tests/queue.rs
@@ -215,6 +215,7 @@
         deadline: TickTime(1_000 * SECOND),
         expected_cost: None,
         once: true,
+        relayed: false,
     }
 }
 
--- a/crates/hawthorn-intent/src/settings/mod.rs
+++ b/crates/hawthorn-intent/src/settings/mod.rs
@@ -151,14 +151,13 @@
 }
 
 /// How non-idempotent requests are kept to one run.
+///
+/// How long claims are kept and how they are spread is no setting: two hosts
+/// that differed in it would look for one claim in two places, and a request
+/// could run twice while a change of settings rolls through the fleet.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct ClaimSettings {
-    /// How long a claim is kept; older request ids are refused.
-    #[serde_as(as = "UnitDuration")]
-    pub window: Duration,
-    /// Into how many values of the store the claims of one minute are spread.
-    pub buckets: u32,
     /// How long claims are gathered before they are written together.
     #[serde_as(as = "UnitDuration")]
     pub gather: Duration,
@@ -166,7 +165,7 @@
 
 impl Default for ClaimSettings {
     fn default() -> Self {
-        Self { window: Duration::from_secs(600), buckets: 16, gather: Duration::from_millis(2) }
+        Self { gather: Duration::from_millis(25) }
     }
 }
 
@@ -184,7 +183,7 @@
 
 impl Default for FleetSettings {
     fn default() -> Self {
-        Self { heartbeat: Duration::from_millis(500), suspect_after: Duration::from_secs(2) }
+        Self { heartbeat: Duration::from_millis(200), suspect_after: Duration::from_secs(1) }
     }
 }
 
