fix(daemon): a host that closes turns new work away; stale links are closed

Cause: between the end of its last batch and the end of the process a stopping host still took work of hosts that had not heard; and a connection that outlived a cut stood silent for as long as its retransmissions back off. Change: a gate closes after the balancer's notice and turns work away as not run; connections to hosts that cannot be heard are closed; a call without an answer in time ends as unknown, deadline past.

--- a/crates/hawthorn-daemon/src/connection/peer.rs
+++ b/crates/hawthorn-daemon/src/connection/peer.rs
@@ -71,6 +71,10 @@
         NotSent(text: String) {
             display("not sent: {text}")
         }
+        /// It may have been received, and no answer came in time.
+        Late {
+            display("no answer in time")
+        }
         /// It may have been received.
         Lost(text: String) {
             display("no answer: {text}")
@@ -132,6 +136,17 @@
         self.links.lock().expect("no holder of the lock panics").insert(address, link);
     }
 
+    /// Closes connections to all but those addresses.
+    ///
+    /// Failure: a host is cut off for minutes and comes back. The old connection
+    /// still stands, but its retransmissions are a minute apart by then, and
+    /// every call on it is lost meanwhile. A host that is not there any more
+    /// gets a new connection when it returns.
+    pub fn keep(&self, is_kept: impl Fn(SocketAddr) -> bool) {
+        let mut links = self.links.lock().expect("no holder of the lock panics");
+        links.retain(|&address, _| is_kept(address));
+    }
+
     /// Forgets the connection, so that the next call opens a new one.
     pub fn forget(&self, address: SocketAddr) {
         self.links.lock().expect("no holder of the lock panics").remove(&address);
@@ -162,6 +177,7 @@
     /// forgets the connection when it is broken.
     pub fn judge(&self, address: SocketAddr, error: client::RpcError) -> Error {
         match error {
+            client::RpcError::DeadlineExceeded => Error::Late,
             client::RpcError::Shutdown => {
                 self.forget(address);
                 Error::Lost("connection closed".into())
--- a/crates/hawthorn-daemon/src/connection/serve.rs
+++ b/crates/hawthorn-daemon/src/connection/serve.rs
@@ -2,10 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures::StreamExt;
 use hawthorn_types::ConfigRevision;
+use hawthorn_types::RefusalReason;
 use tarpc::context::Context;
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
@@ -20,6 +23,7 @@
 use crate::connection::message::OnceBatch;
 use crate::connection::message::OnceOutcome;
 use crate::connection::message::OwnerView;
+use crate::connection::message::PieceOutcome;
 use crate::connection::message::SearchBatch;
 use crate::connection::peer::MAX_FRAME_BYTES;
 use crate::connection::peer::PeerService;
@@ -40,14 +44,44 @@
     pub fleet: FleetHandle,
     /// Runs non-idempotent requests.
     pub runner: Arc<OnceRunner>,
+    /// Set near the end of a planned stop.
+    pub closing: ClosingGate,
+}
+
+/// Closed near the end of a planned stop.
+///
+/// Failure: another host that has not heard of the stop hands over a request in
+/// the last moment, and the process ends under it: a query waits for its
+/// fallback, a non-idempotent request ends as unknown. Once closed, new work
+/// is turned away at once, truthfully, and goes to the next owner.
+#[derive(Clone, Debug, Default)]
+pub struct ClosingGate {
+    closed: Arc<AtomicBool>,
+}
+
+impl ClosingGate {
+    /// Turns away everything from now on.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Release);
+    }
+
+    fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Acquire)
+    }
 }
 
 impl PeerService for PeerServer {
     async fn search(self, _: Context, batch: SearchBatch) -> BatchAnswer {
+        if self.closing.is_closed() {
+            return turned_away(batch);
+        }
         self.owner.search(batch).await
     }
 
     async fn run(self, _: Context, batch: OnceBatch) -> OnceOutcome {
+        if self.closing.is_closed() {
+            return OnceOutcome::NotRun(RefusalReason::NoTarget);
+        }
         // In a task of its own: the call is dropped when its front goes away,
         // but a request that is claimed has to be seen to its end.
         let running = tokio::spawn(async move { self.runner.run(batch).await });
@@ -68,6 +102,11 @@
     }
 }
 
+fn turned_away(batch: SearchBatch) -> BatchAnswer {
+    let parts = batch.pieces.iter().map(|piece| (piece.number, PieceOutcome::NotOwner));
+    BatchAnswer { request: batch.request, parts: parts.collect(), view: None }
+}
+
 /// Serves calls until cancelled. The process first waits for calls in flight
 /// (see the stop sequence), so that nothing is cut off.
 ///
--- a/crates/hawthorn-daemon/src/process/daemon.rs
+++ b/crates/hawthorn-daemon/src/process/daemon.rs
@@ -27,6 +27,7 @@
 
 use crate::connection::peer::PeerLinks;
 use crate::connection::serve;
+use crate::connection::serve::ClosingGate;
 use crate::connection::serve::PeerServer;
 use crate::owner;
 use crate::owner::OwnerHandle;
@@ -113,6 +114,7 @@
     fleet: FleetHandle,
     caller_address: SocketAddr,
     peer_address: SocketAddr,
+    closing: ClosingGate,
     stop: CancellationToken,
     runtime: Runtime,
 }
@@ -163,7 +165,13 @@
         runner: Arc::clone(&runner),
         metrics,
     }));
-    let server = PeerServer { owner: duties.owner.clone(), fleet: duties.fleet.clone(), runner };
+    let closing = ClosingGate::default();
+    let server = PeerServer {
+        owner: duties.owner.clone(),
+        fleet: duties.fleet.clone(),
+        runner,
+        closing: closing.clone(),
+    };
     runtime
         .block_on(serve::start(duties.peer_address, server, stop.clone()))
         .map_err(|error| listen_error("peer_address", duties.peer_address, &error))?;
@@ -182,6 +190,7 @@
         fleet: duties.fleet,
         caller_address,
         peer_address: peer,
+        closing,
         stop,
         runtime,
     })
@@ -377,6 +386,7 @@
             fleet: self.fleet,
             caller_address: self.caller_address,
             peer_address: self.peer_address,
+            closing: self.closing,
             stop: self.stop,
             runtime: self.runtime,
         }
@@ -395,6 +405,7 @@
         let notice = BALANCER_NOTICE.min(grace / 2);
         let clean = self.runtime.block_on(async {
             tokio::time::sleep(notice).await;
+            self.closing.close();
             let callers = self.front.idle(grace).await;
             let batches = self.owner.idle(grace).await;
             callers && batches
--- a/crates/hawthorn-daemon/src/process/refresh.rs
+++ b/crates/hawthorn-daemon/src/process/refresh.rs
@@ -42,6 +42,7 @@
     let stale = others.filter(|host| front.views.is_stale(host.id, STALE_AFTER));
     futures::future::join_all(stale.map(|host| ask(front, host))).await;
     front.views.keep(|id| fleet.all_owners().any(|host| host.id == id));
+    front.links.keep(|address| fleet.is_reachable(address));
 }
 
 async fn ask(front: &FrontContext, host: &HostRecord) -> Option<MemberId> {
--- a/crates/hawthorn-daemon/src/request/once.rs
+++ b/crates/hawthorn-daemon/src/request/once.rs
@@ -127,6 +127,7 @@
             Ok(OnceOutcome::NotRun(RefusalReason::NoTarget)) => last = RefusalReason::NoTarget,
             Ok(outcome) => return outcome,
             Err(PeerError::NotSent(_)) => last = RefusalReason::OwnerUnreachable,
+            Err(PeerError::Late) => return OnceOutcome::Unknown(UnknownReason::DeadlinePast),
             Err(PeerError::Lost(_)) => return OnceOutcome::Unknown(UnknownReason::OwnerLost),
         }
     }
--- a/crates/hawthorn-daemon/src/version/fleet.rs
+++ b/crates/hawthorn-daemon/src/version/fleet.rs
@@ -104,6 +104,15 @@
         self.owners.values().flatten().filter_map(|(key, _)| self.hosts.get(key))
     }
 
+    /// Whether a live host of a zone that can be heard has this peer address.
+    pub fn is_reachable(&self, peer: SocketAddr) -> bool {
+        let host = self.hosts.values().find(|host| host.peer == peer);
+        host.is_some_and(|host| {
+            let gone = host.health == MemberHealth::Dead || host.phase == MemberPhase::Left;
+            !gone && !self.lost_zones.contains(&host.zone)
+        })
+    }
+
     /// Where a host's peer interface is.
     pub fn peer(&self, key: HostKey) -> Option<SocketAddr> {
         self.hosts.get(&key).map(|host| host.peer)
