--- a/crates/hawthorn-fleet/examples/slopes.rs
+++ b/crates/hawthorn-fleet/examples/slopes.rs
@@ -60,7 +60,7 @@
     let met = switch.run_until(ms(120_000), complete);
     println!("  all met and ready after {}", seconds(met));
     switch.run_for(ms(20_000));
-    print_cost("at rest", &cost(&mut switch, ms(20_000), None));
+    print_cost("20 s after the start", &cost(&mut switch, ms(20_000), None));
     let memory = switch.daemons[0].table.memory_bytes();
     println!("  memory: {memory} bytes, {} a member", memory / size);
     let every = Duration::from_secs_f64(1.0 / RESTARTS_PER_SECOND);
@@ -72,6 +72,7 @@
     switch.loss = 0.0;
     switch.run_for(ms(10_000));
     measure_kills(&mut switch);
+    print_cost("at rest, long after the start", &cost(&mut switch, ms(20_000), None));
     print_movement(size / zones);
 }
 
--- a/crates/hawthorn-fleet/src/lib.rs
+++ b/crates/hawthorn-fleet/src/lib.rs
@@ -10,6 +10,23 @@
 //! - [`handover`]: how many slots an owner may use while owners change.
 //! - [`spread`]: which configuration revision is in force, and whom to ask.
 //! - [`message`]: the datagrams between daemons.
+//!
+//! # Driving it
+//!
+//! For each datagram: `table.receive`. At `table.next_wake` and
+//! `handover.next_wake`, whichever is earlier: `table.tick`, `handover.observe`
+//! with `table.zone_view`, `handover.tick`, `spread.set_zone` with
+//! `table.staying` of the own zone, `spread.tick`. After each of these:
+//! `table.set_digest` with `spread.digest`, then poll the actions of all three
+//! until none is left. A process that may have stood still does this before it
+//! hands out any slot, as the shares are of the time before until then.
+//!
+//! | action of the table | goes to |
+//! |---|---|
+//! | `DigestHeard` | `spread.heard` |
+//! | `HandoverHeard` | `handover.observe`, then `handover.receive` |
+//! | `SelfPaused`, `SelfDoubted` | `handover.resumed` |
+//! | `ViewChanged` | `handover.observe`, and fronts choose owners anew |
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
