refactor(plan,store): plans and claim tests in modules of one job

Change: choice of version, choice of zone and reasons for missing keys are modules of the plan; claims in any order have a test file of their own. Conclusion: no behaviour changed.

--- a/crates/hawthorn-plan/src/plan.rs
+++ b/crates/hawthorn-plan/src/plan/mod.rs
@@ -3,19 +3,25 @@
 //! Pieces are disjoint by construction, so totals may be added up; a key that
 //! no one can search at the version is listed as missing with its reason.
 
+mod missing;
+mod version;
+mod zone;
+
 use std::time::Duration;
 
 use hawthorn_types::HostKey;
 use hawthorn_types::IndexVersion;
 use hawthorn_types::KeyRange;
 use hawthorn_types::MissingRange;
-use hawthorn_types::MissingReason;
 use hawthorn_types::RangeSet;
 use hawthorn_types::ShardKey;
 use hawthorn_types::ZoneKey;
 use smallvec::SmallVec;
 
-use crate::table::ReplicaOption;
+use self::missing::explain;
+use self::version::VersionTally;
+use self::version::choose_version;
+use self::zone::choose_option;
 use crate::table::ShardRecord;
 use crate::table::ShardTable;
 
@@ -147,13 +153,6 @@
     tally: SmallVec<[VersionTally; 4]>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct VersionTally {
-    version: IndexVersion,
-    keys: u64,
-    counted: u32,
-}
-
 impl QueryPlan {
     /// How many pieces are to be sent.
     pub fn piece_count(&self) -> usize {
@@ -237,126 +236,6 @@
     cursor
 }
 
-/// Chooses the one version: the newest of those that cover most keys.
-///
-/// Load: an index version being published reaches targets over seconds. The
-/// newest alone would answer from a handful of shards; mixing would break the
-/// one snapshot. Coverage decides first, age second.
-fn choose_version(
-    input: &PlanInput<'_>,
-    tally: &mut SmallVec<[VersionTally; 4]>,
-) -> Option<IndexVersion> {
-    if let VersionChoice::Exactly(version) = input.version {
-        return Some(version);
-    }
-    for (number, shard) in (1..).zip(input.table.near(input.range)) {
-        let keys = u64::from(shard.range.intersect(input.range).len());
-        if keys == 0 {
-            continue;
-        }
-        for option in usable(input, shard) {
-            for &version in versions(input, shard, option) {
-                count(tally, version, keys, number);
-            }
-        }
-    }
-    let allowed = tally.iter().filter(|entry| is_allowed(input.version, entry.version));
-    allowed.max_by_key(|entry| (entry.keys, entry.version)).map(|entry| entry.version)
-}
-
-/// Counts `keys` for `version`, once for each shard `number`.
-fn count(tally: &mut SmallVec<[VersionTally; 4]>, version: IndexVersion, keys: u64, number: u32) {
-    match tally.iter_mut().find(|entry| entry.version == version) {
-        Some(entry) if entry.counted == number => {}
-        Some(entry) => {
-            entry.keys += keys;
-            entry.counted = number;
-        }
-        None => tally.push(VersionTally { version, keys, counted: number }),
-    }
-}
-
-fn is_allowed(choice: VersionChoice, version: IndexVersion) -> bool {
-    match choice {
-        VersionChoice::Any => true,
-        VersionChoice::NewerThan(least) => version > least,
-        VersionChoice::Exactly(exact) => version == exact,
-    }
-}
-
-fn usable<'a>(
-    input: &'a PlanInput<'_>,
-    shard: &'a ShardRecord,
-) -> impl Iterator<Item = &'a ReplicaOption> {
-    shard.options.iter().filter(move |option| {
-        let tried = TriedOwner { shard: shard.shard, host: option.owner };
-        !input.lost.contains(&option.owner) && !input.tried.contains(&tried)
-    })
-}
-
-/// What the owner said last, or else what the table says.
-fn versions<'a>(
-    input: &'a PlanInput<'_>,
-    shard: &ShardRecord,
-    option: &'a ReplicaOption,
-) -> &'a [IndexVersion] {
-    let owner = (shard.shard, option.owner);
-    let said = input.learned.binary_search_by_key(&owner, |learned| (learned.shard, learned.host));
-    said.map_or(&option.versions, |index| &input.learned[index].versions)
-}
-
-/// Chooses the zone that searches `shard`.
-///
-/// Load: one zone's replicas fall behind while its fronts see all their
-/// traffic. The own zone is taken by default: no round trip between zones, and
-/// a partition cuts nothing off. Another zone is taken when the own one cannot
-/// make the deadline, or with a chance that grows with the difference. All
-/// fronts read the same lagging reports; if each moved all its work the queue
-/// would only change places, so a part moves and the next report corrects.
-fn choose_option<'a>(
-    input: &'a PlanInput<'_>,
-    shard: &'a ShardRecord,
-    version: IndexVersion,
-    options: &Options,
-) -> Option<&'a ReplicaOption> {
-    let mut own = None;
-    let mut best = None;
-    for option in usable(input, shard) {
-        if !versions(input, shard, option).contains(&version) {
-            continue;
-        }
-        let is_own = option.zone == input.own_zone;
-        let cost =
-            option.expected_wait + if is_own { Duration::ZERO } else { options.cross_zone_cost };
-        if is_own {
-            own = Some((cost, option));
-        }
-        if best.is_none_or(|(least, _)| cost < least) {
-            best = Some((cost, option));
-        }
-    }
-    let (Some((own_cost, own)), Some((best_cost, best))) = (own, best) else {
-        return best.map(|(_, option)| option);
-    };
-    let gain = own_cost.saturating_sub(best_cost);
-    if gain <= options.shift_margin {
-        return Some(own);
-    }
-    let hopeless = own_cost >= input.remaining && best_cost < input.remaining;
-    let shift = hopeless || is_drawn(input.draw, shard.shard, gain, own_cost);
-    Some(if shift { best } else { own })
-}
-
-/// True with the chance `gain / cost`.
-fn is_drawn(draw: u64, shard: ShardKey, gain: Duration, cost: Duration) -> bool {
-    // The finalizer of splitmix64 turns neighbouring shards into unrelated numbers.
-    let mut mixed = draw ^ u64::from(shard.0).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    let unit = (mixed >> 32) as f64 / f64::from(u32::MAX);
-    unit * cost.as_secs_f64() < gain.as_secs_f64()
-}
-
 /// Places keys of `gap` that shards hold beyond their nominal range, and lists the rest.
 fn fill_gap(input: &PlanInput<'_>, plan: &mut QueryPlan, gap: KeyRange, options: &Options) {
     if gap.is_empty() {
@@ -382,37 +261,3 @@
         explain(input, plan, range);
     }
 }
-
-/// Lists `range` as missing, split where the reason changes.
-fn explain(input: &PlanInput<'_>, plan: &mut QueryPlan, range: KeyRange) {
-    let mut rest = RangeSet::from(range);
-    for shard in input.table.near(range) {
-        let part = shard.range.intersect(range);
-        if part.is_empty() {
-            continue;
-        }
-        let reason = reason(input, shard);
-        for &range in rest.clip(part).ranges() {
-            plan.missing.push(MissingRange { range, reason });
-        }
-        rest.remove(part);
-    }
-    let nobody = rest.ranges().iter();
-    plan.missing
-        .extend(nobody.map(|&range| MissingRange { range, reason: MissingReason::NoReplica }));
-    plan.missing.sort_by_key(|missing| missing.range);
-}
-
-fn reason(input: &PlanInput<'_>, shard: &ShardRecord) -> MissingReason {
-    let holds = |option: &&ReplicaOption| !versions(input, shard, option).is_empty();
-    if usable(input, shard).any(|option| holds(&option)) {
-        return MissingReason::VersionMissing;
-    }
-    if shard.options.iter().any(|option| input.lost.contains(&option.owner)) {
-        return MissingReason::OwnerUnreachable;
-    }
-    match shard.options.iter().any(|option| holds(&option)) {
-        true => MissingReason::Unreachable,
-        false => MissingReason::NoReplica,
-    }
-}
--- a/crates/hawthorn-store/tests/claim.rs
+++ b/crates/hawthorn-store/tests/claim.rs
@@ -2,16 +2,13 @@
 
 mod support;
 
-use std::cell::Cell;
 use std::error::Error;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hawthorn_store::ClaimKeeper;
 use hawthorn_store::claim;
-use hawthorn_store::claim::ClaimAsk;
 use hawthorn_store::claim::ClaimEvent;
-use hawthorn_store::claim::ClaimGrant;
 use hawthorn_store::claim::GrantExpired;
 use hawthorn_store::claim::Outcome;
 use hawthorn_store::claim::ProcessSeed;
@@ -19,62 +16,26 @@
 use hawthorn_types::CallerOutcome;
 use hawthorn_types::RefusalReason;
 use hawthorn_types::UnknownReason;
-use proptest::prelude::*;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngAlgorithm;
-use proptest::test_runner::TestRng;
-use proptest::test_runner::TestRunner;
-use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use support::FakeStore;
 use support::Fault;
-use support::FaultRates;
+use support::claims::LATENCY;
+use support::claims::NOW;
+use support::claims::SETTLED;
+use support::claims::ask;
+use support::claims::dispatch;
+use support::claims::granted;
+use support::claims::keeper;
+use support::claims::options;
+use support::claims::unix;
 use support::load;
 use support::load::ClaimLoad;
 
 type TestResult = Result<(), Box<dyn Error>>;
 
-const NOW: u64 = 1_700_000_000;
-const LATENCY: Duration = Duration::from_millis(3);
-/// Long enough for every write on its way and every claim given back.
-const SETTLED: Duration = Duration::from_secs(2);
-
-fn unix(second: u64) -> Duration {
-    Duration::from_secs(second)
-}
-
-fn options() -> claim::Options {
-    claim::Options { buckets: 1, ..claim::Options::default() }
-}
-
-fn keeper(store: &FakeStore, seed: u64) -> ClaimKeeper {
-    let cancel = CancellationToken::new();
-    ClaimKeeper::spawn(Arc::new(store.clone()), ProcessSeed(seed), &cancel, options())
-}
-
-fn ask(request_id: &str) -> ClaimAsk {
-    ClaimAsk {
-        caller: "port-desk".to_owned(),
-        request_id: request_id.to_owned(),
-        deadline: Instant::now() + Duration::from_millis(800),
-        unix_now: unix(NOW),
-    }
-}
-
-fn granted(outcome: Outcome) -> Result<ClaimGrant, String> {
-    match outcome {
-        Outcome::Granted(grant) => Ok(grant),
-        other => Err(format!("not granted: {other:?}")),
-    }
-}
-
-fn dispatch(grant: ClaimGrant) -> Result<(), GrantExpired> {
-    grant.dispatch(Instant::now(), unix(NOW)).map(|_permit| ())
-}
-
 /// One entry per fault: the writes of the first send meet these, in order.
 struct LostCase {
     name: &'static str,
@@ -344,67 +305,3 @@
     }
     Ok(())
 }
-
-#[derive(Clone, Debug)]
-struct Send {
-    host: usize,
-    id: u32,
-    at: u64,
-    used: bool,
-}
-
-fn any_sends() -> impl Strategy<Value = (Vec<Send>, u64)> {
-    let send = (0_usize..3, 0_u32..3, 0_u64..400, any::<bool>())
-        .prop_map(|(host, id, at, used)| Send { host, id, at, used });
-    (proptest::collection::vec(send, 1..16), any::<u64>())
-}
-
-/// Three hosts claim the same few ids at random moments on a store that loses
-/// answers, delays writes and fails. Used grants are counted for each id. When
-/// the store is well again, an id that never ran can still run, once.
-async fn interleave(sends: Vec<Send>, seed: u64) -> Result<u32, String> {
-    let rates = FaultRates { outage: 12, lost_answer: 15, runs_later: 15, rate_limited: 5 };
-    let store = FakeStore::seeded(LATENCY, rates, seed);
-    let hosts: Vec<ClaimKeeper> = (0..3).map(|host| keeper(&store, host)).collect();
-    let mut claims = JoinSet::new();
-    for send in sends {
-        let keeper = hosts[send.host].clone();
-        claims.spawn(async move {
-            sleep(Duration::from_millis(send.at)).await;
-            let outcome = keeper.claim(ask(&format!("1700000000-{}", send.id))).await;
-            match outcome {
-                Outcome::Granted(grant) if send.used => dispatch(grant).is_ok().then_some(send.id),
-                _ => None,
-            }
-        });
-    }
-    let ran: Vec<u32> = claims.join_all().await.into_iter().flatten().collect();
-    store.stop_random_faults();
-    sleep(SETTLED * 4).await;
-    for id in 0..3 {
-        let runs = ran.iter().filter(|run| **run == id).count();
-        let last = hosts[id as usize].claim(ask(&format!("1700000000-{id}"))).await;
-        let is_granted = matches!(last, Outcome::Granted(_));
-        if runs > 1 || is_granted != (runs == 0) {
-            return Err(format!("id {id} ran {runs} times, then {last:?}"));
-        }
-    }
-    Ok(u32::try_from(ran.len()).unwrap_or(u32::MAX))
-}
-
-#[test]
-fn no_interleaving_runs_an_id_twice_or_blocks_it() -> TestResult {
-    let config = Config { cases: 600, failure_persistence: None, ..Config::default() };
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[9; 32]);
-    let ran = Cell::new(0);
-    TestRunner::new_with_rng(config, rng).run(&any_sends(), |(sends, seed)| {
-        let mut builder = tokio::runtime::Builder::new_current_thread();
-        let runtime = builder.enable_time().start_paused(true).build();
-        let runtime = runtime.map_err(|error| TestCaseError::fail(error.to_string()))?;
-        let runs = runtime.block_on(interleave(sends, seed)).map_err(TestCaseError::fail)?;
-        ran.set(ran.get() + runs);
-        Ok(())
-    })?;
-    assert!(ran.get() > 300, "too few claims were used to mean anything: {}", ran.get());
-    Ok(())
-}
--- a/crates/hawthorn-store/tests/support/mod.rs
+++ b/crates/hawthorn-store/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A store in memory whose calls take virtual time and fail as they are told.
 #![allow(dead_code)]
 
+pub mod claims;
 pub mod load;
 
 use std::collections::BTreeMap;
