test(store): a claim of a dead host is never taken over

Cause: the one case in which an id stays blocked had no test. Change: a host is cut off after its claim was recorded and the answer lost; a fake store can be cut off for one host. Figures: unknown until the id is 600 s old, then not run; none granted. Conclusion: the price of a lost answer and a lost process is as written.

--- a/crates/hawthorn-store/tests/claim.rs
+++ b/crates/hawthorn-store/tests/claim.rs
@@ -8,6 +8,7 @@
 
 use hawthorn_store::ClaimKeeper;
 use hawthorn_store::claim;
+use hawthorn_store::claim::ClaimAsk;
 use hawthorn_store::claim::ClaimEvent;
 use hawthorn_store::claim::GrantExpired;
 use hawthorn_store::claim::Outcome;
@@ -144,6 +145,32 @@
     Ok(())
 }
 
+/// A claim is recorded, its answer is lost, and the host dies before it can
+/// take the claim out. Nobody else can tell that it was never used. The agent is
+/// told `unknown` until its id is too old for a claim, and never served twice.
+#[tokio::test(start_paused = true)]
+async fn a_claim_of_a_dead_host_is_never_taken_over() -> TestResult {
+    let store = FakeStore::new(LATENCY);
+    let (dying, second) = (store.other_host(), keeper(&store, 2));
+    let first = keeper(&dying, 1);
+    store.script([Fault::LostAnswer]);
+    let (outcome, ()) = tokio::join!(first.claim(ask("1700000000-a")), async {
+        sleep(LATENCY * 2).await;
+        dying.cut_off();
+    });
+    assert!(matches!(outcome, Outcome::Uncertain), "{outcome:?}");
+    for (age, told) in [
+        (0, CallerOutcome::Unknown(UnknownReason::ClaimedEarlier)),
+        (600, CallerOutcome::Unknown(UnknownReason::ClaimedEarlier)),
+        (601, CallerOutcome::NotRun(RefusalReason::RequestIdTooOld)),
+    ] {
+        sleep(SETTLED).await;
+        let ask = ClaimAsk { unix_now: unix(NOW + age), ..ask("1700000000-a") };
+        assert_eq!(second.claim(ask).await.refusal(), Some(told), "{age} s later");
+    }
+    Ok(())
+}
+
 /// A claim is granted, and then no target has a free slot. The agent is told
 /// `not-run`; sent again, the order must not meet its own unused claim.
 #[tokio::test(start_paused = true)]
--- a/crates/hawthorn-store/tests/support/mod.rs
+++ b/crates/hawthorn-store/tests/support/mod.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hawthorn_store::DeleteOutcome;
@@ -59,10 +61,11 @@
     calls: Calls,
 }
 
-/// The store; clones are the same store.
+/// The store; clones are the same store, over the same connection.
 #[derive(Clone, Debug)]
 pub struct FakeStore {
     state: Arc<Mutex<State>>,
+    cut: Arc<AtomicBool>,
     latency: Duration,
 }
 
@@ -90,7 +93,7 @@
             down: false,
             calls: Calls::default(),
         };
-        Self { state: Arc::new(Mutex::new(state)), latency }
+        Self { state: Arc::new(Mutex::new(state)), cut: Arc::default(), latency }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -102,6 +105,20 @@
         self.lock().script.extend(faults);
     }
 
+    /// The same store over another host's connection.
+    pub fn other_host(&self) -> Self {
+        Self { cut: Arc::default(), ..self.clone() }
+    }
+
+    /// Cuts this host off for good, as its death would.
+    pub fn cut_off(&self) {
+        self.cut.store(true, Ordering::Relaxed);
+    }
+
+    fn is_down(&self, state: &State) -> bool {
+        state.down || self.cut.load(Ordering::Relaxed)
+    }
+
     pub fn set_down(&self, down: bool) {
         self.lock().down = down;
     }
@@ -143,7 +160,7 @@
 
     fn write_fault(&self) -> Fault {
         let mut state = self.lock();
-        if state.down {
+        if self.is_down(&state) {
             return Fault::Outage;
         }
         match state.script.pop_front() {
@@ -154,7 +171,7 @@
 
     fn read_fault(&self) -> Fault {
         let mut state = self.lock();
-        if state.down { Fault::Outage } else { state.random_fault() }
+        if self.is_down(&state) { Fault::Outage } else { state.random_fault() }
     }
 
     /// Runs `effect` now, later or not at all, as the fault says.
