test: a hole in an answer comes with the daemons' logs

Cause: a failed story said which range was missing and nothing of why. Change: the last log lines of every daemon are in the failure.

--- a/tests/intent.rs
+++ b/tests/intent.rs
@@ -124,7 +124,12 @@
                 let answer = fleet.send(index, fleet.query("agent-desk")).await?;
                 let is_complete = answer.outcome == CallerOutcome::Answer && is_whole(&answer);
                 if !is_complete {
-                    return Err(format!("query {sent}: {answer:?}").into());
+                    let mut answer = answer;
+                    answer.matches.clear();
+                    let logs: Vec<String> =
+                        fleet.daemons.iter().map(support::daemon::DaemonHost::tail).collect();
+                    let logs = logs.join("\n");
+                    return Err(format!("query {sent} to {index}: {answer:?}\n{logs}").into());
                 }
                 sent += 1;
             }
