--- a/crates/hawthorn-fleet/src/member/apply.rs
+++ b/crates/hawthorn-fleet/src/member/apply.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hawthorn_types::HostKey;
+use hawthorn_types::ZoneKey;
 use rand::RngExt;
 
 use super::MemberRecord;
@@ -72,15 +73,9 @@
         {
             return;
         }
-        if self.zones.add(now, &place.zone) {
-            self.actions.push_back(FleetAction::ZoneFound(place.zone.clone()));
-        }
-        let near = place.zone == self.my_zone;
-        let key = self.arena.insert(now, &rumor, place);
-        if near {
-            self.add_to_ring(key);
-        }
-        self.changed(now, key, rumor.id);
+        let zone = self.meet_zone(now, &place.zone);
+        let key = self.arena.insert(now, &rumor, place, zone);
+        self.changed(key, rumor.id);
         self.start_sync_if_first();
         self.actions.push_back(FleetAction::MemberUp(key));
         if rumor.health == MemberHealth::Suspect {
@@ -140,7 +135,7 @@
             record.private = false;
             record.changed = now;
         });
-        self.changed(now, key, rumor.id);
+        self.changed(key, rumor.id);
         self.report(key, &was, restarted);
         if rumor.health == MemberHealth::Suspect {
             self.suspect_later(now, key, false);
@@ -156,14 +151,19 @@
         {
             self.replace(now, other, true);
         }
-        if self.zones.add(now, &place.zone) {
-            self.actions.push_back(FleetAction::ZoneFound(place.zone.clone()));
-        }
-        let near = place.zone == self.my_zone;
-        self.arena.update(was.key, |record| record.place = place);
-        if near {
-            self.add_to_ring(was.key);
+        let zone = self.meet_zone(now, &place.zone);
+        self.arena.update(was.key, |record| {
+            record.place = place;
+            record.zone = zone;
+        });
+    }
+
+    fn meet_zone(&mut self, now: Duration, name: &str) -> ZoneKey {
+        let (zone, new) = self.zones.add(now, name);
+        if new {
+            self.actions.push_back(FleetAction::ZoneFound(name.to_owned()));
         }
+        zone
     }
 
     /// Changes what is held of a member with the stamp that it has.
@@ -183,7 +183,7 @@
         if private {
             self.view_changed = true;
         } else {
-            self.changed(now, key, was.id);
+            self.changed(key, was.id);
         }
         self.report(key, &was, false);
         if health == MemberHealth::Suspect {
@@ -199,12 +199,12 @@
         }
     }
 
-    fn changed(&mut self, _now: Duration, key: HostKey, id: MemberId) {
+    fn changed(&mut self, key: HostKey, id: MemberId) {
         self.rumors.push(id);
         self.view_changed = true;
         self.suspicions.retain(|suspicion| suspicion.key != key);
-        let live = self.arena.get(key).is_some_and(MemberRecord::is_live);
-        if live && self.arena.get(key).is_some_and(|record| record.place.zone == self.my_zone) {
+        let near = |record: &MemberRecord| record.is_live() && record.zone == self.my_zone;
+        if self.arena.get(key).is_some_and(near) {
             self.add_to_ring(key);
         }
     }
@@ -267,10 +267,13 @@
     /// A rumor of a later life of this host. Failure: either the clock was set
     /// back between two lives, and the fleet would ignore this one; or an
     /// operator started a second process with this name, and the two would
-    /// refute each other for ever. The address tells which.
+    /// refute each other for ever. A later life that runs at another address
+    /// is such a second process.
     fn judge_other_life(&mut self, now: Duration, rumor: MemberRumor) {
         let here = self.record_of_self().place.peer;
-        let twin = rumor.place.as_ref().map(|place| place.peer).filter(|&peer| peer != here);
+        let runs = rumor.health == MemberHealth::Alive && rumor.phase != MemberPhase::Left;
+        let place = rumor.place.as_ref().filter(|_| runs);
+        let twin = place.map(|place| place.peer).filter(|&peer| peer != here);
         if let Some(peer) = twin {
             self.actions.push_back(FleetAction::Superseded(peer));
             return;
--- a/crates/hawthorn-fleet/src/member/mod.rs
+++ b/crates/hawthorn-fleet/src/member/mod.rs
@@ -16,13 +16,17 @@
 
 mod apply;
 mod arena;
+mod options;
 mod probe;
 mod receive;
 mod rumor;
 mod send;
+mod sync;
 mod zone;
 
 pub use arena::MemberRecord;
+pub use options::MemberCounters;
+pub use options::Options;
 
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
@@ -34,6 +38,7 @@
 use smallvec::SmallVec;
 
 use hawthorn_types::HostKey;
+use hawthorn_types::ZoneKey;
 use hawthorn_types::platform::HostEntry;
 
 use crate::action::FleetAction;
@@ -54,117 +59,9 @@
 use probe::Relay;
 use probe::Suspicion;
 use rumor::RumorQueue;
+use sync::SyncProgress;
 use zone::ZoneTable;
 
-/// Times and bounds of the membership protocol.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// A hash of the fleet's name; datagrams of other fleets are refused.
-    pub fleet: u32,
-    /// Between pings to members of the own zone. Every member is pinged about
-    /// once in this time, whatever the size of the zone.
-    pub heartbeat: Duration,
-    /// After so long without an ack, others are asked to ping. Many round
-    /// trips within a zone (1 ms), so that a busy member has time to answer.
-    pub ack_timeout: Duration,
-    /// After so long without an ack by any way, the member is suspect.
-    pub probe_timeout: Duration,
-    /// How many others are asked to ping.
-    pub helpers: usize,
-    /// How long a suspect may refute. Five heartbeats: with 5 % of datagrams
-    /// lost, five pings all fail about once in 100,000.
-    pub suspicion: Duration,
-    /// How long a suspect may refute at daemons that only heard of the
-    /// suspicion: they confirm it in case the first daemon dies too.
-    pub suspicion_heard: Duration,
-    /// Having heard nobody for so long, a daemon takes itself for cut off.
-    pub deaf_after: Duration,
-    /// How long a daemon that is cut off waits before it holds others for dead.
-    pub deaf_suspicion: Duration,
-    /// Between pings to members of other zones.
-    pub across: Duration,
-    /// A zone that nothing was heard from for so long is lost.
-    pub zone_timeout: Duration,
-    /// Between pings to one dead member of the own zone, or one hinted address
-    /// without a live member, so that the parts of a partition find each other.
-    pub retry: Duration,
-    /// Between requests for a part of a member list that differs. While the
-    /// parts bring much that is new, the next one is asked for at once.
-    pub repair: Duration,
-    /// A gap between calls longer than this means that the process stood still.
-    pub pause: Duration,
-    /// How long dead members are kept and retried: longer than regions lose
-    /// each other.
-    pub dead_kept: Duration,
-    /// How long members that left are kept, so that late rumors find them.
-    pub left_kept: Duration,
-    /// Bytes of rumors in one datagram. With ten datagrams a second this is
-    /// what bounds a daemon's bytes during a storm of changes.
-    pub rumor_bytes: usize,
-    /// Each rumor is sent so many times the binary logarithm of the member
-    /// count: enough that all but a few hear of it; repair reaches those.
-    pub rumor_factor: u32,
-    /// How many members hear at once of a new configuration revision or phase.
-    pub push: usize,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            fleet: 0,
-            heartbeat: Duration::from_millis(200),
-            ack_timeout: Duration::from_millis(80),
-            probe_timeout: Duration::from_millis(320),
-            helpers: 2,
-            suspicion: Duration::from_secs(1),
-            suspicion_heard: Duration::from_secs(3),
-            deaf_after: Duration::from_millis(600),
-            deaf_suspicion: Duration::from_secs(5),
-            across: Duration::from_secs(1),
-            zone_timeout: Duration::from_secs(4),
-            retry: Duration::from_secs(5),
-            repair: Duration::from_secs(2),
-            pause: Duration::from_secs(1),
-            dead_kept: Duration::from_secs(3 * 60 * 60),
-            left_kept: Duration::from_secs(10 * 60),
-            rumor_bytes: 400,
-            rumor_factor: 2,
-            push: 3,
-        }
-    }
-}
-
-/// Counts since the start, for metrics.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct MemberCounters {
-    /// Datagrams sent.
-    pub sent: u64,
-    /// Bytes sent, without UDP and IP headers.
-    pub sent_bytes: u64,
-    /// Datagrams received and understood.
-    pub received: u64,
-    /// Datagrams refused.
-    pub refused: u64,
-    /// Pings through others.
-    pub indirect: u64,
-    /// Suspicions begun here.
-    pub suspicions: u64,
-    /// Deaths confirmed here.
-    pub deaths: u64,
-    /// Times this host refuted.
-    pub refutations: u64,
-    /// Times this process stood still.
-    pub pauses: u64,
-}
-
-/// A sync of the whole list from one peer.
-#[derive(Debug)]
-struct SyncProgress {
-    peer: SocketAddr,
-    after: u64,
-    asked: Duration,
-}
-
 /// When each periodic duty is next due.
 #[derive(Debug, Default)]
 struct DutyTimes {
@@ -184,7 +81,7 @@
     rng: StdRng,
     me: HostKey,
     my_id: MemberId,
-    my_zone: String,
+    my_zone: ZoneKey,
     arena: MemberArena,
     zones: ZoneTable,
     rumors: RumorQueue,
@@ -222,7 +119,7 @@
     pub fn new(place: MemberPlace, incarnation: u64, options: Options, seed: u64) -> Self {
         let start = Duration::ZERO;
         let mut zones = ZoneTable::default();
-        zones.add(start, &place.zone);
+        let (my_zone, _) = zones.add(start, &place.zone);
         let rumor = MemberRumor {
             id: MemberId::of(&place.host),
             stamp: MemberStamp { incarnation, update: 0 },
@@ -230,10 +127,9 @@
             health: MemberHealth::Alive,
             place: None,
         };
-        let my_zone = place.zone.clone();
         let mut arena = MemberArena::default();
-        let me = arena.insert(start, &rumor, place);
-        let mut rumors = RumorQueue::default();
+        let me = arena.insert(start, &rumor, place, my_zone);
+        let mut rumors = RumorQueue::new(rumor.id.0 ^ seed);
         rumors.push(rumor.id);
         Self {
             options,
@@ -272,7 +168,8 @@
 
     /// Takes the addresses of the settings. They are asked for the member list
     /// on the next tick, and again while no live member is behind them.
-    pub fn seed(&mut self, _now: Duration, peers: &[SocketAddr]) {
+    pub fn seed(&mut self, now: Duration, peers: &[SocketAddr]) {
+        self.due.hint = now;
         self.settings_hints.extend(peers);
     }
 
@@ -281,22 +178,21 @@
     /// The list lags: it names hosts that are gone and omits live ones. Its
     /// addresses are only tried, so it neither kills a live member nor revives
     /// a dead one.
-    pub fn seed_platform(&mut self, _now: Duration, hosts: &[HostEntry]) {
+    pub fn seed_platform(&mut self, now: Duration, hosts: &[HostEntry]) {
+        self.due.hint = self.due.hint.min(now);
         self.platform_hints = hosts.iter().map(|entry| entry.peer).collect();
     }
 
-    /// Says what heartbeats should carry. Readiness moves this host between
-    /// joining and serving; a greater revision is pushed to a few members at
-    /// once rather than waiting for heartbeats.
+    /// Says what heartbeats should carry. Once `ready` is set, this host moves
+    /// from joining to serving and stays there: a daemon that pulls a newer
+    /// configuration serves by the older one meanwhile. A greater revision is
+    /// pushed to a few members at once rather than waiting for heartbeats.
     pub fn set_digest(&mut self, now: Duration, digest: MemberDigest) {
         let newer = digest.revision > self.digest.revision;
         self.digest = digest;
         self.digest_set = now;
-        let phase = self.record_of_self().phase;
-        let wanted = if digest.ready { MemberPhase::Serving } else { MemberPhase::Joining };
-        let settled = matches!(phase, MemberPhase::Leaving | MemberPhase::Left);
-        if phase != wanted && !settled {
-            self.announce(now, wanted);
+        if digest.ready && self.record_of_self().phase == MemberPhase::Joining {
+            self.announce(now, MemberPhase::Serving);
         } else if newer {
             self.push_notice(now);
         }
@@ -356,14 +252,15 @@
     }
 
     /// The live members of a zone, this host included; those of a lost zone too.
-    pub fn hosts<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = &'a MemberRecord> {
-        self.arena.iter().filter(move |record| record.is_live() && record.place.zone == zone)
+    pub fn hosts(&self, zone: &str) -> impl Iterator<Item = &MemberRecord> + use<'_> {
+        let zone = self.zones.key(zone);
+        self.arena.iter().filter(move |record| record.is_live() && Some(record.zone) == zone)
     }
 
     /// The members of a zone that may own groups, for [`ownership::owner`](crate::ownership::owner).
     /// None when the zone is lost: its hosts can't be reached from here.
-    pub fn owners<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = OwnerCandidate> + 'a {
-        let reachable = zone == self.my_zone || self.zones.reachable(zone);
+    pub fn owners(&self, zone: &str) -> impl Iterator<Item = OwnerCandidate> + use<'_> {
+        let reachable = self.zone_reachable(zone);
         self.hosts(zone)
             .filter(move |record| reachable && record.may_own())
             .map(|record| OwnerCandidate { key: record.key, id: record.id })
@@ -372,7 +269,7 @@
     /// The members of a zone that stay, ready or not, for
     /// [`SpreadState::set_zone`](crate::SpreadState::set_zone): those that join
     /// count too, or a whole zone that starts at once would ask the store.
-    pub fn staying<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = OwnerCandidate> + 'a {
+    pub fn staying(&self, zone: &str) -> impl Iterator<Item = OwnerCandidate> + use<'_> {
         self.hosts(zone)
             .filter(|record| record.phase < MemberPhase::Leaving)
             .map(|record| OwnerCandidate { key: record.key, id: record.id })
@@ -380,17 +277,18 @@
 
     /// Names of all zones that have or had members.
     pub fn zones(&self) -> impl Iterator<Item = &str> {
-        self.zones.names()
+        self.zones.keys().map(|zone| self.zones.name(zone))
     }
 
     /// Whether the zone has been heard from within the zone timeout.
     pub fn zone_reachable(&self, zone: &str) -> bool {
-        zone == self.my_zone || self.zones.reachable(zone)
+        let reachable = |zone| zone == self.my_zone || self.zones.reachable(zone);
+        self.zones.key(zone).is_some_and(reachable)
     }
 
     /// Whether any other zone has been heard from within the zone timeout.
     pub fn others_reachable(&self) -> bool {
-        self.zones.others_reachable(&self.my_zone)
+        self.other_zones().any(|zone| self.zones.reachable(zone))
     }
 
     /// Whether this daemon has heard nobody lately although others should be there.
@@ -404,11 +302,11 @@
         let hosts = self
             .arena
             .iter()
-            .filter(|record| record.place.zone == self.my_zone)
+            .filter(|record| record.zone == self.my_zone)
             .map(|record| (record.id, standing(record)))
             .collect();
         ZoneView {
-            zone: self.my_zone.clone(),
+            zone: self.zones.name(self.my_zone).to_owned(),
             hosts,
             deaf: self.is_deaf(now),
             witnessed: self.others_reachable(),
