--- a/crates/hawthorn-daemon/src/owner/duty.rs
+++ b/crates/hawthorn-daemon/src/owner/duty.rs
@@ -14,6 +14,7 @@
 use hawthorn_decide::message::PieceKey;
 use hawthorn_decide::owner;
 use hawthorn_decide::owner::OwnerState;
+use hawthorn_decide::relay as relay_options;
 use hawthorn_decide::time::TickTime;
 use hawthorn_types::AttemptId;
 use hawthorn_types::IndexVersion;
@@ -44,6 +45,9 @@
 use super::names::NameTable;
 use super::probe;
 use super::probe::ProbeEnd;
+use super::relay::RelayEnd;
+use super::relay::RelayLinks;
+use super::relay::RelayTable;
 use super::seen::IntentRound;
 use super::seen::SeenReport;
 use super::view::OwnerGauges;
@@ -65,6 +69,8 @@
 pub struct Options {
     /// Of the decisions.
     pub decide: owner::Options,
+    /// Of second chances at other zones' owners.
+    pub relay: relay_options::Options,
     /// Commands waiting, at the most.
     pub ring: usize,
     /// Bytes of a target's answer, at the most.
@@ -86,6 +92,8 @@
     pub owned: watch::Receiver<Arc<OwnedGroups>>,
     /// Where to tell the buckets whose requests still run here.
     pub busy: watch::Sender<Arc<HashSet<u16>>>,
+    /// The ways to other zones' owners.
+    pub relays: RelayLinks,
 }
 
 /// Starts the duty on the current runtime, which its thread runs alone.
@@ -119,6 +127,7 @@
             busy: inputs.busy.clone(),
             buckets: HashMap::new(),
             config: None,
+            relays: RelayTable::new(inputs.relays.clone(), options.relay),
             owned: Arc::default(),
             round: IntentRound::default(),
             seen: seen_sender,
@@ -134,6 +143,7 @@
 pub(super) enum TaskEnd {
     Attempt(AttemptEnd),
     Probe(ProbeEnd),
+    Relay(RelayEnd),
     Order(OrderEnd),
 }
 
@@ -167,6 +177,7 @@
     /// was given up keeps its bucket busy.
     pub(super) buckets: HashMap<TargetKey, u16>,
     pub(super) config: Option<Arc<ConfigInForce>>,
+    pub(super) relays: RelayTable,
     pub(super) owned: Arc<OwnedGroups>,
     /// The reconciler's last round.
     pub(super) round: IntentRound,
@@ -195,7 +206,8 @@
         let mut new_ends = Vec::with_capacity(DRAIN_LIMIT);
         self.reload(&mut inputs);
         loop {
-            let wake = self.state.next_wake().map(|at| self.instant(at));
+            let wakes = [self.state.next_wake(), self.relays.next_wake()];
+            let wake = wakes.into_iter().flatten().min().map(|at| self.instant(at));
             tokio::select! {
                 () = stop.cancelled() => return,
                 count = ended.recv_many(&mut new_ends, DRAIN_LIMIT) => if count == 0 { return },
@@ -214,6 +226,7 @@
             let now = self.now();
             self.state.tick(now);
             self.act();
+            self.relay_due();
         }
     }
 
@@ -225,7 +238,7 @@
         self.started + Duration::from_micros(at.0)
     }
 
-    fn left(&self, deadline: TickTime) -> Duration {
+    pub(super) fn left(&self, deadline: TickTime) -> Duration {
         deadline.since(self.now())
     }
 
@@ -239,6 +252,7 @@
             OwnerCommand::Withdraw(key) => {
                 let now = self.now();
                 for piece in self.table.withdraw(key) {
+                    self.relays.forget(piece);
                     self.state.cancel(now, piece);
                 }
             }
@@ -249,6 +263,7 @@
         match end {
             TaskEnd::Attempt(end) => self.take_attempt(end),
             TaskEnd::Probe(end) => self.take_probe(end),
+            TaskEnd::Relay(end) => self.take_relay(end),
             TaskEnd::Order(end) => self.take_order_end(&end),
         }
     }
--- a/crates/hawthorn-daemon/src/owner/reload.rs
+++ b/crates/hawthorn-daemon/src/owner/reload.rs
@@ -40,6 +40,7 @@
         let Some(config) = self.config.clone() else { return };
         let owned = Arc::clone(&self.owned);
         let records = self.records(&config, &owned);
+        self.config = Some(config);
         let kept: HashSet<TargetKey> = records.iter().map(|record| record.key).collect();
         let now = self.now();
         self.state.set_targets(now, &records);
--- a/crates/hawthorn-daemon/src/process/daemon.rs
+++ b/crates/hawthorn-daemon/src/process/daemon.rs
@@ -14,6 +14,7 @@
 use hawthorn_intent::DaemonSettings;
 use hawthorn_store::ClaimKeeper;
 use hawthorn_store::StoreClient;
+use hawthorn_store::claim::ProcessSeed;
 use log::Level;
 use quick_error::quick_error;
 use tokio::net::TcpListener;
@@ -143,7 +144,12 @@
     let duties = start_duties(&settings, &runtime, &stop)?;
     let _inside = runtime.enter();
     let claims = StoreClient::new(settings.platform, options::store_client());
-    let keeper = ClaimKeeper::spawn(Arc::new(claims.clone()), options::claims(&settings), &stop);
+    let keeper = ClaimKeeper::spawn(
+        Arc::new(claims.clone()),
+        ProcessSeed(rand::random()),
+        &stop,
+        options::claims(&settings),
+    );
     let runner = Arc::new(OnceRunner::new(keeper, duties.owner.clone()));
     let front = Arc::new(FrontContext::new(FrontParts {
         options: options::front(&settings),
@@ -220,7 +226,14 @@
     };
     let inputs = fleet::FleetInputs { socket, links: Arc::clone(&links), store: store_calls, busy };
     let (fleet, fleet_duty) = fleet::start(options::fleet(settings, place), inputs, stop.clone());
+    let views = Arc::new(ViewTable::default());
     let inputs = owner::OwnerInputs {
+        relays: owner::RelayLinks {
+            fleet: fleet.view.clone(),
+            links: Arc::clone(&links),
+            views: Arc::clone(&views),
+            zone: settings.zone.clone(),
+        },
         config: fleet.config.clone(),
         owned: fleet.owned.clone(),
         busy: busy_sender,
@@ -313,6 +326,16 @@
 }
 
 impl DaemonProcess<Serving> {
+    /// The settings of this process with the addresses it really has, to start
+    /// it again at the same place.
+    pub fn settings_at_its_addresses(&self) -> DaemonSettings {
+        DaemonSettings {
+            caller_address: self.caller_address,
+            peer_address: self.peer_address,
+            ..self.settings.clone()
+        }
+    }
+
     /// Waits for the order to stop, SIGTERM or SIGINT.
     ///
     /// # Errors
--- a/crates/hawthorn-daemon/src/process/options.rs
+++ b/crates/hawthorn-daemon/src/process/options.rs
@@ -61,6 +61,7 @@
     decide.shift.probe_interval = settings.probe.interval;
     owner::Options {
         decide,
+        relay: hawthorn_decide::relay::Options::default(),
         ring: OWNER_RING,
         max_answer_bytes: usize::try_from(settings.limits.max_answer_bytes).unwrap_or(usize::MAX),
         probe_timeout: settings.probe.timeout,
@@ -76,6 +77,7 @@
         seeds: settings.seeds.clone(),
         member: member::Options {
             heartbeat: settings.fleet.heartbeat,
+            suspicion: settings.fleet.suspect_after,
             ..member::Options::default()
         },
         handover: handover::Options::default(),
@@ -86,13 +88,7 @@
 
 /// Of claims.
 pub fn claims(settings: &DaemonSettings) -> claim::Options {
-    claim::Options {
-        buckets: settings.claims.buckets,
-        window: settings.claims.window,
-        min_interval: settings.claims.gather,
-        seed: rand::random(),
-        ..claim::Options::default()
-    }
+    claim::Options { min_interval: settings.claims.gather, ..claim::Options::default() }
 }
 
 /// Of the client of the platform's store.
--- a/crates/hawthorn-decide/examples/tails.rs
+++ b/crates/hawthorn-decide/examples/tails.rs
@@ -32,10 +32,11 @@
 
 fn main() {
     println!(
-        "| site | stragglers | load | policy | p50 ms | p99 ms | p99.9 ms | coverage | extra |"
+        "| site | stragglers | load | policy | p50 ms | p99 ms | p99.9 ms | coverage | extra | slot time |"
     );
     println!("|---|---|---|---|---|---|---|---|---|---|");
-    for (name, site) in [("Dar Port", DAR_PORT), ("Poland", POLAND)] {
+    let single = Site { replicas: 1, ..DAR_PORT };
+    for (name, site) in [("Dar Port", DAR_PORT), ("Poland", POLAND), ("one replica", single)] {
         for stragglers in [0.0, 0.01, 0.03, 0.05] {
             for load in [0.2, 0.4] {
                 let site = Site { stragglers, ..site };
@@ -50,11 +51,6 @@
                 ];
                 for (policy_name, policy) in policies {
                     let world = run(site, policy, load);
-                    if let Some(front) = world.fronts.first()
-                        && std::env::args().len() > 1
-                    {
-                        println!("{:?}", front.counters());
-                    }
                     println!(
                         "| {name} | {} % | {} % | {policy_name} | {:.1} | {:.1} | {:.1} | {:.6} | {:.2} % | {:.2} |",
                         stragglers * 100.0,
--- a/crates/hawthorn-decide/src/message.rs
+++ b/crates/hawthorn-decide/src/message.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
+use crate::time::TickTime;
 use hawthorn_types::AttemptId;
 use hawthorn_types::CallerKey;
 use hawthorn_types::FailureReason;
@@ -15,9 +18,6 @@
 use hawthorn_types::WantedState;
 use hawthorn_types::caller::UrgencyClass;
 use hawthorn_types::target::TargetRefusal;
-use smallvec::SmallVec;
-
-use crate::time::TickTime;
 
 /// Names one piece, one shard's part of one request. The daemon chooses it;
 /// unique among the pieces that are not finished.
@@ -98,6 +98,9 @@
     pub expected_cost: Option<Duration>,
     /// A non-idempotent request: sent at most once, never hedged or retried.
     pub once: bool,
+    /// Another zone's owner can be asked in its stead: a second attempt at a
+    /// target that already has one would spend the budget on the worse chance.
+    pub relayed: bool,
 }
 
 /// How an attempt ended.
--- a/crates/hawthorn-decide/src/owner/mod.rs
+++ b/crates/hawthorn-decide/src/owner/mod.rs
@@ -9,19 +9,14 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use hawthorn_types::RetryReason;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use smallvec::SmallVec;
 
-use hawthorn_types::CallerKey;
-use hawthorn_types::RefusalReason;
-use hawthorn_types::ShardKey;
-use hawthorn_types::TargetKey;
-use hawthorn_types::caller::UrgencyClass;
-
 use crate::admit;
 use crate::arena::Arena;
-use crate::arena::Handle;
+use crate::arena::ArenaHandle;
 use crate::budget;
 use crate::budget::RetryBudget;
 use crate::counter::OwnerCounters;
@@ -34,19 +29,25 @@
 use crate::piece::LiveAttempt;
 use crate::piece::LivePiece;
 use crate::queue;
-use crate::queue::Joining;
 use crate::queue::NORMAL;
+use crate::queue::QueueEnd;
 use crate::queue::ShardQueue;
 use crate::queue::URGENT;
 use crate::shift;
+use crate::shift::ReplicaRelief;
 use crate::slots;
 use crate::time::TickTime;
 use crate::time::micros;
-use crate::timer::Alarm;
+use crate::timer::TimerAlarm;
 use crate::timer::TimerQueue;
+use hawthorn_types::ShardKey;
+use hawthorn_types::TargetKey;
+use hawthorn_types::caller::UrgencyClass;
 
+pub use admission::BatchAsk;
 use target::LiveTarget;
 
+mod admission;
 mod dispatch;
 mod finish;
 mod target;
@@ -56,7 +57,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Options {
     /// Pieces not finished, waiting or on their way, over all shards. 65,536:
-    /// half a second of a large daemon's work at today's speed, 20 MB.
+    /// half a second of the shard requests that a daemon of the large fleet takes.
     pub piece_limit: usize,
     /// Of queues.
     pub queue: queue::Options,
@@ -86,26 +87,25 @@
     }
 }
 
-/// What a front asks before it sends a query's pieces.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BatchAsk<'a> {
-    /// Whose request it is.
-    pub caller: CallerKey,
-    /// How much a late answer hurts.
-    pub urgency: UrgencyClass,
-    /// The shards of the batch.
-    pub shards: &'a [ShardKey],
-    /// When the answers are of no more use.
-    pub deadline: TickTime,
-}
-
 #[derive(Debug)]
 struct LiveShard {
     replicas: SmallVec<[TargetKey; 4]>,
     queue: ShardQueue,
     times: ServiceTimes,
     /// Pieces on their way for too long, waiting for a slot for a hedge.
-    due: VecDeque<Handle>,
+    due: VecDeque<ArenaHandle>,
+}
+
+impl LiveShard {
+    /// Whether this owner owns any replica of it.
+    fn is_owned(&self) -> bool {
+        !self.replicas.is_empty()
+    }
+
+    /// Whether hardly any request is answered within `left` microseconds.
+    fn is_hopeless(&self, left: u64) -> bool {
+        left < self.times.median() / 2
+    }
 }
 
 /// Everything an owner knows. See the module's documentation.
@@ -115,7 +115,7 @@
     shards: Vec<LiveShard>,
     targets: Vec<LiveTarget>,
     pieces: Arena<LivePiece>,
-    by_key: HashMap<PieceKey, Handle>,
+    by_key: HashMap<PieceKey, ArenaHandle>,
     attempts: Arena<LiveAttempt>,
     timers: TimerQueue,
     budget: RetryBudget,
@@ -148,20 +148,6 @@
         }
     }
 
-    /// Whether all pieces of a query could be done in time. A front asks this
-    /// before it submits any of them: a query refused in part has cost the
-    /// targets the rest for nothing.
-    pub fn admit_batch(&mut self, now: TickTime, batch: &BatchAsk<'_>) -> admit::Outcome {
-        for &shard in batch.shards {
-            let outcome = self.admit(now, batch.caller, batch.urgency, shard, batch.deadline);
-            if let admit::Outcome::Refused { reason, .. } = outcome {
-                self.counters.count_refused(reason);
-                return outcome;
-            }
-        }
-        admit::Outcome::Queued
-    }
-
     /// Takes in one piece, or refuses it at once.
     pub fn submit(&mut self, now: TickTime, piece: QueuedPiece) -> admit::Outcome {
         let outcome = self.admit_piece(now, &piece);
@@ -174,8 +160,8 @@
         let deadline = piece.deadline;
         let handle = self.pieces.insert(LivePiece::new(piece, now));
         self.by_key.insert(piece.piece, handle);
-        self.timers.arm(deadline, Alarm::Deadline(handle));
-        self.join_queue(handle, Joining::Back);
+        self.timers.arm(deadline, TimerAlarm::Deadline(handle));
+        self.join_queue(handle, QueueEnd::Back);
         self.pump(now, shard);
         self.tidy();
         outcome
@@ -204,32 +190,16 @@
     pub fn tick(&mut self, now: TickTime) {
         while let Some(alarm) = self.timers.fire(now) {
             match alarm {
-                Alarm::Deadline(piece) => self.on_deadline(now, piece),
-                Alarm::Hedge(piece) => self.on_hedge_due(now, piece),
-                Alarm::Grace(attempt) => self.on_grace_over(now, attempt),
-                Alarm::Room(target) => self.on_room(now, target),
-                Alarm::Probe(target) => self.on_probe_due(now, target),
+                TimerAlarm::Deadline(piece) => self.on_deadline(now, piece),
+                TimerAlarm::Hedge(piece) => self.on_hedge_due(now, piece),
+                TimerAlarm::Grace(attempt) => self.on_grace_over(now, attempt),
+                TimerAlarm::Room(target) => self.on_room(now, target),
+                TimerAlarm::Probe(target) => self.on_probe_due(now, target),
             }
         }
         self.tidy();
     }
 
-    /// The wait of a new piece of a caller that has nothing waiting, for fronts
-    /// to place queries by.
-    pub fn expected_wait(&self, shard: ShardKey, urgency: UrgencyClass) -> Duration {
-        Duration::from_micros(self.wait_of(CallerKey(u32::MAX), urgency, shard))
-    }
-
-    /// The wait of a new piece of `caller`.
-    pub fn expected_wait_of(
-        &self,
-        caller: CallerKey,
-        shard: ShardKey,
-        urgency: UrgencyClass,
-    ) -> Duration {
-        Duration::from_micros(self.wait_of(caller, urgency, shard))
-    }
-
     /// The 90th percentile of a shard's service time, as seen by this owner.
     pub fn service_time(&self, shard: ShardKey) -> Duration {
         let known = self.shards.get(shard.index());
@@ -254,84 +224,24 @@
         self.targets.get(target.index()).map_or(0, |target| target.count.taken())
     }
 
-    /// Totals and gauges.
-    pub fn counters(&self) -> &OwnerCounters {
-        &self.counters
-    }
-
-    fn admit_piece(&self, now: TickTime, piece: &QueuedPiece) -> admit::Outcome {
-        let least = self.options.admit.least_retry;
-        if piece.caller.0 >= self.options.queue.caller_limit {
-            return refuse(RefusalReason::UnknownCaller, self.options.admit.most_retry);
-        }
-        // Two pieces of one key could not be told apart when they finish.
-        if self.by_key.contains_key(&piece.piece) {
-            return refuse(RefusalReason::BadRequest, least);
-        }
-        if self.pieces.len() >= self.options.piece_limit {
-            return refuse(RefusalReason::QueueFull, least);
-        }
-        self.admit(now, piece.caller, piece.urgency, piece.shard, piece.deadline)
-    }
-
-    fn admit(
-        &self,
-        now: TickTime,
-        caller: CallerKey,
-        urgency: UrgencyClass,
-        shard: ShardKey,
-        deadline: TickTime,
-    ) -> admit::Outcome {
-        let least = self.options.admit.least_retry;
-        let most = self.options.admit.most_retry;
-        if deadline <= now {
-            return refuse(RefusalReason::DeadlinePast, least);
-        }
-        let Some(live) = self.shards.get(shard.index()) else {
-            return refuse(RefusalReason::NoTarget, most);
+    /// Pays for asking another zone's owner (see [`crate::relay`]) from the one
+    /// budget for extra attempts; false when it is spent.
+    pub fn spend_relay(&mut self, reason: RetryReason) -> bool {
+        let paid = match reason {
+            RetryReason::Hedge => self.budget.spend_hedge(),
+            _ => self.budget.spend_retry(),
         };
-        if !self.is_served(live) {
-            return refuse(RefusalReason::NoTarget, most);
+        if paid {
+            self.counters.count_retried(reason);
+        } else {
+            self.counters.hedges_without_budget += 1;
         }
-        let wait = self.wait_of(caller, urgency, shard);
-        let retry = |span: u64| Duration::from_micros(span).clamp(least, most);
-        let room = live.queue.room();
-        if room == 0 {
-            return refuse(RefusalReason::QueueFull, retry(wait));
-        }
-        // Dynamic thresholds (Choudhury and Hahne, 1998): nobody waits with
-        // more pieces than there is room left, so a flood never fills the
-        // queue and the next caller always finds a place.
-        if live.queue.waiting_of(caller.0) >= room {
-            return refuse(RefusalReason::CallerOverShare, retry(wait));
-        }
-        let needed = (wait as f64 * self.options.admit.wait_margin) as u64 + live.times.median();
-        let left = deadline.micros_since(now);
-        if wait > 0 && needed > left {
-            return refuse(RefusalReason::WaitBeyondDeadline, retry(needed - left));
-        }
-        admit::Outcome::Queued
-    }
-
-    fn wait_of(&self, caller: CallerKey, urgency: UrgencyClass, shard: ShardKey) -> u64 {
-        let Some(live) = self.shards.get(shard.index()) else { return 0 };
-        if live.queue.is_empty() && self.has_free_slot(live) {
-            return 0;
-        }
-        admit::expected_wait(
-            &live.queue,
-            caller.0,
-            urgency as usize,
-            self.slots_of(live),
-            live.times.median(),
-            self.options.queue.normal_share,
-        )
+        paid
     }
 
-    fn slots_of(&self, shard: &LiveShard) -> u64 {
-        let alone = self.is_alone(shard);
-        let limits = shard.replicas.iter().map(|key| self.targets[key.index()].limit(alone));
-        limits.map(u64::from).sum()
+    /// Totals and gauges.
+    pub fn counters(&self) -> &OwnerCounters {
+        &self.counters
     }
 
     /// Whether a replica of the shard may get work, now or after a wait.
@@ -342,26 +252,27 @@
     fn has_free_slot(&self, shard: &LiveShard) -> bool {
         shard.replicas.iter().any(|key| {
             let target = &self.targets[key.index()];
-            target.count.taken() < target.limit(false)
+            target.count.taken() < target.limit(ReplicaRelief::Full)
         })
     }
 
-    /// Whether no replica of the shard takes full work.
-    fn is_alone(&self, shard: &LiveShard) -> bool {
-        !shard.replicas.iter().any(|key| self.targets[key.index()].is_full())
+    /// What the best of the shard's replicas can take.
+    fn relief(&self, shard: &LiveShard) -> ReplicaRelief {
+        let targets = shard.replicas.iter().map(|key| &self.targets[key.index()]);
+        targets.map(|target| target.relief()).max().unwrap_or(ReplicaRelief::None)
     }
 
-    fn join_queue(&mut self, handle: Handle, joining: Joining) {
+    fn join_queue(&mut self, handle: ArenaHandle, end: QueueEnd) {
         let piece = self.pieces.at(handle.index);
         let shard = &mut self.shards[piece.ask.shard.index()];
         let average = shard.queue.cost_of(piece.ask.caller.0, shard.times.median());
         let cost = piece.ask.expected_cost.map_or(average, micros);
         self.counters.waiting[piece.lane()] += 1;
         self.pieces.at_mut(handle.index).cost = cost;
-        shard.queue.join(&mut self.pieces, handle.index, joining);
+        shard.queue.join(&mut self.pieces, handle.index, end);
     }
 
-    fn leave_queue(&mut self, handle: Handle) {
+    fn leave_queue(&mut self, handle: ArenaHandle) {
         let piece = self.pieces.at(handle.index);
         if !piece.waiting {
             return;
@@ -390,21 +301,15 @@
     }
 
     fn tidy(&mut self) {
-        // Each piece has a deadline and a hedge alarm, each attempt a grace.
-        let live = 2 * self.pieces.len() + self.attempts.len() + 2 * self.targets.len();
         let pieces = &self.pieces;
         let attempts = &self.attempts;
-        self.timers.compact(live, |alarm| match alarm {
-            Alarm::Deadline(piece) | Alarm::Hedge(piece) => pieces.get(*piece).is_some(),
-            Alarm::Grace(attempt) => attempts.get(*attempt).is_some(),
-            Alarm::Room(_) | Alarm::Probe(_) => true,
+        self.timers.compact(|alarm| match alarm {
+            TimerAlarm::Deadline(piece) | TimerAlarm::Hedge(piece) => pieces.get(*piece).is_some(),
+            TimerAlarm::Grace(attempt) => attempts.get(*attempt).is_some(),
+            TimerAlarm::Room(_) | TimerAlarm::Probe(_) => true,
         });
     }
 }
 
-fn refuse(reason: RefusalReason, retry_after: Duration) -> admit::Outcome {
-    admit::Outcome::Refused { reason, retry_after }
-}
-
 const _: () = assert!(UrgencyClass::Urgent as usize == URGENT);
 const _: () = assert!(UrgencyClass::Normal as usize == NORMAL);
--- a/crates/hawthorn-decide/src/owner/target.rs
+++ b/crates/hawthorn-decide/src/owner/target.rs
@@ -1,15 +1,16 @@
 //! A target while its owner owns it.
 
-use hawthorn_types::IndexVersion;
-use hawthorn_types::ShardKey;
-use hawthorn_types::TargetKey;
-use hawthorn_types::WantedState;
 use smallvec::SmallVec;
 
 use crate::message::HeldShard;
+use crate::shift::ReplicaRelief;
 use crate::shift::TargetShift;
 use crate::slots::SlotCount;
 use crate::time::TickTime;
+use hawthorn_types::IndexVersion;
+use hawthorn_types::ShardKey;
+use hawthorn_types::TargetKey;
+use hawthorn_types::WantedState;
 
 /// A new service time counts for an eighth of a target's average.
 const LATENCY_WEIGHT: u64 = 8;
@@ -61,13 +62,13 @@
         self.owned && self.shift.in_service()
     }
 
-    /// Whether it takes work on all its slots.
-    pub(super) fn is_full(&self) -> bool {
-        self.in_service() && self.shift.phase == crate::shift::Phase::Serving
+    /// What it can take while other replicas are spared.
+    pub(super) fn relief(&self) -> ReplicaRelief {
+        if self.owned { self.shift.relief() } else { ReplicaRelief::None }
     }
 
-    pub(super) fn limit(&self, alone: bool) -> u16 {
-        if self.owned { self.shift.limit(self.slots, alone) } else { 0 }
+    pub(super) fn limit(&self, relief: ReplicaRelief) -> u16 {
+        if self.owned { self.shift.limit(self.slots, relief) } else { 0 }
     }
 
     pub(super) fn lists(&self, shard: ShardKey, version: IndexVersion) -> bool {
--- a/crates/hawthorn-decide/src/owner/watch.rs
+++ b/crates/hawthorn-decide/src/owner/watch.rs
@@ -2,17 +2,11 @@
 
 use std::collections::VecDeque;
 
-use hawthorn_types::MissingReason;
-use hawthorn_types::RefusalReason;
-use hawthorn_types::ShardKey;
-use hawthorn_types::TargetKey;
-use hawthorn_types::TargetPhase;
 use rand::RngExt;
 
 use super::LiveShard;
 use super::OwnerState;
 use super::target::LiveTarget;
-use crate::arena::Handle;
 use crate::latency::ServiceTimes;
 use crate::message::LeavingSource;
 use crate::message::Observation;
@@ -20,11 +14,16 @@
 use crate::message::PieceResult;
 use crate::message::TargetRecord;
 use crate::queue::ShardQueue;
-use crate::shift::Judgement;
 use crate::shift::Phase;
+use crate::shift::TargetJudgement;
 use crate::time::TickTime;
 use crate::time::micros;
-use crate::timer::Alarm;
+use crate::timer::TimerAlarm;
+use hawthorn_types::MissingReason;
+use hawthorn_types::RefusalReason;
+use hawthorn_types::ShardKey;
+use hawthorn_types::TargetKey;
+use hawthorn_types::TargetPhase;
 
 impl OwnerState {
     /// The targets owned from now on. Attempts on their way to others run on
@@ -57,7 +56,7 @@
         if !target.probe_armed {
             target.probe_armed = true;
             let first = micros(options.probe_interval) as f64 * jitter;
-            self.timers.arm(now.plus(first as u64), Alarm::Probe(record.key));
+            self.timers.arm(now.plus(first as u64), TimerAlarm::Probe(record.key));
         }
     }
 
@@ -104,7 +103,7 @@
                     && now >= until
                 {
                     self.eject_again(now, key);
-                } else if target.shift.on_failure(&options) == Judgement::Eject {
+                } else if target.shift.on_unreachable(&options) == TargetJudgement::Eject {
                     self.eject(now, key);
                 }
             }
@@ -164,15 +163,19 @@
         }
     }
 
-    /// No replica is left: every waiting piece hears so at once.
+    /// No replica is left, or none is owned any more: every waiting piece hears
+    /// so at once, for its front to go elsewhere while there is time.
     fn give_up(&mut self, now: TickTime, shard: ShardKey) {
+        let (missing, refusal) = if self.shards[shard.index()].is_owned() {
+            (MissingReason::NoReplica, RefusalReason::NoTarget)
+        } else {
+            (MissingReason::OwnerUnreachable, RefusalReason::OwnerUnreachable)
+        };
         while let Some(index) = self.shards[shard.index()].queue.any() {
-            let handle: Handle = self.pieces.handle_at(index);
-            let result = if self.pieces.at(index).ask.once {
-                PieceResult::NotRun(RefusalReason::NoTarget)
-            } else {
-                PieceResult::Missing(MissingReason::NoReplica)
-            };
+            let handle = self.pieces.handle_at(index);
+            let once = self.pieces.at(index).ask.once;
+            let result =
+                if once { PieceResult::NotRun(refusal) } else { PieceResult::Missing(missing) };
             self.finish(now, handle, result);
         }
     }
@@ -194,10 +197,10 @@
 
     pub(super) fn on_room(&mut self, now: TickTime, key: TargetKey) {
         let shift = &self.targets[key.index()].shift;
-        if let Phase::Ejected { until } = shift.phase
-            && now >= until
-        {
-            self.actions.push_back(OwnerAction::Probe { target: key });
+        match shift.phase {
+            Phase::Ejected { until } if now < until => self.arm_room(now, key, until),
+            Phase::Ejected { .. } => self.actions.push_back(OwnerAction::Probe { target: key }),
+            Phase::Serving | Phase::Ramping { .. } => {}
         }
         self.pump_target(now, key);
     }
@@ -210,6 +213,6 @@
         }
         self.actions.push_back(OwnerAction::Probe { target: key });
         let next = now.after(self.options.shift.probe_interval);
-        self.timers.arm(next, Alarm::Probe(key));
+        self.timers.arm(next, TimerAlarm::Probe(key));
     }
 }
--- a/crates/hawthorn-decide/src/shift.rs
+++ b/crates/hawthorn-decide/src/shift.rs
@@ -7,11 +7,10 @@
 
 use std::time::Duration;
 
-use hawthorn_types::WantedState;
-
 use crate::message::LeavingSource;
 use crate::time::TickTime;
 use crate::time::micros;
+use hawthorn_types::WantedState;
 
 /// Limits of shifting.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -45,10 +44,15 @@
     /// How long a target that sheds load is left alone at first; doubled with
     /// each further refusal. 5 ms: one service time, in which a slot can free.
     pub shed_pause: Duration,
+    /// How long a slot stays unused after its target shed load. 1 s: ownership
+    /// moves within a few seconds, and one refusal a second costs nothing.
+    pub cut_hold: Duration,
     /// The longest pause of a target that sheds.
     pub most_pause: Duration,
     /// How long a target's own leaving sign holds although its state page says
-    /// ready again: the page lags by seconds.
+    /// ready, unless it was seen to stop meanwhile. The page lags or misleads,
+    /// and trusted it would bring a draining target work again. 30 s: a target
+    /// that gave up leaving is missed for so long at most.
     pub leaving_hold: Duration,
     /// Good answers this fresh outweigh a state page that says cold.
     pub answer_trust: Duration,
@@ -69,8 +73,9 @@
             first_backoff: Duration::from_secs(1),
             most_backoff: Duration::from_secs(30),
             shed_pause: Duration::from_millis(5),
+            cut_hold: Duration::from_secs(1),
             most_pause: Duration::from_millis(320),
-            leaving_hold: Duration::from_secs(5),
+            leaving_hold: Duration::from_secs(30),
             answer_trust: Duration::from_secs(1),
             probe_interval: Duration::from_secs(1),
         }
@@ -94,9 +99,22 @@
     },
 }
 
+/// What the best replica of a shard can take. Ramps and ejections protect a
+/// shard's work by moving it to better replicas; where there is none they would
+/// only deny service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum ReplicaRelief {
+    /// None but ejected ones are in service.
+    None,
+    /// Work one at a time.
+    Ramping,
+    /// Full work.
+    Full,
+}
+
 /// What a failure or a slow answer calls for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Judgement {
+pub(crate) enum TargetJudgement {
     /// Nothing.
     Keep,
     /// Ejection, if enough replicas remain.
@@ -110,11 +128,16 @@
     pub(crate) phase: Phase,
     leaving: u8,
     leaving_at: TickTime,
+    /// Seen to be down or loading since it said that it leaves.
+    stopped: bool,
     failures: u32,
     slow: u32,
     backoff: u64,
     pause: u64,
     paused_until: TickTime,
+    /// Slots left unused since it shed load.
+    cut: u16,
+    cut_at: TickTime,
     next_send: TickTime,
     good_at: Option<TickTime>,
 }
@@ -126,11 +149,14 @@
             phase: Phase::Serving,
             leaving: 0,
             leaving_at: TickTime::default(),
+            stopped: false,
             failures: 0,
             slow: 0,
             backoff: 0,
             pause: 0,
             paused_until: TickTime::default(),
+            cut: 0,
+            cut_at: TickTime::default(),
             next_send: TickTime::default(),
             good_at: None,
         }
@@ -145,22 +171,32 @@
         matches!(self.phase, Phase::Ejected { .. })
     }
 
-    /// Slots that may be taken. `alone`: no other replica takes full work; the
-    /// ramp and the ejection then protect nobody, and only deny service.
-    pub(crate) fn limit(&self, slots: u16, alone: bool) -> u16 {
+    pub(crate) fn relief(&self) -> ReplicaRelief {
+        match self.phase {
+            _ if !self.in_service() => ReplicaRelief::None,
+            Phase::Serving => ReplicaRelief::Full,
+            Phase::Ramping { .. } => ReplicaRelief::Ramping,
+            Phase::Ejected { .. } => ReplicaRelief::None,
+        }
+    }
+
+    /// Slots that may be taken, given the best of the shard's replicas.
+    pub(crate) fn limit(&self, slots: u16, relief: ReplicaRelief) -> u16 {
         match self.phase {
             _ if !self.in_service() => 0,
-            Phase::Serving => slots,
+            Phase::Serving => slots.saturating_sub(self.cut).max(slots.min(1)),
             Phase::Ramping { .. } => slots.min(1),
-            Phase::Ejected { .. } if alone => slots.min(1),
+            Phase::Ejected { .. } if relief == ReplicaRelief::None => slots.min(1),
             Phase::Ejected { .. } => 0,
         }
     }
 
     /// The earliest time of the next send.
-    pub(crate) fn send_at(&self, alone: bool) -> TickTime {
+    pub(crate) fn send_at(&self, relief: ReplicaRelief) -> TickTime {
         match self.phase {
-            Phase::Ramping { .. } if !alone => self.paused_until.max(self.next_send),
+            Phase::Ramping { .. } if relief == ReplicaRelief::Full => {
+                self.paused_until.max(self.next_send)
+            }
             _ => self.paused_until,
         }
     }
@@ -176,6 +212,10 @@
         self.slow = 0;
         self.pause = 0;
         self.good_at = Some(now);
+        if self.cut > 0 && now.since(self.cut_at) >= options.cut_hold {
+            self.cut -= 1;
+            self.cut_at = now;
+        }
         match self.phase {
             Phase::Serving => {}
             Phase::Ramping { gap } if gap / 2 < micros(options.ramp_end) => {
@@ -192,23 +232,24 @@
         }
     }
 
-    /// A slow answer; a ramping target is expected to be slow.
-    pub(crate) fn on_slow(&mut self, options: &Options) -> Judgement {
-        if self.phase != Phase::Serving {
-            return Judgement::Keep;
+    /// A slow answer. A target that is loading is slow too, and is left alone
+    /// for a while like any other.
+    pub(crate) fn on_slow(&mut self, options: &Options) -> TargetJudgement {
+        if self.is_ejected() {
+            return TargetJudgement::Keep;
         }
         self.slow += 1;
-        if self.slow >= options.slow_limit { Judgement::Eject } else { Judgement::Keep }
+        if self.slow >= options.slow_limit { TargetJudgement::Eject } else { TargetJudgement::Keep }
     }
 
     /// A failure; one is enough on the way back from an ejection.
-    pub(crate) fn on_failure(&mut self, options: &Options) -> Judgement {
+    pub(crate) fn on_failure(&mut self, options: &Options) -> TargetJudgement {
         self.failures += 1;
         let returning = matches!(self.phase, Phase::Ramping { .. }) && self.backoff > 0;
         match self.phase {
-            Phase::Ejected { .. } => Judgement::Keep,
-            _ if returning || self.failures >= options.failure_limit => Judgement::Eject,
-            _ => Judgement::Keep,
+            Phase::Ejected { .. } => TargetJudgement::Keep,
+            _ if returning || self.failures >= options.failure_limit => TargetJudgement::Eject,
+            _ => TargetJudgement::Keep,
         }
     }
 
@@ -225,6 +266,12 @@
         until
     }
 
+    /// Its state page was not answered.
+    pub(crate) fn on_unreachable(&mut self, options: &Options) -> TargetJudgement {
+        self.stopped = true;
+        self.on_failure(options)
+    }
+
     /// It stays in service although it was to be ejected: judged anew.
     pub(crate) fn pardon(&mut self) {
         self.failures = 0;
@@ -232,7 +279,13 @@
     }
 
     /// It sheds load. Returns when it may be asked again.
-    pub(crate) fn on_shed(&mut self, now: TickTime, options: &Options) -> TickTime {
+    ///
+    /// It has fewer slots for this owner than configured: while ownership
+    /// moves, two owners send to it, and both would be refused again and again
+    /// until their budgets are spent. Each leaves a slot unused instead.
+    pub(crate) fn on_shed(&mut self, now: TickTime, slots: u16, options: &Options) -> TickTime {
+        self.cut = (self.cut + 1).min(slots.saturating_sub(1));
+        self.cut_at = now;
         let first = micros(options.shed_pause);
         self.pause = (self.pause * 2).clamp(first, micros(options.most_pause));
         self.paused_until = now.plus(self.pause);
@@ -251,6 +304,7 @@
 
     /// Its state page says cold or standby.
     pub(crate) fn on_cold_page(&mut self, now: TickTime, options: &Options) {
+        self.stopped = true;
         let trusted = self.good_at.is_some_and(|at| now.since(at) < options.answer_trust);
         if !trusted && self.phase == Phase::Serving {
             self.on_cold(now, options);
@@ -259,8 +313,8 @@
 
     /// Its state page says ready, which is no more than a permission to try.
     pub(crate) fn on_ready_page(&mut self, now: TickTime, options: &Options) {
-        let held = now.since(self.leaving_at) >= options.leaving_hold;
-        if held {
+        let over = now.since(self.leaving_at) >= options.leaving_hold;
+        if over || self.stopped {
             self.clear_leaving(LeavingSource::Target, now, options);
         }
         if let Phase::Ejected { until } = self.phase
@@ -275,6 +329,7 @@
     pub(crate) fn on_leaving(&mut self, source: LeavingSource, now: TickTime) {
         self.leaving |= bit_of(source);
         self.leaving_at = now;
+        self.stopped = false;
     }
 
     /// A source takes its leaving sign back; the target starts anew.
--- a/crates/hawthorn-intent/src/settings/read.rs
+++ b/crates/hawthorn-intent/src/settings/read.rs
@@ -158,11 +158,7 @@
 
 fn claims(reader: &mut TableReader<'_, '_>) -> ClaimSettings {
     let usual = ClaimSettings::default();
-    ClaimSettings {
-        window: reader.within("window", usual.window, secs(60)..=secs(86_400)),
-        buckets: reader.within("buckets", usual.buckets, 1..=256),
-        gather: reader.within("gather", usual.gather, Duration::ZERO..=ms(100)),
-    }
+    ClaimSettings { gather: reader.within("gather", usual.gather, ms(5)..=ms(1_000)) }
 }
 
 fn fleet(reader: &mut TableReader<'_, '_>) -> FleetSettings {
