--- a/crates/hawthorn-daemon/src/process/sweep.rs
+++ b/crates/hawthorn-daemon/src/process/sweep.rs
@@ -10,7 +10,7 @@
 use crate::request::front::FrontContext;
 use crate::request::runner::unix_now;
 
-/// Claims are grouped by minute, so there is something to delete once a minute.
+/// Claims are kept for a quarter of an hour; a minute more does no harm.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
 
 /// Runs until cancelled.
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -12,8 +12,11 @@
 use support::FleetOptions;
 use support::TestFleet;
 use support::TestResult;
+use support::fleet::PATIENCE;
 use support::fleet::is_whole;
 use support::wire;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 
 #[tokio::test]
 async fn a_query_from_any_host_covers_all_shards() -> TestResult {
@@ -135,3 +138,28 @@
     }
     fleet.check()
 }
+
+/// A client on a bad line sends the head of a request and then one byte now
+/// and then. It must not hold its place for ever, and must hear why it is
+/// turned away.
+#[tokio::test]
+async fn a_client_that_trickles_is_turned_away() -> TestResult {
+    let options = FleetOptions {
+        hosts: vec![1, 0, 0],
+        more: "[limits]\nslow_client = \"200ms\"\n".into(),
+        ..FleetOptions::small()
+    };
+    let fleet = TestFleet::start_unready(options).await?;
+    let mut stream = tokio::net::TcpStream::connect(fleet.daemons[0].caller).await?;
+    let head = "POST /v1/query HTTP/1.1\r\nhost: tier\r\ncontent-length: 500\r\n\r\n{";
+    stream.write_all(head.as_bytes()).await?;
+    let mut heard = Vec::new();
+    let mut buffer = [0; 4_096];
+    while !String::from_utf8_lossy(&heard).contains("slow-client") {
+        let count = tokio::time::timeout(PATIENCE, stream.read(&mut buffer)).await??;
+        assert!(count > 0, "closed without a reason: {}", String::from_utf8_lossy(&heard));
+        heard.extend_from_slice(&buffer[..count]);
+    }
+    assert!(String::from_utf8_lossy(&heard).starts_with("HTTP/1.1 408"));
+    Ok(())
+}
