fix(daemon): relays read the views that the front fills; owners' reasons are counted

Cause: a merge left two tables of views, and relays read the empty one, so no piece ever got its second chance; no test saw it. Owners' refusals and retries were counted but shown nowhere.

--- a/crates/hawthorn-daemon/src/owner/duty.rs
+++ b/crates/hawthorn-daemon/src/owner/duty.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use futures::FutureExt;
+use hawthorn_decide::counter::OwnerCounters;
 use hawthorn_decide::message::AttemptResult;
 use hawthorn_decide::message::HeldShard;
 use hawthorn_decide::message::Observation;
@@ -54,6 +55,7 @@
 use crate::connection::message::OwnerView;
 use crate::connection::pool::TargetPool;
 use crate::process::events::LogEvent;
+use crate::process::metrics::MetricSet;
 use crate::request::runner::unix_now;
 use crate::version::config::ConfigInForce;
 use crate::version::owned::OwnedGroups;
@@ -94,6 +96,8 @@
     pub busy: watch::Sender<Arc<HashSet<u16>>>,
     /// The ways to other zones' owners.
     pub relays: RelayLinks,
+    /// Where refusals and retries are counted.
+    pub metrics: MetricSet,
 }
 
 /// Starts the duty on the current runtime, which its thread runs alone.
@@ -128,6 +132,8 @@
             buckets: HashMap::new(),
             config: None,
             relays: RelayTable::new(inputs.relays.clone(), options.relay),
+            metrics: inputs.metrics.clone(),
+            counted: OwnerCounters::default(),
             owned: Arc::default(),
             round: IntentRound::default(),
             seen: seen_sender,
@@ -178,6 +184,9 @@
     pub(super) buckets: HashMap<TargetKey, u16>,
     pub(super) config: Option<Arc<ConfigInForce>>,
     pub(super) relays: RelayTable,
+    pub(super) metrics: MetricSet,
+    /// What the metrics have been told of.
+    pub(super) counted: OwnerCounters,
     pub(super) owned: Arc<OwnedGroups>,
     /// The reconciler's last round.
     pub(super) round: IntentRound,
--- a/crates/hawthorn-daemon/src/owner/tell.rs
+++ b/crates/hawthorn-daemon/src/owner/tell.rs
@@ -32,6 +32,9 @@
             extra_attempts: extra_attempts(counters),
         };
         self.gauges.send_if_modified(|last| std::mem::replace(last, gauges) != gauges);
+        let counters = counters.clone();
+        self.metrics.count_owner(&self.counted, &counters);
+        self.counted = counters;
         let running = self.buckets.iter().filter(|(key, _)| self.state.slots_taken(**key) > 0);
         let busy: HashSet<u16> = running.map(|(_, &bucket)| bucket).collect();
         if **self.busy.borrow() != busy {
--- a/crates/hawthorn-daemon/src/process/daemon.rs
+++ b/crates/hawthorn-daemon/src/process/daemon.rs
@@ -143,7 +143,7 @@
         .enable_all()
         .build()?;
     let metrics = MetricSet::new()?;
-    let duties = start_duties(&settings, &runtime, &stop)?;
+    let duties = start_duties(&settings, &runtime, &metrics, &stop)?;
     let _inside = runtime.enter();
     let claims = StoreClient::new(settings.platform, options::store_client());
     let keeper = ClaimKeeper::spawn(
@@ -222,6 +222,7 @@
 fn start_duties(
     settings: &DaemonSettings,
     runtime: &Runtime,
+    metrics: &MetricSet,
     stop: &CancellationToken,
 ) -> Result<DutySet, Error> {
     let (peer_address, socket) = runtime.block_on(bind_peer(settings.peer_address))?;
@@ -246,6 +247,7 @@
         config: fleet.config.clone(),
         owned: fleet.owned.clone(),
         busy: busy_sender,
+        metrics: metrics.clone(),
     };
     let (owner, owner_duty) = owner::start(options::owner(settings), inputs, stop.clone());
     let (members_sender, members) = watch::channel(1);
@@ -258,7 +260,6 @@
         let calls = store::run(client, calls, commands, members, token);
         tokio::join!(count, calls);
     };
-    let views = Arc::new(ViewTable::default());
     let inputs = reconcile::ReconcileInputs {
         config: fleet.config.clone(),
         owned: fleet.owned.clone(),
--- a/crates/hawthorn-daemon/src/process/metrics.rs
+++ b/crates/hawthorn-daemon/src/process/metrics.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use hawthorn_decide::counter::OwnerCounters;
 use hawthorn_types::MissingReason;
 use hawthorn_types::RefusalReason;
 use hawthorn_types::RetryReason;
@@ -50,6 +51,7 @@
     latency: Histogram<f64>,
     gauges: Gauge<u64>,
     store_calls: Counter<u64>,
+    pieces: Counter<u64>,
 }
 
 impl MetricSet {
@@ -78,6 +80,7 @@
                 .build(),
             gauges: meter.u64_gauge("hawthorn_gauge").build(),
             store_calls: meter.u64_counter("hawthorn_store_calls").build(),
+            pieces: meter.u64_counter("hawthorn_owner_pieces").build(),
             registry,
             _provider: provider,
         };
@@ -91,6 +94,43 @@
         MissingReason::iter().for_each(|reason| self.count_missing(reason, 0));
         UnknownReason::iter().for_each(|reason| self.count_unknown(reason, 0));
         self.dropped.add(0, &[]);
+        let none = OwnerCounters::default();
+        self.count_owner(&none, &none);
+    }
+
+    /// Counts what an owner's decisions came to since they were last counted.
+    /// These are pieces, one shard's share of a query each; the front's own
+    /// counters count whole requests.
+    pub fn count_owner(&self, before: &OwnerCounters, now: &OwnerCounters) {
+        for reason in RefusalReason::iter() {
+            self.count_piece("refused", reason.into(), before.refused(reason), now.refused(reason));
+        }
+        for reason in RetryReason::iter() {
+            self.count_piece("retried", reason.into(), before.retried(reason), now.retried(reason));
+        }
+        for reason in MissingReason::iter() {
+            self.count_piece("missing", reason.into(), before.missing(reason), now.missing(reason));
+        }
+        for reason in UnknownReason::iter() {
+            self.count_piece("unknown", reason.into(), before.unknown(reason), now.unknown(reason));
+        }
+        let plain = [
+            ("attempts", before.attempts, now.attempts),
+            ("answered", before.answered, now.answered),
+            ("late-answers", before.late_answers, now.late_answers),
+            ("crossed-answers", before.crossed_answers, now.crossed_answers),
+            ("ejections", before.ejections, now.ejections),
+            ("hedges-without-budget", before.hedges_without_budget, now.hedges_without_budget),
+            ("hedges-without-slot", before.hedges_without_slot, now.hedges_without_slot),
+        ];
+        for (what, before, now) in plain {
+            self.count_piece(what, "", before, now);
+        }
+    }
+
+    fn count_piece(&self, what: &'static str, reason: &'static str, before: u64, now: u64) {
+        let labels = [KeyValue::new("what", what), KeyValue::new("reason", reason)];
+        self.pieces.add(now.saturating_sub(before), &labels);
     }
 
     /// Counts requests refused as not run.
