fix(fleet): many zones of few hosts do not lose each other

Cause: in a fleet of 25 zones with 2 hosts each, a pair of zones talked less often than the zone timeout of 4 s, so that zones that were well were lost. Change: the fewer hosts a zone has, the more often each pings across, up to a heartbeat's rate; where that is not enough, the zone timeout is eight rounds; each daemon begins its rounds through other zones elsewhere. Conclusion: zone loss is told by silence that small zones do not have.

--- a/crates/hawthorn-fleet/src/member/mod.rs
+++ b/crates/hawthorn-fleet/src/member/mod.rs
@@ -14,6 +14,7 @@
 //! Cost per daemon does not grow with the fleet: a fixed number of datagrams a
 //! second, each with a bounded part of rumors.
 
+mod across;
 mod apply;
 mod arena;
 mod options;
@@ -62,6 +63,9 @@
 use sync::SyncProgress;
 use zone::ZoneTable;
 
+/// Where daemons begin their rounds through other zones: each elsewhere.
+const ZONE_START: usize = 1_024;
+
 /// When each periodic duty is next due.
 #[derive(Debug, Default)]
 struct DutyTimes {
@@ -142,7 +146,7 @@
             rumors,
             ring: Vec::new(),
             ring_next: 0,
-            across_next: 0,
+            across_next: (rumor.id.0 ^ seed) as usize % ZONE_START,
             probes: SmallVec::new(),
             relays: SmallVec::new(),
             suspicions: Vec::new(),
--- a/crates/hawthorn-fleet/src/member/options.rs
+++ b/crates/hawthorn-fleet/src/member/options.rs
@@ -27,9 +27,14 @@
     pub deaf_after: Duration,
     /// How long a daemon that is cut off waits before it holds others for dead.
     pub deaf_suspicion: Duration,
-    /// Between pings to members of other zones.
+    /// The longest time between pings to members of other zones.
     pub across: Duration,
-    /// A zone that nothing was heard from for so long is lost.
+    /// The time between pings of all daemons of the own zone to each other
+    /// zone, where that takes no more than a ping each heartbeat. An eighth of
+    /// the zone timeout, so that eight must be lost.
+    pub across_each: Duration,
+    /// A zone that nothing was heard from for so long is lost. Longer in a
+    /// fleet of many zones with few hosts.
     pub zone_timeout: Duration,
     /// Between pings to one dead member of the own zone, or one hinted address
     /// without a live member, so that the parts of a partition find each other.
@@ -69,6 +74,7 @@
             deaf_after: Duration::from_millis(600),
             deaf_suspicion: Duration::from_secs(5),
             across: Duration::from_secs(1),
+            across_each: Duration::from_millis(500),
             zone_timeout: Duration::from_secs(4),
             retry: Duration::from_secs(5),
             repair: Duration::from_secs(2),
--- a/crates/hawthorn-fleet/src/member/probe.rs
+++ b/crates/hawthorn-fleet/src/member/probe.rs
@@ -5,10 +5,8 @@
 
 use rand::RngExt;
 use rand::seq::SliceRandom;
-use smallvec::SmallVec;
 
 use hawthorn_types::HostKey;
-use hawthorn_types::ZoneKey;
 
 use super::MemberRecord;
 use super::MemberTable;
@@ -91,7 +89,7 @@
             self.ping_suspects(now);
         }
         if now >= self.due.across {
-            self.due.across = now + self.options.across;
+            self.due.across = now + self.across_wait();
             self.ping_across(now);
         }
         if now >= self.due.retry {
@@ -207,7 +205,13 @@
         self.ring.shuffle(&mut self.rng);
     }
 
-    fn ping(&mut self, now: Duration, key: HostKey, judged: bool, front: &[MemberRumor]) {
+    pub(super) fn ping(
+        &mut self,
+        now: Duration,
+        key: HostKey,
+        judged: bool,
+        front: &[MemberRumor],
+    ) {
         let Some(record) = self.arena.get(key) else { return };
         let peer = record.place.peer;
         let number = self.take_number();
@@ -230,20 +234,6 @@
         }
     }
 
-    /// Pings one member of the next other zone, lost zones included: that is
-    /// how a partition's end is noticed.
-    fn ping_across(&mut self, now: Duration) {
-        let zones: SmallVec<[ZoneKey; 32]> = self.other_zones().collect();
-        if zones.is_empty() {
-            return;
-        }
-        self.across_next = (self.across_next + 1) % zones.len();
-        let zone = zones[self.across_next];
-        if let Some(&key) = self.pick(1, |record| record.zone == zone).first() {
-            self.ping(now, key, false, &[]);
-        }
-    }
-
     /// Pings one dead member of the own zone, telling it so if others hold it
     /// for dead too. Failure: two parts
     /// of a zone that were cut off from each other hold each other for dead and
@@ -360,22 +350,6 @@
         }
     }
 
-    fn review_zones(&mut self, now: Duration) {
-        let timeout = self.options.zone_timeout;
-        for (zone, reachable) in self.zones.review(now, timeout) {
-            if zone == self.my_zone {
-                continue;
-            }
-            self.view_changed = true;
-            let name = self.zones.name(zone).to_owned();
-            self.actions.push_back(if reachable {
-                FleetAction::ZoneFound(name)
-            } else {
-                FleetAction::ZoneLost(name)
-            });
-        }
-    }
-
     /// Drops records nobody needs any more.
     fn forget(&mut self, now: Duration) {
         let old: Vec<HostKey> = self
--- a/crates/hawthorn-fleet/tests/member.rs
+++ b/crates/hawthorn-fleet/tests/member.rs
@@ -59,6 +59,47 @@
     Ok(())
 }
 
+/// Fronts go on sending to a zone that is gone. Order: a zone loses power at
+/// once. Cause: nobody of it is left to say that its hosts are dead.
+#[test]
+fn a_zone_that_dies_whole_is_lost_everywhere_within_bounds() -> TestResult {
+    for (count, zones) in [(9, 3), (64, 4)] {
+        let mut switch = settled(15, count, zones);
+        let gone = switch.members_of("zone-1");
+        for &index in &gone {
+            switch.kill(index);
+        }
+        let lost = |switch: &Switch| {
+            let mut running = switch.daemons.iter().filter(|daemon| daemon.up);
+            running.all(|daemon| !daemon.table.zone_reachable("zone-1"))
+        };
+        let time = switch.run_until(ms(20_000), lost);
+        eprintln!("{count} daemons: lost after {time:?}");
+        assert!(time.is_some_and(|time| time <= ms(7_000)), "{count} daemons: {time:?}");
+        for &index in &gone {
+            let now = switch.now.as_millis() as u64;
+            switch.restart(index, now);
+        }
+        let back = switch.run_until(ms(20_000), all_see_all);
+        assert!(back.is_some_and(|time| time <= ms(10_000)), "{count} daemons: {back:?}");
+    }
+    Ok(())
+}
+
+/// Fronts leave out zones that are well. Order: nothing happens. Cause: with
+/// many zones of few hosts, each pair of zones would seldom talk.
+#[test]
+fn many_small_zones_do_not_lose_each_other() -> TestResult {
+    let mut switch = settled(16, 50, 25);
+    switch.loss = 0.05;
+    switch.run_for(ms(60_000));
+    for index in 0..50 {
+        let lost = has_event(&switch, index, |event| matches!(event, FleetAction::ZoneLost(_)));
+        assert!(!lost, "daemon {index}");
+    }
+    Ok(())
+}
+
 /// Two daemons are the whole fleet and one is killed: the other hears nobody
 /// and can't tell its own isolation from the death. It takes longer, but not
 /// for ever.
