fix(daemon): a host that is ready stays ready while a newer revision comes

Cause: readiness followed SpreadState::is_ready, which is false again from hearing of a newer revision until it is there. With each edit every host refused callers for some milliseconds, as without configuration. Change: readiness is won once. Conclusion: an edit takes no host out of service.

--- a/crates/hawthorn-daemon/src/process/fleet.rs
+++ b/crates/hawthorn-daemon/src/process/fleet.rs
@@ -430,10 +430,15 @@
         let busy = Arc::clone(&self.busy.borrow());
         self.handover.tick(now, |bucket| busy.contains(&bucket));
         let peers = self.table.records().filter(|record| record.is_live()).count() - 1;
-        let ready = self.spread.is_ready(peers);
+        // Readiness is won once. Failure guarded against: a host that hears of a
+        // newer revision before it has it would refuse all callers for the
+        // moment that the document takes, and with every edit the whole tier.
+        // What it has in force is true to its stamp, and answers state it.
+        let was_ready = self.status.borrow().ready;
+        let ready = was_ready || self.spread.is_ready(peers);
         self.table.set_digest(now, self.spread.digest(now, ready, 0));
         let confirmed_at = self.spread.age(now).and_then(|age| Instant::now().checked_sub(age));
-        if ready && !self.status.borrow().ready {
+        if ready && !was_ready {
             crate::log_event!(Level::Info, LogEvent::Ready, "takes callers");
         }
         self.status.send_if_modified(|status| {
