perf(daemon): views cost what queries need, not what the fleet has

Cause: every front asked every owner for its view twice a second: 8,000 calls a second at 4,000 daemons, far over the 5 KB/s for control. Change: any answer says that the view still holds; asked for are only views that somebody here wanted within 10 s and that no answer refreshes; a first query asks the owners it never heard; waits are told in doubling steps.

--- a/crates/hawthorn-daemon/src/owner/relay.rs
+++ b/crates/hawthorn-daemon/src/owner/relay.rs
@@ -180,7 +180,9 @@
             return None;
         }
         let config = self.config.as_ref()?;
-        let peer = other_zones(config, &open.shard, &self.relays.links)
+        let others = other_zones(config, &open.shard, &self.relays.links);
+        self.relays.links.views.want(others.iter().map(|other| other.id));
+        let peer = others
             .into_iter()
             .find(|other| other.holds(&open.shard, open.version, &self.relays.links.views))?
             .peer;
--- a/crates/hawthorn-daemon/src/owner/view.rs
+++ b/crates/hawthorn-daemon/src/owner/view.rs
@@ -10,10 +10,18 @@
 use crate::connection::message::OwnerView;
 use crate::connection::message::ShardView;
 
-/// Waits are told in steps of this many microseconds: a smaller change is no
-/// reason to send the view again.
+/// Waits below this many microseconds are told as none; above, the steps double.
+/// A smaller change is no reason to send the view again with the next answer.
 const WAIT_STEP_US: u64 = 1_000;
 
+/// The wait as it is told: 0, 1, 2, 4, 8 ms and so on, rounded down.
+fn told_wait(wait_us: u64) -> u64 {
+    match wait_us / WAIT_STEP_US {
+        0 => 0,
+        steps => WAIT_STEP_US << steps.ilog2(),
+    }
+}
+
 /// What the duty holds at a moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OwnerGauges {
@@ -62,7 +70,7 @@
     }
     let view = |(shard, ShardReplicas { versions, ready }): (&ShardName, _)| ShardView {
         shard: shard.clone(),
-        wait_us: wait_us(shard) / WAIT_STEP_US * WAIT_STEP_US,
+        wait_us: told_wait(wait_us(shard)),
         held: versions.values().next_back().cloned().unwrap_or_default(),
         ready,
         versions: versions.into_keys().collect(),
--- a/crates/hawthorn-daemon/src/process/reconcile.rs
+++ b/crates/hawthorn-daemon/src/process/reconcile.rs
@@ -126,6 +126,7 @@
     let owner = fleet.owner_of(zone, catalog.group(target.group).bucket);
     let owner = owner.filter(|&owner| owner != fleet.me);
     let host = owner.and_then(|owner| fleet.hosts.get(&owner));
+    views.want(host.map(|host| host.id));
     let heard = host.and_then(|host| views.get(host.id));
     let fresh = heard.filter(|heard| heard.at.elapsed() < VIEW_TRUST);
     let ready = fresh.and_then(|heard| Some(heard.view.shard(shard)?.ready));
--- a/crates/hawthorn-daemon/src/request/once.rs
+++ b/crates/hawthorn-daemon/src/request/once.rs
@@ -21,6 +21,7 @@
 use crate::connection::peer::Error as PeerError;
 use crate::request::front::FrontContext;
 use crate::request::front::new_request;
+use crate::request::query::hear_owners;
 use crate::version::config::ConfigInForce;
 
 /// What the metrics call this kind of request.
@@ -44,6 +45,7 @@
         Ok(checked) => checked,
         Err((request_id, reason)) => return front.refuse(request_id, reason, None),
     };
+    hear_owners(front, checked.service, &checked.config).await;
     let request = new_request();
     let outcome = hand_over(front, &checked, request).await;
     let took = front.now().saturating_sub(began);
--- a/crates/hawthorn-daemon/src/request/query.rs
+++ b/crates/hawthorn-daemon/src/request/query.rs
@@ -40,6 +40,7 @@
 use crate::connection::message::PieceOutcome;
 use crate::connection::message::SearchBatch;
 use crate::connection::peer;
+use crate::process::refresh;
 use crate::request::front::FrontContext;
 use crate::request::front::new_request;
 use crate::version::config::ConfigInForce;
@@ -64,6 +65,7 @@
         Ok(checked) => checked,
         Err((request_id, reason)) => return front.refuse(request_id, reason, None),
     };
+    hear_owners(front, checked.service, &checked.config).await;
     let _admitted = match admit(front, &checked, began) {
         Ok(admitted) => admitted,
         Err((reason, retry_after)) => {
@@ -113,6 +115,15 @@
     Ok(CheckedQuery { caller, service, range, deadline: began + wait, config, query })
 }
 
+/// Makes sure that every owner of the service's shards was heard once.
+pub(crate) async fn hear_owners(front: &FrontContext, service: ServiceKey, config: &ConfigInForce) {
+    let fleet = front.fleet_view();
+    let unheard = front.tables.unheard(service, config, &fleet, &front.views);
+    if !unheard.is_empty() {
+        refresh::ask_unheard(front, &unheard).await;
+    }
+}
+
 /// Gives an admitted query's place back when dropped, whatever ends it.
 struct AdmittedQuery<'a> {
     front: &'a FrontContext,
@@ -311,8 +322,9 @@
             .map_err(|error| front.links.judge(record.peer, error))
             .ok()?
     };
-    if let Some(view) = answer.view {
-        front.views.hear(record.id, view);
+    match answer.view {
+        Some(view) => front.views.hear(record.id, view),
+        None => front.views.touch(record.id),
     }
     if answer.request != request {
         front.metrics.count_dropped(1);
--- a/crates/hawthorn-daemon/src/version/tables.rs
+++ b/crates/hawthorn-daemon/src/version/tables.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 
+use hawthorn_fleet::MemberId;
 use hawthorn_plan::ReplicaOption;
 use hawthorn_plan::ShardRecord;
 use hawthorn_plan::ShardTable;
@@ -27,10 +29,23 @@
     views: u64,
 }
 
+/// One service's table.
+#[derive(Debug)]
+struct CachedTable {
+    stamp: TableStamp,
+    table: Arc<ShardTable>,
+    owners: Vec<MemberId>,
+    /// When the owners were last said to be wanted.
+    wanted_at: Instant,
+}
+
+/// How often the owners of a table in use are said to be wanted.
+const WANT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Tables by service.
 #[derive(Debug, Default)]
 pub struct TableCache {
-    tables: Mutex<HashMap<ServiceKey, (TableStamp, Arc<ShardTable>)>>,
+    tables: Mutex<HashMap<ServiceKey, CachedTable>>,
 }
 
 impl TableCache {
@@ -48,15 +63,53 @@
             views: views.generation(),
         };
         let mut tables = self.tables.lock().expect("no holder of the lock panics");
-        if let Some((known, table)) = tables.get(&service)
-            && *known == stamp
+        if let Some(known) = tables.get_mut(&service)
+            && known.stamp == stamp
         {
-            return Arc::clone(table);
+            if known.wanted_at.elapsed() >= WANT_INTERVAL {
+                views.want(known.owners.iter().copied());
+                known.wanted_at = Instant::now();
+            }
+            return Arc::clone(&known.table);
         }
         let table = Arc::new(build(service, config, fleet, views));
-        tables.insert(service, (stamp, Arc::clone(&table)));
+        let owners = owners(&table, fleet);
+        views.want(owners.iter().copied());
+        let wanted_at = Instant::now();
+        let cached = CachedTable { stamp, table: Arc::clone(&table), owners, wanted_at };
+        tables.insert(service, cached);
         table
     }
+
+    /// Owners of the service's shards that were never heard.
+    pub fn unheard(
+        &self,
+        service: ServiceKey,
+        config: &ConfigInForce,
+        fleet: &FleetView,
+        views: &ViewTable,
+    ) -> Vec<MemberId> {
+        let table = self.table(service, config, fleet, views);
+        let bare = table
+            .shards()
+            .iter()
+            .any(|shard| shard.options.iter().any(|option| option.versions.is_empty()));
+        if !bare {
+            return Vec::new();
+        }
+        let mut unheard = owners(&table, fleet);
+        unheard.retain(|&owner| views.get(owner).is_none());
+        unheard
+    }
+}
+
+fn owners(table: &ShardTable, fleet: &FleetView) -> Vec<MemberId> {
+    let options = table.shards().iter().flat_map(|shard| &shard.options);
+    let hosts = options.filter_map(|option| fleet.hosts.get(&option.owner));
+    let mut owners: Vec<MemberId> = hosts.map(|host| host.id).collect();
+    owners.sort_unstable();
+    owners.dedup();
+    owners
 }
 
 fn build(
--- a/crates/hawthorn-daemon/src/version/views.rs
+++ b/crates/hawthorn-daemon/src/version/views.rs
@@ -1,8 +1,9 @@
 //! What owners last said of their shards, as fronts plan from it.
 //!
-//! Views ride on batch answers when they changed; a view that is missing or
-//! stale is asked for. No message is sent to owners whose shards nobody queries
-//! and whose view is fresh.
+//! Views ride on batch answers when they changed, and any answer of an owner
+//! says that the view heard before still holds. Asked for is only the view of
+//! an owner that somebody here wanted of late and that is not heard anyway, so
+//! the cost follows the queries and not the size of the fleet.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -33,6 +34,8 @@
 struct ViewState {
     generation: u64,
     views: HashMap<MemberId, HeardView>,
+    wanted: HashMap<MemberId, Instant>,
+    silent: HashMap<MemberId, Instant>,
 }
 
 impl ViewTable {
@@ -50,11 +53,46 @@
         }
     }
 
+    /// Notes that an owner answered and its view has not changed.
+    pub fn touch(&self, owner: MemberId) {
+        let mut state = self.views.lock().expect("no holder of the lock panics");
+        if let Some(known) = state.views.get_mut(&owner) {
+            known.at = Instant::now();
+        }
+    }
+
+    /// Notes that an owner was asked and did not answer.
+    pub fn note_silent(&self, owner: MemberId) {
+        let mut state = self.views.lock().expect("no holder of the lock panics");
+        state.silent.insert(owner, Instant::now());
+    }
+
+    /// Whether an owner did not answer within `age`.
+    pub fn was_silent(&self, owner: MemberId, age: Duration) -> bool {
+        let state = self.views.lock().expect("no holder of the lock panics");
+        state.silent.get(&owner).is_some_and(|at| at.elapsed() < age)
+    }
+
+    /// Notes that these owners' views are needed here; forgotten after a while.
+    pub fn want(&self, owners: impl IntoIterator<Item = MemberId>) {
+        let mut state = self.views.lock().expect("no holder of the lock panics");
+        let now = Instant::now();
+        state.wanted.extend(owners.into_iter().map(|owner| (owner, now)));
+    }
+
+    /// Whether the view of an owner was wanted within `age`.
+    pub fn is_wanted(&self, owner: MemberId, age: Duration) -> bool {
+        let state = self.views.lock().expect("no holder of the lock panics");
+        state.wanted.get(&owner).is_some_and(|at| at.elapsed() < age)
+    }
+
     /// Forgets all owners but those: their processes were replaced or are gone.
     pub fn keep(&self, is_kept: impl Fn(MemberId) -> bool) {
         let mut state = self.views.lock().expect("no holder of the lock panics");
         let before = state.views.len();
         state.views.retain(|&id, _| is_kept(id));
+        state.wanted.retain(|&id, _| is_kept(id));
+        state.silent.retain(|&id, _| is_kept(id));
         if state.views.len() != before {
             state.generation += 1;
         }
