test: zones between real daemons can be cut

Cause: daemons tell each other one address, so the proxies, one a protocol and the same for every client, could not cut one zone from another. Change: a host link takes TCP and UDP on one port and chooses its faults by the loopback address that a peer comes from, one for each zone. Test fleets start with such links on request, and a bounded background load records what callers hear. Conclusion: partitions between real processes can be tested.

--- a/crates/hawthorn-standin/src/proxy/mod.rs
+++ b/crates/hawthorn-standin/src/proxy/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`faults`]: what can go wrong on one link.
 //! - [`tcp`] and [`udp`]: one proxy in front of one address.
+//! - [`host`]: one proxy for both in front of a host, faults by source.
 //! - [`network`]: all links of a test, by the places they join.
 
 use std::io;
@@ -10,13 +11,16 @@
 use quick_error::quick_error;
 
 pub mod faults;
+pub mod host;
 pub mod network;
+mod route;
 pub mod tcp;
 pub mod udp;
 
 pub use faults::DripRate;
 pub use faults::LinkControl;
 pub use faults::LinkFaults;
+pub use host::HostLink;
 pub use network::NetworkOptions;
 pub use network::NetworkPlace;
 pub use network::StandinNetwork;
--- a/crates/hawthorn-standin/src/proxy/network.rs
+++ b/crates/hawthorn-standin/src/proxy/network.rs
@@ -1,6 +1,8 @@
 //! All links of a test by the places they join: latencies by default, and
 //! partitions by name.
 
+use std::collections::HashMap;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -9,6 +11,7 @@
 use super::Error;
 use super::faults::LinkControl;
 use super::faults::LinkFaults;
+use super::host::HostLink;
 use super::tcp::TcpProxy;
 use super::udp::UdpProxy;
 
@@ -88,6 +91,7 @@
 enum LinkProxy {
     Tcp(#[expect(dead_code, reason = "held so that it runs")] TcpProxy),
     Udp(#[expect(dead_code, reason = "held so that it runs")] UdpProxy),
+    Host(#[expect(dead_code, reason = "held so that it runs")] HostLink),
 }
 
 impl StandinNetwork {
@@ -126,6 +130,32 @@
         Ok(address)
     }
 
+    /// An address, TCP and UDP, at which peers reach a host in zone `to`. Each
+    /// peer stands in the place of `sources` whose address it comes from.
+    pub async fn link_host(
+        &mut self,
+        to: NetworkPlace,
+        sources: &[(IpAddr, NetworkPlace)],
+    ) -> Result<HostLink, Error> {
+        let mut by_source = HashMap::new();
+        for (number, (source, from)) in sources.iter().enumerate() {
+            let seed = self.seed().wrapping_add(number as u64);
+            by_source.insert(*source, LinkControl::new(seed, self.usual(from, &to)));
+        }
+        let link = HostLink::start(by_source.clone(), &self.options.stop).await?;
+        for (source, from) in sources {
+            let control = by_source[source].clone();
+            let proxy = LinkProxy::Host(link.clone());
+            self.links.push(NetworkLink {
+                from: from.clone(),
+                to: to.clone(),
+                control,
+                _proxy: proxy,
+            });
+        }
+        Ok(link)
+    }
+
     /// The handles of the links that lead from `from` to `to`.
     pub fn controls(&self, from: &NetworkPlace, to: &NetworkPlace) -> Vec<LinkControl> {
         self.links
--- a/crates/hawthorn-standin/src/proxy/tcp.rs
+++ b/crates/hawthorn-standin/src/proxy/tcp.rs
@@ -21,6 +21,7 @@
 use super::faults::LinkControl;
 use super::faults::LinkDirection;
 use super::faults::LinkFaults;
+use super::route::LinkRoute;
 use crate::timer;
 use crate::wire;
 
@@ -56,7 +57,8 @@
         let (listener, address) = wire::bind().await?;
         let control = LinkControl::new(seed, faults);
         let stop = stop.child_token();
-        tokio::spawn(accept(listener, upstream, control.clone(), stop.clone()));
+        let route = LinkRoute::single(upstream, control.clone());
+        tokio::spawn(accept(listener, route, stop.clone()));
         Ok(Self { address, control, _stop: stop.drop_guard() })
     }
 
@@ -71,19 +73,17 @@
     }
 }
 
-async fn accept(
-    listener: TcpListener,
-    upstream: SocketAddr,
-    control: LinkControl,
-    stop: CancellationToken,
-) {
+pub(super) async fn accept(listener: TcpListener, route: LinkRoute, stop: CancellationToken) {
     let mut number = 0;
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
-        let Ok((client, _)) = accepted else { continue };
+        let Ok((client, address)) = accepted else { continue };
+        // Closed at once while nobody listens behind the link.
+        let Some(upstream) = route.upstream() else { continue };
+        let control = route.control(address);
         control.lock().connections += 1;
         let link = Connection { control: control.clone(), number };
         let stop = stop.clone();
--- a/crates/hawthorn-standin/src/proxy/udp.rs
+++ b/crates/hawthorn-standin/src/proxy/udp.rs
@@ -18,6 +18,7 @@
 use super::faults::LinkControl;
 use super::faults::LinkDirection;
 use super::faults::LinkFaults;
+use super::route::LinkRoute;
 use crate::timer;
 
 /// Larger than any datagram.
@@ -43,9 +44,8 @@
         let address = socket.local_addr()?;
         let control = LinkControl::new(seed, faults);
         let stop = stop.child_token();
-        let forwarder =
-            Forwarder { socket, upstream, control: control.clone(), stop: stop.clone() };
-        tokio::spawn(forwarder.run());
+        let route = LinkRoute::single(upstream, control.clone());
+        tokio::spawn(forward(socket, route, stop.clone()));
         Ok(Self { address, control, _stop: stop.drop_guard() })
     }
 
@@ -60,10 +60,14 @@
     }
 }
 
+/// Forwards what arrives at `socket` until `stop` is cancelled.
+pub(super) async fn forward(socket: Arc<UdpSocket>, route: LinkRoute, stop: CancellationToken) {
+    Forwarder { socket, route, stop }.run().await;
+}
+
 struct Forwarder {
     socket: Arc<UdpSocket>,
-    upstream: SocketAddr,
-    control: LinkControl,
+    route: LinkRoute,
     stop: CancellationToken,
 }
 
@@ -92,7 +96,10 @@
             // An error here is an earlier datagram that found nobody: UDP goes on.
             let Ok((length, client)) = self.socket.recv_from(&mut buffer).await else { continue };
             if !ways.contains_key(&client) {
-                let Ok(way) = self.open(client, ways.len() as u64).await else { continue };
+                // Lost while nobody listens behind the link.
+                let Some(upstream) = self.route.upstream() else { continue };
+                let number = ways.len() as u64;
+                let Ok(way) = self.open(client, upstream, number).await else { continue };
                 ways.insert(client, way);
             }
             if let Some(way) = ways.get_mut(&client) {
@@ -101,22 +108,28 @@
         }
     }
 
-    async fn open(&self, client: SocketAddr, number: u64) -> Result<ForwardedWay, Error> {
+    async fn open(
+        &self,
+        client: SocketAddr,
+        to: SocketAddr,
+        number: u64,
+    ) -> Result<ForwardedWay, Error> {
+        let control = self.route.control(client);
         let upstream = Arc::new(UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?);
         let backward = ForwardedWay {
-            control: self.control.clone(),
+            control: control.clone(),
             direction: LinkDirection::Backward,
-            rng: self.control.rng(number, LinkDirection::Backward),
+            rng: control.rng(number, LinkDirection::Backward),
             from: Arc::clone(&self.socket),
             to: client,
         };
         tokio::spawn(answers(Arc::clone(&upstream), backward, self.stop.clone()));
         Ok(ForwardedWay {
-            control: self.control.clone(),
+            control: control.clone(),
             direction: LinkDirection::Forward,
-            rng: self.control.rng(number, LinkDirection::Forward),
+            rng: control.rng(number, LinkDirection::Forward),
             from: upstream,
-            to: self.upstream,
+            to,
         })
     }
 }
--- a/tests/support/daemon.rs
+++ b/tests/support/daemon.rs
@@ -32,16 +32,19 @@
     /// Ports 0 but for a restart at the same place.
     pub caller_address: SocketAddr,
     pub peer_address: SocketAddr,
+    /// What other daemons are told instead of `peer_address`.
+    pub peer_advertised: Option<SocketAddr>,
     /// Further lines of the settings.
     pub more: String,
 }
 
 impl DaemonSpec {
     fn settings(&self) -> String {
+        let advertised = self.peer_advertised.map(|at| format!("peer_advertised = \"{at}\"\n"));
         let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         format!(
             "host = \"{}\"\nzone = \"{}\"\nregion = \"{}\"\ncaller_address = \"{}\"\n\
-             peer_address = \"{}\"\nplatform = \"{}\"\nseeds = [{}]\n{}",
+             peer_address = \"{}\"\nplatform = \"{}\"\nseeds = [{}]\n{}{}",
             self.host,
             self.zone,
             self.region,
@@ -49,6 +52,7 @@
             self.peer_address,
             self.platform,
             seeds.join(", "),
+            advertised.unwrap_or_default(),
             self.more
         )
     }
@@ -86,6 +90,11 @@
         Ok(Self { spec, caller, peer, child, log })
     }
 
+    /// Where other daemons reach it.
+    pub fn reached_at(&self) -> SocketAddr {
+        self.spec.peer_advertised.unwrap_or(self.peer)
+    }
+
     /// The spec of the same host at the same addresses.
     pub fn respec(&self) -> DaemonSpec {
         DaemonSpec { caller_address: self.caller, peer_address: self.peer, ..self.spec.clone() }
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -16,6 +16,7 @@
 use hawthorn_standin::history::HistoryEvent;
 use hawthorn_standin::history::SentOnce;
 use hawthorn_standin::history::SentQuery;
+use hawthorn_standin::proxy::StandinNetwork;
 use hawthorn_store::StoreClient;
 use hawthorn_store::client;
 use hawthorn_store::edit;
@@ -31,6 +32,7 @@
 use super::TestResult;
 use super::daemon::DaemonHost;
 use super::daemon::DaemonSpec;
+use super::network::ZoneNetwork;
 use super::wire;
 
 /// What is waited for on a machine that is busy with other tests. No verdict
@@ -45,6 +47,8 @@
     pub hosts: Vec<usize>,
     /// The platform as daemons reach it, when not directly.
     pub platform: Option<SocketAddr>,
+    /// Zones reach each other and the platform through links that can be cut.
+    pub linked: bool,
     /// Further lines of every daemon's settings.
     pub more: String,
 }
@@ -56,6 +60,7 @@
             deployment: DeploymentOptions::dar_port(),
             hosts: vec![3, 3, 2],
             platform: None,
+            linked: false,
             more: "[stop]\ngrace = \"5s\"\n".into(),
         }
     }
@@ -65,6 +70,11 @@
         Self { hosts: vec![1, 1, 1], ..Self::dar_port() }
     }
 
+    /// One daemon a zone, with zones that can be cut off.
+    pub fn linked() -> Self {
+        Self { linked: true, ..Self::small() }
+    }
+
     /// Poland scaled down: 8 daemons in 3 zones.
     pub fn poland() -> Self {
         Self { deployment: DeploymentOptions::poland(), ..Self::dar_port() }
@@ -78,6 +88,7 @@
     pub daemons: Vec<DaemonHost>,
     pub history: History,
     pub options: FleetOptions,
+    network: Option<ZoneNetwork>,
     directory: tempfile::TempDir,
     next_id: AtomicU64,
 }
@@ -95,7 +106,12 @@
     pub async fn start_unready(options: FleetOptions) -> TestResult<Self> {
         let history = options.deployment.history.clone();
         let deployment = StandinDeployment::start(options.deployment.clone()).await?;
+        let network = match options.linked {
+            true => Some(ZoneNetwork::start(&deployment).await?),
+            false => None,
+        };
         let mut fleet = Self {
+            network,
             deployment,
             daemons: Vec::new(),
             history,
@@ -104,16 +120,16 @@
             next_id: AtomicU64::new(0),
         };
         fleet.apply(0, "first", &fleet.deployment.rules_toml()).await?;
-        fleet.start_daemons()?;
+        fleet.start_daemons().await?;
         Ok(fleet)
     }
 
-    fn start_daemons(&mut self) -> TestResult {
+    async fn start_daemons(&mut self) -> TestResult {
         let zones = self.deployment.options().zones.clone();
         for (zone, count) in zones.iter().zip(self.options.hosts.clone()) {
             for number in 1..=count {
                 let spec = self.spec(&format!("{zone}-{number}"), zone);
-                self.start_daemon(spec)?;
+                self.start_reached(spec).await?;
             }
         }
         Ok(())
@@ -127,13 +143,30 @@
             zone: zone.into(),
             region: self.deployment.options().region.clone(),
             platform: self.options.platform.unwrap_or(self.deployment.platform.address()),
-            seeds: self.daemons.iter().take(2).map(|daemon| daemon.peer).collect(),
+            seeds: self.daemons.iter().take(2).map(|daemon| daemon.reached_at()).collect(),
             caller_address: any,
             peer_address: any,
+            peer_advertised: None,
             more: self.options.more.clone(),
         }
     }
 
+    /// Starts a daemon behind a link, when zones are linked.
+    async fn start_reached(&mut self, spec: DaemonSpec) -> TestResult {
+        let Some(network) = &mut self.network else { return self.start_daemon(spec) };
+        let (spec, link) = network.link(spec).await?;
+        self.start_daemon(spec)?;
+        let daemon = self.daemons.last().ok_or("it was started")?;
+        link.set_upstream(daemon.peer);
+        Ok(())
+    }
+
+    /// The links between zones.
+    pub fn network(&self) -> TestResult<&StandinNetwork> {
+        let network = self.network.as_ref().ok_or("this fleet has no links")?;
+        Ok(&network.links)
+    }
+
     /// Starts one more daemon.
     pub fn start_daemon(&mut self, spec: DaemonSpec) -> TestResult {
         self.daemons.push(DaemonHost::start(spec, self.directory.path())?);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,6 +6,8 @@
 
 pub mod daemon;
 pub mod fleet;
+pub mod load;
+pub mod network;
 pub mod wire;
 
 use std::error::Error;
--- /dev/null
+++ b/tests/support/network.rs
@@ -0,0 +1,61 @@
+//! Zones that reach each other and the platform through links.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use hawthorn_standin::deployment::StandinDeployment;
+use hawthorn_standin::proxy::HostLink;
+use hawthorn_standin::proxy::NetworkOptions;
+use hawthorn_standin::proxy::NetworkPlace;
+use hawthorn_standin::proxy::StandinNetwork;
+
+use super::TestResult;
+use super::daemon::DaemonSpec;
+
+/// The links, and the loopback address that all hosts of a zone share.
+#[derive(Debug)]
+pub struct ZoneNetwork {
+    pub links: StandinNetwork,
+    zones: Vec<LinkedZone>,
+}
+
+#[derive(Debug)]
+struct LinkedZone {
+    name: String,
+    /// Hosts send from here, which tells a link the zone of the sender.
+    address: IpAddr,
+    platform: SocketAddr,
+}
+
+impl ZoneNetwork {
+    /// A loopback address and a link to the platform for each zone.
+    pub async fn start(deployment: &StandinDeployment) -> TestResult<Self> {
+        let mut links = StandinNetwork::new(NetworkOptions::dar_port());
+        let mut zones = Vec::new();
+        for (number, name) in (1..).zip(&deployment.options().zones) {
+            let upstream = deployment.platform.address();
+            let place = NetworkPlace::zone(name);
+            let platform = links.link_tcp(place, NetworkPlace::Platform, upstream).await?;
+            let address = Ipv4Addr::new(127, 0, number, 1).into();
+            zones.push(LinkedZone { name: name.clone(), address, platform });
+        }
+        Ok(Self { links, zones })
+    }
+
+    /// The spec of a daemon behind a link of its own.
+    pub async fn link(&mut self, spec: DaemonSpec) -> TestResult<(DaemonSpec, HostLink)> {
+        let sources: Vec<(IpAddr, NetworkPlace)> =
+            self.zones.iter().map(|zone| (zone.address, NetworkPlace::zone(&zone.name))).collect();
+        let place = NetworkPlace::zone(&spec.zone);
+        let link = self.links.link_host(place, &sources).await?;
+        let zone = self.zones.iter().find(|zone| zone.name == spec.zone).ok_or("no such zone")?;
+        let spec = DaemonSpec {
+            platform: zone.platform,
+            peer_address: SocketAddr::new(zone.address, 0),
+            peer_advertised: Some(link.address()),
+            ..spec
+        };
+        Ok((spec, link))
+    }
+}
