--- a/crates/hawthorn-daemon/src/process/daemon.rs
+++ b/crates/hawthorn-daemon/src/process/daemon.rs
@@ -27,6 +27,7 @@
 
 use crate::connection::peer::PeerLinks;
 use crate::connection::serve;
+use crate::connection::serve::ClosingGate;
 use crate::connection::serve::PeerServer;
 use crate::owner;
 use crate::owner::OwnerHandle;
@@ -113,6 +114,7 @@
     fleet: FleetHandle,
     caller_address: SocketAddr,
     peer_address: SocketAddr,
+    closing: ClosingGate,
     stop: CancellationToken,
     runtime: Runtime,
 }
@@ -141,7 +143,7 @@
         .enable_all()
         .build()?;
     let metrics = MetricSet::new()?;
-    let duties = start_duties(&settings, &runtime, &stop)?;
+    let duties = start_duties(&settings, &runtime, &metrics, &stop)?;
     let _inside = runtime.enter();
     let claims = StoreClient::new(settings.platform, options::store_client());
     let keeper = ClaimKeeper::spawn(
@@ -163,7 +165,13 @@
         runner: Arc::clone(&runner),
         metrics,
     }));
-    let server = PeerServer { owner: duties.owner.clone(), fleet: duties.fleet.clone(), runner };
+    let closing = ClosingGate::default();
+    let server = PeerServer {
+        owner: duties.owner.clone(),
+        fleet: duties.fleet.clone(),
+        runner,
+        closing: closing.clone(),
+    };
     runtime
         .block_on(serve::start(duties.peer_address, server, stop.clone()))
         .map_err(|error| listen_error("peer_address", duties.peer_address, &error))?;
@@ -182,6 +190,7 @@
         fleet: duties.fleet,
         caller_address,
         peer_address: peer,
+        closing,
         stop,
         runtime,
     })
@@ -213,6 +222,7 @@
 fn start_duties(
     settings: &DaemonSettings,
     runtime: &Runtime,
+    metrics: &MetricSet,
     stop: &CancellationToken,
 ) -> Result<DutySet, Error> {
     let (peer_address, socket) = runtime.block_on(bind_peer(settings.peer_address))?;
@@ -237,6 +247,7 @@
         config: fleet.config.clone(),
         owned: fleet.owned.clone(),
         busy: busy_sender,
+        metrics: metrics.clone(),
     };
     let (owner, owner_duty) = owner::start(options::owner(settings), inputs, stop.clone());
     let (members_sender, members) = watch::channel(1);
@@ -249,7 +260,6 @@
         let calls = store::run(client, calls, commands, members, token);
         tokio::join!(count, calls);
     };
-    let views = Arc::new(ViewTable::default());
     let inputs = reconcile::ReconcileInputs {
         config: fleet.config.clone(),
         owned: fleet.owned.clone(),
@@ -377,6 +387,7 @@
             fleet: self.fleet,
             caller_address: self.caller_address,
             peer_address: self.peer_address,
+            closing: self.closing,
             stop: self.stop,
             runtime: self.runtime,
         }
@@ -395,6 +406,7 @@
         let notice = BALANCER_NOTICE.min(grace / 2);
         let clean = self.runtime.block_on(async {
             tokio::time::sleep(notice).await;
+            self.closing.close();
             let callers = self.front.idle(grace).await;
             let batches = self.owner.idle(grace).await;
             callers && batches
