--- a/crates/hawthorn-daemon/src/process/daemon.rs
+++ b/crates/hawthorn-daemon/src/process/daemon.rs
@@ -14,6 +14,7 @@
 use hawthorn_intent::DaemonSettings;
 use hawthorn_store::ClaimKeeper;
 use hawthorn_store::StoreClient;
+use hawthorn_store::claim::ProcessSeed;
 use log::Level;
 use quick_error::quick_error;
 use tokio::net::TcpListener;
@@ -26,6 +27,7 @@
 
 use crate::connection::peer::PeerLinks;
 use crate::connection::serve;
+use crate::connection::serve::ClosingGate;
 use crate::connection::serve::PeerServer;
 use crate::owner;
 use crate::owner::OwnerHandle;
@@ -36,6 +38,8 @@
 use crate::process::metrics;
 use crate::process::metrics::MetricSet;
 use crate::process::options;
+use crate::process::reconcile;
+use crate::process::reconcile::DriftSnapshot;
 use crate::process::refresh;
 use crate::process::sample;
 use crate::process::store;
@@ -110,6 +114,7 @@
     fleet: FleetHandle,
     caller_address: SocketAddr,
     peer_address: SocketAddr,
+    closing: ClosingGate,
     stop: CancellationToken,
     runtime: Runtime,
 }
@@ -120,6 +125,7 @@
     fleet: FleetHandle,
     links: Arc<PeerLinks>,
     views: Arc<ViewTable>,
+    drift: watch::Receiver<Arc<DriftSnapshot>>,
     peer_address: SocketAddr,
 }
 
@@ -137,10 +143,15 @@
         .enable_all()
         .build()?;
     let metrics = MetricSet::new()?;
-    let duties = start_duties(&settings, &runtime, &stop)?;
+    let duties = start_duties(&settings, &runtime, &metrics, &stop)?;
     let _inside = runtime.enter();
     let claims = StoreClient::new(settings.platform, options::store_client());
-    let keeper = ClaimKeeper::spawn(Arc::new(claims.clone()), options::claims(&settings), &stop);
+    let keeper = ClaimKeeper::spawn(
+        Arc::new(claims.clone()),
+        ProcessSeed(rand::random()),
+        &stop,
+        options::claims(&settings),
+    );
     let runner = Arc::new(OnceRunner::new(keeper, duties.owner.clone()));
     let front = Arc::new(FrontContext::new(FrontParts {
         options: options::front(&settings),
@@ -150,10 +161,17 @@
         owner: duties.owner.clone(),
         links: duties.links,
         views: duties.views,
+        drift: duties.drift,
         runner: Arc::clone(&runner),
         metrics,
     }));
-    let server = PeerServer { owner: duties.owner.clone(), fleet: duties.fleet.clone(), runner };
+    let closing = ClosingGate::default();
+    let server = PeerServer {
+        owner: duties.owner.clone(),
+        fleet: duties.fleet.clone(),
+        runner,
+        closing: closing.clone(),
+    };
     runtime
         .block_on(serve::start(duties.peer_address, server, stop.clone()))
         .map_err(|error| listen_error("peer_address", duties.peer_address, &error))?;
@@ -172,6 +190,7 @@
         fleet: duties.fleet,
         caller_address,
         peer_address: peer,
+        closing,
         stop,
         runtime,
     })
@@ -203,6 +222,7 @@
 fn start_duties(
     settings: &DaemonSettings,
     runtime: &Runtime,
+    metrics: &MetricSet,
     stop: &CancellationToken,
 ) -> Result<DutySet, Error> {
     let (peer_address, socket) = runtime.block_on(bind_peer(settings.peer_address))?;
@@ -227,6 +247,7 @@
         config: fleet.config.clone(),
         owned: fleet.owned.clone(),
         busy: busy_sender,
+        metrics: metrics.clone(),
     };
     let (owner, owner_duty) = owner::start(options::owner(settings), inputs, stop.clone());
     let (members_sender, members) = watch::channel(1);
@@ -239,10 +260,20 @@
         let calls = store::run(client, calls, commands, members, token);
         tokio::join!(count, calls);
     };
+    let inputs = reconcile::ReconcileInputs {
+        config: fleet.config.clone(),
+        owned: fleet.owned.clone(),
+        view: fleet.view.clone(),
+        views: Arc::clone(&views),
+        owner: owner.clone(),
+    };
+    let options = hawthorn_intent::reconcile::Options::default();
+    let (drift, reconcile_duty) = reconcile::start(options, inputs, stop.clone());
     spawn_duty("fleet", stop, fleet_duty)?;
     spawn_duty("owner", stop, owner_duty)?;
     spawn_duty("store", stop, store_duty)?;
-    Ok(DutySet { owner, fleet, links, views, peer_address })
+    spawn_duty("reconcile", stop, reconcile_duty)?;
+    Ok(DutySet { owner, fleet, links, views, drift, peer_address })
 }
 
 async fn count_members(
@@ -356,6 +387,7 @@
             fleet: self.fleet,
             caller_address: self.caller_address,
             peer_address: self.peer_address,
+            closing: self.closing,
             stop: self.stop,
             runtime: self.runtime,
         }
@@ -374,6 +406,7 @@
         let notice = BALANCER_NOTICE.min(grace / 2);
         let clean = self.runtime.block_on(async {
             tokio::time::sleep(notice).await;
+            self.closing.close();
             let callers = self.front.idle(grace).await;
             let batches = self.owner.idle(grace).await;
             callers && batches
--- a/crates/hawthorn-daemon/src/version/tables.rs
+++ b/crates/hawthorn-daemon/src/version/tables.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 
+use hawthorn_fleet::MemberId;
 use hawthorn_plan::ReplicaOption;
 use hawthorn_plan::ShardRecord;
 use hawthorn_plan::ShardTable;
@@ -15,7 +17,6 @@
 use hawthorn_types::ZoneKey;
 use smallvec::SmallVec;
 
-use crate::connection::message::ShardView;
 use crate::version::config::ConfigInForce;
 use crate::version::fleet::FleetView;
 use crate::version::views::ViewTable;
@@ -28,10 +29,23 @@
     views: u64,
 }
 
+/// One service's table.
+#[derive(Debug)]
+struct CachedTable {
+    stamp: TableStamp,
+    table: Arc<ShardTable>,
+    owners: Vec<MemberId>,
+    /// When the owners were last said to be wanted.
+    wanted_at: Instant,
+}
+
+/// How often the owners of a table in use are said to be wanted.
+const WANT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Tables by service.
 #[derive(Debug, Default)]
 pub struct TableCache {
-    tables: Mutex<HashMap<ServiceKey, (TableStamp, Arc<ShardTable>)>>,
+    tables: Mutex<HashMap<ServiceKey, CachedTable>>,
 }
 
 impl TableCache {
@@ -49,15 +63,53 @@
             views: views.generation(),
         };
         let mut tables = self.tables.lock().expect("no holder of the lock panics");
-        if let Some((known, table)) = tables.get(&service)
-            && *known == stamp
+        if let Some(known) = tables.get_mut(&service)
+            && known.stamp == stamp
         {
-            return Arc::clone(table);
+            if known.wanted_at.elapsed() >= WANT_INTERVAL {
+                views.want(known.owners.iter().copied());
+                known.wanted_at = Instant::now();
+            }
+            return Arc::clone(&known.table);
         }
         let table = Arc::new(build(service, config, fleet, views));
-        tables.insert(service, (stamp, Arc::clone(&table)));
+        let owners = owners(&table, fleet);
+        views.want(owners.iter().copied());
+        let wanted_at = Instant::now();
+        let cached = CachedTable { stamp, table: Arc::clone(&table), owners, wanted_at };
+        tables.insert(service, cached);
         table
     }
+
+    /// Owners of the service's shards that were never heard.
+    pub fn unheard(
+        &self,
+        service: ServiceKey,
+        config: &ConfigInForce,
+        fleet: &FleetView,
+        views: &ViewTable,
+    ) -> Vec<MemberId> {
+        let table = self.table(service, config, fleet, views);
+        let bare = table
+            .shards()
+            .iter()
+            .any(|shard| shard.options.iter().any(|option| option.versions.is_empty()));
+        if !bare {
+            return Vec::new();
+        }
+        let mut unheard = owners(&table, fleet);
+        unheard.retain(|&owner| views.get(owner).is_none());
+        unheard
+    }
+}
+
+fn owners(table: &ShardTable, fleet: &FleetView) -> Vec<MemberId> {
+    let options = table.shards().iter().flat_map(|shard| &shard.options);
+    let hosts = options.filter_map(|option| fleet.hosts.get(&option.owner));
+    let mut owners: Vec<MemberId> = hosts.map(|host| host.id).collect();
+    owners.sort_unstable();
+    owners.dedup();
+    owners
 }
 
 fn build(
@@ -78,8 +130,10 @@
 ) -> ShardRecord {
     let catalog = &config.catalog;
     let shard = catalog.shard(key);
-    let mut zones: SmallVec<[ZoneKey; 4]> =
+    let serving: SmallVec<[ZoneKey; 4]> =
         catalog.serving_targets_of(key).map(|target| catalog.target(target).zone).collect();
+    let mut zones: SmallVec<[ZoneKey; 4]> =
+        catalog.targets_of(key).iter().map(|&target| catalog.target(target).zone).collect();
     zones.sort_unstable();
     zones.dedup();
     let mut held = RangeSet::default();
@@ -90,7 +144,12 @@
         let Some(owner) = fleet.owner_of(&catalog.zone(zone).name, bucket) else { continue };
         let Some(host) = fleet.hosts.get(&owner) else { continue };
         let heard = views.get(host.id);
-        let view = heard.as_ref().and_then(|heard| find(&heard.view.shards, &shard.name));
+        let view = heard.as_ref().and_then(|heard| heard.view.shard(&shard.name));
+        // A zone whose targets are all wanted off or on standby is no way to
+        // search the shard, unless its owner still uses one until others can.
+        if view.is_none() && !serving.contains(&zone) {
+            continue;
+        }
         if let Some(view) = view {
             held.extend(&view.held);
         }
@@ -106,9 +165,3 @@
     }
     ShardRecord { shard: key, range: shard.range, held, options }
 }
-
-/// Views list shards in the order of their names.
-fn find<'a>(shards: &'a [ShardView], name: &hawthorn_types::ShardName) -> Option<&'a ShardView> {
-    let index = shards.binary_search_by(|view| view.shard.cmp(name)).ok()?;
-    Some(&shards[index])
-}
--- a/crates/hawthorn-decide/src/owner/admission.rs
+++ b/crates/hawthorn-decide/src/owner/admission.rs
@@ -2,16 +2,15 @@
 
 use std::time::Duration;
 
-use hawthorn_types::CallerKey;
-use hawthorn_types::RefusalReason;
-use hawthorn_types::ShardKey;
-use hawthorn_types::caller::UrgencyClass;
-
 use super::LiveShard;
 use super::OwnerState;
 use crate::admit;
 use crate::message::QueuedPiece;
 use crate::time::TickTime;
+use hawthorn_types::CallerKey;
+use hawthorn_types::RefusalReason;
+use hawthorn_types::ShardKey;
+use hawthorn_types::caller::UrgencyClass;
 
 /// What a front asks before it sends a query's pieces.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,8 +84,10 @@
         if deadline <= now {
             return refuse(RefusalReason::DeadlinePast, least);
         }
-        let Some(live) = self.shards.get(shard.index()) else {
-            return refuse(RefusalReason::NoTarget, most);
+        // Ownership moved while the front still sent here: its new owner is
+        // known within a moment, so the front may come back soon.
+        let Some(live) = self.shards.get(shard.index()).filter(|live| live.is_owned()) else {
+            return refuse(RefusalReason::OwnerUnreachable, least);
         };
         if !self.is_served(live) {
             return refuse(RefusalReason::NoTarget, most);
--- a/crates/hawthorn-decide/src/shift.rs
+++ b/crates/hawthorn-decide/src/shift.rs
@@ -7,11 +7,10 @@
 
 use std::time::Duration;
 
-use hawthorn_types::WantedState;
-
 use crate::message::LeavingSource;
 use crate::time::TickTime;
 use crate::time::micros;
+use hawthorn_types::WantedState;
 
 /// Limits of shifting.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -51,7 +50,9 @@
     /// The longest pause of a target that sheds.
     pub most_pause: Duration,
     /// How long a target's own leaving sign holds although its state page says
-    /// ready again: the page lags by seconds.
+    /// ready, unless it was seen to stop meanwhile. The page lags or misleads,
+    /// and trusted it would bring a draining target work again. 30 s: a target
+    /// that gave up leaving is missed for so long at most.
     pub leaving_hold: Duration,
     /// Good answers this fresh outweigh a state page that says cold.
     pub answer_trust: Duration,
@@ -74,7 +75,7 @@
             shed_pause: Duration::from_millis(5),
             cut_hold: Duration::from_secs(1),
             most_pause: Duration::from_millis(320),
-            leaving_hold: Duration::from_secs(5),
+            leaving_hold: Duration::from_secs(30),
             answer_trust: Duration::from_secs(1),
             probe_interval: Duration::from_secs(1),
         }
@@ -102,7 +103,7 @@
 /// shard's work by moving it to better replicas; where there is none they would
 /// only deny service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Relief {
+pub(crate) enum ReplicaRelief {
     /// None but ejected ones are in service.
     None,
     /// Work one at a time.
@@ -113,7 +114,7 @@
 
 /// What a failure or a slow answer calls for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Judgement {
+pub(crate) enum TargetJudgement {
     /// Nothing.
     Keep,
     /// Ejection, if enough replicas remain.
@@ -127,6 +128,8 @@
     pub(crate) phase: Phase,
     leaving: u8,
     leaving_at: TickTime,
+    /// Seen to be down or loading since it said that it leaves.
+    stopped: bool,
     failures: u32,
     slow: u32,
     backoff: u64,
@@ -146,6 +149,7 @@
             phase: Phase::Serving,
             leaving: 0,
             leaving_at: TickTime::default(),
+            stopped: false,
             failures: 0,
             slow: 0,
             backoff: 0,
@@ -167,30 +171,30 @@
         matches!(self.phase, Phase::Ejected { .. })
     }
 
-    pub(crate) fn relief(&self) -> Relief {
+    pub(crate) fn relief(&self) -> ReplicaRelief {
         match self.phase {
-            _ if !self.in_service() => Relief::None,
-            Phase::Serving => Relief::Full,
-            Phase::Ramping { .. } => Relief::Ramping,
-            Phase::Ejected { .. } => Relief::None,
+            _ if !self.in_service() => ReplicaRelief::None,
+            Phase::Serving => ReplicaRelief::Full,
+            Phase::Ramping { .. } => ReplicaRelief::Ramping,
+            Phase::Ejected { .. } => ReplicaRelief::None,
         }
     }
 
     /// Slots that may be taken, given the best of the shard's replicas.
-    pub(crate) fn limit(&self, slots: u16, relief: Relief) -> u16 {
+    pub(crate) fn limit(&self, slots: u16, relief: ReplicaRelief) -> u16 {
         match self.phase {
             _ if !self.in_service() => 0,
             Phase::Serving => slots.saturating_sub(self.cut).max(slots.min(1)),
             Phase::Ramping { .. } => slots.min(1),
-            Phase::Ejected { .. } if relief == Relief::None => slots.min(1),
+            Phase::Ejected { .. } if relief == ReplicaRelief::None => slots.min(1),
             Phase::Ejected { .. } => 0,
         }
     }
 
     /// The earliest time of the next send.
-    pub(crate) fn send_at(&self, relief: Relief) -> TickTime {
+    pub(crate) fn send_at(&self, relief: ReplicaRelief) -> TickTime {
         match self.phase {
-            Phase::Ramping { .. } if relief == Relief::Full => {
+            Phase::Ramping { .. } if relief == ReplicaRelief::Full => {
                 self.paused_until.max(self.next_send)
             }
             _ => self.paused_until,
@@ -230,22 +234,22 @@
 
     /// A slow answer. A target that is loading is slow too, and is left alone
     /// for a while like any other.
-    pub(crate) fn on_slow(&mut self, options: &Options) -> Judgement {
+    pub(crate) fn on_slow(&mut self, options: &Options) -> TargetJudgement {
         if self.is_ejected() {
-            return Judgement::Keep;
+            return TargetJudgement::Keep;
         }
         self.slow += 1;
-        if self.slow >= options.slow_limit { Judgement::Eject } else { Judgement::Keep }
+        if self.slow >= options.slow_limit { TargetJudgement::Eject } else { TargetJudgement::Keep }
     }
 
     /// A failure; one is enough on the way back from an ejection.
-    pub(crate) fn on_failure(&mut self, options: &Options) -> Judgement {
+    pub(crate) fn on_failure(&mut self, options: &Options) -> TargetJudgement {
         self.failures += 1;
         let returning = matches!(self.phase, Phase::Ramping { .. }) && self.backoff > 0;
         match self.phase {
-            Phase::Ejected { .. } => Judgement::Keep,
-            _ if returning || self.failures >= options.failure_limit => Judgement::Eject,
-            _ => Judgement::Keep,
+            Phase::Ejected { .. } => TargetJudgement::Keep,
+            _ if returning || self.failures >= options.failure_limit => TargetJudgement::Eject,
+            _ => TargetJudgement::Keep,
         }
     }
 
@@ -262,6 +266,12 @@
         until
     }
 
+    /// Its state page was not answered.
+    pub(crate) fn on_unreachable(&mut self, options: &Options) -> TargetJudgement {
+        self.stopped = true;
+        self.on_failure(options)
+    }
+
     /// It stays in service although it was to be ejected: judged anew.
     pub(crate) fn pardon(&mut self) {
         self.failures = 0;
@@ -294,6 +304,7 @@
 
     /// Its state page says cold or standby.
     pub(crate) fn on_cold_page(&mut self, now: TickTime, options: &Options) {
+        self.stopped = true;
         let trusted = self.good_at.is_some_and(|at| now.since(at) < options.answer_trust);
         if !trusted && self.phase == Phase::Serving {
             self.on_cold(now, options);
@@ -302,8 +313,8 @@
 
     /// Its state page says ready, which is no more than a permission to try.
     pub(crate) fn on_ready_page(&mut self, now: TickTime, options: &Options) {
-        let held = now.since(self.leaving_at) >= options.leaving_hold;
-        if held {
+        let over = now.since(self.leaving_at) >= options.leaving_hold;
+        if over || self.stopped {
             self.clear_leaving(LeavingSource::Target, now, options);
         }
         if let Phase::Ejected { until } = self.phase
@@ -318,6 +329,7 @@
     pub(crate) fn on_leaving(&mut self, source: LeavingSource, now: TickTime) {
         self.leaving |= bit_of(source);
         self.leaving_at = now;
+        self.stopped = false;
     }
 
     /// A source takes its leaving sign back; the target starts anew.
--- a/crates/hawthorn-fleet/src/member/probe.rs
+++ b/crates/hawthorn-fleet/src/member/probe.rs
@@ -11,7 +11,6 @@
 use super::MemberRecord;
 use super::MemberTable;
 use super::Options;
-use super::SyncProgress;
 use crate::action::FleetAction;
 use crate::message::FleetBody;
 use crate::message::MemberHealth;
@@ -25,19 +24,9 @@
 /// Between sweeps for records to forget.
 const FORGET_SWEEP: Duration = Duration::from_secs(30);
 
-/// A part of a member list that was asked for and did not come is asked for
-/// again, of another peer, after this time.
-const SYNC_RETRY: Duration = Duration::from_millis(500);
-
 /// How often a ping without an ack is sent again, directly and through others.
 const PROBE_ROUNDS: u32 = 2;
 
-/// Addresses tried at once while no other member is known.
-const HINTS_AT_START: usize = 3;
-
-/// Between rounds of tries while no other member is known.
-const START_RETRY: Duration = Duration::from_millis(500);
-
 /// A ping that waits for its ack.
 #[derive(Debug)]
 pub(super) struct Probe {
@@ -100,7 +89,7 @@
             self.ping_suspects(now);
         }
         if now >= self.due.across {
-            self.due.across = now + self.options.across;
+            self.due.across = now + self.across_wait();
             self.ping_across(now);
         }
         if now >= self.due.retry {
@@ -166,42 +155,63 @@
         }
     }
 
+    /// Gives members that this daemon alone holds for dead time to refute.
+    /// Failure: a zone's last host hears nobody while a mate dies, and keeps
+    /// the death to itself for ever, so that other zones send work to the dead.
+    pub(super) fn review_private(&mut self, now: Duration) {
+        let deadline = now + self.options.suspicion;
+        for record in self.arena.iter().filter(|record| record.private && !record.is_live()) {
+            let (key, stamp) = (record.key, record.stamp);
+            self.suspicions.retain(|suspicion| suspicion.key != key);
+            self.suspicions.push(Suspicion { key, stamp, deadline, own: true });
+        }
+    }
+
     pub(super) fn take_number(&mut self) -> u32 {
         self.next_number = self.next_number.wrapping_add(1);
         self.next_number
     }
 
     /// Pings the next member of the zone. Each round goes through all members
-    /// once, in a new order, so that none waits longer than two rounds.
+    /// once, in a new order, so that none waits longer than two rounds. The
+    /// last of its zone pings other zones instead: it must go on hearing often
+    /// to know that it is not the one cut off.
     fn ping_next(&mut self, now: Duration) {
         for _ in 0..self.ring.len() {
             if self.ring_next >= self.ring.len() {
                 self.begin_round();
             }
-            let Some(&key) = self.ring.get(self.ring_next) else { return };
+            let Some(&key) = self.ring.get(self.ring_next) else { break };
             self.ring_next += 1;
             let pingable = |record: &MemberRecord| {
                 record.is_live()
-                    && record.place.zone == self.my_zone
+                    && record.zone == self.my_zone
                     && record.health == MemberHealth::Alive
             };
             if self.arena.get(key).is_some_and(pingable) {
                 return self.ping(now, key, true, &[]);
             }
         }
+        self.ping_across(now);
     }
 
     fn begin_round(&mut self) {
         self.ring_next = 0;
         let arena = &self.arena;
-        let zone = &self.my_zone;
+        let zone = self.my_zone;
         self.ring.retain(|&key| {
-            arena.get(key).is_some_and(|record| record.is_live() && record.place.zone == *zone)
+            arena.get(key).is_some_and(|record| record.is_live() && record.zone == zone)
         });
         self.ring.shuffle(&mut self.rng);
     }
 
-    fn ping(&mut self, now: Duration, key: HostKey, judged: bool, front: &[MemberRumor]) {
+    pub(super) fn ping(
+        &mut self,
+        now: Duration,
+        key: HostKey,
+        judged: bool,
+        front: &[MemberRumor],
+    ) {
         let Some(record) = self.arena.get(key) else { return };
         let peer = record.place.peer;
         let number = self.take_number();
@@ -224,20 +234,6 @@
         }
     }
 
-    /// Pings one member of the next other zone, lost zones included: that is
-    /// how a partition's end is noticed.
-    fn ping_across(&mut self, now: Duration) {
-        let zones = self.other_zones();
-        if zones.is_empty() {
-            return;
-        }
-        self.across_next = (self.across_next + 1) % zones.len();
-        let zone = zones[self.across_next].clone();
-        if let Some(&key) = self.pick(1, |record, _| record.place.zone == zone).first() {
-            self.ping(now, key, false, &[]);
-        }
-    }
-
     /// Pings one dead member of the own zone, telling it so if others hold it
     /// for dead too. Failure: two parts
     /// of a zone that were cut off from each other hold each other for dead and
@@ -248,7 +244,7 @@
             .iter()
             .filter(|record| record.health == MemberHealth::Dead)
             .filter(|record| record.phase != MemberPhase::Left)
-            .filter(|record| record.place.zone == self.my_zone)
+            .filter(|record| record.zone == self.my_zone)
             .map(|record| (record.place.peer, (!record.private).then(|| record.rumor())))
             .collect();
         if dead.is_empty() {
@@ -259,28 +255,6 @@
         self.send(now, *peer, FleetBody::Ping { number }, rumor.as_slice());
     }
 
-    /// Asks hinted addresses without a live member behind them for their list.
-    fn try_hints(&mut self, now: Duration) {
-        let alone = !self.arena.iter().any(|record| record.key != self.me && record.is_live());
-        let (count, wait) =
-            if alone { (HINTS_AT_START, START_RETRY) } else { (1, self.options.retry) };
-        self.due.hint = now + wait;
-        let here = self.record_of_self().place.peer;
-        let open: Vec<SocketAddr> = self
-            .settings_hints
-            .union(&self.platform_hints)
-            .copied()
-            .filter(|&peer| peer != here)
-            .filter(|&peer| !self.arena.by_peer(peer).is_some_and(MemberRecord::is_live))
-            .collect();
-        let own = self.own_rumor();
-        for _ in 0..count.min(open.len()) {
-            self.hint_next = (self.hint_next + 1) % open.len();
-            let peer = open[self.hint_next];
-            self.send(now, peer, FleetBody::SyncAsk { after: 0 }, std::slice::from_ref(&own));
-        }
-    }
-
     fn review_probes(&mut self, now: Duration) {
         let mut index = 0;
         while index < self.probes.len() {
@@ -295,7 +269,7 @@
                 let (key, peer, number) = (probe.key, probe.peer, probe.number);
                 self.probes[index].rounds += 1;
                 self.send(now, peer, FleetBody::Ping { number }, &[]);
-                self.ask_to_ping(now, key, number, self.options.helpers);
+                self.ask_to_ping(now, key, number, self.options.relays);
             }
             index += 1;
         }
@@ -303,24 +277,22 @@
 
     /// Asks others to ping. Failure: the way from here to the target is cut in
     /// one direction, or one datagram was lost, while the target is well.
-    /// Helpers are of the target's zone, which knows best; if that has no
+    /// Relays are of the target's zone, which knows best; if that has no
     /// others, of any zone.
     fn ask_to_ping(&mut self, now: Duration, key: HostKey, number: u32, count: usize) {
         let Some(record) = self.arena.get(key) else { return };
-        let (id, place) = (record.id, record.place.clone());
-        let mut helpers = self.pick(count, |record, _| {
-            record.key != key
-                && record.place.zone == place.zone
-                && record.health == MemberHealth::Alive
+        let (id, peer, zone) = (record.id, record.place.peer, record.zone);
+        let mut relays = self.pick(count, |record| {
+            record.key != key && record.zone == zone && record.health == MemberHealth::Alive
         });
-        if helpers.len() < count {
-            let rest = count - helpers.len();
-            helpers.extend(self.pick(rest, |record, _| record.place.zone != place.zone));
+        if relays.len() < count {
+            let rest = count - relays.len();
+            relays.extend(self.pick(rest, |record| record.zone != zone));
         }
-        for helper in helpers {
-            let Some(to) = self.arena.get(helper).map(|record| record.place.peer) else { continue };
+        for relay in relays {
+            let Some(to) = self.arena.get(relay).map(|record| record.place.peer) else { continue };
             self.counters.indirect += 1;
-            let body = FleetBody::PingRequest { number, target: id, peer: place.peer };
+            let body = FleetBody::PingRequest { number, target: id, peer };
             self.send(now, to, body, &[]);
         }
     }
@@ -332,7 +304,7 @@
             return;
         }
         self.counters.suspicions += 1;
-        // Helpers answer at once: hearing nothing at all since they were asked
+        // Relays answer at once: hearing nothing at all since they were asked
         // means that the fault is on this side, or that there is nobody else.
         let asked = probe.sent + self.options.ack_timeout;
         let private = self.last_heard < asked || self.is_deaf(now);
@@ -371,27 +343,13 @@
         }
         self.suspicions.retain(|suspicion| suspicion.key != key);
         let Some(record) = self.arena.get(key) else { return };
-        if record.stamp == stamp && record.health == MemberHealth::Suspect {
-            self.counters.deaths += 1;
+        let doubtful = record.health == MemberHealth::Suspect || record.private;
+        if record.stamp == stamp && doubtful {
+            self.counters.deaths += u64::from(record.is_live());
             self.set_health(now, key, MemberHealth::Dead, deaf);
         }
     }
 
-    fn review_zones(&mut self, now: Duration) {
-        let timeout = self.options.zone_timeout;
-        for (zone, reachable) in self.zones.review(now, timeout) {
-            if zone == self.my_zone {
-                continue;
-            }
-            self.view_changed = true;
-            self.actions.push_back(if reachable {
-                FleetAction::ZoneFound(zone)
-            } else {
-                FleetAction::ZoneLost(zone)
-            });
-        }
-    }
-
     /// Drops records nobody needs any more.
     fn forget(&mut self, now: Duration) {
         let old: Vec<HostKey> = self
@@ -411,52 +369,4 @@
             self.actions.push_back(FleetAction::MemberForgotten(key));
         }
     }
-
-    /// Asks a peer whose list differs for one part of it, each time the next.
-    /// Failure: a rumor was lost to this daemon by every way it travelled.
-    fn ask_repair(&mut self, now: Duration) {
-        if self.sync.is_some() {
-            return;
-        }
-        let Some(peer) = self.repair_peer.take() else { return };
-        let after = self.repair_after;
-        self.send(now, peer, FleetBody::SyncAsk { after }, &[]);
-    }
-
-    /// The first other member was met: read the whole list from one.
-    pub(super) fn start_sync_if_first(&mut self) {
-        if self.synced || self.sync.is_some() {
-            return;
-        }
-        if let Some(now) = self.last_call {
-            self.start_sync(now);
-        }
-    }
-
-    fn start_sync(&mut self, now: Duration) {
-        self.ask_sync(now, 0);
-    }
-
-    fn retry_sync(&mut self, now: Duration) {
-        let Some(sync) = &self.sync else { return };
-        if now.saturating_sub(sync.asked) >= SYNC_RETRY {
-            self.ask_sync(now, sync.after);
-        }
-    }
-
-    /// Asks a live member, of the own zone if there is one, for its list.
-    fn ask_sync(&mut self, now: Duration, after: u64) {
-        let mut picked = self.pick(1, |record, zone| record.place.zone == zone);
-        if picked.is_empty() {
-            picked = self.pick(1, |_, _| true);
-        }
-        let Some(record) = picked.first().and_then(|&key| self.arena.get(key)) else {
-            self.sync = None;
-            return;
-        };
-        let peer = record.place.peer;
-        let own = self.own_rumor();
-        self.send(now, peer, FleetBody::SyncAsk { after }, &[own]);
-        self.sync = Some(SyncProgress { peer, after, asked: now });
-    }
 }
--- a/crates/hawthorn-store/tests/support/mod.rs
+++ b/crates/hawthorn-store/tests/support/mod.rs
@@ -1,11 +1,16 @@
 //! A store in memory whose calls take virtual time and fail as they are told.
 #![allow(dead_code)]
 
+pub mod claims;
+pub mod load;
+
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hawthorn_store::DeleteOutcome;
@@ -53,21 +58,19 @@
     rates: FaultRates,
     random: StdRng,
     down: bool,
-    pub gets: u64,
-    pub puts: u64,
-    pub lists: u64,
-    pub deletes: u64,
+    calls: Calls,
 }
 
-/// The store; clones are the same store.
+/// The store; clones are the same store, over the same connection.
 #[derive(Clone, Debug)]
 pub struct FakeStore {
     state: Arc<Mutex<State>>,
+    cut: Arc<AtomicBool>,
     latency: Duration,
 }
 
 /// Calls made so far.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Calls {
     pub gets: u64,
     pub puts: u64,
@@ -88,12 +91,9 @@
             rates,
             random: StdRng::seed_from_u64(seed),
             down: false,
-            gets: 0,
-            puts: 0,
-            lists: 0,
-            deletes: 0,
+            calls: Calls::default(),
         };
-        Self { state: Arc::new(Mutex::new(state)), latency }
+        Self { state: Arc::new(Mutex::new(state)), cut: Arc::default(), latency }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -105,6 +105,20 @@
         self.lock().script.extend(faults);
     }
 
+    /// The same store over another host's connection.
+    pub fn other_host(&self) -> Self {
+        Self { cut: Arc::default(), ..self.clone() }
+    }
+
+    /// Cuts this host off for good, as its death would.
+    pub fn cut_off(&self) {
+        self.cut.store(true, Ordering::Relaxed);
+    }
+
+    fn is_down(&self, state: &State) -> bool {
+        state.down || self.cut.load(Ordering::Relaxed)
+    }
+
     pub fn set_down(&self, down: bool) {
         self.lock().down = down;
     }
@@ -114,8 +128,7 @@
     }
 
     pub fn calls(&self) -> Calls {
-        let state = self.lock();
-        Calls { gets: state.gets, puts: state.puts, lists: state.lists, deletes: state.deletes }
+        self.lock().calls
     }
 
     pub fn value(&self, key: &str) -> Option<String> {
@@ -147,7 +160,7 @@
 
     fn write_fault(&self) -> Fault {
         let mut state = self.lock();
-        if state.down {
+        if self.is_down(&state) {
             return Fault::Outage;
         }
         match state.script.pop_front() {
@@ -158,7 +171,7 @@
 
     fn read_fault(&self) -> Fault {
         let mut state = self.lock();
-        if state.down { Fault::Outage } else { state.random_fault() }
+        if self.is_down(&state) { Fault::Outage } else { state.random_fault() }
     }
 
     /// Runs `effect` now, later or not at all, as the fault says.
@@ -242,12 +255,12 @@
 
 impl Store for FakeStore {
     async fn get(&self, key: &str) -> Result<Option<StoreEntry>, ReadError> {
-        self.lock().gets += 1;
+        self.lock().calls.gets += 1;
         self.read(|state| state.entries.get(key).cloned()).await
     }
 
     async fn put(&self, key: &str, put: StorePut) -> WriteOutcome {
-        self.lock().puts += 1;
+        self.lock().calls.puts += 1;
         let key = key.to_owned();
         match self.write(move |state| state.put(&key, &put)).await {
             Ok(outcome) => outcome,
@@ -258,7 +271,7 @@
     }
 
     async fn delete(&self, key: &str, expect: u64) -> DeleteOutcome {
-        self.lock().deletes += 1;
+        self.lock().calls.deletes += 1;
         let key = key.to_owned();
         match self.write(move |state| state.delete(&key, expect)).await {
             Ok(outcome) => outcome,
@@ -269,7 +282,7 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<StoreEntry>, ReadError> {
-        self.lock().lists += 1;
+        self.lock().calls.lists += 1;
         let listed = |state: &mut State| {
             let entries = state.entries.values().filter(|entry| entry.key.starts_with(prefix));
             entries.map(|entry| StoreEntry { value: String::new(), ..entry.clone() }).collect()
