--- a/crates/hawthorn-standin/tests/support/mod.rs
+++ b/crates/hawthorn-standin/tests/support/mod.rs
@@ -3,8 +3,13 @@
 
 use std::error::Error;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use hawthorn_standin::Corpus;
+use hawthorn_standin::TargetOptions;
+use hawthorn_standin::corpus::CorpusOptions;
 use hawthorn_types::IndexVersion;
 use hawthorn_types::KeyRange;
 use hawthorn_types::RangeSet;
@@ -124,3 +129,36 @@
         ranges: RangeSet::from(KeyRange::WHOLE),
     }
 }
+
+pub fn corpus() -> Arc<Corpus> {
+    Arc::new(Corpus::generate(SERVICE, &CorpusOptions::default()))
+}
+
+/// A target that holds everything.
+pub fn options() -> TargetOptions {
+    TargetOptions {
+        corpora: vec![corpus()],
+        held: vec![whole()],
+        connect_cost: Duration::ZERO,
+        ..TargetOptions::default()
+    }
+}
+
+/// Waits until `holds`, at most a hundred steps of ten milliseconds.
+pub async fn until(holds: impl Fn() -> bool) -> TestResult {
+    for _ in 0..100 {
+        if holds() {
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    Err("the target did not get there".into())
+}
+
+/// The status of a search's answer, 0 when there was none.
+pub async fn open_search(address: SocketAddr, attempt: u64) -> u16 {
+    match post(address, "/search", &search(attempt)).await {
+        Ok(reply) => reply.status,
+        Err(_) => 0,
+    }
+}
--- a/crates/hawthorn-standin/tests/target.rs
+++ b/crates/hawthorn-standin/tests/target.rs
@@ -1,82 +1,32 @@
-//! Each fault of a target brings about its effect, and its limits hold.
+//! A target's limits hold, its refusals name their cause, and intent is obeyed.
 
 mod support;
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use hawthorn_standin::Corpus;
 use hawthorn_standin::History;
 use hawthorn_standin::TargetOptions;
 use hawthorn_standin::TargetStandin;
-use hawthorn_standin::corpus::CorpusOptions;
 use hawthorn_standin::history::HistoryEvent;
 use hawthorn_standin::target::ServiceTime;
 use hawthorn_standin::target::StateLie;
-use hawthorn_standin::target::TargetFaults;
 use hawthorn_types::ConfigRevision;
 use hawthorn_types::IndexVersion;
-use hawthorn_types::KEY_SPACE;
-use hawthorn_types::KeyRange;
-use hawthorn_types::RangeSet;
 use hawthorn_types::TargetPhase;
 use hawthorn_types::WantedState;
 use hawthorn_types::target::RefusedAttempt;
-use hawthorn_types::target::RunAnswer;
-use hawthorn_types::target::ShardAnswer;
 use hawthorn_types::target::TargetIntent;
 use hawthorn_types::target::TargetRefusal;
 use hawthorn_types::target::TargetState;
 use support::Client;
-use support::Fallible;
 use support::SERVICE;
 use support::TestResult;
 
-fn corpus() -> Arc<Corpus> {
-    Arc::new(Corpus::generate(SERVICE, &CorpusOptions::default()))
-}
-
-fn options() -> TargetOptions {
-    TargetOptions {
-        corpora: vec![corpus()],
-        held: vec![support::whole()],
-        connect_cost: Duration::ZERO,
-        ..TargetOptions::default()
-    }
-}
-
 /// Service times that never end within a test.
 fn endless() -> ServiceTime {
     ServiceTime { typical: Duration::from_secs(60), spread: 0.0, ..ServiceTime::default() }
 }
 
-/// Waits until `holds`, at most a hundred steps of ten milliseconds.
-async fn until(holds: impl Fn() -> bool) -> TestResult {
-    for _ in 0..100 {
-        if holds() {
-            return Ok(());
-        }
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    Err("the target did not get there".into())
-}
-
-#[tokio::test]
-async fn a_search_is_echoed_and_complete() -> TestResult {
-    let target = TargetStandin::start(options()).await?;
-    let reply = support::post(target.address(), "/search", &support::search(7)).await?;
-    assert_eq!(reply.status, 200);
-    let answer: ShardAnswer = reply.json()?;
-    let asked = support::search(7);
-    assert_eq!((answer.request, answer.attempt), (asked.request, asked.attempt));
-    assert_eq!((answer.shard, answer.version), (asked.shard, asked.version));
-    let whole = RangeSet::from(KeyRange::WHOLE);
-    let truth = corpus().search(IndexVersion(1), &whole, "", 10);
-    assert_eq!(answer.searched, whole);
-    assert_eq!((answer.total, answer.matches), (truth.total, truth.matches));
-    Ok(())
-}
-
 struct RefusalCase {
     name: &'static str,
     prepare: fn(&TargetStandin),
@@ -129,7 +79,8 @@
     ];
     for case in cases {
         let cold_start = Duration::from_secs(60);
-        let target = TargetStandin::start(TargetOptions { cold_start, ..options() }).await?;
+        let target =
+            TargetStandin::start(TargetOptions { cold_start, ..support::options() }).await?;
         if case.refusal != TargetRefusal::Cold {
             target.control().skip_cold_start();
         }
@@ -154,13 +105,13 @@
         slots: 2,
         queue: 3,
         service_time: endless(),
-        ..options()
+        ..support::options()
     })
     .await?;
     for attempt in 0..5 {
-        tokio::spawn(open_search(target.address(), attempt));
+        tokio::spawn(support::open_search(target.address(), attempt));
     }
-    until(|| target.control().counters().waiting == 3).await?;
+    support::until(|| target.control().counters().waiting == 3).await?;
     let reply = support::post(target.address(), "/search", &support::search(9)).await?;
     assert_eq!(reply.json::<RefusedAttempt>()?.refusal, TargetRefusal::Shedding);
     let counters = target.control().counters();
@@ -169,16 +120,10 @@
     Ok(())
 }
 
-async fn open_search(address: std::net::SocketAddr, attempt: u64) -> u16 {
-    match support::post(address, "/search", &support::search(attempt)).await {
-        Ok(reply) => reply.status,
-        Err(_) => 0,
-    }
-}
-
 #[tokio::test]
 async fn connections_beyond_the_limit_are_closed() -> TestResult {
-    let target = TargetStandin::start(TargetOptions { connections: 2, ..options() }).await?;
+    let target =
+        TargetStandin::start(TargetOptions { connections: 2, ..support::options() }).await?;
     let mut first = Client::connect(target.address()).await?;
     let mut second = Client::connect(target.address()).await?;
     assert_eq!(first.get("/state").await?.status, 200);
@@ -188,7 +133,7 @@
     let counters = target.control().counters();
     assert_eq!((counters.peak_connections, counters.connections_refused), (2, 1));
     drop(first);
-    until(|| target.control().counters().connections == 1).await?;
+    support::until(|| target.control().counters().connections == 1).await?;
     let mut fourth = Client::connect(target.address()).await?;
     assert_eq!(fourth.get("/state").await?.status, 200);
     Ok(())
@@ -198,13 +143,16 @@
 /// overloaded: the cancellation must free the slot at once.
 #[tokio::test]
 async fn cancellation_frees_the_slot() -> TestResult {
-    let target =
-        TargetStandin::start(TargetOptions { slots: 1, service_time: endless(), ..options() })
-            .await?;
-    let running = tokio::spawn(open_search(target.address(), 1));
-    until(|| target.control().counters().busy == 1).await?;
-    let waiting = tokio::spawn(open_search(target.address(), 2));
-    until(|| target.control().counters().waiting == 1).await?;
+    let target = TargetStandin::start(TargetOptions {
+        slots: 1,
+        service_time: endless(),
+        ..support::options()
+    })
+    .await?;
+    let running = tokio::spawn(support::open_search(target.address(), 1));
+    support::until(|| target.control().counters().busy == 1).await?;
+    let waiting = tokio::spawn(support::open_search(target.address(), 2));
+    support::until(|| target.control().counters().waiting == 1).await?;
     for attempt in [2, 1] {
         let reply = support::post(target.address(), "/cancel", &support::cancel(attempt)).await?;
         assert_eq!(reply.status, 200);
@@ -221,7 +169,7 @@
 /// deadline ended the run after it began. Once begun, a run must end by itself.
 #[tokio::test]
 async fn a_run_that_began_is_never_cancelled() -> TestResult {
-    let target = TargetStandin::start(options()).await?;
+    let target = TargetStandin::start(support::options()).await?;
     target.control().hold_back(true);
     let address = target.address();
     let sent = tokio::spawn(async move {
@@ -230,7 +178,7 @@
         let reply = support::post(address, "/run", &request).await;
         reply.map(|reply| reply.status).unwrap_or_default()
     });
-    until(|| target.control().counters().busy == 1).await?;
+    support::until(|| target.control().counters().busy == 1).await?;
     support::post(address, "/cancel", &support::cancel(1)).await?;
     target.control().hold_back(false);
     assert_eq!(sent.await?, 200);
@@ -241,7 +189,8 @@
 #[tokio::test]
 async fn a_search_past_its_deadline_gives_its_slot_back() -> TestResult {
     let target =
-        TargetStandin::start(TargetOptions { service_time: endless(), ..options() }).await?;
+        TargetStandin::start(TargetOptions { service_time: endless(), ..support::options() })
+            .await?;
     let mut search = support::search(1);
     search.deadline_ms = 20;
     let reply = support::post(target.address(), "/search", &search).await?;
@@ -250,78 +199,10 @@
     Ok(())
 }
 
-struct AnswerCase {
-    name: &'static str,
-    fault: fn(&mut TargetFaults),
-    wrong: fn(Fallible<support::Reply>) -> bool,
-}
-
-/// A caller is given another caller's order, or waits for an answer that never
-/// comes: the target crossed, garbled, blew up or lost one answer. The next one
-/// must be right again, since each fault is for a number of answers.
-#[tokio::test]
-async fn answers_go_wrong_once_as_told() -> TestResult {
-    let cases = [
-        AnswerCase {
-            name: "crossed",
-            fault: |faults| faults.crossed_answers = 1,
-            wrong: |reply| {
-                let answer = reply.and_then(|reply| reply.json::<ShardAnswer>());
-                answer.is_ok_and(|answer| answer.attempt != 1)
-            },
-        },
-        AnswerCase {
-            name: "garbled",
-            fault: |faults| faults.garbled_answers = 1,
-            wrong: |reply| reply.is_ok_and(|reply| reply.json::<ShardAnswer>().is_err()),
-        },
-        AnswerCase {
-            name: "oversized",
-            fault: |faults| {
-                faults.oversized_answers = 1;
-                faults.oversized_bytes = 1 << 20;
-            },
-            wrong: |reply| reply.is_ok_and(|reply| reply.body.len() > 1 << 20),
-        },
-        AnswerCase {
-            name: "lost",
-            fault: |faults| faults.lost_answers = 1,
-            wrong: |reply| reply.is_err(),
-        },
-    ];
-    for case in cases {
-        let target = TargetStandin::start(options()).await?;
-        target.control().set_faults(case.fault);
-        let reply = support::post(target.address(), "/search", &support::search(1)).await;
-        assert!((case.wrong)(reply), "{}", case.name);
-        let reply = support::post(target.address(), "/search", &support::search(2)).await?;
-        assert_eq!(reply.json::<ShardAnswer>()?.attempt, 2, "{}", case.name);
-        assert_eq!(target.control().counters().searches, 2, "{}", case.name);
-    }
-    Ok(())
-}
-
-/// An order is confirmed twice: the target ran it, the answer was lost, and it
-/// was sent again. The stand-in must run it although nobody hears of it.
-#[tokio::test]
-async fn runs_can_fail_or_lose_their_answer_after_running() -> TestResult {
-    let target = TargetStandin::start(options()).await?;
-    target.control().set_faults(|faults| faults.lost_answers = 1);
-    assert!(support::post(target.address(), "/run", &support::run(1)).await.is_err());
-    assert_eq!(target.control().counters().runs, 1);
-    target.control().set_faults(|faults| faults.failed_runs = 1);
-    let failed = support::post(target.address(), "/run", &support::run(2)).await?;
-    assert_eq!(failed.status, 500);
-    let done = support::post(target.address(), "/run", &support::run(3)).await?;
-    assert_eq!(done.status, 200);
-    assert_eq!(done.json::<RunAnswer>()?.result, "done: confirm order 7");
-    Ok(())
-}
-
 #[tokio::test]
 async fn state_lags_and_lies() -> TestResult {
     let state_lag = Duration::from_secs(60);
-    let target = TargetStandin::start(TargetOptions { state_lag, ..options() }).await?;
+    let target = TargetStandin::start(TargetOptions { state_lag, ..support::options() }).await?;
     target.control().set_wanted(WantedState::Drain);
     let mut client = Client::connect(target.address()).await?;
     assert_eq!(client.get("/state").await?.json::<TargetState>()?.phase, TargetPhase::Ready);
@@ -331,16 +212,17 @@
     assert_eq!((shown.phase, shown.busy), (lie.phase, lie.busy));
 
     let state_lag = Duration::from_millis(20);
-    let target = TargetStandin::start(TargetOptions { state_lag, ..options() }).await?;
+    let target = TargetStandin::start(TargetOptions { state_lag, ..support::options() }).await?;
     target.control().set_wanted(WantedState::Drain);
-    until(|| target.control().shown().phase == TargetPhase::Draining).await
+    support::until(|| target.control().shown().phase == TargetPhase::Draining).await
 }
 
 #[tokio::test]
 async fn intent_is_obeyed() -> TestResult {
     let history = History::default();
     let target =
-        TargetStandin::start(TargetOptions { history: history.clone(), ..options() }).await?;
+        TargetStandin::start(TargetOptions { history: history.clone(), ..support::options() })
+            .await?;
     let cases = [
         (WantedState::Standby, TargetPhase::Standby, 1),
         (WantedState::Drain, TargetPhase::Draining, 1),
@@ -375,7 +257,7 @@
         wanted: WantedState,
         phase: TargetPhase,
     }
-    let target = TargetStandin::start(options()).await?;
+    let target = TargetStandin::start(support::options()).await?;
     let case = |revision, wanted, phase| OrderCase { revision, wanted, phase };
     let cases = [
         case(0, WantedState::Drain, TargetPhase::Draining),
@@ -393,64 +275,3 @@
     }
     Ok(())
 }
-
-/// Half the answers to a search are missing although every target answered: the
-/// shard was split while the search ran. The target must say what it searched.
-#[tokio::test]
-async fn repartition_during_a_search_shows_in_the_answer() -> TestResult {
-    let old = TargetStandin::start(options()).await?;
-    old.control().hold_back(true);
-    let new = TargetStandin::start(TargetOptions { held: Vec::new(), ..options() }).await?;
-    let address = old.address();
-    let sent = tokio::spawn(async move {
-        let reply = support::post(address, "/search", &support::search(1)).await;
-        reply.and_then(|reply| reply.json::<ShardAnswer>()).ok()
-    });
-    until(|| old.control().counters().busy == 1).await?;
-    let upper = KeyRange::new(KEY_SPACE / 2, KEY_SPACE);
-    old.control().repartition(SERVICE, upper, new.control());
-    old.control().hold_back(false);
-    let answer = sent.await?.ok_or("the search was not answered")?;
-    assert_eq!(answer.searched, RangeSet::from(KeyRange::new(0, KEY_SPACE / 2)));
-
-    let mut rest = support::search(2);
-    rest.range = upper;
-    let moved = support::post(address, "/search", &rest).await?.json::<RefusedAttempt>()?;
-    assert_eq!(moved.refusal, TargetRefusal::RangeMoved);
-    let found = support::post(new.address(), "/search", &rest).await?.json::<ShardAnswer>()?;
-    assert_eq!(found.searched, RangeSet::from(upper));
-    let whole = corpus().search(IndexVersion(1), &RangeSet::from(KeyRange::WHOLE), "", 0);
-    assert_eq!(answer.total + found.total, whole.total);
-    Ok(())
-}
-
-/// A replica is lost in the middle of a search and comes back at its address:
-/// its caller sees a closed connection, never a refusal.
-#[tokio::test]
-async fn a_lost_target_closes_connections_and_comes_back() -> TestResult {
-    let target = TargetStandin::start(options()).await?;
-    target.control().hold_back(true);
-    let running = tokio::spawn(open_search(target.address(), 1));
-    until(|| target.control().counters().busy == 1).await?;
-    target.control().set_down(true);
-    assert_eq!(running.await?, 0);
-    assert_eq!(open_search(target.address(), 2).await, 0);
-    target.control().set_down(false);
-    target.control().hold_back(false);
-    assert_eq!(open_search(target.address(), 3).await, 200);
-    Ok(())
-}
-
-#[tokio::test]
-async fn versions_are_published_and_retired() -> TestResult {
-    let target = TargetStandin::start(options()).await?;
-    target.control().publish_next(SERVICE, IndexVersion(2));
-    let mut search = support::search(1);
-    search.version = IndexVersion(2);
-    let answer = support::post(target.address(), "/search", &search).await?;
-    assert_eq!(answer.json::<ShardAnswer>()?.version, IndexVersion(2));
-    target.control().retire(SERVICE, IndexVersion(1));
-    let refused = support::post(target.address(), "/search", &support::search(2)).await?;
-    assert_eq!(refused.json::<RefusedAttempt>()?.versions, [IndexVersion(2)]);
-    Ok(())
-}
