test(standin): a host's link cuts by where its peer stands

Cause: the link in front of a host had no test of its own in this crate. Change: one test with peers from two loopback addresses. Conclusion: a cut between two zones leaves a third zone's way to the host open.

--- a/crates/hawthorn-standin/tests/proxy.rs
+++ b/crates/hawthorn-standin/tests/proxy.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::slice;
@@ -20,6 +21,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
@@ -290,3 +292,31 @@
     assert_eq!(latency, Duration::from_micros(1_500));
     Ok(())
 }
+
+/// Daemons of one zone lose a host that daemons of another still reach: the cut
+/// lies between two zones, and the host has one address for all.
+#[tokio::test]
+async fn a_host_is_cut_off_by_where_its_peer_stands() -> TestResult {
+    let near = (IpAddr::from([127, 0, 0, 1]), NetworkPlace::zone("kurasini"));
+    let far = (IpAddr::from([127, 0, 0, 2]), NetworkPlace::zone("kigamboni"));
+    let host = NetworkPlace::zone("mbagala");
+    let mut network = StandinNetwork::new(NetworkOptions::dar_port());
+    let link = network.link_host(host.clone(), &[near.clone(), far.clone()]).await?;
+    link.set_upstream(echo().await?);
+    let mut from_near = connect_from(near.0, link.address()).await?;
+    let mut from_far = connect_from(far.0, link.address()).await?;
+    round_trip(&mut from_near, b"a").await?;
+    round_trip(&mut from_far, b"a").await?;
+    network.cut(&far.1, &host);
+    round_trip(&mut from_near, b"b").await?;
+    assert!(timeout(SILENCE, round_trip(&mut from_far, b"b")).await.is_err());
+    network.heal();
+    assert_eq!(from_far.read_u8().await?, b'b');
+    Ok(())
+}
+
+async fn connect_from(source: IpAddr, to: SocketAddr) -> Fallible<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(source, 0))?;
+    Ok(socket.connect(to).await?)
+}
