--- a/tests/intent.rs
+++ b/tests/intent.rs
@@ -126,9 +126,9 @@
                 if !is_complete {
                     let mut answer = answer;
                     answer.matches.clear();
-                    let logs: Vec<String> =
-                        fleet.daemons.iter().map(support::daemon::DaemonHost::tail).collect();
-                    let logs = logs.join("\n");
+                    let logs = fleet.daemons.iter().flat_map(support::daemon::DaemonHost::log);
+                    let events: Vec<String> = logs.filter(|line| line.contains(" E")).collect();
+                    let logs = events.join("\n");
                     return Err(format!("query {sent} to {index}: {answer:?}\n{logs}").into());
                 }
                 sent += 1;
