perf(daemon): the owner's thread walks only its own targets

Cause: each target that warms, leaves or is held has the decisions told anew, and that walked through every target of the catalog on the thread that places pieces. Relays passed over a zone whose targets are on their way out but used. Change: the owned targets are listed once for each revision and ownership; a relay goes to such a zone as long as its owner lists the shard. Figures: none measured; by count, 73,000 records a walk before, the 20 owned now. Conclusion: the cost of a change of use goes with what is owned.

--- a/crates/hawthorn-daemon/src/owner/duty.rs
+++ b/crates/hawthorn-daemon/src/owner/duty.rs
@@ -129,6 +129,7 @@
             config: None,
             relays: RelayTable::new(inputs.relays.clone(), options.relay),
             owned: Arc::default(),
+            mine: Vec::new(),
             round: IntentRound::default(),
             seen: seen_sender,
             seen_at: Instant::now(),
@@ -179,6 +180,8 @@
     pub(super) config: Option<Arc<ConfigInForce>>,
     pub(super) relays: RelayTable,
     pub(super) owned: Arc<OwnedGroups>,
+    /// Targets owned here, as keys of the catalog in force; set with both.
+    pub(super) mine: Vec<TargetKey>,
     /// The reconciler's last round.
     pub(super) round: IntentRound,
     pub(super) seen: watch::Sender<Arc<SeenReport>>,
--- a/crates/hawthorn-daemon/src/owner/relay.rs
+++ b/crates/hawthorn-daemon/src/owner/relay.rs
@@ -250,8 +250,10 @@
     let catalog = &config.catalog;
     let Some(key) = catalog.shard_named(shard) else { return SmallVec::new() };
     let fleet = links.fleet.borrow();
-    let mut zones: SmallVec<[_; 4]> =
+    let serving: SmallVec<[_; 4]> =
         catalog.serving_targets_of(key).map(|target| catalog.target(target).zone).collect();
+    let mut zones: SmallVec<[_; 4]> =
+        catalog.targets_of(key).iter().map(|&target| catalog.target(target).zone).collect();
     zones.sort_unstable();
     zones.dedup();
     let owners = zones.into_iter().filter_map(|zone| {
@@ -261,7 +263,12 @@
         }
         let bucket = catalog.group(catalog.group_of(key, zone)?).bucket;
         let host = fleet.hosts.get(&fleet.owner_of(name, bucket)?)?;
-        Some(OtherOwner { id: host.id, peer: host.peer })
+        // A zone whose targets are all on their way out counts as long as its
+        // owner still uses one.
+        let is_held =
+            || links.views.get(host.id).is_some_and(|heard| heard.view.shard(shard).is_some());
+        let is_usable = serving.contains(&zone) || is_held();
+        is_usable.then_some(OtherOwner { id: host.id, peer: host.peer })
     });
     owners.collect()
 }
--- a/crates/hawthorn-daemon/src/owner/reload.rs
+++ b/crates/hawthorn-daemon/src/owner/reload.rs
@@ -27,6 +27,8 @@
     pub(super) fn reload(&mut self, inputs: &mut OwnerInputs) {
         self.config = inputs.config.borrow_and_update().clone();
         self.owned = inputs.owned.borrow_and_update().clone();
+        let mine = self.config.as_deref().map(|config| mine(config, &self.owned));
+        self.mine = mine.unwrap_or_default();
         self.apply_targets();
     }
 
@@ -38,9 +40,7 @@
     /// Tells the decisions which targets there are and how each is used.
     pub(super) fn apply_targets(&mut self) {
         let Some(config) = self.config.clone() else { return };
-        let owned = Arc::clone(&self.owned);
-        let records = self.records(&config, &owned);
-        self.config = Some(config);
+        let records = self.records(&config);
         let kept: HashSet<TargetKey> = records.iter().map(|record| record.key).collect();
         let now = self.now();
         self.state.set_targets(now, &records);
@@ -48,15 +48,14 @@
         self.tell();
     }
 
-    fn records(&mut self, config: &ConfigInForce, owned: &OwnedGroups) -> Vec<TargetRecord> {
+    fn records(&mut self, config: &ConfigInForce) -> Vec<TargetRecord> {
         let catalog = &config.catalog;
-        let mut records = Vec::new();
-        for (_, target) in catalog.targets() {
-            let zone = &catalog.zone(target.zone).name;
-            let share = owned.share(zone, catalog.group(target.group).bucket);
-            if share == SlotShare::None {
-                continue;
-            }
+        let owned = Arc::clone(&self.owned);
+        let mine = std::mem::take(&mut self.mine);
+        let mut records = Vec::with_capacity(mine.len());
+        for &target in &mine {
+            let target = catalog.target(target);
+            let share = share(config, &owned, target);
             let names: Vec<ShardName> =
                 target.shards.iter().map(|&shard| catalog.shard(shard).name.clone()).collect();
             let key = TargetKey(self.target_names.intern(&target.name));
@@ -69,6 +68,7 @@
             let wanted = self.use_target(key, catalog.revision());
             records.push(TargetRecord { key, slots, wanted, shards });
         }
+        self.mine = mine;
         records
     }
 
@@ -107,6 +107,22 @@
     }
 }
 
+fn share(config: &ConfigInForce, owned: &OwnedGroups, target: &catalog::TargetRecord) -> SlotShare {
+    let zone = &config.catalog.zone(target.zone).name;
+    owned.share(zone, config.catalog.group(target.group).bucket)
+}
+
+/// The targets owned here, as keys of the catalog in force.
+///
+/// Load: of 73,000 targets a host owns some 20, and each that warms or leaves
+/// has the decisions told anew. Only a new revision or another ownership is
+/// worth a walk through all of them, on the thread that places every piece.
+fn mine(config: &ConfigInForce, owned: &OwnedGroups) -> Vec<TargetKey> {
+    let targets = config.catalog.targets();
+    let mine = targets.filter(|(_, target)| share(config, owned, target) != SlotShare::None);
+    mine.map(|(key, _)| key).collect()
+}
+
 fn warm(pool: &Arc<TargetPool>, connections: usize) {
     let pool = Arc::clone(pool);
     tokio::spawn(async move { pool.warm(connections / 2).await });
