--- a/crates/hawthorn-daemon/src/owner/duty.rs
+++ b/crates/hawthorn-daemon/src/owner/duty.rs
@@ -135,6 +135,7 @@
             metrics: inputs.metrics.clone(),
             counted: OwnerCounters::default(),
             owned: Arc::default(),
+            mine: Vec::new(),
             round: IntentRound::default(),
             seen: seen_sender,
             seen_at: Instant::now(),
@@ -188,6 +189,8 @@
     /// What the metrics have been told of.
     pub(super) counted: OwnerCounters,
     pub(super) owned: Arc<OwnedGroups>,
+    /// Targets owned here, as keys of the catalog in force; set with both.
+    pub(super) mine: Vec<TargetKey>,
     /// The reconciler's last round.
     pub(super) round: IntentRound,
     pub(super) seen: watch::Sender<Arc<SeenReport>>,
