--- a/crates/hawthorn-daemon/src/process/fleet.rs
+++ b/crates/hawthorn-daemon/src/process/fleet.rs
@@ -17,6 +17,7 @@
 use hawthorn_fleet::handover::Handover;
 use hawthorn_fleet::handover::HandoverAction;
 use hawthorn_fleet::member;
+use hawthorn_fleet::member::MemberCounters;
 use hawthorn_fleet::spread;
 use hawthorn_fleet::spread::ConfigEdition;
 use hawthorn_fleet::spread::SpreadAction;
@@ -113,6 +114,8 @@
     pub alarms: Vec<String>,
     /// The platform says that this host is about to be stopped.
     pub platform_leaving: bool,
+    /// Counts of the membership protocol.
+    pub traffic: MemberCounters,
 }
 
 /// What other duties read of this one, and how they reach it.
@@ -206,6 +209,7 @@
         confirmed_at: None,
         alarms: Vec::new(),
         platform_leaving: false,
+        traffic: MemberCounters::default(),
     };
     let (status_sender, status) = watch::channel(standing);
     let handle = FleetHandle { commands: commands.clone(), config, view, owned, status };
@@ -433,6 +437,7 @@
         let ready = self.spread.is_ready(peers);
         self.table.set_digest(now, self.spread.digest(now, ready, 0));
         let confirmed_at = self.spread.age(now).and_then(|age| Instant::now().checked_sub(age));
+        let traffic = self.table.counters();
         if ready && !self.status.borrow().ready {
             crate::log_event!(Level::Info, LogEvent::Ready, "takes callers");
         }
@@ -440,6 +445,7 @@
             let changed = status.ready != ready;
             status.ready = ready;
             status.confirmed_at = confirmed_at;
+            status.traffic = traffic;
             changed
         });
     }
--- a/crates/hawthorn-daemon/src/process/sample.rs
+++ b/crates/hawthorn-daemon/src/process/sample.rs
@@ -35,5 +35,12 @@
     metrics.set_gauge("configuration-revision", stamp.revision.0);
     metrics.set_gauge("configuration-age-ms", stamp.age_ms);
     metrics.set_gauge("drift", front.drift.borrow().entries.len() as u64);
-    metrics.set_gauge("alarms", front.fleet.status.borrow().alarms.len() as u64);
+    let (alarms, traffic) = {
+        let status = front.fleet.status.borrow();
+        (status.alarms.len() as u64, status.traffic)
+    };
+    metrics.set_gauge("alarms", alarms);
+    metrics.set_gauge("fleet-sent-bytes", traffic.sent_bytes);
+    metrics.set_gauge("fleet-sent-datagrams", traffic.sent);
+    metrics.set_gauge("fleet-received-datagrams", traffic.received);
 }
--- a/tests/support/daemon.rs
+++ b/tests/support/daemon.rs
@@ -69,7 +69,7 @@
     pub fn start(spec: DaemonSpec, directory: &Path) -> TestResult<Self> {
         let file = directory.join(format!("{}.toml", spec.host));
         std::fs::write(&file, spec.settings())?;
-        let mut child = Command::new(env!("CARGO_BIN_EXE_hawthornroute"))
+        let mut child = Command::new(super::program())
             .arg("serve")
             .arg("--settings")
             .arg(&file)
@@ -91,6 +91,18 @@
         DaemonSpec { caller_address: self.caller, peer_address: self.peer, ..self.spec.clone() }
     }
 
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether a line with this text was logged; copies nothing, so that it
+    /// can be asked every millisecond.
+    pub fn has_logged(&self, text: &str) -> bool {
+        let log = self.log.lock();
+        log.is_ok_and(|log| log.iter().rev().any(|line| line.contains(text)))
+    }
+
     /// Lines logged so far.
     pub fn log(&self) -> Vec<String> {
         self.log.lock().map(|log| log.clone()).unwrap_or_default()
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -217,15 +217,27 @@
 
     /// Brings a configuration with these rules into force.
     pub async fn apply(&self, base: u64, edit_id: &str, rules: &str) -> TestResult<edit::Outcome> {
-        let proposed = ProposedEdit {
+        let proposed = self.proposed(base, edit_id, rules);
+        Ok(edit::edit(&self.store(), &proposed, &edit::Options::default()).await?)
+    }
+
+    /// The same; answers how many calls on the store the edit took.
+    pub async fn apply_counted(&self, base: u64, edit_id: &str, rules: &str) -> TestResult<u64> {
+        let store = self.store();
+        let proposed = self.proposed(base, edit_id, rules);
+        edit::edit(&store, &proposed, &edit::Options::default()).await?;
+        Ok(store.counts().sent())
+    }
+
+    fn proposed(&self, base: u64, edit_id: &str, rules: &str) -> ProposedEdit {
+        ProposedEdit {
             base,
             edit_id: edit_id.into(),
             author: "test".into(),
             changed_at: 0,
             inventory: self.deployment.inventory_toml(),
             rules: rules.into(),
-        };
-        Ok(edit::edit(&self.store(), &proposed, &edit::Options::default()).await?)
+        }
     }
 
     /// Waits until every daemon has at least this revision in force.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -9,9 +9,15 @@
 pub mod wire;
 
 use std::error::Error;
+use std::path::PathBuf;
 
 pub use fleet::FleetOptions;
 pub use fleet::TestFleet;
 
 /// Of every test.
 pub type TestResult<T = ()> = Result<T, Box<dyn Error>>;
+
+/// The binary that daemons run.
+pub fn program() -> PathBuf {
+    env!("CARGO_BIN_EXE_hawthornroute").into()
+}
