perf(fleet): a datagram carries the ages of at most eight zones

Change: each datagram carries those of eight zones, another eight each time. Conclusion: bytes at rest no longer grow with the number of zones beyond eight.

--- a/crates/hawthorn-fleet/src/member/send.rs
+++ b/crates/hawthorn-fleet/src/member/send.rs
@@ -117,7 +117,7 @@
             fleet: self.options.fleet,
             sender: self.header(now),
             body,
-            zones: if near { self.zones.ages(now) } else { Default::default() },
+            zones: if near { self.zones.ages(now, self.counters.sent) } else { Default::default() },
         }
     }
 
--- a/crates/hawthorn-fleet/src/member/zone.rs
+++ b/crates/hawthorn-fleet/src/member/zone.rs
@@ -9,8 +9,10 @@
 
 use crate::message::ZoneAge;
 
-/// Zones passed on in one datagram; ages of 25 zones fit beside a few rumors.
-const ZONES_SENT: usize = 32;
+/// Zones passed on in one datagram. Ages of all of 25 zones in each would be a
+/// third of a daemon's bytes; a few at a time, each still goes out about three
+/// times a second.
+const ZONES_SENT: usize = 8;
 
 /// Names a zone in datagrams: the low half of a hash of its name.
 fn zone_hash(zone: &str) -> u32 {
@@ -99,15 +101,21 @@
         self.zones.get(zone.index()).map_or("", |reach| reach.name.as_str())
     }
 
-    /// Ages to pass on, without those too old to be of use.
-    pub(crate) fn ages(&self, now: Duration) -> SmallVec<[ZoneAge; 4]> {
+    /// Ages to pass on, without those too old to be of use: a few of
+    /// the zones, chosen by `turn`.
+    pub(crate) fn ages(&self, now: Duration, turn: u64) -> SmallVec<[ZoneAge; 4]> {
+        let parts = self.zones.len().div_ceil(ZONES_SENT).max(1);
+        // Hashed, as datagrams within the zone may be every second one.
+        let hash = xxh3_64(&turn.to_le_bytes()) % parts as u64;
+        let part = usize::try_from(hash).unwrap_or_default();
         self.zones
             .iter()
+            .skip(part * ZONES_SENT)
+            .take(ZONES_SENT)
             .filter_map(|reach| {
                 let age = now.saturating_sub(reach.heard).as_millis();
                 u16::try_from(age).ok().map(|age_ms| ZoneAge { zone: reach.hash, age_ms })
             })
-            .take(ZONES_SENT)
             .collect()
     }
 }
