--- a/examples/tier-cost/support.rs
+++ b/examples/tier-cost/support.rs
@@ -9,6 +9,8 @@
 pub mod daemon;
 #[path = "../../tests/support/fleet.rs"]
 pub mod fleet;
+#[path = "../../tests/support/network.rs"]
+pub mod network;
 #[path = "../../tests/support/wire.rs"]
 pub mod wire;
 
