fix(daemon): plans survive a change of owner

Change: a new owner asks its targets at once and tells at once; for 2 s a front believes of the new owner what the one before said.

--- a/crates/hawthorn-daemon/src/owner/duty.rs
+++ b/crates/hawthorn-daemon/src/owner/duty.rs
@@ -274,7 +274,10 @@
     fn take_end(&mut self, end: TaskEnd) {
         match end {
             TaskEnd::Attempt(end) => self.take_attempt(end),
-            TaskEnd::Probe(end) => self.take_probe(end),
+            TaskEnd::Probe(end) => {
+                self.take_probe(end);
+                self.tell();
+            }
             TaskEnd::Relay(end) => self.take_relay(end),
             TaskEnd::Order(end) => self.take_order_end(&end),
         }
@@ -456,9 +459,13 @@
     }
 
     fn probe(&mut self, target: TargetKey) {
-        if !self.take_probe_due(target) {
-            return;
+        if self.take_probe_due(target) {
+            self.probe_now(target);
         }
+    }
+
+    /// Asks a target for its state.
+    pub(super) fn probe_now(&mut self, target: TargetKey) {
         let Some(owned) = self.targets.get(&target) else { return };
         let pool = Arc::clone(&owned.pool);
         let name = self.target_names.name(target.0).clone();
--- a/crates/hawthorn-daemon/src/owner/reload.rs
+++ b/crates/hawthorn-daemon/src/owner/reload.rs
@@ -104,6 +104,11 @@
         let usage = TargetUse::new(wanted, cold_start);
         let target = OwnedTarget { pool, shards, held: Vec::new(), reachable: false, usage };
         self.targets.insert(key, target);
+        // Failure: a group changes hands, and until the new owner's turn to probe
+        // comes, up to a second, fronts hear that nobody holds its shards.
+        if wanted != WantedState::Off {
+            self.probe_now(key);
+        }
     }
 }
 
--- a/crates/hawthorn-daemon/src/version/tables.rs
+++ b/crates/hawthorn-daemon/src/version/tables.rs
@@ -11,12 +11,15 @@
 use hawthorn_plan::ReplicaOption;
 use hawthorn_plan::ShardRecord;
 use hawthorn_plan::ShardTable;
+use hawthorn_types::HostKey;
 use hawthorn_types::RangeSet;
 use hawthorn_types::ServiceKey;
 use hawthorn_types::ShardKey;
+use hawthorn_types::ShardName;
 use hawthorn_types::ZoneKey;
 use smallvec::SmallVec;
 
+use crate::connection::message::ShardView;
 use crate::version::config::ConfigInForce;
 use crate::version::fleet::FleetView;
 use crate::version::views::ViewTable;
@@ -37,6 +40,8 @@
     owners: Vec<MemberId>,
     /// When the owners were last said to be wanted.
     wanted_at: Instant,
+    /// When something in it is believed no more.
+    expires: Option<Instant>,
 }
 
 /// How often the owners of a table in use are said to be wanted.
@@ -46,6 +51,59 @@
 #[derive(Debug, Default)]
 pub struct TableCache {
     tables: Mutex<HashMap<ServiceKey, CachedTable>>,
+    memory: Mutex<ShardMemory>,
+}
+
+/// For how long what a zone's owner said of a shard is believed of the next.
+///
+/// Failure: a group changes hands and the new owner has not told what it holds.
+/// Its shards would count as held by nobody although the targets are as before.
+/// By then the new owner has asked them; what is wrong meanwhile it turns away,
+/// and the piece goes to another zone.
+const MEMORY_TIME: Duration = Duration::from_secs(2);
+
+/// What was last said of each shard in each zone.
+#[derive(Debug, Default)]
+struct ShardMemory {
+    told: HashMap<(ShardName, String), ToldShard>,
+    /// When the first of what was recalled for this table is believed no more.
+    expires: Option<Instant>,
+}
+
+/// What an owner said of a shard.
+#[derive(Debug)]
+struct ToldShard {
+    owner: HostKey,
+    view: ShardView,
+    /// When another owner was first seen in its place.
+    replaced_at: Option<Instant>,
+}
+
+impl ShardMemory {
+    /// What the owner says, or what another owner before it said until a
+    /// moment ago.
+    fn recall(
+        &mut self,
+        shard: &ShardName,
+        zone: &str,
+        owner: HostKey,
+        told: Option<&ShardView>,
+    ) -> Option<ShardView> {
+        let key = (shard.clone(), zone.to_owned());
+        if let Some(view) = told {
+            let told = ToldShard { owner, view: view.clone(), replaced_at: None };
+            self.told.insert(key, told);
+            return Some(view.clone());
+        }
+        let before = self.told.get_mut(&key)?;
+        let expires = *before.replaced_at.get_or_insert_with(Instant::now) + MEMORY_TIME;
+        if before.owner == owner || expires <= Instant::now() {
+            self.told.remove(&key);
+            return None;
+        }
+        self.expires = Some(self.expires.map_or(expires, |first| first.min(expires)));
+        Some(before.view.clone())
+    }
 }
 
 impl TableCache {
@@ -65,6 +123,7 @@
         let mut tables = self.tables.lock().expect("no holder of the lock panics");
         if let Some(known) = tables.get_mut(&service)
             && known.stamp == stamp
+            && known.expires.is_none_or(|at| Instant::now() < at)
         {
             if known.wanted_at.elapsed() >= WANT_INTERVAL {
                 views.want(known.owners.iter().copied());
@@ -72,11 +131,14 @@
             }
             return Arc::clone(&known.table);
         }
-        let table = Arc::new(build(service, config, fleet, views));
+        let mut memory = self.memory.lock().expect("no holder of the lock panics");
+        memory.expires = None;
+        let table = Arc::new(build(service, config, fleet, views, &mut memory));
         let owners = owners(&table, fleet);
         views.want(owners.iter().copied());
         let wanted_at = Instant::now();
-        let cached = CachedTable { stamp, table: Arc::clone(&table), owners, wanted_at };
+        let expires = memory.expires;
+        let cached = CachedTable { stamp, table: Arc::clone(&table), owners, wanted_at, expires };
         tables.insert(service, cached);
         table
     }
@@ -117,9 +179,10 @@
     config: &ConfigInForce,
     fleet: &FleetView,
     views: &ViewTable,
+    memory: &mut ShardMemory,
 ) -> ShardTable {
     let shards = config.catalog.service(service).shards.iter();
-    ShardTable::new(shards.map(|&shard| record(shard, config, fleet, views)).collect())
+    ShardTable::new(shards.map(|&shard| record(shard, config, fleet, views, memory)).collect())
 }
 
 fn record(
@@ -127,6 +190,7 @@
     config: &ConfigInForce,
     fleet: &FleetView,
     views: &ViewTable,
+    memory: &mut ShardMemory,
 ) -> ShardRecord {
     let catalog = &config.catalog;
     let shard = catalog.shard(key);
@@ -144,20 +208,21 @@
         let Some(owner) = fleet.owner_of(&catalog.zone(zone).name, bucket) else { continue };
         let Some(host) = fleet.hosts.get(&owner) else { continue };
         let heard = views.get(host.id);
-        let view = heard.as_ref().and_then(|heard| heard.view.shard(&shard.name));
+        let told = heard.as_ref().and_then(|heard| heard.view.shard(&shard.name));
+        let view = memory.recall(&shard.name, &catalog.zone(zone).name, owner, told);
         // A zone whose targets are all wanted off or on standby is no way to
         // search the shard, unless its owner still uses one until others can.
         if view.is_none() && !serving.contains(&zone) {
             continue;
         }
-        if let Some(view) = view {
+        if let Some(view) = &view {
             held.extend(&view.held);
         }
         options.push(ReplicaOption {
             zone,
             owner,
-            versions: view.map(|view| view.versions.clone()).unwrap_or_default(),
-            expected_wait: Duration::from_micros(view.map_or(0, |view| view.wait_us)),
+            expected_wait: Duration::from_micros(view.as_ref().map_or(0, |view| view.wait_us)),
+            versions: view.map(|view| view.versions).unwrap_or_default(),
         });
     }
     if held.is_empty() {
