refactor(daemon): asking targets is a module of its own in the owner's duty

Change: probes and what they bring are in owner/look.rs; no line of them changed but visibility. Conclusion: the loop, attempts and their ends are left in duty.rs.

--- a/crates/hawthorn-daemon/src/owner/duty.rs
+++ b/crates/hawthorn-daemon/src/owner/duty.rs
@@ -9,8 +9,6 @@
 use futures::FutureExt;
 use hawthorn_decide::counter::OwnerCounters;
 use hawthorn_decide::message::AttemptResult;
-use hawthorn_decide::message::HeldShard;
-use hawthorn_decide::message::Observation;
 use hawthorn_decide::message::OwnerAction;
 use hawthorn_decide::message::PieceKey;
 use hawthorn_decide::owner;
@@ -19,15 +17,12 @@
 use hawthorn_decide::time::TickTime;
 use hawthorn_types::AttemptId;
 use hawthorn_types::IndexVersion;
-use hawthorn_types::ShardKey;
 use hawthorn_types::ShardName;
 use hawthorn_types::TargetKey;
-use hawthorn_types::WantedState;
 use hawthorn_types::target::HeldRanges;
 use hawthorn_types::target::ShardSearch;
 use hawthorn_types::target::TargetRefusal;
 use hawthorn_types::target::TargetRun;
-use hawthorn_types::target::TargetState;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -41,10 +36,8 @@
 use super::batch::BatchTable;
 use super::batch::OpenBatch;
 use super::intent::OrderEnd;
-use super::intent::TargetSight;
 use super::intent::TargetUse;
 use super::names::NameTable;
-use super::probe;
 use super::probe::ProbeEnd;
 use super::relay::RelayEnd;
 use super::relay::RelayLinks;
@@ -311,61 +304,6 @@
         self.retired.insert(open.piece, versions);
     }
 
-    fn take_probe(&mut self, end: ProbeEnd) {
-        let now = self.now();
-        let Some(state) = end.state else {
-            self.note_reachable(end.target, false);
-            self.note_sight(end.target, TargetSight::LOST);
-            self.state.observe(now, end.target, Observation::Unreachable);
-            return self.review_use(end.target);
-        };
-        let Some(held) = self.note_state(end.target, &state) else { return };
-        self.note_reachable(end.target, true);
-        self.note_sight(end.target, TargetSight::of(&state));
-        self.state.observe(now, end.target, Observation::Reported { phase: state.phase, held });
-        self.review_use(end.target);
-    }
-
-    fn note_sight(&mut self, key: TargetKey, sight: TargetSight) {
-        if let Some(target) = self.targets.get_mut(&key) {
-            target.usage.see(sight);
-        }
-    }
-
-    fn note_reachable(&mut self, key: TargetKey, reachable: bool) {
-        let name = self.target_names.name(key.0).clone();
-        let Some(target) = self.targets.get_mut(&key) else { return };
-        if target.reachable == reachable {
-            return;
-        }
-        target.reachable = reachable;
-        if target.usage.wanted == WantedState::Off {
-            // Gone or back as operators want it: no loss and no news.
-            return;
-        }
-        if reachable {
-            crate::log_event!(log::Level::Info, LogEvent::TargetBack, "target {name}");
-        } else {
-            crate::log_event!(log::Level::Warn, LogEvent::TargetLost, "target {name}");
-        }
-    }
-
-    fn note_state(
-        &mut self,
-        key: TargetKey,
-        state: &TargetState,
-    ) -> Option<smallvec::SmallVec<[HeldShard; 4]>> {
-        let target = self.targets.get_mut(&key)?;
-        target.held.clone_from(&state.held);
-        let mut held = smallvec::SmallVec::new();
-        for shard in &target.shards {
-            let number = self.shard_names.number(shard).map(ShardKey)?;
-            let of_shard = state.held.iter().filter(|held| held.service == shard.service());
-            held.extend(of_shard.map(|held| HeldShard { shard: number, version: held.version }));
-        }
-        Some(held)
-    }
-
     fn act(&mut self) {
         while let Some(action) = self.state.poll_action() {
             match action {
@@ -454,21 +392,6 @@
             open.task.abort();
         }
     }
-
-    fn probe(&mut self, target: TargetKey) {
-        if !self.take_probe_due(target) {
-            return;
-        }
-        let Some(owned) = self.targets.get(&target) else { return };
-        let pool = Arc::clone(&owned.pool);
-        let name = self.target_names.name(target.0).clone();
-        let timeout = self.options.probe_timeout;
-        let ends = self.ends.clone();
-        tokio::spawn(async move {
-            let end = probe::probe(target, name, pool, timeout).await;
-            let _stopped = ends.send(TaskEnd::Probe(end)).await;
-        });
-    }
 }
 
 async fn sleep_until(wake: Option<Instant>) {
--- a/crates/hawthorn-daemon/src/owner/mod.rs
+++ b/crates/hawthorn-daemon/src/owner/mod.rs
@@ -9,6 +9,7 @@
 mod duty;
 mod finish;
 mod intent;
+mod look;
 mod names;
 mod probe;
 mod relay;
