merge: reconcile; a late state page no longer hides a target

Cause: one missed question took a target out of all views for a second; with its replica off, or both of a shard missed on a busy machine, that was a hole in every answer. Change: a second question at once before a target counts as lost; lines of the call library are logged from warnings up; tier-load prints why ranges miss.

--- a/crates/hawthorn-daemon/src/owner/reload.rs
+++ b/crates/hawthorn-daemon/src/owner/reload.rs
@@ -102,7 +102,8 @@
             warm(&pool, connections);
         }
         let usage = TargetUse::new(wanted, cold_start);
-        let target = OwnedTarget { pool, shards, held: Vec::new(), reachable: false, usage };
+        let target =
+            OwnedTarget { pool, shards, held: Vec::new(), reachable: false, missed: 0, usage };
         self.targets.insert(key, target);
         // Failure: a group changes hands, and until the new owner's turn to probe
         // comes, up to a second, fronts hear that nobody holds its shards.
--- a/crates/hawthorn-daemon/src/process/logs.rs
+++ b/crates/hawthorn-daemon/src/process/logs.rs
@@ -5,12 +5,16 @@
 use log4rs::append::console::ConsoleAppender;
 use log4rs::append::console::Target;
 use log4rs::config::Appender;
+use log4rs::config::Logger;
 use log4rs::config::Root;
 use log4rs::encode::pattern::PatternEncoder;
 use quick_error::quick_error;
 
 use crate::process::events::LogEvent;
 
+/// The library for calls between daemons logs several lines a call below this.
+const CALL_LEVEL: LevelFilter = LevelFilter::Warn;
+
 /// Time in UTC, level, thread, text.
 const LINE_PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {T} {m}{n}";
 
@@ -33,6 +37,7 @@
     let encoder = Box::new(PatternEncoder::new(LINE_PATTERN));
     let console = ConsoleAppender::builder().target(Target::Stdout).encoder(encoder).build();
     let config = Config::builder()
+        .logger(Logger::builder().build("tarpc", CALL_LEVEL))
         .appender(Appender::builder().build("stdout", Box::new(console)))
         .build(Root::builder().appender("stdout").build(level))
         .map_err(|source| Error::Config(Box::new(source)))?;
--- a/examples/tier-load/main.rs
+++ b/examples/tier-load/main.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
+use std::collections::BTreeMap;
 use std::error::Error;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -24,6 +25,7 @@
 use hawthorn_standin::StandinDeployment;
 use hawthorn_standin::corpus::CorpusFlavour;
 use hawthorn_standin::deployment::ServiceDescription;
+use hawthorn_standin::history::HistoryEvent;
 use hawthorn_standin::load;
 use hawthorn_standin::load::DaemonControl;
 use hawthorn_standin::load::DeploymentStage;
@@ -246,8 +248,12 @@
         let options = options(arguments, deployment, scenario);
         let naive = Arc::new(NaiveTier::of_deployment(deployment, arguments.seed));
         let control: Option<&dyn DaemonControl> = Some(daemons);
+        let since = deployment.history().now();
         let compared =
             load::compare(Arc::clone(&tier) as Arc<_>, naive, &stage, control, &options).await?;
+        if !arguments.json {
+            output.push_str(&missing(deployment, since));
+        }
         match arguments.json {
             true => output.push_str(&format!("{}\n", serde_json::to_string(&compared)?)),
             false => output.push_str(&format!("{}{}", compared.tier, compared.baseline)),
@@ -256,6 +262,26 @@
     Ok(output)
 }
 
+/// Why ranges were missing from the tier's answers, and when.
+fn missing(deployment: &StandinDeployment, since: Duration) -> String {
+    let mut counts: BTreeMap<String, (u64, Duration, Duration)> = BTreeMap::new();
+    for record in deployment.history().records() {
+        let HistoryEvent::Answered { answer, .. } = &record.event else { continue };
+        let Some(coverage) = answer.coverage.as_ref().filter(|_| record.at >= since) else {
+            continue;
+        };
+        for missing in &coverage.missing {
+            let at = record.at.saturating_sub(since);
+            let entry = counts.entry(missing.reason.to_string()).or_insert((0, at, at));
+            *entry = (entry.0 + 1, entry.1.min(at), entry.2.max(at));
+        }
+    }
+    let line = |(reason, (count, from, to)): (String, (u64, Duration, Duration))| {
+        format!("  missing {reason}: {count} ranges, {from:.1?} to {to:.1?}\n")
+    };
+    counts.into_iter().map(line).collect()
+}
+
 fn options(
     arguments: &Arguments,
     deployment: &StandinDeployment,
