--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,76 @@
+//! Answers of targets that must not reach callers.
+
+mod support;
+
+use hawthorn_standin::target::TargetFaults;
+use hawthorn_types::CallerOutcome;
+use support::FleetOptions;
+use support::TestFleet;
+use support::TestResult;
+use support::fleet::is_whole;
+
+/// Bad answers each target gives.
+const BAD_ANSWERS: u32 = 3;
+
+/// Queries to each host while answers are bad.
+const QUERIES: usize = 20;
+
+struct BadAnswerCase {
+    name: &'static str,
+    fault: fn(&mut TargetFaults),
+}
+
+/// A proxy before a target mixes up connections, a target's software breaks, or
+/// an answer is far too large. A clerk would see another firm's filings, or the
+/// host would run out of memory. Such answers are dropped and counted, the
+/// shard is asked for elsewhere or reported missing, and once the target is
+/// well again answers are whole.
+#[tokio::test]
+async fn bad_answers_are_dropped_counted_and_never_delivered() -> TestResult {
+    let cases = [
+        BadAnswerCase { name: "crossed", fault: |faults| faults.crossed_answers = BAD_ANSWERS },
+        BadAnswerCase {
+            name: "over the limit",
+            fault: |faults| faults.oversized_answers = BAD_ANSWERS,
+        },
+        BadAnswerCase { name: "garbled", fault: |faults| faults.garbled_answers = BAD_ANSWERS },
+        BadAnswerCase { name: "lost", fault: |faults| faults.lost_answers = BAD_ANSWERS },
+    ];
+    let fleet = TestFleet::start(FleetOptions::poland()).await?;
+    for case in cases {
+        let before = noticed(&fleet).await?;
+        for target in &fleet.deployment.targets {
+            target.standin.control().set_faults(case.fault);
+        }
+        for index in 0..fleet.daemons.len() {
+            for _ in 0..QUERIES {
+                let answer = fleet.send(index, fleet.query("claim-desk")).await?;
+                assert_eq!(answer.outcome, CallerOutcome::Answer, "{}: {answer:?}", case.name);
+            }
+        }
+        let after = noticed(&fleet).await?;
+        assert!(after > before, "{}: {before} noticed before, {after} after", case.name);
+        for target in &fleet.deployment.targets {
+            target.standin.control().set_faults(|faults| *faults = TargetFaults::default());
+        }
+        fleet.wait_until_ready().await?;
+        for index in 0..fleet.daemons.len() {
+            let answer = fleet.send(index, fleet.query("claim-desk")).await?;
+            assert!(is_whole(&answer), "{}: {answer:?}", case.name);
+        }
+    }
+    fleet.check()
+}
+
+/// Attempts made anew and ranges reported missing, at all hosts.
+async fn noticed(fleet: &TestFleet) -> TestResult<f64> {
+    let mut sum = 0.0;
+    for index in 0..fleet.daemons.len() {
+        for label in ["crossed-answer", "bad-answer", "answer-too-large", "connection-failed"] {
+            for name in ["hawthorn_retries", "hawthorn_missing_ranges", "hawthorn_owner_pieces"] {
+                sum += fleet.metric(index, name, &format!("reason=\"{label}\"")).await?;
+            }
+        }
+    }
+    Ok(sum)
+}
