--- /dev/null
+++ b/tests/store.rs
@@ -0,0 +1,190 @@
+//! The platform's store is down, loses answers, or goes back, and operators
+//! race each other through it.
+
+mod support;
+
+use std::time::Duration;
+
+use hawthorn_standin::platform::StoreOutage;
+use hawthorn_store::edit;
+use hawthorn_store::edit::history;
+use hawthorn_types::CallerOutcome;
+use hawthorn_types::KEY_SPACE;
+use hawthorn_types::RefusalReason;
+use support::FleetOptions;
+use support::TestFleet;
+use support::TestResult;
+use support::fleet::is_whole;
+
+/// The longest that the store holds a watch open in the test of a restore.
+const SHORT_WATCH: Duration = Duration::from_millis(500);
+
+fn runs(fleet: &TestFleet) -> u64 {
+    fleet.deployment.targets.iter().map(|target| target.standin.control().counters().runs).sum()
+}
+
+fn rules(fleet: &TestFleet, note: &str) -> String {
+    format!("{}# {note}\n", fleet.deployment.rules_toml())
+}
+
+/// A host is replaced while the store is down, after an edit. It keeps nothing,
+/// so without its peers it would never serve, or serve by an old revision.
+/// It is ready only once it has from them what is in force.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_host_that_starts_without_the_store_learns_from_its_peers() -> TestResult {
+    for outage in [StoreOutage::Unavailable, StoreOutage::Hang] {
+        let mut fleet = TestFleet::start(FleetOptions::small()).await?;
+        fleet.apply(1, "second", &rules(&fleet, "second")).await?;
+        fleet.wait_for_revision(2).await?;
+        fleet.deployment.platform.control().set_outage(outage);
+        fleet.start_daemon(fleet.spec("kurasini-2", "kurasini"))?;
+        fleet.wait_until_ready().await?;
+        let newcomer = fleet.daemons.len() - 1;
+        let answer = fleet.send(newcomer, fleet.query("agent-desk")).await?;
+        assert!(is_whole(&answer), "{outage:?}: {answer:?}");
+        assert_eq!(answer.configuration.revision.0, 2, "{outage:?}");
+        fleet.check()?;
+    }
+    Ok(())
+}
+
+/// The store is down for every host. Stem checks go on as before. An order
+/// confirmation can't be claimed: it is refused as not run, at once or when its
+/// time is up, with a time to come back; the same id runs once the store is back.
+#[tokio::test]
+async fn without_the_store_queries_go_on_and_requests_are_refused() -> TestResult {
+    for outage in [StoreOutage::Unavailable, StoreOutage::Hang] {
+        let fleet = TestFleet::start(FleetOptions::small()).await?;
+        let platform = fleet.deployment.platform.control();
+        platform.set_outage(outage);
+        let request = fleet.once("agent-desk", KEY_SPACE / 3);
+        for index in 0..fleet.daemons.len() {
+            let answer = fleet.send(index, fleet.query("agent-desk")).await?;
+            assert!(is_whole(&answer), "{outage:?}: {answer:?}");
+        }
+        let refused = fleet.send_once(0, request.clone()).await?;
+        let expected = CallerOutcome::NotRun(RefusalReason::ClaimUnavailable);
+        assert_eq!(refused.outcome, expected, "{outage:?}: {refused:?}");
+        assert!(refused.retry_after_ms.is_some(), "{outage:?}: {refused:?}");
+        let label = "reason=\"claim-unavailable\"";
+        assert!(fleet.metric(0, "hawthorn_refusals", label).await? >= 1.0, "{outage:?}");
+        assert_eq!(runs(&fleet), 0, "{outage:?}");
+        platform.set_outage(StoreOutage::None);
+        let ran = until_run(&fleet, request).await?;
+        assert_eq!(ran, CallerOutcome::Answer, "{outage:?}");
+        assert_eq!(runs(&fleet), 1, "{outage:?}");
+        fleet.check()?;
+    }
+    Ok(())
+}
+
+/// Sends a request to one host until it is no longer refused, as a caller does
+/// that keeps to the time it was told.
+async fn until_run(
+    fleet: &TestFleet,
+    request: hawthorn_types::OnceRequest,
+) -> TestResult<CallerOutcome> {
+    const SENDS: usize = 10;
+    for _ in 0..SENDS {
+        let answer = fleet.send_once(0, request.clone()).await?;
+        let Some(pause) = answer.retry_after_ms else { return Ok(answer.outcome) };
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+    Err("the request is refused for good".into())
+}
+
+/// The store takes an operator's edit and its answer is lost, or it says that it
+/// is unavailable although the edit took effect. The operator would apply it
+/// again on top of itself or believe a race lost. The edit is told from others
+/// by its id: it is reported as applied, once, and the history holds it once.
+#[tokio::test]
+async fn an_edit_whose_answer_is_lost_is_applied_once() -> TestResult {
+    let fleet = TestFleet::start(FleetOptions::small()).await?;
+    let platform = fleet.deployment.platform.control();
+    for (base, lost, unavailable) in [(1, 1, 0), (2, 0, 1), (3, 2, 2)] {
+        platform.set_faults(|faults| {
+            faults.lost_write_answers = lost;
+            faults.applied_unavailable = unavailable;
+        });
+        let edit_id = format!("edit-{base}");
+        let outcome = fleet.apply(base, &edit_id, &rules(&fleet, &edit_id)).await?;
+        platform.set_faults(|faults| {
+            faults.lost_write_answers = 0;
+            faults.applied_unavailable = 0;
+        });
+        assert_eq!(outcome, edit::Outcome::Applied { revision: base + 1 });
+        fleet.wait_for_revision(base + 1).await?;
+    }
+    let store = fleet.store();
+    let current = edit::current(&store).await?.ok_or("a configuration is in force")?;
+    assert_eq!((current.revision, current.edit_id.as_str()), (4, "edit-3"));
+    assert_eq!(history::list(&store).await?, [1, 2, 3]);
+    for (revision, edit_id) in [(2, "edit-1"), (3, "edit-2")] {
+        let kept = history::read(&store, revision).await?.ok_or("it was kept")?;
+        assert_eq!(kept.edit_id, edit_id);
+    }
+    fleet.check()
+}
+
+/// Two operators edit the same revision at once. One of them would overwrite
+/// the other without either noticing. Exactly one is applied; the other is
+/// shown what is in force, applies on top of it, and both edits are kept.
+#[tokio::test]
+async fn of_two_operators_who_race_one_is_told_of_the_conflict() -> TestResult {
+    let fleet = TestFleet::start(FleetOptions::small()).await?;
+    let platform = fleet.deployment.platform.control();
+    for (base, lost) in [(1, 0), (3, 1)] {
+        platform.set_faults(|faults| faults.lost_write_answers = lost);
+        let names = [format!("one-{base}"), format!("other-{base}")];
+        let texts = [rules(&fleet, &names[0]), rules(&fleet, &names[1])];
+        let (one, other) = tokio::join!(
+            fleet.apply(base, &names[0], &texts[0]),
+            fleet.apply(base, &names[1], &texts[1]),
+        );
+        platform.set_faults(|faults| faults.lost_write_answers = 0);
+        let outcomes = [one?, other?];
+        let applied = edit::Outcome::Applied { revision: base + 1 };
+        let won = outcomes.iter().position(|outcome| *outcome == applied);
+        let won = won.ok_or_else(|| format!("nobody won: {outcomes:?}"))?;
+        let edit::Outcome::Conflict { current: Some(current) } = &outcomes[1 - won] else {
+            return Err(format!("no conflict: {outcomes:?}").into());
+        };
+        assert_eq!((current.revision, &current.edit_id), (base + 1, &names[won]));
+        let again = fleet.apply(base + 1, &names[1 - won], &texts[1 - won]).await?;
+        assert_eq!(again, edit::Outcome::Applied { revision: base + 2 });
+        fleet.wait_for_revision(base + 2).await?;
+        let kept = history::read(&fleet.store(), base + 1).await?.ok_or("it was kept")?;
+        assert_eq!(kept.edit_id, names[won]);
+    }
+    fleet.check()
+}
+
+/// The platform's operators restore the store from a backup that is older than
+/// the last edit. Hosts that followed it would switch targets back on that were
+/// taken away for repairs. They keep the newer revision and raise an alarm, and
+/// a host that starts then takes it from its peers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn hosts_refuse_a_store_that_was_restored_to_an_older_revision() -> TestResult {
+    let mut options = FleetOptions::small();
+    // A watch can't show that the store went back, so hosts also read the key,
+    // once in every few watches. Short watches bring that on within seconds.
+    options.deployment.platform.watch_limit = SHORT_WATCH;
+    let mut fleet = TestFleet::start(options).await?;
+    let platform = fleet.deployment.platform.control().clone();
+    let backup = platform.backup();
+    fleet.apply(1, "second", &rules(&fleet, "second")).await?;
+    fleet.wait_for_revision(2).await?;
+    platform.restore(backup);
+    for index in 0..fleet.daemons.len() {
+        let report = fleet.wait_for(index, "the alarm", |report| !report.alarms.is_empty()).await?;
+        assert_eq!(report.configuration.revision.0, 2, "{report:?}");
+    }
+    fleet.start_daemon(fleet.spec("kurasini-2", "kurasini"))?;
+    fleet.wait_until_ready().await?;
+    for index in 0..fleet.daemons.len() {
+        let answer = fleet.send(index, fleet.query("agent-desk")).await?;
+        assert!(is_whole(&answer), "{answer:?}");
+        assert_eq!(answer.configuration.revision.0, 2, "host {index}: {answer:?}");
+    }
+    fleet.check()
+}
