fix(decide): a target that came to an owner is probed within 100 ms

Cause: the first probe of a target was drawn within a whole interval of 1 s, so that after a change of owner its shards lacked this replica for up to 1 s; when the other replica's host stopped meanwhile, answers lacked the shard. Change: the first probe is drawn within 100 ms.

--- a/crates/hawthorn-decide/src/owner/watch.rs
+++ b/crates/hawthorn-decide/src/owner/watch.rs
@@ -55,7 +55,8 @@
         target.shift.want(record.wanted, now, &options);
         if !target.probe_armed {
             target.probe_armed = true;
-            let first = micros(options.probe_interval) as f64 * jitter;
+            let spread = options.first_probe_within.min(options.probe_interval);
+            let first = micros(spread) as f64 * jitter;
             self.timers.arm(now.plus(first as u64), TimerAlarm::Probe(record.key));
         }
     }
--- a/crates/hawthorn-decide/src/shift.rs
+++ b/crates/hawthorn-decide/src/shift.rs
@@ -59,6 +59,11 @@
     /// How often each target is probed. 1 s: a leaving target is seen within
     /// 2 s, at one small request a second.
     pub probe_interval: Duration,
+    /// Within which a target that just came to this owner is probed first. Its
+    /// shards lack a replica until then, so it must not wait for a whole
+    /// interval; spread a little, so that an owner that takes over hundreds of
+    /// targets does not ask them all in one moment.
+    pub first_probe_within: Duration,
 }
 
 impl Default for Options {
@@ -78,6 +83,7 @@
             leaving_hold: Duration::from_secs(30),
             answer_trust: Duration::from_secs(1),
             probe_interval: Duration::from_secs(1),
+            first_probe_within: Duration::from_millis(100),
         }
     }
 }
