fix(daemon): a host that starts takes callers once it sees all targets

Cause: readiness asked for a configuration only. A host that had heard of no owner answered that no shard has a replica, and when the next host of a rolling restart stopped before others had heard what this one owns, answers lacked the shards whose replicas these two own. Change: /ready stays off until each shard's owners were heard and hold it, for 0.7 s, which is how long others take to ask anew; after 3 s a lost target no longer keeps it off. The history of tests leaves out the revision 0 of a process that says that it has no configuration yet: it went back to nothing.

--- a/crates/hawthorn-daemon/src/process/refresh.rs
+++ b/crates/hawthorn-daemon/src/process/refresh.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use hawthorn_fleet::MemberId;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::connection::message::OwnerView;
 use crate::connection::peer;
 use crate::request::front::FrontContext;
+use crate::request::query::hear_owners;
 use crate::version::fleet::HostRecord;
 
 /// How often views are looked through.
@@ -24,15 +26,69 @@
 /// How long an owner may take to tell its view.
 const VIEW_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// A starting host is not waited for longer: a target that is lost must not
+/// keep it from its callers.
+const SETTLE_LIMIT: Duration = Duration::from_secs(3);
+
+/// How long all targets have to be seen before callers come: the time in which
+/// other hosts ask again for a view that they heard while it was empty.
+const SEEN_FOR: Duration = STALE_AFTER.saturating_add(LOOK_INTERVAL.saturating_mul(2));
+
 /// Runs until cancelled.
 pub(crate) async fn run(front: Arc<FrontContext>, stop: CancellationToken) {
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = async { tokio::join!(keep_fresh(&front), settle(&front)); } => {}
+    }
+}
+
+/// Lets callers come once all targets are seen.
+///
+/// Failure: hosts restart one after the other. One that has a configuration but
+/// has not heard of the owners yet answers that no shard has a replica; and
+/// when the next one stops before others have heard what this one owns, their
+/// answers lack the shards whose replicas these two own. So a host that starts
+/// says that it is ready only when its table is complete, and others' too.
+async fn settle(front: &FrontContext) {
+    let mut began = None;
+    let mut seen_since = None;
     let mut look = tokio::time::interval(LOOK_INTERVAL);
-    look.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        tokio::select! {
-            () = stop.cancelled() => return,
-            _ = look.tick() => refresh(&front).await,
+        look.tick().await;
+        if !front.fleet.status.borrow().ready {
+            continue;
         }
+        let now = Instant::now();
+        let began = *began.get_or_insert(now);
+        seen_since = match see_all(front).await {
+            true => seen_since.or(Some(now)),
+            false => None,
+        };
+        let seen_long = seen_since.is_some_and(|since| now.duration_since(since) >= SEEN_FOR);
+        if seen_long || now.duration_since(began) >= SETTLE_LIMIT {
+            return front.settle();
+        }
+    }
+}
+
+/// Asks owners that were not heard; tells whether each shard's are all known.
+async fn see_all(front: &FrontContext) -> bool {
+    let Some(config) = front.config() else { return false };
+    let fleet = front.fleet_view();
+    let mut complete = true;
+    for (service, _) in config.catalog.services() {
+        hear_owners(front, service, &config).await;
+        complete &= front.tables.is_complete(service, &config, &fleet, &front.views);
+    }
+    complete
+}
+
+async fn keep_fresh(front: &FrontContext) {
+    let mut look = tokio::time::interval(LOOK_INTERVAL);
+    look.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        look.tick().await;
+        refresh(front).await;
     }
 }
 
--- a/crates/hawthorn-daemon/src/request/front.rs
+++ b/crates/hawthorn-daemon/src/request/front.rs
@@ -64,6 +64,7 @@
     pub(crate) budget: Mutex<RetryBudget>,
     pub(crate) runner: Arc<OnceRunner>,
     pub(crate) metrics: MetricSet,
+    settled: AtomicBool,
     stopping: AtomicBool,
     open: watch::Sender<u64>,
 }
@@ -122,6 +123,7 @@
             budget: Mutex::default(),
             runner: parts.runner,
             metrics: parts.metrics,
+            settled: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             open: watch::channel(0).0,
         }
@@ -140,6 +142,12 @@
         matches!(tokio::time::timeout(grace, idle).await, Ok(Ok(_)))
     }
 
+    /// From now on the balancer may send callers here, if nothing else is
+    /// against it: the owners are known, or have been waited for long enough.
+    pub(crate) fn settle(&self) {
+        self.settled.store(true, Ordering::Release);
+    }
+
     /// From now on the balancer is told to go elsewhere. Requests that still
     /// come are served until the listener closes.
     pub fn stop(&self) {
@@ -160,7 +168,11 @@
         if status.platform_leaving {
             return Some("the platform is about to stop this host");
         }
-        (!status.ready).then_some("no configuration known to be current")
+        if !status.ready {
+            return Some("no configuration known to be current");
+        }
+        let settled = self.settled.load(Ordering::Acquire);
+        (!settled).then_some("the targets are not all seen yet")
     }
 
     /// Bounds on reading a request.
--- a/crates/hawthorn-daemon/src/version/tables.rs
+++ b/crates/hawthorn-daemon/src/version/tables.rs
@@ -81,6 +81,22 @@
         table
     }
 
+    /// Whether a replica is known in each zone that should have one, of every
+    /// shard of the service.
+    pub fn is_complete(
+        &self,
+        service: ServiceKey,
+        config: &ConfigInForce,
+        fleet: &FleetView,
+        views: &ViewTable,
+    ) -> bool {
+        let table = self.table(service, config, fleet, views);
+        table.shards().iter().all(|shard| {
+            let mut options = shard.options.iter();
+            !shard.options.is_empty() && options.all(|option| !option.versions.is_empty())
+        })
+    }
+
     /// Owners of the service's shards that were never heard.
     pub fn unheard(
         &self,
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -224,10 +224,14 @@
         let daemon = &self.daemons[index];
         let (_, text) = wire::page(daemon.caller, "/v1/status").await?;
         let report: FleetReport = serde_json::from_str(&text)?;
-        self.history.record(HistoryEvent::ConfigSeen {
-            daemon: daemon.spec.host.clone(),
-            revision: report.configuration.revision,
-        });
+        // A process that just started has none in force, and says so.
+        let has_none = report.configuration.revision == ConfigRevision(0);
+        if !(has_none && report.not_ready.is_some()) {
+            self.history.record(HistoryEvent::ConfigSeen {
+                daemon: daemon.spec.host.clone(),
+                revision: report.configuration.revision,
+            });
+        }
         Ok(report)
     }
 
