--- a/examples/tier-cost/throughput.rs
+++ b/examples/tier-cost/throughput.rs
@@ -7,10 +7,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hawthorn_intent::inventory;
+use hawthorn_standin::deployment;
 use hawthorn_standin::deployment::ServiceDescription;
 use hawthorn_standin::load::HttpTier;
 use hawthorn_standin::load::QueryTier;
 use hawthorn_standin::load::tier::HeardAnswer;
+use hawthorn_store::edit;
+use hawthorn_store::edit::ProposedEdit;
 use hawthorn_types::SearchQuery;
 
 use crate::figures;
@@ -23,6 +27,8 @@
 
 const WIDTHS: [u32; 5] = [1, 8, 24, 72, 270];
 const DAEMONS: usize = 3;
+/// The revision that a fleet starts with.
+const FIRST_REVISION: u64 = 1;
 /// Callers at once, each with one query at a time; the next step only while
 /// the one before helped.
 const CALLERS: [usize; 5] = [4, 8, 16, 32, 64];
@@ -67,7 +73,9 @@
 pub async fn run(report: &mut CostReport) -> TestResult {
     let services = WIDTHS.iter().map(|&width| service(width)).collect();
     let options = setup::fleet(setup::deployment(services), DAEMONS);
-    let fleet = TestFleet::start(options).await?;
+    let fleet = TestFleet::start_unready(options).await?;
+    apply(&fleet).await?;
+    fleet.wait_until_ready().await?;
     tokio::time::sleep(setup::SETTLE).await;
     let tier = setup::tier(&fleet);
     let rest = rest(&fleet).await?;
@@ -93,6 +101,31 @@
     Ok(())
 }
 
+/// Brings the inventory into force with shard names as wide as a service of
+/// more than 100 shards needs: the stand-ins write two digits always, which
+/// daemons refuse.
+async fn apply(fleet: &TestFleet) -> TestResult {
+    let mut inventory = fleet.deployment.inventory_toml();
+    for width in WIDTHS {
+        for shard in 0..width {
+            let name = name(width);
+            let written = format!("\"{}\"", deployment::shard_name(&name, shard));
+            let wanted = format!("\"{}\"", inventory::shard_name(&name, shard, width).0);
+            inventory = inventory.replace(&written, &wanted);
+        }
+    }
+    let proposed = ProposedEdit {
+        base: FIRST_REVISION,
+        edit_id: "wide".into(),
+        author: "cost".into(),
+        changed_at: 0,
+        inventory,
+        rules: fleet.deployment.rules_toml(),
+    };
+    edit::edit(&fleet.store(), &proposed, &edit::Options::default()).await?;
+    Ok(())
+}
+
 fn service(width: u32) -> ServiceDescription {
     ServiceDescription {
         replicas: 1,
