feat(plan): each caller's window at the front, learnt from how queries end

Cause: under a flood or saturation every query was let in; owners' fair queues gave each some of its pieces, so hardly any answer was whole and all took the deadline. The admission tests open the windows, as they test the shares; assertions are as before.

--- a/crates/hawthorn-daemon/src/connection/message.rs
+++ b/crates/hawthorn-daemon/src/connection/message.rs
@@ -95,6 +95,8 @@
     pub request: RequestId,
     /// Piece number and what became of it.
     pub parts: Vec<(u32, PieceOutcome)>,
+    /// The longest that one of them waited for a slot, in microseconds.
+    pub queued_us: u64,
     /// The owner's view, when newer than the front's.
     pub view: Option<OwnerView>,
 }
--- a/crates/hawthorn-daemon/src/connection/serve.rs
+++ b/crates/hawthorn-daemon/src/connection/serve.rs
@@ -104,7 +104,7 @@
 
 fn turned_away(batch: SearchBatch) -> BatchAnswer {
     let parts = batch.pieces.iter().map(|piece| (piece.number, PieceOutcome::NotOwner));
-    BatchAnswer { request: batch.request, parts: parts.collect(), view: None }
+    BatchAnswer { request: batch.request, parts: parts.collect(), queued_us: 0, view: None }
 }
 
 /// Serves calls until cancelled. The process first waits for calls in flight
--- a/crates/hawthorn-daemon/src/owner/batch.rs
+++ b/crates/hawthorn-daemon/src/owner/batch.rs
@@ -1,6 +1,7 @@
 //! Batches and pieces while the duty works on them.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use hawthorn_decide::message::PieceKey;
 use hawthorn_decide::time::TickTime;
@@ -24,6 +25,8 @@
     pub(crate) request: String,
     pub(crate) parts: Vec<(u32, PieceOutcome)>,
     pub(crate) left: usize,
+    /// The longest that a piece waited for its first slot.
+    pub(crate) queued: Duration,
     pub(crate) reply: oneshot::Sender<BatchAnswer>,
 }
 
@@ -60,6 +63,8 @@
     pub(crate) version: IndexVersion,
     pub(crate) range: KeyRange,
     pub(crate) deadline: TickTime,
+    /// When it came in; none once its wait for a slot is noted.
+    pub(crate) waits_since: Option<TickTime>,
 }
 
 /// All open batches and their pieces.
@@ -79,6 +84,15 @@
         key
     }
 
+    /// Notes that a piece waits for a slot no longer.
+    pub(crate) fn note_wait(&mut self, key: PieceKey, now: TickTime) {
+        let Some(piece) = self.pieces.get_mut(&key) else { return };
+        let Some(since) = piece.waits_since.take() else { return };
+        if let Some(OpenBatch::Search(open)) = self.batches.get_mut(&piece.batch) {
+            open.queued = open.queued.max(now.since(since));
+        }
+    }
+
     /// Takes a batch out with the keys of the pieces still open.
     pub(crate) fn withdraw(&mut self, batch: BatchKey) -> Vec<PieceKey> {
         if self.batches.remove(&batch).is_none() {
--- a/crates/hawthorn-daemon/src/owner/duty.rs
+++ b/crates/hawthorn-daemon/src/owner/duty.rs
@@ -324,6 +324,7 @@
     }
 
     fn send(&mut self, attempt: AttemptId, piece: PieceKey, target: TargetKey, deadline: TickTime) {
+        self.table.note_wait(piece, self.now());
         if !self.try_send(attempt, piece, target, deadline) {
             let now = self.now();
             let unsent = AttemptResult::ConnectionFailed { sent: false };
--- a/crates/hawthorn-daemon/src/owner/finish.rs
+++ b/crates/hawthorn-daemon/src/owner/finish.rs
@@ -38,6 +38,7 @@
 
     /// Ends a piece of a search that has no answer here.
     pub(super) fn end_missing(&mut self, piece: PieceKey, reason: MissingReason) {
+        self.table.note_wait(piece, self.now());
         if !self.relay_instead(piece, reason) {
             self.end_search_piece(piece, PieceOutcome::Missing(reason));
         }
@@ -83,7 +84,9 @@
     pub(super) fn answer(&self, open: OpenSearch) {
         let view = self.view.borrow();
         let view = (view.generation != open.batch.view).then(|| (**view).clone());
-        let answer = BatchAnswer { request: open.batch.request, parts: open.parts, view };
+        let queued_us = u64::try_from(open.queued.as_micros()).unwrap_or(u64::MAX);
+        let answer =
+            BatchAnswer { request: open.batch.request, parts: open.parts, queued_us, view };
         // A front that no longer listens has its reason; nothing is owed to it.
         let _gone = open.reply.send(answer);
     }
--- a/crates/hawthorn-daemon/src/owner/mod.rs
+++ b/crates/hawthorn-daemon/src/owner/mod.rs
@@ -113,6 +113,7 @@
                 .iter()
                 .map(|piece| (piece.number, PieceOutcome::Missing(MissingReason::Shedding)))
                 .collect(),
+            queued_us: 0,
             view: None,
         };
         if self.commands.try_send(OwnerCommand::Search { key, batch, reply }).is_err() {
--- a/crates/hawthorn-daemon/src/owner/take.rs
+++ b/crates/hawthorn-daemon/src/owner/take.rs
@@ -42,7 +42,14 @@
         let hop = batch.hop;
         let request = batch.request.to_string();
         let left = pieces.len();
-        let open = OpenSearch { batch, request, parts: Vec::with_capacity(left), left, reply };
+        let open = OpenSearch {
+            batch,
+            request,
+            parts: Vec::with_capacity(left),
+            left,
+            queued: Duration::ZERO,
+            reply,
+        };
         if left == 0 {
             return self.answer(open);
         }
@@ -57,6 +64,7 @@
                 version,
                 range: piece.range,
                 deadline,
+                waits_since: Some(now),
             };
             let relayed = hop == BatchHop::Front && self.has_relay(&open.shard);
             let key = self.table.add_piece(open);
@@ -114,6 +122,7 @@
             version,
             range: KeyRange::new(batch.key, batch.key + 1),
             deadline,
+            waits_since: None,
         });
         let request = batch.request.to_string();
         let open = OpenRun { batch, request, grant: Some(grant), reply };
--- a/crates/hawthorn-daemon/src/request/query.rs
+++ b/crates/hawthorn-daemon/src/request/query.rs
@@ -20,6 +20,7 @@
 use hawthorn_plan::track::Step;
 use hawthorn_plan::track::TrackContext;
 use hawthorn_plan::track::TrackedQuery;
+use hawthorn_plan::window::QueryEnd;
 use hawthorn_types::CallerAnswer;
 use hawthorn_types::CallerKey;
 use hawthorn_types::CallerOutcome;
@@ -35,6 +36,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
 
+use crate::connection::message::BatchAnswer;
 use crate::connection::message::BatchHop;
 use crate::connection::message::BatchPiece;
 use crate::connection::message::PieceOutcome;
@@ -66,15 +68,16 @@
         Err((request_id, reason)) => return front.refuse(request_id, reason, None),
     };
     hear_owners(front, checked.service, &checked.config).await;
-    let _admitted = match admit(front, &checked, began) {
+    let mut admitted = match admit(front, &checked, began) {
         Ok(admitted) => admitted,
         Err((reason, retry_after)) => {
             return front.refuse(checked.query.request_id, reason, retry_after);
         }
     };
     let request = new_request();
-    let found = search(front, &checked, request).await;
+    let (found, queued) = search(front, &checked, request).await;
     let took = front.now().saturating_sub(began);
+    admitted.end = Some(QueryEnd { queued, turned_away: is_turned_away(&found), took });
     count(front, &found, took);
     let mut answer = front.bare_answer(request, checked.query.request_id, CallerOutcome::Answer);
     answer.index_version = found.version;
@@ -129,12 +132,18 @@
     front: &'a FrontContext,
     caller: CallerKey,
     began: Duration,
+    /// None when the caller hung up: that says nothing of the load.
+    end: Option<QueryEnd>,
 }
 
 impl Drop for AdmittedQuery<'_> {
     fn drop(&mut self) {
         let took = self.front.now().saturating_sub(self.began);
         let mut load = self.front.load.lock().expect("no holder of the lock panics");
+        if let Some(end) = &self.end {
+            let window = &self.front.options.admit.window;
+            load.learn(self.caller, self.front.now(), end, window);
+        }
         load.finished(self.caller, took);
     }
 }
@@ -155,7 +164,9 @@
     };
     let mut load = front.load.lock().expect("no holder of the lock panics");
     match admit::admit(&mut load, &ask, &front.options.admit) {
-        admit::Outcome::Admitted => Ok(AdmittedQuery { front, caller: checked.caller, began }),
+        admit::Outcome::Admitted => {
+            Ok(AdmittedQuery { front, caller: checked.caller, began, end: None })
+        }
         admit::Outcome::Refused { reason, retry_after } => Err((reason, retry_after)),
     }
 }
@@ -181,9 +192,14 @@
     batch: BatchId,
     host: HostKey,
     pieces: Option<Vec<PieceAnswer>>,
+    queued: Duration,
 }
 
-async fn search(front: &FrontContext, checked: &CheckedQuery, request: RequestId) -> FinishedQuery {
+async fn search(
+    front: &FrontContext,
+    checked: &CheckedQuery,
+    request: RequestId,
+) -> (FinishedQuery, Duration) {
     let tracked = TrackedQuery {
         range: checked.range,
         limit: checked.query.limit as usize,
@@ -193,12 +209,13 @@
     let mut batches = FuturesUnordered::new();
     let mut guards: Vec<(BatchId, DropGuard)> = Vec::new();
     let mut wake = checked.deadline;
+    let mut queued = Duration::ZERO;
     let mut step =
         with_context(front, checked, |context| track::start(tracked, context, front.options.track));
     loop {
         let (track, actions) = match step {
             // Dropping the guards withdraws whatever is still open.
-            Step::Finished(found, _) => return *found,
+            Step::Finished(found, _) => return (*found, queued),
             Step::Waiting(track, actions) => (track, actions),
         };
         for action in actions {
@@ -212,7 +229,7 @@
                 Action::Wake(at) => wake = at,
             }
         }
-        let event = next_event(front, &mut batches, wake).await;
+        let event = next_event(front, &mut batches, wake, &mut queued).await;
         step = with_context(front, checked, |context| track.step(event, context));
     }
 }
@@ -221,6 +238,7 @@
     front: &FrontContext,
     batches: &mut FuturesUnordered<F>,
     wake: Duration,
+    queued: &mut Duration,
 ) -> Event
 where
     F: Future<Output = Option<BatchEnd>>,
@@ -230,7 +248,8 @@
     loop {
         tokio::select! {
             Some(end) = batches.next() => match end {
-                Some(BatchEnd { batch, host, pieces: Some(pieces) }) => {
+                Some(BatchEnd { batch, host, pieces: Some(pieces), queued: waited }) => {
+                    *queued = (*queued).max(waited);
                     return Event::BatchAnswered { batch, host, pieces };
                 }
                 Some(BatchEnd { host, .. }) => return Event::OwnerLost(host),
@@ -267,8 +286,10 @@
         () = stop.cancelled() => return None,
         asked = ask_owner(front, send.host, batch) => asked,
     };
-    let pieces = asked.map(|parts| parts.into_iter().filter_map(piece_answer).collect());
-    Some(BatchEnd { batch: send.batch, host: send.host, pieces })
+    let queued = asked.as_ref().map_or(0, |answer| answer.queued_us);
+    let pieces = asked.map(|answer| answer.parts.into_iter().map(piece_answer).collect());
+    let queued = Duration::from_micros(queued);
+    Some(BatchEnd { batch: send.batch, host: send.host, pieces, queued })
 }
 
 fn batch_of(
@@ -307,11 +328,11 @@
     front: &FrontContext,
     host: HostKey,
     batch: SearchBatch,
-) -> Option<Vec<(u32, PieceOutcome)>> {
+) -> Option<BatchAnswer> {
     let fleet = front.fleet_view();
     let record = fleet.hosts.get(&host)?;
     let request = batch.request;
-    let answer = if host == fleet.me {
+    let mut answer = if host == fleet.me {
         front.owner.search(batch).await
     } else {
         let client = front.links.client(record.peer).await.ok()?;
@@ -322,7 +343,7 @@
             .map_err(|error| front.links.judge(record.peer, error))
             .ok()?
     };
-    match answer.view {
+    match answer.view.take() {
         Some(view) => front.views.hear(record.id, view),
         None => front.views.touch(record.id),
     }
@@ -330,10 +351,22 @@
         front.metrics.count_dropped(1);
         return None;
     }
-    Some(answer.parts)
+    Some(answer)
+}
+
+/// Whether a part of the query was turned away for load, or waited in vain.
+fn is_turned_away(found: &FinishedQuery) -> bool {
+    found.coverage.missing.iter().any(|missing| {
+        matches!(
+            missing.reason,
+            MissingReason::Shedding
+                | MissingReason::QueuedPastDeadline
+                | MissingReason::DeadlinePast
+        )
+    })
 }
 
-fn piece_answer((number, outcome): (u32, PieceOutcome)) -> Option<PieceAnswer> {
+fn piece_answer((number, outcome): (u32, PieceOutcome)) -> PieceAnswer {
     let outcome = match outcome {
         PieceOutcome::Answered { version, searched, total, matches } => {
             track::PieceOutcome::Answered { version, searched, total, matches }
@@ -342,7 +375,7 @@
         PieceOutcome::Retired(versions) => track::PieceOutcome::VersionRetired { versions },
         PieceOutcome::NotOwner => track::PieceOutcome::Missing(MissingReason::OwnerUnreachable),
     };
-    Some(PieceAnswer { piece: PieceId(number), outcome })
+    PieceAnswer { piece: PieceId(number), outcome }
 }
 
 fn count(front: &FrontContext, found: &FinishedQuery, took: Duration) {
--- a/crates/hawthorn-plan/src/admit.rs
+++ b/crates/hawthorn-plan/src/admit.rs
@@ -11,6 +11,7 @@
 use strum::IntoStaticStr;
 
 use crate::load::FrontLoad;
+use crate::window;
 
 /// Bounds of one front.
 #[derive(Clone, Copy, Debug)]
@@ -31,6 +32,8 @@
     pub min_retry_after: Duration,
     /// Longest advice on when to ask again.
     pub max_retry_after: Duration,
+    /// Of each caller's window.
+    pub window: window::Options,
 }
 
 impl Default for Options {
@@ -43,6 +46,7 @@
             report_ttl: Duration::from_secs(1),
             min_retry_after: Duration::from_millis(20),
             max_retry_after: Duration::from_secs(5),
+            window: window::Options::default(),
         }
     }
 }
@@ -173,6 +177,10 @@
         return Some(RefusalReason::QueueFull);
     }
     let present = load.present(ask.now, options.presence_window).max(1);
+    if !load.window_allows(ask.caller, &options.window) {
+        let alone = present == 1;
+        return Some(if alone { RefusalReason::QueueFull } else { RefusalReason::CallerOverShare });
+    }
     let share = (options.max_in_flight / present).max(1);
     if load.held(ask.caller) < share && present > 1 {
         return None;
--- a/crates/hawthorn-plan/src/lib.rs
+++ b/crates/hawthorn-plan/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`budget`] | how much extra work fallbacks may cause |
 //! | [`track`] | the life of one query, events in and actions out |
 //! | [`merge`] | the best matches, each document once |
+//! | [`window`] | how much of a caller's load is let in at once |
 //! | [`cover`] | what the answer covers and what it does not |
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
@@ -25,6 +26,7 @@
 pub mod plan;
 pub mod table;
 pub mod track;
+pub mod window;
 
 pub use budget::RetryBudget;
 pub use load::FrontLoad;
@@ -37,3 +39,4 @@
 pub use table::ShardRecord;
 pub use table::ShardTable;
 pub use track::QueryTrack;
+pub use window::CallerWindow;
--- a/crates/hawthorn-plan/src/load.rs
+++ b/crates/hawthorn-plan/src/load.rs
@@ -4,6 +4,10 @@
 
 use hawthorn_types::CallerKey;
 
+use crate::window;
+use crate::window::CallerWindow;
+use crate::window::QueryEnd;
+
 /// Weight of the newest query in the smoothed time of a query, as a divisor:
 /// the average forgets a slow spell after some tens of queries.
 const SMOOTHING: u32 = 16;
@@ -12,6 +16,7 @@
 struct CallerLoad {
     in_flight: u32,
     asked_at: Option<Duration>,
+    window: CallerWindow,
 }
 
 /// The queries that a front has admitted and not yet answered.
@@ -60,6 +65,25 @@
             .fold(0, u32::saturating_add)
     }
 
+    /// Whether the caller's window lets one more query in.
+    pub fn window_allows(&self, caller: CallerKey, options: &window::Options) -> bool {
+        let load = self.callers.get(caller.index());
+        load.is_none_or(|load| load.window.allows(load.in_flight, options))
+    }
+
+    /// Takes in what a query of `caller` that ended says of the load. To be
+    /// called before [`FrontLoad::finished`].
+    pub fn learn(
+        &mut self,
+        caller: CallerKey,
+        now: Duration,
+        end: &QueryEnd,
+        options: &window::Options,
+    ) {
+        let load = self.entry(caller);
+        load.window.learn(now, load.in_flight, end, options);
+    }
+
     /// Notes that `caller` asked, whatever comes of it.
     pub fn asked(&mut self, caller: CallerKey, now: Duration) {
         self.entry(caller).asked_at = Some(now);
--- a/crates/hawthorn-plan/tests/admit.rs
+++ b/crates/hawthorn-plan/tests/admit.rs
@@ -9,6 +9,7 @@
 use hawthorn_plan::admit::Outcome;
 use hawthorn_plan::admit::QueryAsk;
 use hawthorn_plan::admit::WaitReport;
+use hawthorn_plan::window;
 use hawthorn_types::CallerKey;
 use hawthorn_types::RefusalReason;
 
@@ -34,7 +35,9 @@
 }
 
 fn options(max_in_flight: u32) -> admit::Options {
-    admit::Options { max_in_flight, ..admit::Options::default() }
+    // The windows stand open: what is tested here are the shares.
+    let window = window::Options { first: f64::from(max_in_flight), ..window::Options::default() };
+    admit::Options { max_in_flight, window, ..admit::Options::default() }
 }
 
 fn admit_many(load: &mut FrontLoad, caller: CallerKey, count: u32, max_in_flight: u32) -> u32 {
--- a/examples/tier-load/main.rs
+++ b/examples/tier-load/main.rs
@@ -7,6 +7,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::error::Error;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -252,7 +253,7 @@
         let compared =
             load::compare(Arc::clone(&tier) as Arc<_>, naive, &stage, control, &options).await?;
         if !arguments.json {
-            output.push_str(&missing(deployment, since));
+            output.push_str(&missing(deployment, daemons, since));
         }
         match arguments.json {
             true => output.push_str(&format!("{}\n", serde_json::to_string(&compared)?)),
@@ -263,10 +264,21 @@
 }
 
 /// Why ranges were missing from the tier's answers, and when.
-fn missing(deployment: &StandinDeployment, since: Duration) -> String {
+fn missing(deployment: &StandinDeployment, daemons: &LocalDaemons, since: Duration) -> String {
     let mut counts: BTreeMap<String, (u64, Duration, Duration)> = BTreeMap::new();
-    for record in deployment.history().records() {
-        let HistoryEvent::Answered { answer, .. } = &record.event else { continue };
+    let records = deployment.history().records();
+    let hosts: HashSet<u64> = records
+        .iter()
+        .filter_map(|record| match &record.event {
+            HistoryEvent::QuerySent(sent) if daemons.names.contains(&sent.front) => Some(sent.send),
+            _ => None,
+        })
+        .collect();
+    for record in records {
+        let HistoryEvent::Answered { send, answer } = &record.event else { continue };
+        if !hosts.contains(send) {
+            continue;
+        }
         let Some(coverage) = answer.coverage.as_ref().filter(|_| record.at >= since) else {
             continue;
         };
