feat: fronts place by what a search takes, relays by the faster zone

Cause: one target 10 times slower, alone in its zone: p99 259 ms of a 500 ms deadline. Fronts saw no queue there and kept sending; the owner's quantiles follow after hundreds of answers, and its relays were as late as its answers. Change: owners tell the recent time of their best replica and the wait at that pace; a relay is never later than three times what the other zone takes.

--- a/crates/hawthorn-daemon/src/connection/message.rs
+++ b/crates/hawthorn-daemon/src/connection/message.rs
@@ -112,6 +112,8 @@
     pub held: RangeSet,
     /// How long an urgent piece would wait for a slot, in microseconds.
     pub wait_us: u64,
+    /// How long the search then mostly takes, in microseconds.
+    pub service_us: u64,
     /// Replicas that are wanted to serve and have been ready for some seconds:
     /// another zone may switch one of its own off for their sake.
     pub ready: u32,
--- a/crates/hawthorn-daemon/src/owner/relay.rs
+++ b/crates/hawthorn-daemon/src/owner/relay.rs
@@ -113,9 +113,23 @@
             .is_some_and(|config| !other_zones(config, shard, &self.relays.links).is_empty())
     }
 
+    /// What a search of the shard takes in the best other zone; zero when unknown.
+    fn time_elsewhere(&self, shard: &ShardName) -> Duration {
+        let Some(config) = &self.config else { return Duration::ZERO };
+        let views = &self.relays.links.views;
+        let others = other_zones(config, shard, &self.relays.links);
+        let times = others.iter().filter_map(|other| {
+            let heard = views.get(other.id)?;
+            Some(heard.view.shard(shard)?.service_us).filter(|&time| time > 0)
+        });
+        Duration::from_micros(times.min().unwrap_or(0))
+    }
+
     /// Sets when the piece is relayed unless it has ended by then.
     pub(super) fn arm_relay(&mut self, piece: PieceKey, shard: ShardKey) {
-        let delay = relay::delay(self.state.service_time(shard), &self.relays.options);
+        let here = self.state.service_time(shard);
+        let elsewhere = self.time_elsewhere(self.shard_names.name(shard.0));
+        let delay = relay::delay(here, elsewhere, &self.relays.options);
         self.relays.due.push(Reverse((self.now().after(delay), piece)));
     }
 
--- a/crates/hawthorn-daemon/src/owner/tell.rs
+++ b/crates/hawthorn-daemon/src/owner/tell.rs
@@ -2,15 +2,18 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hawthorn_decide::counter::OwnerCounters;
 use hawthorn_decide::shift::Phase;
 use hawthorn_types::ShardKey;
+use hawthorn_types::ShardName;
 use hawthorn_types::UrgencyClass;
 
 use super::duty::OwnerDuty;
 use super::view;
 use super::view::OwnerGauges;
+use super::view::ShardTimes;
 use super::view::UsableReplica;
 
 impl OwnerDuty {
@@ -55,11 +58,19 @@
                 is_ready: target.usage.is_ready(),
             })
         });
-        view::shards(replicas, |shard| {
-            let number = self.shard_names.number(shard).map(ShardKey);
-            let wait = number.map(|key| self.state.expected_wait(key, UrgencyClass::Urgent));
-            wait.map_or(0, |wait| u64::try_from(wait.as_micros()).unwrap_or(u64::MAX))
-        })
+        view::shards(replicas, |shard| self.shard_times(shard))
+    }
+
+    fn shard_times(&self, shard: &ShardName) -> ShardTimes {
+        let Some(key) = self.shard_names.number(shard).map(ShardKey) else {
+            return ShardTimes::default();
+        };
+        let micros = |span: Duration| u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        let now = self.now();
+        ShardTimes {
+            wait_us: micros(self.state.current_wait(now, key, UrgencyClass::Urgent)),
+            service_us: micros(self.state.typical_time(now, key)),
+        }
     }
 }
 
--- a/crates/hawthorn-daemon/src/owner/view.rs
+++ b/crates/hawthorn-daemon/src/owner/view.rs
@@ -39,6 +39,13 @@
     pub extra_attempts: u64,
 }
 
+/// What a shard's pieces take, in microseconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ShardTimes {
+    pub(crate) wait_us: u64,
+    pub(crate) service_us: u64,
+}
+
 /// One usable replica.
 pub(crate) struct UsableReplica<'a> {
     pub(crate) shard: &'a ShardName,
@@ -57,7 +64,7 @@
 /// Puts replicas together by shard.
 pub(crate) fn shards<'a>(
     replicas: impl Iterator<Item = UsableReplica<'a>>,
-    wait_us: impl Fn(&ShardName) -> u64,
+    times_us: impl Fn(&ShardName) -> ShardTimes,
 ) -> Vec<ShardView> {
     let mut shards: BTreeMap<&ShardName, ShardReplicas> = BTreeMap::new();
     for replica in replicas {
@@ -70,7 +77,8 @@
     }
     let view = |(shard, ShardReplicas { versions, ready }): (&ShardName, _)| ShardView {
         shard: shard.clone(),
-        wait_us: told_wait(wait_us(shard)),
+        wait_us: told_wait(times_us(shard).wait_us),
+        service_us: told_wait(times_us(shard).service_us),
         held: versions.values().next_back().cloned().unwrap_or_default(),
         ready,
         versions: versions.into_keys().collect(),
--- a/crates/hawthorn-daemon/src/version/tables.rs
+++ b/crates/hawthorn-daemon/src/version/tables.rs
@@ -237,7 +237,9 @@
         options.push(ReplicaOption {
             zone,
             owner,
-            expected_wait: Duration::from_micros(view.as_ref().map_or(0, |view| view.wait_us)),
+            expected_wait: Duration::from_micros(
+                view.as_ref().map_or(0, |view| view.wait_us.saturating_add(view.service_us)),
+            ),
             versions: view.map(|view| view.versions).unwrap_or_default(),
         });
     }
--- a/crates/hawthorn-decide/src/owner/mod.rs
+++ b/crates/hawthorn-decide/src/owner/mod.rs
@@ -200,6 +200,29 @@
         self.tidy();
     }
 
+    /// What a search of a shard takes at its best replica here, as it was of
+    /// late; zero when the shard is unknown. Fronts place by it: a zone whose
+    /// only replica has become slow shows no queue while nobody asks it, and
+    /// its quantiles follow only after hundreds of slow answers.
+    pub fn typical_time(&self, now: TickTime, shard: ShardKey) -> Duration {
+        let Some(live) = self.shards.get(shard.index()) else { return Duration::ZERO };
+        let median = live.times.median();
+        let replicas = live.replicas.iter().map(|key| &self.targets[key.index()]);
+        let in_service = replicas.filter(|target| target.in_service());
+        let best = in_service.map(|target| target.latency(now, median)).min();
+        Duration::from_micros(best.unwrap_or(median))
+    }
+
+    /// The wait of a new piece as [`OwnerState::expected_wait`], at the pace of
+    /// late.
+    pub fn current_wait(&self, now: TickTime, shard: ShardKey, urgency: UrgencyClass) -> Duration {
+        let wait = self.expected_wait(shard, urgency);
+        let median = self.shards.get(shard.index()).map_or(0, |live| live.times.median());
+        let pace = self.typical_time(now, shard).as_secs_f64()
+            / Duration::from_micros(median.max(1)).as_secs_f64();
+        wait.mul_f64(pace.max(1.0))
+    }
+
     /// The 90th percentile of a shard's service time, as seen by this owner.
     pub fn service_time(&self, shard: ShardKey) -> Duration {
         let known = self.shards.get(shard.index());
--- a/crates/hawthorn-decide/src/relay.rs
+++ b/crates/hawthorn-decide/src/relay.rs
@@ -24,6 +24,10 @@
     pub least_delay: Duration,
     /// The delay while the shard's service time is not known yet.
     pub unknown_delay: Duration,
+    /// Never later than so many times what a search takes in the other zone:
+    /// where this zone's only replica is slow altogether, its own quantiles
+    /// would make every relay as late as its answers.
+    pub other_factor: u32,
 }
 
 impl Default for Options {
@@ -32,17 +36,24 @@
             delay_factor: 1.25,
             least_delay: Duration::from_millis(3),
             unknown_delay: Duration::from_millis(10),
+            other_factor: 3,
         }
     }
 }
 
 /// How long after it came in a piece is relayed, given the 90th percentile of
-/// its shard's service time (zero when unknown).
-pub fn delay(ninetieth: Duration, options: &Options) -> Duration {
-    if ninetieth.is_zero() {
-        return options.unknown_delay;
-    }
-    ninetieth.mul_f64(options.delay_factor).max(options.least_delay)
+/// its shard's service time here and what a search mostly takes in the other
+/// zone (each zero when unknown).
+pub fn delay(ninetieth: Duration, other: Duration, options: &Options) -> Duration {
+    let own = match ninetieth.is_zero() {
+        true => options.unknown_delay,
+        false => ninetieth.mul_f64(options.delay_factor),
+    };
+    let most = match other.is_zero() {
+        true => own,
+        false => other * options.other_factor,
+    };
+    own.min(most).max(options.least_delay)
 }
 
 /// Whether an owner takes a piece that another owner relays.
