test: a caller that is refused comes back when it was told to

Change: the later request is sent again as told, ten times at the most; the test still fails when it never runs or when the suspended one does.

--- a/tests/freezes.rs
+++ b/tests/freezes.rs
@@ -103,8 +103,10 @@
     assert!(matches!(heard.outcome, CallerOutcome::Unknown(_)), "{heard:?}");
     fleet.wait_until_ready().await?;
     // A later request of the same shard runs, so the earlier one would have.
+    // Owners that stood still use no slot until they know that nobody else
+    // does, so it may be refused at first.
     let later = fleet.once("agent-desk", request.key);
-    let ran = fleet.send_once(0, later).await?;
+    let ran = fleet.send_until_run(0, later).await?;
     assert_eq!(ran.outcome, CallerOutcome::Answer, "{ran:?}");
     let targets = &fleet.deployment.targets;
     let runs: u64 = targets.iter().map(|target| target.standin.control().counters().runs).sum();
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -70,29 +70,14 @@
         assert!(fleet.metric(0, "hawthorn_refusals", label).await? >= 1.0, "{outage:?}");
         assert_eq!(runs(&fleet), 0, "{outage:?}");
         platform.set_outage(StoreOutage::None);
-        let ran = until_run(&fleet, request).await?;
-        assert_eq!(ran, CallerOutcome::Answer, "{outage:?}");
+        let ran = fleet.send_until_run(0, request).await?;
+        assert_eq!(ran.outcome, CallerOutcome::Answer, "{outage:?}");
         assert_eq!(runs(&fleet), 1, "{outage:?}");
         fleet.check()?;
     }
     Ok(())
 }
 
-/// Sends a request to one host until it is no longer refused, as a caller does
-/// that keeps to the time it was told.
-async fn until_run(
-    fleet: &TestFleet,
-    request: hawthorn_types::OnceRequest,
-) -> TestResult<CallerOutcome> {
-    const SENDS: usize = 10;
-    for _ in 0..SENDS {
-        let answer = fleet.send_once(0, request.clone()).await?;
-        let Some(pause) = answer.retry_after_ms else { return Ok(answer.outcome) };
-        tokio::time::sleep(Duration::from_millis(pause)).await;
-    }
-    Err("the request is refused for good".into())
-}
-
 /// The store takes an operator's edit and its answer is lost, or it says that it
 /// is unavailable although the edit took effect. The operator would apply it
 /// again on top of itself or believe a race lost. The edit is told from others
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -39,6 +39,9 @@
 /// rests on how much of it was used.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+/// How often a caller sends a request that is refused.
+const MOST_SENDS: usize = 10;
+
 /// How a fleet is laid out.
 #[derive(Clone, Debug)]
 pub struct FleetOptions {
@@ -336,6 +339,21 @@
         self.hear(send, wire::call(daemon.caller, Method::POST, "/v1/request", body).await)
     }
 
+    /// Sends a request until it is no longer refused, as a caller does that
+    /// keeps to the time it was told.
+    pub async fn send_until_run(
+        &self,
+        index: usize,
+        request: OnceRequest,
+    ) -> TestResult<CallerAnswer> {
+        for _ in 0..MOST_SENDS {
+            let answer = self.send_once(index, request.clone()).await?;
+            let Some(pause) = answer.retry_after_ms else { return Ok(answer) };
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+        Err("the request is refused for good".into())
+    }
+
     fn hear(
         &self,
         send: u64,
