feat: control traffic by TCP is counted for each connection

Cause: bytes of connections closed in between made the sum fall. Change: the growth of each open connection is summed; connections are counted.

--- a/examples/tier-cost/control.rs
+++ b/examples/tier-cost/control.rs
@@ -1,6 +1,7 @@
 //! What a daemon at rest spends on control: bytes between daemons, calls on
 //! the platform, processor time and memory.
 
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
@@ -40,7 +41,7 @@
     cpu: Duration,
     udp_bytes: f64,
     datagrams: f64,
-    tcp_bytes: Option<u64>,
+    tcp_bytes: Option<HashMap<String, u64>>,
     calls: u64,
 }
 
@@ -52,8 +53,8 @@
     tokio::time::sleep(WINDOW).await;
     let after = spent(&fleet).await?;
     let daemon_seconds = (after.at - before.at).as_secs_f64() * size as f64;
-    let tcp_bytes = match (before.tcp_bytes, after.tcp_bytes) {
-        (Some(before), Some(after)) => after.saturating_sub(before) as f64,
+    let tcp_bytes = match (&before.tcp_bytes, &after.tcp_bytes) {
+        (Some(before), Some(after)) => machine::tcp_growth(before, after) as f64,
         _ => f64::NAN,
     };
     let resident: Vec<f64> = fleet
@@ -69,6 +70,10 @@
             ("udp_bytes_per_s", (after.udp_bytes - before.udp_bytes) / daemon_seconds),
             ("datagrams_per_s", (after.datagrams - before.datagrams) / daemon_seconds),
             ("tcp_bytes_per_s", tcp_bytes / daemon_seconds),
+            (
+                "tcp_connections_all",
+                after.tcp_bytes.as_ref().map_or(f64::NAN, |all| all.len() as f64),
+            ),
             ("platform_calls_per_s_all", {
                 let calls = (after.calls - before.calls) as f64;
                 calls / (after.at - before.at).as_secs_f64()
--- a/examples/tier-cost/machine.rs
+++ b/examples/tier-cost/machine.rs
@@ -1,5 +1,6 @@
 //! What the kernel says of the machine and of one process, read under `/proc`.
 
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::process::Command;
 use std::time::Duration;
@@ -59,13 +60,26 @@
     line.split_whitespace().nth(1)?.parse().ok()
 }
 
-/// Bytes sent so far on open TCP connections with one end at these ports, by
-/// both ends; none when the machine has no `ss`.
-pub fn tcp_bytes(ports: &HashSet<u16>) -> Option<u64> {
+/// Bytes sent so far on each open TCP connection with one end at these ports,
+/// by the sending end first; none when the machine has no `ss`.
+pub fn tcp_bytes(ports: &HashSet<u16>) -> Option<HashMap<String, u64>> {
     let output = Command::new("ss").args(["-tinOH"]).output().ok()?;
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
     let ours = text.lines().filter(|line| touches(line, ports));
-    Some(ours.filter_map(sent_bytes).sum())
+    Some(ours.filter_map(|line| Some((ends(line), sent_bytes(line)?))).collect())
+}
+
+/// What was sent between two looks. A connection that was closed in between
+/// is missing from the second one and not counted.
+pub fn tcp_growth(before: &HashMap<String, u64>, after: &HashMap<String, u64>) -> u64 {
+    let grown = after.iter().map(|(connection, &bytes)| {
+        bytes.saturating_sub(before.get(connection).copied().unwrap_or_default())
+    });
+    grown.sum()
+}
+
+fn ends(line: &str) -> String {
+    line.split_whitespace().skip(3).take(2).collect::<Vec<_>>().join(" ")
 }
 
 fn touches(line: &str, ports: &HashSet<u16>) -> bool {
