fix: the front claims and hands on; a request lying unread is not run late

Found while mending: time left is told as a span, so an owner suspended with the request unread ran it seconds after its caller had given up. The checker takes revision 0 in a refusal for no configuration, not for an older one; revision 0 in an answer is a planted violation now.

--- a/crates/hawthorn-daemon/src/connection/message.rs
+++ b/crates/hawthorn-daemon/src/connection/message.rs
@@ -153,6 +153,10 @@
     pub body: String,
     /// Microseconds left until the caller's deadline.
     pub left_us: u64,
+    /// Unix milliseconds from which on it must not be sent to a target: its
+    /// caller has given up, or its claim may be gone from the store. A time and
+    /// not a span, as a message can lie unread for seconds.
+    pub not_after_ms: u64,
 }
 
 /// What became of a non-idempotent request.
--- a/crates/hawthorn-daemon/src/connection/peer.rs
+++ b/crates/hawthorn-daemon/src/connection/peer.rs
@@ -50,7 +50,7 @@
     pub trait PeerService {
         /// Searches the pieces at targets that this host owns.
         async fn search(batch: SearchBatch) -> BatchAnswer;
-        /// Claims a non-idempotent request and runs it at a target that this host owns.
+        /// Runs a non-idempotent request, which its front has claimed, at a target that this host owns.
         async fn run(batch: OnceBatch) -> OnceOutcome;
         /// The owner's view of its shards.
         async fn view() -> OwnerView;
--- a/crates/hawthorn-daemon/src/connection/serve.rs
+++ b/crates/hawthorn-daemon/src/connection/serve.rs
@@ -30,7 +30,6 @@
 use crate::owner::OwnerHandle;
 use crate::process::events::LogEvent;
 use crate::process::fleet::FleetHandle;
-use crate::request::runner::OnceRunner;
 
 /// How long after a connection could not be accepted the next is tried.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -42,8 +41,6 @@
     pub owner: OwnerHandle,
     /// The duty that holds the configuration.
     pub fleet: FleetHandle,
-    /// Runs non-idempotent requests.
-    pub runner: Arc<OnceRunner>,
     /// Set near the end of a planned stop.
     pub closing: ClosingGate,
 }
@@ -84,7 +81,7 @@
         }
         // In a task of its own: the call is dropped when its front goes away,
         // but a request that is claimed has to be seen to its end.
-        let running = tokio::spawn(async move { self.runner.run(batch).await });
+        let running = tokio::spawn(async move { self.owner.run(batch).await });
         let lost = OnceOutcome::Unknown(hawthorn_types::UnknownReason::OwnerLost);
         running.await.unwrap_or(lost)
     }
--- a/crates/hawthorn-daemon/src/owner/batch.rs
+++ b/crates/hawthorn-daemon/src/owner/batch.rs
@@ -5,7 +5,6 @@
 
 use hawthorn_decide::message::PieceKey;
 use hawthorn_decide::time::TickTime;
-use hawthorn_store::claim::ClaimGrant;
 use hawthorn_types::IndexVersion;
 use hawthorn_types::KeyRange;
 use hawthorn_types::ShardName;
@@ -34,8 +33,6 @@
 pub(crate) struct OpenRun {
     pub(crate) batch: OnceBatch,
     pub(crate) request: String,
-    /// Spent when the request is sent.
-    pub(crate) grant: Option<ClaimGrant>,
     pub(crate) reply: oneshot::Sender<OnceOutcome>,
 }
 
--- a/crates/hawthorn-daemon/src/owner/duty.rs
+++ b/crates/hawthorn-daemon/src/owner/duty.rs
@@ -47,9 +47,9 @@
 use super::view::OwnerGauges;
 use crate::connection::message::OwnerView;
 use crate::connection::pool::TargetPool;
+use crate::process::clock::unix_now;
 use crate::process::events::LogEvent;
 use crate::process::metrics::MetricSet;
-use crate::request::runner::unix_now;
 use crate::version::config::ConfigInForce;
 use crate::version::owned::OwnedGroups;
 
@@ -252,9 +252,7 @@
     fn take_command(&mut self, command: OwnerCommand) {
         match command {
             OwnerCommand::Search { key, batch, reply } => self.take_search(key, batch, reply),
-            OwnerCommand::Run { key, batch, grant, reply } => {
-                self.take_run(key, batch, grant, reply);
-            }
+            OwnerCommand::Run { key, batch, reply } => self.take_run(key, batch, reply),
             OwnerCommand::Intend(round) => self.take_round(round),
             OwnerCommand::Withdraw(key) => {
                 let now = self.now();
@@ -362,8 +360,14 @@
                 attempt::search(pool, ask).boxed()
             }
             OpenBatch::Run(run) => {
-                let Some(grant) = run.grant.take() else { return false };
-                let Ok(_permit) = grant.dispatch(Instant::now(), unix_now()) else { return false };
+                // Failure: the process was suspended with the request unread in
+                // its socket, or the machine with its monotonic clock stood
+                // still. The caller has given up meanwhile, perhaps done it by
+                // other means, or the claim is gone. Nothing is sent then.
+                let not_after = Duration::from_millis(run.batch.not_after_ms);
+                if left.is_zero() || unix_now() >= not_after {
+                    return false;
+                }
                 let ask = TargetRun {
                     request: request.clone(),
                     attempt: attempt.0,
--- a/crates/hawthorn-daemon/src/owner/mod.rs
+++ b/crates/hawthorn-daemon/src/owner/mod.rs
@@ -23,7 +23,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hawthorn_store::claim::ClaimGrant;
 use hawthorn_types::MissingReason;
 use hawthorn_types::RefusalReason;
 use tokio::sync::mpsc;
@@ -58,7 +57,6 @@
     Run {
         key: BatchKey,
         batch: OnceBatch,
-        grant: ClaimGrant,
         reply: oneshot::Sender<OnceOutcome>,
     },
     /// Nobody waits for the batch any more.
@@ -125,12 +123,11 @@
         answer
     }
 
-    /// Runs a non-idempotent request. The grant is spent when the request is
-    /// sent, and given back when it never is.
-    pub async fn run(&self, batch: OnceBatch, grant: ClaimGrant) -> OnceOutcome {
+    /// Runs a non-idempotent request, claimed by its front.
+    pub async fn run(&self, batch: OnceBatch) -> OnceOutcome {
         let key = self.next_key();
         let (reply, answer) = oneshot::channel();
-        if self.commands.try_send(OwnerCommand::Run { key, batch, grant, reply }).is_err() {
+        if self.commands.try_send(OwnerCommand::Run { key, batch, reply }).is_err() {
             return OnceOutcome::NotRun(RefusalReason::QueueFull);
         }
         let lost = OnceOutcome::Unknown(hawthorn_types::UnknownReason::OwnerLost);
--- a/crates/hawthorn-daemon/src/owner/take.rs
+++ b/crates/hawthorn-daemon/src/owner/take.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use hawthorn_decide::message::QueuedPiece;
-use hawthorn_store::claim::ClaimGrant;
 use hawthorn_types::CallerKey;
 use hawthorn_types::IndexVersion;
 use hawthorn_types::KeyRange;
@@ -104,7 +103,6 @@
         &mut self,
         key: BatchKey,
         batch: OnceBatch,
-        grant: ClaimGrant,
         reply: oneshot::Sender<OnceOutcome>,
     ) {
         let now = self.now();
@@ -125,7 +123,7 @@
             waits_since: None,
         });
         let request = batch.request.to_string();
-        let open = OpenRun { batch, request, grant: Some(grant), reply };
+        let open = OpenRun { batch, request, reply };
         self.table.batches.insert(key, OpenBatch::Run(open));
         let queued = QueuedPiece {
             piece,
--- a/crates/hawthorn-daemon/src/process/daemon.rs
+++ b/crates/hawthorn-daemon/src/process/daemon.rs
@@ -47,7 +47,6 @@
 use crate::request::api;
 use crate::request::front::FrontContext;
 use crate::request::front::FrontParts;
-use crate::request::runner::OnceRunner;
 use crate::version::views::ViewTable;
 
 /// Calls to the store that may wait, at the most: the fleet's duty has one out.
@@ -152,7 +151,6 @@
         &stop,
         options::claims(&settings),
     );
-    let runner = Arc::new(OnceRunner::new(keeper, duties.owner.clone()));
     let front = Arc::new(FrontContext::new(FrontParts {
         options: options::front(&settings),
         zone: settings.zone.clone(),
@@ -162,14 +160,13 @@
         links: duties.links,
         views: duties.views,
         drift: duties.drift,
-        runner: Arc::clone(&runner),
+        keeper,
         metrics,
     }));
     let closing = ClosingGate::default();
     let server = PeerServer {
         owner: duties.owner.clone(),
         fleet: duties.fleet.clone(),
-        runner,
         closing: closing.clone(),
     };
     runtime
--- a/crates/hawthorn-daemon/src/process/mod.rs
+++ b/crates/hawthorn-daemon/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as the process: logs, metrics, the threads of its duties.
 
+pub(crate) mod clock;
 pub mod daemon;
 pub mod events;
 pub mod fleet;
--- a/crates/hawthorn-daemon/src/process/sweep.rs
+++ b/crates/hawthorn-daemon/src/process/sweep.rs
@@ -7,8 +7,8 @@
 use hawthorn_store::claim;
 use tokio_util::sync::CancellationToken;
 
+use crate::process::clock::unix_now;
 use crate::request::front::FrontContext;
-use crate::request::runner::unix_now;
 
 /// Claims are kept for a quarter of an hour; a minute more does no harm.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
--- a/crates/hawthorn-daemon/src/request/front.rs
+++ b/crates/hawthorn-daemon/src/request/front.rs
@@ -10,6 +10,7 @@
 use hawthorn_plan::RetryBudget;
 use hawthorn_plan::admit;
 use hawthorn_plan::track;
+use hawthorn_store::ClaimKeeper;
 use hawthorn_types::CallerAnswer;
 use hawthorn_types::CallerOutcome;
 use hawthorn_types::ConfigStamp;
@@ -24,7 +25,6 @@
 use crate::process::metrics::MetricSet;
 use crate::process::reconcile::DriftSnapshot;
 use crate::request::body;
-use crate::request::runner::OnceRunner;
 use crate::version::config::ConfigInForce;
 use crate::version::fleet::FleetView;
 use crate::version::tables::TableCache;
@@ -62,7 +62,7 @@
     pub(crate) tables: TableCache,
     pub(crate) load: Mutex<FrontLoad>,
     pub(crate) budget: Mutex<RetryBudget>,
-    pub(crate) runner: Arc<OnceRunner>,
+    pub(crate) keeper: ClaimKeeper,
     pub(crate) metrics: MetricSet,
     settled: AtomicBool,
     stopping: AtomicBool,
@@ -87,8 +87,8 @@
     pub views: Arc<ViewTable>,
     /// Targets owned here that are not as wanted.
     pub drift: watch::Receiver<Arc<DriftSnapshot>>,
-    /// Runs non-idempotent requests at targets owned here.
-    pub runner: Arc<OnceRunner>,
+    /// Claims non-idempotent requests.
+    pub keeper: ClaimKeeper,
     /// Instruments.
     pub metrics: MetricSet,
 }
@@ -121,7 +121,7 @@
             tables: TableCache::default(),
             load: Mutex::default(),
             budget: Mutex::default(),
-            runner: parts.runner,
+            keeper: parts.keeper,
             metrics: parts.metrics,
             settled: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
--- a/crates/hawthorn-daemon/src/request/mod.rs
+++ b/crates/hawthorn-daemon/src/request/mod.rs
@@ -6,5 +6,4 @@
 pub mod front;
 pub mod once;
 pub mod query;
-pub mod runner;
 pub mod status;
--- a/crates/hawthorn-standin/src/check/daemons.rs
+++ b/crates/hawthorn-standin/src/check/daemons.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 
+use hawthorn_types::CallerAnswer;
+use hawthorn_types::CallerOutcome;
 use hawthorn_types::ConfigRevision;
 
 use super::BrokenPromise;
@@ -28,6 +30,10 @@
         match &record.event {
             HistoryEvent::QuerySent(sent) => view.sent(sent.send, &sent.front),
             HistoryEvent::OnceSent(sent) => view.sent(sent.send, &sent.front),
+            // A restarted process that has no configuration yet says revision 0
+            // with its refusals: none is in force there. With anything that ran
+            // it would be a broken promise.
+            HistoryEvent::Answered { answer, .. } if is_unconfigured(answer) => {}
             HistoryEvent::Answered { send, answer } => {
                 view.answered(record, *send, answer.configuration.revision);
             }
@@ -48,6 +54,11 @@
     view.found
 }
 
+fn is_unconfigured(answer: &CallerAnswer) -> bool {
+    let refused = matches!(answer.outcome, CallerOutcome::NotRun(_));
+    refused && answer.configuration.revision == ConfigRevision::default()
+}
+
 impl<'a> DaemonView<'a> {
     fn sent(&mut self, send: u64, front: &'a str) {
         let had = self.newest.get(front).copied().unwrap_or_default();
--- a/crates/hawthorn-standin/tests/check.rs
+++ b/crates/hawthorn-standin/tests/check.rs
@@ -90,6 +90,16 @@
     HistoryEvent::Answered { send, answer }
 }
 
+fn refusal(send: u64) -> CallerAnswer {
+    let mut answer = half_answer(send);
+    answer.outcome = CallerOutcome::NotRun(RefusalReason::NoConfiguration);
+    answer.coverage = None;
+    answer.index_version = None;
+    answer.matches = Vec::new();
+    answer.total = 0;
+    answer
+}
+
 fn once_sent(send: u64, request_id: &str) -> HistoryEvent {
     HistoryEvent::OnceSent(SentOnce {
         send,
@@ -383,6 +393,27 @@
             events: vec![config(4), query_sent(1), answered(1, |_| {})],
             broken: vec![BrokenPromise::ConfigWentBack],
         },
+        HistoryCase {
+            name: "an answer is made without any configuration",
+            events: vec![
+                config(4),
+                query_sent(1),
+                answered(1, |answer| answer.configuration.revision = ConfigRevision(0)),
+            ],
+            broken: vec![BrokenPromise::ConfigWentBack],
+        },
+        HistoryCase {
+            name: "a restarted host that has no configuration yet refuses",
+            events: vec![
+                config(4),
+                query_sent(1),
+                answered(1, |answer| {
+                    *answer = refusal(1);
+                    answer.configuration.revision = ConfigRevision(0);
+                }),
+            ],
+            broken: vec![],
+        },
         HistoryCase {
             name: "work seven seconds after a target began to leave",
             events: late,
--- a/crates/hawthorn-store/src/claim/grant.rs
+++ b/crates/hawthorn-store/src/claim/grant.rs
@@ -27,11 +27,27 @@
     pub(super) expires_at: Duration,
 }
 
-/// Shown to whatever sends the request to a target.
+/// The right to send the request once, spent. Dropped, it stays spent.
 #[derive(Debug)]
 #[must_use = "the claim is spent: send the request now or report that it may have run"]
 pub struct DispatchPermit {
-    _private: (),
+    spent: ClaimGrant,
+    held: Option<ReleasedNonce>,
+}
+
+impl DispatchPermit {
+    /// When the claim may be gone from the store, as Unix time: whoever sends
+    /// the request on must not do so later.
+    pub fn expires_at(&self) -> Duration {
+        self.spent.expires_at
+    }
+
+    /// The request was sent on and certainly did not run and will not: the
+    /// claim is unspent again, to be sent elsewhere or given back.
+    pub fn not_run(mut self) -> ClaimGrant {
+        self.spent.released = self.held.take();
+        self.spent
+    }
 }
 
 quick_error! {
@@ -68,8 +84,8 @@
         if unix_now > self.expires_at {
             return Err(GrantExpired::TooOld);
         }
-        self.released = None;
-        Ok(DispatchPermit { _private: () })
+        let held = self.released.take();
+        Ok(DispatchPermit { spent: self, held })
     }
 }
 
--- a/crates/hawthorn-store/tests/claim.rs
+++ b/crates/hawthorn-store/tests/claim.rs
@@ -188,6 +188,26 @@
     Ok(())
 }
 
+/// The first owner that the order is handed to says that it will not run it, as
+/// its group has just moved. The claim is still this send's: the next owner may
+/// run it, and no other send may in between.
+#[tokio::test(start_paused = true)]
+async fn a_claim_that_certainly_did_not_run_is_handed_on() -> TestResult {
+    let store = FakeStore::new(LATENCY);
+    let (first, second) = (keeper(&store, 1), keeper(&store, 2));
+    let grant = granted(first.claim(ask("1700000000-a")).await)?;
+    let permit = grant.dispatch(Instant::now(), unix(NOW))?;
+    let outcome = second.claim(ask("1700000000-a")).await;
+    assert!(matches!(outcome, Outcome::HeldEarlier), "{outcome:?}");
+    let spent = permit.not_run().dispatch(Instant::now(), unix(NOW))?;
+    // Dropped spent, it stays spent: nobody runs the order a second time.
+    drop(spent);
+    sleep(SETTLED).await;
+    let outcome = second.claim(ask("1700000000-a")).await;
+    assert!(matches!(outcome, Outcome::HeldEarlier), "{outcome:?}");
+    Ok(())
+}
+
 /// The process is paused between claim and dispatch, and wakes after the agent
 /// has given up, or, where the monotonic clock stood still as well, after the
 /// claim was swept. A barge would come that nobody expects.
--- a/tests/freezes.rs
+++ b/tests/freezes.rs
@@ -75,9 +75,9 @@
     fleet.check()
 }
 
-/// An order confirmation waits for its claim while the store is slow. The host
-/// that claims it is suspended past the agent's deadline and goes on with the
-/// claim in hand. The agent has given up and may have called the barge by
+/// An order confirmation waits for its claim while the store is slow. The hosts
+/// that own its shard are suspended past the agent's deadline and go on with the
+/// claimed request in hand, or unread in their sockets. The agent has given up and may have called the barge by
 /// telephone; the order must not be sent now, nor when it is sent again late.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_suspended_claim_holder_does_not_run_a_request_past_its_deadline() -> TestResult {
