fix(daemon): a lone host is ready within a second

Cause: a host that is alone waited three seconds for zones that have no host, and the first call to the store and the look at targets were a second and more.

--- a/crates/hawthorn-daemon/src/process/options.rs
+++ b/crates/hawthorn-daemon/src/process/options.rs
@@ -31,7 +31,7 @@
 /// How long a daemon that hears nobody waits before its first call to the store.
 /// The seeds answer within some milliseconds and name everybody they know; a
 /// host that is alone should be ready within a second of its start.
-const START_PATIENCE: Duration = Duration::from_millis(500);
+const START_PATIENCE: Duration = Duration::from_millis(400);
 
 const PERCENT: f64 = 100.0;
 
--- a/crates/hawthorn-daemon/src/version/tables.rs
+++ b/crates/hawthorn-daemon/src/version/tables.rs
@@ -157,8 +157,10 @@
         shared
     }
 
-    /// Whether a replica is known in each zone that should have one, of every
-    /// shard of the service.
+    /// Whether a replica is known in each zone that should have one and has a
+    /// host, of every shard of the service. A host that is alone, and has waited
+    /// for others before it took its configuration from the store, waits for no
+    /// zone but its own.
     pub fn is_complete(
         &self,
         service: ServiceKey,
@@ -167,9 +169,11 @@
         views: &ViewTable,
     ) -> bool {
         let table = self.table(service, config, fleet, views);
+        let is_alone = fleet.live() <= 1;
         table.shards().iter().all(|shard| {
             let mut options = shard.options.iter();
-            !shard.options.is_empty() && options.all(|option| !option.versions.is_empty())
+            let is_held = options.all(|option| !option.versions.is_empty());
+            is_held && (is_alone || !shard.options.is_empty())
         })
     }
 
