--- a/crates/hawthorn-daemon/src/version/tables.rs
+++ b/crates/hawthorn-daemon/src/version/tables.rs
@@ -158,9 +158,9 @@
     }
 
     /// Whether a replica is known in each zone that should have one and has a
-    /// host, of every shard of the service. A host that is alone, and has waited
-    /// for others before it took its configuration from the store, waits for no
-    /// zone but its own.
+    /// host, of every shard of the service. A host that knows no other cannot
+    /// tell whether it is alone or has not been heard yet, so a shard that no
+    /// known host owns is not complete.
     pub fn is_complete(
         &self,
         service: ServiceKey,
@@ -169,11 +169,9 @@
         views: &ViewTable,
     ) -> bool {
         let table = self.table(service, config, fleet, views);
-        let is_alone = fleet.live() <= 1;
         table.shards().iter().all(|shard| {
             let mut options = shard.options.iter();
-            let is_held = options.all(|option| !option.versions.is_empty());
-            is_held && (is_alone || !shard.options.is_empty())
+            !shard.options.is_empty() && options.all(|option| !option.versions.is_empty())
         })
     }
 
