--- a/crates/hawthorn-daemon/src/process/refresh.rs
+++ b/crates/hawthorn-daemon/src/process/refresh.rs
@@ -36,7 +36,7 @@
 
 /// How long all targets have to be seen before callers come: the time in which
 /// other hosts ask again for a view that they heard while it was empty.
-const SEEN_FOR: Duration = BARE_AFTER.saturating_add(LOOK_INTERVAL);
+const SEEN_FOR: Duration = STALE_AFTER.saturating_add(LOOK_INTERVAL.saturating_mul(2));
 
 /// Runs until cancelled.
 pub(crate) async fn run(front: Arc<FrontContext>, stop: CancellationToken) {
