fix(edge): the duty that follows targets' entries outlives a second reading

Ruled out: watches that return short after the history is dropped; the debug lines E614 show that the watch was never made.

--- a/crates/hawthorn-edge/src/process/catalog.rs
+++ b/crates/hawthorn-edge/src/process/catalog.rs
@@ -39,7 +39,7 @@
 
 /// What is followed in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum CatalogPart {
+pub enum CatalogPart {
     /// The operators' configuration.
     Document,
     /// Targets' entries.
@@ -68,6 +68,13 @@
         match read_all(&client, part).await {
             Ok(items) => {
                 note_store(&mut reachable, part, None);
+                edge_event!(
+                    Level::Debug,
+                    EdgeEvent::StoreNews,
+                    "part={part:?} read_all as_of={} items={}",
+                    items.as_of,
+                    items.items.len()
+                );
                 take_all(&host, part, &items);
                 watch_on(&host, &client, part, items.as_of, &mut reachable).await;
             }
@@ -91,6 +98,13 @@
         match watch(client, part, after).await {
             WatchEnd::News(news) => {
                 note_store(reachable, part, None);
+                edge_event!(
+                    Level::Debug,
+                    EdgeEvent::StoreNews,
+                    "part={part:?} after={after} as_of={} items={}",
+                    news.as_of,
+                    news.items.len()
+                );
                 after = after.max(news.as_of);
                 for item in &news.items {
                     take(host, part, item);
@@ -168,14 +182,16 @@
 }
 
 /// Takes in a whole reading: what is not in it is gone.
-fn take_all(host: &RouteHost, part: CatalogPart, all: &StoreItems) {
+pub fn take_all(host: &RouteHost, part: CatalogPart, all: &StoreItems) {
     for item in &all.items {
         take(host, part, item);
     }
     if part == CatalogPart::Entries {
         let present: HashSet<&str> =
             all.items.iter().filter_map(|item| catalog::entry_id(&item.key).ok()).collect();
-        for id in host.beliefs.registry.borrow().ids() {
+        // Taken first: what is done for each id borrows the registry again.
+        let known = host.beliefs.registry.borrow().ids();
+        for id in known {
             if !present.contains(id.as_str()) {
                 remove(host, &id, all.as_of);
             }
--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -32,6 +32,8 @@
     StoreLost = 612,
     /// The store answers again.
     StoreBack = 613,
+    /// A reading or a watch of the store brought something, or nothing.
+    StoreNews = 614,
     /// The belief about a target changed.
     TargetChanged = 620,
     /// An entry in the store names no target.
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::task::JoinSet;
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -49,6 +50,10 @@
         System(what: &'static str, source: std::io::Error) {
             display("{what}: {source}")
         }
+        /// A duty ended although the process was not stopping.
+        Duty {
+            display("a duty ended")
+        }
         /// Metrics could not be set up.
         Metrics(source: metrics::Error) {
             display("{source}")
@@ -79,7 +84,11 @@
 }
 
 impl RouteHost {
-    fn new(settings: RouteSettings) -> Result<Self, Error> {
+    /// A host that knows nothing yet.
+    ///
+    /// # Errors
+    /// When metrics cannot be set up.
+    pub fn new(settings: RouteSettings) -> Result<Self, Error> {
         Ok(Self {
             beliefs: Beliefs::new(settings),
             metrics: EdgeMetrics::new()?,
@@ -133,14 +142,17 @@
     let callers = bind(listen.callers).await?;
     let ready = bind(listen.ready).await?;
     let figures = bind(listen.metrics).await?;
-    tokio::task::spawn_local(listen::callers(Rc::clone(&host), callers));
-    tokio::task::spawn_local(listen::pages(Rc::clone(&host), ready));
-    tokio::task::spawn_local(listen::pages(Rc::clone(&host), figures));
+    // Failure: a duty ends, by a fault of ours, and the host goes on with beliefs
+    // that nobody renews. It ends instead, and is started again.
+    let mut duties = JoinSet::new();
+    duties.spawn_local(listen::callers(Rc::clone(&host), callers));
+    duties.spawn_local(listen::pages(Rc::clone(&host), ready));
+    duties.spawn_local(listen::pages(Rc::clone(&host), figures));
     let client = StoreClient::new(host.beliefs.settings.store.address, client::Options::default());
     for part in [CatalogPart::Document, CatalogPart::Entries] {
-        tokio::task::spawn_local(catalog::follow(Rc::clone(&host), client.clone(), part));
+        duties.spawn_local(catalog::follow(Rc::clone(&host), client.clone(), part));
     }
-    tokio::task::spawn_local(sweep(Rc::clone(&host)));
+    duties.spawn_local(sweep(Rc::clone(&host)));
     let name = &host.beliefs.settings.host.name;
     let zone = &host.beliefs.settings.host.zone;
     edge_event!(Level::Info, EdgeEvent::HostStarted, "host={name} zone={zone}");
@@ -149,6 +161,10 @@
             _ = terms.recv() => break,
             _ = interrupts.recv() => break,
             _ = hangups.recv() => reload(),
+            Some(ended) = duties.join_next() => {
+                edge_event!(Level::Error, EdgeEvent::DutyFailed, "ended=\"{ended:?}\"");
+                return Err(Error::Duty);
+            }
         }
     }
     stop(&host).await;
