feat(edge): a host cut off from a route's targets steps aside

Ruled out: faster refusals alone; callers come back to the same zone. Change: a zone whose targets brought nothing to four requests for 320 ms is believed cut off; nothing is sent there; a host that whole routes cannot be answered from is not ready, so that callers are sent to other zones. Tests of the routes crate.

--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -44,6 +44,11 @@
     AttemptEnded = 631,
     /// An attempt was late and another was made, or could not be.
     AttemptLate = 632,
+    /// A zone's targets cannot be reached, or can again.
+    ZoneReach = 622,
+    /// The host steps aside, or takes callers again: whole kinds of requests
+    /// cannot be answered from here.
+    HostStranded = 623,
     /// A peer's message could not be understood.
     PeerMessageBroken = 640,
     /// A host of the fleet was heard of, or no longer is.
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -26,6 +26,7 @@
 use crate::process::events::EdgeEvent;
 use crate::process::metrics;
 use crate::process::metrics::EdgeMetrics;
+use crate::process::reach;
 use crate::settings::RouteSettings;
 use crate::version::beliefs::Beliefs;
 
@@ -103,7 +104,8 @@
 
     /// The host takes callers: it knows routes and targets and is not stopping.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.is_cancelled() && self.catalog_read.get() && self.beliefs.table().is_some()
+        let knows = self.catalog_read.get() && self.beliefs.table().is_some();
+        knows && !self.stopping.is_cancelled() && !self.beliefs.stranded.get()
     }
 
     /// Counts a request and returns its number.
@@ -153,6 +155,7 @@
         duties.spawn_local(catalog::follow(Rc::clone(&host), client.clone(), part));
     }
     duties.spawn_local(sweep(Rc::clone(&host)));
+    duties.spawn_local(reach::watch(Rc::clone(&host)));
     let name = &host.beliefs.settings.host.name;
     let zone = &host.beliefs.settings.host.zone;
     edge_event!(Level::Info, EdgeEvent::HostStarted, "host={name} zone={zone}");
--- a/crates/hawthorn-edge/src/process/mod.rs
+++ b/crates/hawthorn-edge/src/process/mod.rs
@@ -6,3 +6,4 @@
 pub mod host;
 pub mod logs;
 pub mod metrics;
+pub mod reach;
--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -70,9 +70,10 @@
     async fn run(self) -> AttemptReply {
         let sent = host_now();
         let left = self.order.time_left(sent);
-        let Some((target, service)) = self.note_start(sent) else {
+        let Some((target, service, zone)) = self.note_start(sent) else {
             return AttemptReply { end: AttemptEnd::NotSent, answer: None };
         };
+        self.host.beliefs.zone_sent(&zone, sent);
         let request = self.order.outgoing(&target, left);
         let exchange = self.pool.send(request, left + LINGER);
         let lingered = async {
@@ -90,6 +91,9 @@
             self.with_state(|state| state.abandon(sent, now, self.usual));
             return AttemptReply { end: AttemptEnd::Silent, answer: None };
         };
+        if result.is_ok() {
+            self.host.beliefs.zone_answered(&zone);
+        }
         let reply = self.judge(result, now);
         if reply.end == AttemptEnd::Silent {
             self.pool.clear();
@@ -112,10 +116,11 @@
         reply
     }
 
-    fn note_start(&self, sent: Duration) -> Option<(String, String)> {
+    fn note_start(&self, sent: Duration) -> Option<(String, String, String)> {
         self.with_state(|state| {
             state.send(sent);
-            (state.entry.id.clone(), state.entry.service.clone())
+            let entry = &state.entry;
+            (entry.id.clone(), entry.service.clone(), entry.zone.clone())
         })
     }
 
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -63,7 +63,8 @@
     let started = host_now();
     let _open = OpenCount::new(Rc::clone(&host));
     let mut answer = admit(&host, request, started).await;
-    if host.stopping.is_cancelled() {
+    // A caller of a host that steps aside is better served by another.
+    if host.stopping.is_cancelled() || host.beliefs.stranded.get() {
         let close = HeaderValue::from_static("close");
         answer.response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -12,7 +12,9 @@
 use hawthorn_route::budget;
 use hawthorn_route::budget::RetryBudget;
 use hawthorn_route::document::RouteRule;
+use hawthorn_route::document::RouteWay;
 use hawthorn_route::place;
+use hawthorn_route::reach::ZoneReach;
 use hawthorn_route::registry;
 use hawthorn_route::registry::TargetKey;
 use hawthorn_route::registry::TargetRegistry;
@@ -61,6 +63,9 @@
     times: RefCell<HashMap<String, ServiceTimes>>,
     dealers: RefCell<HashMap<String, WeightDealer>>,
     lots: RefCell<StdRng>,
+    zones: RefCell<HashMap<String, ZoneReach>>,
+    /// Whole kinds of requests cannot be answered from here while others could.
+    pub stranded: Cell<bool>,
     /// Hosts of the fleet that are known to live, this one too.
     pub hosts: Cell<usize>,
 }
@@ -77,6 +82,8 @@
             times: RefCell::default(),
             dealers: RefCell::default(),
             lots: RefCell::new(StdRng::seed_from_u64(rand::rng().random())),
+            zones: RefCell::default(),
+            stranded: Cell::new(false),
             hosts: Cell::new(1),
         }
     }
@@ -176,6 +183,7 @@
         let options = place::Options::default();
         let zone = &self.settings.host.zone;
         let registry = self.registry.borrow();
+        let zones = self.zones.borrow();
         let mut lots = self.lots.borrow_mut();
         let mut best: Option<(f64, TargetKey)> = None;
         for key in registry.of_service(service) {
@@ -183,6 +191,9 @@
                 continue;
             }
             let Some(state) = registry.get(*key) else { continue };
+            if zones.get(&state.entry.zone).is_some_and(|reach| reach.is_cut(now)) {
+                continue;
+            }
             let Some(score) = place::score(state, zone, usual, now, &options) else { continue };
             let drawn = score + lots.random_range(0.0..DRAW_SPREAD);
             if best.is_none_or(|(least, _)| drawn < least) {
@@ -216,6 +227,76 @@
         Some(pool)
     }
 
+    /// A request was sent to a target of the zone.
+    pub fn zone_sent(&self, zone: &str, now: Duration) {
+        let mut zones = self.zones.borrow_mut();
+        if let Some(reach) = zones.get_mut(zone) {
+            reach.sent(now);
+        } else {
+            zones.entry(zone.to_owned()).or_default().sent(now);
+        }
+    }
+
+    /// Something of the zone answered.
+    pub fn zone_answered(&self, zone: &str) {
+        if let Some(reach) = self.zones.borrow_mut().get_mut(zone) {
+            reach.answered();
+        }
+    }
+
+    /// The zones that are believed cut off.
+    pub fn cut_zones(&self, now: Duration) -> Vec<String> {
+        let zones = self.zones.borrow();
+        zones.iter().filter(|(_, reach)| reach.is_cut(now)).map(|(zone, _)| zone.clone()).collect()
+    }
+
+    /// Any target of a zone, to try the way to it.
+    pub fn any_target(&self, zone: &str) -> Option<std::net::SocketAddr> {
+        let registry = self.registry.borrow();
+        let there: Vec<std::net::SocketAddr> = registry
+            .iter()
+            .filter(|(_, state)| state.entry.zone == zone)
+            .map(|(_, state)| state.entry.address)
+            .collect();
+        let lot = self.lots.borrow_mut().random_range(0..there.len().max(1));
+        there.get(lot).copied()
+    }
+
+    /// Whether whole kinds of requests cannot be answered from here.
+    ///
+    /// The load it is for: this host's zone is cut off from the zones that hold
+    /// a route's targets, and callers still come. The harm it prevents: they
+    /// are refused for as long as the cut lasts, while hosts elsewhere would
+    /// serve them; a host that says it is not ready sends them there. Only a
+    /// zone that cannot be reached counts: targets that are down are down for
+    /// every host.
+    pub fn find_stranded(&self, now: Duration) -> bool {
+        let cut = self.cut_zones(now);
+        let Some(table) = self.table().filter(|_| !cut.is_empty()) else {
+            return false;
+        };
+        let registry = self.registry.borrow();
+        // Some target is known, and all that are lie behind the cut.
+        let lost = |service: &str| {
+            let mut zones = registry
+                .of_service(service)
+                .iter()
+                .filter_map(|key| registry.get(*key))
+                .map(|state| &state.entry.zone)
+                .peekable();
+            zones.peek().is_some() && zones.all(|zone| cut.contains(zone))
+        };
+        table.document().routes.iter().any(|route| match &route.way {
+            RouteWay::Single(service) => lost(service),
+            RouteWay::Weighted(parts) => parts.iter().all(|part| lost(&part.service)),
+            RouteWay::Gather(rule) => {
+                let gone = rule.shards.iter().filter(|shard| lost(shard)).count();
+                let share = (rule.shards.len() - gone) as f64 / rule.shards.len().max(1) as f64;
+                share < rule.least_share
+            }
+        })
+    }
+
     /// Lets go of what is held for targets that left.
     pub fn sweep(&self, now: Duration) {
         let gone = self.registry.borrow_mut().sweep(now, self.settings.targets.leave);
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`weight`] | which part of a weighted route a request goes to |
 //! | [`merge`] | the greatest records of many parts |
 //! | [`gather`] | when a query over many shards is answered, and with what |
+//! | [`reach`] | which zones cannot be reached |
 //! | [`outcome`] | what an attempt and a request came to |
 //!
 //! Nothing here opens a socket, reads a clock or starts a thread. Time is a
@@ -26,6 +27,7 @@
 pub mod merge;
 pub mod outcome;
 pub mod place;
+pub mod reach;
 pub mod registry;
 pub mod table;
 pub mod target;
--- a/crates/hawthorn-route/src/registry.rs
+++ b/crates/hawthorn-route/src/registry.rs
@@ -161,7 +161,12 @@
                 state.phase = TargetPhase::Leaving { until: now + self.options.last_use };
                 TargetChange::Removed
             }
-            TargetPhase::Leaving { .. } | TargetPhase::Gone => TargetChange::None,
+            // Nothing is left of it but the keys.
+            TargetPhase::Gone => {
+                state.phase = TargetPhase::Leaving { until: now };
+                TargetChange::Removed
+            }
+            TargetPhase::Leaving { .. } => TargetChange::None,
         }
     }
 
--- /dev/null
+++ b/crates/hawthorn-route/tests/gather.rs
@@ -0,0 +1,74 @@
+//! When a query over many shards is answered, and what its answer holds.
+
+use std::time::Duration;
+
+use hawthorn_route::gather::GatherState;
+use hawthorn_route::gather::GatherStep;
+use hawthorn_route::merge::TopRecords;
+
+#[test]
+fn a_query_waits_for_all_until_its_aim_and_then_for_enough() {
+    struct Case {
+        name: &'static str,
+        parts: usize,
+        lost: usize,
+        aim_left_ms: u64,
+        step: GatherStep,
+    }
+    let cases = [
+        Case { name: "nothing yet", parts: 0, lost: 0, aim_left_ms: 50, step: GatherStep::Wait },
+        Case {
+            name: "enough in time",
+            parts: 19,
+            lost: 0,
+            aim_left_ms: 50,
+            step: GatherStep::Wait,
+        },
+        Case { name: "all", parts: 20, lost: 0, aim_left_ms: 50, step: GatherStep::Answer },
+        Case {
+            name: "all that can come",
+            parts: 18,
+            lost: 2,
+            aim_left_ms: 50,
+            step: GatherStep::Answer,
+        },
+        Case {
+            name: "enough at the aim",
+            parts: 18,
+            lost: 0,
+            aim_left_ms: 0,
+            step: GatherStep::Answer,
+        },
+        Case {
+            name: "too few at the aim",
+            parts: 17,
+            lost: 0,
+            aim_left_ms: 0,
+            step: GatherStep::Wait,
+        },
+        Case {
+            name: "too few can come",
+            parts: 10,
+            lost: 3,
+            aim_left_ms: 50,
+            step: GatherStep::Fail,
+        },
+        Case { name: "none came", parts: 0, lost: 20, aim_left_ms: 50, step: GatherStep::Fail },
+    ];
+    for case in cases {
+        let Case { parts, lost, .. } = case;
+        let state = GatherState { shards: 20, parts, lost, least_share: 0.89 };
+        assert_eq!(state.step(Duration::from_millis(case.aim_left_ms)), case.step, "{}", case.name);
+    }
+}
+
+#[test]
+fn an_answer_holds_the_greatest_records_falling() {
+    let record = |byte: u8| [byte; 16];
+    let mut top = TopRecords::new(3);
+    top.add(&[record(1), record(9)].concat());
+    top.add(&[record(9), record(4)].concat());
+    top.add(&[&record(7)[..], &[255; 15]].concat());
+    assert_eq!(top.into_body(), [record(9), record(9), record(7)].concat());
+    assert!(TopRecords::new(5).into_body().is_empty());
+}
--- /dev/null
+++ b/crates/hawthorn-route/tests/targets.rs
@@ -0,0 +1,239 @@
+//! What is believed of targets, and which one an attempt goes to.
+
+use std::time::Duration;
+
+use hawthorn_decide::latency::ServiceTimes;
+use hawthorn_route::document::TargetEntry;
+use hawthorn_route::hedge;
+use hawthorn_route::outcome::AttemptEnd;
+use hawthorn_route::place;
+use hawthorn_route::reach::ZoneReach;
+use hawthorn_route::registry;
+use hawthorn_route::registry::TargetChange;
+use hawthorn_route::registry::TargetRegistry;
+use hawthorn_route::target::TargetPhase;
+use hawthorn_route::target::TargetState;
+use hawthorn_route::target::ToldLoad;
+
+const USUAL: Duration = Duration::from_millis(15);
+
+fn entry(id: &str, zone: &str) -> TargetEntry {
+    TargetEntry {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: zone.to_owned(),
+        slots: 2,
+        draining: false,
+        cold: Duration::ZERO,
+        born: None,
+    }
+}
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn score(state: &TargetState, now: Duration) -> Option<f64> {
+    place::score(state, "east", USUAL, now, &place::Options::default())
+}
+
+/// Two targets hold a shard. One of them pauses, slows down, fails, fills up,
+/// or leaves; the other must be preferred from then on, and only where both are
+/// sound does the zone decide.
+#[test]
+fn the_sounder_target_is_preferred() {
+    struct Case {
+        name: &'static str,
+        zone: &'static str,
+        harm: fn(&mut TargetState),
+    }
+    let cases = [
+        Case { name: "in another zone", zone: "west", harm: |_| {} },
+        Case {
+            name: "silent to an earlier request",
+            zone: "east",
+            harm: |state| state.send(ms(900)),
+        },
+        Case {
+            name: "could not be reached",
+            zone: "east",
+            harm: |state| state.end(ms(990), ms(995), AttemptEnd::NotSent, USUAL),
+        },
+        Case {
+            name: "slow",
+            zone: "east",
+            harm: |state| {
+                (0..20).for_each(|_| state.end(ms(0), ms(150), AttemptEnd::Answered, USUAL))
+            },
+        },
+        Case {
+            name: "fails what it runs",
+            zone: "east",
+            harm: |state| (0..5).for_each(|_| state.end(ms(0), ms(5), AttemptEnd::Failed, USUAL)),
+        },
+        Case {
+            name: "says it is full",
+            zone: "east",
+            harm: |state| state.tell(ToldLoad { running: 2, waiting: 5, slots: 2, at: ms(990) }),
+        },
+        Case { name: "cold", zone: "east", harm: |state| state.cold_until = ms(2000) },
+        Case {
+            name: "leaving",
+            zone: "east",
+            harm: |state| state.phase = TargetPhase::Leaving { until: ms(2000) },
+        },
+    ];
+    let now = ms(1000);
+    let sound = TargetState::new(entry("sound", "east"), 1, ms(0));
+    for case in cases {
+        let mut harmed = TargetState::new(entry("harmed", case.zone), 1, ms(0));
+        (case.harm)(&mut harmed);
+        let (sound, harmed) = (score(&sound, now), score(&harmed, now));
+        assert!(sound < harmed, "{}: {sound:?} {harmed:?}", case.name);
+    }
+}
+
+/// A target says that it is leaving, and serves for three seconds more. New
+/// work goes there only while the service has nobody else, and soon not at all.
+#[test]
+fn a_leaving_target_takes_work_only_for_a_short_time() {
+    let mut state = TargetState::new(entry("a", "east"), 1, ms(0));
+    state.phase = TargetPhase::Leaving { until: ms(1500) };
+    assert!(score(&state, ms(1400)).is_some());
+    assert!(score(&state, ms(1500)).is_none());
+    state.phase = TargetPhase::Gone;
+    assert!(score(&state, ms(1)).is_none());
+}
+
+#[test]
+fn news_of_a_target_is_taken_in_by_its_revision() {
+    struct Case {
+        name: &'static str,
+        news: fn(&mut TargetRegistry) -> TargetChange,
+        change: TargetChange,
+        ready: usize,
+    }
+    fn with(change: impl Fn(&mut TargetEntry)) -> TargetEntry {
+        let mut entry = entry("a", "east");
+        entry.born = Some(100);
+        change(&mut entry);
+        entry
+    }
+    let cases = [
+        Case {
+            name: "the same again",
+            news: |targets| targets.put(with(|_| {}), 6, ms(10)),
+            change: TargetChange::None,
+            ready: 1,
+        },
+        Case {
+            name: "an older word, read late",
+            news: |targets| targets.put(with(|entry| entry.draining = true), 4, ms(10)),
+            change: TargetChange::None,
+            ready: 1,
+        },
+        Case {
+            name: "leaving",
+            news: |targets| targets.put(with(|entry| entry.draining = true), 6, ms(10)),
+            change: TargetChange::Draining,
+            ready: 0,
+        },
+        Case {
+            name: "started again under its id",
+            news: |targets| targets.put(with(|entry| entry.born = Some(200)), 6, ms(10)),
+            change: TargetChange::Born,
+            ready: 1,
+        },
+        Case {
+            name: "moved to another service",
+            news: |targets| targets.put(with(|entry| entry.service = "t".to_owned()), 6, ms(10)),
+            change: TargetChange::Born,
+            ready: 0,
+        },
+        Case {
+            name: "its entry is gone",
+            news: |targets| targets.remove("a", 6, ms(10)),
+            change: TargetChange::Removed,
+            ready: 0,
+        },
+        Case {
+            name: "an older removal, read late",
+            news: |targets| targets.remove("a", 4, ms(10)),
+            change: TargetChange::None,
+            ready: 1,
+        },
+    ];
+    for case in cases {
+        let mut targets = TargetRegistry::new(registry::Options::default());
+        targets.put(with(|_| {}), 5, ms(0));
+        assert_eq!((case.news)(&mut targets), case.change, "{}", case.name);
+        let ready = targets.of_service("s").iter().filter_map(|key| targets.get(*key));
+        let ready = ready.filter(|state| state.phase == TargetPhase::Ready).count();
+        assert_eq!(ready, case.ready, "{}", case.name);
+    }
+}
+
+/// The store is down for a while and lets entries lapse; the target has been
+/// well all the time and its entry is back two seconds later.
+#[test]
+fn a_target_whose_entry_lapsed_returns() {
+    let mut targets = TargetRegistry::new(registry::Options::default());
+    targets.put(entry("a", "east"), 5, ms(0));
+    targets.remove("a", 6, ms(1000));
+    assert_eq!(targets.put(entry("a", "east"), 7, ms(3000)), TargetChange::Returned);
+}
+
+/// An address was given to another service: its target answers that it is not
+/// the one that was meant. The old entry is forgotten once it is removed.
+#[test]
+fn a_target_that_another_took_the_place_of_is_forgotten() {
+    let mut targets = TargetRegistry::new(registry::Options::default());
+    targets.put(entry("a", "east"), 5, ms(0));
+    let key = targets.of_service("s")[0];
+    let state = targets.get_mut(key).expect("it was put");
+    state.end(ms(0), ms(1), AttemptEnd::Misdirected, USUAL);
+    assert!(score(targets.get(key).expect("it is there"), ms(2)).is_none());
+    targets.remove("a", 6, ms(10));
+    assert_eq!(targets.sweep(ms(60_000), ms(3000)), [key]);
+    assert!(targets.ids().is_empty());
+}
+
+/// A zone is cut off while callers still reach hosts on both sides. Requests
+/// there bring nothing; soon none is sent, and the first word ends it.
+#[test]
+fn a_zone_is_cut_off_after_several_silent_requests() {
+    struct Case {
+        name: &'static str,
+        sent_ms: &'static [u64],
+        now_ms: u64,
+        cut: bool,
+    }
+    let cases = [
+        Case { name: "nothing sent", sent_ms: &[], now_ms: 1000, cut: false },
+        Case { name: "one request", sent_ms: &[0], now_ms: 1000, cut: false },
+        Case { name: "many at once, a moment ago", sent_ms: &[0; 20], now_ms: 200, cut: false },
+        Case { name: "many, for long", sent_ms: &[0, 50, 100, 150], now_ms: 400, cut: true },
+    ];
+    for case in cases {
+        let mut reach = ZoneReach::default();
+        case.sent_ms.iter().for_each(|at| reach.sent(ms(*at)));
+        assert_eq!(reach.is_cut(ms(case.now_ms)), case.cut, "{}", case.name);
+        reach.answered();
+        assert!(!reach.is_cut(ms(case.now_ms)), "{}", case.name);
+    }
+}
+
+/// A few targets pause, and each query waits for the slowest of its shards. A
+/// second attempt is made beyond nearly all ordinary times, later when the
+/// budget runs out, and early enough to be in time itself.
+#[test]
+fn an_attempt_is_late_beyond_ordinary_times() {
+    let mut times = ServiceTimes::new(10_000);
+    (0..100).for_each(|step| times.record(10_000 + step * 100));
+    let options = hedge::Options::default();
+    let delay = |aim, fullness| hedge::delay(&times, ms(aim), fullness, &options);
+    assert!((ms(20)..ms(30)).contains(&delay(120, 1.0)));
+    assert!(delay(120, 0.0) > delay(120, 1.0));
+    assert!(delay(50, 0.0) <= ms(50).mul_f64(options.aim_share));
+}
