feat(edge): shards without a target in the zone are gathered by one peer near them

Ruled out: preferring own targets more (they have none there). Change: membership by the fleet crate's heartbeats over UDP from the seeds; calls by tarpc; a peer of the zone with most of these shards gathers them and answers with receipts and records; shards it never sent are gathered here.

--- a/crates/hawthorn-edge/src/connection/listen.rs
+++ b/crates/hawthorn-edge/src/connection/listen.rs
@@ -32,7 +32,8 @@
 /// The path of metrics.
 const METRICS_PATH: &str = "/metrics";
 
-async fn accept(listener: &TcpListener) -> TcpStream {
+/// The next connection; outlives errors of the system.
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => return stream,
--- /dev/null
+++ b/crates/hawthorn-edge/src/connection/message.rs
@@ -0,0 +1,48 @@
+//! Messages between hosts that route requests. They travel by tarpc with
+//! bincode, so they use no tagged or flattened serde shapes.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Shards of one query that another host is asked to gather.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatherOrder {
+    /// HTTP method.
+    pub method: String,
+    /// Path and query as the caller sent them.
+    pub uri: String,
+    /// Headers but those of the caller's connection: name and value.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// The caller's body.
+    pub body: Vec<u8>,
+    /// The caller's id of this try.
+    pub attempt_id: Option<String>,
+    /// Version of the routes that the query began with.
+    pub version: u64,
+    /// Name of its route in that version.
+    pub route: String,
+    /// Which of the route's shards, by their place in its list.
+    pub shards: Vec<u16>,
+    /// Microseconds until nobody waits any more. A span, as clocks differ.
+    pub left_us: u64,
+    /// Microseconds within which the parts are worth all they can be.
+    pub aim_left_us: u64,
+}
+
+/// What another host gathered.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GatherReply {
+    /// Parts of some or all of the shards.
+    Parts {
+        /// The targets' signatures, one a part.
+        receipts: Vec<Vec<u8>>,
+        /// The greatest records of these parts, falling.
+        records: Vec<u8>,
+        /// Shards without a part.
+        missing: u16,
+    },
+    /// Nothing was sent: that version is not known there.
+    OtherVersion,
+    /// Nothing was sent: the host is stopping.
+    Stopping,
+}
--- a/crates/hawthorn-edge/src/connection/mod.rs
+++ b/crates/hawthorn-edge/src/connection/mod.rs
@@ -1,3 +1,5 @@
-//! What lives as long as a caller's connection.
+//! What lives as long as a connection, of a caller or a peer.
 
 pub mod listen;
+pub mod message;
+pub mod peer;
--- /dev/null
+++ b/crates/hawthorn-edge/src/process/fleet.rs
@@ -0,0 +1,139 @@
+//! Which other hosts of the fleet live, by heartbeats over UDP.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use hawthorn_fleet::FleetAction;
+use hawthorn_fleet::MemberDigest;
+use hawthorn_fleet::MemberPhase;
+use hawthorn_fleet::MemberPlace;
+use hawthorn_fleet::MemberTable;
+use hawthorn_fleet::member;
+use hawthorn_types::ConfigRevision;
+use log::Level;
+use rand::RngExt;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::edge_event;
+use crate::process::clock::host_now;
+use crate::process::events::EdgeEvent;
+use crate::process::host::RouteHost;
+use crate::settings::RouteSettings;
+
+/// Longer than any datagram of ours; the table refuses what is over its limit.
+const DATAGRAM_BYTES: usize = 2_048;
+/// Between pings to members of the own zone. Twice that of a host that owns
+/// targets: here a member that died costs one query's time, not slots.
+const HEARTBEAT: Duration = Duration::from_millis(400);
+/// A peer that is not pinged directly is looked at so often.
+const LONGEST_SLEEP: Duration = Duration::from_millis(100);
+
+/// A table that knows this host alone and its seeds.
+///
+/// The incarnation is the time of day, but a host whose clock was set back
+/// between two lives takes a greater one as soon as a peer speaks of the
+/// earlier life.
+pub(crate) fn table(settings: &RouteSettings) -> MemberTable {
+    let place = MemberPlace {
+        host: settings.host.name.clone(),
+        zone: settings.host.zone.clone(),
+        peer: settings.listen.peers,
+    };
+    let options = member::Options { heartbeat: HEARTBEAT, ..member::Options::default() };
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let incarnation = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+    let mut table = MemberTable::new(place, incarnation, options, rand::rng().random());
+    let port = settings.listen.peers.port();
+    let seeds: Vec<SocketAddr> = settings
+        .fleet
+        .seeds
+        .iter()
+        .map(|seed| SocketAddr::new(seed.ip(), port))
+        .filter(|seed| *seed != settings.listen.peers)
+        .collect();
+    table.seed(Duration::ZERO, &seeds);
+    table
+}
+
+/// Exchanges heartbeats for as long as the process lives.
+pub(crate) async fn run(host: Rc<RouteHost>, socket: UdpSocket) {
+    let mut datagram = vec![0; DATAGRAM_BYTES];
+    let started = host_now();
+    loop {
+        let passed = host_now().saturating_sub(started);
+        let wake = host.members.borrow().next_wake().saturating_sub(passed).min(LONGEST_SLEEP);
+        let heard = tokio::select! {
+            heard = socket.recv_from(&mut datagram) => heard.ok(),
+            () = sleep(wake) => None,
+        };
+        let now = host_now().saturating_sub(started);
+        if let Some((len, from)) = heard
+            && let Err(error) = host.members.borrow_mut().receive(now, from, &datagram[..len])
+        {
+            edge_event!(
+                Level::Debug,
+                EdgeEvent::PeerMessageBroken,
+                "from={from} error=\"{error}\""
+            );
+        }
+        tick(&host, now);
+        act(&host, &socket).await;
+    }
+}
+
+fn tick(host: &RouteHost, now: Duration) {
+    let version = host.beliefs.table().map_or(0, |table| table.version());
+    let digest = MemberDigest {
+        revision: ConfigRevision(version),
+        ready: host.is_ready(),
+        ..MemberDigest::default()
+    };
+    let mut members = host.members.borrow_mut();
+    members.tick(now);
+    members.set_digest(now, digest);
+    if host.stopping.is_cancelled() {
+        members.leave(now);
+    }
+    let live = members.records().filter(|record| record.is_live()).count();
+    host.beliefs.hosts.set(live);
+}
+
+async fn act(host: &RouteHost, socket: &UdpSocket) {
+    loop {
+        let action = host.members.borrow_mut().poll_action();
+        match action {
+            None => return,
+            // A datagram may be lost anywhere; here is no different.
+            Some(FleetAction::Send { to, bytes }) => {
+                let _sent = socket.send_to(&bytes, to).await;
+            }
+            Some(FleetAction::MemberUp(key)) => note(host, key, "up"),
+            Some(FleetAction::MemberDown(key)) => note(host, key, "down"),
+            Some(FleetAction::MemberLeaving(key)) => note(host, key, "leaving"),
+            Some(_) => {}
+        }
+    }
+}
+
+fn note(host: &RouteHost, key: hawthorn_types::HostKey, change: &str) {
+    let members = host.members.borrow();
+    if let Some(record) = members.record(key) {
+        let (name, zone) = (&record.place.host, &record.place.zone);
+        edge_event!(Level::Info, EdgeEvent::PeerChanged, "host={name} zone={zone} change={change}");
+    }
+}
+
+/// The peers of a zone that take work.
+pub(crate) fn serving_peers(host: &RouteHost, zone: &str) -> Vec<SocketAddr> {
+    let members = host.members.borrow();
+    let me = members.me();
+    members
+        .hosts(zone)
+        .filter(|record| record.key != me && record.phase == MemberPhase::Serving)
+        .map(|record| record.place.peer)
+        .collect()
+}
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -1,16 +1,19 @@
 //! A host from start to stop.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use hawthorn_fleet::MemberTable;
 use hawthorn_store::StoreClient;
 use hawthorn_store::client;
 use log::Level;
 use quick_error::quick_error;
 use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::task::JoinSet;
@@ -19,11 +22,14 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::connection::listen;
+use crate::connection::peer;
+use crate::connection::peer::PeerLinks;
 use crate::edge_event;
 use crate::process::catalog;
 use crate::process::catalog::CatalogPart;
 use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
+use crate::process::fleet;
 use crate::process::metrics;
 use crate::process::metrics::EdgeMetrics;
 use crate::process::reach;
@@ -70,6 +76,10 @@
     pub beliefs: Beliefs,
     /// Counters and histograms.
     pub metrics: EdgeMetrics,
+    /// Which other hosts live.
+    pub members: RefCell<MemberTable>,
+    /// Connections to them.
+    pub links: PeerLinks,
     /// Entries of targets were read whole at least once.
     pub catalog_read: Cell<bool>,
     /// The order to stop came: no new callers, and answers end their connections.
@@ -91,6 +101,8 @@
     /// When metrics cannot be set up.
     pub fn new(settings: RouteSettings) -> Result<Self, Error> {
         Ok(Self {
+            members: RefCell::new(fleet::table(&settings)),
+            links: PeerLinks::default(),
             beliefs: Beliefs::new(settings),
             metrics: EdgeMetrics::new()?,
             catalog_read: Cell::new(false),
@@ -144,12 +156,18 @@
     let callers = bind(listen.callers).await?;
     let ready = bind(listen.ready).await?;
     let figures = bind(listen.metrics).await?;
+    let peers = bind(listen.peers).await?;
+    let heartbeats = UdpSocket::bind(listen.peers)
+        .await
+        .map_err(|source| Error::System("heartbeats", source))?;
     // Failure: a duty ends, by a fault of ours, and the host goes on with beliefs
     // that nobody renews. It ends instead, and is started again.
     let mut duties = JoinSet::new();
     duties.spawn_local(listen::callers(Rc::clone(&host), callers));
     duties.spawn_local(listen::pages(Rc::clone(&host), ready));
     duties.spawn_local(listen::pages(Rc::clone(&host), figures));
+    duties.spawn_local(peer::serve(Rc::clone(&host), peers));
+    duties.spawn_local(fleet::run(Rc::clone(&host), heartbeats));
     let client = StoreClient::new(host.beliefs.settings.store.address, client::Options::default());
     for part in [CatalogPart::Document, CatalogPart::Entries] {
         duties.spawn_local(catalog::follow(Rc::clone(&host), client.clone(), part));
--- /dev/null
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -0,0 +1,201 @@
+//! Shards of a query that a host near their targets gathers.
+//!
+//! Bytes between zones are dear, and a shard's request and answer with their
+//! headers are several times the records that count. So the shards that have
+//! no target in this zone are gathered by one host where they have, and come
+//! back as one message: a fifth of the bytes for seven shards.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hawthorn_route::document::GatherRule;
+use hawthorn_route::document::RouteWay;
+use hawthorn_route::target::TargetPhase;
+use hyper::HeaderMap;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use rand::RngExt;
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+
+use crate::connection::message::GatherOrder;
+use crate::connection::message::GatherReply;
+use crate::connection::peer::PeerError;
+use crate::process::clock::host_now;
+use crate::process::fleet;
+use crate::process::host::RouteHost;
+use crate::request::gather;
+use crate::request::order::CallerWatch;
+use crate::request::order::RequestOrder;
+use crate::request::story::RequestStory;
+
+/// Fewer shards are asked for directly: one message with its reply is as many
+/// bytes as two shards' own.
+const LEAST_SHARDS: usize = 3;
+/// The reply leaves a peer so long before the aim: the way between zones, and
+/// the time to take it in here.
+const REPLY_MARGIN: Duration = Duration::from_millis(5);
+
+/// Shards that one peer gathers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct DelegatedShards {
+    pub(crate) peer: SocketAddr,
+    pub(crate) zone: String,
+    /// By their place in the route's list.
+    pub(crate) shards: Vec<u16>,
+}
+
+/// Which of a query's shards peers gather; the others are gathered here.
+pub(crate) fn split(host: &RouteHost, rule: &GatherRule) -> Vec<DelegatedShards> {
+    let mut away = zones_of_remote(host, rule);
+    let mut parts = Vec::new();
+    while let Some(zone) = busiest(&away) {
+        let there: Vec<u16> = away
+            .iter()
+            .filter(|(_, zones)| zones.contains(&zone))
+            .map(|(shard, _)| *shard)
+            .collect();
+        if there.len() < LEAST_SHARDS {
+            break;
+        }
+        away.retain(|(_, zones)| !zones.contains(&zone));
+        if let Some(peer) = choose(host, &zone) {
+            parts.push(DelegatedShards { peer, zone, shards: there });
+        }
+    }
+    parts
+}
+
+/// The shards without a ready target in this zone, and the zones where they have one.
+fn zones_of_remote(host: &RouteHost, rule: &GatherRule) -> Vec<(u16, Vec<String>)> {
+    let now = host_now();
+    let mine = &host.beliefs.settings.host.zone;
+    let cut = host.beliefs.cut_zones(now);
+    let registry = host.beliefs.registry.borrow();
+    let mut away = Vec::new();
+    for (place, shard) in rule.shards.iter().enumerate() {
+        let zones: Vec<String> = registry
+            .of_service(shard)
+            .iter()
+            .filter_map(|key| registry.get(*key))
+            .filter(|state| state.phase == TargetPhase::Ready && now >= state.paused_until())
+            .map(|state| state.entry.zone.clone())
+            .filter(|zone| !cut.contains(zone))
+            .collect();
+        if !zones.is_empty() && !zones.contains(mine) {
+            away.push((place as u16, zones));
+        }
+    }
+    away
+}
+
+fn busiest(away: &[(u16, Vec<String>)]) -> Option<String> {
+    let mut counts: HashMap<&str, usize> = HashMap::new();
+    for (_, zones) in away {
+        for zone in zones {
+            *counts.entry(zone).or_default() += 1;
+        }
+    }
+    counts.into_iter().max_by_key(|(zone, count)| (*count, *zone)).map(|(zone, _)| zone.to_owned())
+}
+
+fn choose(host: &RouteHost, zone: &str) -> Option<SocketAddr> {
+    let mut peers = fleet::serving_peers(host, zone);
+    peers.retain(|peer| !host.links.is_suspect(*peer));
+    let lot = rand::rng().random_range(0..peers.len().max(1));
+    peers.get(lot).copied()
+}
+
+/// Has the peer gather its shards.
+pub(crate) async fn ask(
+    host: &RouteHost,
+    order: &RequestOrder,
+    version: u64,
+    delegated: &DelegatedShards,
+    aim_left: Duration,
+) -> Result<GatherReply, PeerError> {
+    let now = host_now();
+    let left = order.time_left(now);
+    let headers = order
+        .headers
+        .iter()
+        .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
+        .collect();
+    let message = GatherOrder {
+        method: order.method.to_string(),
+        uri: order.uri.to_string(),
+        headers,
+        body: order.body.to_vec(),
+        attempt_id: order.attempt_id.clone(),
+        version,
+        route: order.route.name.clone(),
+        shards: delegated.shards.clone(),
+        left_us: left.as_micros() as u64,
+        aim_left_us: aim_left.saturating_sub(REPLY_MARGIN).as_micros() as u64,
+    };
+    delegated.shards.iter().for_each(|_| host.beliefs.zone_sent(&delegated.zone, now));
+    let reply = host.links.gather(delegated.peer, message, left).await;
+    if reply.is_ok() {
+        host.beliefs.zone_answered(&delegated.zone);
+    }
+    reply
+}
+
+/// Gathers shards for a peer; given up when the peer no longer waits.
+pub(crate) async fn carry_out(
+    host: Rc<RouteHost>,
+    message: GatherOrder,
+    mut reply: oneshot::Sender<GatherReply>,
+) {
+    let answer = tokio::select! {
+        answer = gather_for_peer(&host, message) => answer,
+        () = reply.closed() => return,
+    };
+    // The peer may have gone in this moment.
+    let _gone = reply.send(answer);
+}
+
+async fn gather_for_peer(host: &Rc<RouteHost>, message: GatherOrder) -> GatherReply {
+    let started = host_now();
+    let Some(table) = host.beliefs.table_of(message.version) else {
+        return GatherReply::OtherVersion;
+    };
+    let route = table.document().routes.iter().find(|route| route.name == message.route);
+    let Some(route) = route.cloned() else { return GatherReply::OtherVersion };
+    let RouteWay::Gather(rule) = route.way.clone() else { return GatherReply::OtherVersion };
+    let (Ok(method), Ok(uri)) = (message.method.parse(), message.uri.parse()) else {
+        return GatherReply::OtherVersion;
+    };
+    let mut headers = HeaderMap::new();
+    for (name, value) in &message.headers {
+        if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), HeaderValue::from_bytes(value))
+        {
+            headers.append(name, value);
+        }
+    }
+    let order = Rc::new(RequestOrder {
+        method,
+        uri,
+        headers,
+        body: Bytes::from(message.body),
+        attempt_id: message.attempt_id,
+        route: Rc::new(route),
+        started,
+        ends: started + Duration::from_micros(message.left_us),
+        left: CancellationToken::new(),
+        answered: CancellationToken::new(),
+        sent: Cell::new(0),
+        story: RefCell::new(RequestStory::default()),
+    });
+    let watch = CallerWatch(Rc::clone(&order));
+    let aim_at = started + Duration::from_micros(message.aim_left_us);
+    let answer = gather::part_of(host, &order, &rule, &message.shards, aim_at).await;
+    order.answered.cancel();
+    drop(watch);
+    answer
+}
--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt;
 use futures::StreamExt;
+use futures::future::LocalBoxFuture;
 use futures::stream::FuturesUnordered;
 use hawthorn_platform::caller;
 use hawthorn_route::document::GatherRule;
@@ -17,9 +19,13 @@
 use hyper::header::HeaderValue;
 use tokio::time::sleep;
 
+use crate::connection::message::GatherReply;
+use crate::connection::peer::PeerError;
 use crate::process::clock::host_now;
 use crate::process::host::RouteHost;
 use crate::request::answer::CallerAnswer;
+use crate::request::delegate;
+use crate::request::delegate::DelegatedShards;
 use crate::request::order::RequestOrder;
 use crate::request::race::AttemptRace;
 use crate::request::race::RaceEnd;
@@ -28,53 +34,167 @@
 /// the time that this host needs to merge and write under load.
 const AIM_MARGIN: Duration = Duration::from_millis(8);
 
+/// What came of some shards.
+enum GatherEvent {
+    /// One shard's attempts ended.
+    Race(RaceEnd),
+    /// A peer's shards came, or did not.
+    Delegated(DelegatedShards, Result<GatherReply, PeerError>),
+}
+
+/// A query while its parts come in.
+struct GatherRun<'a> {
+    host: &'a Rc<RouteHost>,
+    order: &'a Rc<RequestOrder>,
+    rule: &'a GatherRule,
+    state: GatherState,
+    records: TopRecords,
+    receipts: Vec<HeaderValue>,
+    refusal: Option<RefusalReason>,
+    events: FuturesUnordered<LocalBoxFuture<'a, GatherEvent>>,
+}
+
+impl<'a> GatherRun<'a> {
+    fn new(
+        host: &'a Rc<RouteHost>,
+        order: &'a Rc<RequestOrder>,
+        rule: &'a GatherRule,
+        shards: usize,
+    ) -> Self {
+        let least_share = rule.least_share;
+        Self {
+            host,
+            order,
+            rule,
+            state: GatherState { shards, parts: 0, lost: 0, least_share },
+            records: TopRecords::new(rule.top),
+            receipts: Vec::with_capacity(shards),
+            refusal: None,
+            events: FuturesUnordered::new(),
+        }
+    }
+
+    fn race(&self, place: u16) {
+        let Some(shard) = self.rule.shards.get(usize::from(place)) else { return };
+        let race = AttemptRace::new(self.host, self.order, shard);
+        self.events.push(async move { GatherEvent::Race(race.run().await) }.boxed_local());
+    }
+
+    fn delegate(&self, delegated: DelegatedShards, version: u64, aim_left: Duration) {
+        let (host, order) = (self.host, self.order);
+        // The peer may send before its answer comes.
+        order.sent.set(order.sent.get() + delegated.shards.len());
+        let asked = async move {
+            let reply = delegate::ask(host, order, version, &delegated, aim_left).await;
+            GatherEvent::Delegated(delegated, reply)
+        };
+        self.events.push(asked.boxed_local());
+    }
+
+    fn take(&mut self, event: GatherEvent) {
+        match event {
+            GatherEvent::Race(RaceEnd::Answered(answer)) => {
+                self.state.parts += 1;
+                self.records.add(&answer.body);
+                self.receipts.extend(answer.receipt);
+            }
+            GatherEvent::Race(RaceEnd::NotRun(reason)) => {
+                self.refusal = Some(reason);
+                self.state.lost += 1;
+            }
+            GatherEvent::Race(RaceEnd::Failed(_) | RaceEnd::Unknown) => self.state.lost += 1,
+            GatherEvent::Delegated(delegated, reply) => self.take_reply(&delegated, reply),
+        }
+    }
+
+    /// Takes in a peer's reply. Shards that the peer never sent are gathered
+    /// here; those of which nothing is known are lost to this try, as a third
+    /// attempt at them would be more than operators allow.
+    fn take_reply(&mut self, delegated: &DelegatedShards, reply: Result<GatherReply, PeerError>) {
+        match reply {
+            Ok(GatherReply::Parts { receipts, records, missing }) => {
+                self.state.parts += receipts.len();
+                self.state.lost += usize::from(missing);
+                self.records.add(&records);
+                let signed =
+                    receipts.iter().filter_map(|bytes| HeaderValue::from_bytes(bytes).ok());
+                self.receipts.extend(signed);
+            }
+            Ok(GatherReply::OtherVersion | GatherReply::Stopping) | Err(PeerError::NotSent) => {
+                self.order.sent.set(self.order.sent.get() - delegated.shards.len());
+                delegated.shards.iter().for_each(|shard| self.race(*shard));
+            }
+            Err(PeerError::Lost) => self.state.lost += delegated.shards.len(),
+        }
+    }
+}
+
 /// Gathers one part from each shard and answers with their greatest records.
 pub(crate) async fn gather(
     host: &Rc<RouteHost>,
     order: &Rc<RequestOrder>,
     rule: &GatherRule,
+    version: u64,
 ) -> CallerAnswer {
-    let mut races: FuturesUnordered<_> =
-        rule.shards.iter().map(|shard| AttemptRace::new(host, order, shard).run()).collect();
-    let mut state =
-        GatherState { shards: rule.shards.len(), parts: 0, lost: 0, least_share: rule.least_share };
-    let mut records = TopRecords::new(rule.top);
-    let mut receipts = Vec::with_capacity(state.shards);
-    let mut refusal = None;
     let aim_at = order.started + order.route.aim.saturating_sub(AIM_MARGIN);
+    let mut run = GatherRun::new(host, order, rule, rule.shards.len());
+    let delegated = delegate::split(host, rule);
+    for place in 0..rule.shards.len() as u16 {
+        if !delegated.iter().any(|part| part.shards.contains(&place)) {
+            run.race(place);
+        }
+    }
+    for part in delegated {
+        run.delegate(part, version, aim_at.saturating_sub(host_now()));
+    }
     loop {
         let now = host_now();
         if order.time_left(now).is_zero() {
             break;
         }
         let aim_left = aim_at.saturating_sub(now);
-        match state.step(aim_left) {
+        match run.state.step(aim_left) {
             GatherStep::Wait => {}
             GatherStep::Answer => break,
-            GatherStep::Fail => return failed(host, order, refusal),
+            GatherStep::Fail => return failed(order, run.refusal),
         }
         let wait = if aim_left.is_zero() { order.time_left(now) } else { aim_left };
         tokio::select! {
             biased;
-            Some(end) = races.next() => match end {
-                RaceEnd::Answered(answer) => {
-                    state.parts += 1;
-                    records.add(&answer.body);
-                    receipts.extend(answer.receipt);
-                }
-                RaceEnd::NotRun(reason) => {
-                    refusal = Some(reason);
-                    state.lost += 1;
-                }
-                RaceEnd::Failed(_) | RaceEnd::Unknown => state.lost += 1,
-            },
+            Some(event) = run.events.next() => run.take(event),
             () = sleep(wait) => {}
         }
     }
-    if !state.enough() {
+    if !run.state.enough() {
         return out_of_time(order);
     }
-    answer(host, records, &receipts, state)
+    answer(host, run.records, &run.receipts, run.state)
+}
+
+/// Gathers some shards of a peer's query until its aim.
+pub(crate) async fn part_of(
+    host: &Rc<RouteHost>,
+    order: &Rc<RequestOrder>,
+    rule: &GatherRule,
+    shards: &[u16],
+    aim_at: Duration,
+) -> GatherReply {
+    let mut run = GatherRun::new(host, order, rule, shards.len());
+    shards.iter().for_each(|shard| run.race(*shard));
+    while run.state.parts + run.state.lost < run.state.shards {
+        let aim_left = aim_at.saturating_sub(host_now());
+        if aim_left.is_zero() {
+            break;
+        }
+        tokio::select! {
+            biased;
+            Some(event) = run.events.next() => run.take(event),
+            () = sleep(aim_left) => {}
+        }
+    }
+    let missing = u16::try_from(run.state.shards - run.state.parts).unwrap_or(u16::MAX);
+    let receipts = run.receipts.iter().map(|receipt| receipt.as_bytes().to_vec()).collect();
+    GatherReply::Parts { receipts, records: run.records.into_body(), missing }
 }
 
 fn answer(
@@ -93,7 +213,7 @@
 }
 
 /// Too few parts can come. Nothing may have run only if no attempt is out.
-fn failed(_host: &RouteHost, order: &RequestOrder, refusal: Option<RefusalReason>) -> CallerAnswer {
+fn failed(order: &RequestOrder, refusal: Option<RefusalReason>) -> CallerAnswer {
     match refusal {
         Some(reason) if order.sent.get() == 0 => CallerAnswer::refused(reason),
         _ => CallerAnswer::not_known(),
--- a/crates/hawthorn-edge/src/request/mod.rs
+++ b/crates/hawthorn-edge/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod answer;
 pub(crate) mod attempt;
+pub(crate) mod delegate;
 pub(crate) mod gather;
 pub(crate) mod order;
 pub(crate) mod race;
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -118,7 +118,7 @@
         story: std::cell::RefCell::new(RequestStory::default()),
     });
     let watch = CallerWatch(Rc::clone(&order));
-    let answer = carry(host, &order).await;
+    let answer = carry(host, &order, table.version()).await;
     order.answered.cancel();
     drop(watch);
     tell(host, &order, table.version(), &answer);
@@ -126,7 +126,7 @@
 }
 
 /// Sends the request where its route says.
-async fn carry(host: &Rc<RouteHost>, order: &Rc<RequestOrder>) -> CallerAnswer {
+async fn carry(host: &Rc<RouteHost>, order: &Rc<RequestOrder>, version: u64) -> CallerAnswer {
     if order.time_left(host_now()).is_zero() {
         return CallerAnswer::refused(RefusalReason::TooLate);
     }
@@ -137,7 +137,7 @@
             Some(chosen) => single(host, order, &parts[chosen].service).await,
             None => CallerAnswer::refused(RefusalReason::NoTarget),
         },
-        RouteWay::Gather(rule) => gather::gather(host, order, rule).await,
+        RouteWay::Gather(rule) => gather::gather(host, order, rule, version).await,
     }
 }
 
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,6 +42,9 @@
 /// A route's attempts are taken to last this part of its aim until some have
 /// been seen: a fan-out is planned to use about an eighth of its aim.
 const FIRST_GUESS: u32 = 8;
+/// Versions kept: hosts get a new one within a second of each other, and edits
+/// in quick succession are a third of a second apart.
+const KEPT_VERSIONS: usize = 4;
 /// Bytes of a target's answer, at the most.
 const ANSWER_BYTES: usize = 16 << 20;
 /// How long opening a connection may take: a pause of a target, and several
@@ -55,7 +59,8 @@
 pub struct Beliefs {
     /// As the host was told at its start.
     pub settings: RouteSettings,
-    table: RefCell<Option<Rc<RouteTable>>>,
+    /// The newest first.
+    tables: RefCell<VecDeque<Rc<RouteTable>>>,
     /// Targets as they register.
     pub registry: RefCell<TargetRegistry>,
     pools: RefCell<SecondaryMap<TargetKey, Arc<TargetPool>>>,
@@ -75,7 +80,7 @@
     pub fn new(settings: RouteSettings) -> Self {
         Self {
             settings,
-            table: RefCell::new(None),
+            tables: RefCell::default(),
             registry: RefCell::new(TargetRegistry::new(registry::Options::default())),
             pools: RefCell::default(),
             budgets: RefCell::default(),
@@ -90,7 +95,12 @@
 
     /// The version in force; a request keeps the one it began with.
     pub fn table(&self) -> Option<Rc<RouteTable>> {
-        self.table.borrow().clone()
+        self.tables.borrow().front().cloned()
+    }
+
+    /// A version that came into force not long ago, for a query that began with it elsewhere.
+    pub fn table_of(&self, version: u64) -> Option<Rc<RouteTable>> {
+        self.tables.borrow().iter().find(|table| table.version() == version).cloned()
     }
 
     /// Brings a version into force unless a newer one is; true when it did.
@@ -98,15 +108,16 @@
     /// Failure: a stale read or a slow peer brings an older version, and a
     /// caller's request is handled by routes that operators have replaced.
     pub fn install(&self, table: RouteTable) -> bool {
-        let mut held = self.table.borrow_mut();
-        if held.as_ref().is_some_and(|held| held.version() >= table.version()) {
+        let mut tables = self.tables.borrow_mut();
+        if tables.front().is_some_and(|held| held.version() >= table.version()) {
             return false;
         }
         let names: std::collections::HashSet<&str> =
             table.document().routes.iter().map(|route| route.name.as_str()).collect();
         self.times.borrow_mut().retain(|name, _| names.contains(name.as_str()));
         self.dealers.borrow_mut().retain(|name, _| names.contains(name.as_str()));
-        *held = Some(Rc::new(table));
+        tables.push_front(Rc::new(table));
+        tables.truncate(KEPT_VERSIONS);
         true
     }
 
@@ -211,9 +222,7 @@
         let registry = self.registry.borrow();
         let entry = &registry.get(key)?.entry;
         let most = self
-            .table
-            .borrow()
-            .as_ref()
+            .table()
             .and_then(|table| table.service(&entry.service).map(|rule| rule.max_connections))
             .unwrap_or(1);
         let share = most as f64 * CONNECTION_SHARE / self.hosts_reckoned() as f64;
