--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -111,7 +111,7 @@
         self.host.metrics.count_attempt(reply.end, 1);
         let after = sent.saturating_sub(self.order.started);
         let took = now.saturating_sub(sent);
-        let note = AttemptNote { service, target, after, took, end: reply.end, load, speed };
+        let note = AttemptNote { service, target, zone, after, took, end: reply.end, load, speed };
         self.order.story.borrow_mut().note(note);
         reply
     }
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -51,8 +51,8 @@
 }
 
 /// Which of a query's shards peers gather; the others are gathered here.
-pub(crate) fn split(host: &RouteHost, rule: &GatherRule) -> Vec<DelegatedShards> {
-    let mut away = zones_of_remote(host, rule);
+pub(crate) fn split(host: &RouteHost, rule: &GatherRule, usual: Duration) -> Vec<DelegatedShards> {
+    let mut away = zones_of_remote(host, rule, usual);
     let mut parts = Vec::new();
     while let Some(zone) = busiest(&away) {
         let there: Vec<u16> = away
@@ -71,23 +71,33 @@
     parts
 }
 
-/// The shards without a ready target in this zone, and the zones where they have one.
-fn zones_of_remote(host: &RouteHost, rule: &GatherRule) -> Vec<(u16, Vec<String>)> {
+/// The shards whose best target is in another zone, and the other zones where they have one.
+fn zones_of_remote(
+    host: &RouteHost,
+    rule: &GatherRule,
+    usual: Duration,
+) -> Vec<(u16, Vec<String>)> {
     let now = host_now();
-    let mine = &host.beliefs.settings.host.zone;
-    let cut = host.beliefs.cut_zones(now);
-    let registry = host.beliefs.registry.borrow();
+    let beliefs = &host.beliefs;
+    let mine = &beliefs.settings.host.zone;
+    let cut = beliefs.cut_zones(now);
     let mut away = Vec::new();
     for (place, shard) in rule.shards.iter().enumerate() {
+        let Some(best) = beliefs.place(shard, &[], usual, now) else { continue };
+        let registry = beliefs.registry.borrow();
+        if registry.get(best).is_none_or(|state| state.entry.zone == *mine) {
+            continue;
+        }
         let zones: Vec<String> = registry
             .of_service(shard)
             .iter()
             .filter_map(|key| registry.get(*key))
             .filter(|state| state.phase == TargetPhase::Ready && now >= state.paused_until())
-            .map(|state| state.entry.zone.clone())
-            .filter(|zone| !cut.contains(zone))
+            .map(|state| &state.entry.zone)
+            .filter(|zone| *zone != mine && !cut.contains(zone))
+            .cloned()
             .collect();
-        if !zones.is_empty() && !zones.contains(mine) {
+        if !zones.is_empty() {
             away.push((place as u16, zones));
         }
     }
--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -138,7 +138,7 @@
 ) -> CallerAnswer {
     let aim_at = order.started + order.route.aim.saturating_sub(AIM_MARGIN);
     let mut run = GatherRun::new(host, order, rule, rule.shards.len());
-    let delegated = delegate::split(host, rule);
+    let delegated = delegate::split(host, rule, host.beliefs.usual(&order.route));
     for place in 0..rule.shards.len() as u16 {
         if !delegated.iter().any(|part| part.shards.contains(&place)) {
             run.race(place);
--- a/crates/hawthorn-edge/src/request/story.rs
+++ b/crates/hawthorn-edge/src/request/story.rs
@@ -16,6 +16,7 @@
 pub(crate) struct AttemptNote {
     pub(crate) service: String,
     pub(crate) target: String,
+    pub(crate) zone: String,
     pub(crate) after: Duration,
     pub(crate) took: Duration,
     pub(crate) end: AttemptEnd,
@@ -80,11 +81,11 @@
             );
         }
         for note in &self.notes {
-            let AttemptNote { service, target, end, load, .. } = note;
+            let AttemptNote { service, target, zone, end, load, .. } = note;
             edge_event!(
                 Level::Info,
                 EdgeEvent::AttemptEnded,
-                "request={id} service={service} target={target} end={end} at_ms={:.1} \
+                "request={id} service={service} target={target} zone={zone} end={end} at_ms={:.1} \
                  took_ms={:.1} load={load} speed={:.2}",
                 millis(note.after),
                 millis(note.took),
--- a/crates/hawthorn-route/src/place.rs
+++ b/crates/hawthorn-route/src/place.rs
@@ -35,7 +35,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            zone_cost: Duration::from_millis(10),
+            zone_cost: Duration::from_millis(30),
             suspect_factor: 3.0,
             suspect_cost: Duration::from_millis(100),
             failing_cost: Duration::from_millis(400),
