fix(edge): only the smaller side of a cut steps aside; what cannot be answered is refused at once

Ruled out: false belief in the cut: every line E622 was right. Change: routes weigh by what is asked for; a side steps aside only when it reaches fewer zones than it lost; requests that cannot be answered are refused before anything is sent.

--- a/crates/hawthorn-edge/src/process/reach.rs
+++ b/crates/hawthorn-edge/src/process/reach.rs
@@ -15,7 +15,9 @@
 
 /// How often it is looked at: a balancer asks for readiness once a second, and
 /// should find the newest belief.
-const LOOK_PERIOD: Duration = Duration::from_millis(150);
+const LOOK_PERIOD: Duration = Duration::from_millis(100);
+/// What was asked for a look ago counts so much: half of it after five seconds.
+const DEMAND_FACTOR: f64 = 0.986;
 /// A zone that is cut off is tried with one connection, given up after so long.
 const TRY_TIMEOUT: Duration = Duration::from_millis(120);
 
@@ -35,6 +37,7 @@
             edge_event!(Level::Info, EdgeEvent::ZoneReach, "zone={zone} reachable=true");
         }
         known = cut;
+        host.beliefs.fade_demand(DEMAND_FACTOR);
         let stranded = host.beliefs.find_stranded(host_now());
         if host.beliefs.stranded.replace(stranded) != stranded {
             edge_event!(Level::Warn, EdgeEvent::HostStranded, "stranded={stranded}");
--- a/crates/hawthorn-edge/src/request/answer.rs
+++ b/crates/hawthorn-edge/src/request/answer.rs
@@ -95,8 +95,9 @@
     let (least, most) = match reason {
         // A host that starts reads the configuration within a few hundred milliseconds.
         RefusalReason::NoConfiguration => (0.2, 0.4),
-        // A target that crashed is back, or replaced, within seconds.
-        RefusalReason::NoTarget | RefusalReason::Unreachable => (0.15, 0.3),
+        // A target that crashed is back within seconds, and a balancer takes a host
+        // that was cut off out within two; callers wait a third of their time at most.
+        RefusalReason::NoTarget | RefusalReason::Unreachable => (0.2, 0.35),
         // A queue of a dozen requests on two slots is gone within a tenth of a second.
         RefusalReason::TargetsFull | RefusalReason::HostFull => (0.03, 0.1),
         // The window slides by a tenth of its length.
--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -73,7 +73,7 @@
         let Some((target, service, zone)) = self.note_start(sent) else {
             return AttemptReply { end: AttemptEnd::NotSent, answer: None };
         };
-        self.host.beliefs.zone_sent(&zone, sent);
+        self.host.beliefs.zone_sent(&zone, sent, self.usual);
         let request = self.order.outgoing(&target, left);
         let exchange = self.pool.send(request, left + LINGER);
         let lingered = async {
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -148,7 +148,8 @@
         left_us: left.as_micros() as u64,
         aim_left_us: aim_left.saturating_sub(REPLY_MARGIN).as_micros() as u64,
     };
-    delegated.shards.iter().for_each(|_| host.beliefs.zone_sent(&delegated.zone, now));
+    let usual = host.beliefs.usual(&order.route);
+    delegated.shards.iter().for_each(|_| host.beliefs.zone_sent(&delegated.zone, now, usual));
     let reply = host.links.gather(delegated.peer, message, left).await;
     if reply.is_ok() {
         host.beliefs.zone_answered(&delegated.zone);
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -131,6 +131,12 @@
         return CallerAnswer::refused(RefusalReason::TooLate);
     }
     let route = Rc::clone(&order.route);
+    host.beliefs.count_demand(&route);
+    // Nothing is sent where too little could come back: the caller learns it at
+    // once, and targets do no work for an answer that cannot be given.
+    if !host.beliefs.can_answer(&route, host_now()) {
+        return CallerAnswer::refused(RefusalReason::NoTarget);
+    }
     match &route.way {
         RouteWay::Single(service) => single(host, order, service).await,
         RouteWay::Weighted(parts) => match host.beliefs.deal(&route, parts) {
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::document::RouteWay;
 use hawthorn_route::place;
+use hawthorn_route::reach;
 use hawthorn_route::reach::ZoneReach;
 use hawthorn_route::registry;
 use hawthorn_route::registry::TargetKey;
@@ -69,7 +71,9 @@
     dealers: RefCell<HashMap<String, WeightDealer>>,
     lots: RefCell<StdRng>,
     zones: RefCell<HashMap<String, ZoneReach>>,
-    /// Whole kinds of requests cannot be answered from here while others could.
+    /// Requests of each route lately, earlier ones counting less.
+    demand: RefCell<HashMap<String, f64>>,
+    /// Callers are better served by hosts of other zones.
     pub stranded: Cell<bool>,
     /// Hosts of the fleet that are known to live, this one too.
     pub hosts: Cell<usize>,
@@ -88,6 +92,7 @@
             dealers: RefCell::default(),
             lots: RefCell::new(StdRng::seed_from_u64(rand::rng().random())),
             zones: RefCell::default(),
+            demand: RefCell::default(),
             stranded: Cell::new(false),
             hosts: Cell::new(1),
         }
@@ -112,7 +117,7 @@
         if tables.front().is_some_and(|held| held.version() >= table.version()) {
             return false;
         }
-        let names: std::collections::HashSet<&str> =
+        let names: HashSet<&str> =
             table.document().routes.iter().map(|route| route.name.as_str()).collect();
         self.times.borrow_mut().retain(|name, _| names.contains(name.as_str()));
         self.dealers.borrow_mut().retain(|name, _| names.contains(name.as_str()));
@@ -237,12 +242,12 @@
     }
 
     /// A request was sent to a target of the zone.
-    pub fn zone_sent(&self, zone: &str, now: Duration) {
+    pub fn zone_sent(&self, zone: &str, now: Duration, usual: Duration) {
         let mut zones = self.zones.borrow_mut();
         if let Some(reach) = zones.get_mut(zone) {
-            reach.sent(now);
+            reach.sent(now, usual);
         } else {
-            zones.entry(zone.to_owned()).or_default().sent(now);
+            zones.entry(zone.to_owned()).or_default().sent(now, usual);
         }
     }
 
@@ -271,39 +276,54 @@
         there.get(lot).copied()
     }
 
-    /// Whether whole kinds of requests cannot be answered from here.
-    ///
-    /// The load it is for: this host's zone is cut off from the zones that hold
-    /// a route's targets, and callers still come. The harm it prevents: they
-    /// are refused for as long as the cut lasts, while hosts elsewhere would
-    /// serve them; a host that says it is not ready sends them there. Only a
-    /// zone that cannot be reached counts: targets that are down are down for
-    /// every host.
+    /// Counts a request of a route.
+    pub fn count_demand(&self, route: &RouteRule) {
+        let mut demand = self.demand.borrow_mut();
+        if let Some(count) = demand.get_mut(&route.name) {
+            *count += 1.0;
+        } else {
+            demand.insert(route.name.clone(), 1.0);
+        }
+    }
+
+    /// Has earlier requests count less, by the factor.
+    pub fn fade_demand(&self, factor: f64) {
+        let mut demand = self.demand.borrow_mut();
+        demand.values_mut().for_each(|count| *count *= factor);
+        demand.retain(|_, count| *count > 0.01);
+    }
+
+    /// Whether this host should leave callers to others; see [`reach::steps_aside`].
     pub fn find_stranded(&self, now: Duration) -> bool {
         let cut = self.cut_zones(now);
         let Some(table) = self.table().filter(|_| !cut.is_empty()) else {
             return false;
         };
-        let registry = self.registry.borrow();
-        // Some target is known, and all that are lie behind the cut.
-        let lost = |service: &str| {
-            let mut zones = registry
-                .of_service(service)
-                .iter()
-                .filter_map(|key| registry.get(*key))
-                .map(|state| &state.entry.zone)
-                .peekable();
-            zones.peek().is_some() && zones.all(|zone| cut.contains(zone))
+        let zones: HashSet<String> = {
+            let registry = self.registry.borrow();
+            let mine = std::iter::once(self.settings.host.zone.clone());
+            registry.iter().map(|(_, state)| state.entry.zone.clone()).chain(mine).collect()
         };
-        table.document().routes.iter().any(|route| match &route.way {
-            RouteWay::Single(service) => lost(service),
-            RouteWay::Weighted(parts) => parts.iter().all(|part| lost(&part.service)),
+        let demand = self.demand.borrow();
+        let asked = |route: &RouteRule| demand.get(&route.name).copied().unwrap_or_default();
+        let routes = &table.document().routes;
+        let all: f64 = routes.iter().map(asked).sum();
+        let lost: f64 = routes.iter().filter(|route| !self.can_answer(route, now)).map(asked).sum();
+        reach::steps_aside(zones.len(), cut.len(), if all > 0.0 { lost / all } else { 0.0 })
+    }
+
+    /// Whether enough of a route's services have a target that takes work.
+    pub fn can_answer(&self, route: &RouteRule, now: Duration) -> bool {
+        let usual = self.usual(route);
+        let takes = |service: &str| self.place(service, &[], usual, now).is_some();
+        match &route.way {
+            RouteWay::Single(service) => takes(service),
+            RouteWay::Weighted(parts) => parts.iter().any(|part| takes(&part.service)),
             RouteWay::Gather(rule) => {
-                let gone = rule.shards.iter().filter(|shard| lost(shard)).count();
-                let share = (rule.shards.len() - gone) as f64 / rule.shards.len().max(1) as f64;
-                share < rule.least_share
+                let there = rule.shards.iter().filter(|shard| takes(shard)).count();
+                there as f64 >= rule.least_share * rule.shards.len() as f64 && there > 0
             }
-        })
+        }
     }
 
     /// Lets go of what is held for targets that left.
--- a/crates/hawthorn-route/src/reach.rs
+++ b/crates/hawthorn-route/src/reach.rs
@@ -10,23 +10,25 @@
 use std::time::Duration;
 
 /// Requests without any answer from the zone before it is believed cut off:
-/// one query sends a request to many targets at once, so fewer prove nothing.
-const LEAST_UNANSWERED: u32 = 4;
-/// And the time since the first of them: twice the pause of a target.
-const LEAST_SILENCE: Duration = Duration::from_millis(320);
+/// one query sends a request to several targets at once, so fewer prove nothing.
+const LEAST_UNANSWERED: u32 = 6;
+/// And the time since the first of them, at least: longer than a target pauses.
+const LEAST_SILENCE: Duration = Duration::from_millis(200);
+/// And so many usual times of such a request.
+const USUAL_TIMES: u32 = 4;
 
 /// What is known of the way to one zone's targets.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ZoneReach {
     unanswered: u32,
-    since: Option<Duration>,
+    overdue: Option<Duration>,
 }
 
 impl ZoneReach {
-    /// A request was sent to a target of the zone.
-    pub fn sent(&mut self, now: Duration) {
+    /// A request that usually takes `usual` was sent to a target of the zone.
+    pub fn sent(&mut self, now: Duration, usual: Duration) {
         self.unanswered = self.unanswered.saturating_add(1);
-        self.since.get_or_insert(now);
+        self.overdue.get_or_insert(now + LEAST_SILENCE.max(usual * USUAL_TIMES));
     }
 
     /// Something of the zone answered: a target, or another host there.
@@ -36,7 +38,23 @@
 
     /// Nothing there is worth sending to.
     pub fn is_cut(&self, now: Duration) -> bool {
-        let silent = |since| now.saturating_sub(since) >= LEAST_SILENCE;
-        self.unanswered >= LEAST_UNANSWERED && self.since.is_some_and(silent)
+        self.unanswered >= LEAST_UNANSWERED && self.overdue.is_some_and(|at| now >= at)
     }
 }
+
+/// Whether this host should leave callers to hosts of other zones.
+///
+/// The load it is for: a zone is cut off, callers reach hosts on both sides,
+/// and a large part of what they ask for has targets only on the other side.
+/// The harm it prevents: they are refused for as long as the cut lasts, while
+/// hosts of the larger side would serve them. Both sides see a cut; only the
+/// smaller one steps aside, or all would.
+pub fn steps_aside(zones: usize, cut: usize, unanswerable_share: f64) -> bool {
+    let reachable = zones.saturating_sub(cut);
+    cut > reachable && unanswerable_share >= LEAST_SHARE
+}
+
+/// Share of callers' requests that cannot be answered from here, at which they
+/// are better off elsewhere: moving costs each of them a connection and the way
+/// to another zone, about as much as one request in five that has to be made again.
+const LEAST_SHARE: f64 = 0.2;
