feat(edge): one host of a zone watches the store, the others hear from it

Ruled out: longer waits alone (a watch ends with each of the 55 targets that register). Change: a mirror of the store's items with revisions (pure, property-tested: the test found that a host which had read everything anew told less to a peer than it lost); the zone's first live host by id watches with one watch for all keys, the others ask it; heartbeats carry how far each host knows, and one that is behind for 250 ms asks.

--- a/crates/hawthorn-edge/src/connection/message.rs
+++ b/crates/hawthorn-edge/src/connection/message.rs
@@ -46,3 +46,16 @@
     /// Nothing was sent: the host is stopping.
     Stopping,
 }
+
+/// What a host knows of the store beyond what the asker does.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CatalogNews {
+    /// Keys, revisions of their last changes, and values; none where deleted.
+    pub items: Vec<(String, u64, Option<Vec<u8>>)>,
+    /// The store's revision up to which this is all.
+    pub as_of: u64,
+    /// The items are all there are.
+    pub whole: bool,
+    /// Milliseconds since the store last confirmed it, perhaps through others.
+    pub age_ms: u64,
+}
--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -23,10 +23,12 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::connection::listen;
+use crate::connection::message::CatalogNews;
 use crate::connection::message::GatherOrder;
 use crate::connection::message::GatherReply;
 use crate::edge_event;
 use crate::process::events::EdgeEvent;
+use crate::process::feed;
 use crate::process::host::RouteHost;
 use crate::request::delegate;
 
@@ -37,11 +39,14 @@
 /// A peer that did not answer is passed over for so long; by then membership
 /// knows whether it lives.
 const SUSPECT_TIME: Duration = Duration::from_millis(1500);
+/// A peer answers a question about the store within so long, beyond its wait.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Orders of peers that wait for the serving thread; more are refused.
 const ORDER_RING: usize = 1024;
 
 #[allow(missing_docs)]
 mod service {
+    use super::CatalogNews;
     use super::GatherOrder;
     use super::GatherReply;
 
@@ -50,6 +55,8 @@
     pub trait EdgePeer {
         /// Gathers some shards of a query.
         async fn gather(order: GatherOrder) -> GatherReply;
+        /// What is known of the store after a revision; waits for it that many milliseconds.
+        async fn news(after: u64, wait_ms: u64) -> CatalogNews;
     }
 }
 use service::EdgePeer;
@@ -114,24 +121,53 @@
         order: GatherOrder,
         left: Duration,
     ) -> Result<GatherReply, PeerError> {
-        let client = match self.client(address).await {
-            Ok(client) => client,
-            Err(error) => {
-                self.suspect(address);
-                return Err(error);
-            }
-        };
-        let mut call = context::current();
-        call.deadline = Instant::now() + left;
-        client.gather(call, order).await.map_err(|_| {
+        let client = self.ready_client(address).await?;
+        let reply = client.gather(call_within(left), order).await;
+        self.judge(address, reply)
+    }
+
+    /// Asks a peer what it knows of the store after a revision, waiting there for news.
+    pub(crate) async fn news(
+        &self,
+        address: SocketAddr,
+        after: u64,
+        wait: Duration,
+    ) -> Result<CatalogNews, PeerError> {
+        let client = self.ready_client(address).await?;
+        let call = call_within(wait + ANSWER_TIMEOUT);
+        let reply = client.news(call, after, wait.as_millis() as u64).await;
+        self.judge(address, reply)
+    }
+
+    async fn ready_client(&self, address: SocketAddr) -> Result<EdgePeerClient, PeerError> {
+        let client = self.client(address).await;
+        client.inspect_err(|_| self.suspect(address))
+    }
+
+    fn judge<T>(
+        &self,
+        address: SocketAddr,
+        reply: Result<T, client::RpcError>,
+    ) -> Result<T, PeerError> {
+        reply.map_err(|_| {
             self.suspect(address);
             PeerError::Lost
         })
     }
 }
 
-/// An order of a peer, and where its reply goes.
-pub(crate) type PeerOrder = (GatherOrder, oneshot::Sender<GatherReply>);
+fn call_within(left: Duration) -> Context {
+    let mut call = context::current();
+    call.deadline = Instant::now() + left;
+    call
+}
+
+/// What a peer asks for, and where the reply goes.
+#[derive(Debug)]
+enum PeerOrder {
+    Gather(GatherOrder, oneshot::Sender<GatherReply>),
+    News { after: u64, wait: Duration, reply: oneshot::Sender<CatalogNews> },
+}
 
 #[derive(Clone, Debug)]
 struct PeerServer {
@@ -141,11 +177,20 @@
 impl EdgePeer for PeerServer {
     async fn gather(self, _: Context, order: GatherOrder) -> GatherReply {
         let (reply, answer) = oneshot::channel();
-        if self.orders.try_send((order, reply)).is_err() {
+        if self.orders.try_send(PeerOrder::Gather(order, reply)).is_err() {
             return GatherReply::Stopping;
         }
         answer.await.unwrap_or(GatherReply::Stopping)
     }
+
+    async fn news(self, _: Context, after: u64, wait_ms: u64) -> CatalogNews {
+        let (reply, answer) = oneshot::channel();
+        let wait = Duration::from_millis(wait_ms);
+        if self.orders.try_send(PeerOrder::News { after, wait, reply }).is_err() {
+            return CatalogNews::default();
+        }
+        answer.await.unwrap_or_default()
+    }
 }
 
 /// Serves other hosts for as long as the process lives.
@@ -154,14 +199,24 @@
     let server = PeerServer { orders };
     loop {
         tokio::select! {
-            Some((order, reply)) = waiting.recv() => {
-                tokio::task::spawn_local(delegate::carry_out(Rc::clone(&host), order, reply));
-            }
+            Some(order) = waiting.recv() => carry_out(&host, order),
             stream = listen::accept(&listener) => hold(stream, server.clone()),
         }
     }
 }
 
+fn carry_out(host: &Rc<RouteHost>, order: PeerOrder) {
+    let host = Rc::clone(host);
+    match order {
+        PeerOrder::Gather(order, reply) => {
+            tokio::task::spawn_local(delegate::carry_out(host, order, reply));
+        }
+        PeerOrder::News { after, wait, reply } => {
+            tokio::task::spawn_local(feed::tell(host, after, wait, reply));
+        }
+    }
+}
+
 fn hold(stream: TcpStream, server: PeerServer) {
     if let Err(error) = hawthorn_pool::end_when_silent(&stream) {
         edge_event!(Level::Warn, EdgeEvent::DutyFailed, "duty=peer-socket error=\"{error}\"");
--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -51,6 +51,10 @@
     HostStranded = 623,
     /// A peer's message could not be understood.
     PeerMessageBroken = 640,
+    /// The host that news comes from has not been confirmed by the store lately.
+    PeerStale = 642,
+    /// A peer knew more of the store than this host's source, and told it.
+    CaughtUp = 643,
     /// A host of the fleet was heard of, or no longer is.
     PeerChanged = 641,
 }
--- /dev/null
+++ b/crates/hawthorn-edge/src/process/feed.rs
@@ -0,0 +1,267 @@
+//! Where this host hears of the store's items: from the store, or from a host
+//! of its zone that watches it.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hawthorn_fleet::MemberId;
+use hawthorn_platform::store;
+use hawthorn_platform::store::StoreItems;
+use hawthorn_route::mirror;
+use hawthorn_route::mirror::MirrorItem;
+use hawthorn_route::mirror::MirrorNews;
+use hawthorn_store::ReadError;
+use hawthorn_store::StoreClient;
+use hawthorn_store::UncertainCause;
+use hawthorn_store::client::CallKind;
+use http::StatusCode;
+use log::Level;
+use rand::RngExt;
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::connection::message::CatalogNews;
+use crate::edge_event;
+use crate::process::catalog;
+use crate::process::clock::host_now;
+use crate::process::events::EdgeEvent;
+use crate::process::host::RouteHost;
+
+/// How long a watch of the store waits for news. An answer that is lost on the
+/// way shows only when the watch should have ended; a longer wait saves a few
+/// calls a minute.
+const WATCH_WAIT: Duration = Duration::from_secs(4);
+/// After news the next watch is made so much later: targets of one release or
+/// one repartition come within a second, and each watch is a call that costs.
+const SETTLE_TIME: Duration = Duration::from_millis(250);
+/// Pause after a call that brought nothing, in seconds: short, as a store that
+/// is back should be heard of within half a second, and drawn, so that hosts
+/// return apart.
+const LEAST_PAUSE: f64 = 0.25;
+const MOST_PAUSE: f64 = 0.6;
+/// How long a peer is asked to wait for news: a peer that has gone silent is
+/// noticed after it.
+const PEER_WAIT: Duration = Duration::from_millis(900);
+/// A peer that the store has not confirmed for so long is no source: it should
+/// have been, by a watch that ends and one call more.
+const MOST_AGE: Duration = Duration::from_millis(5500);
+/// A host that hears in heartbeats that others know more waits so long for its
+/// source to tell it, and then asks them.
+const BEHIND_TIME: Duration = Duration::from_millis(250);
+
+/// Where the next news is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NewsSource {
+    Store,
+    Peer(SocketAddr),
+}
+
+enum WatchEnd {
+    News(StoreItems),
+    HistoryGone,
+    Lost(ReadError),
+}
+
+/// Follows the store's items for as long as the process lives.
+pub(crate) async fn follow(host: Rc<RouteHost>, client: StoreClient) {
+    let mut reachable = true;
+    loop {
+        match choose(&host) {
+            NewsSource::Store => ask_store(&host, &client, &mut reachable).await,
+            NewsSource::Peer(peer) => ask_peer(&host, peer).await,
+        }
+    }
+}
+
+/// The store, where this host feeds its zone; else the first host that does
+/// and answers.
+fn choose(host: &RouteHost) -> NewsSource {
+    let members = host.members.borrow();
+    let zone = &host.beliefs.settings.host.zone;
+    let me = MemberId::of(&host.beliefs.settings.host.name).0;
+    let mut others: Vec<(u64, SocketAddr)> = members
+        .staying(zone)
+        .filter(|candidate| candidate.id.0 != me)
+        .filter_map(|candidate| Some((candidate.id.0, members.record(candidate.key)?.place.peer)))
+        .filter(|(_, peer)| !host.links.is_suspect(*peer))
+        .collect();
+    others.sort_unstable();
+    let ids: Vec<u64> = others.iter().map(|(id, _)| *id).collect();
+    match others.first() {
+        Some((_, peer)) if !mirror::feeds(&ids, me, members.zones().count()) => {
+            NewsSource::Peer(*peer)
+        }
+        _ => NewsSource::Store,
+    }
+}
+
+async fn ask_store(host: &RouteHost, client: &StoreClient, reachable: &mut bool) {
+    let after = host.mirror.borrow().as_of();
+    let end = if after == 0 { WatchEnd::HistoryGone } else { watch(client, after).await };
+    let read = match end {
+        WatchEnd::News(news) => Ok((news, false)),
+        WatchEnd::HistoryGone => read_all(client).await.map(|all| (all, true)),
+        WatchEnd::Lost(error) => Err(error),
+    };
+    match read {
+        Ok((read, whole)) => {
+            note_store(reachable, None);
+            host.confirm(host_now());
+            let count = read.items.len();
+            let news = MirrorNews { items: read.items, as_of: read.as_of, whole };
+            edge_event!(
+                Level::Debug,
+                EdgeEvent::StoreNews,
+                "after={after} as_of={} items={count} whole={whole}",
+                news.as_of
+            );
+            if take(host, news) && !whole {
+                sleep(SETTLE_TIME).await;
+            }
+        }
+        Err(error) => {
+            note_store(reachable, Some(&error));
+            let seconds = rand::rng().random_range(LEAST_PAUSE..MOST_PAUSE);
+            sleep(Duration::from_secs_f64(seconds)).await;
+        }
+    }
+}
+
+async fn ask_peer(host: &RouteHost, peer: SocketAddr) {
+    let after = host.mirror.borrow().as_of();
+    // A peer that does not answer is suspect from now on, and another is chosen.
+    let Ok(news) = host.links.news(peer, after, PEER_WAIT).await else { return };
+    let age = Duration::from_millis(news.age_ms);
+    if age > MOST_AGE {
+        edge_event!(Level::Warn, EdgeEvent::PeerStale, "peer={peer} age_ms={}", news.age_ms);
+        host.links.suspect(peer);
+    }
+    take_from_peer(host, news);
+}
+
+fn take_from_peer(host: &RouteHost, news: CatalogNews) {
+    let age = Duration::from_millis(news.age_ms);
+    if news.as_of == 0 || news.age_ms == u64::MAX {
+        return;
+    }
+    let confirmed = host_now().saturating_sub(age);
+    if news.as_of >= host.mirror.borrow().as_of() {
+        host.confirm(confirmed);
+    }
+    let items = news.items.into_iter();
+    let items = items.map(|(key, revision, value)| MirrorItem { key, revision, value }).collect();
+    take(host, MirrorNews { items, as_of: news.as_of, whole: news.whole });
+}
+
+fn take(host: &RouteHost, news: MirrorNews) -> bool {
+    let before = host.mirror.borrow().as_of();
+    let changed = catalog::take(host, news);
+    if host.mirror.borrow().as_of() > before {
+        host.news.notify_waiters();
+    }
+    changed
+}
+
+/// Asks a peer whose heartbeat shows that it knows more, if that is still so
+/// after this host's own source had time to tell.
+///
+/// Failure: the host that feeds a zone is cut off from the store unnoticed, and
+/// the zone goes on by an older configuration while others have a newer one.
+pub(crate) async fn catch_up(host: Rc<RouteHost>, peer: SocketAddr, as_of: u64) {
+    if as_of <= host.mirror.borrow().as_of() || host.catching_up.replace(true) {
+        return;
+    }
+    sleep(BEHIND_TIME).await;
+    let after = host.mirror.borrow().as_of();
+    if as_of > after
+        && let Ok(news) = host.links.news(peer, after, Duration::ZERO).await
+    {
+        edge_event!(
+            Level::Info,
+            EdgeEvent::CaughtUp,
+            "peer={peer} after={after} as_of={}",
+            news.as_of
+        );
+        take_from_peer(&host, news);
+    }
+    host.catching_up.set(false);
+}
+
+/// Answers a peer, once there is news or its wait is over.
+pub(crate) async fn tell(
+    host: Rc<RouteHost>,
+    after: u64,
+    wait: Duration,
+    mut reply: oneshot::Sender<CatalogNews>,
+) {
+    if host.mirror.borrow().as_of() <= after {
+        let waited = timeout(wait, host.news.notified());
+        tokio::select! {
+            // News or not, what is known now is the answer.
+            _ = waited => {}
+            () = reply.closed() => return,
+        }
+    }
+    let news = host.mirror.borrow().since(after);
+    let age_ms = host.confirmed_age().map_or(u64::MAX, |age| age.as_millis() as u64);
+    let items = news.items.into_iter();
+    let items = items.map(|item| (item.key, item.revision, item.value)).collect();
+    let told = CatalogNews { items, as_of: news.as_of, whole: news.whole, age_ms };
+    // The peer may have gone in this moment.
+    let _gone = reply.send(told);
+}
+
+/// One line when the store is lost, one when it is back.
+fn note_store(reachable: &mut bool, error: Option<&ReadError>) {
+    match error {
+        Some(error) if *reachable => {
+            *reachable = false;
+            edge_event!(Level::Warn, EdgeEvent::StoreLost, "error=\"{error:?}\"");
+        }
+        None if !*reachable => {
+            *reachable = true;
+            edge_event!(Level::Info, EdgeEvent::StoreBack, "");
+        }
+        _ => {}
+    }
+}
+
+fn readable(body: &Bytes) -> Result<StoreItems, ReadError> {
+    store::items(body).map_err(|_| ReadError::NoAnswer(UncertainCause::BadAnswer))
+}
+
+async fn watch(client: &StoreClient, after: u64) -> WatchEnd {
+    let path = store::watch_path(after, WATCH_WAIT);
+    match client.read_path(CallKind::Watch, path, WATCH_WAIT).await {
+        Ok((StatusCode::OK, body)) => match readable(&body) {
+            Ok(news) => WatchEnd::News(news),
+            Err(error) => WatchEnd::Lost(error),
+        },
+        Ok((StatusCode::GONE, _)) => WatchEnd::HistoryGone,
+        Ok(_) => WatchEnd::Lost(ReadError::NoAnswer(UncertainCause::BadAnswer)),
+        Err(error) => WatchEnd::Lost(error),
+    }
+}
+
+/// All items. Pages are no snapshot: the revision of the first is kept, so that
+/// the watch brings again what changed while later ones were read.
+async fn read_all(client: &StoreClient) -> Result<StoreItems, ReadError> {
+    let mut all = StoreItems { items: Vec::new(), more: true, as_of: 0 };
+    while all.more {
+        let after = all.items.last().map(|item| item.key.clone());
+        let path = store::page_path(after.as_deref());
+        let page = match client.read_path(CallKind::List, path, Duration::ZERO).await? {
+            (StatusCode::OK, body) => readable(&body)?,
+            _ => return Err(ReadError::NoAnswer(UncertainCause::BadAnswer)),
+        };
+        if all.as_of == 0 {
+            all.as_of = page.as_of;
+        }
+        all.more = page.more && !page.items.is_empty();
+        all.items.extend(page.items);
+    }
+    Ok(all)
+}
--- a/crates/hawthorn-edge/src/process/fleet.rs
+++ b/crates/hawthorn-edge/src/process/fleet.rs
@@ -13,6 +13,7 @@
 use hawthorn_fleet::MemberTable;
 use hawthorn_fleet::member;
 use hawthorn_types::ConfigRevision;
+use hawthorn_types::HostKey;
 use log::Level;
 use rand::RngExt;
 use tokio::net::UdpSocket;
@@ -21,6 +22,7 @@
 use crate::edge_event;
 use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
+use crate::process::feed;
 use crate::process::host::RouteHost;
 use crate::settings::RouteSettings;
 
@@ -89,6 +91,7 @@
     let version = host.beliefs.table().map_or(0, |table| table.version());
     let digest = MemberDigest {
         revision: ConfigRevision(version),
+        versions: host.mirror.borrow().as_of(),
         ready: host.is_ready(),
         ..MemberDigest::default()
     };
@@ -102,7 +105,7 @@
     host.beliefs.hosts.set(live);
 }
 
-async fn act(host: &RouteHost, socket: &UdpSocket) {
+async fn act(host: &Rc<RouteHost>, socket: &UdpSocket) {
     loop {
         let action = host.members.borrow_mut().poll_action();
         match action {
@@ -114,12 +117,24 @@
             Some(FleetAction::MemberUp(key)) => note(host, key, "up"),
             Some(FleetAction::MemberDown(key)) => note(host, key, "down"),
             Some(FleetAction::MemberLeaving(key)) => note(host, key, "leaving"),
+            Some(FleetAction::DigestHeard { peer, digest }) => behind(host, peer, digest.versions),
             Some(_) => {}
         }
     }
 }
 
-fn note(host: &RouteHost, key: hawthorn_types::HostKey, change: &str) {
+/// A heartbeat tells how far its sender knows the store's items.
+fn behind(host: &Rc<RouteHost>, peer: HostKey, as_of: u64) {
+    if as_of <= host.mirror.borrow().as_of() {
+        return;
+    }
+    let address = host.members.borrow().record(peer).map(|record| record.place.peer);
+    if let Some(address) = address {
+        tokio::task::spawn_local(feed::catch_up(Rc::clone(host), address, as_of));
+    }
+}
+
+fn note(host: &RouteHost, key: HostKey, change: &str) {
     let members = host.members.borrow();
     if let Some(record) = members.record(key) {
         let (name, zone) = (&record.place.host, &record.place.zone);
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use hawthorn_fleet::MemberTable;
+use hawthorn_route::mirror::StoreMirror;
 use hawthorn_store::StoreClient;
 use hawthorn_store::client;
 use log::Level;
@@ -16,6 +17,7 @@
 use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::task::LocalSet;
 use tokio::time::sleep;
@@ -25,10 +27,9 @@
 use crate::connection::peer;
 use crate::connection::peer::PeerLinks;
 use crate::edge_event;
-use crate::process::catalog;
-use crate::process::catalog::CatalogPart;
 use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
+use crate::process::feed;
 use crate::process::fleet;
 use crate::process::metrics;
 use crate::process::metrics::EdgeMetrics;
@@ -80,6 +81,14 @@
     pub members: RefCell<MemberTable>,
     /// Connections to them.
     pub links: PeerLinks,
+    /// The store's items as this host knows them.
+    pub mirror: RefCell<StoreMirror>,
+    /// Told when the mirror reaches further than before.
+    pub news: Notify,
+    /// A peer that knows more is being asked.
+    pub catching_up: Cell<bool>,
+    /// When the store last confirmed the mirror, perhaps through others.
+    confirmed: Cell<Option<Duration>>,
     /// Entries of targets were read whole at least once.
     pub catalog_read: Cell<bool>,
     /// The order to stop came: no new callers, and answers end their connections.
@@ -103,6 +112,10 @@
         Ok(Self {
             members: RefCell::new(fleet::table(&settings)),
             links: PeerLinks::default(),
+            mirror: RefCell::default(),
+            news: Notify::new(),
+            catching_up: Cell::new(false),
+            confirmed: Cell::new(None),
             beliefs: Beliefs::new(settings),
             metrics: EdgeMetrics::new()?,
             catalog_read: Cell::new(false),
@@ -120,6 +133,16 @@
         knows && !self.stopping.is_cancelled() && !self.beliefs.stranded.get()
     }
 
+    /// The store confirmed the mirror at that time.
+    pub fn confirm(&self, at: Duration) {
+        self.confirmed.set(self.confirmed.get().max(Some(at)));
+    }
+
+    /// How long ago the store confirmed the mirror; `None` if it never did.
+    pub fn confirmed_age(&self) -> Option<Duration> {
+        self.confirmed.get().map(|at| host_now().saturating_sub(at))
+    }
+
     /// Counts a request and returns its number.
     pub fn next_request(&self) -> u32 {
         self.request_count.fetch_add(1, Ordering::Relaxed)
@@ -169,9 +192,7 @@
     duties.spawn_local(peer::serve(Rc::clone(&host), peers));
     duties.spawn_local(fleet::run(Rc::clone(&host), heartbeats));
     let client = StoreClient::new(host.beliefs.settings.store.address, client::Options::default());
-    for part in [CatalogPart::Document, CatalogPart::Entries] {
-        duties.spawn_local(catalog::follow(Rc::clone(&host), client.clone(), part));
-    }
+    duties.spawn_local(feed::follow(Rc::clone(&host), client));
     duties.spawn_local(sweep(Rc::clone(&host)));
     duties.spawn_local(reach::watch(Rc::clone(&host)));
     let name = &host.beliefs.settings.host.name;
@@ -204,6 +225,9 @@
                 edge_event!(Level::Info, EdgeEvent::HostReady, "version={version}");
             }
         }
+        let age = host.confirmed_age().map_or(u64::MAX, |age| age.as_millis() as u64);
+        host.metrics.show("catalog-age-ms", age);
+        host.metrics.show("hosts", host.beliefs.hosts.get() as u64);
         host.metrics.show("open-requests", host.open_requests.get() as u64);
         host.metrics.show("connections", host.connections.get() as u64);
         host.metrics.show("version", host.beliefs.table().map_or(0, |table| table.version()));
--- a/crates/hawthorn-edge/src/process/mod.rs
+++ b/crates/hawthorn-edge/src/process/mod.rs
@@ -3,6 +3,7 @@
 pub mod catalog;
 pub mod clock;
 pub mod events;
+pub mod feed;
 pub mod fleet;
 pub mod host;
 pub mod logs;
--- a/crates/hawthorn-edge/tests/catalog.rs
+++ b/crates/hawthorn-edge/tests/catalog.rs
@@ -1,11 +1,10 @@
 //! What a host believes after news from the store.
 
 use hawthorn_edge::process::catalog;
-use hawthorn_edge::process::catalog::CatalogPart;
 use hawthorn_edge::process::host::RouteHost;
 use hawthorn_edge::settings::RouteSettings;
-use hawthorn_platform::store::StoreItem;
-use hawthorn_platform::store::StoreItems;
+use hawthorn_route::mirror::MirrorItem;
+use hawthorn_route::mirror::MirrorNews;
 use hawthorn_route::target::TargetPhase;
 
 const SETTINGS: &str = r#"
@@ -35,19 +34,19 @@
     RouteHost::new(settings).expect("metrics can be set up")
 }
 
-fn entry(id: &str, revision: u64, value: &str) -> StoreItem {
+fn entry(id: &str, revision: u64, value: &str) -> MirrorItem {
     let value = Some(value.as_bytes().to_vec());
-    StoreItem { key: format!("servers/{id}"), revision, value }
+    MirrorItem { key: format!("servers/{id}"), revision, value }
 }
 
-fn good(id: &str, revision: u64) -> StoreItem {
+fn good(id: &str, revision: u64) -> MirrorItem {
     let text = r#"{"service":"s","address":"127.0.0.1:9","zone":"east","configVersion":"v1",
         "concurrency":2,"state":"ready","coldRemainingMs":0,"sequence":4}"#;
     entry(id, revision, text)
 }
 
-fn reading(items: Vec<StoreItem>, as_of: u64) -> StoreItems {
-    StoreItems { items, more: false, as_of }
+fn reading(items: Vec<MirrorItem>, as_of: u64) -> MirrorNews {
+    MirrorNews { items, as_of, whole: true }
 }
 
 fn ready_ids(host: &RouteHost) -> Vec<String> {
@@ -65,9 +64,9 @@
 #[test]
 fn a_target_missing_from_a_second_reading_is_gone() {
     let host = host();
-    catalog::take_all(&host, CatalogPart::Entries, &reading(vec![good("a", 1), good("b", 2)], 2));
+    catalog::take(&host, reading(vec![good("a", 1), good("b", 2)], 2));
     assert_eq!(ready_ids(&host), ["a", "b"]);
-    catalog::take_all(&host, CatalogPart::Entries, &reading(vec![good("b", 2), good("c", 5)], 5));
+    catalog::take(&host, reading(vec![good("b", 2), good("c", 5)], 5));
     assert_eq!(ready_ids(&host), ["b", "c"]);
 }
 
@@ -102,7 +101,7 @@
     for case in cases {
         let host = host();
         let items = vec![good("a", 1), entry("b", 2, case.text), good("c", 3)];
-        catalog::take_all(&host, CatalogPart::Entries, &reading(items, 3));
+        catalog::take(&host, reading(items, 3));
         assert_eq!(ready_ids(&host), ["a", "c"], "{}", case.name);
     }
 }
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`budget`] | how many extra attempts a service may be sent |
 //! | [`weight`] | which part of a weighted route a request goes to |
 //! | [`merge`] | the greatest records of many parts |
+//! | [`mirror`] | the store's items as this host knows them |
 //! | [`gather`] | when a query over many shards is answered, and with what |
 //! | [`reach`] | which zones cannot be reached |
 //! | [`outcome`] | what an attempt and a request came to |
@@ -25,6 +26,7 @@
 pub mod gather;
 pub mod hedge;
 pub mod merge;
+pub mod mirror;
 pub mod outcome;
 pub mod place;
 pub mod reach;
--- /dev/null
+++ b/crates/hawthorn-route/tests/mirror.rs
@@ -0,0 +1,103 @@
+//! News of the store's items, by any way and in any order.
+
+use hawthorn_route::mirror;
+use hawthorn_route::mirror::MirrorItem;
+use hawthorn_route::mirror::MirrorNews;
+use hawthorn_route::mirror::StoreMirror;
+use proptest::prelude::ProptestConfig;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+
+fn item(key: &str, revision: u64, value: Option<&str>) -> MirrorItem {
+    let value = value.map(|text| text.as_bytes().to_vec());
+    MirrorItem { key: key.to_owned(), revision, value }
+}
+
+fn news(items: Vec<MirrorItem>, as_of: u64) -> MirrorNews {
+    MirrorNews { items, as_of, whole: false }
+}
+
+/// A slow peer's answer arrives after the store's own watch has brought newer
+/// entries. Nothing may go back.
+#[test]
+fn an_older_item_changes_nothing() {
+    let mut mirror = StoreMirror::default();
+    assert_eq!(mirror.take(news(vec![item("a", 5, Some("new"))], 5)).len(), 1);
+    assert_eq!(mirror.take(news(vec![item("a", 4, Some("old"))], 4)), []);
+    assert_eq!(mirror.as_of(), 5);
+    assert_eq!(mirror.since(0).items, [item("a", 5, Some("new"))]);
+}
+
+/// The store forgot its history, and an item was deleted meanwhile: it is
+/// missing from the whole reading and from everything told to peers after it.
+#[test]
+fn what_a_whole_reading_lacks_is_gone() {
+    let mut mirror = StoreMirror::default();
+    mirror.take(news(vec![item("a", 1, Some("x")), item("b", 2, Some("y"))], 2));
+    let whole = MirrorNews { items: vec![item("b", 2, Some("y"))], as_of: 7, whole: true };
+    assert_eq!(mirror.take(whole), [item("a", 7, None)]);
+    let mut peer = StoreMirror::default();
+    peer.take(news(vec![item("a", 1, Some("x")), item("b", 2, Some("y"))], 2));
+    peer.take(mirror.since(peer.as_of()));
+    for held in [&mirror, &peer] {
+        assert_eq!(held.since(0).items, [item("b", 2, Some("y"))]);
+    }
+}
+
+#[test]
+fn the_first_live_hosts_of_a_zone_feed_the_others() {
+    struct Case {
+        ids: &'static [u64],
+        zones: usize,
+        feeds: &'static [u64],
+    }
+    let cases = [
+        Case { ids: &[1, 2, 3], zones: 3, feeds: &[1] },
+        Case { ids: &[1, 2, 3], zones: 1, feeds: &[1, 2] },
+        Case { ids: &[7], zones: 1, feeds: &[7] },
+    ];
+    for case in cases {
+        let feeding = case.ids.iter().filter(|id| mirror::feeds(case.ids, **id, case.zones));
+        assert_eq!(feeding.copied().collect::<Vec<u64>>(), case.feeds);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+
+    /// Hosts learn from the store and from each other in any order; once each
+    /// has asked one that knows everything, all hold the same.
+    #[test]
+    fn all_hosts_come_to_hold_the_same(
+        changes in proptest::collection::vec((0_u8..6, proptest::bool::ANY), 1..60),
+        asks in proptest::collection::vec((0_usize..4, 0_usize..4, 0_usize..60), 0..80),
+    ) {
+        let history: Vec<MirrorItem> = changes
+            .iter()
+            .enumerate()
+            .map(|(step, (key, there))| {
+                let text = format!("{step}");
+                item(&format!("k{key}"), step as u64 + 1, there.then_some(text.as_str()))
+            })
+            .collect();
+        let mut hosts = vec![StoreMirror::default(); 4];
+        for (from, to, reach) in asks {
+            if from == to {
+                // From the store: the next few changes after what is known.
+                let known = hosts[to].as_of() as usize;
+                let end = (known + reach).min(history.len());
+                let part = history[known.min(end)..end].to_vec();
+                hosts[to].take(news(part, end as u64));
+            } else {
+                let told = hosts[from].since(hosts[to].as_of());
+                hosts[to].take(told);
+            }
+        }
+        let mut full = StoreMirror::default();
+        full.take(news(history.clone(), history.len() as u64));
+        for host in &mut hosts {
+            host.take(full.since(host.as_of()));
+            prop_assert_eq!(host.since(0), full.since(0));
+        }
+    }
+}
