test(edge): real processes against a store and targets of the users' platform

Cause: the path on the platform was proved only by the users' programs. Change: stand-ins of the platform's store and targets with their faults; eleven tests with real processes: each failure of a target and its truthful answer, stops, SIGHUP, callers that leave, addresses given to another service, history forgotten, starts without the store, queries over two zones. Debug lines tell every request. Ruled out: growing the targets of the own interface, which speak of searches and ranges.

--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -49,6 +49,8 @@
     /// The host steps aside, or takes callers again: whole kinds of requests
     /// cannot be answered from here.
     HostStranded = 623,
+    /// Some of a request's shards were gathered by a peer, or were not.
+    ShardsDelegated = 633,
     /// A peer's message could not be understood.
     PeerMessageBroken = 640,
     /// The host that news comes from has not been confirmed by the store lately.
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -32,6 +32,7 @@
 use crate::request::gather;
 use crate::request::order::CallerWatch;
 use crate::request::order::RequestOrder;
+use crate::request::story::DelegateNote;
 use crate::request::story::RequestStory;
 
 /// Fewer shards are asked for directly: one message with its reply is as many
@@ -154,6 +155,21 @@
     if reply.is_ok() {
         host.beliefs.zone_answered(&delegated.zone);
     }
+    let outcome = match &reply {
+        Ok(GatherReply::Parts { missing: 0, .. }) => "whole",
+        Ok(GatherReply::Parts { .. }) => "partial",
+        Ok(GatherReply::OtherVersion) => "other-version",
+        Ok(GatherReply::Stopping) => "stopping",
+        Err(PeerError::NotSent) => "not-sent",
+        Err(PeerError::Lost) => "lost",
+    };
+    order.story.borrow_mut().delegated(DelegateNote {
+        peer: delegated.peer,
+        zone: delegated.zone.clone(),
+        shards: delegated.shards.len(),
+        took: host_now().saturating_sub(now),
+        outcome,
+    });
     reply
 }
 
--- a/crates/hawthorn-edge/src/request/story.rs
+++ b/crates/hawthorn-edge/src/request/story.rs
@@ -1,5 +1,6 @@
 //! The lines of one request, written together when it has ended.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hawthorn_route::outcome::AttemptEnd;
@@ -24,11 +25,22 @@
     pub(crate) speed: f64,
 }
 
+/// What came of shards that a peer gathered.
+#[derive(Clone, Debug)]
+pub(crate) struct DelegateNote {
+    pub(crate) peer: SocketAddr,
+    pub(crate) zone: String,
+    pub(crate) shards: usize,
+    pub(crate) took: Duration,
+    pub(crate) outcome: &'static str,
+}
+
 /// What is told of one request.
 #[derive(Debug, Default)]
 pub(crate) struct RequestStory {
     notes: Vec<AttemptNote>,
     late: Vec<(String, Duration, &'static str)>,
+    delegated: Vec<DelegateNote>,
 }
 
 /// How a request ended.
@@ -56,10 +68,16 @@
         self.late.push((service.to_owned(), waited, decision));
     }
 
+    /// A peer's shards came, or did not.
+    pub(crate) fn delegated(&mut self, note: DelegateNote) {
+        self.delegated.push(note);
+    }
+
     /// Writes the lines: all of a request that did not go well, of the others
-    /// one in [`CALM_SAMPLE`].
+    /// one in [`CALM_SAMPLE`], or every one when debug lines are written.
     pub(crate) fn tell(&self, summary: &RequestSummary<'_>, calm: bool) {
-        if calm && !summary.number.is_multiple_of(CALM_SAMPLE) {
+        let sampled = summary.number.is_multiple_of(CALM_SAMPLE);
+        if calm && !sampled && !log::log_enabled!(target: "edge", Level::Debug) {
             return;
         }
         let RequestSummary { id, route, version, outcome, status, .. } = summary;
@@ -80,6 +98,16 @@
                 millis(*waited)
             );
         }
+        for note in &self.delegated {
+            let DelegateNote { peer, zone, shards, outcome, .. } = note;
+            edge_event!(
+                Level::Info,
+                EdgeEvent::ShardsDelegated,
+                "request={id} peer={peer} zone={zone} shards={shards} decision=delegated \
+                 outcome={outcome} took_ms={:.1}",
+                millis(note.took)
+            );
+        }
         for note in &self.notes {
             let AttemptNote { service, target, zone, end, load, .. } = note;
             edge_event!(
--- a/crates/hawthorn-standin/src/lib.rs
+++ b/crates/hawthorn-standin/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod load;
 pub mod platform;
 pub mod proxy;
+pub mod route;
 pub mod target;
 mod timer;
 mod wire;
--- /dev/null
+++ b/crates/hawthorn-standin/src/route/store.rs
@@ -0,0 +1,222 @@
+//! The platform's store: pages, watches, a history that can be dropped, outages.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
+
+use super::wire;
+use super::wire::WireRequest;
+
+/// Items of one page: few, so that a small test has several pages.
+const PAGE_ITEMS: usize = 3;
+
+/// How the store is out of order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RouteOutage {
+    /// It answers.
+    #[default]
+    None,
+    /// It answers 503 to every call.
+    Busy,
+    /// It takes calls and answers none.
+    Silent,
+}
+
+#[derive(Debug, Default)]
+struct StoreState {
+    revision: u64,
+    items: BTreeMap<String, (u64, Vec<u8>)>,
+    /// Changes, the oldest first; nothing lies there where it was deleted.
+    history: Vec<(u64, String, Option<Vec<u8>>)>,
+    /// Changes up to this revision are dropped.
+    dropped: u64,
+    outage: RouteOutage,
+    calls: usize,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<StoreState>,
+    changed: Notify,
+}
+
+/// The store of one test; stops when it is dropped.
+#[derive(Debug)]
+pub struct RouteStore {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    _stop: DropGuard,
+}
+
+impl RouteStore {
+    /// Starts on a free port of loopback.
+    ///
+    /// # Errors
+    /// When no port can be listened on.
+    pub async fn start() -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared::default());
+        let stop = CancellationToken::new();
+        let serving = serve(listener, Arc::clone(&shared));
+        tokio::spawn(stop.clone().run_until_cancelled_owned(serving));
+        Ok(Self { address, shared, _stop: stop.drop_guard() })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn change(&self, with: impl FnOnce(&mut StoreState)) {
+        with(&mut self.shared.state.lock().expect("no holder of the lock panics"));
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Writes an item.
+    pub fn put(&self, key: &str, value: &[u8]) {
+        self.change(|state| {
+            state.revision += 1;
+            state.items.insert(key.to_owned(), (state.revision, value.to_vec()));
+            state.history.push((state.revision, key.to_owned(), Some(value.to_vec())));
+        });
+    }
+
+    /// Deletes an item.
+    pub fn delete(&self, key: &str) {
+        self.change(|state| {
+            state.revision += 1;
+            state.items.remove(key);
+            state.history.push((state.revision, key.to_owned(), None));
+        });
+    }
+
+    /// Drops the history; watches from before answer 410.
+    pub fn compact(&self) {
+        self.change(|state| {
+            state.dropped = state.revision;
+            state.history.clear();
+        });
+    }
+
+    /// Puts it out of order, or in order again.
+    pub fn set_outage(&self, outage: RouteOutage) {
+        self.change(|state| state.outage = outage);
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> usize {
+        self.shared.state.lock().expect("no holder of the lock panics").calls
+    }
+}
+
+async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(hold(stream, Arc::clone(&shared)));
+    }
+}
+
+async fn hold(mut stream: TcpStream, shared: Arc<Shared>) {
+    let mut buffer = Vec::new();
+    while let Ok(Some(request)) = wire::read(&mut stream, &mut buffer).await {
+        let outage = {
+            let mut state = shared.state.lock().expect("no holder of the lock panics");
+            state.calls += 1;
+            state.outage
+        };
+        let answer = match outage {
+            RouteOutage::None => respond(&request, &shared).await,
+            RouteOutage::Busy => wire::answer(503, &[], b""),
+            RouteOutage::Silent => std::future::pending().await,
+        };
+        if stream.write_all(&answer).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn respond(request: &WireRequest, shared: &Shared) -> Vec<u8> {
+    let (status, body) = match request.path() {
+        "/-/kv-range" => (200, page(request, shared)),
+        "/-/kv-watch" => watch(request, shared).await,
+        _ => (404, json!({})),
+    };
+    let kind = [("Content-Type", "application/json".to_owned())];
+    wire::answer(status, &kind, body.to_string().as_bytes())
+}
+
+fn encoded(key: &str, revision: u64, value: &[u8]) -> Value {
+    json!({ "key": key, "revision": revision, "created": revision, "lease": 0,
+            "value": base64(value) })
+}
+
+fn page(request: &WireRequest, shared: &Shared) -> Value {
+    let state = shared.state.lock().expect("no holder of the lock panics");
+    let after = request.query("after").unwrap_or_default().replace("%2F", "/");
+    let rest: Vec<Value> = state
+        .items
+        .iter()
+        .filter(|(key, _)| key.as_str() > after.as_str())
+        .map(|(key, (revision, value))| encoded(key, *revision, value))
+        .collect();
+    let more = rest.len() > PAGE_ITEMS;
+    let items: Vec<Value> = rest.into_iter().take(PAGE_ITEMS).collect();
+    json!({ "items": items, "hasMore": more, "asOf": state.revision })
+}
+
+async fn watch(request: &WireRequest, shared: &Shared) -> (u16, Value) {
+    let number = |name| request.query(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+    let after = number("after");
+    let wait = async {
+        loop {
+            let changed = shared.changed.notified();
+            if shared.state.lock().expect("no holder of the lock panics").revision > after {
+                return;
+            }
+            changed.await;
+        }
+    };
+    // Whether there is news or the wait is over, the answer is what there is.
+    let _over = timeout(Duration::from_millis(number("waitMs")), wait).await;
+    let state = shared.state.lock().expect("no holder of the lock panics");
+    if after < state.dropped {
+        return (410, json!({}));
+    }
+    let events: Vec<Value> = state
+        .history
+        .iter()
+        .filter(|(revision, _, _)| *revision > after)
+        .map(|(revision, key, value)| match value {
+            Some(value) => encoded(key, *revision, value),
+            None => json!({ "key": key, "revision": revision, "deleted": true }),
+        })
+        .collect();
+    (200, json!({ "events": events, "asOf": state.revision }))
+}
+
+/// Standard base64 with padding.
+fn base64(bytes: &[u8]) -> String {
+    const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut text = String::new();
+    for chunk in bytes.chunks(3) {
+        let byte = |at: usize| u32::from(chunk.get(at).copied().unwrap_or(0));
+        let bits = byte(0) << 16 | byte(1) << 8 | byte(2);
+        for place in 0..4 {
+            let digit = (bits >> (18 - 6 * place) & 63) as usize;
+            text.push(if place <= chunk.len() { char::from(DIGITS[digit]) } else { '=' });
+        }
+    }
+    text
+}
--- /dev/null
+++ b/crates/hawthorn-standin/src/route/target.rs
@@ -0,0 +1,253 @@
+//! A target that runs callers' requests, and the ways in which it may not.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
+
+use super::wire;
+use super::wire::WireRequest;
+
+/// What a target does to one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetFault {
+    /// It says that it is full and did not run it.
+    Full,
+    /// It runs it and breaks the connection off.
+    Break,
+    /// It runs it and answers nothing.
+    Mute,
+    /// It runs it and answers half of what it announced.
+    Half,
+    /// It runs it and answers with another request's id.
+    Crossed,
+    /// It runs it, answers, and sends the answer a second time.
+    Twice,
+    /// It runs it and answers without a length, ending with the connection.
+    Unframed,
+    /// It runs it and answers with a failure of its own.
+    Fail,
+    /// It runs it, and is so long about it.
+    Slow(Duration),
+}
+
+#[derive(Debug)]
+struct TargetState {
+    id: String,
+    service: String,
+    faults: VecDeque<TargetFault>,
+    always: Option<TargetFault>,
+    /// How often each of the callers' tries was run.
+    runs: HashMap<String, usize>,
+    requests: Vec<(String, String, Vec<u8>)>,
+    cancelled: usize,
+}
+
+/// One target; stops when it is dropped.
+#[derive(Debug)]
+pub struct RouteTarget {
+    address: SocketAddr,
+    state: Arc<Mutex<TargetState>>,
+    stop: DropGuard,
+}
+
+impl RouteTarget {
+    /// Starts on a free port of loopback.
+    ///
+    /// # Errors
+    /// When no port can be listened on.
+    pub async fn start(id: &str, service: &str) -> std::io::Result<Self> {
+        Self::start_at(id, service, SocketAddr::from(([127, 0, 0, 1], 0))).await
+    }
+
+    /// Starts at an address, which another may have had before.
+    ///
+    /// # Errors
+    /// When it cannot be listened on.
+    pub async fn start_at(id: &str, service: &str, at: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(at).await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(Mutex::new(TargetState {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            faults: VecDeque::new(),
+            always: None,
+            runs: HashMap::new(),
+            requests: Vec::new(),
+            cancelled: 0,
+        }));
+        let stop = CancellationToken::new();
+        let serving = serve(listener, Arc::clone(&state), stop.clone());
+        tokio::spawn(stop.clone().run_until_cancelled_owned(serving));
+        Ok(Self { address, state, stop: stop.drop_guard() })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// What it registers as.
+    pub fn entry(&self, zone: &str, state: &str) -> Vec<u8> {
+        let held = self.state.lock().expect("no holder of the lock panics");
+        let entry = json!({
+            "service": held.service, "address": self.address, "zone": zone,
+            "configVersion": "v1", "concurrency": 2, "state": state,
+            "coldRemainingMs": 0, "sequence": 1
+        });
+        entry.to_string().into_bytes()
+    }
+
+    /// Has the next requests meet these faults, one each.
+    pub fn fail_next(&self, faults: &[TargetFault]) {
+        let mut state = self.state.lock().expect("no holder of the lock panics");
+        state.faults.extend(faults);
+    }
+
+    /// Has every request meet a fault, or none.
+    pub fn fail_always(&self, fault: Option<TargetFault>) {
+        self.state.lock().expect("no holder of the lock panics").always = fault;
+    }
+
+    /// How often a caller's try was run.
+    pub fn runs(&self, attempt: &str) -> usize {
+        let state = self.state.lock().expect("no holder of the lock panics");
+        state.runs.get(attempt).copied().unwrap_or(0)
+    }
+
+    /// Runs of all tries.
+    pub fn all_runs(&self) -> usize {
+        self.state.lock().expect("no holder of the lock panics").runs.values().sum()
+    }
+
+    /// Runs that ended because the connection was closed.
+    pub fn cancelled(&self) -> usize {
+        self.state.lock().expect("no holder of the lock panics").cancelled
+    }
+
+    /// Method, path and body of every request that it ran.
+    pub fn requests(&self) -> Vec<(String, String, Vec<u8>)> {
+        self.state.lock().expect("no holder of the lock panics").requests.clone()
+    }
+
+    /// Ends it: its connections are closed and its address is free.
+    pub fn end(self) {
+        drop(self.stop);
+    }
+}
+
+async fn serve(listener: TcpListener, state: Arc<Mutex<TargetState>>, stop: CancellationToken) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(stop.clone().run_until_cancelled_owned(hold(stream, Arc::clone(&state))));
+    }
+}
+
+async fn hold(mut stream: TcpStream, state: Arc<Mutex<TargetState>>) {
+    let mut buffer = Vec::new();
+    while let Ok(Some(request)) = wire::read(&mut stream, &mut buffer).await {
+        let (fault, id) = {
+            let mut state = state.lock().expect("no holder of the lock panics");
+            let always = state.always;
+            (state.faults.pop_front().or(always), state.id.clone())
+        };
+        let expected = request.header("hawthornroute-expected-instance");
+        if expected.is_some_and(|expected| expected != id) {
+            let names = [("Hawthornroute-Instance-Id", id)];
+            if stream.write_all(&wire::answer(421, &names, b"")).await.is_err() {
+                return;
+            }
+            continue;
+        }
+        if fault == Some(TargetFault::Full) {
+            let says = [("Hawthornroute-Not-Executed", "1".to_owned())];
+            if stream.write_all(&wire::answer(503, &says, b"")).await.is_err() {
+                return;
+            }
+            continue;
+        }
+        note_run(&state, &request);
+        if !run(&mut stream, &state, &request, fault).await {
+            return;
+        }
+    }
+}
+
+fn note_run(state: &Mutex<TargetState>, request: &WireRequest) {
+    let mut state = state.lock().expect("no holder of the lock panics");
+    let attempt = request.header("hawthornroute-attempt-id").unwrap_or("-").to_owned();
+    *state.runs.entry(attempt).or_default() += 1;
+    state.requests.push((request.method.clone(), request.target.clone(), request.body.clone()));
+}
+
+/// Answers a request; false when the connection is over.
+async fn run(
+    stream: &mut TcpStream,
+    state: &Mutex<TargetState>,
+    request: &WireRequest,
+    fault: Option<TargetFault>,
+) -> bool {
+    let (id, service) = {
+        let state = state.lock().expect("no holder of the lock panics");
+        (state.id.clone(), state.service.clone())
+    };
+    if let Some(TargetFault::Slow(time)) = fault {
+        let mut rest = [0; 1];
+        tokio::select! {
+            () = sleep(time) => {}
+            _ = stream.read(&mut rest) => {
+                state.lock().expect("no holder of the lock panics").cancelled += 1;
+                return false;
+            }
+        }
+    }
+    let attempt = request.header("hawthornroute-attempt-id").unwrap_or("-");
+    let echoed = if fault == Some(TargetFault::Crossed) { "another" } else { attempt };
+    let headers = [
+        ("Hawthornroute-Response-Stamp", format!("{id}.{attempt}")),
+        ("Hawthornroute-Attempt-Id", echoed.to_owned()),
+        ("Hawthornroute-Server-Load", "1,0,2".to_owned()),
+    ];
+    let body = records(&service);
+    let status = if fault == Some(TargetFault::Fail) { 500 } else { 200 };
+    let answer = wire::answer(status, &headers, &body);
+    let sent = match fault {
+        Some(TargetFault::Break) => return false,
+        Some(TargetFault::Mute) => std::future::pending().await,
+        Some(TargetFault::Half) => {
+            // The connection ends with this function's caller.
+            let _sent = stream.write_all(&answer[..answer.len() - body.len() / 2]).await;
+            return false;
+        }
+        Some(TargetFault::Unframed) => {
+            let text = String::from_utf8_lossy(&answer).into_owned();
+            let unframed = text.replacen("Content-Length", "X-Length", 1);
+            let _sent = stream.write_all(unframed.as_bytes()).await;
+            return false;
+        }
+        Some(TargetFault::Twice) => stream.write_all(&[&answer[..], &answer].concat()).await,
+        _ => stream.write_all(&answer).await,
+    };
+    sent.is_ok()
+}
+
+/// What a service's targets answer: three records and a remainder.
+pub fn records(service: &str) -> Vec<u8> {
+    let mut body = Vec::new();
+    for place in 0..3 {
+        let text = format!("{place}{service:.<15.15}");
+        body.extend_from_slice(text.as_bytes());
+    }
+    body.extend_from_slice(b"rest");
+    body
+}
--- /dev/null
+++ b/tests/route.rs
@@ -0,0 +1,353 @@
+//! Real `route` processes against a store and targets of the users' platform:
+//! what callers see when targets, the store or hosts fail.
+
+mod support;
+
+use std::time::Duration;
+
+use hawthorn_standin::route::RouteStore;
+use hawthorn_standin::route::RouteTarget;
+use hawthorn_standin::route::store::RouteOutage;
+use hawthorn_standin::route::target;
+use hawthorn_standin::route::target::TargetFault;
+use rustix::process::Signal;
+use support::TestResult;
+use support::route;
+use support::route::RouteHost;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+/// One host, two targets of a service, and routes to them.
+struct Pair {
+    store: RouteStore,
+    first: RouteTarget,
+    second: RouteTarget,
+    host: RouteHost,
+}
+
+async fn pair() -> TestResult<Pair> {
+    let store = RouteStore::start().await?;
+    let first = RouteTarget::start("t-1", "s").await?;
+    let second = RouteTarget::start("t-2", "s").await?;
+    let routes = [route::single("/safe/", "s", "safe"), route::single("/once/", "s", "unsafe")];
+    route::configure(&store, 3, &routes, &["s"]);
+    route::register(&store, "t-1", &first, "east");
+    route::register(&store, "t-2", &second, "east");
+    let host = RouteHost::start("h-1", "east", store.address(), &[])?;
+    host.ready().await?;
+    Ok(Pair { store, first, second, host })
+}
+
+impl Pair {
+    fn fail_always(&self, fault: Option<TargetFault>) {
+        self.first.fail_always(fault);
+        self.second.fail_always(fault);
+    }
+
+    fn runs(&self, id: &str) -> usize {
+        self.first.runs(id) + self.second.runs(id)
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_passed_on_and_answered_unchanged() -> TestResult {
+    let pair = pair().await?;
+    let answer = pair.host.ask("POST", "/safe/a%20b?x=1&y=%2F", "id-1", "the body").await?;
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body, target::records("s"));
+    assert!(answer.headers["hawthornroute-response-stamp"].ends_with(".id-1"));
+    let mut seen = pair.first.requests();
+    seen.extend(pair.second.requests());
+    let expected = ("POST".to_owned(), "/safe/a%20b?x=1&y=%2F".to_owned(), b"the body".to_vec());
+    assert_eq!(seen, [expected]);
+    assert_eq!(pair.host.ask("GET", "/none/", "id-2", "").await?.status, 404);
+    Ok(())
+}
+
+/// A target fails in one of the ways that targets do, or both do. A request
+/// that may run twice is answered by the other target; one that may not runs at
+/// most once, and "not run" is said only when it did not.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_failure_of_a_target_has_its_truthful_answer() -> TestResult {
+    struct Case {
+        name: &'static str,
+        fault: TargetFault,
+        /// Of an idempotent request when one target fails so, and when both do.
+        safe: (u16, u16),
+        /// Of one that is not, when both do.
+        once: u16,
+        once_runs: usize,
+    }
+    let slow = TargetFault::Slow(Duration::from_millis(50));
+    let cases = [
+        Case { name: "full", fault: TargetFault::Full, safe: (200, 503), once: 503, once_runs: 0 },
+        Case {
+            name: "broken off",
+            fault: TargetFault::Break,
+            safe: (200, 502),
+            once: 502,
+            once_runs: 1,
+        },
+        Case {
+            name: "half an answer",
+            fault: TargetFault::Half,
+            safe: (200, 502),
+            once: 502,
+            once_runs: 1,
+        },
+        Case {
+            name: "another's answer",
+            fault: TargetFault::Crossed,
+            safe: (200, 502),
+            once: 502,
+            once_runs: 1,
+        },
+        Case {
+            name: "failed",
+            fault: TargetFault::Fail,
+            safe: (200, 500),
+            once: 500,
+            once_runs: 1,
+        },
+        Case {
+            name: "no length",
+            fault: TargetFault::Unframed,
+            safe: (200, 200),
+            once: 200,
+            once_runs: 1,
+        },
+        Case {
+            name: "answered twice",
+            fault: TargetFault::Twice,
+            safe: (200, 200),
+            once: 200,
+            once_runs: 1,
+        },
+        Case { name: "slow", fault: slow, safe: (200, 200), once: 200, once_runs: 1 },
+        Case { name: "mute", fault: TargetFault::Mute, safe: (200, 504), once: 504, once_runs: 1 },
+    ];
+    for case in cases {
+        let pair = pair().await?;
+        pair.first.fail_always(Some(case.fault));
+        for round in 0..2 {
+            let answer = pair.host.ask("GET", "/safe/", &format!("one-{round}"), "").await?;
+            assert_eq!(answer.status, case.safe.0, "{}: one target fails", case.name);
+        }
+        pair.fail_always(Some(case.fault));
+        let answer = pair.host.ask("GET", "/safe/", "both", "").await?;
+        assert_eq!(answer.status, case.safe.1, "{}: both fail", case.name);
+        let answer = pair.host.ask("POST", "/once/", "once", "").await?;
+        assert_eq!(answer.status, case.once, "{}: may run once", case.name);
+        assert_eq!(pair.runs("once"), case.once_runs, "{}: runs", case.name);
+        assert_eq!(answer.status == 503, answer.headers.contains_key("retry-after"));
+        if answer.status == 200 {
+            assert_eq!(answer.body, target::records("s"), "{}", case.name);
+        }
+    }
+    Ok(())
+}
+
+/// The order to stop comes while a request runs. It is answered, the answer
+/// ends the connection, and the host ends by itself within its grace.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_cuts_off_no_request() -> TestResult {
+    let mut pair = pair().await?;
+    pair.fail_always(Some(TargetFault::Slow(Duration::from_millis(600))));
+    let mut idle = TcpStream::connect(pair.host.caller()).await?;
+    let mut stream = TcpStream::connect(pair.host.caller()).await?;
+    stream.write_all(&route::request("POST", "/once/", "id-1", "x")).await?;
+    sleep(Duration::from_millis(100)).await;
+    pair.host.signal(Signal::TERM)?;
+    sleep(Duration::from_millis(50)).await;
+    assert!(!pair.host.is_ready().await);
+    // A caller with a connection from before goes on using it.
+    idle.write_all(&route::request("POST", "/once/", "id-2", "x")).await?;
+    for (stream, id) in [(&mut stream, "id-1"), (&mut idle, "id-2")] {
+        let answer = route::read_answer(stream).await?;
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.headers["connection"], "close");
+        assert_eq!(pair.runs(id), 1);
+    }
+    for _ in 0..120 {
+        if pair.host.has_ended() {
+            return Ok(());
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    Err("the host outlived its grace".into())
+}
+
+/// Operators change settings and send SIGHUP; once that ended the process.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_outlives_sighup() -> TestResult {
+    let pair = pair().await?;
+    pair.host.signal(Signal::HUP)?;
+    let logged = async || pair.host.logged("settings-reloaded: outcome=accepted") == 1;
+    route::wait_for("the settings to be read again", logged).await?;
+    assert_eq!(pair.host.ask("GET", "/safe/", "id-1", "").await?.status, 200);
+    Ok(())
+}
+
+/// A caller gives up and closes its connection; the work it asked for stops.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_cancels_its_work() -> TestResult {
+    let pair = pair().await?;
+    pair.fail_always(Some(TargetFault::Slow(Duration::from_secs(20))));
+    let mut stream = TcpStream::connect(pair.host.caller()).await?;
+    stream.write_all(&route::request("GET", "/safe/", "id-1", "")).await?;
+    let runs = async || pair.runs("id-1") > 0;
+    route::wait_for("the request to run", runs).await?;
+    drop(stream);
+    let cancelled = async || pair.first.cancelled() + pair.second.cancelled() == pair.runs("id-1");
+    route::wait_for("the work to be cancelled", cancelled).await
+}
+
+/// A target ends and its address is given to one of another service, which the
+/// host has not heard of yet. It must not run the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_address_given_to_another_service_runs_nothing() -> TestResult {
+    let pair = pair().await?;
+    let address = pair.first.address();
+    pair.first.end();
+    sleep(Duration::from_millis(50)).await;
+    let other = RouteTarget::start_at("t-9", "other", address).await?;
+    for round in 0..6 {
+        let answer = pair.host.ask("POST", "/once/", &format!("id-{round}"), "").await?;
+        assert_eq!(answer.status, 200, "request {round}");
+    }
+    assert_eq!(other.all_runs(), 0);
+    assert_eq!(pair.second.all_runs(), 6);
+    Ok(())
+}
+
+/// A target says that it leaves; new work goes to the other at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_target_gets_no_new_work() -> TestResult {
+    let pair = pair().await?;
+    pair.store.put("servers/t-1", &pair.first.entry("east", "draining"));
+    let heard = async || pair.host.logged("target=t-1 change=draining") == 1;
+    route::wait_for("the host to hear of it", heard).await?;
+    for round in 0..10 {
+        assert_eq!(pair.host.ask("GET", "/safe/", &format!("id-{round}"), "").await?.status, 200);
+    }
+    assert_eq!(pair.first.all_runs(), 0);
+    Ok(())
+}
+
+/// The store forgets its history between two watches, and a target has gone and
+/// a version come meanwhile. Once the duty that reads anew ended there, unseen.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_forgot_its_history_is_read_anew() -> TestResult {
+    let pair = pair().await?;
+    pair.store.set_outage(RouteOutage::Busy);
+    pair.store.delete("servers/t-1");
+    let routes = [route::single("/new/", "s", "safe")];
+    route::configure(&pair.store, 9, &routes, &["s"]);
+    pair.store.compact();
+    let lost = async || pair.host.logged("store-lost") > 0;
+    route::wait_for("the host to miss the store", lost).await?;
+    assert_eq!(pair.host.ask("GET", "/safe/", "id-1", "").await?.status, 200);
+    pair.store.set_outage(RouteOutage::None);
+    let heard = async || pair.host.logged("target=t-1 change=removed") == 1;
+    route::wait_for("the host to hear of the target", heard).await?;
+    // The watch that waited when the outage began may have brought the one and
+    // not the other.
+    let routed = async || {
+        let answer = pair.host.ask("GET", "/new/", "id-2", "").await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    };
+    route::wait_for("the version to be in force", routed).await?;
+    assert_eq!(pair.host.ask("GET", "/safe/", "id-3", "").await?.status, 404);
+    Ok(())
+}
+
+/// An older version is written after a newer one; it never comes into force.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_never_goes_back() -> TestResult {
+    let pair = pair().await?;
+    route::configure(&pair.store, 2, &[route::single("/old/", "s", "safe")], &["s"]);
+    pair.store.put("servers/other", b"{}");
+    let heard = async || pair.host.logged("entry-broken: id=other") == 1;
+    route::wait_for("the host to hear what came after", heard).await?;
+    assert_eq!(pair.host.ask("GET", "/old/", "id-1", "").await?.status, 404);
+    assert_eq!(pair.host.ask("GET", "/safe/", "id-2", "").await?.status, 200);
+    Ok(())
+}
+
+/// A host starts while the store is away. Alone it must not say that routes are
+/// not there, as it knows none; with a peer that lives it learns and serves.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_starts_without_the_store_learns_from_a_peer() -> TestResult {
+    let pair = pair().await?;
+    pair.store.set_outage(RouteOutage::Silent);
+    let alone = RouteHost::start("h-2", "east", pair.store.address(), &[])?;
+    let answered = async || alone.ask("GET", "/safe/", "id-1", "").await.is_ok();
+    route::wait_for("the host to listen", answered).await?;
+    let answer = alone.ask("GET", "/safe/", "id-2", "").await?;
+    assert_eq!(answer.status, 503);
+    assert!(answer.headers.contains_key("retry-after"));
+    assert!(!alone.is_ready().await);
+    for (name, zone) in [("h-3", "east"), ("h-4", "west")] {
+        let joined = RouteHost::start(name, zone, pair.store.address(), &[&pair.host])?;
+        joined.ready().await?;
+        assert_eq!(joined.ask("GET", "/safe/", "id-3", "").await?.status, 200, "{zone}");
+    }
+    Ok(())
+}
+
+/// The shards of a query lie in two zones, and hosts in both. The answer holds
+/// the greatest records of all parts, each part signed once, whether a peer
+/// gathered some of them, has just been killed, or a shard has no target.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_query_over_shards_of_two_zones_is_whole() -> TestResult {
+    let store = RouteStore::start().await?;
+    let names = ["a", "b", "c", "d", "e", "f"];
+    let mut targets = Vec::new();
+    for (place, name) in names.iter().enumerate() {
+        let target = RouteTarget::start(&format!("t-{name}"), name).await?;
+        let zone = if place < 2 { "east" } else { "west" };
+        route::register(&store, &format!("t-{name}"), &target, zone);
+        targets.push(target);
+    }
+    let routes = [route::gathered("/all/", &names, 0.8)];
+    route::configure(&store, 3, &routes, &names);
+    let east = RouteHost::start("h-1", "east", store.address(), &[])?;
+    let west = RouteHost::start("h-2", "west", store.address(), &[&east])?;
+    east.ready().await?;
+    west.ready().await?;
+    let met = async || east.logged("host=h-2 zone=west change=up") == 1;
+    route::wait_for("the hosts to know each other", met).await?;
+    sleep(Duration::from_millis(500)).await;
+
+    let mut records: Vec<Vec<u8>> = names
+        .iter()
+        .flat_map(|name| {
+            target::records(name).chunks_exact(16).map(<[u8]>::to_vec).collect::<Vec<_>>()
+        })
+        .collect();
+    records.sort_by(|a, b| b.cmp(a));
+    for round in 0..5 {
+        let id = format!("id-{round}");
+        let answer = east.ask("GET", "/all/", &id, "").await?;
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.headers["hawthornroute-missing-parts"], "0");
+        assert_eq!(answer.body, records[..4].concat());
+        let mut receipts: Vec<&str> =
+            answer.headers["hawthornroute-part-stamps"].split(", ").collect();
+        receipts.sort_unstable();
+        let expected: Vec<String> = names.iter().map(|name| format!("t-{name}.{id}")).collect();
+        assert_eq!(receipts, expected);
+    }
+    let delegated = async || east.logged("decision=delegated outcome=whole") > 0;
+    route::wait_for("the line of a peer's shards", delegated).await?;
+    drop(west);
+    targets.pop();
+    let whole = async || {
+        let answer = east.ask("GET", "/all/", "id-9", "").await;
+        answer.is_ok_and(|answer| {
+            answer.status == 200 && answer.headers["hawthornroute-missing-parts"] == "1"
+        })
+    };
+    route::wait_for("queries to be answered without the peer and the shard", whole).await
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod load;
 pub mod network;
+pub mod route;
 pub mod wire;
 
 use std::error::Error;
--- /dev/null
+++ b/tests/support/route.rs
@@ -0,0 +1,246 @@
+//! Real `route` processes against the stand-ins of the users' platform.
+
+use std::collections::HashMap;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use hawthorn_standin::route::RouteStore;
+use hawthorn_standin::route::RouteTarget;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use serde_json::Value;
+use serde_json::json;
+use tempfile::TempDir;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use super::TestResult;
+
+/// How long a test waits for something that should come at once.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+const CALLER_PORT: u16 = 8104;
+const READY_PORT: u16 = 8108;
+const PEER_PORT: u16 = 7380;
+
+static HOSTS: AtomicU32 = AtomicU32::new(0);
+
+/// An address of loopback that no other host of this machine's tests has:
+/// hosts of one fleet listen for peers at one port.
+fn own_ip() -> IpAddr {
+    let process = std::process::id();
+    let host = HOSTS.fetch_add(1, Ordering::Relaxed);
+    let octet = |value: u32| (value % 250 + 1) as u8;
+    IpAddr::V4(Ipv4Addr::new(127, octet(process), octet(process / 250 + host / 250), octet(host)))
+}
+
+/// An answer of a host.
+#[derive(Clone, Debug)]
+pub struct RouteAnswer {
+    pub status: u16,
+    /// By names in lower case.
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+/// A running `route` process; killed when dropped.
+pub struct RouteHost {
+    ip: IpAddr,
+    child: Child,
+    log: Arc<Mutex<Vec<String>>>,
+    _files: TempDir,
+}
+
+impl RouteHost {
+    /// Starts a host of a zone; it is not ready yet.
+    pub fn start(
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        seeds: &[&RouteHost],
+    ) -> TestResult<Self> {
+        let ip = own_ip();
+        let files = TempDir::new()?;
+        let file = files.path().join("settings.toml");
+        let seeds: Vec<String> = seeds.iter().map(|host| format!("\"{}:1\"", host.ip)).collect();
+        let text = format!(
+            "[host]\nname = \"{name}\"\nzone = \"{zone}\"\n[listen]\n\
+             callers = \"{ip}:{CALLER_PORT}\"\nready = \"{ip}:{READY_PORT}\"\n\
+             peers = \"{ip}:{PEER_PORT}\"\nmetrics = \"{ip}:7381\"\n\
+             [fleet]\nseeds = [{}]\n[store]\naddress = \"{store}\"\n\
+             [targets]\nbeat_ms = 1200\nleave_ms = 3000\n[stop]\ngrace_ms = 6000\n\
+             [budget]\nshare = 0.2\nwindow_s = 10\nallowance = 560\n",
+            seeds.join(", ")
+        );
+        std::fs::write(&file, text)?;
+        let mut child = Command::new(super::program())
+            .args(["route", "--log", "debug", "--settings"])
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::inherit())
+            .spawn()?;
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let output = child.stdout.take().ok_or("standard output is piped")?;
+        let lines = Arc::clone(&log);
+        std::thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                lines.lock().expect("no holder of the lock panics").push(line);
+            }
+        });
+        Ok(Self { ip, child, log, _files: files })
+    }
+
+    /// Where callers reach it.
+    pub fn caller(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, CALLER_PORT)
+    }
+
+    /// Whether it says that it takes callers.
+    pub async fn is_ready(&self) -> bool {
+        let at = SocketAddr::new(self.ip, READY_PORT);
+        let head = "GET /-/ready HTTP/1.1\r\nHost: r\r\n\r\n".to_owned();
+        matches!(exchange(at, head.into_bytes()).await, Ok(answer) if answer.status == 200)
+    }
+
+    /// Waits until it takes callers.
+    pub async fn ready(&self) -> TestResult {
+        wait_for("the host to be ready", async || self.is_ready().await).await
+    }
+
+    /// Lines logged so far with this text.
+    pub fn logged(&self, text: &str) -> usize {
+        let log = self.log.lock().expect("no holder of the lock panics");
+        log.iter().filter(|line| line.contains(text)).count()
+    }
+
+    /// Sends a signal to this process.
+    pub fn signal(&self, signal: Signal) -> TestResult {
+        let pid = Pid::from_raw(i32::try_from(self.child.id())?).ok_or("a child has an id")?;
+        Ok(rustix::process::kill_process(pid, signal)?)
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    /// A caller's request on a connection of its own.
+    pub async fn ask(
+        &self,
+        method: &str,
+        path: &str,
+        id: &str,
+        body: &str,
+    ) -> TestResult<RouteAnswer> {
+        exchange(self.caller(), request(method, path, id, body)).await
+    }
+}
+
+impl Drop for RouteHost {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ended = self.child.kill();
+        let _waited = self.child.wait();
+    }
+}
+
+/// A caller's request as bytes.
+pub fn request(method: &str, path: &str, id: &str, body: &str) -> Vec<u8> {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nHawthornroute-Attempt-Id: {id}\r\n\
+         Hawthornroute-Deadline-Ms: 2000\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+async fn exchange(at: SocketAddr, request: Vec<u8>) -> TestResult<RouteAnswer> {
+    let mut stream = TcpStream::connect(at).await?;
+    stream.write_all(&request).await?;
+    timeout(PATIENCE, read_answer(&mut stream)).await?
+}
+
+/// Reads one answer with a length.
+pub async fn read_answer(stream: &mut TcpStream) -> TestResult<RouteAnswer> {
+    let mut bytes = Vec::new();
+    let end = loop {
+        if let Some(at) = bytes.windows(4).position(|part| part == b"\r\n\r\n") {
+            break at;
+        }
+        if stream.read_buf(&mut bytes).await? == 0 {
+            return Err("the connection ended before an answer".into());
+        }
+    };
+    let head = String::from_utf8(bytes[..end].to_vec())?;
+    let mut body = bytes.split_off(end + 4);
+    let mut lines = head.split("\r\n");
+    let status =
+        lines.next().and_then(|line| line.split(' ').nth(1)).ok_or("no status")?.parse()?;
+    let headers: HashMap<String, String> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
+        .collect();
+    let length = headers.get("content-length").map_or(Ok(0), |text| text.parse())?;
+    while body.len() < length {
+        if stream.read_buf(&mut body).await? == 0 {
+            return Err("the connection ended within an answer".into());
+        }
+    }
+    Ok(RouteAnswer { status, headers, body })
+}
+
+/// Waits until a condition holds.
+pub async fn wait_for(what: &str, holds: impl AsyncFn() -> bool) -> TestResult {
+    let started = Instant::now();
+    while started.elapsed() < PATIENCE {
+        if holds().await {
+            return Ok(());
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    Err(format!("waited {PATIENCE:?} for {what}").into())
+}
+
+/// A route to one target; `kind` says whether it may run more than once.
+pub fn single(prefix: &str, service: &str, kind: &str) -> Value {
+    json!({ "name": format!("r{prefix}"), "host": "shop.example", "prefix": prefix,
+            "routeType": kind, "timeoutMs": 1500, "targetLatencyMs": 400, "priority": 1,
+            "service": service, "maxAttempts": 2 })
+}
+
+/// A route over shards.
+pub fn gathered(prefix: &str, shards: &[&str], least: f64) -> Value {
+    json!({ "name": format!("r{prefix}"), "host": "shop.example", "prefix": prefix,
+            "routeType": "safe", "timeoutMs": 1500, "targetLatencyMs": 400, "priority": 1,
+            "fanoutServices": shards, "maxAttempts": 2, "topK": 4, "minShardFraction": least })
+}
+
+/// Writes a version of the configuration.
+pub fn configure(store: &RouteStore, version: u64, routes: &[Value], services: &[&str]) {
+    let services: Vec<Value> = services
+        .iter()
+        .map(|name| json!({ "name": name, "healthPath": "/health", "maxConnections": 26 }))
+        .collect();
+    let document = json!({ "configVersion": version, "routes": routes, "services": services });
+    store.put("op/config", document.to_string().as_bytes());
+}
+
+/// Registers a target.
+pub fn register(store: &RouteStore, id: &str, target: &RouteTarget, zone: &str) {
+    store.put(&format!("servers/{id}"), &target.entry(zone, "ready"));
+}
