--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -14,7 +14,9 @@
 use std::error::Error;
 use std::path::PathBuf;
 
+#[allow(unused_imports, reason = "each test file uses a part of it")]
 pub use fleet::FleetOptions;
+#[allow(unused_imports, reason = "each test file uses a part of it")]
 pub use fleet::TestFleet;
 
 /// Of every test.
