--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -42,6 +42,9 @@
 /// the time to take it in here.
 const REPLY_MARGIN: Duration = Duration::from_millis(5);
 
+/// A reply may be so long after its aim.
+const REPLY_GRACE: Duration = Duration::from_millis(10);
+
 /// Shards that one peer gathers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct DelegatedShards {
@@ -151,7 +154,11 @@
     };
     let usual = host.beliefs.usual(&order.route);
     delegated.shards.iter().for_each(|_| host.beliefs.zone_sent(&delegated.zone, now, usual));
-    let reply = host.links.gather(delegated.peer, message, left).await;
+    // Failure: a peer stands still, or its path is silent, and every query that
+    // is handed to it waits out its caller. Its reply is due before the aim;
+    // what is not there soon after is not coming, and it is passed over.
+    let due = left.min(aim_left + REPLY_GRACE);
+    let reply = host.links.gather(delegated.peer, message, due).await;
     if reply.is_ok() {
         host.beliefs.zone_answered(&delegated.zone);
     }
