feat(edge): a zone's most capable hosts gather for the others

Change: hosts announce their capacity; as many of a zone gather as its queries keep busy, the most capable first, three at least among equals; connections to a shard's target are shared among gatherers; a peer that sent nothing is followed by another.

--- a/crates/hawthorn-daemon/src/process/daemon.rs
+++ b/crates/hawthorn-daemon/src/process/daemon.rs
@@ -230,6 +230,7 @@
         host: settings.host.clone(),
         zone: settings.zone.clone(),
         peer: settings.peer_advertised.unwrap_or(peer_address),
+        capacity: 0,
     };
     let inputs = fleet::FleetInputs { socket, links: Arc::clone(&links), store: store_calls, busy };
     let (fleet, fleet_duty) = fleet::start(options::fleet(settings, place), inputs, stop.clone());
--- a/crates/hawthorn-edge/src/process/fleet.rs
+++ b/crates/hawthorn-edge/src/process/fleet.rs
@@ -8,10 +8,13 @@
 
 use hawthorn_fleet::FleetAction;
 use hawthorn_fleet::MemberDigest;
+use hawthorn_fleet::MemberId;
 use hawthorn_fleet::MemberPhase;
 use hawthorn_fleet::MemberPlace;
 use hawthorn_fleet::MemberTable;
 use hawthorn_fleet::member;
+use hawthorn_route::gatherers;
+use hawthorn_route::gatherers::ZoneHost;
 use hawthorn_types::ConfigRevision;
 use hawthorn_types::HostKey;
 use log::Level;
@@ -44,6 +47,7 @@
         host: settings.host.name.clone(),
         zone: settings.host.zone.clone(),
         peer: settings.listen.peers,
+        capacity: (settings.host.core_share * settings.host.cores * 1000.0) as u32,
     };
     let options = member::Options { heartbeat: HEARTBEAT, ..member::Options::default() };
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -102,7 +106,13 @@
         members.leave(now);
     }
     let live = members.records().filter(|record| record.is_live()).count();
-    host.beliefs.hosts.set(live);
+    let beliefs = &host.beliefs;
+    let gathering = gathering_ids(&members, &beliefs.settings.host.zone, beliefs.query_rate());
+    let me = MemberId::of(&beliefs.settings.host.name).0;
+    beliefs.hosts.set(live);
+    beliefs.gatherers.set(gathering.len().max(1));
+    beliefs.gathers.set(gathering.is_empty() || gathering.contains(&me));
+    beliefs.fleet_zones.set(members.zones().count());
 }
 
 async fn act(host: &Rc<RouteHost>, socket: &UdpSocket) {
@@ -142,13 +152,28 @@
     }
 }
 
-/// The peers of a zone that take work.
-pub(crate) fn serving_peers(host: &RouteHost, zone: &str) -> Vec<SocketAddr> {
+/// The hosts of a zone that gather. Callers are spread over a zone's hosts, and
+/// zones are alike, so that each knows a zone's queries by its own `rate`.
+fn gathering_ids(members: &MemberTable, zone: &str, rate: f64) -> Vec<u64> {
+    let hosts: Vec<ZoneHost> = members
+        .staying(zone)
+        .filter_map(|candidate| {
+            let capacity = members.record(candidate.key)?.place.capacity;
+            Some(ZoneHost { id: candidate.id.0, capacity })
+        })
+        .collect();
+    gatherers::choose(&hosts, rate * hosts.len() as f64)
+}
+
+/// The other hosts of a zone that gather and take work.
+pub(crate) fn gathering_peers(host: &RouteHost, zone: &str) -> Vec<SocketAddr> {
     let members = host.members.borrow();
     let me = members.me();
+    let ids = gathering_ids(&members, zone, host.beliefs.query_rate());
     members
         .hosts(zone)
         .filter(|record| record.key != me && record.phase == MemberPhase::Serving)
+        .filter(|record| ids.contains(&record.id.0))
         .map(|record| record.place.peer)
         .collect()
 }
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -1,9 +1,11 @@
 //! Shards of a query that a host near their targets gathers.
 //!
-//! Bytes between zones are dear, and a shard's request and answer with their
-//! headers are several times the records that count. So the shards that have
-//! no target in this zone are gathered by one host where they have, and come
-//! back as one message: a fifth of the bytes for seven shards.
+//! Where a zone has more hosts than its queries keep busy, a few gather for
+//! all; see `hawthorn_route::gatherers`. And bytes between zones are dear, and
+//! a shard's request and answer with their headers are several times the
+//! records that count. So the shards that are best had in another zone are
+//! gathered by one host there, and come back as one message: a fifth of the
+//! bytes for seven shards.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -42,6 +44,9 @@
 /// the time to take it in here.
 const REPLY_MARGIN: Duration = Duration::from_millis(5);
 
+/// Peers that are asked for the same shards, one after the other, while none
+/// has sent anything: a third failure in a row is no accident of one host.
+const MOST_TRIES: usize = 2;
 /// A reply may be so long after its aim.
 const REPLY_GRACE: Duration = Duration::from_millis(10);
 
@@ -52,12 +57,34 @@
     pub(crate) zone: String,
     /// By their place in the route's list.
     pub(crate) shards: Vec<u16>,
+    /// Peers asked before, which sent nothing.
+    pub(crate) tries: usize,
+}
+
+impl DelegatedShards {
+    /// The same shards for another peer of the zone, if one is to be had.
+    pub(crate) fn again(&self, host: &RouteHost) -> Option<Self> {
+        if self.tries + 1 >= MOST_TRIES {
+            return None;
+        }
+        let peer = choose(host, &self.zone).filter(|peer| *peer != self.peer)?;
+        Some(Self { peer, tries: self.tries + 1, ..self.clone() })
+    }
 }
 
 /// Which of a query's shards peers gather; the others are gathered here.
 pub(crate) fn split(host: &RouteHost, rule: &GatherRule, usual: Duration) -> Vec<DelegatedShards> {
-    let mut away = zones_of_remote(host, rule, usual);
+    let (mut near, mut away) = place_all(host, rule, usual);
     let mut parts = Vec::new();
+    if !host.beliefs.gathers.get() && near.len() >= LEAST_SHARDS {
+        let zone = host.beliefs.settings.host.zone.clone();
+        if let Some(peer) = choose(host, &zone) {
+            // One host gathers the whole, those away as well: it knows as much.
+            near.extend(away.drain(..).map(|(shard, _)| shard));
+            near.sort_unstable();
+            parts.push(DelegatedShards { peer, zone, shards: near, tries: 0 });
+        }
+    }
     while let Some(zone) = busiest(&away) {
         let there: Vec<u16> = away
             .iter()
@@ -69,27 +96,27 @@
         }
         away.retain(|(_, zones)| !zones.contains(&zone));
         if let Some(peer) = choose(host, &zone) {
-            parts.push(DelegatedShards { peer, zone, shards: there });
+            parts.push(DelegatedShards { peer, zone, shards: there, tries: 0 });
         }
     }
     parts
 }
 
-/// The shards whose best target is in another zone, and the other zones where they have one.
-fn zones_of_remote(
-    host: &RouteHost,
-    rule: &GatherRule,
-    usual: Duration,
-) -> Vec<(u16, Vec<String>)> {
+/// A shard, by its place in the list, and the other zones where it has a target.
+type AwayShard = (u16, Vec<String>);
+
+/// The shards whose best target is in this zone, and those whose best is in another.
+fn place_all(host: &RouteHost, rule: &GatherRule, usual: Duration) -> (Vec<u16>, Vec<AwayShard>) {
     let now = host_now();
     let beliefs = &host.beliefs;
     let mine = &beliefs.settings.host.zone;
     let cut = beliefs.cut_zones(now);
-    let mut away = Vec::new();
+    let (mut near, mut away) = (Vec::new(), Vec::new());
     for (place, shard) in rule.shards.iter().enumerate() {
         let Some(best) = beliefs.place(shard, &[], usual, now) else { continue };
         let registry = beliefs.registry.borrow();
         if registry.get(best).is_none_or(|state| state.entry.zone == *mine) {
+            near.push(place as u16);
             continue;
         }
         let zones: Vec<String> = registry
@@ -105,10 +132,10 @@
             away.push((place as u16, zones));
         }
     }
-    away
+    (near, away)
 }
 
-fn busiest(away: &[(u16, Vec<String>)]) -> Option<String> {
+fn busiest(away: &[AwayShard]) -> Option<String> {
     let mut counts: HashMap<&str, usize> = HashMap::new();
     for (_, zones) in away {
         for zone in zones {
@@ -119,7 +146,7 @@
 }
 
 fn choose(host: &RouteHost, zone: &str) -> Option<SocketAddr> {
-    let mut peers = fleet::serving_peers(host, zone);
+    let mut peers = fleet::gathering_peers(host, zone);
     peers.retain(|peer| !host.links.is_suspect(*peer));
     let lot = rand::rng().random_range(0..peers.len().max(1));
     peers.get(lot).copied()
--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -47,6 +47,8 @@
     host: &'a Rc<RouteHost>,
     order: &'a Rc<RequestOrder>,
     rule: &'a GatherRule,
+    version: u64,
+    aim_at: Duration,
     state: GatherState,
     records: TopRecords,
     receipts: Vec<HeaderValue>,
@@ -59,6 +61,7 @@
         host: &'a Rc<RouteHost>,
         order: &'a Rc<RequestOrder>,
         rule: &'a GatherRule,
+        (version, aim_at): (u64, Duration),
         shards: usize,
     ) -> Self {
         let least_share = rule.least_share;
@@ -66,6 +69,8 @@
             host,
             order,
             rule,
+            version,
+            aim_at,
             state: GatherState { shards, parts: 0, lost: 0, least_share },
             records: TopRecords::new(rule.top),
             receipts: Vec::with_capacity(shards),
@@ -80,8 +85,9 @@
         self.events.push(async move { GatherEvent::Race(race.run().await) }.boxed_local());
     }
 
-    fn delegate(&self, delegated: DelegatedShards, version: u64, aim_left: Duration) {
-        let (host, order) = (self.host, self.order);
+    fn delegate(&self, delegated: DelegatedShards) {
+        let (host, order, version) = (self.host, self.order, self.version);
+        let aim_left = self.aim_at.saturating_sub(host_now());
         // The peer may send before its answer comes.
         order.sent.set(order.sent.get() + delegated.shards.len());
         let asked = async move {
@@ -122,7 +128,10 @@
             }
             Ok(GatherReply::OtherVersion | GatherReply::Stopping) | Err(PeerError::NotSent) => {
                 self.order.sent.set(self.order.sent.get() - delegated.shards.len());
-                delegated.shards.iter().for_each(|shard| self.race(*shard));
+                match delegated.again(self.host) {
+                    Some(again) => self.delegate(again),
+                    None => delegated.shards.iter().for_each(|shard| self.race(*shard)),
+                }
             }
             Err(PeerError::Lost) => self.state.lost += delegated.shards.len(),
         }
@@ -137,7 +146,7 @@
     version: u64,
 ) -> CallerAnswer {
     let aim_at = order.started + order.route.aim.saturating_sub(AIM_MARGIN);
-    let mut run = GatherRun::new(host, order, rule, rule.shards.len());
+    let mut run = GatherRun::new(host, order, rule, (version, aim_at), rule.shards.len());
     let delegated = delegate::split(host, rule, host.beliefs.usual(&order.route));
     for place in 0..rule.shards.len() as u16 {
         if !delegated.iter().any(|part| part.shards.contains(&place)) {
@@ -145,7 +154,7 @@
         }
     }
     for part in delegated {
-        run.delegate(part, version, aim_at.saturating_sub(host_now()));
+        run.delegate(part);
     }
     loop {
         let now = host_now();
@@ -179,7 +188,7 @@
     shards: &[u16],
     aim_at: Duration,
 ) -> GatherReply {
-    let mut run = GatherRun::new(host, order, rule, shards.len());
+    let mut run = GatherRun::new(host, order, rule, (0, aim_at), shards.len());
     shards.iter().for_each(|shard| run.race(*shard));
     while run.state.parts + run.state.lost < run.state.shards {
         let aim_left = aim_at.saturating_sub(host_now());
--- a/crates/hawthorn-edge/src/settings.rs
+++ b/crates/hawthorn-edge/src/settings.rs
@@ -52,6 +52,16 @@
     pub name: String,
     /// Its availability zone.
     pub zone: String,
+    /// Part of one core that it may use, and of how many; 1 where it is not said.
+    #[serde(default = "one")]
+    pub core_share: f64,
+    /// See `core_share`.
+    #[serde(default = "one")]
+    pub cores: f64,
+}
+
+fn one() -> f64 {
+    1.0
 }
 
 /// Where it listens.
@@ -135,6 +145,9 @@
         if settings.budget.window.is_zero() {
             return Err(Error::Value("budget.window_s", "is zero"));
         }
+        if !(settings.host.core_share > 0.0 && settings.host.cores > 0.0) {
+            return Err(Error::Value("host.core_share", "not above zero"));
+        }
         if settings.host.name.is_empty() {
             return Err(Error::Value("host.name", "is empty"));
         }
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -47,6 +47,9 @@
 /// Versions kept: hosts get a new one within a second of each other, and edits
 /// in quick succession are a third of a second apart.
 const KEPT_VERSIONS: usize = 4;
+/// Seconds that the counts of demand stand for: half of a count is left after
+/// five, which is five over the logarithm of two on the whole.
+const DEMAND_SPAN: f64 = 7.2;
 /// Bytes of a target's answer, at the most.
 const ANSWER_BYTES: usize = 16 << 20;
 /// How long opening a connection may take: a pause of a target, and several
@@ -77,6 +80,12 @@
     pub stranded: Cell<bool>,
     /// Hosts of the fleet that are known to live, this one too.
     pub hosts: Cell<usize>,
+    /// Hosts of this zone that gather, and whether this one does.
+    pub gatherers: Cell<usize>,
+    /// This host gathers for others.
+    pub gathers: Cell<bool>,
+    /// Zones of the fleet.
+    pub fleet_zones: Cell<usize>,
 }
 
 impl Beliefs {
@@ -95,6 +104,9 @@
             demand: RefCell::default(),
             stranded: Cell::new(false),
             hosts: Cell::new(1),
+            gatherers: Cell::new(1),
+            gathers: Cell::new(true),
+            fleet_zones: Cell::new(1),
         }
     }
 
@@ -226,11 +238,17 @@
         }
         let registry = self.registry.borrow();
         let entry = &registry.get(key)?.entry;
-        let most = self
-            .table()
-            .and_then(|table| table.service(&entry.service).map(|rule| rule.max_connections))
-            .unwrap_or(1);
-        let share = most as f64 * CONNECTION_SHARE / self.hosts_reckoned() as f64;
+        let table = self.table();
+        let rule = table.as_ref().and_then(|table| table.service(&entry.service));
+        let most = rule.map_or(1, |rule| rule.max_connections);
+        let sharded = table.as_ref().is_some_and(|table| table.is_shard(&entry.service));
+        // Who does not gather comes only where gathering failed.
+        let sharers = match (sharded, self.gathers.get()) {
+            (false, _) => self.hosts_reckoned(),
+            (true, true) => (self.gatherers.get() * self.fleet_zones.get()).max(LEAST_HOSTS),
+            (true, false) => most,
+        };
+        let share = most as f64 * CONNECTION_SHARE / sharers as f64;
         let options = hawthorn_pool::Options {
             connections: (share.round() as usize).max(1),
             max_answer_bytes: ANSWER_BYTES,
@@ -286,6 +304,16 @@
         }
     }
 
+    /// Queries over shards that came here lately, a second.
+    pub fn query_rate(&self) -> f64 {
+        let Some(table) = self.table() else { return 0.0 };
+        let demand = self.demand.borrow();
+        let queries = table.document().routes.iter();
+        let queries = queries.filter(|route| matches!(route.way, RouteWay::Gather(_)));
+        let counted: f64 = queries.filter_map(|route| demand.get(&route.name)).sum();
+        counted / DEMAND_SPAN
+    }
+
     /// Has earlier requests count less, by the factor.
     pub fn fade_demand(&self, factor: f64) {
         let mut demand = self.demand.borrow_mut();
--- a/crates/hawthorn-fleet/src/message.rs
+++ b/crates/hawthorn-fleet/src/message.rs
@@ -23,7 +23,7 @@
 pub const NAME_LIMIT: usize = 64;
 
 /// The version of the datagram format; others are refused.
-pub const MESSAGE_FORMAT: u8 = 1;
+pub const MESSAGE_FORMAT: u8 = 2;
 
 /// Names a host everywhere: a hash of the host's name.
 #[derive(
@@ -116,6 +116,8 @@
     pub zone: String,
     /// Its peer interface.
     pub peer: SocketAddr,
+    /// Thousandths of a processor core that it may use; 0 where it does not say.
+    pub capacity: u32,
 }
 
 /// What is said of one host.
--- a/crates/hawthorn-fleet/tests/member.rs
+++ b/crates/hawthorn-fleet/tests/member.rs
@@ -341,6 +341,7 @@
         host: switch.daemons[1].name.clone(),
         zone: switch.daemons[1].zone.clone(),
         peer: Switch::address(99),
+        capacity: 0,
     };
     let later = switch.now.as_millis() as u64;
     let mut twin = MemberTable::new(place, later, member::Options::default(), 99);
--- a/crates/hawthorn-fleet/tests/message.rs
+++ b/crates/hawthorn-fleet/tests/message.rs
@@ -61,6 +61,7 @@
             host: host.to_owned(),
             zone: "kurasini".to_owned(),
             peer: "10.0.0.1:7000".parse()?,
+            capacity: 0,
         }),
     })
 }
--- a/crates/hawthorn-fleet/tests/support/daemon.rs
+++ b/crates/hawthorn-fleet/tests/support/daemon.rs
@@ -46,7 +46,7 @@
 
 impl Daemon {
     pub fn new(name: String, zone: &str, peer: SocketAddr, incarnation: u64, seed: u64) -> Self {
-        let place = MemberPlace { host: name.clone(), zone: zone.to_owned(), peer };
+        let place = MemberPlace { host: name.clone(), zone: zone.to_owned(), peer, capacity: 0 };
         Self {
             table: MemberTable::new(place, incarnation, member::Options::default(), seed),
             handover: Handover::new(MemberId::of(&name), handover::Options::default()),
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`budget`] | how many extra attempts a service may be sent |
 //! | [`weight`] | which part of a weighted route a request goes to |
 //! | [`merge`] | the greatest records of many parts |
+//! | [`gatherers`] | which hosts of a zone gather for the others |
 //! | [`mirror`] | the store's items as this host knows them |
 //! | [`gather`] | when a query over many shards is answered, and with what |
 //! | [`reach`] | which zones cannot be reached |
@@ -24,6 +25,7 @@
 pub mod budget;
 pub mod document;
 pub mod gather;
+pub mod gatherers;
 pub mod hedge;
 pub mod merge;
 pub mod mirror;
--- a/crates/hawthorn-route/src/table.rs
+++ b/crates/hawthorn-route/src/table.rs
@@ -1,10 +1,12 @@
 //! One version of the routes, made for look-ups.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 
 use crate::document::RouteDocument;
 use crate::document::RouteRule;
+use crate::document::RouteWay;
 use crate::document::ServiceRule;
 
 /// A version of the routes. A request keeps the one it began with.
@@ -14,6 +16,8 @@
     /// Of each host, its routes, the longest prefix first.
     by_host: HashMap<String, Vec<Rc<RouteRule>>>,
     services: HashMap<String, ServiceRule>,
+    /// Services that hold a shard of some route.
+    shards: HashSet<String>,
 }
 
 impl RouteTable {
@@ -29,7 +33,12 @@
         }
         let services =
             document.services.iter().map(|rule| (rule.name.clone(), rule.clone())).collect();
-        Self { document, by_host, services }
+        let shards = document.routes.iter().flat_map(|route| match &route.way {
+            RouteWay::Gather(rule) => rule.shards.as_slice(),
+            RouteWay::Single(_) | RouteWay::Weighted(_) => &[],
+        });
+        let shards = shards.cloned().collect();
+        Self { document, by_host, services, shards }
     }
 
     /// Number of the version.
@@ -49,6 +58,11 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Whether a service holds a shard of some route.
+    pub fn is_shard(&self, service: &str) -> bool {
+        self.shards.contains(service)
+    }
+
     /// What operators say of a service.
     pub fn service(&self, name: &str) -> Option<&ServiceRule> {
         self.services.get(name)
