feat(edge): queries are admitted by a window learnt from the targets' queues

Ruled out: fewer hedges alone (they are a tenth of the load). Change: a door a host (the plan crate's window, additive increase), told by the load that every answer bears, through peers too; the urgent first, none starved; no second attempts while queues stand; refusals before anything is sent, with a time to come back. Still bad: a burst of 2.5 with a fifth of the targets hung and a fifth gone.

--- a/crates/hawthorn-edge/src/connection/message.rs
+++ b/crates/hawthorn-edge/src/connection/message.rs
@@ -29,6 +29,17 @@
     pub aim_left_us: u64,
 }
 
+/// What a peer's parts told of the targets' queues.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerLoad {
+    /// Sum over the answered parts of the time that work waited there, in microseconds.
+    pub waiting_us: u64,
+    /// Parts that were answered.
+    pub answered: u32,
+    /// Parts that targets turned away for being full.
+    pub turned_away: u32,
+}
+
 /// What another host gathered.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GatherReply {
@@ -40,6 +51,8 @@
         records: Vec<u8>,
         /// Shards without a part.
         missing: u16,
+        /// What the parts told of the targets' queues.
+        load: PeerLoad,
     },
     /// Nothing was sent: that version is not known there.
     OtherVersion,
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use hawthorn_fleet::MemberTable;
+use hawthorn_route::door;
 use hawthorn_route::mirror::StoreMirror;
 use hawthorn_store::StoreClient;
 use hawthorn_store::client;
@@ -228,6 +229,9 @@
         let age = host.confirmed_age().map_or(u64::MAX, |age| age.as_millis() as u64);
         host.metrics.show("catalog-age-ms", age);
         host.metrics.show("hosts", host.beliefs.hosts.get() as u64);
+        let (open, window) = host.beliefs.door.borrow().state(&door::Options::default());
+        host.metrics.show("queries", u64::from(open));
+        host.metrics.show("query-window", window as u64);
         host.metrics.show("open-requests", host.open_requests.get() as u64);
         host.metrics.show("connections", host.connections.get() as u64);
         host.metrics.show("version", host.beliefs.table().map_or(0, |table| table.version()));
--- a/crates/hawthorn-edge/src/request/answer.rs
+++ b/crates/hawthorn-edge/src/request/answer.rs
@@ -99,7 +99,10 @@
         // that was cut off out within two; callers wait a third of their time at most.
         RefusalReason::NoTarget | RefusalReason::Unreachable => (0.2, 0.35),
         // A queue of a dozen requests on two slots is gone within a tenth of a second.
-        RefusalReason::TargetsFull | RefusalReason::HostFull => (0.03, 0.1),
+        RefusalReason::TargetsFull => (0.03, 0.1),
+        // The door opens again with the queries in flight; a burst lasts longer, and
+        // callers spread over a quarter of a second fill the gaps.
+        RefusalReason::HostFull => (0.05, 0.25),
         // The window slides by a tenth of its length.
         RefusalReason::BudgetSpent => (0.1, 0.3),
         RefusalReason::TooLate => (0.01, 0.05),
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -251,6 +251,7 @@
         left: CancellationToken::new(),
         answered: CancellationToken::new(),
         sent: Cell::new(0),
+        load: RefCell::default(),
         story: RefCell::new(RequestStory::default()),
     });
     let watch = CallerWatch(Rc::clone(&order));
--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -10,6 +10,7 @@
 use futures::stream::FuturesUnordered;
 use hawthorn_platform::caller;
 use hawthorn_route::document::GatherRule;
+use hawthorn_route::door::QueryLoad;
 use hawthorn_route::gather::GatherState;
 use hawthorn_route::gather::GatherStep;
 use hawthorn_route::merge::TopRecords;
@@ -20,6 +21,7 @@
 use tokio::time::sleep;
 
 use crate::connection::message::GatherReply;
+use crate::connection::message::PeerLoad;
 use crate::connection::peer::PeerError;
 use crate::process::clock::host_now;
 use crate::process::host::RouteHost;
@@ -118,7 +120,11 @@
     /// attempt at them would be more than operators allow.
     fn take_reply(&mut self, delegated: &DelegatedShards, reply: Result<GatherReply, PeerError>) {
         match reply {
-            Ok(GatherReply::Parts { receipts, records, missing }) => {
+            Ok(GatherReply::Parts { receipts, records, missing, load }) => {
+                let PeerLoad { waiting_us, answered, turned_away } = load;
+                let waiting = Duration::from_micros(waiting_us);
+                let load = QueryLoad { waiting, answered, turned_away, ..QueryLoad::default() };
+                self.order.load.borrow_mut().add(&load);
                 self.state.parts += receipts.len();
                 self.state.lost += usize::from(missing);
                 self.records.add(&records);
@@ -147,6 +153,7 @@
 ) -> CallerAnswer {
     let aim_at = order.started + order.route.aim.saturating_sub(AIM_MARGIN);
     let mut run = GatherRun::new(host, order, rule, (version, aim_at), rule.shards.len());
+    order.load.borrow_mut().shards = rule.shards.len() as u32;
     let delegated = delegate::split(host, rule, host.beliefs.usual(&order.route));
     for place in 0..rule.shards.len() as u16 {
         if !delegated.iter().any(|part| part.shards.contains(&place)) {
@@ -162,6 +169,7 @@
             break;
         }
         let aim_left = aim_at.saturating_sub(now);
+        order.load.borrow_mut().missing = (run.state.shards - run.state.parts) as u32;
         match run.state.step(aim_left) {
             GatherStep::Wait => {}
             GatherStep::Answer => break,
@@ -203,7 +211,13 @@
     }
     let missing = u16::try_from(run.state.shards - run.state.parts).unwrap_or(u16::MAX);
     let receipts = run.receipts.iter().map(|receipt| receipt.as_bytes().to_vec()).collect();
-    GatherReply::Parts { receipts, records: run.records.into_body(), missing }
+    let met = order.load.borrow();
+    let load = PeerLoad {
+        waiting_us: met.waiting.as_micros() as u64,
+        answered: met.answered,
+        turned_away: met.turned_away,
+    };
+    GatherReply::Parts { receipts, records: run.records.into_body(), missing, load }
 }
 
 fn answer(
--- a/crates/hawthorn-edge/src/request/order.rs
+++ b/crates/hawthorn-edge/src/request/order.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use hawthorn_route::document::RouteRule;
+use hawthorn_route::door::QueryLoad;
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -39,6 +40,8 @@
     pub(crate) answered: CancellationToken,
     /// Attempts that may have run at a target.
     pub(crate) sent: Cell<usize>,
+    /// What its answers told of the targets' queues.
+    pub(crate) load: RefCell<QueryLoad>,
     pub(crate) story: RefCell<RequestStory>,
 }
 
--- a/crates/hawthorn-edge/src/request/race.rs
+++ b/crates/hawthorn-edge/src/request/race.rs
@@ -114,6 +114,14 @@
 
     fn hedge(&mut self, started: Duration) {
         self.hedging = false;
+        let now = host_now();
+        // Load: queues stand at all targets, and every attempt is late. A second
+        // one of each would lengthen them by as much.
+        if self.host.beliefs.door.borrow().is_crowded(now) {
+            let waited = now.saturating_sub(started);
+            self.order.story.borrow_mut().late(self.service, waited, "crowded");
+            return;
+        }
         let made = self.launch(AttemptReason::Late);
         let waited = host_now().saturating_sub(started);
         let decision = if made { "second-attempt" } else { "wait" };
@@ -161,6 +169,9 @@
                 AttemptReason::Unsent
             }
             AttemptEnd::NotRun | AttemptEnd::Misdirected => {
+                if reply.end == AttemptEnd::NotRun {
+                    self.order.load.borrow_mut().turned_away += 1;
+                }
                 self.refusal = RefusalReason::TargetsFull;
                 AttemptReason::Retry
             }
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -8,6 +8,7 @@
 use hawthorn_platform::caller;
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::document::RouteWay;
+use hawthorn_route::door;
 use hawthorn_route::outcome::RefusalReason;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -115,6 +116,7 @@
         left: CancellationToken::new(),
         answered: CancellationToken::new(),
         sent: Cell::new(0),
+        load: std::cell::RefCell::default(),
         story: std::cell::RefCell::new(RequestStory::default()),
     });
     let watch = CallerWatch(Rc::clone(&order));
@@ -143,7 +145,46 @@
             Some(chosen) => single(host, order, &parts[chosen].service).await,
             None => CallerAnswer::refused(RefusalReason::NoTarget),
         },
-        RouteWay::Gather(rule) => gather::gather(host, order, rule, version).await,
+        RouteWay::Gather(rule) => {
+            let Some(pass) = DoorPass::ask(host, order) else {
+                return CallerAnswer::refused(RefusalReason::HostFull);
+            };
+            let answer = gather::gather(host, order, rule, version).await;
+            pass.finish();
+            answer
+        }
+    }
+}
+
+/// A query's place among those in flight; given back when it ends, however it does.
+struct DoorPass<'a> {
+    host: &'a RouteHost,
+    order: &'a RequestOrder,
+    told: bool,
+}
+
+impl<'a> DoorPass<'a> {
+    fn ask(host: &'a RouteHost, order: &'a RequestOrder) -> Option<Self> {
+        let urgent = host.beliefs.is_urgent(&order.route);
+        let admitted = host.beliefs.door.borrow_mut().admit(urgent, &door::Options::default());
+        admitted.then_some(Self { host, order, told: false })
+    }
+
+    /// The query has its answer, and tells of the load it met.
+    fn finish(mut self) {
+        self.told = true;
+    }
+}
+
+impl Drop for DoorPass<'_> {
+    fn drop(&mut self) {
+        let now = host_now();
+        let took = now.saturating_sub(self.order.started);
+        let load = self.order.load.borrow();
+        let told = self.told.then_some(&*load);
+        let aim = self.order.route.aim;
+        let mut door = self.host.beliefs.door.borrow_mut();
+        door.finish(now, took, aim, told, &door::Options::default());
     }
 }
 
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -15,6 +15,7 @@
 use hawthorn_route::budget::RetryBudget;
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::document::RouteWay;
+use hawthorn_route::door::QueryDoor;
 use hawthorn_route::place;
 use hawthorn_route::reach;
 use hawthorn_route::reach::ZoneReach;
@@ -78,6 +79,8 @@
     demand: RefCell<HashMap<String, f64>>,
     /// Callers are better served by hosts of other zones.
     pub stranded: Cell<bool>,
+    /// Whether queries over shards are admitted here.
+    pub door: RefCell<QueryDoor>,
     /// Hosts of the fleet that are known to live, this one too.
     pub hosts: Cell<usize>,
     /// Hosts of this zone that gather, and whether this one does.
@@ -103,6 +106,7 @@
             zones: RefCell::default(),
             demand: RefCell::default(),
             stranded: Cell::new(false),
+            door: RefCell::default(),
             hosts: Cell::new(1),
             gatherers: Cell::new(1),
             gathers: Cell::new(true),
@@ -304,6 +308,14 @@
         }
     }
 
+    /// No query over shards is more urgent than the route's.
+    pub fn is_urgent(&self, route: &RouteRule) -> bool {
+        let Some(table) = self.table() else { return true };
+        let queries = table.document().routes.iter();
+        let queries = queries.filter(|route| matches!(route.way, RouteWay::Gather(_)));
+        queries.map(|query| query.priority).min().is_none_or(|least| route.priority <= least)
+    }
+
     /// Queries over shards that came here lately, a second.
     pub fn query_rate(&self) -> f64 {
         let Some(table) = self.table() else { return 0.0 };
--- /dev/null
+++ b/crates/hawthorn-route/src/door.rs
@@ -0,0 +1,169 @@
+//! Whether a query over many shards is admitted.
+//!
+//! The load it is for: callers ask for more than the targets can do. The harm
+//! it prevents: every shard's queue grows, each query gets some of its parts
+//! and none of them in time, and the targets work for answers that nobody is
+//! glad of: once a service is over its capacity, hardly any query is in time.
+//! The door closes before the queues are long, and what is admitted is whole
+//! and in time; what is not is refused before anything is sent. How long the
+//! queues are is told by every answer.
+
+use std::time::Duration;
+
+use hawthorn_plan::window;
+use hawthorn_plan::window::CallerWindow;
+use hawthorn_plan::window::QueryEnd;
+
+/// Limits of the door.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Options {
+    /// Of the window of queries that are in flight at once.
+    pub window: window::Options,
+    /// A queue stands when the shards' targets have on average work waiting for
+    /// this share of the query's aim: the slowest of twenty shards then waits
+    /// three to four times as long, half of the aim.
+    pub standing_share: f64,
+    /// The less urgent are admitted to this share of the window while they fare
+    /// no worse than `fair_share` of the urgent, and to all of it else: in
+    /// scarcity the urgent come first, and the others still come.
+    pub ordinary_share: f64,
+    /// Share of the urgent ones' admitted part that the others are to have.
+    pub fair_share: f64,
+    /// A query says that it was turned away when so large a share of its shards was.
+    pub turned_away_share: f64,
+    /// Or when so large a share had no part at its end, and the others' queues
+    /// were a third of a standing one: those that were in time to tell are the
+    /// shorter ones.
+    pub missing_share: f64,
+    /// Queues told of are believed to stand for so long.
+    pub crowded_time: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            // Calm hosts have one to three queries in flight.
+            window: window::Options { first: 12.0, least: 2.0, ..window::Options::default() },
+            standing_share: 0.16,
+            ordinary_share: 0.8,
+            fair_share: 0.85,
+            turned_away_share: 0.25,
+            missing_share: 0.1,
+            crowded_time: Duration::from_millis(150),
+        }
+    }
+}
+
+/// What a query that ended tells of the load.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct QueryLoad {
+    /// Sum over its answered parts of the time for which work waited there.
+    pub waiting: Duration,
+    /// Parts that were answered.
+    pub answered: u32,
+    /// Parts that targets turned away for being full.
+    pub turned_away: u32,
+    /// Shards of the query.
+    pub shards: u32,
+    /// Shards without a part when the query ended.
+    pub missing: u32,
+}
+
+impl QueryLoad {
+    /// Takes in what another host learnt of the same query.
+    pub fn add(&mut self, other: &Self) {
+        self.waiting += other.waiting;
+        self.answered += other.answered;
+        self.turned_away += other.turned_away;
+    }
+
+    /// The mean time for which work waited at a shard.
+    pub fn mean_wait(&self) -> Duration {
+        self.waiting / self.answered.max(1)
+    }
+}
+
+/// Queries of one urgency lately, earlier ones counting less.
+#[derive(Clone, Copy, Debug, Default)]
+struct UrgencyCount {
+    asked: f64,
+    admitted: f64,
+}
+
+/// What a count keeps with each query of any urgency: the last hundred count most.
+const COUNT_FACTOR: f64 = 0.99;
+
+impl UrgencyCount {
+    fn fade(&mut self) {
+        self.asked *= COUNT_FACTOR;
+        self.admitted *= COUNT_FACTOR;
+    }
+
+    fn share(&self) -> f64 {
+        if self.asked > 0.0 { self.admitted / self.asked } else { 1.0 }
+    }
+}
+
+/// The door of one host, for all its queries over shards.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct QueryDoor {
+    window: CallerWindow,
+    open: u32,
+    crowded_until: Duration,
+    urgent: UrgencyCount,
+    ordinary: UrgencyCount,
+}
+
+impl QueryDoor {
+    /// Admits a query, or not; [`QueryDoor::finish`] has to follow once it is.
+    pub fn admit(&mut self, urgent: bool, options: &Options) -> bool {
+        self.urgent.fade();
+        self.ordinary.fade();
+        let behind = self.ordinary.share() < self.urgent.share() * options.fair_share;
+        let size = self.window.size(&options.window);
+        let limit = if urgent || behind { size } else { size * options.ordinary_share };
+        let admitted = f64::from(self.open) < limit;
+        let count = if urgent { &mut self.urgent } else { &mut self.ordinary };
+        count.asked += 1.0;
+        if admitted {
+            count.admitted += 1.0;
+            self.open += 1;
+        }
+        admitted
+    }
+
+    /// A query ended; `load` is `None` where it says nothing, as its caller left.
+    pub fn finish(
+        &mut self,
+        now: Duration,
+        took: Duration,
+        aim: Duration,
+        load: Option<&QueryLoad>,
+        options: &Options,
+    ) {
+        if let Some(load) = load {
+            let standing_wait = aim.mul_f64(options.standing_share);
+            let share = |count: u32| f64::from(count) / f64::from(load.shards.max(1));
+            let overdue =
+                share(load.missing) > options.missing_share && load.mean_wait() > standing_wait / 3;
+            let turned_away = overdue || share(load.turned_away) >= options.turned_away_share;
+            let end = QueryEnd { queued: load.mean_wait(), turned_away, took };
+            let window = window::Options { standing_wait, ..options.window };
+            self.window.learn(now, self.open, &end, &window);
+            if turned_away || end.queued > standing_wait {
+                self.crowded_until = now + options.crowded_time;
+            }
+        }
+        self.open = self.open.saturating_sub(1);
+    }
+
+    /// Queues stand at the targets: second attempts would only lengthen them.
+    pub fn is_crowded(&self, now: Duration) -> bool {
+        now < self.crowded_until
+    }
+
+    /// Queries in flight, and how many may be.
+    pub fn state(&self, options: &Options) -> (u32, f64) {
+        (self.open, self.window.size(&options.window))
+    }
+}
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`merge`] | the greatest records of many parts |
 //! | [`gatherers`] | which hosts of a zone gather for the others |
 //! | [`mirror`] | the store's items as this host knows them |
+//! | [`door`] | whether a query is admitted |
 //! | [`gather`] | when a query over many shards is answered, and with what |
 //! | [`reach`] | which zones cannot be reached |
 //! | [`outcome`] | what an attempt and a request came to |
@@ -24,6 +25,7 @@
 
 pub mod budget;
 pub mod document;
+pub mod door;
 pub mod gather;
 pub mod gatherers;
 pub mod hedge;
