feat(edge): the door is told by the slowest shards that a query needs

Ruled out: counting missing parts as load: targets that hang would close the door. Change: the wait of the slowest shard that the answer cannot do without, as its targets told; peers tell theirs.

--- a/crates/hawthorn-edge/src/connection/message.rs
+++ b/crates/hawthorn-edge/src/connection/message.rs
@@ -29,15 +29,13 @@
     pub aim_left_us: u64,
 }
 
-/// What a peer's parts told of the targets' queues.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// What a peer knows of the queues at the shards that it gathered.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerLoad {
-    /// Sum over the answered parts of the time that work waited there, in microseconds.
-    pub waiting_us: u64,
-    /// Parts that were answered.
-    pub answered: u32,
+    /// How long work waits at each, in microseconds.
+    pub waits_us: Vec<u64>,
     /// Parts that targets turned away for being full.
-    pub turned_away: u32,
+    pub turned_away: u16,
 }
 
 /// What another host gathered.
--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -142,11 +142,6 @@
         let head = target::read(answer.status, &answer.headers);
         if let Some((running, waiting, slots)) = head.load {
             let load = ToldLoad { running, waiting, slots, at: now };
-            if head.word == RunWord::Ran {
-                let mut told = self.order.load.borrow_mut();
-                told.answered += 1;
-                told.waiting += self.usual * waiting / slots.max(1);
-            }
             self.with_state(|state| state.tell(load));
         }
         match head.word {
--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -10,7 +10,6 @@
 use futures::stream::FuturesUnordered;
 use hawthorn_platform::caller;
 use hawthorn_route::document::GatherRule;
-use hawthorn_route::door::QueryLoad;
 use hawthorn_route::gather::GatherState;
 use hawthorn_route::gather::GatherStep;
 use hawthorn_route::merge::TopRecords;
@@ -54,6 +53,8 @@
     state: GatherState,
     records: TopRecords,
     receipts: Vec<HeaderValue>,
+    /// Shards that were asked for directly.
+    raced: Vec<&'a str>,
     refusal: Option<RefusalReason>,
     events: FuturesUnordered<LocalBoxFuture<'a, GatherEvent>>,
 }
@@ -76,13 +77,15 @@
             state: GatherState { shards, parts: 0, lost: 0, least_share },
             records: TopRecords::new(rule.top),
             receipts: Vec::with_capacity(shards),
+            raced: Vec::with_capacity(shards),
             refusal: None,
             events: FuturesUnordered::new(),
         }
     }
 
-    fn race(&self, place: u16) {
+    fn race(&mut self, place: u16) {
         let Some(shard) = self.rule.shards.get(usize::from(place)) else { return };
+        self.raced.push(shard);
         let race = AttemptRace::new(self.host, self.order, shard);
         self.events.push(async move { GatherEvent::Race(race.run().await) }.boxed_local());
     }
@@ -99,6 +102,15 @@
         self.events.push(asked.boxed_local());
     }
 
+    /// Notes how long work waits at the shards that were asked for directly.
+    fn note_waits(&self) {
+        let now = host_now();
+        let beliefs = &self.host.beliefs;
+        let usual = beliefs.usual(&self.order.route);
+        let waits = self.raced.iter().filter_map(|shard| beliefs.wait(shard, usual, now));
+        self.order.load.borrow_mut().waits.extend(waits);
+    }
+
     fn take(&mut self, event: GatherEvent) {
         match event {
             GatherEvent::Race(RaceEnd::Answered(answer)) => {
@@ -121,10 +133,10 @@
     fn take_reply(&mut self, delegated: &DelegatedShards, reply: Result<GatherReply, PeerError>) {
         match reply {
             Ok(GatherReply::Parts { receipts, records, missing, load }) => {
-                let PeerLoad { waiting_us, answered, turned_away } = load;
-                let waiting = Duration::from_micros(waiting_us);
-                let load = QueryLoad { waiting, answered, turned_away, ..QueryLoad::default() };
-                self.order.load.borrow_mut().add(&load);
+                let mut met = self.order.load.borrow_mut();
+                met.waits.extend(load.waits_us.iter().map(|us| Duration::from_micros(*us)));
+                met.turned_away += usize::from(load.turned_away);
+                drop(met);
                 self.state.parts += receipts.len();
                 self.state.lost += usize::from(missing);
                 self.records.add(&records);
@@ -153,7 +165,8 @@
 ) -> CallerAnswer {
     let aim_at = order.started + order.route.aim.saturating_sub(AIM_MARGIN);
     let mut run = GatherRun::new(host, order, rule, (version, aim_at), rule.shards.len());
-    order.load.borrow_mut().shards = rule.shards.len() as u32;
+    order.load.borrow_mut().shards = run.state.shards;
+    order.load.borrow_mut().spare = run.state.spare();
     let delegated = delegate::split(host, rule, host.beliefs.usual(&order.route));
     for place in 0..rule.shards.len() as u16 {
         if !delegated.iter().any(|part| part.shards.contains(&place)) {
@@ -169,11 +182,13 @@
             break;
         }
         let aim_left = aim_at.saturating_sub(now);
-        order.load.borrow_mut().missing = (run.state.shards - run.state.parts) as u32;
         match run.state.step(aim_left) {
             GatherStep::Wait => {}
             GatherStep::Answer => break,
-            GatherStep::Fail => return failed(order, run.refusal),
+            GatherStep::Fail => {
+                run.note_waits();
+                return failed(order, run.refusal);
+            }
         }
         let wait = if aim_left.is_zero() { order.time_left(now) } else { aim_left };
         tokio::select! {
@@ -182,6 +197,7 @@
             () = sleep(wait) => {}
         }
     }
+    run.note_waits();
     if !run.state.enough() {
         return out_of_time(order);
     }
@@ -211,12 +227,11 @@
     }
     let missing = u16::try_from(run.state.shards - run.state.parts).unwrap_or(u16::MAX);
     let receipts = run.receipts.iter().map(|receipt| receipt.as_bytes().to_vec()).collect();
+    run.note_waits();
     let met = order.load.borrow();
-    let load = PeerLoad {
-        waiting_us: met.waiting.as_micros() as u64,
-        answered: met.answered,
-        turned_away: met.turned_away,
-    };
+    let waits_us = met.waits.iter().map(|wait| wait.as_micros() as u64).collect();
+    let turned_away = u16::try_from(met.turned_away).unwrap_or(u16::MAX);
+    let load = PeerLoad { waits_us, turned_away };
     GatherReply::Parts { receipts, records: run.records.into_body(), missing, load }
 }
 
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -23,6 +23,7 @@
 use hawthorn_route::registry::TargetKey;
 use hawthorn_route::registry::TargetRegistry;
 use hawthorn_route::table::RouteTable;
+use hawthorn_route::target::TargetPhase;
 use hawthorn_route::weight::WeightDealer;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -235,6 +236,15 @@
         best.map(|(_, key)| key)
     }
 
+    /// How long work waits at a service: at the least busy of its targets that take work.
+    pub fn wait(&self, service: &str, usual: Duration, now: Duration) -> Option<Duration> {
+        let registry = self.registry.borrow();
+        let targets = registry.of_service(service).iter().filter_map(|key| registry.get(*key));
+        let ready = targets.filter(|state| state.phase == TargetPhase::Ready);
+        let working = ready.filter(|state| now >= state.paused_until());
+        working.map(|state| state.wait(now, usual)).min()
+    }
+
     /// The connections to a target.
     pub fn pool(&self, key: TargetKey) -> Option<Arc<TargetPool>> {
         if let Some(pool) = self.pools.borrow().get(key) {
--- a/crates/hawthorn-route/src/door.rs
+++ b/crates/hawthorn-route/src/door.rs
@@ -19,9 +19,9 @@
 pub struct Options {
     /// Of the window of queries that are in flight at once.
     pub window: window::Options,
-    /// A queue stands when the shards' targets have on average work waiting for
-    /// this share of the query's aim: the slowest of twenty shards then waits
-    /// three to four times as long, half of the aim.
+    /// A queue stands when work waits for this share of the query's aim at the
+    /// slowest shard that the query needs: with the work itself and a second
+    /// attempt the aim is then used up.
     pub standing_share: f64,
     /// The less urgent are admitted to this share of the window while they fare
     /// no worse than `fair_share` of the urgent, and to all of it else: in
@@ -31,10 +31,6 @@
     pub fair_share: f64,
     /// A query says that it was turned away when so large a share of its shards was.
     pub turned_away_share: f64,
-    /// Or when so large a share had no part at its end, and the others' queues
-    /// were a third of a standing one: those that were in time to tell are the
-    /// shorter ones.
-    pub missing_share: f64,
     /// Queues told of are believed to stand for so long.
     pub crowded_time: Duration,
 }
@@ -44,42 +40,36 @@
         Self {
             // Calm hosts have one to three queries in flight.
             window: window::Options { first: 12.0, least: 2.0, ..window::Options::default() },
-            standing_share: 0.16,
+            standing_share: 0.33,
             ordinary_share: 0.8,
             fair_share: 0.85,
             turned_away_share: 0.25,
-            missing_share: 0.1,
             crowded_time: Duration::from_millis(150),
         }
     }
 }
 
 /// What a query that ended tells of the load.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct QueryLoad {
-    /// Sum over its answered parts of the time for which work waited there.
-    pub waiting: Duration,
-    /// Parts that were answered.
-    pub answered: u32,
+    /// For each shard that told, or was known, how long work waits there.
+    pub waits: Vec<Duration>,
     /// Parts that targets turned away for being full.
-    pub turned_away: u32,
+    pub turned_away: usize,
     /// Shards of the query.
-    pub shards: u32,
-    /// Shards without a part when the query ended.
-    pub missing: u32,
+    pub shards: usize,
+    /// Shards that its answer may do without.
+    pub spare: usize,
 }
 
 impl QueryLoad {
-    /// Takes in what another host learnt of the same query.
-    pub fn add(&mut self, other: &Self) {
-        self.waiting += other.waiting;
-        self.answered += other.answered;
-        self.turned_away += other.turned_away;
-    }
-
-    /// The mean time for which work waited at a shard.
-    pub fn mean_wait(&self) -> Duration {
-        self.waiting / self.answered.max(1)
+    /// The wait that decides: that of the slowest shard which the answer cannot
+    /// do without. The mean would not show the few shards that have lost a
+    /// target and hold up every query.
+    pub fn decisive_wait(&self) -> Duration {
+        let mut waits = self.waits.clone();
+        waits.sort_unstable_by(|a, b| b.cmp(a));
+        waits.get(self.spare).copied().unwrap_or_default()
     }
 }
 
@@ -143,11 +133,9 @@
     ) {
         if let Some(load) = load {
             let standing_wait = aim.mul_f64(options.standing_share);
-            let share = |count: u32| f64::from(count) / f64::from(load.shards.max(1));
-            let overdue =
-                share(load.missing) > options.missing_share && load.mean_wait() > standing_wait / 3;
-            let turned_away = overdue || share(load.turned_away) >= options.turned_away_share;
-            let end = QueryEnd { queued: load.mean_wait(), turned_away, took };
+            let away = load.turned_away as f64 / load.shards.max(1) as f64;
+            let turned_away = away >= options.turned_away_share;
+            let end = QueryEnd { queued: load.decisive_wait(), turned_away, took };
             let window = window::Options { standing_wait, ..options.window };
             self.window.learn(now, self.open, &end, &window);
             if turned_away || end.queued > standing_wait {
--- a/crates/hawthorn-route/src/gather.rs
+++ b/crates/hawthorn-route/src/gather.rs
@@ -36,6 +36,12 @@
         if self.shards == 0 { 0.0 } else { parts as f64 / self.shards as f64 }
     }
 
+    /// Shards that the answer may do without.
+    pub fn spare(&self) -> usize {
+        let needed = (self.shards as f64 * self.least_share).ceil() as usize;
+        self.shards.saturating_sub(needed)
+    }
+
     /// Decides on the query; `aim_left` is the time until the answer loses
     /// worth to the caller, zero once it has passed.
     ///
--- a/crates/hawthorn-route/src/target.rs
+++ b/crates/hawthorn-route/src/target.rs
@@ -8,6 +8,9 @@
 /// A load that a target told is worth this long; older, only own requests count.
 /// A slot of work takes 5 to 150 ms, so what was told is another load after 100 ms.
 const LOAD_LIFE: Duration = Duration::from_millis(100);
+/// A queue that a target told of is believed for so long: a full one of a dozen
+/// requests on two slots is worked off in about twice that.
+const QUEUE_LIFE: Duration = Duration::from_millis(300);
 /// Weight of the newest answer in the learnt speed: 10 answers follow a target
 /// that turned slow within about a second of its share of the traffic.
 const SPEED_WEIGHT: f64 = 0.15;
@@ -169,6 +172,17 @@
         }
     }
 
+    /// How long work waits there, as it told not long ago; `usual` is the usual
+    /// time of one request.
+    pub fn wait(&self, now: Duration, usual: Duration) -> Duration {
+        match self.told {
+            Some(told) if now.saturating_sub(told.at) < QUEUE_LIFE => {
+                usual.mul_f64(self.speed) * told.waiting / told.slots.max(1)
+            }
+            _ => Duration::ZERO,
+        }
+    }
+
     /// How long the oldest own request has waited.
     pub fn oldest_wait(&self, now: Duration) -> Duration {
         let oldest = self.flying.iter().min();
--- a/crates/hawthorn-route/tests/door.rs
+++ b/crates/hawthorn-route/tests/door.rs
@@ -68,8 +68,7 @@
             } else {
                 tallies[*kind].late += 1;
             }
-            let load =
-                QueryLoad { waiting: *waited, answered: 1, turned_away: 0, shards: 1, missing: 0 };
+            let load = QueryLoad { waits: vec![*waited], shards: 1, ..QueryLoad::default() };
             door.finish(now, took, AIM, Some(&load), &options);
             false
         });
@@ -115,7 +114,7 @@
     let options = Options::default();
     let mut door = QueryDoor::default();
     let before = door.state(&options).1;
-    let load = QueryLoad { answered: 19, turned_away: 1, shards: 20, ..QueryLoad::default() };
+    let load = QueryLoad { waits: vec![AIM], turned_away: 1, shards: 20, spare: 2 };
     for step in 0..50 {
         assert!(door.admit(true, &options));
         door.finish(STEP * step * 100, STEP, AIM, Some(&load), &options);
