fix(edge): a zone whose feeding host hears nothing asks the store itself within 3 s

Ruled out: heartbeats that tell who knows more: nobody did, all three sources were deaf. Change: a host that watches also reads every 0.8 s, at a tenth of a call's cost; its age grows when that is not answered, and a dead watch shows; peers turn away after 1.8 s, told at once; one that does not feed its zone asks a store that is away only every 2 s. The client of the store connects from the host's own address. explain-log tells a request's story.

--- a/crates/hawthorn-edge/src/process/feed.rs
+++ b/crates/hawthorn-edge/src/process/feed.rs
@@ -45,9 +45,22 @@
 /// How long a peer is asked to wait for news: a peer that has gone silent is
 /// noticed after it.
 const PEER_WAIT: Duration = Duration::from_millis(900);
-/// A peer that the store has not confirmed for so long is no source: it should
-/// have been, by a watch that ends and one call more.
-const MOST_AGE: Duration = Duration::from_millis(5500);
+/// A watch that waits says nothing of whether the store still answers this
+/// host, so that is asked so often, by a read that costs a tenth.
+const CHECK_PERIOD: Duration = Duration::from_millis(800);
+/// Such a read takes a few milliseconds, and a few hundred of a slow store.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Checks in a row that show news which the watch did not bring: it is dead.
+const MOST_BEHIND: u32 = 2;
+/// A peer that the store has not confirmed for so long is no source: two
+/// checks. With the reading that follows, news is in force within 3 s although
+/// every host that feeds a zone was cut off from the store at once.
+const MOST_AGE: Duration = Duration::from_millis(1800);
+/// A host that does not feed its zone and found the store away too asks it again
+/// only so much later, in seconds: its peers will have heard first, and a fleet
+/// that asks together keeps a store from coming back.
+const LEAST_REST: f64 = 1.5;
+const MOST_REST: f64 = 2.5;
 /// A host that hears in heartbeats that others know more waits so long for its
 /// source to tell it, and then asks them.
 const BEHIND_TIME: Duration = Duration::from_millis(250);
@@ -55,7 +68,10 @@
 /// Where the next news is asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum NewsSource {
-    Store,
+    /// The store, as this host feeds its zone, or as nobody else does.
+    Store {
+        feeds: bool,
+    },
     Peer(SocketAddr),
 }
 
@@ -70,7 +86,7 @@
     let mut reachable = true;
     loop {
         match choose(&host) {
-            NewsSource::Store => ask_store(&host, &client, &mut reachable).await,
+            NewsSource::Store { feeds } => ask_store(&host, &client, &mut reachable, feeds).await,
             NewsSource::Peer(peer) => ask_peer(&host, peer).await,
         }
     }
@@ -90,17 +106,17 @@
         .collect();
     others.sort_unstable();
     let ids: Vec<u64> = others.iter().map(|(id, _)| *id).collect();
+    let all: Vec<u64> = members.staying(zone).map(|candidate| candidate.id.0).collect();
+    let zones = members.zones().count();
     match others.first() {
-        Some((_, peer)) if !mirror::feeds(&ids, me, members.zones().count()) => {
-            NewsSource::Peer(*peer)
-        }
-        _ => NewsSource::Store,
+        Some((_, peer)) if !mirror::feeds(&ids, me, zones) => NewsSource::Peer(*peer),
+        _ => NewsSource::Store { feeds: mirror::feeds(&all, me, zones) },
     }
 }
 
-async fn ask_store(host: &RouteHost, client: &StoreClient, reachable: &mut bool) {
+async fn ask_store(host: &RouteHost, client: &StoreClient, reachable: &mut bool, feeds: bool) {
     let after = host.mirror.borrow().as_of();
-    let end = if after == 0 { WatchEnd::HistoryGone } else { watch(client, after).await };
+    let end = if after == 0 { WatchEnd::HistoryGone } else { watch(host, client, after).await };
     let read = match end {
         WatchEnd::News(news) => Ok((news, false)),
         WatchEnd::HistoryGone => read_all(client).await.map(|all| (all, true)),
@@ -124,7 +140,8 @@
         }
         Err(error) => {
             note_store(reachable, Some(&error));
-            let seconds = rand::rng().random_range(LEAST_PAUSE..MOST_PAUSE);
+            let pause = if feeds { LEAST_PAUSE..MOST_PAUSE } else { LEAST_REST..MOST_REST };
+            let seconds = rand::rng().random_range(pause);
             sleep(Duration::from_secs_f64(seconds)).await;
         }
     }
@@ -198,6 +215,9 @@
     mut reply: oneshot::Sender<CatalogNews>,
 ) {
     if host.mirror.borrow().as_of() <= after {
+        // A peer learns at once that this host is no source any more.
+        let age = host.confirmed_age().unwrap_or(MOST_AGE);
+        let wait = wait.min(MOST_AGE.saturating_sub(age));
         let waited = timeout(wait, host.news.notified());
         tokio::select! {
             // News or not, what is known now is the answer.
@@ -233,7 +253,45 @@
     store::items(body).map_err(|_| ReadError::NoAnswer(UncertainCause::BadAnswer))
 }
 
-async fn watch(client: &StoreClient, after: u64) -> WatchEnd {
+/// Waits for news, and makes sure meanwhile that the store answers this host.
+///
+/// Failure: the store takes no calls of this host, or the watch's answer was
+/// lost on the way; nothing shows it, and the zone goes on by old news for as
+/// long as the watch waits. A read that costs a tenth shows both.
+async fn watch(host: &RouteHost, client: &StoreClient, after: u64) -> WatchEnd {
+    let mut waiting = std::pin::pin!(wait_for_news(client, after));
+    let mut behind = 0;
+    loop {
+        tokio::select! {
+            biased;
+            end = waiting.as_mut() => return end,
+            () = sleep(CHECK_PERIOD) => {}
+        }
+        match timeout(CHECK_TIMEOUT, check(client)).await {
+            Ok(Some(as_of)) if as_of <= after => {
+                behind = 0;
+                host.confirm(host_now());
+            }
+            Ok(Some(_)) => behind += 1,
+            // The host's age grows, and its peers turn to others.
+            Ok(None) | Err(_) => {}
+        }
+        if behind >= MOST_BEHIND {
+            return WatchEnd::Lost(ReadError::NoAnswer(UncertainCause::Timeout));
+        }
+    }
+}
+
+/// The store's revision, perhaps seconds old.
+async fn check(client: &StoreClient) -> Option<u64> {
+    let read = client.read_path(CallKind::Get, store::cheap_path(), Duration::ZERO).await;
+    match read {
+        Ok((StatusCode::OK, body)) => store::as_of(&body).ok(),
+        _ => None,
+    }
+}
+
+async fn wait_for_news(client: &StoreClient, after: u64) -> WatchEnd {
     let path = store::watch_path(after, WATCH_WAIT);
     match client.read_path(CallKind::Watch, path, WATCH_WAIT).await {
         Ok((StatusCode::OK, body)) => match readable(&body) {
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -192,7 +192,11 @@
     duties.spawn_local(listen::pages(Rc::clone(&host), figures));
     duties.spawn_local(peer::serve(Rc::clone(&host), peers));
     duties.spawn_local(fleet::run(Rc::clone(&host), heartbeats));
-    let client = StoreClient::new(host.beliefs.settings.store.address, client::Options::default());
+    let client = {
+        let source = Some(listen.callers.ip());
+        let options = client::Options { source, ..client::Options::default() };
+        StoreClient::new(host.beliefs.settings.store.address, options)
+    };
     duties.spawn_local(feed::follow(Rc::clone(&host), client));
     duties.spawn_local(sweep(Rc::clone(&host)));
     duties.spawn_local(reach::watch(Rc::clone(&host)));
--- a/crates/hawthorn-standin/src/route/store.rs
+++ b/crates/hawthorn-standin/src/route/store.rs
@@ -1,6 +1,8 @@
 //! The platform's store: pages, watches, a history that can be dropped, outages.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -44,6 +46,10 @@
     dropped: u64,
     outage: RouteOutage,
     calls: usize,
+    /// Who has watched, by IP number.
+    watchers: HashSet<IpAddr>,
+    /// Who is answered nothing.
+    silenced: HashSet<IpAddr>,
 }
 
 #[derive(Debug, Default)]
@@ -116,6 +122,11 @@
         self.change(|state| state.outage = outage);
     }
 
+    /// Answers nothing more to hosts that have watched; others are served.
+    pub fn silence_callers(&self) {
+        self.change(|state| state.silenced = state.watchers.clone());
+    }
+
     /// Calls so far.
     pub fn calls(&self) -> usize {
         self.shared.state.lock().expect("no holder of the lock panics").calls
@@ -130,17 +141,29 @@
 
 async fn hold(mut stream: TcpStream, shared: Arc<Shared>) {
     let mut buffer = Vec::new();
+    let caller = stream.peer_addr().ok().map(|address| address.ip());
     while let Ok(Some(request)) = wire::read(&mut stream, &mut buffer).await {
         let outage = {
             let mut state = shared.state.lock().expect("no holder of the lock panics");
             state.calls += 1;
-            state.outage
+            if request.path() == "/-/kv-watch" {
+                state.watchers.extend(caller);
+            }
+            let silenced = caller.is_some_and(|caller| state.silenced.contains(&caller));
+            if silenced { RouteOutage::Silent } else { state.outage }
         };
         let answer = match outage {
             RouteOutage::None => respond(&request, &shared).await,
             RouteOutage::Busy => wire::answer(503, &[], b""),
             RouteOutage::Silent => std::future::pending().await,
         };
+        let silenced = {
+            let state = shared.state.lock().expect("no holder of the lock panics");
+            caller.is_some_and(|caller| state.silenced.contains(&caller))
+        };
+        if silenced {
+            std::future::pending::<()>().await;
+        }
         if stream.write_all(&answer).await.is_err() {
             return;
         }
@@ -151,6 +174,7 @@
     let (status, body) = match request.path() {
         "/-/kv-range" => (200, page(request, shared)),
         "/-/kv-watch" => watch(request, shared).await,
+        "/-/kv-key" => (200, item(request, shared)),
         _ => (404, json!({})),
     };
     let kind = [("Content-Type", "application/json".to_owned())];
@@ -176,6 +200,17 @@
     json!({ "items": items, "hasMore": more, "asOf": state.revision })
 }
 
+fn item(request: &WireRequest, shared: &Shared) -> Value {
+    let state = shared.state.lock().expect("no holder of the lock panics");
+    let key = request.query("key").unwrap_or_default().replace("%2F", "/");
+    let mut found = match state.items.get(&key) {
+        Some((revision, value)) => encoded(&key, *revision, value),
+        None => json!({}),
+    };
+    found["asOf"] = json!(state.revision);
+    found
+}
+
 async fn watch(request: &WireRequest, shared: &Shared) -> (u16, Value) {
     let number = |name| request.query(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
     let after = number("after");
--- a/crates/hawthorn-store/src/client/call.rs
+++ b/crates/hawthorn-store/src/client/call.rs
@@ -86,6 +86,7 @@
     pub(super) fn new(address: SocketAddr, options: Options) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_local_address(options.source);
         connector.set_connect_timeout(Some(options.connect_timeout));
         connector.set_keepalive(Some(SILENCE_PROBE));
         connector.set_keepalive_interval(Some(SILENCE_PROBE));
--- a/crates/hawthorn-store/src/client/mod.rs
+++ b/crates/hawthorn-store/src/client/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod count;
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,6 +54,8 @@
     pub max_backoff: Duration,
     /// The largest value the store takes, in bytes.
     pub max_value: usize,
+    /// The address that connections come from; any where none is named.
+    pub source: Option<IpAddr>,
     /// Seeds the jitter; different on each host, so that hosts do not return together.
     pub seed: u64,
 }
@@ -68,6 +71,7 @@
             min_backoff: Duration::from_millis(10),
             max_backoff: Duration::from_millis(200),
             max_value: 1 << 20,
+            source: None,
             seed: 0,
         }
     }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -16,6 +16,7 @@
 pub(crate) enum CliCommand {
     Serve(ServeOptions),
     Route(RouteOptions),
+    ExplainLog(ExplainLogOptions),
     Check(CheckOptions),
     Query(QueryOptions),
     Request(RequestOptions),
@@ -43,6 +44,13 @@
     pub(crate) log: LevelFilter,
 }
 
+/// Of `explain-log`.
+#[derive(Clone, Debug)]
+pub(crate) struct ExplainLogOptions {
+    pub(crate) request: String,
+    pub(crate) files: Vec<PathBuf>,
+}
+
 /// Of `check`.
 #[derive(Clone, Debug)]
 pub(crate) struct CheckOptions {
@@ -192,6 +200,17 @@
         .command("route")
 }
 
+fn explain_log() -> impl Parser<CliCommand> {
+    let request = long("request").help("The id of the caller's try").argument::<String>("ID");
+    let files = positional::<PathBuf>("FILE").help("Hosts' logs, one file a host").some("a file");
+    construct!(ExplainLogOptions { request, files })
+        .map(CliCommand::ExplainLog)
+        .to_options()
+        .descr("Tell the story of one routed request from hosts' logs")
+        .footer("Example: hawthornroute explain-log --request 9c41d07be2a35f68 front-*.log")
+        .command("explain-log")
+}
+
 fn check() -> impl Parser<CliCommand> {
     let json = json();
     let directory = directory();
@@ -365,6 +384,7 @@
 pub(crate) fn command() -> OptionParser<CliCommand> {
     let serve = serve();
     let route = route();
+    let explain_log = explain_log();
     let check = check();
     let query = query();
     let request = request();
@@ -378,13 +398,35 @@
     let parser = {
         let demo = demo();
         construct!([
-            serve, route, check, query, request, status, explain, apply, diff, history, import,
+            serve,
+            route,
+            explain_log,
+            check,
+            query,
+            request,
+            status,
+            explain,
+            apply,
+            diff,
+            history,
+            import,
             demo
         ])
     };
     #[cfg(not(feature = "demo"))]
     let parser = construct!([
-        serve, route, check, query, request, status, explain, apply, diff, history, import
+        serve,
+        route,
+        explain_log,
+        check,
+        query,
+        request,
+        status,
+        explain,
+        apply,
+        diff,
+        history,
+        import
     ]);
     parser
         .to_options()
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,6 +14,7 @@
 mod http;
 mod route;
 mod serve;
+mod story;
 
 use std::process::ExitCode;
 
@@ -22,6 +23,7 @@
     let outcome = match command {
         cli::CliCommand::Serve(options) => serve::serve(&options),
         cli::CliCommand::Route(options) => route::route(&options),
+        cli::CliCommand::ExplainLog(options) => story::explain_log(&options),
         cli::CliCommand::Check(options) => configure::check(&options),
         cli::CliCommand::Query(options) => examine::query(&options),
         cli::CliCommand::Request(options) => examine::request(&options),
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -296,6 +296,39 @@
     Ok(())
 }
 
+/// The store takes the watch of the host that feeds a zone and answers nothing,
+/// while it serves the others: once nobody noticed for as long as a watch waits,
+/// and the zone went on by an older version.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_whose_feeding_host_hears_nothing_asks_the_store_itself() -> TestResult {
+    let store = RouteStore::start().await?;
+    let target = RouteTarget::start("t-1", "s").await?;
+    route::configure(&store, 3, &[route::single("/a/", "s", "safe")], &["s"]);
+    route::register(&store, "t-1", &target, "east");
+    let first = RouteHost::start("h-1", "east", store.address(), &[])?;
+    first.ready().await?;
+    let mut hosts = vec![first];
+    for name in ["h-2", "h-3"] {
+        let joined = RouteHost::start(name, "east", store.address(), &[&hosts[0]])?;
+        joined.ready().await?;
+        hosts.push(joined);
+    }
+    // Every host that asked the store until now hears nothing more of it.
+    sleep(Duration::from_millis(1500)).await;
+    store.silence_callers();
+    route::configure(&store, 5, &[route::single("/b/", "s", "safe")], &["s"]);
+    let written = std::time::Instant::now();
+    for host in &hosts {
+        let routed = async || {
+            let answer = host.ask("GET", "/b/", "id-1", "").await;
+            answer.is_ok_and(|answer| answer.status == 200)
+        };
+        route::wait_for("the version to be in force", routed).await?;
+    }
+    assert!(written.elapsed() < Duration::from_secs(3), "{:?}", written.elapsed());
+    Ok(())
+}
+
 /// The shards of a query lie in two zones, and hosts in both. The answer holds
 /// the greatest records of all parts, each part signed once, whether a peer
 /// gathered some of them, has just been killed, or a shard has no target.
