fix(edge): a peer that is silent is replaced in time

Ruled out: membership alone, which needs two seconds; asking two peers at once. Change: a peer that has not replied after a fifth of the aim is asked whether it is there and has 15 ms; then another gathers, with one attempt a shard; an order is carried out only after the turns in which its cancellation would have been read; a service never asked for before has its part of the allowance. Test: two peers stopped in turn.

--- a/crates/hawthorn-edge/src/connection/message.rs
+++ b/crates/hawthorn-edge/src/connection/message.rs
@@ -23,6 +23,9 @@
     pub route: String,
     /// Which of the route's shards, by their place in its list.
     pub shards: Vec<u16>,
+    /// Attempts that may have been made at each shard already, by a peer that
+    /// fell silent.
+    pub spent: u8,
     /// Microseconds until nobody waits any more. A span, as clocks differ.
     pub left_us: u64,
     /// Microseconds within which the parts are worth all they can be.
--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -55,6 +55,8 @@
     pub trait EdgePeer {
         /// Gathers some shards of a query.
         async fn gather(order: GatherOrder) -> GatherReply;
+        /// Says that it is there.
+        async fn hello();
         /// What is known of the store after a revision; waits for it that many milliseconds.
         async fn news(after: u64, wait_ms: u64) -> CatalogNews;
     }
@@ -69,6 +71,9 @@
     NotSent,
     /// It may have, and no answer came.
     Lost,
+    /// It may have, but it does not even say that it is there: had it sent
+    /// anything, it will have sent little.
+    Silent,
 }
 
 #[derive(Clone, Debug)]
@@ -126,6 +131,12 @@
         self.judge(address, reply)
     }
 
+    /// Whether a peer says that it is there within a time.
+    pub(crate) async fn hello(&self, address: SocketAddr, within: Duration) -> bool {
+        let Ok(client) = self.client(address).await else { return false };
+        matches!(timeout(within, client.hello(call_within(within))).await, Ok(Ok(())))
+    }
+
     /// Asks a peer what it knows of the store after a revision, waiting there for news.
     pub(crate) async fn news(
         &self,
@@ -183,6 +194,8 @@
         answer.await.unwrap_or(GatherReply::Stopping)
     }
 
+    async fn hello(self, _: Context) {}
+
     async fn news(self, _: Context, after: u64, wait_ms: u64) -> CatalogNews {
         let (reply, answer) = oneshot::channel();
         let wait = Duration::from_millis(wait_ms);
--- a/crates/hawthorn-edge/src/process/fleet.rs
+++ b/crates/hawthorn-edge/src/process/fleet.rs
@@ -8,6 +8,7 @@
 
 use hawthorn_fleet::FleetAction;
 use hawthorn_fleet::MemberDigest;
+use hawthorn_fleet::MemberHealth;
 use hawthorn_fleet::MemberId;
 use hawthorn_fleet::MemberPhase;
 use hawthorn_fleet::MemberPlace;
@@ -173,6 +174,7 @@
     members
         .hosts(zone)
         .filter(|record| record.key != me && record.phase == MemberPhase::Serving)
+        .filter(|record| record.health == MemberHealth::Alive)
         .filter(|record| ids.contains(&record.id.0))
         .map(|record| record.place.peer)
         .collect()
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -23,6 +23,8 @@
 use hyper::header::HeaderValue;
 use rand::RngExt;
 use tokio::sync::oneshot;
+use tokio::task::yield_now;
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::connection::message::GatherOrder;
@@ -47,6 +49,14 @@
 /// Peers that are asked for the same shards, one after the other, while none
 /// has sent anything: a third failure in a row is no accident of one host.
 const MOST_TRIES: usize = 2;
+/// A peer is asked whether it is there after this share of the aim: most
+/// replies have come by then.
+const HELLO_SHARE: f64 = 0.2;
+/// And has so long to say so: several ways between zones, and the time for
+/// which a busy host of a tenth of a core is at something else.
+const HELLO_TIMEOUT: Duration = Duration::from_millis(15);
+/// Turns of the event loop before an order is carried out.
+const CANCELLATION_TURNS: usize = 3;
 /// A reply may be so long after its aim.
 const REPLY_GRACE: Duration = Duration::from_millis(10);
 
@@ -57,11 +67,19 @@
     pub(crate) zone: String,
     /// By their place in the route's list.
     pub(crate) shards: Vec<u16>,
-    /// Peers asked before, which sent nothing.
+    /// Peers asked before.
     pub(crate) tries: usize,
+    /// Of these, such as may have sent a first attempt.
+    pub(crate) spent: u8,
 }
 
 impl DelegatedShards {
+    /// The same shards for another peer, after one that may have sent a first attempt.
+    pub(crate) fn after_silence(&self, host: &RouteHost) -> Option<Self> {
+        let again = self.again(host)?;
+        Some(Self { spent: self.spent + 1, ..again })
+    }
+
     /// The same shards for another peer of the zone, if one is to be had.
     pub(crate) fn again(&self, host: &RouteHost) -> Option<Self> {
         if self.tries + 1 >= MOST_TRIES {
@@ -82,7 +100,7 @@
             // One host gathers the whole, those away as well: it knows as much.
             near.extend(away.drain(..).map(|(shard, _)| shard));
             near.sort_unstable();
-            parts.push(DelegatedShards { peer, zone, shards: near, tries: 0 });
+            parts.push(DelegatedShards { peer, zone, shards: near, tries: 0, spent: 0 });
         }
     }
     while let Some(zone) = busiest(&away) {
@@ -96,7 +114,7 @@
         }
         away.retain(|(_, zones)| !zones.contains(&zone));
         if let Some(peer) = choose(host, &zone) {
-            parts.push(DelegatedShards { peer, zone, shards: there, tries: 0 });
+            parts.push(DelegatedShards { peer, zone, shards: there, tries: 0, spent: 0 });
         }
     }
     parts
@@ -176,6 +194,7 @@
         version,
         route: order.route.name.clone(),
         shards: delegated.shards.clone(),
+        spent: delegated.spent,
         left_us: left.as_micros() as u64,
         aim_left_us: aim_left.saturating_sub(REPLY_MARGIN).as_micros() as u64,
     };
@@ -185,7 +204,15 @@
     // is handed to it waits out its caller. Its reply is due before the aim;
     // what is not there soon after is not coming, and it is passed over.
     let due = left.min(aim_left + REPLY_GRACE);
-    let reply = host.links.gather(delegated.peer, message, due).await;
+    let call = host.links.gather(delegated.peer, message, due);
+    let reply = tokio::select! {
+        biased;
+        reply = call => reply,
+        () = is_silent(host, delegated.peer, order.route.aim) => {
+            host.links.suspect(delegated.peer);
+            Err(PeerError::Silent)
+        }
+    };
     if reply.is_ok() {
         host.beliefs.zone_answered(&delegated.zone);
     }
@@ -196,6 +223,7 @@
         Ok(GatherReply::Stopping) => "stopping",
         Err(PeerError::NotSent) => "not-sent",
         Err(PeerError::Lost) => "lost",
+        Err(PeerError::Silent) => "silent",
     };
     order.story.borrow_mut().delegated(DelegateNote {
         peer: delegated.peer,
@@ -207,15 +235,36 @@
     reply
 }
 
+/// Returns when a peer that has not replied for a while does not say either
+/// that it is there; never returns while it does.
+///
+/// Failure: a peer stands still, lost power, or its path is silent. A query
+/// would be lost with it; now another is asked while there is time. The first
+/// may have sent one attempt a shard but no second, which comes later than
+/// this; so the other makes one at the most, and operators' limit holds.
+async fn is_silent(host: &RouteHost, peer: SocketAddr, aim: Duration) {
+    sleep(aim.mul_f64(HELLO_SHARE)).await;
+    if host.links.hello(peer, HELLO_TIMEOUT).await {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Gathers shards for a peer; given up when the peer no longer waits.
 pub(crate) async fn carry_out(
     host: Rc<RouteHost>,
     message: GatherOrder,
     mut reply: oneshot::Sender<GatherReply>,
 ) {
+    // Failure: a host stood still or was starved, and sends for a query that its
+    // front has long given to another. The cancellation lies unread behind the
+    // order: the first turn has the sockets read, the second the calls taken in.
+    for _ in 0..CANCELLATION_TURNS {
+        yield_now().await;
+    }
     let answer = tokio::select! {
-        answer = gather_for_peer(&host, message) => answer,
+        biased;
         () = reply.closed() => return,
+        answer = gather_for_peer(&host, message) => answer,
     };
     // The peer may have gone in this moment.
     let _gone = reply.send(answer);
@@ -251,6 +300,7 @@
         left: CancellationToken::new(),
         answered: CancellationToken::new(),
         sent: Cell::new(0),
+        spent: usize::from(message.spent),
         load: RefCell::default(),
         story: RefCell::new(RequestStory::default()),
     });
--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -90,6 +90,14 @@
         self.events.push(async move { GatherEvent::Race(race.run().await) }.boxed_local());
     }
 
+    /// Asks for a shard that a peer may have sent one attempt at.
+    fn race_again(&mut self, place: u16) {
+        let Some(shard) = self.rule.shards.get(usize::from(place)) else { return };
+        self.raced.push(shard);
+        let race = AttemptRace::new(self.host, self.order, shard).after(1);
+        self.events.push(async move { GatherEvent::Race(race.run().await) }.boxed_local());
+    }
+
     fn delegate(&self, delegated: DelegatedShards) {
         let (host, order, version) = (self.host, self.order, self.version);
         let aim_left = self.aim_at.saturating_sub(host_now());
@@ -151,6 +159,10 @@
                     None => delegated.shards.iter().for_each(|shard| self.race(*shard)),
                 }
             }
+            Err(PeerError::Silent) => match delegated.after_silence(self.host) {
+                Some(again) => self.delegate(again),
+                None => delegated.shards.iter().for_each(|shard| self.race_again(*shard)),
+            },
             Err(PeerError::Lost) => self.state.lost += delegated.shards.len(),
         }
     }
--- a/crates/hawthorn-edge/src/request/order.rs
+++ b/crates/hawthorn-edge/src/request/order.rs
@@ -40,6 +40,8 @@
     pub(crate) answered: CancellationToken,
     /// Attempts that may have run at a target.
     pub(crate) sent: Cell<usize>,
+    /// Attempts that may have been made at each shard before, by another host.
+    pub(crate) spent: usize,
     /// What its answers told of the targets' queues.
     pub(crate) load: RefCell<QueryLoad>,
     pub(crate) story: RefCell<RequestStory>,
--- a/crates/hawthorn-edge/src/request/race.rs
+++ b/crates/hawthorn-edge/src/request/race.rs
@@ -68,7 +68,7 @@
             order,
             service,
             tried: TargetKeys::new(),
-            ran: 0,
+            ran: order.spent,
             flying: FuturesUnordered::new(),
             failure: None,
             refusal: RefusalReason::NoTarget,
@@ -77,11 +77,22 @@
         }
     }
 
+    /// Counts attempts that another host may have made.
+    pub(crate) fn after(mut self, spent: usize) -> Self {
+        self.ran += spent;
+        self
+    }
+
     /// Runs until a good answer, or until no attempt is left to make.
     pub(crate) async fn run(mut self) -> RaceEnd {
         let started = host_now();
-        self.host.beliefs.earn(self.service, started);
-        if !self.launch(AttemptReason::First) {
+        // What another host may have sent was the first, and this is one more.
+        let again = self.ran > 0;
+        if !again {
+            self.host.beliefs.earn(self.service, started);
+        }
+        let reason = if again { AttemptReason::Retry } else { AttemptReason::First };
+        if self.ran >= self.order.route.max_attempts || !self.launch(reason) {
             return self.finish();
         }
         loop {
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -116,6 +116,7 @@
         left: CancellationToken::new(),
         answered: CancellationToken::new(),
         sent: Cell::new(0),
+        spent: 0,
         load: std::cell::RefCell::default(),
         story: std::cell::RefCell::new(RequestStory::default()),
     });
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -171,7 +171,11 @@
     pub fn spend(&self, service: &str, now: Duration) -> bool {
         let options = self.budget_options();
         let mut budgets = self.budgets.borrow_mut();
-        budgets.get_mut(service).is_some_and(|budget| budget.spend(now, &options))
+        // A host that never had a request for the service has its part of the allowance.
+        if let Some(budget) = budgets.get_mut(service) {
+            return budget.spend(now, &options);
+        }
+        budgets.entry(service.to_owned()).or_default().spend(now, &options)
     }
 
     /// How much of a service's budget is left, 0 to 1.
--- a/crates/hawthorn-standin/src/route/store.rs
+++ b/crates/hawthorn-standin/src/route/store.rs
@@ -46,8 +46,8 @@
     dropped: u64,
     outage: RouteOutage,
     calls: usize,
-    /// Who has watched, by IP number.
-    watchers: HashSet<IpAddr>,
+    /// Whose watches wait, by IP number.
+    watchers: Vec<IpAddr>,
     /// Who is answered nothing.
     silenced: HashSet<IpAddr>,
 }
@@ -122,9 +122,9 @@
         self.change(|state| state.outage = outage);
     }
 
-    /// Answers nothing more to hosts that have watched; others are served.
+    /// Answers nothing more to hosts whose watches wait now; others are served.
     pub fn silence_callers(&self) {
-        self.change(|state| state.silenced = state.watchers.clone());
+        self.change(|state| state.silenced = state.watchers.iter().copied().collect());
     }
 
     /// Calls so far.
@@ -143,11 +143,13 @@
     let mut buffer = Vec::new();
     let caller = stream.peer_addr().ok().map(|address| address.ip());
     while let Ok(Some(request)) = wire::read(&mut stream, &mut buffer).await {
+        let mut watching = false;
         let outage = {
             let mut state = shared.state.lock().expect("no holder of the lock panics");
             state.calls += 1;
             if request.path() == "/-/kv-watch" {
                 state.watchers.extend(caller);
+                watching = true;
             }
             let silenced = caller.is_some_and(|caller| state.silenced.contains(&caller));
             if silenced { RouteOutage::Silent } else { state.outage }
@@ -158,7 +160,11 @@
             RouteOutage::Silent => std::future::pending().await,
         };
         let silenced = {
-            let state = shared.state.lock().expect("no holder of the lock panics");
+            let mut state = shared.state.lock().expect("no holder of the lock panics");
+            let place = state.watchers.iter().position(|watcher| Some(*watcher) == caller);
+            if let Some(place) = place.filter(|_| watching) {
+                state.watchers.swap_remove(place);
+            }
             caller.is_some_and(|caller| state.silenced.contains(&caller))
         };
         if silenced {
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -384,3 +384,50 @@
     };
     route::wait_for("queries to be answered without the peer and the shard", whole).await
 }
+
+/// Hosts of a zone that gather stand still one after the other, as under a
+/// debugger or a starved machine. A query that was handed to one is whole all
+/// the same, by another; and when the first goes on, it sends nothing for a
+/// query that its front has given up on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_peer_that_stands_still_is_replaced_and_sends_nothing_later() -> TestResult {
+    let store = RouteStore::start().await?;
+    let names = ["a", "b", "c", "d"];
+    let mut targets = Vec::new();
+    for name in names {
+        let target = RouteTarget::start(&format!("t-{name}"), name).await?;
+        route::register(&store, &format!("t-{name}"), &target, "west");
+        targets.push(target);
+    }
+    route::configure(&store, 3, &[route::gathered("/all/", &names, 1.0)], &names);
+    let east = RouteHost::start("h-1", "east", store.address(), &[])?;
+    let west = [
+        RouteHost::start("h-2", "west", store.address(), &[&east])?,
+        RouteHost::start("h-3", "west", store.address(), &[&east])?,
+    ];
+    east.ready().await?;
+    for host in &west {
+        host.ready().await?;
+    }
+    let met = async || east.logged("zone=west change=up") == 2;
+    route::wait_for("the hosts to know each other", met).await?;
+    sleep(Duration::from_millis(500)).await;
+    for (round, frozen) in west.iter().enumerate() {
+        frozen.signal(Signal::STOP)?;
+        for step in 0..4 {
+            let id = format!("id-{round}-{step}");
+            let answer = east.ask("GET", "/all/", &id, "").await?;
+            assert_eq!(answer.status, 200, "{id}");
+            assert_eq!(answer.headers["hawthornroute-missing-parts"], "0", "{id}");
+        }
+        frozen.signal(Signal::CONT)?;
+        sleep(Duration::from_millis(700)).await;
+        for target in &targets {
+            for step in 0..4 {
+                assert_eq!(target.runs(&format!("id-{round}-{step}")), 1);
+            }
+        }
+    }
+    let silent = async || east.logged("outcome=silent") > 0;
+    route::wait_for("a peer to have been silent", silent).await
+}
