fix(edge): a starved peer makes no second attempt for a query that was given to another

Ruled out: the first attempts: they and the other peer's one are within the two allowed. Change: a late attempt waits the turns in which a cancellation is read before a second is made. The test of silenced hosts waits until just the two feeding ones watch.

--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -34,6 +34,7 @@
 use crate::process::fleet;
 use crate::process::host::RouteHost;
 use crate::request::gather;
+use crate::request::order::CANCELLATION_TURNS;
 use crate::request::order::CallerWatch;
 use crate::request::order::RequestOrder;
 use crate::request::story::DelegateNote;
@@ -55,8 +56,6 @@
 /// And has so long to say so: several ways between zones, and the time for
 /// which a busy host of a tenth of a core is at something else.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(15);
-/// Turns of the event loop before an order is carried out.
-const CANCELLATION_TURNS: usize = 3;
 /// A reply may be so long after its aim.
 const REPLY_GRACE: Duration = Duration::from_millis(10);
 
--- a/crates/hawthorn-edge/src/request/order.rs
+++ b/crates/hawthorn-edge/src/request/order.rs
@@ -19,6 +19,10 @@
 
 use crate::request::story::RequestStory;
 
+/// Turns of the event loop in which the cancellation of a query is taken in: the
+/// first has the sockets read, the second the call ended, the third its work.
+pub(crate) const CANCELLATION_TURNS: usize = 3;
+
 /// A caller's request, whole, and how its life goes.
 #[derive(Debug)]
 pub(crate) struct RequestOrder {
--- a/crates/hawthorn-edge/src/request/race.rs
+++ b/crates/hawthorn-edge/src/request/race.rs
@@ -10,6 +10,7 @@
 use hawthorn_route::outcome::RefusalReason;
 use hawthorn_route::registry::TargetKeys;
 use tokio::sync::oneshot;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 use crate::process::clock::host_now;
@@ -17,8 +18,21 @@
 use crate::request::attempt::AttemptPlan;
 use crate::request::attempt::AttemptReply;
 use crate::request::attempt::TargetAnswer;
+use crate::request::order::CANCELLATION_TURNS;
 use crate::request::order::RequestOrder;
 
+/// Waits until an attempt is late.
+///
+/// Failure: a starved host makes its first attempts, then finds them all late,
+/// and makes second ones for a query that its front has given to another
+/// meanwhile. The sockets are read first, where the cancellation lies.
+async fn lateness(late: Duration) {
+    sleep(late).await;
+    for _ in 0..CANCELLATION_TURNS {
+        yield_now().await;
+    }
+}
+
 /// What the attempts at one service came to.
 #[derive(Debug)]
 pub(crate) enum RaceEnd {
@@ -107,7 +121,7 @@
                         return end;
                     }
                 }
-                () = sleep(late), if can_hedge => self.hedge(started),
+                () = lateness(late), if can_hedge => self.hedge(started),
             }
             if self.flying.is_empty() {
                 return self.finish();
--- a/crates/hawthorn-standin/src/route/store.rs
+++ b/crates/hawthorn-standin/src/route/store.rs
@@ -127,6 +127,11 @@
         self.change(|state| state.silenced = state.watchers.iter().copied().collect());
     }
 
+    /// Watches that wait.
+    pub fn watching(&self) -> usize {
+        self.shared.state.lock().expect("no holder of the lock panics").watchers.len()
+    }
+
     /// Calls so far.
     pub fn calls(&self) -> usize {
         self.shared.state.lock().expect("no holder of the lock panics").calls
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -313,8 +313,10 @@
         joined.ready().await?;
         hosts.push(joined);
     }
-    // Every host that asked the store until now hears nothing more of it.
-    sleep(Duration::from_millis(1500)).await;
+    // A zone that is alone has two hosts that watch; the third's own watch, from
+    // before it knew the others, ends by itself.
+    let settled = async || store.watching() == 2;
+    route::wait_for("two hosts to watch", settled).await?;
     store.silence_callers();
     route::configure(&store, 5, &[route::single("/b/", "s", "safe")], &["s"]);
     let written = std::time::Instant::now();
