fix(edge): a restarted peer costs no query

Ruled out: the peer's stop, which finished what it had. Change: a connection that has ended is known to have, and the next call opens another. Tests: a_restarted_peer_costs_no_query fails before (502, id-0-0); the platform's names and formats; settings and their template; the catalogue of events against the code; malformed, smuggled and oversized requests.

--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -21,6 +21,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 use tokio_util::codec::LengthDelimitedCodec;
+use tokio_util::sync::CancellationToken;
 
 use crate::connection::listen;
 use crate::connection::message::CatalogNews;
@@ -78,7 +79,7 @@
 
 #[derive(Clone, Debug)]
 enum PeerLink {
-    Open(EdgePeerClient),
+    Open(EdgePeerClient, CancellationToken),
     Suspect(Instant),
 }
 
@@ -104,7 +105,11 @@
     }
 
     async fn client(&self, address: SocketAddr) -> Result<EdgePeerClient, PeerError> {
-        if let Some(PeerLink::Open(client)) = self.links.borrow().get(&address) {
+        // Failure: a peer was stopped and started again by plan, and the first
+        // query for it would be lost on the old connection, its end unread.
+        if let Some(PeerLink::Open(client, ended)) = self.links.borrow().get(&address)
+            && !ended.is_cancelled()
+        {
             return Ok(client.clone());
         }
         let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
@@ -114,8 +119,16 @@
             LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream),
             Bincode::default(),
         );
-        let client = EdgePeerClient::new(client::Config::default(), transport).spawn();
-        self.links.borrow_mut().insert(address, PeerLink::Open(client.clone()));
+        let made = EdgePeerClient::new(client::Config::default(), transport);
+        let ended = CancellationToken::new();
+        let guard = ended.clone().drop_guard();
+        tokio::spawn(async move {
+            // Whatever ended it, calls on it fail and the next opens another.
+            let _ended = made.dispatch.await;
+            drop(guard);
+        });
+        let client = made.client;
+        self.links.borrow_mut().insert(address, PeerLink::Open(client.clone(), ended));
         Ok(client)
     }
 
--- /dev/null
+++ b/crates/hawthorn-edge/tests/house.rs
@@ -0,0 +1,104 @@
+//! Settings, and the catalogue of log events.
+
+use std::collections::BTreeSet;
+
+use hawthorn_edge::process::events::EdgeEvent;
+use hawthorn_edge::settings::RouteSettings;
+use strum::IntoEnumIterator;
+
+const TEMPLATE: &str = include_str!("../../../platform/settings.toml");
+
+/// The template as the platform fills it in.
+fn filled() -> String {
+    let values = [
+        ("{{nodeName|json}}", "\"front-1\""),
+        ("{{zone|json}}", "\"east\""),
+        ("{{limits.cpuShare}}", "0.25"),
+        ("{{limits.cpuCores}}", "1"),
+        ("{{listenAddrs.front|json}}", "\"10.1.0.9:8104\""),
+        ("{{listenAddrs.ready|json}}", "\"10.1.0.9:8108\""),
+        ("{{ip}}", "10.1.0.9"),
+        ("{{ip|json}}", "\"10.1.0.9\""),
+        ("{{internalPortRange.0}}", "7380"),
+        ("{{internalPortRange.1}}", "7395"),
+        ("{{seedNodes|json}}", "[\"10.1.0.9:8106\",\"10.2.0.21:8106\"]"),
+        ("{{platform.address|json}}", "\"10.200.1.7:8102\""),
+        ("{{heartbeatMs}}", "1200"),
+        ("{{bounds.drainMs}}", "3000"),
+        ("{{bounds.graceS}}", "6"),
+        ("{{bounds.retryBudgetRatio}}", "0.2"),
+        ("{{bounds.budgetWindowS}}", "10"),
+        ("{{bounds.retryBudgetSlack}}", "56"),
+    ];
+    let mut text = TEMPLATE.to_owned();
+    for (name, value) in values {
+        text = text.replace(name, value);
+    }
+    assert!(!text.contains("{{"), "a name that this test does not know: {text}");
+    text
+}
+
+#[test]
+fn the_template_makes_settings_that_are_accepted() {
+    let settings = RouteSettings::from_toml(&filled()).expect("the template is whole");
+    assert_eq!(settings.fleet.seeds.len(), 2);
+    assert_eq!(settings.stop.grace.as_secs(), 6);
+    assert_eq!(settings.listen.metrics.port(), 7395);
+}
+
+#[test]
+fn a_fault_in_settings_is_named() {
+    struct Case {
+        name: &'static str,
+        from: &'static str,
+        to: &'static str,
+        named: &'static str,
+    }
+    let cases = [
+        Case { name: "missing", from: "beat_ms = 1200\n", to: "", named: "beat_ms" },
+        Case { name: "no address", from: "\"10.200.1.7:8102\"", to: "\"store\"", named: "address" },
+        Case {
+            name: "text for a number",
+            from: "grace_ms = 6000",
+            to: "grace_ms = \"6\"",
+            named: "grace_ms",
+        },
+        Case {
+            name: "above one",
+            from: "share = 0.2\n",
+            to: "share = 2.0\n",
+            named: "budget.share",
+        },
+        Case { name: "zero", from: "window_s = 10", to: "window_s = 0", named: "budget.window_s" },
+        Case { name: "no name", from: "\"front-1\"", to: "\"\"", named: "host.name" },
+        Case {
+            name: "no core",
+            from: "core_share = 0.25",
+            to: "core_share = 0",
+            named: "host.core_share",
+        },
+    ];
+    for case in cases {
+        let text = filled().replace(case.from, case.to);
+        assert_ne!(text, filled(), "{}", case.name);
+        let error = RouteSettings::from_toml(&text).expect_err(case.name).to_string();
+        assert!(error.contains(case.named), "{}: {error}", case.name);
+    }
+    let more = format!("{}\n[new]\nkey = 1\n", filled());
+    assert!(RouteSettings::from_toml(&more).is_ok(), "unknown keys are ignored");
+}
+
+#[test]
+fn the_catalogue_lists_every_event_and_no_other() {
+    let page = include_str!("../../../docs/operators/events-route.md");
+    let listed: BTreeSet<String> = page
+        .lines()
+        .filter_map(|line| {
+            let mut cells = line.strip_prefix("| E")?.split('|').map(str::trim);
+            Some(format!("{} {}", cells.next()?, cells.next()?))
+        })
+        .collect();
+    let known: BTreeSet<String> =
+        EdgeEvent::iter().map(|event| format!("{} {event}", event.number())).collect();
+    assert_eq!(listed, known);
+}
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -387,6 +387,43 @@
     route::wait_for("queries to be answered without the peer and the shard", whole).await
 }
 
+/// A host is restarted by plan. The others hold connections to its earlier life,
+/// and the first query they hand to the new one must not be lost on them: once
+/// each pair of hosts lost one query with every restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_peer_costs_no_query() -> TestResult {
+    let store = RouteStore::start().await?;
+    let names = ["a", "b", "c", "d"];
+    let mut targets = Vec::new();
+    for name in names {
+        let target = RouteTarget::start(&format!("t-{name}"), name).await?;
+        route::register(&store, &format!("t-{name}"), &target, "west");
+        targets.push(target);
+    }
+    route::configure(&store, 3, &[route::gathered("/all/", &names, 1.0)], &names);
+    let east = RouteHost::start("h-1", "east", store.address(), &[])?;
+    let mut west = RouteHost::start("h-2", "west", store.address(), &[&east])?;
+    east.ready().await?;
+    west.ready().await?;
+    for round in 0..3 {
+        let delegated = async || {
+            let before = east.logged("outcome=whole");
+            let answer = east.ask("GET", "/all/", "id-0", "").await;
+            sleep(Duration::from_millis(150)).await;
+            answer.is_ok() && east.logged("outcome=whole") > before
+        };
+        route::wait_for("the peer to gather", delegated).await?;
+        west.restart()?;
+        for step in 0..40 {
+            let id = format!("id-{round}-{step}");
+            let answer = east.ask("GET", "/all/", &id, "").await?;
+            assert_eq!(answer.status, 200, "{id}");
+            sleep(Duration::from_millis(25)).await;
+        }
+    }
+    Ok(())
+}
+
 /// Hosts of a zone that gather stand still one after the other, as under a
 /// debugger or a starved machine. A query that was handed to one is whole all
 /// the same, by another; and when the first goes on, it sends nothing for a
@@ -433,3 +470,100 @@
     let silent = async || east.logged("outcome=silent") > 0;
     route::wait_for("a peer to have been silent", silent).await
 }
+
+/// Requests that are malformed, too large, or hold a second one inside. None
+/// reaches a target, each is answered or its connection is closed, and the host
+/// goes on serving.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_requests_reach_no_target() -> TestResult {
+    struct Case {
+        name: &'static str,
+        head: &'static str,
+        body: String,
+        statuses: &'static [u16],
+    }
+    let inner = "0\r\n\r\nGET /safe/inner HTTP/1.1\r\nHost: shop.example\r\n\r\n";
+    let cases = [
+        Case {
+            name: "two lengths",
+            head: "POST /safe/ HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\n",
+            body: "abcdefghi".to_owned(),
+            statuses: &[400],
+        },
+        Case {
+            name: "a length that is none",
+            head: "POST /safe/ HTTP/1.1\r\nHost: shop.example\r\nContent-Length: four\r\n\r\n",
+            body: "abcd".to_owned(),
+            statuses: &[400],
+        },
+        Case {
+            name: "an unknown encoding before chunks",
+            head: "POST /safe/ HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked, odd\r\n\r\n",
+            body: inner.to_owned(),
+            statuses: &[400],
+        },
+        Case {
+            name: "chunks that are none",
+            head: "POST /safe/ HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked\r\n\r\n",
+            body: "zz\r\nabc\r\n0\r\n\r\n".to_owned(),
+            statuses: &[400],
+        },
+        Case {
+            name: "a body over the limit",
+            head: "POST /safe/ HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 300000\r\n\r\n",
+            body: "x".repeat(300_000),
+            statuses: &[413],
+        },
+        Case {
+            name: "no request",
+            head: "\u{16}\u{3}\u{1}\r\n\r\n",
+            body: String::new(),
+            statuses: &[400],
+        },
+        Case {
+            name: "a head over the limit",
+            head: "GET /safe/ HTTP/1.1\r\nHost: shop.example\r\nX-Long: ",
+            body: "x".repeat(64 * 1024),
+            statuses: &[431, 400],
+        },
+        Case {
+            name: "no host",
+            head: "GET /safe/ HTTP/1.1\r\n\r\n",
+            body: String::new(),
+            statuses: &[404, 400],
+        },
+    ];
+    let pair = pair().await?;
+    for case in cases {
+        let mut stream = TcpStream::connect(pair.host.caller()).await?;
+        // The host may close before it has read a body that it refuses.
+        let _sent = stream.write_all(format!("{}{}", case.head, case.body).as_bytes()).await;
+        if let Ok(answer) = route::read_answer(&mut stream).await {
+            assert!(case.statuses.contains(&answer.status), "{}: {}", case.name, answer.status);
+        }
+        assert_eq!(pair.first.all_runs() + pair.second.all_runs(), 0, "{}", case.name);
+    }
+    assert_eq!(pair.host.ask("GET", "/safe/", "id-1", "").await?.status, 200);
+    Ok(())
+}
+
+/// A length and chunks together: the chunks count, the request ends with them,
+/// and what follows is a request of its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_length_beside_chunks_smuggles_nothing() -> TestResult {
+    let pair = pair().await?;
+    let mut stream = TcpStream::connect(pair.host.caller()).await?;
+    let bytes = "POST /safe/outer HTTP/1.1\r\nHost: shop.example\r\nHawthornroute-Attempt-Id: id-1\r\n\
+                 Content-Length: 60\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n\
+                 GET /safe/inner HTTP/1.1\r\nHost: shop.example\r\n\r\n";
+    stream.write_all(bytes.as_bytes()).await?;
+    // Refused whole, or its body is what the chunks held.
+    let _answer = route::read_answer(&mut stream).await;
+    sleep(Duration::from_millis(200)).await;
+    let mut ran = pair.first.requests();
+    ran.extend(pair.second.requests());
+    for (_, path, body) in ran.iter().filter(|(method, _, _)| method == "POST") {
+        assert_eq!((path.as_str(), body.as_slice()), ("/safe/outer", &b"abc"[..]));
+    }
+    Ok(())
+}
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -6,6 +6,8 @@
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -62,6 +64,7 @@
     ip: IpAddr,
     child: Child,
     log: Arc<Mutex<Vec<String>>>,
+    file: PathBuf,
     _files: TempDir,
 }
 
@@ -87,22 +90,17 @@
             seeds.join(", ")
         );
         std::fs::write(&file, text)?;
-        let mut child = Command::new(super::program())
-            .args(["route", "--log", "debug", "--settings"])
-            .arg(&file)
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(Stdio::inherit())
-            .spawn()?;
         let log = Arc::new(Mutex::new(Vec::new()));
-        let output = child.stdout.take().ok_or("standard output is piped")?;
-        let lines = Arc::clone(&log);
-        std::thread::spawn(move || {
-            for line in BufReader::new(output).lines().map_while(Result::ok) {
-                lines.lock().expect("no holder of the lock panics").push(line);
-            }
-        });
-        Ok(Self { ip, child, log, _files: files })
+        let child = run(&file, &log)?;
+        Ok(Self { ip, child, log, file, _files: files })
+    }
+
+    /// Ends the process by force and starts it again at the same addresses.
+    pub fn restart(&mut self) -> TestResult {
+        self.child.kill()?;
+        self.child.wait()?;
+        self.child = run(&self.file, &self.log)?;
+        Ok(())
     }
 
     /// Where callers reach it.
@@ -151,6 +149,24 @@
     }
 }
 
+fn run(file: &Path, log: &Arc<Mutex<Vec<String>>>) -> TestResult<Child> {
+    let mut child = Command::new(super::program())
+        .args(["route", "--log", "debug", "--settings"])
+        .arg(file)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::inherit())
+        .spawn()?;
+    let output = child.stdout.take().ok_or("standard output is piped")?;
+    let lines = Arc::clone(log);
+    std::thread::spawn(move || {
+        for line in BufReader::new(output).lines().map_while(Result::ok) {
+            lines.lock().expect("no holder of the lock panics").push(line);
+        }
+    });
+    Ok(child)
+}
+
 impl Drop for RouteHost {
     fn drop(&mut self) {
         // It may have ended by itself.
