feat(edge): SIGHUP brings budget and grace into force; bodies held are bounded

Cause: SIGHUP only checked the file; 2,000 open requests with bodies of 256 KB would pass the memory of a small host. Change: budget and grace are taken from the new file, a faulty one leaves those before; bodies of 32 MB are held at the most, then a request is refused; the age of the catalog is shown once it is known. Test sighup_brings_a_new_budget_into_force.

--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -100,6 +100,10 @@
     pub connections: Cell<usize>,
     /// Requests that are not answered yet.
     pub open_requests: Cell<usize>,
+    /// Time between the order to stop and the end by force.
+    pub grace: Cell<Duration>,
+    /// Bytes of callers' bodies that are held.
+    pub body_bytes: Cell<usize>,
     /// Requests since the start, to number and sample log lines.
     pub request_count: AtomicU32,
 }
@@ -117,14 +121,16 @@
             news: Notify::new(),
             catching_up: Cell::new(false),
             confirmed: Cell::new(None),
-            beliefs: Beliefs::new(settings),
             metrics: EdgeMetrics::new()?,
             catalog_read: Cell::new(false),
             stopping: CancellationToken::new(),
             closing: CancellationToken::new(),
             connections: Cell::new(0),
             open_requests: Cell::new(0),
+            grace: Cell::new(settings.stop.grace),
+            body_bytes: Cell::new(0),
             request_count: AtomicU32::new(0),
+            beliefs: Beliefs::new(settings),
         })
     }
 
@@ -154,7 +160,10 @@
 ///
 /// # Errors
 /// When an address cannot be listened on, or the system refuses something else.
-pub fn run(settings: RouteSettings, reload: impl Fn() + 'static) -> Result<(), Error> {
+pub fn run(
+    settings: RouteSettings,
+    reload: impl Fn() -> Option<RouteSettings> + 'static,
+) -> Result<(), Error> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -165,7 +174,10 @@
     outcome
 }
 
-async fn serve(settings: RouteSettings, reload: impl Fn() + 'static) -> Result<(), Error> {
+async fn serve(
+    settings: RouteSettings,
+    reload: impl Fn() -> Option<RouteSettings> + 'static,
+) -> Result<(), Error> {
     let host = Rc::new(RouteHost::new(settings)?);
     let listen = host.beliefs.settings.listen.clone();
     let mut terms =
@@ -207,7 +219,13 @@
         tokio::select! {
             _ = terms.recv() => break,
             _ = interrupts.recv() => break,
-            _ = hangups.recv() => reload(),
+            _ = hangups.recv() => {
+                // Settings that are not accepted leave those before in force.
+                if let Some(settings) = reload() {
+                    host.beliefs.budget.set(settings.budget);
+                    host.grace.set(settings.stop.grace);
+                }
+            }
             Some(ended) = duties.join_next() => {
                 edge_event!(Level::Error, EdgeEvent::DutyFailed, "ended=\"{ended:?}\"");
                 return Err(Error::Duty);
@@ -230,8 +248,9 @@
                 edge_event!(Level::Info, EdgeEvent::HostReady, "version={version}");
             }
         }
-        let age = host.confirmed_age().map_or(u64::MAX, |age| age.as_millis() as u64);
-        host.metrics.show("catalog-age-ms", age);
+        if let Some(age) = host.confirmed_age() {
+            host.metrics.show("catalog-age-ms", age.as_millis() as u64);
+        }
         host.metrics.show("hosts", host.beliefs.hosts.get() as u64);
         let (open, window) = host.beliefs.door.borrow().state(&door::Options::default());
         host.metrics.show("queries", u64::from(open));
@@ -256,7 +275,7 @@
     let open = host.open_requests.get();
     let connections = host.connections.get();
     edge_event!(Level::Info, EdgeEvent::HostStopping, "open={open} connections={connections}");
-    let grace = host.beliefs.settings.stop.grace;
+    let grace = host.grace.get();
     let started = host_now();
     let passed = || host_now().saturating_sub(started);
     loop {
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -14,6 +14,7 @@
 use http_body_util::Full;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -37,6 +38,9 @@
 /// Requests open at a time, beyond which the host refuses: at 30 KB each with
 /// their attempts, a quarter of a small host's memory.
 const MOST_OPEN: usize = 2000;
+/// Bytes of callers' bodies held at a time, beyond which the host refuses: an
+/// eighth of the memory of a host of 256 MB.
+const MOST_BODY_BYTES: usize = 32 << 20;
 /// An answer leaves so long before the caller stops waiting.
 const END_MARGIN: Duration = Duration::from_millis(4);
 
@@ -56,6 +60,28 @@
     }
 }
 
+/// Counts a caller's body for as long as it is held.
+struct HeldBytes(Rc<RouteHost>, usize);
+
+impl HeldBytes {
+    fn new(host: Rc<RouteHost>, bytes: usize) -> Self {
+        host.body_bytes.set(host.body_bytes.get() + bytes);
+        Self(host, bytes)
+    }
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        self.0.body_bytes.set(self.0.body_bytes.get() - self.1);
+    }
+}
+
+/// How long a body says it is; one in chunks says nothing.
+fn announced_bytes(headers: &HeaderMap) -> usize {
+    let length = headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    length.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
 /// Serves one request; never fails, as every outcome is an answer.
 pub(crate) async fn serve(
     host: Rc<RouteHost>,
@@ -92,6 +118,10 @@
     if host.open_requests.get() > MOST_OPEN {
         return CallerAnswer::refused(RefusalReason::HostFull);
     }
+    let announced = announced_bytes(&head.headers);
+    if host.body_bytes.get() + announced > MOST_BODY_BYTES {
+        return CallerAnswer::refused(RefusalReason::HostFull);
+    }
     let told = caller::read(&head.headers);
     let wait = told.time_left.map_or(route.timeout, |left| left.min(route.timeout));
     let limits = table.document().limits;
@@ -101,6 +131,7 @@
         Ok(Err(_)) => return CallerAnswer::unreadable(),
         Ok(Ok(body)) => body.to_bytes(),
     };
+    let _held = HeldBytes::new(Rc::clone(host), body.len());
     order::strip_connection(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
     head.headers.remove(header::EXPECT);
--- a/crates/hawthorn-edge/src/settings.rs
+++ b/crates/hawthorn-edge/src/settings.rs
@@ -119,7 +119,7 @@
 
 /// Extra attempts, for each service.
 #[serde_as]
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Deserialize)]
 pub struct BudgetSettings {
     /// Extra attempts for each request of the window, over all hosts.
     pub share: f64,
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -30,6 +30,7 @@
 use rand::rngs::StdRng;
 use slotmap::SecondaryMap;
 
+use crate::settings::BudgetSettings;
 use crate::settings::RouteSettings;
 
 /// Part of a target's connections that all hosts together use: the rest is for
@@ -66,6 +67,8 @@
 pub struct Beliefs {
     /// As the host was told at its start.
     pub settings: RouteSettings,
+    /// Extra attempts, as the host was told last.
+    pub budget: Cell<BudgetSettings>,
     /// The newest first.
     tables: RefCell<VecDeque<Rc<RouteTable>>>,
     /// Targets as they register.
@@ -96,6 +99,7 @@
     /// Nothing is known yet.
     pub fn new(settings: RouteSettings) -> Self {
         Self {
+            budget: Cell::new(settings.budget),
             settings,
             tables: RefCell::default(),
             registry: RefCell::new(TargetRegistry::new(registry::Options::default())),
@@ -148,7 +152,7 @@
     }
 
     fn budget_options(&self) -> budget::Options {
-        let told = &self.settings.budget;
+        let told = self.budget.get();
         budget::Options {
             window: told.window,
             share: told.share * BUDGET_SHARE,
--- a/src/route.rs
+++ b/src/route.rs
@@ -19,19 +19,26 @@
         .map_err(|error| CommandError::Text(format!("settings not accepted:\n{error}")))
 }
 
-/// Runs until SIGTERM or SIGINT; SIGHUP has the settings read and checked again.
+/// Runs until SIGTERM or SIGINT; SIGHUP has the settings read again: the
+/// budget and the grace come into force, the rest at the next start.
 pub(crate) fn route(options: &RouteOptions) -> Result<CommandExit, CommandError> {
     let settings = read(&options.settings)?;
     let _writer =
         logs::start(options.log).map_err(|error| CommandError::Start(error.to_string()))?;
     let path = options.settings.clone();
     let reload = move || match read(&path) {
-        Ok(_) => edge_event!(log::Level::Info, EdgeEvent::SettingsReloaded, "outcome=accepted"),
-        Err(error) => edge_event!(
-            log::Level::Error,
-            EdgeEvent::SettingsReloaded,
-            "outcome=refused error=\"{error}\""
-        ),
+        Ok(settings) => {
+            edge_event!(log::Level::Info, EdgeEvent::SettingsReloaded, "outcome=accepted");
+            Some(settings)
+        }
+        Err(error) => {
+            edge_event!(
+                log::Level::Error,
+                EdgeEvent::SettingsReloaded,
+                "outcome=refused error=\"{error}\""
+            );
+            None
+        }
     };
     host::run(settings, reload).map_err(|error| CommandError::Start(error.to_string()))?;
     Ok(CommandExit::Success)
--- a/src/story.rs
+++ b/src/story.rs
@@ -1,7 +1,7 @@
 //! `explain-log`: the story of one request from hosts' log lines, in plain words.
 
 use std::collections::HashMap;
-use std::path::PathBuf;
+use std::path::Path;
 
 use crate::cli::ExplainLogOptions;
 use crate::exit::CommandError;
@@ -37,7 +37,7 @@
 }
 
 /// Of a host's own file, its name without the ending.
-fn host_name(path: &PathBuf) -> String {
+fn host_name(path: &Path) -> String {
     path.file_stem().map_or_else(String::new, |name| name.to_string_lossy().into_owned())
 }
 
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -189,6 +189,29 @@
     Ok(())
 }
 
+/// Operators take the budget away and send SIGHUP: from then on no second attempt
+/// is made, without a restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn sighup_brings_a_new_budget_into_force() -> TestResult {
+    let pair = pair().await?;
+    pair.fail_always(Some(TargetFault::Fail));
+    pair.host.ask("GET", "/safe/", "id-1", "").await?;
+    assert_eq!(pair.runs("id-1"), 2);
+    pair.host.change_settings("share = 0.2", "share = 0.0")?;
+    pair.host.change_settings("allowance = 560", "allowance = 0")?;
+    pair.host.signal(Signal::HUP)?;
+    let logged = async || pair.host.logged("settings-reloaded: outcome=accepted") == 1;
+    route::wait_for("the settings to be read again", logged).await?;
+    pair.host.ask("GET", "/safe/", "id-2", "").await?;
+    assert_eq!(pair.runs("id-2"), 1);
+    pair.host.change_settings("share = 0.0", "share = \"much\"")?;
+    pair.host.signal(Signal::HUP)?;
+    let refused = async || pair.host.logged("settings-reloaded: outcome=refused") == 1;
+    route::wait_for("the settings to be refused", refused).await?;
+    assert_eq!(pair.host.ask("GET", "/safe/", "id-3", "").await?.status, 500);
+    Ok(())
+}
+
 /// A caller gives up and closes its connection; the work it asked for stops.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_leaves_cancels_its_work() -> TestResult {
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -103,6 +103,12 @@
         Ok(())
     }
 
+    /// Changes the file of settings; the process reads it when it is told to.
+    pub fn change_settings(&self, from: &str, to: &str) -> TestResult {
+        let text = std::fs::read_to_string(&self.file)?;
+        Ok(std::fs::write(&self.file, text.replace(from, to))?)
+    }
+
     /// Where callers reach it.
     pub fn caller(&self) -> SocketAddr {
         SocketAddr::new(self.ip, CALLER_PORT)
