fix(edge): attempts that silent peers may have made are all counted

Ruled out: second attempts of the peers; the front's own stand in the record. Change: every silent peer counts; no peer and no target is asked once the route's attempts may be used up; a peer has a fifth of the aim to say that it is there. Test peers_that_stand_still_use_up_the_attempts fails before (200 instead of 502).

--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -53,9 +53,9 @@
 /// A peer is asked whether it is there after this share of the aim: most
 /// replies have come by then.
 const HELLO_SHARE: f64 = 0.2;
-/// And has so long to say so: several ways between zones, and the time for
-/// which a busy host of a tenth of a core is at something else.
-const HELLO_TIMEOUT: Duration = Duration::from_millis(15);
+/// And has this share of it to say so: several ways between zones, and the time
+/// for which a busy host of a tenth of a core is at something else.
+const HELLO_WAIT_SHARE: f64 = 0.2;
 /// A reply may be so long after its aim.
 const REPLY_GRACE: Duration = Duration::from_millis(10);
 
@@ -74,9 +74,12 @@
 
 impl DelegatedShards {
     /// The same shards for another peer, after one that may have sent a first attempt.
-    pub(crate) fn after_silence(&self, host: &RouteHost) -> Option<Self> {
-        let again = self.again(host)?;
-        Some(Self { spent: self.spent + 1, ..again })
+    pub(crate) fn after_silence(&self, host: &RouteHost, most: usize) -> Option<Self> {
+        let spent = self.spent + 1;
+        if usize::from(spent) >= most {
+            return None;
+        }
+        Some(Self { spent, ..self.again(host)? })
     }
 
     /// The same shards for another peer of the zone, if one is to be had.
@@ -243,7 +246,7 @@
 /// this; so the other makes one at the most, and operators' limit holds.
 async fn is_silent(host: &RouteHost, peer: SocketAddr, aim: Duration) {
     sleep(aim.mul_f64(HELLO_SHARE)).await;
-    if host.links.hello(peer, HELLO_TIMEOUT).await {
+    if host.links.hello(peer, aim.mul_f64(HELLO_WAIT_SHARE)).await {
         std::future::pending::<()>().await;
     }
 }
--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -90,11 +90,12 @@
         self.events.push(async move { GatherEvent::Race(race.run().await) }.boxed_local());
     }
 
-    /// Asks for a shard that a peer may have sent one attempt at.
-    fn race_again(&mut self, place: u16) {
+    /// Asks for a shard at which peers may have made attempts. Where these are as
+    /// many as operators allow, none is made and the shard is lost to this try.
+    fn race_again(&mut self, place: u16, spent: usize) {
         let Some(shard) = self.rule.shards.get(usize::from(place)) else { return };
         self.raced.push(shard);
-        let race = AttemptRace::new(self.host, self.order, shard).after(1);
+        let race = AttemptRace::new(self.host, self.order, shard).after(spent);
         self.events.push(async move { GatherEvent::Race(race.run().await) }.boxed_local());
     }
 
@@ -159,10 +160,15 @@
                     None => delegated.shards.iter().for_each(|shard| self.race(*shard)),
                 }
             }
-            Err(PeerError::Silent) => match delegated.after_silence(self.host) {
-                Some(again) => self.delegate(again),
-                None => delegated.shards.iter().for_each(|shard| self.race_again(*shard)),
-            },
+            Err(PeerError::Silent) => {
+                match delegated.after_silence(self.host, self.order.route.max_attempts) {
+                    Some(again) => self.delegate(again),
+                    None => {
+                        let spent = usize::from(delegated.spent) + 1;
+                        delegated.shards.iter().for_each(|shard| self.race_again(*shard, spent));
+                    }
+                }
+            }
             Err(PeerError::Lost) => self.state.lost += delegated.shards.len(),
         }
     }
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -608,3 +608,48 @@
     }
     Ok(())
 }
+
+/// All hosts that could gather for a zone stand still at once. Each may have made
+/// an attempt for all that their front knows, and operators allow two: the front
+/// makes no third, says that the outcome is not known, and nothing runs later.
+#[tokio::test(flavor = "multi_thread")]
+async fn peers_that_stand_still_use_up_the_attempts() -> TestResult {
+    let store = RouteStore::start().await?;
+    let names = ["a", "b", "c", "d"];
+    let mut targets = Vec::new();
+    for name in names {
+        let target = RouteTarget::start(&format!("t-{name}"), name).await?;
+        route::register(&store, &format!("t-{name}"), &target, "west");
+        targets.push(target);
+    }
+    route::configure(&store, 3, &[route::gathered("/all/", &names, 1.0)], &names);
+    let east = RouteHost::start("h-1", "east", store.address(), &[])?;
+    let west = [
+        RouteHost::start("h-2", "west", store.address(), &[&east])?,
+        RouteHost::start("h-3", "west", store.address(), &[&east])?,
+    ];
+    east.ready().await?;
+    let delegated = async || {
+        let answer = east.ask("GET", "/all/", "id-0", "").await;
+        answer.is_ok() && east.logged("outcome=whole") > 0
+    };
+    for host in &west {
+        host.ready().await?;
+    }
+    let met = async || east.logged("zone=west change=up") == 2;
+    route::wait_for("the hosts to know each other", met).await?;
+    route::wait_for("a peer to gather", delegated).await?;
+    for host in &west {
+        host.signal(Signal::STOP)?;
+    }
+    let answer = east.ask("GET", "/all/", "id-1", "").await?;
+    for host in &west {
+        host.signal(Signal::CONT)?;
+    }
+    assert_eq!(answer.status, 502);
+    sleep(Duration::from_millis(700)).await;
+    for target in &targets {
+        assert_eq!(target.runs("id-1"), 0);
+    }
+    Ok(())
+}
