fix(edge): a peer says that it is there before it begins on an order

Ruled out: longer waits: a second attempt may come 8 ms after the first. Change: the question goes out with the order, a peer answers it before it begins, and has 20 ms; a peer that answered it, or anything in the last 100 ms, is not replaced. The front's own pauses do not count: its sockets are read before it decides.

--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -42,6 +42,9 @@
 const SUSPECT_TIME: Duration = Duration::from_millis(1500);
 /// A peer answers a question about the store within so long, beyond its wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// A peer that answered so long ago is there: a pause between two of a busy
+/// peer's replies, so that only a quiet one is asked.
+const HEARD_LIFE: Duration = Duration::from_millis(100);
 /// Orders of peers that wait for the serving thread; more are refused.
 const ORDER_RING: usize = 1024;
 
@@ -87,6 +90,8 @@
 #[derive(Debug, Default)]
 pub struct PeerLinks {
     links: RefCell<HashMap<SocketAddr, PeerLink>>,
+    /// When each peer last answered.
+    heard: RefCell<HashMap<SocketAddr, Instant>>,
 }
 
 impl PeerLinks {
@@ -144,10 +149,24 @@
         self.judge(address, reply)
     }
 
-    /// Whether a peer says that it is there within a time.
-    pub(crate) async fn hello(&self, address: SocketAddr, within: Duration) -> bool {
+    /// Whether a peer says that it is there.
+    pub(crate) async fn hello(&self, address: SocketAddr) -> bool {
         let Ok(client) = self.client(address).await else { return false };
-        matches!(timeout(within, client.hello(call_within(within))).await, Ok(Ok(())))
+        let there = client.hello(call_within(ANSWER_TIMEOUT)).await.is_ok();
+        if there {
+            self.hear(address);
+        }
+        there
+    }
+
+    /// The peer answered something a moment ago.
+    pub(crate) fn heard_lately(&self, address: SocketAddr) -> bool {
+        let heard = self.heard.borrow();
+        heard.get(&address).is_some_and(|at| at.elapsed() < HEARD_LIFE)
+    }
+
+    fn hear(&self, address: SocketAddr) {
+        self.heard.borrow_mut().insert(address, Instant::now());
     }
 
     /// Asks a peer what it knows of the store after a revision, waiting there for news.
@@ -173,6 +192,9 @@
         address: SocketAddr,
         reply: Result<T, client::RpcError>,
     ) -> Result<T, PeerError> {
+        if reply.is_ok() {
+            self.hear(address);
+        }
         reply.map_err(|_| {
             self.suspect(address);
             PeerError::Lost
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -50,12 +50,9 @@
 /// Peers that are asked for the same shards, one after the other, while none
 /// has sent anything: a third failure in a row is no accident of one host.
 const MOST_TRIES: usize = 2;
-/// A peer is asked whether it is there after this share of the aim: most
-/// replies have come by then.
-const HELLO_SHARE: f64 = 0.2;
-/// And has this share of it to say so: several ways between zones, and the time
-/// for which a busy host of a tenth of a core is at something else.
-const HELLO_WAIT_SHARE: f64 = 0.2;
+/// A peer says within so long that it is there: several ways between zones, and
+/// the time for which a busy host is at something else.
+const HELLO_TIMEOUT: Duration = Duration::from_millis(20);
 /// A reply may be so long after its aim.
 const REPLY_GRACE: Duration = Duration::from_millis(10);
 
@@ -210,7 +207,7 @@
     let reply = tokio::select! {
         biased;
         reply = call => reply,
-        () = is_silent(host, delegated.peer, order.route.aim) => {
+        () = is_silent(host, delegated.peer) => {
             host.links.suspect(delegated.peer);
             Err(PeerError::Silent)
         }
@@ -237,17 +234,29 @@
     reply
 }
 
-/// Returns when a peer that has not replied for a while does not say either
-/// that it is there; never returns while it does.
+/// Returns when a peer does not say that it is there; never returns while it does.
 ///
 /// Failure: a peer stands still, lost power, or its path is silent. A query
-/// would be lost with it; now another is asked while there is time. The first
-/// may have sent one attempt a shard but no second, which comes later than
-/// this; so the other makes one at the most, and operators' limit holds.
-async fn is_silent(host: &RouteHost, peer: SocketAddr, aim: Duration) {
-    sleep(aim.mul_f64(HELLO_SHARE)).await;
-    if host.links.hello(peer, aim.mul_f64(HELLO_WAIT_SHARE)).await {
-        std::future::pending::<()>().await;
+/// would be lost with it; now another is asked while there is time. A peer
+/// answers this before it begins on the order that was sent just before: one
+/// that stands still later, with attempts made, is not replaced, as two peers'
+/// attempts could be more than operators allow.
+async fn is_silent(host: &RouteHost, peer: SocketAddr) {
+    if host.links.heard_lately(peer) {
+        return std::future::pending().await;
+    }
+    let over = async {
+        sleep(HELLO_TIMEOUT).await;
+        // This host may have been the one that stood still: what lies in its
+        // sockets is read first.
+        for _ in 0..CANCELLATION_TURNS {
+            yield_now().await;
+        }
+    };
+    tokio::select! {
+        biased;
+        there = host.links.hello(peer) => if there { std::future::pending().await },
+        () = over => {}
     }
 }
 
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -639,10 +639,14 @@
     let met = async || east.logged("zone=west change=up") == 2;
     route::wait_for("the hosts to know each other", met).await?;
     route::wait_for("a peer to gather", delegated).await?;
+    // The front has heard nothing of them for a while, so it asks whether they are there.
+    sleep(Duration::from_millis(300)).await;
     for host in &west {
         host.signal(Signal::STOP)?;
     }
     let answer = east.ask("GET", "/all/", "id-1", "").await?;
+    // The cancellations are on their way when the answer comes.
+    sleep(Duration::from_millis(100)).await;
     for host in &west {
         host.signal(Signal::CONT)?;
     }
