fix(edge): a request read late is as old as the loop was at work; zones in modules

Ruled out: the clock (steady and counting); the store's news, some 10 ms. Change: the time for which the loop has not rested counts as age of what it reads; a host gathers for want of a peer only what a third of its processor time before the aim allows, else it refuses, and first asks gatherers of other zones. Read-through: one way to ask for a shard, beliefs about zones in a module of their own, budgets of services that left go. Test a_request_is_as_old_as_the_loop_has_been_at_work, on the clock alone.

--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -35,6 +35,7 @@
 use crate::process::metrics;
 use crate::process::metrics::EdgeMetrics;
 use crate::process::reach;
+use crate::process::turns;
 use crate::settings::RouteSettings;
 use crate::version::beliefs::Beliefs;
 
@@ -166,6 +167,8 @@
 ) -> Result<(), Error> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
+        .on_thread_park(turns::note_park)
+        .on_thread_unpark(turns::note_unpark)
         .build()
         .map_err(|source| Error::System("runtime", source))?;
     let local = LocalSet::new();
--- a/crates/hawthorn-edge/src/process/mod.rs
+++ b/crates/hawthorn-edge/src/process/mod.rs
@@ -9,3 +9,4 @@
 pub mod logs;
 pub mod metrics;
 pub mod reach;
+pub mod turns;
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -53,6 +53,11 @@
 /// A peer says within so long that it is there: several ways between zones, and
 /// the time for which a busy host is at something else.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(20);
+/// Processor time of a shard's request on a new connection: twice the 91 us of
+/// one on a connection that stands.
+const SHARD_COST: Duration = Duration::from_micros(180);
+/// Part of its processor time that a host puts into one query for want of a peer.
+const OWN_SHARE: f64 = 0.33;
 /// A reply may be so long after its aim.
 const REPLY_GRACE: Duration = Duration::from_millis(10);
 
@@ -95,7 +100,9 @@
     let mut parts = Vec::new();
     if !host.beliefs.gathers.get() && near.len() >= LEAST_SHARDS {
         let zone = host.beliefs.settings.host.zone.clone();
-        if let Some(peer) = choose(host, &zone) {
+        let peers = std::iter::once(zone).chain(other_zones(host));
+        let found = peers.filter_map(|zone| choose(host, &zone).map(|peer| (zone, peer))).next();
+        if let Some((zone, peer)) = found {
             // One host gathers the whole, those away as well: it knows as much.
             near.extend(away.drain(..).map(|(shard, _)| shard));
             near.sort_unstable();
@@ -119,6 +126,26 @@
     parts
 }
 
+/// The zones of other hosts of the fleet that can be reached.
+fn other_zones(host: &RouteHost) -> Vec<String> {
+    let cut = host.beliefs.cut_zones(host_now());
+    let mine = &host.beliefs.settings.host.zone;
+    let members = host.members.borrow();
+    let zones = members.zones().filter(|zone| zone != mine && !cut.iter().any(|cut| cut == zone));
+    zones.map(str::to_owned).collect()
+}
+
+/// Whether this host may gather so many shards itself where peers failed.
+///
+/// Load: a host of a tenth of a core whose gatherers do not answer. Gathering a
+/// hundred shards with new connections would take it as long as its callers
+/// wait, and everything else it does would stand still. It refuses instead.
+pub(crate) fn affords(host: &RouteHost, shards: usize, aim: Duration) -> bool {
+    let settings = &host.beliefs.settings.host;
+    let time = aim.as_secs_f64() * settings.core_share * settings.cores * OWN_SHARE;
+    shards as f64 * SHARD_COST.as_secs_f64() <= time
+}
+
 /// A shard, by its place in the list, and the other zones where it has a target.
 type AwayShard = (u16, Vec<String>);
 
--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -43,6 +43,17 @@
     Delegated(DelegatedShards, Result<GatherReply, PeerError>),
 }
 
+/// What a run is to gather.
+#[derive(Clone, Copy, Debug)]
+struct GatherPlan {
+    /// Version of the routes, for peers.
+    version: u64,
+    /// When the parts lose worth to the caller.
+    aim_at: Duration,
+    /// How many shards are wanted.
+    shards: usize,
+}
+
 /// A query while its parts come in.
 struct GatherRun<'a> {
     host: &'a Rc<RouteHost>,
@@ -64,9 +75,9 @@
         host: &'a Rc<RouteHost>,
         order: &'a Rc<RequestOrder>,
         rule: &'a GatherRule,
-        (version, aim_at): (u64, Duration),
-        shards: usize,
+        plan: GatherPlan,
     ) -> Self {
+        let GatherPlan { version, aim_at, shards } = plan;
         let least_share = rule.least_share;
         Self {
             host,
@@ -83,20 +94,23 @@
         }
     }
 
-    fn race(&mut self, place: u16) {
+    /// Asks for a shard here. Peers may have made `spent` attempts at it; where
+    /// these are as many as operators allow, it is lost to this try.
+    fn race(&mut self, place: u16, spent: usize) {
         let Some(shard) = self.rule.shards.get(usize::from(place)) else { return };
         self.raced.push(shard);
-        let race = AttemptRace::new(self.host, self.order, shard);
+        let race = AttemptRace::new(self.host, self.order, shard).after(spent);
         self.events.push(async move { GatherEvent::Race(race.run().await) }.boxed_local());
     }
 
-    /// Asks for a shard at which peers may have made attempts. Where these are as
-    /// many as operators allow, none is made and the shard is lost to this try.
-    fn race_again(&mut self, place: u16, spent: usize) {
-        let Some(shard) = self.rule.shards.get(usize::from(place)) else { return };
-        self.raced.push(shard);
-        let race = AttemptRace::new(self.host, self.order, shard).after(spent);
-        self.events.push(async move { GatherEvent::Race(race.run().await) }.boxed_local());
+    /// Asks for shards that no peer gathers, if this host can bear it.
+    fn race_all(&mut self, shards: &[u16], spent: usize) {
+        if delegate::affords(self.host, shards.len(), self.order.route.aim) {
+            shards.iter().for_each(|shard| self.race(*shard, spent));
+        } else {
+            self.refusal = Some(RefusalReason::Unreachable);
+            self.state.lost += shards.len();
+        }
     }
 
     fn delegate(&self, delegated: DelegatedShards) {
@@ -140,6 +154,7 @@
     /// here; those of which nothing is known are lost to this try, as a third
     /// attempt at them would be more than operators allow.
     fn take_reply(&mut self, delegated: &DelegatedShards, reply: Result<GatherReply, PeerError>) {
+        let spent = usize::from(delegated.spent);
         match reply {
             Ok(GatherReply::Parts { receipts, records, missing, load }) => {
                 let mut met = self.order.load.borrow_mut();
@@ -157,16 +172,13 @@
                 self.order.sent.set(self.order.sent.get() - delegated.shards.len());
                 match delegated.again(self.host) {
                     Some(again) => self.delegate(again),
-                    None => delegated.shards.iter().for_each(|shard| self.race(*shard)),
+                    None => self.race_all(&delegated.shards, spent),
                 }
             }
             Err(PeerError::Silent) => {
                 match delegated.after_silence(self.host, self.order.route.max_attempts) {
                     Some(again) => self.delegate(again),
-                    None => {
-                        let spent = usize::from(delegated.spent) + 1;
-                        delegated.shards.iter().for_each(|shard| self.race_again(*shard, spent));
-                    }
+                    None => self.race_all(&delegated.shards, spent + 1),
                 }
             }
             Err(PeerError::Lost) => self.state.lost += delegated.shards.len(),
@@ -182,13 +194,18 @@
     version: u64,
 ) -> CallerAnswer {
     let aim_at = order.started + order.route.aim.saturating_sub(AIM_MARGIN);
-    let mut run = GatherRun::new(host, order, rule, (version, aim_at), rule.shards.len());
+    let mut run = GatherRun::new(
+        host,
+        order,
+        rule,
+        GatherPlan { version, aim_at, shards: rule.shards.len() },
+    );
     order.load.borrow_mut().shards = run.state.shards;
     order.load.borrow_mut().spare = run.state.spare();
     let delegated = delegate::split(host, rule, host.beliefs.usual(&order.route));
     for place in 0..rule.shards.len() as u16 {
         if !delegated.iter().any(|part| part.shards.contains(&place)) {
-            run.race(place);
+            run.race(place, 0);
         }
     }
     for part in delegated {
@@ -230,8 +247,10 @@
     shards: &[u16],
     aim_at: Duration,
 ) -> GatherReply {
-    let mut run = GatherRun::new(host, order, rule, (0, aim_at), shards.len());
-    shards.iter().for_each(|shard| run.race(*shard));
+    // A peer's query is gathered here whole, and never handed on.
+    let plan = GatherPlan { version: 0, aim_at, shards: shards.len() };
+    let mut run = GatherRun::new(host, order, rule, plan);
+    shards.iter().for_each(|shard| run.race(*shard, 0));
     while run.state.parts + run.state.lost < run.state.shards {
         let aim_left = aim_at.saturating_sub(host_now());
         if aim_left.is_zero() {
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -1,6 +1,7 @@
 //! A caller's request from its head to its answer.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
 
 use crate::process::clock::host_now;
 use crate::process::host::RouteHost;
+use crate::process::turns;
 use crate::request::answer::CallerAnswer;
 use crate::request::gather;
 use crate::request::order;
@@ -32,7 +34,6 @@
 use crate::request::order::RequestOrder;
 use crate::request::race::AttemptRace;
 use crate::request::race::RaceEnd;
-use crate::request::story::RequestStory;
 use crate::request::story::RequestSummary;
 
 /// Requests open at a time, beyond which the host refuses: at 30 KB each with
@@ -87,7 +88,9 @@
     host: Rc<RouteHost>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    let started = host_now();
+    let now = host_now();
+    // Where the loop was long at work, the request may have waited as long unread.
+    let started = now.saturating_sub(turns::busy_for(now));
     let _open = OpenCount::new(Rc::clone(&host));
     let mut answer = admit(&host, request, started).await;
     // A caller of a host that steps aside is better served by another.
@@ -148,8 +151,8 @@
         answered: CancellationToken::new(),
         sent: Cell::new(0),
         spent: 0,
-        load: std::cell::RefCell::default(),
-        story: std::cell::RefCell::new(RequestStory::default()),
+        load: RefCell::default(),
+        story: RefCell::default(),
     });
     let watch = CallerWatch(Rc::clone(&order));
     let answer = carry(host, &order, table.version()).await;
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -14,10 +14,9 @@
 use hawthorn_route::budget;
 use hawthorn_route::budget::RetryBudget;
 use hawthorn_route::document::RouteRule;
-use hawthorn_route::document::RouteWay;
+use hawthorn_route::document::WeightedService;
 use hawthorn_route::door::QueryDoor;
 use hawthorn_route::place;
-use hawthorn_route::reach;
 use hawthorn_route::reach::ZoneReach;
 use hawthorn_route::registry;
 use hawthorn_route::registry::TargetKey;
@@ -50,9 +49,6 @@
 /// Versions kept: hosts get a new one within a second of each other, and edits
 /// in quick succession are a third of a second apart.
 const KEPT_VERSIONS: usize = 4;
-/// Seconds that the counts of demand stand for: half of a count is left after
-/// five, which is five over the logarithm of two on the whole.
-const DEMAND_SPAN: f64 = 7.2;
 /// Bytes of a target's answer, at the most.
 const ANSWER_BYTES: usize = 16 << 20;
 /// How long opening a connection may take: a pause of a target, and several
@@ -77,10 +73,10 @@
     budgets: RefCell<HashMap<String, RetryBudget>>,
     times: RefCell<HashMap<String, ServiceTimes>>,
     dealers: RefCell<HashMap<String, WeightDealer>>,
-    lots: RefCell<StdRng>,
-    zones: RefCell<HashMap<String, ZoneReach>>,
+    pub(super) lots: RefCell<StdRng>,
+    pub(super) zones: RefCell<HashMap<String, ZoneReach>>,
     /// Requests of each route lately, earlier ones counting less.
-    demand: RefCell<HashMap<String, f64>>,
+    pub(super) demand: RefCell<HashMap<String, f64>>,
     /// Callers are better served by hosts of other zones.
     pub stranded: Cell<bool>,
     /// Whether queries over shards are admitted here.
@@ -142,6 +138,7 @@
             table.document().routes.iter().map(|route| route.name.as_str()).collect();
         self.times.borrow_mut().retain(|name, _| names.contains(name.as_str()));
         self.dealers.borrow_mut().retain(|name, _| names.contains(name.as_str()));
+        self.budgets.borrow_mut().retain(|name, _| table.service(name).is_some());
         tables.push_front(Rc::new(table));
         tables.truncate(KEPT_VERSIONS);
         true
@@ -204,11 +201,7 @@
     }
 
     /// The part of a weighted route that the next request goes to.
-    pub fn deal(
-        &self,
-        route: &RouteRule,
-        parts: &[hawthorn_route::document::WeightedService],
-    ) -> Option<usize> {
+    pub fn deal(&self, route: &RouteRule, parts: &[WeightedService]) -> Option<usize> {
         self.dealers.borrow_mut().entry(route.name.clone()).or_default().deal(parts)
     }
 
@@ -281,109 +274,6 @@
         Some(pool)
     }
 
-    /// A request was sent to a target of the zone.
-    pub fn zone_sent(&self, zone: &str, now: Duration, usual: Duration) {
-        let mut zones = self.zones.borrow_mut();
-        if let Some(reach) = zones.get_mut(zone) {
-            reach.sent(now, usual);
-        } else {
-            zones.entry(zone.to_owned()).or_default().sent(now, usual);
-        }
-    }
-
-    /// Something of the zone answered.
-    pub fn zone_answered(&self, zone: &str) {
-        if let Some(reach) = self.zones.borrow_mut().get_mut(zone) {
-            reach.answered();
-        }
-    }
-
-    /// The zones that are believed cut off.
-    pub fn cut_zones(&self, now: Duration) -> Vec<String> {
-        let zones = self.zones.borrow();
-        zones.iter().filter(|(_, reach)| reach.is_cut(now)).map(|(zone, _)| zone.clone()).collect()
-    }
-
-    /// Any target of a zone, to try the way to it.
-    pub fn any_target(&self, zone: &str) -> Option<std::net::SocketAddr> {
-        let registry = self.registry.borrow();
-        let there: Vec<std::net::SocketAddr> = registry
-            .iter()
-            .filter(|(_, state)| state.entry.zone == zone)
-            .map(|(_, state)| state.entry.address)
-            .collect();
-        let lot = self.lots.borrow_mut().random_range(0..there.len().max(1));
-        there.get(lot).copied()
-    }
-
-    /// Counts a request of a route.
-    pub fn count_demand(&self, route: &RouteRule) {
-        let mut demand = self.demand.borrow_mut();
-        if let Some(count) = demand.get_mut(&route.name) {
-            *count += 1.0;
-        } else {
-            demand.insert(route.name.clone(), 1.0);
-        }
-    }
-
-    /// No query over shards is more urgent than the route's.
-    pub fn is_urgent(&self, route: &RouteRule) -> bool {
-        let Some(table) = self.table() else { return true };
-        let queries = table.document().routes.iter();
-        let queries = queries.filter(|route| matches!(route.way, RouteWay::Gather(_)));
-        queries.map(|query| query.priority).min().is_none_or(|least| route.priority <= least)
-    }
-
-    /// Queries over shards that came here lately, a second.
-    pub fn query_rate(&self) -> f64 {
-        let Some(table) = self.table() else { return 0.0 };
-        let demand = self.demand.borrow();
-        let queries = table.document().routes.iter();
-        let queries = queries.filter(|route| matches!(route.way, RouteWay::Gather(_)));
-        let counted: f64 = queries.filter_map(|route| demand.get(&route.name)).sum();
-        counted / DEMAND_SPAN
-    }
-
-    /// Has earlier requests count less, by the factor.
-    pub fn fade_demand(&self, factor: f64) {
-        let mut demand = self.demand.borrow_mut();
-        demand.values_mut().for_each(|count| *count *= factor);
-        demand.retain(|_, count| *count > 0.01);
-    }
-
-    /// Whether this host should leave callers to others; see [`reach::steps_aside`].
-    pub fn find_stranded(&self, now: Duration) -> bool {
-        let cut = self.cut_zones(now);
-        let Some(table) = self.table().filter(|_| !cut.is_empty()) else {
-            return false;
-        };
-        let zones: HashSet<String> = {
-            let registry = self.registry.borrow();
-            let mine = std::iter::once(self.settings.host.zone.clone());
-            registry.iter().map(|(_, state)| state.entry.zone.clone()).chain(mine).collect()
-        };
-        let demand = self.demand.borrow();
-        let asked = |route: &RouteRule| demand.get(&route.name).copied().unwrap_or_default();
-        let routes = &table.document().routes;
-        let all: f64 = routes.iter().map(asked).sum();
-        let lost: f64 = routes.iter().filter(|route| !self.can_answer(route, now)).map(asked).sum();
-        reach::steps_aside(zones.len(), cut.len(), if all > 0.0 { lost / all } else { 0.0 })
-    }
-
-    /// Whether enough of a route's services have a target that takes work.
-    pub fn can_answer(&self, route: &RouteRule, now: Duration) -> bool {
-        let usual = self.usual(route);
-        let takes = |service: &str| self.place(service, &[], usual, now).is_some();
-        match &route.way {
-            RouteWay::Single(service) => takes(service),
-            RouteWay::Weighted(parts) => parts.iter().any(|part| takes(&part.service)),
-            RouteWay::Gather(rule) => {
-                let there = rule.shards.iter().filter(|shard| takes(shard)).count();
-                there as f64 >= rule.least_share * rule.shards.len() as f64 && there > 0
-            }
-        }
-    }
-
     /// Lets go of what is held for targets that left.
     pub fn sweep(&self, now: Duration) {
         let gone = self.registry.borrow_mut().sweep(now, self.settings.targets.leave);
--- /dev/null
+++ b/crates/hawthorn-edge/src/version/reach.rs
@@ -0,0 +1,120 @@
+//! Beliefs about zones: which can be reached, and who should serve callers.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hawthorn_route::document::RouteRule;
+use hawthorn_route::document::RouteWay;
+use hawthorn_route::reach;
+use rand::RngExt;
+
+use crate::version::beliefs::Beliefs;
+
+/// Seconds that the counts of demand stand for: half of a count is left after
+/// five, which is five over the logarithm of two on the whole.
+const DEMAND_SPAN: f64 = 7.2;
+impl Beliefs {
+    /// A request was sent to a target of the zone.
+    pub fn zone_sent(&self, zone: &str, now: Duration, usual: Duration) {
+        let mut zones = self.zones.borrow_mut();
+        if let Some(reach) = zones.get_mut(zone) {
+            reach.sent(now, usual);
+        } else {
+            zones.entry(zone.to_owned()).or_default().sent(now, usual);
+        }
+    }
+
+    /// Something of the zone answered.
+    pub fn zone_answered(&self, zone: &str) {
+        if let Some(reach) = self.zones.borrow_mut().get_mut(zone) {
+            reach.answered();
+        }
+    }
+
+    /// The zones that are believed cut off.
+    pub fn cut_zones(&self, now: Duration) -> Vec<String> {
+        let zones = self.zones.borrow();
+        zones.iter().filter(|(_, reach)| reach.is_cut(now)).map(|(zone, _)| zone.clone()).collect()
+    }
+
+    /// Any target of a zone, to try the way to it.
+    pub fn any_target(&self, zone: &str) -> Option<SocketAddr> {
+        let registry = self.registry.borrow();
+        let there: Vec<SocketAddr> = registry
+            .iter()
+            .filter(|(_, state)| state.entry.zone == zone)
+            .map(|(_, state)| state.entry.address)
+            .collect();
+        let lot = self.lots.borrow_mut().random_range(0..there.len().max(1));
+        there.get(lot).copied()
+    }
+
+    /// Counts a request of a route.
+    pub fn count_demand(&self, route: &RouteRule) {
+        let mut demand = self.demand.borrow_mut();
+        if let Some(count) = demand.get_mut(&route.name) {
+            *count += 1.0;
+        } else {
+            demand.insert(route.name.clone(), 1.0);
+        }
+    }
+
+    /// No query over shards is more urgent than the route's.
+    pub fn is_urgent(&self, route: &RouteRule) -> bool {
+        let Some(table) = self.table() else { return true };
+        let queries = table.document().routes.iter();
+        let queries = queries.filter(|route| matches!(route.way, RouteWay::Gather(_)));
+        queries.map(|query| query.priority).min().is_none_or(|least| route.priority <= least)
+    }
+
+    /// Queries over shards that came here lately, a second.
+    pub fn query_rate(&self) -> f64 {
+        let Some(table) = self.table() else { return 0.0 };
+        let demand = self.demand.borrow();
+        let queries = table.document().routes.iter();
+        let queries = queries.filter(|route| matches!(route.way, RouteWay::Gather(_)));
+        let counted: f64 = queries.filter_map(|route| demand.get(&route.name)).sum();
+        counted / DEMAND_SPAN
+    }
+
+    /// Has earlier requests count less, by the factor.
+    pub fn fade_demand(&self, factor: f64) {
+        let mut demand = self.demand.borrow_mut();
+        demand.values_mut().for_each(|count| *count *= factor);
+        demand.retain(|_, count| *count > 0.01);
+    }
+
+    /// Whether this host should leave callers to others; see [`reach::steps_aside`].
+    pub fn find_stranded(&self, now: Duration) -> bool {
+        let cut = self.cut_zones(now);
+        let Some(table) = self.table().filter(|_| !cut.is_empty()) else {
+            return false;
+        };
+        let zones: HashSet<String> = {
+            let registry = self.registry.borrow();
+            let mine = std::iter::once(self.settings.host.zone.clone());
+            registry.iter().map(|(_, state)| state.entry.zone.clone()).chain(mine).collect()
+        };
+        let demand = self.demand.borrow();
+        let asked = |route: &RouteRule| demand.get(&route.name).copied().unwrap_or_default();
+        let routes = &table.document().routes;
+        let all: f64 = routes.iter().map(asked).sum();
+        let lost: f64 = routes.iter().filter(|route| !self.can_answer(route, now)).map(asked).sum();
+        reach::steps_aside(zones.len(), cut.len(), if all > 0.0 { lost / all } else { 0.0 })
+    }
+
+    /// Whether enough of a route's services have a target that takes work.
+    pub fn can_answer(&self, route: &RouteRule, now: Duration) -> bool {
+        let usual = self.usual(route);
+        let takes = |service: &str| self.place(service, &[], usual, now).is_some();
+        match &route.way {
+            RouteWay::Single(service) => takes(service),
+            RouteWay::Weighted(parts) => parts.iter().any(|part| takes(&part.service)),
+            RouteWay::Gather(rule) => {
+                let there = rule.shards.iter().filter(|shard| takes(shard)).count();
+                there as f64 >= rule.least_share * rule.shards.len() as f64 && there > 0
+            }
+        }
+    }
+}
