test(route): three tests share their shards in the west

Cause: the same eight lines of set-up stood three times. Change: one function; the tests' assertions are as they were.

--- a/tests/route.rs
+++ b/tests/route.rs
@@ -426,11 +426,8 @@
     route::wait_for("queries to be answered without the peer and the shard", whole).await
 }
 
-/// A host is restarted by plan. The others hold connections to its earlier life,
-/// and the first query they hand to the new one must not be lost on them: once
-/// each pair of hosts lost one query with every restart.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_restarted_peer_costs_no_query() -> TestResult {
+/// Four shards with a target each, all in the west, and a route that needs them all.
+async fn western_shards() -> TestResult<(RouteStore, Vec<RouteTarget>)> {
     let store = RouteStore::start().await?;
     let names = ["a", "b", "c", "d"];
     let mut targets = Vec::new();
@@ -440,6 +437,15 @@
         targets.push(target);
     }
     route::configure(&store, 3, &[route::gathered("/all/", &names, 1.0)], &names);
+    Ok((store, targets))
+}
+
+/// A host is restarted by plan. The others hold connections to its earlier life,
+/// and the first query they hand to the new one must not be lost on them: once
+/// each pair of hosts lost one query with every restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_peer_costs_no_query() -> TestResult {
+    let (store, _targets) = western_shards().await?;
     let east = RouteHost::start("h-1", "east", store.address(), &[])?;
     let mut west = RouteHost::start("h-2", "west", store.address(), &[&east])?;
     east.ready().await?;
@@ -471,15 +477,7 @@
 /// query that its front has given up on.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_peer_that_stands_still_is_replaced_and_sends_nothing_later() -> TestResult {
-    let store = RouteStore::start().await?;
-    let names = ["a", "b", "c", "d"];
-    let mut targets = Vec::new();
-    for name in names {
-        let target = RouteTarget::start(&format!("t-{name}"), name).await?;
-        route::register(&store, &format!("t-{name}"), &target, "west");
-        targets.push(target);
-    }
-    route::configure(&store, 3, &[route::gathered("/all/", &names, 1.0)], &names);
+    let (store, targets) = western_shards().await?;
     let east = RouteHost::start("h-1", "east", store.address(), &[])?;
     let west = [
         RouteHost::start("h-2", "west", store.address(), &[&east])?,
@@ -614,15 +612,7 @@
 /// makes no third, says that the outcome is not known, and nothing runs later.
 #[tokio::test(flavor = "multi_thread")]
 async fn peers_that_stand_still_use_up_the_attempts() -> TestResult {
-    let store = RouteStore::start().await?;
-    let names = ["a", "b", "c", "d"];
-    let mut targets = Vec::new();
-    for name in names {
-        let target = RouteTarget::start(&format!("t-{name}"), name).await?;
-        route::register(&store, &format!("t-{name}"), &target, "west");
-        targets.push(target);
-    }
-    route::configure(&store, 3, &[route::gathered("/all/", &names, 1.0)], &names);
+    let (store, targets) = western_shards().await?;
     let east = RouteHost::start("h-1", "east", store.address(), &[])?;
     let west = [
         RouteHost::start("h-2", "west", store.address(), &[&east])?,
