--- a/crates/hawthorn-route/src/document.rs
+++ b/crates/hawthorn-route/src/document.rs
@@ -1,9 +1,8 @@
 //! What operators configure for routed requests.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use smallvec::SmallVec;
-
 /// One version of the operators' configuration, whole.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RouteDocument {
@@ -115,7 +114,7 @@
     /// The service whose requests it runs.
     pub service: String,
     /// Where it listens.
-    pub address: std::net::SocketAddr,
+    pub address: SocketAddr,
     /// Its availability zone.
     pub zone: String,
     /// Requests it works on at a time.
@@ -127,6 +126,3 @@
     /// When it started, by its own time of day in Unix milliseconds, where it tells so.
     pub born: Option<u64>,
 }
-
-/// Names of a few services.
-pub type ServiceNames = SmallVec<[String; 4]>;
