--- a/crates/hawthorn-daemon/src/owner/reload.rs
+++ b/crates/hawthorn-daemon/src/owner/reload.rs
@@ -93,7 +93,7 @@
         }
         let options = pool::Options {
             connections,
-            max_answer_bytes: self.options.max_answer_bytes,
+            held_bytes: self.options.max_answer_bytes,
             connect_timeout: self.options.connect_timeout,
         };
         let pool = Arc::new(TargetPool::new(record.address, options));
--- a/crates/hawthorn-edge/src/connection/listen.rs
+++ b/crates/hawthorn-edge/src/connection/listen.rs
@@ -16,10 +16,16 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use log::Level;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
+use crate::connection::head::CallerStream;
+use crate::connection::head::HeadWatch;
+use crate::connection::open::OpenBody;
+use crate::connection::open::OpenRequest;
 use crate::edge_event;
 use crate::process::events::EdgeEvent;
 use crate::process::host::RouteHost;
@@ -29,6 +35,11 @@
 const LEAST_HEAD_BYTES: usize = 8192;
 /// Pause after a connection could not be accepted: out of descriptors, mostly.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// What a caller is told whose request's head took too long.
+const SLOW_HEAD: &[u8] = b"HTTP/1.1 408 Request Timeout\r\n\
+    content-length: 9\r\nconnection: close\r\n\r\nslow-head";
+/// It is told within so long: the answer is a packet, and there is room for it.
+const TELL_TIMEOUT: Duration = Duration::from_millis(100);
 /// The path of metrics.
 const METRICS_PATH: &str = "/metrics";
 
@@ -64,25 +75,34 @@
 async fn hold(host: Rc<RouteHost>, stream: TcpStream) {
     host.connections.set(host.connections.get() + 1);
     let limits = host.beliefs.table().map(|table| table.document().limits).unwrap_or_default();
+    let watch = Rc::new(HeadWatch::default());
     let service = {
-        let host = Rc::clone(&host);
+        let (host, watch) = (Rc::clone(&host), Rc::clone(&watch));
         service_fn(move |request| {
+            let open = OpenRequest::new(Rc::clone(&host), Rc::clone(&watch));
             let host = Rc::clone(&host);
-            async move { Ok::<_, Infallible>(serve::serve(host, request).await) }
+            async move {
+                let answer = serve::serve(host, request).await;
+                Ok::<_, Infallible>(answer.map(|body| OpenBody::new(body, open)))
+            }
         })
     };
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // Counts from the end of the answer before: an idle connection too.
         .header_read_timeout(limits.idle_time)
         .max_buf_size(limits.head_bytes.max(LEAST_HEAD_BYTES))
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
+        .serve_connection(CallerStream::new(stream, Rc::clone(&watch)), service);
     let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
+        ended = &mut connection => ended,
+        () = watch.too_slow(limits.head_time) => {
+            let stream = connection.into_parts().io.into_inner();
+            refuse_head(&host, stream, limits.head_time).await;
+            Ok(())
+        }
         () = host.closing.cancelled() => {
-            connection.as_mut().graceful_shutdown();
+            std::pin::Pin::new(&mut connection).graceful_shutdown();
             connection.await
         }
     };
@@ -91,6 +111,15 @@
     host.connections.set(host.connections.get() - 1);
 }
 
+/// Tells a caller that its request's head took too long; nothing of it ran.
+async fn refuse_head(host: &RouteHost, mut stream: TcpStream, limit: Duration) {
+    host.metrics.count_request("slow-head", limit);
+    let millis = limit.as_millis();
+    edge_event!(Level::Info, EdgeEvent::HeadRefused, "outcome=slow-head limit_ms={millis}");
+    // A caller that does not read either is let go.
+    let _told = timeout(TELL_TIMEOUT, stream.write_all(SLOW_HEAD)).await;
+}
+
 /// Serves the pages of readiness and metrics.
 pub(crate) async fn pages(host: Rc<RouteHost>, listener: TcpListener) {
     loop {
--- a/crates/hawthorn-edge/src/connection/mod.rs
+++ b/crates/hawthorn-edge/src/connection/mod.rs
@@ -1,5 +1,7 @@
 //! What lives as long as a connection, of a caller or a peer.
 
+mod head;
 pub mod listen;
 pub mod message;
+mod open;
 pub mod peer;
--- /dev/null
+++ b/crates/hawthorn-edge/src/connection/open.rs
@@ -0,0 +1,70 @@
+//! A request from its whole head until its answer has left.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+
+use crate::connection::head::HeadWatch;
+use crate::process::host::RouteHost;
+use crate::request::answer::AnswerBody;
+
+/// One request that is open: counted by the host, and known to its connection.
+#[derive(Debug)]
+pub(crate) struct OpenRequest {
+    host: Rc<RouteHost>,
+    watch: Rc<HeadWatch>,
+}
+
+impl OpenRequest {
+    pub(crate) fn new(host: Rc<RouteHost>, watch: Rc<HeadWatch>) -> Self {
+        host.open_requests.set(host.open_requests.get() + 1);
+        watch.whole();
+        Self { host, watch }
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.host.open_requests.set(self.host.open_requests.get() - 1);
+        self.watch.answered();
+    }
+}
+
+/// An answer's body; its request is open until it has left.
+#[derive(Debug)]
+pub(crate) struct OpenBody {
+    body: AnswerBody,
+    _open: OpenRequest,
+}
+
+impl OpenBody {
+    pub(crate) fn new(body: AnswerBody, open: OpenRequest) -> Self {
+        Self { body, _open: open }
+    }
+}
+
+impl Body for OpenBody {
+    type Data = Bytes;
+    type Error = <AnswerBody as Body>::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -51,6 +51,10 @@
     HostStranded = 623,
     /// Some of a request's shards were gathered by a peer, or were not.
     ShardsDelegated = 633,
+    /// A long answer broke off while it was passed on.
+    AnswerCut = 634,
+    /// The head of a request took too long to come.
+    HeadRefused = 635,
     /// A peer's message could not be understood.
     PeerMessageBroken = 640,
     /// The host that news comes from has not been confirmed by the store lately.
--- a/crates/hawthorn-edge/src/process/fleet.rs
+++ b/crates/hawthorn-edge/src/process/fleet.rs
@@ -3,8 +3,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use hawthorn_fleet::FleetAction;
 use hawthorn_fleet::MemberDigest;
@@ -40,9 +38,10 @@
 
 /// A table that knows this host alone and its seeds.
 ///
-/// The incarnation is the time of day, but a host whose clock was set back
-/// between two lives takes a greater one as soon as a peer speaks of the
-/// earlier life.
+/// The incarnation is the time since the host was switched on: the time of day
+/// jumps, and after a jump back a process that started again would count as
+/// older than the one before it. A host that lost power begins anew below its
+/// earlier life, and takes a greater one as soon as a peer speaks of that.
 pub(crate) fn table(settings: &RouteSettings) -> MemberTable {
     let place = MemberPlace {
         host: settings.host.name.clone(),
@@ -51,8 +50,7 @@
         capacity: (settings.host.core_share * settings.host.cores * 1000.0) as u32,
     };
     let options = member::Options { heartbeat: HEARTBEAT, ..member::Options::default() };
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let incarnation = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+    let incarnation = u64::try_from(host_now().as_millis()).unwrap_or(u64::MAX);
     let mut table = MemberTable::new(place, incarnation, options, rand::rng().random());
     let port = settings.listen.peers.port();
     let seeds: Vec<SocketAddr> = settings
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -220,6 +220,7 @@
         let options = client::Options { source, ..client::Options::default() };
         StoreClient::new(host.beliefs.settings.store.address, options)
     };
+    host.metrics.show_calls(client.clone());
     duties.spawn_local(feed::follow(Rc::clone(&host), client));
     duties.spawn_local(sweep(Rc::clone(&host)));
     duties.spawn_local(reach::watch(Rc::clone(&host)));
--- a/crates/hawthorn-edge/src/process/metrics.rs
+++ b/crates/hawthorn-edge/src/process/metrics.rs
@@ -7,10 +7,12 @@
 
 use hawthorn_route::outcome::AttemptEnd;
 use hawthorn_route::outcome::RefusalReason;
+use hawthorn_store::StoreClient;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Encoder;
@@ -46,6 +48,7 @@
     missing: Counter<u64>,
     latency: Histogram<f64>,
     gauges: Gauge<u64>,
+    meter: Meter,
 }
 
 impl EdgeMetrics {
@@ -72,6 +75,7 @@
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
                 .build(),
             gauges: meter.u64_gauge("hawthorn_route_state").build(),
+            meter,
             registry,
             _provider: provider,
         };
@@ -84,6 +88,22 @@
         Ok(set)
     }
 
+    /// Shows the client's calls to the store, by kind and outcome. Each is paid for.
+    pub fn show_calls(&self, client: StoreClient) {
+        let calls = self.meter.u64_observable_counter("hawthorn_route_store_calls");
+        let counter = calls.with_callback(move |observer| {
+            for (kind, outcome, count) in client.counts().iter() {
+                let labels = [
+                    KeyValue::new("kind", <&'static str>::from(kind)),
+                    KeyValue::new("outcome", <&'static str>::from(outcome)),
+                ];
+                observer.observe(count, &labels);
+            }
+        });
+        // The provider keeps the callback.
+        drop(counter.build());
+    }
+
     /// A request ended.
     pub fn count_request(&self, outcome: &'static str, took: Duration) {
         self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/crates/hawthorn-edge/src/request/answer.rs
+++ b/crates/hawthorn-edge/src/request/answer.rs
@@ -1,10 +1,12 @@
 //! What a caller is answered.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hawthorn_platform::caller;
 use hawthorn_route::outcome::RefusalReason;
+use http_body_util::Either;
 use http_body_util::Full;
 use hyper::Response;
 use hyper::StatusCode;
@@ -13,11 +15,16 @@
 
 use crate::request::attempt::TargetAnswer;
 use crate::request::order;
+use crate::request::order::RequestOrder;
+use crate::request::passing::PassedBody;
+
+/// An answer's body: held, or passed on as it comes.
+pub(crate) type AnswerBody = Either<Full<Bytes>, PassedBody>;
 
 /// An answer, and what it is in the log and the metrics.
 #[derive(Debug)]
 pub(crate) struct CallerAnswer {
-    pub(crate) response: Response<Full<Bytes>>,
+    pub(crate) response: Response<AnswerBody>,
     pub(crate) outcome: &'static str,
     pub(crate) refusal: Option<RefusalReason>,
     /// Parts that are in, and all.
@@ -26,7 +33,7 @@
 
 impl CallerAnswer {
     fn plain(status: StatusCode, outcome: &'static str) -> Self {
-        let body = Full::new(Bytes::from_static(outcome.as_bytes()));
+        let body = Either::Left(Full::new(Bytes::from_static(outcome.as_bytes())));
         let mut response = Response::new(body);
         *response.status_mut() = status;
         Self { response, outcome, refusal: None, parts: None }
@@ -70,13 +77,17 @@
         Self::plain(StatusCode::GATEWAY_TIMEOUT, "out-of-time")
     }
 
-    /// A target's answer, as it gave it.
-    pub(crate) fn passed(answer: TargetAnswer) -> Self {
+    /// A target's answer, as it gives it.
+    pub(crate) fn passed(order: &Rc<RequestOrder>, answer: TargetAnswer) -> Self {
         let outcome = if answer.status.is_success() { "answered" } else { "target-failed" };
         let mut headers = answer.headers;
         order::strip_connection(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
-        let mut response = Response::new(Full::new(answer.body));
+        let body = match answer.rest {
+            None => Either::Left(Full::new(answer.body)),
+            Some(rest) => Either::Right(PassedBody::new(answer.body, rest, Rc::clone(order))),
+        };
+        let mut response = Response::new(body);
         *response.status_mut() = answer.status;
         *response.headers_mut() = headers;
         Self { response, outcome, refusal: None, parts: None }
@@ -84,6 +95,7 @@
 
     /// Records merged from parts.
     pub(crate) fn merged(response: Response<Full<Bytes>>, parts: usize, shards: usize) -> Self {
+        let response = response.map(Either::Left);
         let outcome = if parts == shards { "answered" } else { "partial" };
         Self { response, outcome, refusal: None, parts: Some((parts, shards)) }
     }
--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -7,17 +7,22 @@
 use bytes::Bytes;
 use hawthorn_platform::target;
 use hawthorn_platform::target::RunWord;
+use hawthorn_pool::AnswerRest;
 use hawthorn_pool::Error;
 use hawthorn_pool::PoolAnswer;
 use hawthorn_pool::TargetPool;
+use hawthorn_route::document::RouteWay;
 use hawthorn_route::outcome::AttemptEnd;
 use hawthorn_route::registry::TargetKey;
 use hawthorn_route::target::ToldLoad;
+use http_body_util::Full;
 use hyper::HeaderMap;
+use hyper::Request;
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::process::clock::host_now;
 use crate::process::host::RouteHost;
@@ -28,13 +33,19 @@
 /// itself for so long: two pauses of a target. Closing its connection at once
 /// would cost a new one for every hedge; a target silent for longer is lost.
 const LINGER: Duration = Duration::from_millis(300);
+/// Bytes of one shard's part, at the most: it is merged whole, and a query of a
+/// hundred shards may hold a hundred of them. 16,000 records of the usual size.
+const PART_BYTES: usize = 256 * 1024;
 
 /// A target's answer to one attempt.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct TargetAnswer {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
+    /// The body, or its beginning.
     pub(crate) body: Bytes,
+    /// What follows, where the body is long; its target is at work until it ends.
+    pub(crate) rest: Option<AnswerRest>,
     pub(crate) receipt: Option<HeaderValue>,
 }
 
@@ -75,7 +86,7 @@
         };
         self.host.beliefs.zone_sent(&zone, sent, self.usual);
         let request = self.order.outgoing(&target, left);
-        let exchange = self.pool.send(request, left + LINGER);
+        let exchange = self.exchange(request, left + LINGER);
         let lingered = async {
             self.order.answered.cancelled().await;
             sleep(LINGER).await;
@@ -116,6 +127,19 @@
         reply
     }
 
+    /// The answer: a part whole, any other as far as it is held.
+    async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        within: Duration,
+    ) -> Result<PoolAnswer, Error> {
+        if !matches!(self.order.route.way, RouteWay::Gather(_)) {
+            return self.pool.send(request, within).await;
+        }
+        let whole = async { self.pool.send(request, within).await?.whole(PART_BYTES).await };
+        timeout(within, whole).await.unwrap_or(Err(Error::TimedOut))
+    }
+
     fn note_start(&self, sent: Duration) -> Option<(String, String, String)> {
         self.with_state(|state| {
             state.send(sent);
@@ -167,6 +191,7 @@
             status: answer.status,
             headers: answer.headers,
             body: answer.body,
+            rest: answer.rest,
             receipt: head.receipt,
         };
         AttemptReply { end, answer: Some(answer) }
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -5,14 +5,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hawthorn_platform::caller;
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::document::RouteWay;
 use hawthorn_route::door;
 use hawthorn_route::outcome::RefusalReason;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::HeaderMap;
@@ -27,6 +25,7 @@
 use crate::process::clock::host_now;
 use crate::process::host::RouteHost;
 use crate::process::turns;
+use crate::request::answer::AnswerBody;
 use crate::request::answer::CallerAnswer;
 use crate::request::gather;
 use crate::request::order;
@@ -45,22 +44,6 @@
 /// An answer leaves so long before the caller stops waiting.
 const END_MARGIN: Duration = Duration::from_millis(4);
 
-/// Counts a request as open for as long as it lives.
-struct OpenCount(Rc<RouteHost>);
-
-impl OpenCount {
-    fn new(host: Rc<RouteHost>) -> Self {
-        host.open_requests.set(host.open_requests.get() + 1);
-        Self(host)
-    }
-}
-
-impl Drop for OpenCount {
-    fn drop(&mut self) {
-        self.0.open_requests.set(self.0.open_requests.get() - 1);
-    }
-}
-
 /// Counts a caller's body for as long as it is held.
 struct HeldBytes(Rc<RouteHost>, usize);
 
@@ -87,11 +70,10 @@
 pub(crate) async fn serve(
     host: Rc<RouteHost>,
     request: Request<Incoming>,
-) -> Response<Full<Bytes>> {
+) -> Response<AnswerBody> {
     let now = host_now();
     // Where the loop was long at work, the request may have waited as long unread.
     let started = now.saturating_sub(turns::busy_for(now));
-    let _open = OpenCount::new(Rc::clone(&host));
     let mut answer = admit(&host, request, started).await;
     // A caller of a host that steps aside is better served by another.
     if host.stopping.is_cancelled() || host.beliefs.stranded.get() {
@@ -226,7 +208,7 @@
 async fn single(host: &Rc<RouteHost>, order: &Rc<RequestOrder>, service: &str) -> CallerAnswer {
     let race = AttemptRace::new(host, order, service).run();
     match timeout(order.time_left(host_now()), race).await {
-        Ok(RaceEnd::Answered(answer) | RaceEnd::Failed(answer)) => CallerAnswer::passed(answer),
+        Ok(RaceEnd::Answered(answer) | RaceEnd::Failed(answer)) => CallerAnswer::passed(order, answer),
         Ok(RaceEnd::NotRun(reason)) => CallerAnswer::refused(reason),
         Ok(RaceEnd::Unknown) => CallerAnswer::not_known(),
         Err(_) if order.sent.get() == 0 => CallerAnswer::refused(RefusalReason::TooLate),
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -49,8 +49,10 @@
 /// Versions kept: hosts get a new one within a second of each other, and edits
 /// in quick succession are a third of a second apart.
 const KEPT_VERSIONS: usize = 4;
-/// Bytes of a target's answer, at the most.
-const ANSWER_BYTES: usize = 16 << 20;
+/// Bytes of a target's answer that are held, so that one that breaks before can be
+/// asked for again: nearly all answers are shorter, and as many requests as may be
+/// open hold half of a small host's memory.
+const HELD_BYTES: usize = 64 * 1024;
 /// How long opening a connection may take: a pause of a target, and several
 /// times what an unloaded one needs.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -266,7 +268,7 @@
         let share = most as f64 * CONNECTION_SHARE / sharers as f64;
         let options = hawthorn_pool::Options {
             connections: (share.round() as usize).max(1),
-            max_answer_bytes: ANSWER_BYTES,
+            held_bytes: HELD_BYTES,
             connect_timeout: CONNECT_TIMEOUT,
         };
         let pool = Arc::new(TargetPool::new(entry.address, options));
--- a/crates/hawthorn-fleet/src/member/mod.rs
+++ b/crates/hawthorn-fleet/src/member/mod.rs
@@ -118,8 +118,9 @@
 impl MemberTable {
     /// A table that knows this host alone.
     ///
-    /// `incarnation` is the start time of the process in Unix milliseconds,
-    /// `seed` anything that differs between processes.
+    /// `incarnation` grows from one life of the host to the next, as its start
+    /// in milliseconds of some clock does; one that does not is raised when peers
+    /// tell of a later life. `seed` is anything that differs between processes.
     pub fn new(place: MemberPlace, incarnation: u64, options: Options, seed: u64) -> Self {
         let start = Duration::ZERO;
         let mut zones = ZoneTable::default();
--- a/crates/hawthorn-fleet/src/member/probe.rs
+++ b/crates/hawthorn-fleet/src/member/probe.rs
@@ -14,6 +14,7 @@
 use crate::action::FleetAction;
 use crate::message::FleetBody;
 use crate::message::MemberHealth;
+use crate::message::MemberId;
 use crate::message::MemberPhase;
 use crate::message::MemberRumor;
 use crate::message::MemberStamp;
@@ -31,8 +32,8 @@
 #[derive(Debug)]
 pub(super) struct Probe {
     pub(super) number: u32,
-    key: HostKey,
-    peer: SocketAddr,
+    pub(super) key: HostKey,
+    pub(super) peer: SocketAddr,
     sent: Duration,
     /// How often it was sent again, directly and through others.
     rounds: u32,
@@ -44,6 +45,8 @@
 #[derive(Debug)]
 pub(super) struct Relay {
     pub(super) number: u32,
+    /// Whom it was meant for.
+    pub(super) target: MemberId,
     pub(super) origin: SocketAddr,
     pub(super) origin_number: u32,
     pub(super) expires: Duration,
--- a/crates/hawthorn-fleet/src/member/receive.rs
+++ b/crates/hawthorn-fleet/src/member/receive.rs
@@ -119,7 +119,13 @@
                 let unknown = sender.is_none();
                 self.send(now, from, FleetBody::Ack { number, unknown }, &front);
             }
-            FleetBody::Ack { number, unknown } => self.take_ack(now, from, number, unknown),
+            FleetBody::Ack { number, unknown } => {
+                self.take_ack(now, from, message.sender.id, number);
+                if unknown {
+                    let own = self.own_rumor();
+                    self.send(now, from, FleetBody::Notice, &[own]);
+                }
+            }
             FleetBody::PingRequest { number, target, peer } => {
                 self.pass_ping(now, from, number, target, peer);
             }
@@ -150,17 +156,25 @@
             .collect()
     }
 
-    fn take_ack(&mut self, now: Duration, from: SocketAddr, number: u32, unknown: bool) {
-        self.probes.retain(|probe| probe.number != number);
-        if let Some(index) = self.relays.iter().position(|relay| relay.number == number) {
+    /// A ping was answered, by the host it was meant for or by one that passed it on.
+    ///
+    /// Failure: a host goes, another has its address and answers the pings meant
+    /// for the first, which stays live for ever.
+    fn take_ack(&mut self, now: Duration, from: SocketAddr, sender: MemberId, number: u32) {
+        if let Some(index) = self.probes.iter().position(|probe| probe.number == number) {
+            let probe = &self.probes[index];
+            let meant = self.arena.get(probe.key).map(|record| record.id);
+            if from != probe.peer || meant.is_none_or(|id| id == sender) {
+                self.probes.remove(index);
+            }
+        }
+        if let Some(index) = self.relays.iter().position(|relay| relay.number == number)
+            && self.relays[index].target == sender
+        {
             let relay = self.relays.swap_remove(index);
             let ack = FleetBody::Ack { number: relay.origin_number, unknown: false };
             self.send(now, relay.origin, ack, &[]);
         }
-        if unknown {
-            let own = self.own_rumor();
-            self.send(now, from, FleetBody::Notice, &[own]);
-        }
     }
 
     /// Pings for another. If the target is known to be gone, the asker is told
@@ -189,7 +203,7 @@
         self.send(now, origin, FleetBody::Notice, &[]);
         let number = self.take_number();
         let expires = now + self.options.probe_timeout;
-        self.relays.push(Relay { number, origin, origin_number, expires });
+        self.relays.push(Relay { number, target, origin, origin_number, expires });
         let front: SmallVec<[MemberRumor; 1]> = self
             .arena
             .by_id(target)
--- a/crates/hawthorn-fleet/tests/member.rs
+++ b/crates/hawthorn-fleet/tests/member.rs
@@ -210,6 +210,28 @@
     Ok(())
 }
 
+/// A host that was replaced stays live for ever, and the one in its place is
+/// never met. Order: as before, but the new host was switched on later than the
+/// old one, so that by its own clock it is younger. Cause: clocks of two hosts
+/// are not comparable, and it answers the pings meant for the old one.
+#[test]
+fn a_younger_host_at_the_address_ends_the_old_one() -> TestResult {
+    let mut switch = settled(8, 6, 3);
+    switch.kill(1);
+    let zone = switch.daemons[1].zone.clone();
+    let new = switch.add(&zone);
+    switch.kill(new);
+    switch.run_for(ms(1));
+    switch.take_address_at(new, 1, 1);
+    let done = switch.run_until(ms(20_000), |switch| nobody_sees(switch, 1));
+    assert!(done.is_some(), "the old host is gone");
+    let met = switch.run_until(ms(20_000), |switch| {
+        (0..6).filter(|&index| index != 1).all(|index| switch.sees(index, new))
+    });
+    assert!(met.is_some(), "the new host is met");
+    Ok(())
+}
+
 /// Hosts flap though nothing is wrong. Order: the network doubles and reorders
 /// datagrams, and loses some. Cause: old acks and rumors come after new ones.
 #[test]
--- a/crates/hawthorn-fleet/tests/support/mod.rs
+++ b/crates/hawthorn-fleet/tests/support/mod.rs
@@ -123,10 +123,15 @@
 
     /// Gives a daemon the address of another one, which must be down.
     pub fn take_address(&mut self, index: usize, other: usize) {
+        let now = self.now.as_millis() as u64;
+        self.take_address_at(index, other, now);
+    }
+
+    /// As [`Switch::take_address`], by a process whose own clock tells its incarnation.
+    pub fn take_address_at(&mut self, index: usize, other: usize, incarnation: u64) {
         self.daemons[index].peer = self.daemons[other].peer;
         self.by_peer.insert(self.daemons[other].peer, index);
-        let now = self.now.as_millis() as u64;
-        self.restart(index, now);
+        self.restart(index, incarnation);
     }
 
     pub fn kill(&mut self, index: usize) {
--- a/crates/hawthorn-pool/src/lib.rs
+++ b/crates/hawthorn-pool/src/lib.rs
@@ -4,21 +4,27 @@
 //! opens a stated number ahead and never more than its limit. A connection
 //! whose exchange did not end cleanly is closed, not reused: its next answer
 //! could belong to the earlier request.
+//!
+//! An answer is held as far as a stated number of bytes, so that one that breaks
+//! can be asked for again; what is longer is handed on as it comes.
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
+mod rest;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header;
 use hyper::header::HeaderMap;
@@ -27,8 +33,11 @@
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 
+pub use crate::rest::AnswerRest;
+
 /// A connection that carries nothing is probed after so long, and so often, by
 /// the kernel. Failure: a path goes silent without a reset, and every request on
 /// the connection waits for its time-out. Two probes lost end it.
@@ -67,32 +76,77 @@
     /// Connections open at once, at the most: the target's limit, or half of
     /// it while another host may still own the target.
     pub connections: usize,
-    /// Bytes of an answer, at the most.
-    pub max_answer_bytes: usize,
+    /// Bytes of an answer that are held. What is longer comes as its rest.
+    pub held_bytes: usize,
     /// How long opening a connection may take.
     pub connect_timeout: Duration,
 }
 
-/// A target's answer, whole.
-#[derive(Clone, Debug)]
+/// A target's answer.
+#[derive(Debug)]
 pub struct PoolAnswer {
     /// HTTP status.
     pub status: StatusCode,
     /// Headers.
     pub headers: HeaderMap,
-    /// Body, within the limit.
+    /// The body, or as much of it as is held.
     pub body: Bytes,
+    /// The rest of a body that is longer.
+    pub rest: Option<AnswerRest>,
 }
 
 type RequestSender = http1::SendRequest<Full<Bytes>>;
 
+/// Connections that carry nothing at the moment.
+#[derive(Debug, Default)]
+struct IdleSenders(Mutex<Vec<RequestSender>>);
+
+impl IdleSenders {
+    fn count(&self) -> usize {
+        let mut idle = self.0.lock().expect("no holder of the lock panics");
+        idle.retain(|sender| !sender.is_closed());
+        idle.len()
+    }
+
+    fn put(&self, sender: RequestSender) {
+        if !sender.is_closed() {
+            self.0.lock().expect("no holder of the lock panics").push(sender);
+        }
+    }
+
+    fn take(&self) -> Option<RequestSender> {
+        let mut idle = self.0.lock().expect("no holder of the lock panics");
+        idle.retain(|sender| !sender.is_closed());
+        idle.pop()
+    }
+
+    fn clear(&self) {
+        self.0.lock().expect("no holder of the lock panics").clear();
+    }
+}
+
+/// A connection while it carries an exchange: goes back only when that ended cleanly.
+#[derive(Debug)]
+struct BusySender {
+    sender: RequestSender,
+    idle: Arc<IdleSenders>,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl BusySender {
+    /// The exchange ended cleanly.
+    fn give_back(self) {
+        self.idle.put(self.sender);
+    }
+}
+
 /// The connections to one target.
 #[derive(Debug)]
 pub struct TargetPool {
     address: SocketAddr,
     options: Options,
     permits: Arc<Semaphore>,
-    idle: Mutex<Vec<RequestSender>>,
+    idle: Arc<IdleSenders>,
 }
 
 impl TargetPool {
@@ -102,7 +156,7 @@
             address,
             options,
             permits: Arc::new(Semaphore::new(options.connections.max(1))),
-            idle: Mutex::default(),
+            idle: Arc::default(),
         }
     }
 
@@ -113,33 +167,15 @@
 
     /// Opens connections until `count` are idle, as far as the limit allows.
     pub async fn warm(&self, count: usize) {
-        while self.idle_count() < count {
+        while self.idle.count() < count {
             let Ok(_permit) = self.permits.try_acquire() else { return };
             match self.open().await {
-                Ok(sender) => self.give_back(sender),
+                Ok(sender) => self.idle.put(sender),
                 Err(_) => return,
             }
         }
     }
 
-    fn idle_count(&self) -> usize {
-        let mut idle = self.idle.lock().expect("no holder of the lock panics");
-        idle.retain(|sender| !sender.is_closed());
-        idle.len()
-    }
-
-    fn give_back(&self, sender: RequestSender) {
-        if !sender.is_closed() {
-            self.idle.lock().expect("no holder of the lock panics").push(sender);
-        }
-    }
-
-    fn take_idle(&self) -> Option<RequestSender> {
-        let mut idle = self.idle.lock().expect("no holder of the lock panics");
-        idle.retain(|sender| !sender.is_closed());
-        idle.pop()
-    }
-
     async fn open(&self) -> Result<RequestSender, Error> {
         let connect = async {
             let stream = TcpStream::connect(self.address).await.map_err(|e| e.to_string())?;
@@ -157,10 +193,11 @@
         Ok(sender)
     }
 
-    /// One request of the product's own interface and its whole answer, within `timeout`.
+    /// One request of the product's own interface and its whole answer of at most
+    /// as many bytes as are held, within `timeout`.
     ///
     /// # Errors
-    /// As [`TargetPool::send`].
+    /// As [`TargetPool::send`], and [`Error::TooLarge`].
     pub async fn exchange(
         &self,
         method: Method,
@@ -175,10 +212,11 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| Error::NotSent(error.to_string()))?;
-        self.send(request, timeout).await
+        self.send(request, timeout).await?.whole(self.options.held_bytes).await
     }
 
-    /// One request and its whole answer, within `timeout`.
+    /// One request and its answer, within `timeout`: whole, or as far as it is
+    /// held. How long the rest may take is for its reader to say.
     ///
     /// Dropping the future closes the connection, so its answer can never
     /// reach another request.
@@ -191,14 +229,12 @@
         timeout: Duration,
     ) -> Result<PoolAnswer, Error> {
         let end = tokio::time::Instant::now() + timeout;
-        let (_permit, mut sender) = tokio::time::timeout_at(end, self.connection())
+        let sender = tokio::time::timeout_at(end, self.connection())
             .await
             .map_err(|_| Error::NotSent("no free connection in time".into()))??;
-        let answer = tokio::time::timeout_at(end, self.receive(&mut sender, request))
+        tokio::time::timeout_at(end, self.receive(sender, request))
             .await
-            .map_err(|_| Error::TimedOut)??;
-        self.give_back(sender);
-        Ok(answer)
+            .map_err(|_| Error::TimedOut)?
     }
 
     /// Closes the idle connections.
@@ -206,32 +242,31 @@
     /// Failure: connections go silent together, and each costs a request its
     /// time-out. After one was silent the rest are not trusted.
     pub fn clear(&self) {
-        self.idle.lock().expect("no holder of the lock panics").clear();
+        self.idle.clear();
     }
 
-    async fn connection(
-        &self,
-    ) -> Result<(tokio::sync::OwnedSemaphorePermit, RequestSender), Error> {
+    async fn connection(&self) -> Result<BusySender, Error> {
         let permit = Arc::clone(&self.permits)
             .acquire_owned()
             .await
             .map_err(|_| Error::NotSent("the pool is closed".into()))?;
-        while let Some(mut sender) = self.take_idle() {
+        let busy = |sender| BusySender { sender, idle: Arc::clone(&self.idle), _permit: permit };
+        while let Some(mut sender) = self.idle.take() {
             if sender.ready().await.is_ok() {
-                return Ok((permit, sender));
+                return Ok(busy(sender));
             }
         }
         let mut sender = self.open().await?;
         sender.ready().await.map_err(|error| Error::NotSent(error.to_string()))?;
-        Ok((permit, sender))
+        Ok(busy(sender))
     }
 
     async fn receive(
         &self,
-        sender: &mut RequestSender,
+        mut busy: BusySender,
         request: Request<Full<Bytes>>,
     ) -> Result<PoolAnswer, Error> {
-        let response = sender.send_request(request).await.map_err(|error| {
+        let response = busy.sender.send_request(request).await.map_err(|error| {
             // hyper cancels a request that it never wrote; anything else may have arrived.
             if error.is_canceled() {
                 Error::NotSent(error.to_string())
@@ -239,16 +274,64 @@
                 Error::Broken(error.to_string())
             }
         })?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, self.options.max_answer_bytes);
-        let body = body.collect().await.map_err(|error| {
-            if error.is::<http_body_util::LengthLimitError>() {
-                Error::TooLarge
-            } else {
-                Error::Broken(error.to_string())
+        let (head, mut incoming) = response.into_parts();
+        let (body, whole) = hold(&mut incoming, self.options.held_bytes).await?;
+        let rest = if whole {
+            busy.give_back();
+            None
+        } else {
+            Some(AnswerRest::new(incoming, busy))
+        };
+        Ok(PoolAnswer { status: head.status, headers: head.headers, body, rest })
+    }
+}
+
+/// Reads a body until its end, or until more than `most` bytes are held; true
+/// when it has ended.
+async fn hold(incoming: &mut Incoming, most: usize) -> Result<(Bytes, bool), Error> {
+    let mut first = Bytes::new();
+    let mut held = BytesMut::new();
+    while let Some(frame) = incoming.frame().await {
+        let frame = frame.map_err(|error| Error::Broken(error.to_string()))?;
+        let Ok(data) = frame.into_data() else { continue };
+        // Nearly all answers come in one piece, which is not copied.
+        if first.is_empty() && held.is_empty() {
+            first = data;
+        } else {
+            if held.is_empty() {
+                held.extend_from_slice(&first);
             }
-        })?;
-        Ok(PoolAnswer { status: head.status, headers: head.headers, body: body.to_bytes() })
+            held.extend_from_slice(&data);
+        }
+        if first.len().max(held.len()) > most {
+            break;
+        }
+    }
+    let body = if held.is_empty() { first } else { held.freeze() };
+    let whole = body.len() <= most;
+    Ok((body, whole))
+}
+
+impl PoolAnswer {
+    /// The whole answer, if it has at most `most` bytes.
+    ///
+    /// # Errors
+    /// [`Error::TooLarge`] if it has more, [`Error::Broken`] if its rest does not come.
+    pub async fn whole(self, most: usize) -> Result<Self, Error> {
+        if self.body.len() > most {
+            return Err(Error::TooLarge);
+        }
+        let Some(mut rest) = self.rest else { return Ok(self) };
+        let mut body = BytesMut::from(&self.body[..]);
+        while let Some(frame) = rest.frame().await {
+            if let Ok(data) = frame?.into_data() {
+                body.extend_from_slice(&data);
+            }
+            if body.len() > most {
+                return Err(Error::TooLarge);
+            }
+        }
+        Ok(Self { body: body.freeze(), rest: None, ..self })
     }
 }
 
--- /dev/null
+++ b/crates/hawthorn-standin/src/route/operator.rs
@@ -0,0 +1,84 @@
+//! What operators and targets write into the platform's store.
+
+use serde_json::Value;
+use serde_json::json;
+
+use super::RouteStore;
+use super::RouteTarget;
+
+/// The host that all routes are of.
+pub const HOST: &str = "shop.example";
+
+/// A route to one target; `kind` says whether it may run more than once.
+pub fn single(prefix: &str, service: &str, kind: &str) -> Value {
+    json!({ "name": format!("r{prefix}"), "host": HOST, "prefix": prefix,
+            "routeType": kind, "timeoutMs": 1500, "targetLatencyMs": 400, "priority": 1,
+            "service": service, "maxAttempts": 2 })
+}
+
+/// A route over shards.
+pub fn gathered(prefix: &str, shards: &[&str], least: f64) -> Value {
+    json!({ "name": format!("r{prefix}"), "host": HOST, "prefix": prefix,
+            "routeType": "safe", "timeoutMs": 1500, "targetLatencyMs": 400, "priority": 1,
+            "fanoutServices": shards, "maxAttempts": 2, "topK": 4, "minShardFraction": least })
+}
+
+/// Writes a version of the configuration.
+pub fn configure(store: &RouteStore, version: u64, routes: &[Value], services: &[&str]) {
+    write(store, version, routes, services, None);
+}
+
+/// Writes a version of the configuration in which heads may take so many milliseconds.
+pub fn configure_heads(
+    store: &RouteStore,
+    version: u64,
+    routes: &[Value],
+    services: &[&str],
+    head_ms: u64,
+) {
+    let limits = json!({ "maxHeaderBytes": 16384, "maxBodyBytes": 262_144,
+                         "headerTimeoutMs": head_ms, "idleTimeoutMs": 15_000 });
+    write(store, version, routes, services, Some(limits));
+}
+
+fn write(
+    store: &RouteStore,
+    version: u64,
+    routes: &[Value],
+    services: &[&str],
+    limits: Option<Value>,
+) {
+    let services: Vec<Value> = services
+        .iter()
+        .map(|name| json!({ "name": name, "healthPath": "/health", "maxConnections": 26 }))
+        .collect();
+    let mut document = json!({ "configVersion": version, "routes": routes, "services": services });
+    if let Some(limits) = limits {
+        document["limits"] = limits;
+    }
+    store.put("op/config", document.to_string().as_bytes());
+}
+
+/// Registers a target.
+pub fn register(store: &RouteStore, id: &str, target: &RouteTarget, zone: &str) {
+    store.put(&entry_key(id), &target.entry(zone, "ready"));
+}
+
+/// Has a target say that it leaves.
+pub fn drain(store: &RouteStore, id: &str, target: &RouteTarget, zone: &str) {
+    store.put(&entry_key(id), &target.entry(zone, "draining"));
+}
+
+/// Takes a target's entry away.
+pub fn remove(store: &RouteStore, id: &str) {
+    store.delete(&entry_key(id));
+}
+
+/// Writes an entry that is no target's.
+pub fn scribble(store: &RouteStore, id: &str, value: &[u8]) {
+    store.put(&entry_key(id), value);
+}
+
+fn entry_key(id: &str) -> String {
+    format!("servers/{id}")
+}
--- a/crates/hawthorn-standin/src/route/target.rs
+++ b/crates/hawthorn-standin/src/route/target.rs
@@ -18,6 +18,7 @@
 
 use super::wire;
 use super::wire::WireRequest;
+use super::words;
 
 /// What a target does to one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +41,11 @@
     Fail,
     /// It runs it, and is so long about it.
     Slow(Duration),
+    /// It runs it and answers with so many bytes, the second half of them later
+    /// by the time.
+    Long(usize, Duration),
+    /// It runs it, announces so many bytes, and breaks off after half of them.
+    LongHalf(usize),
 }
 
 #[derive(Debug)]
@@ -161,16 +167,16 @@
             let always = state.always;
             (state.faults.pop_front().or(always), state.id.clone())
         };
-        let expected = request.header("hawthornroute-expected-instance");
+        let expected = request.header(words::EXPECTED_TARGET);
         if expected.is_some_and(|expected| expected != id) {
-            let names = [("Hawthornroute-Instance-Id", id)];
+            let names = [(words::TARGET_ID, id)];
             if stream.write_all(&wire::answer(421, &names, b"")).await.is_err() {
                 return;
             }
             continue;
         }
         if fault == Some(TargetFault::Full) {
-            let says = [("Hawthornroute-Not-Executed", "1".to_owned())];
+            let says = [(words::NOT_RUN, "1".to_owned())];
             if stream.write_all(&wire::answer(503, &says, b"")).await.is_err() {
                 return;
             }
@@ -185,7 +191,7 @@
 
 fn note_run(state: &Mutex<TargetState>, request: &WireRequest) {
     let mut state = state.lock().expect("no holder of the lock panics");
-    let attempt = request.header("hawthornroute-attempt-id").unwrap_or("-").to_owned();
+    let attempt = request.header(words::ATTEMPT_ID).unwrap_or("-").to_owned();
     *state.runs.entry(attempt).or_default() += 1;
     state.requests.push((request.method.clone(), request.target.clone(), request.body.clone()));
 }
@@ -211,12 +217,12 @@
             }
         }
     }
-    let attempt = request.header("hawthornroute-attempt-id").unwrap_or("-");
+    let attempt = request.header(words::ATTEMPT_ID).unwrap_or("-");
     let echoed = if fault == Some(TargetFault::Crossed) { "another" } else { attempt };
     let headers = [
-        ("Hawthornroute-Response-Stamp", format!("{id}.{attempt}")),
-        ("Hawthornroute-Attempt-Id", echoed.to_owned()),
-        ("Hawthornroute-Server-Load", "1,0,2".to_owned()),
+        (words::RECEIPT, format!("{id}.{attempt}")),
+        (words::ATTEMPT_ID, echoed.to_owned()),
+        (words::LOAD, "1,0,2".to_owned()),
     ];
     let body = records(&service);
     let status = if fault == Some(TargetFault::Fail) { 500 } else { 200 };
@@ -235,6 +241,20 @@
             let _sent = stream.write_all(unframed.as_bytes()).await;
             return false;
         }
+        Some(TargetFault::Long(bytes, pause)) => {
+            let answer = wire::answer(200, &headers, &vec![b'x'; bytes]);
+            let (first, second) = answer.split_at(answer.len() / 2);
+            if stream.write_all(first).await.is_err() {
+                return false;
+            }
+            sleep(pause).await;
+            stream.write_all(second).await
+        }
+        Some(TargetFault::LongHalf(bytes)) => {
+            let answer = wire::answer(200, &headers, &vec![b'x'; bytes]);
+            let _sent = stream.write_all(&answer[..answer.len() / 2]).await;
+            return false;
+        }
         Some(TargetFault::Twice) => stream.write_all(&[&answer[..], &answer].concat()).await,
         _ => stream.write_all(&answer).await,
     };
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -7,9 +7,11 @@
 
 use hawthorn_standin::route::RouteStore;
 use hawthorn_standin::route::RouteTarget;
+use hawthorn_standin::route::operator;
 use hawthorn_standin::route::store::RouteOutage;
 use hawthorn_standin::route::target;
 use hawthorn_standin::route::target::TargetFault;
+use hawthorn_standin::route::words;
 use rustix::process::Signal;
 use support::TestResult;
 use support::route;
@@ -30,10 +32,10 @@
     let store = RouteStore::start().await?;
     let first = RouteTarget::start("t-1", "s").await?;
     let second = RouteTarget::start("t-2", "s").await?;
-    let routes = [route::single("/safe/", "s", "safe"), route::single("/once/", "s", "unsafe")];
-    route::configure(&store, 3, &routes, &["s"]);
-    route::register(&store, "t-1", &first, "east");
-    route::register(&store, "t-2", &second, "east");
+    let routes = [operator::single("/safe/", "s", "safe"), operator::single("/once/", "s", "unsafe")];
+    operator::configure(&store, 3, &routes, &["s"]);
+    operator::register(&store, "t-1", &first, "east");
+    operator::register(&store, "t-2", &second, "east");
     let host = RouteHost::start("h-1", "east", store.address(), &[])?;
     host.ready().await?;
     Ok(Pair { store, first, second, host })
@@ -56,7 +58,7 @@
     let answer = pair.host.ask("POST", "/safe/a%20b?x=1&y=%2F", "id-1", "the body").await?;
     assert_eq!(answer.status, 200);
     assert_eq!(answer.body, target::records("s"));
-    assert!(answer.headers["hawthornroute-response-stamp"].ends_with(".id-1"));
+    assert!(answer.headers[words::RECEIPT].ends_with(".id-1"));
     let mut seen = pair.first.requests();
     seen.extend(pair.second.requests());
     let expected = ("POST".to_owned(), "/safe/a%20b?x=1&y=%2F".to_owned(), b"the body".to_vec());
@@ -218,8 +220,8 @@
 async fn a_host_without_its_metrics_port_serves() -> TestResult {
     let store = RouteStore::start().await?;
     let target = RouteTarget::start("t-1", "s").await?;
-    route::configure(&store, 3, &[route::single("/a/", "s", "safe")], &["s"]);
-    route::register(&store, "t-1", &target, "east");
+    operator::configure(&store, 3, &[operator::single("/a/", "s", "safe")], &["s"]);
+    operator::register(&store, "t-1", &target, "east");
     let taken = route::READY_PORT;
     let host = RouteHost::start_with("h-1", "east", store.address(), &[], taken)?;
     host.ready().await?;
@@ -264,7 +266,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_target_gets_no_new_work() -> TestResult {
     let pair = pair().await?;
-    pair.store.put("servers/t-1", &pair.first.entry("east", "draining"));
+    operator::drain(&pair.store, "t-1", &pair.first, "east");
     let heard = async || pair.host.logged("target=t-1 change=draining") == 1;
     route::wait_for("the host to hear of it", heard).await?;
     for round in 0..10 {
@@ -280,9 +282,9 @@
 async fn a_store_that_forgot_its_history_is_read_anew() -> TestResult {
     let pair = pair().await?;
     pair.store.set_outage(RouteOutage::Busy);
-    pair.store.delete("servers/t-1");
-    let routes = [route::single("/new/", "s", "safe")];
-    route::configure(&pair.store, 9, &routes, &["s"]);
+    operator::remove(&pair.store, "t-1");
+    let routes = [operator::single("/new/", "s", "safe")];
+    operator::configure(&pair.store, 9, &routes, &["s"]);
     pair.store.compact();
     let lost = async || pair.host.logged("store-lost") > 0;
     route::wait_for("the host to miss the store", lost).await?;
@@ -305,8 +307,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_version_never_goes_back() -> TestResult {
     let pair = pair().await?;
-    route::configure(&pair.store, 2, &[route::single("/old/", "s", "safe")], &["s"]);
-    pair.store.put("servers/other", b"{}");
+    operator::configure(&pair.store, 2, &[operator::single("/old/", "s", "safe")], &["s"]);
+    operator::scribble(&pair.store, "other", b"{}");
     let heard = async || pair.host.logged("entry-broken: id=other") == 1;
     route::wait_for("the host to hear what came after", heard).await?;
     assert_eq!(pair.host.ask("GET", "/old/", "id-1", "").await?.status, 404);
@@ -342,8 +344,8 @@
 async fn a_zone_whose_feeding_host_hears_nothing_asks_the_store_itself() -> TestResult {
     let store = RouteStore::start().await?;
     let target = RouteTarget::start("t-1", "s").await?;
-    route::configure(&store, 3, &[route::single("/a/", "s", "safe")], &["s"]);
-    route::register(&store, "t-1", &target, "east");
+    operator::configure(&store, 3, &[operator::single("/a/", "s", "safe")], &["s"]);
+    operator::register(&store, "t-1", &target, "east");
     let first = RouteHost::start("h-1", "east", store.address(), &[])?;
     first.ready().await?;
     let mut hosts = vec![first];
@@ -357,7 +359,7 @@
     let settled = async || store.watching() == 2;
     route::wait_for("two hosts to watch", settled).await?;
     store.silence_callers();
-    route::configure(&store, 5, &[route::single("/b/", "s", "safe")], &["s"]);
+    operator::configure(&store, 5, &[operator::single("/b/", "s", "safe")], &["s"]);
     let written = std::time::Instant::now();
     for host in &hosts {
         let routed = async || {
@@ -381,11 +383,11 @@
     for (place, name) in names.iter().enumerate() {
         let target = RouteTarget::start(&format!("t-{name}"), name).await?;
         let zone = if place < 2 { "east" } else { "west" };
-        route::register(&store, &format!("t-{name}"), &target, zone);
+        operator::register(&store, &format!("t-{name}"), &target, zone);
         targets.push(target);
     }
-    let routes = [route::gathered("/all/", &names, 0.8)];
-    route::configure(&store, 3, &routes, &names);
+    let routes = [operator::gathered("/all/", &names, 0.8)];
+    operator::configure(&store, 3, &routes, &names);
     let east = RouteHost::start("h-1", "east", store.address(), &[])?;
     let west = RouteHost::start("h-2", "west", store.address(), &[&east])?;
     east.ready().await?;
@@ -405,10 +407,10 @@
         let id = format!("id-{round}");
         let answer = east.ask("GET", "/all/", &id, "").await?;
         assert_eq!(answer.status, 200);
-        assert_eq!(answer.headers["hawthornroute-missing-parts"], "0");
+        assert_eq!(answer.headers[words::MISSING_PARTS], "0");
         assert_eq!(answer.body, records[..4].concat());
         let mut receipts: Vec<&str> =
-            answer.headers["hawthornroute-part-stamps"].split(", ").collect();
+            answer.headers[words::PART_RECEIPTS].split(", ").collect();
         receipts.sort_unstable();
         let expected: Vec<String> = names.iter().map(|name| format!("t-{name}.{id}")).collect();
         assert_eq!(receipts, expected);
@@ -420,7 +422,7 @@
     let whole = async || {
         let answer = east.ask("GET", "/all/", "id-9", "").await;
         answer.is_ok_and(|answer| {
-            answer.status == 200 && answer.headers["hawthornroute-missing-parts"] == "1"
+            answer.status == 200 && answer.headers[words::MISSING_PARTS] == "1"
         })
     };
     route::wait_for("queries to be answered without the peer and the shard", whole).await
@@ -433,10 +435,10 @@
     let mut targets = Vec::new();
     for name in names {
         let target = RouteTarget::start(&format!("t-{name}"), name).await?;
-        route::register(&store, &format!("t-{name}"), &target, "west");
+        operator::register(&store, &format!("t-{name}"), &target, "west");
         targets.push(target);
     }
-    route::configure(&store, 3, &[route::gathered("/all/", &names, 1.0)], &names);
+    operator::configure(&store, 3, &[operator::gathered("/all/", &names, 1.0)], &names);
     Ok((store, targets))
 }
 
@@ -496,7 +498,7 @@
             let id = format!("id-{round}-{step}");
             let answer = east.ask("GET", "/all/", &id, "").await?;
             assert_eq!(answer.status, 200, "{id}");
-            assert_eq!(answer.headers["hawthornroute-missing-parts"], "0", "{id}");
+            assert_eq!(answer.headers[words::MISSING_PARTS], "0", "{id}");
         }
         frozen.signal(Signal::CONT)?;
         sleep(Duration::from_millis(700)).await;
@@ -592,9 +594,12 @@
 async fn a_length_beside_chunks_smuggles_nothing() -> TestResult {
     let pair = pair().await?;
     let mut stream = TcpStream::connect(pair.host.caller()).await?;
-    let bytes = "POST /safe/outer HTTP/1.1\r\nHost: shop.example\r\nHawthornroute-Attempt-Id: id-1\r\n\
+    let named = words::ATTEMPT_ID;
+    let bytes = format!(
+        "POST /safe/outer HTTP/1.1\r\nHost: shop.example\r\n{named}: id-1\r\n\
                  Content-Length: 60\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n\
-                 GET /safe/inner HTTP/1.1\r\nHost: shop.example\r\n\r\n";
+                 GET /safe/inner HTTP/1.1\r\nHost: shop.example\r\n\r\n"
+    );
     stream.write_all(bytes.as_bytes()).await?;
     // Refused whole, or its body is what the chunks held.
     let _answer = route::read_answer(&mut stream).await;
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -18,12 +18,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hawthorn_standin::route::RouteStore;
-use hawthorn_standin::route::RouteTarget;
+use hawthorn_standin::route::operator::HOST;
+use hawthorn_standin::route::words::ATTEMPT_ID;
+use hawthorn_standin::route::words::TIME_LEFT;
 use rustix::process::Pid;
 use rustix::process::Signal;
-use serde_json::Value;
-use serde_json::json;
 use tempfile::TempDir;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -156,6 +155,13 @@
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
 
+    /// Its counters and histograms, as text.
+    pub async fn metrics(&self) -> TestResult<String> {
+        let at = SocketAddr::new(self.ip, METRICS_PORT);
+        let head = "GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n".to_owned();
+        Ok(String::from_utf8(exchange(at, head.into_bytes()).await?.body)?)
+    }
+
     /// A caller's request on a connection of its own.
     pub async fn ask(
         &self,
@@ -197,8 +203,8 @@
 /// A caller's request as bytes.
 pub fn request(method: &str, path: &str, id: &str, body: &str) -> Vec<u8> {
     format!(
-        "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nHawthornroute-Attempt-Id: {id}\r\n\
-         Hawthornroute-Deadline-Ms: 2000\r\nContent-Length: {}\r\n\r\n{body}",
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT_ID}: {id}\r\n\
+         {TIME_LEFT}: 2000\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     )
     .into_bytes()
@@ -250,32 +256,3 @@
     }
     Err(format!("waited {PATIENCE:?} for {what}").into())
 }
-
-/// A route to one target; `kind` says whether it may run more than once.
-pub fn single(prefix: &str, service: &str, kind: &str) -> Value {
-    json!({ "name": format!("r{prefix}"), "host": "shop.example", "prefix": prefix,
-            "routeType": kind, "timeoutMs": 1500, "targetLatencyMs": 400, "priority": 1,
-            "service": service, "maxAttempts": 2 })
-}
-
-/// A route over shards.
-pub fn gathered(prefix: &str, shards: &[&str], least: f64) -> Value {
-    json!({ "name": format!("r{prefix}"), "host": "shop.example", "prefix": prefix,
-            "routeType": "safe", "timeoutMs": 1500, "targetLatencyMs": 400, "priority": 1,
-            "fanoutServices": shards, "maxAttempts": 2, "topK": 4, "minShardFraction": least })
-}
-
-/// Writes a version of the configuration.
-pub fn configure(store: &RouteStore, version: u64, routes: &[Value], services: &[&str]) {
-    let services: Vec<Value> = services
-        .iter()
-        .map(|name| json!({ "name": name, "healthPath": "/health", "maxConnections": 26 }))
-        .collect();
-    let document = json!({ "configVersion": version, "routes": routes, "services": services });
-    store.put("op/config", document.to_string().as_bytes());
-}
-
-/// Registers a target.
-pub fn register(store: &RouteStore, id: &str, target: &RouteTarget, zone: &str) {
-    store.put(&format!("servers/{id}"), &target.entry(zone, "ready"));
-}
