--- a/crates/hawthorn-edge/src/process/fleet.rs
+++ b/crates/hawthorn-edge/src/process/fleet.rs
@@ -1,5 +1,6 @@
 //! Which other hosts of the fleet live, by heartbeats over UDP.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,6 +28,7 @@
 use crate::process::feed;
 use crate::process::host::RouteHost;
 use crate::settings::RouteSettings;
+use crate::version::beliefs::Beliefs;
 
 /// Longer than any datagram of ours; the table refuses what is over its limit.
 const DATAGRAM_BYTES: usize = 2_048;
@@ -36,6 +38,10 @@
 /// A peer that is not pinged directly is looked at so often.
 const LONGEST_SLEEP: Duration = Duration::from_millis(100);
 
+/// What follows from membership is worked out anew so often: a tenth of the time
+/// that membership needs to find a host dead, and some microseconds a zone.
+const PEERS_PERIOD: Duration = Duration::from_millis(50);
+
 /// A table that knows this host alone and its seeds.
 ///
 /// The incarnation is the time since the host was switched on: the time of day
@@ -104,11 +110,17 @@
     if host.stopping.is_cancelled() {
         members.leave(now);
     }
-    let live = members.records().filter(|record| record.is_live()).count();
-    let beliefs = &host.beliefs;
-    let gathering = gathering_ids(&members, &beliefs.settings.host.zone, beliefs.query_rate());
+    let rate = host.beliefs.query_rate();
+    if host.gather_peers.borrow_mut().refresh(now, &members, rate) {
+        note_members(&host.beliefs, &members, rate);
+    }
+}
+
+/// What beliefs follow from membership.
+fn note_members(beliefs: &Beliefs, members: &MemberTable, rate: f64) {
+    let gathering = gathering_ids(members, &beliefs.settings.host.zone, rate);
     let me = MemberId::of(&beliefs.settings.host.name).0;
-    beliefs.hosts.set(live);
+    beliefs.hosts.set(members.records().filter(|record| record.is_live()).count());
     beliefs.gatherers.set(gathering.len().max(1));
     beliefs.gathers.set(gathering.is_empty() || gathering.contains(&me));
     beliefs.fleet_zones.set(members.zones().count());
@@ -164,11 +176,37 @@
     gatherers::choose(&hosts, rate * hosts.len() as f64)
 }
 
-/// The other hosts of a zone that gather and take work.
-pub(crate) fn gathering_peers(host: &RouteHost, zone: &str) -> Vec<SocketAddr> {
-    let members = host.members.borrow();
+/// The other hosts that gather and take work, by zone: worked out with
+/// membership and not with each query, as they change with it.
+#[derive(Debug, Default)]
+pub struct GatherPeers {
+    due: Duration,
+    zones: HashMap<String, Vec<SocketAddr>>,
+}
+
+impl GatherPeers {
+    /// True when it was time.
+    fn refresh(&mut self, now: Duration, members: &MemberTable, rate: f64) -> bool {
+        if now < self.due {
+            return false;
+        }
+        self.due = now + PEERS_PERIOD;
+        self.zones = members
+            .zones()
+            .map(|zone| (zone.to_owned(), gathering_peers(members, zone, rate)))
+            .collect();
+        true
+    }
+
+    /// Those of a zone.
+    pub(crate) fn of_zone(&self, zone: &str) -> &[SocketAddr] {
+        self.zones.get(zone).map_or(&[], Vec::as_slice)
+    }
+}
+
+fn gathering_peers(members: &MemberTable, zone: &str, rate: f64) -> Vec<SocketAddr> {
     let me = members.me();
-    let ids = gathering_ids(&members, zone, host.beliefs.query_rate());
+    let ids = gathering_ids(members, zone, rate);
     members
         .hosts(zone)
         .filter(|record| record.key != me && record.phase == MemberPhase::Serving)
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -32,6 +32,7 @@
 use crate::process::events::EdgeEvent;
 use crate::process::feed;
 use crate::process::fleet;
+use crate::process::fleet::GatherPeers;
 use crate::process::metrics;
 use crate::process::metrics::EdgeMetrics;
 use crate::process::reach;
@@ -81,6 +82,8 @@
     pub metrics: EdgeMetrics,
     /// Which other hosts live.
     pub members: RefCell<MemberTable>,
+    /// Those of them that gather.
+    pub gather_peers: RefCell<GatherPeers>,
     /// Connections to them.
     pub links: PeerLinks,
     /// The store's items as this host knows them.
@@ -117,6 +120,7 @@
     pub fn new(settings: RouteSettings) -> Result<Self, Error> {
         Ok(Self {
             members: RefCell::new(fleet::table(&settings)),
+            gather_peers: RefCell::default(),
             links: PeerLinks::default(),
             mirror: RefCell::default(),
             news: Notify::new(),
--- a/crates/hawthorn-edge/src/process/metrics.rs
+++ b/crates/hawthorn-edge/src/process/metrics.rs
@@ -91,7 +91,7 @@
     /// Shows the client's calls to the store, by kind and outcome. Each is paid for.
     pub fn show_calls(&self, client: StoreClient) {
         let calls = self.meter.u64_observable_counter("hawthorn_route_store_calls");
-        let counter = calls.with_callback(move |observer| {
+        let calls = calls.with_callback(move |observer| {
             for (kind, outcome, count) in client.counts().iter() {
                 let labels = [
                     KeyValue::new("kind", <&'static str>::from(kind)),
@@ -100,8 +100,8 @@
                 observer.observe(count, &labels);
             }
         });
-        // The provider keeps the callback.
-        drop(counter.build());
+        // The provider keeps the callback; the instrument is not needed any more.
+        let _instrument = calls.build();
     }
 
     /// A request ended.
--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -140,11 +140,11 @@
         timeout(within, whole).await.unwrap_or(Err(Error::TimedOut))
     }
 
-    fn note_start(&self, sent: Duration) -> Option<(String, String, String)> {
+    fn note_start(&self, sent: Duration) -> Option<(Rc<str>, Rc<str>, Rc<str>)> {
         self.with_state(|state| {
             state.send(sent);
             let entry = &state.entry;
-            (entry.id.clone(), entry.service.clone(), entry.zone.clone())
+            (Rc::clone(&entry.id), Rc::clone(&entry.service), Rc::clone(&entry.zone))
         })
     }
 
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -1,11 +1,10 @@
 //! Shards of a query that a host near their targets gathers.
 //!
-//! Where a zone has more hosts than its queries keep busy, a few gather for
-//! all; see `hawthorn_route::gatherers`. And bytes between zones are dear, and
-//! a shard's request and answer with their headers are several times the
-//! records that count. So the shards that are best had in another zone are
-//! gathered by one host there, and come back as one message: a fifth of the
-//! bytes for seven shards.
+//! Which they are is decided in `hawthorn_route::spread`, and which hosts gather
+//! in `hawthorn_route::gatherers`. Bytes between zones are dear, and a shard's
+//! request and answer with their headers are several times the records that
+//! count; gathered there they come back as one message, a fifth of the bytes
+//! for seven shards.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -15,13 +14,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hawthorn_route::document::GatherRule;
 use hawthorn_route::document::RouteWay;
-use hawthorn_route::target::TargetPhase;
+use hawthorn_route::spread;
+use hawthorn_route::spread::ZoneShards;
 use hyper::HeaderMap;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use rand::RngExt;
+use smallvec::SmallVec;
 use tokio::sync::oneshot;
 use tokio::task::yield_now;
 use tokio::time::sleep;
@@ -31,7 +31,6 @@
 use crate::connection::message::GatherReply;
 use crate::connection::peer::PeerError;
 use crate::process::clock::host_now;
-use crate::process::fleet;
 use crate::process::host::RouteHost;
 use crate::request::gather;
 use crate::request::order::CANCELLATION_TURNS;
@@ -40,9 +39,6 @@
 use crate::request::story::DelegateNote;
 use crate::request::story::RequestStory;
 
-/// Fewer shards are asked for directly: one message with its reply is as many
-/// bytes as two shards' own.
-const LEAST_SHARDS: usize = 3;
 /// The reply leaves a peer so long before the aim: the way between zones, and
 /// the time to take it in here.
 const REPLY_MARGIN: Duration = Duration::from_millis(5);
@@ -65,7 +61,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct DelegatedShards {
     pub(crate) peer: SocketAddr,
-    pub(crate) zone: String,
+    pub(crate) zone: Rc<str>,
     /// By their place in the route's list.
     pub(crate) shards: Vec<u16>,
     /// Peers asked before.
@@ -95,44 +91,38 @@
 }
 
 /// Which of a query's shards peers gather; the others are gathered here.
-pub(crate) fn split(host: &RouteHost, rule: &GatherRule, usual: Duration) -> Vec<DelegatedShards> {
-    let (mut near, mut away) = place_all(host, rule, usual);
-    let mut parts = Vec::new();
-    if !host.beliefs.gathers.get() && near.len() >= LEAST_SHARDS {
-        let zone = host.beliefs.settings.host.zone.clone();
-        let peers = std::iter::once(zone).chain(other_zones(host));
-        let found = peers.filter_map(|zone| choose(host, &zone).map(|peer| (zone, peer))).next();
-        if let Some((zone, peer)) = found {
-            // One host gathers the whole, those away as well: it knows as much.
-            near.extend(away.drain(..).map(|(shard, _)| shard));
-            near.sort_unstable();
-            parts.push(DelegatedShards { peer, zone, shards: near, tries: 0, spent: 0 });
-        }
-    }
-    while let Some(zone) = busiest(&away) {
-        let there: Vec<u16> = away
-            .iter()
-            .filter(|(_, zones)| zones.contains(&zone))
-            .map(|(shard, _)| *shard)
-            .collect();
-        if there.len() < LEAST_SHARDS {
-            break;
-        }
-        away.retain(|(_, zones)| !zones.contains(&zone));
-        if let Some(peer) = choose(host, &zone) {
-            parts.push(DelegatedShards { peer, zone, shards: there, tries: 0, spent: 0 });
-        }
-    }
-    parts
+pub(crate) fn hand_over(host: &RouteHost, spread: &spread::Outcome) -> Vec<DelegatedShards> {
+    let options = spread::Options::default();
+    let mut peers: HashMap<Rc<str>, SocketAddr> = HashMap::new();
+    let mut has_host = |zone: &str| {
+        let peer = choose(host, zone);
+        peers.extend(peer.map(|peer| (Rc::from(zone), peer)));
+        peer.is_some()
+    };
+    let all = if host.beliefs.gathers.get() {
+        None
+    } else {
+        spread.hand_over_all(&zones(host), &mut has_host, &options)
+    };
+    let parts = match all {
+        Some(part) => vec![part],
+        None => spread.hand_over(has_host, &options),
+    };
+    let delegated = |part: ZoneShards| {
+        let peer = *peers.get(&part.zone)?;
+        let ZoneShards { zone, shards } = part;
+        Some(DelegatedShards { peer, zone, shards, tries: 0, spent: 0 })
+    };
+    parts.into_iter().filter_map(delegated).collect()
 }
 
-/// The zones of other hosts of the fleet that can be reached.
-fn other_zones(host: &RouteHost) -> Vec<String> {
+/// The zones of the fleet that can be reached, this host's first.
+fn zones(host: &RouteHost) -> Vec<Rc<str>> {
     let cut = host.beliefs.cut_zones(host_now());
     let mine = &host.beliefs.settings.host.zone;
     let members = host.members.borrow();
-    let zones = members.zones().filter(|zone| zone != mine && !cut.iter().any(|cut| cut == zone));
-    zones.map(str::to_owned).collect()
+    let others = members.zones().filter(|zone| zone != mine && !cut.iter().any(|cut| cut == zone));
+    std::iter::once(mine.as_str()).chain(others).map(Rc::from).collect()
 }
 
 /// Whether this host may gather so many shards itself where peers failed.
@@ -146,52 +136,10 @@
     shards as f64 * SHARD_COST.as_secs_f64() <= time
 }
 
-/// A shard, by its place in the list, and the other zones where it has a target.
-type AwayShard = (u16, Vec<String>);
-
-/// The shards whose best target is in this zone, and those whose best is in another.
-fn place_all(host: &RouteHost, rule: &GatherRule, usual: Duration) -> (Vec<u16>, Vec<AwayShard>) {
-    let now = host_now();
-    let beliefs = &host.beliefs;
-    let mine = &beliefs.settings.host.zone;
-    let cut = beliefs.cut_zones(now);
-    let (mut near, mut away) = (Vec::new(), Vec::new());
-    for (place, shard) in rule.shards.iter().enumerate() {
-        let Some(best) = beliefs.place(shard, &[], usual, now) else { continue };
-        let registry = beliefs.registry.borrow();
-        if registry.get(best).is_none_or(|state| state.entry.zone == *mine) {
-            near.push(place as u16);
-            continue;
-        }
-        let zones: Vec<String> = registry
-            .of_service(shard)
-            .iter()
-            .filter_map(|key| registry.get(*key))
-            .filter(|state| state.phase == TargetPhase::Ready && now >= state.paused_until())
-            .map(|state| &state.entry.zone)
-            .filter(|zone| *zone != mine && !cut.contains(zone))
-            .cloned()
-            .collect();
-        if !zones.is_empty() {
-            away.push((place as u16, zones));
-        }
-    }
-    (near, away)
-}
-
-fn busiest(away: &[AwayShard]) -> Option<String> {
-    let mut counts: HashMap<&str, usize> = HashMap::new();
-    for (_, zones) in away {
-        for zone in zones {
-            *counts.entry(zone).or_default() += 1;
-        }
-    }
-    counts.into_iter().max_by_key(|(zone, count)| (*count, *zone)).map(|(zone, _)| zone.to_owned())
-}
-
 fn choose(host: &RouteHost, zone: &str) -> Option<SocketAddr> {
-    let mut peers = fleet::gathering_peers(host, zone);
-    peers.retain(|peer| !host.links.is_suspect(*peer));
+    let gatherers = host.gather_peers.borrow();
+    let peers = gatherers.of_zone(zone).iter().filter(|peer| !host.links.is_suspect(**peer));
+    let peers: SmallVec<[SocketAddr; 8]> = peers.copied().collect();
     let lot = rand::rng().random_range(0..peers.len().max(1));
     peers.get(lot).copied()
 }
--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -14,6 +14,7 @@
 use hawthorn_route::gather::GatherStep;
 use hawthorn_route::merge::TopRecords;
 use hawthorn_route::outcome::RefusalReason;
+use hawthorn_route::registry::TargetKey;
 use http_body_util::Full;
 use hyper::Response;
 use hyper::header::HeaderValue;
@@ -98,8 +99,17 @@
     /// these are as many as operators allow, it is lost to this try.
     fn race(&mut self, place: u16, spent: usize) {
         let Some(shard) = self.rule.shards.get(usize::from(place)) else { return };
+        self.start(shard, AttemptRace::new(self.host, self.order, shard).after(spent));
+    }
+
+    /// Asks for a shard here whose best target is known already.
+    fn race_toward(&mut self, place: u16, best: Option<TargetKey>) {
+        let Some(shard) = self.rule.shards.get(usize::from(place)) else { return };
+        self.start(shard, AttemptRace::new(self.host, self.order, shard).toward(best));
+    }
+
+    fn start(&mut self, shard: &'a str, race: AttemptRace<'a>) {
         self.raced.push(shard);
-        let race = AttemptRace::new(self.host, self.order, shard).after(spent);
         self.events.push(async move { GatherEvent::Race(race.run().await) }.boxed_local());
     }
 
@@ -202,10 +212,14 @@
     );
     order.load.borrow_mut().shards = run.state.shards;
     order.load.borrow_mut().spare = run.state.spare();
-    let delegated = delegate::split(host, rule, host.beliefs.usual(&order.route));
+    let spread = host.beliefs.spread(rule, host.beliefs.usual(&order.route), host_now());
+    if !spread.can_answer(rule) {
+        return CallerAnswer::refused(RefusalReason::NoTarget);
+    }
+    let delegated = delegate::hand_over(host, &spread);
     for place in 0..rule.shards.len() as u16 {
         if !delegated.iter().any(|part| part.shards.contains(&place)) {
-            run.race(place, 0);
+            run.race_toward(place, spread.target(place));
         }
     }
     for part in delegated {
--- a/crates/hawthorn-edge/src/request/race.rs
+++ b/crates/hawthorn-edge/src/request/race.rs
@@ -8,6 +8,7 @@
 use hawthorn_route::hedge;
 use hawthorn_route::outcome::AttemptEnd;
 use hawthorn_route::outcome::RefusalReason;
+use hawthorn_route::registry::TargetKey;
 use hawthorn_route::registry::TargetKeys;
 use tokio::sync::oneshot;
 use tokio::task::yield_now;
@@ -61,6 +62,8 @@
     host: &'a Rc<RouteHost>,
     order: &'a Rc<RequestOrder>,
     service: &'a str,
+    /// Where the first attempt goes, if that is known already.
+    best: Option<TargetKey>,
     tried: TargetKeys,
     /// Targets that may have run it, or may yet.
     ran: usize,
@@ -81,6 +84,7 @@
             host,
             order,
             service,
+            best: None,
             tried: TargetKeys::new(),
             ran: order.spent,
             flying: FuturesUnordered::new(),
@@ -91,6 +95,12 @@
         }
     }
 
+    /// Sends the first attempt to a target that was found best a moment ago.
+    pub(crate) fn toward(mut self, best: Option<TargetKey>) -> Self {
+        self.best = best;
+        self
+    }
+
     /// Counts attempts that another host may have made.
     pub(crate) fn after(mut self, spent: usize) -> Self {
         self.ran += spent;
@@ -158,7 +168,9 @@
         let now = host_now();
         let beliefs = &self.host.beliefs;
         let usual = beliefs.usual(&self.order.route);
-        let Some(key) = beliefs.place(self.service, &self.tried, usual, now) else {
+        let best = self.best.take();
+        let Some(key) = best.or_else(|| beliefs.place(self.service, &self.tried, usual, now))
+        else {
             return false;
         };
         let Some(pool) = beliefs.pool(key) else { return false };
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -67,10 +67,7 @@
 }
 
 /// Serves one request; never fails, as every outcome is an answer.
-pub(crate) async fn serve(
-    host: Rc<RouteHost>,
-    request: Request<Incoming>,
-) -> Response<AnswerBody> {
+pub(crate) async fn serve(host: Rc<RouteHost>, request: Request<Incoming>) -> Response<AnswerBody> {
     let now = host_now();
     // Where the loop was long at work, the request may have waited as long unread.
     let started = now.saturating_sub(turns::busy_for(now));
@@ -151,11 +148,6 @@
     }
     let route = Rc::clone(&order.route);
     host.beliefs.count_demand(&route);
-    // Nothing is sent where too little could come back: the caller learns it at
-    // once, and targets do no work for an answer that cannot be given.
-    if !host.beliefs.can_answer(&route, host_now()) {
-        return CallerAnswer::refused(RefusalReason::NoTarget);
-    }
     match &route.way {
         RouteWay::Single(service) => single(host, order, service).await,
         RouteWay::Weighted(parts) => match host.beliefs.deal(&route, parts) {
@@ -208,7 +200,9 @@
 async fn single(host: &Rc<RouteHost>, order: &Rc<RequestOrder>, service: &str) -> CallerAnswer {
     let race = AttemptRace::new(host, order, service).run();
     match timeout(order.time_left(host_now()), race).await {
-        Ok(RaceEnd::Answered(answer) | RaceEnd::Failed(answer)) => CallerAnswer::passed(order, answer),
+        Ok(RaceEnd::Answered(answer) | RaceEnd::Failed(answer)) => {
+            CallerAnswer::passed(order, answer)
+        }
         Ok(RaceEnd::NotRun(reason)) => CallerAnswer::refused(reason),
         Ok(RaceEnd::Unknown) => CallerAnswer::not_known(),
         Err(_) if order.sent.get() == 0 => CallerAnswer::refused(RefusalReason::TooLate),
--- a/crates/hawthorn-edge/src/request/story.rs
+++ b/crates/hawthorn-edge/src/request/story.rs
@@ -1,6 +1,7 @@
 //! The lines of one request, written together when it has ended.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use hawthorn_route::outcome::AttemptEnd;
@@ -15,9 +16,9 @@
 /// What happened to one attempt.
 #[derive(Clone, Debug)]
 pub(crate) struct AttemptNote {
-    pub(crate) service: String,
-    pub(crate) target: String,
-    pub(crate) zone: String,
+    pub(crate) service: Rc<str>,
+    pub(crate) target: Rc<str>,
+    pub(crate) zone: Rc<str>,
     pub(crate) after: Duration,
     pub(crate) took: Duration,
     pub(crate) end: AttemptEnd,
@@ -29,7 +30,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct DelegateNote {
     pub(crate) peer: SocketAddr,
-    pub(crate) zone: String,
+    pub(crate) zone: Rc<str>,
     pub(crate) shards: usize,
     pub(crate) took: Duration,
     pub(crate) outcome: &'static str,
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -13,14 +13,17 @@
 use hawthorn_pool::TargetPool;
 use hawthorn_route::budget;
 use hawthorn_route::budget::RetryBudget;
+use hawthorn_route::document::GatherRule;
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::document::WeightedService;
 use hawthorn_route::door::QueryDoor;
 use hawthorn_route::place;
+use hawthorn_route::place::PlaceView;
 use hawthorn_route::reach::ZoneReach;
 use hawthorn_route::registry;
 use hawthorn_route::registry::TargetKey;
 use hawthorn_route::registry::TargetRegistry;
+use hawthorn_route::spread;
 use hawthorn_route::table::RouteTable;
 use hawthorn_route::target::TargetPhase;
 use hawthorn_route::weight::WeightDealer;
@@ -56,9 +59,6 @@
 /// How long opening a connection may take: a pause of a target, and several
 /// times what an unloaded one needs.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Two targets this close in expected time are as good as each other, in
-/// seconds: drawing lots keeps hosts from all choosing the same one.
-const DRAW_SPREAD: f64 = 0.001;
 
 /// What this host believes. Lives on the one thread that serves.
 #[derive(Debug)]
@@ -216,27 +216,29 @@
         usual: Duration,
         now: Duration,
     ) -> Option<TargetKey> {
-        let options = place::Options::default();
-        let zone = &self.settings.host.zone;
+        self.with_view(usual, now, |view, lots| {
+            place::place(view, service, tried, lots, &place::Options::default())
+        })
+    }
+
+    /// Where each shard of a query is best had.
+    pub fn spread(&self, rule: &GatherRule, usual: Duration, now: Duration) -> spread::Outcome {
+        self.with_view(usual, now, |view, lots| {
+            spread::spread(view, rule, lots, &place::Options::default())
+        })
+    }
+
+    fn with_view<T>(
+        &self,
+        usual: Duration,
+        now: Duration,
+        with: impl FnOnce(PlaceView<'_>, &mut StdRng) -> T,
+    ) -> T {
         let registry = self.registry.borrow();
-        let zones = self.zones.borrow();
-        let mut lots = self.lots.borrow_mut();
-        let mut best: Option<(f64, TargetKey)> = None;
-        for key in registry.of_service(service) {
-            if tried.contains(key) {
-                continue;
-            }
-            let Some(state) = registry.get(*key) else { continue };
-            if zones.get(&state.entry.zone).is_some_and(|reach| reach.is_cut(now)) {
-                continue;
-            }
-            let Some(score) = place::score(state, zone, usual, now, &options) else { continue };
-            let drawn = score + lots.random_range(0.0..DRAW_SPREAD);
-            if best.is_none_or(|(least, _)| drawn < least) {
-                best = Some((drawn, *key));
-            }
-        }
-        best.map(|(_, key)| key)
+        let cut = self.cut_zones(now);
+        let zone = &self.settings.host.zone;
+        let view = PlaceView { registry: &registry, zone, cut: &cut, usual, now };
+        with(view, &mut self.lots.borrow_mut())
     }
 
     /// How long work waits at a service: at the least busy of its targets that take work.
--- a/crates/hawthorn-edge/src/version/reach.rs
+++ b/crates/hawthorn-edge/src/version/reach.rs
@@ -43,7 +43,7 @@
         let registry = self.registry.borrow();
         let there: Vec<SocketAddr> = registry
             .iter()
-            .filter(|(_, state)| state.entry.zone == zone)
+            .filter(|(_, state)| *state.entry.zone == *zone)
             .map(|(_, state)| state.entry.address)
             .collect();
         let lot = self.lots.borrow_mut().random_range(0..there.len().max(1));
@@ -91,17 +91,22 @@
         let Some(table) = self.table().filter(|_| !cut.is_empty()) else {
             return false;
         };
-        let zones: HashSet<String> = {
+        let zones = {
             let registry = self.registry.borrow();
-            let mine = std::iter::once(self.settings.host.zone.clone());
-            registry.iter().map(|(_, state)| state.entry.zone.clone()).chain(mine).collect()
+            let mine = std::iter::once(self.settings.host.zone.as_str());
+            registry
+                .iter()
+                .map(|(_, state)| &*state.entry.zone)
+                .chain(mine)
+                .collect::<HashSet<_>>()
+                .len()
         };
         let demand = self.demand.borrow();
         let asked = |route: &RouteRule| demand.get(&route.name).copied().unwrap_or_default();
         let routes = &table.document().routes;
         let all: f64 = routes.iter().map(asked).sum();
         let lost: f64 = routes.iter().filter(|route| !self.can_answer(route, now)).map(asked).sum();
-        reach::steps_aside(zones.len(), cut.len(), if all > 0.0 { lost / all } else { 0.0 })
+        reach::steps_aside(zones, cut.len(), if all > 0.0 { lost / all } else { 0.0 })
     }
 
     /// Whether enough of a route's services have a target that takes work.
@@ -111,10 +116,7 @@
         match &route.way {
             RouteWay::Single(service) => takes(service),
             RouteWay::Weighted(parts) => parts.iter().any(|part| takes(&part.service)),
-            RouteWay::Gather(rule) => {
-                let there = rule.shards.iter().filter(|shard| takes(shard)).count();
-                there as f64 >= rule.least_share * rule.shards.len() as f64 && there > 0
-            }
+            RouteWay::Gather(rule) => self.spread(rule, usual, now).can_answer(rule),
         }
     }
 }
--- a/crates/hawthorn-edge/tests/catalog.rs
+++ b/crates/hawthorn-edge/tests/catalog.rs
@@ -1,11 +1,14 @@
 //! What a host believes after news from the store.
 
+use std::net::SocketAddr;
+
 use hawthorn_edge::process::catalog;
 use hawthorn_edge::process::host::RouteHost;
 use hawthorn_edge::settings::RouteSettings;
 use hawthorn_route::mirror::MirrorItem;
 use hawthorn_route::mirror::MirrorNews;
 use hawthorn_route::target::TargetPhase;
+use hawthorn_standin::route::operator;
 
 const SETTINGS: &str = r#"
 [host]
@@ -36,13 +39,12 @@
 
 fn entry(id: &str, revision: u64, value: &str) -> MirrorItem {
     let value = Some(value.as_bytes().to_vec());
-    MirrorItem { key: format!("servers/{id}"), revision, value }
+    MirrorItem { key: operator::entry_key(id), revision, value }
 }
 
 fn good(id: &str, revision: u64) -> MirrorItem {
-    let text = r#"{"service":"s","address":"127.0.0.1:9","zone":"east","configVersion":"v1",
-        "concurrency":2,"state":"ready","coldRemainingMs":0,"sequence":4}"#;
-    entry(id, revision, text)
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    entry(id, revision, &operator::entry("s", address, "east", "ready"))
 }
 
 fn reading(items: Vec<MirrorItem>, as_of: u64) -> MirrorNews {
@@ -52,7 +54,7 @@
 fn ready_ids(host: &RouteHost) -> Vec<String> {
     let registry = host.beliefs.registry.borrow();
     let ready = registry.iter().filter(|(_, state)| state.phase == TargetPhase::Ready);
-    let mut ids: Vec<String> = ready.map(|(_, state)| state.entry.id.clone()).collect();
+    let mut ids: Vec<String> = ready.map(|(_, state)| state.entry.id.to_string()).collect();
     ids.sort();
     ids
 }
--- /dev/null
+++ b/crates/hawthorn-route/benches/query.rs
@@ -0,0 +1,91 @@
+//! Processor time of the decisions that one query over shards takes.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+use hawthorn_route::document::GatherRule;
+use hawthorn_route::document::TargetEntry;
+use hawthorn_route::door;
+use hawthorn_route::door::QueryDoor;
+use hawthorn_route::door::QueryLoad;
+use hawthorn_route::gatherers;
+use hawthorn_route::gatherers::ZoneHost;
+use hawthorn_route::merge::TopRecords;
+use hawthorn_route::place;
+use hawthorn_route::place::PlaceView;
+use hawthorn_route::registry;
+use hawthorn_route::registry::TargetRegistry;
+use hawthorn_route::spread;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const NOW: Duration = Duration::from_secs(10);
+const ZONES: [&str; 3] = ["east", "west", "south"];
+
+/// Shards with three targets each, one in each zone.
+fn shards(count: usize) -> (TargetRegistry, GatherRule) {
+    let mut registry = TargetRegistry::new(registry::Options::default());
+    for shard in 0..count {
+        for zone in ZONES {
+            let entry = TargetEntry {
+                id: format!("t{shard}-{zone}").into(),
+                service: format!("s{shard}").into(),
+                address: "127.0.0.1:9".parse().expect("an address"),
+                zone: zone.into(),
+                slots: 2,
+                draining: false,
+                cold: Duration::ZERO,
+                born: None,
+            };
+            registry.put(entry, 1, NOW);
+        }
+    }
+    let shards = (0..count).map(|shard| format!("s{shard}")).collect();
+    (registry, GatherRule { shards, top: 10, least_share: 0.9 })
+}
+
+fn queries(criterion: &mut Criterion) {
+    for count in [20, 90, 270] {
+        let (registry, rule) = shards(count);
+        let usual = Duration::from_millis(15);
+        let view = PlaceView { registry: &registry, zone: "east", cut: &[], usual, now: NOW };
+        let mut lots = StdRng::seed_from_u64(1);
+        let options = place::Options::default();
+        criterion.bench_function(&format!("spread of {count} shards"), |bench| {
+            bench.iter(|| black_box(spread::spread(view, &rule, &mut lots, &options)));
+        });
+        let spread = spread::spread(view, &rule, &mut lots, &options);
+        criterion.bench_function(&format!("hand over of {count} shards"), |bench| {
+            bench.iter(|| black_box(spread.hand_over(|_| true, &spread::Options::default())));
+        });
+        let body: Vec<u8> = (0..160_u32).map(|byte| (byte * 37) as u8).collect();
+        criterion.bench_function(&format!("merge of {count} parts"), |bench| {
+            bench.iter(|| {
+                let mut records = TopRecords::new(rule.top);
+                (0..count).for_each(|_| records.add(&body));
+                black_box(records.into_body())
+            });
+        });
+        let waits = vec![Duration::from_millis(3); count];
+        criterion.bench_function(&format!("door for {count} shards"), |bench| {
+            let mut door = QueryDoor::default();
+            let load = QueryLoad { waits: waits.clone(), turned_away: 0, shards: count, spare: 2 };
+            let aim = Duration::from_millis(120);
+            bench.iter(|| {
+                if door.admit(true, &door::Options::default()) {
+                    door.finish(NOW, usual, aim, Some(&load), &door::Options::default());
+                }
+            });
+        });
+    }
+    let hosts: Vec<ZoneHost> = (0..160).map(|id| ZoneHost { id, capacity: 250 }).collect();
+    criterion.bench_function("gatherers of 160 hosts", |bench| {
+        bench.iter(|| black_box(gatherers::choose(&hosts, 100.0)));
+    });
+}
+
+criterion_group!(benches, queries);
+criterion_main!(benches);
--- a/crates/hawthorn-route/src/document.rs
+++ b/crates/hawthorn-route/src/document.rs
@@ -1,6 +1,7 @@
 //! What operators configure for routed requests.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// One version of the operators' configuration, whole.
@@ -110,13 +111,13 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetEntry {
     /// Name of this incarnation of the target.
-    pub id: String,
+    pub id: Rc<str>,
     /// The service whose requests it runs.
-    pub service: String,
+    pub service: Rc<str>,
     /// Where it listens.
     pub address: SocketAddr,
     /// Its availability zone.
-    pub zone: String,
+    pub zone: Rc<str>,
     /// Requests it works on at a time.
     pub slots: u32,
     /// It finishes what it has and leaves.
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`mod@place`] | which target an attempt goes to |
 //! | [`mod@hedge`] | when an attempt counts as late |
 //! | [`budget`] | how many extra attempts a service may be sent |
+//! | [`spread`] | where each shard of a query is asked for |
 //! | [`weight`] | which part of a weighted route a request goes to |
 //! | [`merge`] | the greatest records of many parts |
 //! | [`gatherers`] | which hosts of a zone gather for the others |
@@ -35,6 +36,7 @@
 pub mod place;
 pub mod reach;
 pub mod registry;
+pub mod spread;
 pub mod table;
 pub mod target;
 pub mod weight;
--- a/crates/hawthorn-route/src/place.rs
+++ b/crates/hawthorn-route/src/place.rs
@@ -7,6 +7,11 @@
 
 use std::time::Duration;
 
+use rand::Rng;
+use rand::RngExt;
+
+use crate::registry::TargetKey;
+use crate::registry::TargetRegistry;
 use crate::target::TargetPhase;
 use crate::target::TargetState;
 
@@ -16,6 +21,50 @@
 /// Expected time added to a target that is passed over after failures.
 const PAUSED_COST: f64 = 100.0;
 
+/// Two targets this close in expected time are as good as each other, in
+/// seconds: drawing lots keeps hosts from all choosing the same one.
+const DRAW_SPREAD: f64 = 0.001;
+
+/// What a choice is made from.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceView<'a> {
+    /// All targets and what is believed of them.
+    pub registry: &'a TargetRegistry,
+    /// Zone of this host.
+    pub zone: &'a str,
+    /// Zones that cannot be reached.
+    pub cut: &'a [String],
+    /// The usual time of such a request.
+    pub usual: Duration,
+    /// When the choice is made.
+    pub now: Duration,
+}
+
+/// The target of a service that is expected to answer first, apart from those
+/// tried already and those that cannot be reached.
+pub fn place(
+    view: PlaceView<'_>,
+    service: &str,
+    tried: &[TargetKey],
+    lots: &mut impl Rng,
+    options: &Options,
+) -> Option<TargetKey> {
+    let PlaceView { registry, zone, cut, usual, now } = view;
+    let mut best: Option<(f64, TargetKey)> = None;
+    for key in registry.of_service(service) {
+        let Some(state) = registry.get(*key).filter(|_| !tried.contains(key)) else { continue };
+        if cut.iter().any(|cut| **cut == *state.entry.zone) {
+            continue;
+        }
+        let Some(score) = score(state, zone, usual, now, options) else { continue };
+        let drawn = score + lots.random_range(0.0..DRAW_SPREAD);
+        if best.is_none_or(|(least, _)| drawn < least) {
+            best = Some((drawn, *key));
+        }
+    }
+    best.map(|(_, key)| key)
+}
+
 /// Weights of the choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Options {
@@ -67,7 +116,7 @@
     let queued = (load + 1.0 - slots).max(0.0);
     // A slot that is free now is worth a little more than one of the last.
     let mut time = work * (1.0 + queued / slots + 0.1 * load / slots);
-    if state.entry.zone != zone {
+    if *state.entry.zone != *zone {
         time += options.zone_cost.as_secs_f64();
     }
     if state.oldest_wait(now).as_secs_f64() > options.suspect_factor * work.max(0.005) {
--- a/crates/hawthorn-route/src/registry.rs
+++ b/crates/hawthorn-route/src/registry.rs
@@ -1,6 +1,7 @@
 //! All targets as they register, each belief with its age.
 
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use slotmap::SlotMap;
@@ -55,8 +56,8 @@
 pub struct TargetRegistry {
     options: Options,
     targets: SlotMap<TargetKey, TargetState>,
-    by_id: HashMap<String, TargetKey>,
-    by_service: HashMap<String, TargetKeys>,
+    by_id: HashMap<Rc<str>, TargetKey>,
+    by_service: HashMap<Rc<str>, TargetKeys>,
 }
 
 impl TargetRegistry {
@@ -105,8 +106,8 @@
             self.forget(key);
         }
         let draining = entry.draining;
-        let id = entry.id.clone();
-        let service = entry.service.clone();
+        let id = Rc::clone(&entry.id);
+        let service = Rc::clone(&entry.service);
         let mut state = TargetState::new(entry, revision, now);
         if draining {
             state.phase = TargetPhase::Leaving { until: now + self.options.last_use };
@@ -172,7 +173,7 @@
 
     /// The ids that are known and not gone.
     pub fn ids(&self) -> Vec<String> {
-        self.by_id.keys().cloned().collect()
+        self.by_id.keys().map(|id| id.to_string()).collect()
     }
 
     fn forget(&mut self, key: TargetKey) {
--- /dev/null
+++ b/crates/hawthorn-route/src/spread.rs
@@ -0,0 +1,180 @@
+//! Where each shard of a query is asked for.
+//!
+//! The load it is for: queries over tens of shards whose targets lie in several
+//! zones, on hosts that have little processor time each. The harm it prevents:
+//! bytes between zones, several times what the records need, and connections
+//! that every host opens to every target. Shards that are best had in another
+//! zone are gathered by one host there, and where a few hosts of a zone gather
+//! for all, the others hand them the whole query. The limit: fewer than
+//! `least_shards` are asked for directly, as one message with its reply is as
+//! many bytes as their own.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use rand::Rng;
+use smallvec::SmallVec;
+
+use crate::document::GatherRule;
+use crate::place;
+use crate::place::PlaceView;
+use crate::registry::TargetKey;
+use crate::target::TargetPhase;
+
+/// Limits of handing shards over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Fewer shards of one zone are asked for directly.
+    pub least_shards: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { least_shards: 3 }
+    }
+}
+
+/// Zones where a shard has a target that takes work.
+pub type ZoneNames = SmallVec<[Rc<str>; 2]>;
+
+/// Where one shard is best had.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ShardWay {
+    /// From a target of this host's own zone, or from one that is alone.
+    Near(TargetKey),
+    /// From this target, and as well from any of these other zones.
+    Away(TargetKey, ZoneNames),
+    /// No target takes work.
+    Nowhere,
+}
+
+/// A query's shards by their place in its list.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Outcome {
+    /// Where each is best had.
+    pub ways: Vec<ShardWay>,
+}
+
+/// Shards that a host of one zone gathers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ZoneShards {
+    /// The zone.
+    pub zone: Rc<str>,
+    /// By their place in the query's list, rising.
+    pub shards: Vec<u16>,
+}
+
+/// Finds for each shard of a query where it is best had, once.
+pub fn spread(
+    view: PlaceView<'_>,
+    rule: &GatherRule,
+    lots: &mut impl Rng,
+    options: &place::Options,
+) -> Outcome {
+    let ways = rule.shards.iter().map(|shard| way(view, shard, lots, options)).collect();
+    Outcome { ways }
+}
+
+fn way(
+    view: PlaceView<'_>,
+    shard: &str,
+    lots: &mut impl Rng,
+    options: &place::Options,
+) -> ShardWay {
+    let PlaceView { registry, zone, cut, now, .. } = view;
+    let Some(best) = place::place(view, shard, &[], lots, options) else {
+        return ShardWay::Nowhere;
+    };
+    if registry.get(best).is_none_or(|state| *state.entry.zone == *zone) {
+        return ShardWay::Near(best);
+    }
+    let working = registry
+        .of_service(shard)
+        .iter()
+        .filter_map(|key| registry.get(*key))
+        .filter(|state| state.phase == TargetPhase::Ready && now >= state.paused_until());
+    let mut zones = ZoneNames::new();
+    for other in working.map(|state| &state.entry.zone) {
+        let reached = **other != *zone && !cut.iter().any(|cut| **cut == **other);
+        if reached && !zones.contains(other) {
+            zones.push(Rc::clone(other));
+        }
+    }
+    if zones.is_empty() { ShardWay::Near(best) } else { ShardWay::Away(best, zones) }
+}
+
+impl Outcome {
+    /// Enough shards have a target for an answer to be possible.
+    ///
+    /// Failure: targets work for an answer that cannot be given, and the caller
+    /// waits for it. It is refused at once instead.
+    pub fn can_answer(&self, rule: &GatherRule) -> bool {
+        let there = self.ways.iter().filter(|way| **way != ShardWay::Nowhere).count();
+        there as f64 >= rule.least_share * self.ways.len() as f64 && there > 0
+    }
+
+    /// The target that a shard is best had from.
+    pub fn target(&self, place: u16) -> Option<TargetKey> {
+        match self.ways.get(usize::from(place))? {
+            ShardWay::Near(key) | ShardWay::Away(key, _) => Some(*key),
+            ShardWay::Nowhere => None,
+        }
+    }
+
+    /// Which shards a host of another zone gathers, while one is to be had
+    /// there; all others are asked for here.
+    pub fn hand_over(
+        &self,
+        mut has_host: impl FnMut(&str) -> bool,
+        options: &Options,
+    ) -> Vec<ZoneShards> {
+        let mut away: Vec<(u16, &ZoneNames)> = self.away().collect();
+        let mut parts = Vec::new();
+        while let Some(zone) = busiest(&away) {
+            let there = away.iter().filter(|(_, zones)| zones.contains(&zone));
+            let shards: Vec<u16> = there.map(|(shard, _)| *shard).collect();
+            if shards.len() < options.least_shards {
+                break;
+            }
+            away.retain(|(_, zones)| !zones.contains(&zone));
+            if has_host(&zone) {
+                parts.push(ZoneShards { zone, shards });
+            }
+        }
+        parts
+    }
+
+    /// All shards for one host, as this one does not gather: the zones are tried
+    /// in order. `None` where none has a host, or too few shards are near to be
+    /// worth a message.
+    pub fn hand_over_all(
+        &self,
+        zones: &[Rc<str>],
+        mut has_host: impl FnMut(&str) -> bool,
+        options: &Options,
+    ) -> Option<ZoneShards> {
+        let near = self.ways.iter().filter(|way| matches!(way, ShardWay::Near(_))).count();
+        if near < options.least_shards {
+            return None;
+        }
+        let zone = zones.iter().find(|zone| has_host(zone)).cloned()?;
+        let places = (0_u16..).zip(&self.ways).filter(|(_, way)| **way != ShardWay::Nowhere);
+        Some(ZoneShards { zone, shards: places.map(|(place, _)| place).collect() })
+    }
+
+    fn away(&self) -> impl Iterator<Item = (u16, &ZoneNames)> {
+        (0_u16..).zip(&self.ways).filter_map(|(place, way)| match way {
+            ShardWay::Away(_, zones) => Some((place, zones)),
+            ShardWay::Near(_) | ShardWay::Nowhere => None,
+        })
+    }
+}
+
+/// The zone where most of the shards have a target.
+fn busiest(away: &[(u16, &ZoneNames)]) -> Option<Rc<str>> {
+    let mut counts: HashMap<&Rc<str>, usize> = HashMap::new();
+    for zone in away.iter().flat_map(|(_, zones)| zones.iter()) {
+        *counts.entry(zone).or_default() += 1;
+    }
+    counts.into_iter().max_by_key(|(zone, count)| (*count, *zone)).map(|(zone, _)| Rc::clone(zone))
+}
--- /dev/null
+++ b/crates/hawthorn-route/tests/spread.rs
@@ -0,0 +1,246 @@
+//! Where each shard of a query is asked for.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hawthorn_route::document::GatherRule;
+use hawthorn_route::document::TargetEntry;
+use hawthorn_route::place;
+use hawthorn_route::place::PlaceView;
+use hawthorn_route::registry;
+use hawthorn_route::registry::TargetRegistry;
+use hawthorn_route::spread;
+use hawthorn_route::spread::ShardWay;
+use hawthorn_route::spread::ZoneShards;
+use rand::SeedableRng;
+use rand::TryRng;
+use rand::rngs::StdRng;
+
+const NOW: Duration = Duration::from_secs(10);
+
+/// Targets of shard `s0`, `s1`, ...: for each shard the zones of its targets.
+fn registry(shards: &[&[&str]]) -> TargetRegistry {
+    let mut registry = TargetRegistry::new(registry::Options::default());
+    for (shard, zones) in shards.iter().enumerate() {
+        for (place, zone) in zones.iter().enumerate() {
+            let entry = TargetEntry {
+                id: format!("t{shard}-{place}").into(),
+                service: format!("s{shard}").into(),
+                address: "127.0.0.1:9".parse().expect("an address"),
+                zone: (*zone).into(),
+                slots: 2,
+                draining: false,
+                cold: Duration::ZERO,
+                born: None,
+            };
+            registry.put(entry, 1, NOW);
+        }
+    }
+    registry
+}
+
+fn rule(shards: usize, least_share: f64) -> GatherRule {
+    let shards = (0..shards).map(|shard| format!("s{shard}")).collect();
+    GatherRule { shards, top: 5, least_share }
+}
+
+fn spread_from_east(
+    registry: &TargetRegistry,
+    rule: &GatherRule,
+    cut: &[String],
+) -> spread::Outcome {
+    let usual = Duration::from_millis(15);
+    let view = PlaceView { registry, zone: "east", cut, usual, now: NOW };
+    let mut lots = StdRng::seed_from_u64(1);
+    spread::spread(view, rule, &mut lots, &place::Options::default())
+}
+
+fn part(zone: &str, shards: &[u16]) -> ZoneShards {
+    ZoneShards { zone: zone.into(), shards: shards.to_vec() }
+}
+
+/// Shards lie here, in other zones, in both, or nowhere. Those that are best had
+/// elsewhere go to one host of the zone that has most of them, as long as there
+/// is a host and enough of them; a zone that is cut off is as good as empty.
+#[test]
+fn shards_that_are_best_had_elsewhere_are_handed_over() {
+    struct Case {
+        name: &'static str,
+        shards: &'static [&'static [&'static str]],
+        cut: &'static [&'static str],
+        hosts: &'static [&'static str],
+        parts: Vec<ZoneShards>,
+        nowhere: usize,
+    }
+    const EAST: &[&str] = &["east"];
+    const WEST: &[&str] = &["west"];
+    const SOUTH: &[&str] = &["south"];
+    const BOTH: &[&str] = &["west", "south"];
+    const HERE_TOO: &[&str] = &["west", "east"];
+    const NONE: &[&str] = &[];
+    let cases = [
+        Case {
+            name: "all here",
+            shards: &[EAST, HERE_TOO, EAST],
+            cut: &[],
+            hosts: &["west"],
+            parts: vec![],
+            nowhere: 0,
+        },
+        Case {
+            name: "three there",
+            shards: &[WEST, EAST, WEST, WEST],
+            cut: &[],
+            hosts: &["west"],
+            parts: vec![part("west", &[0, 2, 3])],
+            nowhere: 0,
+        },
+        Case {
+            name: "too few there",
+            shards: &[WEST, EAST, WEST],
+            cut: &[],
+            hosts: &["west"],
+            parts: vec![],
+            nowhere: 0,
+        },
+        Case {
+            name: "no host there",
+            shards: &[WEST, WEST, WEST],
+            cut: &[],
+            hosts: &[],
+            parts: vec![],
+            nowhere: 0,
+        },
+        Case {
+            name: "one zone has more of them",
+            shards: &[WEST, BOTH, SOUTH, SOUTH, BOTH],
+            cut: &[],
+            hosts: &["west", "south"],
+            parts: vec![part("south", &[1, 2, 3, 4])],
+            nowhere: 0,
+        },
+        Case {
+            name: "two zones have enough",
+            shards: &[WEST, WEST, WEST, SOUTH, SOUTH, SOUTH, SOUTH],
+            cut: &[],
+            hosts: &["west", "south"],
+            parts: vec![part("south", &[3, 4, 5, 6]), part("west", &[0, 1, 2])],
+            nowhere: 0,
+        },
+        Case {
+            name: "that zone is cut off",
+            shards: &[WEST, WEST, WEST, BOTH, BOTH, BOTH],
+            cut: &["west"],
+            hosts: &["west", "south"],
+            parts: vec![part("south", &[3, 4, 5])],
+            nowhere: 3,
+        },
+        Case {
+            name: "a shard without targets",
+            shards: &[EAST, NONE],
+            cut: &[],
+            hosts: &[],
+            parts: vec![],
+            nowhere: 1,
+        },
+    ];
+    for case in cases {
+        let registry = registry(case.shards);
+        let cut: Vec<String> = case.cut.iter().map(|zone| (*zone).to_owned()).collect();
+        let rule = rule(case.shards.len(), 0.5);
+        let spread = spread_from_east(&registry, &rule, &cut);
+        let parts =
+            spread.hand_over(|zone| case.hosts.contains(&zone), &spread::Options::default());
+        assert_eq!(parts, case.parts, "{}", case.name);
+        let nowhere = spread.ways.iter().filter(|way| **way == ShardWay::Nowhere).count();
+        assert_eq!(nowhere, case.nowhere, "{}", case.name);
+    }
+}
+
+/// A host that does not gather hands everything that has a target to one host:
+/// of its own zone while that has one, else of the next. What it has hardly
+/// anything of at hand is not worth a message to its own zone.
+#[test]
+fn a_host_that_does_not_gather_hands_over_the_whole() {
+    let shards: &[&[&str]] = &[&["east"], &["west"], &["east"], &["east"], &[]];
+    let registry = registry(shards);
+    let spread = spread_from_east(&registry, &rule(shards.len(), 0.5), &[]);
+    let zones: Vec<Rc<str>> = vec!["east".into(), "west".into()];
+    let options = spread::Options::default();
+    let all = |hosts: &[&str]| spread.hand_over_all(&zones, |zone| hosts.contains(&zone), &options);
+    assert_eq!(all(&["east", "west"]), Some(part("east", &[0, 1, 2, 3])));
+    assert_eq!(all(&["west"]), Some(part("west", &[0, 1, 2, 3])));
+    assert_eq!(all(&[]), None);
+    let far = self::registry(&[&["west"], &["west"], &["west"]]);
+    let spread = spread_from_east(&far, &rule(3, 0.5), &[]);
+    assert_eq!(spread.hand_over_all(&zones, |_| true, &options), None);
+}
+
+/// Lots that are counted.
+struct CountedLots {
+    lots: StdRng,
+    drawn: usize,
+}
+
+impl TryRng for CountedLots {
+    type Error = Infallible;
+
+    fn try_next_u32(&mut self) -> Result<u32, Infallible> {
+        self.drawn += 1;
+        self.lots.try_next_u32()
+    }
+
+    fn try_next_u64(&mut self) -> Result<u64, Infallible> {
+        self.drawn += 1;
+        self.lots.try_next_u64()
+    }
+
+    fn try_fill_bytes(&mut self, bytes: &mut [u8]) -> Result<(), Infallible> {
+        self.lots.try_fill_bytes(bytes)
+    }
+}
+
+/// A host works out the same thing several times a query, and a query over
+/// hundreds of shards costs it a millisecond of its processor. Each target is
+/// judged once, for which one lot is drawn.
+#[test]
+fn each_target_is_judged_once_a_query() {
+    let shards: Vec<&[&str]> = vec![&["east", "west", "south"]; 90];
+    let registry = registry(&shards);
+    let usual = Duration::from_millis(15);
+    let view = PlaceView { registry: &registry, zone: "east", cut: &[], usual, now: NOW };
+    let mut lots = CountedLots { lots: StdRng::seed_from_u64(1), drawn: 0 };
+    let rule = rule(90, 0.9);
+    let spread = spread::spread(view, &rule, &mut lots, &place::Options::default());
+    assert!(spread.can_answer(&rule));
+    let parts = spread.hand_over(|_| true, &spread::Options::default());
+    assert_eq!(parts, []);
+    assert_eq!(lots.drawn, 270);
+}
+
+/// Targets of some shards are all gone. An answer is possible while enough of
+/// the shards have one; below that nothing is sent to any.
+#[test]
+fn an_answer_needs_enough_shards() {
+    struct Case {
+        there: usize,
+        shards: usize,
+        least_share: f64,
+        possible: bool,
+    }
+    let cases = [
+        Case { there: 10, shards: 10, least_share: 1.0, possible: true },
+        Case { there: 9, shards: 10, least_share: 1.0, possible: false },
+        Case { there: 9, shards: 10, least_share: 0.9, possible: true },
+        Case { there: 8, shards: 10, least_share: 0.89, possible: false },
+        Case { there: 0, shards: 10, least_share: 0.0, possible: false },
+    ];
+    for case in cases {
+        let held: Vec<&[&str]> = vec![&["east"]; case.there];
+        let registry = registry(&held);
+        let rule = rule(case.shards, case.least_share);
+        let spread = spread_from_east(&registry, &rule, &[]);
+        assert_eq!(spread.can_answer(&rule), case.possible, "{} of {}", case.there, case.shards);
+    }
+}
--- a/crates/hawthorn-route/tests/targets.rs
+++ b/crates/hawthorn-route/tests/targets.rs
@@ -20,10 +20,10 @@
 
 fn entry(id: &str, zone: &str) -> TargetEntry {
     TargetEntry {
-        id: id.to_owned(),
-        service: "s".to_owned(),
+        id: id.into(),
+        service: "s".into(),
         address: "127.0.0.1:9".parse().expect("an address"),
-        zone: zone.to_owned(),
+        zone: zone.into(),
         slots: 2,
         draining: false,
         cold: Duration::ZERO,
@@ -148,7 +148,7 @@
         },
         Case {
             name: "moved to another service",
-            news: |targets| targets.put(with(|entry| entry.service = "t".to_owned()), 6, ms(10)),
+            news: |targets| targets.put(with(|entry| entry.service = "t".into()), 6, ms(10)),
             change: TargetChange::Born,
             ready: 0,
         },
--- a/crates/hawthorn-standin/src/route/operator.rs
+++ b/crates/hawthorn-standin/src/route/operator.rs
@@ -1,5 +1,7 @@
 //! What operators and targets write into the platform's store.
 
+use std::net::SocketAddr;
+
 use serde_json::Value;
 use serde_json::json;
 
@@ -79,6 +81,17 @@
     store.put(&entry_key(id), value);
 }
 
-fn entry_key(id: &str) -> String {
+/// What a target of two slots writes of itself; `state` is `ready` or `draining`.
+pub fn entry(service: &str, address: SocketAddr, zone: &str, state: &str) -> String {
+    let entry = json!({
+        "service": service, "address": address, "zone": zone,
+        "configVersion": "v1", "concurrency": 2, "state": state,
+        "coldRemainingMs": 0, "sequence": 1
+    });
+    entry.to_string()
+}
+
+/// The key of a target's entry.
+pub fn entry_key(id: &str) -> String {
     format!("servers/{id}")
 }
--- a/crates/hawthorn-standin/src/route/target.rs
+++ b/crates/hawthorn-standin/src/route/target.rs
@@ -7,7 +7,6 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use serde_json::json;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -16,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
 
+use super::operator;
 use super::wire;
 use super::wire::WireRequest;
 use super::words;
@@ -107,12 +107,7 @@
     /// What it registers as.
     pub fn entry(&self, zone: &str, state: &str) -> Vec<u8> {
         let held = self.state.lock().expect("no holder of the lock panics");
-        let entry = json!({
-            "service": held.service, "address": self.address, "zone": zone,
-            "configVersion": "v1", "concurrency": 2, "state": state,
-            "coldRemainingMs": 0, "sequence": 1
-        });
-        entry.to_string().into_bytes()
+        operator::entry(&held.service, self.address, zone, state).into_bytes()
     }
 
     /// Has the next requests meet these faults, one each.
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -32,7 +32,8 @@
     let store = RouteStore::start().await?;
     let first = RouteTarget::start("t-1", "s").await?;
     let second = RouteTarget::start("t-2", "s").await?;
-    let routes = [operator::single("/safe/", "s", "safe"), operator::single("/once/", "s", "unsafe")];
+    let routes =
+        [operator::single("/safe/", "s", "safe"), operator::single("/once/", "s", "unsafe")];
     operator::configure(&store, 3, &routes, &["s"]);
     operator::register(&store, "t-1", &first, "east");
     operator::register(&store, "t-2", &second, "east");
@@ -409,8 +410,7 @@
         assert_eq!(answer.status, 200);
         assert_eq!(answer.headers[words::MISSING_PARTS], "0");
         assert_eq!(answer.body, records[..4].concat());
-        let mut receipts: Vec<&str> =
-            answer.headers[words::PART_RECEIPTS].split(", ").collect();
+        let mut receipts: Vec<&str> = answer.headers[words::PART_RECEIPTS].split(", ").collect();
         receipts.sort_unstable();
         let expected: Vec<String> = names.iter().map(|name| format!("t-{name}.{id}")).collect();
         assert_eq!(receipts, expected);
@@ -421,9 +421,8 @@
     targets.pop();
     let whole = async || {
         let answer = east.ask("GET", "/all/", "id-9", "").await;
-        answer.is_ok_and(|answer| {
-            answer.status == 200 && answer.headers[words::MISSING_PARTS] == "1"
-        })
+        answer
+            .is_ok_and(|answer| answer.status == 200 && answer.headers[words::MISSING_PARTS] == "1")
     };
     route::wait_for("queries to be answered without the peer and the shard", whole).await
 }
