feat: report draws a run of routed requests from its logs and saved metrics

Cause: what happened in a run could only be found by grep, a host at a time; an incident's write-up asked for attempts by target and end.

Ruled out: drawing from metrics alone (they tell no target and no belief), a page with scripts (it has to open anywhere, years later).

Change: hawthorn-report reads lines, whoever collected them, and is what explain-log reads by too; report draws outcomes, times, bad ends, beliefs and versions by second with plotters, lists the worst targets and what happened to hosts. E600 tells the time of day, by which files of several hosts are laid side by side; E630 tells its weight. Builds for hosts leave the drawings out.

--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use hawthorn_fleet::MemberTable;
 use hawthorn_route::door;
@@ -230,7 +232,9 @@
     duties.spawn_local(reach::watch(Rc::clone(&host)));
     let name = &host.beliefs.settings.host.name;
     let zone = &host.beliefs.settings.host.zone;
-    edge_event!(Level::Info, EdgeEvent::HostStarted, "host={name} zone={zone}");
+    // For those who read lines of several hosts; nothing is decided by it.
+    let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+    edge_event!(Level::Info, EdgeEvent::HostStarted, "host={name} zone={zone} unix_ms={unix_ms}");
     loop {
         tokio::select! {
             _ = terms.recv() => break,
--- a/crates/hawthorn-edge/src/request/story.rs
+++ b/crates/hawthorn-edge/src/request/story.rs
@@ -81,13 +81,15 @@
         if calm && !sampled && !log::log_enabled!(target: "edge", Level::Debug) {
             return;
         }
+        // How many requests the line stands for.
+        let weight = if calm && sampled { CALM_SAMPLE } else { 1 };
         let RequestSummary { id, route, version, outcome, status, .. } = summary;
         let (had, all) = summary.parts.unwrap_or((0, 0));
         edge_event!(
             Level::Info,
             EdgeEvent::RequestEnded,
             "request={id} route={route} version={version} outcome={outcome} status={status} \
-             ms={:.1} left_ms={} parts={had}/{all}",
+             ms={:.1} left_ms={} parts={had}/{all} weight={weight}",
             millis(summary.took),
             summary.left.as_millis()
         );
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -17,6 +17,7 @@
     Serve(ServeOptions),
     Route(RouteOptions),
     ExplainLog(ExplainLogOptions),
+    Report(ReportOptions),
     Check(CheckOptions),
     Query(QueryOptions),
     Request(RequestOptions),
@@ -51,6 +52,16 @@
     pub(crate) files: Vec<PathBuf>,
 }
 
+/// Of `report`.
+#[derive(Clone, Debug)]
+#[cfg_attr(not(feature = "report"), expect(dead_code, reason = "only drawing reads all of it"))]
+pub(crate) struct ReportOptions {
+    pub(crate) title: String,
+    pub(crate) out: PathBuf,
+    pub(crate) metrics: Vec<PathBuf>,
+    pub(crate) files: Vec<PathBuf>,
+}
+
 /// Of `check`.
 #[derive(Clone, Debug)]
 pub(crate) struct CheckOptions {
@@ -211,6 +222,25 @@
         .command("explain-log")
 }
 
+fn report() -> impl Parser<CliCommand> {
+    let title = long("title")
+        .help("What the page is called")
+        .argument::<String>("TEXT")
+        .fallback("hawthornroute".to_owned());
+    let out = long("out").help("The page to write, HTML").argument::<PathBuf>("FILE");
+    let metrics = long("metrics")
+        .help("A host's saved metrics: readings, each after a line '# scraped SECONDS'")
+        .argument::<PathBuf>("FILE")
+        .many();
+    let files = positional::<PathBuf>("FILE").help("Hosts' logs, one file a host").some("a file");
+    construct!(ReportOptions { title, out, metrics, files })
+        .map(CliCommand::Report)
+        .to_options()
+        .descr("Draw a run of routed requests from hosts' logs and saved metrics, as one page")
+        .footer("Example: hawthornroute report --out run.html front-*.log")
+        .command("report")
+}
+
 fn check() -> impl Parser<CliCommand> {
     let json = json();
     let directory = directory();
@@ -385,6 +415,7 @@
     let serve = serve();
     let route = route();
     let explain_log = explain_log();
+    let report = report();
     let check = check();
     let query = query();
     let request = request();
@@ -401,6 +432,7 @@
             serve,
             route,
             explain_log,
+            report,
             check,
             query,
             request,
@@ -418,6 +450,7 @@
         serve,
         route,
         explain_log,
+        report,
         check,
         query,
         request,
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,6 +12,8 @@
 mod examine;
 mod exit;
 mod http;
+#[cfg(feature = "report")]
+mod report;
 mod route;
 mod serve;
 mod story;
@@ -24,6 +26,13 @@
         cli::CliCommand::Serve(options) => serve::serve(&options),
         cli::CliCommand::Route(options) => route::route(&options),
         cli::CliCommand::ExplainLog(options) => story::explain_log(&options),
+        #[cfg(feature = "report")]
+        cli::CliCommand::Report(options) => report::report(&options),
+        #[cfg(not(feature = "report"))]
+        cli::CliCommand::Report(options) => Err(exit::CommandError::Text(format!(
+            "this build draws no reports, and leaves {} unwritten: build it with --features report",
+            options.out.display()
+        ))),
         cli::CliCommand::Check(options) => configure::check(&options),
         cli::CliCommand::Query(options) => examine::query(&options),
         cli::CliCommand::Request(options) => examine::request(&options),
--- a/src/story.rs
+++ b/src/story.rs
@@ -1,20 +1,14 @@
 //! `explain-log`: the story of one request from hosts' log lines, in plain words.
 
-use std::collections::HashMap;
 use std::path::Path;
 
+use hawthorn_report::line;
+use hawthorn_report::line::LogLine;
+
 use crate::cli::ExplainLogOptions;
 use crate::exit::CommandError;
 use crate::exit::CommandExit;
 
-/// A line of a host's log, taken apart.
-#[derive(Clone, Debug, PartialEq)]
-struct LogLine<'a> {
-    host: &'a str,
-    number: u16,
-    values: HashMap<&'a str, &'a str>,
-}
-
 /// Prints what happened to a request, host by host, in the order of the files.
 pub(crate) fn explain_log(options: &ExplainLogOptions) -> Result<CommandExit, CommandError> {
     let mut found = false;
@@ -37,33 +31,20 @@
 }
 
 /// Of a host's own file, its name without the ending.
-fn host_name(path: &Path) -> String {
+pub(crate) fn host_name(path: &Path) -> String {
     path.file_stem().map_or_else(String::new, |name| name.to_string_lossy().into_owned())
 }
 
 /// The lines of one request, in plain words.
 pub(crate) fn story(text: &str, host: &str, request: &str) -> Vec<String> {
-    text.lines()
-        .filter(|line| line.contains(request))
-        .filter_map(|line| read(line, host))
-        .filter(|line| line.values.get("request") == Some(&request))
+    line::lines(text, host)
+        .filter(|line| line.value("request") == Some(request))
         .map(|line| tell(&line))
         .collect()
 }
 
-/// Takes a line apart: what stands before the level may name the host.
-fn read<'a>(line: &'a str, host: &'a str) -> Option<LogLine<'a>> {
-    let (before, event) = line.split_once(" E6")?;
-    let number = event.get(..2)?.parse::<u16>().ok()? + 600;
-    let (_, pairs) = event.split_once(": ")?;
-    let words: Vec<&str> = before.split_whitespace().collect();
-    let named = words.iter().rev().nth(2).copied();
-    let values = pairs.split(' ').filter_map(|pair| pair.split_once('=')).collect();
-    Some(LogLine { host: named.unwrap_or(host), number, values })
-}
-
 fn tell(line: &LogLine<'_>) -> String {
-    let value = |name: &str| line.values.get(name).copied().unwrap_or("?");
+    let value = |name: &str| line.value(name).unwrap_or("?");
     let host = line.host;
     match line.number {
         630 => format!(
@@ -107,6 +88,10 @@
             value("outcome"),
             value("took_ms")
         ),
-        _ => format!("{host}:   event E{}", line.number),
+        634 => format!(
+            "{host}:   part of a long answer had left when it broke off: {}",
+            value("error")
+        ),
+        _ => format!("{host}:   event E{} {}", line.number, line.name),
     }
 }
