test(route): every event is brought about, and its keys are the catalogue's

Cause: the catalogue of events was checked against the code's numbers only; nothing showed that each is ever written, nor that its keys are called so. The first run found that lines of level ERROR could not be read by report and explain-log: the reader took the level for the event's number.

Change: tests/route_events.rs has real hosts write every event: one alone with failing targets, slow callers, a store that is away; one cut off; hosts of two zones with a silent source; one whose lines lie unread. Each line's keys are the catalogue's, and the set of numbers is the code's, both ways.

Test that failed first: the same, at the first line of E605; and values_may_hold_spaces with that level.

--- a/crates/hawthorn-report/src/line.rs
+++ b/crates/hawthorn-report/src/line.rs
@@ -24,6 +24,11 @@
         self.values.get(name).copied()
     }
 
+    /// The names of all its values.
+    pub fn names(&self) -> impl Iterator<Item = &'a str> {
+        self.values.keys().copied()
+    }
+
     /// One of the line's values as a number.
     pub fn figure(&self, name: &str) -> Option<f64> {
         self.value(name)?.parse().ok()
@@ -35,7 +40,10 @@
 /// A host writes `SECONDS LEVEL E630 request-ended: name=value ...`. A collector
 /// may have put its own time and the host's name before that.
 pub fn read<'a>(text: &'a str, host: &'a str) -> Option<LogLine<'a>> {
-    let (before, event) = text.split_once(" E")?;
+    // The level may begin with the same letter as the number.
+    let numbered = |(at, _): &(usize, _)| text[at + 2..].starts_with(|c: char| c.is_ascii_digit());
+    let (at, _) = text.match_indices(" E").find(numbered)?;
+    let (before, event) = (&text[..at], &text[at + 2..]);
     let (head, pairs) = event.split_once(':')?;
     let (number, name) = head.split_once(' ')?;
     let words: Vec<&str> = before.split_whitespace().collect();
--- a/crates/hawthorn-report/tests/read.rs
+++ b/crates/hawthorn-report/tests/read.rs
@@ -57,7 +57,7 @@
 
 #[test]
 fn values_may_hold_spaces() {
-    let text = "1.0 INFO E605 duty-failed: duty=accept error=\"no room: (os error 24)\" n=2";
+    let text = "1.0 ERROR E605 duty-failed: duty=accept error=\"no room: (os error 24)\" n=2";
     let line = line::read(text, "a").expect("an event's line");
     assert_eq!(line.value("duty"), Some("accept"));
     assert_eq!(line.value("error"), Some("no room: (os error 24)"));
--- a/crates/hawthorn-standin/src/route/operator.rs
+++ b/crates/hawthorn-standin/src/route/operator.rs
@@ -8,6 +8,9 @@
 use super::RouteStore;
 use super::RouteTarget;
 
+/// Where operators write the configuration.
+const DOCUMENT_KEY: &str = "op/config";
+
 /// The host that all routes are of.
 pub const HOST: &str = "shop.example";
 
@@ -58,7 +61,7 @@
     if let Some(limits) = limits {
         document["limits"] = limits;
     }
-    store.put("op/config", document.to_string().as_bytes());
+    store.put(DOCUMENT_KEY, document.to_string().as_bytes());
 }
 
 /// Registers a target.
@@ -81,6 +84,11 @@
     store.put(&entry_key(id), value);
 }
 
+/// Writes a configuration that is none.
+pub fn scribble_document(store: &RouteStore, value: &[u8]) {
+    store.put(DOCUMENT_KEY, value);
+}
+
 /// What a target of two slots writes of itself; `state` is `ready` or `draining`.
 pub fn entry(service: &str, address: SocketAddr, zone: &str, state: &str) -> String {
     let entry = json!({
--- /dev/null
+++ b/tests/route_events.rs
@@ -0,0 +1,209 @@
+//! Every numbered event, as real `route` processes log it.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hawthorn_edge::process::events::EdgeEvent;
+use hawthorn_report::line;
+use hawthorn_standin::route::RouteStore;
+use hawthorn_standin::route::RouteTarget;
+use hawthorn_standin::route::operator;
+use hawthorn_standin::route::store::RouteOutage;
+use hawthorn_standin::route::target::TargetFault;
+use rustix::process::Signal;
+use strum::IntoEnumIterator;
+use support::TestResult;
+use support::route;
+use support::route::RouteHost;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
+
+/// The longest time of a request's head, in milliseconds.
+const HEAD_MS: u64 = 300;
+
+async fn wait_for_line(host: &RouteHost, text: &str) -> TestResult {
+    route::wait_for(text, async || host.logged(text) > 0).await
+}
+
+/// One host from start to stop, with two targets that fail in turn, operators
+/// who write nonsense, callers who are slow and a store that is away.
+async fn a_host_alone() -> TestResult<Vec<String>> {
+    let store = RouteStore::start().await?;
+    let first = RouteTarget::start("t-1", "s").await?;
+    let second = RouteTarget::start("t-2", "s").await?;
+    let routes = [operator::single("/safe/", "s", "safe")];
+    operator::configure_heads(&store, 3, &routes, &["s"], HEAD_MS);
+    operator::register(&store, "t-1", &first, "east");
+    operator::register(&store, "t-2", &second, "east");
+    // The port of its metrics is taken by its own page of readiness.
+    let mut host = RouteHost::start_with("h-1", "east", store.address(), &[], route::READY_PORT)?;
+    host.ready().await?;
+    first.fail_next(&[TargetFault::Slow(Duration::from_secs(1))]);
+    second.fail_next(&[TargetFault::Slow(Duration::from_secs(1))]);
+    host.ask("GET", "/safe/", "id-late", "").await?;
+    wait_for_line(&host, "attempt-late").await?;
+    for target in [&first, &second] {
+        target.fail_always(Some(TargetFault::LongHalf(1 << 20)));
+    }
+    assert!(host.ask("GET", "/safe/", "id-cut", "").await.is_err());
+    wait_for_line(&host, "answer-cut").await?;
+    let mut slow = TcpStream::connect(host.caller()).await?;
+    slow.write_all(b"GET /safe/ HT").await?;
+    wait_for_line(&host, "head-refused").await?;
+    UdpSocket::bind("127.0.0.1:0").await?.send_to(b"nonsense", host.peer()).await?;
+    wait_for_line(&host, "peer-message-broken").await?;
+    operator::scribble(&store, "other", b"{}");
+    wait_for_line(&host, "entry-broken").await?;
+    operator::scribble_document(&store, b"{}");
+    wait_for_line(&host, "routes-broken").await?;
+    store.set_outage(RouteOutage::Busy);
+    wait_for_line(&host, "store-lost").await?;
+    store.set_outage(RouteOutage::None);
+    wait_for_line(&host, "store-back").await?;
+    host.signal(Signal::HUP)?;
+    wait_for_line(&host, "settings-reloaded").await?;
+    host.signal(Signal::TERM)?;
+    wait_for_line(&host, "host-stopped").await?;
+    while !host.has_ended() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    Ok(host.lines())
+}
+
+/// Two of three zones are cut off with all that callers ask for.
+async fn a_host_cut_off() -> TestResult<Vec<String>> {
+    let store = RouteStore::start().await?;
+    let mut targets = Vec::new();
+    for (id, zone) in [("t-1", "west"), ("t-2", "south")] {
+        let target = RouteTarget::start(id, "s").await?;
+        operator::register(&store, id, &target, zone);
+        targets.push(target);
+    }
+    operator::configure(&store, 3, &[operator::single("/safe/", "s", "safe")], &["s"]);
+    let host = RouteHost::start("h-1", "east", store.address(), &[])?;
+    host.ready().await?;
+    // Nobody listens at their addresses any more.
+    targets.drain(..).for_each(RouteTarget::end);
+    let stranded = async || {
+        let _refused = host.ask("GET", "/safe/", "id-1", "").await;
+        host.logged("host-stranded") > 0
+    };
+    route::wait_for("the host to step aside", stranded).await?;
+    Ok(host.lines())
+}
+
+/// The store answers nothing to the hosts that watch it, and a zone that it
+/// answers has shards which a front of the other zone asks for.
+async fn hosts_of_two_zones() -> TestResult<Vec<String>> {
+    let store = RouteStore::start().await?;
+    let names = ["a", "b", "c"];
+    let mut targets = Vec::new();
+    for name in names {
+        let target = RouteTarget::start(&format!("t-{name}"), name).await?;
+        operator::register(&store, &format!("t-{name}"), &target, "west");
+        targets.push(target);
+    }
+    let routes = [operator::gathered("/all/", &names, 0.5)];
+    operator::configure(&store, 3, &routes, &names);
+    let mut hosts = vec![RouteHost::start("h-1", "east", store.address(), &[])?];
+    hosts[0].ready().await?;
+    for name in ["h-2", "h-3"] {
+        let joined = RouteHost::start(name, "east", store.address(), &[&hosts[0]])?;
+        joined.ready().await?;
+        hosts.push(joined);
+    }
+    route::wait_for("two hosts to watch", async || store.watching() == 2).await?;
+    store.silence_callers();
+    let logged =
+        |hosts: &[RouteHost], text: &str| hosts.iter().map(|host| host.logged(text)).sum::<usize>();
+    let stale = async || logged(&hosts, "peer-stale") > 0;
+    route::wait_for("a source to be stale", stale).await?;
+    hosts.push(RouteHost::start("h-4", "west", store.address(), &[&hosts[0]])?);
+    hosts[3].ready().await?;
+    operator::configure(&store, 5, &routes, &names);
+    let caught_up = async || logged(&hosts, "caught-up") > 0;
+    route::wait_for("the east to catch up with the west", caught_up).await?;
+    let delegated = async || {
+        let _answer = hosts[0].ask("GET", "/all/", "id-1", "").await;
+        hosts[0].logged("shards-delegated") > 0
+    };
+    route::wait_for("a peer to gather", delegated).await?;
+    Ok(hosts.iter().flat_map(RouteHost::lines).collect())
+}
+
+/// Whoever reads the lines is stuck, while every request writes some: the host
+/// goes on serving, and says afterwards how many lines it dropped.
+async fn a_host_whose_lines_lie_unread() -> TestResult<Vec<String>> {
+    let store = RouteStore::start().await?;
+    let target = RouteTarget::start("t-1", "s").await?;
+    operator::configure(&store, 3, &[operator::single("/safe/", "s", "safe")], &["s"]);
+    operator::register(&store, "t-1", &target, "east");
+    let host = RouteHost::start("h-1", "east", store.address(), &[])?;
+    host.ready().await?;
+    host.hold_lines(true);
+    let address: SocketAddr = host.caller();
+    // Two lines a request: the ring, what the pipe holds, and some.
+    let asked = (0..8).map(|caller| async move {
+        let mut stream = TcpStream::connect(address).await?;
+        for round in 0..800 {
+            let id = format!("id-{caller}-{round}");
+            stream.write_all(&route::request("GET", "/safe/", &id, "")).await?;
+            assert_eq!(route::read_answer(&mut stream).await?.status, 200);
+        }
+        TestResult::Ok(())
+    });
+    futures::future::try_join_all(asked).await?;
+    host.hold_lines(false);
+    let dropped = async || {
+        let _answer = host.ask("GET", "/safe/", "id-more", "").await;
+        host.logged("lines-dropped") > 0
+    };
+    route::wait_for("the host to say that it dropped lines", dropped).await?;
+    Ok(host.lines())
+}
+
+/// The keys of each event as the catalogue lists them.
+fn catalogue() -> BTreeMap<u16, BTreeSet<String>> {
+    let page = include_str!("../docs/operators/events-route.md");
+    let keys = |cells: &str| {
+        let words = cells.split(|mark: char| !mark.is_ascii_alphanumeric() && mark != '_');
+        words.filter(|word| !word.is_empty()).map(str::to_owned).collect()
+    };
+    page.lines()
+        .filter_map(|line| {
+            let cells: Vec<&str> = line.strip_prefix("| E")?.split('|').map(str::trim).collect();
+            Some((cells.first()?.parse().ok()?, keys(cells.get(2)?)))
+        })
+        .collect()
+}
+
+/// An engineer looks an event up that the catalogue does not tell of, or waits
+/// for one that nothing writes, or greps for a key that has another name. Hosts
+/// are brought to write every event, and each line has keys of the catalogue.
+#[tokio::test(flavor = "multi_thread")]
+async fn every_event_is_written_as_the_catalogue_says() -> TestResult {
+    let (alone, cut_off, zones, unread) = tokio::try_join!(
+        a_host_alone(),
+        a_host_cut_off(),
+        hosts_of_two_zones(),
+        a_host_whose_lines_lie_unread()
+    )?;
+    let catalogue = catalogue();
+    let mut written = BTreeSet::new();
+    for text in [alone, cut_off, zones, unread].concat() {
+        let read = line::read(&text, "").ok_or_else(|| format!("not an event: {text}"))?;
+        let keys = catalogue.get(&read.number).ok_or_else(|| format!("not listed: {text}"))?;
+        for name in read.names() {
+            assert!(keys.contains(name), "E{}: {name} is not listed: {text}", read.number);
+        }
+        written.insert(read.number);
+    }
+    let known: BTreeSet<u16> = EdgeEvent::iter().map(EdgeEvent::number).collect();
+    assert_eq!(written, known);
+    Ok(())
+}
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -13,6 +13,7 @@
 use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -65,6 +66,7 @@
     ip: IpAddr,
     child: Child,
     log: Arc<Mutex<Vec<String>>>,
+    held: Arc<AtomicBool>,
     file: PathBuf,
     _files: TempDir,
 }
@@ -103,15 +105,16 @@
         );
         std::fs::write(&file, text)?;
         let log = Arc::new(Mutex::new(Vec::new()));
-        let child = run(&file, &log)?;
-        Ok(Self { ip, child, log, file, _files: files })
+        let held = Arc::new(AtomicBool::new(false));
+        let child = run(&file, &log, &held)?;
+        Ok(Self { ip, child, log, held, file, _files: files })
     }
 
     /// Ends the process by force and starts it again at the same addresses.
     pub fn restart(&mut self) -> TestResult {
         self.child.kill()?;
         self.child.wait()?;
-        self.child = run(&self.file, &self.log)?;
+        self.child = run(&self.file, &self.log, &self.held)?;
         Ok(())
     }
 
@@ -144,6 +147,22 @@
         log.iter().filter(|line| line.contains(text)).count()
     }
 
+    /// All lines logged so far.
+    pub fn lines(&self) -> Vec<String> {
+        self.log.lock().expect("no holder of the lock panics").clone()
+    }
+
+    /// Lets its lines lie unread from now on, as a reader does that is stuck, or
+    /// reads them again.
+    pub fn hold_lines(&self, hold: bool) {
+        self.held.store(hold, Ordering::Relaxed);
+    }
+
+    /// Where other hosts reach it.
+    pub fn peer(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, PEER_PORT)
+    }
+
     /// Sends a signal to this process.
     pub fn signal(&self, signal: Signal) -> TestResult {
         let pid = Pid::from_raw(i32::try_from(self.child.id())?).ok_or("a child has an id")?;
@@ -174,7 +193,7 @@
     }
 }
 
-fn run(file: &Path, log: &Arc<Mutex<Vec<String>>>) -> TestResult<Child> {
+fn run(file: &Path, log: &Arc<Mutex<Vec<String>>>, held: &Arc<AtomicBool>) -> TestResult<Child> {
     let mut child = Command::new(super::program())
         .args(["route", "--log", "debug", "--settings"])
         .arg(file)
@@ -183,10 +202,13 @@
         .stderr(Stdio::inherit())
         .spawn()?;
     let output = child.stdout.take().ok_or("standard output is piped")?;
-    let lines = Arc::clone(log);
+    let (lines, held) = (Arc::clone(log), Arc::clone(held));
     std::thread::spawn(move || {
         for line in BufReader::new(output).lines().map_while(Result::ok) {
             lines.lock().expect("no holder of the lock panics").push(line);
+            while held.load(Ordering::Relaxed) {
+                std::thread::sleep(Duration::from_millis(10));
+            }
         }
     });
     Ok(child)
