perf(route): an answer that is in time is not fetched from another zone

Ruled out: shards' own traffic (1,190 attempts that went to another zone one by one, most of them second ones, 0.8 MB; 1,800 hand-overs, about 2 MB, of shards that have no target in the zone). A greater cost for all (shards of an aim of 60 ms would wait behind a slow target).

Change: another zone counts as a quarter of the route's aim at least.

Test: an_answer_that_is_in_time_comes_from_the_zone; failed before.

--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -212,7 +212,7 @@
     );
     order.load.borrow_mut().shards = run.state.shards;
     order.load.borrow_mut().spare = run.state.spare();
-    let spread = host.beliefs.spread(rule, host.beliefs.usual(&order.route), host_now());
+    let spread = host.beliefs.spread(rule, &order.route, host_now());
     if !spread.can_answer(rule) {
         return CallerAnswer::refused(RefusalReason::NoTarget);
     }
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -213,31 +213,32 @@
         &self,
         service: &str,
         tried: &[TargetKey],
-        usual: Duration,
+        route: &RouteRule,
         now: Duration,
     ) -> Option<TargetKey> {
-        self.with_view(usual, now, |view, lots| {
+        self.with_view(route, now, |view, lots| {
             place::place(view, service, tried, lots, &place::Options::default())
         })
     }
 
     /// Where each shard of a query is best had.
-    pub fn spread(&self, rule: &GatherRule, usual: Duration, now: Duration) -> spread::Outcome {
-        self.with_view(usual, now, |view, lots| {
+    pub fn spread(&self, rule: &GatherRule, route: &RouteRule, now: Duration) -> spread::Outcome {
+        self.with_view(route, now, |view, lots| {
             spread::spread(view, rule, lots, &place::Options::default())
         })
     }
 
     fn with_view<T>(
         &self,
-        usual: Duration,
+        route: &RouteRule,
         now: Duration,
         with: impl FnOnce(PlaceView<'_>, &mut StdRng) -> T,
     ) -> T {
         let registry = self.registry.borrow();
         let cut = self.cut_zones(now);
         let zone = &self.settings.host.zone;
-        let view = PlaceView { registry: &registry, zone, cut: &cut, usual, now };
+        let (usual, aim) = (self.usual(route), route.aim);
+        let view = PlaceView { registry: &registry, zone, cut: &cut, usual, aim, now };
         with(view, &mut self.lots.borrow_mut())
     }
 
--- a/crates/hawthorn-edge/src/version/reach.rs
+++ b/crates/hawthorn-edge/src/version/reach.rs
@@ -111,12 +111,11 @@
 
     /// Whether enough of a route's services have a target that takes work.
     pub fn can_answer(&self, route: &RouteRule, now: Duration) -> bool {
-        let usual = self.usual(route);
-        let takes = |service: &str| self.place(service, &[], usual, now).is_some();
+        let takes = |service: &str| self.place(service, &[], route, now).is_some();
         match &route.way {
             RouteWay::Single(service) => takes(service),
             RouteWay::Weighted(parts) => parts.iter().any(|part| takes(&part.service)),
-            RouteWay::Gather(rule) => self.spread(rule, usual, now).can_answer(rule),
+            RouteWay::Gather(rule) => self.spread(rule, route, now).can_answer(rule),
         }
     }
 }
--- a/crates/hawthorn-route/benches/query.rs
+++ b/crates/hawthorn-route/benches/query.rs
@@ -51,7 +51,8 @@
     for count in [20, 90, 270] {
         let (registry, rule) = shards(count);
         let usual = Duration::from_millis(15);
-        let view = PlaceView { registry: &registry, zone: "east", cut: &[], usual, now: NOW };
+        let aim = Duration::from_millis(120);
+        let view = PlaceView { registry: &registry, zone: "east", cut: &[], usual, aim, now: NOW };
         let mut lots = StdRng::seed_from_u64(1);
         let options = place::Options::default();
         criterion.bench_function(&format!("spread of {count} shards"), |bench| {
@@ -73,7 +74,6 @@
         criterion.bench_function(&format!("door for {count} shards"), |bench| {
             let mut door = QueryDoor::default();
             let load = QueryLoad { waits: waits.clone(), turned_away: 0, shards: count, spare: 2 };
-            let aim = Duration::from_millis(120);
             bench.iter(|| {
                 if door.admit(true, &door::Options::default()) {
                     door.finish(NOW, usual, aim, Some(&load), &door::Options::default());
--- a/crates/hawthorn-route/src/place.rs
+++ b/crates/hawthorn-route/src/place.rs
@@ -36,6 +36,8 @@
     pub cut: &'a [String],
     /// The usual time of such a request.
     pub usual: Duration,
+    /// Time within which its answer is worth all it can be to the caller.
+    pub aim: Duration,
     /// When the choice is made.
     pub now: Duration,
 }
@@ -49,14 +51,14 @@
     lots: &mut impl Rng,
     options: &Options,
 ) -> Option<TargetKey> {
-    let PlaceView { registry, zone, cut, usual, now } = view;
+    let PlaceView { registry, cut, .. } = view;
     let mut best: Option<(f64, TargetKey)> = None;
     for key in registry.of_service(service) {
         let Some(state) = registry.get(*key).filter(|_| !tried.contains(key)) else { continue };
         if cut.iter().any(|cut| **cut == *state.entry.zone) {
             continue;
         }
-        let Some(score) = score(state, zone, usual, now, options) else { continue };
+        let Some(score) = score(view, state, options) else { continue };
         let drawn = score + lots.random_range(0.0..DRAW_SPREAD);
         if best.is_none_or(|(least, _)| drawn < least) {
             best = Some((drawn, *key));
@@ -69,8 +71,11 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Options {
     /// Added to the expected time of a target in another zone, on top of the
-    /// way there: what its bytes between zones cost, as time.
+    /// way there, at least: what a small answer's bytes between zones cost, as time.
     pub zone_cost: Duration,
+    /// And so much of the route's aim: an answer that comes sooner within its aim
+    /// is worth no more to the caller, and large answers are those of long aims.
+    pub zone_aim_share: f64,
     /// A target whose oldest request waits longer than so many usual times is suspected.
     pub suspect_factor: f64,
     /// Expected time added to a suspected target: a usual pause.
@@ -85,6 +90,7 @@
     fn default() -> Self {
         Self {
             zone_cost: Duration::from_millis(30),
+            zone_aim_share: 0.25,
             suspect_factor: 3.0,
             suspect_cost: Duration::from_millis(100),
             failing_cost: Duration::from_millis(400),
@@ -94,13 +100,8 @@
 }
 
 /// Expected time until the target's answer, in seconds; `None` when it takes nothing.
-pub fn score(
-    state: &TargetState,
-    zone: &str,
-    usual: Duration,
-    now: Duration,
-    options: &Options,
-) -> Option<f64> {
+pub fn score(view: PlaceView<'_>, state: &TargetState, options: &Options) -> Option<f64> {
+    let PlaceView { zone, usual, aim, now, .. } = view;
     let phase_cost = match state.phase {
         TargetPhase::Ready => 0.0,
         // Only while nobody else takes work: dearer than any ready target.
@@ -117,7 +118,7 @@
     // A slot that is free now is worth a little more than one of the last.
     let mut time = work * (1.0 + queued / slots + 0.1 * load / slots);
     if *state.entry.zone != *zone {
-        time += options.zone_cost.as_secs_f64();
+        time += options.zone_cost.max(aim.mul_f64(options.zone_aim_share)).as_secs_f64();
     }
     if state.oldest_wait(now).as_secs_f64() > options.suspect_factor * work.max(0.005) {
         time += options.suspect_cost.as_secs_f64();
--- a/crates/hawthorn-route/tests/spread.rs
+++ b/crates/hawthorn-route/tests/spread.rs
@@ -6,6 +6,7 @@
 
 use hawthorn_route::document::GatherRule;
 use hawthorn_route::document::TargetEntry;
+use hawthorn_route::outcome::AttemptEnd;
 use hawthorn_route::place;
 use hawthorn_route::place::PlaceView;
 use hawthorn_route::registry;
@@ -51,7 +52,8 @@
     cut: &[String],
 ) -> spread::Outcome {
     let usual = Duration::from_millis(15);
-    let view = PlaceView { registry, zone: "east", cut, usual, now: NOW };
+    let aim = Duration::from_millis(120);
+    let view = PlaceView { registry, zone: "east", cut, usual, aim, now: NOW };
     let mut lots = StdRng::seed_from_u64(1);
     spread::spread(view, rule, &mut lots, &place::Options::default())
 }
@@ -158,6 +160,43 @@
     }
 }
 
+/// Targets differ in speed, and a faster one in another zone answers sooner than
+/// the caller needs. Where the aim is long its answers stay in the zone; where it
+/// is short, or the near target is that much slower, they are fetched.
+#[test]
+fn an_answer_that_is_in_time_comes_from_the_zone() {
+    struct Case {
+        aim_ms: u64,
+        /// How much longer than usual the near target takes, in percent.
+        slower: u64,
+        zone: &'static str,
+    }
+    let cases = [
+        Case { aim_ms: 500, slower: 40, zone: "east" },
+        Case { aim_ms: 500, slower: 150, zone: "west" },
+        Case { aim_ms: 60, slower: 20, zone: "east" },
+        Case { aim_ms: 60, slower: 40, zone: "west" },
+    ];
+    let usual = Duration::from_millis(120);
+    for case in cases {
+        let mut registry = registry(&[&["east", "west"]]);
+        let near = registry.of_service("s0")[0];
+        // As often as it takes to be learnt.
+        for _ in 0..60 {
+            let state = registry.get_mut(near).expect("it has just been put");
+            let took = usual + usual * case.slower as u32 / 100;
+            state.send(NOW);
+            state.end(NOW, NOW + took, AttemptEnd::Answered, usual);
+        }
+        let aim = Duration::from_millis(case.aim_ms);
+        let view = PlaceView { registry: &registry, zone: "east", cut: &[], usual, aim, now: NOW };
+        let mut lots = StdRng::seed_from_u64(1);
+        let key = place::place(view, "s0", &[], &mut lots, &place::Options::default());
+        let state = key.and_then(|key| registry.get(key)).expect("both take work");
+        assert_eq!(&*state.entry.zone, case.zone, "{} ms, {} %", case.aim_ms, case.slower);
+    }
+}
+
 /// A host that does not gather hands everything that has a target to one host:
 /// of its own zone while that has one, else of the next. What it has hardly
 /// anything of at hand is not worth a message to its own zone.
@@ -209,7 +248,8 @@
     let shards: Vec<&[&str]> = vec![&["east", "west", "south"]; 90];
     let registry = registry(&shards);
     let usual = Duration::from_millis(15);
-    let view = PlaceView { registry: &registry, zone: "east", cut: &[], usual, now: NOW };
+    let aim = Duration::from_millis(120);
+    let view = PlaceView { registry: &registry, zone: "east", cut: &[], usual, aim, now: NOW };
     let mut lots = CountedLots { lots: StdRng::seed_from_u64(1), drawn: 0 };
     let rule = rule(90, 0.9);
     let spread = spread::spread(view, &rule, &mut lots, &place::Options::default());
--- a/crates/hawthorn-route/tests/targets.rs
+++ b/crates/hawthorn-route/tests/targets.rs
@@ -7,6 +7,7 @@
 use hawthorn_route::hedge;
 use hawthorn_route::outcome::AttemptEnd;
 use hawthorn_route::place;
+use hawthorn_route::place::PlaceView;
 use hawthorn_route::reach;
 use hawthorn_route::reach::ZoneReach;
 use hawthorn_route::registry;
@@ -36,7 +37,11 @@
 }
 
 fn score(state: &TargetState, now: Duration) -> Option<f64> {
-    place::score(state, "east", USUAL, now, &place::Options::default())
+    let registry = TargetRegistry::new(registry::Options::default());
+    let aim = Duration::from_millis(120);
+    let view =
+        PlaceView { registry: &registry, zone: "east", cut: &[], usual: USUAL, aim, now };
+    place::score(view, state, &place::Options::default())
 }
 
 /// Two targets hold a shard. One of them pauses, slows down, fails, fills up,
