perf(route): a balancer hears of a cut while it is still doubtful

Cause: a host whose zone is cut off said so 0.5 to 0.6 s after the cut: 0.2 s until the zones were believed silent, then one try of each after the other, 120 ms each, and only then the question whether to step aside. A balancer adds its two questions, and until then every caller of that zone is refused.

Ruled out: believing a cut sooner (one target's pause lasts 150 ms, and requests would be refused for it). Telling callers to come back later (they wait a third of their time at most, 0.1 to 0.27 s). Trying targets at the first doubt (a connection may hold a slot there).

Change: a zone is doubted after 80 ms without any answer, or twice the usual time; the way to a host there is then tried, all zones at once, 60 ms at most. While the doubt lasts the host is not ready, but serves: a balancer believes it at the second time only, a second later, when a wrong doubt is long over. Once the zone is believed cut off, a target is tried as well.

Test: a_zone_is_cut_off_after_several_silent_requests, with the doubt.

--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -144,7 +144,8 @@
     /// The host takes callers: it knows routes and targets and is not stopping.
     pub fn is_ready(&self) -> bool {
         let knows = self.catalog_read.get() && self.beliefs.table().is_some();
-        knows && !self.stopping.is_cancelled() && !self.beliefs.stranded.get()
+        let serves = !self.beliefs.stranded.get() && !self.beliefs.doubtful.get();
+        knows && serves && !self.stopping.is_cancelled()
     }
 
     /// The store confirmed the mirror at that time.
--- a/crates/hawthorn-edge/src/process/reach.rs
+++ b/crates/hawthorn-edge/src/process/reach.rs
@@ -1,9 +1,13 @@
 //! Watches which zones can be reached, and steps aside when this host's cannot serve.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::future::join_all;
+use hawthorn_fleet::MemberHealth;
 use log::Level;
+use rand::RngExt;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -18,36 +22,61 @@
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
 /// What was asked for a look ago counts so much: half of it after five seconds.
 const DEMAND_FACTOR: f64 = 0.986;
-/// A zone that is cut off is tried with one connection, given up after so long.
-const TRY_TIMEOUT: Duration = Duration::from_millis(120);
+/// The way to a doubtful zone is tried with a connection, given up after so long:
+/// many round trips between zones. A host's system accepts it also while the
+/// host itself is busy.
+const TRY_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// Looks at the zones for as long as the process lives.
+///
+/// A balancer believes a host's "not ready" only when it has heard it twice, a
+/// second apart. So it is told as soon as the way to the other zones is doubtful
+/// and has been tried in vain: when the doubt is wrong it is over before the
+/// second question, and when it is right callers are elsewhere sooner.
 pub(crate) async fn watch(host: Rc<RouteHost>) {
     let mut known: Vec<String> = Vec::new();
     loop {
         sleep(LOOK_PERIOD).await;
-        for zone in host.beliefs.cut_zones(host_now()) {
-            try_zone(&host, &zone).await;
-        }
-        let cut = host.beliefs.cut_zones(host_now());
+        let beliefs = &host.beliefs;
+        let doubtful = beliefs.doubtful_zones(host_now());
+        join_all(doubtful.iter().map(|zone| try_zone(&host, zone))).await;
+        let now = host_now();
+        let cut = beliefs.cut_zones(now);
         for zone in cut.iter().filter(|zone| !known.contains(zone)) {
             edge_event!(Level::Warn, EdgeEvent::ZoneReach, "zone={zone} reachable=false");
         }
         for zone in known.iter().filter(|zone| !cut.contains(zone)) {
             edge_event!(Level::Info, EdgeEvent::ZoneReach, "zone={zone} reachable=true");
         }
-        known = cut;
-        host.beliefs.fade_demand(DEMAND_FACTOR);
-        let stranded = host.beliefs.find_stranded(host_now());
-        if host.beliefs.stranded.replace(stranded) != stranded {
+        beliefs.fade_demand(DEMAND_FACTOR);
+        beliefs.doubtful.set(beliefs.find_stranded(&beliefs.doubtful_zones(now), now));
+        let stranded = beliefs.find_stranded(&cut, now);
+        if beliefs.stranded.replace(stranded) != stranded {
             edge_event!(Level::Warn, EdgeEvent::HostStranded, "stranded={stranded}");
         }
+        known = cut;
     }
 }
 
+/// Tries the way to a zone: to a host there, and once the zone is believed cut
+/// off also to a target, as its hosts may be down and its targets not.
 async fn try_zone(host: &RouteHost, zone: &str) {
-    let Some(address) = host.beliefs.any_target(zone) else { return };
-    if let Ok(Ok(_stream)) = timeout(TRY_TIMEOUT, TcpStream::connect(address)).await {
+    let peer = any_peer(host, zone);
+    let cut = host.beliefs.cut_zones(host_now()).iter().any(|cut| cut == zone);
+    let target = host.beliefs.any_target(zone).filter(|_| cut || peer.is_none());
+    let tries = peer.into_iter().chain(target).map(|address| async move {
+        matches!(timeout(TRY_TIMEOUT, TcpStream::connect(address)).await, Ok(Ok(_)))
+    });
+    if join_all(tries).await.contains(&true) {
         host.beliefs.zone_answered(zone);
     }
 }
+
+/// Where any host of a zone listens for others.
+fn any_peer(host: &RouteHost, zone: &str) -> Option<SocketAddr> {
+    let members = host.members.borrow();
+    let there = members.hosts(zone).filter(|record| record.health == MemberHealth::Alive);
+    let peers: Vec<SocketAddr> = there.map(|record| record.place.peer).collect();
+    let lot = rand::rng().random_range(0..peers.len().max(1));
+    peers.get(lot).copied()
+}
--- a/crates/hawthorn-edge/src/request/race.rs
+++ b/crates/hawthorn-edge/src/request/race.rs
@@ -169,7 +169,8 @@
         let beliefs = &self.host.beliefs;
         let usual = beliefs.usual(&self.order.route);
         let best = self.best.take();
-        let Some(key) = best.or_else(|| beliefs.place(self.service, &self.tried, &self.order.route, now))
+        let Some(key) =
+            best.or_else(|| beliefs.place(self.service, &self.tried, &self.order.route, now))
         else {
             return false;
         };
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -81,6 +81,8 @@
     pub(super) demand: RefCell<HashMap<String, f64>>,
     /// Callers are better served by hosts of other zones.
     pub stranded: Cell<bool>,
+    /// Callers may be; a balancer is told already.
+    pub doubtful: Cell<bool>,
     /// Whether queries over shards are admitted here.
     pub door: RefCell<QueryDoor>,
     /// Hosts of the fleet that are known to live, this one too.
@@ -109,6 +111,7 @@
             zones: RefCell::default(),
             demand: RefCell::default(),
             stranded: Cell::new(false),
+            doubtful: Cell::new(false),
             door: RefCell::default(),
             hosts: Cell::new(1),
             gatherers: Cell::new(1),
@@ -216,29 +219,29 @@
         route: &RouteRule,
         now: Duration,
     ) -> Option<TargetKey> {
-        self.with_view(route, now, |view, lots| {
+        self.with_view(route, &self.cut_zones(now), now, |view, lots| {
             place::place(view, service, tried, lots, &place::Options::default())
         })
     }
 
     /// Where each shard of a query is best had.
     pub fn spread(&self, rule: &GatherRule, route: &RouteRule, now: Duration) -> spread::Outcome {
-        self.with_view(route, now, |view, lots| {
+        self.with_view(route, &self.cut_zones(now), now, |view, lots| {
             spread::spread(view, rule, lots, &place::Options::default())
         })
     }
 
-    fn with_view<T>(
+    pub(super) fn with_view<T>(
         &self,
         route: &RouteRule,
+        cut: &[String],
         now: Duration,
         with: impl FnOnce(PlaceView<'_>, &mut StdRng) -> T,
     ) -> T {
         let registry = self.registry.borrow();
-        let cut = self.cut_zones(now);
         let zone = &self.settings.host.zone;
         let (usual, aim) = (self.usual(route), route.aim);
-        let view = PlaceView { registry: &registry, zone, cut: &cut, usual, aim, now };
+        let view = PlaceView { registry: &registry, zone, cut, usual, aim, now };
         with(view, &mut self.lots.borrow_mut())
     }
 
--- a/crates/hawthorn-edge/src/version/reach.rs
+++ b/crates/hawthorn-edge/src/version/reach.rs
@@ -6,7 +6,9 @@
 
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::document::RouteWay;
+use hawthorn_route::place;
 use hawthorn_route::reach;
+use hawthorn_route::spread;
 use rand::RngExt;
 
 use crate::version::beliefs::Beliefs;
@@ -38,6 +40,13 @@
         zones.iter().filter(|(_, reach)| reach.is_cut(now)).map(|(zone, _)| zone.clone()).collect()
     }
 
+    /// The zones that may be cut off.
+    pub fn doubtful_zones(&self, now: Duration) -> Vec<String> {
+        let zones = self.zones.borrow();
+        let doubtful = zones.iter().filter(|(_, reach)| reach.is_doubtful(now));
+        doubtful.map(|(zone, _)| zone.clone()).collect()
+    }
+
     /// Any target of a zone, to try the way to it.
     pub fn any_target(&self, zone: &str) -> Option<SocketAddr> {
         let registry = self.registry.borrow();
@@ -85,9 +94,9 @@
         demand.retain(|_, count| *count > 0.01);
     }
 
-    /// Whether this host should leave callers to others; see [`reach::steps_aside`].
-    pub fn find_stranded(&self, now: Duration) -> bool {
-        let cut = self.cut_zones(now);
+    /// Whether this host should leave callers to others if these zones are cut
+    /// off; see [`reach::steps_aside`].
+    pub fn find_stranded(&self, cut: &[String], now: Duration) -> bool {
         let Some(table) = self.table().filter(|_| !cut.is_empty()) else {
             return false;
         };
@@ -105,17 +114,28 @@
         let asked = |route: &RouteRule| demand.get(&route.name).copied().unwrap_or_default();
         let routes = &table.document().routes;
         let all: f64 = routes.iter().map(asked).sum();
-        let lost: f64 = routes.iter().filter(|route| !self.can_answer(route, now)).map(asked).sum();
+        let lost: f64 =
+            routes.iter().filter(|route| !self.can_answer(route, cut, now)).map(asked).sum();
         reach::steps_aside(zones, cut.len(), if all > 0.0 { lost / all } else { 0.0 })
     }
 
-    /// Whether enough of a route's services have a target that takes work.
-    pub fn can_answer(&self, route: &RouteRule, now: Duration) -> bool {
-        let takes = |service: &str| self.place(service, &[], route, now).is_some();
+    /// Whether enough of a route's services have a target that takes work outside
+    /// these zones.
+    fn can_answer(&self, route: &RouteRule, cut: &[String], now: Duration) -> bool {
+        let takes = |service: &str| {
+            self.with_view(route, cut, now, |view, lots| {
+                place::place(view, service, &[], lots, &place::Options::default()).is_some()
+            })
+        };
         match &route.way {
             RouteWay::Single(service) => takes(service),
             RouteWay::Weighted(parts) => parts.iter().any(|part| takes(&part.service)),
-            RouteWay::Gather(rule) => self.spread(rule, route, now).can_answer(rule),
+            RouteWay::Gather(rule) => {
+                let spread = self.with_view(route, cut, now, |view, lots| {
+                    spread::spread(view, rule, lots, &place::Options::default())
+                });
+                spread.can_answer(rule)
+            }
         }
     }
 }
--- a/crates/hawthorn-route/src/reach.rs
+++ b/crates/hawthorn-route/src/reach.rs
@@ -16,19 +16,28 @@
 const LEAST_SILENCE: Duration = Duration::from_millis(200);
 /// And so many usual times of such a request.
 const USUAL_TIMES: u32 = 4;
+/// After so long the zone is doubted: several usual times, and half of what it
+/// takes to believe it cut off.
+const DOUBT_SILENCE: Duration = Duration::from_millis(80);
+/// And so many usual times.
+const DOUBT_TIMES: u32 = 2;
 
 /// What is known of the way to one zone's targets.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ZoneReach {
     unanswered: u32,
-    overdue: Option<Duration>,
+    /// When nothing will have come for long enough to doubt the zone, and to
+    /// believe it cut off.
+    overdue: Option<(Duration, Duration)>,
 }
 
 impl ZoneReach {
     /// A request that usually takes `usual` was sent to a target of the zone.
     pub fn sent(&mut self, now: Duration, usual: Duration) {
         self.unanswered = self.unanswered.saturating_add(1);
-        self.overdue.get_or_insert(now + LEAST_SILENCE.max(usual * USUAL_TIMES));
+        let doubted = now + DOUBT_SILENCE.max(usual * DOUBT_TIMES);
+        let cut = now + LEAST_SILENCE.max(usual * USUAL_TIMES);
+        self.overdue.get_or_insert((doubted, cut));
     }
 
     /// Something of the zone answered: a target, or another host there.
@@ -38,7 +47,14 @@
 
     /// Nothing there is worth sending to.
     pub fn is_cut(&self, now: Duration) -> bool {
-        self.unanswered >= LEAST_UNANSWERED && self.overdue.is_some_and(|at| now >= at)
+        self.unanswered >= LEAST_UNANSWERED && self.overdue.is_some_and(|(_, cut)| now >= cut)
+    }
+
+    /// It may be cut off: worth a try of the way there, and for a balancer that
+    /// asks twice before it believes, worth being told of. Requests still go there.
+    pub fn is_doubtful(&self, now: Duration) -> bool {
+        self.unanswered >= LEAST_UNANSWERED
+            && self.overdue.is_some_and(|(doubted, _)| now >= doubted)
     }
 }
 
--- a/crates/hawthorn-route/tests/targets.rs
+++ b/crates/hawthorn-route/tests/targets.rs
@@ -39,8 +39,7 @@
 fn score(state: &TargetState, now: Duration) -> Option<f64> {
     let registry = TargetRegistry::new(registry::Options::default());
     let aim = Duration::from_millis(120);
-    let view =
-        PlaceView { registry: &registry, zone: "east", cut: &[], usual: USUAL, aim, now };
+    let view = PlaceView { registry: &registry, zone: "east", cut: &[], usual: USUAL, aim, now };
     place::score(view, state, &place::Options::default())
 }
 
@@ -214,21 +213,34 @@
         sent: usize,
         usual_ms: u64,
         now_ms: u64,
+        doubtful: bool,
         cut: bool,
     }
+    let case = |name, sent, usual_ms, now_ms, doubtful, cut| Case {
+        name,
+        sent,
+        usual_ms,
+        now_ms,
+        doubtful,
+        cut,
+    };
     let cases = [
-        Case { name: "nothing sent", sent: 0, usual_ms: 10, now_ms: 1000, cut: false },
-        Case { name: "one request", sent: 1, usual_ms: 10, now_ms: 1000, cut: false },
-        Case { name: "many, just now", sent: 20, usual_ms: 10, now_ms: 150, cut: false },
-        Case { name: "long work", sent: 20, usual_ms: 120, now_ms: 400, cut: false },
-        Case { name: "many, for long", sent: 6, usual_ms: 10, now_ms: 200, cut: true },
-        Case { name: "long work, overdue", sent: 6, usual_ms: 120, now_ms: 480, cut: true },
+        case("nothing sent", 0, 10, 1000, false, false),
+        case("one request", 1, 10, 1000, false, false),
+        case("many, just now", 20, 10, 70, false, false),
+        case("many, a while ago", 20, 10, 150, true, false),
+        case("long work", 20, 120, 200, false, false),
+        case("long work, late", 20, 120, 400, true, false),
+        case("many, for long", 6, 10, 200, true, true),
+        case("long work, overdue", 6, 120, 480, true, true),
     ];
     for case in cases {
         let mut reach = ZoneReach::default();
         (0..case.sent).for_each(|_| reach.sent(ms(0), ms(case.usual_ms)));
+        assert_eq!(reach.is_doubtful(ms(case.now_ms)), case.doubtful, "{}", case.name);
         assert_eq!(reach.is_cut(ms(case.now_ms)), case.cut, "{}", case.name);
         reach.answered();
+        assert!(!reach.is_doubtful(ms(case.now_ms)), "{}", case.name);
         assert!(!reach.is_cut(ms(case.now_ms)), "{}", case.name);
     }
 }
