fix(route): a peer goes on gathering what an answer needs

Cause: in a burst while some targets were gone, queries over shards ended as 502 just after their aim. A peer that gathers for a front replied at the aim with what it had; what was missing counted as lost, and with more lost than an answer may do without the front gave up.

Asking for the missing shards from the front: attempts were made at them, and a third is more than operators allow.

Change: the order to a peer says how many shards the answer may do without. The peer replies at the aim if it lacks no more than these, else when it has them, or when nobody waits any more. After the aim the front asks once whether the peer is there, as silence used to be taken for its loss.

Test: a_peer_goes_on_gathering_what_an_answer_needs; failed before with 502.

--- a/crates/hawthorn-edge/src/connection/message.rs
+++ b/crates/hawthorn-edge/src/connection/message.rs
@@ -23,6 +23,8 @@
     pub route: String,
     /// Which of the route's shards, by their place in its list.
     pub shards: Vec<u16>,
+    /// Shards that the whole answer may do without.
+    pub spare: u16,
     /// Attempts that may have been made at each shard already, by a peer that
     /// fell silent.
     pub spent: u8,
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -33,6 +33,7 @@
 use crate::process::clock::host_now;
 use crate::process::host::RouteHost;
 use crate::request::gather;
+use crate::request::gather::PeerPart;
 use crate::request::order::CANCELLATION_TURNS;
 use crate::request::order::CallerWatch;
 use crate::request::order::RequestOrder;
@@ -41,7 +42,7 @@
 
 /// The reply leaves a peer so long before the aim: the way between zones, and
 /// the time to take it in here.
-const REPLY_MARGIN: Duration = Duration::from_millis(5);
+pub(crate) const REPLY_MARGIN: Duration = Duration::from_millis(5);
 
 /// Peers that are asked for the same shards, one after the other, while none
 /// has sent anything: a third failure in a row is no accident of one host.
@@ -150,6 +151,7 @@
     order: &RequestOrder,
     version: u64,
     delegated: &DelegatedShards,
+    spare: usize,
     aim_left: Duration,
 ) -> Result<GatherReply, PeerError> {
     let now = host_now();
@@ -168,17 +170,14 @@
         version,
         route: order.route.name.clone(),
         shards: delegated.shards.clone(),
+        spare: u16::try_from(spare).unwrap_or(u16::MAX),
         spent: delegated.spent,
         left_us: left.as_micros() as u64,
         aim_left_us: aim_left.saturating_sub(REPLY_MARGIN).as_micros() as u64,
     };
     let usual = host.beliefs.usual(&order.route);
     delegated.shards.iter().for_each(|_| host.beliefs.zone_sent(&delegated.zone, now, usual));
-    // Failure: a peer stands still, or its path is silent, and every query that
-    // is handed to it waits out its caller. Its reply is due before the aim;
-    // what is not there soon after is not coming, and it is passed over.
-    let due = left.min(aim_left + REPLY_GRACE);
-    let call = host.links.gather(delegated.peer, message, due);
+    let call = host.links.gather(delegated.peer, message, left);
     let reply = tokio::select! {
         biased;
         reply = call => reply,
@@ -186,6 +185,10 @@
             host.links.suspect(delegated.peer);
             Err(PeerError::Silent)
         }
+        () = is_lost(host, delegated.peer, aim_left + REPLY_GRACE) => {
+            host.links.suspect(delegated.peer);
+            Err(PeerError::Lost)
+        }
     };
     if reply.is_ok() {
         host.beliefs.zone_answered(&delegated.zone);
@@ -220,6 +223,22 @@
     if host.links.heard_lately(peer) {
         return std::future::pending().await;
     }
+    says_nothing(host, peer).await;
+}
+
+/// Returns when a peer's reply is due and it does not say that it is there.
+///
+/// Failure: a peer stands still with a query, or its path went silent, and the
+/// caller waits out its time. A reply is due at the aim, and later only where
+/// the answer needs parts that have not come; then the peer says so.
+async fn is_lost(host: &RouteHost, peer: SocketAddr, due: Duration) {
+    sleep(due).await;
+    says_nothing(host, peer).await;
+}
+
+/// Returns when a peer does not answer the question whether it is there; never
+/// returns when it does.
+async fn says_nothing(host: &RouteHost, peer: SocketAddr) {
     let over = async {
         sleep(HELLO_TIMEOUT).await;
         // This host may have been the one that stood still: what lies in its
@@ -292,7 +311,8 @@
     });
     let watch = CallerWatch(Rc::clone(&order));
     let aim_at = started + Duration::from_micros(message.aim_left_us);
-    let answer = gather::part_of(host, &order, &rule, &message.shards, aim_at).await;
+    let part = PeerPart { shards: &message.shards, spare: usize::from(message.spare), aim_at };
+    let answer = gather::part_of(host, &order, &rule, &part).await;
     order.answered.cancel();
     drop(watch);
     answer
--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -53,6 +53,19 @@
     aim_at: Duration,
     /// How many shards are wanted.
     shards: usize,
+    /// Share of them without which there is no answer.
+    least_share: f64,
+}
+
+/// The part of a peer's query that is gathered here.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PeerPart<'a> {
+    /// By their place in the route's list.
+    pub(crate) shards: &'a [u16],
+    /// Shards that the whole answer may do without.
+    pub(crate) spare: usize,
+    /// When the parts lose worth to the caller.
+    pub(crate) aim_at: Duration,
 }
 
 /// A query while its parts come in.
@@ -78,8 +91,7 @@
         rule: &'a GatherRule,
         plan: GatherPlan,
     ) -> Self {
-        let GatherPlan { version, aim_at, shards } = plan;
-        let least_share = rule.least_share;
+        let GatherPlan { version, aim_at, shards, least_share } = plan;
         Self {
             host,
             order,
@@ -128,8 +140,9 @@
         let aim_left = self.aim_at.saturating_sub(host_now());
         // The peer may send before its answer comes.
         order.sent.set(order.sent.get() + delegated.shards.len());
+        let spare = self.state.spare();
         let asked = async move {
-            let reply = delegate::ask(host, order, version, &delegated, aim_left).await;
+            let reply = delegate::ask(host, order, version, &delegated, spare, aim_left).await;
             GatherEvent::Delegated(delegated, reply)
         };
         self.events.push(asked.boxed_local());
@@ -204,12 +217,9 @@
     version: u64,
 ) -> CallerAnswer {
     let aim_at = order.started + order.route.aim.saturating_sub(AIM_MARGIN);
-    let mut run = GatherRun::new(
-        host,
-        order,
-        rule,
-        GatherPlan { version, aim_at, shards: rule.shards.len() },
-    );
+    let (shards, least_share) = (rule.shards.len(), rule.least_share);
+    let plan = GatherPlan { version, aim_at, shards, least_share };
+    let mut run = GatherRun::new(host, order, rule, plan);
     order.load.borrow_mut().shards = run.state.shards;
     order.load.borrow_mut().spare = run.state.spare();
     let spread = host.beliefs.spread(rule, &order.route, host_now());
@@ -253,27 +263,39 @@
     answer(host, run.records, &run.receipts, run.state)
 }
 
-/// Gathers some shards of a peer's query until its aim.
+/// Gathers some shards of a peer's query: until its aim, and beyond it as long as
+/// more are missing than the peer's answer may do without.
+///
+/// Load: queues stand at many shards, and hardly any part comes by the aim. What
+/// is given up then is asked for again by the caller, and the queues grow by as
+/// much; what is waited for is late, but served.
 pub(crate) async fn part_of(
     host: &Rc<RouteHost>,
     order: &Rc<RequestOrder>,
     rule: &GatherRule,
-    shards: &[u16],
-    aim_at: Duration,
+    part: &PeerPart<'_>,
 ) -> GatherReply {
+    let PeerPart { shards, spare, aim_at } = *part;
+    let wanted = shards.len();
+    let needed = wanted.saturating_sub(spare);
+    let least_share = needed as f64 / wanted.max(1) as f64;
     // A peer's query is gathered here whole, and never handed on.
-    let plan = GatherPlan { version: 0, aim_at, shards: shards.len() };
+    let plan = GatherPlan { version: 0, aim_at, shards: wanted, least_share };
     let mut run = GatherRun::new(host, order, rule, plan);
     shards.iter().for_each(|shard| run.race(*shard, 0));
-    while run.state.parts + run.state.lost < run.state.shards {
-        let aim_left = aim_at.saturating_sub(host_now());
-        if aim_left.is_zero() {
+    loop {
+        let now = host_now();
+        let aim_left = aim_at.saturating_sub(now);
+        let left = order.time_left(now).saturating_sub(delegate::REPLY_MARGIN);
+        let dispensable = needed == 0 && aim_left.is_zero();
+        if run.state.step(aim_left) != GatherStep::Wait || dispensable || left.is_zero() {
             break;
         }
+        let wait = if aim_left.is_zero() { left } else { aim_left.min(left) };
         tokio::select! {
             biased;
             Some(event) = run.events.next() => run.take(event),
-            () = sleep(aim_left) => {}
+            () = sleep(wait) => {}
         }
     }
     let missing = u16::try_from(run.state.shards - run.state.parts).unwrap_or(u16::MAX);
--- a/crates/hawthorn-fleet/src/message.rs
+++ b/crates/hawthorn-fleet/src/message.rs
@@ -22,8 +22,9 @@
 /// The longest host or zone name, in bytes, so that one record always fits.
 pub const NAME_LIMIT: usize = 64;
 
-/// The version of the datagram format; others are refused.
-pub const MESSAGE_FORMAT: u8 = 2;
+/// The version of datagrams and of calls between hosts; others are refused, so
+/// that hosts of two formats are no peers of each other.
+pub const MESSAGE_FORMAT: u8 = 3;
 
 /// Names a host everywhere: a hash of the host's name.
 #[derive(
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -611,6 +611,43 @@
     Ok(())
 }
 
+/// Every target of the western shards is slower than the query's aim. Once the
+/// peer gave up at the aim, the front counted its shards as lost, and the caller
+/// was told 502 and asked again, which made the targets' queues longer. It gets
+/// its answer late, after one attempt and one more at each shard at the most.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_peer_goes_on_gathering_what_an_answer_needs() -> TestResult {
+    let (store, targets) = western_shards().await?;
+    let east = RouteHost::start("h-1", "east", store.address(), &[])?;
+    let west = RouteHost::start("h-2", "west", store.address(), &[&east])?;
+    east.ready().await?;
+    west.ready().await?;
+    let delegated = async || {
+        let answer = east.ask("GET", "/all/", "id-0", "").await;
+        answer.is_ok() && east.logged("outcome=whole") > 0
+    };
+    route::wait_for("the peer to gather", delegated).await?;
+    // The aim is 400 ms, the time 1.5 s.
+    for target in &targets {
+        target.fail_always(Some(TargetFault::Slow(Duration::from_millis(700))));
+    }
+    let answer = east.ask("GET", "/all/", "id-1", "").await?;
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.headers[words::MISSING_PARTS], "0");
+    for target in &targets {
+        assert_eq!(target.runs("id-1"), 1);
+    }
+    // Nothing comes in time at all: the end is the route's, and known as such.
+    for target in &targets {
+        target.fail_always(Some(TargetFault::Mute));
+    }
+    let started = std::time::Instant::now();
+    let answer = east.ask("GET", "/all/", "id-2", "").await?;
+    assert!([502, 504].contains(&answer.status), "{}", answer.status);
+    assert!(started.elapsed() < Duration::from_millis(1700), "{:?}", started.elapsed());
+    Ok(())
+}
+
 /// All hosts that could gather for a zone stand still at once. Each may have made
 /// an attempt for all that their front knows, and operators allow two: the front
 /// makes no third, says that the outcome is not known, and nothing runs later.
