--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -16,6 +16,7 @@
 use hawthorn_route::outcome::RefusalReason;
 use hawthorn_route::registry::TargetKey;
 use hawthorn_route::skip;
+use hawthorn_route::spread;
 use http_body_util::Full;
 use hyper::Response;
 use hyper::header::HeaderValue;
@@ -113,6 +114,28 @@
         }
     }
 
+    /// Asks for all shards, here or by peers, but for those whose parts cannot come
+    /// in time: each part of the query may leave out its share of what the answer
+    /// may do without.
+    fn begin(&mut self, spread: &spread::Outcome) {
+        let delegated = delegate::hand_over(self.host, spread);
+        let handed_over = |place: &u16| delegated.iter().any(|part| part.shards.contains(place));
+        let all = 0..spread.ways.len() as u16;
+        let here: Vec<u16> = all.filter(|place| !handed_over(place)).collect();
+        let spare = self.state.spare();
+        let there = delegated.iter().map(|part| part.shards.len());
+        let sizes: Vec<usize> = std::iter::once(here.len()).chain(there).collect();
+        let mut shares = skip::apportion(spare, &sizes).into_iter();
+        self.race_most(&here, shares.next().unwrap_or(0), |place| spread.target(place));
+        let mut load = self.order.load.borrow_mut();
+        load.shards = self.state.shards;
+        load.spare = spare - self.skipped.len();
+        drop(load);
+        for (part, skip) in delegated.into_iter().zip(shares) {
+            self.delegate(DelegatedShards { skip, ..part });
+        }
+    }
+
     /// Asks for a shard here. Peers may have made `spent` attempts at it; where
     /// these are as many as operators allow, it is lost to this try.
     fn race(&mut self, place: u16, spent: usize) {
@@ -260,21 +283,7 @@
     if !spread.can_answer(rule) {
         return CallerAnswer::refused(RefusalReason::NoTarget);
     }
-    let mut delegated = delegate::hand_over(host, &spread);
-    let handed_over = |place: &u16| delegated.iter().any(|part| part.shards.contains(place));
-    let here: Vec<u16> = (0..shards as u16).filter(|place| !handed_over(place)).collect();
-    let spare = run.state.spare();
-    let sizes = std::iter::once(here.len()).chain(delegated.iter().map(|part| part.shards.len()));
-    let shares = skip::apportion(spare, &sizes.collect::<Vec<_>>());
-    run.race_most(&here, shares[0], |place| spread.target(place));
-    order.load.borrow_mut().shards = run.state.shards;
-    order.load.borrow_mut().spare = spare - run.skipped.len();
-    for (part, share) in delegated.iter_mut().zip(&shares[1..]) {
-        part.skip = *share;
-    }
-    for part in delegated {
-        run.delegate(part);
-    }
+    run.begin(&spread);
     loop {
         let now = host_now();
         if order.time_left(now).is_zero() {
