fix(route): hosts that start again stay within the budget of all

Cause: a host's part of the common allowance was its own from its first moment. A property over kills and bursts of up to 80 hosts found 180 extra attempts in a window where 137 are allowed: six hosts spent their parts, were killed, and spent them again; and one that knows nobody yet reckons with eight hosts.

Ruled out: asking peers what was spent (a host that has just started may reach none); a little allowance from the start (78 hosts that know nobody would take nine tenths of it at once).

Change: hawthorn_route::budget::part gives a host its part, which grows from nothing to the whole in the time of a window; half of the allowance is given out in place of six tenths, so that what was spent before a start and what is given after it are never more than the whole. The constants left hawthorn-edge.

--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -12,6 +12,8 @@
 use hawthorn_decide::latency::ServiceTimes;
 use hawthorn_pool::TargetPool;
 use hawthorn_route::budget;
+use hawthorn_route::budget::FleetBudget;
+use hawthorn_route::budget::FleetView;
 use hawthorn_route::budget::RetryBudget;
 use hawthorn_route::document::GatherRule;
 use hawthorn_route::document::RouteRule;
@@ -40,14 +42,8 @@
 /// Part of a target's connections that all hosts together use: the rest is for
 /// connections that are closing, and for hosts that were not known of.
 const CONNECTION_SHARE: f64 = 0.8;
-/// Hosts reckoned with while fewer are known. Too few would let a fleet of this
-/// size spend more than the common allowance.
-const LEAST_HOSTS: usize = 8;
-/// Part of the share of extra attempts that is used: windows of hosts and of
-/// targets do not end at the same moment.
-const BUDGET_SHARE: f64 = 0.8;
-/// Part of the common allowance that is used, for the same reason.
-const ALLOWANCE_SHARE: f64 = 0.6;
+/// Gatherers reckoned with while fewer are known: those of a small fleet, all hosts.
+const LEAST_GATHERERS: usize = 8;
 /// A route's attempts are taken to last this part of its aim until some have
 /// been seen: a fan-out is planned to use about an eighth of its aim.
 const FIRST_GUESS: u32 = 8;
@@ -67,6 +63,8 @@
 pub struct Beliefs {
     /// As the host was told at its start.
     pub settings: RouteSettings,
+    /// When the process began.
+    started: Duration,
     /// Extra attempts, as the host was told last.
     pub budget: Cell<BudgetSettings>,
     /// The newest first.
@@ -101,6 +99,7 @@
     /// Nothing is known yet.
     pub fn new(settings: RouteSettings) -> Self {
         Self {
+            started: host_now(),
             budget: Cell::new(settings.budget),
             settings,
             tables: RefCell::default(),
@@ -151,22 +150,16 @@
         true
     }
 
-    fn hosts_reckoned(&self) -> usize {
-        self.hosts.get().max(LEAST_HOSTS)
-    }
-
-    fn budget_options(&self) -> budget::Options {
-        let told = self.budget.get();
-        budget::Options {
-            window: told.window,
-            share: told.share * BUDGET_SHARE,
-            allowance: told.allowance * ALLOWANCE_SHARE / self.hosts_reckoned() as f64,
-        }
+    fn budget_options(&self, now: Duration) -> budget::Options {
+        let BudgetSettings { window, share, allowance } = self.budget.get();
+        let running = now.saturating_sub(self.started);
+        let view = FleetView { hosts: self.hosts.get(), running };
+        budget::part(&FleetBudget { window, share, allowance }, &view)
     }
 
     /// Counts a caller's request for a service.
     pub fn earn(&self, service: &str, now: Duration) {
-        let options = self.budget_options();
+        let options = self.budget_options(now);
         let mut budgets = self.budgets.borrow_mut();
         if let Some(budget) = budgets.get_mut(service) {
             budget.earn(now, &options);
@@ -177,7 +170,7 @@
 
     /// Takes an extra attempt at a service; false when none is left.
     pub fn spend(&self, service: &str, now: Duration) -> bool {
-        let options = self.budget_options();
+        let options = self.budget_options(now);
         let mut budgets = self.budgets.borrow_mut();
         // A host that never had a request for the service has its part of the allowance.
         if let Some(budget) = budgets.get_mut(service) {
@@ -188,7 +181,7 @@
 
     /// How much of a service's budget is left, 0 to 1.
     pub fn fullness(&self, service: &str) -> f64 {
-        let options = self.budget_options();
+        let options = self.budget_options(host_now());
         self.budgets.borrow().get(service).map_or(1.0, |budget| budget.fullness(&options))
     }
 
@@ -286,8 +279,8 @@
         let sharded = table.as_ref().is_some_and(|table| table.is_shard(&entry.service));
         // Who does not gather comes only where gathering failed.
         let sharers = match (sharded, self.gathers.get()) {
-            (false, _) => self.hosts_reckoned(),
-            (true, true) => (self.gatherers.get() * self.fleet_zones.get()).max(LEAST_HOSTS),
+            (false, _) => budget::reckoned(self.hosts.get()),
+            (true, true) => (self.gatherers.get() * self.fleet_zones.get()).max(LEAST_GATHERERS),
             (true, false) => most,
         };
         let share = most as f64 * CONNECTION_SHARE / sharers as f64;
--- a/crates/hawthorn-route/src/budget.rs
+++ b/crates/hawthorn-route/src/budget.rs
@@ -23,6 +23,58 @@
     pub allowance: f64,
 }
 
+/// Part of the share of extra attempts that is used: windows of hosts and of
+/// targets do not end at the same moment.
+const USED_SHARE: f64 = 0.8;
+/// Part of the common allowance that is used while all hosts keep running. The
+/// rest is for those that start again: they have forgotten what they spent.
+const USED_ALLOWANCE: f64 = 0.5;
+/// Hosts reckoned with while fewer are known. Too few would let a fleet of this
+/// size spend more than the common allowance.
+const LEAST_HOSTS: usize = 8;
+
+/// What operators allow all hosts together, for each service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FleetBudget {
+    /// Length of the window that slides.
+    pub window: Duration,
+    /// Extra attempts for each request of the window.
+    pub share: f64,
+    /// Extra attempts beyond the share.
+    pub allowance: f64,
+}
+
+/// What a host knows of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetView {
+    /// Hosts that live, as far as it knows, itself too. One that is cut off goes on
+    /// counting those it cannot reach, as they go on spending.
+    pub hosts: usize,
+    /// How long it has been running.
+    pub running: Duration,
+}
+
+/// The hosts reckoned with where something is shared by all of them.
+pub fn reckoned(hosts: usize) -> usize {
+    hosts.max(LEAST_HOSTS)
+}
+
+/// One host's part of the whole, without asking the others.
+///
+/// Load: targets fail while many hosts are killed and start again. Each has
+/// forgotten what it spent, knows hardly anybody yet, and takes a larger part
+/// than it has. So its part of the allowance grows with the time that it has been
+/// running, to the whole of it after a window: what it may spend and what it may
+/// have spent before are then never more than a window's.
+pub fn part(whole: &FleetBudget, view: &FleetView) -> Options {
+    let grown = (view.running.as_secs_f64() / whole.window.as_secs_f64().max(0.001)).min(1.0);
+    Options {
+        window: whole.window,
+        share: whole.share * USED_SHARE,
+        allowance: whole.allowance * USED_ALLOWANCE * grown / reckoned(view.hosts) as f64,
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct SpanCounts {
     requests: u32,
--- a/crates/hawthorn-route/tests/budget.rs
+++ b/crates/hawthorn-route/tests/budget.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use hawthorn_route::budget;
+use hawthorn_route::budget::FleetBudget;
+use hawthorn_route::budget::FleetView;
 use hawthorn_route::budget::Options;
 use hawthorn_route::budget::RetryBudget;
 use proptest::prelude::ProptestConfig;
@@ -70,3 +73,91 @@
         }
     }
 }
+
+/// All of a fleet's hosts together, in steps of a tenth of a second.
+struct BudgetFleet {
+    whole: FleetBudget,
+    /// Each with the step of its start.
+    hosts: Vec<(RetryBudget, u32)>,
+    /// By step.
+    requests: Vec<u32>,
+    extras: Vec<u32>,
+}
+
+const STEP: Duration = Duration::from_millis(100);
+/// Steps of a window.
+const WINDOW_STEPS: usize = 100;
+/// Steps until a host that started knows the others: a second of heartbeats.
+const MEETING_STEPS: u32 = 10;
+
+impl BudgetFleet {
+    fn new(hosts: usize, allowance: f64) -> Self {
+        let whole = FleetBudget { window: WINDOW, share: 0.2, allowance };
+        let hosts = (0..hosts).map(|_| (RetryBudget::default(), 0)).collect();
+        Self { whole, hosts, requests: Vec::new(), extras: Vec::new() }
+    }
+
+    /// Kills a share of the hosts and starts them again.
+    fn restart(&mut self, share: f64) {
+        let step = self.requests.len() as u32;
+        let count = (self.hosts.len() as f64 * share).ceil() as usize;
+        self.hosts.iter_mut().take(count).for_each(|host| *host = (RetryBudget::default(), step));
+    }
+
+    /// Each host has so many requests, and makes every extra attempt that it may.
+    fn step(&mut self, requests: u32) {
+        let step = self.requests.len() as u32;
+        let now = STEP * step;
+        let live = self.hosts.len();
+        let mut extras = 0;
+        for (host, started) in &mut self.hosts {
+            let running = step - *started;
+            // Nobody but itself, at first.
+            let hosts = if running < MEETING_STEPS { 1 } else { live };
+            let view = FleetView { hosts, running: STEP * running };
+            let options = budget::part(&self.whole, &view);
+            (0..requests).for_each(|_| host.earn(now, &options));
+            while host.spend(now, &options) {
+                extras += 1;
+            }
+        }
+        self.requests.push(requests * live as u32);
+        self.extras.push(extras);
+    }
+
+    /// What was spent in the window that ends now, and what operators allow in it.
+    fn window(&self) -> (f64, f64) {
+        let sum = |counts: &[u32], back: usize| -> f64 {
+            let end = counts.len().saturating_sub(back);
+            counts[end.saturating_sub(WINDOW_STEPS)..end].iter().copied().map(f64::from).sum()
+        };
+        let backs = [0, WINDOW_STEPS / 2, WINDOW_STEPS];
+        let requests = backs.iter().map(|back| sum(&self.requests, *back)).fold(0.0, f64::max);
+        (sum(&self.extras, 0), self.whole.share * requests + self.whole.allowance)
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
+
+    /// Targets fail all the while, so that every host makes each extra attempt that
+    /// it may, through bursts and calm. Now and then some hosts or all are killed,
+    /// twice in a window too, and begin knowing nobody and nothing of what they
+    /// spent. Together they stay within what operators allow in any window.
+    #[test]
+    fn hosts_that_start_again_stay_within_the_whole(
+        hosts in 1_usize..80,
+        steps in proptest::collection::vec((0_u32..4, 0_u32..60, 0.0_f64..1.0), 1..400),
+        allowance in 20.0_f64..200.0,
+    ) {
+        let mut fleet = BudgetFleet::new(hosts, allowance);
+        for (requests, event, share) in steps {
+            if event == 0 {
+                fleet.restart(share);
+            }
+            fleet.step(requests);
+            let (spent, allowed) = fleet.window();
+            prop_assert!(spent <= allowed + 1.0, "{spent} of {allowed}");
+        }
+    }
+}
