feat(route): a query's missing shards are named, with why

Change: E636 names the shards gathered by a host, for itself or a peer, that have no part, each with why (late, skipped, failed, not-known, or as in a refusal); report lists them by count, explain-log tells them.

Tests: every_event_is_written_as_the_catalogue_says (a peer names the shard that does not answer), a_timeline_counts_what_samples_stand_for.

--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -55,6 +55,8 @@
     AnswerCut = 634,
     /// The head of a request took too long to come.
     HeadRefused = 635,
+    /// Shards of a query that were to be had here and have no part in its answer.
+    PartsMissing = 636,
     /// A peer's message could not be understood.
     PeerMessageBroken = 640,
     /// The host that news comes from has not been confirmed by the store lately.
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -320,5 +320,6 @@
     let answer = gather::part_of(host, &order, &rule, &part).await;
     order.answered.cancel();
     drop(watch);
+    order.story.borrow().tell_missing(order.attempt_id.as_deref().unwrap_or("-"));
     answer
 }
--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -39,9 +39,9 @@
 const AIM_MARGIN: Duration = Duration::from_millis(8);
 
 /// What came of some shards.
-enum GatherEvent {
+enum GatherEvent<'a> {
     /// One shard's attempts ended.
-    Race(RaceEnd),
+    Race(&'a str, RaceEnd),
     /// A peer's shards came, or did not.
     Delegated(DelegatedShards, Result<GatherReply, PeerError>),
 }
@@ -84,10 +84,14 @@
     receipts: Vec<HeaderValue>,
     /// Shards that were asked for directly.
     raced: Vec<&'a str>,
+    /// Of these, such as have not ended.
+    awaited: Vec<&'a str>,
+    /// Of these, such as ended without a part, and why.
+    lost: Vec<(&'a str, &'static str)>,
     /// Shards that were not asked for, and still may be.
     skipped: Vec<u16>,
     refusal: Option<RefusalReason>,
-    events: FuturesUnordered<LocalBoxFuture<'a, GatherEvent>>,
+    events: FuturesUnordered<LocalBoxFuture<'a, GatherEvent<'a>>>,
 }
 
 impl<'a> GatherRun<'a> {
@@ -108,6 +112,8 @@
             records: TopRecords::new(rule.top),
             receipts: Vec::with_capacity(shards),
             raced: Vec::with_capacity(shards),
+            awaited: Vec::with_capacity(shards),
+            lost: Vec::new(),
             skipped: Vec::new(),
             refusal: None,
             events: FuturesUnordered::new(),
@@ -151,7 +157,8 @@
 
     fn start(&mut self, shard: &'a str, race: AttemptRace<'a>) {
         self.raced.push(shard);
-        self.events.push(async move { GatherEvent::Race(race.run().await) }.boxed_local());
+        self.awaited.push(shard);
+        self.events.push(async move { GatherEvent::Race(shard, race.run().await) }.boxed_local());
     }
 
     /// Asks for some shards here, but for those whose parts cannot come in time.
@@ -206,31 +213,54 @@
         self.events.push(asked.boxed_local());
     }
 
-    /// Notes how long work waits at the shards that were asked for directly.
-    fn note_waits(&self) {
+    /// Notes how long work waits at the shards that were asked for directly, and
+    /// which of them have no part.
+    fn note_end(&self) {
         let now = host_now();
         let beliefs = &self.host.beliefs;
         let usual = beliefs.usual(&self.order.route);
         let waits = self.raced.iter().filter_map(|shard| beliefs.wait(shard, usual, now));
         self.order.load.borrow_mut().waits.extend(waits);
+        self.note_missing();
     }
 
-    fn take(&mut self, event: GatherEvent) {
+    fn take(&mut self, event: GatherEvent<'a>) {
+        if let GatherEvent::Race(shard, _) = event {
+            self.awaited.retain(|awaited| *awaited != shard);
+        }
         match event {
-            GatherEvent::Race(RaceEnd::Answered(answer)) => {
+            GatherEvent::Race(_, RaceEnd::Answered(answer)) => {
                 self.state.parts += 1;
                 self.records.add(&answer.body);
                 self.receipts.extend(answer.receipt);
             }
-            GatherEvent::Race(RaceEnd::NotRun(reason)) => {
+            GatherEvent::Race(shard, RaceEnd::NotRun(reason)) => {
                 self.refusal = Some(reason);
-                self.state.lost += 1;
+                self.lose(shard, reason.into());
             }
-            GatherEvent::Race(RaceEnd::Failed(_) | RaceEnd::Unknown) => self.state.lost += 1,
+            GatherEvent::Race(shard, RaceEnd::Failed(_)) => self.lose(shard, "failed"),
+            GatherEvent::Race(shard, RaceEnd::Unknown) => self.lose(shard, "not-known"),
             GatherEvent::Delegated(delegated, reply) => self.take_reply(&delegated, reply),
         }
     }
 
+    fn lose(&mut self, shard: &'a str, why: &'static str) {
+        self.state.lost += 1;
+        self.lost.push((shard, why));
+    }
+
+    /// Notes which shards of those gathered here have no part, and why.
+    fn note_missing(&self) {
+        let mut story = self.order.story.borrow_mut();
+        let late = self.awaited.iter().map(|shard| (*shard, "late"));
+        let names =
+            self.skipped.iter().filter_map(|place| self.rule.shards.get(usize::from(*place)));
+        let skipped = names.map(|shard| (shard.as_str(), "skipped"));
+        for (shard, why) in self.lost.iter().copied().chain(late).chain(skipped) {
+            story.missing(shard, why);
+        }
+    }
+
     /// Takes in a peer's reply. Shards that the peer never sent are gathered
     /// here; those of which nothing is known are lost to this try, as a third
     /// attempt at them would be more than operators allow.
@@ -295,7 +325,7 @@
             GatherStep::Answer => break,
             GatherStep::Fail if run.recall() => continue,
             GatherStep::Fail => {
-                run.note_waits();
+                run.note_end();
                 return failed(order, run.refusal);
             }
         }
@@ -306,7 +336,7 @@
             () = sleep(wait) => {}
         }
     }
-    run.note_waits();
+    run.note_end();
     if !run.state.enough() {
         return out_of_time(order);
     }
@@ -354,7 +384,7 @@
     }
     let missing = u16::try_from(run.state.shards - run.state.parts).unwrap_or(u16::MAX);
     let receipts = run.receipts.iter().map(|receipt| receipt.as_bytes().to_vec()).collect();
-    run.note_waits();
+    run.note_end();
     let met = order.load.borrow();
     let waits_us = met.waits.iter().map(|wait| wait.as_micros() as u64).collect();
     let turned_away = u16::try_from(met.turned_away).unwrap_or(u16::MAX);
--- a/crates/hawthorn-edge/src/request/story.rs
+++ b/crates/hawthorn-edge/src/request/story.rs
@@ -42,6 +42,7 @@
     notes: Vec<AttemptNote>,
     late: Vec<(String, Duration, &'static str)>,
     delegated: Vec<DelegateNote>,
+    missing: Vec<(String, &'static str)>,
 }
 
 /// How a request ended.
@@ -76,6 +77,27 @@
         self.delegated.push(note);
     }
 
+    /// A shard that was to be had here has no part.
+    pub(crate) fn missing(&mut self, service: &str, why: &'static str) {
+        self.missing.push((service.to_owned(), why));
+    }
+
+    /// Writes which shards have no part, and why. A host that gathered some for a
+    /// peer writes this line alone: the peer tells the rest.
+    pub(crate) fn tell_missing(&self, id: &str) {
+        if self.missing.is_empty() {
+            return;
+        }
+        let shards: Vec<String> =
+            self.missing.iter().map(|(service, why)| format!("{service}:{why}")).collect();
+        edge_event!(
+            Level::Info,
+            EdgeEvent::PartsMissing,
+            "request={id} shards={}",
+            shards.join(",")
+        );
+    }
+
     /// Writes the lines: all of a request that did not go well, of the others
     /// one in [`CALM_SAMPLE`], or every one when debug lines are written.
     pub(crate) fn tell(&self, summary: &RequestSummary<'_>, calm: bool) {
@@ -96,6 +118,7 @@
             summary.left.as_millis(),
             summary.skipped
         );
+        self.tell_missing(id);
         for (service, waited, decision) in &self.late {
             edge_event!(
                 Level::Info,
--- a/crates/hawthorn-report/src/page.rs
+++ b/crates/hawthorn-report/src/page.rs
@@ -15,6 +15,8 @@
 
 /// Targets in the table of the worst.
 const WORST_TARGETS: usize = 25;
+/// Shards in the table of what was missing.
+const LISTED_SHARDS: usize = 40;
 /// Marks that are listed.
 const LISTED_MARKS: usize = 200;
 /// Series of one drawing; more are not told apart.
@@ -71,6 +73,7 @@
             push(&mut html, &draw::draw(&Drawing { title: &title, ..drawing })?);
         }
     }
+    missing(&mut html, timeline);
     worst_targets(&mut html, timeline);
     marks(&mut html, timeline);
     events(&mut html, timeline);
@@ -158,6 +161,17 @@
     DRAWN_COUNTERS.into_iter().map(drawn).filter(|drawing| !drawing.series.is_empty()).collect()
 }
 
+fn missing(html: &mut String, timeline: &RunTimeline) {
+    push(html, "<h2>Shards that answers were given without</h2>");
+    push(html, "<table><tr><th>shard<th>why<th>answers");
+    let mut missing: Vec<_> = timeline.missing.iter().collect();
+    missing.sort_by_key(|(_, count)| std::cmp::Reverse(**count));
+    for ((shard, why), count) in missing.into_iter().take(LISTED_SHARDS) {
+        push(html, &format!("<tr><td>{}<td>{}<td>{count}", escape(shard), escape(why)));
+    }
+    push(html, "</table>");
+}
+
 fn worst_targets(html: &mut String, timeline: &RunTimeline) {
     let worst = timeline.worst_targets(WORST_TARGETS);
     push(html, "<h2>Targets whose attempts ended without an answer most often</h2>");
--- a/crates/hawthorn-report/src/timeline.rs
+++ b/crates/hawthorn-report/src/timeline.rs
@@ -15,6 +15,7 @@
     pub(super) const ZONE_REACH: u16 = 622;
     pub(super) const REQUEST_ENDED: u16 = 630;
     pub(super) const ATTEMPT_ENDED: u16 = 631;
+    pub(super) const PARTS_MISSING: u16 = 636;
     pub(super) const PEER_CHANGED: u16 = 641;
 }
 
@@ -73,6 +74,8 @@
     pub marks: Vec<RunMark>,
     /// Attempts by target.
     pub targets: BTreeMap<String, TargetEnds>,
+    /// Parts that answers were given without, by shard and why.
+    pub missing: BTreeMap<(String, String), usize>,
     /// Lines by event.
     pub events: BTreeMap<(u16, String), usize>,
     in_force: BTreeMap<String, u64>,
@@ -94,6 +97,7 @@
         match line.number {
             event::REQUEST_ENDED => self.take_request(line),
             event::ATTEMPT_ENDED => self.take_attempt(line),
+            event::PARTS_MISSING => self.take_missing(line),
             event::TARGET_CHANGED => self.believe(line, "target", line.value("change")),
             event::PEER_CHANGED => self.believe(line, "host", line.value("change")),
             event::ROUTES_IN_FORCE => self.take_version(line),
@@ -133,6 +137,13 @@
         }
     }
 
+    fn take_missing(&mut self, line: &LogLine<'_>) {
+        let shards = line.value("shards").unwrap_or_default().split(',');
+        for (shard, why) in shards.filter_map(|shard| shard.split_once(':')) {
+            *self.missing.entry((shard.to_owned(), why.to_owned())).or_default() += 1;
+        }
+    }
+
     fn believe(&mut self, line: &LogLine<'_>, what: &str, change: Option<&str>) {
         let name = format!("{what} {}", change.unwrap_or("?"));
         count(&mut self.beliefs, second(line), &name, 1.0);
--- a/crates/hawthorn-report/tests/read.rs
+++ b/crates/hawthorn-report/tests/read.rs
@@ -74,6 +74,8 @@
         1.4 a 1 INFO E630 request-ended: request=2 route=r outcome=partial ms=90.0 weight=1\n\
         1.4 a 1 INFO E631 attempt-ended: request=2 service=s target=t zone=z end=broken\n\
         1.5 b 1 INFO E631 attempt-ended: request=2 service=s target=t zone=z end=answered\n\
+        1.6 b 1 INFO E636 parts-missing: request=2 shards=s1:late,s2:skipped\n\
+        1.7 b 1 INFO E636 parts-missing: request=3 shards=s1:late\n\
         2.1 b 1 INFO E610 routes-in-force: version=3 routes=1\n\
         2.2 a 1 INFO E610 routes-in-force: version=4 routes=1\n\
         2.3 b 1 WARN E622 zone-reach: zone=west reachable=false\n";
@@ -84,6 +86,7 @@
     assert_eq!(timeline::quantile(&run.times["r"][&1], 0.5), Some(10.0));
     assert_eq!(timeline::quantile(&run.times["r"][&1], 0.99), Some(90.0));
     assert_eq!(run.bad_ends[&1]["broken"], 1.0);
+    assert_eq!(run.missing[&("s1".to_owned(), "late".to_owned())], 2);
     assert_eq!(run.versions[&2], (3, 4));
     assert_eq!(run.span(), Some((1, 2)));
     assert_eq!(run.marks.len(), 1);
--- a/src/story.rs
+++ b/src/story.rs
@@ -88,6 +88,7 @@
             value("outcome"),
             value("took_ms")
         ),
+        636 => format!("{host}:   without a part: {}", value("shards").replace(',', ", ")),
         634 => format!(
             "{host}:   part of a long answer had left when it broke off: {}",
             value("error")
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -133,6 +133,13 @@
         hosts[0].logged("shards-delegated") > 0
     };
     route::wait_for("a peer to gather", delegated).await?;
+    // One shard of three does not answer: the peer says which.
+    targets[0].fail_always(Some(TargetFault::Mute));
+    let partial = async || {
+        let _answer = hosts[0].ask("GET", "/all/", "id-2", "").await;
+        hosts[3].logged("parts-missing: request=id-2 shards=a:late") > 0
+    };
+    route::wait_for("the peer to name the shard", partial).await?;
     Ok(hosts.iter().flat_map(RouteHost::lines).collect())
 }
 
