refactor(route): a query's run has its own file

The run, which holds the parts that are in, is now request/parts.rs; what begins and ends it stays. Nothing else changed.

--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -4,19 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::FutureExt;
 use futures::StreamExt;
-use futures::future::LocalBoxFuture;
-use futures::stream::FuturesUnordered;
 use hawthorn_platform::caller;
 use hawthorn_route::document::GatherRule;
 use hawthorn_route::gather::GatherState;
 use hawthorn_route::gather::GatherStep;
 use hawthorn_route::merge::TopRecords;
 use hawthorn_route::outcome::RefusalReason;
-use hawthorn_route::registry::TargetKey;
-use hawthorn_route::skip;
-use hawthorn_route::spread;
 use http_body_util::Full;
 use hyper::Response;
 use hyper::header::HeaderValue;
@@ -24,41 +18,18 @@
 
 use crate::connection::message::GatherReply;
 use crate::connection::message::PeerLoad;
-use crate::connection::peer::PeerError;
 use crate::process::clock::host_now;
 use crate::process::host::RouteHost;
 use crate::request::answer::CallerAnswer;
 use crate::request::delegate;
-use crate::request::delegate::DelegatedShards;
 use crate::request::order::RequestOrder;
-use crate::request::race::AttemptRace;
-use crate::request::race::RaceEnd;
+use crate::request::parts::GatherPlan;
+use crate::request::parts::GatherRun;
 
 /// An answer leaves so long before the aim: twice the way to the caller, and
 /// the time that this host needs to merge and write under load.
 const AIM_MARGIN: Duration = Duration::from_millis(8);
 
-/// What came of some shards.
-enum GatherEvent<'a> {
-    /// One shard's attempts ended.
-    Race(&'a str, RaceEnd),
-    /// A peer's shards came, or did not.
-    Delegated(DelegatedShards, Result<GatherReply, PeerError>),
-}
-
-/// What a run is to gather.
-#[derive(Clone, Copy, Debug)]
-struct GatherPlan {
-    /// Version of the routes, for peers.
-    version: u64,
-    /// When the parts lose worth to the caller.
-    aim_at: Duration,
-    /// How many shards are wanted.
-    shards: usize,
-    /// Share of them without which there is no answer.
-    least_share: f64,
-}
-
 /// The part of a peer's query that is gathered here.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PeerPart<'a> {
@@ -72,232 +43,6 @@
     pub(crate) aim_at: Duration,
 }
 
-/// A query while its parts come in.
-struct GatherRun<'a> {
-    host: &'a Rc<RouteHost>,
-    order: &'a Rc<RequestOrder>,
-    rule: &'a GatherRule,
-    version: u64,
-    aim_at: Duration,
-    state: GatherState,
-    records: TopRecords,
-    receipts: Vec<HeaderValue>,
-    /// Shards that were asked for directly.
-    raced: Vec<&'a str>,
-    /// Of these, such as have not ended.
-    awaited: Vec<&'a str>,
-    /// Of these, such as ended without a part, and why.
-    lost: Vec<(&'a str, &'static str)>,
-    /// Shards that were not asked for, and still may be.
-    skipped: Vec<u16>,
-    refusal: Option<RefusalReason>,
-    events: FuturesUnordered<LocalBoxFuture<'a, GatherEvent<'a>>>,
-}
-
-impl<'a> GatherRun<'a> {
-    fn new(
-        host: &'a Rc<RouteHost>,
-        order: &'a Rc<RequestOrder>,
-        rule: &'a GatherRule,
-        plan: GatherPlan,
-    ) -> Self {
-        let GatherPlan { version, aim_at, shards, least_share } = plan;
-        Self {
-            host,
-            order,
-            rule,
-            version,
-            aim_at,
-            state: GatherState { shards, parts: 0, lost: 0, least_share },
-            records: TopRecords::new(rule.top),
-            receipts: Vec::with_capacity(shards),
-            raced: Vec::with_capacity(shards),
-            awaited: Vec::with_capacity(shards),
-            lost: Vec::new(),
-            skipped: Vec::new(),
-            refusal: None,
-            events: FuturesUnordered::new(),
-        }
-    }
-
-    /// Asks for all shards, here or by peers, but for those whose parts cannot come
-    /// in time: each part of the query may leave out its share of what the answer
-    /// may do without.
-    fn begin(&mut self, spread: &spread::Outcome) {
-        let delegated = delegate::hand_over(self.host, spread);
-        let handed_over = |place: &u16| delegated.iter().any(|part| part.shards.contains(place));
-        let all = 0..spread.ways.len() as u16;
-        let here: Vec<u16> = all.filter(|place| !handed_over(place)).collect();
-        let spare = self.state.spare();
-        let there = delegated.iter().map(|part| part.shards.len());
-        let sizes: Vec<usize> = std::iter::once(here.len()).chain(there).collect();
-        let mut shares = skip::apportion(spare, &sizes).into_iter();
-        self.race_most(&here, shares.next().unwrap_or(0), |place| spread.target(place));
-        let mut load = self.order.load.borrow_mut();
-        load.shards = self.state.shards;
-        load.spare = spare - self.skipped.len();
-        drop(load);
-        for (part, skip) in delegated.into_iter().zip(shares) {
-            self.delegate(DelegatedShards { skip, ..part });
-        }
-    }
-
-    /// Asks for a shard here. Peers may have made `spent` attempts at it; where
-    /// these are as many as operators allow, it is lost to this try.
-    fn race(&mut self, place: u16, spent: usize) {
-        let Some(shard) = self.rule.shards.get(usize::from(place)) else { return };
-        self.start(shard, AttemptRace::new(self.host, self.order, shard).after(spent));
-    }
-
-    /// Asks for a shard here whose best target is known already.
-    fn race_toward(&mut self, place: u16, best: Option<TargetKey>) {
-        let Some(shard) = self.rule.shards.get(usize::from(place)) else { return };
-        self.start(shard, AttemptRace::new(self.host, self.order, shard).toward(best));
-    }
-
-    fn start(&mut self, shard: &'a str, race: AttemptRace<'a>) {
-        self.raced.push(shard);
-        self.awaited.push(shard);
-        self.events.push(async move { GatherEvent::Race(shard, race.run().await) }.boxed_local());
-    }
-
-    /// Asks for some shards here, but for those whose parts cannot come in time.
-    fn race_most(
-        &mut self,
-        shards: &[u16],
-        skip: usize,
-        target: impl Fn(u16) -> Option<TargetKey>,
-    ) {
-        let time = self.aim_at.saturating_sub(host_now());
-        let route = &self.order.route;
-        self.skipped = self.host.beliefs.skip(self.rule, shards, skip, route, time);
-        self.state.lost += self.skipped.len();
-        self.order.skipped.set(self.skipped.len());
-        for shard in shards {
-            if !self.skipped.contains(shard) {
-                self.race_toward(*shard, target(*shard));
-            }
-        }
-    }
-
-    /// Asks for the shards that were left out after all, as others were lost;
-    /// false when there are none.
-    fn recall(&mut self) -> bool {
-        let skipped = std::mem::take(&mut self.skipped);
-        self.state.lost -= skipped.len();
-        self.order.skipped.set(self.order.skipped.get() - skipped.len());
-        skipped.iter().for_each(|shard| self.race(*shard, 0));
-        !skipped.is_empty()
-    }
-
-    /// Asks for shards that no peer gathers, if this host can bear it.
-    fn race_all(&mut self, shards: &[u16], spent: usize) {
-        if delegate::affords(self.host, shards.len(), self.order.route.aim) {
-            shards.iter().for_each(|shard| self.race(*shard, spent));
-        } else {
-            self.refusal = Some(RefusalReason::Unreachable);
-            self.state.lost += shards.len();
-        }
-    }
-
-    fn delegate(&self, delegated: DelegatedShards) {
-        let (host, order, version) = (self.host, self.order, self.version);
-        let aim_left = self.aim_at.saturating_sub(host_now());
-        // The peer may send before its answer comes.
-        order.sent.set(order.sent.get() + delegated.shards.len());
-        let spare = self.state.spare();
-        let asked = async move {
-            let reply = delegate::ask(host, order, version, &delegated, spare, aim_left).await;
-            GatherEvent::Delegated(delegated, reply)
-        };
-        self.events.push(asked.boxed_local());
-    }
-
-    /// Notes how long work waits at the shards that were asked for directly, and
-    /// which of them have no part.
-    fn note_end(&self) {
-        let now = host_now();
-        let beliefs = &self.host.beliefs;
-        let usual = beliefs.usual(&self.order.route);
-        let waits = self.raced.iter().filter_map(|shard| beliefs.wait(shard, usual, now));
-        self.order.load.borrow_mut().waits.extend(waits);
-        self.note_missing();
-    }
-
-    fn take(&mut self, event: GatherEvent<'a>) {
-        if let GatherEvent::Race(shard, _) = event {
-            self.awaited.retain(|awaited| *awaited != shard);
-        }
-        match event {
-            GatherEvent::Race(_, RaceEnd::Answered(answer)) => {
-                self.state.parts += 1;
-                self.records.add(&answer.body);
-                self.receipts.extend(answer.receipt);
-            }
-            GatherEvent::Race(shard, RaceEnd::NotRun(reason)) => {
-                self.refusal = Some(reason);
-                self.lose(shard, reason.into());
-            }
-            GatherEvent::Race(shard, RaceEnd::Failed(_)) => self.lose(shard, "failed"),
-            GatherEvent::Race(shard, RaceEnd::Unknown) => self.lose(shard, "not-known"),
-            GatherEvent::Delegated(delegated, reply) => self.take_reply(&delegated, reply),
-        }
-    }
-
-    fn lose(&mut self, shard: &'a str, why: &'static str) {
-        self.state.lost += 1;
-        self.lost.push((shard, why));
-    }
-
-    /// Notes which shards of those gathered here have no part, and why.
-    fn note_missing(&self) {
-        let mut story = self.order.story.borrow_mut();
-        let late = self.awaited.iter().map(|shard| (*shard, "late"));
-        let names =
-            self.skipped.iter().filter_map(|place| self.rule.shards.get(usize::from(*place)));
-        let skipped = names.map(|shard| (shard.as_str(), "skipped"));
-        for (shard, why) in self.lost.iter().copied().chain(late).chain(skipped) {
-            story.missing(shard, why);
-        }
-    }
-
-    /// Takes in a peer's reply. Shards that the peer never sent are gathered
-    /// here; those of which nothing is known are lost to this try, as a third
-    /// attempt at them would be more than operators allow.
-    fn take_reply(&mut self, delegated: &DelegatedShards, reply: Result<GatherReply, PeerError>) {
-        let spent = usize::from(delegated.spent);
-        match reply {
-            Ok(GatherReply::Parts { receipts, records, missing, load }) => {
-                let mut met = self.order.load.borrow_mut();
-                met.waits.extend(load.waits_us.iter().map(|us| Duration::from_micros(*us)));
-                met.turned_away += usize::from(load.turned_away);
-                met.spare = met.spare.saturating_sub(usize::from(load.skipped));
-                drop(met);
-                self.state.parts += receipts.len();
-                self.state.lost += usize::from(missing);
-                self.records.add(&records);
-                let signed =
-                    receipts.iter().filter_map(|bytes| HeaderValue::from_bytes(bytes).ok());
-                self.receipts.extend(signed);
-            }
-            Ok(GatherReply::OtherVersion | GatherReply::Stopping) | Err(PeerError::NotSent) => {
-                self.order.sent.set(self.order.sent.get() - delegated.shards.len());
-                match delegated.again(self.host) {
-                    Some(again) => self.delegate(again),
-                    None => self.race_all(&delegated.shards, spent),
-                }
-            }
-            Err(PeerError::Silent) => {
-                match delegated.after_silence(self.host, self.order.route.max_attempts) {
-                    Some(again) => self.delegate(again),
-                    None => self.race_all(&delegated.shards, spent + 1),
-                }
-            }
-            Err(PeerError::Lost) => self.state.lost += delegated.shards.len(),
-        }
-    }
-}
-
 /// Gathers one part from each shard and answers with their greatest records.
 pub(crate) async fn gather(
     host: &Rc<RouteHost>,
--- a/crates/hawthorn-edge/src/request/mod.rs
+++ b/crates/hawthorn-edge/src/request/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod delegate;
 pub(crate) mod gather;
 pub(crate) mod order;
+mod parts;
 pub(crate) mod passing;
 pub(crate) mod race;
 pub(crate) mod serve;
