refactor: what stood twice is one, and less is done for each query

Found by reading the whole change once more; behaviour is as it was.

- serve and route set up their metrics alike, each with its own error and text: hawthorn-metrics holds the exporter, both call it.
- The command line listed its commands twice, with and without the demo.
- "Ready, not passed over, its zone reached" was written out in spread, skip and the door's waits: TargetState::is_working and PlaceView::working.
- A peer that gathers cloned the whole route and its list of shards, twice, for each query, after a search over all routes; and whether a query is urgent was a walk over all routes for each.
The table of a version knows both once: RouteTable::named, RouteTable::is_urgent.
- A query's count of shards left out was kept beside the list it counts; the request numbers were atomic on the one thread that serves.
- Tests of decisions built the same entry four times, those of real processes the same western fleet: tests/support, WesternFleet.
Assertions are untouched.

Left: targets.beat_ms is checked and read by nobody (a test asks for the check); the platform's two modules each have an error for its format.

--- a/crates/hawthorn-daemon/src/process/daemon.rs
+++ b/crates/hawthorn-daemon/src/process/daemon.rs
@@ -35,7 +35,6 @@
 use crate::process::fleet;
 use crate::process::fleet::FleetHandle;
 use crate::process::logs;
-use crate::process::metrics;
 use crate::process::metrics::MetricSet;
 use crate::process::options;
 use crate::process::reconcile;
@@ -76,7 +75,7 @@
             from()
         }
         /// Metrics could not be set up.
-        Metrics(source: metrics::Error) {
+        Metrics(source: hawthorn_metrics::Error) {
             display("{source}")
             from()
         }
--- a/crates/hawthorn-daemon/src/process/metrics.rs
+++ b/crates/hawthorn-daemon/src/process/metrics.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use hawthorn_decide::counter::OwnerCounters;
+use hawthorn_metrics::Error;
+use hawthorn_metrics::MetricExporter;
 use hawthorn_types::MissingReason;
 use hawthorn_types::RefusalReason;
 use hawthorn_types::RetryReason;
@@ -14,34 +16,16 @@
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
-use opentelemetry::metrics::MeterProvider;
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::Encoder;
-use prometheus::Registry;
-use prometheus::TextEncoder;
-use quick_error::quick_error;
 use strum::IntoEnumIterator;
 
 /// Upper bounds of the latency histogram, in seconds: around the 50 ms promise.
 const LATENCY_BOUNDS: [f64; 14] =
     [0.001, 0.002, 0.005, 0.01, 0.015, 0.02, 0.03, 0.05, 0.075, 0.1, 0.2, 0.5, 1.0, 5.0];
 
-quick_error! {
-    /// Why metrics could not be set up.
-    #[derive(Debug)]
-    pub enum Error {
-        /// The exporter refused its registry.
-        Exporter(text: String) {
-            display("metrics exporter: {text}")
-        }
-    }
-}
-
 /// All instruments of the process.
 #[derive(Clone, Debug)]
 pub struct MetricSet {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    exporter: MetricExporter,
     refusals: Counter<u64>,
     retries: Counter<u64>,
     missing: Counter<u64>,
@@ -60,13 +44,8 @@
     /// # Errors
     /// When the exporter cannot be built.
     pub fn new() -> Result<Self, Error> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|error| Error::Exporter(error.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("hawthornroute");
+        let exporter = MetricExporter::new()?;
+        let meter = exporter.meter();
         let set = Self {
             refusals: meter.u64_counter("hawthorn_refusals").build(),
             retries: meter.u64_counter("hawthorn_retries").build(),
@@ -81,8 +60,7 @@
             gauges: meter.u64_gauge("hawthorn_gauge").build(),
             store_calls: meter.u64_counter("hawthorn_store_calls").build(),
             pieces: meter.u64_counter("hawthorn_owner_pieces").build(),
-            registry,
-            _provider: provider,
+            exporter,
         };
         set.start_at_zero();
         Ok(set)
@@ -176,11 +154,6 @@
 
     /// The text that `/metrics` answers.
     pub fn render(&self) -> String {
-        let mut text = Vec::new();
-        let families = self.registry.gather();
-        match TextEncoder::new().encode(&families, &mut text) {
-            Ok(()) => String::from_utf8_lossy(&text).into_owned(),
-            Err(error) => format!("# metrics could not be encoded: {error}\n"),
-        }
+        self.exporter.text()
     }
 }
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -3,8 +3,6 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -35,7 +33,6 @@
 use crate::process::feed;
 use crate::process::fleet;
 use crate::process::fleet::GatherPeers;
-use crate::process::metrics;
 use crate::process::metrics::EdgeMetrics;
 use crate::process::reach;
 use crate::process::turns;
@@ -68,7 +65,7 @@
             display("a duty ended")
         }
         /// Metrics could not be set up.
-        Metrics(source: metrics::Error) {
+        Metrics(source: hawthorn_metrics::Error) {
             display("{source}")
             from()
         }
@@ -111,7 +108,7 @@
     /// Bytes of callers' bodies that are held.
     pub body_bytes: Cell<usize>,
     /// Requests since the start, to number and sample log lines.
-    pub request_count: AtomicU32,
+    pub request_count: Cell<u32>,
 }
 
 impl RouteHost {
@@ -136,7 +133,7 @@
             open_requests: Cell::new(0),
             grace: Cell::new(settings.stop.grace),
             body_bytes: Cell::new(0),
-            request_count: AtomicU32::new(0),
+            request_count: Cell::new(0),
             beliefs: Beliefs::new(settings),
         })
     }
@@ -160,7 +157,9 @@
 
     /// Counts a request and returns its number.
     pub fn next_request(&self) -> u32 {
-        self.request_count.fetch_add(1, Ordering::Relaxed)
+        let number = self.request_count.get();
+        self.request_count.set(number.wrapping_add(1));
+        number
     }
 }
 
--- a/crates/hawthorn-edge/src/process/metrics.rs
+++ b/crates/hawthorn-edge/src/process/metrics.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use hawthorn_metrics::Error;
+use hawthorn_metrics::MetricExporter;
 use hawthorn_route::outcome::AttemptEnd;
 use hawthorn_route::outcome::RefusalReason;
 use hawthorn_store::StoreClient;
@@ -12,35 +14,16 @@
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
-use opentelemetry::metrics::Meter;
-use opentelemetry::metrics::MeterProvider;
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::Encoder;
-use prometheus::Registry;
-use prometheus::TextEncoder;
-use quick_error::quick_error;
 use strum::IntoEnumIterator;
 
 /// Upper bounds of the latency histogram, in seconds.
 const LATENCY_BOUNDS: [f64; 12] =
     [0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1.0, 3.0];
 
-quick_error! {
-    /// Why metrics could not be set up.
-    #[derive(Debug)]
-    pub enum Error {
-        /// The exporter refused its registry.
-        Exporter(text: String) {
-            display("metrics exporter: {text}")
-        }
-    }
-}
-
 /// All instruments of a host that routes requests.
 #[derive(Clone, Debug)]
 pub struct EdgeMetrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    exporter: MetricExporter,
     requests: Counter<u64>,
     refusals: Counter<u64>,
     attempts: Counter<u64>,
@@ -48,7 +31,6 @@
     missing: Counter<u64>,
     latency: Histogram<f64>,
     gauges: Gauge<u64>,
-    meter: Meter,
 }
 
 impl EdgeMetrics {
@@ -57,13 +39,8 @@
     /// # Errors
     /// When the exporter cannot be built.
     pub fn new() -> Result<Self, Error> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|error| Error::Exporter(error.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("hawthornroute");
+        let exporter = MetricExporter::new()?;
+        let meter = exporter.meter();
         let set = Self {
             requests: meter.u64_counter("hawthorn_route_requests").build(),
             refusals: meter.u64_counter("hawthorn_route_refusals").build(),
@@ -75,9 +52,7 @@
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
                 .build(),
             gauges: meter.u64_gauge("hawthorn_route_state").build(),
-            meter,
-            registry,
-            _provider: provider,
+            exporter,
         };
         RefusalReason::iter().for_each(|reason| set.count_refusal(reason, 0));
         AttemptEnd::iter().for_each(|end| set.count_attempt(end, 0));
@@ -90,7 +65,8 @@
 
     /// Shows the client's calls to the store, by kind and outcome. Each is paid for.
     pub fn show_calls(&self, client: StoreClient) {
-        let calls = self.meter.u64_observable_counter("hawthorn_route_store_calls");
+        let meter = self.exporter.meter();
+        let calls = meter.u64_observable_counter("hawthorn_route_store_calls");
         let calls = calls.with_callback(move |observer| {
             for (kind, outcome, count) in client.counts().iter() {
                 let labels = [
@@ -137,10 +113,6 @@
 
     /// All of it in Prometheus' text format.
     pub fn text(&self) -> String {
-        let mut buffer = Vec::new();
-        match TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
-            Ok(()) => String::from_utf8_lossy(&buffer).into_owned(),
-            Err(error) => format!("# not encoded: {error}\n"),
-        }
+        self.exporter.text()
     }
 }
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -283,9 +283,8 @@
     let Some(table) = host.beliefs.table_of(message.version) else {
         return GatherReply::OtherVersion;
     };
-    let route = table.document().routes.iter().find(|route| route.name == message.route);
-    let Some(route) = route.cloned() else { return GatherReply::OtherVersion };
-    let RouteWay::Gather(rule) = route.way.clone() else { return GatherReply::OtherVersion };
+    let Some(route) = table.named(&message.route) else { return GatherReply::OtherVersion };
+    let RouteWay::Gather(rule) = &route.way else { return GatherReply::OtherVersion };
     let (Ok(method), Ok(uri)) = (message.method.parse(), message.uri.parse()) else {
         return GatherReply::OtherVersion;
     };
@@ -302,7 +301,7 @@
         headers,
         body: Bytes::from(message.body),
         attempt_id: message.attempt_id,
-        route: Rc::new(route),
+        route: Rc::clone(route),
         started,
         ends: started + Duration::from_micros(message.left_us),
         left: CancellationToken::new(),
@@ -317,7 +316,7 @@
     let aim_at = started + Duration::from_micros(message.aim_left_us);
     let (spare, skip) = (usize::from(message.spare), usize::from(message.skip));
     let part = PeerPart { shards: &message.shards, spare, skip, aim_at };
-    let answer = gather::part_of(host, &order, &rule, &part).await;
+    let answer = gather::part_of(host, &order, rule, &part).await;
     order.answered.cancel();
     drop(watch);
     order.story.borrow().tell_missing(order.attempt_id.as_deref().unwrap_or("-"));
--- a/crates/hawthorn-edge/src/request/parts.rs
+++ b/crates/hawthorn-edge/src/request/parts.rs
@@ -146,7 +146,6 @@
         let route = &self.order.route;
         self.skipped = self.host.beliefs.skip(self.rule, shards, skip, route, time);
         self.state.lost += self.skipped.len();
-        self.order.skipped.set(self.skipped.len());
         for shard in shards {
             if !self.skipped.contains(shard) {
                 self.race_toward(*shard, target(*shard));
@@ -159,7 +158,6 @@
     pub(super) fn recall(&mut self) -> bool {
         let skipped = std::mem::take(&mut self.skipped);
         self.state.lost -= skipped.len();
-        self.order.skipped.set(self.order.skipped.get() - skipped.len());
         skipped.iter().for_each(|shard| self.race(*shard, 0));
         !skipped.is_empty()
     }
@@ -187,9 +185,10 @@
         self.events.push(asked.boxed_local());
     }
 
-    /// Notes how long work waits at the shards that were asked for directly, and
-    /// which of them have no part.
+    /// Notes how long work waits at the shards that were asked for directly, how
+    /// many were left out, and which have no part.
     pub(super) fn note_end(&self) {
+        self.order.skipped.set(self.skipped.len());
         let now = host_now();
         let beliefs = &self.host.beliefs;
         let usual = beliefs.usual(&self.order.route);
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -28,7 +28,6 @@
 use hawthorn_route::skip;
 use hawthorn_route::spread;
 use hawthorn_route::table::RouteTable;
-use hawthorn_route::target::TargetPhase;
 use hawthorn_route::weight::WeightDealer;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -261,9 +260,7 @@
     pub fn wait(&self, service: &str, usual: Duration, now: Duration) -> Option<Duration> {
         let registry = self.registry.borrow();
         let targets = registry.of_service(service).iter().filter_map(|key| registry.get(*key));
-        let ready = targets.filter(|state| state.phase == TargetPhase::Ready);
-        let working = ready.filter(|state| now >= state.paused_until());
-        working.map(|state| state.wait(now, usual)).min()
+        targets.filter(|state| state.is_working(now)).map(|state| state.wait(now, usual)).min()
     }
 
     /// The connections to a target.
--- a/crates/hawthorn-edge/src/version/reach.rs
+++ b/crates/hawthorn-edge/src/version/reach.rs
@@ -69,12 +69,9 @@
         }
     }
 
-    /// No query over shards is more urgent than the route's.
+    /// No query over shards of the version in force is more urgent than the route's.
     pub fn is_urgent(&self, route: &RouteRule) -> bool {
-        let Some(table) = self.table() else { return true };
-        let queries = table.document().routes.iter();
-        let queries = queries.filter(|route| matches!(route.way, RouteWay::Gather(_)));
-        queries.map(|query| query.priority).min().is_none_or(|least| route.priority <= least)
+        self.table().is_none_or(|table| table.is_urgent(route))
     }
 
     /// Queries over shards that came here lately, a second.
--- a/crates/hawthorn-route/benches/query.rs
+++ b/crates/hawthorn-route/benches/query.rs
@@ -1,5 +1,8 @@
 //! Processor time of the decisions that one query over shards takes.
 
+#[path = "../tests/support/mod.rs"]
+mod support;
+
 use std::hint::black_box;
 use std::time::Duration;
 
@@ -7,7 +10,6 @@
 use criterion::criterion_group;
 use criterion::criterion_main;
 use hawthorn_route::document::GatherRule;
-use hawthorn_route::document::TargetEntry;
 use hawthorn_route::door;
 use hawthorn_route::door::QueryDoor;
 use hawthorn_route::door::QueryLoad;
@@ -30,16 +32,7 @@
     let mut registry = TargetRegistry::new(registry::Options::default());
     for shard in 0..count {
         for zone in ZONES {
-            let entry = TargetEntry {
-                id: format!("t{shard}-{zone}").into(),
-                service: format!("s{shard}").into(),
-                address: "127.0.0.1:9".parse().expect("an address"),
-                zone: zone.into(),
-                slots: 2,
-                draining: false,
-                cold: Duration::ZERO,
-                born: None,
-            };
+            let entry = support::entry(&format!("t{shard}-{zone}"), &format!("s{shard}"), zone);
             registry.put(entry, 1, NOW);
         }
     }
--- a/crates/hawthorn-route/src/place.rs
+++ b/crates/hawthorn-route/src/place.rs
@@ -42,6 +42,20 @@
     pub now: Duration,
 }
 
+impl<'a> PlaceView<'a> {
+    /// The way to the target's zone is open, as far as is known.
+    fn reaches(&self, state: &TargetState) -> bool {
+        !self.cut.iter().any(|cut| **cut == *state.entry.zone)
+    }
+
+    /// The targets of a service that take work and can be reached.
+    pub fn working(self, service: &str) -> impl Iterator<Item = &'a TargetState> {
+        let targets = self.registry.of_service(service).iter();
+        let states = targets.filter_map(move |key| self.registry.get(*key));
+        states.filter(move |state| self.reaches(state) && state.is_working(self.now))
+    }
+}
+
 /// The target of a service that is expected to answer first, apart from those
 /// tried already and those that cannot be reached.
 pub fn place(
@@ -51,11 +65,11 @@
     lots: &mut impl Rng,
     options: &Options,
 ) -> Option<TargetKey> {
-    let PlaceView { registry, cut, .. } = view;
+    let registry = view.registry;
     let mut best: Option<(f64, TargetKey)> = None;
     for key in registry.of_service(service) {
         let Some(state) = registry.get(*key).filter(|_| !tried.contains(key)) else { continue };
-        if cut.iter().any(|cut| **cut == *state.entry.zone) {
+        if !view.reaches(state) {
             continue;
         }
         let Some(score) = score(view, state, options) else { continue };
--- a/crates/hawthorn-route/src/skip.rs
+++ b/crates/hawthorn-route/src/skip.rs
@@ -12,7 +12,6 @@
 use std::time::Duration;
 
 use crate::place::PlaceView;
-use crate::target::TargetPhase;
 
 /// Limits of skipping.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -57,14 +56,9 @@
 /// The usual time stands for each request of the queue. The target's own learnt
 /// time does not: it holds the waits of earlier ones, which would count twice.
 fn expected(view: PlaceView<'_>, shard: &str) -> Option<Duration> {
-    let PlaceView { registry, cut, usual, now, .. } = view;
-    let targets = registry.of_service(shard).iter().filter_map(|key| registry.get(*key));
-    let working = targets.filter(|state| {
-        let reached = !cut.iter().any(|cut| **cut == *state.entry.zone);
-        reached && state.phase == TargetPhase::Ready && now >= state.paused_until()
-    });
-    let shortest = working.map(|state| state.queue(now)).min_by(f64::total_cmp)?;
-    (shortest > 0.0).then(|| usual.mul_f64(1.0 + shortest))
+    let queues = view.working(shard).map(|state| state.queue(view.now));
+    let shortest = queues.min_by(f64::total_cmp)?;
+    (shortest > 0.0).then(|| view.usual.mul_f64(1.0 + shortest))
 }
 
 /// How many shards of each part of a query may be skipped, so that together they
--- a/crates/hawthorn-route/src/spread.rs
+++ b/crates/hawthorn-route/src/spread.rs
@@ -19,7 +19,6 @@
 use crate::place;
 use crate::place::PlaceView;
 use crate::registry::TargetKey;
-use crate::target::TargetPhase;
 
 /// Limits of handing shards over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -81,22 +80,16 @@
     lots: &mut impl Rng,
     options: &place::Options,
 ) -> ShardWay {
-    let PlaceView { registry, zone, cut, now, .. } = view;
+    let PlaceView { registry, zone, .. } = view;
     let Some(best) = place::place(view, shard, &[], lots, options) else {
         return ShardWay::Nowhere;
     };
     if registry.get(best).is_none_or(|state| *state.entry.zone == *zone) {
         return ShardWay::Near(best);
     }
-    let working = registry
-        .of_service(shard)
-        .iter()
-        .filter_map(|key| registry.get(*key))
-        .filter(|state| state.phase == TargetPhase::Ready && now >= state.paused_until());
     let mut zones = ZoneNames::new();
-    for other in working.map(|state| &state.entry.zone) {
-        let reached = **other != *zone && !cut.iter().any(|cut| **cut == **other);
-        if reached && !zones.contains(other) {
+    for other in view.working(shard).map(|state| &state.entry.zone) {
+        if **other != *zone && !zones.contains(other) {
             zones.push(Rc::clone(other));
         }
     }
--- a/crates/hawthorn-route/src/table.rs
+++ b/crates/hawthorn-route/src/table.rs
@@ -15,6 +15,9 @@
     document: RouteDocument,
     /// Of each host, its routes, the longest prefix first.
     by_host: HashMap<String, Vec<Rc<RouteRule>>>,
+    by_name: HashMap<String, Rc<RouteRule>>,
+    /// Rank of the most urgent query over shards.
+    first_rank: Option<u32>,
     services: HashMap<String, ServiceRule>,
     /// Services that hold a shard of some route.
     shards: HashSet<String>,
@@ -24,21 +27,25 @@
     /// Sorts the document's routes for look-ups.
     pub fn new(document: RouteDocument) -> Self {
         let mut by_host: HashMap<String, Vec<Rc<RouteRule>>> = HashMap::new();
+        let mut by_name = HashMap::new();
         for route in &document.routes {
             let host = route.host.to_ascii_lowercase();
-            by_host.entry(host).or_default().push(Rc::new(route.clone()));
+            let rule = Rc::new(route.clone());
+            by_host.entry(host).or_default().push(Rc::clone(&rule));
+            by_name.entry(route.name.clone()).or_insert(rule);
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services =
             document.services.iter().map(|rule| (rule.name.clone(), rule.clone())).collect();
-        let shards = document.routes.iter().flat_map(|route| match &route.way {
-            RouteWay::Gather(rule) => rule.shards.as_slice(),
-            RouteWay::Single(_) | RouteWay::Weighted(_) => &[],
+        let queries = document.routes.iter().filter_map(|route| match &route.way {
+            RouteWay::Gather(rule) => Some((route, rule)),
+            RouteWay::Single(_) | RouteWay::Weighted(_) => None,
         });
-        let shards = shards.cloned().collect();
-        Self { document, by_host, services, shards }
+        let first_rank = queries.clone().map(|(route, _)| route.priority).min();
+        let shards = queries.flat_map(|(_, rule)| rule.shards.iter().cloned()).collect();
+        Self { document, by_host, by_name, first_rank, services, shards }
     }
 
     /// Number of the version.
@@ -58,6 +65,16 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// The route that operators call so.
+    pub fn named(&self, name: &str) -> Option<&Rc<RouteRule>> {
+        self.by_name.get(name)
+    }
+
+    /// No query over shards is more urgent than the route's.
+    pub fn is_urgent(&self, route: &RouteRule) -> bool {
+        self.first_rank.is_none_or(|first| route.priority <= first)
+    }
+
     /// Whether a service holds a shard of some route.
     pub fn is_shard(&self, service: &str) -> bool {
         self.shards.contains(service)
--- a/crates/hawthorn-route/src/target.rs
+++ b/crates/hawthorn-route/src/target.rs
@@ -146,6 +146,11 @@
         self.paused_until = now + (FIRST_PAUSE * 2_u32.pow(doublings)).min(LONGEST_PAUSE);
     }
 
+    /// It takes work now: neither leaving nor passed over after failures.
+    pub fn is_working(&self, now: Duration) -> bool {
+        self.phase == TargetPhase::Ready && now >= self.paused_until
+    }
+
     /// Passed over until then, after failures.
     pub fn paused_until(&self) -> Duration {
         self.paused_until
--- a/crates/hawthorn-route/tests/skip.rs
+++ b/crates/hawthorn-route/tests/skip.rs
@@ -1,8 +1,9 @@
 //! Which shards of a query are not asked for at all.
 
+mod support;
+
 use std::time::Duration;
 
-use hawthorn_route::document::TargetEntry;
 use hawthorn_route::place::PlaceView;
 use hawthorn_route::registry;
 use hawthorn_route::registry::TargetRegistry;
@@ -21,16 +22,7 @@
     let mut registry = TargetRegistry::new(registry::Options::default());
     for (shard, targets) in waiting.iter().enumerate() {
         for (place, waiting) in targets.iter().enumerate() {
-            let entry = TargetEntry {
-                id: format!("t{shard}-{place}").into(),
-                service: format!("s{shard}").into(),
-                address: "127.0.0.1:9".parse().expect("an address"),
-                zone: "east".into(),
-                slots: 2,
-                draining: false,
-                cold: Duration::ZERO,
-                born: None,
-            };
+            let entry = support::entry(&format!("t{shard}-{place}"), &format!("s{shard}"), "east");
             registry.put(entry, 1, NOW);
             let key = registry.of_service(&format!("s{shard}"))[place];
             let load = ToldLoad { running: 2, waiting: *waiting, slots: 2, at: told };
--- a/crates/hawthorn-route/tests/spread.rs
+++ b/crates/hawthorn-route/tests/spread.rs
@@ -1,11 +1,12 @@
 //! Where each shard of a query is asked for.
 
+mod support;
+
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hawthorn_route::document::GatherRule;
-use hawthorn_route::document::TargetEntry;
 use hawthorn_route::outcome::AttemptEnd;
 use hawthorn_route::place;
 use hawthorn_route::place::PlaceView;
@@ -25,16 +26,7 @@
     let mut registry = TargetRegistry::new(registry::Options::default());
     for (shard, zones) in shards.iter().enumerate() {
         for (place, zone) in zones.iter().enumerate() {
-            let entry = TargetEntry {
-                id: format!("t{shard}-{place}").into(),
-                service: format!("s{shard}").into(),
-                address: "127.0.0.1:9".parse().expect("an address"),
-                zone: (*zone).into(),
-                slots: 2,
-                draining: false,
-                cold: Duration::ZERO,
-                born: None,
-            };
+            let entry = support::entry(&format!("t{shard}-{place}"), &format!("s{shard}"), zone);
             registry.put(entry, 1, NOW);
         }
     }
--- a/crates/hawthorn-route/tests/targets.rs
+++ b/crates/hawthorn-route/tests/targets.rs
@@ -1,5 +1,7 @@
 //! What is believed of targets, and which one an attempt goes to.
 
+mod support;
+
 use std::time::Duration;
 
 use hawthorn_decide::latency::ServiceTimes;
@@ -20,16 +22,7 @@
 const USUAL: Duration = Duration::from_millis(15);
 
 fn entry(id: &str, zone: &str) -> TargetEntry {
-    TargetEntry {
-        id: id.into(),
-        service: "s".into(),
-        address: "127.0.0.1:9".parse().expect("an address"),
-        zone: zone.into(),
-        slots: 2,
-        draining: false,
-        cold: Duration::ZERO,
-        born: None,
-    }
+    support::entry(id, "s", zone)
 }
 
 fn ms(millis: u64) -> Duration {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -425,27 +425,6 @@
     let diff = diff();
     let history = history();
     let import = import();
-    #[cfg(feature = "demo")]
-    let parser = {
-        let demo = demo();
-        construct!([
-            serve,
-            route,
-            explain_log,
-            report,
-            check,
-            query,
-            request,
-            status,
-            explain,
-            apply,
-            diff,
-            history,
-            import,
-            demo
-        ])
-    };
-    #[cfg(not(feature = "demo"))]
     let parser = construct!([
         serve,
         route,
@@ -461,6 +440,11 @@
         history,
         import
     ]);
+    #[cfg(feature = "demo")]
+    let parser = {
+        let demo = demo();
+        construct!([parser, demo])
+    };
     parser
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -427,18 +427,50 @@
     route::wait_for("queries to be answered without the peer and the shard", whole).await
 }
 
-/// Four shards with a target each, all in the west, and a route that needs them all.
-async fn western_shards() -> TestResult<(RouteStore, Vec<RouteTarget>)> {
-    let store = RouteStore::start().await?;
-    let names = ["a", "b", "c", "d"];
-    let mut targets = Vec::new();
-    for name in names {
-        let target = RouteTarget::start(&format!("t-{name}"), name).await?;
-        operator::register(&store, &format!("t-{name}"), &target, "west");
-        targets.push(target);
+/// Four shards with a target each, all in the west, and a route that needs them
+/// all; a front in the east, and hosts in the west that gather for it.
+struct WesternFleet {
+    _store: RouteStore,
+    targets: Vec<RouteTarget>,
+    east: RouteHost,
+    west: Vec<RouteHost>,
+}
+
+impl WesternFleet {
+    /// Starts it; all hosts know each other.
+    async fn start(peers: &[&str]) -> TestResult<Self> {
+        let store = RouteStore::start().await?;
+        let names = ["a", "b", "c", "d"];
+        let mut targets = Vec::new();
+        for name in names {
+            let target = RouteTarget::start(&format!("t-{name}"), name).await?;
+            operator::register(&store, &format!("t-{name}"), &target, "west");
+            targets.push(target);
+        }
+        operator::configure(&store, 3, &[operator::gathered("/all/", &names, 1.0)], &names);
+        let east = RouteHost::start("h-1", "east", store.address(), &[])?;
+        let west = peers
+            .iter()
+            .map(|name| RouteHost::start(name, "west", store.address(), &[&east]))
+            .collect::<TestResult<Vec<_>>>()?;
+        east.ready().await?;
+        for host in &west {
+            host.ready().await?;
+        }
+        let met = async || east.logged("zone=west change=up") == west.len();
+        route::wait_for("the hosts to know each other", met).await?;
+        Ok(Self { _store: store, targets, east, west })
+    }
+
+    /// Waits until a peer has gathered a query from now on.
+    async fn gathers(&self) -> TestResult {
+        let before = self.east.logged("outcome=whole");
+        let delegated = async || {
+            let answer = self.east.ask("GET", "/all/", "id-0", "").await;
+            answer.is_ok() && self.east.logged("outcome=whole") > before
+        };
+        route::wait_for("a peer to gather", delegated).await
     }
-    operator::configure(&store, 3, &[operator::gathered("/all/", &names, 1.0)], &names);
-    Ok((store, targets))
 }
 
 /// A host is restarted by plan. The others hold connections to its earlier life,
@@ -446,25 +478,15 @@
 /// each pair of hosts lost one query with every restart.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_restarted_peer_costs_no_query() -> TestResult {
-    let (store, _targets) = western_shards().await?;
-    let east = RouteHost::start("h-1", "east", store.address(), &[])?;
-    let mut west = RouteHost::start("h-2", "west", store.address(), &[&east])?;
-    east.ready().await?;
-    west.ready().await?;
+    let mut fleet = WesternFleet::start(&["h-2"]).await?;
     for round in 0..3 {
-        let delegated = async || {
-            let before = east.logged("outcome=whole");
-            let answer = east.ask("GET", "/all/", "id-0", "").await;
-            sleep(Duration::from_millis(150)).await;
-            answer.is_ok() && east.logged("outcome=whole") > before
-        };
-        route::wait_for("the peer to gather", delegated).await?;
-        west.restart()?;
+        fleet.gathers().await?;
+        fleet.west[0].restart()?;
         // A query that crosses the end of the earlier life may be lost with it.
         sleep(Duration::from_millis(300)).await;
         for step in 0..40 {
             let id = format!("id-{round}-{step}");
-            let answer = east.ask("GET", "/all/", &id, "").await?;
+            let answer = fleet.east.ask("GET", "/all/", &id, "").await?;
             assert_eq!(answer.status, 200, "{id}");
             sleep(Duration::from_millis(25)).await;
         }
@@ -478,18 +500,7 @@
 /// query that its front has given up on.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_peer_that_stands_still_is_replaced_and_sends_nothing_later() -> TestResult {
-    let (store, targets) = western_shards().await?;
-    let east = RouteHost::start("h-1", "east", store.address(), &[])?;
-    let west = [
-        RouteHost::start("h-2", "west", store.address(), &[&east])?,
-        RouteHost::start("h-3", "west", store.address(), &[&east])?,
-    ];
-    east.ready().await?;
-    for host in &west {
-        host.ready().await?;
-    }
-    let met = async || east.logged("zone=west change=up") == 2;
-    route::wait_for("the hosts to know each other", met).await?;
+    let WesternFleet { targets, east, west, .. } = &WesternFleet::start(&["h-2", "h-3"]).await?;
     sleep(Duration::from_millis(500)).await;
     for (round, frozen) in west.iter().enumerate() {
         frozen.signal(Signal::STOP)?;
@@ -501,7 +512,7 @@
         }
         frozen.signal(Signal::CONT)?;
         sleep(Duration::from_millis(700)).await;
-        for target in &targets {
+        for target in targets {
             for step in 0..4 {
                 assert_eq!(target.runs(&format!("id-{round}-{step}")), 1);
             }
@@ -617,28 +628,21 @@
 /// its answer late, after one attempt and one more at each shard at the most.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_peer_goes_on_gathering_what_an_answer_needs() -> TestResult {
-    let (store, targets) = western_shards().await?;
-    let east = RouteHost::start("h-1", "east", store.address(), &[])?;
-    let west = RouteHost::start("h-2", "west", store.address(), &[&east])?;
-    east.ready().await?;
-    west.ready().await?;
-    let delegated = async || {
-        let answer = east.ask("GET", "/all/", "id-0", "").await;
-        answer.is_ok() && east.logged("outcome=whole") > 0
-    };
-    route::wait_for("the peer to gather", delegated).await?;
+    let fleet = WesternFleet::start(&["h-2"]).await?;
+    fleet.gathers().await?;
+    let WesternFleet { targets, east, .. } = &fleet;
     // The aim is 400 ms, the time 1.5 s.
-    for target in &targets {
+    for target in targets {
         target.fail_always(Some(TargetFault::Slow(Duration::from_millis(700))));
     }
     let answer = east.ask("GET", "/all/", "id-1", "").await?;
     assert_eq!(answer.status, 200);
     assert_eq!(answer.headers[words::MISSING_PARTS], "0");
-    for target in &targets {
+    for target in targets {
         assert_eq!(target.runs("id-1"), 1);
     }
     // Nothing comes in time at all: the end is the route's, and known as such.
-    for target in &targets {
+    for target in targets {
         target.fail_always(Some(TargetFault::Mute));
     }
     let started = std::time::Instant::now();
@@ -653,37 +657,23 @@
 /// makes no third, says that the outcome is not known, and nothing runs later.
 #[tokio::test(flavor = "multi_thread")]
 async fn peers_that_stand_still_use_up_the_attempts() -> TestResult {
-    let (store, targets) = western_shards().await?;
-    let east = RouteHost::start("h-1", "east", store.address(), &[])?;
-    let west = [
-        RouteHost::start("h-2", "west", store.address(), &[&east])?,
-        RouteHost::start("h-3", "west", store.address(), &[&east])?,
-    ];
-    east.ready().await?;
-    let delegated = async || {
-        let answer = east.ask("GET", "/all/", "id-0", "").await;
-        answer.is_ok() && east.logged("outcome=whole") > 0
-    };
-    for host in &west {
-        host.ready().await?;
-    }
-    let met = async || east.logged("zone=west change=up") == 2;
-    route::wait_for("the hosts to know each other", met).await?;
-    route::wait_for("a peer to gather", delegated).await?;
+    let fleet = WesternFleet::start(&["h-2", "h-3"]).await?;
+    fleet.gathers().await?;
+    let WesternFleet { targets, east, west, .. } = &fleet;
     // The front has heard nothing of them for a while, so it asks whether they are there.
     sleep(Duration::from_millis(300)).await;
-    for host in &west {
+    for host in west {
         host.signal(Signal::STOP)?;
     }
     let answer = east.ask("GET", "/all/", "id-1", "").await?;
     // The cancellations are on their way when the answer comes.
     sleep(Duration::from_millis(100)).await;
-    for host in &west {
+    for host in west {
         host.signal(Signal::CONT)?;
     }
     assert_eq!(answer.status, 502);
     sleep(Duration::from_millis(700)).await;
-    for target in &targets {
+    for target in targets {
         assert_eq!(target.runs("id-1"), 0);
     }
     Ok(())
