feat(route): answers leave in time for their callers' observed distance

An answer left 8 ms before the aim counted from when its request was read. Callers there are 3 ms away, their clock runs from before their connection, and what is due leaves 1 to 2 ms after it was due.

Change: hawthorn-socket asks the kernel for a connection's round trip, its deviation and the age of the bytes that lie unread (TCP_INFO; the one unsafe call, in a crate of its own). hawthorn_route::depart finds the time at which an answer has to leave: one round trip before the aim on a kept connection, two on a new one, two deviations for the way still to come, and the lag of this host, nine in ten of what it saw lately. All that went by the aim at the front goes by it: gathering, skipping, what peers are handed, what the log calls calm. E630 tells early_ms and way_ms; a histogram tells both sides. A kernel that tells nothing: callers.round_trip_ms of the settings.

--- a/crates/hawthorn-edge/src/connection/head.rs
+++ b/crates/hawthorn-edge/src/connection/head.rs
@@ -1,12 +1,18 @@
-//! How long a caller takes to send a request's head.
+//! A caller's connection as its requests come: how long a head takes, when it
+//! came, from how far, and when its answer leaves.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
 
+use hawthorn_route::depart::CallerClock;
+use hawthorn_route::depart::CallerPath;
+use hawthorn_route::depart::LagMeter;
+use hawthorn_route::depart::PathMeter;
 use hyper::rt::Read;
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
@@ -17,6 +23,9 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 
+use crate::process::clock::host_now;
+use crate::process::turns;
+
 /// Turns of the event loop in which bytes that lie in the socket are read.
 const READING_TURNS: usize = 3;
 
@@ -28,9 +37,41 @@
     /// A request is being answered: what comes is its body.
     answering: Cell<bool>,
     changed: Notify,
+    /// Heads that came on the connection.
+    heads: Cell<u32>,
+    /// When the head that came last did, read or not.
+    came: Cell<Duration>,
+    path: Cell<PathMeter>,
+    /// When the answer that comes next was due, if it waited for that.
+    due: Cell<Option<Duration>>,
+    /// Lag of this host, which answers that were due tell of.
+    lag: Rc<RefCell<LagMeter>>,
 }
 
 impl HeadWatch {
+    /// A connection on which nothing came yet.
+    pub(crate) fn new(lag: Rc<RefCell<LagMeter>>) -> Self {
+        Self { lag, ..Self::default() }
+    }
+
+    /// What is known of the caller's clock with the head that came last.
+    pub(crate) fn clock(&self) -> CallerClock {
+        let (came, fresh) = (self.came.get(), self.heads.get() <= 1);
+        CallerClock { came, fresh, path: self.path.get().path() }
+    }
+
+    /// The answer that comes next was due at that time, or is sent as it is whole.
+    pub(crate) fn due(&self, at: Option<Duration>) {
+        self.due.set(at);
+    }
+
+    /// Bytes of an answer left.
+    fn bytes_left(&self) {
+        if let Some(due) = self.due.take() {
+            self.lag.borrow_mut().learn(host_now().saturating_sub(due));
+        }
+    }
+
     /// A head is whole.
     pub(crate) fn whole(&self) {
         self.answering.set(true);
@@ -43,10 +84,32 @@
         self.answering.set(false);
     }
 
-    fn bytes_came(&self) {
+    fn bytes_came(&self, stream: &TcpStream) {
         if !self.answering.get() && self.begun.get().is_none() {
             self.begun.set(Some(Instant::now()));
             self.changed.notify_one();
+            self.head_began(stream);
+        }
+    }
+
+    /// Notes when a head came and from how far.
+    ///
+    /// Failure: a host that is short of processor time reads a request long after
+    /// it came, and hands targets time that its caller no longer has. The kernel
+    /// knows how long the bytes have lain there, if it counts that; the loop's time
+    /// without a rest is as long at least.
+    fn head_began(&self, stream: &TcpStream) {
+        let now = host_now();
+        let report = hawthorn_socket::path(stream).ok();
+        let lain = report.map_or(Duration::ZERO, |report| report.quiet);
+        let age = lain.max(turns::busy_for(now));
+        self.came.set(now.saturating_sub(age));
+        self.heads.set(self.heads.get().saturating_add(1));
+        let told = report.and_then(|report| Some((report.round_trip?, report.deviation)));
+        if let Some((round_trip, deviation)) = told {
+            let mut path = self.path.get();
+            path.learn(CallerPath { round_trip, deviation });
+            self.path.set(path);
         }
     }
 
@@ -100,7 +163,7 @@
     ) -> Poll<std::io::Result<()>> {
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         if read.is_ready() {
-            self.watch.bytes_came();
+            self.watch.bytes_came(self.stream.inner());
         }
         read
     }
@@ -112,7 +175,11 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        if written.is_ready() {
+            self.watch.bytes_left();
+        }
+        written
     }
 
     fn poll_flush(
@@ -138,6 +205,10 @@
         context: &mut Context<'_>,
         parts: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        if written.is_ready() {
+            self.watch.bytes_left();
+        }
+        written
     }
 }
--- a/crates/hawthorn-edge/src/connection/mod.rs
+++ b/crates/hawthorn-edge/src/connection/mod.rs
@@ -1,6 +1,6 @@
 //! What lives as long as a connection, of a caller or a peer.
 
-mod head;
+pub(crate) mod head;
 pub mod listen;
 pub mod message;
 mod open;
--- a/crates/hawthorn-edge/src/process/fleet.rs
+++ b/crates/hawthorn-edge/src/process/fleet.rs
@@ -77,9 +77,13 @@
     loop {
         let passed = host_now().saturating_sub(started);
         let wake = host.members.borrow().next_wake().saturating_sub(passed).min(LONGEST_SLEEP);
+        let due = host_now() + wake;
         let heard = tokio::select! {
             heard = socket.recv_from(&mut datagram) => heard.ok(),
-            () = sleep(wake) => None,
+            () = sleep(wake) => {
+                host.lag.borrow_mut().learn(host_now().saturating_sub(due));
+                None
+            }
         };
         let now = host_now().saturating_sub(started);
         if let Some((len, from)) = heard
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -8,6 +8,7 @@
 use std::time::UNIX_EPOCH;
 
 use hawthorn_fleet::MemberTable;
+use hawthorn_route::depart::LagMeter;
 use hawthorn_route::door;
 use hawthorn_route::mirror::StoreMirror;
 use hawthorn_store::StoreClient;
@@ -101,6 +102,8 @@
     pub closing: CancellationToken,
     /// Callers' connections that are open.
     pub connections: Cell<usize>,
+    /// How late this host does what is due.
+    pub lag: Rc<RefCell<LagMeter>>,
     /// Requests that are not answered yet.
     pub open_requests: Cell<usize>,
     /// Time between the order to stop and the end by force.
@@ -130,6 +133,7 @@
             stopping: CancellationToken::new(),
             closing: CancellationToken::new(),
             connections: Cell::new(0),
+            lag: Rc::default(),
             open_requests: Cell::new(0),
             grace: Cell::new(settings.stop.grace),
             body_bytes: Cell::new(0),
--- a/crates/hawthorn-edge/src/process/metrics.rs
+++ b/crates/hawthorn-edge/src/process/metrics.rs
@@ -20,6 +20,9 @@
 const LATENCY_BOUNDS: [f64; 12] =
     [0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1.0, 3.0];
 
+/// Upper bounds of the histogram of departures, in seconds.
+const DEPARTURE_BOUNDS: [f64; 8] = [0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128];
+
 /// All instruments of a host that routes requests.
 #[derive(Clone, Debug)]
 pub struct EdgeMetrics {
@@ -30,6 +33,7 @@
     extras: Counter<u64>,
     missing: Counter<u64>,
     latency: Histogram<f64>,
+    departure: Histogram<f64>,
     gauges: Gauge<u64>,
 }
 
@@ -51,6 +55,10 @@
                 .f64_histogram("hawthorn_route_request_seconds")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
                 .build(),
+            departure: meter
+                .f64_histogram("hawthorn_route_departure_seconds")
+                .with_boundaries(DEPARTURE_BOUNDS.to_vec())
+                .build(),
             gauges: meter.u64_gauge("hawthorn_route_state").build(),
             exporter,
         };
@@ -86,6 +94,15 @@
         self.latency.record(took.as_secs_f64(), &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// An answer left at `now` that had to leave at `due`.
+    pub fn count_departure(&self, due: Duration, now: Duration) {
+        let (side, by) = match now.checked_sub(due) {
+            None => ("early", due - now),
+            Some(late) => ("late", late),
+        };
+        self.departure.record(by.as_secs_f64(), &[KeyValue::new("side", side)]);
+    }
+
     /// Requests refused for a reason.
     pub fn count_refusal(&self, reason: RefusalReason, count: u64) {
         self.refusals.add(count, &[KeyValue::new("reason", <&'static str>::from(reason))]);
--- a/crates/hawthorn-edge/src/request/answer.rs
+++ b/crates/hawthorn-edge/src/request/answer.rs
@@ -29,6 +29,8 @@
     pub(crate) refusal: Option<RefusalReason>,
     /// Parts that are in, and all.
     pub(crate) parts: Option<(usize, usize)>,
+    /// When it was due to leave, where it left at that time and not when it was whole.
+    pub(crate) due: Option<Duration>,
 }
 
 impl CallerAnswer {
@@ -36,7 +38,7 @@
         let body = Either::Left(Full::new(Bytes::from_static(outcome.as_bytes())));
         let mut response = Response::new(body);
         *response.status_mut() = status;
-        Self { response, outcome, refusal: None, parts: None }
+        Self { response, outcome, refusal: None, parts: None, due: None }
     }
 
     /// It has not run and never will; the caller is told when to come back.
@@ -90,14 +92,14 @@
         let mut response = Response::new(body);
         *response.status_mut() = answer.status;
         *response.headers_mut() = headers;
-        Self { response, outcome, refusal: None, parts: None }
+        Self { response, outcome, refusal: None, parts: None, due: None }
     }
 
     /// Records merged from parts.
     pub(crate) fn merged(response: Response<Full<Bytes>>, parts: usize, shards: usize) -> Self {
         let response = response.map(Either::Left);
         let outcome = if parts == shards { "answered" } else { "partial" };
-        Self { response, outcome, refusal: None, parts: Some((parts, shards)) }
+        Self { response, outcome, refusal: None, parts: Some((parts, shards)), due: None }
     }
 }
 
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -295,6 +295,7 @@
             headers.append(name, value);
         }
     }
+    let aim_at = started + Duration::from_micros(message.aim_left_us);
     let order = Rc::new(RequestOrder {
         method,
         uri,
@@ -303,6 +304,7 @@
         attempt_id: message.attempt_id,
         route: Rc::clone(route),
         started,
+        leaves: aim_at,
         ends: started + Duration::from_micros(message.left_us),
         left: CancellationToken::new(),
         answered: CancellationToken::new(),
@@ -313,7 +315,6 @@
         story: RefCell::new(RequestStory::default()),
     });
     let watch = CallerWatch(Rc::clone(&order));
-    let aim_at = started + Duration::from_micros(message.aim_left_us);
     let (spare, skip) = (usize::from(message.spare), usize::from(message.skip));
     let part = PeerPart { shards: &message.shards, spare, skip, aim_at };
     let answer = gather::part_of(host, &order, rule, &part).await;
--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -26,10 +26,6 @@
 use crate::request::parts::GatherPlan;
 use crate::request::parts::GatherRun;
 
-/// An answer leaves so long before the aim: twice the way to the caller, and
-/// the time that this host needs to merge and write under load.
-const AIM_MARGIN: Duration = Duration::from_millis(8);
-
 /// The part of a peer's query that is gathered here.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PeerPart<'a> {
@@ -50,7 +46,7 @@
     rule: &GatherRule,
     version: u64,
 ) -> CallerAnswer {
-    let aim_at = order.started + order.route.aim.saturating_sub(AIM_MARGIN);
+    let aim_at = order.leaves;
     let (shards, least_share) = (rule.shards.len(), rule.least_share);
     let plan = GatherPlan { version, aim_at, shards, least_share };
     let mut run = GatherRun::new(host, order, rule, plan);
@@ -59,6 +55,7 @@
         return CallerAnswer::refused(RefusalReason::NoTarget);
     }
     run.begin(&spread);
+    let mut due = None;
     loop {
         let now = host_now();
         if order.time_left(now).is_zero() {
@@ -75,17 +72,20 @@
             }
         }
         let wait = if aim_left.is_zero() { order.time_left(now) } else { aim_left };
+        due = None;
         tokio::select! {
             biased;
             Some(event) = run.events.next() => run.take(event),
-            () = sleep(wait) => {}
+            () = sleep(wait) => due = Some(now + wait),
         }
     }
     run.note_end();
     if !run.state.enough() {
         return out_of_time(order);
     }
-    answer(host, run.records, &run.receipts, run.state)
+    let mut answer = answer(host, run.records, &run.receipts, run.state);
+    answer.due = due;
+    answer
 }
 
 /// Gathers some shards of a peer's query: until its aim, and beyond it as long as
--- a/crates/hawthorn-edge/src/request/order.rs
+++ b/crates/hawthorn-edge/src/request/order.rs
@@ -34,8 +34,10 @@
     pub(crate) body: Bytes,
     pub(crate) attempt_id: Option<String>,
     pub(crate) route: Rc<RouteRule>,
-    /// When its head had come.
+    /// When it came, read or not.
     pub(crate) started: Duration,
+    /// When its answer has to leave, to be with the caller within the aim.
+    pub(crate) leaves: Duration,
     /// When the caller, or the operators, no longer wait.
     pub(crate) ends: Duration,
     /// The caller left.
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use hawthorn_platform::caller;
+use hawthorn_route::depart;
+use hawthorn_route::depart::CallerClock;
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::document::RouteWay;
 use hawthorn_route::door;
@@ -22,9 +24,9 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+use crate::connection::head::HeadWatch;
 use crate::process::clock::host_now;
 use crate::process::host::RouteHost;
-use crate::process::turns;
 use crate::request::answer::AnswerBody;
 use crate::request::answer::CallerAnswer;
 use crate::request::gather;
@@ -67,11 +69,15 @@
 }
 
 /// Serves one request; never fails, as every outcome is an answer.
-pub(crate) async fn serve(host: Rc<RouteHost>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let now = host_now();
-    // Where the loop was long at work, the request may have waited as long unread.
-    let started = now.saturating_sub(turns::busy_for(now));
-    let mut answer = admit(&host, request, started).await;
+pub(crate) async fn serve(
+    host: Rc<RouteHost>,
+    request: Request<Incoming>,
+    watch: &HeadWatch,
+) -> Response<AnswerBody> {
+    let clock = watch.clock();
+    let started = clock.came;
+    let mut answer = admit(&host, request, &clock).await;
+    watch.due(answer.due);
     // A caller of a host that steps aside is better served by another.
     if host.stopping.is_cancelled() || host.beliefs.stranded.get() {
         let close = HeaderValue::from_static("close");
@@ -87,7 +93,7 @@
 async fn admit(
     host: &Rc<RouteHost>,
     request: Request<Incoming>,
-    started: Duration,
+    clock: &CallerClock,
 ) -> CallerAnswer {
     let Some(table) = host.beliefs.table() else {
         return CallerAnswer::refused(RefusalReason::NoConfiguration);
@@ -117,6 +123,11 @@
     order::strip_connection(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
     head.headers.remove(header::EXPECT);
+    let started = clock.came;
+    let lag = host.lag.borrow().lag();
+    let round_trip = host.beliefs.settings.callers.round_trip;
+    let options = depart::Options { round_trip, ..depart::Options::default() };
+    let leaves = depart::leaves(clock, route.aim, lag, &options);
     let order = Rc::new(RequestOrder {
         method: head.method,
         uri: head.uri,
@@ -125,6 +136,7 @@
         attempt_id: told.attempt_id,
         route: Rc::clone(route),
         started,
+        leaves,
         ends: started + wait.saturating_sub(END_MARGIN),
         left: CancellationToken::new(),
         answered: CancellationToken::new(),
@@ -138,7 +150,7 @@
     let answer = carry(host, &order, table.version()).await;
     order.answered.cancel();
     drop(watch);
-    tell(host, &order, table.version(), &answer);
+    tell(host, &order, table.version(), &answer, clock);
     answer
 }
 
@@ -211,7 +223,13 @@
     }
 }
 
-fn tell(host: &RouteHost, order: &RequestOrder, version: u64, answer: &CallerAnswer) {
+fn tell(
+    host: &RouteHost,
+    order: &RequestOrder,
+    version: u64,
+    answer: &CallerAnswer,
+    clock: &CallerClock,
+) {
     let now = host_now();
     let rule: &RouteRule = &order.route;
     let took = now.saturating_sub(order.started);
@@ -224,9 +242,19 @@
         status: answer.response.status().as_u16(),
         took,
         left: order.time_left(now),
+        early: signed_millis(order.leaves, now),
+        round_trip: clock.path.map(|path| path.round_trip),
         parts: answer.parts,
         skipped: order.skipped.get(),
     };
-    let calm = answer.outcome == "answered" && took <= rule.aim;
+    if answer.response.status().is_success() {
+        host.metrics.count_departure(order.leaves, now);
+    }
+    let calm = answer.outcome == "answered" && now <= order.leaves;
     order.story.borrow().tell(&summary, calm);
 }
+
+/// Milliseconds from `now` until `due`, below zero once it has passed.
+fn signed_millis(due: Duration, now: Duration) -> f64 {
+    (due.as_secs_f64() - now.as_secs_f64()) * 1000.0
+}
--- a/crates/hawthorn-edge/src/request/story.rs
+++ b/crates/hawthorn-edge/src/request/story.rs
@@ -56,6 +56,10 @@
     pub(crate) status: u16,
     pub(crate) took: Duration,
     pub(crate) left: Duration,
+    /// Milliseconds before the time at which it had to leave; below zero after it.
+    pub(crate) early: f64,
+    /// The way to the caller and back, if the kernel told it.
+    pub(crate) round_trip: Option<Duration>,
     pub(crate) parts: Option<(usize, usize)>,
     /// Shards that were not asked for.
     pub(crate) skipped: usize,
@@ -113,9 +117,12 @@
             Level::Info,
             EdgeEvent::RequestEnded,
             "request={id} route={route} version={version} outcome={outcome} status={status} \
-             ms={:.1} left_ms={} parts={had}/{all} skipped={} weight={weight}",
+             ms={:.1} left_ms={} early_ms={:.1} way_ms={:.1} parts={had}/{all} skipped={} \
+             weight={weight}",
             millis(summary.took),
             summary.left.as_millis(),
+            summary.early,
+            summary.round_trip.map_or(-1.0, millis),
             summary.skipped
         );
         self.tell_missing(id);
--- a/crates/hawthorn-edge/src/settings.rs
+++ b/crates/hawthorn-edge/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hawthorn_route::depart;
 use quick_error::quick_error;
 use serde::Deserialize;
 use serde_with::DurationMilliSeconds;
@@ -32,6 +33,9 @@
     pub host: HostSettings,
     /// Where it listens.
     pub listen: ListenSettings,
+    /// What holds of all callers.
+    #[serde(default)]
+    pub callers: CallerSettings,
     /// How it finds the others.
     #[serde(default)]
     pub fleet: FleetSettings,
@@ -77,6 +81,24 @@
     pub metrics: SocketAddr,
 }
 
+/// What holds of all callers.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default)]
+pub struct CallerSettings {
+    /// The way to a caller and back where the kernel does not tell it: a usual
+    /// one within a region.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "round_trip_ms")]
+    pub round_trip: Duration,
+}
+
+impl Default for CallerSettings {
+    fn default() -> Self {
+        Self { round_trip: depart::Options::default().round_trip }
+    }
+}
+
 /// How it finds the others.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct FleetSettings {
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`mirror`] | the store's items as this host knows them |
 //! | [`door`] | whether a query is admitted |
 //! | [`gather`] | when a query over many shards is answered, and with what |
+//! | [`depart`] | when an answer has to leave |
 //! | [`reach`] | which zones cannot be reached |
 //! | [`outcome`] | what an attempt and a request came to |
 //!
@@ -26,6 +27,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 
 pub mod budget;
+pub mod depart;
 pub mod document;
 pub mod door;
 pub mod gather;
--- /dev/null
+++ b/crates/hawthorn-route/tests/depart.rs
@@ -0,0 +1,106 @@
+//! When answers leave, for callers near and far and on hosts calm and busy.
+
+use std::time::Duration;
+
+use hawthorn_route::depart;
+use hawthorn_route::depart::CallerClock;
+use hawthorn_route::depart::CallerPath;
+use hawthorn_route::depart::LagMeter;
+use hawthorn_route::depart::Options;
+use hawthorn_route::depart::PathMeter;
+
+const AIM: Duration = Duration::from_millis(150);
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Whole answers come late by a hair: a caller's clock runs from before its
+/// connection, so on a new one two round trips are gone when the answer is
+/// there, and on a kept one a single one. An answer that leaves when it is due
+/// has to be there within the aim, wherever the caller is.
+#[test]
+fn an_answer_that_is_due_is_in_time_at_any_distance() {
+    struct Case {
+        name: &'static str,
+        /// One way, ms.
+        way: u64,
+        fresh: bool,
+        /// How long the host takes to send what is due, ms.
+        lag: u64,
+        /// The least time that it has for gathering, ms.
+        least: u64,
+    }
+    let cases = [
+        Case { name: "near, kept", way: 1, fresh: false, lag: 1, least: 140 },
+        Case { name: "near, new", way: 1, fresh: true, lag: 1, least: 140 },
+        Case { name: "three ms, kept", way: 3, fresh: false, lag: 1, least: 135 },
+        Case { name: "three ms, new", way: 3, fresh: true, lag: 1, least: 130 },
+        Case { name: "nine ms, new", way: 9, fresh: true, lag: 1, least: 100 },
+        Case { name: "nine ms, new, a busy host", way: 9, fresh: true, lag: 20, least: 80 },
+    ];
+    for case in &cases {
+        let way = millis(case.way);
+        let path = CallerPath { round_trip: way * 2, deviation: way / 2 };
+        // The caller's clock begins at zero.
+        let came = if case.fresh { way * 3 } else { way };
+        let clock = CallerClock { came, fresh: case.fresh, path: Some(path) };
+        let leaves = depart::leaves(&clock, AIM, millis(case.lag), &Options::default());
+        let there = leaves + millis(case.lag) + way;
+        assert!(there <= AIM, "{}: there after {there:?}", case.name);
+        assert!(leaves - came >= millis(case.least), "{}: {leaves:?}", case.name);
+    }
+}
+
+/// A caller is so far away that no answer can be in time. It is gathered for half
+/// of the aim all the same: what leaves at once would be late and empty.
+#[test]
+fn what_cannot_be_in_time_is_gathered_all_the_same() {
+    let path = CallerPath { round_trip: millis(200), deviation: millis(50) };
+    let clock = CallerClock { came: millis(300), fresh: true, path: Some(path) };
+    let leaves = depart::leaves(&clock, AIM, millis(900), &Options::default());
+    assert_eq!(leaves, millis(300) + AIM / 2);
+}
+
+/// The kernel tells no round trip: the one of the settings stands for it.
+#[test]
+fn a_silent_kernel_leaves_the_round_trip_of_the_settings() {
+    let clock = CallerClock { came: millis(10), fresh: false, path: None };
+    let options = Options { round_trip: millis(12), ..Options::default() };
+    assert_eq!(depart::leaves(&clock, AIM, Duration::ZERO, &options), millis(10 + 150 - 12));
+}
+
+/// A caller acknowledges late, 40 ms after its answer came, and the kernel's
+/// round trip holds that. The one of the handshake stands, until so many
+/// requests have told more that the caller has moved.
+#[test]
+fn delayed_acknowledgements_make_no_caller_distant() {
+    let mut meter = PathMeter::default();
+    assert_eq!(meter.path(), None);
+    let near = CallerPath { round_trip: millis(6), deviation: millis(3) };
+    let delayed = CallerPath { round_trip: millis(46), deviation: millis(10) };
+    meter.learn(near);
+    for _ in 0..7 {
+        meter.learn(delayed);
+        assert_eq!(meter.path(), Some(near));
+    }
+    meter.learn(delayed);
+    assert_eq!(meter.path(), Some(delayed), "the caller has moved");
+    meter.learn(near);
+    assert_eq!(meter.path(), Some(near), "and come back");
+}
+
+/// A host whose turns are long sends late what is due, and reckons with it within
+/// a few answers; one long stop of the process is none of its habits.
+#[test]
+fn the_lag_follows_a_busy_host_and_forgets_a_single_stop() {
+    let mut meter = LagMeter::default();
+    assert_eq!(meter.lag(), Duration::ZERO);
+    (0..32).for_each(|_| meter.learn(millis(1)));
+    meter.learn(millis(700));
+    assert_eq!(meter.lag(), millis(1), "one stop");
+    (0..4).for_each(|_| meter.learn(millis(12)));
+    assert_eq!(meter.lag(), millis(12), "long turns");
+    (0..32).for_each(|_| meter.learn(millis(1)));
+    assert_eq!(meter.lag(), millis(1), "calm again");
+}
