fix(route): a request is handed the time that is left when it leaves

The header was written before the request waited for one of the three connections that a target accepts from a host; behind a slow target it waited for most of a second. The same wait went on for 300 ms after its query had been answered, and then the part was sent, for nobody.

Change: hawthorn-pool hands out a connection, and the request is made for it; one that still waits for a connection when its query is answered is dropped.

--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -10,19 +10,19 @@
 use hawthorn_pool::AnswerRest;
 use hawthorn_pool::Error;
 use hawthorn_pool::PoolAnswer;
+use hawthorn_pool::PoolConnection;
 use hawthorn_pool::TargetPool;
 use hawthorn_route::document::RouteWay;
 use hawthorn_route::outcome::AttemptEnd;
 use hawthorn_route::registry::TargetKey;
 use hawthorn_route::target::ToldLoad;
-use http_body_util::Full;
 use hyper::HeaderMap;
-use hyper::Request;
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::process::clock::host_now;
 use crate::process::host::RouteHost;
@@ -85,15 +85,20 @@
             return AttemptReply { end: AttemptEnd::NotSent, answer: None };
         };
         self.host.beliefs.zone_sent(&zone, sent, self.usual);
-        let request = self.order.outgoing(&target, left);
-        let exchange = self.exchange(request, left + LINGER);
+        let end = Instant::now() + left + LINGER;
+        let exchange = async {
+            match self.connection(end).await? {
+                Ok(connection) => Some(self.exchange(&target, connection, end).await),
+                Err(error) => Some(Err(error)),
+            }
+        };
         let lingered = async {
             self.order.answered.cancelled().await;
             sleep(LINGER).await;
         };
         let result = tokio::select! {
             biased;
-            result = exchange => Some(result),
+            result = exchange => result,
             () = self.order.left.cancelled() => None,
             () = lingered => Some(Err(Error::TimedOut)),
         };
@@ -130,14 +135,42 @@
     /// The answer: a part whole, any other as far as it is held.
     async fn exchange(
         &self,
-        request: Request<Full<Bytes>>,
-        within: Duration,
+        target: &str,
+        connection: PoolConnection,
+        end: Instant,
     ) -> Result<PoolAnswer, Error> {
-        if !matches!(self.order.route.way, RouteWay::Gather(_)) {
-            return self.pool.send(request, within).await;
+        // Failure: a request waits here for one of the few connections that a slow
+        // target accepts, and is sent with time that its caller no longer has. What
+        // is left is counted when it leaves.
+        let left = self.order.time_left(host_now());
+        if left.is_zero() {
+            return Err(Error::NotSent("its time was over before it was sent".into()));
+        }
+        let request = self.order.outgoing(target, left);
+        let answer = async {
+            let answer = connection.send(request).await?;
+            match self.order.route.way {
+                RouteWay::Gather(_) => answer.whole(PART_BYTES).await,
+                RouteWay::Single(_) | RouteWay::Weighted(_) => Ok(answer),
+            }
+        };
+        timeout_at(end, answer).await.unwrap_or(Err(Error::TimedOut))
+    }
+
+    /// A connection to the target, unless the caller has its answer before.
+    ///
+    /// Load: a target is slow, requests wait here for its connections, and their
+    /// queries are answered without them. Sent now, they would be work for nobody,
+    /// and lengthen the queue of those that come after.
+    async fn connection(&self, end: Instant) -> Option<Result<PoolConnection, Error>> {
+        let over = |_| Err(Error::NotSent("no free connection in time".into()));
+        tokio::select! {
+            biased;
+            connection = timeout_at(end, self.pool.connection()) => {
+                Some(connection.unwrap_or_else(over))
+            }
+            () = self.order.answered.cancelled() => None,
         }
-        let whole = async { self.pool.send(request, within).await?.whole(PART_BYTES).await };
-        timeout(within, whole).await.unwrap_or(Err(Error::TimedOut))
     }
 
     fn note_start(&self, sent: Duration) -> Option<(Rc<str>, Rc<str>, Rc<str>)> {
--- a/crates/hawthorn-pool/src/lib.rs
+++ b/crates/hawthorn-pool/src/lib.rs
@@ -125,18 +125,71 @@
     }
 }
 
-/// A connection while it carries an exchange: goes back only when that ended cleanly.
+/// A connection that is one exchange's: goes back only when that ended cleanly, or
+/// was not begun.
 #[derive(Debug)]
-struct BusySender {
-    sender: RequestSender,
+pub struct PoolConnection {
+    /// Taken when the connection goes back, or is the exchange's to the end.
+    sender: Option<RequestSender>,
     idle: Arc<IdleSenders>,
+    held_bytes: usize,
     _permit: OwnedSemaphorePermit,
 }
 
+impl Drop for PoolConnection {
+    fn drop(&mut self) {
+        // One that carried nothing is as good as before.
+        if let Some(sender) = self.sender.take() {
+            self.idle.put(sender);
+        }
+    }
+}
+
+/// A connection while it carries an exchange.
+#[derive(Debug)]
+struct BusySender {
+    sender: RequestSender,
+    connection: PoolConnection,
+}
+
 impl BusySender {
     /// The exchange ended cleanly.
     fn give_back(self) {
-        self.idle.put(self.sender);
+        let Self { sender, mut connection } = self;
+        connection.sender = Some(sender);
+    }
+}
+
+impl PoolConnection {
+    /// One request and its answer: whole, or as far as it is held.
+    ///
+    /// Dropping the future closes the connection, so its answer can never
+    /// reach another request.
+    ///
+    /// # Errors
+    /// [`Error::NotSent`] is the only one that promises that the target saw nothing.
+    pub async fn send(mut self, request: Request<Full<Bytes>>) -> Result<PoolAnswer, Error> {
+        let gone = || Error::NotSent("the connection was given back".into());
+        let sender = self.sender.take().ok_or_else(gone)?;
+        let held_bytes = self.held_bytes;
+        let mut busy = BusySender { sender, connection: self };
+        let response = busy.sender.send_request(request).await.map_err(|error| {
+            // hyper cancels a request that it never wrote; anything else may have arrived.
+            if error.is_canceled() {
+                Error::NotSent(error.to_string())
+            } else {
+                Error::Broken(error.to_string())
+            }
+        })?;
+        let (head, mut incoming) = response.into_parts();
+        let (body, whole) = hold(&mut incoming, held_bytes).await?;
+        let rest = if whole {
+            busy.give_back();
+            None
+        } else {
+            Some(AnswerRest::new(incoming, busy))
+        };
+        Ok(PoolAnswer { status: head.status, headers: head.headers, body, rest })
     }
 }
 
@@ -229,12 +282,10 @@
         timeout: Duration,
     ) -> Result<PoolAnswer, Error> {
         let end = tokio::time::Instant::now() + timeout;
-        let sender = tokio::time::timeout_at(end, self.connection())
+        let connection = tokio::time::timeout_at(end, self.connection())
             .await
             .map_err(|_| Error::NotSent("no free connection in time".into()))??;
-        tokio::time::timeout_at(end, self.receive(sender, request))
-            .await
-            .map_err(|_| Error::TimedOut)?
+        tokio::time::timeout_at(end, connection.send(request)).await.map_err(|_| Error::TimedOut)?
     }
 
     /// Closes the idle connections.
@@ -245,44 +296,32 @@
         self.idle.clear();
     }
 
-    async fn connection(&self) -> Result<BusySender, Error> {
+    /// A connection for one exchange, once one of the few is free or opened.
+    ///
+    /// Load: a target is slow, and requests wait here for the connections that it
+    /// accepts. What is sent is best made when this returns: the time that it may
+    /// take is less by the wait, and its caller may have left.
+    ///
+    /// # Errors
+    /// [`Error::NotSent`].
+    pub async fn connection(&self) -> Result<PoolConnection, Error> {
         let permit = Arc::clone(&self.permits)
             .acquire_owned()
             .await
             .map_err(|_| Error::NotSent("the pool is closed".into()))?;
-        let busy = |sender| BusySender { sender, idle: Arc::clone(&self.idle), _permit: permit };
+        let held_bytes = self.options.held_bytes;
+        let ready = |sender| {
+            let idle = Arc::clone(&self.idle);
+            PoolConnection { sender: Some(sender), idle, held_bytes, _permit: permit }
+        };
         while let Some(mut sender) = self.idle.take() {
             if sender.ready().await.is_ok() {
-                return Ok(busy(sender));
+                return Ok(ready(sender));
             }
         }
         let mut sender = self.open().await?;
         sender.ready().await.map_err(|error| Error::NotSent(error.to_string()))?;
-        Ok(busy(sender))
-    }
-
-    async fn receive(
-        &self,
-        mut busy: BusySender,
-        request: Request<Full<Bytes>>,
-    ) -> Result<PoolAnswer, Error> {
-        let response = busy.sender.send_request(request).await.map_err(|error| {
-            // hyper cancels a request that it never wrote; anything else may have arrived.
-            if error.is_canceled() {
-                Error::NotSent(error.to_string())
-            } else {
-                Error::Broken(error.to_string())
-            }
-        })?;
-        let (head, mut incoming) = response.into_parts();
-        let (body, whole) = hold(&mut incoming, self.options.held_bytes).await?;
-        let rest = if whole {
-            busy.give_back();
-            None
-        } else {
-            Some(AnswerRest::new(incoming, busy))
-        };
-        Ok(PoolAnswer { status: head.status, headers: head.headers, body, rest })
+        Ok(ready(sender))
     }
 }
 
--- a/crates/hawthorn-standin/src/route/target.rs
+++ b/crates/hawthorn-standin/src/route/target.rs
@@ -56,6 +56,8 @@
     always: Option<TargetFault>,
     /// How often each of the callers' tries was run.
     runs: HashMap<String, usize>,
+    /// The time that each was handed last, in milliseconds, as it was written.
+    times_left: HashMap<String, String>,
     requests: Vec<(String, String, Vec<u8>)>,
     cancelled: usize,
 }
@@ -90,6 +92,7 @@
             faults: VecDeque::new(),
             always: None,
             runs: HashMap::new(),
+            times_left: HashMap::new(),
             requests: Vec::new(),
             cancelled: 0,
         }));
@@ -127,6 +130,12 @@
         state.runs.get(attempt).copied().unwrap_or(0)
     }
 
+    /// The time that a caller's try was handed last, in milliseconds.
+    pub fn time_left(&self, attempt: &str) -> Option<u64> {
+        let state = self.state.lock().expect("no holder of the lock panics");
+        state.times_left.get(attempt)?.parse().ok()
+    }
+
     /// Runs of all tries.
     pub fn all_runs(&self) -> usize {
         self.state.lock().expect("no holder of the lock panics").runs.values().sum()
@@ -187,6 +196,9 @@
 fn note_run(state: &Mutex<TargetState>, request: &WireRequest) {
     let mut state = state.lock().expect("no holder of the lock panics");
     let attempt = request.header(words::ATTEMPT_ID).unwrap_or("-").to_owned();
+    if let Some(left) = request.header(words::TIME_LEFT) {
+        state.times_left.insert(attempt.clone(), left.to_owned());
+    }
     *state.runs.entry(attempt).or_default() += 1;
     state.requests.push((request.method.clone(), request.target.clone(), request.body.clone()));
 }
--- a/tests/route_callers.rs
+++ b/tests/route_callers.rs
@@ -141,6 +141,36 @@
     Ok(())
 }
 
+/// A target is slow, and requests wait at the host for one of the few connections
+/// that it accepts from it. One that gets its turn 600 ms later is handed the time
+/// that its caller has then, and not what there was when it began to wait: a
+/// target would work on for a caller that has left.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_waited_for_a_connection_is_handed_what_is_left() -> TestResult {
+    /// Connections that one of eight hosts may hold to a target of 26.
+    const CONNECTIONS: usize = 3;
+    let single = single().await?;
+    single.target.fail_next(&[TargetFault::Slow(Duration::from_millis(600)); CONNECTIONS]);
+    let first = (0..CONNECTIONS).map(|number| {
+        let id = format!("first-{number}");
+        let host = &single.host;
+        async move { host.ask("GET", "/safe/", &id, "").await }
+    });
+    let later = async {
+        sleep(Duration::from_millis(50)).await;
+        single.host.ask("GET", "/safe/", "later", "").await
+    };
+    let (first, later) = tokio::join!(futures::future::join_all(first), later);
+    for answer in first {
+        assert_eq!(answer?.status, 200);
+    }
+    assert_eq!(later?.status, 200);
+    // The route allows 1.5 s, of which it waited about 550 ms.
+    let left = single.target.time_left("later").ok_or("it was handed a time")?;
+    assert!((500..1100).contains(&left), "{left} ms");
+    Ok(())
+}
+
 /// Operators pay for each call to the store, and see them at the metrics' address.
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_to_the_store_are_counted() -> TestResult {
