fix(route): an order to a peer carries its end in the peer's clock

Ruled out: the age of the reader's loop alone knows nothing of the sender's, nor of what lay in a socket while the loop rested, and grows without end under a loop that never rests; the time of day jumps; questions of their own for the clocks, as each reply tells them for sixteen bytes.

Change: hawthorn_route::offset keeps how each peer's steady clock stands to this host's, by the four times of each exchange, the quickest of eight; an order carries its ends in its reader's clock, never later than its span; the first order to a peer goes by the loop's age. Orders of another format, and times that cannot be, are refused as unreadable and logged. Replies are due by the same clock, less the lag seen, in place of 5 ms.

--- a/crates/hawthorn-edge/src/connection/message.rs
+++ b/crates/hawthorn-edge/src/connection/message.rs
@@ -4,9 +4,24 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// The format of these messages. Hosts of two formats run side by side while a
+/// fleet is updated, and understand nothing of each other's orders.
+pub const FORMAT: u32 = 0x6872_0002;
+
+/// Times of an order by its reader's clock, in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderTimes {
+    /// Nobody waits any more.
+    pub ends_us: u64,
+    /// The parts lose worth.
+    pub aim_us: u64,
+}
+
 /// Shards of one query that another host is asked to gather.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GatherOrder {
+    /// [`FORMAT`]; first, so that it is read where nothing else is.
+    pub format: u32,
     /// HTTP method.
     pub method: String,
     /// Path and query as the caller sent them.
@@ -30,10 +45,12 @@
     /// Attempts that may have been made at each shard already, by a peer that
     /// fell silent.
     pub spent: u8,
-    /// Microseconds until nobody waits any more. A span, as clocks differ.
+    /// Microseconds until nobody waits any more, when the order was made.
     pub left_us: u64,
-    /// Microseconds within which the parts are worth all they can be.
+    /// Microseconds within which the parts are worth all they can be, by then.
     pub aim_left_us: u64,
+    /// The same by the reader's clock, once the sender knows it.
+    pub times: Option<OrderTimes>,
 }
 
 /// What a peer knows of the queues at the shards that it gathered.
@@ -65,6 +82,20 @@
     OtherVersion,
     /// Nothing was sent: the host is stopping.
     Stopping,
+    /// Nothing was sent: the order is of another format, or its times cannot be.
+    Unreadable,
+}
+
+/// A reply, and when the order was taken in and the reply given, by the clock of
+/// the host that replies, in microseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TimedReply {
+    /// When the order was taken in.
+    pub received_us: u64,
+    /// When the reply was given.
+    pub replied_us: u64,
+    /// The reply.
+    pub reply: GatherReply,
 }
 
 /// What a host knows of the store beyond what the asker does.
--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -8,6 +8,8 @@
 use std::time::Instant;
 
 use futures::StreamExt;
+use hawthorn_route::offset::Exchange;
+use hawthorn_route::offset::PeerClock;
 use log::Level;
 use tarpc::client;
 use tarpc::context;
@@ -27,7 +29,9 @@
 use crate::connection::message::CatalogNews;
 use crate::connection::message::GatherOrder;
 use crate::connection::message::GatherReply;
+use crate::connection::message::TimedReply;
 use crate::edge_event;
+use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
 use crate::process::feed;
 use crate::process::host::RouteHost;
@@ -52,13 +56,13 @@
 mod service {
     use super::CatalogNews;
     use super::GatherOrder;
-    use super::GatherReply;
+    use super::TimedReply;
 
     /// What each host offers the others.
     #[tarpc::service]
     pub trait EdgePeer {
         /// Gathers some shards of a query.
-        async fn gather(order: GatherOrder) -> GatherReply;
+        async fn gather(order: GatherOrder) -> TimedReply;
         /// Says that it is there.
         async fn hello();
         /// What is known of the store after a revision; waits for it that many milliseconds.
@@ -92,6 +96,8 @@
     links: RefCell<HashMap<SocketAddr, PeerLink>>,
     /// When each peer last answered.
     heard: RefCell<HashMap<SocketAddr, Instant>>,
+    /// How the clock of each stands to this host's.
+    clocks: RefCell<HashMap<SocketAddr, PeerClock>>,
 }
 
 impl PeerLinks {
@@ -145,8 +151,29 @@
         left: Duration,
     ) -> Result<GatherReply, PeerError> {
         let client = self.ready_client(address).await?;
+        let sent = host_now();
         let reply = client.gather(call_within(left), order).await;
-        self.judge(address, reply)
+        let timed = self.judge(address, reply)?;
+        let exchange = Exchange {
+            sent,
+            received: Duration::from_micros(timed.received_us),
+            replied: Duration::from_micros(timed.replied_us),
+            heard: host_now(),
+        };
+        let learnt = self.clocks.borrow_mut().entry(address).or_default().learn(&exchange);
+        if !learnt {
+            edge_event!(
+                Level::Warn,
+                EdgeEvent::PeerMessageBroken,
+                "from={address} error=\"times that cannot be: {exchange:?}\""
+            );
+        }
+        Ok(timed.reply)
+    }
+
+    /// What a peer's clock shows at `at` of this host's, if it is known.
+    pub(crate) fn theirs(&self, address: SocketAddr, at: Duration) -> Option<Duration> {
+        self.clocks.borrow().get(&address)?.theirs(at)
     }
 
     /// Whether a peer says that it is there.
@@ -221,12 +248,13 @@
 }
 
 impl EdgePeer for PeerServer {
-    async fn gather(self, _: Context, order: GatherOrder) -> GatherReply {
+    async fn gather(self, _: Context, order: GatherOrder) -> TimedReply {
+        let received_us = host_now().as_micros() as u64;
         let (reply, answer) = oneshot::channel();
-        if self.orders.try_send(PeerOrder::Gather(order, reply)).is_err() {
-            return GatherReply::Stopping;
-        }
-        answer.await.unwrap_or(GatherReply::Stopping)
+        let taken = self.orders.try_send(PeerOrder::Gather(order, reply)).is_ok();
+        let reply = if taken { answer.await.ok() } else { None };
+        let reply = reply.unwrap_or(GatherReply::Stopping);
+        TimedReply { received_us, replied_us: host_now().as_micros() as u64, reply }
     }
 
     async fn hello(self, _: Context) {}
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -15,11 +15,15 @@
 
 use bytes::Bytes;
 use hawthorn_route::document::RouteWay;
+use hawthorn_route::offset;
+use hawthorn_route::offset::OrderSpan;
+use hawthorn_route::offset::SentSpan;
 use hawthorn_route::spread;
 use hawthorn_route::spread::ZoneShards;
 use hyper::HeaderMap;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use log::Level;
 use rand::RngExt;
 use smallvec::SmallVec;
 use tokio::sync::oneshot;
@@ -27,11 +31,16 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::connection::message::FORMAT;
 use crate::connection::message::GatherOrder;
 use crate::connection::message::GatherReply;
+use crate::connection::message::OrderTimes;
 use crate::connection::peer::PeerError;
+use crate::edge_event;
 use crate::process::clock::host_now;
+use crate::process::events::EdgeEvent;
 use crate::process::host::RouteHost;
+use crate::process::turns;
 use crate::request::gather;
 use crate::request::gather::PeerPart;
 use crate::request::order::CANCELLATION_TURNS;
@@ -41,8 +50,11 @@
 use crate::request::story::RequestStory;
 
 /// The reply leaves a peer so long before the aim: the way between zones, and
-/// the time to take it in here.
+/// the time to take it in here. For the first order, before the clocks have met.
 pub(crate) const REPLY_MARGIN: Duration = Duration::from_millis(5);
+/// A reply is taken in within so long: timers of the runtime count whole
+/// milliseconds.
+const REPLY_TURN: Duration = Duration::from_millis(1);
 
 /// Peers that are asked for the same shards, one after the other, while none
 /// has sent anything: a third failure in a row is no accident of one host.
@@ -147,6 +159,13 @@
     peers.get(lot).copied()
 }
 
+/// The span within which a peer's parts are worth all they can be: less by the
+/// reply's way, where the peer's clock does not tell when that is.
+fn aim_left_us(aim_left: Duration, known: bool) -> u64 {
+    let margin = if known { Duration::ZERO } else { REPLY_MARGIN };
+    aim_left.saturating_sub(margin).as_micros() as u64
+}
+
 /// Has the peer gather its shards.
 pub(crate) async fn ask(
     host: &RouteHost,
@@ -163,7 +182,16 @@
         .iter()
         .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
         .collect();
+    // The peer's clock as it is at the earliest is less by the reply's way. What is
+    // left is the lag of the peer, as of a host like this one, and taking it in.
+    let taken_in = aim_left.saturating_sub(host.lag.borrow().lag() + REPLY_TURN);
+    let theirs = |span| host.links.theirs(delegated.peer, now + span);
+    let times = theirs(left).zip(theirs(taken_in)).map(|(ends, aim)| OrderTimes {
+        ends_us: ends.as_micros() as u64,
+        aim_us: aim.as_micros() as u64,
+    });
     let message = GatherOrder {
+        format: FORMAT,
         method: order.method.to_string(),
         uri: order.uri.to_string(),
         headers,
@@ -176,7 +204,8 @@
         skip: u16::try_from(delegated.skip).unwrap_or(u16::MAX),
         spent: delegated.spent,
         left_us: left.as_micros() as u64,
-        aim_left_us: aim_left.saturating_sub(REPLY_MARGIN).as_micros() as u64,
+        aim_left_us: aim_left_us(aim_left, times.is_some()),
+        times,
     };
     let usual = host.beliefs.usual(&order.route);
     delegated.shards.iter().for_each(|_| host.beliefs.zone_sent(&delegated.zone, now, usual));
@@ -201,6 +230,7 @@
         Ok(GatherReply::Parts { .. }) => "partial",
         Ok(GatherReply::OtherVersion) => "other-version",
         Ok(GatherReply::Stopping) => "stopping",
+        Ok(GatherReply::Unreadable) => "unreadable",
         Err(PeerError::NotSent) => "not-sent",
         Err(PeerError::Lost) => "lost",
         Err(PeerError::Silent) => "silent",
@@ -278,8 +308,31 @@
     let _gone = reply.send(answer);
 }
 
+/// The times of an order that is taken up at `now`; `None` where it is of another
+/// format, or they cannot be.
+fn span(message: &GatherOrder, now: Duration) -> Option<OrderSpan> {
+    let micros = Duration::from_micros;
+    let ends = message.times.map(|times| (micros(times.ends_us), micros(times.aim_us)));
+    let (left, aim_left) = (micros(message.left_us), micros(message.aim_left_us));
+    let sent = SentSpan { left, aim_left, ends };
+    let known = message.format == FORMAT;
+    known.then(|| offset::read(&sent, now, turns::busy_for(now))).flatten()
+}
+
 async fn gather_for_peer(host: &Rc<RouteHost>, message: GatherOrder) -> GatherReply {
     let started = host_now();
+    let Some(span) = span(&message, started) else {
+        edge_event!(
+            Level::Warn,
+            EdgeEvent::PeerMessageBroken,
+            "from=order error=\"format {:#x}, times {:?}, {} us left\"",
+            message.format,
+            message.times,
+            message.left_us
+        );
+        return GatherReply::Unreadable;
+    };
+    let OrderSpan { ends, aim_at } = span;
     let Some(table) = host.beliefs.table_of(message.version) else {
         return GatherReply::OtherVersion;
     };
@@ -295,7 +348,6 @@
             headers.append(name, value);
         }
     }
-    let aim_at = started + Duration::from_micros(message.aim_left_us);
     let order = Rc::new(RequestOrder {
         method,
         uri,
@@ -305,7 +357,7 @@
         route: Rc::clone(route),
         started,
         leaves: aim_at,
-        ends: started + Duration::from_micros(message.left_us),
+        ends,
         left: CancellationToken::new(),
         answered: CancellationToken::new(),
         sent: Cell::new(0),
--- a/crates/hawthorn-edge/src/request/parts.rs
+++ b/crates/hawthorn-edge/src/request/parts.rs
@@ -253,7 +253,8 @@
                     receipts.iter().filter_map(|bytes| HeaderValue::from_bytes(bytes).ok());
                 self.receipts.extend(signed);
             }
-            Ok(GatherReply::OtherVersion | GatherReply::Stopping) | Err(PeerError::NotSent) => {
+            Ok(GatherReply::OtherVersion | GatherReply::Stopping | GatherReply::Unreadable)
+            | Err(PeerError::NotSent) => {
                 self.order.sent.set(self.order.sent.get() - delegated.shards.len());
                 match delegated.again(self.host) {
                     Some(again) => self.delegate(again),
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`door`] | whether a query is admitted |
 //! | [`gather`] | when a query over many shards is answered, and with what |
 //! | [`depart`] | when an answer has to leave |
+//! | [`offset`] | how a peer's clock stands to this host's |
 //! | [`reach`] | which zones cannot be reached |
 //! | [`outcome`] | what an attempt and a request came to |
 //!
@@ -35,6 +36,7 @@
 pub mod hedge;
 pub mod merge;
 pub mod mirror;
+pub mod offset;
 pub mod outcome;
 pub mod place;
 pub mod reach;
