feat(route): callers of a zone that is cut off come back when others serve them

Cause: in the first two seconds of each zone cut the callers of that zone were refused, told to come back after 0.2 to 0.35 s, came to the same zone, and were refused for good: a balancer needs two answers a second apart to believe that a host takes no callers.

Ruled out: saying so sooner (a host does so after 80 ms of doubt); serving there (a third of the shards cannot be reached, an answer needs nine tenths).

Change: when to come back is decided in hawthorn_route::retry_after, without sockets; a host that steps aside adds what is left of the balancer's time. Peers' orders are boxed in their ring, as they have grown.

--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -238,7 +238,7 @@
 /// What a peer asks for, and where the reply goes.
 #[derive(Debug)]
 enum PeerOrder {
-    Gather(GatherOrder, oneshot::Sender<GatherReply>),
+    Gather(Box<GatherOrder>, oneshot::Sender<GatherReply>),
     News { after: u64, wait: Duration, reply: oneshot::Sender<CatalogNews> },
 }
 
@@ -251,7 +251,7 @@
     async fn gather(self, _: Context, order: GatherOrder) -> TimedReply {
         let received_us = host_now().as_micros() as u64;
         let (reply, answer) = oneshot::channel();
-        let taken = self.orders.try_send(PeerOrder::Gather(order, reply)).is_ok();
+        let taken = self.orders.try_send(PeerOrder::Gather(Box::new(order), reply)).is_ok();
         let reply = if taken { answer.await.ok() } else { None };
         let reply = reply.unwrap_or(GatherReply::Stopping);
         TimedReply { received_us, replied_us: host_now().as_micros() as u64, reply }
@@ -285,7 +285,7 @@
     let host = Rc::clone(host);
     match order {
         PeerOrder::Gather(order, reply) => {
-            tokio::task::spawn_local(delegate::carry_out(host, order, reply));
+            tokio::task::spawn_local(delegate::carry_out(host, *order, reply));
         }
         PeerOrder::News { after, wait, reply } => {
             tokio::task::spawn_local(feed::tell(host, after, wait, reply));
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -102,6 +102,8 @@
     pub closing: CancellationToken,
     /// Callers' connections that are open.
     pub connections: Cell<usize>,
+    /// Since when the balancer is told that others serve its callers better.
+    pub aside_since: Cell<Option<Duration>>,
     /// How late this host does what is due.
     pub lag: Rc<RefCell<LagMeter>>,
     /// Requests that are not answered yet.
@@ -133,6 +135,7 @@
             stopping: CancellationToken::new(),
             closing: CancellationToken::new(),
             connections: Cell::new(0),
+            aside_since: Cell::new(None),
             lag: Rc::default(),
             open_requests: Cell::new(0),
             grace: Cell::new(settings.stop.grace),
--- a/crates/hawthorn-edge/src/process/reach.rs
+++ b/crates/hawthorn-edge/src/process/reach.rs
@@ -54,6 +54,9 @@
         if beliefs.stranded.replace(stranded) != stranded {
             edge_event!(Level::Warn, EdgeEvent::HostStranded, "stranded={stranded}");
         }
+        let aside = stranded || beliefs.doubtful.get();
+        let since = host.aside_since.get().unwrap_or(now);
+        host.aside_since.set(aside.then_some(since));
         known = cut;
     }
 }
--- a/crates/hawthorn-edge/src/request/answer.rs
+++ b/crates/hawthorn-edge/src/request/answer.rs
@@ -11,7 +11,6 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header;
-use rand::RngExt;
 
 use crate::request::attempt::TargetAnswer;
 use crate::request::order;
@@ -41,14 +40,18 @@
         Self { response, outcome, refusal: None, parts: None, due: None }
     }
 
-    /// It has not run and never will; the caller is told when to come back.
+    /// It has not run and never will; [`CallerAnswer::come_back`] has to follow.
     pub(crate) fn refused(reason: RefusalReason) -> Self {
         let mut answer = Self::plain(StatusCode::SERVICE_UNAVAILABLE, reason.into());
-        caller::come_back(answer.response.headers_mut(), come_back(reason));
         answer.refusal = Some(reason);
         answer
     }
 
+    /// Tells the caller of a refused request when to come back.
+    pub(crate) fn come_back(&mut self, after: Duration) {
+        caller::come_back(self.response.headers_mut(), after);
+    }
+
     /// No route of the version in force takes the request.
     pub(crate) fn no_route() -> Self {
         Self::plain(StatusCode::NOT_FOUND, "no-route")
@@ -102,24 +105,3 @@
         Self { response, outcome, refusal: None, parts: Some((parts, shards)), due: None }
     }
 }
-
-/// When a caller that is refused had best come back, in seconds, drawn between
-/// the two so that callers refused together return apart.
-fn come_back(reason: RefusalReason) -> Duration {
-    let (least, most) = match reason {
-        // A host that starts reads the configuration within a few hundred milliseconds.
-        RefusalReason::NoConfiguration => (0.2, 0.4),
-        // A target that crashed is back within seconds, and a balancer takes a host
-        // that was cut off out within two; callers wait a third of their time at most.
-        RefusalReason::NoTarget | RefusalReason::Unreachable => (0.2, 0.35),
-        // A queue of a dozen requests on two slots is gone within a tenth of a second.
-        RefusalReason::TargetsFull => (0.03, 0.1),
-        // The door opens again with the queries in flight; a burst lasts longer, and
-        // callers spread over a quarter of a second fill the gaps.
-        RefusalReason::HostFull => (0.05, 0.25),
-        // The window slides by a tenth of its length.
-        RefusalReason::BudgetSpent => (0.1, 0.3),
-        RefusalReason::TooLate => (0.01, 0.05),
-    };
-    Duration::from_secs_f64(rand::rng().random_range(least..most))
-}
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -12,6 +12,7 @@
 use hawthorn_route::document::RouteWay;
 use hawthorn_route::door;
 use hawthorn_route::outcome::RefusalReason;
+use hawthorn_route::retry_after::retry_after;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -85,6 +86,8 @@
     }
     host.metrics.count_request(answer.outcome, host_now().saturating_sub(started));
     if let Some(reason) = answer.refusal {
+        let aside = host.aside_since.get().map(|since| host_now().saturating_sub(since));
+        answer.come_back(retry_after(reason, aside, &mut rand::rng()));
         host.metrics.count_refusal(reason, 1);
     }
     answer.response
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`gather`] | when a query over many shards is answered, and with what |
 //! | [`depart`] | when an answer has to leave |
 //! | [`offset`] | how a peer's clock stands to this host's |
+//! | [`mod@retry_after`] | when a caller that is refused had best come back |
 //! | [`reach`] | which zones cannot be reached |
 //! | [`outcome`] | what an attempt and a request came to |
 //!
@@ -41,6 +42,7 @@
 pub mod place;
 pub mod reach;
 pub mod registry;
+pub mod retry_after;
 pub mod skip;
 pub mod spread;
 pub mod table;
