fix(route): a refused query gives back no place that it never had

DoorPass::ask made the pass before it knew whether the query was admitted (then_some takes a value that is there), dropped it, and the drop gave a place back.

Ruled out: the host's processor (0.04 of 0.25 core, its lag 1.6 ms throughout); targets' queues (12 at the most, but 29 to 69 attempts of a host waited for its connections to one); the window's size (2 on all hosts after a second, while 30 queries a second took a second each: the count of those open was wrong).

Change: a pass is made for what is admitted. And the door hears of queues that stand at the host itself: what a target owes counts as it does for skipping, by one function (PlaceView::wait).

A gate that is tested as state has to be tested where it is used.

--- a/crates/hawthorn-edge/src/request/parts.rs
+++ b/crates/hawthorn-edge/src/request/parts.rs
@@ -191,8 +191,7 @@
         self.order.skipped.set(self.skipped.len());
         let now = host_now();
         let beliefs = &self.host.beliefs;
-        let usual = beliefs.usual(&self.order.route);
-        let waits = self.raced.iter().filter_map(|shard| beliefs.wait(shard, usual, now));
+        let waits = beliefs.waits(&self.raced, &self.order.route, now);
         self.order.load.borrow_mut().waits.extend(waits);
         self.note_missing();
     }
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -192,7 +192,8 @@
     fn ask(host: &'a RouteHost, order: &'a RequestOrder) -> Option<Self> {
         let urgent = host.beliefs.is_urgent(&order.route);
         let admitted = host.beliefs.door.borrow_mut().admit(urgent, &door::Options::default());
-        admitted.then_some(Self { host, order, told: false })
+        // A pass that is only made has to be given back: none is, for one refused.
+        if admitted { Some(Self { host, order, told: false }) } else { None }
     }
 
     /// The query has its answer, and tells of the load it met.
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -295,11 +295,11 @@
         with(view, &mut self.lots.borrow_mut())
     }
 
-    /// How long work waits at a service: at the least busy of its targets that take work.
-    pub fn wait(&self, service: &str, usual: Duration, now: Duration) -> Option<Duration> {
-        let registry = self.registry.borrow();
-        let targets = registry.of_service(service).iter().filter_map(|key| registry.get(*key));
-        targets.filter(|state| state.is_working(now)).map(|state| state.wait(now, usual)).min()
+    /// How long work waits at each of some services that have a target that takes it.
+    pub fn waits(&self, services: &[&str], route: &RouteRule, now: Duration) -> Vec<Duration> {
+        self.with_view(route, &self.cut_zones(now), now, |view, _| {
+            services.iter().filter_map(|service| view.wait(service)).collect()
+        })
     }
 
     /// The connections to a target.
--- a/crates/hawthorn-route/src/place.rs
+++ b/crates/hawthorn-route/src/place.rs
@@ -21,6 +21,10 @@
 /// Expected time added to a target that is passed over after failures.
 const PAUSED_COST: f64 = 100.0;
 
+/// A target that has not answered for so many usual times pauses, or has a queue
+/// that it did not tell of: one ordinary answer in a hundred takes as long.
+const SUSPECT_FACTOR: u32 = 3;
+
 /// Two targets this close in expected time are as good as each other, in
 /// seconds: drawing lots keeps hosts from all choosing the same one.
 const DRAW_SPREAD: f64 = 0.001;
@@ -56,6 +60,29 @@
         let states = targets.filter_map(move |key| self.registry.get(*key));
         states.filter(move |state| self.reaches(state) && state.is_working(self.now))
     }
+
+    /// How long a request sent now waits at a service before it is worked on, at the
+    /// least busy of its targets; `None` where none takes work.
+    pub fn wait(self, service: &str) -> Option<Duration> {
+        self.working(service).map(|state| self.target_wait(state)).min()
+    }
+
+    /// How long it waits at one target.
+    ///
+    /// Failure: a target pauses, tells nothing, and what it told before says that it
+    /// has no queue. Or more is asked of it than its connections carry, and the
+    /// queue stands at the hosts, where it does not count what it does not see. But
+    /// it has not answered for long what was meant for it before; a new request
+    /// waits as long once more, and behind those. The usual time stands for each
+    /// request of the queue, and not the target's own learnt one: that holds the
+    /// waits of earlier ones, which would count twice.
+    fn target_wait(self, state: &TargetState) -> Duration {
+        let slots = f64::from(state.entry.slots.max(1));
+        let own = (state.flying.len() as f64 - slots).max(0.0) / slots;
+        let queue = self.queued.mul_f64(own.max(state.queue(self.now)));
+        let oldest = state.oldest_wait(self.now);
+        if oldest > self.queued * SUSPECT_FACTOR { queue + oldest } else { queue }
+    }
 }
 
 /// The target of a service that is expected to answer first, apart from those
--- a/crates/hawthorn-route/src/skip.rs
+++ b/crates/hawthorn-route/src/skip.rs
@@ -12,11 +12,6 @@
 use std::time::Duration;
 
 use crate::place::PlaceView;
-use crate::target::TargetState;
-
-/// A target that has not answered for so many usual times pauses, or has a queue
-/// that it did not tell of: one ordinary answer in a hundred takes as long.
-const SUSPECT_FACTOR: u32 = 3;
 
 /// Limits of skipping.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -59,24 +54,8 @@
 /// How long a part takes, queue and work; `None` where no target takes work, or one
 /// has no queue and answers as usual, as far as is known.
 fn expected(view: PlaceView<'_>, shard: &str) -> Option<Duration> {
-    let waits = view.working(shard).map(|state| wait(view, state));
-    let shortest = waits.min()?;
-    (!shortest.is_zero()).then(|| view.usual + shortest)
-}
-
-/// How long a request sent now waits at a target before it is worked on.
-///
-/// Failure: a target pauses, tells nothing, and what it told before says that it
-/// has no queue. But it has not answered for long what it was sent before; a new
-/// request waits as long once more, and behind those. The usual time stands for
-/// each request of the queue, and not the target's own learnt one: that holds
-/// the waits of earlier ones, which would count twice.
-fn wait(view: PlaceView<'_>, state: &TargetState) -> Duration {
-    let slots = f64::from(state.entry.slots.max(1));
-    let own = (state.flying.len() as f64 - slots).max(0.0) / slots;
-    let queue = view.queued.mul_f64(own.max(state.queue(view.now)));
-    let oldest = state.oldest_wait(view.now);
-    if oldest > view.queued * SUSPECT_FACTOR { queue + oldest } else { queue }
+    let wait = view.wait(shard)?;
+    (!wait.is_zero()).then(|| view.usual + wait)
 }
 
 /// How many shards of each part of a query may be skipped, so that together they
--- a/crates/hawthorn-route/src/target.rs
+++ b/crates/hawthorn-route/src/target.rs
@@ -192,12 +192,6 @@
         }
     }
 
-    /// How long work waits there, as it told not long ago; `usual` is the usual
-    /// time of one request.
-    pub fn wait(&self, now: Duration, usual: Duration) -> Duration {
-        usual.mul_f64(self.speed * self.queue(now))
-    }
-
     /// How long the oldest own request has waited.
     pub fn oldest_wait(&self, now: Duration) -> Duration {
         let oldest = self.flying.iter().min();
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -652,6 +652,36 @@
     Ok(())
 }
 
+/// Callers flood a host whose shards are slow. It admits what its door holds, and
+/// refuses the others at once, each with when to come back. Once, every refusal gave
+/// back a place that it had never had, and the door let in as many again: under a
+/// flood it was as good as not there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flood_is_refused_beyond_what_the_door_holds() -> TestResult {
+    /// Queries that a host admits at first.
+    const FIRST_WINDOW: usize = 12;
+    const CALLERS: usize = 60;
+    let fleet = WesternFleet::start(&[]).await?;
+    for target in &fleet.targets {
+        target.fail_always(Some(TargetFault::Slow(Duration::from_millis(1000))));
+    }
+    let callers = (0..CALLERS).map(|number| {
+        let host = &fleet.east;
+        async move { host.ask("GET", "/all/", &format!("id-{number}"), "").await }
+    });
+    let answers = futures::future::join_all(callers).await;
+    let mut refused = 0;
+    for answer in answers {
+        let answer = answer?;
+        if answer.body == b"host-full" {
+            refused += 1;
+            assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
+        }
+    }
+    assert_eq!(refused, CALLERS - FIRST_WINDOW);
+    Ok(())
+}
+
 /// All hosts that could gather for a zone stand still at once. Each may have made
 /// an attempt for all that their front knows, and operators allow two: the front
 /// makes no third, says that the outcome is not known, and nothing runs later.
