feat(route): shards are left out only while queues stand

Change: the door tells while queues stand at more shards than an answer may do without, as queries tell of them; only then are parts left out.

--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -264,7 +264,8 @@
         })
     }
 
-    /// Which of some shards of a query are not asked for; see [`skip::skip`].
+    /// Which of some shards of a query are not asked for, while queues stand; see
+    /// [`skip::skip`].
     pub fn skip(
         &self,
         rule: &GatherRule,
@@ -275,6 +276,9 @@
     ) -> Vec<u16> {
         let name = |place: &u16| Some((*place, rule.shards.get(usize::from(*place))?.as_str()));
         let now = host_now();
+        if !self.door.borrow().is_crowded(now) {
+            return Vec::new();
+        }
         self.with_view(route, &self.cut_zones(now), now, |view, _| {
             let shards = shards.iter().filter_map(name);
             skip::skip(view, shards, most, time, &skip::Options::default())
--- a/crates/hawthorn-route/src/door.rs
+++ b/crates/hawthorn-route/src/door.rs
@@ -31,6 +31,9 @@
     pub fair_share: f64,
     /// A query says that it was turned away when so large a share of its shards was.
     pub turned_away_share: f64,
+    /// Queues that a query told of are believed to stand for so long: a full one of
+    /// a dozen requests on two slots is worked off in it.
+    pub crowded_time: Duration,
 }
 
 impl Default for Options {
@@ -42,6 +45,7 @@
             ordinary_share: 0.8,
             fair_share: 0.85,
             turned_away_share: 0.25,
+            crowded_time: Duration::from_millis(150),
         }
     }
 }
@@ -96,6 +100,7 @@
 pub struct QueryDoor {
     window: CallerWindow,
     open: u32,
+    crowded_until: Duration,
     urgent: UrgencyCount,
     ordinary: UrgencyCount,
 }
@@ -134,10 +139,19 @@
             let end = QueryEnd { queued: load.decisive_wait(), turned_away, took };
             let window = window::Options { standing_wait, ..options.window };
             self.window.learn(now, self.open, &end, &window);
+            if turned_away || end.queued > standing_wait {
+                self.crowded_until = now + options.crowded_time;
+            }
         }
         self.open = self.open.saturating_sub(1);
     }
 
+    /// Queues stand at more shards than an answer may do without. While they do not,
+    /// a part that is late costs the targets nothing that others need.
+    pub fn is_crowded(&self, now: Duration) -> bool {
+        now < self.crowded_until
+    }
+
     /// Queries in flight, and how many may be.
     pub fn state(&self, options: &Options) -> (u32, f64) {
         (self.open, self.window.size(&options.window))
--- a/crates/hawthorn-route/tests/door.rs
+++ b/crates/hawthorn-route/tests/door.rs
@@ -120,4 +120,20 @@
         door.finish(STEP * step * 100, STEP, AIM, Some(&load), &options);
     }
     assert!(door.state(&options).1 >= before);
+    assert!(!door.is_crowded(STEP * 5_000));
+}
+
+/// Queues stand at more shards than an answer may do without, and for as long as
+/// queries tell of them the host knows; a moment later it does not any more, and
+/// asks for every part again.
+#[test]
+fn queues_are_known_to_stand_for_as_long_as_queries_tell_of_them() {
+    let options = Options::default();
+    let mut door = QueryDoor::default();
+    assert!(!door.is_crowded(Duration::ZERO));
+    let load = QueryLoad { waits: vec![AIM; 4], turned_away: 0, shards: 20, spare: 2 };
+    assert!(door.admit(true, &options));
+    door.finish(STEP * 100, STEP, AIM, Some(&load), &options);
+    assert!(door.is_crowded(STEP * 200));
+    assert!(!door.is_crowded(STEP * 100 + options.crowded_time));
 }
