perf(route): the mean work of queues is worked out from the routes asked for

Ruled out: a cached value, which would be older than today's.

Change: the walk is over the routes that were asked for lately; the same routes count.

--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -226,14 +226,15 @@
     /// the queries over shards that come here.
     pub fn mixed_work(&self) -> Duration {
         let Some(table) = self.table() else { return Duration::ZERO };
-        let demand = self.demand.borrow();
-        let queries =
-            table.document().routes.iter().filter(|route| matches!(route.way, RouteWay::Gather(_)));
         let (mut count, mut sum) = (0.0, 0.0);
-        for route in queries {
-            let asked = demand.get(&route.name).copied().unwrap_or_default();
-            count += asked;
-            sum += asked * self.work(route).as_secs_f64();
+        // Only what is asked for: a configuration may have hundreds of idle routes,
+        // and this is worked out with each placing.
+        for (name, asked) in self.demand.borrow().iter() {
+            let Some(route) = table.named(name) else { continue };
+            if matches!(route.way, RouteWay::Gather(_)) {
+                count += asked;
+                sum += asked * self.work(route).as_secs_f64();
+            }
         }
         if count > 0.0 { Duration::from_secs_f64(sum / count) } else { Duration::ZERO }
     }
