test: an answer has to be whole once a change is known, not after so many sends

Cause: tests/versions.rs took 90 sends for the time that a change at a target needs to be known. Ruled out: a lost or wrong answer (every one listed what it lacked), and a fault of the views: in 32 scratch runs the last part answer came 1.27 s after the move (21 of 32 had one), none after the retirement. Change: both tests wait for the stated 2 s under load and are strict after it.

--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -21,6 +21,13 @@
 /// Shards of the service.
 const SHARDS: u32 = 8;
 
+/// What a target holds is known to every host so long after a change: the
+/// interval of probes (1 s), the time-out of one that is lost (500 ms), and as
+/// long again for the view to reach the fronts. The load goes on meanwhile.
+/// The last answer that lacked a moved range came 1.27 s after the move, in 32
+/// runs, eight at a time on eight cores.
+const KNOWN_WITHIN: Duration = Duration::from_secs(2);
+
 /// Nothing new reaches a target so long after it was told to leave.
 const LEAVING_GRACE: Duration = Duration::from_secs(2);
 
@@ -50,7 +57,7 @@
         }
     }
     fleet.wait_until_ready().await?;
-    load.pass(2 * STEP).await?;
+    tokio::time::sleep(KNOWN_WITHIN).await;
     load.take();
     load.pass(STEP).await?;
     load.finish().await?.is_spotless()?;
@@ -76,7 +83,7 @@
         targets[from].repartition(SERVICE, half, targets[to]);
         load.pass(STEP).await?;
         fleet.wait_until_ready().await?;
-        load.pass(2 * STEP).await?;
+        tokio::time::sleep(KNOWN_WITHIN).await;
         load.take();
         load.pass(STEP).await?;
         load.take().is_spotless().map_err(|error| format!("{from} to {to}: {error}"))?;
