fix(pool): a request is written where it is made

A request's time left was written in the attempt's turn, and the request itself by its connection's task in a later one; a host of 0.12 core makes ninety in one turn and stood 580 ms between. Change: no task drives a connection; the exchange does, so that the request is written in the poll that makes it. One at rest is polled when it is asked for. Before: a_request_is_written_where_it_is_made fails (0 requests at the target when the next task has its turn). After: passes.

--- a/crates/hawthorn-pool/src/lib.rs
+++ b/crates/hawthorn-pool/src/lib.rs
@@ -10,6 +10,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
+mod driven;
 mod rest;
 
 use std::net::SocketAddr;
@@ -36,6 +37,7 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 
+use crate::driven::DrivenSender;
 pub use crate::rest::AnswerRest;
 
 /// A connection that carries nothing is probed after so long, and so often, by
@@ -95,29 +97,31 @@
     pub rest: Option<AnswerRest>,
 }
 
-type RequestSender = http1::SendRequest<Full<Bytes>>;
-
 /// Connections that carry nothing at the moment.
 #[derive(Debug, Default)]
-struct IdleSenders(Mutex<Vec<RequestSender>>);
+struct IdleSenders(Mutex<Vec<DrivenSender>>);
 
 impl IdleSenders {
     fn count(&self) -> usize {
         let mut idle = self.0.lock().expect("no holder of the lock panics");
-        idle.retain(|sender| !sender.is_closed());
+        idle.retain_mut(|sender| !sender.is_closed());
         idle.len()
     }
 
-    fn put(&self, sender: RequestSender) {
+    fn put(&self, mut sender: DrivenSender) {
         if !sender.is_closed() {
             self.0.lock().expect("no holder of the lock panics").push(sender);
         }
     }
 
-    fn take(&self) -> Option<RequestSender> {
+    fn take(&self) -> Option<DrivenSender> {
         let mut idle = self.0.lock().expect("no holder of the lock panics");
-        idle.retain(|sender| !sender.is_closed());
-        idle.pop()
+        while let Some(mut sender) = idle.pop() {
+            if !sender.is_closed() {
+                return Some(sender);
+            }
+        }
+        None
     }
 
     fn clear(&self) {
@@ -130,7 +134,7 @@
 #[derive(Debug)]
 pub struct PoolConnection {
     /// Taken when the connection goes back, or is the exchange's to the end.
-    sender: Option<RequestSender>,
+    sender: Option<DrivenSender>,
     idle: Arc<IdleSenders>,
     held_bytes: usize,
     _permit: OwnedSemaphorePermit,
@@ -148,7 +152,7 @@
 /// A connection while it carries an exchange.
 #[derive(Debug)]
 struct BusySender {
-    sender: RequestSender,
+    sender: DrivenSender,
     connection: PoolConnection,
 }
 
@@ -161,7 +165,8 @@
 }
 
 impl PoolConnection {
-    /// One request and its answer: whole, or as far as it is held.
+    /// One request and its answer: whole, or as far as it is held. The request is
+    /// written when this is polled first.
     ///
     /// Dropping the future closes the connection, so its answer can never
     /// reach another request.
@@ -173,7 +178,7 @@
         let sender = self.sender.take().ok_or_else(gone)?;
         let held_bytes = self.held_bytes;
         let mut busy = BusySender { sender, connection: self };
-        let response = busy.sender.send_request(request).await.map_err(|error| {
+        let response = busy.sender.send(request).await.map_err(|error| {
             // hyper cancels a request that it never wrote; anything else may have arrived.
             if error.is_canceled() {
                 Error::NotSent(error.to_string())
@@ -182,7 +187,7 @@
             }
         })?;
         let (head, mut incoming) = response.into_parts();
-        let (body, whole) = hold(&mut incoming, held_bytes).await?;
+        let (body, whole) = busy.sender.drive(hold(&mut incoming, held_bytes)).await?;
         let rest = if whole {
             busy.give_back();
             None
@@ -229,7 +234,7 @@
         }
     }
 
-    async fn open(&self) -> Result<RequestSender, Error> {
+    async fn open(&self) -> Result<DrivenSender, Error> {
         let connect = async {
             let stream = TcpStream::connect(self.address).await.map_err(|e| e.to_string())?;
             end_when_silent(&stream).map_err(|e| e.to_string())?;
@@ -239,11 +244,7 @@
             .await
             .map_err(|_| Error::NotSent("connecting took too long".into()))?
             .map_err(Error::NotSent)?;
-        // The task ends with the connection, which ends when the sender is dropped.
-        tokio::spawn(async move {
-            let _ended = connection.await;
-        });
-        Ok(sender)
+        Ok(DrivenSender::new(sender, connection))
     }
 
     /// One request of the product's own interface and its whole answer of at most
--- a/crates/hawthorn-pool/src/rest.rs
+++ b/crates/hawthorn-pool/src/rest.rs
@@ -38,7 +38,15 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
-        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
+        let frame = match Pin::new(&mut self.incoming).poll_frame(context) {
+            Poll::Ready(frame) => frame,
+            Poll::Pending => {
+                if let Some(busy) = &mut self.busy {
+                    busy.sender.poll(context);
+                }
+                ready!(Pin::new(&mut self.incoming).poll_frame(context))
+            }
+        };
         let broken = |error: hyper::Error| Error::Broken(error.to_string());
         match frame {
             None => {
--- /dev/null
+++ b/crates/hawthorn-pool/tests/written.rs
@@ -0,0 +1,79 @@
+//! When a request is on its way.
+
+use std::io::ErrorKind;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hawthorn_pool::Options;
+use hawthorn_pool::TargetPool;
+use http_body_util::Full;
+use hyper::Request;
+use tokio::time::timeout;
+
+const OPTIONS: Options =
+    Options { connections: 4, held_bytes: 1024, connect_timeout: Duration::from_secs(5) };
+
+/// Longer than anything here takes.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A pool with two connections that stand, and the target's ends of them.
+async fn pool() -> (Arc<TargetPool>, [TcpStream; 2]) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let pool = TargetPool::new(listener.local_addr().expect("it listens"), OPTIONS);
+    pool.warm(2).await;
+    let ends = [(); 2].map(|()| listener.accept().expect("a connection was opened").0);
+    (Arc::new(pool), ends)
+}
+
+fn request(path: &str) -> Request<Full<Bytes>> {
+    let request = Request::builder().uri(path).header("host", "target");
+    request.body(Full::default()).expect("the request is valid")
+}
+
+/// Whether the target could read something.
+fn has_bytes(end: &TcpStream) -> bool {
+    end.set_nonblocking(true).expect("sockets may be made so");
+    match end.peek(&mut [0; 1]) {
+        Ok(count) => count > 0,
+        Err(error) if error.kind() == ErrorKind::WouldBlock => false,
+        Err(error) => panic!("{error}"),
+    }
+}
+
+/// A starved host makes the requests of a query over ninety shards in one turn of
+/// its loop, each with the time that its caller has left. Were they written in a
+/// later turn, after all are made, targets would be handed time that is gone:
+/// more than half a second of it on a host that stood still between. Each is
+/// written before anything else has its turn.
+#[tokio::test]
+async fn a_request_is_written_where_it_is_made() {
+    let (pool, ends) = pool().await;
+    let first = Arc::clone(&pool);
+    let first = tokio::spawn(async move {
+        let connection = first.connection().await.expect("two connections stand");
+        connection.send(request("/first")).await
+    });
+    let next = tokio::spawn(async move { ends.iter().filter(|end| has_bytes(end)).count() });
+    let written = timeout(PATIENCE, next).await.expect("it does not wait").expect("no panic");
+    assert_eq!(written, 1, "requests at the target when the next task has its turn");
+    first.abort();
+}
+
+/// A target closes a connection while it carries nothing. It is not handed out,
+/// though no task watches it: a request on it would be lost.
+#[tokio::test]
+async fn a_connection_closed_at_rest_is_not_used() {
+    let (pool, [kept, closed]) = pool().await;
+    drop(closed);
+    let held = Arc::clone(&pool);
+    // Until the runtime has seen the end: what is polled before is a race by nature.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let connection = timeout(PATIENCE, held.connection()).await.expect("one stands");
+    let sent = tokio::spawn(connection.expect("one stands").send(request("/kept")));
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(has_bytes(&kept), "the request went to the connection that stands");
+    sent.abort();
+}
