feat(route): every limit and switch of the decisions is a setting

Cause: limits stood as defaults at their places of use; to switch a mechanism off, in trouble or to learn what it is worth, took a build. Not switches yet: one watcher a zone with the cheap reads, the budget's share (a setting of its own), gatherers' number. Before: no such table. Behaviour with no table as before.

--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -9,7 +9,6 @@
 
 use hawthorn_fleet::MemberTable;
 use hawthorn_route::depart::LagMeter;
-use hawthorn_route::door;
 use hawthorn_route::mirror::StoreMirror;
 use hawthorn_store::StoreClient;
 use hawthorn_store::client;
@@ -237,11 +236,16 @@
     duties.spawn_local(feed::follow(Rc::clone(&host), client));
     duties.spawn_local(sweep(Rc::clone(&host)));
     duties.spawn_local(reach::watch(Rc::clone(&host)));
+    let policy = host.beliefs.policy.get().summary();
     let name = &host.beliefs.settings.host.name;
     let zone = &host.beliefs.settings.host.zone;
     // For those who read lines of several hosts; nothing is decided by it.
     let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
-    edge_event!(Level::Info, EdgeEvent::HostStarted, "host={name} zone={zone} unix_ms={unix_ms}");
+    edge_event!(
+        Level::Info,
+        EdgeEvent::HostStarted,
+        "host={name} zone={zone} unix_ms={unix_ms} policy={policy}"
+    );
     loop {
         tokio::select! {
             _ = terms.recv() => break,
@@ -250,6 +254,7 @@
                 // Settings that are not accepted leave those before in force.
                 if let Some(settings) = reload() {
                     host.beliefs.budget.set(settings.budget);
+                    host.beliefs.policy.set(settings.policy);
                     host.grace.set(settings.stop.grace);
                 }
             }
@@ -279,7 +284,7 @@
             host.metrics.show("catalog-age-ms", age.as_millis() as u64);
         }
         host.metrics.show("hosts", host.beliefs.hosts.get() as u64);
-        let (open, window) = host.beliefs.door.borrow().state(&door::Options::default());
+        let (open, window) = host.beliefs.door.borrow().state(&host.beliefs.policy.get().admission);
         host.metrics.show("queries", u64::from(open));
         host.metrics.show("query-window", window as u64);
         host.metrics.show("open-requests", host.open_requests.get() as u64);
--- a/crates/hawthorn-edge/src/process/reach.rs
+++ b/crates/hawthorn-edge/src/process/reach.rs
@@ -49,8 +49,11 @@
             edge_event!(Level::Info, EdgeEvent::ZoneReach, "zone={zone} reachable=true");
         }
         beliefs.fade_demand(DEMAND_FACTOR);
-        beliefs.doubtful.set(beliefs.find_stranded(&beliefs.doubtful_zones(now), now));
-        let stranded = beliefs.find_stranded(&cut, now);
+        let options = beliefs.policy.get().zones;
+        let doubtful =
+            options.while_in_doubt && beliefs.find_stranded(&beliefs.doubtful_zones(now), now);
+        beliefs.doubtful.set(doubtful);
+        let stranded = options.step_aside && beliefs.find_stranded(&cut, now);
         if beliefs.stranded.replace(stranded) != stranded {
             edge_event!(Level::Warn, EdgeEvent::HostStranded, "stranded={stranded}");
         }
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -107,7 +107,7 @@
 
 /// Which of a query's shards peers gather; the others are gathered here.
 pub(crate) fn hand_over(host: &RouteHost, spread: &spread::Outcome) -> Vec<DelegatedShards> {
-    let options = spread::Options::default();
+    let options = host.beliefs.policy.get().gatherers;
     let mut peers: HashMap<Rc<str>, SocketAddr> = HashMap::new();
     let mut has_host = |zone: &str| {
         let peer = choose(host, zone);
@@ -253,7 +253,8 @@
 /// that stands still later, with attempts made, is not replaced, as two peers'
 /// attempts could be more than operators allow.
 async fn is_silent(host: &RouteHost, peer: SocketAddr) {
-    if host.links.heard_lately(peer) {
+    let replaces = host.beliefs.policy.get().gatherers.replaces_silent;
+    if !replaces || host.links.heard_lately(peer) {
         return std::future::pending().await;
     }
     says_nothing(host, peer).await;
--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -55,6 +55,7 @@
         return CallerAnswer::refused(RefusalReason::NoTarget);
     }
     run.begin(&spread);
+    let policy = host.beliefs.policy.get();
     let mut due = None;
     loop {
         let now = host_now();
@@ -62,7 +63,7 @@
             break;
         }
         let aim_left = aim_at.saturating_sub(now);
-        match run.state.step(aim_left) {
+        match run.state.step(aim_left, &policy.gathering) {
             GatherStep::Wait => {}
             GatherStep::Answer => break,
             GatherStep::Fail if run.recall() => continue,
@@ -108,12 +109,14 @@
     let plan = GatherPlan { version: 0, aim_at, shards: wanted, least_share };
     let mut run = GatherRun::new(host, order, rule, plan);
     run.race_most(shards, skip, |_| None);
+    let policy = host.beliefs.policy.get();
     loop {
         let now = host_now();
         let aim_left = aim_at.saturating_sub(now);
         let left = order.time_left(now).saturating_sub(delegate::REPLY_MARGIN);
-        let dispensable = needed == 0 && aim_left.is_zero();
-        let step = run.state.step(aim_left);
+        let due = needed == 0 || !policy.gathering.beyond_aim;
+        let dispensable = due && aim_left.is_zero();
+        let step = run.state.step(aim_left, &policy.gathering);
         if step == GatherStep::Fail && run.recall() {
             continue;
         }
--- a/crates/hawthorn-edge/src/request/race.rs
+++ b/crates/hawthorn-edge/src/request/race.rs
@@ -93,7 +93,7 @@
             failure: None,
             refusal: RefusalReason::NoTarget,
             unknown: false,
-            hedging: order.route.idempotent,
+            hedging: order.route.idempotent && host.beliefs.policy.get().second_attempts.on,
             crowded: false,
         }
     }
@@ -149,7 +149,7 @@
         let beliefs = &self.host.beliefs;
         let fullness = beliefs.fullness(self.service);
         let route = &self.order.route;
-        let options = hedge::Options::default();
+        let options = beliefs.policy.get().second_attempts;
         beliefs.times(route, |times| hedge::delay(times, route.aim, fullness, &options))
     }
 
@@ -176,6 +176,9 @@
     /// The target that a second attempt would go to has room for it; see [`hedge::has_room`].
     fn has_room(&self, now: Duration) -> bool {
         let beliefs = &self.host.beliefs;
+        if !beliefs.policy.get().second_attempts.needs_room {
+            return true;
+        }
         let Some(key) = beliefs.place(self.service, &self.tried, &self.order.route, now) else {
             return true;
         };
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -10,7 +10,6 @@
 use hawthorn_route::depart::CallerClock;
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::document::RouteWay;
-use hawthorn_route::door;
 use hawthorn_route::outcome::RefusalReason;
 use hawthorn_route::retry_after::retry_after;
 use http_body_util::BodyExt;
@@ -128,9 +127,7 @@
     head.headers.remove(header::EXPECT);
     let started = clock.came;
     let lag = host.lag.borrow().lag();
-    let round_trip = host.beliefs.settings.callers.round_trip;
-    let options = depart::Options { round_trip, ..depart::Options::default() };
-    let leaves = depart::leaves(clock, route.aim, lag, &options);
+    let leaves = depart::leaves(clock, route.aim, lag, &host.beliefs.policy.get().departure);
     let order = Rc::new(RequestOrder {
         method: head.method,
         uri: head.uri,
@@ -191,7 +188,8 @@
 impl<'a> DoorPass<'a> {
     fn ask(host: &'a RouteHost, order: &'a RequestOrder) -> Option<Self> {
         let urgent = host.beliefs.is_urgent(&order.route);
-        let admitted = host.beliefs.door.borrow_mut().admit(urgent, &door::Options::default());
+        let options = host.beliefs.policy.get().admission;
+        let admitted = host.beliefs.door.borrow_mut().admit(urgent, &options);
         // A pass that is only made has to be given back: none is, for one refused.
         if admitted { Some(Self { host, order, told: false }) } else { None }
     }
@@ -210,7 +208,7 @@
         let told = self.told.then_some(&*load);
         let aim = self.order.route.aim;
         let mut door = self.host.beliefs.door.borrow_mut();
-        door.finish(now, took, aim, told, &door::Options::default());
+        door.finish(now, took, aim, told, &self.host.beliefs.policy.get().admission);
     }
 }
 
--- a/crates/hawthorn-edge/src/settings.rs
+++ b/crates/hawthorn-edge/src/settings.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use hawthorn_route::depart;
+use hawthorn_route::policy;
+use hawthorn_route::policy::RoutePolicy;
 use quick_error::quick_error;
 use serde::Deserialize;
 use serde_with::DurationMilliSeconds;
@@ -23,6 +25,11 @@
         Value(key: &'static str, why: &'static str) {
             display("{key}: {why}")
         }
+        /// A limit of the policy makes no sense.
+        Policy(source: policy::Error) {
+            display("{source}")
+            from()
+        }
     }
 }
 
@@ -47,6 +54,10 @@
     pub stop: StopSettings,
     /// Extra attempts.
     pub budget: BudgetSettings,
+    /// How requests are decided on. Here an unknown key is refused: a limit that is
+    /// mistyped would hold nothing back.
+    #[serde(default)]
+    pub policy: RoutePolicy,
 }
 
 /// Who this host is.
@@ -159,7 +170,9 @@
     /// # Errors
     /// When the text is not TOML, or a value is missing or makes no sense.
     pub fn from_toml(text: &str) -> Result<Self, Error> {
-        let settings: Self = toml::from_str(text)?;
+        let mut settings: Self = toml::from_str(text)?;
+        settings.policy.check()?;
+        settings.policy.departure.round_trip = settings.callers.round_trip;
         let share = settings.budget.share;
         if !(0.0..=1.0).contains(&share) {
             return Err(Error::Value("budget.share", "not between 0 and 1"));
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -22,8 +22,8 @@
 use hawthorn_route::door::QueryDoor;
 use hawthorn_route::place;
 use hawthorn_route::place::PlaceView;
+use hawthorn_route::policy::RoutePolicy;
 use hawthorn_route::reach::ZoneReach;
-use hawthorn_route::registry;
 use hawthorn_route::registry::TargetKey;
 use hawthorn_route::registry::TargetRegistry;
 use hawthorn_route::skip;
@@ -50,10 +50,6 @@
 /// Versions kept: hosts get a new one within a second of each other, and edits
 /// in quick succession are a third of a second apart.
 const KEPT_VERSIONS: usize = 4;
-/// Bytes of a target's answer that are held, so that one that breaks before can be
-/// asked for again: nearly all answers are shorter, and as many requests as may be
-/// open hold half of a small host's memory.
-const HELD_BYTES: usize = 64 * 1024;
 /// How long opening a connection may take: a pause of a target, and several
 /// times what an unloaded one needs.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -67,6 +63,8 @@
     started: Duration,
     /// Extra attempts, as the host was told last.
     pub budget: Cell<BudgetSettings>,
+    /// How requests are decided on, as the host was told last.
+    pub policy: Cell<RoutePolicy>,
     /// The newest first.
     tables: RefCell<VecDeque<Rc<RouteTable>>>,
     /// Targets as they register.
@@ -103,9 +101,10 @@
         Self {
             started: host_now(),
             budget: Cell::new(settings.budget),
-            settings,
+            policy: Cell::new(settings.policy),
             tables: RefCell::default(),
-            registry: RefCell::new(TargetRegistry::new(registry::Options::default())),
+            registry: RefCell::new(TargetRegistry::new(settings.policy.targets)),
+            settings,
             pools: RefCell::default(),
             budgets: RefCell::default(),
             times: RefCell::default(),
@@ -254,14 +253,14 @@
         now: Duration,
     ) -> Option<TargetKey> {
         self.with_view(route, &self.cut_zones(now), now, |view, lots| {
-            place::place(view, service, tried, lots, &place::Options::default())
+            place::place(view, service, tried, lots, &self.policy.get().placing)
         })
     }
 
     /// Where each shard of a query is best had.
     pub fn spread(&self, rule: &GatherRule, route: &RouteRule, now: Duration) -> spread::Outcome {
         self.with_view(route, &self.cut_zones(now), now, |view, lots| {
-            spread::spread(view, rule, lots, &place::Options::default())
+            spread::spread(view, rule, lots, &self.policy.get().placing)
         })
     }
 
@@ -282,7 +281,7 @@
         }
         self.with_view(route, &self.cut_zones(now), now, |view, _| {
             let shards = shards.iter().filter_map(name);
-            skip::skip(view, shards, most, time, &skip::Options::default())
+            skip::skip(view, shards, most, time, &self.policy.get().skipping)
         })
     }
 
@@ -327,7 +326,7 @@
         let share = most as f64 * CONNECTION_SHARE / sharers as f64;
         let options = hawthorn_pool::Options {
             connections: (share.round() as usize).max(1),
-            held_bytes: HELD_BYTES,
+            held_bytes: self.policy.get().answers.held_kb as usize * 1024,
             connect_timeout: CONNECT_TIMEOUT,
         };
         let pool = Arc::new(TargetPool::new(entry.address, options));
--- a/crates/hawthorn-edge/src/version/reach.rs
+++ b/crates/hawthorn-edge/src/version/reach.rs
@@ -121,7 +121,7 @@
     fn can_answer(&self, route: &RouteRule, cut: &[String], now: Duration) -> bool {
         let takes = |service: &str| {
             self.with_view(route, cut, now, |view, lots| {
-                place::place(view, service, &[], lots, &place::Options::default()).is_some()
+                place::place(view, service, &[], lots, &self.policy.get().placing).is_some()
             })
         };
         match &route.way {
@@ -129,7 +129,7 @@
             RouteWay::Weighted(parts) => parts.iter().any(|part| takes(&part.service)),
             RouteWay::Gather(rule) => {
                 let spread = self.with_view(route, cut, now, |view, lots| {
-                    spread::spread(view, rule, lots, &place::Options::default())
+                    spread::spread(view, rule, lots, &self.policy.get().placing)
                 });
                 spread.can_answer(rule)
             }
--- a/crates/hawthorn-pool/src/rest.rs
+++ b/crates/hawthorn-pool/src/rest.rs
@@ -21,12 +21,13 @@
 #[derive(Debug)]
 pub struct AnswerRest {
     incoming: Incoming,
-    busy: Option<BusySender>,
+    /// Boxed, as nearly all answers have no rest and are handed about.
+    busy: Option<Box<BusySender>>,
 }
 
 impl AnswerRest {
     pub(crate) fn new(incoming: Incoming, busy: BusySender) -> Self {
-        Self { incoming, busy: Some(busy) }
+        Self { incoming, busy: Some(Box::new(busy)) }
     }
 }
 
--- a/crates/hawthorn-route/src/depart.rs
+++ b/crates/hawthorn-route/src/depart.rs
@@ -9,10 +9,17 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+
 /// Limits of the time at which answers leave.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Options {
-    /// The round trip to callers where the kernel tells none.
+    /// The caller's distance and the host's lag are reckoned with; else only
+    /// `round_trip` is.
+    pub on: bool,
+    /// The round trip to callers where the kernel tells none. A setting of callers.
+    #[serde(skip)]
     pub round_trip: Duration,
     /// Whatever the distance and the lag, so much of the aim is used. An answer
     /// that can hardly be in time is worth gathering all the same.
@@ -24,7 +31,7 @@
 
 impl Default for Options {
     fn default() -> Self {
-        Self { round_trip: Duration::from_millis(4), least_share: 0.5, lag_share: 0.2 }
+        Self { on: true, round_trip: Duration::from_millis(4), least_share: 0.5, lag_share: 0.2 }
     }
 }
 
@@ -68,6 +75,9 @@
 /// The latest time at which an answer leaves that is to be with its caller
 /// within the aim. `lag` is how late this host does what is due.
 pub fn leaves(clock: &CallerClock, aim: Duration, lag: Duration, options: &Options) -> Duration {
+    if !options.on {
+        return clock.came + aim.saturating_sub(options.round_trip);
+    }
     let unknown = CallerPath { round_trip: options.round_trip, deviation: Duration::ZERO };
     let CallerPath { round_trip, deviation } = clock.path.unwrap_or(unknown);
     let ways = if clock.fresh { round_trip * 2 } else { round_trip };
--- a/crates/hawthorn-route/src/door.rs
+++ b/crates/hawthorn-route/src/door.rs
@@ -13,12 +13,22 @@
 use hawthorn_plan::window;
 use hawthorn_plan::window::CallerWindow;
 use hawthorn_plan::window::QueryEnd;
+use serde::Deserialize;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
 
 /// Limits of the door.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Options {
-    /// Of the window of queries that are in flight at once.
-    pub window: window::Options,
+    /// Queries are refused here at all.
+    pub on: bool,
+    /// Queries that may be in flight at once after the start. Calm hosts have one
+    /// to three.
+    pub first_window: f64,
+    /// And however long queues stand.
+    pub least_window: f64,
     /// A queue stands when work waits for this share of the query's aim at the
     /// slowest shard that the query needs: with the work itself and a second
     /// attempt the aim is then used up.
@@ -33,14 +43,17 @@
     pub turned_away_share: f64,
     /// Queues that a query told of are believed to stand for so long: a full one of
     /// a dozen requests on two slots is worked off in it.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "crowded_ms")]
     pub crowded_time: Duration,
 }
 
 impl Default for Options {
     fn default() -> Self {
         Self {
-            // Calm hosts have one to three queries in flight.
-            window: window::Options { first: 12.0, least: 2.0, ..window::Options::default() },
+            on: true,
+            first_window: 12.0,
+            least_window: 2.0,
             standing_share: 0.33,
             ordinary_share: 0.8,
             fair_share: 0.85,
@@ -50,6 +63,14 @@
     }
 }
 
+impl Options {
+    /// Of the window of queries that are in flight at once.
+    fn window(&self) -> window::Options {
+        let (first, least) = (self.first_window, self.least_window);
+        window::Options { first, least, ..window::Options::default() }
+    }
+}
+
 /// What a query that ended tells of the load.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct QueryLoad {
@@ -111,9 +132,9 @@
         self.urgent.fade();
         self.ordinary.fade();
         let behind = self.ordinary.share() < self.urgent.share() * options.fair_share;
-        let size = self.window.size(&options.window);
+        let size = self.window.size(&options.window());
         let limit = if urgent || behind { size } else { size * options.ordinary_share };
-        let admitted = f64::from(self.open) < limit;
+        let admitted = !options.on || f64::from(self.open) < limit;
         let count = if urgent { &mut self.urgent } else { &mut self.ordinary };
         count.asked += 1.0;
         if admitted {
@@ -137,7 +158,7 @@
             let away = load.turned_away as f64 / load.shards.max(1) as f64;
             let turned_away = away >= options.turned_away_share;
             let end = QueryEnd { queued: load.decisive_wait(), turned_away, took };
-            let window = window::Options { standing_wait, ..options.window };
+            let window = window::Options { standing_wait, ..options.window() };
             self.window.learn(now, self.open, &end, &window);
             if turned_away || end.queued > standing_wait {
                 self.crowded_until = now + options.crowded_time;
@@ -154,6 +175,6 @@
 
     /// Queries in flight, and how many may be.
     pub fn state(&self, options: &Options) -> (u32, f64) {
-        (self.open, self.window.size(&options.window))
+        (self.open, self.window.size(&options.window()))
     }
 }
--- a/crates/hawthorn-route/src/gather.rs
+++ b/crates/hawthorn-route/src/gather.rs
@@ -2,6 +2,24 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+
+/// Which answers leave before they are whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Options {
+    /// At the aim a query is answered with the parts that are in.
+    pub part_answers: bool,
+    /// A peer goes on after the aim while the answer needs what is missing.
+    pub beyond_aim: bool,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { part_answers: true, beyond_aim: true }
+    }
+}
+
 /// Where a query stands.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct GatherState {
@@ -50,14 +68,14 @@
     /// coverage within the aim (0.79 at least for a share of 0.89) and at a
     /// tenth after it, so a missing shard costs less than being late for it.
     /// Beyond the aim it answers as soon as there is enough.
-    pub fn step(&self, aim_left: Duration) -> GatherStep {
+    pub fn step(&self, aim_left: Duration, options: &Options) -> GatherStep {
         if self.parts + self.lost >= self.shards {
             return if self.enough() { GatherStep::Answer } else { GatherStep::Fail };
         }
         if self.share_of(self.shards - self.lost) < self.least_share {
             return GatherStep::Fail;
         }
-        if aim_left.is_zero() && self.enough() {
+        if aim_left.is_zero() && self.enough() && options.part_answers {
             return GatherStep::Answer;
         }
         GatherStep::Wait
--- a/crates/hawthorn-route/src/hedge.rs
+++ b/crates/hawthorn-route/src/hedge.rs
@@ -8,18 +8,29 @@
 use std::time::Duration;
 
 use hawthorn_decide::latency::ServiceTimes;
+use serde::Deserialize;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
 
 use crate::target::TargetState;
 
 /// Limits of hedging.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Options {
+    /// Second attempts are made at all.
+    pub on: bool,
+    /// Only where a target has room for one; see [`has_room`].
+    pub needs_room: bool,
     /// While the budget is full, an attempt is late after so many times the
     /// ninetieth percentile. 1.2: one ordinary attempt in fifteen takes as long.
     pub eager_factor: f64,
     /// And so many times when the budget is nearly spent.
     pub patient_factor: f64,
     /// Never sooner than this: twice the way between zones and a new connection.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "least_delay_ms")]
     pub least_delay: Duration,
     /// Never later than this share of the route's aim, so that the second
     /// attempt can still be in time.
@@ -29,6 +40,8 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
+            on: true,
+            needs_room: true,
             eager_factor: 1.2,
             patient_factor: 2.5,
             least_delay: Duration::from_millis(8),
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -21,6 +21,7 @@
 //! | [`offset`] | how a peer's clock stands to this host's |
 //! | [`mod@retry_after`] | when a caller that is refused had best come back |
 //! | [`reach`] | which zones cannot be reached |
+//! | [`policy`] | the limits of all of these, as operators set them |
 //! | [`outcome`] | what an attempt and a request came to |
 //!
 //! Nothing here opens a socket, reads a clock or starts a thread. Time is a
@@ -40,6 +41,7 @@
 pub mod offset;
 pub mod outcome;
 pub mod place;
+pub mod policy;
 pub mod reach;
 pub mod registry;
 pub mod retry_after;
--- a/crates/hawthorn-route/src/place.rs
+++ b/crates/hawthorn-route/src/place.rs
@@ -9,6 +9,9 @@
 
 use rand::Rng;
 use rand::RngExt;
+use serde::Deserialize;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
 
 use crate::registry::TargetKey;
 use crate::registry::TargetRegistry;
@@ -111,10 +114,14 @@
 }
 
 /// Weights of the choice.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Options {
     /// Added to the expected time of a target in another zone, on top of the
     /// way there, at least: what a small answer's bytes between zones cost, as time.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "zone_cost_ms")]
     pub zone_cost: Duration,
     /// And so much of the route's aim: an answer that comes sooner within its aim
     /// is worth no more to the caller, and large answers are those of long aims.
@@ -122,8 +129,12 @@
     /// A target whose oldest request waits longer than so many usual times is suspected.
     pub suspect_factor: f64,
     /// Expected time added to a suspected target: a usual pause.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "suspect_cost_ms")]
     pub suspect_cost: Duration,
     /// Expected time added for a target that fails all it is sent.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "failing_cost_ms")]
     pub failing_cost: Duration,
     /// A cold target counts as so many times slower.
     pub cold_factor: f64,
--- a/crates/hawthorn-route/src/reach.rs
+++ b/crates/hawthorn-route/src/reach.rs
@@ -9,6 +9,8 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+
 /// Requests without any answer from the zone before it is believed cut off:
 /// one query sends a request to several targets at once, so fewer prove nothing.
 const LEAST_UNANSWERED: u32 = 6;
@@ -22,6 +24,22 @@
 /// And so many usual times.
 const DOUBT_TIMES: u32 = 2;
 
+/// What a host whose callers others serve better tells the balancer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Options {
+    /// It steps aside while zones that its callers need are cut off.
+    pub step_aside: bool,
+    /// And while they may be: a balancer believes it only the second time.
+    pub while_in_doubt: bool,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { step_aside: true, while_in_doubt: true }
+    }
+}
+
 /// What is known of the way to one zone's targets.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ZoneReach {
--- a/crates/hawthorn-route/src/registry.rs
+++ b/crates/hawthorn-route/src/registry.rs
@@ -4,6 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 use smallvec::SmallVec;
@@ -21,11 +24,15 @@
 pub type TargetKeys = SmallVec<[TargetKey; 4]>;
 
 /// Limits of the registry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Options {
     /// How long a target that leaves, or whose entry went, may still be sent
     /// work while its service has no other. Below the time for which targets go
     /// on serving, less what news of it may take.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "last_use_ms")]
     pub last_use: Duration,
 }
 
--- a/crates/hawthorn-route/src/skip.rs
+++ b/crates/hawthorn-route/src/skip.rs
@@ -11,11 +11,16 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+
 use crate::place::PlaceView;
 
 /// Limits of skipping.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Options {
+    /// Shards are left out at all.
+    pub on: bool,
     /// A part cannot come in time when its wait and its work together take more
     /// than this share of the time: waits are told by answers, and grow until
     /// the next one. 0.75, 1.0 and 1.4 are worth the same (0.737, 0.736 and 0.738,
@@ -26,7 +31,7 @@
 
 impl Default for Options {
     fn default() -> Self {
-        Self { time_share: 0.75 }
+        Self { on: true, time_share: 0.75 }
     }
 }
 
@@ -39,7 +44,7 @@
     time: Duration,
     options: &Options,
 ) -> Vec<u16> {
-    if most == 0 {
+    if most == 0 || !options.on {
         return Vec::new();
     }
     let limit = time.mul_f64(options.time_share);
--- a/crates/hawthorn-route/src/spread.rs
+++ b/crates/hawthorn-route/src/spread.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 
 use rand::Rng;
+use serde::Deserialize;
 use smallvec::SmallVec;
 
 use crate::document::GatherRule;
@@ -21,15 +22,20 @@
 use crate::registry::TargetKey;
 
 /// Limits of handing shards over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Options {
+    /// Peers gather shards at all.
+    pub on: bool,
+    /// A peer that does not say that it is there is replaced by another.
+    pub replaces_silent: bool,
     /// Fewer shards of one zone are asked for directly.
     pub least_shards: usize,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { least_shards: 3 }
+        Self { on: true, replaces_silent: true, least_shards: 3 }
     }
 }
 
@@ -137,6 +143,9 @@
     ) -> Vec<ZoneShards> {
         let mut away: Vec<(u16, &ZoneNames)> = self.away().collect();
         let mut parts = Vec::new();
+        if !options.on {
+            return parts;
+        }
         while let Some(zone) = busiest(&away) {
             let there = away.iter().filter(|(_, zones)| zones.contains(&zone));
             let shards: Vec<u16> = there.map(|(shard, _)| *shard).collect();
@@ -161,7 +170,7 @@
         options: &Options,
     ) -> Option<ZoneShards> {
         let near = self.ways.iter().filter(|way| matches!(way, ShardWay::Near(_))).count();
-        if near < options.least_shards {
+        if near < options.least_shards || !options.on {
             return None;
         }
         let zone = zones.iter().find(|zone| has_host(zone)).cloned()?;
--- a/crates/hawthorn-route/tests/gather.rs
+++ b/crates/hawthorn-route/tests/gather.rs
@@ -4,6 +4,7 @@
 
 use hawthorn_route::gather::GatherState;
 use hawthorn_route::gather::GatherStep;
+use hawthorn_route::gather::Options;
 use hawthorn_route::merge::TopRecords;
 
 #[test]
@@ -58,7 +59,12 @@
     for case in cases {
         let Case { parts, lost, .. } = case;
         let state = GatherState { shards: 20, parts, lost, least_share: 0.89 };
-        assert_eq!(state.step(Duration::from_millis(case.aim_left_ms)), case.step, "{}", case.name);
+        assert_eq!(
+            state.step(Duration::from_millis(case.aim_left_ms), &Options::default()),
+            case.step,
+            "{}",
+            case.name
+        );
     }
 }
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -66,7 +66,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct CheckOptions {
     pub(crate) json: bool,
-    pub(crate) directory: PathBuf,
+    pub(crate) path: PathBuf,
 }
 
 /// Of `query`.
@@ -243,11 +243,15 @@
 
 fn check() -> impl Parser<CliCommand> {
     let json = json();
-    let directory = directory();
-    construct!(CheckOptions { json, directory })
+    let path = positional::<PathBuf>("PATH")
+        .help("Holds inventory.toml and rules.toml; or the settings file of `route`");
+    construct!(CheckOptions { json, path })
         .map(CliCommand::Check)
         .to_options()
-        .descr("Find every fault of inventory.toml, rules.toml and, if there, daemon.toml")
+        .descr(
+            "Find every fault of inventory.toml, rules.toml and, if there, daemon.toml; \
+             or the first of the settings of `route`",
+        )
         .footer("Example: hawthornroute check examples/dar-port")
         .command("check")
 }
--- a/src/configure.rs
+++ b/src/configure.rs
@@ -24,6 +24,7 @@
 use crate::exit::CommandError;
 use crate::exit::CommandExit;
 use crate::http;
+use crate::route;
 
 const INVENTORY_FILE: &str = "inventory.toml";
 const RULES_FILE: &str = "rules.toml";
@@ -46,10 +47,28 @@
     })
 }
 
+/// `check` of the settings of `route`.
+fn check_route(path: &PathBuf) -> Result<CommandExit, CommandError> {
+    match route::read(path) {
+        Ok(settings) => {
+            println!("accepted: policy {}", settings.policy.summary());
+            Ok(CommandExit::Success)
+        }
+        Err(error @ CommandError::Text(_)) => {
+            println!("{error}");
+            Ok(CommandExit::Refused)
+        }
+        Err(error) => Err(error),
+    }
+}
+
 /// `check`.
 pub(crate) fn check(options: &CheckOptions) -> Result<CommandExit, CommandError> {
-    let texts = read_texts(&options.directory)?;
-    let settings = options.directory.join(SETTINGS_FILE);
+    if options.path.is_file() {
+        return check_route(&options.path);
+    }
+    let texts = read_texts(&options.path)?;
+    let settings = options.path.join(SETTINGS_FILE);
     let settings = settings.exists().then(|| read(settings)).transpose()?;
     let outcome = check::check(check::Inputs {
         settings: settings.as_deref(),
--- a/src/route.rs
+++ b/src/route.rs
@@ -12,7 +12,8 @@
 use crate::exit::CommandError;
 use crate::exit::CommandExit;
 
-fn read(path: &PathBuf) -> Result<RouteSettings, CommandError> {
+/// Reads and checks the settings of `route`.
+pub(crate) fn read(path: &PathBuf) -> Result<RouteSettings, CommandError> {
     let text =
         std::fs::read_to_string(path).map_err(|error| CommandError::File(path.clone(), error))?;
     RouteSettings::from_toml(&text)
@@ -20,7 +21,7 @@
 }
 
 /// Runs until SIGTERM or SIGINT; SIGHUP has the settings read again: the
-/// budget and the grace come into force, the rest at the next start.
+/// budget, the grace and the policy come into force, the rest at the next start.
 pub(crate) fn route(options: &RouteOptions) -> Result<CommandExit, CommandError> {
     let settings = read(&options.settings)?;
     let _writer =
@@ -28,7 +29,12 @@
     let path = options.settings.clone();
     let reload = move || match read(&path) {
         Ok(settings) => {
-            edge_event!(log::Level::Info, EdgeEvent::SettingsReloaded, "outcome=accepted");
+            let policy = settings.policy.summary();
+            edge_event!(
+                log::Level::Info,
+                EdgeEvent::SettingsReloaded,
+                "outcome=accepted policy={policy}"
+            );
             Some(settings)
         }
         Err(error) => {
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -215,6 +215,32 @@
     Ok(())
 }
 
+/// Second attempts make matters worse in some trouble that nobody foresaw. Operators
+/// switch them off by SIGHUP while callers are served; a mistyped key changes
+/// nothing, and is named.
+#[tokio::test(flavor = "multi_thread")]
+async fn sighup_brings_a_new_policy_into_force() -> TestResult {
+    let pair = pair().await?;
+    pair.fail_always(Some(TargetFault::Slow(Duration::from_millis(600))));
+    pair.host.ask("GET", "/safe/", "id-1", "").await?;
+    assert_eq!(pair.runs("id-1"), 2);
+    let off = "[policy.second_attempts]\non = false\n[budget]";
+    pair.host.change_settings("[budget]", off)?;
+    pair.host.signal(Signal::HUP)?;
+    let accepted = "settings-reloaded: outcome=accepted policy=second_attempts.on=0";
+    let logged = async || pair.host.logged(accepted) == 1;
+    route::wait_for("the policy to be read again", logged).await?;
+    pair.host.ask("GET", "/safe/", "id-2", "").await?;
+    assert_eq!(pair.runs("id-2"), 1);
+    pair.host.change_settings("on = false", "of = true")?;
+    pair.host.signal(Signal::HUP)?;
+    let refused = async || pair.host.logged("settings-reloaded: outcome=refused") == 1;
+    route::wait_for("the policy to be refused", refused).await?;
+    pair.host.ask("GET", "/safe/", "id-3", "").await?;
+    assert_eq!(pair.runs("id-3"), 1);
+    Ok(())
+}
+
 /// Another program of the machine has the port of the metrics. The host says so
 /// and serves.
 #[tokio::test(flavor = "multi_thread")]
