--- a/crates/hawthorn-pool/src/driven.rs
+++ b/crates/hawthorn-pool/src/driven.rs
@@ -3,9 +3,10 @@
 //! Load: a host short of processor time makes the requests of a query over ninety
 //! shards in one turn of its loop, and each says how much time its caller has left.
 //! Failure: with a task for each connection, all are made before the first is
-//! written, and what the host stands still between is time that targets are handed
-//! though it is gone: 580 ms were seen on a host of 0.12 core. Here a request is
-//! written in the poll that makes it, before any other task has its turn.
+//! written, and what the host works or stands still between is time that targets are
+//! handed though it is gone. Here a request is written in the poll that makes it,
+//! before any other task has its turn. Worth and processor time are the same either
+//! way, as far as two seeds of five days on two deployments show.
 //!
 //! Nobody drives a connection at rest. Its end is seen when it is next asked for.
 
--- a/crates/hawthorn-route/src/door.rs
+++ b/crates/hawthorn-route/src/door.rs
@@ -173,6 +173,8 @@
             // once. Its other parts lie in the queues, work for nobody, and keep them
             // full: a window of two queries lets hundreds a second through, and none is
             // answered. The place is free when the aim has passed, as if it had waited.
+            // Queries in time a second, 20 shards with one target each, asked for
+            // twice what is left, 267: 1 without this, 134 with it (tests/goodput).
             if load.failed && took < aim {
                 self.owed.push(now + (aim - took));
                 return;
