--- a/deploy/ablate.sh
+++ b/deploy/ablate.sh
@@ -76,7 +76,7 @@
   printf '\n%s\n%-22s %8s %8s %8s %7s %7s %6s\n' \
     "$name" 'switched off' worth less +- served broken pairs
   while IFS='|' read -r row _; do
-    [ -n "$row" ] && [ -d "$out/$row" ] || continue
+    compgen -G "$out/$row/$name-*.txt" > /dev/null || continue
     for file in "$out/$row/$name"-*.txt; do
       base="$out/as-it-is/$(basename "$file")"
       figures() { awk '/^worth [0-9]/ {w = $2} /^day /{getline; s = $5} END {print w, s}' "$1"; }
