refactor(route): times of a route's attempts and of its work are looked up by one function

Cause: Beliefs::worked repeated the look-up of Beliefs::times, guess and all, on another map. Change: with_times serves both; behaviour as before.

--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -190,12 +190,7 @@
 
     /// Calls `with` on the times of a route's attempts.
     pub fn times<T>(&self, route: &RouteRule, with: impl FnOnce(&mut ServiceTimes) -> T) -> T {
-        let mut times = self.times.borrow_mut();
-        if let Some(times) = times.get_mut(&route.name) {
-            return with(times);
-        }
-        let guess = (route.aim / FIRST_GUESS).as_micros() as u64;
-        with(times.entry(route.name.clone()).or_insert_with(|| ServiceTimes::new(guess)))
+        with_times(&self.times, route, with)
     }
 
     /// The usual time of one attempt of the route.
@@ -205,12 +200,7 @@
 
     /// An attempt of the route took so long that had a free slot, as far as was known.
     pub fn worked(&self, route: &RouteRule, micros: u64) {
-        let mut works = self.works.borrow_mut();
-        if let Some(times) = works.get_mut(&route.name) {
-            return times.record(micros);
-        }
-        let guess = (route.aim / FIRST_GUESS).as_micros() as u64;
-        works.entry(route.name.clone()).or_insert_with(|| ServiceTimes::new(guess)).record(micros);
+        with_times(&self.works, route, |times| times.record(micros));
     }
 
     /// How long a target works on one request of the route.
@@ -343,3 +333,17 @@
         }
     }
 }
+
+/// Calls `with` on the route's times, which are a guess until some have been seen.
+fn with_times<T>(
+    all: &RefCell<HashMap<String, ServiceTimes>>,
+    route: &RouteRule,
+    with: impl FnOnce(&mut ServiceTimes) -> T,
+) -> T {
+    let mut all = all.borrow_mut();
+    if let Some(times) = all.get_mut(&route.name) {
+        return with(times);
+    }
+    let guess = (route.aim / FIRST_GUESS).as_micros() as u64;
+    with(all.entry(route.name.clone()).or_insert_with(|| ServiceTimes::new(guess)))
+}
