--- a/crates/hawthorn-route/benches/query.rs
+++ b/crates/hawthorn-route/benches/query.rs
@@ -17,7 +17,6 @@
 use hawthorn_route::gatherers::ZoneHost;
 use hawthorn_route::merge::TopRecords;
 use hawthorn_route::place;
-use hawthorn_route::place::PlaceView;
 use hawthorn_route::registry;
 use hawthorn_route::registry::TargetRegistry;
 use hawthorn_route::spread;
@@ -45,15 +44,7 @@
         let (registry, rule) = shards(count);
         let usual = Duration::from_millis(15);
         let aim = Duration::from_millis(120);
-        let view = PlaceView {
-            registry: &registry,
-            zone: "east",
-            cut: &[],
-            usual,
-            queued: usual,
-            aim,
-            now: NOW,
-        };
+        let view = support::view(&registry, usual, aim, NOW);
         let mut lots = StdRng::seed_from_u64(1);
         let options = place::Options::default();
         criterion.bench_function(&format!("spread of {count} shards"), |bench| {
--- a/crates/hawthorn-route/src/depart.rs
+++ b/crates/hawthorn-route/src/depart.rs
@@ -24,8 +24,9 @@
     /// Whatever the distance and the lag, so much of the aim is used. An answer
     /// that can hardly be in time is worth gathering all the same.
     pub least_share: f64,
-    /// The lag is reckoned with, for reading and sending, up to this share of the aim: after a single long
-    /// stop of the process, answers would else leave with next to nothing.
+    /// The lag is reckoned with, for reading and sending, up to this share of the
+    /// aim: after a single long stop of the process, answers would else leave with
+    /// next to nothing.
     pub lag_share: f64,
 }
 
--- a/crates/hawthorn-route/tests/goodput/fleet.rs
+++ b/crates/hawthorn-route/tests/goodput/fleet.rs
@@ -263,7 +263,7 @@
         let micros = Duration::from_micros;
         let (usual, queued) = (micros(host.times.median()), micros(host.works.median()));
         let (registry, aim, now) = (&host.registry, self.scene.aim, self.now);
-        PlaceView { registry, zone: "east", cut: &[], usual, queued, aim, now }
+        PlaceView { queued, ..support::view(registry, usual, aim, now) }
     }
 
     fn ask(&mut self, caller: usize) {
--- a/crates/hawthorn-route/tests/skip.rs
+++ b/crates/hawthorn-route/tests/skip.rs
@@ -4,7 +4,6 @@
 
 use std::time::Duration;
 
-use hawthorn_route::place::PlaceView;
 use hawthorn_route::registry;
 use hawthorn_route::registry::TargetRegistry;
 use hawthorn_route::skip;
@@ -35,8 +34,7 @@
 fn skipped(registry: &TargetRegistry, shards: usize, most: usize) -> Vec<u16> {
     let names: Vec<String> = (0..shards).map(|shard| format!("s{shard}")).collect();
     let aim = Duration::from_millis(120);
-    let view =
-        PlaceView { registry, zone: "east", cut: &[], usual: USUAL, queued: USUAL, aim, now: NOW };
+    let view = support::view(registry, USUAL, aim, NOW);
     let places = (0_u16..).zip(names.iter().map(String::as_str));
     skip::skip(view, places, most, TIME, &skip::Options::default())
 }
--- a/crates/hawthorn-route/tests/spread.rs
+++ b/crates/hawthorn-route/tests/spread.rs
@@ -45,7 +45,7 @@
 ) -> spread::Outcome {
     let usual = Duration::from_millis(15);
     let aim = Duration::from_millis(120);
-    let view = PlaceView { registry, zone: "east", cut, usual, queued: usual, aim, now: NOW };
+    let view = PlaceView { cut, ..support::view(registry, usual, aim, NOW) };
     let mut lots = StdRng::seed_from_u64(1);
     spread::spread(view, rule, &mut lots, &place::Options::default())
 }
@@ -181,15 +181,7 @@
             state.end(NOW, NOW + took, AttemptEnd::Answered, usual);
         }
         let aim = Duration::from_millis(case.aim_ms);
-        let view = PlaceView {
-            registry: &registry,
-            zone: "east",
-            cut: &[],
-            usual,
-            queued: usual,
-            aim,
-            now: NOW,
-        };
+        let view = support::view(&registry, usual, aim, NOW);
         let mut lots = StdRng::seed_from_u64(1);
         let key = place::place(view, "s0", &[], &mut lots, &place::Options::default());
         let state = key.and_then(|key| registry.get(key)).expect("both take work");
@@ -249,15 +241,7 @@
     let registry = registry(&shards);
     let usual = Duration::from_millis(15);
     let aim = Duration::from_millis(120);
-    let view = PlaceView {
-        registry: &registry,
-        zone: "east",
-        cut: &[],
-        usual,
-        queued: usual,
-        aim,
-        now: NOW,
-    };
+    let view = support::view(&registry, usual, aim, NOW);
     let mut lots = CountedLots { lots: StdRng::seed_from_u64(1), drawn: 0 };
     let rule = rule(90, 0.9);
     let spread = spread::spread(view, &rule, &mut lots, &place::Options::default());
--- a/crates/hawthorn-route/tests/support/mod.rs
+++ b/crates/hawthorn-route/tests/support/mod.rs
@@ -1,8 +1,10 @@
-//! Targets as they register.
+//! Targets as they register, and the view of a host in the east.
 
 use std::time::Duration;
 
 use hawthorn_route::document::TargetEntry;
+use hawthorn_route::place::PlaceView;
+use hawthorn_route::registry::TargetRegistry;
 
 /// An entry of two slots that has been warm for long.
 pub fn entry(id: &str, service: &str, zone: &str) -> TargetEntry {
@@ -17,3 +19,13 @@
         born: None,
     }
 }
+
+/// What a host in the east knows that reaches every zone; requests of one kind.
+pub fn view(
+    registry: &TargetRegistry,
+    usual: Duration,
+    aim: Duration,
+    now: Duration,
+) -> PlaceView<'_> {
+    PlaceView { registry, zone: "east", cut: &[], usual, queued: usual, aim, now }
+}
--- a/crates/hawthorn-route/tests/targets.rs
+++ b/crates/hawthorn-route/tests/targets.rs
@@ -9,7 +9,6 @@
 use hawthorn_route::hedge;
 use hawthorn_route::outcome::AttemptEnd;
 use hawthorn_route::place;
-use hawthorn_route::place::PlaceView;
 use hawthorn_route::reach;
 use hawthorn_route::reach::ZoneReach;
 use hawthorn_route::registry;
@@ -32,15 +31,7 @@
 fn score(state: &TargetState, now: Duration) -> Option<f64> {
     let registry = TargetRegistry::new(registry::Options::default());
     let aim = Duration::from_millis(120);
-    let view = PlaceView {
-        registry: &registry,
-        zone: "east",
-        cut: &[],
-        usual: USUAL,
-        queued: USUAL,
-        aim,
-        now,
-    };
+    let view = support::view(&registry, USUAL, aim, now);
     place::score(view, state, &place::Options::default())
 }
 
