fix(edge): bulk news leaves room on a host's link; bytes between zones are counted

Cause: the host that watches the store for its zone was the first by id, also where its link carries 15 Mbit/s. Change: the most capable host of a zone watches the store, and others are asked in that order; bulk messages take at most half of the link that the settings state, beyond 200 ms the reader asks again; queries and the catalog have a connection each. New counter hawthorn_route_zone_bytes_total and E607 by purpose.

--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -35,6 +35,9 @@
 use crate::process::events::EdgeEvent;
 use crate::process::feed;
 use crate::process::host::RouteHost;
+use crate::process::traffic;
+use crate::process::traffic::TrafficCounter;
+use crate::process::traffic::TrafficPurpose;
 use crate::request::delegate;
 
 /// A message between hosts is at most so large.
@@ -84,16 +87,30 @@
     Silent,
 }
 
+/// Where a peer listens, and the counter of what it is sent for one purpose.
+///
+/// Each purpose has a connection of its own, so that a query does not wait behind a
+/// whole reading of the store.
 #[derive(Clone, Debug)]
-enum PeerLink {
-    Open(EdgePeerClient, CancellationToken),
-    Suspect(Instant),
+pub(crate) struct PeerRoute {
+    pub(crate) address: SocketAddr,
+    pub(crate) purpose: TrafficPurpose,
+    pub(crate) counter: TrafficCounter,
+}
+
+/// An open connection, cancelled when it ends.
+#[derive(Clone, Debug)]
+struct OpenLink {
+    client: EdgePeerClient,
+    ended: CancellationToken,
 }
 
 /// Connections to other hosts, opened when first needed and kept.
 #[derive(Debug, Default)]
 pub struct PeerLinks {
-    links: RefCell<HashMap<SocketAddr, PeerLink>>,
+    links: RefCell<HashMap<(SocketAddr, TrafficPurpose), OpenLink>>,
+    /// Since when each is passed over.
+    suspects: RefCell<HashMap<SocketAddr, Instant>>,
     /// When each peer last answered.
     heard: RefCell<HashMap<SocketAddr, Instant>>,
     /// How the clock of each stands to this host's.
@@ -103,8 +120,8 @@
 impl PeerLinks {
     /// The peer did not answer a moment ago.
     pub(crate) fn is_suspect(&self, address: SocketAddr) -> bool {
-        let links = self.links.borrow();
-        matches!(links.get(&address), Some(PeerLink::Suspect(at)) if at.elapsed() < SUSPECT_TIME)
+        let suspects = self.suspects.borrow();
+        suspects.get(&address).is_some_and(|at| at.elapsed() < SUSPECT_TIME)
     }
 
     /// Passes the peer over for a while, and opens a new connection after that.
@@ -112,20 +129,25 @@
     /// Failure: a connection goes silent without a reset, or its peer lost
     /// power: every call on it waits out its time.
     pub(crate) fn suspect(&self, address: SocketAddr) {
-        self.links.borrow_mut().insert(address, PeerLink::Suspect(Instant::now()));
+        let mut suspects = self.suspects.borrow_mut();
+        suspects.retain(|_, at| at.elapsed() < SUSPECT_TIME);
+        suspects.insert(address, Instant::now());
+        self.links.borrow_mut().retain(|(peer, _), _| *peer != address);
     }
 
-    async fn client(&self, address: SocketAddr) -> Result<EdgePeerClient, PeerError> {
+    async fn client(&self, route: &PeerRoute) -> Result<EdgePeerClient, PeerError> {
+        let key = (route.address, route.purpose);
         // Failure: a peer was stopped and started again by plan, and the first
         // query for it would be lost on the old connection, its end unread.
-        if let Some(PeerLink::Open(client, ended)) = self.links.borrow().get(&address)
-            && !ended.is_cancelled()
+        if let Some(link) = self.links.borrow().get(&key)
+            && !link.ended.is_cancelled()
         {
-            return Ok(client.clone());
+            return Ok(link.client.clone());
         }
-        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(route.address)).await;
         let Ok(Ok(stream)) = connected else { return Err(PeerError::NotSent) };
         hawthorn_pool::end_when_silent(&stream).map_err(|_| PeerError::NotSent)?;
+        let stream = traffic::counted(stream, &route.counter);
         let transport = tarpc::serde_transport::new(
             LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream),
             Bincode::default(),
@@ -139,18 +161,21 @@
             drop(guard);
         });
         let client = made.client;
-        self.links.borrow_mut().insert(address, PeerLink::Open(client.clone(), ended));
+        let mut links = self.links.borrow_mut();
+        links.retain(|_, link| !link.ended.is_cancelled());
+        links.insert(key, OpenLink { client: client.clone(), ended });
         Ok(client)
     }
 
     /// Has a peer gather shards; dropping the future cancels it there.
     pub(crate) async fn gather(
         &self,
-        address: SocketAddr,
+        route: &PeerRoute,
         order: GatherOrder,
         left: Duration,
     ) -> Result<GatherReply, PeerError> {
-        let client = self.ready_client(address).await?;
+        let address = route.address;
+        let client = self.ready_client(route).await?;
         let sent = host_now();
         let reply = client.gather(call_within(left), order).await;
         let timed = self.judge(address, reply)?;
@@ -177,11 +202,11 @@
     }
 
     /// Whether a peer says that it is there.
-    pub(crate) async fn hello(&self, address: SocketAddr) -> bool {
-        let Ok(client) = self.client(address).await else { return false };
+    pub(crate) async fn hello(&self, route: &PeerRoute) -> bool {
+        let Ok(client) = self.client(route).await else { return false };
         let there = client.hello(call_within(ANSWER_TIMEOUT)).await.is_ok();
         if there {
-            self.hear(address);
+            self.hear(route.address);
         }
         there
     }
@@ -199,19 +224,19 @@
     /// Asks a peer what it knows of the store after a revision, waiting there for news.
     pub(crate) async fn news(
         &self,
-        address: SocketAddr,
+        route: &PeerRoute,
         after: u64,
         wait: Duration,
     ) -> Result<CatalogNews, PeerError> {
-        let client = self.ready_client(address).await?;
+        let client = self.ready_client(route).await?;
         let call = call_within(wait + ANSWER_TIMEOUT);
         let reply = client.news(call, after, wait.as_millis() as u64).await;
-        self.judge(address, reply)
+        self.judge(route.address, reply)
     }
 
-    async fn ready_client(&self, address: SocketAddr) -> Result<EdgePeerClient, PeerError> {
-        let client = self.client(address).await;
-        client.inspect_err(|_| self.suspect(address))
+    async fn ready_client(&self, route: &PeerRoute) -> Result<EdgePeerClient, PeerError> {
+        let client = self.client(route).await;
+        client.inspect_err(|_| self.suspect(route.address))
     }
 
     fn judge<T>(
--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -24,6 +24,8 @@
     DutyFailed = 605,
     /// Log lines were dropped because they came faster than they are written.
     LinesDropped = 606,
+    /// Bytes to and from other zones since the start, by purpose.
+    ZoneTraffic = 607,
     /// A version of the routes came into force.
     RoutesInForce = 610,
     /// A version of the routes cannot be read; the one before stays in force.
--- a/crates/hawthorn-edge/src/process/feed.rs
+++ b/crates/hawthorn-edge/src/process/feed.rs
@@ -28,7 +28,9 @@
 use crate::process::catalog;
 use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
+use crate::process::fleet;
 use crate::process::host::RouteHost;
+use crate::process::traffic::TrafficPurpose;
 
 /// How long a watch of the store waits for news. An answer that is lost on the
 /// way shows only when the watch should have ended; a longer wait saves a few
@@ -65,6 +67,9 @@
 /// source to tell it, and then asks them.
 const BEHIND_TIME: Duration = Duration::from_millis(250);
 
+/// While the link has no room for a bulk message, it is looked at again so often.
+const BULK_PAUSE: Duration = Duration::from_millis(50);
+
 /// Where the next news is asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum NewsSource {
@@ -97,20 +102,17 @@
 fn choose(host: &RouteHost) -> NewsSource {
     let members = host.members.borrow();
     let zone = &host.beliefs.settings.host.zone;
-    let me = MemberId::of(&host.beliefs.settings.host.name).0;
-    let mut others: Vec<(u64, SocketAddr)> = members
-        .staying(zone)
-        .filter(|candidate| candidate.id.0 != me)
-        .filter_map(|candidate| Some((candidate.id.0, members.record(candidate.key)?.place.peer)))
-        .filter(|(_, peer)| !host.links.is_suspect(*peer))
-        .collect();
-    others.sort_unstable();
-    let ids: Vec<u64> = others.iter().map(|(id, _)| *id).collect();
-    let all: Vec<u64> = members.staying(zone).map(|candidate| candidate.id.0).collect();
+    let me = MemberId::of(&host.beliefs.settings.host.name);
+    let address = |id| members.record_by_id(MemberId(id)).map(|record| record.place.peer);
+    let ranked = mirror::rank(&fleet::staying_hosts(&members, zone));
+    let trusted =
+        |id: &u64| *id == me.0 || address(*id).is_some_and(|peer| !host.links.is_suspect(peer));
+    let answering: Vec<u64> = ranked.iter().copied().filter(trusted).collect();
     let zones = members.zones().count();
-    match others.first() {
-        Some((_, peer)) if !mirror::feeds(&ids, me, zones) => NewsSource::Peer(*peer),
-        _ => NewsSource::Store { feeds: mirror::feeds(&all, me, zones) },
+    let source = answering.iter().copied().find(|id| *id != me.0).and_then(address);
+    match source {
+        Some(peer) if !mirror::watches(&answering, me.0, zones) => NewsSource::Peer(peer),
+        _ => NewsSource::Store { feeds: mirror::watches(&ranked, me.0, zones) },
     }
 }
 
@@ -149,8 +151,9 @@
 
 async fn ask_peer(host: &RouteHost, peer: SocketAddr) {
     let after = host.mirror.borrow().as_of();
+    let route = host.peer_route(peer, TrafficPurpose::Catalog);
     // A peer that does not answer is suspect from now on, and another is chosen.
-    let Ok(news) = host.links.news(peer, after, PEER_WAIT).await else { return };
+    let Ok(news) = host.links.news(&route, after, PEER_WAIT).await else { return };
     let age = Duration::from_millis(news.age_ms);
     if age > MOST_AGE {
         edge_event!(Level::Warn, EdgeEvent::PeerStale, "peer={peer} age_ms={}", news.age_ms);
@@ -193,8 +196,9 @@
     }
     sleep(BEHIND_TIME).await;
     let after = host.mirror.borrow().as_of();
+    let route = host.peer_route(peer, TrafficPurpose::Catalog);
     if as_of > after
-        && let Ok(news) = host.links.news(peer, after, Duration::ZERO).await
+        && let Ok(news) = host.links.news(&route, after, Duration::ZERO).await
     {
         edge_event!(
             Level::Info,
@@ -214,6 +218,7 @@
     wait: Duration,
     mut reply: oneshot::Sender<CatalogNews>,
 ) {
+    let until = host_now() + wait;
     if host.mirror.borrow().as_of() <= after {
         // A peer learns at once that this host is no source any more.
         let age = host.confirmed_age().unwrap_or(MOST_AGE);
@@ -225,7 +230,21 @@
             () = reply.closed() => return,
         }
     }
-    let news = host.mirror.borrow().since(after);
+    let news = loop {
+        let news = host.mirror.borrow().since(after);
+        let now = host_now();
+        match host.reserve_bulk(now, news.bytes()) {
+            Some(delay) => {
+                sleep(delay).await;
+                break news;
+            }
+            // The reader asks again when its wait is over.
+            None if now + BULK_PAUSE > until => {
+                break MirrorNews { as_of: after, ..MirrorNews::default() };
+            }
+            None => sleep(BULK_PAUSE).await,
+        }
+    };
     let age_ms = host.confirmed_age().map_or(u64::MAX, |age| age.as_millis() as u64);
     let items = news.items.into_iter();
     let items = items.map(|item| (item.key, item.revision, item.value)).collect();
--- a/crates/hawthorn-edge/src/process/fleet.rs
+++ b/crates/hawthorn-edge/src/process/fleet.rs
@@ -27,6 +27,7 @@
 use crate::process::events::EdgeEvent;
 use crate::process::feed;
 use crate::process::host::RouteHost;
+use crate::process::traffic::TrafficPurpose;
 use crate::settings::RouteSettings;
 use crate::version::beliefs::Beliefs;
 
@@ -137,6 +138,9 @@
             None => return,
             // A datagram may be lost anywhere; here is no different.
             Some(FleetAction::Send { to, bytes }) => {
+                if let Some(zone) = host.members.borrow().zone_of_peer(to) {
+                    host.traffic.count(TrafficPurpose::Membership, zone, bytes.len());
+                }
                 let _sent = socket.send_to(&bytes, to).await;
             }
             Some(FleetAction::MemberUp(key)) => note(host, key, "up"),
@@ -167,16 +171,21 @@
     }
 }
 
-/// The hosts of a zone that gather. Callers are spread over a zone's hosts, and
-/// zones are alike, so that each knows a zone's queries by its own `rate`.
-fn gathering_ids(members: &MemberTable, zone: &str, rate: f64) -> Vec<u64> {
-    let hosts: Vec<ZoneHost> = members
+/// The hosts of a zone that stay, with what each is capable of.
+pub(crate) fn staying_hosts(members: &MemberTable, zone: &str) -> Vec<ZoneHost> {
+    members
         .staying(zone)
         .filter_map(|candidate| {
             let capacity = members.record(candidate.key)?.place.capacity;
             Some(ZoneHost { id: candidate.id.0, capacity })
         })
-        .collect();
+        .collect()
+}
+
+/// The hosts of a zone that gather. Callers are spread over a zone's hosts, and
+/// zones are alike, so that each knows a zone's queries by its own `rate`.
+fn gathering_ids(members: &MemberTable, zone: &str, rate: f64) -> Vec<u64> {
+    let hosts = staying_hosts(members, zone);
     gatherers::choose(&hosts, rate * hosts.len() as f64)
 }
 
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -10,6 +11,8 @@
 use hawthorn_fleet::MemberTable;
 use hawthorn_route::depart::LagMeter;
 use hawthorn_route::mirror::StoreMirror;
+use hawthorn_route::pace;
+use hawthorn_route::pace::BulkPacer;
 use hawthorn_store::StoreClient;
 use hawthorn_store::client;
 use log::Level;
@@ -27,6 +30,7 @@
 use crate::connection::listen;
 use crate::connection::peer;
 use crate::connection::peer::PeerLinks;
+use crate::connection::peer::PeerRoute;
 use crate::edge_event;
 use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
@@ -35,6 +39,8 @@
 use crate::process::fleet::GatherPeers;
 use crate::process::metrics::EdgeMetrics;
 use crate::process::reach;
+use crate::process::traffic::TrafficAccount;
+use crate::process::traffic::TrafficPurpose;
 use crate::process::turns;
 use crate::settings::RouteSettings;
 use crate::version::beliefs::Beliefs;
@@ -49,6 +55,10 @@
 const FORCED_END_SHARE: f64 = 0.96;
 /// How often the beliefs are swept and the gauges are set.
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
+/// Bytes in a megabit.
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
+/// Sweeps between two lines on the bytes between zones.
+const TRAFFIC_SWEEPS: u32 = 10;
 /// How often a process that stops looks whether it is done.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
@@ -85,8 +95,12 @@
     pub gather_peers: RefCell<GatherPeers>,
     /// Connections to them.
     pub links: PeerLinks,
+    /// Bytes to and from other zones.
+    pub traffic: TrafficAccount,
     /// The store's items as this host knows them.
     pub mirror: RefCell<StoreMirror>,
+    /// Spaces bulk messages on the host's link.
+    bulk_pacer: RefCell<BulkPacer>,
     /// Told when the mirror reaches further than before.
     pub news: Notify,
     /// A peer that knows more is being asked.
@@ -125,7 +139,9 @@
             members: RefCell::new(fleet::table(&settings)),
             gather_peers: RefCell::default(),
             links: PeerLinks::default(),
+            traffic: TrafficAccount::new(&settings.host.zone),
             mirror: RefCell::default(),
+            bulk_pacer: RefCell::default(),
             news: Notify::new(),
             catching_up: Cell::new(false),
             confirmed: Cell::new(None),
@@ -161,6 +177,21 @@
         self.confirmed.get().map(|at| host_now().saturating_sub(at))
     }
 
+    /// The way to a peer for one purpose.
+    pub(crate) fn peer_route(&self, address: SocketAddr, purpose: TrafficPurpose) -> PeerRoute {
+        let members = self.members.borrow();
+        let zone = members.zone_of_peer(address).unwrap_or_default();
+        PeerRoute { address, purpose, counter: self.traffic.counter(purpose, zone) }
+    }
+
+    /// How long to wait before sending a peer so many bytes, which count as sent;
+    /// `None` while the link has no room for them.
+    pub(crate) fn reserve_bulk(&self, now: Duration, bytes: usize) -> Option<Duration> {
+        let Some(mbps) = self.beliefs.settings.host.link_mbps else { return Some(Duration::ZERO) };
+        let options = pace::Options::of_link(mbps * BYTES_PER_MEGABIT);
+        self.bulk_pacer.borrow_mut().reserve(now, bytes, &options)
+    }
+
     /// Counts a request and returns its number.
     pub fn next_request(&self) -> u32 {
         let number = self.request_count.get();
@@ -271,6 +302,7 @@
 /// Forgets targets that left, and sets the gauges.
 async fn sweep(host: Rc<RouteHost>) {
     let mut ready = false;
+    let mut tick: u32 = 0;
     loop {
         host.beliefs.sweep(host_now());
         if host.is_ready() != ready {
@@ -291,10 +323,30 @@
         host.metrics.show("connections", host.connections.get() as u64);
         host.metrics.show("version", host.beliefs.table().map_or(0, |table| table.version()));
         host.metrics.show("targets", host.beliefs.registry.borrow().iter().count() as u64);
+        host.metrics.show_traffic(&host.traffic);
+        if tick.is_multiple_of(TRAFFIC_SWEEPS) {
+            note_traffic(&host.traffic);
+        }
+        tick = tick.wrapping_add(1);
         sleep(SWEEP_PERIOD).await;
     }
 }
 
+/// Writes the bytes to and from other zones since the start.
+fn note_traffic(account: &TrafficAccount) {
+    let totals = account.totals();
+    let bytes = |purpose| totals.get(&purpose).copied().unwrap_or_default();
+    edge_event!(
+        Level::Info,
+        EdgeEvent::ZoneTraffic,
+        "targets={} gathering={} catalog={} membership={}",
+        bytes(TrafficPurpose::Targets),
+        bytes(TrafficPurpose::Gathering),
+        bytes(TrafficPurpose::Catalog),
+        bytes(TrafficPurpose::Membership)
+    );
+}
+
 /// Finishes what is open.
 ///
 /// Failure: a stop cuts requests off, either because the process ends first or
--- a/crates/hawthorn-edge/src/process/metrics.rs
+++ b/crates/hawthorn-edge/src/process/metrics.rs
@@ -16,6 +16,8 @@
 use opentelemetry::metrics::Histogram;
 use strum::IntoEnumIterator;
 
+use crate::process::traffic::TrafficAccount;
+
 /// Upper bounds of the latency histogram, in seconds.
 const LATENCY_BOUNDS: [f64; 12] =
     [0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1.0, 3.0];
@@ -32,6 +34,7 @@
     attempts: Counter<u64>,
     extras: Counter<u64>,
     missing: Counter<u64>,
+    traffic: Counter<u64>,
     latency: Histogram<f64>,
     departure: Histogram<f64>,
     gauges: Gauge<u64>,
@@ -51,6 +54,7 @@
             attempts: meter.u64_counter("hawthorn_route_attempts").build(),
             extras: meter.u64_counter("hawthorn_route_extra_attempts").build(),
             missing: meter.u64_counter("hawthorn_route_missing_parts").build(),
+            traffic: meter.u64_counter("hawthorn_route_zone_bytes").build(),
             latency: meter
                 .f64_histogram("hawthorn_route_request_seconds")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
@@ -123,6 +127,11 @@
         self.missing.add(parts as u64, &[]);
     }
 
+    /// Bytes between this host's zone and others.
+    pub fn show_traffic(&self, account: &TrafficAccount) {
+        account.show(&self.traffic);
+    }
+
     /// A figure of the host's state as it is now.
     pub fn show(&self, name: &'static str, value: u64) {
         self.gauges.record(value, &[KeyValue::new("of", name)]);
--- a/crates/hawthorn-edge/src/process/mod.rs
+++ b/crates/hawthorn-edge/src/process/mod.rs
@@ -9,4 +9,5 @@
 pub mod logs;
 pub mod metrics;
 pub mod reach;
+pub mod traffic;
 pub mod turns;
--- /dev/null
+++ b/crates/hawthorn-edge/src/process/traffic.rs
@@ -0,0 +1,127 @@
+//! Bytes between availability zones, by purpose.
+//!
+//! A host counts both directions of the connections that it opened, and the datagrams
+//! that it sent, so that the sum over all hosts counts each byte once. Heads and bodies
+//! are counted, not the packets' own headers or the opening of connections.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use hyper::HeaderMap;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use tokio::net::TcpStream;
+use tokio_util::io::InspectReader;
+use tokio_util::io::InspectWriter;
+
+/// What bytes are sent for.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, strum::EnumIter, strum::Display, strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum TrafficPurpose {
+    /// Requests to targets and their answers.
+    Targets,
+    /// Queries that a peer gathers, and its replies.
+    Gathering,
+    /// The store's items, told by a peer.
+    Catalog,
+    /// Heartbeats and member lists.
+    Membership,
+}
+
+/// One purpose's bytes to and from one zone.
+pub type TrafficCounter = Arc<AtomicU64>;
+
+#[derive(Debug, Default)]
+struct ZoneTraffic {
+    bytes: TrafficCounter,
+    /// As much of it as the metrics know.
+    shown: u64,
+}
+
+/// Bytes to and from other zones since the start.
+#[derive(Debug)]
+pub struct TrafficAccount {
+    zone: Rc<str>,
+    zones: RefCell<HashMap<(TrafficPurpose, Rc<str>), ZoneTraffic>>,
+}
+
+impl TrafficAccount {
+    /// The account of a host of that zone.
+    pub fn new(zone: &str) -> Self {
+        Self { zone: Rc::from(zone), zones: RefCell::default() }
+    }
+
+    /// The counter of a purpose and a zone; that of the own zone is not shown.
+    pub fn counter(&self, purpose: TrafficPurpose, zone: &str) -> TrafficCounter {
+        let mut zones = self.zones.borrow_mut();
+        let traffic = zones.entry((purpose, Rc::from(zone))).or_default();
+        Arc::clone(&traffic.bytes)
+    }
+
+    /// Counts bytes to or from a zone.
+    pub fn count(&self, purpose: TrafficPurpose, zone: &str, bytes: usize) {
+        if *zone != *self.zone {
+            self.counter(purpose, zone).fetch_add(bytes as u64, Ordering::Relaxed);
+        }
+    }
+
+    /// Adds what is new to the metric.
+    pub fn show(&self, metric: &Counter<u64>) {
+        for ((purpose, zone), traffic) in self.others(&mut self.zones.borrow_mut()) {
+            let bytes = traffic.bytes.load(Ordering::Relaxed);
+            let labels = [
+                KeyValue::new("purpose", <&'static str>::from(*purpose)),
+                KeyValue::new("from", self.zone.to_string()),
+                KeyValue::new("to", zone.to_string()),
+            ];
+            metric.add(bytes - traffic.shown, &labels);
+            traffic.shown = bytes;
+        }
+    }
+
+    /// The bytes of each purpose to and from all other zones.
+    pub fn totals(&self) -> HashMap<TrafficPurpose, u64> {
+        let mut totals = HashMap::new();
+        for ((purpose, _), traffic) in self.others(&mut self.zones.borrow_mut()) {
+            *totals.entry(*purpose).or_default() += traffic.bytes.load(Ordering::Relaxed);
+        }
+        totals
+    }
+
+    fn others<'a>(
+        &'a self,
+        zones: &'a mut HashMap<(TrafficPurpose, Rc<str>), ZoneTraffic>,
+    ) -> impl Iterator<Item = (&'a (TrafficPurpose, Rc<str>), &'a mut ZoneTraffic)> {
+        zones.iter_mut().filter(|((_, zone), _)| *zone != self.zone)
+    }
+}
+
+type CountBytes = Box<dyn FnMut(&[u8]) + Send + Sync>;
+
+/// A connection whose bytes are counted, both ways.
+pub type CountedStream = Pin<Box<InspectReader<InspectWriter<TcpStream, CountBytes>, CountBytes>>>;
+
+/// Counts what a connection carries from now on.
+pub fn counted(stream: TcpStream, counter: &TrafficCounter) -> CountedStream {
+    let count = || -> CountBytes {
+        let counter = Arc::clone(counter);
+        Box::new(move |bytes: &[u8]| {
+            counter.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        })
+    };
+    Box::pin(InspectReader::new(InspectWriter::new(stream, count()), count()))
+}
+
+/// The bytes that headers take on the wire.
+pub fn header_bytes(headers: &HeaderMap) -> usize {
+    /// Colon, space and line end.
+    const PUNCTUATION: usize = 4;
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + PUNCTUATION).sum()
+}
--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -26,6 +26,8 @@
 
 use crate::process::clock::host_now;
 use crate::process::host::RouteHost;
+use crate::process::traffic::TrafficPurpose;
+use crate::process::traffic::header_bytes;
 use crate::request::order::RequestOrder;
 use crate::request::story::AttemptNote;
 
@@ -89,7 +91,7 @@
         let end = Instant::now() + left + LINGER;
         let exchange = async {
             match self.connection(end).await? {
-                Ok(connection) => Some(self.exchange(&target, connection, end).await),
+                Ok(connection) => Some(self.exchange(&target, &zone, connection, end).await),
                 Err(error) => Some(Err(error)),
             }
         };
@@ -140,6 +142,7 @@
     async fn exchange(
         &self,
         target: &str,
+        zone: &str,
         connection: PoolConnection,
         end: Instant,
     ) -> Result<PoolAnswer, Error> {
@@ -151,6 +154,8 @@
             return Err(Error::NotSent("its time was over before it was sent".into()));
         }
         let request = self.order.outgoing(target, left);
+        let bytes = header_bytes(request.headers()) + self.order.body.len();
+        self.host.traffic.count(TrafficPurpose::Targets, zone, bytes);
         let answer = async {
             let answer = connection.send(request).await?;
             match self.order.route.way {
@@ -158,7 +163,10 @@
                 RouteWay::Single(_) | RouteWay::Weighted(_) => Ok(answer),
             }
         };
-        timeout_at(end, answer).await.unwrap_or(Err(Error::TimedOut))
+        let answer = timeout_at(end, answer).await.unwrap_or(Err(Error::TimedOut))?;
+        let bytes = header_bytes(&answer.headers) + answer.body.len();
+        self.host.traffic.count(TrafficPurpose::Targets, zone, bytes);
+        Ok(answer)
     }
 
     /// A connection to the target, unless the caller has its answer before.
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -40,6 +40,7 @@
 use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
 use crate::process::host::RouteHost;
+use crate::process::traffic::TrafficPurpose;
 use crate::process::turns;
 use crate::request::gather;
 use crate::request::gather::PeerPart;
@@ -209,7 +210,8 @@
     };
     let usual = host.beliefs.usual(&order.route);
     delegated.shards.iter().for_each(|_| host.beliefs.zone_sent(&delegated.zone, now, usual));
-    let call = host.links.gather(delegated.peer, message, left);
+    let peer = host.peer_route(delegated.peer, TrafficPurpose::Gathering);
+    let call = host.links.gather(&peer, message, left);
     let reply = tokio::select! {
         biased;
         reply = call => reply,
@@ -273,6 +275,7 @@
 /// Returns when a peer does not answer the question whether it is there; never
 /// returns when it does.
 async fn says_nothing(host: &RouteHost, peer: SocketAddr) {
+    let route = host.peer_route(peer, TrafficPurpose::Gathering);
     let over = async {
         sleep(HELLO_TIMEOUT).await;
         // This host may have been the one that stood still: what lies in its
@@ -283,7 +286,7 @@
     };
     tokio::select! {
         biased;
-        there = host.links.hello(peer) => if there { std::future::pending().await },
+        there = host.links.hello(&route) => if there { std::future::pending().await },
         () = over => {}
     }
 }
--- a/crates/hawthorn-edge/src/settings.rs
+++ b/crates/hawthorn-edge/src/settings.rs
@@ -73,6 +73,8 @@
     /// See `core_share`.
     #[serde(default = "one")]
     pub cores: f64,
+    /// Megabits a second of its link; bulk messages are not paced where it is not said.
+    pub link_mbps: Option<f64>,
 }
 
 fn one() -> f64 {
@@ -183,6 +185,9 @@
         if !(settings.host.core_share > 0.0 && settings.host.cores > 0.0) {
             return Err(Error::Value("host.core_share", "not above zero"));
         }
+        if settings.host.link_mbps.is_some_and(|mbps| mbps <= 0.0) {
+            return Err(Error::Value("host.link_mbps", "not above zero"));
+        }
         if settings.host.name.is_empty() {
             return Err(Error::Value("host.name", "is empty"));
         }
--- a/crates/hawthorn-fleet/src/member/mod.rs
+++ b/crates/hawthorn-fleet/src/member/mod.rs
@@ -246,6 +246,11 @@
         self.arena.by_id(id)
     }
 
+    /// The zone of the host behind a peer interface.
+    pub fn zone_of_peer(&self, peer: SocketAddr) -> Option<&str> {
+        self.arena.by_peer(peer).map(|record| record.place.zone.as_str())
+    }
+
     /// This host.
     pub fn me(&self) -> HostKey {
         self.me
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`merge`] | the greatest records of many parts |
 //! | [`gatherers`] | which hosts of a zone gather for the others |
 //! | [`mirror`] | the store's items as this host knows them |
+//! | [`pace`] | when bulk messages are sent |
 //! | [`door`] | whether a query is admitted |
 //! | [`gather`] | when a query over many shards is answered, and with what |
 //! | [`depart`] | when an answer has to leave |
@@ -40,6 +41,7 @@
 pub mod mirror;
 pub mod offset;
 pub mod outcome;
+pub mod pace;
 pub mod place;
 pub mod policy;
 pub mod reach;
--- a/crates/hawthorn-route/src/mirror.rs
+++ b/crates/hawthorn-route/src/mirror.rs
@@ -5,10 +5,13 @@
 //! the items as they lay in the store, with their revisions, so that any of
 //! them can answer, and news may come by any way, twice, and in any order.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashSet;
 
+use crate::gatherers::ZoneHost;
+
 /// One item of the store: a key, the revision of its last change, and what
 /// lies there; no value where it was deleted.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,6 +35,14 @@
     pub whole: bool,
 }
 
+impl MirrorNews {
+    /// Bytes of its keys and values.
+    pub fn bytes(&self) -> usize {
+        let value = |item: &MirrorItem| item.value.as_ref().map_or(0, Vec::len);
+        self.items.iter().map(|item| item.key.len() + value(item)).sum()
+    }
+}
+
 #[derive(Clone, Debug)]
 struct HeldItem {
     revision: u64,
@@ -133,10 +144,18 @@
     }
 }
 
-/// Which hosts of a zone watch the store: the first of its live hosts by id.
-/// A fleet of one zone has two, so that one that is cut off from the store
-/// unnoticed is not the only source of news.
-pub fn feeds(ids: &[u64], me: u64, zones: usize) -> bool {
-    let feeders = if zones > 1 { 1 } else { 2 };
-    ids.iter().filter(|id| **id < me).count() < feeders
+/// The live hosts of a zone in the order in which they watch the store for it: the
+/// most capable first, as it tells all others, and they are asked in this order.
+pub fn rank(hosts: &[ZoneHost]) -> Vec<u64> {
+    let mut ranked = hosts.to_vec();
+    ranked.sort_unstable_by_key(|host| (Reverse(host.capacity), host.id));
+    ranked.into_iter().map(|host| host.id).collect()
+}
+
+/// Whether a host watches the store, given the [`rank`] of its zone's hosts. A fleet of
+/// one zone has two watchers, so that one that is cut off from the store unnoticed is
+/// not the only source of news.
+pub fn watches(ranked: &[u64], me: u64, zones: usize) -> bool {
+    let watchers = if zones > 1 { 1 } else { 2 };
+    ranked.iter().position(|id| *id == me).is_some_and(|place| place < watchers)
 }
--- a/crates/hawthorn-route/tests/mirror.rs
+++ b/crates/hawthorn-route/tests/mirror.rs
@@ -1,5 +1,6 @@
 //! News of the store's items, by any way and in any order.
 
+use hawthorn_route::gatherers::ZoneHost;
 use hawthorn_route::mirror;
 use hawthorn_route::mirror::MirrorItem;
 use hawthorn_route::mirror::MirrorNews;
@@ -45,20 +46,27 @@
 }
 
 #[test]
-fn the_first_live_hosts_of_a_zone_feed_the_others() {
+fn the_most_capable_live_hosts_of_a_zone_watch_the_store() {
     struct Case {
-        ids: &'static [u64],
+        hosts: &'static [(u64, u32)],
         zones: usize,
-        feeds: &'static [u64],
+        watch: &'static [u64],
     }
     let cases = [
-        Case { ids: &[1, 2, 3], zones: 3, feeds: &[1] },
-        Case { ids: &[1, 2, 3], zones: 1, feeds: &[1, 2] },
-        Case { ids: &[7], zones: 1, feeds: &[7] },
+        Case { hosts: &[(1, 250), (2, 250), (3, 250)], zones: 3, watch: &[1] },
+        Case { hosts: &[(1, 250), (2, 250), (3, 250)], zones: 1, watch: &[1, 2] },
+        Case { hosts: &[(7, 250)], zones: 1, watch: &[7] },
+        Case { hosts: &[(1, 120), (2, 500), (3, 500)], zones: 3, watch: &[2] },
+        Case { hosts: &[(1, 120), (2, 0), (3, 500)], zones: 1, watch: &[1, 3] },
     ];
-    for case in cases {
-        let feeding = case.ids.iter().filter(|id| mirror::feeds(case.ids, **id, case.zones));
-        assert_eq!(feeding.copied().collect::<Vec<u64>>(), case.feeds);
+    for Case { hosts, zones, watch } in cases {
+        let all: Vec<ZoneHost> =
+            hosts.iter().map(|(id, capacity)| ZoneHost { id: *id, capacity: *capacity }).collect();
+        let ranked = mirror::rank(&all);
+        let watching = hosts.iter().map(|(id, _)| *id);
+        let watching = watching.filter(|id| mirror::watches(&ranked, *id, zones));
+        assert_eq!(watching.collect::<Vec<u64>>(), watch);
+        assert!(!mirror::watches(&ranked, 99, zones), "a host that leaves watches nothing");
     }
 }
 
