perf(edge): first readings are recent ones, and a zone's hosts share pings to others

Change: the pings follow the size of the zone (at most 10 s apart); the first reading is one that may be seconds old and costs a tenth, the watch after it, 0.25 s later, brings what it lacks; its pages keep the least revision; only the host that reads for its zone asks other zones for news that it lacks.

--- a/crates/hawthorn-edge/src/process/feed.rs
+++ b/crates/hawthorn-edge/src/process/feed.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use hawthorn_fleet::MemberId;
 use hawthorn_platform::store;
+use hawthorn_platform::store::ReadMode;
 use hawthorn_platform::store::StoreItems;
 use hawthorn_route::mirror;
 use hawthorn_route::mirror::MirrorItem;
@@ -38,6 +39,7 @@
 const WATCH_WAIT: Duration = Duration::from_secs(4);
 /// After news the next watch is made so much later: targets of one release or
 /// one repartition come within a second, and each watch is a call that costs.
+/// So is the first watch after the start.
 const SETTLE_TIME: Duration = Duration::from_millis(250);
 /// Pause after a call that brought nothing, in seconds: short, as a store that
 /// is back should be heard of within half a second, and drawn, so that hosts
@@ -116,13 +118,22 @@
     }
 }
 
+/// Whether this host reads the store, and not a host of its zone that does.
+pub(crate) fn reads_for_zone(host: &RouteHost) -> bool {
+    matches!(choose(host), NewsSource::Store { .. })
+}
+
 async fn ask_store(host: &RouteHost, client: &StoreClient, reachable: &mut bool, feeds: bool) {
     let after = host.mirror.borrow().as_of();
-    let end = if after == 0 { WatchEnd::HistoryGone } else { watch(host, client, after).await };
-    let read = match end {
-        WatchEnd::News(news) => Ok((news, false)),
-        WatchEnd::HistoryGone => read_all(client).await.map(|all| (all, true)),
-        WatchEnd::Lost(error) => Err(error),
+    let read = if after == 0 {
+        // The watch that follows brings at once what a recent reading lacks.
+        read_all(client, ReadMode::Recent).await.map(|all| (all, true))
+    } else {
+        match watch(host, client, after).await {
+            WatchEnd::News(news) => Ok((news, false)),
+            WatchEnd::HistoryGone => read_all(client, ReadMode::Exact).await.map(|all| (all, true)),
+            WatchEnd::Lost(error) => Err(error),
+        }
     };
     match read {
         Ok((read, whole)) => {
@@ -136,7 +147,8 @@
                 "after={after} as_of={} items={count} whole={whole}",
                 news.as_of
             );
-            if take(host, news) && !whole {
+            // At the start, the hosts of the zone are known by then.
+            if take(host, news) && (!whole || after == 0) {
                 sleep(SETTLE_TIME).await;
             }
         }
@@ -323,20 +335,18 @@
     }
 }
 
-/// All items. Pages are no snapshot: the revision of the first is kept, so that
-/// the watch brings again what changed while later ones were read.
-async fn read_all(client: &StoreClient) -> Result<StoreItems, ReadError> {
-    let mut all = StoreItems { items: Vec::new(), more: true, as_of: 0 };
+/// All items. Pages are no snapshot, and recent ones may be of any order in time: the
+/// least revision is kept, so that the watch brings again what any of them may lack.
+async fn read_all(client: &StoreClient, mode: ReadMode) -> Result<StoreItems, ReadError> {
+    let mut all = StoreItems { items: Vec::new(), more: true, as_of: u64::MAX };
     while all.more {
         let after = all.items.last().map(|item| item.key.clone());
-        let path = store::page_path(after.as_deref());
+        let path = store::page_path(after.as_deref(), mode);
         let page = match client.read_path(CallKind::List, path, Duration::ZERO).await? {
             (StatusCode::OK, body) => readable(&body)?,
             _ => return Err(ReadError::NoAnswer(UncertainCause::BadAnswer)),
         };
-        if all.as_of == 0 {
-            all.as_of = page.as_of;
-        }
+        all.as_of = all.as_of.min(page.as_of);
         all.more = page.more && !page.items.is_empty();
         all.items.extend(page.items);
     }
--- a/crates/hawthorn-edge/src/process/fleet.rs
+++ b/crates/hawthorn-edge/src/process/fleet.rs
@@ -36,6 +36,9 @@
 /// Between pings to members of the own zone. Twice that of a host that owns
 /// targets: here a member that died costs one query's time, not slots.
 const HEARTBEAT: Duration = Duration::from_millis(400);
+/// Between pings to other zones, at most: those of a zone's hosts together are what
+/// tells whether another zone is there, and each of them is bytes between zones.
+const ACROSS: Duration = Duration::from_secs(10);
 /// A peer that is not pinged directly is looked at so often.
 const LONGEST_SLEEP: Duration = Duration::from_millis(100);
 
@@ -56,7 +59,8 @@
         peer: settings.listen.peers,
         capacity: (settings.host.core_share * settings.host.cores * 1000.0) as u32,
     };
-    let options = member::Options { heartbeat: HEARTBEAT, ..member::Options::default() };
+    let options =
+        member::Options { heartbeat: HEARTBEAT, across: ACROSS, ..member::Options::default() };
     let incarnation = u64::try_from(host_now().as_millis()).unwrap_or(u64::MAX);
     let mut table = MemberTable::new(place, incarnation, options, rand::rng().random());
     let port = settings.listen.peers.port();
@@ -157,8 +161,12 @@
     if as_of <= host.mirror.borrow().as_of() {
         return;
     }
-    let address = host.members.borrow().record(peer).map(|record| record.place.peer);
-    if let Some(address) = address {
+    let members = host.members.borrow();
+    let Some(record) = members.record(peer) else { return };
+    let (address, near) = (record.place.peer, record.place.zone == host.beliefs.settings.host.zone);
+    drop(members);
+    // One host of a zone reads what other zones know, and tells the others.
+    if near || feed::reads_for_zone(host) {
         tokio::task::spawn_local(feed::catch_up(Rc::clone(host), address, as_of));
     }
 }
