--- a/crates/hawthorn-daemon/src/owner/reload.rs
+++ b/crates/hawthorn-daemon/src/owner/reload.rs
@@ -93,6 +93,7 @@
         }
         let options = pool::Options {
             connections,
+            kept: true,
             held_bytes: self.options.max_answer_bytes,
             connect_timeout: self.options.connect_timeout,
         };
--- a/crates/hawthorn-edge/src/process/fleet.rs
+++ b/crates/hawthorn-edge/src/process/fleet.rs
@@ -131,7 +131,10 @@
     let me = MemberId::of(&beliefs.settings.host.name).0;
     beliefs.hosts.set(members.records().filter(|record| record.is_live()).count());
     beliefs.gatherers.set(gathering.len().max(1));
-    beliefs.gathers.set(gathering.is_empty() || gathering.contains(&me));
+    let gathers = gathering.is_empty() || gathering.contains(&me);
+    if beliefs.gathers.replace(gathers) != gathers {
+        beliefs.drop_pools();
+    }
     beliefs.fleet_zones.set(members.zones().count());
 }
 
--- a/crates/hawthorn-edge/src/request/parts.rs
+++ b/crates/hawthorn-edge/src/request/parts.rs
@@ -233,11 +233,19 @@
         }
     }
 
+    /// Has shards that were not asked for gathered by another peer, or else here.
+    fn gather_again(&mut self, delegated: &DelegatedShards, again: Option<DelegatedShards>) {
+        self.order.sent.set(self.order.sent.get() - delegated.shards.len());
+        match again {
+            Some(again) => self.delegate(again),
+            None => self.race_all(&delegated.shards, usize::from(delegated.spent)),
+        }
+    }
+
     /// Takes in a peer's reply. Shards that the peer never sent are gathered
     /// here; those of which nothing is known are lost to this try, as a third
     /// attempt at them would be more than operators allow.
     fn take_reply(&mut self, delegated: &DelegatedShards, reply: Result<GatherReply, PeerError>) {
-        let spent = usize::from(delegated.spent);
         match reply {
             Ok(GatherReply::Parts { receipts, records, missing, load }) => {
                 let mut met = self.order.load.borrow_mut();
@@ -252,18 +260,16 @@
                     receipts.iter().filter_map(|bytes| HeaderValue::from_bytes(bytes).ok());
                 self.receipts.extend(signed);
             }
-            Ok(GatherReply::OtherVersion | GatherReply::Stopping | GatherReply::Unreadable)
-            | Err(PeerError::NotSent) => {
-                self.order.sent.set(self.order.sent.get() - delegated.shards.len());
-                match delegated.again(self.host) {
-                    Some(again) => self.delegate(again),
-                    None => self.race_all(&delegated.shards, spent),
-                }
+            Ok(GatherReply::OtherVersion | GatherReply::Unreadable) => {
+                self.gather_again(delegated, delegated.elsewhere(self.host));
+            }
+            Ok(GatherReply::Stopping) | Err(PeerError::NotSent) => {
+                self.gather_again(delegated, delegated.again(self.host));
             }
             Err(PeerError::Silent) => {
                 match delegated.after_silence(self.host, self.order.route.max_attempts) {
                     Some(again) => self.delegate(again),
-                    None => self.race_all(&delegated.shards, spent + 1),
+                    None => self.race_all(&delegated.shards, usize::from(delegated.spent) + 1),
                 }
             }
             Err(PeerError::Lost) => self.state.lost += delegated.shards.len(),
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -314,7 +314,9 @@
             (true, false) => most,
         };
         let share = most as f64 * CONNECTION_SHARE / sharers as f64;
+        let kept = share >= 1.0;
         let options = hawthorn_pool::Options {
+            kept,
             connections: (share.round() as usize).max(1),
             held_bytes: self.policy.get().answers.held_kb as usize * 1024,
             connect_timeout: CONNECT_TIMEOUT,
@@ -324,6 +326,11 @@
         Some(pool)
     }
 
+    /// Lets go of all idle connections to targets, as the host's part of them changed.
+    pub fn drop_pools(&self) {
+        self.pools.borrow_mut().clear();
+    }
+
     /// Lets go of what is held for targets that left.
     pub fn sweep(&self, now: Duration) {
         let gone = self.registry.borrow_mut().sweep(now, self.settings.targets.leave);
--- a/crates/hawthorn-fleet/src/member/mod.rs
+++ b/crates/hawthorn-fleet/src/member/mod.rs
@@ -108,6 +108,8 @@
     digest_set: Duration,
     last_call: Option<Duration>,
     last_heard: Duration,
+    /// When the settings named whom to ask first.
+    started: Duration,
     due: DutyTimes,
     actions: VecDeque<FleetAction>,
     generation: u64,
@@ -163,6 +165,7 @@
             digest_set: start,
             last_call: None,
             last_heard: start,
+            started: start,
             due: DutyTimes::default(),
             actions: VecDeque::new(),
             generation: 0,
@@ -175,6 +178,7 @@
     /// on the next tick, and again while no live member is behind them.
     pub fn seed(&mut self, now: Duration, peers: &[SocketAddr]) {
         self.due.hint = now;
+        self.started = now;
         self.settings_hints.extend(peers);
     }
 
--- a/crates/hawthorn-fleet/src/member/sync.rs
+++ b/crates/hawthorn-fleet/src/member/sync.rs
@@ -22,6 +22,10 @@
 /// Between rounds of tries while no other member is known.
 const START_RETRY: Duration = Duration::from_millis(500);
 
+/// And for the first while after the start, in which all hosts of a fleet may start.
+const FIRST_RETRY: Duration = Duration::from_millis(100);
+const FIRST_WHILE: Duration = Duration::from_secs(2);
+
 /// A part of a peer's list with so much news is worth the next part at once.
 const REPAIR_NEWS: usize = 1;
 
@@ -34,11 +38,16 @@
 }
 
 impl MemberTable {
+    fn start_retry(&self, now: Duration) -> Duration {
+        let running = now.saturating_sub(self.started);
+        if running < FIRST_WHILE { FIRST_RETRY } else { START_RETRY }
+    }
+
     /// Asks hinted addresses without a live member behind them for their list.
     pub(super) fn try_hints(&mut self, now: Duration) {
         let alone = !self.arena.iter().any(|record| record.key != self.me && record.is_live());
         let (count, wait) =
-            if alone { (HINTS_AT_START, START_RETRY) } else { (1, self.options.retry) };
+            if alone { (HINTS_AT_START, self.start_retry(now)) } else { (1, self.options.retry) };
         self.due.hint = now + wait;
         let here = self.record_of_self().place.peer;
         let open: Vec<SocketAddr> = self
--- a/crates/hawthorn-pool/src/lib.rs
+++ b/crates/hawthorn-pool/src/lib.rs
@@ -78,6 +78,9 @@
     /// Connections open at once, at the most: the target's limit, or half of
     /// it while another host may still own the target.
     pub connections: usize,
+    /// Connections stay open after an exchange. Where more hosts use a target than it
+    /// accepts connections, those that use it seldom keep none.
+    pub kept: bool,
     /// Bytes of an answer that are held. What is longer comes as its rest.
     pub held_bytes: usize,
     /// How long opening a connection may take.
@@ -135,6 +138,7 @@
 pub struct PoolConnection {
     /// Taken when the connection goes back, or is the exchange's to the end.
     sender: Option<DrivenSender>,
+    kept: bool,
     idle: Arc<IdleSenders>,
     held_bytes: usize,
     _permit: OwnedSemaphorePermit,
@@ -160,7 +164,9 @@
     /// The exchange ended cleanly.
     fn give_back(self) {
         let Self { sender, mut connection } = self;
-        connection.sender = Some(sender);
+        if connection.kept {
+            connection.sender = Some(sender);
+        }
     }
 }
 
@@ -310,10 +316,10 @@
             .acquire_owned()
             .await
             .map_err(|_| Error::NotSent("the pool is closed".into()))?;
-        let held_bytes = self.options.held_bytes;
+        let Options { held_bytes, kept, .. } = self.options;
         let ready = |sender| {
             let idle = Arc::clone(&self.idle);
-            PoolConnection { sender: Some(sender), idle, held_bytes, _permit: permit }
+            PoolConnection { sender: Some(sender), kept, idle, held_bytes, _permit: permit }
         };
         while let Some(mut sender) = self.idle.take() {
             if sender.ready().await.is_ok() {
--- a/crates/hawthorn-pool/tests/written.rs
+++ b/crates/hawthorn-pool/tests/written.rs
@@ -4,6 +4,8 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,10 +13,16 @@
 use hawthorn_pool::TargetPool;
 use http_body_util::Full;
 use hyper::Request;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::time::timeout;
 
-const OPTIONS: Options =
-    Options { connections: 4, held_bytes: 1024, connect_timeout: Duration::from_secs(5) };
+const OPTIONS: Options = Options {
+    connections: 4,
+    kept: true,
+    held_bytes: 1024,
+    connect_timeout: Duration::from_secs(5),
+};
 
 /// Longer than anything here takes.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -77,3 +85,35 @@
     assert!(has_bytes(&kept), "the request went to the connection that stands");
     sent.abort();
 }
+
+/// After a loss of power 195 hosts each kept a connection to a target that accepts 120,
+/// and it reset the requests of the others for as long as they were idle.
+#[tokio::test]
+async fn a_connection_that_is_not_kept_ends_with_its_exchange() {
+    struct Case {
+        kept: bool,
+        opened: usize,
+    }
+    for Case { kept, opened } in [Case { kept: true, opened: 1 }, Case { kept: false, opened: 3 }] {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("it listens");
+        let count = Arc::new(AtomicUsize::new(0));
+        let counter = Arc::clone(&count);
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                counter.fetch_add(1, Ordering::Relaxed);
+                tokio::spawn(async move {
+                    while stream.read(&mut [0; 1024]).await.is_ok_and(|read| read > 0) {
+                        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                        stream.write_all(answer).await.expect("the pool reads");
+                    }
+                });
+            }
+        });
+        let pool = TargetPool::new(address, Options { kept, ..OPTIONS });
+        for _ in 0..3 {
+            pool.send(request("/"), PATIENCE).await.expect("the target answers");
+        }
+        assert_eq!(count.load(Ordering::Relaxed), opened, "kept: {kept}");
+    }
+}
