feat(edge): a peer goes on after its reply, for queries whose parts together lack too much

Ruled out: a smaller share of what may be missing for each part; a part that lacks more than its share would then be late though the whole lacks little enough. Messages between hosts have format 0x68720003. Test: parts_that_several_peers_lack_are_waited_for, 502 without the change.

--- a/crates/hawthorn-edge/src/connection/message.rs
+++ b/crates/hawthorn-edge/src/connection/message.rs
@@ -6,7 +6,7 @@
 
 /// The format of these messages. Hosts of two formats run side by side while a
 /// fleet is updated, and understand nothing of each other's orders.
-pub const FORMAT: u32 = 0x6872_0002;
+pub const FORMAT: u32 = 0x6872_0003;
 
 /// Times of an order by its reader's clock, in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -77,6 +77,8 @@
         missing: u16,
         /// What the parts told of the targets' queues.
         load: PeerLoad,
+        /// Parts that may still come, while the peer waits to be asked for them.
+        remainder: Option<Remainder>,
     },
     /// Nothing was sent: that version is not known there.
     OtherVersion,
@@ -86,6 +88,15 @@
     Unreadable,
 }
 
+/// Parts that were not in when a peer replied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Remainder {
+    /// Names the query at the peer.
+    pub token: u64,
+    /// How many may still come.
+    pub parts: u16,
+}
+
 /// A reply, and when the order was taken in and the reply given, by the clock of
 /// the host that replies, in microseconds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -29,6 +29,7 @@
 use crate::connection::message::CatalogNews;
 use crate::connection::message::GatherOrder;
 use crate::connection::message::GatherReply;
+use crate::connection::message::Remainder;
 use crate::connection::message::TimedReply;
 use crate::edge_event;
 use crate::process::clock::host_now;
@@ -39,6 +40,7 @@
 use crate::process::traffic::TrafficCounter;
 use crate::process::traffic::TrafficPurpose;
 use crate::request::delegate;
+use crate::request::remainder::RemainderOrder;
 
 /// A message between hosts is at most so large.
 const MAX_FRAME_BYTES: usize = 16 << 20;
@@ -59,6 +61,7 @@
 mod service {
     use super::CatalogNews;
     use super::GatherOrder;
+    use super::GatherReply;
     use super::TimedReply;
 
     /// What each host offers the others.
@@ -66,6 +69,8 @@
     pub trait EdgePeer {
         /// Gathers some shards of a query.
         async fn gather(order: GatherOrder) -> TimedReply;
+        /// More parts of a query, once so many are in or no more can come.
+        async fn remainder(token: u64, needed: u16) -> GatherReply;
         /// Says that it is there.
         async fn hello();
         /// What is known of the store after a revision; waits for it that many milliseconds.
@@ -196,6 +201,20 @@
         Ok(timed.reply)
     }
 
+    /// Asks a peer for more parts of a query that it gathers.
+    pub(crate) async fn remainder(
+        &self,
+        route: &PeerRoute,
+        remainder: Remainder,
+        needed: usize,
+        left: Duration,
+    ) -> Result<GatherReply, PeerError> {
+        let client = self.ready_client(route).await?;
+        let needed = u16::try_from(needed).unwrap_or(u16::MAX);
+        let reply = client.remainder(call_within(left), remainder.token, needed).await;
+        self.judge(route.address, reply)
+    }
+
     /// What a peer's clock shows at `at` of this host's, if it is known.
     pub(crate) fn theirs(&self, address: SocketAddr, at: Duration) -> Option<Duration> {
         self.clocks.borrow().get(&address)?.theirs(at)
@@ -264,6 +283,7 @@
 #[derive(Debug)]
 enum PeerOrder {
     Gather(Box<GatherOrder>, oneshot::Sender<GatherReply>),
+    Remainder { token: u64, order: RemainderOrder },
     News { after: u64, wait: Duration, reply: oneshot::Sender<CatalogNews> },
 }
 
@@ -282,6 +302,16 @@
         TimedReply { received_us, replied_us: host_now().as_micros() as u64, reply }
     }
 
+    async fn remainder(self, _: Context, token: u64, needed: u16) -> GatherReply {
+        let (reply, answer) = oneshot::channel();
+        let order = RemainderOrder { needed: usize::from(needed), reply };
+        if self.orders.try_send(PeerOrder::Remainder { token, order }).is_err() {
+            return GatherReply::Stopping;
+        }
+        // The query is not held any more where nobody answers.
+        answer.await.unwrap_or(GatherReply::Stopping)
+    }
+
     async fn hello(self, _: Context) {}
 
     async fn news(self, _: Context, after: u64, wait_ms: u64) -> CatalogNews {
@@ -312,6 +342,7 @@
         PeerOrder::Gather(order, reply) => {
             tokio::task::spawn_local(delegate::carry_out(host, *order, reply));
         }
+        PeerOrder::Remainder { token, order } => host.remainders.ask(token, order),
         PeerOrder::News { after, wait, reply } => {
             tokio::task::spawn_local(feed::tell(host, after, wait, reply));
         }
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -42,6 +42,7 @@
 use crate::process::traffic::TrafficAccount;
 use crate::process::traffic::TrafficPurpose;
 use crate::process::turns;
+use crate::request::remainder::RemainderTable;
 use crate::settings::RouteSettings;
 use crate::version::beliefs::Beliefs;
 
@@ -95,6 +96,8 @@
     pub gather_peers: RefCell<GatherPeers>,
     /// Connections to them.
     pub links: PeerLinks,
+    /// Queries of peers that were replied to, and may be asked for more.
+    pub(crate) remainders: RemainderTable,
     /// Bytes to and from other zones.
     pub traffic: TrafficAccount,
     /// The store's items as this host knows them.
@@ -139,6 +142,7 @@
             members: RefCell::new(fleet::table(&settings)),
             gather_peers: RefCell::default(),
             links: PeerLinks::default(),
+            remainders: RemainderTable::default(),
             traffic: TrafficAccount::new(&settings.host.zone),
             mirror: RefCell::default(),
             bulk_pacer: RefCell::default(),
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -35,6 +35,7 @@
 use crate::connection::message::GatherOrder;
 use crate::connection::message::GatherReply;
 use crate::connection::message::OrderTimes;
+use crate::connection::message::Remainder;
 use crate::connection::peer::PeerError;
 use crate::edge_event;
 use crate::process::clock::host_now;
@@ -43,6 +44,7 @@
 use crate::process::traffic::TrafficPurpose;
 use crate::process::turns;
 use crate::request::gather;
+use crate::request::gather::PeerEnd;
 use crate::request::gather::PeerPart;
 use crate::request::order::CANCELLATION_TURNS;
 use crate::request::order::CallerWatch;
@@ -86,6 +88,14 @@
     pub(crate) skip: usize,
 }
 
+/// Shards whose parts a peer may still have.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct HeldShards {
+    pub(crate) peer: SocketAddr,
+    pub(crate) zone: Rc<str>,
+    pub(crate) remainder: Remainder,
+}
+
 impl DelegatedShards {
     /// The same shards for another peer, after one that may have sent a first attempt.
     pub(crate) fn after_silence(&self, host: &RouteHost, most: usize) -> Option<Self> {
@@ -262,6 +272,39 @@
     reply
 }
 
+/// Has the peer go on with shards whose parts were not in when it replied.
+pub(crate) async fn ask_remainder(
+    host: &RouteHost,
+    order: &RequestOrder,
+    held: &HeldShards,
+    needed: usize,
+) -> Result<GatherReply, PeerError> {
+    let now = host_now();
+    let peer = host.peer_route(held.peer, TrafficPurpose::Gathering);
+    let call = host.links.remainder(&peer, held.remainder, needed, order.time_left(now));
+    let reply = tokio::select! {
+        biased;
+        reply = call => reply,
+        () = is_silent(host, held.peer) => {
+            host.links.suspect(held.peer);
+            Err(PeerError::Silent)
+        }
+    };
+    let outcome = match &reply {
+        Ok(GatherReply::Parts { .. }) => "remainder",
+        Ok(_) => "remainder-gone",
+        Err(_) => "remainder-lost",
+    };
+    order.story.borrow_mut().delegated(DelegateNote {
+        peer: held.peer,
+        zone: held.zone.clone(),
+        shards: usize::from(held.remainder.parts),
+        took: host_now().saturating_sub(now),
+        outcome,
+    });
+    reply
+}
+
 /// Returns when a peer does not say that it is there; never returns while it does.
 ///
 /// Failure: a peer stands still, lost power, or its path is silent. A query
@@ -310,7 +353,7 @@
 pub(crate) async fn carry_out(
     host: Rc<RouteHost>,
     message: GatherOrder,
-    mut reply: oneshot::Sender<GatherReply>,
+    reply: oneshot::Sender<GatherReply>,
 ) {
     // Failure: a host stood still or was starved, and sends for a query that its
     // front has long given to another. The cancellation lies unread behind the
@@ -318,13 +361,13 @@
     for _ in 0..CANCELLATION_TURNS {
         yield_now().await;
     }
-    let answer = tokio::select! {
-        biased;
-        () = reply.closed() => return,
-        answer = gather_for_peer(&host, message) => answer,
-    };
-    // The peer may have gone in this moment.
-    let _gone = reply.send(answer);
+    if reply.is_closed() {
+        return;
+    }
+    if let Err((refusal, reply)) = gather_for_peer(&host, message, reply).await {
+        // The peer may have gone in this moment.
+        let _gone = reply.send(refusal);
+    }
 }
 
 /// The times of an order that is taken up at `now`; `None` where it is of another
@@ -339,7 +382,12 @@
     known.then(|| offset::read(&sent, now, turns::busy_for(now), lag)).flatten()
 }
 
-async fn gather_for_peer(host: &Rc<RouteHost>, message: GatherOrder) -> GatherReply {
+/// Gathers and replies; a reason why nothing was sent is given back with the sender.
+async fn gather_for_peer(
+    host: &Rc<RouteHost>,
+    message: GatherOrder,
+    reply: oneshot::Sender<GatherReply>,
+) -> Result<(), (GatherReply, oneshot::Sender<GatherReply>)> {
     let started = host_now();
     let Some(span) = span(host, &message, started) else {
         edge_event!(
@@ -350,16 +398,20 @@
             message.times,
             message.left_us
         );
-        return GatherReply::Unreadable;
+        return Err((GatherReply::Unreadable, reply));
     };
     let OrderSpan { ends, aim_at } = span;
     let Some(table) = host.beliefs.table_of(message.version) else {
-        return GatherReply::OtherVersion;
+        return Err((GatherReply::OtherVersion, reply));
+    };
+    let Some(route) = table.named(&message.route) else {
+        return Err((GatherReply::OtherVersion, reply));
+    };
+    let RouteWay::Gather(rule) = &route.way else {
+        return Err((GatherReply::OtherVersion, reply));
     };
-    let Some(route) = table.named(&message.route) else { return GatherReply::OtherVersion };
-    let RouteWay::Gather(rule) = &route.way else { return GatherReply::OtherVersion };
     let (Ok(method), Ok(uri)) = (message.method.parse(), message.uri.parse()) else {
-        return GatherReply::OtherVersion;
+        return Err((GatherReply::OtherVersion, reply));
     };
     let mut headers = HeaderMap::new();
     for (name, value) in &message.headers {
@@ -389,9 +441,10 @@
     let watch = CallerWatch(Rc::clone(&order));
     let (spare, skip) = (usize::from(message.spare), usize::from(message.skip));
     let part = PeerPart { shards: &message.shards, spare, skip, aim_at };
-    let answer = gather::part_of(host, &order, rule, &part).await;
-    order.answered.cancel();
+    if gather::part_of(host, &order, rule, &part, reply).await == PeerEnd::Replied {
+        order.answered.cancel();
+    }
     drop(watch);
     order.story.borrow().tell_missing(order.attempt_id.as_deref().unwrap_or("-"));
-    answer
+    Ok(())
 }
--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -14,10 +14,11 @@
 use http_body_util::Full;
 use hyper::Response;
 use hyper::header::HeaderValue;
+use tokio::sync::oneshot;
 use tokio::time::sleep;
 
 use crate::connection::message::GatherReply;
-use crate::connection::message::PeerLoad;
+use crate::connection::message::Remainder;
 use crate::process::clock::host_now;
 use crate::process::host::RouteHost;
 use crate::request::answer::CallerAnswer;
@@ -25,6 +26,18 @@
 use crate::request::order::RequestOrder;
 use crate::request::parts::GatherPlan;
 use crate::request::parts::GatherRun;
+use crate::request::remainder;
+use crate::request::remainder::HeldRemainder;
+use crate::request::remainder::RemainderOrder;
+
+/// How a peer's query ended here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PeerEnd {
+    /// The peer has its reply.
+    Replied,
+    /// It no longer waits.
+    Left,
+}
 
 /// The part of a peer's query that is gathered here.
 #[derive(Clone, Copy, Debug)]
@@ -56,6 +69,7 @@
     }
     run.begin(&spread);
     let policy = host.beliefs.policy.get();
+    let goes_on = policy.gathering.beyond_aim;
     let mut due = None;
     loop {
         let now = host_now();
@@ -64,9 +78,13 @@
         }
         let aim_left = aim_at.saturating_sub(now);
         match run.state.step(aim_left, &policy.gathering) {
-            GatherStep::Wait => {}
             GatherStep::Answer => break,
             GatherStep::Fail if run.recall() => continue,
+            GatherStep::Fail if goes_on && run.ask_remainders() => continue,
+            GatherStep::Wait if goes_on && aim_left.is_zero() => {
+                run.ask_remainders();
+            }
+            GatherStep::Wait => {}
             GatherStep::Fail => {
                 run.note_end();
                 return failed(order, run.refusal);
@@ -100,7 +118,8 @@
     order: &Rc<RequestOrder>,
     rule: &GatherRule,
     part: &PeerPart<'_>,
-) -> GatherReply {
+    mut reply: oneshot::Sender<GatherReply>,
+) -> PeerEnd {
     let PeerPart { shards, spare, skip, aim_at } = *part;
     let wanted = shards.len();
     let needed = wanted.saturating_sub(spare);
@@ -126,19 +145,66 @@
         let wait = if aim_left.is_zero() { left } else { aim_left.min(left) };
         tokio::select! {
             biased;
+            () = reply.closed() => return PeerEnd::Left,
             Some(event) = run.events.next() => run.take(event),
             () = sleep(wait) => {}
         }
     }
-    let missing = u16::try_from(run.state.shards - run.state.parts).unwrap_or(u16::MAX);
-    let receipts = run.receipts.iter().map(|receipt| receipt.as_bytes().to_vec()).collect();
+    let missing = run.state.shards - run.state.parts;
+    let holds = policy.gathering.beyond_aim && run.awaited() > 0;
+    let mut held = holds.then(|| host.remainders.hold());
+    let promised = run.awaited();
+    let parts = u16::try_from(promised).unwrap_or(u16::MAX);
+    let remainder = held.as_ref().map(|held| Remainder { token: held.token, parts });
     run.note_end();
-    let met = order.load.borrow();
-    let waits_us = met.waits.iter().map(|wait| wait.as_micros() as u64).collect();
-    let turned_away = u16::try_from(met.turned_away).unwrap_or(u16::MAX);
-    let skipped = u16::try_from(run.skipped.len()).unwrap_or(u16::MAX);
-    let load = PeerLoad { waits_us, turned_away, skipped };
-    GatherReply::Parts { receipts, records: run.records.into_body(), missing, load }
+    if reply.send(run.reply(missing, remainder)).is_err() {
+        return PeerEnd::Left;
+    }
+    let Some(held) = &mut held else { return PeerEnd::Replied };
+    match asked(&mut run, held).await {
+        Some(asked) => reply_remainder(order, run, promised, asked).await,
+        None => PeerEnd::Replied,
+    }
+}
+
+/// Waits until the front asks for the remainder; `None` when it did not.
+async fn asked(run: &mut GatherRun<'_>, held: &mut HeldRemainder) -> Option<RemainderOrder> {
+    let mut over = std::pin::pin!(sleep(remainder::HOLD_TIME));
+    loop {
+        tokio::select! {
+            biased;
+            asked = &mut held.asked => return asked.ok(),
+            Some(event) = run.events.next() => run.take(event),
+            () = over.as_mut() => return None,
+        }
+    }
+}
+
+/// Replies once as many more parts are in as the front needs, or no more can come.
+async fn reply_remainder(
+    order: &RequestOrder,
+    mut run: GatherRun<'_>,
+    promised: usize,
+    asked: RemainderOrder,
+) -> PeerEnd {
+    let RemainderOrder { needed, mut reply } = asked;
+    while run.receipts.len() < needed && run.awaited() > 0 {
+        let left = order.time_left(host_now()).saturating_sub(delegate::REPLY_MARGIN);
+        if left.is_zero() {
+            break;
+        }
+        tokio::select! {
+            biased;
+            () = reply.closed() => return PeerEnd::Left,
+            Some(event) = run.events.next() => run.take(event),
+            () = sleep(left) => {}
+        }
+    }
+    let missing = promised.saturating_sub(run.receipts.len());
+    match reply.send(run.reply(missing, None)) {
+        Ok(()) => PeerEnd::Replied,
+        Err(_) => PeerEnd::Left,
+    }
 }
 
 fn answer(
--- a/crates/hawthorn-edge/src/request/mod.rs
+++ b/crates/hawthorn-edge/src/request/mod.rs
@@ -8,5 +8,6 @@
 mod parts;
 pub(crate) mod passing;
 pub(crate) mod race;
+pub(crate) mod remainder;
 pub(crate) mod serve;
 pub(crate) mod story;
--- a/crates/hawthorn-edge/src/request/parts.rs
+++ b/crates/hawthorn-edge/src/request/parts.rs
@@ -1,5 +1,6 @@
 //! A query over many shards while its parts come in.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,11 +17,14 @@
 use hyper::header::HeaderValue;
 
 use crate::connection::message::GatherReply;
+use crate::connection::message::PeerLoad;
+use crate::connection::message::Remainder;
 use crate::connection::peer::PeerError;
 use crate::process::clock::host_now;
 use crate::process::host::RouteHost;
 use crate::request::delegate;
 use crate::request::delegate::DelegatedShards;
+use crate::request::delegate::HeldShards;
 use crate::request::order::RequestOrder;
 use crate::request::race::AttemptRace;
 use crate::request::race::RaceEnd;
@@ -31,6 +35,8 @@
     Race(&'a str, RaceEnd),
     /// A peer's shards came, or did not.
     Delegated(DelegatedShards, Result<GatherReply, PeerError>),
+    /// The remainder of a peer's shards came, or did not.
+    Remainder(HeldShards, Result<GatherReply, PeerError>),
 }
 
 /// What a run is to gather.
@@ -64,6 +70,8 @@
     lost: Vec<(&'a str, &'static str)>,
     /// Shards that were not asked for, and still may be.
     pub(super) skipped: Vec<u16>,
+    /// Parts that peers may still have.
+    held: Vec<HeldShards>,
     pub(super) refusal: Option<RefusalReason>,
     pub(super) events: FuturesUnordered<LocalBoxFuture<'a, GatherEvent<'a>>>,
 }
@@ -89,6 +97,7 @@
             awaited: Vec::with_capacity(shards),
             lost: Vec::new(),
             skipped: Vec::new(),
+            held: Vec::new(),
             refusal: None,
             events: FuturesUnordered::new(),
         }
@@ -162,6 +171,44 @@
         !skipped.is_empty()
     }
 
+    /// Asks peers for the remainder of what they gather, as the parts that are in are
+    /// not enough; false when there is none.
+    pub(super) fn ask_remainders(&mut self) -> bool {
+        let held = std::mem::take(&mut self.held);
+        let asked = !held.is_empty();
+        let needed = self.state.shards - self.state.spare() - self.state.parts;
+        let (host, order) = (self.host, self.order);
+        for part in held {
+            let most = usize::from(part.remainder.parts);
+            self.state.lost -= most;
+            let asking = async move {
+                let reply = delegate::ask_remainder(host, order, &part, needed.min(most)).await;
+                GatherEvent::Remainder(part, reply)
+            };
+            self.events.push(asking.boxed_local());
+        }
+        asked
+    }
+
+    /// Parts that may still come.
+    pub(super) fn awaited(&self) -> usize {
+        self.awaited.len()
+    }
+
+    /// Gives away the parts that are in, for a reply.
+    pub(super) fn reply(&mut self, missing: usize, remainder: Option<Remainder>) -> GatherReply {
+        let receipts = self.receipts.drain(..);
+        let receipts = receipts.map(|receipt| receipt.as_bytes().to_vec()).collect();
+        let records = std::mem::replace(&mut self.records, TopRecords::new(self.rule.top));
+        let met = self.order.load.borrow();
+        let waits_us = met.waits.iter().map(|wait| wait.as_micros() as u64).collect();
+        let turned_away = u16::try_from(met.turned_away).unwrap_or(u16::MAX);
+        let skipped = u16::try_from(self.skipped.len()).unwrap_or(u16::MAX);
+        let load = PeerLoad { waits_us, turned_away, skipped };
+        let missing = u16::try_from(missing).unwrap_or(u16::MAX);
+        GatherReply::Parts { receipts, records: records.into_body(), missing, load, remainder }
+    }
+
     /// Asks for shards that no peer gathers, if this host can bear it.
     fn race_all(&mut self, shards: &[u16], spent: usize) {
         if delegate::affords(self.host, shards.len(), self.order.route.aim) {
@@ -213,6 +260,12 @@
             GatherEvent::Race(shard, RaceEnd::Failed(_)) => self.lose(shard, "failed"),
             GatherEvent::Race(shard, RaceEnd::Unknown) => self.lose(shard, "not-known"),
             GatherEvent::Delegated(delegated, reply) => self.take_reply(&delegated, reply),
+            GatherEvent::Remainder(held, Ok(reply @ GatherReply::Parts { .. })) => {
+                self.take_parts(held.peer, &held.zone, reply);
+            }
+            GatherEvent::Remainder(held, _) => {
+                self.state.lost += usize::from(held.remainder.parts);
+            }
         }
     }
 
@@ -233,6 +286,26 @@
         }
     }
 
+    fn take_parts(&mut self, peer: SocketAddr, zone: &Rc<str>, reply: GatherReply) {
+        let GatherReply::Parts { receipts, records, missing, load, remainder } = reply else {
+            return;
+        };
+        let mut met = self.order.load.borrow_mut();
+        met.waits.extend(load.waits_us.iter().map(|us| Duration::from_micros(*us)));
+        met.turned_away += usize::from(load.turned_away);
+        met.spare = met.spare.saturating_sub(usize::from(load.skipped));
+        drop(met);
+        self.state.parts += receipts.len();
+        self.state.lost += usize::from(missing);
+        self.records.add(&records);
+        let signed = receipts.iter().filter_map(|bytes| HeaderValue::from_bytes(bytes).ok());
+        self.receipts.extend(signed);
+        // Never more than it says to lack: what is asked for again is taken off that.
+        if let Some(remainder) = remainder.filter(|remainder| remainder.parts <= missing) {
+            self.held.push(HeldShards { peer, zone: Rc::clone(zone), remainder });
+        }
+    }
+
     /// Has shards that were not asked for gathered by another peer, or else here.
     fn gather_again(&mut self, delegated: &DelegatedShards, again: Option<DelegatedShards>) {
         self.order.sent.set(self.order.sent.get() - delegated.shards.len());
@@ -247,18 +320,8 @@
     /// attempt at them would be more than operators allow.
     fn take_reply(&mut self, delegated: &DelegatedShards, reply: Result<GatherReply, PeerError>) {
         match reply {
-            Ok(GatherReply::Parts { receipts, records, missing, load }) => {
-                let mut met = self.order.load.borrow_mut();
-                met.waits.extend(load.waits_us.iter().map(|us| Duration::from_micros(*us)));
-                met.turned_away += usize::from(load.turned_away);
-                met.spare = met.spare.saturating_sub(usize::from(load.skipped));
-                drop(met);
-                self.state.parts += receipts.len();
-                self.state.lost += usize::from(missing);
-                self.records.add(&records);
-                let signed =
-                    receipts.iter().filter_map(|bytes| HeaderValue::from_bytes(bytes).ok());
-                self.receipts.extend(signed);
+            Ok(reply @ GatherReply::Parts { .. }) => {
+                self.take_parts(delegated.peer, &delegated.zone, reply);
             }
             Ok(GatherReply::OtherVersion | GatherReply::Unreadable) => {
                 self.gather_again(delegated, delegated.elsewhere(self.host));
--- /dev/null
+++ b/tests/route_parts.rs
@@ -0,0 +1,56 @@
+//! Queries whose parts several hosts gather.
+
+mod support;
+
+use std::time::Duration;
+
+use hawthorn_standin::route::RouteStore;
+use hawthorn_standin::route::RouteTarget;
+use hawthorn_standin::route::operator;
+use hawthorn_standin::route::target::TargetFault;
+use hawthorn_standin::route::words;
+use support::TestResult;
+use support::route;
+use support::route::RouteHost;
+
+/// Gatherers of two zones each lacked no more parts than the answer may do without, but
+/// together they lacked more, and the query ended as 502 at its aim.
+#[tokio::test(flavor = "multi_thread")]
+async fn parts_that_several_peers_lack_are_waited_for() -> TestResult {
+    let store = RouteStore::start().await?;
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let mut targets = Vec::new();
+    for (place, name) in names.iter().enumerate() {
+        let target = RouteTarget::start(&format!("t-{name}"), name).await?;
+        let zone = if place < 4 { "west" } else { "south" };
+        operator::register(&store, &format!("t-{name}"), &target, zone);
+        targets.push(target);
+    }
+    operator::configure(&store, 3, &[operator::gathered("/all/", &names, 0.75)], &names);
+    let east = RouteHost::start("h-1", "east", store.address(), &[])?;
+    let west = RouteHost::start("h-2", "west", store.address(), &[&east])?;
+    let south = RouteHost::start("h-3", "south", store.address(), &[&east])?;
+    for host in [&east, &west, &south] {
+        host.ready().await?;
+    }
+    let gathered = async || {
+        let answer = east.ask("GET", "/all/", "id-0", "").await;
+        let by = |zone: &str| east.logged(&format!("zone={zone} shards=4 decision=delegated"));
+        answer.is_ok() && by("west") > 0 && by("south") > 0
+    };
+    route::wait_for("peers of both zones to gather", gathered).await?;
+    // The aim is 400 ms, the time 1.5 s, and two parts of eight may be missing.
+    for place in [0, 1, 4, 5] {
+        targets[place].fail_always(Some(TargetFault::Slow(Duration::from_millis(700))));
+    }
+    let answer = east.ask("GET", "/all/", "id-1", "").await?;
+    assert_eq!(answer.status, 200);
+    let missing: usize = answer.headers[words::MISSING_PARTS].parse()?;
+    assert!(missing <= 2, "{missing} parts are missing");
+    let receipts = answer.headers[words::PART_RECEIPTS].split(", ").count();
+    assert_eq!(receipts + missing, names.len());
+    for target in &targets {
+        assert_eq!(target.runs("id-1"), 1);
+    }
+    Ok(())
+}
