fix(edge): queries' connections are kept, and hosts that do not gather watch the store

Besides, the most capable hosts, which gather, also told all others the store's items. Change: requests of queries keep their connections, other requests do where the host's part is one or more; hosts that always gather watch the store last; a host's first reading is the store's, as whole readings of peers fill a narrow link.

--- a/crates/hawthorn-daemon/src/owner/reload.rs
+++ b/crates/hawthorn-daemon/src/owner/reload.rs
@@ -93,7 +93,6 @@
         }
         let options = pool::Options {
             connections,
-            kept: true,
             held_bytes: self.options.max_answer_bytes,
             connect_timeout: self.options.connect_timeout,
         };
--- a/crates/hawthorn-edge/src/process/feed.rs
+++ b/crates/hawthorn-edge/src/process/feed.rs
@@ -91,6 +91,8 @@
 /// Follows the store's items for as long as the process lives.
 pub(crate) async fn follow(host: Rc<RouteHost>, client: StoreClient) {
     let mut reachable = true;
+    // A reading that may be seconds old costs the store little, and a peer's link much.
+    ask_store(&host, &client, &mut reachable, true).await;
     loop {
         match choose(&host) {
             NewsSource::Store { feeds } => ask_store(&host, &client, &mut reachable, feeds).await,
--- a/crates/hawthorn-edge/src/request/race.rs
+++ b/crates/hawthorn-edge/src/request/race.rs
@@ -196,7 +196,7 @@
         else {
             return false;
         };
-        let Some(pool) = beliefs.pool(key) else { return false };
+        let Some(pool) = beliefs.pool(key, &self.order.route) else { return false };
         if matches!(reason, AttemptReason::Retry | AttemptReason::Late) {
             if !beliefs.spend(self.service, now) {
                 self.host.metrics.count_extra("budget-spent", 1);
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -304,42 +304,46 @@
         })
     }
 
-    /// The connections to a target.
-    pub fn pool(&self, key: TargetKey) -> Option<Arc<TargetPool>> {
-        if let Some(pool) = self.pools.borrow().get(key) {
-            return Some(Arc::clone(pool));
-        }
+    /// The connections to a target, for a request of the route.
+    pub fn pool(&self, key: TargetKey, route: &RouteRule) -> Option<Arc<TargetPool>> {
         let registry = self.registry.borrow();
         let entry = &registry.get(key)?.entry;
+        let (most, sharers) = self.connection_sharers(&entry.service);
+        let share = most as f64 * CONNECTION_SHARE / sharers as f64;
+        let mut pools = self.pools.borrow_mut();
+        if !pools.contains_key(key) {
+            let options = hawthorn_pool::Options {
+                connections: (share.round() as usize).max(1),
+                held_bytes: self.policy.get().answers.held_kb as usize * 1024,
+                connect_timeout: CONNECT_TIMEOUT,
+            };
+            pools.insert(key, Arc::new(TargetPool::new(entry.address, options)));
+        }
+        let pool = pools.get(key)?;
+        // Peers may know this host as one that gathers while it does not.
+        pool.keep(share >= 1.0 || matches!(route.way, RouteWay::Gather(_)));
+        Some(Arc::clone(pool))
+    }
+
+    /// How many connections each target of a service accepts, and how many hosts share
+    /// them: of a shard those that gather, as others come only where gathering failed.
+    fn connection_sharers(&self, service: &str) -> (usize, usize) {
         let table = self.table();
-        let rule = table.as_ref().and_then(|table| table.service(&entry.service));
+        let rule = table.as_ref().and_then(|table| table.service(service));
         let most = rule.map_or(1, |rule| rule.max_connections);
-        let sharded = table.as_ref().is_some_and(|table| table.is_shard(&entry.service));
-        // Who does not gather comes only where gathering failed.
+        let sharded = table.as_ref().is_some_and(|table| table.is_shard(service));
         let sharers = match (sharded, self.gathers.get()) {
             (false, _) => budget::reckoned(self.hosts.get()),
             (true, true) => (self.gatherers.get() * self.fleet_zones.get()).max(LEAST_GATHERERS),
             (true, false) => most,
         };
-        let share = most as f64 * CONNECTION_SHARE / sharers as f64;
-        let kept = share >= 1.0;
-        let options = hawthorn_pool::Options {
-            kept,
-            connections: (share.round() as usize).max(1),
-            held_bytes: self.policy.get().answers.held_kb as usize * 1024,
-            connect_timeout: CONNECT_TIMEOUT,
-        };
-        let pool = Arc::new(TargetPool::new(entry.address, options));
-        self.pools.borrow_mut().insert(key, Arc::clone(&pool));
-        Some(pool)
+        (most, sharers)
     }
 
-    /// Whether this host gathers for others, from now on. Its part of targets'
-    /// connections changes with it, so idle ones are let go of.
+    /// Whether this host gathers for others, from now on.
     pub fn set_gathers(&self, gathers: bool, now: Duration) {
         if self.gathers.replace(gathers) != gathers {
             self.gathers_since.set(now);
-            self.pools.borrow_mut().clear();
         }
     }
 
--- a/crates/hawthorn-pool/src/lib.rs
+++ b/crates/hawthorn-pool/src/lib.rs
@@ -16,6 +16,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -78,9 +80,6 @@
     /// Connections open at once, at the most: the target's limit, or half of
     /// it while another host may still own the target.
     pub connections: usize,
-    /// Connections stay open after an exchange. Where more hosts use a target than it
-    /// accepts connections, those that use it seldom keep none.
-    pub kept: bool,
     /// Bytes of an answer that are held. What is longer comes as its rest.
     pub held_bytes: usize,
     /// How long opening a connection may take.
@@ -211,6 +210,7 @@
     options: Options,
     permits: Arc<Semaphore>,
     idle: Arc<IdleSenders>,
+    kept: AtomicBool,
 }
 
 impl TargetPool {
@@ -221,9 +221,17 @@
             options,
             permits: Arc::new(Semaphore::new(options.connections.max(1))),
             idle: Arc::default(),
+            kept: AtomicBool::new(true),
         }
     }
 
+    /// Whether connections stay open after their exchange, as they do at first. Where
+    /// more hosts use a target than it accepts connections, those that use it seldom
+    /// keep none.
+    pub fn keep(&self, kept: bool) {
+        self.kept.store(kept, Ordering::Relaxed);
+    }
+
     /// Where the target listens.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -316,7 +324,8 @@
             .acquire_owned()
             .await
             .map_err(|_| Error::NotSent("the pool is closed".into()))?;
-        let Options { held_bytes, kept, .. } = self.options;
+        let held_bytes = self.options.held_bytes;
+        let kept = self.kept.load(Ordering::Relaxed);
         let ready = |sender| {
             let idle = Arc::clone(&self.idle);
             PoolConnection { sender: Some(sender), kept, idle, held_bytes, _permit: permit }
--- a/crates/hawthorn-pool/tests/written.rs
+++ b/crates/hawthorn-pool/tests/written.rs
@@ -17,12 +17,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::time::timeout;
 
-const OPTIONS: Options = Options {
-    connections: 4,
-    kept: true,
-    held_bytes: 1024,
-    connect_timeout: Duration::from_secs(5),
-};
+const OPTIONS: Options =
+    Options { connections: 4, held_bytes: 1024, connect_timeout: Duration::from_secs(5) };
 
 /// Longer than anything here takes.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -110,7 +106,8 @@
                 });
             }
         });
-        let pool = TargetPool::new(address, Options { kept, ..OPTIONS });
+        let pool = TargetPool::new(address, OPTIONS);
+        pool.keep(kept);
         for _ in 0..3 {
             pool.send(request("/"), PATIENCE).await.expect("the target answers");
         }
--- a/crates/hawthorn-route/src/mirror.rs
+++ b/crates/hawthorn-route/src/mirror.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashSet;
 
+use crate::gatherers;
 use crate::gatherers::ZoneHost;
 
 /// One item of the store: a key, the revision of its last change, and what
@@ -144,11 +145,15 @@
     }
 }
 
-/// The live hosts of a zone in the order in which they watch the store for it: the
-/// most capable first, as it tells all others, and they are asked in this order.
+/// The live hosts of a zone in the order in which they watch the store for it, and are
+/// asked for what they know: those that always gather last, as telling all others takes
+/// a gatherer's processor time from its queries, and of the rest the most capable first.
 pub fn rank(hosts: &[ZoneHost]) -> Vec<u64> {
+    let gathering = gatherers::choose(hosts, 0.0);
     let mut ranked = hosts.to_vec();
-    ranked.sort_unstable_by_key(|host| (Reverse(host.capacity), host.id));
+    ranked.sort_unstable_by_key(|host| {
+        (gathering.contains(&host.id), Reverse(host.capacity), host.id)
+    });
     ranked.into_iter().map(|host| host.id).collect()
 }
 
--- a/crates/hawthorn-route/tests/goodput/fleet.rs
+++ b/crates/hawthorn-route/tests/goodput/fleet.rs
@@ -12,6 +12,7 @@
 use hawthorn_route::budget::FleetBudget;
 use hawthorn_route::budget::FleetView;
 use hawthorn_route::budget::RetryBudget;
+use hawthorn_route::budget::ServiceUse;
 use hawthorn_route::door::QueryDoor;
 use hawthorn_route::door::QueryLoad;
 use hawthorn_route::gather::GatherState;
@@ -256,7 +257,9 @@
 
     fn budget(&self) -> budget::Options {
         let running = self.now + Duration::from_secs(60);
-        budget::part(&BUDGET, &FleetView { hosts: self.scene.hosts, running })
+        let hosts = self.scene.hosts;
+        let view = FleetView { hosts, running, gatherers: hosts, gathering: Some(running) };
+        budget::part(&BUDGET, &view, ServiceUse::Shard)
     }
 
     fn view<'h>(&self, host: &'h Host) -> PlaceView<'h> {
--- a/crates/hawthorn-route/tests/mirror.rs
+++ b/crates/hawthorn-route/tests/mirror.rs
@@ -46,7 +46,7 @@
 }
 
 #[test]
-fn the_most_capable_live_hosts_of_a_zone_watch_the_store() {
+fn live_hosts_of_a_zone_that_do_not_gather_watch_the_store() {
     struct Case {
         hosts: &'static [(u64, u32)],
         zones: usize,
@@ -56,8 +56,13 @@
         Case { hosts: &[(1, 250), (2, 250), (3, 250)], zones: 3, watch: &[1] },
         Case { hosts: &[(1, 250), (2, 250), (3, 250)], zones: 1, watch: &[1, 2] },
         Case { hosts: &[(7, 250)], zones: 1, watch: &[7] },
-        Case { hosts: &[(1, 120), (2, 500), (3, 500)], zones: 3, watch: &[2] },
-        Case { hosts: &[(1, 120), (2, 0), (3, 500)], zones: 1, watch: &[1, 3] },
+        Case { hosts: &[(1, 500), (2, 500), (3, 120)], zones: 3, watch: &[3] },
+        Case {
+            hosts: &[(1, 500), (2, 500), (3, 500), (4, 120), (5, 250)],
+            zones: 1,
+            watch: &[4, 5],
+        },
+        Case { hosts: &[(1, 500), (2, 500), (3, 500), (4, 250)], zones: 3, watch: &[4] },
     ];
     for Case { hosts, zones, watch } in cases {
         let all: Vec<ZoneHost> =
