--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -410,6 +410,15 @@
     let RouteWay::Gather(rule) = &route.way else {
         return Err((GatherReply::OtherVersion, reply));
     };
+    if message.shards.iter().any(|place| usize::from(*place) >= rule.shards.len()) {
+        let (route, shards) = (&message.route, rule.shards.len());
+        edge_event!(
+            Level::Warn,
+            EdgeEvent::PeerMessageBroken,
+            "from=order error=\"a shard beyond the {shards} of route {route}\""
+        );
+        return Err((GatherReply::Unreadable, reply));
+    }
     let (Ok(method), Ok(uri)) = (message.method.parse(), message.uri.parse()) else {
         return Err((GatherReply::OtherVersion, reply));
     };
--- a/crates/hawthorn-edge/src/request/parts.rs
+++ b/crates/hawthorn-edge/src/request/parts.rs
@@ -15,12 +15,15 @@
 use hawthorn_route::skip;
 use hawthorn_route::spread;
 use hyper::header::HeaderValue;
+use log::Level;
 
 use crate::connection::message::GatherReply;
 use crate::connection::message::PeerLoad;
 use crate::connection::message::Remainder;
 use crate::connection::peer::PeerError;
+use crate::edge_event;
 use crate::process::clock::host_now;
+use crate::process::events::EdgeEvent;
 use crate::process::host::RouteHost;
 use crate::request::delegate;
 use crate::request::delegate::DelegatedShards;
@@ -300,9 +303,20 @@
         self.records.add(&records);
         let signed = receipts.iter().filter_map(|bytes| HeaderValue::from_bytes(bytes).ok());
         self.receipts.extend(signed);
-        // Never more than it says to lack: what is asked for again is taken off that.
-        if let Some(remainder) = remainder.filter(|remainder| remainder.parts <= missing) {
-            self.held.push(HeldShards { peer, zone: Rc::clone(zone), remainder });
+        match remainder {
+            // What is asked for again is taken off what it says to lack.
+            Some(remainder) if remainder.parts > missing => {
+                edge_event!(
+                    Level::Warn,
+                    EdgeEvent::PeerMessageBroken,
+                    "from={peer} error=\"a remainder of {} parts of {missing}\"",
+                    remainder.parts
+                );
+            }
+            Some(remainder) => {
+                self.held.push(HeldShards { peer, zone: Rc::clone(zone), remainder });
+            }
+            None => {}
         }
     }
 
--- a/crates/hawthorn-edge/src/request/race.rs
+++ b/crates/hawthorn-edge/src/request/race.rs
@@ -57,6 +57,19 @@
     Late,
 }
 
+/// Whether an attempt was made, or why not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+enum LaunchEnd {
+    #[strum(serialize = "second-attempt")]
+    Made,
+    /// No other target had room.
+    Crowded,
+    /// There is no other target.
+    NoTarget,
+    BudgetSpent,
+}
+
 /// The attempts at one service.
 pub(crate) struct AttemptRace<'a> {
     host: &'a Rc<RouteHost>,
@@ -119,7 +132,7 @@
             self.host.beliefs.earn(self.service, started);
         }
         let reason = if again { AttemptReason::Retry } else { AttemptReason::First };
-        if self.ran >= self.order.route.max_attempts || !self.launch(reason) {
+        if self.ran >= self.order.route.max_attempts || self.launch(reason) != LaunchEnd::Made {
             return self.finish();
         }
         loop {
@@ -162,15 +175,9 @@
             return;
         }
         self.hedging = false;
-        let decision = if !room {
-            "crowded"
-        } else if self.launch(AttemptReason::Late) {
-            "second-attempt"
-        } else {
-            "wait"
-        };
+        let decision = if room { self.launch(AttemptReason::Late) } else { LaunchEnd::Crowded };
         let waited = now.saturating_sub(started);
-        self.order.story.borrow_mut().late(self.service, waited, decision);
+        self.order.story.borrow_mut().late(self.service, waited, decision.into());
     }
 
     /// The target that a second attempt would go to has room for it; see [`hedge::has_room`].
@@ -186,7 +193,7 @@
     }
 
     /// Makes another attempt if there is a target for it and the budget allows.
-    fn launch(&mut self, reason: AttemptReason) -> bool {
+    fn launch(&mut self, reason: AttemptReason) -> LaunchEnd {
         let now = host_now();
         let beliefs = &self.host.beliefs;
         let usual = beliefs.usual(&self.order.route);
@@ -194,16 +201,16 @@
         let Some(key) =
             best.or_else(|| beliefs.place(self.service, &self.tried, &self.order.route, now))
         else {
-            return false;
+            return LaunchEnd::NoTarget;
         };
-        let Some(pool) = beliefs.pool(key, &self.order.route) else { return false };
+        let Some(pool) = beliefs.pool(key, &self.order.route) else { return LaunchEnd::NoTarget };
         if matches!(reason, AttemptReason::Retry | AttemptReason::Late) {
             if !beliefs.spend(self.service, now) {
                 self.host.metrics.count_extra("budget-spent", 1);
                 if self.refusal != RefusalReason::TargetsFull {
                     self.refusal = RefusalReason::BudgetSpent;
                 }
-                return false;
+                return LaunchEnd::BudgetSpent;
             }
             let name = if reason == AttemptReason::Late { "late" } else { "retry" };
             self.host.metrics.count_extra(name, 1);
@@ -213,7 +220,7 @@
         self.order.sent.set(self.order.sent.get() + 1);
         let (host, order) = (Rc::clone(self.host), Rc::clone(self.order));
         self.flying.push(AttemptPlan { host, order, key, pool, usual }.start());
-        true
+        LaunchEnd::Made
     }
 
     /// Takes in the end of an attempt; `Some` when the race is decided.
@@ -253,7 +260,11 @@
             }
         };
         if self.flying.is_empty() && self.ran < self.order.route.max_attempts {
-            self.launch(reason);
+            let decision = self.launch(reason);
+            if decision != LaunchEnd::Made {
+                let waited = host_now().saturating_sub(self.order.started);
+                self.order.story.borrow_mut().late(self.service, waited, decision.into());
+            }
         }
         None
     }
--- a/src/story.rs
+++ b/src/story.rs
@@ -76,6 +76,8 @@
             value("after_ms"),
             match value("decision") {
                 "second-attempt" => "another target was asked",
+                "budget-spent" => "nobody else was asked, as the extra attempts were used up",
+                "no-target" => "nobody else was asked, as there is no other target",
                 "crowded" => "nobody else was asked, as queues stood everywhere",
                 _ => "nobody else was asked: no target or no extra attempt was left",
             }
