--- a/crates/hawthorn-edge/tests/house.rs
+++ b/crates/hawthorn-edge/tests/house.rs
@@ -15,6 +15,8 @@
         ("{{zone|json}}", "\"east\""),
         ("{{limits.cpuShare}}", "0.25"),
         ("{{limits.cpuCores}}", "1"),
+        ("{{#limits.linkMbps}}link_mbps = {{.}}", "link_mbps = 21.0"),
+        ("{{/limits.linkMbps}}", ""),
         ("{{listenAddrs.front|json}}", "\"10.1.0.9:8104\""),
         ("{{listenAddrs.ready|json}}", "\"10.1.0.9:8108\""),
         ("{{ip}}", "10.1.0.9"),
@@ -41,6 +43,7 @@
 fn the_template_makes_settings_that_are_accepted() {
     let settings = RouteSettings::from_toml(&filled()).expect("the template is whole");
     assert_eq!(settings.fleet.seeds.len(), 2);
+    assert_eq!(settings.host.link_mbps, Some(21.0));
     assert_eq!(settings.stop.grace.as_secs(), 6);
     assert_eq!(settings.listen.metrics.port(), 9464);
 }
