fix(route): a host alone by its settings has extra attempts at once; small fleets ask a zone's next peer first

No part of the allowance in the first second of any host refused second attempts that a host without seeds may make (five tests). And a host that gathers itself asked for a silent peer's shards directly, where before the zone's next peer was asked (peers_that_stand_still_use_up_the_attempts). Change: a host has no part only while it was told of others and has heard of none, for a second at the most; a host that gathers asks another peer of the same zone, as it did before.

--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -109,29 +109,30 @@
     /// The same shards for another peer of the zone, if one is to be had, or else for
     /// one elsewhere.
     pub(crate) fn again(&self, host: &RouteHost) -> Option<Self> {
-        if self.tries + 1 >= MOST_TRIES {
-            return self.elsewhere(host);
-        }
-        match choose(host, &self.zone).filter(|peer| *peer != self.peer) {
-            Some(peer) => Some(Self { peer, tries: self.tries + 1, ..self.clone() }),
-            None => self.elsewhere(host),
-        }
+        self.sibling(host).or_else(|| self.elsewhere(host))
     }
 
     /// The same shards for a gatherer of this host's zone, as the zone they were for may
-    /// be cut off, or know another version of the routes. Other zones' gatherers may be
-    /// no better, and a host that gathers itself needs no other.
+    /// be cut off, or know another version of the routes. A host that gathers itself
+    /// needs no other of its own zone, and asks another of the same zone first.
     ///
     /// Load: a small host, whose zone's gatherers can gather what it cannot.
     pub(crate) fn elsewhere(&self, host: &RouteHost) -> Option<Self> {
         let own = host.beliefs.settings.host.zone.as_str();
-        let (near, tried) = (*self.zone == *own, self.tries + 1 >= MOST_TRIES);
-        if host.beliefs.gathers.get() && !near || near && tried {
+        if host.beliefs.gathers.get() || *self.zone == *own {
+            return self.sibling(host);
+        }
+        let peer = choose(host, own)?;
+        Some(Self { peer, zone: Rc::from(own), tries: 0, ..self.clone() })
+    }
+
+    /// The same shards for another peer of their zone.
+    fn sibling(&self, host: &RouteHost) -> Option<Self> {
+        if self.tries + 1 >= MOST_TRIES {
             return None;
         }
-        let peer = choose(host, own).filter(|peer| *peer != self.peer)?;
-        let tries = if near { self.tries + 1 } else { 0 };
-        Some(Self { peer, zone: Rc::from(own), tries, ..self.clone() })
+        let peer = choose(host, &self.zone).filter(|peer| *peer != self.peer)?;
+        Some(Self { peer, tries: self.tries + 1, ..self.clone() })
     }
 }
 
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -162,7 +162,9 @@
         let running = now.saturating_sub(self.started);
         let gathering = self.gathers.get().then(|| now.saturating_sub(self.gathers_since.get()));
         let gatherers = self.gatherers.get() * self.fleet_zones.get();
-        let view = FleetView { hosts: self.hosts.get(), running, gatherers, gathering };
+        let hosts = self.hosts.get();
+        let meeting = hosts <= 1 && !self.settings.fleet.seeds.is_empty();
+        let view = FleetView { hosts, running, gatherers, gathering, meeting };
         let sharded = self.table().is_some_and(|table| table.is_shard(service));
         let service = if sharded { ServiceUse::Shard } else { ServiceUse::Single };
         budget::part(&FleetBudget { window, share, allowance }, &view, service)
--- a/crates/hawthorn-route/src/budget.rs
+++ b/crates/hawthorn-route/src/budget.rs
@@ -31,8 +31,9 @@
 const USED_ALLOWANCE: f64 = 0.5;
 /// Part of a shard's allowance that the hosts that gather have, where others do not.
 const GATHERERS_SHARE: f64 = 0.8;
-/// A host that starts knows the others within so long, and has no part until then: two
-/// hundred that each took themselves for one of eight would spend more than the whole.
+/// A host that starts hears of others within so long, or is alone. It has no part of the
+/// allowance until then: two hundred that each took themselves for one of eight would
+/// spend more than the whole.
 const MEETING_TIME: Duration = Duration::from_secs(1);
 /// Hosts reckoned with while fewer are known. Too few would let a fleet of this
 /// size spend more than the common allowance.
@@ -61,6 +62,8 @@
     pub gatherers: usize,
     /// How long it has been one of them; `None` while it is not.
     pub gathering: Option<Duration>,
+    /// It was told of others and has heard of none yet.
+    pub meeting: bool,
 }
 
 /// Who sends requests to a service.
@@ -95,7 +98,8 @@
     } else {
         (1.0, view.hosts)
     };
-    let running = view.running.saturating_sub(MEETING_TIME);
+    let meets = view.meeting && view.running < MEETING_TIME;
+    let running = if meets { Duration::ZERO } else { view.running };
     let (share, sharers, since) = match (service, view.gathering) {
         (ServiceUse::Shard, Some(gathering)) => (share, sharers, running.min(gathering)),
         (ServiceUse::Shard, None) => (1.0 - GATHERERS_SHARE, view.hosts, running),
--- a/crates/hawthorn-route/tests/budget.rs
+++ b/crates/hawthorn-route/tests/budget.rs
@@ -116,7 +116,13 @@
             // Nobody but itself, at first.
             let hosts = if running < MEETING_STEPS { 1 } else { live };
             let running = STEP * running;
-            let view = FleetView { hosts, running, gatherers: hosts, gathering: Some(running) };
+            let view = FleetView {
+                hosts,
+                running,
+                gatherers: hosts,
+                gathering: Some(running),
+                meeting: false,
+            };
             let options = budget::part(&self.whole, &view, ServiceUse::Single);
             (0..requests).for_each(|_| host.earn(now, &options));
             while host.spend(now, &options) {
@@ -231,6 +237,7 @@
                 running: STEP * running,
                 gatherers: if alone { 1 } else { self.gatherers.min(known) },
                 gathering: host.gathers.map(|since| STEP * (step - since)),
+                meeting: alone,
             };
             let options = budget::part(&self.whole, &view, ServiceUse::Shard);
             while host.budget.spend(now, &options) {
@@ -276,7 +283,13 @@
 #[test]
 fn hosts_that_gather_have_most_of_a_shards_allowance() {
     let whole = FleetBudget { window: WINDOW, share: 0.2, allowance: 430.0 };
-    let view = |gathering| FleetView { hosts: 195, running: WINDOW * 2, gatherers: 15, gathering };
+    let view = |gathering| FleetView {
+        hosts: 195,
+        running: WINDOW * 2,
+        gatherers: 15,
+        gathering,
+        meeting: false,
+    };
     let part = |gathering, service| budget::part(&whole, &view(gathering), service).allowance;
     let gatherer = part(Some(WINDOW), ServiceUse::Shard);
     assert!((11.0..12.0).contains(&gatherer), "{gatherer}");
--- a/crates/hawthorn-route/tests/goodput/fleet.rs
+++ b/crates/hawthorn-route/tests/goodput/fleet.rs
@@ -258,7 +258,8 @@
     fn budget(&self) -> budget::Options {
         let running = self.now + Duration::from_secs(60);
         let hosts = self.scene.hosts;
-        let view = FleetView { hosts, running, gatherers: hosts, gathering: Some(running) };
+        let gathering = Some(running);
+        let view = FleetView { hosts, running, gatherers: hosts, gathering, meeting: false };
         budget::part(&BUDGET, &view, ServiceUse::Shard)
     }
 
