feat(edge): log broken attempts and request fingerprints

E637 is logged by the host that made an attempt whose connection broke after the request was sent, whether for its own caller or for a peer's query, with the fingerprint and the error. Attempts made for a peer's query previously had no log line, so the logs could not tell a single request that is repeated and terminates its targets from targets that terminate on their own.

No decision changes.

--- a/crates/hawthorn-edge/src/connection/listen.rs
+++ b/crates/hawthorn-edge/src/connection/listen.rs
@@ -76,13 +76,14 @@
     host.connections.set(host.connections.get() + 1);
     let limits = host.beliefs.table().map(|table| table.document().limits).unwrap_or_default();
     let watch = Rc::new(HeadWatch::new(Rc::clone(&host.lag)));
+    let caller = stream.peer_addr().ok().map(|address| address.ip());
     let service = {
         let (host, watch) = (Rc::clone(&host), Rc::clone(&watch));
         service_fn(move |request| {
             let open = OpenRequest::new(Rc::clone(&host), Rc::clone(&watch));
             let (host, watch) = (Rc::clone(&host), Rc::clone(&watch));
             async move {
-                let answer = serve::serve(host, request, &watch).await;
+                let answer = serve::serve(host, request, &watch, caller).await;
                 Ok::<_, Infallible>(answer.map(|body| OpenBody::new(body, open)))
             }
         })
--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -59,6 +59,8 @@
     HeadRefused = 635,
     /// Shards of a query that were to be had here and have no part in its answer.
     PartsMissing = 636,
+    /// The connection to a target failed after the request was sent.
+    AttemptBroken = 637,
     /// A peer's message could not be understood.
     PeerMessageBroken = 640,
     /// The host that news comes from has not been confirmed by the store lately.
--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -19,12 +19,15 @@
 use hyper::HeaderMap;
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
+use log::Level;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout_at;
 
+use crate::edge_event;
 use crate::process::clock::host_now;
+use crate::process::events::EdgeEvent;
 use crate::process::host::RouteHost;
 use crate::process::traffic::TrafficPurpose;
 use crate::process::traffic::header_bytes;
@@ -113,6 +116,18 @@
         if result.is_ok() {
             self.host.beliefs.zone_answered(&zone);
         }
+        if let Err(error @ Error::Broken(_)) = &result {
+            // Logged here because attempts made for a peer's query have no other log line.
+            edge_event!(
+                Level::Info,
+                EdgeEvent::AttemptBroken,
+                "request={} service={service} target={target} took_ms={:.1} fingerprint={} \
+                 error=\"{error}\"",
+                self.order.attempt_id.as_deref().unwrap_or("-"),
+                now.saturating_sub(sent).as_secs_f64() * 1000.0,
+                self.order.fingerprint
+            );
+        }
         let reply = self.judge(result, now);
         if reply.end == AttemptEnd::Silent {
             self.pool.clear();
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -46,6 +46,7 @@
 use crate::request::gather;
 use crate::request::gather::PeerEnd;
 use crate::request::gather::PeerPart;
+use crate::request::order;
 use crate::request::order::CANCELLATION_TURNS;
 use crate::request::order::CallerWatch;
 use crate::request::order::RequestOrder;
@@ -430,11 +431,14 @@
             headers.append(name, value);
         }
     }
+    let body = Bytes::from(message.body);
     let order = Rc::new(RequestOrder {
+        fingerprint: order::fingerprint(&method, &headers, &uri, &body),
+        caller: None,
         method,
         uri,
         headers,
-        body: Bytes::from(message.body),
+        body,
         attempt_id: message.attempt_id,
         route: Rc::clone(route),
         started,
--- a/crates/hawthorn-edge/src/request/order.rs
+++ b/crates/hawthorn-edge/src/request/order.rs
@@ -2,12 +2,14 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::door::QueryLoad;
+use hawthorn_route::fingerprint::RequestFingerprint;
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -26,6 +28,9 @@
 /// A caller's request, whole, and how its life goes.
 #[derive(Debug)]
 pub(crate) struct RequestOrder {
+    pub(crate) fingerprint: RequestFingerprint,
+    /// The caller's address; `None` for a peer's query or if the address is unknown.
+    pub(crate) caller: Option<IpAddr>,
     pub(crate) method: Method,
     /// Path and query as the caller sent them.
     pub(crate) uri: Uri,
@@ -73,6 +78,18 @@
     }
 }
 
+/// Computes a request's fingerprint; a missing or unreadable `Host` header counts as empty.
+pub(crate) fn fingerprint(
+    method: &Method,
+    headers: &HeaderMap,
+    uri: &Uri,
+    body: &[u8],
+) -> RequestFingerprint {
+    let host = headers.get(header::HOST).and_then(|value| value.to_str().ok());
+    let path_and_query = uri.path_and_query().map_or(uri.path(), |value| value.as_str());
+    RequestFingerprint::of(method.as_str(), host.unwrap_or_default(), path_and_query, body)
+}
+
 /// Ends all attempts when the caller leaves: dropped with the request's future.
 #[derive(Debug)]
 pub(crate) struct CallerWatch(pub(crate) Rc<RequestOrder>);
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -73,10 +74,11 @@
     host: Rc<RouteHost>,
     request: Request<Incoming>,
     watch: &HeadWatch,
+    caller: Option<IpAddr>,
 ) -> Response<AnswerBody> {
     let clock = watch.clock();
     let started = clock.came;
-    let mut answer = admit(&host, request, &clock).await;
+    let mut answer = admit(&host, request, &clock, caller).await;
     watch.due(answer.due);
     // A caller of a host that steps aside is better served by another.
     if host.stopping.is_cancelled() || host.beliefs.stranded.get() {
@@ -96,6 +98,7 @@
     host: &Rc<RouteHost>,
     request: Request<Incoming>,
     clock: &CallerClock,
+    caller: Option<IpAddr>,
 ) -> CallerAnswer {
     let Some(table) = host.beliefs.table() else {
         return CallerAnswer::refused(RefusalReason::NoConfiguration);
@@ -128,7 +131,10 @@
     let started = clock.came;
     let lag = host.lag.borrow().lag();
     let leaves = depart::leaves(clock, route.aim, lag, &host.beliefs.policy.get().departure);
+    let fingerprint = order::fingerprint(&head.method, &head.headers, &head.uri, &body);
     let order = Rc::new(RequestOrder {
+        fingerprint,
+        caller,
         method: head.method,
         uri: head.uri,
         headers: head.headers,
@@ -240,6 +246,8 @@
     let summary = RequestSummary {
         number: host.next_request(),
         id: order.attempt_id.as_deref().unwrap_or("-"),
+        fingerprint: order.fingerprint,
+        caller: order.caller,
         route: &rule.name,
         version,
         outcome: answer.outcome,
--- a/crates/hawthorn-edge/src/request/story.rs
+++ b/crates/hawthorn-edge/src/request/story.rs
@@ -1,9 +1,11 @@
 //! The lines of one request, written together when it has ended.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use hawthorn_route::fingerprint::RequestFingerprint;
 use hawthorn_route::outcome::AttemptEnd;
 use log::Level;
 
@@ -50,6 +52,8 @@
 pub(crate) struct RequestSummary<'a> {
     pub(crate) number: u32,
     pub(crate) id: &'a str,
+    pub(crate) fingerprint: RequestFingerprint,
+    pub(crate) caller: Option<IpAddr>,
     pub(crate) route: &'a str,
     pub(crate) version: u64,
     pub(crate) outcome: &'static str,
@@ -111,14 +115,15 @@
         }
         // How many requests the line stands for.
         let weight = if calm && sampled { CALM_SAMPLE } else { 1 };
-        let RequestSummary { id, route, version, outcome, status, .. } = summary;
+        let RequestSummary { id, fingerprint, route, version, outcome, status, .. } = summary;
+        let caller = summary.caller.map_or_else(|| "-".to_owned(), |caller| caller.to_string());
         let (had, all) = summary.parts.unwrap_or((0, 0));
         edge_event!(
             Level::Info,
             EdgeEvent::RequestEnded,
             "request={id} route={route} version={version} outcome={outcome} status={status} \
              ms={:.1} left_ms={} early_ms={:.1} way_ms={:.1} parts={had}/{all} skipped={} \
-             weight={weight}",
+             weight={weight} caller={caller} fingerprint={fingerprint}",
             millis(summary.took),
             summary.left.as_millis(),
             summary.early,
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod depart;
 pub mod document;
 pub mod door;
+pub mod fingerprint;
 pub mod gather;
 pub mod gatherers;
 pub mod hedge;
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -47,6 +47,10 @@
     second.fail_next(&[TargetFault::Slow(Duration::from_secs(1))]);
     host.ask("GET", "/safe/", "id-late", "").await?;
     wait_for_line(&host, "attempt-late").await?;
+    first.fail_next(&[TargetFault::Break]);
+    second.fail_next(&[TargetFault::Break]);
+    host.ask("GET", "/safe/", "id-broken", "").await?;
+    wait_for_line(&host, "attempt-broken").await?;
     for target in [&first, &second] {
         target.fail_always(Some(TargetFault::LongHalf(1 << 20)));
     }
