test(route): requests that crash the targets that run them, failing

Two tests with real hosts and stand-in targets that crash whenever they begin to run requests of one path. Ordinary requests after each try are served.

--- a/crates/hawthorn-standin/src/route/target.rs
+++ b/crates/hawthorn-standin/src/route/target.rs
@@ -20,6 +20,9 @@
 use super::wire::WireRequest;
 use super::words;
 
+/// Between two tries to listen at an address again.
+const REBIND_PAUSE: Duration = Duration::from_millis(5);
+
 /// What a target does to one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetFault {
@@ -60,6 +63,9 @@
     times_left: HashMap<String, String>,
     requests: Vec<(String, String, Vec<u8>)>,
     cancelled: usize,
+    /// The beginning of paths under which it crashes, and how long it is down then.
+    crashes_on: Option<(String, Duration)>,
+    crashes: usize,
 }
 
 /// One target; stops when it is dropped.
@@ -95,6 +101,8 @@
             times_left: HashMap::new(),
             requests: Vec::new(),
             cancelled: 0,
+            crashes_on: None,
+            crashes: 0,
         }));
         let stop = CancellationToken::new();
         let serving = serve(listener, Arc::clone(&state), stop.clone());
@@ -146,6 +154,18 @@
         self.state.lock().expect("no holder of the lock panics").cancelled
     }
 
+    /// Has it crash whenever it begins to run a request whose path begins so: all its
+    /// connections end, and it accepts none for the time.
+    pub fn crash_on(&self, path: &str, down: Duration) {
+        let mut state = self.state.lock().expect("no holder of the lock panics");
+        state.crashes_on = Some((path.to_owned(), down));
+    }
+
+    /// How often it crashed.
+    pub fn crashes(&self) -> usize {
+        self.state.lock().expect("no holder of the lock panics").crashes
+    }
+
     /// Method, path and body of every request that it ran.
     pub fn requests(&self) -> Vec<(String, String, Vec<u8>)> {
         self.state.lock().expect("no holder of the lock panics").requests.clone()
@@ -158,12 +178,49 @@
 }
 
 async fn serve(listener: TcpListener, state: Arc<Mutex<TargetState>>, stop: CancellationToken) {
-    while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(stop.clone().run_until_cancelled_owned(hold(stream, Arc::clone(&state))));
+    let Ok(address) = listener.local_addr() else { return };
+    let mut listening = Some(listener);
+    loop {
+        let listener = match listening.take() {
+            Some(listener) => listener,
+            None => match TcpListener::bind(address).await {
+                Ok(listener) => listener,
+                Err(_) => {
+                    sleep(REBIND_PAUSE).await;
+                    continue;
+                }
+            },
+        };
+        let life = stop.child_token();
+        serve_life(listener, &state, &life).await;
+        let down = {
+            let state = state.lock().expect("no holder of the lock panics");
+            state.crashes_on.as_ref().map_or(Duration::ZERO, |(_, down)| *down)
+        };
+        sleep(down).await;
     }
 }
 
-async fn hold(mut stream: TcpStream, state: Arc<Mutex<TargetState>>) {
+/// Serves until the target crashes.
+async fn serve_life(
+    listener: TcpListener,
+    state: &Arc<Mutex<TargetState>>,
+    life: &CancellationToken,
+) {
+    loop {
+        let stream = tokio::select! {
+            () = life.cancelled() => return,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(_) => return,
+            },
+        };
+        let holding = hold(stream, Arc::clone(state), life.clone());
+        tokio::spawn(life.clone().run_until_cancelled_owned(holding));
+    }
+}
+
+async fn hold(mut stream: TcpStream, state: Arc<Mutex<TargetState>>, life: CancellationToken) {
     let mut buffer = Vec::new();
     while let Ok(Some(request)) = wire::read(&mut stream, &mut buffer).await {
         let (fault, id) = {
@@ -187,12 +244,25 @@
             continue;
         }
         note_run(&state, &request);
+        if crashes(&state, &request) {
+            life.cancel();
+            return;
+        }
         if !run(&mut stream, &state, &request, fault).await {
             return;
         }
     }
 }
 
+/// Whether the target crashes under the request.
+fn crashes(state: &Mutex<TargetState>, request: &WireRequest) -> bool {
+    let mut state = state.lock().expect("no holder of the lock panics");
+    let crashes =
+        state.crashes_on.as_ref().is_some_and(|(path, _)| request.target.starts_with(path));
+    state.crashes += usize::from(crashes);
+    crashes
+}
+
 fn note_run(state: &Mutex<TargetState>, request: &WireRequest) {
     let mut state = state.lock().expect("no holder of the lock panics");
     let attempt = request.header(words::ATTEMPT_ID).unwrap_or("-").to_owned();
--- /dev/null
+++ b/tests/route_crashes.rs
@@ -0,0 +1,127 @@
+//! Requests that crash every target that begins to run them.
+
+mod support;
+
+use std::time::Duration;
+
+use hawthorn_standin::route::RouteStore;
+use hawthorn_standin::route::RouteTarget;
+use hawthorn_standin::route::operator;
+use support::TestResult;
+use support::route::RouteHost;
+use tokio::time::sleep;
+
+const SHARDS: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
+/// A target that crashed accepts connections again after this.
+const DOWN: Duration = Duration::from_millis(150);
+/// Between two tries of the caller: all targets are back, and hosts have heard of each other's.
+const PAUSE: Duration = Duration::from_millis(600);
+/// The path under which targets crash.
+const CRASHING: &str = "crash?q=1";
+
+/// Two zones with two hosts each, and two targets of each of eight shards, which also are
+/// targets of a service of their own.
+struct Fleet {
+    _store: RouteStore,
+    targets: Vec<RouteTarget>,
+    hosts: Vec<RouteHost>,
+}
+
+async fn fleet() -> TestResult<Fleet> {
+    let store = RouteStore::start().await?;
+    let mut targets = Vec::new();
+    for zone in ["east", "west"] {
+        for shard in SHARDS {
+            let id = format!("t-{shard}-{zone}");
+            let target = RouteTarget::start(&id, shard).await?;
+            operator::register(&store, &id, &target, zone);
+            targets.push(target);
+        }
+    }
+    let routes = [
+        operator::gathered("/all/", &SHARDS, 0.5),
+        operator::single("/safe/", "a", "safe"),
+        operator::single("/once/", "a", "unsafe"),
+    ];
+    operator::configure(&store, 3, &routes, &SHARDS);
+    let mut hosts = vec![RouteHost::start("h-1", "east", store.address(), &[])?];
+    hosts[0].ready().await?;
+    for (name, zone) in [("h-2", "east"), ("h-3", "west"), ("h-4", "west")] {
+        let host = RouteHost::start(name, zone, store.address(), &[&hosts[0]])?;
+        host.ready().await?;
+        hosts.push(host);
+    }
+    sleep(PAUSE).await;
+    Ok(Fleet { _store: store, targets, hosts })
+}
+
+impl Fleet {
+    fn crash_on(&self, path: &str) {
+        self.targets.iter().for_each(|target| target.crash_on(path, DOWN));
+    }
+
+    fn crashes(&self) -> usize {
+        self.targets.iter().map(RouteTarget::crashes).sum()
+    }
+
+    fn runs(&self, id: &str) -> usize {
+        self.targets.iter().map(|target| target.runs(id)).sum()
+    }
+}
+
+/// Guards against a request that is sent to targets however many crashed under it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_its_targets_is_refused_by_every_host() -> TestResult {
+    struct Case {
+        route: &'static str,
+        /// Crashes, at the most: first attempts, and those that convict it.
+        crashes: usize,
+    }
+    let cases = [
+        Case { route: "/all/", crashes: 14 },
+        Case { route: "/safe/", crashes: 5 },
+        Case { route: "/once/", crashes: 5 },
+    ];
+    for Case { route, crashes } in cases {
+        let fleet = fleet().await?;
+        let crashing = format!("{route}{CRASHING}");
+        fleet.crash_on(&crashing);
+        let mut reached = Vec::new();
+        for round in 0..9 {
+            let host = &fleet.hosts[round % fleet.hosts.len()];
+            let id = format!("crash-{round}");
+            let answer = host.ask("GET", &crashing, &id, "").await?;
+            if fleet.runs(&id) > 0 {
+                reached.push(round);
+            } else {
+                assert_eq!(answer.status, 503, "{route}: try {round} reached no target");
+                assert!(answer.headers.contains_key("retry-after"), "{route}: try {round}");
+            }
+            sleep(PAUSE).await;
+            let ordinary = format!("{route}ordinary?q={round}");
+            let answer = host.ask("GET", &ordinary, &format!("ordinary-{round}"), "").await?;
+            assert_eq!(answer.status, 200, "{route}: an ordinary request after try {round}");
+        }
+        assert!(reached.len() <= 5, "{route}: tries {reached:?} reached targets");
+        assert!(reached.iter().all(|round| *round < 6), "{route}: tries {reached:?}");
+        let crashed = fleet.crashes();
+        assert!(crashed <= crashes, "{route}: {crashed} crashes");
+    }
+    Ok(())
+}
+
+/// Guards against second attempts at all shards of a query whose first attempts crashed
+/// their targets.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_fan_out_whose_targets_crash_spares_their_replicas() -> TestResult {
+    let fleet = fleet().await?;
+    let crashing = format!("/all/{CRASHING}");
+    fleet.crash_on(&crashing);
+    fleet.hosts[0].ask("GET", &crashing, "crash-0", "").await?;
+    // First attempts, and one more for each host that gathers.
+    let most = SHARDS.len() + fleet.hosts.len();
+    assert!(fleet.runs("crash-0") <= most, "{} runs", fleet.runs("crash-0"));
+    let answer = fleet.hosts[0].ask("GET", "/all/ordinary", "ordinary-0", "").await?;
+    assert_eq!(answer.status, 200);
+    Ok(())
+}
