--- a/crates/hawthorn-daemon/src/process/fleet/duty.rs
+++ b/crates/hawthorn-daemon/src/process/fleet/duty.rs
@@ -223,6 +223,7 @@
             FleetAction::ZoneFound(zone) => self.log_zone(LogEvent::ZoneFound, &zone),
             FleetAction::MemberLeaving(_)
             | FleetAction::MemberForgotten(_)
+            | FleetAction::PayloadHeard { .. }
             | FleetAction::Synced => {}
         }
     }
--- a/crates/hawthorn-edge/src/connection/message.rs
+++ b/crates/hawthorn-edge/src/connection/message.rs
@@ -6,7 +6,7 @@
 
 /// The format of these messages. Hosts of two formats run side by side while a
 /// fleet is updated, and understand nothing of each other's orders.
-pub const FORMAT: u32 = 0x6872_0003;
+pub const FORMAT: u32 = 0x6872_0004;
 
 /// Times of an order by its reader's clock, in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,6 +51,10 @@
     pub aim_left_us: u64,
     /// The same by the reader's clock, once the sender knows it.
     pub times: Option<OrderTimes>,
+    /// A hash of the caller and the route, as in `RequestIdentity`.
+    pub caller: u64,
+    /// Whether a target has answered the query.
+    pub answered: bool,
 }
 
 /// What a peer knows of the queues at the shards that it gathered.
--- a/crates/hawthorn-edge/src/process/catalog.rs
+++ b/crates/hawthorn-edge/src/process/catalog.rs
@@ -12,6 +12,7 @@
 use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
 use crate::process::host::RouteHost;
+use crate::process::quarantine;
 
 /// Takes in news, from the store or from a peer; true when something changed.
 pub fn take(host: &RouteHost, news: MirrorNews) -> bool {
@@ -20,6 +21,9 @@
         match catalog::key(&item.key) {
             CatalogKey::Document => take_document(host, item),
             CatalogKey::Entry(id) => take_entry(host, id, item),
+            CatalogKey::Quarantine(fingerprint) => {
+                quarantine::take_stored(host, fingerprint, item.value.as_deref());
+            }
             CatalogKey::Other => {}
         }
     }
--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -61,6 +61,8 @@
     PartsMissing = 636,
     /// The connection to a target failed after the request was sent.
     AttemptBroken = 637,
+    /// The quarantine state of a request, caller or route changed.
+    QuarantineChanged = 638,
     /// A peer's message could not be understood.
     PeerMessageBroken = 640,
     /// The host that news comes from has not been confirmed by the store lately.
--- a/crates/hawthorn-edge/src/process/fleet.rs
+++ b/crates/hawthorn-edge/src/process/fleet.rs
@@ -27,6 +27,7 @@
 use crate::process::events::EdgeEvent;
 use crate::process::feed;
 use crate::process::host::RouteHost;
+use crate::process::quarantine;
 use crate::process::traffic::TrafficPurpose;
 use crate::settings::RouteSettings;
 use crate::version::beliefs::Beliefs;
@@ -84,6 +85,7 @@
         let wake = host.members.borrow().next_wake().saturating_sub(passed).min(LONGEST_SLEEP);
         let due = host_now() + wake;
         let heard = tokio::select! {
+            () = host.quarantine.gossip_due.notified() => None,
             heard = socket.recv_from(&mut datagram) => heard.ok(),
             () = sleep(wake) => {
                 host.lag.borrow_mut().learn(host_now().saturating_sub(due));
@@ -101,7 +103,10 @@
             );
         }
         tick(&host, now);
-        act(&host, &socket).await;
+        for (peer, payload) in quarantine::gossip_messages(&host) {
+            host.members.borrow_mut().send_payload(now, peer, payload);
+        }
+        act(&host, &socket, now).await;
     }
 }
 
@@ -111,6 +116,7 @@
         revision: ConfigRevision(version),
         versions: host.mirror.borrow().as_of(),
         ready: host.is_ready(),
+        quarantine: quarantine::digest(host),
         ..MemberDigest::default()
     };
     let mut members = host.members.borrow_mut();
@@ -135,7 +141,7 @@
     beliefs.fleet_zones.set(members.zones().count());
 }
 
-async fn act(host: &Rc<RouteHost>, socket: &UdpSocket) {
+async fn act(host: &Rc<RouteHost>, socket: &UdpSocket, now: Duration) {
     loop {
         let action = host.members.borrow_mut().poll_action();
         match action {
@@ -150,12 +156,29 @@
             Some(FleetAction::MemberUp(key)) => note(host, key, "up"),
             Some(FleetAction::MemberDown(key)) => note(host, key, "down"),
             Some(FleetAction::MemberLeaving(key)) => note(host, key, "leaving"),
-            Some(FleetAction::DigestHeard { peer, digest }) => behind(host, peer, digest.versions),
+            Some(FleetAction::DigestHeard { peer, digest }) => {
+                behind(host, peer, digest.versions);
+                if let Some(request) = quarantine::sync_request(host, digest.quarantine) {
+                    send_payload(host, peer, request, now);
+                }
+            }
+            Some(FleetAction::PayloadHeard { from, payload }) => {
+                for reply in quarantine::receive(host, from, &payload) {
+                    host.members.borrow_mut().send_payload(now, from, reply);
+                }
+            }
             Some(_) => {}
         }
     }
 }
 
+fn send_payload(host: &RouteHost, peer: HostKey, payload: Vec<u8>, now: Duration) {
+    let mut members = host.members.borrow_mut();
+    if let Some(to) = members.record(peer).map(|record| record.place.peer) {
+        members.send_payload(now, to, payload);
+    }
+}
+
 /// A heartbeat tells how far its sender knows the store's items.
 fn behind(host: &Rc<RouteHost>, peer: HostKey, as_of: u64) {
     if as_of <= host.mirror.borrow().as_of() {
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -38,6 +38,8 @@
 use crate::process::fleet;
 use crate::process::fleet::GatherPeers;
 use crate::process::metrics::EdgeMetrics;
+use crate::process::quarantine;
+use crate::process::quarantine::QuarantineState;
 use crate::process::reach;
 use crate::process::traffic::TrafficAccount;
 use crate::process::traffic::TrafficPurpose;
@@ -102,6 +104,8 @@
     pub traffic: TrafficAccount,
     /// The store's items as this host knows them.
     pub mirror: RefCell<StoreMirror>,
+    /// The quarantine of requests that crash targets.
+    pub quarantine: QuarantineState,
     /// Spaces bulk messages on the host's link.
     bulk_pacer: RefCell<BulkPacer>,
     /// Told when the mirror reaches further than before.
@@ -145,6 +149,7 @@
             remainders: RemainderTable::default(),
             traffic: TrafficAccount::new(&settings.host.zone),
             mirror: RefCell::default(),
+            quarantine: QuarantineState::default(),
             bulk_pacer: RefCell::default(),
             news: Notify::new(),
             catching_up: Cell::new(false),
@@ -268,6 +273,7 @@
         StoreClient::new(host.beliefs.settings.store.address, options)
     };
     host.metrics.show_calls(client.clone());
+    duties.spawn_local(quarantine::save_refused(Rc::clone(&host), client.clone()));
     duties.spawn_local(feed::follow(Rc::clone(&host), client));
     duties.spawn_local(sweep(Rc::clone(&host)));
     duties.spawn_local(reach::watch(Rc::clone(&host)));
@@ -309,6 +315,7 @@
     let mut tick: u32 = 0;
     loop {
         host.beliefs.sweep(host_now());
+        quarantine::sweep(&host);
         if host.is_ready() != ready {
             ready = host.is_ready();
             if ready {
--- a/crates/hawthorn-edge/src/process/metrics.rs
+++ b/crates/hawthorn-edge/src/process/metrics.rs
@@ -9,6 +9,7 @@
 use hawthorn_metrics::MetricExporter;
 use hawthorn_route::outcome::AttemptEnd;
 use hawthorn_route::outcome::RefusalReason;
+use hawthorn_route::quarantine::ChangeKind;
 use hawthorn_store::StoreClient;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
@@ -34,6 +35,7 @@
     attempts: Counter<u64>,
     extras: Counter<u64>,
     missing: Counter<u64>,
+    quarantine: Counter<u64>,
     traffic: Counter<u64>,
     latency: Histogram<f64>,
     departure: Histogram<f64>,
@@ -54,6 +56,7 @@
             attempts: meter.u64_counter("hawthorn_route_attempts").build(),
             extras: meter.u64_counter("hawthorn_route_extra_attempts").build(),
             missing: meter.u64_counter("hawthorn_route_missing_parts").build(),
+            quarantine: meter.u64_counter("hawthorn_route_quarantine_changes").build(),
             traffic: meter.u64_counter("hawthorn_route_zone_bytes").build(),
             latency: meter
                 .f64_histogram("hawthorn_route_request_seconds")
@@ -71,6 +74,7 @@
         for reason in ["late", "retry", "budget-spent"] {
             set.count_extra(reason, 0);
         }
+        ChangeKind::iter().for_each(|kind| set.count_quarantine(kind, 0));
         set.missing.add(0, &[]);
         Ok(set)
     }
@@ -127,6 +131,11 @@
         self.missing.add(parts as u64, &[]);
     }
 
+    /// Counts changes of quarantine records.
+    pub fn count_quarantine(&self, kind: ChangeKind, count: u64) {
+        self.quarantine.add(count, &[KeyValue::new("change", <&'static str>::from(kind))]);
+    }
+
     /// Bytes between this host's zone and others.
     pub fn show_traffic(&self, account: &TrafficAccount) {
         account.show(&self.traffic);
--- a/crates/hawthorn-edge/src/process/mod.rs
+++ b/crates/hawthorn-edge/src/process/mod.rs
@@ -8,6 +8,7 @@
 pub mod host;
 pub mod logs;
 pub mod metrics;
+pub mod quarantine;
 pub mod reach;
 pub mod traffic;
 pub mod turns;
--- a/crates/hawthorn-edge/src/request/answer.rs
+++ b/crates/hawthorn-edge/src/request/answer.rs
@@ -26,6 +26,8 @@
     pub(crate) response: Response<AnswerBody>,
     pub(crate) outcome: &'static str,
     pub(crate) refusal: Option<RefusalReason>,
+    /// The remaining time of the refusal, if known.
+    pub(crate) refused_for: Option<Duration>,
     /// Parts that are in, and all.
     pub(crate) parts: Option<(usize, usize)>,
     /// When it was due to leave, where it left at that time and not when it was whole.
@@ -37,7 +39,7 @@
         let body = Either::Left(Full::new(Bytes::from_static(outcome.as_bytes())));
         let mut response = Response::new(body);
         *response.status_mut() = status;
-        Self { response, outcome, refusal: None, parts: None, due: None }
+        Self { response, outcome, refusal: None, refused_for: None, parts: None, due: None }
     }
 
     /// It has not run and never will; [`CallerAnswer::come_back`] has to follow.
@@ -47,6 +49,11 @@
         answer
     }
 
+    /// The request is quarantined for the given duration.
+    pub(crate) fn quarantined(left: Duration) -> Self {
+        Self { refused_for: Some(left), ..Self::refused(RefusalReason::Quarantined) }
+    }
+
     /// Tells the caller of a refused request when to come back.
     pub(crate) fn come_back(&mut self, after: Duration) {
         caller::come_back(self.response.headers_mut(), after);
@@ -95,13 +102,20 @@
         let mut response = Response::new(body);
         *response.status_mut() = answer.status;
         *response.headers_mut() = headers;
-        Self { response, outcome, refusal: None, parts: None, due: None }
+        Self { response, outcome, refusal: None, refused_for: None, parts: None, due: None }
     }
 
     /// Records merged from parts.
     pub(crate) fn merged(response: Response<Full<Bytes>>, parts: usize, shards: usize) -> Self {
         let response = response.map(Either::Left);
         let outcome = if parts == shards { "answered" } else { "partial" };
-        Self { response, outcome, refusal: None, parts: Some((parts, shards)), due: None }
+        Self {
+            response,
+            outcome,
+            refusal: None,
+            refused_for: None,
+            parts: Some((parts, shards)),
+            due: None,
+        }
     }
 }
--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -29,6 +29,7 @@
 use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
 use crate::process::host::RouteHost;
+use crate::process::quarantine;
 use crate::process::traffic::TrafficPurpose;
 use crate::process::traffic::header_bytes;
 use crate::request::order::RequestOrder;
@@ -59,6 +60,14 @@
 pub(crate) struct AttemptReply {
     pub(crate) end: AttemptEnd,
     pub(crate) answer: Option<TargetAnswer>,
+    /// Whether the connection closed while the request was in progress.
+    pub(crate) crashed: bool,
+}
+
+impl AttemptReply {
+    fn without_answer(end: AttemptEnd) -> Self {
+        Self { end, answer: None, crashed: false }
+    }
 }
 
 /// An attempt that is to be made.
@@ -77,8 +86,11 @@
     pub(crate) fn start(self) -> oneshot::Receiver<AttemptReply> {
         let (sender, receiver) = oneshot::channel();
         tokio::task::spawn_local(async move {
+            let (host, order) = (Rc::clone(&self.host), Rc::clone(&self.order));
+            let reply = self.run().await;
+            quarantine::note_end(&host, &order, reply.end, reply.crashed);
             // Nobody waits for the reply of a hedge that lost.
-            let _unread = sender.send(self.run().await);
+            let _unread = sender.send(reply);
         });
         receiver
     }
@@ -88,7 +100,7 @@
         let left = self.order.time_left(sent);
         let free = self.with_state(|state| state.has_free_slot(sent)).unwrap_or_default();
         let Some((target, service, zone)) = self.note_start(sent) else {
-            return AttemptReply { end: AttemptEnd::NotSent, answer: None };
+            return AttemptReply::without_answer(AttemptEnd::NotSent);
         };
         self.host.beliefs.zone_sent(&zone, sent, self.usual);
         let end = Instant::now() + left + LINGER;
@@ -111,7 +123,7 @@
         let now = host_now();
         let Some(result) = result else {
             self.with_state(|state| state.abandon(sent, now, self.usual));
-            return AttemptReply { end: AttemptEnd::Silent, answer: None };
+            return AttemptReply::without_answer(AttemptEnd::Silent);
         };
         if result.is_ok() {
             self.host.beliefs.zone_answered(&zone);
@@ -125,7 +137,7 @@
                  error=\"{error}\"",
                 self.order.attempt_id.as_deref().unwrap_or("-"),
                 now.saturating_sub(sent).as_secs_f64() * 1000.0,
-                self.order.fingerprint
+                self.order.identity.fingerprint
             );
         }
         let reply = self.judge(result, now);
@@ -216,12 +228,15 @@
     }
 
     fn judge(&self, result: Result<PoolAnswer, Error>, now: Duration) -> AttemptReply {
-        let none = |end| AttemptReply { end, answer: None };
+        let none = AttemptReply::without_answer;
         let answer = match result {
             Ok(answer) => answer,
             Err(Error::NotSent(_)) => return none(AttemptEnd::NotSent),
             Err(Error::TimedOut) => return none(AttemptEnd::Silent),
-            Err(Error::Broken(_) | Error::TooLarge) => return none(AttemptEnd::Broken),
+            Err(Error::Broken(_)) => {
+                return AttemptReply { crashed: true, ..none(AttemptEnd::Broken) };
+            }
+            Err(Error::TooLarge) => return none(AttemptEnd::Broken),
         };
         let head = target::read(answer.status, &answer.headers);
         if let Some((running, waiting, slots)) = head.load {
@@ -254,6 +269,6 @@
             rest: answer.rest,
             receipt: head.receipt,
         };
-        AttemptReply { end, answer: Some(answer) }
+        AttemptReply { end, answer: Some(answer), crashed: false }
     }
 }
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -18,6 +18,8 @@
 use hawthorn_route::offset;
 use hawthorn_route::offset::OrderSpan;
 use hawthorn_route::offset::SentSpan;
+use hawthorn_route::quarantine::Exposure;
+use hawthorn_route::quarantine::RequestIdentity;
 use hawthorn_route::spread;
 use hawthorn_route::spread::ZoneShards;
 use hyper::HeaderMap;
@@ -234,6 +236,8 @@
         left_us: left.as_micros() as u64,
         aim_left_us: aim_left_us(aim_left, times.is_some()),
         times,
+        caller: order.identity.caller,
+        answered: order.exposure.borrow().is_answered(),
     };
     let usual = host.beliefs.usual(&order.route);
     delegated.shards.iter().for_each(|_| host.beliefs.zone_sent(&delegated.zone, now, usual));
@@ -432,8 +436,14 @@
         }
     }
     let body = Bytes::from(message.body);
+    let exposure = if message.answered { Exposure::answered() } else { Exposure::default() };
     let order = Rc::new(RequestOrder {
-        fingerprint: order::fingerprint(&method, &headers, &uri, &body),
+        identity: RequestIdentity::with_caller_hash(
+            order::fingerprint(&method, &headers, &uri, &body),
+            message.caller,
+            &route.name,
+        ),
+        exposure: RefCell::new(exposure),
         caller: None,
         method,
         uri,
--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -21,6 +21,7 @@
 use crate::connection::message::Remainder;
 use crate::process::clock::host_now;
 use crate::process::host::RouteHost;
+use crate::process::quarantine::Admission;
 use crate::request::answer::CallerAnswer;
 use crate::request::delegate;
 use crate::request::order::RequestOrder;
@@ -58,6 +59,7 @@
     order: &Rc<RequestOrder>,
     rule: &GatherRule,
     version: u64,
+    admission: Admission,
 ) -> CallerAnswer {
     let aim_at = order.leaves;
     let (shards, least_share) = (rule.shards.len(), rule.least_share);
@@ -67,7 +69,17 @@
     if !spread.can_answer(rule) {
         return CallerAnswer::refused(RefusalReason::NoTarget);
     }
-    run.begin(&spread);
+    let mut tried = None;
+    if matches!(admission, Admission::Trial { .. }) {
+        tried = run.trial(&spread).await;
+        if tried.is_none() {
+            run.note_end();
+            return failed(order, run.refusal);
+        }
+    }
+    // A target has answered, so that waiting requests of the same subject may proceed.
+    drop(admission);
+    run.begin(&spread, tried);
     let policy = host.beliefs.policy.get();
     let goes_on = policy.gathering.beyond_aim;
     let mut due = None;
--- a/crates/hawthorn-edge/src/request/order.rs
+++ b/crates/hawthorn-edge/src/request/order.rs
@@ -10,6 +10,8 @@
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::door::QueryLoad;
 use hawthorn_route::fingerprint::RequestFingerprint;
+use hawthorn_route::quarantine::Exposure;
+use hawthorn_route::quarantine::RequestIdentity;
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -28,7 +30,10 @@
 /// A caller's request, whole, and how its life goes.
 #[derive(Debug)]
 pub(crate) struct RequestOrder {
-    pub(crate) fingerprint: RequestFingerprint,
+    /// The subjects to which crashes of its targets are attributed.
+    pub(crate) identity: RequestIdentity,
+    /// The outcomes of its attempts.
+    pub(crate) exposure: RefCell<Exposure>,
     /// The caller's address; `None` for a peer's query or if the address is unknown.
     pub(crate) caller: Option<IpAddr>,
     pub(crate) method: Method,
--- a/crates/hawthorn-edge/src/request/parts.rs
+++ b/crates/hawthorn-edge/src/request/parts.rs
@@ -14,8 +14,11 @@
 use hawthorn_route::registry::TargetKey;
 use hawthorn_route::skip;
 use hawthorn_route::spread;
+use hawthorn_route::spread::ShardWay;
 use hyper::header::HeaderValue;
 use log::Level;
+use rand::seq::SliceRandom;
+use tokio::time::timeout;
 
 use crate::connection::message::GatherReply;
 use crate::connection::message::PeerLoad;
@@ -32,6 +35,10 @@
 use crate::request::race::AttemptRace;
 use crate::request::race::RaceEnd;
 
+/// The maximum number of shards that are tried in sequence until a target receives a
+/// request that is on trial.
+const MAX_TRIAL_SHARDS: usize = 4;
+
 /// What came of some shards.
 pub(super) enum GatherEvent<'a> {
     /// One shard's attempts ended.
@@ -109,11 +116,18 @@
     /// Asks for all shards, here or by peers, but for those whose parts cannot come
     /// in time: each part of the query may leave out its share of what the answer
     /// may do without.
-    pub(super) fn begin(&mut self, spread: &spread::Outcome) {
-        let delegated = delegate::hand_over(self.host, spread);
+    ///
+    /// The shard in `tried` has already answered and is skipped.
+    pub(super) fn begin(&mut self, spread: &spread::Outcome, tried: Option<u16>) {
+        let mut delegated = delegate::hand_over(self.host, spread);
+        for part in &mut delegated {
+            part.shards.retain(|place| Some(*place) != tried);
+        }
+        delegated.retain(|part| !part.shards.is_empty());
         let handed_over = |place: &u16| delegated.iter().any(|part| part.shards.contains(place));
         let all = 0..spread.ways.len() as u16;
-        let here: Vec<u16> = all.filter(|place| !handed_over(place)).collect();
+        let here: Vec<u16> =
+            all.filter(|place| Some(*place) != tried && !handed_over(place)).collect();
         let spare = spread.spare_left(self.state.spare());
         let there = delegated.iter().map(|part| part.shards.len());
         let sizes: Vec<usize> = std::iter::once(here.len()).chain(there).collect();
@@ -128,6 +142,40 @@
         }
     }
 
+    /// Sends the request to one shard before the fan-out; `None` if there was no answer.
+    ///
+    /// Load: a request that is suspected of crashing targets. A trial reaches one
+    /// target at a time, where a fan-out would crash one of each shard.
+    pub(super) async fn trial(&mut self, spread: &spread::Outcome) -> Option<u16> {
+        let placed = spread.ways.iter().enumerate();
+        let placed = placed.filter(|(_, way)| !matches!(way, ShardWay::Nowhere));
+        let mut places: Vec<u16> = placed.map(|(place, _)| place as u16).collect();
+        places.shuffle(&mut rand::rng());
+        for place in places.into_iter().take(MAX_TRIAL_SHARDS) {
+            let shard = self.rule.shards.get(usize::from(place))?;
+            let race = AttemptRace::new(self.host, self.order, shard);
+            let race = race.toward(spread.target(place)).run();
+            let left = self.order.time_left(host_now());
+            self.raced.push(shard);
+            match timeout(left, race).await {
+                Ok(RaceEnd::Answered(answer)) => {
+                    self.take(GatherEvent::Race(shard, RaceEnd::Answered(answer)));
+                    return Some(place);
+                }
+                // The request reached no target of this shard; try another one.
+                Ok(RaceEnd::NotRun(reason)) if reason != RefusalReason::Quarantined => {
+                    self.refusal = Some(reason);
+                }
+                Ok(RaceEnd::NotRun(reason)) => {
+                    self.refusal = Some(reason);
+                    return None;
+                }
+                Ok(RaceEnd::Failed(_) | RaceEnd::Unknown) | Err(_) => return None,
+            }
+        }
+        None
+    }
+
     /// Asks for a shard here. Peers may have made `spent` attempts at it; where
     /// these are as many as operators allow, it is lost to this try.
     fn race(&mut self, place: u16, spent: usize) {
--- a/crates/hawthorn-edge/src/request/race.rs
+++ b/crates/hawthorn-edge/src/request/race.rs
@@ -8,6 +8,8 @@
 use hawthorn_route::hedge;
 use hawthorn_route::outcome::AttemptEnd;
 use hawthorn_route::outcome::RefusalReason;
+use hawthorn_route::quarantine::AttemptKind;
+use hawthorn_route::quarantine::Permit;
 use hawthorn_route::registry::TargetKey;
 use hawthorn_route::registry::TargetKeys;
 use tokio::sync::oneshot;
@@ -16,12 +18,16 @@
 
 use crate::process::clock::host_now;
 use crate::process::host::RouteHost;
+use crate::process::quarantine;
 use crate::request::attempt::AttemptPlan;
 use crate::request::attempt::AttemptReply;
 use crate::request::attempt::TargetAnswer;
 use crate::request::order::CANCELLATION_TURNS;
 use crate::request::order::RequestOrder;
 
+/// The interval at which an attempt that waits for others of its request is rechecked.
+const HELD_POLL_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Waits until an attempt is late.
 ///
 /// Failure: a starved host makes its first attempts, then finds them all late,
@@ -68,6 +74,10 @@
     /// There is no other target.
     NoTarget,
     BudgetSpent,
+    /// The attempt waits until others of the request have ended.
+    Held,
+    /// The request is quarantined.
+    Quarantined,
 }
 
 /// The attempts at one service.
@@ -87,6 +97,8 @@
     hedging: bool,
     /// An attempt is late, and no other target had room for a second.
     crowded: bool,
+    /// The reason for an attempt that waits until others of the request have ended.
+    held: Option<AttemptReason>,
 }
 
 impl<'a> AttemptRace<'a> {
@@ -108,6 +120,7 @@
             unknown: false,
             hedging: order.route.idempotent && host.beliefs.policy.get().second_attempts.on,
             crowded: false,
+            held: None,
         }
     }
 
@@ -132,12 +145,14 @@
             self.host.beliefs.earn(self.service, started);
         }
         let reason = if again { AttemptReason::Retry } else { AttemptReason::First };
-        if self.ran >= self.order.route.max_attempts || self.launch(reason) != LaunchEnd::Made {
+        if self.ran >= self.order.route.max_attempts {
             return self.finish();
         }
-        loop {
+        self.launch(reason);
+        while !self.flying.is_empty() || self.held.is_some() {
             let late = self.late_after();
-            let can_hedge = self.hedging && self.ran < self.order.route.max_attempts;
+            let can_hedge =
+                self.hedging && self.held.is_none() && self.ran < self.order.route.max_attempts;
             tokio::select! {
                 biased;
                 Some(reply) = self.flying.next() => {
@@ -148,11 +163,10 @@
                     }
                 }
                 () = lateness(late), if can_hedge => self.hedge(started),
-            }
-            if self.flying.is_empty() {
-                return self.finish();
+                () = sleep(HELD_POLL_INTERVAL), if self.held.is_some() => self.launch_held(),
             }
         }
+        self.finish()
     }
 
     fn late_after(&self) -> Duration {
@@ -176,6 +190,9 @@
         }
         self.hedging = false;
         let decision = if room { self.launch(AttemptReason::Late) } else { LaunchEnd::Crowded };
+        if decision == LaunchEnd::Held {
+            return;
+        }
         let waited = now.saturating_sub(started);
         self.order.story.borrow_mut().late(self.service, waited, decision.into());
     }
@@ -192,9 +209,41 @@
         beliefs.registry.borrow().get(key).is_none_or(|state| hedge::has_room(state, now))
     }
 
+    /// Makes the waiting attempt, unless the maximum number has been made.
+    fn launch_held(&mut self) {
+        if let Some(reason) = self.held.take()
+            && self.ran < self.order.route.max_attempts
+        {
+            self.launch_noted(reason);
+        }
+    }
+
+    /// Makes another attempt, and logs the reason if it could not be made.
+    fn launch_noted(&mut self, reason: AttemptReason) {
+        let decision = self.launch(reason);
+        if !matches!(decision, LaunchEnd::Made | LaunchEnd::Held) {
+            let waited = host_now().saturating_sub(self.order.started);
+            self.order.story.borrow_mut().late(self.service, waited, decision.into());
+        }
+    }
+
     /// Makes another attempt if there is a target for it and the budget allows.
     fn launch(&mut self, reason: AttemptReason) -> LaunchEnd {
+        self.held = None;
         let now = host_now();
+        let extra = matches!(reason, AttemptReason::Retry | AttemptReason::Late);
+        let kind = if extra { AttemptKind::Extra } else { AttemptKind::First };
+        match quarantine::permit(self.host, self.order, kind) {
+            Permit::Send => {}
+            Permit::Hold => {
+                self.held = Some(reason);
+                return LaunchEnd::Held;
+            }
+            Permit::Refuse(_) => {
+                self.refusal = RefusalReason::Quarantined;
+                return LaunchEnd::Quarantined;
+            }
+        }
         let beliefs = &self.host.beliefs;
         let usual = beliefs.usual(&self.order.route);
         let best = self.best.take();
@@ -204,7 +253,7 @@
             return LaunchEnd::NoTarget;
         };
         let Some(pool) = beliefs.pool(key, &self.order.route) else { return LaunchEnd::NoTarget };
-        if matches!(reason, AttemptReason::Retry | AttemptReason::Late) {
+        if extra {
             if !beliefs.spend(self.service, now) {
                 self.host.metrics.count_extra("budget-spent", 1);
                 if self.refusal != RefusalReason::TargetsFull {
@@ -218,6 +267,7 @@
         self.tried.push(key);
         self.ran += 1;
         self.order.sent.set(self.order.sent.get() + 1);
+        self.order.exposure.borrow_mut().send(extra);
         let (host, order) = (Rc::clone(self.host), Rc::clone(self.order));
         self.flying.push(AttemptPlan { host, order, key, pool, usual }.start());
         LaunchEnd::Made
@@ -260,11 +310,7 @@
             }
         };
         if self.flying.is_empty() && self.ran < self.order.route.max_attempts {
-            let decision = self.launch(reason);
-            if decision != LaunchEnd::Made {
-                let waited = host_now().saturating_sub(self.order.started);
-                self.order.story.borrow_mut().late(self.service, waited, decision.into());
-            }
+            self.launch_noted(reason);
         }
         None
     }
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -12,6 +12,7 @@
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::document::RouteWay;
 use hawthorn_route::outcome::RefusalReason;
+use hawthorn_route::quarantine::RequestIdentity;
 use hawthorn_route::retry_after::retry_after;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
@@ -28,6 +29,8 @@
 use crate::connection::head::HeadWatch;
 use crate::process::clock::host_now;
 use crate::process::host::RouteHost;
+use crate::process::quarantine;
+use crate::process::quarantine::Admission;
 use crate::request::answer::AnswerBody;
 use crate::request::answer::CallerAnswer;
 use crate::request::gather;
@@ -88,7 +91,8 @@
     host.metrics.count_request(answer.outcome, host_now().saturating_sub(started));
     if let Some(reason) = answer.refusal {
         let aside = host.aside_since.get().map(|since| host_now().saturating_sub(since));
-        answer.come_back(retry_after(reason, aside, &mut rand::rng()));
+        let after = answer.refused_for;
+        answer.come_back(after.unwrap_or_else(|| retry_after(reason, aside, &mut rand::rng())));
         host.metrics.count_refusal(reason, 1);
     }
     answer.response
@@ -133,7 +137,8 @@
     let leaves = depart::leaves(clock, route.aim, lag, &host.beliefs.policy.get().departure);
     let fingerprint = order::fingerprint(&head.method, &head.headers, &head.uri, &body);
     let order = Rc::new(RequestOrder {
-        fingerprint,
+        identity: RequestIdentity::new(fingerprint, caller, &route.name),
+        exposure: RefCell::default(),
         caller,
         method: head.method,
         uri: head.uri,
@@ -153,7 +158,10 @@
         story: RefCell::default(),
     });
     let watch = CallerWatch(Rc::clone(&order));
-    let answer = carry(host, &order, table.version()).await;
+    let mut answer = carry(host, &order, table.version()).await;
+    if answer.refusal == Some(RefusalReason::Quarantined) && answer.refused_for.is_none() {
+        answer.refused_for = quarantine::refused_for(host, &order);
+    }
     order.answered.cancel();
     drop(watch);
     tell(host, &order, table.version(), &answer, clock);
@@ -167,6 +175,12 @@
     }
     let route = Rc::clone(&order.route);
     host.beliefs.count_demand(&route);
+    let admission = quarantine::admit(host, order).await;
+    match admission {
+        Admission::Unrestricted | Admission::Trial { .. } => {}
+        Admission::TooLate => return CallerAnswer::refused(RefusalReason::TooLate),
+        Admission::Refused(left) => return CallerAnswer::quarantined(left),
+    }
     match &route.way {
         RouteWay::Single(service) => single(host, order, service).await,
         RouteWay::Weighted(parts) => match host.beliefs.deal(&route, parts) {
@@ -177,7 +191,7 @@
             let Some(pass) = DoorPass::ask(host, order) else {
                 return CallerAnswer::refused(RefusalReason::HostFull);
             };
-            let answer = gather::gather(host, order, rule, version).await;
+            let answer = gather::gather(host, order, rule, version, admission).await;
             pass.finish(answer.parts.is_none());
             answer
         }
@@ -246,7 +260,7 @@
     let summary = RequestSummary {
         number: host.next_request(),
         id: order.attempt_id.as_deref().unwrap_or("-"),
-        fingerprint: order.fingerprint,
+        fingerprint: order.identity.fingerprint,
         caller: order.caller,
         route: &rule.name,
         version,
--- a/crates/hawthorn-fleet/src/action.rs
+++ b/crates/hawthorn-fleet/src/action.rs
@@ -45,6 +45,13 @@
         /// What it says.
         message: HandoverMessage,
     },
+    /// A member sent a [`Payload`](crate::message::FleetBody::Payload).
+    PayloadHeard {
+        /// The member's address.
+        from: SocketAddr,
+        /// What it sent.
+        payload: Vec<u8>,
+    },
     /// This process itself stood still for so long: leases may have lapsed and
     /// others may have taken over. Hand it to [`Handover::resumed`](crate::handover::Handover::resumed).
     SelfPaused(Duration),
--- a/crates/hawthorn-fleet/src/member/mod.rs
+++ b/crates/hawthorn-fleet/src/member/mod.rs
@@ -227,6 +227,14 @@
         self.send(now, peer, crate::message::FleetBody::Handover(message), &[]);
     }
 
+    /// Sends a payload of another subsystem to a host. Payloads longer than
+    /// [`PAYLOAD_LIMIT`](crate::message::PAYLOAD_LIMIT) are dropped.
+    pub fn send_payload(&mut self, now: Duration, to: SocketAddr, payload: Vec<u8>) {
+        if payload.len() <= crate::message::PAYLOAD_LIMIT {
+            self.send(now, to, crate::message::FleetBody::Payload(payload), &[]);
+        }
+    }
+
     /// The next thing to do, none when all is done.
     pub fn poll_action(&mut self) -> Option<FleetAction> {
         if let Some(action) = self.actions.pop_front() {
--- a/crates/hawthorn-fleet/src/member/receive.rs
+++ b/crates/hawthorn-fleet/src/member/receive.rs
@@ -135,6 +135,12 @@
             FleetBody::Notice => {}
             FleetBody::SyncAsk { after } => self.send_page(now, from, after),
             FleetBody::SyncPage { next } => self.take_page(now, from, next, news),
+            FleetBody::Payload(payload) => {
+                // Payloads from hosts that are not members are ignored.
+                if sender.is_some() {
+                    self.actions.push_back(FleetAction::PayloadHeard { from, payload });
+                }
+            }
             FleetBody::Handover(message) => {
                 let Some(peer) = sender.and_then(|key| self.arena.get(key)) else { return };
                 let peer = peer.id;
--- a/crates/hawthorn-fleet/src/message.rs
+++ b/crates/hawthorn-fleet/src/message.rs
@@ -19,12 +19,16 @@
 /// headers, as a fragmented datagram is lost when any fragment is.
 pub const DATAGRAM_LIMIT: usize = 1_400;
 
+/// The maximum size of a [`Payload`](FleetBody::Payload) in bytes, which leaves room for the
+/// header and zones in a datagram.
+pub const PAYLOAD_LIMIT: usize = 1_150;
+
 /// The longest host or zone name, in bytes, so that one record always fits.
 pub const NAME_LIMIT: usize = 64;
 
 /// The version of datagrams and of calls between hosts; others are refused, so
 /// that hosts of two formats are no peers of each other.
-pub const MESSAGE_FORMAT: u8 = 3;
+pub const MESSAGE_FORMAT: u8 = 4;
 
 /// Names a host everywhere: a hash of the host's name.
 #[derive(
@@ -150,6 +154,8 @@
     pub ready: bool,
     /// A hash of the index versions that its targets hold.
     pub versions: u64,
+    /// A hash of its confirmed quarantine records; 0 if there are none.
+    pub quarantine: u64,
 }
 
 /// Says who sends.
@@ -228,6 +234,8 @@
     },
     /// Between owners of one zone.
     Handover(HandoverMessage),
+    /// An opaque message of another subsystem.
+    Payload(Vec<u8>),
 }
 
 /// A datagram without its rumors.
--- a/crates/hawthorn-fleet/src/spread/mod.rs
+++ b/crates/hawthorn-fleet/src/spread/mod.rs
@@ -256,6 +256,7 @@
             .age(now)
             .map_or(u32::MAX, |age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
         MemberDigest {
+            quarantine: 0,
             revision: edition.revision,
             edit: edition.edit,
             confirmed_ms,
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -21,6 +21,8 @@
 //! | [`depart`] | when an answer has to leave |
 //! | [`offset`] | how a peer's clock stands to this host's |
 //! | [`mod@retry_after`] | when a caller that is refused had best come back |
+//! | [`fingerprint`] | which requests have the same content |
+//! | [`quarantine`] | which requests are refused because they crash targets |
 //! | [`reach`] | which zones cannot be reached |
 //! | [`policy`] | the limits of all of these, as operators set them |
 //! | [`outcome`] | what an attempt and a request came to |
@@ -45,6 +47,7 @@
 pub mod pace;
 pub mod place;
 pub mod policy;
+pub mod quarantine;
 pub mod reach;
 pub mod registry;
 pub mod retry_after;
--- a/crates/hawthorn-route/src/outcome.rs
+++ b/crates/hawthorn-route/src/outcome.rs
@@ -49,4 +49,6 @@
     BudgetSpent,
     /// The host holds as many requests as it may.
     HostFull,
+    /// The request is quarantined because it, or others of its caller, crashed targets.
+    Quarantined,
 }
--- a/crates/hawthorn-route/src/policy.rs
+++ b/crates/hawthorn-route/src/policy.rs
@@ -13,6 +13,7 @@
 use crate::gather;
 use crate::hedge;
 use crate::place;
+use crate::quarantine;
 use crate::reach;
 use crate::registry;
 use crate::skip;
@@ -71,6 +72,8 @@
     pub zones: reach::Options,
     /// How targets are remembered.
     pub targets: registry::Options,
+    /// When requests that crash targets are refused.
+    pub quarantine: quarantine::Options,
     /// How answers are held.
     pub answers: AnswerOptions,
 }
@@ -92,6 +95,8 @@
 const MOST_TIMES: f64 = 1000.0;
 /// Times, at the most: a minute. No caller waits longer.
 const MOST_MILLIS: f64 = 60_000.0;
+/// Seconds, at the most: an hour.
+const MOST_SECONDS: f64 = 3600.0;
 /// Kilobytes of one answer, at the most: a small host's memory.
 const MOST_KILOBYTES: f64 = 65_536.0;
 /// Shards of one query, at the most: their places are counted in 16 bits.
@@ -121,7 +126,7 @@
     /// Every value with its range.
     pub fn rows(&self) -> Vec<PolicyRow> {
         let Self { departure, placing, second_attempts, skipping, admission, .. } = self;
-        let Self { gatherers, gathering, zones, targets, answers, .. } = self;
+        let Self { gatherers, gathering, zones, targets, quarantine, answers, .. } = self;
         vec![
             switch("departure.on", departure.on),
             share("departure.least_share", departure.least_share),
@@ -156,6 +161,10 @@
             switch("zones.step_aside", zones.step_aside),
             switch("zones.while_in_doubt", zones.while_in_doubt),
             millis("targets.last_use_ms", targets.last_use),
+            switch("quarantine.on", quarantine.on),
+            row("quarantine.crashes", f64::from(quarantine.crashes), 1.0, MOST_TIMES),
+            row("quarantine.term_s", quarantine.term.as_secs_f64(), 1.0, MOST_SECONDS),
+            switch("quarantine.callers", quarantine.callers),
             row("answers.held_kb", f64::from(answers.held_kb), 1.0, MOST_KILOBYTES),
         ]
     }
--- a/crates/hawthorn-route/src/retry_after.rs
+++ b/crates/hawthorn-route/src/retry_after.rs
@@ -37,6 +37,8 @@
         // The window slides by a tenth of its length.
         RefusalReason::BudgetSpent => (0.1, 0.3),
         RefusalReason::TooLate => (0.01, 0.05),
+        // Used only if the end of the refusal term is unknown.
+        RefusalReason::Quarantined => (1.0, 2.0),
     };
     let drawn = Duration::from_secs_f64(lots.random_range(least..most));
     let elsewhere = aside.map_or(Duration::ZERO, |since| BALANCER_TIME.saturating_sub(since));
--- /dev/null
+++ b/crates/hawthorn-route/tests/quarantine_fleet.rs
@@ -0,0 +1,427 @@
+//! Simulation of quarantine gossip in a fleet, without sockets.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use hawthorn_route::fingerprint::RequestFingerprint;
+use hawthorn_route::quarantine;
+use hawthorn_route::quarantine::AttemptKind;
+use hawthorn_route::quarantine::AttemptOutcome;
+use hawthorn_route::quarantine::Exposure;
+use hawthorn_route::quarantine::Options;
+use hawthorn_route::quarantine::Permit;
+use hawthorn_route::quarantine::QuarantineTable;
+use hawthorn_route::quarantine::RequestIdentity;
+use hawthorn_route::quarantine::Verdict;
+use hawthorn_route::quarantine::gossip;
+use hawthorn_route::quarantine::gossip::QuarantineMessage;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+/// All times are in microseconds.
+const GOSSIP_DELAY: u64 = 3_000;
+const SAME_ZONE_DELAY: u64 = 500;
+const OTHER_ZONE_DELAY: u64 = 1_500;
+const HEARTBEAT_PERIOD: u64 = 400_000;
+/// The time from an attempt to the crash of its target.
+const CRASH_DELAY: u64 = 2_000;
+/// How long a crashed target is down.
+const DOWNTIME: u64 = 3_000_000;
+const SHARDS: usize = 20;
+/// The number of hosts that share the shards of one query.
+const PARTS: usize = 4;
+const MAX_ATTEMPTS: usize = 2;
+const LOSS: f64 = 0.1;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// A caller sends the request to a host; `number` counts its tries.
+    Try {
+        host: usize,
+        number: usize,
+    },
+    /// An attempt crashes its target.
+    Crash {
+        part: usize,
+        target: usize,
+    },
+    /// A part sends the attempts that are permitted.
+    Poll {
+        part: usize,
+    },
+    Gossip {
+        host: usize,
+    },
+    Deliver {
+        from: usize,
+        to: usize,
+        bytes: Vec<u8>,
+    },
+    Heartbeat {
+        host: usize,
+    },
+    /// A heartbeat with a digest arrives.
+    Digest {
+        from: usize,
+        to: usize,
+        digest: u64,
+    },
+}
+
+struct Part {
+    host: usize,
+    number: usize,
+    shards: Vec<usize>,
+    /// The number of attempts by shard.
+    attempts: Vec<usize>,
+    exposure: Exposure,
+}
+
+struct Fleet {
+    rng: StdRng,
+    zones: usize,
+    hosts: Vec<QuarantineTable>,
+    gossip_scheduled: Vec<bool>,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    now: u64,
+    parts: Vec<Part>,
+    /// The time from which each target is up; each shard has two.
+    up_at: Vec<u64>,
+    /// The time and try number of each crash.
+    crashes: Vec<(u64, usize)>,
+    /// The time and try number of each attempt.
+    sent: Vec<(u64, usize)>,
+    /// A zone that is partitioned from all others.
+    partitioned: Option<usize>,
+    messages: usize,
+}
+
+fn crashing(from: u8) -> RequestIdentity {
+    let fingerprint = RequestFingerprint::of("GET", "a.example", "/crash", b"");
+    RequestIdentity::new(fingerprint, Some([10, 0, 0, from].into()), "r")
+}
+
+impl Fleet {
+    fn new(hosts: usize, zones: usize, seed: u64) -> Self {
+        let mut fleet = Self {
+            rng: StdRng::seed_from_u64(seed),
+            zones,
+            hosts: vec![QuarantineTable::default(); hosts],
+            gossip_scheduled: vec![false; hosts],
+            events: BinaryHeap::new(),
+            sequence: 0,
+            now: 0,
+            parts: Vec::new(),
+            up_at: vec![0; SHARDS * 2],
+            crashes: Vec::new(),
+            sent: Vec::new(),
+            partitioned: None,
+            messages: 0,
+        };
+        for host in 0..hosts {
+            let first = fleet.rng.random_range(0..HEARTBEAT_PERIOD);
+            fleet.push(first, Event::Heartbeat { host });
+        }
+        fleet
+    }
+
+    fn push(&mut self, after: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((self.now + after, self.sequence, event)));
+    }
+
+    fn clock(&self) -> Duration {
+        Duration::from_micros(self.now)
+    }
+
+    fn zone(&self, host: usize) -> usize {
+        host % self.zones
+    }
+
+    fn send(&mut self, from: usize, to: usize, event: Event) {
+        self.messages += 1;
+        let across = self.zone(from) != self.zone(to);
+        let partitioned = |zone| self.partitioned == Some(zone);
+        if across && (partitioned(self.zone(from)) || partitioned(self.zone(to))) {
+            return;
+        }
+        if !self.rng.random_bool(LOSS) {
+            self.push(if across { OTHER_ZONE_DELAY } else { SAME_ZONE_DELAY }, event);
+        }
+    }
+
+    fn run_until(&mut self, end: u64) {
+        while let Some(Reverse((at, _, _))) = self.events.peek() {
+            if *at > end {
+                break;
+            }
+            let Some(Reverse((at, _, event))) = self.events.pop() else { break };
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Try { host, number } => self.begin(host, number),
+            Event::Poll { part } => self.poll(part),
+            Event::Crash { part, target } => self.crash(part, target),
+            Event::Gossip { host } => self.gossip(host),
+            Event::Deliver { from, to, bytes } => self.deliver(from, to, &bytes),
+            Event::Heartbeat { host } => self.heartbeat(host),
+            Event::Digest { from, to, digest } => {
+                if digest != 0 && digest != self.hosts[to].digest() {
+                    self.send_message(to, from, &QuarantineMessage::Ask);
+                }
+            }
+        }
+    }
+
+    /// Splits a query between hosts of several zones.
+    fn begin(&mut self, host: usize, number: usize) {
+        let verdict = self.hosts[host].verdict(&crashing(1), self.clock(), &Options::default());
+        let shards: Vec<usize> = (0..SHARDS).collect();
+        let each = match verdict {
+            Verdict::Refuse(_) => return,
+            Verdict::Trial => SHARDS,
+            Verdict::Send => SHARDS.div_ceil(PARTS),
+        };
+        for (place, chunk) in shards.chunks(each).enumerate() {
+            // Hosts in a partitioned zone receive no parts from peers.
+            let peer = (host + place) % self.hosts.len();
+            let host = if self.partitioned == Some(self.zone(peer)) { host } else { peer };
+            let attempts = vec![0; chunk.len()];
+            let exposure = Exposure::default();
+            self.parts.push(Part { host, number, shards: chunk.to_vec(), attempts, exposure });
+            let part = self.parts.len() - 1;
+            self.push(if place == 0 { 0 } else { OTHER_ZONE_DELAY }, Event::Poll { part });
+        }
+    }
+
+    /// Sends all attempts that are permitted now.
+    fn poll(&mut self, place: usize) {
+        let now = self.clock();
+        for index in 0..self.parts[place].shards.len() {
+            let part = &mut self.parts[place];
+            let (shard, tries) = (part.shards[index], part.attempts[index]);
+            let target = [shard * 2, shard * 2 + 1]
+                .into_iter()
+                .find(|target| self.up_at[*target] <= self.now);
+            let Some(target) = target.filter(|_| tries < MAX_ATTEMPTS) else { continue };
+            // A further attempt at the shard waits until those in flight have ended.
+            if tries > 0 && part.exposure.in_flight() > 0 {
+                continue;
+            }
+            let kind = if tries == 0 { AttemptKind::First } else { AttemptKind::Extra };
+            let table = &self.hosts[part.host];
+            let options = Options::default();
+            let permit =
+                quarantine::decide(table, &crashing(1), &part.exposure, kind, now, &options);
+            if permit != Permit::Send {
+                continue;
+            }
+            part.exposure.send(tries > 0);
+            part.attempts[index] += 1;
+            self.sent.push((self.now, part.number));
+            self.push(CRASH_DELAY, Event::Crash { part: place, target });
+        }
+    }
+
+    fn crash(&mut self, place: usize, target: usize) {
+        let outcome = if self.up_at[target] <= self.now {
+            self.up_at[target] = self.now + DOWNTIME;
+            self.crashes.push((self.now, self.parts[place].number));
+            AttemptOutcome::Crashed
+        } else {
+            AttemptOutcome::Other
+        };
+        let part = &mut self.parts[place];
+        let (host, struck) = (part.host, part.exposure.end(outcome));
+        if struck {
+            let now = self.clock();
+            self.hosts[host].strike(&crashing(1), now, &Options::default());
+            self.schedule_gossip(host);
+        }
+        self.push(0, Event::Poll { part: place });
+    }
+
+    fn schedule_gossip(&mut self, host: usize) {
+        if self.hosts[host].has_unsent() && !self.gossip_scheduled[host] {
+            self.gossip_scheduled[host] = true;
+            self.push(GOSSIP_DELAY, Event::Gossip { host });
+        }
+    }
+
+    fn gossip(&mut self, host: usize) {
+        self.gossip_scheduled[host] = false;
+        let now = self.clock();
+        let notices = self.hosts[host].take_unsent(gossip::MAX_NOTICES, now);
+        let zone = self.zone(host);
+        let of_zone = |zone: usize| -> Vec<usize> {
+            (zone..self.hosts.len()).step_by(self.zones).filter(|peer| *peer != host).collect()
+        };
+        let own = of_zone(zone);
+        let others: Vec<Vec<usize>> =
+            (0..self.zones).filter(|other| *other != zone).map(of_zone).collect();
+        let receivers = gossip::receivers(&own, &others, &mut self.rng);
+        let message = QuarantineMessage::Notices(notices);
+        for peer in receivers {
+            self.send_message(host, peer, &message);
+        }
+    }
+
+    fn send_message(&mut self, from: usize, to: usize, message: &QuarantineMessage) {
+        let bytes = postcard::to_stdvec(message).expect("plain data encodes");
+        assert!(bytes.len() <= 1_150, "a message of {} bytes", bytes.len());
+        self.send(from, to, Event::Deliver { from, to, bytes });
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, bytes: &[u8]) {
+        let now = self.clock();
+        match postcard::from_bytes(bytes).expect("it was encoded") {
+            QuarantineMessage::Ask => {
+                let notices = self.hosts[to].notices(now);
+                for message in gossip::messages(notices, &mut self.rng) {
+                    self.send_message(to, from, &message);
+                }
+            }
+            QuarantineMessage::Notices(notices) => {
+                for notice in notices {
+                    self.hosts[to].merge(&notice, now, &Options::default());
+                }
+                self.schedule_gossip(to);
+            }
+        }
+    }
+
+    /// Exchanges digests with a host of the own zone, and sometimes with any other host.
+    fn heartbeat(&mut self, host: usize) {
+        let own = self.hosts.len() / self.zones;
+        let near = (host + self.zones * self.rng.random_range(1..own.max(2))) % self.hosts.len();
+        let mut peers = vec![near];
+        // Pings to other zones are shared between the hosts of a zone.
+        if self.rng.random_bool(0.8 / own as f64) {
+            peers.push(self.rng.random_range(0..self.hosts.len()));
+        }
+        for peer in peers.into_iter().filter(|peer| *peer != host) {
+            for (from, to) in [(host, peer), (peer, host)] {
+                let digest = self.hosts[from].digest();
+                self.send(from, to, Event::Digest { from, to, digest });
+            }
+        }
+        self.push(HEARTBEAT_PERIOD, Event::Heartbeat { host });
+    }
+
+    fn refusing(&self) -> usize {
+        let (now, options) = (self.clock(), Options::default());
+        let refuses = |table: &&QuarantineTable| {
+            matches!(table.verdict(&crashing(1), now, &options), Verdict::Refuse(_))
+        };
+        self.hosts.iter().filter(refuses).count()
+    }
+}
+
+struct Case {
+    hosts: usize,
+    zones: usize,
+}
+
+const CASES: [Case; 3] =
+    [Case { hosts: 8, zones: 3 }, Case { hosts: 200, zones: 5 }, Case { hosts: 4000, zones: 25 }];
+
+/// Guards against a request that crashes targets through one host after another.
+#[test]
+fn a_request_that_crashes_targets_is_refused_by_the_whole_fleet() {
+    for Case { hosts, zones } in CASES {
+        for seed in 0..3 {
+            let mut fleet = Fleet::new(hosts, zones, seed);
+            for number in 0..12 {
+                let host = fleet.rng.random_range(0..hosts);
+                fleet.push(
+                    1_000_000 + number * 3_500_000,
+                    Event::Try { host, number: number as usize },
+                );
+            }
+            fleet.run_until(1_100_000);
+            let early = fleet.refusing();
+            fleet.run_until(3_000_000);
+            assert_eq!(fleet.refusing(), hosts, "{hosts} hosts, seed {seed}: {early} at once");
+            assert!(early * 10 >= hosts * 9, "{hosts} hosts, seed {seed}: {early} at once");
+            fleet.run_until(45_000_000);
+            let crashes = fleet.crashes.len();
+            // The first attempts, and two more for each part of the first try.
+            assert!(crashes <= SHARDS + 2 * PARTS, "{hosts} hosts, seed {seed}: {crashes} crashes");
+            let later = fleet.sent.iter().filter(|(_, number)| *number > 0).count();
+            assert_eq!(later, 0, "{hosts} hosts, seed {seed}: attempts of later tries");
+        }
+    }
+}
+
+/// Guards against concurrent tries at hosts that have not yet exchanged records.
+#[test]
+fn concurrent_tries_at_many_hosts_are_bounded() {
+    for Case { hosts, zones } in CASES {
+        let mut fleet = Fleet::new(hosts, zones, 7);
+        for number in 0..8 {
+            let host = fleet.rng.random_range(0..hosts);
+            fleet.push(1_000_000 + number * 500, Event::Try { host, number: number as usize });
+        }
+        for number in 8..14 {
+            let host = fleet.rng.random_range(0..hosts);
+            fleet
+                .push(1_000_000 + number * 1_000_000, Event::Try { host, number: number as usize });
+        }
+        fleet.run_until(20_000_000);
+        // Concurrent tries may leave one or two of the three strikes to later ones.
+        let mut late: Vec<usize> = Vec::new();
+        late.extend(fleet.sent.iter().filter(|(at, _)| *at > 2_000_000).map(|(_, number)| *number));
+        late.dedup();
+        assert!(late.len() <= 2, "{hosts} hosts: attempts of tries {late:?}");
+        assert_eq!(fleet.refusing(), hosts);
+    }
+}
+
+/// Guards against a zone after a partition, or a restarted host, that still sends requests
+/// that all other hosts refuse.
+#[test]
+fn hosts_that_missed_gossip_converge_within_four_seconds() {
+    for Case { hosts, zones } in CASES {
+        for seed in 0..3 {
+            let mut fleet = Fleet::new(hosts, zones, seed);
+            fleet.partitioned = Some(0);
+            fleet.push(1_000_000, Event::Try { host: 1, number: 0 });
+            fleet.run_until(5_000_000);
+            assert!(fleet.refusing() < hosts, "the zone is partitioned");
+            fleet.partitioned = None;
+            fleet.hosts[2] = QuarantineTable::default();
+            fleet.run_until(9_000_000);
+            assert_eq!(fleet.refusing(), hosts, "{hosts} hosts, seed {seed}");
+        }
+    }
+}
+
+/// Guards against gossip that continues after all hosts have converged, or whose volume per
+/// host grows with the fleet.
+#[test]
+fn messages_of_a_host_do_not_grow_with_the_fleet() {
+    for Case { hosts, zones } in CASES {
+        let mut fleet = Fleet::new(hosts, zones, 1);
+        fleet.run_until(1_000_000);
+        let baseline = fleet.messages;
+        fleet.push(0, Event::Try { host: 0, number: 0 });
+        fleet.run_until(4_000_000);
+        let extra = fleet.messages.saturating_sub(baseline * 4);
+        assert!(extra <= hosts * 60, "{hosts} hosts: {extra} messages");
+        let before = fleet.messages;
+        fleet.run_until(5_000_000);
+        let after = fleet.messages - before;
+        assert!(
+            after <= baseline + baseline / 5 + 20,
+            "{hosts} hosts: {after} messages, baseline {baseline}"
+        );
+    }
+}
--- a/crates/hawthorn-standin/src/route/store.rs
+++ b/crates/hawthorn-standin/src/route/store.rs
@@ -24,6 +24,10 @@
 /// Items of one page: few, so that a small test has several pages.
 const PAGE_ITEMS: usize = 3;
 
+/// The id of every lease; leases never expire.
+const LEASE_ID: u64 = 7;
+const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
 /// How the store is out of order.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum RouteOutage {
@@ -186,6 +190,8 @@
         "/-/kv-range" => (200, page(request, shared)),
         "/-/kv-watch" => watch(request, shared).await,
         "/-/kv-key" => (200, item(request, shared)),
+        "/-/kv-lease" => (200, json!({ "lease": LEASE_ID, "ttlMs": 600_000 })),
+        "/-/kv-txn" => write(request, shared),
         _ => (404, json!({})),
     };
     let kind = [("Content-Type", "application/json".to_owned())];
@@ -211,6 +217,25 @@
     json!({ "items": items, "hasMore": more, "asOf": state.revision })
 }
 
+/// Applies the writes of a transaction, without checking preconditions.
+fn write(request: &WireRequest, shared: &Shared) -> (u16, Value) {
+    let Ok(body) = serde_json::from_slice::<Value>(&request.body) else { return (400, json!({})) };
+    let mut state = shared.state.lock().expect("no holder of the lock panics");
+    for entry in body["writes"].as_array().into_iter().flatten() {
+        let (Some(key), Some(text)) = (entry["key"].as_str(), entry["value"].as_str()) else {
+            return (400, json!({}));
+        };
+        state.revision += 1;
+        let (revision, value) = (state.revision, decode_base64(text));
+        state.items.insert(key.to_owned(), (revision, value.clone()));
+        state.history.push((revision, key.to_owned(), Some(value)));
+    }
+    let revision = state.revision;
+    drop(state);
+    shared.changed.notify_waiters();
+    (200, json!({ "revision": revision }))
+}
+
 fn item(request: &WireRequest, shared: &Shared) -> Value {
     let state = shared.state.lock().expect("no holder of the lock panics");
     let key = request.query("key").unwrap_or_default().replace("%2F", "/");
@@ -252,9 +277,20 @@
     (200, json!({ "events": events, "asOf": state.revision }))
 }
 
+fn decode_base64(text: &str) -> Vec<u8> {
+    let digit = |byte: u8| DIGITS.iter().position(|digit| *digit == byte);
+    let digits: Vec<usize> = text.bytes().filter_map(digit).collect();
+    let mut bytes = Vec::new();
+    for chunk in digits.chunks(4) {
+        let bits =
+            chunk.iter().enumerate().fold(0, |bits, (at, digit)| bits | digit << (18 - 6 * at));
+        bytes.extend((1..chunk.len()).map(|place| (bits >> (24 - 8 * place)) as u8));
+    }
+    bytes
+}
+
 /// Standard base64 with padding.
 fn base64(bytes: &[u8]) -> String {
-    const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
         let byte = |at: usize| u32::from(chunk.get(at).copied().unwrap_or(0));
--- a/crates/hawthorn-standin/src/route/target.rs
+++ b/crates/hawthorn-standin/src/route/target.rs
@@ -20,8 +20,8 @@
 use super::wire::WireRequest;
 use super::words;
 
-/// Between two tries to listen at an address again.
-const REBIND_PAUSE: Duration = Duration::from_millis(5);
+/// Delay between attempts to rebind the listener.
+const REBIND_DELAY: Duration = Duration::from_millis(5);
 
 /// What a target does to one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,7 +63,7 @@
     times_left: HashMap<String, String>,
     requests: Vec<(String, String, Vec<u8>)>,
     cancelled: usize,
-    /// The beginning of paths under which it crashes, and how long it is down then.
+    /// The path prefix on which the target crashes, and its downtime.
     crashes_on: Option<(String, Duration)>,
     crashes: usize,
 }
@@ -154,14 +154,14 @@
         self.state.lock().expect("no holder of the lock panics").cancelled
     }
 
-    /// Has it crash whenever it begins to run a request whose path begins so: all its
-    /// connections end, and it accepts none for the time.
+    /// Makes the target crash on requests whose path starts with `path`: it closes all
+    /// connections and accepts none for the duration `down`.
     pub fn crash_on(&self, path: &str, down: Duration) {
         let mut state = self.state.lock().expect("no holder of the lock panics");
         state.crashes_on = Some((path.to_owned(), down));
     }
 
-    /// How often it crashed.
+    /// The number of crashes.
     pub fn crashes(&self) -> usize {
         self.state.lock().expect("no holder of the lock panics").crashes
     }
@@ -186,13 +186,13 @@
             None => match TcpListener::bind(address).await {
                 Ok(listener) => listener,
                 Err(_) => {
-                    sleep(REBIND_PAUSE).await;
+                    sleep(REBIND_DELAY).await;
                     continue;
                 }
             },
         };
-        let life = stop.child_token();
-        serve_life(listener, &state, &life).await;
+        let crash_token = stop.child_token();
+        serve_until_crash(listener, &state, &crash_token).await;
         let down = {
             let state = state.lock().expect("no holder of the lock panics");
             state.crashes_on.as_ref().map_or(Duration::ZERO, |(_, down)| *down)
@@ -201,26 +201,30 @@
     }
 }
 
-/// Serves until the target crashes.
-async fn serve_life(
+/// Accepts connections until the target crashes.
+async fn serve_until_crash(
     listener: TcpListener,
     state: &Arc<Mutex<TargetState>>,
-    life: &CancellationToken,
+    crash_token: &CancellationToken,
 ) {
     loop {
         let stream = tokio::select! {
-            () = life.cancelled() => return,
+            () = crash_token.cancelled() => return,
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => stream,
                 Err(_) => return,
             },
         };
-        let holding = hold(stream, Arc::clone(state), life.clone());
-        tokio::spawn(life.clone().run_until_cancelled_owned(holding));
+        let holding = hold(stream, Arc::clone(state), crash_token.clone());
+        tokio::spawn(crash_token.clone().run_until_cancelled_owned(holding));
     }
 }
 
-async fn hold(mut stream: TcpStream, state: Arc<Mutex<TargetState>>, life: CancellationToken) {
+async fn hold(
+    mut stream: TcpStream,
+    state: Arc<Mutex<TargetState>>,
+    crash_token: CancellationToken,
+) {
     let mut buffer = Vec::new();
     while let Ok(Some(request)) = wire::read(&mut stream, &mut buffer).await {
         let (fault, id) = {
@@ -245,7 +249,7 @@
         }
         note_run(&state, &request);
         if crashes(&state, &request) {
-            life.cancel();
+            crash_token.cancel();
             return;
         }
         if !run(&mut stream, &state, &request, fault).await {
@@ -254,7 +258,7 @@
     }
 }
 
-/// Whether the target crashes under the request.
+/// Whether the request crashes the target; counts the crash if so.
 fn crashes(state: &Mutex<TargetState>, request: &WireRequest) -> bool {
     let mut state = state.lock().expect("no holder of the lock panics");
     let crashes =
--- a/crates/hawthorn-store/src/client/mod.rs
+++ b/crates/hawthorn-store/src/client/mod.rs
@@ -137,6 +137,25 @@
         }
     }
 
+    /// Posts a body to a path of a store with another API, as
+    /// [`read_path`](Self::read_path) does for reads. The call is not idempotent: it may
+    /// have taken effect even if no answer came.
+    ///
+    /// # Errors
+    /// When no answer came, or the store says that nothing was done.
+    pub async fn post_path(
+        &self,
+        kind: CallKind,
+        path: String,
+        body: Vec<u8>,
+    ) -> Result<(StatusCode, Bytes), ReadError> {
+        match self.caller.call(StoreCall::with_body(kind, Method::POST, path, body)).await {
+            CallReply::Answered(status, body) => Ok((status, body)),
+            CallReply::NotRun(cause) => Err(ReadError::NotRun(cause)),
+            CallReply::Uncertain(cause) => Err(ReadError::NoAnswer(cause)),
+        }
+    }
+
     /// Asks for a lease of `ttl`.
     ///
     /// A lease says who should act, never who may: a paused holder does not
--- a/tests/route_crashes.rs
+++ b/tests/route_crashes.rs
@@ -1,4 +1,4 @@
-//! Requests that crash every target that begins to run them.
+//! Requests that crash every target that runs them.
 
 mod support;
 
@@ -12,15 +12,15 @@
 use tokio::time::sleep;
 
 const SHARDS: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
-/// A target that crashed accepts connections again after this.
+/// How long a crashed target is down.
 const DOWN: Duration = Duration::from_millis(150);
-/// Between two tries of the caller: all targets are back, and hosts have heard of each other's.
+/// Delay between tries, in which targets restart and hosts exchange records.
 const PAUSE: Duration = Duration::from_millis(600);
-/// The path under which targets crash.
+/// The path and query on which targets crash.
 const CRASHING: &str = "crash?q=1";
 
-/// Two zones with two hosts each, and two targets of each of eight shards, which also are
-/// targets of a service of their own.
+/// Two zones with two hosts each, and one target per zone for each of eight shards.
+/// Each shard is also a service of its own.
 struct Fleet {
     _store: RouteStore,
     targets: Vec<RouteTarget>,
@@ -69,12 +69,12 @@
     }
 }
 
-/// Guards against a request that is sent to targets however many crashed under it.
+/// Guards against a request that is still sent to targets after it has crashed several.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashes_its_targets_is_refused_by_every_host() -> TestResult {
     struct Case {
         route: &'static str,
-        /// Crashes, at the most: first attempts, and those that convict it.
+        /// The maximum number of crashes: first attempts, and those until it is refused.
         crashes: usize,
     }
     let cases = [
@@ -118,10 +118,57 @@
     let crashing = format!("/all/{CRASHING}");
     fleet.crash_on(&crashing);
     fleet.hosts[0].ask("GET", &crashing, "crash-0", "").await?;
-    // First attempts, and one more for each host that gathers.
+    // The first attempts, and one more for each host that gathers.
     let most = SHARDS.len() + fleet.hosts.len();
     assert!(fleet.runs("crash-0") <= most, "{} runs", fleet.runs("crash-0"));
     let answer = fleet.hosts[0].ask("GET", "/all/ordinary", "ordinary-0", "").await?;
     assert_eq!(answer.status, 200);
     Ok(())
 }
+
+/// Guards against the loss of refusals when all hosts restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_request_is_refused_after_all_hosts_restart() -> TestResult {
+    let mut fleet = fleet().await?;
+    let crashing = format!("/all/{CRASHING}");
+    fleet.crash_on(&crashing);
+    for round in 0..4 {
+        fleet.hosts[0].ask("GET", &crashing, &format!("crash-{round}"), "").await?;
+        sleep(PAUSE).await;
+    }
+    let crashes = fleet.crashes();
+    for host in &mut fleet.hosts {
+        host.restart()?;
+    }
+    for host in &fleet.hosts {
+        host.ready().await?;
+        let answer = host.ask("GET", &crashing, "crash-again", "").await?;
+        assert_eq!(answer.status, 503);
+        let after: f64 = answer.headers["retry-after"].parse()?;
+        assert!((300.0..=600.0).contains(&after), "retry-after is {after} s");
+    }
+    assert_eq!(fleet.crashes(), crashes);
+    let answer = fleet.hosts[0].ask("GET", "/all/ordinary", "ordinary-0", "").await?;
+    assert_eq!(answer.status, 200);
+    Ok(())
+}
+
+/// Guards against a caller that avoids refusal by varying its requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_who_varies_its_requests_is_refused() -> TestResult {
+    for route in ["/all/", "/safe/", "/once/"] {
+        let fleet = fleet().await?;
+        let crashing = format!("{route}crash");
+        fleet.crash_on(&crashing);
+        let mut reached = 0;
+        for round in 0..16 {
+            let host = &fleet.hosts[round % fleet.hosts.len()];
+            let id = format!("crash-{round}");
+            host.ask("GET", &format!("{crashing}?q={round}"), &id, "").await?;
+            reached += usize::from(fleet.runs(&id) > 0);
+            sleep(DOWN * 2).await;
+        }
+        assert!(reached <= 10, "{route}: {reached} of 16 requests reached targets");
+    }
+    Ok(())
+}
