fix(route): rate-limit gossip of single strikes; rewrite entries lost with their leases

Every host gossiped each single strike and logged each one it received, so during an outage messages and log lines grew with the query rate of the fleet. A token bucket at each host (10 per second, burst of 32) now limits notices of unconfirmed records, and unconfirmed records received from peers, and records that expire, are logged at debug level.

The store may expire leases while it is down, and the request was then released at all hosts at once. Hosts now keep their own refusal term, and the host that wrote a missing entry rewrites it while more than 10 s of the term remain.

Evidence: - `notices_of_single_strikes_are_rate_limited_and_others_are_not` (2,000 strikes in two seconds: at most 52 notices, beside all of 100 confirmed ones) - `a_deleted_entry_of_a_refused_request_is_rewritten`

--- a/crates/hawthorn-edge/src/process/quarantine.rs
+++ b/crates/hawthorn-edge/src/process/quarantine.rs
@@ -46,6 +46,11 @@
 /// The maximum number of refused requests queued for the store; further ones are only
 /// sent to other hosts.
 const MAX_UNSAVED: usize = 256;
+/// The maximum number of its own entries that a host tracks, to rewrite them if the store
+/// loses them.
+const MAX_SAVED: usize = 1024;
+/// An entry missing from the store is rewritten only if more than this is left of its term.
+const MIN_REWRITE_TERM: Duration = Duration::from_secs(10);
 /// Delay before a failed write is retried.
 const SAVE_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// The maximum duration of a lease in the store.
@@ -64,6 +69,8 @@
     trial_ended: Notify,
     unsaved: RefCell<VecDeque<RequestFingerprint>>,
     to_save: Notify,
+    /// Refused requests that this host has written to the store, at most [`MAX_SAVED`].
+    saved: RefCell<HashSet<RequestFingerprint>>,
 }
 
 /// Permission to try a request that may crash its target; released on drop.
@@ -177,10 +184,14 @@
 }
 
 fn note_change(host: &RouteHost, change: &Change) {
+    note_change_at(host, change, Level::Info);
+}
+
+fn note_change_at(host: &RouteHost, change: &Change, level: Level) {
     let Change { subject, kind, strikes, left } = change;
     host.metrics.count_quarantine(*kind, 1);
     edge_event!(
-        Level::Info,
+        level,
         EdgeEvent::QuarantineChanged,
         "subject={subject} change={kind} strikes={strikes} left_ms={}",
         left.as_millis()
@@ -277,7 +288,10 @@
     let options = options(host);
     let change = host.quarantine.table.borrow_mut().merge(notice, host_now(), &options);
     if let Some(change) = change {
-        note_change(host, &change);
+        // Failure: during an outage, each host's log grows with the request rate of the fleet.
+        // Unconfirmed strikes are logged at info level only by the host that recorded them.
+        let level = if notice.confirmed { Level::Info } else { Level::Debug };
+        note_change_at(host, &change, level);
         host.quarantine.trial_ended.notify_waiters();
     }
 }
@@ -285,7 +299,17 @@
 /// Applies a refused request's entry in the store, so that a restarted host refuses it.
 pub(crate) fn take_stored(host: &RouteHost, fingerprint: RequestFingerprint, value: Option<&[u8]>) {
     let Some(value) = value else {
-        host.quarantine.table.borrow_mut().release(Subject::Request(fingerprint), host_now());
+        // Failure: the lease expires while the store is down, and hosts that restart later
+        // no longer refuse the request.
+        let saved = host.quarantine.saved.borrow_mut().remove(&fingerprint);
+        let notice =
+            host.quarantine.table.borrow().notice(Subject::Request(fingerprint), host_now());
+        if saved
+            && notice
+                .is_some_and(|notice| u128::from(notice.refused_ms) > MIN_REWRITE_TERM.as_millis())
+        {
+            save(host, fingerprint);
+        }
         return;
     };
     match serde_json::from_slice::<Notice>(value) {
@@ -303,7 +327,10 @@
 /// Removes ended terms and expired records, and updates the gauges.
 pub(crate) fn sweep(host: &RouteHost) {
     let changes = host.quarantine.table.borrow_mut().sweep(host_now());
-    changes.iter().for_each(|change| note_change(host, change));
+    for change in &changes {
+        let forgotten = change.kind == ChangeKind::Forgotten;
+        note_change_at(host, change, if forgotten { Level::Debug } else { Level::Info });
+    }
     let (held, refused) = host.quarantine.table.borrow().counts();
     host.metrics.show("quarantine-subjects", held as u64);
     host.metrics.show("quarantine-refused", refused as u64);
@@ -330,7 +357,13 @@
         let notice =
             host.quarantine.table.borrow().notice(Subject::Request(fingerprint), host_now());
         let Some(notice) = notice.filter(|notice| notice.refused_ms > 0) else { continue };
+        let saved = &host.quarantine.saved;
+        if saved.borrow().len() < MAX_SAVED {
+            // Before the write, as its deletion may be heard of before its reply.
+            saved.borrow_mut().insert(fingerprint);
+        }
         if !write(&client, fingerprint, &notice).await {
+            saved.borrow_mut().remove(&fingerprint);
             save(&host, fingerprint);
             sleep(SAVE_RETRY_DELAY).await;
         }
--- a/crates/hawthorn-route/src/quarantine/record.rs
+++ b/crates/hawthorn-route/src/quarantine/record.rs
@@ -147,11 +147,6 @@
         self.strikes = self.strikes.saturating_sub(strikes);
     }
 
-    /// Ends the refusal term early.
-    pub(super) fn release(&mut self, now: Duration) {
-        self.refused_until = self.refused_until.min(now);
-    }
-
     pub(super) fn verdict(
         &self,
         subject: Subject,
--- a/crates/hawthorn-route/src/quarantine/table.rs
+++ b/crates/hawthorn-route/src/quarantine/table.rs
@@ -29,6 +29,12 @@
 /// Answered requests that reset a caller's strikes; a single strike is reset by one.
 const CALLER_ANSWERS: u32 = 8;
 
+/// The maximum rate of notices of unconfirmed records, per second and host. Without it,
+/// gossip during an outage grows with the query rate of the fleet.
+const UNCONFIRMED_NOTICE_RATE: f64 = 10.0;
+/// The maximum number of notices of unconfirmed records sent in one burst.
+const UNCONFIRMED_NOTICE_BURST: f64 = 32.0;
+
 /// Quarantine records of one host, kept in memory for the lifetime of the process.
 #[derive(Clone, Debug, Default)]
 pub struct QuarantineTable {
@@ -39,9 +45,36 @@
     terms: BTreeMap<(Duration, Subject), ()>,
     /// Subjects with changes that have not been sent to other hosts.
     unsent: BTreeSet<Subject>,
+    /// Limits notices of unconfirmed records.
+    notice_limiter: NoticeLimiter,
     digest: u64,
 }
 
+/// Token bucket for notices of unconfirmed records.
+#[derive(Clone, Debug)]
+struct NoticeLimiter {
+    tokens: f64,
+    last_refill: Duration,
+}
+
+impl Default for NoticeLimiter {
+    fn default() -> Self {
+        Self { tokens: UNCONFIRMED_NOTICE_BURST, last_refill: Duration::ZERO }
+    }
+}
+
+impl NoticeLimiter {
+    fn try_acquire(&mut self, now: Duration) -> bool {
+        let elapsed = now.saturating_sub(self.last_refill).as_secs_f64();
+        self.last_refill = now;
+        self.tokens =
+            (self.tokens + elapsed * UNCONFIRMED_NOTICE_RATE).min(UNCONFIRMED_NOTICE_BURST);
+        let allowed = self.tokens >= 1.0;
+        self.tokens -= f64::from(u8::from(allowed));
+        allowed
+    }
+}
+
 fn record_hash(subject: Subject, record: &Record) -> u64 {
     if !record.confirmed {
         return 0;
@@ -213,14 +246,8 @@
         Some(Change { subject, kind, strikes, left })
     }
 
-    /// Ends a subject's refusal term early.
-    pub fn release(&mut self, subject: Subject, now: Duration) {
-        if self.records.contains_key(&subject) {
-            self.update(subject, now, |record| record.release(now));
-        }
-    }
-
-    /// Takes at most `max` notices of changes that have not been sent.
+    /// Takes at most `max` notices of changes that have not been sent. Notices of
+    /// unconfirmed records above the rate limit are dropped.
     pub fn take_unsent(&mut self, max: usize, now: Duration) -> Vec<Notice> {
         let mut notices = Vec::new();
         while notices.len() < max {
@@ -228,6 +255,11 @@
             // An unconfirmed record that was cleared before it was sent needs no notice.
             let record = self.records.get(&subject);
             let record = record.filter(|record| record.strikes > 0 || record.confirmed);
+            if record.is_some_and(|record| !record.confirmed)
+                && !self.notice_limiter.try_acquire(now)
+            {
+                continue;
+            }
             notices.extend(record.map(|record| record.notice(subject, now)));
         }
         notices
--- a/crates/hawthorn-route/tests/quarantine.rs
+++ b/crates/hawthorn-route/tests/quarantine.rs
@@ -247,3 +247,29 @@
     let subject = Subject::Request(request.fingerprint);
     assert!(second.table.notice(subject, at(20)).is_some());
 }
+
+/// Guards against gossip that grows with the query rate during an outage.
+#[test]
+fn notices_of_single_strikes_are_rate_limited_and_others_are_not() {
+    let mut host = Host::default();
+    let mut unconfirmed = 0;
+    let mut confirmed = 0;
+    for number in 0..2000_u64 {
+        let now = at(number);
+        let request = identity(&format!("/{number}"), (number % 200) as u8);
+        host.exposure = Exposure::default();
+        host.exposure.send(false);
+        host.end(&request, AttemptOutcome::Crashed, now);
+        if number.is_multiple_of(20) {
+            // Each of another route, so that no caller is refused before.
+            let request =
+                RequestIdentity::new(request.fingerprint, caller(250), &number.to_string());
+            host.crash_sequentially(&request, 10, now);
+        }
+        let notices = host.table.take_unsent(usize::MAX, now);
+        confirmed += notices.iter().filter(|notice| notice.confirmed).count();
+        unconfirmed += notices.iter().filter(|notice| !notice.confirmed).count();
+    }
+    assert!(confirmed >= 100, "{confirmed} notices of confirmed records");
+    assert!(unconfirmed <= 52, "{unconfirmed} notices of unconfirmed records in two seconds");
+}
--- a/crates/hawthorn-standin/src/route/store.rs
+++ b/crates/hawthorn-standin/src/route/store.rs
@@ -113,6 +113,12 @@
         });
     }
 
+    /// All keys that start with `prefix`.
+    pub fn keys_with_prefix(&self, prefix: &str) -> Vec<String> {
+        let state = self.shared.state.lock().expect("no holder of the lock panics");
+        state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
     /// Drops the history; watches from before answer 410.
     pub fn compact(&self) {
         self.change(|state| {
--- a/tests/route_crashes.rs
+++ b/tests/route_crashes.rs
@@ -8,6 +8,7 @@
 use hawthorn_standin::route::RouteTarget;
 use hawthorn_standin::route::operator;
 use support::TestResult;
+use support::route;
 use support::route::RouteHost;
 use tokio::time::sleep;
 
@@ -22,7 +23,7 @@
 /// Two zones with two hosts each, and one target per zone for each of eight shards.
 /// Each shard is also a service of its own.
 struct Fleet {
-    _store: RouteStore,
+    store: RouteStore,
     targets: Vec<RouteTarget>,
     hosts: Vec<RouteHost>,
 }
@@ -52,7 +53,7 @@
         hosts.push(host);
     }
     sleep(PAUSE).await;
-    Ok(Fleet { _store: store, targets, hosts })
+    Ok(Fleet { store, targets, hosts })
 }
 
 impl Fleet {
@@ -172,3 +173,21 @@
     }
     Ok(())
 }
+
+/// Guards against the loss of a refused request whose entry disappears from the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deleted_entry_of_a_refused_request_is_rewritten() -> TestResult {
+    let fleet = fleet().await?;
+    let crashing = format!("/all/{CRASHING}");
+    fleet.crash_on(&crashing);
+    for round in 0..2 {
+        fleet.hosts[0].ask("GET", &crashing, &format!("crash-{round}"), "").await?;
+        sleep(PAUSE).await;
+    }
+    let stored = async || !fleet.store.keys_with_prefix("quarantine/").is_empty();
+    route::wait_for("the request to be stored", stored).await?;
+    for key in fleet.store.keys_with_prefix("quarantine/") {
+        fleet.store.delete(&key);
+    }
+    route::wait_for("the request to be rewritten", stored).await
+}
