fix(route): do not refuse the only caller of a route when all targets crash

A caller was refused if it accounted for most strikes of its route. The only caller of a route accounts for all of them, so it was refused even when targets reset connections for unrelated reasons. A caller's strikes are now compared with the strikes of all routes. Counts saturate, as peers' notices may hold any number.

Evidence: `a_caller_is_not_refused_while_requests_of_other_callers_crash_targets_too` failed before this change.

--- a/crates/hawthorn-route/src/quarantine/record.rs
+++ b/crates/hawthorn-route/src/quarantine/record.rs
@@ -109,7 +109,7 @@
         now: Duration,
         options: &Options,
     ) -> bool {
-        self.strikes += strikes;
+        self.strikes = self.strikes.saturating_add(strikes);
         self.answers = 0;
         if matches!(subject, Subject::Request(_)) {
             self.add_caller(caller);
@@ -124,7 +124,7 @@
         let term_begins = may_refuse && self.strikes >= threshold && !self.is_refused(now);
         if term_begins {
             let factor = 1_u32.checked_shl(self.terms).unwrap_or(u32::MAX);
-            self.terms += 1;
+            self.terms = self.terms.saturating_add(1);
             self.refused_until =
                 now + first_term.saturating_mul(factor).min(max_term.max(first_term));
         }
@@ -134,7 +134,7 @@
 
     /// Resets the record after an answer.
     pub(super) fn clear(&mut self) {
-        self.epoch += 1;
+        self.epoch = self.epoch.saturating_add(1);
         self.strikes = 0;
         self.answers = 0;
         self.refused_until = Duration::ZERO;
@@ -143,7 +143,7 @@
 
     /// Subtracts strikes caused by a request that a target has since answered.
     pub(super) fn subtract_strikes(&mut self, strikes: u32) {
-        self.epoch += 1;
+        self.epoch = self.epoch.saturating_add(1);
         self.strikes = self.strikes.saturating_sub(strikes);
     }
 
--- a/crates/hawthorn-route/src/quarantine/table.rs
+++ b/crates/hawthorn-route/src/quarantine/table.rs
@@ -157,13 +157,22 @@
             changes.push(self.strike_one(route, strikes, true, identity, now, options));
         }
         // Failure: targets reset connections for unrelated reasons, and callers are refused.
-        // A caller is refused only if it accounts for most of the route's strikes.
-        let strikes_of = |subject| self.records.get(&subject).map_or(0, |record| record.strikes);
-        let majority = (strikes_of(caller) + strikes) * 2 > strikes_of(route);
+        // A caller is refused only if it accounts for most of the strikes of all routes.
+        let previous = self.records.get(&caller).map_or(0, |record| record.strikes);
+        let majority =
+            previous.saturating_add(strikes).saturating_mul(2) > self.total_route_strikes();
         changes.push(self.strike_one(caller, strikes, majority, identity, now, options));
         changes
     }
 
+    /// The sum of strikes over all routes. The strikes of one route are no baseline for its
+    /// callers, because a route may have only one.
+    fn total_route_strikes(&self) -> u32 {
+        let routes = self.records.iter();
+        let routes = routes.filter(|(subject, _)| matches!(subject, Subject::Route(_)));
+        routes.fold(0, |total, (_, record)| total.saturating_add(record.strikes))
+    }
+
     fn strike_one(
         &mut self,
         subject: Subject,
--- a/crates/hawthorn-route/tests/quarantine.rs
+++ b/crates/hawthorn-route/tests/quarantine.rs
@@ -273,3 +273,22 @@
     assert!(confirmed >= 100, "{confirmed} notices of confirmed records");
     assert!(unconfirmed <= 52, "{unconfirmed} notices of unconfirmed records in two seconds");
 }
+
+/// Guards against refusing the only caller of a route while targets of all routes crash.
+#[test]
+fn a_caller_is_not_refused_while_requests_of_other_callers_crash_targets_too() {
+    let mut host = Host::default();
+    let only_caller_identity = |number: u64| {
+        let fingerprint = RequestFingerprint::of("GET", "a.example", &number.to_string(), b"");
+        RequestIdentity::new(fingerprint, caller(1), "alone")
+    };
+    for number in 0..100_u64 {
+        let now = at(number * 50);
+        host.crash_sequentially(&identity(&format!("/{number}"), (number % 20) as u8), 2, now);
+        if number.is_multiple_of(10) {
+            host.crash_sequentially(&only_caller_identity(number), 2, now);
+        }
+    }
+    assert_ne!(host.verdict(&only_caller_identity(1000), at(5000)), Verdict::Send);
+    assert!(!matches!(host.verdict(&only_caller_identity(1000), at(5000)), Verdict::Refuse(_)));
+}
