test(route): kill all hosts before a refused request is retried

`a_refused_request_is_refused_after_all_hosts_restart` restarted the hosts one after the other, so a restarted host could learn of the refused request from hosts that were still running. The test now kills all hosts before it restarts any, so that only the store still holds the request.

--- a/tests/route_crashes.rs
+++ b/tests/route_crashes.rs
@@ -138,6 +138,10 @@
         sleep(PAUSE).await;
     }
     let crashes = fleet.crashes();
+    // No running host may pass the refusal on to a restarted one.
+    for host in &mut fleet.hosts {
+        host.kill()?;
+    }
     for host in &mut fleet.hosts {
         host.restart()?;
     }
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -110,10 +110,16 @@
         Ok(Self { ip, child, log, held, file, _files: files })
     }
 
-    /// Ends the process by force and starts it again at the same addresses.
-    pub fn restart(&mut self) -> TestResult {
+    /// Kills the process and waits for it to exit.
+    pub fn kill(&mut self) -> TestResult {
         self.child.kill()?;
         self.child.wait()?;
+        Ok(())
+    }
+
+    /// Kills the process and starts it again at the same addresses.
+    pub fn restart(&mut self) -> TestResult {
+        self.kill()?;
         self.child = run(&self.file, &self.log, &self.held)?;
         Ok(())
     }
