feat(route): keep requests away from evacuated zones

Cause: op/evacuate/ZONE was read as a key of no meaning, and no decision knew an evacuated zone.

Change: evacuations are a state of the registry, with the revision of the store, and reach hosts as configuration and entries do. Placing, splitting and counting of working targets leave such zones' targets out, and a request is checked again when it is written to its connection, as it may have waited for one for seconds. That check also covers targets that left meanwhile. Requests in flight end where they run: a second one elsewhere would use the budget of extra attempts for requests that are served anyway. The zone's load moves at once and not over the bound: the other zones carry it for the whole evacuation in any case. With several zones left that hold all shards, queries used to go to the one whose name sorts last; now to the one with most of the best targets.

--- a/crates/hawthorn-edge/src/process/catalog.rs
+++ b/crates/hawthorn-edge/src/process/catalog.rs
@@ -2,6 +2,7 @@
 
 use hawthorn_platform::catalog;
 use hawthorn_platform::catalog::CatalogKey;
+use hawthorn_route::evacuation::EvacuationChange;
 use hawthorn_route::mirror::MirrorItem;
 use hawthorn_route::mirror::MirrorNews;
 use hawthorn_route::registry::TargetChange;
@@ -21,6 +22,7 @@
         match catalog::key(&item.key) {
             CatalogKey::Document => take_document(host, item),
             CatalogKey::Entry(id) => take_entry(host, id, item),
+            CatalogKey::Evacuation(zone) => take_evacuation(host, zone, item),
             CatalogKey::Quarantine(fingerprint) => {
                 quarantine::take_stored(host, fingerprint, item.value.as_deref());
             }
@@ -75,6 +77,29 @@
     }
 }
 
+/// Applies the evacuation of a zone, or its end. One that cannot be read changes nothing.
+fn take_evacuation(host: &RouteHost, zone: &str, item: &MirrorItem) {
+    let revision = item.revision;
+    if let Some(Err(error)) = item.value.as_deref().map(catalog::evacuation) {
+        edge_event!(
+            Level::Error,
+            EdgeEvent::EvacuationBroken,
+            "zone={zone} revision={revision} error=\"{error}\""
+        );
+        return;
+    }
+    let evacuated = item.value.is_some();
+    let change = host.beliefs.registry.borrow_mut().evacuate(zone, evacuated, revision);
+    if change != EvacuationChange::None {
+        let targets = host.beliefs.targets_in(zone);
+        edge_event!(
+            Level::Info,
+            EdgeEvent::EvacuationChanged,
+            "zone={zone} change={change} revision={revision} targets={targets}"
+        );
+    }
+}
+
 fn remove(host: &RouteHost, id: &str, revision: u64) {
     let change = host.beliefs.registry.borrow_mut().remove(id, revision, host_now());
     note_change(id, change, revision, "");
--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -48,6 +48,10 @@
     AttemptLate = 632,
     /// A zone's targets cannot be reached, or can again.
     ZoneReach = 622,
+    /// Operators evacuated a zone, or ended its evacuation.
+    EvacuationChanged = 624,
+    /// The evacuation of a zone cannot be read, and changes nothing.
+    EvacuationBroken = 625,
     /// The host steps aside, or takes callers again: whole kinds of requests
     /// cannot be answered from here.
     HostStranded = 623,
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -334,6 +334,8 @@
         host.metrics.show("connections", host.connections.get() as u64);
         host.metrics.show("version", host.beliefs.table().map_or(0, |table| table.version()));
         host.metrics.show("targets", host.beliefs.registry.borrow().iter().count() as u64);
+        let evacuated = host.beliefs.registry.borrow().evacuations().iter().count();
+        host.metrics.show("evacuated-zones", evacuated as u64);
         host.metrics.show_traffic(&host.traffic);
         if tick.is_multiple_of(TRAFFIC_SWEEPS) {
             note_traffic(&host.traffic);
--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -176,10 +176,14 @@
         // Failure: a request waits here for one of the few connections that a slow
         // target accepts, and is sent with time that its caller no longer has. What
         // is left is counted when it leaves.
-        let left = self.order.time_left(host_now());
+        let now = host_now();
+        let left = self.order.time_left(now);
         if left.is_zero() {
             return Err(Error::NotSent("its time was over before it was sent".into()));
         }
+        if let Err(bar) = self.host.beliefs.registry.borrow().permit(self.key, now) {
+            return Err(Error::NotSent(format!("target barred: {bar}")));
+        }
         let request = self.order.outgoing(target, left);
         let bytes = header_bytes(request.headers()) + self.order.body.len();
         self.host.traffic.count(TrafficPurpose::Targets, zone, bytes);
--- a/crates/hawthorn-edge/src/request/race.rs
+++ b/crates/hawthorn-edge/src/request/race.rs
@@ -247,6 +247,7 @@
         let beliefs = &self.host.beliefs;
         let usual = beliefs.usual(&self.order.route);
         let best = self.best.take();
+        let best = best.filter(|key| beliefs.registry.borrow().permit(*key, now).is_ok());
         let Some(key) =
             best.or_else(|| beliefs.place(self.service, &self.tried, &self.order.route, now))
         else {
--- a/crates/hawthorn-edge/src/version/reach.rs
+++ b/crates/hawthorn-edge/src/version/reach.rs
@@ -59,6 +59,12 @@
         there.get(lot).copied()
     }
 
+    /// The number of known targets in a zone.
+    pub fn targets_in(&self, zone: &str) -> usize {
+        let registry = self.registry.borrow();
+        registry.iter().filter(|(_, state)| *state.entry.zone == *zone).count()
+    }
+
     /// Counts a request of a route.
     pub fn count_demand(&self, route: &RouteRule) {
         let mut demand = self.demand.borrow_mut();
--- /dev/null
+++ b/crates/hawthorn-route/src/evacuation.rs
@@ -0,0 +1,64 @@
+//! Availability zones that operators have evacuated.
+//!
+//! The targets of an evacuated zone receive no requests; its hosts go on serving callers.
+//! Load: a whole zone's share moves to the other zones at once. Delaying it would not
+//! reduce what the other zones have to carry, and a host that learns of the evacuation
+//! late would use up the time in which it must be in force.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// A zone's evacuation changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum EvacuationChange {
+    /// No change, or one older than what is known.
+    None,
+    /// The zone's targets receive no requests from now on.
+    Begun,
+    /// The zone's targets receive requests again.
+    Ended,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ZoneRecord {
+    revision: u64,
+    evacuated: bool,
+}
+
+/// Evacuations by zone, each as of a revision of the store.
+#[derive(Clone, Debug, Default)]
+pub struct ZoneEvacuations {
+    zones: BTreeMap<Rc<str>, ZoneRecord>,
+}
+
+impl ZoneEvacuations {
+    /// Applies a change of one zone that was made at `revision`.
+    ///
+    /// Failure: a zone is evacuated and released in quick succession, the changes arrive in
+    /// the wrong order, and the zone stays evacuated.
+    pub fn apply(&mut self, zone: &str, evacuated: bool, revision: u64) -> EvacuationChange {
+        let known = self.zones.get(zone).copied();
+        if known.is_some_and(|record| revision < record.revision) {
+            return EvacuationChange::None;
+        }
+        self.zones.insert(Rc::from(zone), ZoneRecord { revision, evacuated });
+        let before = known.is_some_and(|record| record.evacuated);
+        match (before, evacuated) {
+            (false, true) => EvacuationChange::Begun,
+            (true, false) => EvacuationChange::Ended,
+            _ => EvacuationChange::None,
+        }
+    }
+
+    /// Whether a zone is evacuated.
+    pub fn contains(&self, zone: &str) -> bool {
+        self.zones.get(zone).is_some_and(|record| record.evacuated)
+    }
+
+    /// The evacuated zones.
+    pub fn iter(&self) -> impl Iterator<Item = &str> {
+        let evacuated = self.zones.iter().filter(|(_, record)| record.evacuated);
+        evacuated.map(|(zone, _)| &**zone)
+    }
+}
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`document`] | what operators configure: routes, services, callers' limits |
 //! | [`table`] | one version of it, made for look-ups |
 //! | [`target`] | what is believed of one target: entry, load, speed, failures |
+//! | [`evacuation`] | which zones operators have evacuated |
 //! | [`registry`] | all targets as they register, each belief with its age |
 //! | [`mod@place`] | which target an attempt goes to |
 //! | [`mod@hedge`] | when an attempt counts as late |
@@ -36,6 +37,7 @@
 pub mod depart;
 pub mod document;
 pub mod door;
+pub mod evacuation;
 pub mod fingerprint;
 pub mod gather;
 pub mod gatherers;
--- a/crates/hawthorn-route/src/place.rs
+++ b/crates/hawthorn-route/src/place.rs
@@ -52,9 +52,10 @@
 }
 
 impl<'a> PlaceView<'a> {
-    /// The way to the target's zone is open, as far as is known.
+    /// The target's zone is neither cut off, as far as is known, nor evacuated.
     fn reaches(&self, state: &TargetState) -> bool {
-        !self.cut.iter().any(|cut| **cut == *state.entry.zone)
+        let zone = &state.entry.zone;
+        !self.cut.iter().any(|cut| **cut == **zone) && !self.registry.evacuations().contains(zone)
     }
 
     /// The targets of a service that take work and can be reached.
--- a/crates/hawthorn-route/src/registry.rs
+++ b/crates/hawthorn-route/src/registry.rs
@@ -12,6 +12,8 @@
 use smallvec::SmallVec;
 
 use crate::document::TargetEntry;
+use crate::evacuation::EvacuationChange;
+use crate::evacuation::ZoneEvacuations;
 use crate::target::TargetPhase;
 use crate::target::TargetState;
 
@@ -58,6 +60,16 @@
     Removed,
 }
 
+/// Why a request may not be sent to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum SendBar {
+    /// It left, or is another target by now.
+    Gone,
+    /// Its zone is evacuated.
+    Evacuated,
+}
+
 /// All targets by key, id and service.
 #[derive(Debug, Default)]
 pub struct TargetRegistry {
@@ -65,6 +77,7 @@
     targets: SlotMap<TargetKey, TargetState>,
     by_id: HashMap<Rc<str>, TargetKey>,
     by_service: HashMap<Rc<str>, TargetKeys>,
+    evacuations: ZoneEvacuations,
 }
 
 impl TargetRegistry {
@@ -178,6 +191,34 @@
         }
     }
 
+    /// Applies the evacuation of a zone, or its end, as of `revision`.
+    pub fn evacuate(&mut self, zone: &str, evacuated: bool, revision: u64) -> EvacuationChange {
+        self.evacuations.apply(zone, evacuated, revision)
+    }
+
+    /// Evacuated zones.
+    pub fn evacuations(&self) -> &ZoneEvacuations {
+        &self.evacuations
+    }
+
+    /// Whether a request may be sent to a target now. Checked when the request is written to
+    /// the connection.
+    ///
+    /// Failure: a request waits for a connection while its target leaves or its zone is
+    /// evacuated, and is sent seconds later.
+    pub fn permit(&self, key: TargetKey, now: Duration) -> Result<(), SendBar> {
+        let state = self.targets.get(key).ok_or(SendBar::Gone)?;
+        match state.phase {
+            TargetPhase::Gone => return Err(SendBar::Gone),
+            TargetPhase::Leaving { until } if now >= until => return Err(SendBar::Gone),
+            TargetPhase::Leaving { .. } | TargetPhase::Ready => {}
+        }
+        if self.evacuations.contains(&state.entry.zone) {
+            return Err(SendBar::Evacuated);
+        }
+        Ok(())
+    }
+
     /// The ids that are known and not gone.
     pub fn ids(&self) -> Vec<String> {
         self.by_id.keys().map(|id| id.to_string()).collect()
--- a/crates/hawthorn-route/src/spread.rs
+++ b/crates/hawthorn-route/src/spread.rs
@@ -39,7 +39,7 @@
     }
 }
 
-/// Zones where a shard has a target that takes work.
+/// Zones where a shard has a target that takes work, that of the best target first.
 pub type ZoneNames = SmallVec<[Rc<str>; 2]>;
 
 /// Where one shard is best had.
@@ -90,10 +90,16 @@
     let Some(best) = place::place(view, shard, &[], lots, options) else {
         return ShardWay::Nowhere;
     };
-    if registry.get(best).is_none_or(|state| *state.entry.zone == *zone) {
+    let Some(best_zone) = registry.get(best).map(|state| &state.entry.zone) else {
+        return ShardWay::Near(best);
+    };
+    if **best_zone == *zone {
         return ShardWay::Near(best);
     }
     let mut zones = ZoneNames::new();
+    if view.working(shard).any(|state| state.entry.zone == *best_zone) {
+        zones.push(Rc::clone(best_zone));
+    }
     for other in view.working(shard).map(|state| &state.entry.zone) {
         if **other != *zone && !zones.contains(other) {
             zones.push(Rc::clone(other));
@@ -197,11 +203,19 @@
     }
 }
 
-/// The zone where most of the shards have a target.
+/// The zone where most of the shards have a target; of several, the one where most have
+/// their best.
+///
+/// Load: each shard has a target in every zone, and a zone is evacuated or slow. Its
+/// queries are divided among the other zones as their targets have room.
 fn busiest(away: &[(u16, &ZoneNames)]) -> Option<Rc<str>> {
-    let mut counts: HashMap<&Rc<str>, usize> = HashMap::new();
-    for zone in away.iter().flat_map(|(_, zones)| zones.iter()) {
-        *counts.entry(zone).or_default() += 1;
+    let mut counts: HashMap<&Rc<str>, (usize, usize)> = HashMap::new();
+    for (_, zones) in away {
+        for (rank, zone) in zones.iter().enumerate() {
+            let (shards, best) = counts.entry(zone).or_default();
+            *shards += 1;
+            *best += usize::from(rank == 0);
+        }
     }
     counts.into_iter().max_by_key(|(zone, count)| (*count, *zone)).map(|(zone, _)| Rc::clone(zone))
 }
--- /dev/null
+++ b/crates/hawthorn-route/tests/evacuation.rs
@@ -0,0 +1,220 @@
+//! Evacuated zones: how changes are applied, and which targets receive requests.
+
+mod support;
+
+use std::time::Duration;
+
+use hawthorn_route::document::GatherRule;
+use hawthorn_route::evacuation::EvacuationChange;
+use hawthorn_route::evacuation::ZoneEvacuations;
+use hawthorn_route::place;
+use hawthorn_route::registry;
+use hawthorn_route::registry::SendBar;
+use hawthorn_route::registry::TargetKey;
+use hawthorn_route::registry::TargetRegistry;
+use hawthorn_route::spread;
+use hawthorn_route::spread::ShardWay;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const NOW: Duration = Duration::from_secs(10);
+const ZONES: [&str; 3] = ["east", "west", "south"];
+
+fn registry(shards: usize) -> TargetRegistry {
+    let mut registry = TargetRegistry::new(registry::Options::default());
+    for shard in 0..shards {
+        for zone in ZONES {
+            let id = format!("t{shard}-{zone}");
+            registry.put(support::entry(&id, &format!("s{shard}"), zone), 1, NOW);
+        }
+    }
+    registry
+}
+
+fn zone_of(registry: &TargetRegistry, key: TargetKey) -> String {
+    registry.get(key).expect("the target is known").entry.zone.to_string()
+}
+
+/// Guards against a change that arrives late and undoes a later one.
+#[test]
+fn changes_are_applied_by_revision() {
+    use EvacuationChange::Begun;
+    use EvacuationChange::Ended;
+    use EvacuationChange::None as Unchanged;
+    struct Case {
+        name: &'static str,
+        /// Zone, whether it is evacuated, revision, and the resulting change.
+        changes: &'static [(&'static str, bool, u64, EvacuationChange)],
+        evacuated: &'static [&'static str],
+    }
+    let cases = [
+        Case { name: "begun", changes: &[("east", true, 5, Begun)], evacuated: &["east"] },
+        Case {
+            name: "written and taken back",
+            changes: &[("east", true, 5, Begun), ("east", false, 6, Ended)],
+            evacuated: &[],
+        },
+        Case {
+            name: "taken back, then the earlier change",
+            changes: &[("east", false, 6, Unchanged), ("east", true, 5, Unchanged)],
+            evacuated: &[],
+        },
+        Case {
+            name: "two at once",
+            changes: &[("east", true, 5, Begun), ("west", true, 6, Begun)],
+            evacuated: &["east", "west"],
+        },
+        Case {
+            name: "twice",
+            changes: &[("east", true, 5, Begun), ("east", true, 7, Unchanged)],
+            evacuated: &["east"],
+        },
+        Case {
+            name: "a zone without targets",
+            changes: &[("north", true, 5, Begun)],
+            evacuated: &["north"],
+        },
+    ];
+    for case in cases {
+        let mut evacuations = ZoneEvacuations::default();
+        for (zone, evacuated, revision, change) in case.changes {
+            let applied = evacuations.apply(zone, *evacuated, *revision);
+            assert_eq!(applied, *change, "{}: {zone} at {revision}", case.name);
+        }
+        assert_eq!(evacuations.iter().collect::<Vec<_>>(), case.evacuated, "{}", case.name);
+    }
+}
+
+/// Guards against a first or extra attempt at a target of an evacuated zone.
+#[test]
+fn no_attempt_goes_to_an_evacuated_zone() {
+    struct Case {
+        name: &'static str,
+        evacuated: &'static [&'static str],
+        /// Targets that successive attempts of one request reach.
+        attempts: usize,
+    }
+    let cases = [
+        Case { name: "none", evacuated: &[], attempts: 3 },
+        Case { name: "the own zone", evacuated: &["east"], attempts: 2 },
+        Case { name: "another zone", evacuated: &["west"], attempts: 2 },
+        Case { name: "all but one", evacuated: &["east", "west"], attempts: 1 },
+        Case { name: "all", evacuated: &["east", "west", "south"], attempts: 0 },
+        Case { name: "a zone that is not there", evacuated: &["north"], attempts: 3 },
+    ];
+    for case in cases {
+        let mut registry = registry(1);
+        for zone in case.evacuated {
+            registry.evacuate(zone, true, 9);
+        }
+        let view =
+            support::view(&registry, Duration::from_millis(15), Duration::from_millis(120), NOW);
+        let mut rng = StdRng::seed_from_u64(1);
+        let mut tried = Vec::new();
+        while let Some(key) = place::place(view, "s0", &tried, &mut rng, &place::Options::default())
+        {
+            let zone = zone_of(&registry, key);
+            assert!(!case.evacuated.contains(&zone.as_str()), "{}: {zone}", case.name);
+            tried.push(key);
+        }
+        assert_eq!(tried.len(), case.attempts, "{}", case.name);
+        assert_eq!(view.working("s0").count(), case.attempts, "{}", case.name);
+    }
+}
+
+/// Guards against a request that waited for a connection and is sent after its target may
+/// no longer receive any.
+#[test]
+fn a_request_that_waited_is_not_sent_to_a_barred_target() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut TargetRegistry),
+        permit: Result<(), SendBar>,
+    }
+    let cases = [
+        Case { name: "unchanged", change: |_| {}, permit: Ok(()) },
+        Case {
+            name: "its zone is evacuated",
+            change: |registry| {
+                registry.evacuate("east", true, 9);
+            },
+            permit: Err(SendBar::Evacuated),
+        },
+        Case {
+            name: "another zone is evacuated",
+            change: |registry| {
+                registry.evacuate("west", true, 9);
+            },
+            permit: Ok(()),
+        },
+        Case {
+            name: "it left",
+            change: |registry| {
+                registry.remove("t0-east", 9, NOW - Duration::from_secs(5));
+            },
+            permit: Err(SendBar::Gone),
+        },
+        Case {
+            name: "it leaves",
+            change: |registry| {
+                registry.remove("t0-east", 9, NOW);
+            },
+            permit: Ok(()),
+        },
+        Case {
+            name: "another incarnation has its id",
+            change: |registry| {
+                registry.put(support::entry("t0-east", "other", "east"), 9, NOW);
+            },
+            permit: Err(SendBar::Gone),
+        },
+    ];
+    for case in cases {
+        let mut registry = registry(1);
+        let find = |(_, state): &(TargetKey, &hawthorn_route::target::TargetState)| {
+            *state.entry.id == *"t0-east"
+        };
+        let (key, _) = registry.iter().find(find).expect("the target is known");
+        (case.change)(&mut registry);
+        assert_eq!(registry.permit(key, NOW), case.permit, "{}", case.name);
+    }
+}
+
+/// Guards against flooding one zone with all shards of an evacuated one while another zone
+/// has as many targets.
+#[test]
+fn the_queries_of_an_evacuated_zone_are_divided_among_the_others() {
+    let mut registry = registry(90);
+    registry.evacuate("east", true, 9);
+    let shards = (0..90).map(|shard| format!("s{shard}")).collect();
+    let rule = GatherRule { shards, top: 5, least_share: 0.95 };
+    let view = support::view(&registry, Duration::from_millis(15), Duration::from_millis(120), NOW);
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut queries = [0; 2];
+    for _ in 0..200 {
+        let spread = spread::spread(view, &rule, &mut rng, &place::Options::default());
+        assert!(spread.can_answer(&rule));
+        assert!(spread.ways.iter().all(|way| matches!(way, ShardWay::Away(..))));
+        let parts = spread.hand_over(|_| true, &spread::Options::default());
+        for part in parts {
+            let place = ["west", "south"].iter().position(|zone| **zone == *part.zone);
+            queries[place.expect("no shard is handed to the evacuated zone")] += 1;
+        }
+    }
+    assert!(queries.iter().all(|count| *count >= 60), "{queries:?} queries by zone");
+}
+
+/// Guards against queries that work for nothing, or wait, while every zone is evacuated.
+#[test]
+fn a_query_cannot_be_answered_while_all_zones_are_evacuated() {
+    let mut registry = registry(20);
+    ZONES.iter().for_each(|zone| {
+        registry.evacuate(zone, true, 9);
+    });
+    let shards = (0..20).map(|shard| format!("s{shard}")).collect();
+    let rule = GatherRule { shards, top: 5, least_share: 0.5 };
+    let view = support::view(&registry, Duration::from_millis(15), Duration::from_millis(120), NOW);
+    let mut rng = StdRng::seed_from_u64(7);
+    let spread = spread::spread(view, &rule, &mut rng, &place::Options::default());
+    assert!(!spread.can_answer(&rule));
+}
--- a/crates/hawthorn-standin/src/route/operator.rs
+++ b/crates/hawthorn-standin/src/route/operator.rs
@@ -64,6 +64,25 @@
     store.put(DOCUMENT_KEY, document.to_string().as_bytes());
 }
 
+/// Requests that nothing more be sent to the targets of a zone.
+pub fn evacuate(store: &RouteStore, zone: &str) {
+    scribble_evacuation(store, zone, b"{}");
+}
+
+/// Takes the evacuation of a zone back.
+pub fn end_evacuation(store: &RouteStore, zone: &str) {
+    store.delete(&evacuation_key(zone));
+}
+
+/// Writes any bytes as the evacuation of a zone.
+pub fn scribble_evacuation(store: &RouteStore, zone: &str, value: &[u8]) {
+    store.put(&evacuation_key(zone), value);
+}
+
+fn evacuation_key(zone: &str) -> String {
+    format!("op/evacuate/{zone}")
+}
+
 /// Registers a target.
 pub fn register(store: &RouteStore, id: &str, target: &RouteTarget, zone: &str) {
     store.put(&entry_key(id), &target.entry(zone, "ready"));
--- /dev/null
+++ b/tests/route_evacuation.rs
@@ -0,0 +1,216 @@
+//! Zones that operators evacuate, and what targets and callers see.
+
+mod support;
+
+use std::time::Duration;
+
+use hawthorn_standin::route::RouteStore;
+use hawthorn_standin::route::RouteTarget;
+use hawthorn_standin::route::operator;
+use hawthorn_standin::route::store::RouteOutage;
+use hawthorn_standin::route::target::TargetFault;
+use support::TestResult;
+use support::route;
+use support::route::RouteHost;
+use tokio::time::sleep;
+
+/// The time within which hosts apply a change, well below the bound of 5 s.
+const APPLY_TIME: Duration = Duration::from_millis(500);
+const SHARDS: [&str; 4] = ["a", "b", "c", "d"];
+const ZONES: [&str; 2] = ["east", "west"];
+
+/// Two zones, each with a host and a target for each shard.
+struct Fleet {
+    store: RouteStore,
+    /// By zone, then by shard.
+    targets: Vec<Vec<RouteTarget>>,
+    hosts: Vec<RouteHost>,
+}
+
+async fn fleet() -> TestResult<Fleet> {
+    let store = RouteStore::start().await?;
+    let mut targets = Vec::new();
+    for zone in ZONES {
+        let mut there = Vec::new();
+        for shard in SHARDS {
+            let id = format!("t-{shard}-{zone}");
+            let target = RouteTarget::start(&id, shard).await?;
+            operator::register(&store, &id, &target, zone);
+            there.push(target);
+        }
+        targets.push(there);
+    }
+    let routes = [
+        operator::gathered("/all/", &SHARDS, 0.7),
+        operator::single("/safe/", "a", "safe"),
+        operator::single("/once/", "a", "unsafe"),
+    ];
+    operator::configure(&store, 3, &routes, &SHARDS);
+    let east = RouteHost::start("h-1", "east", store.address(), &[])?;
+    east.ready().await?;
+    let west = RouteHost::start("h-2", "west", store.address(), &[&east])?;
+    west.ready().await?;
+    Ok(Fleet { store, targets, hosts: vec![east, west] })
+}
+
+impl Fleet {
+    /// Requests that the targets of a zone have run.
+    fn runs(&self, zone: usize) -> usize {
+        self.targets[zone].iter().map(RouteTarget::all_runs).sum()
+    }
+
+    /// Asks each host for each route; returns the statuses.
+    async fn ask_all(&self, name: &str) -> TestResult<Vec<u16>> {
+        let mut statuses = Vec::new();
+        for (number, host) in self.hosts.iter().enumerate() {
+            for path in ["/all/x", "/safe/x", "/once/x"] {
+                let id = format!("{name}-{number}-{}", &path[1..4]);
+                statuses.push(host.ask("GET", path, &id, "").await?.status);
+            }
+        }
+        Ok(statuses)
+    }
+
+    async fn applied(&self, text: &str, count: usize) -> TestResult {
+        route::wait_for(text, async || self.hosts.iter().all(|host| host.logged(text) >= count))
+            .await
+    }
+}
+
+/// Guards against requests to an evacuated zone's targets, and against hosts of that zone
+/// that no longer serve their callers.
+#[tokio::test(flavor = "multi_thread")]
+async fn targets_of_an_evacuated_zone_receive_nothing_until_it_is_taken_back() -> TestResult {
+    let fleet = fleet().await?;
+    operator::evacuate(&fleet.store, "east");
+    fleet.applied("change=begun", 1).await?;
+    let before = fleet.runs(0);
+    for round in 0..5 {
+        let statuses = fleet.ask_all(&format!("during-{round}")).await?;
+        assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    }
+    assert_eq!(fleet.runs(0), before, "requests reached the evacuated zone");
+    assert!(fleet.hosts[0].is_ready().await, "the zone's host goes on serving");
+    operator::end_evacuation(&fleet.store, "east");
+    fleet.applied("change=ended", 1).await?;
+    fleet.ask_all("after").await?;
+    assert!(fleet.runs(0) > before, "the zone's targets receive requests again");
+    Ok(())
+}
+
+/// Guards against callers that wait for an answer that no target may give.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_refused_at_once_while_all_zones_are_evacuated() -> TestResult {
+    let fleet = fleet().await?;
+    ZONES.iter().for_each(|zone| operator::evacuate(&fleet.store, zone));
+    fleet.applied("change=begun", 2).await?;
+    let before = fleet.runs(0) + fleet.runs(1);
+    for (number, path) in ["/all/x", "/safe/x", "/once/x"].into_iter().enumerate() {
+        let asked = std::time::Instant::now();
+        let answer = fleet.hosts[0].ask("GET", path, &format!("id-{number}"), "").await?;
+        assert_eq!(answer.status, 503, "{path}");
+        assert!(answer.headers.contains_key("retry-after"), "{path}: when to come back");
+        assert!(asked.elapsed() < Duration::from_millis(200), "{path}: {:?}", asked.elapsed());
+    }
+    assert_eq!(fleet.runs(0) + fleet.runs(1), before);
+    assert!(fleet.hosts[0].is_ready().await, "no other host could serve better");
+    Ok(())
+}
+
+/// Guards against an evacuation that is never applied, or never ended, because of how or
+/// when it was written.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_evacuations_leave_the_last_good_state() -> TestResult {
+    struct Case {
+        name: &'static str,
+        write: fn(&RouteStore),
+        evacuated: bool,
+    }
+    let cases = [
+        Case {
+            name: "not an object",
+            write: |store| operator::scribble_evacuation(store, "east", b"[1]"),
+            evacuated: false,
+        },
+        Case {
+            name: "a zone that is not there",
+            write: |store| operator::evacuate(store, "north"),
+            evacuated: false,
+        },
+        Case {
+            name: "written and taken back at once",
+            write: |store| {
+                operator::evacuate(store, "east");
+                operator::end_evacuation(store, "east");
+            },
+            evacuated: false,
+        },
+        Case {
+            name: "read whole after the history was dropped",
+            write: |store| {
+                operator::evacuate(store, "east");
+                store.compact();
+            },
+            evacuated: true,
+        },
+        Case {
+            name: "overwritten with other bytes",
+            write: |store| operator::scribble_evacuation(store, "east", b"\x01"),
+            evacuated: true,
+        },
+    ];
+    let fleet = fleet().await?;
+    for case in cases {
+        (case.write)(&fleet.store);
+        sleep(APPLY_TIME).await;
+        let before = fleet.runs(0);
+        let statuses = fleet.ask_all(case.name).await?;
+        assert!(statuses.iter().all(|status| *status == 200), "{}: {statuses:?}", case.name);
+        assert_eq!(fleet.runs(0) == before, case.evacuated, "{}", case.name);
+    }
+    assert!(fleet.hosts[0].logged("E625") >= 2, "unreadable evacuations are logged");
+    Ok(())
+}
+
+/// Guards against a host that missed an evacuation while it was cut off from the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_learns_of_an_evacuation_that_it_missed() -> TestResult {
+    let fleet = fleet().await?;
+    fleet.store.set_outage(RouteOutage::Silent);
+    sleep(APPLY_TIME).await;
+    operator::evacuate(&fleet.store, "east");
+    fleet.store.compact();
+    fleet.store.set_outage(RouteOutage::None);
+    fleet.applied("change=begun", 1).await?;
+    let before = fleet.runs(0);
+    fleet.ask_all("after").await?;
+    assert_eq!(fleet.runs(0), before);
+    Ok(())
+}
+
+/// Guards against a request that waits for a slow target's connection while its zone is
+/// evacuated, and is sent there after all.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_wait_are_not_sent_to_an_evacuated_zone() -> TestResult {
+    let fleet = fleet().await?;
+    let slow = TargetFault::Slow(Duration::from_millis(700));
+    fleet.targets.iter().flatten().for_each(|target| target.fail_always(Some(slow)));
+    let host = &fleet.hosts[0];
+    let asked = (0..60).map(|number| {
+        let id = format!("waiting-{number}");
+        async move { host.ask("GET", "/once/x", &id, "").await }
+    });
+    let evacuation = async {
+        sleep(Duration::from_millis(150)).await;
+        operator::evacuate(&fleet.store, "east");
+        fleet.applied("change=begun", 1).await?;
+        sleep(Duration::from_millis(50)).await;
+        TestResult::Ok(fleet.runs(0))
+    };
+    let (answers, evacuated) = futures::join!(futures::future::join_all(asked), evacuation);
+    let before = evacuated?;
+    assert!(answers.into_iter().all(|answer| answer.is_ok()));
+    // Runs are counted as they begin: what had arrived by then is all.
+    assert_eq!(fleet.runs(0), before);
+    Ok(())
+}
