feat(route): limit what all hosts together send to cold targets

Cause: coldPerS was read nowhere; a cold target counted as 1.5 times slower and got its share.

Change: warm targets first. Cold ones of a limited service only from hosts of their own zone that hold one of the zone's four slots in the store, each worth a quarter of the limit. A slot is written again and again on the condition of its last revision and may be used for 1 s after such a write was sent; another host claims it on the condition of a revision that it has known for 2.2 s. The sum holds whatever hosts know of each other. A request is counted when it is written to its connection. Bad cold times and rates are logged and leave the state before.

Ways weighed: equal parts of the zone's hosts are below one request a second from 24 hosts on (0 of 100 allowed requests), and hosts that start know too few others; the gatherers, or one host by rendezvous hash, are other hosts for each that is cut off, so that their sum has no bound; leases of the store may lose their keys before they end. Four slots use over 90 in 100 once claimed (test).

Ruled out by the property test: a slot claimed 1.2 s after its last change let a new holder and the one before send in the same second (28 where 23 are allowed).

--- a/crates/hawthorn-edge/src/process/catalog.rs
+++ b/crates/hawthorn-edge/src/process/catalog.rs
@@ -11,6 +11,7 @@
 
 use crate::edge_event;
 use crate::process::clock::host_now;
+use crate::process::cold;
 use crate::process::events::EdgeEvent;
 use crate::process::host::RouteHost;
 use crate::process::quarantine;
@@ -23,6 +24,7 @@
             CatalogKey::Document => take_document(host, item),
             CatalogKey::Entry(id) => take_entry(host, id, item),
             CatalogKey::Evacuation(zone) => take_evacuation(host, zone, item),
+            CatalogKey::ColdSlot(zone, slot) => cold::take_slot(host, zone, slot, item),
             CatalogKey::Quarantine(fingerprint) => {
                 quarantine::take_stored(host, fingerprint, item.value.as_deref());
             }
@@ -58,7 +60,8 @@
     }
 }
 
-/// An entry that cannot be read names no target: what it named before is gone.
+/// An entry that cannot be read names no target: what it named before is gone. One that is
+/// only wrong about how long its target stays cold changes nothing.
 fn take_entry(host: &RouteHost, id: &str, item: &MirrorItem) {
     let Some(value) = &item.value else {
         remove(host, id, item.revision);
@@ -72,7 +75,9 @@
         }
         Err(error) => {
             edge_event!(Level::Warn, EdgeEvent::EntryBroken, "id={id} error=\"{error}\"");
-            remove(host, id, item.revision);
+            if !matches!(error, catalog::Error::Cold(_)) {
+                remove(host, id, item.revision);
+            }
         }
     }
 }
@@ -90,6 +95,9 @@
     }
     let evacuated = item.value.is_some();
     let change = host.beliefs.registry.borrow_mut().evacuate(zone, evacuated, revision);
+    if change == EvacuationChange::Ended {
+        host.beliefs.presume_cold(zone, host_now());
+    }
     if change != EvacuationChange::None {
         let targets = host.beliefs.targets_in(zone);
         edge_event!(
--- /dev/null
+++ b/crates/hawthorn-edge/src/process/cold.rs
@@ -0,0 +1,87 @@
+//! Claims a slot of the zone, while requests find only cold targets.
+//!
+//! What a slot is worth, and when it may be used, is decided in `hawthorn_route::cold`.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hawthorn_platform::catalog;
+use hawthorn_platform::store;
+use hawthorn_route::cold::claim::SlotWrite;
+use hawthorn_route::cold::claim::WriteOutcome;
+use hawthorn_route::mirror::MirrorItem;
+use hawthorn_store::StoreClient;
+use hawthorn_store::client::CallKind;
+use hawthorn_store::store::ReadError;
+use http::StatusCode;
+use log::Level;
+use tokio::time::sleep;
+
+use crate::edge_event;
+use crate::process::clock::host_now;
+use crate::process::events::EdgeEvent;
+use crate::process::host::RouteHost;
+
+/// How often a claim is looked at while one is needed.
+const CLAIM_PERIOD: Duration = Duration::from_millis(100);
+
+/// Claims a slot whenever one is needed, until the process exits.
+pub(crate) async fn claim_slots(host: Rc<RouteHost>, client: StoreClient) {
+    loop {
+        host.beliefs.cold_wanted.notified().await;
+        while host.beliefs.registry.borrow().cold().is_wanted(host_now()) {
+            let write = host.cold_claim.borrow_mut().due_write(host_now(), &mut rand::rng());
+            if let Some(write) = write {
+                let outcome = write_slot(&host, &client, write).await;
+                host.cold_claim.borrow_mut().record(write, outcome, host_now());
+                note_claim(write, outcome);
+                apply(&host);
+            }
+            sleep(CLAIM_PERIOD).await;
+        }
+        host.cold_claim.borrow_mut().release();
+        apply(&host);
+    }
+}
+
+/// Puts the claim's state into force.
+fn apply(host: &RouteHost) {
+    let right = host.cold_claim.borrow().right();
+    host.beliefs.registry.borrow_mut().set_cold_right(right);
+    host.metrics.show("cold-slots", u64::from(right.is_some()));
+}
+
+/// Records that a slot changed in the store.
+pub(crate) fn take_slot(host: &RouteHost, zone: &str, slot: u32, item: &MirrorItem) {
+    if zone != host.beliefs.settings.host.zone {
+        return;
+    }
+    let mut claim = host.cold_claim.borrow_mut();
+    match item.value {
+        Some(_) => claim.note(slot, item.revision, host_now()),
+        None => claim.note_absent(slot, host_now()),
+    }
+}
+
+async fn write_slot(host: &RouteHost, client: &StoreClient, write: SlotWrite) -> WriteOutcome {
+    let settings = &host.beliefs.settings.host;
+    let key = catalog::cold_slot_key(&settings.zone, write.slot);
+    let body = store::claim_body(&key, write.revision, settings.name.as_bytes());
+    match client.post_path(CallKind::Put, store::WRITE_PATH.to_owned(), body).await {
+        Ok((StatusCode::OK, body)) => {
+            store::written(&body).map_or(WriteOutcome::Unknown, WriteOutcome::Done)
+        }
+        Ok(_) | Err(ReadError::NotRun(_)) => WriteOutcome::NotDone,
+        Err(_) => WriteOutcome::Unknown,
+    }
+}
+
+fn note_claim(write: SlotWrite, outcome: WriteOutcome) {
+    let SlotWrite { slot, revision, .. } = write;
+    let level = if matches!(outcome, WriteOutcome::Done(_)) { Level::Info } else { Level::Warn };
+    edge_event!(
+        level,
+        EdgeEvent::ColdSlotWritten,
+        "slot={slot} revision={revision} outcome={outcome}"
+    );
+}
--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -52,6 +52,10 @@
     EvacuationChanged = 624,
     /// The evacuation of a zone cannot be read, and changes nothing.
     EvacuationBroken = 625,
+    /// A slot for requests to cold targets was claimed or renewed, or could not be.
+    ColdSlotWritten = 626,
+    /// A version of the routes states no usable rate for cold targets; the one before holds.
+    ColdRateBroken = 627,
     /// The host steps aside, or takes callers again: whole kinds of requests
     /// cannot be answered from here.
     HostStranded = 623,
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -9,6 +9,7 @@
 use std::time::UNIX_EPOCH;
 
 use hawthorn_fleet::MemberTable;
+use hawthorn_route::cold::claim::SlotClaim;
 use hawthorn_route::depart::LagMeter;
 use hawthorn_route::mirror::StoreMirror;
 use hawthorn_route::pace;
@@ -33,6 +34,7 @@
 use crate::connection::peer::PeerRoute;
 use crate::edge_event;
 use crate::process::clock::host_now;
+use crate::process::cold;
 use crate::process::events::EdgeEvent;
 use crate::process::feed;
 use crate::process::fleet;
@@ -106,6 +108,8 @@
     pub mirror: RefCell<StoreMirror>,
     /// The quarantine of requests that crash targets.
     pub quarantine: QuarantineState,
+    /// This host's claim on a slot for cold targets.
+    pub(crate) cold_claim: RefCell<SlotClaim>,
     /// Spaces bulk messages on the host's link.
     bulk_pacer: RefCell<BulkPacer>,
     /// Told when the mirror reaches further than before.
@@ -147,6 +151,7 @@
             gather_peers: RefCell::default(),
             links: PeerLinks::default(),
             remainders: RemainderTable::default(),
+            cold_claim: RefCell::new(SlotClaim::new(host_now())),
             traffic: TrafficAccount::new(&settings.host.zone),
             mirror: RefCell::default(),
             quarantine: QuarantineState::default(),
@@ -274,6 +279,7 @@
     };
     host.metrics.show_calls(client.clone());
     duties.spawn_local(quarantine::save_refused(Rc::clone(&host), client.clone()));
+    duties.spawn_local(cold::claim_slots(Rc::clone(&host), client.clone()));
     duties.spawn_local(feed::follow(Rc::clone(&host), client));
     duties.spawn_local(sweep(Rc::clone(&host)));
     duties.spawn_local(reach::watch(Rc::clone(&host)));
--- a/crates/hawthorn-edge/src/process/mod.rs
+++ b/crates/hawthorn-edge/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod catalog;
 pub mod clock;
+pub(crate) mod cold;
 pub mod events;
 pub mod feed;
 pub mod fleet;
--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -181,7 +181,7 @@
         if left.is_zero() {
             return Err(Error::NotSent("its time was over before it was sent".into()));
         }
-        if let Err(bar) = self.host.beliefs.registry.borrow().permit(self.key, now) {
+        if let Err(bar) = self.host.beliefs.registry.borrow_mut().admit(self.key, now) {
             return Err(Error::NotSent(format!("target barred: {bar}")));
         }
         let request = self.order.outgoing(target, left);
@@ -247,6 +247,15 @@
             let load = ToldLoad { running, waiting, slots, at: now };
             self.with_state(|state| state.tell(load));
         }
+        match head.cold {
+            Some(Ok(cold)) if !cold.is_zero() => {
+                self.with_state(|state| state.cold_until = state.cold_until.max(now + cold));
+            }
+            Some(Err(error)) => {
+                edge_event!(Level::Warn, EdgeEvent::EntryBroken, "error=\"{error}\"");
+            }
+            Some(Ok(_)) | None => {}
+        }
         match head.word {
             RunWord::Misdirected => return none(AttemptEnd::Misdirected),
             RunWord::NotRun => return none(AttemptEnd::NotRun),
--- a/crates/hawthorn-edge/src/settings.rs
+++ b/crates/hawthorn-edge/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hawthorn_route::cold;
 use hawthorn_route::depart;
 use hawthorn_route::policy;
 use hawthorn_route::policy::RoutePolicy;
@@ -33,6 +34,9 @@
     }
 }
 
+/// The largest factor, and number of requests, by which cold targets' rates may be exceeded.
+const MOST_COLD: f64 = 1000.0;
+
 /// All settings. Unknown keys are ignored, so that older hosts read newer files.
 #[derive(Clone, Debug, Deserialize)]
 pub struct RouteSettings {
@@ -54,6 +58,9 @@
     pub stop: StopSettings,
     /// Extra attempts.
     pub budget: BudgetSettings,
+    /// What cold targets bear.
+    #[serde(default, rename = "cold_targets")]
+    pub cold: cold::Options,
     /// How requests are decided on. Here an unknown key is refused: a limit that is
     /// mistyped would hold nothing back.
     #[serde(default)]
@@ -179,6 +186,10 @@
         if !(0.0..=1.0).contains(&share) {
             return Err(Error::Value("budget.share", "not between 0 and 1"));
         }
+        let cold::Options { overshoot, slack } = settings.cold;
+        if !(0.0..=MOST_COLD).contains(&overshoot) || !(0.0..=MOST_COLD).contains(&slack) {
+            return Err(Error::Value("cold_targets", "overshoot or slack not within 0 to 1000"));
+        }
         if settings.budget.window.is_zero() {
             return Err(Error::Value("budget.window_s", "is zero"));
         }
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -31,12 +31,16 @@
 use hawthorn_route::spread;
 use hawthorn_route::table::RouteTable;
 use hawthorn_route::weight::WeightDealer;
+use log::Level;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use slotmap::SecondaryMap;
+use tokio::sync::Notify;
 
+use crate::edge_event;
 use crate::process::clock::host_now;
+use crate::process::events::EdgeEvent;
 use crate::settings::BudgetSettings;
 use crate::settings::RouteSettings;
 
@@ -70,6 +74,8 @@
     tables: RefCell<VecDeque<Rc<RouteTable>>>,
     /// Targets as they register.
     pub registry: RefCell<TargetRegistry>,
+    /// Notified when a request finds only cold targets.
+    pub cold_wanted: Notify,
     pools: RefCell<SecondaryMap<TargetKey, Arc<TargetPool>>>,
     budgets: RefCell<HashMap<String, RetryBudget>>,
     times: RefCell<HashMap<String, ServiceTimes>>,
@@ -106,7 +112,11 @@
             budget: Cell::new(settings.budget),
             policy: Cell::new(settings.policy),
             tables: RefCell::default(),
-            registry: RefCell::new(TargetRegistry::new(settings.policy.targets)),
+            registry: RefCell::new(TargetRegistry::new(
+                settings.policy.targets,
+                &settings.host.zone,
+            )),
+            cold_wanted: Notify::new(),
             settings,
             pools: RefCell::default(),
             budgets: RefCell::default(),
@@ -152,6 +162,17 @@
         self.works.borrow_mut().retain(|name, _| names.contains(name.as_str()));
         self.dealers.borrow_mut().retain(|name, _| names.contains(name.as_str()));
         self.budgets.borrow_mut().retain(|name, _| table.service(name).is_some());
+        let services = &table.document().services;
+        let kept = self.registry.borrow_mut().limit_cold(services, &self.settings.cold);
+        if !kept.is_empty() {
+            edge_event!(
+                Level::Warn,
+                EdgeEvent::ColdRateBroken,
+                "version={} services={}",
+                table.version(),
+                kept.join(",")
+            );
+        }
         tables.push_front(Rc::new(table));
         tables.truncate(KEPT_VERSIONS);
         true
@@ -296,7 +317,11 @@
         let zone = &self.settings.host.zone;
         let (usual, queued, aim) = (self.usual(route), self.mixed_work(), route.aim);
         let view = PlaceView { registry: &registry, zone, cut, usual, queued, aim, now };
-        with(view, &mut self.lots.borrow_mut())
+        let outcome = with(view, &mut self.lots.borrow_mut());
+        if registry.cold().is_wanted(now) {
+            self.cold_wanted.notify_one();
+        }
+        outcome
     }
 
     /// How long work waits at each of some services that have a target that takes it.
--- a/crates/hawthorn-edge/src/version/reach.rs
+++ b/crates/hawthorn-edge/src/version/reach.rs
@@ -59,6 +59,17 @@
         there.get(lot).copied()
     }
 
+    /// Treats a zone's targets as cold where their requests are limited while they are.
+    pub fn presume_cold(&self, zone: &str, now: Duration) {
+        let table = self.table();
+        let cold_start = |service: &str| {
+            let rule = table.as_ref().and_then(|table| table.service(service));
+            let limited = rule.filter(|rule| rule.cold_rate.is_some_and(|rate| rate > 0.0));
+            limited.map_or(Duration::ZERO, |rule| rule.cold_start)
+        };
+        self.registry.borrow_mut().presume_cold(zone, now, cold_start);
+    }
+
     /// The number of known targets in a zone.
     pub fn targets_in(&self, zone: &str) -> usize {
         let registry = self.registry.borrow();
--- a/crates/hawthorn-edge/tests/house.rs
+++ b/crates/hawthorn-edge/tests/house.rs
@@ -30,6 +30,10 @@
         ("{{bounds.retryBudgetRatio}}", "0.2"),
         ("{{bounds.budgetWindowS}}", "10"),
         ("{{bounds.retryBudgetSlack}}", "56"),
+        ("{{#bounds.coldOvershoot}}overshoot = {{.}}", "overshoot = 1.5"),
+        ("{{/bounds.coldOvershoot}}", ""),
+        ("{{#bounds.coldSlack}}slack = {{.}}", "slack = 5"),
+        ("{{/bounds.coldSlack}}", ""),
     ];
     let mut text = TEMPLATE.to_owned();
     for (name, value) in values {
@@ -46,6 +50,7 @@
     assert_eq!(settings.host.link_mbps, Some(21.0));
     assert_eq!(settings.stop.grace.as_secs(), 6);
     assert_eq!(settings.listen.metrics.port(), 9464);
+    assert_eq!(settings.cold.limit(12.0), 23);
 }
 
 #[test]
@@ -72,6 +77,12 @@
             named: "budget.share",
         },
         Case { name: "zero", from: "window_s = 10", to: "window_s = 0", named: "budget.window_s" },
+        Case {
+            name: "below zero",
+            from: "overshoot = 1.5",
+            to: "overshoot = -1.0",
+            named: "cold_targets",
+        },
         Case { name: "no name", from: "\"front-1\"", to: "\"\"", named: "host.name" },
         Case {
             name: "no core",
--- a/crates/hawthorn-route/benches/query.rs
+++ b/crates/hawthorn-route/benches/query.rs
@@ -28,7 +28,7 @@
 
 /// Shards with three targets each, one in each zone.
 fn shards(count: usize) -> (TargetRegistry, GatherRule) {
-    let mut registry = TargetRegistry::new(registry::Options::default());
+    let mut registry = TargetRegistry::new(registry::Options::default(), "east");
     for shard in 0..count {
         for zone in ZONES {
             let entry = support::entry(&format!("t{shard}-{zone}"), &format!("s{shard}"), zone);
--- a/crates/hawthorn-route/src/document.rs
+++ b/crates/hawthorn-route/src/document.rs
@@ -80,6 +80,11 @@
     pub health_path: String,
     /// Connections that one target accepts from all callers together.
     pub max_connections: usize,
+    /// How long a target stays cold after its start.
+    pub cold_start: Duration,
+    /// Requests a second that a cold target tolerates; `None` if it is not limited. 0 is
+    /// no rate.
+    pub cold_rate: Option<f64>,
 }
 
 /// What callers may send.
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`document`] | what operators configure: routes, services, callers' limits |
 //! | [`table`] | one version of it, made for look-ups |
 //! | [`target`] | what is believed of one target: entry, load, speed, failures |
+//! | [`cold`] | how many requests targets receive that have just started |
 //! | [`evacuation`] | which zones operators have evacuated |
 //! | [`registry`] | all targets as they register, each belief with its age |
 //! | [`mod@place`] | which target an attempt goes to |
@@ -34,6 +35,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 
 pub mod budget;
+pub mod cold;
 pub mod depart;
 pub mod document;
 pub mod door;
--- a/crates/hawthorn-route/src/place.rs
+++ b/crates/hawthorn-route/src/place.rs
@@ -18,6 +18,9 @@
 use crate::target::TargetPhase;
 use crate::target::TargetState;
 
+/// Expected time added to a cold target whose requests are limited, in seconds: more than any
+/// warm one takes.
+const COLD_COST: f64 = 40.0;
 /// Expected time added to a target that leaves, in seconds: dearer than any
 /// ready one, cheaper than one that does not answer.
 const LEAVING_COST: f64 = 50.0;
@@ -52,10 +55,10 @@
 }
 
 impl<'a> PlaceView<'a> {
-    /// The target's zone is neither cut off, as far as is known, nor evacuated.
+    /// The target's zone is not cut off, as far as is known, and it may be sent requests.
     fn reaches(&self, state: &TargetState) -> bool {
         let zone = &state.entry.zone;
-        !self.cut.iter().any(|cut| **cut == **zone) && !self.registry.evacuations().contains(zone)
+        !self.cut.iter().any(|cut| **cut == **zone) && self.registry.is_open(state, self.now)
     }
 
     /// The targets of a service that take work and can be reached.
@@ -100,9 +103,11 @@
 ) -> Option<TargetKey> {
     let registry = view.registry;
     let mut best: Option<(f64, TargetKey)> = None;
+    let mut cold = false;
     for key in registry.of_service(service) {
         let Some(state) = registry.get(*key).filter(|_| !tried.contains(key)) else { continue };
         if !view.reaches(state) {
+            cold |= registry.is_near(state) && registry.cold().limit(state, view.now).is_some();
             continue;
         }
         let Some(score) = score(view, state, options) else { continue };
@@ -111,7 +116,15 @@
             best = Some((drawn, *key));
         }
     }
-    best.map(|(_, key)| key)
+    let best = best.map(|(_, key)| key);
+    let limited = |key| {
+        let state = registry.get(key);
+        state.is_some_and(|state| registry.cold().limit(state, view.now).is_some())
+    };
+    if best.map_or(cold, limited) {
+        registry.cold().want(view.now);
+    }
+    best
 }
 
 /// Weights of the choice.
@@ -178,6 +191,9 @@
     if state.oldest_wait(now).as_secs_f64() > options.suspect_factor * work.max(0.005) {
         time += options.suspect_cost.as_secs_f64();
     }
+    if view.registry.cold().limit(state, now).is_some() {
+        time += COLD_COST;
+    }
     time += state.failing() * options.failing_cost.as_secs_f64();
     if now < state.paused_until() {
         // Tried only when the others are paused too, the first to end first.
--- a/crates/hawthorn-route/src/registry.rs
+++ b/crates/hawthorn-route/src/registry.rs
@@ -11,6 +11,10 @@
 use slotmap::new_key_type;
 use smallvec::SmallVec;
 
+use crate::cold;
+use crate::cold::ColdAdmission;
+use crate::cold::SlotRight;
+use crate::document::ServiceRule;
 use crate::document::TargetEntry;
 use crate::evacuation::EvacuationChange;
 use crate::evacuation::ZoneEvacuations;
@@ -68,6 +72,8 @@
     Gone,
     /// Its zone is evacuated.
     Evacuated,
+    /// It is cold, and this host may not send it more for now.
+    Cold,
 }
 
 /// All targets by key, id and service.
@@ -78,12 +84,15 @@
     by_id: HashMap<Rc<str>, TargetKey>,
     by_service: HashMap<Rc<str>, TargetKeys>,
     evacuations: ZoneEvacuations,
+    cold: ColdAdmission,
+    /// Zone of this host.
+    zone: String,
 }
 
 impl TargetRegistry {
-    /// An empty registry.
-    pub fn new(options: Options) -> Self {
-        Self { options, ..Self::default() }
+    /// An empty registry of a host in `zone`.
+    pub fn new(options: Options, zone: &str) -> Self {
+        Self { options, zone: zone.to_owned(), ..Self::default() }
     }
 
     /// The targets of a service, in any phase.
@@ -196,16 +205,68 @@
         self.evacuations.apply(zone, evacuated, revision)
     }
 
+    /// Treats a zone's targets as cold, each for the time that `cold_start` gives.
+    ///
+    /// Failure: a zone's targets are cold when its evacuation ends, and their entries, which
+    /// say so, arrive after the news of that end.
+    pub fn presume_cold(
+        &mut self,
+        zone: &str,
+        now: Duration,
+        cold_start: impl Fn(&str) -> Duration,
+    ) {
+        let there = self.targets.values_mut().filter(|state| *state.entry.zone == *zone);
+        for state in there {
+            state.cold_until = state.cold_until.max(now + cold_start(&state.entry.service));
+        }
+    }
+
+    /// Applies the limits of cold targets; see [`ColdAdmission::configure`].
+    pub fn limit_cold(&mut self, services: &[ServiceRule], options: &cold::Options) -> Vec<String> {
+        self.cold.configure(services, options)
+    }
+
+    /// Sets the slot for cold targets that this host holds.
+    pub fn set_cold_right(&mut self, right: Option<SlotRight>) {
+        self.cold.set_right(right);
+    }
+
+    /// What may be sent to cold targets.
+    pub fn cold(&self) -> &ColdAdmission {
+        &self.cold
+    }
+
+    /// Whether a target is in this host's zone.
+    pub(crate) fn is_near(&self, state: &TargetState) -> bool {
+        *state.entry.zone == *self.zone
+    }
+
+    /// Whether a target may receive requests apart from what its phase says: its zone is not
+    /// evacuated, and it is warm or may be sent more.
+    pub(crate) fn is_open(&self, state: &TargetState, now: Duration) -> bool {
+        !self.evacuations.contains(&state.entry.zone) && self.cold.admits(state, &self.zone, now)
+    }
+
     /// Evacuated zones.
     pub fn evacuations(&self) -> &ZoneEvacuations {
         &self.evacuations
     }
 
-    /// Whether a request may be sent to a target now. Checked when the request is written to
-    /// the connection.
+    /// Decides whether a request is sent to a target, and counts it if the target is cold.
     ///
     /// Failure: a request waits for a connection while its target leaves or its zone is
     /// evacuated, and is sent seconds later.
+    pub fn admit(&mut self, key: TargetKey, now: Duration) -> Result<(), SendBar> {
+        self.permit(key, now)?;
+        if let Some(state) = self.targets.get_mut(key)
+            && self.cold.limit(state, now).is_some()
+        {
+            state.cold_sends.record(now);
+        }
+        Ok(())
+    }
+
+    /// Whether a request may be sent to a target now.
     pub fn permit(&self, key: TargetKey, now: Duration) -> Result<(), SendBar> {
         let state = self.targets.get(key).ok_or(SendBar::Gone)?;
         match state.phase {
@@ -216,6 +277,9 @@
         if self.evacuations.contains(&state.entry.zone) {
             return Err(SendBar::Evacuated);
         }
+        if !self.cold.admits(state, &self.zone, now) {
+            return Err(SendBar::Cold);
+        }
         Ok(())
     }
 
--- a/crates/hawthorn-route/src/target.rs
+++ b/crates/hawthorn-route/src/target.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::cold::SendMeter;
 use crate::document::TargetEntry;
 use crate::outcome::AttemptEnd;
 
@@ -49,6 +50,8 @@
     pub heard: Duration,
     /// When it stops being slow after its start.
     pub cold_until: Duration,
+    /// Requests that this host sent it while it was cold.
+    pub cold_sends: SendMeter,
     /// Starts of own requests that it has not answered.
     pub flying: Vec<Duration>,
     told: Option<ToldLoad>,
@@ -82,6 +85,7 @@
             revision,
             heard: now,
             cold_until,
+            cold_sends: SendMeter::default(),
             flying: Vec::new(),
             told: None,
             speed: 1.0,
--- a/crates/hawthorn-route/tests/goodput/fleet.rs
+++ b/crates/hawthorn-route/tests/goodput/fleet.rs
@@ -190,7 +190,7 @@
     fn new(scene: &'a Scene, seed: u64) -> Self {
         let names: Vec<String> = (0..scene.shards).map(|shard| format!("s{shard}")).collect();
         let host = || {
-            let mut registry = TargetRegistry::new(scene.policy.targets);
+            let mut registry = TargetRegistry::new(scene.policy.targets, "east");
             let mut numbers = HashMap::new();
             for (shard, name) in names.iter().enumerate() {
                 for copy in 0..if shard < scene.halved { 1 } else { 2 } {
--- a/crates/hawthorn-route/tests/skip.rs
+++ b/crates/hawthorn-route/tests/skip.rs
@@ -18,7 +18,7 @@
 
 /// Shards `s0`, `s1`, ...: for each the requests that wait at its targets.
 fn registry(waiting: &[&[u32]], told: Duration) -> TargetRegistry {
-    let mut registry = TargetRegistry::new(registry::Options::default());
+    let mut registry = TargetRegistry::new(registry::Options::default(), "east");
     for (shard, targets) in waiting.iter().enumerate() {
         for (place, waiting) in targets.iter().enumerate() {
             let entry = support::entry(&format!("t{shard}-{place}"), &format!("s{shard}"), "east");
--- a/crates/hawthorn-route/tests/spread.rs
+++ b/crates/hawthorn-route/tests/spread.rs
@@ -23,7 +23,7 @@
 
 /// Targets of shard `s0`, `s1`, ...: for each shard the zones of its targets.
 fn registry(shards: &[&[&str]]) -> TargetRegistry {
-    let mut registry = TargetRegistry::new(registry::Options::default());
+    let mut registry = TargetRegistry::new(registry::Options::default(), "east");
     for (shard, zones) in shards.iter().enumerate() {
         for (place, zone) in zones.iter().enumerate() {
             let entry = support::entry(&format!("t{shard}-{place}"), &format!("s{shard}"), zone);
--- a/crates/hawthorn-route/tests/targets.rs
+++ b/crates/hawthorn-route/tests/targets.rs
@@ -29,7 +29,7 @@
 }
 
 fn score(state: &TargetState, now: Duration) -> Option<f64> {
-    let registry = TargetRegistry::new(registry::Options::default());
+    let registry = TargetRegistry::new(registry::Options::default(), "east");
     let aim = Duration::from_millis(120);
     let view = support::view(&registry, USUAL, aim, now);
     place::score(view, state, &place::Options::default())
@@ -162,7 +162,7 @@
         },
     ];
     for case in cases {
-        let mut targets = TargetRegistry::new(registry::Options::default());
+        let mut targets = TargetRegistry::new(registry::Options::default(), "east");
         targets.put(with(|_| {}), 5, ms(0));
         assert_eq!((case.news)(&mut targets), case.change, "{}", case.name);
         let ready = targets.of_service("s").iter().filter_map(|key| targets.get(*key));
@@ -175,7 +175,7 @@
 /// well all the time and its entry is back two seconds later.
 #[test]
 fn a_target_whose_entry_lapsed_returns() {
-    let mut targets = TargetRegistry::new(registry::Options::default());
+    let mut targets = TargetRegistry::new(registry::Options::default(), "east");
     targets.put(entry("a", "east"), 5, ms(0));
     targets.remove("a", 6, ms(1000));
     assert_eq!(targets.put(entry("a", "east"), 7, ms(3000)), TargetChange::Returned);
@@ -185,7 +185,7 @@
 /// the one that was meant. The old entry is forgotten once it is removed.
 #[test]
 fn a_target_that_another_took_the_place_of_is_forgotten() {
-    let mut targets = TargetRegistry::new(registry::Options::default());
+    let mut targets = TargetRegistry::new(registry::Options::default(), "east");
     targets.put(entry("a", "east"), 5, ms(0));
     let key = targets.of_service("s")[0];
     let state = targets.get_mut(key).expect("it was put");
--- a/crates/hawthorn-standin/src/route/operator.rs
+++ b/crates/hawthorn-standin/src/route/operator.rs
@@ -88,6 +88,34 @@
     store.put(&entry_key(id), &target.entry(zone, "ready"));
 }
 
+/// Registers a target that stays cold for so many milliseconds.
+pub fn register_cold(store: &RouteStore, id: &str, target: &RouteTarget, zone: &str, cold_ms: f64) {
+    let mut entry: Value =
+        serde_json::from_slice(&target.entry(zone, "ready")).expect("an entry is JSON");
+    entry["coldRemainingMs"] = json!(cold_ms);
+    store.put(&entry_key(id), entry.to_string().as_bytes());
+}
+
+/// Writes a version of the configuration whose services' cold targets tolerate so many
+/// requests a second.
+pub fn configure_cold(
+    store: &RouteStore,
+    version: u64,
+    routes: &[Value],
+    services: &[&str],
+    per_second: f64,
+) {
+    let services: Vec<Value> = services
+        .iter()
+        .map(|name| {
+            json!({ "name": name, "healthPath": "/health", "maxConnections": 26,
+                    "coldStartS": 3.0, "coldPerS": per_second })
+        })
+        .collect();
+    let document = json!({ "configVersion": version, "routes": routes, "services": services });
+    store.put(DOCUMENT_KEY, document.to_string().as_bytes());
+}
+
 /// Has a target say that it leaves.
 pub fn drain(store: &RouteStore, id: &str, target: &RouteTarget, zone: &str) {
     store.put(&entry_key(id), &target.entry(zone, "draining"));
--- a/crates/hawthorn-standin/src/route/store.rs
+++ b/crates/hawthorn-standin/src/route/store.rs
@@ -223,10 +223,17 @@
     json!({ "items": items, "hasMore": more, "asOf": state.revision })
 }
 
-/// Applies the writes of a transaction, without checking preconditions.
+/// Applies the writes of a transaction if its preconditions hold.
 fn write(request: &WireRequest, shared: &Shared) -> (u16, Value) {
     let Ok(body) = serde_json::from_slice::<Value>(&request.body) else { return (400, json!({})) };
     let mut state = shared.state.lock().expect("no holder of the lock panics");
+    for condition in body["precondition"].as_array().into_iter().flatten() {
+        let key = condition["key"].as_str().unwrap_or_default();
+        let revision = state.items.get(key).map_or(0, |(revision, _)| *revision);
+        if condition["revision"].as_u64() != Some(revision) {
+            return (412, json!({ "items": [] }));
+        }
+    }
     for entry in body["writes"].as_array().into_iter().flatten() {
         let (Some(key), Some(text)) = (entry["key"].as_str(), entry["value"].as_str()) else {
             return (400, json!({}));
