test(route): a caller that reads slowly keeps its sending side open

A host takes the end of that side for a caller that left and cancels the request, as it must. Whenever the answer took longer than 5 ms, the test saw the end of the connection.

Change: the side stays open until the answer is read, and the target takes 50 ms always.

--- a/tests/route_callers.rs
+++ b/tests/route_callers.rs
@@ -116,6 +116,7 @@
         Case { name: "too slow", pause: Duration::from_millis(60), status: 408 },
     ];
     let single = single().await?;
+    single.target.fail_always(Some(TargetFault::Slow(Duration::from_millis(50))));
     for case in &cases {
         let mut stream = TcpStream::connect(single.host.caller()).await?;
         // One that is whole, and one in pieces on the same connection, after a rest.
@@ -130,6 +131,8 @@
                 let _written = writer.write_all(piece).await;
                 sleep(pause).await;
             }
+            // Ending the sending side tells the host that its caller left.
+            std::future::pending::<()>().await;
         });
         let mut answer = [0; 12];
         timeout(route::PATIENCE, reader.read_exact(&mut answer)).await??;
@@ -141,6 +144,30 @@
     Ok(())
 }
 
+/// Guards against a refusal that is lost because the connection is reset under it: a caller
+/// that goes on sending reads only when its write fails.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_goes_on_sending_reads_why_its_head_was_refused() -> TestResult {
+    let single = single().await?;
+    for _ in 0..5 {
+        let mut stream = TcpStream::connect(single.host.caller()).await?;
+        let request = route::request("GET", "/safe/", "id-1", "");
+        let begun = Instant::now();
+        for piece in request.chunks(2).cycle() {
+            if begun.elapsed() > Duration::from_millis(HEAD_MS * 2)
+                || stream.write_all(piece).await.is_err()
+            {
+                break;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        let mut answer = [0; 12];
+        timeout(route::PATIENCE, stream.read_exact(&mut answer)).await??;
+        assert_eq!(&answer[..], b"HTTP/1.1 408");
+    }
+    Ok(())
+}
+
 /// A target is slow, and requests wait at the host for one of the few connections
 /// that it accepts from it. One that gets its turn 600 ms later is handed the time
 /// that its caller has then, and not what there was when it began to wait: a
