fix(route): a suspected request leaves a shard's last target alone

Cause: a content whose first attempts crash one target of each shard went on with extra attempts, one at a time, at the others.

Change: while a request is suspected, by its own crashes or by a strike, and no target has answered it, no attempt goes to a shard's only working target. It waits while others are in flight, as one may be answered; a trial goes to a shard that has two. A target whose connection ended counts as down for 3 s unless it answers. Parts that come by way of a peer clear a request too.

--- a/crates/hawthorn-edge/src/process/quarantine.rs
+++ b/crates/hawthorn-edge/src/process/quarantine.rs
@@ -114,6 +114,13 @@
     quarantine::decide(&table, &order.identity, &exposure, kind, host_now(), &options(host))
 }
 
+/// Whether a request must leave the last working target of a shard alone.
+pub(crate) fn spares_last(host: &RouteHost, order: &RequestOrder) -> bool {
+    let table = host.quarantine.table.borrow();
+    let exposure = order.exposure.borrow();
+    quarantine::spares_last(&table, &order.identity, &exposure, host_now(), &options(host))
+}
+
 /// Decides how a caller's request may start. Waits while another request of the same
 /// subject is on trial.
 pub(crate) async fn admit(host: &Rc<RouteHost>, order: &RequestOrder) -> Admission {
--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -147,6 +147,9 @@
         let (load, speed) = self
             .with_state(|state| {
                 state.end(sent, now, reply.end, self.usual);
+                if reply.crashed {
+                    state.crash(now);
+                }
                 (state.load(now), state.speed())
             })
             .unwrap_or_default();
--- a/crates/hawthorn-edge/src/request/parts.rs
+++ b/crates/hawthorn-edge/src/request/parts.rs
@@ -346,6 +346,9 @@
         met.turned_away += usize::from(load.turned_away);
         met.spare = met.spare.saturating_sub(usize::from(load.skipped));
         drop(met);
+        if !receipts.is_empty() {
+            self.order.exposure.borrow_mut().answer();
+        }
         self.state.parts += receipts.len();
         self.state.lost += usize::from(missing);
         self.records.add(&records);
--- a/crates/hawthorn-edge/src/request/race.rs
+++ b/crates/hawthorn-edge/src/request/race.rs
@@ -78,6 +78,8 @@
     Held,
     /// The request is quarantined.
     Quarantined,
+    /// The request may crash its target, and no other target of the shard would be left.
+    LastTarget,
 }
 
 /// The attempts at one service.
@@ -253,6 +255,17 @@
         else {
             return LaunchEnd::NoTarget;
         };
+        if quarantine::spares_last(self.host, self.order)
+            && beliefs.is_last_of_shard(self.service, key, &self.tried, &self.order.route, now)
+        {
+            if self.order.exposure.borrow().in_flight() > 0 {
+                // One of them may be answered, which clears the request.
+                self.held = Some(reason);
+                return LaunchEnd::Held;
+            }
+            self.refusal = RefusalReason::NoTarget;
+            return LaunchEnd::LastTarget;
+        }
         let Some(pool) = beliefs.pool(key, &self.order.route) else { return LaunchEnd::NoTarget };
         if extra {
             if !beliefs.spend(self.service, now) {
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -278,6 +278,20 @@
         })
     }
 
+    /// Whether a target is the last one of a shard with several that takes work.
+    pub fn is_last_of_shard(
+        &self,
+        service: &str,
+        key: TargetKey,
+        tried: &[TargetKey],
+        route: &RouteRule,
+        now: Duration,
+    ) -> bool {
+        let sharded = self.table().is_some_and(|table| table.is_shard(service));
+        let is_last = |view: PlaceView<'_>| view.is_last(service, key, tried);
+        sharded && self.with_view(route, &self.cut_zones(now), now, |view, _| is_last(view))
+    }
+
     /// Where each shard of a query is best had.
     pub fn spread(&self, rule: &GatherRule, route: &RouteRule, now: Duration) -> spread::Outcome {
         self.with_view(route, &self.cut_zones(now), now, |view, lots| {
--- a/crates/hawthorn-route/src/place.rs
+++ b/crates/hawthorn-route/src/place.rs
@@ -68,6 +68,18 @@
         states.filter(move |state| self.reaches(state) && state.is_working(self.now))
     }
 
+    /// Whether a target is the only one of a service with several that would be left.
+    pub fn is_last(self, service: &str, key: TargetKey, tried: &[TargetKey]) -> bool {
+        let others = || {
+            let keys = self.registry.of_service(service).iter().filter(|other| **other != key);
+            keys.filter_map(|other| Some((other, self.registry.get(*other)?)))
+        };
+        let stands = |other: TargetKey, state: &TargetState| {
+            !tried.contains(&other) && self.reaches(state) && state.is_standing(self.now)
+        };
+        others().next().is_some() && !others().any(|(other, state)| stands(*other, state))
+    }
+
     /// How long a request sent now waits at a service before it is worked on, at the
     /// least busy of its targets; `None` where none takes work.
     pub fn wait(self, service: &str) -> Option<Duration> {
--- a/crates/hawthorn-route/src/quarantine/exposure.rs
+++ b/crates/hawthorn-route/src/quarantine/exposure.rs
@@ -35,6 +35,11 @@
         Self { answered: true, ..Self::default() }
     }
 
+    /// Records that a target answered the request through another host.
+    pub fn answer(&mut self) {
+        self.answered = true;
+    }
+
     /// Records that an attempt was sent.
     pub fn send(&mut self, extra: bool) {
         self.in_flight += 1;
--- a/crates/hawthorn-route/src/quarantine/mod.rs
+++ b/crates/hawthorn-route/src/quarantine/mod.rs
@@ -190,3 +190,22 @@
 
 /// The maximum number of extra attempts of a request that no target has answered.
 pub const MAX_UNANSWERED_EXTRA: u32 = 2;
+
+/// Whether a request must leave the last working target of a shard alone: it is suspected of
+/// crashing targets, and none has answered it yet.
+///
+/// Load: shards of two targets, and a request that crashes each target that runs it. Its
+/// first attempts crash one target of each shard; an extra attempt crashes the other, and
+/// unrelated queries fail for want of that shard. A query that lost a target to an
+/// unrelated crash is answered by its other shards, and may use the last one then.
+pub fn spares_last(
+    table: &QuarantineTable,
+    identity: &RequestIdentity,
+    exposure: &Exposure,
+    now: Duration,
+    options: &Options,
+) -> bool {
+    let suspected =
+        exposure.has_crashed() || table.verdict(identity, now, options) == Verdict::Trial;
+    options.on && suspected && !exposure.is_answered()
+}
--- a/crates/hawthorn-route/src/target.rs
+++ b/crates/hawthorn-route/src/target.rs
@@ -19,6 +19,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest time a target is passed over before it is tried again.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// A target whose connections ended may have crashed; it counts as down for so long, about
+/// as long as a restart takes, unless it answers.
+const CRASH_MEMORY: Duration = Duration::from_secs(3);
 /// Failures in a row after which the pause no longer grows.
 const MOST_DOUBLINGS: u32 = 4;
 
@@ -60,6 +63,8 @@
     paused_until: Duration,
     /// Share of recent requests that it ran and failed, or that broke.
     failing: f64,
+    /// When a request last ended with its connection, if nothing was answered since.
+    crashed: Option<Duration>,
 }
 
 /// A load as the target told it.
@@ -92,6 +97,7 @@
             failures: 0,
             paused_until: Duration::ZERO,
             failing: 0.0,
+            crashed: None,
         }
     }
 
@@ -114,6 +120,7 @@
             AttemptEnd::Answered => {
                 self.learn(now.saturating_sub(sent), usual);
                 self.failures = 0;
+                self.crashed = None;
                 self.paused_until = Duration::ZERO;
                 self.failing *= 1.0 - SPEED_WEIGHT;
             }
@@ -128,6 +135,16 @@
         }
     }
 
+    /// A connection ended while a request was in progress on it.
+    pub fn crash(&mut self, now: Duration) {
+        self.crashed = Some(now);
+    }
+
+    /// It takes work now, and has not crashed recently as far as this host knows.
+    pub fn is_standing(&self, now: Duration) -> bool {
+        self.is_working(now) && self.crashed.is_none_or(|at| now >= at + CRASH_MEMORY)
+    }
+
     /// A request was let go unanswered after some time: the target is at least as slow.
     pub fn abandon(&mut self, sent: Duration, now: Duration, usual: Duration) {
         if let Some(index) = self.flying.iter().position(|at| *at == sent) {
--- a/crates/hawthorn-route/tests/targets.rs
+++ b/crates/hawthorn-route/tests/targets.rs
@@ -303,3 +303,64 @@
         assert_eq!(hedge::has_room(&state, now), case.room, "{}", case.name);
     }
 }
+
+/// Guards against a suspected request that reaches a shard's last target, and against one
+/// that is kept from a service which never had a second.
+#[test]
+fn the_last_of_several_targets_is_known() {
+    struct Case {
+        name: &'static str,
+        targets: usize,
+        harm: fn(&mut TargetState),
+        last: bool,
+    }
+    let cases = [
+        Case { name: "one of one", targets: 1, harm: |_| {}, last: false },
+        Case { name: "one of two", targets: 2, harm: |_| {}, last: false },
+        Case {
+            name: "the other crashed",
+            targets: 2,
+            harm: |state| state.crash(ms(900)),
+            last: true,
+        },
+        Case {
+            name: "the other crashed and answered since",
+            targets: 2,
+            harm: |state| {
+                state.crash(ms(900));
+                state.end(ms(910), ms(920), AttemptEnd::Answered, USUAL);
+            },
+            last: false,
+        },
+        Case {
+            name: "the other could not be reached",
+            targets: 2,
+            harm: |state| state.end(ms(990), ms(995), AttemptEnd::NotSent, USUAL),
+            last: true,
+        },
+        Case {
+            name: "the other leaves",
+            targets: 2,
+            harm: |state| state.phase = TargetPhase::Leaving { until: ms(2000) },
+            last: true,
+        },
+        Case {
+            name: "one of two others crashed",
+            targets: 3,
+            harm: |state| state.crash(ms(900)),
+            last: false,
+        },
+    ];
+    for case in cases {
+        let mut registry = TargetRegistry::new(registry::Options::default(), "east");
+        for id in ["a", "b", "c"].iter().take(case.targets) {
+            registry.put(entry(id, "east"), 1, ms(0));
+        }
+        let keys: Vec<_> = registry.of_service("s").to_vec();
+        if let Some(other) = keys.get(1) {
+            (case.harm)(registry.get_mut(*other).expect("it is known"));
+        }
+        let view = support::view(&registry, USUAL, ms(120), ms(1000));
+        assert_eq!(view.is_last("s", keys[0], &[]), case.last, "{}", case.name);
+    }
+}
