feat(route): keep requests of routes with home regions at home

Cause: allowedRegions was read nowhere.

Change: a route's homes bind each choice of target and of peer. Hosts know the region of each zone from their settings; a zone that is not named there is in none. Bodies go to hosts of home regions only, also not to peers of this host's own zone, as the caller may have come from another region. With nothing at home a request is refused at once.

Tests: real processes in two regions. Customers with homes are not read: no configuration has any.

--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hawthorn_route::document::RouteRule;
 use hawthorn_route::document::RouteWay;
 use hawthorn_route::offset;
 use hawthorn_route::offset::OrderSpan;
@@ -101,18 +102,18 @@
 
 impl DelegatedShards {
     /// The same shards for another peer, after one that may have sent a first attempt.
-    pub(crate) fn after_silence(&self, host: &RouteHost, most: usize) -> Option<Self> {
+    pub(crate) fn after_silence(&self, host: &RouteHost, route: &RouteRule) -> Option<Self> {
         let spent = self.spent + 1;
-        if usize::from(spent) >= most {
+        if usize::from(spent) >= route.max_attempts {
             return None;
         }
-        Some(Self { spent, ..self.elsewhere(host)? })
+        Some(Self { spent, ..self.elsewhere(host, route)? })
     }
 
     /// The same shards for another peer of the zone, if one is to be had, or else for
     /// one elsewhere.
-    pub(crate) fn again(&self, host: &RouteHost) -> Option<Self> {
-        self.sibling(host).or_else(|| self.elsewhere(host))
+    pub(crate) fn again(&self, host: &RouteHost, route: &RouteRule) -> Option<Self> {
+        self.sibling(host, route).or_else(|| self.elsewhere(host, route))
     }
 
     /// The same shards for a gatherer of this host's zone, as the zone they were for may
@@ -120,31 +121,35 @@
     /// needs no other of its own zone, and asks another of the same zone first.
     ///
     /// Load: a small host, whose zone's gatherers can gather what it cannot.
-    pub(crate) fn elsewhere(&self, host: &RouteHost) -> Option<Self> {
+    pub(crate) fn elsewhere(&self, host: &RouteHost, route: &RouteRule) -> Option<Self> {
         let own = host.beliefs.settings.host.zone.as_str();
         if host.beliefs.gathers.get() || *self.zone == *own {
-            return self.sibling(host);
+            return self.sibling(host, route);
         }
-        let peer = choose(host, own)?;
+        let peer = choose(host, own, route)?;
         Some(Self { peer, zone: Rc::from(own), tries: 0, ..self.clone() })
     }
 
     /// The same shards for another peer of their zone.
-    fn sibling(&self, host: &RouteHost) -> Option<Self> {
+    fn sibling(&self, host: &RouteHost, route: &RouteRule) -> Option<Self> {
         if self.tries + 1 >= MOST_TRIES {
             return None;
         }
-        let peer = choose(host, &self.zone).filter(|peer| *peer != self.peer)?;
+        let peer = choose(host, &self.zone, route).filter(|peer| *peer != self.peer)?;
         Some(Self { peer, tries: self.tries + 1, ..self.clone() })
     }
 }
 
 /// Which of a query's shards peers gather; the others are gathered here.
-pub(crate) fn hand_over(host: &RouteHost, spread: &spread::Outcome) -> Vec<DelegatedShards> {
+pub(crate) fn hand_over(
+    host: &RouteHost,
+    spread: &spread::Outcome,
+    route: &RouteRule,
+) -> Vec<DelegatedShards> {
     let options = host.beliefs.policy.get().gatherers;
     let mut peers: HashMap<Rc<str>, SocketAddr> = HashMap::new();
     let has_host = |zone: &str| {
-        let peer = choose(host, zone);
+        let peer = choose(host, zone, route);
         peers.extend(peer.map(|peer| (Rc::from(zone), peer)));
         peer.is_some()
     };
@@ -181,7 +186,11 @@
     shards as f64 * SHARD_COST.as_secs_f64() <= time
 }
 
-fn choose(host: &RouteHost, zone: &str) -> Option<SocketAddr> {
+/// A peer of a zone that may be sent a request of the route.
+fn choose(host: &RouteHost, zone: &str, route: &RouteRule) -> Option<SocketAddr> {
+    if !host.beliefs.homes(route).allows(zone) {
+        return None;
+    }
     let gatherers = host.gather_peers.borrow();
     let peers = gatherers.of_zone(zone).iter().filter(|peer| !host.links.is_suspect(**peer));
     let peers: SmallVec<[SocketAddr; 8]> = peers.copied().collect();
--- a/crates/hawthorn-edge/src/request/parts.rs
+++ b/crates/hawthorn-edge/src/request/parts.rs
@@ -119,7 +119,7 @@
     ///
     /// The shard in `tried` has already answered and is skipped.
     pub(super) fn begin(&mut self, spread: &spread::Outcome, tried: Option<u16>) {
-        let mut delegated = delegate::hand_over(self.host, spread);
+        let mut delegated = delegate::hand_over(self.host, spread, &self.order.route);
         for part in &mut delegated {
             part.shards.retain(|place| Some(*place) != tried);
         }
@@ -389,17 +389,15 @@
                 self.take_parts(delegated.peer, &delegated.zone, reply);
             }
             Ok(GatherReply::OtherVersion | GatherReply::Unreadable) => {
-                self.gather_again(delegated, delegated.elsewhere(self.host));
+                self.gather_again(delegated, delegated.elsewhere(self.host, &self.order.route));
             }
             Ok(GatherReply::Stopping) | Err(PeerError::NotSent) => {
-                self.gather_again(delegated, delegated.again(self.host));
-            }
-            Err(PeerError::Silent) => {
-                match delegated.after_silence(self.host, self.order.route.max_attempts) {
-                    Some(again) => self.delegate(again),
-                    None => self.race_all(&delegated.shards, usize::from(delegated.spent) + 1),
-                }
+                self.gather_again(delegated, delegated.again(self.host, &self.order.route));
             }
+            Err(PeerError::Silent) => match delegated.after_silence(self.host, &self.order.route) {
+                Some(again) => self.delegate(again),
+                None => self.race_all(&delegated.shards, usize::from(delegated.spent) + 1),
+            },
             Err(PeerError::Lost) => self.state.lost += delegated.shards.len(),
         }
     }
--- a/crates/hawthorn-edge/src/settings.rs
+++ b/crates/hawthorn-edge/src/settings.rs
@@ -5,6 +5,7 @@
 
 use hawthorn_route::cold;
 use hawthorn_route::depart;
+use hawthorn_route::home::RegionMap;
 use hawthorn_route::policy;
 use hawthorn_route::policy::RoutePolicy;
 use quick_error::quick_error;
@@ -42,6 +43,9 @@
 pub struct RouteSettings {
     /// Who this host is.
     pub host: HostSettings,
+    /// The region of each availability zone.
+    #[serde(default)]
+    pub zones: RegionMap,
     /// Where it listens.
     pub listen: ListenSettings,
     /// What holds of all callers.
--- a/crates/hawthorn-edge/src/version/beliefs.rs
+++ b/crates/hawthorn-edge/src/version/beliefs.rs
@@ -21,6 +21,7 @@
 use hawthorn_route::document::RouteWay;
 use hawthorn_route::document::WeightedService;
 use hawthorn_route::door::QueryDoor;
+use hawthorn_route::home::HomeZones;
 use hawthorn_route::place;
 use hawthorn_route::place::PlaceView;
 use hawthorn_route::policy::RoutePolicy;
@@ -320,6 +321,11 @@
         })
     }
 
+    /// The zones in which a route's requests may be run.
+    pub fn homes<'a>(&'a self, route: &'a RouteRule) -> HomeZones<'a> {
+        HomeZones::new(&self.settings.zones, route.homes.as_deref())
+    }
+
     pub(super) fn with_view<T>(
         &self,
         route: &RouteRule,
@@ -330,7 +336,8 @@
         let registry = self.registry.borrow();
         let zone = &self.settings.host.zone;
         let (usual, queued, aim) = (self.usual(route), self.mixed_work(), route.aim);
-        let view = PlaceView { registry: &registry, zone, cut, usual, queued, aim, now };
+        let homes = self.homes(route);
+        let view = PlaceView { registry: &registry, zone, cut, homes, usual, queued, aim, now };
         let outcome = with(view, &mut self.lots.borrow_mut());
         if registry.cold().is_wanted(now) {
             self.cold_wanted.notify_one();
--- a/crates/hawthorn-edge/tests/house.rs
+++ b/crates/hawthorn-edge/tests/house.rs
@@ -17,6 +17,8 @@
         ("{{limits.cpuCores}}", "1"),
         ("{{#limits.linkMbps}}link_mbps = {{.}}", "link_mbps = 21.0"),
         ("{{/limits.linkMbps}}", ""),
+        ("{{#zones}}{{@}} = {{.|json}}", "east = \"dar\""),
+        ("{{/zones}}", ""),
         ("{{listenAddrs.front|json}}", "\"10.1.0.9:8104\""),
         ("{{listenAddrs.ready|json}}", "\"10.1.0.9:8108\""),
         ("{{ip}}", "10.1.0.9"),
@@ -51,6 +53,7 @@
     assert_eq!(settings.stop.grace.as_secs(), 6);
     assert_eq!(settings.listen.metrics.port(), 9464);
     assert_eq!(settings.cold.limit(12.0), 23);
+    assert_eq!(settings.zones.of("east"), Some("dar"));
 }
 
 #[test]
--- a/crates/hawthorn-route/src/document.rs
+++ b/crates/hawthorn-route/src/document.rs
@@ -36,6 +36,8 @@
     pub priority: u32,
     /// Most targets that may run one request, for each shard.
     pub max_attempts: usize,
+    /// Regions in which its requests may be run; `None` if anywhere.
+    pub homes: Option<Vec<String>>,
     /// Where requests go.
     pub way: RouteWay,
 }
--- /dev/null
+++ b/crates/hawthorn-route/src/home.rs
@@ -0,0 +1,47 @@
+//! Home regions of routes: where their requests may be run, and their bodies sent.
+
+use std::collections::HashMap;
+
+use serde::Deserialize;
+
+/// The region of each availability zone.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(transparent)]
+pub struct RegionMap {
+    zones: HashMap<String, String>,
+}
+
+impl RegionMap {
+    /// The region of a zone, if it is known.
+    pub fn of(&self, zone: &str) -> Option<&str> {
+        self.zones.get(zone).map(String::as_str)
+    }
+}
+
+impl FromIterator<(String, String)> for RegionMap {
+    fn from_iter<T: IntoIterator<Item = (String, String)>>(zones: T) -> Self {
+        Self { zones: zones.into_iter().collect() }
+    }
+}
+
+/// Zones in which a route's requests may be run. Hosts elsewhere are sent no bodies either:
+/// a caller may have been connected to a host of a region that is not its own.
+#[derive(Clone, Copy, Debug)]
+pub struct HomeZones<'a> {
+    map: &'a RegionMap,
+    /// The home regions; `None` if the route may run anywhere.
+    regions: Option<&'a [String]>,
+}
+
+impl<'a> HomeZones<'a> {
+    /// The zones of some home regions.
+    pub fn new(map: &'a RegionMap, regions: Option<&'a [String]>) -> Self {
+        Self { map, regions }
+    }
+
+    /// Whether a zone belongs to a home. One whose region is not known does not.
+    pub fn allows(&self, zone: &str) -> bool {
+        let Some(regions) = self.regions else { return true };
+        self.map.of(zone).is_some_and(|region| regions.iter().any(|home| home == region))
+    }
+}
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`target`] | what is believed of one target: entry, load, speed, failures |
 //! | [`cold`] | how many requests targets receive that have just started |
 //! | [`evacuation`] | which zones operators have evacuated |
+//! | [`home`] | in which regions a route's requests may be run |
 //! | [`registry`] | all targets as they register, each belief with its age |
 //! | [`mod@place`] | which target an attempt goes to |
 //! | [`mod@hedge`] | when an attempt counts as late |
@@ -44,6 +45,7 @@
 pub mod gather;
 pub mod gatherers;
 pub mod hedge;
+pub mod home;
 pub mod merge;
 pub mod mirror;
 pub mod offset;
--- a/crates/hawthorn-route/src/place.rs
+++ b/crates/hawthorn-route/src/place.rs
@@ -13,6 +13,7 @@
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
+use crate::home::HomeZones;
 use crate::registry::TargetKey;
 use crate::registry::TargetRegistry;
 use crate::target::TargetPhase;
@@ -44,6 +45,8 @@
     pub zone: &'a str,
     /// Zones that cannot be reached.
     pub cut: &'a [String],
+    /// Zones in which the route's requests may be run.
+    pub homes: HomeZones<'a>,
     /// The usual time of such a request.
     pub usual: Duration,
     /// The usual time of one of those that wait in queues, of whichever route.
@@ -55,10 +58,13 @@
 }
 
 impl<'a> PlaceView<'a> {
-    /// The target's zone is not cut off, as far as is known, and it may be sent requests.
+    /// The target's zone is a home and not cut off, as far as is known, and it may be sent
+    /// requests.
     fn reaches(&self, state: &TargetState) -> bool {
         let zone = &state.entry.zone;
-        !self.cut.iter().any(|cut| **cut == **zone) && self.registry.is_open(state, self.now)
+        self.homes.allows(zone)
+            && !self.cut.iter().any(|cut| **cut == **zone)
+            && self.registry.is_open(state, self.now)
     }
 
     /// The targets of a service that take work and can be reached.
--- a/crates/hawthorn-route/tests/routes.rs
+++ b/crates/hawthorn-route/tests/routes.rs
@@ -18,6 +18,7 @@
         timeout: Duration::from_secs(1),
         aim: Duration::from_millis(100),
         priority: 0,
+        homes: None,
         max_attempts: 2,
         way: RouteWay::Single("s".to_owned()),
     }
--- a/crates/hawthorn-route/tests/support/mod.rs
+++ b/crates/hawthorn-route/tests/support/mod.rs
@@ -1,11 +1,16 @@
 //! Targets as they register, and the view of a host in the east.
 
+use std::sync::LazyLock;
 use std::time::Duration;
 
 use hawthorn_route::document::TargetEntry;
+use hawthorn_route::home::HomeZones;
+use hawthorn_route::home::RegionMap;
 use hawthorn_route::place::PlaceView;
 use hawthorn_route::registry::TargetRegistry;
 
+static NO_REGIONS: LazyLock<RegionMap> = LazyLock::new(RegionMap::default);
+
 /// An entry of two slots that has been warm for long.
 pub fn entry(id: &str, service: &str, zone: &str) -> TargetEntry {
     TargetEntry {
@@ -27,5 +32,6 @@
     aim: Duration,
     now: Duration,
 ) -> PlaceView<'_> {
-    PlaceView { registry, zone: "east", cut: &[], usual, queued: usual, aim, now }
+    let homes = HomeZones::new(&NO_REGIONS, None);
+    PlaceView { registry, zone: "east", cut: &[], homes, usual, queued: usual, aim, now }
 }
--- a/crates/hawthorn-standin/src/route/operator.rs
+++ b/crates/hawthorn-standin/src/route/operator.rs
@@ -28,6 +28,12 @@
             "fanoutServices": shards, "maxAttempts": 2, "topK": 4, "minShardFraction": least })
 }
 
+/// The same route, with requests allowed in some regions only.
+pub fn at_home(mut route: Value, regions: &[&str]) -> Value {
+    route["allowedRegions"] = json!(regions);
+    route
+}
+
 /// Writes a version of the configuration.
 pub fn configure(store: &RouteStore, version: u64, routes: &[Value], services: &[&str]) {
     write(store, version, routes, services, None);
--- /dev/null
+++ b/tests/route_homes.rs
@@ -0,0 +1,102 @@
+//! Routes whose requests may be run in some regions only.
+
+mod support;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use hawthorn_standin::route::RouteStore;
+use hawthorn_standin::route::RouteTarget;
+use hawthorn_standin::route::operator;
+use support::TestResult;
+use support::route;
+use support::route::RouteHost;
+use tokio::time::sleep;
+
+const SHARDS: [&str; 4] = ["a", "b", "c", "d"];
+/// Each is a region of its own; see `RouteHost::start`.
+const ZONES: [&str; 2] = ["east", "west"];
+
+struct Fleet {
+    store: RouteStore,
+    /// By zone, then by shard.
+    targets: Vec<Vec<RouteTarget>>,
+    hosts: Vec<RouteHost>,
+}
+
+impl Fleet {
+    fn runs(&self, zone: usize) -> usize {
+        self.targets[zone].iter().map(RouteTarget::all_runs).sum()
+    }
+}
+
+async fn fleet() -> TestResult<Fleet> {
+    let store = RouteStore::start().await?;
+    let mut targets = Vec::new();
+    for zone in ZONES {
+        let mut there = Vec::new();
+        for shard in SHARDS {
+            let id = format!("t-{shard}-{zone}");
+            let target = RouteTarget::start(&id, shard).await?;
+            operator::register(&store, &id, &target, zone);
+            there.push(target);
+        }
+        targets.push(there);
+    }
+    let west = |route| operator::at_home(route, &["r-west"]);
+    let routes = [
+        west(operator::gathered("/all/", &SHARDS, 0.7)),
+        west(operator::single("/safe/", "a", "safe")),
+        west(operator::single("/once/", "a", "unsafe")),
+        operator::at_home(operator::single("/nowhere/", "a", "safe"), &["r-north"]),
+        operator::at_home(operator::single("/anywhere/", "a", "safe"), &[]),
+    ];
+    operator::configure(&store, 3, &routes, &SHARDS);
+    let east = RouteHost::start("h-1", "east", store.address(), &[])?;
+    east.ready().await?;
+    let west = RouteHost::start("h-2", "west", store.address(), &[&east])?;
+    west.ready().await?;
+    sleep(Duration::from_millis(500)).await;
+    Ok(Fleet { store, targets, hosts: vec![east, west] })
+}
+
+/// Guards against requests that are run, and bodies that are sent, outside the homes.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_stay_in_their_home_regions() -> TestResult {
+    let fleet = fleet().await?;
+    for (number, host) in fleet.hosts.iter().enumerate() {
+        for round in 0..5 {
+            for path in ["/all/x", "/safe/x", "/once/x"] {
+                let id = format!("id-{number}-{round}-{}", &path[1..4]);
+                let answer = host.ask("POST", path, &id, "a body").await?;
+                assert_eq!(answer.status, 200, "{path} at host {number}");
+            }
+        }
+    }
+    assert_eq!(fleet.runs(0), 0, "requests were run outside their home");
+    assert!(fleet.runs(1) > 0);
+    assert_eq!(fleet.hosts[1].logged("E633"), 0, "shards were handed to a host elsewhere");
+    fleet.hosts[0].ask("GET", "/anywhere/x", "any", "").await?;
+    assert_eq!(fleet.runs(0), 1, "a route without homes is served near its caller");
+    Ok(())
+}
+
+/// Guards against callers that wait, or are served elsewhere, while nothing of a home is there.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_refused_at_once_while_no_home_has_a_target() -> TestResult {
+    let fleet = fleet().await?;
+    for shard in SHARDS {
+        operator::remove(&fleet.store, &format!("t-{shard}-west"));
+    }
+    // Targets that leave are used for a short time.
+    sleep(Duration::from_millis(2000)).await;
+    for path in ["/all/x", "/safe/x", "/once/x", "/nowhere/x"] {
+        let asked = Instant::now();
+        let answer = fleet.hosts[0].ask("GET", path, &format!("id-{}", &path[1..4]), "").await?;
+        assert_eq!(answer.status, 503, "{path}");
+        assert!(answer.headers.contains_key("retry-after"), "{path}");
+        assert!(asked.elapsed() < route::PATIENCE / 20, "{path}: {:?}", asked.elapsed());
+    }
+    assert_eq!(fleet.runs(0), 0);
+    Ok(())
+}
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -98,6 +98,7 @@
             "[host]\nname = \"{name}\"\nzone = \"{zone}\"\n[listen]\n\
              callers = \"{ip}:{CALLER_PORT}\"\nready = \"{ip}:{READY_PORT}\"\n\
              peers = \"{ip}:{PEER_PORT}\"\nmetrics = \"{ip}:{metrics}\"\n\
+             [zones]\neast = \"r-east\"\nwest = \"r-west\"\n\
              [fleet]\nseeds = [{}]\n[store]\naddress = \"{store}\"\n\
              [targets]\nbeat_ms = 1200\nleave_ms = 3000\n[stop]\ngrace_ms = 6000\n\
              [budget]\nshare = 0.2\nwindow_s = 10\nallowance = 20000\n",
