perf(route): a target in another zone has to gain half of the aim

Cause: 15 parts of a query over 90 shards crossed zones where 3.75 targets pause: first attempts went round targets that only seemed to. Second attempts cross anyway when one is late.

A smaller cost of suspected targets: more bytes, no fewer late; not kept.

--- a/crates/hawthorn-route/src/place.rs
+++ b/crates/hawthorn-route/src/place.rs
@@ -176,7 +176,7 @@
     fn default() -> Self {
         Self {
             zone_cost: Duration::from_millis(30),
-            zone_aim_share: 0.25,
+            zone_aim_share: 0.5,
             suspect_factor: 3.0,
             suspect_cost: Duration::from_millis(100),
             failing_cost: Duration::from_millis(400),
