--- a/tests/route_evacuation.rs
+++ b/tests/route_evacuation.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use hawthorn_standin::route::RouteStore;
-use hawthorn_standin::route::RouteTarget;
 use hawthorn_standin::route::operator;
 use hawthorn_standin::route::store::RouteOutage;
 use hawthorn_standin::route::target::TargetFault;
 use support::TestResult;
 use support::route;
 use support::route::RouteHost;
+use support::zones::ZoneTargets;
 use tokio::time::sleep;
 
 /// The time within which hosts apply a change, well below the bound of 5 s.
@@ -22,24 +22,13 @@
 /// Two zones, each with a host and a target for each shard.
 struct Fleet {
     store: RouteStore,
-    /// By zone, then by shard.
-    targets: Vec<Vec<RouteTarget>>,
+    targets: ZoneTargets,
     hosts: Vec<RouteHost>,
 }
 
 async fn fleet() -> TestResult<Fleet> {
     let store = RouteStore::start().await?;
-    let mut targets = Vec::new();
-    for zone in ZONES {
-        let mut there = Vec::new();
-        for shard in SHARDS {
-            let id = format!("t-{shard}-{zone}");
-            let target = RouteTarget::start(&id, shard).await?;
-            operator::register(&store, &id, &target, zone);
-            there.push(target);
-        }
-        targets.push(there);
-    }
+    let targets = ZoneTargets::start(&store, &ZONES, &SHARDS).await?;
     let routes = [
         operator::gathered("/all/", &SHARDS, 0.7),
         operator::single("/safe/", "a", "safe"),
@@ -54,11 +43,6 @@
 }
 
 impl Fleet {
-    /// Requests that the targets of a zone have run.
-    fn runs(&self, zone: usize) -> usize {
-        self.targets[zone].iter().map(RouteTarget::all_runs).sum()
-    }
-
     /// Asks each host for each route; returns the statuses.
     async fn ask_all(&self, name: &str) -> TestResult<Vec<u16>> {
         let mut statuses = Vec::new();
@@ -84,17 +68,17 @@
     let fleet = fleet().await?;
     operator::evacuate(&fleet.store, "east");
     fleet.applied("change=begun", 1).await?;
-    let before = fleet.runs(0);
+    let before = fleet.targets.runs(0);
     for round in 0..5 {
         let statuses = fleet.ask_all(&format!("during-{round}")).await?;
         assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
     }
-    assert_eq!(fleet.runs(0), before, "requests reached the evacuated zone");
+    assert_eq!(fleet.targets.runs(0), before, "requests reached the evacuated zone");
     assert!(fleet.hosts[0].is_ready().await, "the zone's host goes on serving");
     operator::end_evacuation(&fleet.store, "east");
     fleet.applied("change=ended", 1).await?;
     fleet.ask_all("after").await?;
-    assert!(fleet.runs(0) > before, "the zone's targets receive requests again");
+    assert!(fleet.targets.runs(0) > before, "the zone's targets receive requests again");
     Ok(())
 }
 
@@ -104,7 +88,7 @@
     let fleet = fleet().await?;
     ZONES.iter().for_each(|zone| operator::evacuate(&fleet.store, zone));
     fleet.applied("change=begun", 2).await?;
-    let before = fleet.runs(0) + fleet.runs(1);
+    let before = fleet.targets.runs(0) + fleet.targets.runs(1);
     for (number, path) in ["/all/x", "/safe/x", "/once/x"].into_iter().enumerate() {
         let asked = std::time::Instant::now();
         let answer = fleet.hosts[0].ask("GET", path, &format!("id-{number}"), "").await?;
@@ -112,7 +96,7 @@
         assert!(answer.headers.contains_key("retry-after"), "{path}: when to come back");
         assert!(asked.elapsed() < Duration::from_millis(200), "{path}: {:?}", asked.elapsed());
     }
-    assert_eq!(fleet.runs(0) + fleet.runs(1), before);
+    assert_eq!(fleet.targets.runs(0) + fleet.targets.runs(1), before);
     assert!(fleet.hosts[0].is_ready().await, "no other host could serve better");
     Ok(())
 }
@@ -163,10 +147,10 @@
     for case in cases {
         (case.write)(&fleet.store);
         sleep(APPLY_TIME).await;
-        let before = fleet.runs(0);
+        let before = fleet.targets.runs(0);
         let statuses = fleet.ask_all(case.name).await?;
         assert!(statuses.iter().all(|status| *status == 200), "{}: {statuses:?}", case.name);
-        assert_eq!(fleet.runs(0) == before, case.evacuated, "{}", case.name);
+        assert_eq!(fleet.targets.runs(0) == before, case.evacuated, "{}", case.name);
     }
     assert!(fleet.hosts[0].logged("E625") >= 2, "unreadable evacuations are logged");
     Ok(())
@@ -182,9 +166,9 @@
     fleet.store.compact();
     fleet.store.set_outage(RouteOutage::None);
     fleet.applied("change=begun", 1).await?;
-    let before = fleet.runs(0);
+    let before = fleet.targets.runs(0);
     fleet.ask_all("after").await?;
-    assert_eq!(fleet.runs(0), before);
+    assert_eq!(fleet.targets.runs(0), before);
     Ok(())
 }
 
@@ -194,7 +178,7 @@
 async fn requests_that_wait_are_not_sent_to_an_evacuated_zone() -> TestResult {
     let fleet = fleet().await?;
     let slow = TargetFault::Slow(Duration::from_millis(700));
-    fleet.targets.iter().flatten().for_each(|target| target.fail_always(Some(slow)));
+    fleet.targets.iter().for_each(|target| target.fail_always(Some(slow)));
     let host = &fleet.hosts[0];
     let asked = (0..60).map(|number| {
         let id = format!("waiting-{number}");
@@ -205,12 +189,12 @@
         operator::evacuate(&fleet.store, "east");
         fleet.applied("change=begun", 1).await?;
         sleep(Duration::from_millis(50)).await;
-        TestResult::Ok(fleet.runs(0))
+        TestResult::Ok(fleet.targets.runs(0))
     };
     let (answers, evacuated) = futures::join!(futures::future::join_all(asked), evacuation);
     let before = evacuated?;
     assert!(answers.into_iter().all(|answer| answer.is_ok()));
     // Runs are counted as they begin: what had arrived by then is all.
-    assert_eq!(fleet.runs(0), before);
+    assert_eq!(fleet.targets.runs(0), before);
     Ok(())
 }
--- a/tests/route_homes.rs
+++ b/tests/route_homes.rs
@@ -6,11 +6,11 @@
 use std::time::Instant;
 
 use hawthorn_standin::route::RouteStore;
-use hawthorn_standin::route::RouteTarget;
 use hawthorn_standin::route::operator;
 use support::TestResult;
 use support::route;
 use support::route::RouteHost;
+use support::zones::ZoneTargets;
 use tokio::time::sleep;
 
 const SHARDS: [&str; 4] = ["a", "b", "c", "d"];
@@ -19,30 +19,13 @@
 
 struct Fleet {
     store: RouteStore,
-    /// By zone, then by shard.
-    targets: Vec<Vec<RouteTarget>>,
+    targets: ZoneTargets,
     hosts: Vec<RouteHost>,
 }
 
-impl Fleet {
-    fn runs(&self, zone: usize) -> usize {
-        self.targets[zone].iter().map(RouteTarget::all_runs).sum()
-    }
-}
-
 async fn fleet() -> TestResult<Fleet> {
     let store = RouteStore::start().await?;
-    let mut targets = Vec::new();
-    for zone in ZONES {
-        let mut there = Vec::new();
-        for shard in SHARDS {
-            let id = format!("t-{shard}-{zone}");
-            let target = RouteTarget::start(&id, shard).await?;
-            operator::register(&store, &id, &target, zone);
-            there.push(target);
-        }
-        targets.push(there);
-    }
+    let targets = ZoneTargets::start(&store, &ZONES, &SHARDS).await?;
     let west = |route| operator::at_home(route, &["r-west"]);
     let routes = [
         west(operator::gathered("/all/", &SHARDS, 0.7)),
@@ -73,11 +56,11 @@
             }
         }
     }
-    assert_eq!(fleet.runs(0), 0, "requests were run outside their home");
-    assert!(fleet.runs(1) > 0);
+    assert_eq!(fleet.targets.runs(0), 0, "requests were run outside their home");
+    assert!(fleet.targets.runs(1) > 0);
     assert_eq!(fleet.hosts[1].logged("E633"), 0, "shards were handed to a host elsewhere");
     fleet.hosts[0].ask("GET", "/anywhere/x", "any", "").await?;
-    assert_eq!(fleet.runs(0), 1, "a route without homes is served near its caller");
+    assert_eq!(fleet.targets.runs(0), 1, "a route without homes is served near its caller");
     Ok(())
 }
 
@@ -97,6 +80,6 @@
         assert!(answer.headers.contains_key("retry-after"), "{path}");
         assert!(asked.elapsed() < route::PATIENCE / 20, "{path}: {:?}", asked.elapsed());
     }
-    assert_eq!(fleet.runs(0), 0);
+    assert_eq!(fleet.targets.runs(0), 0);
     Ok(())
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,6 +10,7 @@
 pub mod network;
 pub mod route;
 pub mod wire;
+pub mod zones;
 
 use std::error::Error;
 use std::path::PathBuf;
