--- /dev/null
+++ b/deploy/sweep.sh
@@ -0,0 +1,39 @@
+#!/usr/bin/env bash
+# One day of each deployment at 30, 100 and 300 hosts, as a table for docs/CAPACITY.md.
+#
+#   deploy/sweep.sh BENCH OUT SITE...
+#
+# BENCH is the program that plays days, OUT a directory outside the repository that keeps
+# what it prints, SITE a deployment's file. A sweep that was played is not played again. JOBS
+# may be set. A deployment takes about two minutes with 3 jobs on 6 cores. Prints, for each
+# row, the busiest host at the three sizes, its growth as a power of the number of hosts, and
+# what that comes to at the size to come; ends with 1 if a day breaks a rule.
+set -euo pipefail
+bench=$(realpath "$1") out=$2
+shift 2
+mkdir -p "$out"
+broken=0
+for site in "$@"; do
+  name=$(basename "$site" .toml)
+  file=$out/sweep-$name.txt
+  [ -s "$file" ] || {
+    "$bench" sweep "$(realpath "$site")" --jobs "${JOBS:-3}" --why "slopes" > "$file.part" 2>&1
+    mv "$file.part" "$file"
+  }
+  if grep -q '^rules broken: ' "$file"; then broken=1; fi
+  printf '\n| %s | 30 | 100 | 300 | power | carried on |\n|---|---|---|---|---|---|\n' "$name"
+  # A day's line: name, own/targets, score, worth, served.
+  awk '/^sweep-[0-9]+ +[0-9]+\// {worth = worth " | " $4; served = served " | " $5}
+       END {print "| worth of the day" worth " | | |"; print "| served" served " | | |"}' "$file"
+  awk '/^middle \/ busiest/ {rows = 1; getline; next}
+       /^power:/ {rows = 0}
+       rows && NF > 7 {
+         last = $NF; power = $(NF - 1); label = ""; busiest = ""
+         for (i = 1; i < NF - 1; i++) {
+           if ($i == "/") {busiest = busiest " | " $(i + 1); i++; seen = 1}
+           else if ($(i + 1) != "/") label = label (label == "" ? "" : " ") $i
+         }
+         print "| " label busiest " | " power " | " last " |"
+       }' "$file"
+done
+exit "$broken"
