refactor(route): one reading of the lag for both shares

The usual lag and the lag within a given share were two look-ups in the same sorted observations. The first calls the second now; the values are the same (3 of 32 above).

--- a/crates/hawthorn-route/src/depart.rs
+++ b/crates/hawthorn-route/src/depart.rs
@@ -130,9 +130,9 @@
 /// Observations of the lag that count, the newest: three seconds of the ten a
 /// second that a calm host makes.
 const LAG_SAMPLES: usize = 32;
-/// Of these, such as may be longer than the lag reckoned with: one in ten. A
+/// Share of these that may be longer than the lag reckoned with. A
 /// single long turn would else have every answer of three seconds leave early.
-const LAG_ABOVE: usize = LAG_SAMPLES / 10;
+const LAG_ABOVE: f64 = 0.1;
 
 /// How late a host does what is due: timers that fire late, as the loop is at
 /// other work or the system wakes it late, and the merging and writing after it.
@@ -158,7 +158,7 @@
 
     /// The lag to be reckoned with.
     pub fn lag(&self) -> Duration {
-        self.sorted[LAG_SAMPLES - 1 - LAG_ABOVE]
+        self.lag_within(LAG_ABOVE)
     }
 
     /// The lag that a share of the observations may exceed, and one in any case: a single
