fix(route): targets are presumed cold by the limit that is in force

Cause: after an evacuation, which targets are presumed cold was decided from the rate of the newest version, beside the admission that holds the limit. After a rate of 0, which leaves the limit before in force, they counted as warm at once.

Change: the registry asks the admission. Nothing changes where a version states its rate, or none.

Tests: a table of rates (hawthorn-route, cold), failing where the registry did not ask; route_cold and route_evacuation pass.

--- a/crates/hawthorn-edge/src/version/reach.rs
+++ b/crates/hawthorn-edge/src/version/reach.rs
@@ -59,13 +59,13 @@
         there.get(lot).copied()
     }
 
-    /// Treats a zone's targets as cold where their requests are limited while they are.
+    /// Treats a zone's targets as cold; see
+    /// [`presume_cold`](hawthorn_route::registry::TargetRegistry::presume_cold).
     pub fn presume_cold(&self, zone: &str, now: Duration) {
         let table = self.table();
         let cold_start = |service: &str| {
             let rule = table.as_ref().and_then(|table| table.service(service));
-            let limited = rule.filter(|rule| rule.cold_rate.is_some_and(|rate| rate > 0.0));
-            limited.map_or(Duration::ZERO, |rule| rule.cold_start)
+            rule.map_or(Duration::ZERO, |rule| rule.cold_start)
         };
         self.registry.borrow_mut().presume_cold(zone, now, cold_start);
     }
--- a/crates/hawthorn-route/src/cold/mod.rs
+++ b/crates/hawthorn-route/src/cold/mod.rs
@@ -112,10 +112,12 @@
     /// The limit of a target while it is cold; `None` if it is warm or has none. A service
     /// that the configuration does not name has a limit of 0.
     pub fn limit(&self, state: &TargetState, now: Duration) -> Option<u32> {
-        if now >= state.cold_until {
-            return None;
-        }
-        match self.limits.as_ref()?.get(&*state.entry.service) {
+        if now < state.cold_until { self.service_limit(&state.entry.service) } else { None }
+    }
+
+    /// The limit of a service's targets while they are cold; see [`ColdAdmission::limit`].
+    pub fn service_limit(&self, service: &str) -> Option<u32> {
+        match self.limits.as_ref()?.get(service) {
             Some(ServiceLimit::Unlimited) => None,
             Some(ServiceLimit::PerSecond(limit)) => Some(*limit),
             None => Some(0),
--- a/crates/hawthorn-route/src/registry.rs
+++ b/crates/hawthorn-route/src/registry.rs
@@ -205,7 +205,8 @@
         self.evacuations.apply(zone, evacuated, revision)
     }
 
-    /// Treats a zone's targets as cold, each for the time that `cold_start` gives.
+    /// Treats a zone's targets as cold where they are limited while cold, each for the time
+    /// that `cold_start` gives for its service.
     ///
     /// Failure: a zone's targets are cold when its evacuation ends, and their entries, which
     /// say so, arrive after the news of that end.
@@ -215,8 +216,10 @@
         now: Duration,
         cold_start: impl Fn(&str) -> Duration,
     ) {
-        let there = self.targets.values_mut().filter(|state| *state.entry.zone == *zone);
-        for state in there {
+        let Self { targets, cold, .. } = self;
+        let limited = |state: &TargetState| cold.service_limit(&state.entry.service).is_some();
+        let there = targets.values_mut().filter(|state| *state.entry.zone == *zone);
+        for state in there.filter(|state| limited(state)) {
             state.cold_until = state.cold_until.max(now + cold_start(&state.entry.service));
         }
     }
--- a/crates/hawthorn-route/tests/cold.rs
+++ b/crates/hawthorn-route/tests/cold.rs
@@ -191,15 +191,38 @@
 /// Guards against a zone's targets that are cold when its evacuation ends, and unknown to be.
 #[test]
 fn targets_of_a_zone_are_presumed_cold_after_its_evacuation() {
-    let mut registry = registry(&[("east", false), ("west", false)], Some(12.0));
-    registry.presume_cold("west", NOW, |_| ms(3000));
+    struct Case {
+        name: &'static str,
+        /// The rates that successive versions state.
+        rates: &'static [Option<f64>],
+        cold: &'static [&'static str],
+    }
+    let cases = [
+        Case { name: "limited", rates: &[Some(12.0)], cold: &["t1"] },
+        Case {
+            name: "a bad rate after a good one",
+            rates: &[Some(12.0), Some(0.0)],
+            cold: &["t1"],
+        },
+        Case { name: "not limited", rates: &[None], cold: &[] },
+        Case { name: "no longer limited", rates: &[Some(12.0), None], cold: &[] },
+    ];
     let cold = |registry: &TargetRegistry, now| {
-        let limited =
-            registry.iter().filter(|(_, state)| registry.cold().limit(state, now).is_some());
-        limited.map(|(_, state)| state.entry.id.to_string()).collect::<Vec<_>>()
+        let cold = registry.iter().filter(|(_, state)| now < state.cold_until);
+        cold.map(|(_, state)| state.entry.id.to_string()).collect::<Vec<_>>()
     };
-    assert_eq!(cold(&registry, NOW), ["t1"]);
-    assert!(cold(&registry, NOW + ms(3000)).is_empty());
+    for case in cases {
+        let mut registry = registry(&[("east", false), ("west", false)], None);
+        for rate in case.rates {
+            registry.limit_cold(&[service("s", *rate)], &OPTIONS);
+        }
+        registry.presume_cold("west", NOW, |_| ms(3000));
+        assert_eq!(cold(&registry, NOW), case.cold, "{}", case.name);
+        let limited =
+            registry.iter().filter(|(_, state)| registry.cold().limit(state, NOW).is_some());
+        assert_eq!(limited.count(), case.cold.len(), "{}", case.name);
+        assert!(cold(&registry, NOW + ms(3000)).is_empty(), "{}", case.name);
+    }
 }
 
 /// A write on its way to the store, or its answer on the way back.
