refactor(test): tests of zones start one fleet

route_evacuation and route_homes built the same store, targets and hosts, and differed in their routes. Both start ZoneFleet now; no assertion changed.

--- a/tests/route_evacuation.rs
+++ b/tests/route_evacuation.rs
@@ -10,39 +10,24 @@
 use hawthorn_standin::route::target::TargetFault;
 use support::TestResult;
 use support::route;
-use support::route::RouteHost;
-use support::zones::ZoneTargets;
+use support::zones::SHARDS;
+use support::zones::ZONES;
+use support::zones::ZoneFleet;
 use tokio::time::sleep;
 
 /// The time within which hosts apply a change, well below the bound of 5 s.
 const APPLY_TIME: Duration = Duration::from_millis(500);
-const SHARDS: [&str; 4] = ["a", "b", "c", "d"];
-const ZONES: [&str; 2] = ["east", "west"];
 
-/// Two zones, each with a host and a target for each shard.
-struct Fleet {
-    store: RouteStore,
-    targets: ZoneTargets,
-    hosts: Vec<RouteHost>,
-}
-
-async fn fleet() -> TestResult<Fleet> {
-    let store = RouteStore::start().await?;
-    let targets = ZoneTargets::start(&store, &ZONES, &SHARDS).await?;
+async fn fleet() -> TestResult<ZoneFleet> {
     let routes = [
         operator::gathered("/all/", &SHARDS, 0.7),
         operator::single("/safe/", "a", "safe"),
         operator::single("/once/", "a", "unsafe"),
     ];
-    operator::configure(&store, 3, &routes, &SHARDS);
-    let east = RouteHost::start("h-1", "east", store.address(), &[])?;
-    east.ready().await?;
-    let west = RouteHost::start("h-2", "west", store.address(), &[&east])?;
-    west.ready().await?;
-    Ok(Fleet { store, targets, hosts: vec![east, west] })
+    ZoneFleet::start(&routes).await
 }
 
-impl Fleet {
+impl ZoneFleet {
     /// Asks each host for each route; returns the statuses.
     async fn ask_all(&self, name: &str) -> TestResult<Vec<u16>> {
         let mut statuses = Vec::new();
--- a/tests/route_homes.rs
+++ b/tests/route_homes.rs
@@ -5,27 +5,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hawthorn_standin::route::RouteStore;
 use hawthorn_standin::route::operator;
 use support::TestResult;
 use support::route;
-use support::route::RouteHost;
-use support::zones::ZoneTargets;
+use support::zones::SHARDS;
+use support::zones::ZoneFleet;
 use tokio::time::sleep;
 
-const SHARDS: [&str; 4] = ["a", "b", "c", "d"];
-/// Each is a region of its own; see `RouteHost::start`.
-const ZONES: [&str; 2] = ["east", "west"];
-
-struct Fleet {
-    store: RouteStore,
-    targets: ZoneTargets,
-    hosts: Vec<RouteHost>,
-}
-
-async fn fleet() -> TestResult<Fleet> {
-    let store = RouteStore::start().await?;
-    let targets = ZoneTargets::start(&store, &ZONES, &SHARDS).await?;
+async fn fleet() -> TestResult<ZoneFleet> {
     let west = |route| operator::at_home(route, &["r-west"]);
     let routes = [
         west(operator::gathered("/all/", &SHARDS, 0.7)),
@@ -34,13 +21,9 @@
         operator::at_home(operator::single("/nowhere/", "a", "safe"), &["r-north"]),
         operator::at_home(operator::single("/anywhere/", "a", "safe"), &[]),
     ];
-    operator::configure(&store, 3, &routes, &SHARDS);
-    let east = RouteHost::start("h-1", "east", store.address(), &[])?;
-    east.ready().await?;
-    let west = RouteHost::start("h-2", "west", store.address(), &[&east])?;
-    west.ready().await?;
+    let fleet = ZoneFleet::start(&routes).await?;
     sleep(Duration::from_millis(500)).await;
-    Ok(Fleet { store, targets, hosts: vec![east, west] })
+    Ok(fleet)
 }
 
 /// Guards against requests that are run, and bodies that are sent, outside the homes.
--- a/tests/support/zones.rs
+++ b/tests/support/zones.rs
@@ -1,21 +1,28 @@
-//! Targets of several zones, one of each shard in each.
+//! A fleet of two zones, each with a host and a target of each shard.
 
 use hawthorn_standin::route::RouteStore;
 use hawthorn_standin::route::RouteTarget;
 use hawthorn_standin::route::operator;
+use serde_json::Value;
 
 use super::TestResult;
+use super::route::RouteHost;
+
+/// The shards, each also a service of its own.
+pub const SHARDS: [&str; 4] = ["a", "b", "c", "d"];
+/// The zones, each a region of its own; see [`RouteHost::start`].
+pub const ZONES: [&str; 2] = ["east", "west"];
 
 /// Targets by zone, then by shard.
 pub struct ZoneTargets(Vec<Vec<RouteTarget>>);
 
 impl ZoneTargets {
     /// Starts and registers a target of each shard in each zone, as `t-SHARD-ZONE`.
-    pub async fn start(store: &RouteStore, zones: &[&str], shards: &[&str]) -> TestResult<Self> {
+    async fn start(store: &RouteStore) -> TestResult<Self> {
         let mut targets = Vec::new();
-        for zone in zones {
+        for zone in ZONES {
             let mut there = Vec::new();
-            for shard in shards {
+            for shard in SHARDS {
                 let id = format!("t-{shard}-{zone}");
                 let target = RouteTarget::start(&id, shard).await?;
                 operator::register(store, &id, &target, zone);
@@ -36,3 +43,24 @@
         self.0.iter().flatten()
     }
 }
+
+/// A store, targets, and a ready host in each zone.
+pub struct ZoneFleet {
+    pub store: RouteStore,
+    pub targets: ZoneTargets,
+    pub hosts: Vec<RouteHost>,
+}
+
+impl ZoneFleet {
+    /// Starts a fleet with these routes.
+    pub async fn start(routes: &[Value]) -> TestResult<Self> {
+        let store = RouteStore::start().await?;
+        let targets = ZoneTargets::start(&store).await?;
+        operator::configure(&store, 3, routes, &SHARDS);
+        let east = RouteHost::start("h-1", "east", store.address(), &[])?;
+        east.ready().await?;
+        let west = RouteHost::start("h-2", "west", store.address(), &[&east])?;
+        west.ready().await?;
+        Ok(Self { store, targets, hosts: vec![east, west] })
+    }
+}
