test(standin): the store can come back from an older copy

Store-Era is in every answer, revisions after the copy are given out again, watches from one that the store does not have get 410, waiting watches are disconnected, and leases granted since the copy are gone.

--- a/crates/hawthorn-standin/src/route/store.rs
+++ b/crates/hawthorn-standin/src/route/store.rs
@@ -1,6 +1,8 @@
-//! The platform's store: paging, watches, history compaction and outages.
+//! The platform's store: paging, watches, leases, history compaction, outages and restores from a
+//! copy.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -24,8 +26,8 @@
 /// Items per page; few, so that small tests cover paging.
 const PAGE_ITEMS: usize = 3;
 
-/// The id of all leases, which never expire.
-const LEASE_ID: u64 = 7;
+/// Header with the number of the store's restores, in every answer.
+const ERA_HEADER: &str = "Store-Era";
 const BASE64_ALPHABET: &[u8; 64] =
     b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
@@ -41,10 +43,20 @@
     Hang,
 }
 
-#[derive(Debug, Default)]
-struct StoreState {
+/// A copy of the store's contents, for a later restore.
+#[derive(Clone, Debug, Default)]
+pub struct StoreCopy {
     revision: u64,
     items: BTreeMap<String, (u64, Vec<u8>)>,
+    /// Granted leases; they never expire.
+    leases: BTreeSet<u64>,
+}
+
+#[derive(Debug, Default)]
+struct StoreState {
+    contents: StoreCopy,
+    /// Number of restores.
+    era: u64,
     /// Changes, oldest first; the value is `None` for deletions.
     history: Vec<(u64, String, Option<Vec<u8>>)>,
     /// Changes up to this revision have been compacted.
@@ -57,6 +69,15 @@
     hung: HashSet<IpAddr>,
 }
 
+impl StoreState {
+    fn put(&mut self, key: &str, value: Vec<u8>) {
+        self.contents.revision += 1;
+        let revision = self.contents.revision;
+        self.contents.items.insert(key.to_owned(), (revision, value.clone()));
+        self.history.push((revision, key.to_owned(), Some(value)));
+    }
+}
+
 #[derive(Debug, Default)]
 struct Shared {
     state: Mutex<StoreState>,
@@ -98,32 +119,43 @@
 
     /// Writes an item.
     pub fn put(&self, key: &str, value: &[u8]) {
-        self.update(|state| {
-            state.revision += 1;
-            state.items.insert(key.to_owned(), (state.revision, value.to_vec()));
-            state.history.push((state.revision, key.to_owned(), Some(value.to_vec())));
-        });
+        self.update(|state| state.put(key, value.to_vec()));
     }
 
     /// Deletes an item.
     pub fn delete(&self, key: &str) {
         self.update(|state| {
-            state.revision += 1;
-            state.items.remove(key);
-            state.history.push((state.revision, key.to_owned(), None));
+            state.contents.revision += 1;
+            state.contents.items.remove(key);
+            state.history.push((state.contents.revision, key.to_owned(), None));
+        });
+    }
+
+    /// Copies the contents.
+    pub fn copy(&self) -> StoreCopy {
+        self.shared.state.lock().expect("no holder of the lock panics").contents.clone()
+    }
+
+    /// Replaces the contents with an earlier copy: all later changes are lost, their revisions are
+    /// given out again, and waiting watches are disconnected.
+    pub fn restore(&self, copy: &StoreCopy) {
+        self.update(|state| {
+            state.contents = copy.clone();
+            state.era += 1;
+            state.history.retain(|(revision, _, _)| *revision <= copy.revision);
         });
     }
 
     /// All keys that start with `prefix`.
     pub fn keys_with_prefix(&self, prefix: &str) -> Vec<String> {
         let state = self.shared.state.lock().expect("no holder of the lock panics");
-        state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+        state.contents.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
     }
 
     /// Discards the history; watches from an earlier revision are answered with 410.
     pub fn compact(&self) {
         self.update(|state| {
-            state.compacted = state.revision;
+            state.compacted = state.contents.revision;
             state.history.clear();
         });
     }
@@ -172,7 +204,7 @@
         };
         let answer = match outage {
             RouteOutage::None => respond(&request, &shared).await,
-            RouteOutage::Unavailable => wire::answer(503, &[], b""),
+            RouteOutage::Unavailable => Some((503, json!({}))),
             RouteOutage::Hang => std::future::pending().await,
         };
         let hung = {
@@ -186,23 +218,34 @@
         if hung {
             std::future::pending::<()>().await;
         }
+        let Some((status, body)) = answer else { return };
+        let era = shared.state.lock().expect("no holder of the lock panics").era;
+        let headers =
+            [("Content-Type", "application/json".to_owned()), (ERA_HEADER, era.to_string())];
+        let answer = wire::answer(status, &headers, body.to_string().as_bytes());
         if stream.write_all(&answer).await.is_err() {
             return;
         }
     }
 }
 
-async fn respond(request: &WireRequest, shared: &Shared) -> Vec<u8> {
-    let (status, body) = match request.path() {
-        "/-/kv-range" => (200, page(request, shared)),
+/// The answer to a request; `None` disconnects the caller.
+async fn respond(request: &WireRequest, shared: &Shared) -> Option<(u16, Value)> {
+    match request.path() {
+        "/-/kv-range" => Some((200, page(request, shared))),
         "/-/kv-watch" => watch(request, shared).await,
-        "/-/kv-key" => (200, item(request, shared)),
-        "/-/kv-lease" => (200, json!({ "lease": LEASE_ID, "ttlMs": 600_000 })),
-        "/-/kv-txn" => write(request, shared),
-        _ => (404, json!({})),
-    };
-    let headers = [("Content-Type", "application/json".to_owned())];
-    wire::answer(status, &headers, body.to_string().as_bytes())
+        "/-/kv-key" => Some((200, item(request, shared))),
+        "/-/kv-lease" => Some((200, grant_lease(shared))),
+        "/-/kv-txn" => Some(write(request, shared)),
+        _ => Some((404, json!({}))),
+    }
+}
+
+fn grant_lease(shared: &Shared) -> Value {
+    let mut state = shared.state.lock().expect("no holder of the lock panics");
+    let lease = state.contents.leases.last().map_or(1, |last| last + 1);
+    state.contents.leases.insert(lease);
+    json!({ "lease": lease, "ttlMs": 600_000 })
 }
 
 fn encode_item(key: &str, revision: u64, value: &[u8]) -> Value {
@@ -214,6 +257,7 @@
     let state = shared.state.lock().expect("no holder of the lock panics");
     let after = request.query("after").unwrap_or_default().replace("%2F", "/");
     let remaining: Vec<Value> = state
+        .contents
         .items
         .iter()
         .filter(|(key, _)| key.as_str() > after.as_str())
@@ -221,7 +265,7 @@
         .collect();
     let more = remaining.len() > PAGE_ITEMS;
     let items: Vec<Value> = remaining.into_iter().take(PAGE_ITEMS).collect();
-    json!({ "items": items, "hasMore": more, "asOf": state.revision })
+    json!({ "items": items, "hasMore": more, "asOf": state.contents.revision })
 }
 
 /// Applies the writes of a transaction if all its preconditions hold.
@@ -230,7 +274,7 @@
     let mut state = shared.state.lock().expect("no holder of the lock panics");
     for condition in body["precondition"].as_array().into_iter().flatten() {
         let key = condition["key"].as_str().unwrap_or_default();
-        let revision = state.items.get(key).map_or(0, |(revision, _)| *revision);
+        let revision = state.contents.items.get(key).map_or(0, |(revision, _)| *revision);
         if condition["revision"].as_u64() != Some(revision) {
             return (412, json!({ "items": [] }));
         }
@@ -239,12 +283,13 @@
         let (Some(key), Some(text)) = (entry["key"].as_str(), entry["value"].as_str()) else {
             return (400, json!({}));
         };
-        state.revision += 1;
-        let (revision, value) = (state.revision, decode_base64(text));
-        state.items.insert(key.to_owned(), (revision, value.clone()));
-        state.history.push((revision, key.to_owned(), Some(value)));
+        let lease = entry["lease"].as_u64().unwrap_or_default();
+        if lease != 0 && !state.contents.leases.contains(&lease) {
+            return (404, json!({}));
+        }
+        state.put(key, decode_base64(text));
     }
-    let revision = state.revision;
+    let revision = state.contents.revision;
     drop(state);
     shared.changed.notify_waiters();
     (200, json!({ "revision": revision }))
@@ -253,21 +298,32 @@
 fn item(request: &WireRequest, shared: &Shared) -> Value {
     let state = shared.state.lock().expect("no holder of the lock panics");
     let key = request.query("key").unwrap_or_default().replace("%2F", "/");
-    let mut found = match state.items.get(&key) {
+    let mut found = match state.contents.items.get(&key) {
         Some((revision, value)) => encode_item(&key, *revision, value),
         None => json!({}),
     };
-    found["asOf"] = json!(state.revision);
+    found["asOf"] = json!(state.contents.revision);
     found
 }
 
-async fn watch(request: &WireRequest, shared: &Shared) -> (u16, Value) {
+/// The changes after a revision; `None` if the store is restored meanwhile.
+async fn watch(request: &WireRequest, shared: &Shared) -> Option<(u16, Value)> {
     let number = |name| request.query(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
     let after = number("after");
+    let lock = || shared.state.lock().expect("no holder of the lock panics");
+    let position = || {
+        let state = lock();
+        (state.era, state.contents.revision)
+    };
+    let (era, latest) = position();
+    if after > latest {
+        return Some((410, json!({})));
+    }
     let wait = async {
         loop {
             let changed = shared.changed.notified();
-            if shared.state.lock().expect("no holder of the lock panics").revision > after {
+            let (current_era, revision) = position();
+            if revision > after || current_era != era {
                 return;
             }
             changed.await;
@@ -275,9 +331,12 @@
     };
     // After a change and after a timeout alike, the answer contains the current events.
     let _elapsed = timeout(Duration::from_millis(number("waitMs")), wait).await;
-    let state = shared.state.lock().expect("no holder of the lock panics");
+    let state = lock();
+    if state.era != era {
+        return None;
+    }
     if after < state.compacted {
-        return (410, json!({}));
+        return Some((410, json!({})));
     }
     let events: Vec<Value> = state
         .history
@@ -288,7 +347,7 @@
             None => json!({ "key": key, "revision": revision, "deleted": true }),
         })
         .collect();
-    (200, json!({ "events": events, "asOf": state.revision }))
+    Some((200, json!({ "events": events, "asOf": state.contents.revision })))
 }
 
 fn decode_base64(text: &str) -> Vec<u8> {
