--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -36,6 +36,8 @@
     StoreBack = 613,
     /// A read or watch of the store returned.
     StoreNews = 614,
+    /// The store no longer had the changes after this host's revision, and all items were read.
+    StoreReread = 615,
     /// The entry of a target changed.
     TargetChanged = 620,
     /// An entry in the store is unreadable.
--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -158,8 +158,17 @@
                 "after={after} as_of={} items={count} whole={complete}",
                 update.as_of
             );
+            let as_of = update.as_of;
+            let changed = apply(host, update);
+            if complete && after != 0 {
+                edge_event!(
+                    Level::Warn,
+                    EdgeEvent::StoreReread,
+                    "after={after} as_of={as_of} items={count} changed={changed}"
+                );
+            }
             // At the start, this delay also lets the membership protocol find the zone's hosts.
-            if apply(host, update) && (!complete || after == 0) {
+            if changed && (!complete || after == 0) {
                 sleep(BATCH_DELAY).await;
             }
         }
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -203,6 +203,21 @@
     Ok(host.log_lines())
 }
 
+/// The store comes back from a copy.
+async fn restored_store_events() -> TestResult<Vec<String>> {
+    let store = RouteStore::start().await?;
+    operator::configure(&store, 3, &[operator::single("/safe/", "s", "safe")], &["s"]);
+    let copy = store.copy();
+    let host = RouteHost::start("h-1", "east", store.address(), &[])?;
+    host.wait_until_ready().await?;
+    operator::put_raw_evacuation(&store, "west", b"{}");
+    let evacuated = async || host.logged("evacuation-changed") > 0;
+    route::wait_for("the evacuation to be logged", evacuated).await?;
+    store.restore(&copy);
+    route::wait_for("a full read to be logged", async || host.logged("E615") > 0).await?;
+    Ok(host.log_lines())
+}
+
 /// The keys of each event, as listed in the catalogue.
 fn catalogue() -> BTreeMap<u16, BTreeSet<String>> {
     let page = include_str!("../docs/operators/events-route.md");
@@ -223,16 +238,17 @@
 /// keys.
 #[tokio::test(flavor = "multi_thread")]
 async fn every_event_is_written_as_the_catalogue_says() -> TestResult {
-    let (single, isolated, two_zones, cold, unread) = tokio::try_join!(
+    let (single, isolated, two_zones, cold, restored, unread) = tokio::try_join!(
         single_host_events(),
         isolated_host_events(),
         two_zone_events(),
         cold_target_events(),
+        restored_store_events(),
         unread_log_events()
     )?;
     let catalogue = catalogue();
     let mut written = BTreeSet::new();
-    for text in [single, isolated, two_zones, cold, unread].concat() {
+    for text in [single, isolated, two_zones, cold, restored, unread].concat() {
         let read = line::read(&text, "").ok_or_else(|| format!("not an event: {text}"))?;
         let keys = catalogue.get(&read.number).ok_or_else(|| format!("not listed: {text}"))?;
         for name in read.keys() {
