--- a/crates/hawthorn-edge/src/connection/message.rs
+++ b/crates/hawthorn-edge/src/connection/message.rs
@@ -1,6 +1,7 @@
 //! Messages between hosts that route requests. They are sent by tarpc with bincode, which does
 //! not support tagged or flattened serde representations.
 
+use hawthorn_route::revision::StoreRevision;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -117,10 +118,10 @@
 /// Changes of the store's items since a revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CatalogUpdate {
-    /// Keys, revisions of their last changes, and values; `None` if deleted.
+    /// Keys, revision numbers of their last changes, and values; `None` if deleted.
     pub items: Vec<(String, u64, Option<Vec<u8>>)>,
     /// The store's revision up to which the changes are complete.
-    pub as_of: u64,
+    pub as_of: StoreRevision,
     /// Whether this is a full snapshot.
     pub complete: bool,
     /// Milliseconds since the store last confirmed this revision, possibly through other hosts.
--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -10,6 +10,7 @@
 use futures::StreamExt;
 use hawthorn_route::clock_offset::Exchange;
 use hawthorn_route::clock_offset::PeerClock;
+use hawthorn_route::revision::StoreRevision;
 use log::Level;
 use tarpc::client;
 use tarpc::context;
@@ -62,6 +63,7 @@
     use super::CatalogUpdate;
     use super::GatherReply;
     use super::GatherRequest;
+    use super::StoreRevision;
     use super::TimedReply;
 
     /// Calls that each host serves for its peers.
@@ -75,7 +77,7 @@
         async fn ping();
         /// Returns changes of the store's items after a revision; waits up to `wait_ms` for
         /// one.
-        async fn catalog_update(after: u64, wait_ms: u64) -> CatalogUpdate;
+        async fn catalog_update(after: StoreRevision, wait_ms: u64) -> CatalogUpdate;
     }
 }
 use service::EdgePeer;
@@ -246,7 +248,7 @@
     pub(crate) async fn catalog_update(
         &self,
         endpoint: &PeerEndpoint,
-        after: u64,
+        after: StoreRevision,
         wait: Duration,
     ) -> Result<CatalogUpdate, PeerError> {
         let client = self.ready_client(endpoint).await?;
@@ -286,7 +288,7 @@
 enum PeerRequest {
     Gather(Box<GatherRequest>, oneshot::Sender<GatherReply>),
     Remainder { token: u64, request: RemainderRequest },
-    CatalogUpdate { after: u64, wait: Duration, reply: oneshot::Sender<CatalogUpdate> },
+    CatalogUpdate { after: StoreRevision, wait: Duration, reply: oneshot::Sender<CatalogUpdate> },
 }
 
 #[derive(Clone, Debug)]
@@ -316,7 +318,7 @@
 
     async fn ping(self, _: Context) {}
 
-    async fn catalog_update(self, _: Context, after: u64, wait_ms: u64) -> CatalogUpdate {
+    async fn catalog_update(self, _: Context, after: StoreRevision, wait_ms: u64) -> CatalogUpdate {
         let (reply, answer) = oneshot::channel();
         let wait = Duration::from_millis(wait_ms);
         if self.requests.try_send(PeerRequest::CatalogUpdate { after, wait, reply }).is_err() {
--- a/crates/hawthorn-edge/src/process/cold.rs
+++ b/crates/hawthorn-edge/src/process/cold.rs
@@ -11,8 +11,10 @@
 use hawthorn_route::cold::claim::SlotWrite;
 use hawthorn_route::cold::claim::WriteOutcome;
 use hawthorn_route::mirror::MirrorItem;
+use hawthorn_route::revision::StoreRevision;
 use hawthorn_store::StoreClient;
 use hawthorn_store::client::CallKind;
+use hawthorn_store::client::StoreAnswer;
 use hawthorn_store::store::ReadError;
 use http::StatusCode;
 use log::Level;
@@ -67,10 +69,12 @@
 async fn write_slot(host: &RouteHost, client: &StoreClient, write: SlotWrite) -> WriteOutcome {
     let settings = &host.routing.settings.host;
     let key = catalog::cold_slot_key(&settings.zone, write.slot);
-    let body = store::claim_body(&key, write.revision, settings.name.as_bytes());
+    let body =
+        store::claim_body(&key, StoreRevision::new(0, write.revision), settings.name.as_bytes());
     match client.post_path(CallKind::Put, store::WRITE_PATH.to_owned(), body).await {
-        Ok((StatusCode::OK, body)) => {
-            store::write_revision(&body).map_or(WriteOutcome::Unknown, WriteOutcome::Done)
+        Ok(StoreAnswer { status: StatusCode::OK, headers, body }) => {
+            store::write_revision(&headers, &body)
+                .map_or(WriteOutcome::Unknown, |revision| WriteOutcome::Done(revision.number))
         }
         Ok(_) | Err(ReadError::NotRun(_)) => WriteOutcome::NotDone,
         Err(_) => WriteOutcome::Unknown,
--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -38,6 +38,8 @@
     StoreNews = 614,
     /// The store no longer had the changes after this host's revision, and all items were read.
     StoreReread = 615,
+    /// The store was restored from a copy, and this host's mirror entered the new era.
+    StoreRestored = 616,
     /// The entry of a target changed.
     TargetChanged = 620,
     /// An entry in the store is unreadable.
--- a/crates/hawthorn-edge/src/process/fleet.rs
+++ b/crates/hawthorn-edge/src/process/fleet.rs
@@ -15,6 +15,7 @@
 use hawthorn_fleet::member;
 use hawthorn_route::gatherers;
 use hawthorn_route::gatherers::ZoneHost;
+use hawthorn_route::revision::StoreRevision;
 use hawthorn_types::ConfigRevision;
 use hawthorn_types::HostKey;
 use log::Level;
@@ -116,9 +117,11 @@
 
 fn tick(host: &RouteHost, now: Duration) {
     let version = host.routing.table().map_or(0, |table| table.version());
+    let as_of = host.mirror.borrow().as_of();
     let digest = MemberDigest {
         revision: ConfigRevision(version),
-        versions: host.mirror.borrow().as_of(),
+        era: as_of.era,
+        versions: as_of.number,
         ready: host.is_ready(),
         quarantine: quarantine::digest(host),
         ..MemberDigest::default()
@@ -161,7 +164,8 @@
             Some(FleetAction::MemberDown(key)) => log_member(host, key, "down"),
             Some(FleetAction::MemberLeaving(key)) => log_member(host, key, "leaving"),
             Some(FleetAction::DigestReceived { peer, digest }) => {
-                catch_up_if_behind(host, peer, digest.versions);
+                let as_of = StoreRevision::new(digest.era, digest.versions);
+                catch_up_if_behind(host, peer, as_of);
                 if let Some(request) = quarantine::sync_request(host, digest.quarantine) {
                     send_payload(host, peer, request, now);
                 }
@@ -184,7 +188,7 @@
 }
 
 /// Starts to catch up if a heartbeat announces a newer revision of the store.
-fn catch_up_if_behind(host: &Rc<RouteHost>, peer: HostKey, as_of: u64) {
+fn catch_up_if_behind(host: &Rc<RouteHost>, peer: HostKey, as_of: StoreRevision) {
     if as_of <= host.mirror.borrow().as_of() {
         return;
     }
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -108,6 +108,8 @@
     pub mirror: RefCell<StoreMirror>,
     /// The quarantine of requests that crash targets.
     pub quarantine: QuarantineState,
+    /// When this host learned that the store was restored, until all items count as written again.
+    pub(crate) restored: Cell<Option<Duration>>,
     /// This host's claim on a slot for cold targets.
     pub(crate) cold_claim: RefCell<SlotClaim>,
     /// Paces bulk messages on the host's link.
@@ -155,6 +157,7 @@
             cold_claim: RefCell::new(SlotClaim::new(host_now())),
             traffic: TrafficAccount::new(&settings.host.zone),
             mirror: RefCell::default(),
+            restored: Cell::new(None),
             quarantine: QuarantineState::default(),
             bulk_pacer: RefCell::default(),
             mirror_advanced: Notify::new(),
@@ -329,6 +332,7 @@
     loop {
         host.routing.sweep(host_now());
         quarantine::sweep(&host);
+        catalog::sweep(&host);
         if host.is_ready() != ready {
             ready = host.is_ready();
             if ready {
--- a/crates/hawthorn-edge/src/process/quarantine.rs
+++ b/crates/hawthorn-edge/src/process/quarantine.rs
@@ -26,6 +26,8 @@
 use hawthorn_route::quarantine::gossip::QuarantineMessage;
 use hawthorn_store::StoreClient;
 use hawthorn_store::client::CallKind;
+use hawthorn_store::client::StoreAnswer;
+use hawthorn_store::store::ReadError;
 use http::StatusCode;
 use log::Level;
 use tokio::sync::Notify;
@@ -398,12 +400,16 @@
     let term = Duration::from_millis(u64::from(notice.refused_ms)).min(MAX_LEASE);
     let body = store::lease_body(term);
     let granted = client.post_path(CallKind::Lease, store::LEASE_PATH.to_owned(), body).await;
-    let Ok((StatusCode::OK, body)) = granted else { return false };
-    let Ok(lease) = store::lease(&body) else { return false };
+    let Some(granted) = successful(granted) else { return false };
+    let Ok(lease) = store::lease(&granted.headers, &granted.body) else { return false };
     let value = serde_json::to_vec(notice).expect("a notice is plain data");
     let body = store::write_body(&catalog::quarantine_key(fingerprint), &value, lease);
     let written = client.post_path(CallKind::Put, store::WRITE_PATH.to_owned(), body).await;
-    matches!(written, Ok((StatusCode::OK, _)))
+    successful(written).is_some()
+}
+
+fn successful(answer: Result<StoreAnswer, ReadError>) -> Option<StoreAnswer> {
+    answer.ok().filter(|answer| answer.status == StatusCode::OK)
 }
 
 fn encode(message: &QuarantineMessage) -> Vec<u8> {
--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -1,11 +1,11 @@
 //! Keeps this host's mirror of the store up to date: from the store, or from a host of its zone
 //! that watches the store.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hawthorn_fleet::MemberId;
 use hawthorn_platform::store;
 use hawthorn_platform::store::ReadMode;
@@ -13,10 +13,12 @@
 use hawthorn_route::mirror;
 use hawthorn_route::mirror::MirrorItem;
 use hawthorn_route::mirror::MirrorUpdate;
+use hawthorn_route::revision::StoreRevision;
 use hawthorn_store::ReadError;
 use hawthorn_store::StoreClient;
 use hawthorn_store::UncertainCause;
 use hawthorn_store::client::CallKind;
+use hawthorn_store::client::StoreAnswer;
 use http::StatusCode;
 use log::Level;
 use rand::RngExt;
@@ -71,6 +73,9 @@
 /// Interval at which a bulk message is retried while the link has no capacity for it.
 const BULK_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The error of an answer that is not usable.
+const BAD_ANSWER: ReadError = ReadError::NoAnswer(UncertainCause::BadAnswer);
+
 /// The source of the next update.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum UpdateSource {
@@ -83,7 +88,9 @@
 
 enum WatchEnd {
     Update(StoreItems),
-    Compacted,
+    /// The store lacks the changes after this host's revision: it compacted its history, or was
+    /// restored from a copy.
+    Lost,
     Failed(ReadError),
 }
 
@@ -134,18 +141,21 @@
     is_watcher: bool,
 ) {
     let after = host.mirror.borrow().as_of();
-    let read = if after == 0 {
+    let read = if after == StoreRevision::NONE {
         // The watch that follows returns at once the changes that a stale read lacks.
         read_all(client, ReadMode::Serializable).await.map(|all| (all, true))
     } else {
         match watch(host, client, after).await {
             WatchEnd::Update(update) => Ok((update, false)),
-            WatchEnd::Compacted => {
-                read_all(client, ReadMode::Linearizable).await.map(|all| (all, true))
-            }
+            WatchEnd::Lost => read_all(client, ReadMode::Linearizable).await.map(|all| (all, true)),
             WatchEnd::Failed(error) => Err(error),
         }
     };
+    // A peer may have learned of a restore of the store before the answer from before it arrived.
+    let read = match read {
+        Ok((read, _)) if read.as_of.era < host.mirror.borrow().as_of().era => Err(BAD_ANSWER),
+        read => read,
+    };
     match read {
         Ok((read, complete)) => {
             log_store_state(reachable, None);
@@ -155,20 +165,27 @@
             edge_event!(
                 Level::Debug,
                 EdgeEvent::StoreNews,
-                "after={after} as_of={} items={count} whole={complete}",
-                update.as_of
+                "after={} as_of={} era={} items={count} whole={complete}",
+                after.number,
+                update.as_of.number,
+                update.as_of.era
             );
             let as_of = update.as_of;
             let changed = apply(host, update);
-            if complete && after != 0 {
+            let reread = complete && after != StoreRevision::NONE;
+            if reread {
                 edge_event!(
                     Level::Warn,
                     EdgeEvent::StoreReread,
-                    "after={after} as_of={as_of} items={count} changed={changed}"
+                    "after={} as_of={} era={} items={count} changed={changed}",
+                    after.number,
+                    as_of.number,
+                    as_of.era
                 );
             }
             // At the start, this delay also lets the membership protocol find the zone's hosts.
-            if changed && (!complete || after == 0) {
+            // After a full read, it bounds the load on a store that lacks the history again.
+            if changed || reread {
                 sleep(BATCH_DELAY).await;
             }
         }
@@ -202,7 +219,7 @@
 
 fn apply_from_peer(host: &RouteHost, update: CatalogUpdate) {
     let age = Duration::from_millis(update.age_ms);
-    if update.as_of == 0 || update.age_ms == u64::MAX {
+    if update.as_of == StoreRevision::NONE || update.age_ms == u64::MAX {
         return;
     }
     let confirmed = host_now().saturating_sub(age);
@@ -228,7 +245,7 @@
 ///
 /// If the watcher of a zone loses the store without noticing, the zone would otherwise keep an
 /// older configuration while others have a newer one.
-pub(crate) async fn catch_up(host: Rc<RouteHost>, peer: SocketAddr, as_of: u64) {
+pub(crate) async fn catch_up(host: Rc<RouteHost>, peer: SocketAddr, as_of: StoreRevision) {
     if as_of <= host.mirror.borrow().as_of() || host.catching_up.replace(true) {
         return;
     }
@@ -241,8 +258,10 @@
         edge_event!(
             Level::Info,
             EdgeEvent::CaughtUp,
-            "peer={peer} after={after} as_of={}",
-            update.as_of
+            "peer={peer} after={} as_of={} era={}",
+            after.number,
+            update.as_of.number,
+            update.as_of.era
         );
         apply_from_peer(&host, update);
     }
@@ -252,7 +271,7 @@
 /// Replies to a peer when there is an update or its wait is over.
 pub(crate) async fn answer_peer(
     host: Rc<RouteHost>,
-    after: u64,
+    after: StoreRevision,
     wait: Duration,
     mut reply: oneshot::Sender<CatalogUpdate>,
 ) {
@@ -306,8 +325,8 @@
     }
 }
 
-fn parse_items(body: &Bytes) -> Result<StoreItems, ReadError> {
-    store::items(body).map_err(|_| ReadError::NoAnswer(UncertainCause::BadAnswer))
+fn parse_items(answer: &StoreAnswer) -> Result<StoreItems, ReadError> {
+    store::items(&answer.headers, &answer.body).map_err(|_| BAD_ANSWER)
 }
 
 /// Waits for an update, and checks meanwhile that the store answers this host.
@@ -315,7 +334,7 @@
 /// The store may not accept calls from this host, or the reply to the watch may be lost. Neither
 /// is noticed until the watch times out, and the zone keeps stale data; the checks detect both at
 /// a tenth of the cost of a watch.
-async fn watch(host: &RouteHost, client: &StoreClient, after: u64) -> WatchEnd {
+async fn watch(host: &RouteHost, client: &StoreClient, after: StoreRevision) -> WatchEnd {
     let mut pending_watch = std::pin::pin!(wait_for_update(client, after));
     let mut missed_checks = 0;
     loop {
@@ -324,14 +343,16 @@
             end = pending_watch.as_mut() => return end,
             () = sleep(CHECK_PERIOD) => {}
         }
-        match timeout(CHECK_TIMEOUT, check(client)).await {
-            Ok(Some(as_of)) if as_of <= after => {
+        // Without an answer, the age of this host's data grows, and its peers select other sources.
+        let Ok(Some(as_of)) = timeout(CHECK_TIMEOUT, check(client)).await else { continue };
+        match as_of.era.cmp(&after.era) {
+            Ordering::Greater => return WatchEnd::Lost,
+            Ordering::Equal if as_of.number <= after.number => {
                 missed_checks = 0;
                 host.confirm(host_now());
             }
-            Ok(Some(_)) => missed_checks += 1,
-            // The age of this host's data grows, and its peers select other sources.
-            Ok(None) | Err(_) => {}
+            Ordering::Equal => missed_checks += 1,
+            Ordering::Less => {}
         }
         if missed_checks >= MAX_MISSED_CHECKS {
             return WatchEnd::Failed(ReadError::NoAnswer(UncertainCause::Timeout));
@@ -340,42 +361,58 @@
 }
 
 /// The store's revision; may be seconds old.
-async fn check(client: &StoreClient) -> Option<u64> {
+async fn check(client: &StoreClient) -> Option<StoreRevision> {
     let read = client.read_path(CallKind::Get, store::serializable_path(), Duration::ZERO).await;
     match read {
-        Ok((StatusCode::OK, body)) => store::as_of(&body).ok(),
+        Ok(StoreAnswer { status: StatusCode::OK, headers, body }) => {
+            store::as_of(&headers, &body).ok()
+        }
         _ => None,
     }
 }
 
-async fn wait_for_update(client: &StoreClient, after: u64) -> WatchEnd {
+async fn wait_for_update(client: &StoreClient, after: StoreRevision) -> WatchEnd {
     let path = store::watch_path(after, WATCH_TIMEOUT);
-    match client.read_path(CallKind::Watch, path, WATCH_TIMEOUT).await {
-        Ok((StatusCode::OK, body)) => match parse_items(&body) {
+    let answer = match client.read_path(CallKind::Watch, path, WATCH_TIMEOUT).await {
+        Ok(answer) => answer,
+        Err(error) => return WatchEnd::Failed(error),
+    };
+    match answer.status {
+        StatusCode::OK => match parse_items(&answer) {
+            // The revisions were given out again, and the events do not follow this host's state.
+            Ok(update) if update.as_of.era > after.era => WatchEnd::Lost,
             Ok(update) => WatchEnd::Update(update),
             Err(error) => WatchEnd::Failed(error),
         },
-        Ok((StatusCode::GONE, _)) => WatchEnd::Compacted,
-        Ok(_) => WatchEnd::Failed(ReadError::NoAnswer(UncertainCause::BadAnswer)),
-        Err(error) => WatchEnd::Failed(error),
+        StatusCode::GONE => WatchEnd::Lost,
+        _ => WatchEnd::Failed(BAD_ANSWER),
     }
 }
 
 /// Reads all items. The pages are not a consistent snapshot, and a serializable read may be older
 /// than the one before it; the lowest revision is returned, so that the watch delivers the changes
-/// that a page may lack.
+/// that a page may lack. Fails if the store is restored between two pages.
 async fn read_all(client: &StoreClient, mode: ReadMode) -> Result<StoreItems, ReadError> {
-    let mut all = StoreItems { items: Vec::new(), more: true, as_of: u64::MAX };
+    let mut all = read_page(client, None, mode).await?;
     while all.more {
         let after = all.items.last().map(|item| item.key.clone());
-        let path = store::page_path(after.as_deref(), mode);
-        let page = match client.read_path(CallKind::List, path, Duration::ZERO).await? {
-            (StatusCode::OK, body) => parse_items(&body)?,
-            _ => return Err(ReadError::NoAnswer(UncertainCause::BadAnswer)),
-        };
+        let page = read_page(client, after.as_deref(), mode).await?;
+        if page.as_of.era != all.as_of.era {
+            return Err(BAD_ANSWER);
+        }
         all.as_of = all.as_of.min(page.as_of);
         all.more = page.more && !page.items.is_empty();
         all.items.extend(page.items);
     }
     Ok(all)
 }
+
+async fn read_page(
+    client: &StoreClient,
+    after: Option<&str>,
+    mode: ReadMode,
+) -> Result<StoreItems, ReadError> {
+    let path = store::page_path(after, mode);
+    let answer = client.read_path(CallKind::List, path, Duration::ZERO).await?;
+    if answer.status == StatusCode::OK { parse_items(&answer) } else { Err(BAD_ANSWER) }
+}
--- a/crates/hawthorn-edge/tests/catalog.rs
+++ b/crates/hawthorn-edge/tests/catalog.rs
@@ -7,6 +7,7 @@
 use hawthorn_edge::settings::RouteSettings;
 use hawthorn_route::mirror::MirrorItem;
 use hawthorn_route::mirror::MirrorUpdate;
+use hawthorn_route::revision::StoreRevision;
 use hawthorn_route::target::TargetPhase;
 use hawthorn_standin::route::operator;
 
@@ -48,7 +49,7 @@
 }
 
 fn full_read(items: Vec<MirrorItem>, as_of: u64) -> MirrorUpdate {
-    MirrorUpdate { items, as_of, complete: true }
+    MirrorUpdate { items, as_of: StoreRevision::new(0, as_of), complete: true }
 }
 
 fn ready_ids(host: &RouteHost) -> Vec<String> {
--- a/crates/hawthorn-fleet/src/message.rs
+++ b/crates/hawthorn-fleet/src/message.rs
@@ -27,7 +27,7 @@
 
 /// The version of datagrams and of calls between hosts. Other versions are rejected, so that hosts
 /// with different formats never become peers.
-pub const MESSAGE_FORMAT: u8 = 4;
+pub const MESSAGE_FORMAT: u8 = 5;
 
 /// Identifies a host across the fleet: a hash of the host's name.
 #[derive(
@@ -150,8 +150,11 @@
     pub confirmed_ms: u32,
     /// Whether the host accepts requests.
     pub ready: bool,
-    /// A hash of the index versions that its targets hold.
+    /// A hash of the index versions that its targets hold, or the revision of the store that it
+    /// has read.
     pub versions: u64,
+    /// Number of restores of the store, for hosts whose `versions` is a revision of the store.
+    pub era: u64,
     /// A hash of its confirmed quarantine records; 0 if there are none.
     pub quarantine: u64,
 }
--- a/crates/hawthorn-fleet/src/propagation/mod.rs
+++ b/crates/hawthorn-fleet/src/propagation/mod.rs
@@ -267,6 +267,7 @@
             confirmed_ms,
             ready,
             versions,
+            era: 0,
         }
     }
 
--- a/crates/hawthorn-route/benches/query.rs
+++ b/crates/hawthorn-route/benches/query.rs
@@ -32,7 +32,7 @@
     for shard in 0..count {
         for zone in ZONES {
             let entry = support::entry(&format!("t{shard}-{zone}"), &format!("s{shard}"), zone);
-            registry.put(entry, 1, NOW);
+            registry.put(entry, support::revision(1), NOW);
         }
     }
     let shards = (0..count).map(|shard| format!("s{shard}")).collect();
--- a/crates/hawthorn-route/src/evacuation.rs
+++ b/crates/hawthorn-route/src/evacuation.rs
@@ -8,6 +8,8 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use crate::revision::StoreRevision;
+
 /// Effect of a change of a zone's evacuation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -22,7 +24,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct ZoneRecord {
-    revision: u64,
+    revision: StoreRevision,
     evacuated: bool,
 }
 
@@ -37,7 +39,12 @@
     ///
     /// A zone may be evacuated and released in quick succession. If the changes arrive in the
     /// wrong order, the older one is ignored, so that the zone does not stay evacuated.
-    pub fn apply(&mut self, zone: &str, evacuated: bool, revision: u64) -> EvacuationChange {
+    pub fn apply(
+        &mut self,
+        zone: &str,
+        evacuated: bool,
+        revision: StoreRevision,
+    ) -> EvacuationChange {
         let known = self.zones.get(zone).copied();
         if known.is_some_and(|record| revision < record.revision) {
             return EvacuationChange::None;
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -22,6 +22,7 @@
 //! | [`quarantine`] | refusal of requests that crash targets |
 //! | [`reachability`] | detection of unreachable zones |
 //! | [`registry`] | all targets and their state |
+//! | [`revision`] | revisions of the store across its restores |
 //! | [`mod@retry_after`] | when a refused caller should retry |
 //! | [`rollout`] | when a version of the routes comes into force |
 //! | [`scatter`] | where the part of each shard of a query is requested |
@@ -57,6 +58,7 @@
 pub mod reachability;
 pub mod registry;
 pub mod retry_after;
+pub mod revision;
 pub mod rollout;
 pub mod scatter;
 pub mod send_deadline;
--- a/crates/hawthorn-route/src/registry.rs
+++ b/crates/hawthorn-route/src/registry.rs
@@ -18,6 +18,7 @@
 use crate::document::TargetEntry;
 use crate::evacuation::EvacuationChange;
 use crate::evacuation::ZoneEvacuations;
+use crate::revision::StoreRevision;
 use crate::target::TargetPhase;
 use crate::target::TargetState;
 
@@ -120,7 +121,12 @@
     /// An entry whose address, service or start time differs from the known entry under its id
     /// is a new incarnation: the state of the previous one is dropped, and requests in flight
     /// to that one are not attributed to the new one.
-    pub fn put(&mut self, entry: TargetEntry, revision: u64, now: Duration) -> TargetChange {
+    pub fn put(
+        &mut self,
+        entry: TargetEntry,
+        revision: StoreRevision,
+        now: Duration,
+    ) -> TargetChange {
         if let Some(key) = self.by_id.get(&entry.id).copied() {
             let state = &mut self.targets[key];
             if revision < state.revision {
@@ -149,11 +155,13 @@
 
     fn update(
         state: &mut TargetState,
-        entry: TargetEntry,
-        revision: u64,
+        mut entry: TargetEntry,
+        revision: StoreRevision,
         now: Duration,
         options: Options,
     ) -> TargetChange {
+        // A restored store may hold the entry from before the target began to drain.
+        entry.draining |= state.entry.draining && revision.era > state.revision.era;
         state.revision = revision;
         state.last_seen = now;
         if entry.cold > Duration::ZERO {
@@ -177,7 +185,7 @@
     }
 
     /// Removes an entry, as of `revision`.
-    pub fn remove(&mut self, id: &str, revision: u64, now: Duration) -> TargetChange {
+    pub fn remove(&mut self, id: &str, revision: StoreRevision, now: Duration) -> TargetChange {
         let Some(key) = self.by_id.get(id).copied() else {
             return TargetChange::None;
         };
@@ -201,7 +209,12 @@
     }
 
     /// Applies the evacuation of a zone, or its end, as of `revision`.
-    pub fn evacuate(&mut self, zone: &str, evacuated: bool, revision: u64) -> EvacuationChange {
+    pub fn evacuate(
+        &mut self,
+        zone: &str,
+        evacuated: bool,
+        revision: StoreRevision,
+    ) -> EvacuationChange {
         self.evacuations.apply(zone, evacuated, revision)
     }
 
--- a/crates/hawthorn-route/src/target.rs
+++ b/crates/hawthorn-route/src/target.rs
@@ -5,6 +5,7 @@
 use crate::cold::SendMeter;
 use crate::document::TargetEntry;
 use crate::outcome::AttemptEnd;
+use crate::revision::StoreRevision;
 
 /// How long a reported load is valid; afterwards only this host's own requests count. A request
 /// takes 5 to 150 ms, so the load is a different one after 100 ms.
@@ -49,7 +50,7 @@
     /// Life cycle phase.
     pub phase: TargetPhase,
     /// Revision of the store at which the entry was written.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// When the entry was last received.
     pub last_seen: Duration,
     /// End of the cold phase after its start.
@@ -83,7 +84,7 @@
 
 impl TargetState {
     /// Creates the state of a newly registered target.
-    pub fn new(entry: TargetEntry, revision: u64, now: Duration) -> Self {
+    pub fn new(entry: TargetEntry, revision: StoreRevision, now: Duration) -> Self {
         let cold_until = now + entry.cold;
         Self {
             entry,
--- a/crates/hawthorn-route/tests/cold.rs
+++ b/crates/hawthorn-route/tests/cold.rs
@@ -43,7 +43,7 @@
     for (number, (zone, cold)) in targets.iter().enumerate() {
         let mut entry = support::entry(&format!("t{number}"), "s", zone);
         entry.cold = if *cold { ms(3000) } else { Duration::ZERO };
-        registry.put(entry, 1, NOW);
+        registry.put(entry, support::revision(1), NOW);
     }
     registry.limit_cold(&[service("s", rate)], &OPTIONS);
     registry
--- a/crates/hawthorn-route/tests/evacuation.rs
+++ b/crates/hawthorn-route/tests/evacuation.rs
@@ -25,7 +25,11 @@
     for shard in 0..shards {
         for zone in ZONES {
             let id = format!("t{shard}-{zone}");
-            registry.put(support::entry(&id, &format!("s{shard}"), zone), 1, NOW);
+            registry.put(
+                support::entry(&id, &format!("s{shard}"), zone),
+                support::revision(1),
+                NOW,
+            );
         }
     }
     registry
@@ -78,7 +82,7 @@
     for case in cases {
         let mut evacuations = ZoneEvacuations::default();
         for (zone, evacuated, revision, change) in case.changes {
-            let applied = evacuations.apply(zone, *evacuated, *revision);
+            let applied = evacuations.apply(zone, *evacuated, support::revision(*revision));
             assert_eq!(applied, *change, "{}: {zone} at {revision}", case.name);
         }
         assert_eq!(evacuations.iter().collect::<Vec<_>>(), case.evacuated, "{}", case.name);
@@ -105,7 +109,7 @@
     for case in cases {
         let mut registry = registry(1);
         for zone in case.evacuated {
-            registry.evacuate(zone, true, 9);
+            registry.evacuate(zone, true, support::revision(9));
         }
         let view =
             support::view(&registry, Duration::from_millis(15), Duration::from_millis(120), NOW);
@@ -137,35 +141,35 @@
         Case {
             name: "zone evacuated",
             change: |registry| {
-                registry.evacuate("east", true, 9);
+                registry.evacuate("east", true, support::revision(9));
             },
             permit: Err(SendRejection::Evacuated),
         },
         Case {
             name: "other zone evacuated",
             change: |registry| {
-                registry.evacuate("west", true, 9);
+                registry.evacuate("west", true, support::revision(9));
             },
             permit: Ok(()),
         },
         Case {
             name: "the target left",
             change: |registry| {
-                registry.remove("t0-east", 9, NOW - Duration::from_secs(5));
+                registry.remove("t0-east", support::revision(9), NOW - Duration::from_secs(5));
             },
             permit: Err(SendRejection::Gone),
         },
         Case {
             name: "the target is leaving",
             change: |registry| {
-                registry.remove("t0-east", 9, NOW);
+                registry.remove("t0-east", support::revision(9), NOW);
             },
             permit: Ok(()),
         },
         Case {
             name: "id reused by another incarnation",
             change: |registry| {
-                registry.put(support::entry("t0-east", "other", "east"), 9, NOW);
+                registry.put(support::entry("t0-east", "other", "east"), support::revision(9), NOW);
             },
             permit: Err(SendRejection::Gone),
         },
@@ -186,7 +190,7 @@
 #[test]
 fn queries_of_an_evacuated_zone_are_divided_among_the_others() {
     let mut registry = registry(90);
-    registry.evacuate("east", true, 9);
+    registry.evacuate("east", true, support::revision(9));
     let shards = (0..90).map(|shard| format!("s{shard}")).collect();
     let rule = GatherRule { shards, top: 5, min_share: 0.95 };
     let view = support::view(&registry, Duration::from_millis(15), Duration::from_millis(120), NOW);
@@ -211,7 +215,7 @@
 fn a_query_cannot_be_answered_while_all_zones_are_evacuated() {
     let mut registry = registry(20);
     ZONES.iter().for_each(|zone| {
-        registry.evacuate(zone, true, 9);
+        registry.evacuate(zone, true, support::revision(9));
     });
     let shards = (0..20).map(|shard| format!("s{shard}")).collect();
     let rule = GatherRule { shards, top: 5, min_share: 0.5 };
--- a/crates/hawthorn-route/tests/goodput/fleet.rs
+++ b/crates/hawthorn-route/tests/goodput/fleet.rs
@@ -207,7 +207,7 @@
                 for replica in 0..if shard < scenario.halved { 1 } else { 2 } {
                     let mut entry = support::entry(&format!("t{shard}-{replica}"), name, "east");
                     entry.slots = scenario.slots;
-                    registry.put(entry, 1, Duration::ZERO);
+                    registry.put(entry, support::revision(1), Duration::ZERO);
                     let key = registry.of_service(name)[replica];
                     target_indexes.insert(key, shard * 2 + replica);
                 }
--- a/crates/hawthorn-route/tests/scatter.rs
+++ b/crates/hawthorn-route/tests/scatter.rs
@@ -27,7 +27,7 @@
     for (shard, zones) in shards.iter().enumerate() {
         for (index, zone) in zones.iter().enumerate() {
             let entry = support::entry(&format!("t{shard}-{index}"), &format!("s{shard}"), zone);
-            registry.put(entry, 1, NOW);
+            registry.put(entry, support::revision(1), NOW);
         }
     }
     registry
--- a/crates/hawthorn-route/tests/skip.rs
+++ b/crates/hawthorn-route/tests/skip.rs
@@ -23,7 +23,7 @@
     for (shard, targets) in waiting.iter().enumerate() {
         for (index, waiting) in targets.iter().enumerate() {
             let entry = support::entry(&format!("t{shard}-{index}"), &format!("s{shard}"), "east");
-            registry.put(entry, 1, NOW);
+            registry.put(entry, support::revision(1), NOW);
             let key = registry.of_service(&format!("s{shard}"))[index];
             let load = ReportedLoad { running: 2, waiting: *waiting, slots: 2, at: reported };
             registry.get_mut(key).expect("it was registered").report_load(load);
--- a/crates/hawthorn-route/tests/support/mod.rs
+++ b/crates/hawthorn-route/tests/support/mod.rs
@@ -8,9 +8,15 @@
 use hawthorn_route::home::RegionMap;
 use hawthorn_route::placement::PlacementView;
 use hawthorn_route::registry::TargetRegistry;
+use hawthorn_route::revision::StoreRevision;
 
 static NO_REGIONS: LazyLock<RegionMap> = LazyLock::new(RegionMap::default);
 
+/// A revision of the store's first era.
+pub const fn revision(number: u64) -> StoreRevision {
+    StoreRevision::new(0, number)
+}
+
 /// The entry of a warm target with two slots.
 pub fn entry(id: &str, service: &str, zone: &str) -> TargetEntry {
     TargetEntry {
--- a/crates/hawthorn-route/tests/targets.rs
+++ b/crates/hawthorn-route/tests/targets.rs
@@ -14,6 +14,7 @@
 use hawthorn_route::registry;
 use hawthorn_route::registry::TargetChange;
 use hawthorn_route::registry::TargetRegistry;
+use hawthorn_route::revision::StoreRevision;
 use hawthorn_route::target::ReportedLoad;
 use hawthorn_route::target::TargetPhase;
 use hawthorn_route::target::TargetState;
@@ -88,9 +89,10 @@
         },
     ];
     let now = ms(1000);
-    let healthy = TargetState::new(entry("healthy", "east"), 1, ms(0));
+    let healthy = TargetState::new(entry("healthy", "east"), support::revision(1), ms(0));
     for case in cases {
-        let mut impaired = TargetState::new(entry("impaired", case.zone), 1, ms(0));
+        let mut impaired =
+            TargetState::new(entry("impaired", case.zone), support::revision(1), ms(0));
         (case.impair)(&mut impaired);
         let (healthy, impaired) = (score(&healthy, now), score(&impaired, now));
         assert!(healthy < impaired, "{}: {healthy:?} {impaired:?}", case.name);
@@ -101,7 +103,7 @@
 /// while its service has no other target, and only for the first part of that time.
 #[test]
 fn a_leaving_target_receives_requests_only_for_a_short_time() {
-    let mut state = TargetState::new(entry("a", "east"), 1, ms(0));
+    let mut state = TargetState::new(entry("a", "east"), support::revision(1), ms(0));
     state.phase = TargetPhase::Leaving { until: ms(1500) };
     assert!(score(&state, ms(1400)).is_some());
     assert!(score(&state, ms(1500)).is_none());
@@ -126,50 +128,58 @@
     let cases = [
         Case {
             name: "unchanged",
-            apply: |registry| registry.put(with(|_| {}), 6, ms(10)),
+            apply: |registry| registry.put(with(|_| {}), support::revision(6), ms(10)),
             change: TargetChange::None,
             ready: 1,
         },
         Case {
             name: "older revision, read late",
-            apply: |registry| registry.put(with(|entry| entry.draining = true), 4, ms(10)),
+            apply: |registry| {
+                registry.put(with(|entry| entry.draining = true), support::revision(4), ms(10))
+            },
             change: TargetChange::None,
             ready: 1,
         },
         Case {
             name: "leaving",
-            apply: |registry| registry.put(with(|entry| entry.draining = true), 6, ms(10)),
+            apply: |registry| {
+                registry.put(with(|entry| entry.draining = true), support::revision(6), ms(10))
+            },
             change: TargetChange::Draining,
             ready: 0,
         },
         Case {
             name: "restarted with the same id",
-            apply: |registry| registry.put(with(|entry| entry.born = Some(200)), 6, ms(10)),
+            apply: |registry| {
+                registry.put(with(|entry| entry.born = Some(200)), support::revision(6), ms(10))
+            },
             change: TargetChange::Born,
             ready: 1,
         },
         Case {
             name: "moved to another service",
-            apply: |registry| registry.put(with(|entry| entry.service = "t".into()), 6, ms(10)),
+            apply: |registry| {
+                registry.put(with(|entry| entry.service = "t".into()), support::revision(6), ms(10))
+            },
             change: TargetChange::Born,
             ready: 0,
         },
         Case {
             name: "entry removed",
-            apply: |registry| registry.remove("a", 6, ms(10)),
+            apply: |registry| registry.remove("a", support::revision(6), ms(10)),
             change: TargetChange::Removed,
             ready: 0,
         },
         Case {
             name: "older removal, read late",
-            apply: |registry| registry.remove("a", 4, ms(10)),
+            apply: |registry| registry.remove("a", support::revision(4), ms(10)),
             change: TargetChange::None,
             ready: 1,
         },
     ];
     for case in cases {
         let mut registry = TargetRegistry::new(registry::Options::default(), "east");
-        registry.put(with(|_| {}), 5, ms(0));
+        registry.put(with(|_| {}), support::revision(5), ms(0));
         assert_eq!((case.apply)(&mut registry), case.change, "{}", case.name);
         let ready = registry.of_service("s").iter().filter_map(|key| registry.get(*key));
         let ready = ready.filter(|state| state.phase == TargetPhase::Ready).count();
@@ -177,14 +187,35 @@
     }
 }
 
+/// Guards against new work for a draining target: the store comes back from a copy in which it is
+/// still ready, until it writes its entry again.
+#[test]
+fn a_draining_target_is_not_ready_again_after_a_restore() {
+    let draining = || TargetEntry { draining: true, ..entry("a", "east") };
+    let mut registry = TargetRegistry::new(registry::Options::default(), "east");
+    registry.put(entry("a", "east"), support::revision(5), ms(0));
+    registry.put(draining(), support::revision(9), ms(10));
+    let era_1 = |number| StoreRevision::new(1, number);
+    assert_eq!(registry.put(entry("a", "east"), era_1(5), ms(20)), TargetChange::None);
+    assert_eq!(registry.put(draining(), era_1(7), ms(30)), TargetChange::None);
+    let key = registry.of_service("s")[0];
+    let phase = registry.get(key).expect("it is known").phase;
+    assert!(matches!(phase, TargetPhase::Leaving { .. }), "{phase:?}");
+    let lost = registry.put(entry("a", "east"), support::revision(10), ms(40));
+    assert_eq!(lost, TargetChange::None, "an entry of an earlier era changes nothing");
+}
+
 /// The store is unavailable and lets the entry of a healthy target expire. The target is used again
 /// when its entry returns two seconds later.
 #[test]
 fn a_target_returns_after_its_entry_expired() {
     let mut registry = TargetRegistry::new(registry::Options::default(), "east");
-    registry.put(entry("a", "east"), 5, ms(0));
-    registry.remove("a", 6, ms(1000));
-    assert_eq!(registry.put(entry("a", "east"), 7, ms(3000)), TargetChange::Returned);
+    registry.put(entry("a", "east"), support::revision(5), ms(0));
+    registry.remove("a", support::revision(6), ms(1000));
+    assert_eq!(
+        registry.put(entry("a", "east"), support::revision(7), ms(3000)),
+        TargetChange::Returned
+    );
 }
 
 /// An address is reassigned to another service, whose target answers that the request is
@@ -192,12 +223,12 @@
 #[test]
 fn a_target_whose_address_was_reassigned_is_dropped() {
     let mut registry = TargetRegistry::new(registry::Options::default(), "east");
-    registry.put(entry("a", "east"), 5, ms(0));
+    registry.put(entry("a", "east"), support::revision(5), ms(0));
     let key = registry.of_service("s")[0];
     let state = registry.get_mut(key).expect("it was registered");
     state.record_end(ms(0), ms(1), AttemptEnd::Misdirected, SERVICE_TIME);
     assert!(score(registry.get(key).expect("it is known"), ms(2)).is_none());
-    registry.remove("a", 6, ms(10));
+    registry.remove("a", support::revision(6), ms(10));
     assert_eq!(registry.sweep(ms(60_000), ms(3000)), [key]);
     assert!(registry.ids().is_empty());
 }
@@ -311,7 +342,7 @@
     ];
     let now = Duration::from_secs(10);
     for case in cases {
-        let mut state = TargetState::new(entry("t", "east"), 1, now);
+        let mut state = TargetState::new(entry("t", "east"), support::revision(1), now);
         let at = now - Duration::from_millis(case.reported_ago);
         state.report_load(ReportedLoad { running: 2, waiting: case.waiting, slots: 2, at });
         assert_eq!(hedge::has_capacity(&state, now), case.has_capacity, "{}", case.name);
@@ -368,7 +399,7 @@
     for case in cases {
         let mut registry = TargetRegistry::new(registry::Options::default(), "east");
         for id in ["a", "b", "c"].iter().take(case.targets) {
-            registry.put(entry(id, "east"), 1, ms(0));
+            registry.put(entry(id, "east"), support::revision(1), ms(0));
         }
         let keys: Vec<_> = registry.of_service("s").to_vec();
         if let Some(other) = keys.get(1) {
--- a/crates/hawthorn-store/src/client/call.rs
+++ b/crates/hawthorn-store/src/client/call.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::StatusCode;
@@ -69,7 +70,7 @@
 /// Result of a call, before it is interpreted for its kind.
 #[derive(Clone, Debug)]
 pub(super) enum CallReply {
-    Answered(StatusCode, Bytes),
+    Answered(StatusCode, HeaderMap, Bytes),
     NotRun(NotRunCause),
     Uncertain(UncertainCause),
 }
@@ -125,7 +126,7 @@
         let mut rate_limited = false;
         loop {
             match self.exchange(&call, deadline).await {
-                CallReply::Answered(StatusCode::TOO_MANY_REQUESTS, _) => rate_limited = true,
+                CallReply::Answered(StatusCode::TOO_MANY_REQUESTS, ..) => rate_limited = true,
                 // The deadline passed during a backoff.
                 CallReply::NotRun(NotRunCause::QueueFull) if rate_limited => {
                     return CallReply::NotRun(NotRunCause::RateLimited);
@@ -180,6 +181,7 @@
             Err(_) => return CallReply::Uncertain(UncertainCause::ConnectionLost),
         };
         let status = response.status();
+        let headers = response.headers().clone();
         let limit = self.options.max_value * ANSWER_SIZE_FACTOR;
         // The body of a 503 is read as well: a connection with an unread body is closed, and
         // an outage would cause a burst of reconnects.
@@ -187,7 +189,7 @@
             _ if status == StatusCode::SERVICE_UNAVAILABLE => {
                 CallReply::Uncertain(UncertainCause::Outage)
             }
-            Ok(body) => CallReply::Answered(status, body.to_bytes()),
+            Ok(body) => CallReply::Answered(status, headers, body.to_bytes()),
             Err(_) => CallReply::Uncertain(UncertainCause::ConnectionLost),
         }
     }
@@ -202,10 +204,10 @@
 
 fn outcome_of(reply: &CallReply) -> CallOutcome {
     match reply {
-        CallReply::Answered(status, _) if status.is_success() => CallOutcome::Ok,
-        CallReply::Answered(StatusCode::NOT_FOUND, _) => CallOutcome::Absent,
-        CallReply::Answered(StatusCode::CONFLICT, _) => CallOutcome::Conflict,
-        CallReply::Answered(StatusCode::TOO_MANY_REQUESTS, _) => CallOutcome::RateLimited,
+        CallReply::Answered(status, ..) if status.is_success() => CallOutcome::Ok,
+        CallReply::Answered(StatusCode::NOT_FOUND, ..) => CallOutcome::Absent,
+        CallReply::Answered(StatusCode::CONFLICT, ..) => CallOutcome::Conflict,
+        CallReply::Answered(StatusCode::TOO_MANY_REQUESTS, ..) => CallOutcome::RateLimited,
         CallReply::Answered(..) => CallOutcome::Other,
         CallReply::NotRun(NotRunCause::Unreachable) => CallOutcome::Unreachable,
         CallReply::NotRun(NotRunCause::RateLimited) => CallOutcome::RateLimited,
--- a/crates/hawthorn-store/src/client/mod.rs
+++ b/crates/hawthorn-store/src/client/mod.rs
@@ -16,6 +16,7 @@
 use hawthorn_types::platform::StoreConflict;
 use hawthorn_types::platform::StoreEntry;
 use hawthorn_types::platform::StorePut;
+use http::HeaderMap;
 use http::Method;
 use http::StatusCode;
 use serde::de::DeserializeOwned;
@@ -78,6 +79,17 @@
     }
 }
 
+/// An answer of a store with another API.
+#[derive(Clone, Debug)]
+pub struct StoreAnswer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// HTTP headers.
+    pub headers: HeaderMap,
+    /// The complete body.
+    pub body: Bytes,
+}
+
 /// Outcome of a watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WatchOutcome {
@@ -115,7 +127,7 @@
         let call = StoreCall::read(CallKind::Watch, path).with_server_wait(wait);
         let reply = self.executor.call(call).await;
         match reply {
-            CallReply::Answered(StatusCode::NO_CONTENT, _) => Ok(WatchOutcome::Unchanged),
+            CallReply::Answered(StatusCode::NO_CONTENT, ..) => Ok(WatchOutcome::Unchanged),
             reply => Ok(WatchOutcome::Changed(read_body(reply)?)),
         }
     }
@@ -130,9 +142,9 @@
         kind: CallKind,
         path: String,
         server_wait: Duration,
-    ) -> Result<(StatusCode, Bytes), ReadError> {
+    ) -> Result<StoreAnswer, ReadError> {
         match self.executor.call(StoreCall::read(kind, path).with_server_wait(server_wait)).await {
-            CallReply::Answered(status, body) => Ok((status, body)),
+            CallReply::Answered(status, headers, body) => Ok(StoreAnswer { status, headers, body }),
             CallReply::NotRun(cause) => Err(ReadError::NotRun(cause)),
             CallReply::Uncertain(cause) => Err(ReadError::NoAnswer(cause)),
         }
@@ -149,9 +161,9 @@
         kind: CallKind,
         path: String,
         body: Vec<u8>,
-    ) -> Result<(StatusCode, Bytes), ReadError> {
+    ) -> Result<StoreAnswer, ReadError> {
         match self.executor.call(StoreCall::with_body(kind, Method::POST, path, body)).await {
-            CallReply::Answered(status, body) => Ok((status, body)),
+            CallReply::Answered(status, headers, body) => Ok(StoreAnswer { status, headers, body }),
             CallReply::NotRun(cause) => Err(ReadError::NotRun(cause)),
             CallReply::Uncertain(cause) => Err(ReadError::NoAnswer(cause)),
         }
@@ -173,7 +185,7 @@
         let path = format!("/leases/{lease}/renew");
         let call = StoreCall::with_body(CallKind::Lease, Method::POST, path, Vec::new());
         match self.executor.call(call).await {
-            CallReply::Answered(StatusCode::NOT_FOUND, _) => Ok(None),
+            CallReply::Answered(StatusCode::NOT_FOUND, ..) => Ok(None),
             reply => read_body(reply).map(Some),
         }
     }
@@ -189,7 +201,7 @@
     async fn get(&self, key: &str) -> Result<Option<StoreEntry>, ReadError> {
         let call = StoreCall::read(CallKind::Get, format!("/kv/{key}"));
         match self.executor.call(call).await {
-            CallReply::Answered(StatusCode::NOT_FOUND, _) => Ok(None),
+            CallReply::Answered(StatusCode::NOT_FOUND, ..) => Ok(None),
             reply => read_body(reply).map(Some),
         }
     }
@@ -203,11 +215,11 @@
         match self.executor.call(call).await {
             CallReply::NotRun(cause) => WriteOutcome::NotRun(cause),
             CallReply::Uncertain(cause) => WriteOutcome::Uncertain(cause),
-            CallReply::Answered(StatusCode::OK, body) => match decode::<StoreEntry>(&body) {
+            CallReply::Answered(StatusCode::OK, _, body) => match decode::<StoreEntry>(&body) {
                 Ok(entry) => WriteOutcome::Written { revision: entry.revision },
                 Err(cause) => WriteOutcome::Uncertain(cause),
             },
-            CallReply::Answered(StatusCode::CONFLICT, body) => {
+            CallReply::Answered(StatusCode::CONFLICT, _, body) => {
                 match decode::<StoreConflict>(&body) {
                     Ok(conflict) => WriteOutcome::Conflict { found: conflict.found },
                     Err(cause) => WriteOutcome::Uncertain(cause),
@@ -223,9 +235,9 @@
         match self.executor.call(call).await {
             CallReply::NotRun(cause) => DeleteOutcome::NotRun(cause),
             CallReply::Uncertain(cause) => DeleteOutcome::Uncertain(cause),
-            CallReply::Answered(StatusCode::OK, _) => DeleteOutcome::Deleted,
-            CallReply::Answered(StatusCode::NOT_FOUND, _) => DeleteOutcome::Absent,
-            CallReply::Answered(StatusCode::CONFLICT, _) => DeleteOutcome::Conflict,
+            CallReply::Answered(StatusCode::OK, ..) => DeleteOutcome::Deleted,
+            CallReply::Answered(StatusCode::NOT_FOUND, ..) => DeleteOutcome::Absent,
+            CallReply::Answered(StatusCode::CONFLICT, ..) => DeleteOutcome::Conflict,
             CallReply::Answered(..) => DeleteOutcome::Uncertain(UncertainCause::BadAnswer),
         }
     }
@@ -246,7 +258,7 @@
 
 fn read_body<T: DeserializeOwned>(reply: CallReply) -> Result<T, ReadError> {
     match reply {
-        CallReply::Answered(StatusCode::OK, body) => decode(&body).map_err(ReadError::NoAnswer),
+        CallReply::Answered(StatusCode::OK, _, body) => decode(&body).map_err(ReadError::NoAnswer),
         CallReply::Answered(..) => Err(ReadError::NoAnswer(UncertainCause::BadAnswer)),
         CallReply::NotRun(cause) => Err(ReadError::NotRun(cause)),
         CallReply::Uncertain(cause) => Err(ReadError::NoAnswer(cause)),
--- a/tests/store_restore.rs
+++ b/tests/store_restore.rs
@@ -10,6 +10,7 @@
 use hawthorn_standin::route::RouteTarget;
 use hawthorn_standin::route::operator;
 use hawthorn_standin::route::store::RouteOutage;
+use rustix::process::Signal;
 use support::TestResult;
 use support::route;
 use support::route::RouteHost;
@@ -19,11 +20,13 @@
 const OUTAGE: Duration = Duration::from_millis(800);
 /// Time within which a version is in force on all hosts after the store came back.
 const APPLY_LIMIT: Duration = Duration::from_secs(3);
+/// Time after which entries that were not written again count as deleted.
+const EXPIRY_LIMIT: Duration = Duration::from_millis(3500);
 
 /// Hosts of two zones and two targets of a service.
 struct RestoredFleet {
     store: RouteStore,
-    _targets: Vec<RouteTarget>,
+    targets: Vec<RouteTarget>,
     hosts: Vec<RouteHost>,
 }
 
@@ -37,7 +40,7 @@
             targets.push(target);
         }
         operator::configure(&store, 1, &[operator::single("/v1/", "s", "safe")], &["s"]);
-        let mut fleet = Self { store, _targets: targets, hosts: Vec::new() };
+        let mut fleet = Self { store, targets, hosts: Vec::new() };
         for (name, zone) in [("h-1", "east"), ("h-2", "east"), ("h-3", "west"), ("h-4", "west")] {
             fleet.start_host(name, zone).await?;
         }
@@ -114,3 +117,92 @@
     }
     Ok(())
 }
+
+/// Guards against hosts that stay in the earlier era because they did not see the store come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_that_miss_a_restore_learn_of_it() -> TestResult {
+    #[derive(Clone, Copy, Debug)]
+    enum Miss {
+        /// The store does not answer the hosts that watch it.
+        WatchersCutOff,
+        /// A host starts while the store is away.
+        HostStarts,
+        /// A host is suspended meanwhile.
+        HostSuspended,
+        /// The store is restored once more from the same copy.
+        RestoredTwice,
+    }
+    for miss in [Miss::WatchersCutOff, Miss::HostStarts, Miss::HostSuspended, Miss::RestoredTwice] {
+        let mut fleet = RestoredFleet::start().await?;
+        let copy = fleet.store.copy();
+        fleet.configure(2);
+        fleet.wait_for_version(2).await?;
+        fleet.store.set_outage(RouteOutage::Unavailable);
+        match miss {
+            Miss::WatchersCutOff => fleet.store.hang_watchers(),
+            Miss::HostSuspended => fleet.hosts[1].signal(Signal::STOP)?,
+            Miss::HostStarts | Miss::RestoredTwice => {}
+        }
+        sleep(OUTAGE).await;
+        fleet.store.restore(&copy);
+        match miss {
+            Miss::HostStarts => fleet.start_host("h-5", "west").await?,
+            Miss::RestoredTwice => {
+                operator::put_raw_entry(&fleet.store, "between", b"{}");
+                fleet.store.set_outage(RouteOutage::None);
+                sleep(OUTAGE).await;
+                fleet.store.restore(&copy);
+            }
+            Miss::WatchersCutOff | Miss::HostSuspended => {}
+        }
+        fleet.store.set_outage(RouteOutage::None);
+        fleet.configure(3);
+        sleep(OUTAGE).await;
+        if let Miss::HostSuspended = miss {
+            fleet.hosts[1].signal(Signal::CONT)?;
+        }
+        fleet.wait_for_version(3).await.map_err(|error| format!("{miss:?}: {error}"))?;
+    }
+    Ok(())
+}
+
+/// Guards against losing targets, and against requests to an evacuated zone, in the seconds after
+/// a restore until their entries are written again.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_a_restored_store_lacks_stay_until_they_expire() -> TestResult {
+    let mut fleet = RestoredFleet::start().await?;
+    fleet.hosts.truncate(1);
+    let host = &fleet.hosts[0];
+    let copy = fleet.store.copy();
+    let new_target = RouteTarget::start("t-3", "s").await?;
+    let write_again = || {
+        operator::register(&fleet.store, "t-3", &new_target, "west");
+        operator::evacuate(&fleet.store, "east");
+    };
+    write_again();
+    let evacuated = async || host.logged("zone=east change=begun") > 0;
+    route::wait_for("the evacuation to be logged", evacuated).await?;
+    let runs =
+        || (fleet.targets.iter().map(|target| target.runs("id")).sum(), new_target.runs("id"));
+    let send_for = async |time: Duration| -> TestResult {
+        let started = Instant::now();
+        while started.elapsed() < time {
+            assert_eq!(status(host, 1).await, Some(200));
+            sleep(Duration::from_millis(20)).await;
+        }
+        Ok(())
+    };
+    fleet.store.restore(&copy);
+    route::wait_for("the new era", async || host.logged("store-restored") == 1).await?;
+    send_for(Duration::from_millis(1500)).await?;
+    write_again();
+    send_for(EXPIRY_LIMIT).await?;
+    let (evacuated_runs, _): (usize, usize) = runs();
+    assert_eq!(evacuated_runs, 0, "the zone stays evacuated");
+    fleet.store.restore(&copy);
+    let removed = async || host.logged("target=t-3 change=removed") == 1;
+    route::wait_for("the entry that is not written again to expire", removed).await?;
+    let used = async || status(host, 1).await == Some(200) && fleet.targets[0].runs("id") > 0;
+    route::wait_for("the zone that is no longer evacuated to be used", used).await?;
+    Ok(())
+}
