fix(cold): a restored store grants no slot for cold targets twice

Cause: a slot is claimed on condition of a revision that has been known for 2.2 s. A restore loses claims that the store acknowledged and gives out their revisions again, so that the condition of one host can match the write of another, or a key that seems vacant has a holder.

Change: a claim knows its era, forgets all revisions when the era rises and waits for 2.2 s from then, in which terms from before the restore end. A write that the store executed in another era than that of its condition claims nothing.

Test: a_restored_store_grants_no_slot_twice, 60 seeds of 30 s with restores every 0.1 to 10 s.

--- a/crates/hawthorn-edge/src/process/catalog.rs
+++ b/crates/hawthorn-edge/src/process/catalog.rs
@@ -42,6 +42,7 @@
             changed.len()
         );
         host.restored.set(Some(host_now()));
+        cold::reset_slots(host);
     }
     changed.iter().for_each(|item| apply_item(host, item, as_of.era));
     host.catalog_read.set(true);
@@ -67,7 +68,7 @@
         CatalogKey::Document => apply_document(host, item),
         CatalogKey::Entry(id) => apply_entry(host, id, item, revision),
         CatalogKey::Evacuation(zone) => apply_evacuation(host, zone, item, revision),
-        CatalogKey::ColdSlot(zone, slot) => cold::apply_slot(host, zone, slot, item),
+        CatalogKey::ColdSlot(zone, slot) => cold::apply_slot(host, zone, slot, item, revision),
         CatalogKey::Quarantine(fingerprint) => {
             quarantine::apply_stored(host, fingerprint, item.value.as_deref());
         }
--- a/crates/hawthorn-edge/src/process/cold.rs
+++ b/crates/hawthorn-edge/src/process/cold.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use hawthorn_platform::catalog;
+use hawthorn_platform::catalog::CatalogKey;
 use hawthorn_platform::store;
 use hawthorn_route::cold::claim::SlotWrite;
 use hawthorn_route::cold::claim::WriteOutcome;
@@ -54,27 +55,45 @@
     host.metrics.set_gauge("cold-slots", u64::from(right.is_some()));
 }
 
+/// Forgets what this host knows of the slots, as the store was restored, and reads them again
+/// from the mirror.
+pub(crate) fn reset_slots(host: &RouteHost) {
+    let as_of = host.mirror.borrow().as_of();
+    host.cold_claim.borrow_mut().enter_era(as_of.era, host_now());
+    for item in host.mirror.borrow().with_prefix(catalog::COLD_SLOT_PREFIX) {
+        if let CatalogKey::ColdSlot(of_zone, slot) = catalog::key(&item.key) {
+            let revision = StoreRevision::new(as_of.era, item.revision);
+            apply_slot(host, of_zone, slot, &item, revision);
+        }
+    }
+    apply(host);
+}
+
 /// Records that a slot changed in the store.
-pub(crate) fn apply_slot(host: &RouteHost, zone: &str, slot: u32, item: &MirrorItem) {
+pub(crate) fn apply_slot(
+    host: &RouteHost,
+    zone: &str,
+    slot: u32,
+    item: &MirrorItem,
+    revision: StoreRevision,
+) {
     if zone != host.routing.settings.host.zone {
         return;
     }
     let mut claim = host.cold_claim.borrow_mut();
     match item.value {
-        Some(_) => claim.note(slot, item.revision, host_now()),
-        None => claim.note_absent(slot, host_now()),
+        Some(_) => claim.note(slot, revision, host_now()),
+        None => claim.note_absent(slot, revision, host_now()),
     }
 }
 
 async fn write_slot(host: &RouteHost, client: &StoreClient, write: SlotWrite) -> WriteOutcome {
     let settings = &host.routing.settings.host;
     let key = catalog::cold_slot_key(&settings.zone, write.slot);
-    let body =
-        store::claim_body(&key, StoreRevision::new(0, write.revision), settings.name.as_bytes());
+    let body = store::claim_body(&key, write.revision, settings.name.as_bytes());
     match client.post_path(CallKind::Put, store::WRITE_PATH.to_owned(), body).await {
         Ok(StoreAnswer { status: StatusCode::OK, headers, body }) => {
-            store::write_revision(&headers, &body)
-                .map_or(WriteOutcome::Unknown, |revision| WriteOutcome::Done(revision.number))
+            store::write_revision(&headers, &body).map_or(WriteOutcome::Unknown, WriteOutcome::Done)
         }
         Ok(_) | Err(ReadError::NotRun(_)) => WriteOutcome::NotDone,
         Err(_) => WriteOutcome::Unknown,
@@ -87,6 +106,7 @@
     edge_event!(
         level,
         EdgeEvent::ColdSlotWritten,
-        "slot={slot} revision={revision} outcome={outcome}"
+        "slot={slot} revision={} outcome={outcome}",
+        revision.number
     );
 }
--- a/crates/hawthorn-route/src/cold/claim.rs
+++ b/crates/hawthorn-route/src/cold/claim.rs
@@ -8,6 +8,11 @@
 //! ended, however slow the store is and however late either host receives the change, and so
 //! has the second in which its last requests count. Leases are not used, because the store may
 //! remove a key before its lease ends.
+//!
+//! A restore of the store loses writes that it acknowledged, and gives out their revisions again.
+//! A host that learns of it forgets all revisions and waits for `STALE_TIME`, in which the terms
+//! from before the restore end. A write that the store executed in another era than that of its
+//! condition claims nothing.
 
 use std::time::Duration;
 
@@ -16,6 +21,7 @@
 
 use super::SLOTS;
 use super::SlotRight;
+use crate::revision::StoreRevision;
 
 /// How long a slot may be used after the write that confirmed it was sent.
 pub const TERM: Duration = Duration::from_secs(1);
@@ -32,8 +38,8 @@
 pub struct SlotWrite {
     /// The slot.
     pub slot: u32,
-    /// The slot's revision that is the condition; 0 if the key must not exist.
-    pub revision: u64,
+    /// The slot's revision that is the condition; number 0 if the key must not exist.
+    pub revision: StoreRevision,
     /// When the write was decided on, before it was sent.
     pub sent: Duration,
 }
@@ -43,7 +49,7 @@
 #[strum(serialize_all = "kebab-case")]
 pub enum WriteOutcome {
     /// Done, at this revision.
-    Done(u64),
+    Done(StoreRevision),
     /// Not done: another host wrote the slot, or the store refused the write.
     NotDone,
     /// No answer: it may be executed, now or later.
@@ -65,6 +71,8 @@
 /// One host's claim on a slot of its zone.
 #[derive(Clone, Debug)]
 pub struct SlotClaim {
+    /// The store's era, to which all revisions belong.
+    era: u64,
     seen: [SeenSlot; SLOTS as usize],
     held: Option<HeldSlot>,
     next_try: Duration,
@@ -74,21 +82,33 @@
     /// The claim of a host that starts at `now`. It may not have seen the latest changes.
     pub fn new(now: Duration) -> Self {
         let seen = [SeenSlot { revision: 0, changed: now }; SLOTS as usize];
-        Self { seen, held: None, next_try: Duration::ZERO }
+        Self { era: 0, seen, held: None, next_try: Duration::ZERO }
+    }
+
+    /// Forgets all revisions and releases the slot if `era` is later than the known one.
+    pub fn enter_era(&mut self, era: u64, now: Duration) {
+        if era > self.era {
+            *self = Self { era, ..Self::new(now) };
+        }
     }
 
     /// Records a slot's revision as read from the store, perhaps through other hosts.
-    pub fn note(&mut self, slot: u32, revision: u64, now: Duration) {
+    pub fn note(&mut self, slot: u32, revision: StoreRevision, now: Duration) {
+        self.enter_era(revision.era, now);
         if let Some(seen) = self.seen.get_mut(slot as usize)
-            && revision > seen.revision
+            && revision.era == self.era
+            && revision.number > seen.revision
         {
-            *seen = SeenSlot { revision, changed: now };
+            *seen = SeenSlot { revision: revision.number, changed: now };
         }
     }
 
-    /// Records that a slot's key does not exist, or no longer does.
-    pub fn note_absent(&mut self, slot: u32, now: Duration) {
-        if let Some(seen) = self.seen.get_mut(slot as usize) {
+    /// Records that a slot's key does not exist, or no longer does, as of a revision.
+    pub fn note_absent(&mut self, slot: u32, as_of: StoreRevision, now: Duration) {
+        self.enter_era(as_of.era, now);
+        if as_of.era == self.era
+            && let Some(seen) = self.seen.get_mut(slot as usize)
+        {
             *seen = SeenSlot { revision: 0, changed: now };
         }
     }
@@ -99,6 +119,7 @@
             if now < held.right.until {
                 let renewal = held.right.until - TERM.mul_f64(1.0 - RENEW_SHARE);
                 let HeldSlot { revision, right } = held;
+                let revision = StoreRevision::new(self.era, revision);
                 let write = SlotWrite { slot: right.slot, revision, sent: now };
                 return (now >= renewal).then_some(write);
             }
@@ -112,7 +133,8 @@
             (0..SLOTS).filter(|slot| vacant(&self.seen[*slot as usize])).collect();
         let slot = *vacant.get(rng.random_range(0..vacant.len().max(1)))?;
         self.next_try = now + rng.random_range(RETRY_TIMES.0..RETRY_TIMES.1);
-        Some(SlotWrite { slot, revision: self.seen[slot as usize].revision, sent: now })
+        let revision = StoreRevision::new(self.era, self.seen[slot as usize].revision);
+        Some(SlotWrite { slot, revision, sent: now })
     }
 
     /// Records the outcome of a write.
@@ -124,8 +146,12 @@
             return;
         };
         self.note(write.slot, revision, now);
+        if write.revision.era != self.era || revision.era != self.era {
+            self.held = None;
+            return;
+        }
         let right = SlotRight { slot: write.slot, until: write.sent + TERM };
-        self.held = Some(HeldSlot { revision, right });
+        self.held = Some(HeldSlot { revision: revision.number, right });
     }
 
     /// The slot that this host holds.
--- a/crates/hawthorn-route/tests/cold.rs
+++ b/crates/hawthorn-route/tests/cold.rs
@@ -15,6 +15,7 @@
 use hawthorn_route::registry;
 use hawthorn_route::registry::SendRejection;
 use hawthorn_route::registry::TargetRegistry;
+use hawthorn_route::revision::StoreRevision;
 use rand::Rng;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -255,10 +256,10 @@
 /// Simulates the hosts of one zone, the zone's slots in the store, and one cold target.
 struct Zone {
     hosts: Vec<SimHost>,
-    revision: u64,
+    revision: StoreRevision,
     slots: [u64; SLOTS as usize],
     /// Time, slot and revision of each write.
-    history: Vec<(Duration, u32, u64)>,
+    history: Vec<(Duration, u32, StoreRevision)>,
     in_flight: Vec<InFlightWrite>,
     /// Times at which the cold target received requests.
     arrivals: Vec<Duration>,
@@ -273,7 +274,7 @@
         let hosts = (0..hosts).map(|_| SimHost::start(NOW, 0, &mut rng)).collect();
         Self {
             hosts,
-            revision: 1,
+            revision: support::revision(1),
             slots: [0; SLOTS as usize],
             history: Vec::new(),
             in_flight: Vec::new(),
@@ -297,9 +298,9 @@
         for pending in &mut self.in_flight {
             if pending.outcome.is_none() && pending.executes <= now {
                 let slot = &mut self.slots[pending.write.slot as usize];
-                pending.outcome = Some(if *slot == pending.write.revision {
-                    self.revision += 1;
-                    *slot = self.revision;
+                pending.outcome = Some(if *slot == pending.write.revision.number {
+                    self.revision.number += 1;
+                    *slot = self.revision.number;
                     self.history.push((now, pending.write.slot, self.revision));
                     WriteOutcome::Done(self.revision)
                 } else {
@@ -309,6 +310,33 @@
         }
     }
 
+    /// Restores the store from a copy of its state at `copied`. The slots in the copy are written
+    /// to the history, as hosts read them.
+    fn restore(&mut self, now: Duration, copied: Duration) {
+        let era = self.revision.era;
+        let earlier = |(at, _, revision): &&(Duration, u32, StoreRevision)| {
+            *at <= copied && revision.era == era
+        };
+        let kept: Vec<(u32, u64)> = self
+            .history
+            .iter()
+            .filter(earlier)
+            .map(|(_, slot, revision)| (*slot, revision.number))
+            .collect();
+        let number = kept.iter().map(|(_, number)| *number).max().unwrap_or(1);
+        self.revision = StoreRevision::new(era + 1, number);
+        self.slots = [0; SLOTS as usize];
+        for (slot, number) in kept {
+            self.slots[slot as usize] = self.slots[slot as usize].max(number);
+        }
+        for slot in 0..SLOTS {
+            let revision = StoreRevision::new(era + 1, self.slots[slot as usize]);
+            if revision.number > 0 {
+                self.history.push((now, slot, revision));
+            }
+        }
+    }
+
     fn inject_fault(&mut self, now: Duration) {
         let Self { hosts, rng, .. } = self;
         let index = rng.random_range(0..hosts.len());
@@ -462,6 +490,31 @@
     }
 }
 
+/// Guards against two holders of one slot after a restore of the store, which loses claims that it
+/// acknowledged and gives out their revisions again.
+#[test]
+fn a_restored_store_grants_no_slot_twice() {
+    let limit = OPTIONS.limit(12.0);
+    let mut requests = 0;
+    for seed in 0..60 {
+        let mut zone = Zone::new(8, seed);
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut restore_at = NOW + ms(4000);
+        for step in 0..3000 {
+            let now = NOW + STEP * step;
+            if now >= restore_at {
+                zone.restore(now, now - ms(rng.random_range(0..4000)));
+                restore_at = now + ms(rng.random_range(100..10_000));
+            }
+            zone.step(now, limit, true);
+        }
+        let max = max_per_second(&zone.arrivals);
+        assert!(max <= limit as usize, "seed {seed}: {max} of {limit}");
+        requests += zone.arrivals.len();
+    }
+    assert!(requests > 60 * 50, "slots are claimed between restores: {requests} requests");
+}
+
 /// Guards against staying within the limit only because cold targets are rarely used.
 #[test]
 fn most_of_the_limit_is_used_once_slots_are_claimed() {
