test(route): a host waits without bound for a source without link capacity (known red)

Four hosts of a zone on links of 10 kbit/s: the third version is not in force after 10 s on one of them.

--- a/tests/route.rs
+++ b/tests/route.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use std::time::Duration;
+use std::time::Instant;
 
 use hawthorn_standin::route::RouteStore;
 use hawthorn_standin::route::RouteTarget;
@@ -404,7 +405,7 @@
     route::wait_for("two hosts to watch", settled).await?;
     store.hang_watchers();
     operator::configure(&store, 5, &[operator::single("/b/", "s", "safe")], &["s"]);
-    let written = std::time::Instant::now();
+    let written = Instant::now();
     for host in &hosts {
         let routed = async || {
             let answer = host.send("GET", "/b/", "id-1", "").await;
@@ -416,6 +417,53 @@
     Ok(())
 }
 
+/// Guards against a host that keeps an older version, and reports it as confirmed, because the link
+/// of the host that watches the store for its zone has no capacity for the update.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_whose_source_has_no_capacity_reads_the_store() -> TestResult {
+    let store = RouteStore::start().await?;
+    let target = RouteTarget::start("t-1", "s").await?;
+    operator::register(&store, "t-1", &target, "east");
+    // Larger than the link sends in the time within which a version must be in force.
+    let configure = |version: u64| {
+        let route = |number| operator::single(&format!("/v{version}/{number}/"), "s", "safe");
+        let routes: Vec<_> = (0..60).map(route).collect();
+        operator::configure(&store, version, &routes, &["s"]);
+    };
+    configure(1);
+    let mut hosts: Vec<RouteHost> = Vec::new();
+    for (name, zone) in
+        [("h-1", "east"), ("h-2", "east"), ("h-3", "east"), ("h-4", "east"), ("h-5", "west")]
+    {
+        let seeds: Vec<&RouteHost> = hosts.first().into_iter().collect();
+        let mut host = RouteHost::start(name, zone, store.address(), &seeds)?;
+        host.change_settings("[host]\n", "[host]\nlink_mbps = 0.01\n")?;
+        host.restart()?;
+        hosts.push(host);
+    }
+    for host in &hosts {
+        host.wait_until_ready().await?;
+    }
+    let settled = async || store.waiting_watches() == 2;
+    route::wait_for("one host of each zone to watch", settled).await?;
+    // The first two versions take the capacity of all links.
+    for version in 2..=4 {
+        configure(version);
+        let written = Instant::now();
+        let path = format!("/v{version}/7/");
+        for host in &hosts {
+            let routed = async || {
+                let answer = host.send("GET", &path, "id-1", "").await;
+                answer.is_ok_and(|answer| answer.status == 200)
+            };
+            route::wait_for("the version to be in force", routed).await?;
+        }
+        let elapsed = written.elapsed();
+        assert!(elapsed < Duration::from_secs(5), "version {version}: {elapsed:?}");
+    }
+    Ok(())
+}
+
 /// Scatter-gather over shards in two zones, with hosts in both. The answer holds the greatest
 /// records of all parts, with one receipt for each part, whether a peer gathers some of them, has
 /// just been killed, or a shard has no target.
