fix(edge): a host without an update from its source reads the store itself

Callers see: on hosts of a zone with narrow links, routes that the operator replaced seconds ago, for as long as versions come faster than the links carry them to all followers.

Cause: a follower whose source has no link capacity for an update is told to ask again, has no place in a queue, and has no other source. The refusal carried the follower's own revision, so that the follower counted as confirmed although it lacked changes.

Change: a refusal confirms nothing. If a host's data was not confirmed for 2.5 s and its source defers the update, it reads the store once. E644 logs it.

--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -82,6 +82,9 @@
     PeerStale = 642,
     /// This host fetched newer items from a peer than its own source had.
     CaughtUp = 643,
+    /// The peer that provides the store's items has no link capacity for an update, and this host
+    /// reads the store itself.
+    UpdateDeferred = 644,
     /// A host of the fleet came up, went down or is leaving.
     PeerChanged = 641,
 }
--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -61,6 +61,9 @@
 /// With the read that follows, an update is applied within 3 s even if all watchers of a zone
 /// lose the store at the same time.
 const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(1800);
+/// Age of a host's data above which it reads the store itself if its source has no link capacity
+/// for the update. Above the age of its data between two checks by the source and two replies.
+const MAX_DEFERRED_AGE: Duration = Duration::from_millis(2500);
 /// Pause of a host that is not a watcher of its zone and also fails to reach the store, in
 /// seconds. Its peers learn of the recovery first, and simultaneous requests of the fleet would
 /// overload a recovering store.
@@ -105,7 +108,19 @@
             UpdateSource::Store { is_watcher } => {
                 poll_store(&host, &client, &mut reachable, is_watcher).await
             }
-            UpdateSource::Peer(peer) => poll_peer(&host, peer).await,
+            UpdateSource::Peer(peer) => {
+                let reply = poll_peer(&host, peer).await;
+                let age = host.confirmed_age().unwrap_or_default();
+                if reply == PeerReply::Deferred && age > MAX_DEFERRED_AGE {
+                    edge_event!(
+                        Level::Warn,
+                        EdgeEvent::UpdateDeferred,
+                        "peer={peer} age_ms={}",
+                        age.as_millis()
+                    );
+                    poll_store(&host, &client, &mut reachable, false).await;
+                }
+            }
         }
     }
 }
@@ -203,19 +218,31 @@
     }
 }
 
-async fn poll_peer(host: &RouteHost, peer: SocketAddr) {
+/// What became of a request for an update.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PeerReply {
+    /// The peer sent the update, or did not answer.
+    Done,
+    /// The peer's link had no capacity for the update.
+    Deferred,
+}
+
+async fn poll_peer(host: &RouteHost, peer: SocketAddr) -> PeerReply {
     let after = host.mirror.borrow().wanted_after();
     let endpoint = host.peer_endpoint(peer, TrafficPurpose::Catalog);
     // A peer that does not answer becomes suspected, so another source is selected.
     let Ok(update) = host.links.catalog_update(&endpoint, after, PEER_WATCH_TIMEOUT).await else {
-        return;
+        return PeerReply::Done;
     };
     let age = Duration::from_millis(update.age_ms);
     if age > MAX_CONFIRMED_AGE {
         edge_event!(Level::Warn, EdgeEvent::PeerStale, "peer={peer} age_ms={}", update.age_ms);
         host.links.suspect(peer);
+    } else if update.as_of == StoreRevision::NONE {
+        return PeerReply::Deferred;
     }
     apply_from_peer(host, update);
+    PeerReply::Done
 }
 
 fn apply_from_peer(host: &RouteHost, update: CatalogUpdate) {
@@ -297,10 +324,9 @@
                 sleep(delay).await;
                 break update;
             }
-            // The peer sends another request when its wait is over.
-            None if now + BULK_POLL_INTERVAL > until => {
-                break MirrorUpdate { as_of: after, ..MirrorUpdate::default() };
-            }
+            // The peer sends another request when its wait is over. A reply with its own revision
+            // would confirm that there are no changes.
+            None if now + BULK_POLL_INTERVAL > until => break MirrorUpdate::default(),
             None => sleep(BULK_POLL_INTERVAL).await,
         }
     };
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -436,10 +436,7 @@
         [("h-1", "east"), ("h-2", "east"), ("h-3", "east"), ("h-4", "east"), ("h-5", "west")]
     {
         let seeds: Vec<&RouteHost> = hosts.first().into_iter().collect();
-        let mut host = RouteHost::start(name, zone, store.address(), &seeds)?;
-        host.change_settings("[host]\n", "[host]\nlink_mbps = 0.01\n")?;
-        host.restart()?;
-        hosts.push(host);
+        hosts.push(RouteHost::start_on_link(name, zone, store.address(), &seeds, 0.01)?);
     }
     for host in &hosts {
         host.wait_until_ready().await?;
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -22,6 +22,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
+use tokio::time::sleep;
 
 /// Timeout of a request's head, in milliseconds.
 const HEAD_MS: u64 = 300;
@@ -218,6 +219,36 @@
     Ok(host.log_lines())
 }
 
+/// A zone whose hosts have no link capacity for several versions in succession.
+async fn narrow_link_events() -> TestResult<Vec<String>> {
+    let store = RouteStore::start().await?;
+    let configure = |version: u64| {
+        let route = |number| operator::single(&format!("/v{version}/{number}/"), "s", "safe");
+        let routes: Vec<_> = (0..60).map(route).collect();
+        operator::configure(&store, version, &routes, &["s"]);
+    };
+    configure(1);
+    let mut hosts: Vec<RouteHost> = Vec::new();
+    for (name, zone) in
+        [("h-1", "east"), ("h-2", "east"), ("h-3", "east"), ("h-4", "east"), ("h-5", "west")]
+    {
+        let seeds: Vec<&RouteHost> = hosts.first().into_iter().collect();
+        hosts.push(RouteHost::start_on_link(name, zone, store.address(), &seeds, 0.01)?);
+    }
+    for host in &hosts {
+        host.wait_until_ready().await?;
+    }
+    route::wait_for("two hosts to watch", async || store.waiting_watches() == 2).await?;
+    for version in 2..10 {
+        configure(version);
+        sleep(Duration::from_secs(1)).await;
+        if hosts.iter().any(|host| host.logged("E644") > 0) {
+            break;
+        }
+    }
+    Ok(hosts.iter().flat_map(RouteHost::log_lines).collect())
+}
+
 /// The keys of each event, as listed in the catalogue.
 fn catalogue() -> BTreeMap<u16, BTreeSet<String>> {
     let page = include_str!("../docs/operators/events-route.md");
@@ -238,17 +269,18 @@
 /// keys.
 #[tokio::test(flavor = "multi_thread")]
 async fn every_event_is_written_as_the_catalogue_says() -> TestResult {
-    let (single, isolated, two_zones, cold, restored, unread) = tokio::try_join!(
+    let (single, isolated, two_zones, cold, restored, narrow, unread) = tokio::try_join!(
         single_host_events(),
         isolated_host_events(),
         two_zone_events(),
         cold_target_events(),
         restored_store_events(),
+        narrow_link_events(),
         unread_log_events()
     )?;
     let catalogue = catalogue();
     let mut written = BTreeSet::new();
-    for text in [single, isolated, two_zones, cold, restored, unread].concat() {
+    for text in [single, isolated, two_zones, cold, restored, narrow, unread].concat() {
         let read = line::read(&text, "").ok_or_else(|| format!("not an event: {text}"))?;
         let keys = catalogue.get(&read.number).ok_or_else(|| format!("not listed: {text}"))?;
         for name in read.keys() {
--- a/tests/store_restore.rs
+++ b/tests/store_restore.rs
@@ -224,10 +224,8 @@
     for number in 0..HOSTS {
         let seeds: Vec<&RouteHost> = fleet.hosts.first().into_iter().collect();
         let name = format!("h-{number}");
-        let mut host = RouteHost::start(&name, "east", fleet.store.address(), &seeds)?;
-        host.change_settings("[host]\n", "[host]\nlink_mbps = 14.0\n")?;
-        host.restart()?;
-        fleet.hosts.push(host);
+        let store = fleet.store.address();
+        fleet.hosts.push(RouteHost::start_on_link(&name, "east", store, &seeds, 14.0)?);
     }
     for host in &fleet.hosts {
         host.wait_until_ready().await?;
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -89,13 +89,36 @@
         store: SocketAddr,
         seeds: &[&RouteHost],
         metrics: u16,
+    ) -> TestResult<Self> {
+        Self::start_with(name, zone, store, seeds, metrics, "")
+    }
+
+    /// Starts a host whose link has this capacity, in Mbit/s.
+    pub fn start_on_link(
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        seeds: &[&RouteHost],
+        link_mbps: f64,
+    ) -> TestResult<Self> {
+        let link = format!("link_mbps = {link_mbps}\n");
+        Self::start_with(name, zone, store, seeds, METRICS_PORT, &link)
+    }
+
+    fn start_with(
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        seeds: &[&RouteHost],
+        metrics: u16,
+        host_settings: &str,
     ) -> TestResult<Self> {
         let ip = unique_loopback();
         let files = TempDir::new()?;
         let file = files.path().join("settings.toml");
         let seeds: Vec<String> = seeds.iter().map(|host| format!("\"{}:1\"", host.ip)).collect();
         let text = format!(
-            "[host]\nname = \"{name}\"\nzone = \"{zone}\"\n[listen]\n\
+            "[host]\nname = \"{name}\"\nzone = \"{zone}\"\n{host_settings}[listen]\n\
              callers = \"{ip}:{CALLER_PORT}\"\nready = \"{ip}:{READY_PORT}\"\n\
              peers = \"{ip}:{PEER_PORT}\"\nmetrics = \"{ip}:{metrics}\"\n\
              [zones]\neast = \"r-east\"\nwest = \"r-west\"\n\
