--- a/tests/route.rs
+++ b/tests/route.rs
@@ -424,28 +424,11 @@
     let store = RouteStore::start().await?;
     let target = RouteTarget::start("t-1", "s").await?;
     operator::register(&store, "t-1", &target, "east");
-    // Larger than the link sends in the time within which a version must be in force.
-    let configure = |version: u64| {
-        let route = |number| operator::single(&format!("/v{version}/{number}/"), "s", "safe");
-        let routes: Vec<_> = (0..60).map(route).collect();
-        operator::configure(&store, version, &routes, &["s"]);
-    };
-    configure(1);
-    let mut hosts: Vec<RouteHost> = Vec::new();
-    for (name, zone) in
-        [("h-1", "east"), ("h-2", "east"), ("h-3", "east"), ("h-4", "east"), ("h-5", "west")]
-    {
-        let seeds: Vec<&RouteHost> = hosts.first().into_iter().collect();
-        hosts.push(RouteHost::start_on_link(name, zone, store.address(), &seeds, 0.01)?);
-    }
-    for host in &hosts {
-        host.wait_until_ready().await?;
-    }
-    let settled = async || store.waiting_watches() == 2;
-    route::wait_for("one host of each zone to watch", settled).await?;
+    route::configure_large(&store, 1);
+    let hosts = route::start_on_narrow_links(&store).await?;
     // The first two versions take the capacity of all links.
     for version in 2..=4 {
-        configure(version);
+        route::configure_large(&store, version);
         let written = Instant::now();
         let path = format!("/v{version}/7/");
         for host in &hosts {
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -222,25 +222,10 @@
 /// A zone whose hosts have no link capacity for several versions in succession.
 async fn narrow_link_events() -> TestResult<Vec<String>> {
     let store = RouteStore::start().await?;
-    let configure = |version: u64| {
-        let route = |number| operator::single(&format!("/v{version}/{number}/"), "s", "safe");
-        let routes: Vec<_> = (0..60).map(route).collect();
-        operator::configure(&store, version, &routes, &["s"]);
-    };
-    configure(1);
-    let mut hosts: Vec<RouteHost> = Vec::new();
-    for (name, zone) in
-        [("h-1", "east"), ("h-2", "east"), ("h-3", "east"), ("h-4", "east"), ("h-5", "west")]
-    {
-        let seeds: Vec<&RouteHost> = hosts.first().into_iter().collect();
-        hosts.push(RouteHost::start_on_link(name, zone, store.address(), &seeds, 0.01)?);
-    }
-    for host in &hosts {
-        host.wait_until_ready().await?;
-    }
-    route::wait_for("two hosts to watch", async || store.waiting_watches() == 2).await?;
+    route::configure_large(&store, 1);
+    let hosts = route::start_on_narrow_links(&store).await?;
     for version in 2..10 {
-        configure(version);
+        route::configure_large(&store, version);
         sleep(Duration::from_secs(1)).await;
         if hosts.iter().any(|host| host.logged("E644") > 0) {
             break;
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -19,8 +19,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hawthorn_standin::route::RouteStore;
 use hawthorn_standin::route::headers::ATTEMPT_ID;
 use hawthorn_standin::route::headers::TIME_LEFT;
+use hawthorn_standin::route::operator;
 use hawthorn_standin::route::operator::HOST;
 use rustix::process::Pid;
 use rustix::process::Signal;
@@ -222,6 +224,30 @@
     }
 }
 
+/// Starts four hosts of zone `east` and one of zone `west`, with links that carry one large version
+/// of the configuration in some twenty seconds.
+pub async fn start_on_narrow_links(store: &RouteStore) -> TestResult<Vec<RouteHost>> {
+    let mut hosts: Vec<RouteHost> = Vec::new();
+    for (name, zone) in
+        [("h-1", "east"), ("h-2", "east"), ("h-3", "east"), ("h-4", "east"), ("h-5", "west")]
+    {
+        let seeds: Vec<&RouteHost> = hosts.first().into_iter().collect();
+        hosts.push(RouteHost::start_on_link(name, zone, store.address(), &seeds, 0.01)?);
+    }
+    for host in &hosts {
+        host.wait_until_ready().await?;
+    }
+    wait_for("one host of each zone to watch", async || store.waiting_watches() == 2).await?;
+    Ok(hosts)
+}
+
+/// Writes a large version of the configuration; its routes are `/v{version}/0/` to `/59/`.
+pub fn configure_large(store: &RouteStore, version: u64) {
+    let route = |number| operator::single(&format!("/v{version}/{number}/"), "s", "safe");
+    let routes: Vec<_> = (0..60).map(route).collect();
+    operator::configure(store, version, &routes, &["s"]);
+}
+
 fn spawn_route(
     file: &Path,
     log: &Arc<Mutex<Vec<String>>>,
