fix(route): a second reply with the changes across a restore changes nothing

A host that has followed a restore by another way may get the changes that it had asked for before; they end at a later revision than its own, but do not start from its state. Also E643 is not logged for a deferred update.

--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -283,6 +283,7 @@
     let endpoint = host.peer_endpoint(peer, TrafficPurpose::Catalog);
     if as_of > after
         && let Ok(update) = host.links.catalog_update(&endpoint, after, Duration::ZERO).await
+        && update.as_of != StoreRevision::NONE
     {
         edge_event!(
             Level::Info,
--- a/crates/hawthorn-route/src/mirror.rs
+++ b/crates/hawthorn-route/src/mirror.rs
@@ -145,6 +145,8 @@
     pub fn apply(&mut self, update: MirrorUpdate) -> Vec<MirrorItem> {
         match update.as_of.era.cmp(&self.as_of.era) {
             Ordering::Less => return Vec::new(),
+            // Changes across a restore that this mirror has followed since it asked for them.
+            Ordering::Equal if update.base.is_some() => return Vec::new(),
             Ordering::Equal => {}
             Ordering::Greater if update.complete => return self.enter_era(update),
             Ordering::Greater => return self.follow_restore(update),
--- a/crates/hawthorn-route/tests/mirror.rs
+++ b/crates/hawthorn-route/tests/mirror.rs
@@ -100,6 +100,7 @@
         [item("b", 5, Some("old")), item("c", 6, None), item("d", 6, Some("new"))]
     );
     same.apply(changes.clone());
+    assert_eq!(same.apply(changes.clone()), [], "a second reply changes nothing");
     assert_eq!((same.as_of(), same.unconfirmed()), (sender.as_of(), 1));
     assert_eq!(diverged.apply(changes), []);
     diverged.apply(sender.since(diverged.wanted_after()));
