fix(edge): the first request after a start is not refused as too old

Cause: a request may have waited unread for as long as the event loop has been busy. Before the loop was idle for the first time, that counted from the clock's zero, when the machine was switched on.

--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -231,6 +231,7 @@
     settings: RouteSettings,
     reload: impl Fn() -> Option<RouteSettings> + 'static,
 ) -> Result<(), Error> {
+    loop_clock::record_start();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .on_thread_park(loop_clock::record_park)
--- a/crates/hawthorn-edge/src/process/loop_clock.rs
+++ b/crates/hawthorn-edge/src/process/loop_clock.rs
@@ -13,7 +13,7 @@
 /// A loop that parks for less than this was not idle: an event was already waiting.
 const MIN_IDLE: Duration = Duration::from_micros(200);
 
-/// When the loop last parked, and when it was last idle, in nanoseconds.
+/// When the loop last parked, and when it was last idle or started, in nanoseconds.
 #[derive(Debug, Default)]
 pub struct LoopClock {
     parked: AtomicU64,
@@ -26,6 +26,11 @@
         Self { parked: AtomicU64::new(0), idle_ended: AtomicU64::new(0) }
     }
 
+    /// Records that the loop starts: nothing that it reads arrived earlier.
+    pub fn start(&self, now: Duration) {
+        self.idle_ended.store(now.as_nanos() as u64, Ordering::Relaxed);
+    }
+
     /// Records that the loop parks.
     pub fn park(&self, now: Duration) {
         self.parked.store(now.as_nanos() as u64, Ordering::Relaxed);
@@ -39,7 +44,7 @@
         }
     }
 
-    /// Time since the loop was last idle.
+    /// Time since the loop was last idle, or started.
     pub fn busy_for(&self, now: Duration) -> Duration {
         now.saturating_sub(Duration::from_nanos(self.idle_ended.load(Ordering::Relaxed)))
     }
@@ -47,6 +52,11 @@
 
 static EVENT_LOOP: LoopClock = LoopClock::new();
 
+/// Records that the event loop of this process starts.
+pub(crate) fn record_start() {
+    EVENT_LOOP.start(host_now());
+}
+
 /// Records that the event loop of this process parks.
 pub(crate) fn record_park() {
     EVENT_LOOP.park(host_now());
--- a/crates/hawthorn-edge/tests/loop_clock.rs
+++ b/crates/hawthorn-edge/tests/loop_clock.rs
@@ -4,6 +4,14 @@
 
 use hawthorn_edge::process::loop_clock::LoopClock;
 
+/// Guards against taking a host that has just started for busy since the machine was switched on.
+#[test]
+fn nothing_arrived_before_the_loop_started() {
+    let clock = LoopClock::new();
+    clock.start(Duration::from_secs(90));
+    assert_eq!(clock.busy_for(Duration::from_millis(90_020)), Duration::from_millis(20));
+}
+
 /// Guards against stale deadlines: a host is busy for 700 ms, and a request that arrived at the
 /// beginning is read at the end, when its caller no longer waits. Without the busy time,
 /// targets would still get part of the deadline. While the loop is idle between turns, no
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -154,7 +154,9 @@
         pair.first.fail_always(Some(case.fault));
         for round in 0..2 {
             let answer = pair.host.send("GET", "/safe/", &format!("one-{round}"), "").await?;
-            assert_eq!(answer.status, case.idempotent.0, "{}: one target fails", case.name);
+            let reason = String::from_utf8_lossy(&answer.body);
+            let name = case.name;
+            assert_eq!(answer.status, case.idempotent.0, "{name}: one target fails: {reason}");
         }
         pair.fail_always(Some(case.fault));
         let answer = pair.host.send("GET", "/safe/", "both", "").await?;
@@ -275,6 +277,27 @@
     route::wait_for("the metrics failure to be logged", logged).await
 }
 
+/// Guards against refusing the first requests after a start as too old: the host has not been idle
+/// since, and was taken for busy since the machine was switched on.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_first_request_after_a_start_is_not_refused() -> TestResult {
+    let store = RouteStore::start().await?;
+    let target = RouteTarget::start("t-1", "s").await?;
+    operator::configure(&store, 3, &[operator::single("/a/", "s", "safe")], &["s"]);
+    operator::register(&store, "t-1", &target, "east");
+    for round in 0..20 {
+        let host = RouteHost::start("h-1", "east", store.address(), &[])?;
+        let started = Instant::now();
+        while !host.is_ready().await {
+            assert!(started.elapsed() < route::WAIT_TIMEOUT, "round {round}: not ready");
+        }
+        let answer = host.send("GET", "/a/", &format!("id-{round}"), "").await?;
+        let reason = String::from_utf8_lossy(&answer.body);
+        assert_eq!(answer.status, 200, "round {round}: {reason}");
+    }
+    Ok(())
+}
+
 /// The work of a request must be cancelled, not run on, once its caller closes the connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_disconnected_caller_cancels_its_work() -> TestResult {
@@ -590,7 +613,13 @@
         }
     }
     let silent = async || east.logged("outcome=silent") > 0;
-    route::wait_for("a silent peer to be logged", silent).await
+    let logged = route::wait_for("a silent peer to be logged", silent).await;
+    logged.map_err(|error| {
+        let lines: Vec<String> = east.log_lines();
+        let delegations: Vec<&String> =
+            lines.iter().filter(|line| line.contains("shards-delegated")).collect();
+        format!("{error}: {delegations:#?}").into()
+    })
 }
 
 /// Requests that are malformed, too large, or contain a second request must not reach a target.
