feat(edge): E630 logs how long a request may have waited unread

The answer's body names a reason, but `too-late` can mean a short deadline of the caller, a request that lay in its socket, or a host that takes itself for busy; the log line told none of them apart.

Change: `unread_ms` is the wait that the deadline is reduced by, `socket_ms` what the kernel measured of it. No decision changes.

--- a/crates/hawthorn-edge/src/connection/head.rs
+++ b/crates/hawthorn-edge/src/connection/head.rs
@@ -29,6 +29,15 @@
 /// Times that a task yields to the event loop, so that bytes waiting in the socket are read.
 const SOCKET_READ_YIELDS: usize = 3;
 
+/// How long a head may have waited before it was read.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct UnreadTime {
+    /// The estimate that its deadline is based on.
+    pub(crate) estimate: Duration,
+    /// The time that the kernel reports; zero if it does not measure it.
+    pub(crate) in_socket: Duration,
+}
+
 /// Timing of the request heads on one connection.
 #[derive(Debug, Default)]
 pub(crate) struct HeadWatch {
@@ -41,6 +50,7 @@
     head_count: Cell<u32>,
     /// When the last head arrived at the socket, which may be before it was read.
     arrived: Cell<Duration>,
+    unread: Cell<UnreadTime>,
     rtt: Cell<RttMeter>,
     /// The scheduled send time of the next answer; `None` if it is sent as soon as it is
     /// complete.
@@ -61,6 +71,11 @@
         RequestArrival { arrived, new_connection, rtt: self.rtt.get().rtt() }
     }
 
+    /// How long the last head may have waited before it was read.
+    pub(crate) fn unread(&self) -> UnreadTime {
+        self.unread.get()
+    }
+
     /// Sets the scheduled send time of the next answer, or none.
     pub(crate) fn set_send_time(&self, at: Option<Duration>) {
         self.next_send_time.set(at);
@@ -102,9 +117,10 @@
     fn head_began(&self, stream: &TcpStream) {
         let now = host_now();
         let report = hawthorn_socket::tcp_info(stream).ok();
-        let queued = report.map_or(Duration::ZERO, |report| report.since_received);
-        let age = queued.max(loop_clock::busy_for(now));
-        self.arrived.set(now.saturating_sub(age));
+        let in_socket = report.map_or(Duration::ZERO, |report| report.since_received);
+        let estimate = in_socket.max(loop_clock::busy_for(now));
+        self.unread.set(UnreadTime { estimate, in_socket });
+        self.arrived.set(now.saturating_sub(estimate));
         self.head_count.set(self.head_count.get().saturating_add(1));
         let measured = report.and_then(|report| Some((report.round_trip?, report.deviation)));
         if let Some((round_trip, deviation)) = measured {
--- a/crates/hawthorn-edge/src/request/request_log.rs
+++ b/crates/hawthorn-edge/src/request/request_log.rs
@@ -9,6 +9,7 @@
 use hawthorn_route::outcome::AttemptEnd;
 use log::Level;
 
+use crate::connection::head::UnreadTime;
 use crate::edge_event;
 use crate::process::events::EdgeEvent;
 
@@ -66,6 +67,8 @@
     pub(crate) early_ms: f64,
     /// Round-trip time to the caller, if the kernel measured it.
     pub(crate) round_trip: Option<Duration>,
+    /// How long its head may have waited before it was read.
+    pub(crate) unread: UnreadTime,
     pub(crate) parts: Option<(usize, usize)>,
     /// Number of skipped shards.
     pub(crate) skipped: usize,
@@ -124,12 +127,15 @@
             Level::Info,
             EdgeEvent::RequestEnded,
             "request={id} route={route} version={version} outcome={outcome} status={status} \
-             ms={:.1} left_ms={} early_ms={:.1} way_ms={:.1} parts={received}/{all} skipped={} \
-             weight={weight} caller={caller} fingerprint={fingerprint}",
+             ms={:.1} left_ms={} early_ms={:.1} way_ms={:.1} unread_ms={:.1} \
+             socket_ms={} parts={received}/{all} skipped={} weight={weight} caller={caller} \
+             fingerprint={fingerprint}",
             millis(summary.elapsed),
             summary.left.as_millis(),
             summary.early_ms,
             summary.round_trip.map_or(-1.0, millis),
+            millis(summary.unread.estimate),
+            summary.unread.in_socket.as_millis(),
             summary.skipped
         );
         self.write_missing(id);
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -13,7 +13,6 @@
 use hawthorn_route::quarantine::RequestIdentity;
 use hawthorn_route::retry_after::retry_after;
 use hawthorn_route::send_deadline;
-use hawthorn_route::send_deadline::RequestArrival;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -80,9 +79,8 @@
     watch: &HeadWatch,
     caller: Option<IpAddr>,
 ) -> Response<AnswerBody> {
-    let arrival = watch.arrival();
-    let started = arrival.arrived;
-    let mut answer = admit(&host, request, &arrival, caller).await;
+    let started = watch.arrival().arrived;
+    let mut answer = admit(&host, request, watch, caller).await;
     watch.set_send_time(answer.due);
     // Callers of a host that fails its readiness probe are better served by another.
     if host.stopping.is_cancelled() || host.routing.unready.get() {
@@ -104,9 +102,10 @@
 async fn admit(
     host: &Rc<RouteHost>,
     request: Request<Incoming>,
-    arrival: &RequestArrival,
+    watch: &HeadWatch,
     caller: Option<IpAddr>,
 ) -> CallerAnswer {
+    let arrival = watch.arrival();
     let Some(table) = host.routing.table() else {
         return CallerAnswer::refused(RefusalReason::NoConfiguration);
     };
@@ -139,7 +138,7 @@
     let departure = host.routing.policy.get().departure;
     let lag = host.lag.borrow().lag_within(departure.late_share);
     let send_deadline =
-        send_deadline::send_deadline(arrival, route.target_latency, lag, &departure);
+        send_deadline::send_deadline(&arrival, route.target_latency, lag, &departure);
     let fingerprint = context::fingerprint(&head.method, &head.headers, &head.uri, &body);
     let context = Rc::new(RequestContext {
         identity: RequestIdentity::new(fingerprint, caller, &route.name),
@@ -169,7 +168,7 @@
     }
     context.answered.cancel();
     drop(cancel_guard);
-    log_request(host, &context, table.version(), &answer, arrival);
+    log_request(host, &context, table.version(), &answer, watch);
     answer
 }
 
@@ -269,7 +268,7 @@
     context: &RequestContext,
     version: u64,
     answer: &CallerAnswer,
-    arrival: &RequestArrival,
+    watch: &HeadWatch,
 ) {
     let now = host_now();
     let rule: &RouteRule = &context.route;
@@ -286,7 +285,8 @@
         elapsed,
         left: context.time_left(now),
         early_ms: signed_millis(context.send_deadline, now),
-        round_trip: arrival.rtt.map(|rtt| rtt.round_trip),
+        round_trip: watch.arrival().rtt.map(|rtt| rtt.round_trip),
+        unread: watch.unread(),
         parts: answer.parts,
         skipped: context.skipped.get(),
     };
