fix(edge): a host that is never idle no longer refuses every request as too late

Callers saw: once a host had been busy for as long as a request may take (its route's timeout or the caller's wait, whichever is less), 503 `too-late` for each further request, for as long as the load lasted, although the host read each within a tenth of a second.

Cause: a request may have waited unread since the event loop was last idle, and only a park of 200 us or more counted as idle. A saturated loop parks for less, so the assumed wait grew without bound. A request for a peer that has not yet learned the clock of the host had the same age.

Change: when the loop has been busy for 5 ms, a task passes through the task queue behind all sockets that were readable; what is read afterwards arrived after the task began. Requests of peers take their age when they are received, not after they have yielded to cancellations.

--- a/crates/hawthorn-edge/src/connection/head.rs
+++ b/crates/hawthorn-edge/src/connection/head.rs
@@ -25,9 +25,7 @@
 
 use crate::process::clock::host_now;
 use crate::process::loop_clock;
-
-/// Times that a task yields to the event loop, so that bytes waiting in the socket are read.
-const SOCKET_READ_YIELDS: usize = 3;
+use crate::process::loop_clock::SOCKET_READ_YIELDS;
 
 /// How long a head may have waited before it was read.
 #[derive(Clone, Copy, Debug, Default)]
@@ -113,7 +111,7 @@
     /// A host without processor time reads a request long after it arrived, and would pass
     /// targets a deadline that its caller no longer has. The kernel reports how long the bytes
     /// have been in the socket, if it measures that; they may also have waited since the event
-    /// loop was last idle.
+    /// loop had last read all that arrived.
     fn head_began(&self, stream: &TcpStream) {
         let now = host_now();
         let report = hawthorn_socket::tcp_info(stream).ok();
--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -36,6 +36,7 @@
 use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
 use crate::process::host::RouteHost;
+use crate::process::loop_clock;
 use crate::process::store_sync;
 use crate::process::traffic;
 use crate::process::traffic::TrafficCounter;
@@ -286,7 +287,7 @@
 /// A peer's request, with the channel for its reply.
 #[derive(Debug)]
 enum PeerRequest {
-    Gather(Box<GatherRequest>, oneshot::Sender<GatherReply>),
+    Gather { request: Box<GatherRequest>, arrived: Duration, reply: oneshot::Sender<GatherReply> },
     Remainder { token: u64, request: RemainderRequest },
     CatalogUpdate { after: StoreRevision, wait: Duration, reply: oneshot::Sender<CatalogUpdate> },
 }
@@ -298,9 +299,12 @@
 
 impl EdgePeer for PeerServer {
     async fn gather(self, _: Context, request: GatherRequest) -> TimedReply {
-        let received_us = host_now().as_micros() as u64;
+        let received = host_now();
+        let received_us = received.as_micros() as u64;
+        let arrived = received.saturating_sub(loop_clock::busy_for(received));
         let (reply, answer) = oneshot::channel();
-        let queued = self.requests.try_send(PeerRequest::Gather(Box::new(request), reply)).is_ok();
+        let request = PeerRequest::Gather { request: Box::new(request), arrived, reply };
+        let queued = self.requests.try_send(request).is_ok();
         let reply = if queued { answer.await.ok() } else { None };
         let reply = reply.unwrap_or(GatherReply::Stopping);
         TimedReply { received_us, replied_us: host_now().as_micros() as u64, reply }
@@ -343,8 +347,8 @@
 fn dispatch(host: &Rc<RouteHost>, request: PeerRequest) {
     let host = Rc::clone(host);
     match request {
-        PeerRequest::Gather(request, reply) => {
-            tokio::task::spawn_local(delegate::serve_peer(host, *request, reply));
+        PeerRequest::Gather { request, arrived, reply } => {
+            tokio::task::spawn_local(delegate::serve_peer(host, *request, arrived, reply));
         }
         PeerRequest::Remainder { token, request } => host.remainders.request(token, request),
         PeerRequest::CatalogUpdate { after, wait, reply } => {
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -294,6 +294,7 @@
     tasks.spawn_local(store_sync::follow(Rc::clone(&host), client));
     tasks.spawn_local(sweep(Rc::clone(&host)));
     tasks.spawn_local(reachability::watch(Rc::clone(&host)));
+    tasks.spawn_local(loop_clock::check_reads());
     let policy = host.routing.policy.get().summary();
     let name = &host.routing.settings.host.name;
     let zone = &host.routing.settings.host.zone;
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -43,7 +43,6 @@
 use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
 use crate::process::host::RouteHost;
-use crate::process::loop_clock;
 use crate::process::traffic::TrafficPurpose;
 use crate::request::context;
 use crate::request::context::CANCELLATION_YIELDS;
@@ -382,10 +381,12 @@
     }
 }
 
-/// Gathers shards for a peer; stops when the peer no longer waits.
+/// Gathers shards for a peer; stops when the peer no longer waits. The request arrived at this
+/// host at `arrived` or later.
 pub(crate) async fn serve_peer(
     host: Rc<RouteHost>,
     message: GatherRequest,
+    arrived: Duration,
     reply: oneshot::Sender<GatherReply>,
 ) {
     // A host that was stalled would send attempts for a query that its sender has since delegated
@@ -397,7 +398,7 @@
     if reply.is_closed() {
         return;
     }
-    if let Err((refusal, reply)) = serve_gather(&host, message, reply).await {
+    if let Err((refusal, reply)) = serve_gather(&host, message, arrived, reply).await {
         // The peer may have disconnected.
         let _gone = reply.send(refusal);
     }
@@ -408,6 +409,7 @@
 fn local_deadlines(
     host: &RouteHost,
     message: &GatherRequest,
+    arrived: Duration,
     now: Duration,
 ) -> Option<LocalDeadlines> {
     let micros = Duration::from_micros;
@@ -418,19 +420,19 @@
     let sent = SentDeadlines { time_left: left, soft_time_left, reader_deadlines };
     let known_format = message.format == FORMAT;
     let lag = host.lag.borrow().lag();
-    known_format
-        .then(|| clock_offset::to_local(&sent, now, loop_clock::busy_for(now), lag))
-        .flatten()
+    let unread = now.saturating_sub(arrived);
+    known_format.then(|| clock_offset::to_local(&sent, now, unread, lag)).flatten()
 }
 
 /// Gathers and replies; if nothing was sent, returns the reason and the sender.
 async fn serve_gather(
     host: &Rc<RouteHost>,
     message: GatherRequest,
+    arrived: Duration,
     reply: oneshot::Sender<GatherReply>,
 ) -> Result<(), (GatherReply, oneshot::Sender<GatherReply>)> {
     let started = host_now();
-    let Some(deadlines) = local_deadlines(host, &message, started) else {
+    let Some(deadlines) = local_deadlines(host, &message, arrived, started) else {
         edge_event!(
             Level::Warn,
             EdgeEvent::PeerMessageBroken,
--- a/crates/hawthorn-edge/tests/loop_clock.rs
+++ b/crates/hawthorn-edge/tests/loop_clock.rs
@@ -51,3 +51,31 @@
         assert_eq!(busy, Duration::from_micros(case.busy), "{}", case.name);
     }
 }
+
+/// Guards against refusing every request as too old: the loop of a saturated host is never idle,
+/// but reads each request soon after its arrival.
+#[test]
+fn what_the_loop_has_read_does_not_count_as_waiting() {
+    struct Case {
+        name: &'static str,
+        /// Start times of the completed checks, in milliseconds.
+        checks: &'static [u64],
+        busy: u64,
+    }
+    let cases = [
+        Case { name: "no check", checks: &[], busy: 3_000 },
+        Case { name: "one check", checks: &[2_400], busy: 600 },
+        Case { name: "several checks", checks: &[2_400, 2_800, 2_990], busy: 10 },
+        Case { name: "a check from before the last idle time", checks: &[2_990, 500], busy: 10 },
+    ];
+    for case in cases {
+        let clock = LoopClock::new();
+        clock.park(Duration::ZERO);
+        clock.unpark(Duration::from_millis(1));
+        let now = Duration::from_millis(3_001);
+        for check in case.checks {
+            clock.record_read(Duration::from_millis(*check + 1));
+        }
+        assert_eq!(clock.busy_for(now), Duration::from_millis(case.busy), "{}", case.name);
+    }
+}
--- a/crates/hawthorn-route/src/clock_offset.rs
+++ b/crates/hawthorn-route/src/clock_offset.rs
@@ -115,21 +115,21 @@
     pub soft_deadline: Duration,
 }
 
-/// Converts the deadlines of a gather request that is read at `now`, by an event loop that has
-/// been busy for `busy` without idling; `None` if they are invalid.
+/// Converts the deadlines of a gather request that is handled at `now`, and arrived up to `unread`
+/// earlier; `None` if they are invalid.
 ///
 /// A request may be queued for most of a second at its sender, or at a reader with little
 /// processor time. If its time left were counted from when it is read, targets would receive time
 /// that the caller no longer has. If the sender knows the reader's clock, the request carries its
-/// deadlines; otherwise it is assumed to be as old as the loop has been busy. A wrong clock never
-/// extends the time left.
+/// deadlines; otherwise it is assumed to have waited for `unread`. A wrong clock never extends the
+/// time left.
 ///
 /// Parts are due earlier by the reader's scheduling delay `lag` instead of the sender's, because
 /// the delay of a host with an eighth of a core is several times that of its gatherer.
 pub fn to_local(
     sent: &SentDeadlines,
     now: Duration,
-    busy: Duration,
+    unread: Duration,
     lag: Duration,
 ) -> Option<LocalDeadlines> {
     let SentDeadlines { time_left, soft_time_left, reader_deadlines } = *sent;
@@ -137,7 +137,7 @@
         return None;
     }
     let Some((deadline, soft_deadline)) = reader_deadlines else {
-        let arrived = now.saturating_sub(busy);
+        let arrived = now.saturating_sub(unread);
         let soft_deadline = (arrived + soft_time_left).saturating_sub(lag);
         return Some(LocalDeadlines { deadline: arrived + time_left, soft_deadline });
     };
