--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -96,6 +96,22 @@
     Unresponsive,
 }
 
+/// Why a peer is suspected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum SuspicionReason {
+    /// No connection could be opened.
+    NotConnected,
+    /// A call failed, or its time limit passed.
+    NoReply,
+    /// A query was just sent, and the peer does not answer a ping.
+    Silent,
+    /// The reply to a query is overdue, and the peer does not answer a ping.
+    Overdue,
+    /// The store has not confirmed its items recently.
+    Stale,
+}
+
 /// A peer's address, and the traffic counter for one purpose.
 ///
 /// Each purpose has its own connection, so that a query does not wait behind a full snapshot of
@@ -137,7 +153,15 @@
     ///
     /// After a connection breaks without a reset, or the peer loses power, every further call on
     /// it would run into its time limit.
-    pub(crate) fn suspect(&self, address: SocketAddr) {
+    pub(crate) fn suspect(&self, address: SocketAddr, reason: SuspicionReason) {
+        if !self.is_suspect(address) {
+            let reason: &str = reason.into();
+            edge_event!(
+                Level::Info,
+                EdgeEvent::PeerChanged,
+                "peer={address} change=suspected reason={reason}"
+            );
+        }
         let mut suspects = self.suspects.borrow_mut();
         suspects.retain(|_, at| at.elapsed() < SUSPECT_DURATION);
         suspects.insert(address, Instant::now());
@@ -260,7 +284,7 @@
 
     async fn ready_client(&self, endpoint: &PeerEndpoint) -> Result<EdgePeerClient, PeerError> {
         let client = self.client(endpoint).await;
-        client.inspect_err(|_| self.suspect(endpoint.address))
+        client.inspect_err(|_| self.suspect(endpoint.address, SuspicionReason::NotConnected))
     }
 
     fn check_reply<T>(
@@ -272,7 +296,7 @@
             self.record_answer(address);
         }
         reply.map_err(|_| {
-            self.suspect(address);
+            self.suspect(address, SuspicionReason::NoReply);
             PeerError::NoReply
         })
     }
--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -27,6 +27,7 @@
 use tokio::time::timeout;
 
 use crate::connection::message::CatalogUpdate;
+use crate::connection::peer::SuspicionReason;
 use crate::edge_event;
 use crate::process::catalog;
 use crate::process::clock::host_now;
@@ -237,7 +238,7 @@
     let age = Duration::from_millis(update.age_ms);
     if age > MAX_CONFIRMED_AGE {
         edge_event!(Level::Warn, EdgeEvent::PeerStale, "peer={peer} age_ms={}", update.age_ms);
-        host.links.suspect(peer);
+        host.links.suspect(peer, SuspicionReason::Stale);
     } else if update.as_of == StoreRevision::NONE {
         return PeerReply::Deferred;
     }
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -39,6 +39,7 @@
 use crate::connection::message::Remainder;
 use crate::connection::message::RequestDeadlines;
 use crate::connection::peer::PeerError;
+use crate::connection::peer::SuspicionReason;
 use crate::edge_event;
 use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
@@ -275,11 +276,11 @@
         biased;
         reply = call => reply,
         () = peer_unresponsive(host, delegated.peer) => {
-            host.links.suspect(delegated.peer);
+            host.links.suspect(delegated.peer, SuspicionReason::Silent);
             Err(PeerError::Unresponsive)
         }
         () = peer_overdue(host, delegated.peer, soft_time_left + REPLY_GRACE) => {
-            host.links.suspect(delegated.peer);
+            host.links.suspect(delegated.peer, SuspicionReason::Overdue);
             Err(PeerError::NoReply)
         }
     };
@@ -320,7 +321,7 @@
         biased;
         reply = call => reply,
         () = peer_unresponsive(host, held.peer) => {
-            host.links.suspect(held.peer);
+            host.links.suspect(held.peer, SuspicionReason::Silent);
             Err(PeerError::Unresponsive)
         }
     };
