fix(edge): a query sent to a peer suspended just after its last answer is replaced

Callers saw: 502 after the soft deadline (0.4 s in the test) for a query whose shards had been delegated to a peer that was suspended, or lost power, within 0.1 s after its last answer.

Cause: a peer that had answered within 0.1 s counted as alive and was not pinged behind the query. Its silence was noticed when the reply was overdue, too late to give its shards to another peer.

Found by suspending the peer of a listed test at other moments.

Change: each query is followed by a ping. A peer that answered recently may be busy, so it has until a tenth of a second after its last answer; it counts as alive by any answer in that time. A ping is answered before the peer starts on the query, so that the number of attempts it may have made stays at one a shard.

--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -53,8 +53,8 @@
 const SUSPECT_DURATION: Duration = Duration::from_millis(1500);
 /// Time limit for a reply on the store's items or to a ping, in addition to the requested wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
-/// A peer that answered within this time counts as alive and is not pinged: longer than the
-/// typical gap between two replies of a busy peer.
+/// A peer that answered within this time counts as alive although it does not answer a ping in
+/// time: longer than the typical gap between two replies of a busy peer.
 const LIVENESS_TTL: Duration = Duration::from_millis(100);
 /// Capacity of the queue of peers' requests for the serving thread; further ones are rejected.
 const REQUEST_QUEUE_LEN: usize = 1024;
@@ -258,10 +258,11 @@
         alive
     }
 
-    /// Whether the peer sent any reply within [`LIVENESS_TTL`].
-    pub(crate) fn answered_recently(&self, address: SocketAddr) -> bool {
+    /// How much longer the peer counts as alive after its last reply; `None` if it does not.
+    pub(crate) fn alive_for(&self, address: SocketAddr) -> Option<Duration> {
         let last_answers = self.last_answers.borrow();
-        last_answers.get(&address).is_some_and(|at| at.elapsed() < LIVENESS_TTL)
+        let left = LIVENESS_TTL.checked_sub(last_answers.get(&address)?.elapsed())?;
+        (!left.is_zero()).then_some(left)
     }
 
     fn record_answer(&self, address: SocketAddr) {
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -347,12 +347,19 @@
 /// answers a ping before it starts on the request sent just before. A peer that stalls later,
 /// after it made attempts, is not replaced, as the attempts of two peers could exceed the route's
 /// maximum.
+///
+/// A peer that answered recently may be busy rather than stalled, so its ping has more time.
 async fn peer_unresponsive(host: &RouteHost, peer: SocketAddr) {
-    let replaces = host.routing.policy.get().gatherers.replaces_silent;
-    if !replaces || host.links.answered_recently(peer) {
+    if !host.routing.policy.get().gatherers.replaces_silent {
         return std::future::pending().await;
     }
-    no_ping_reply(host, peer).await;
+    let timed_out = async {
+        sleep(PING_TIMEOUT).await;
+        while let Some(left) = host.links.alive_for(peer) {
+            sleep(left).await;
+        }
+    };
+    no_ping_reply(host, peer, timed_out).await;
 }
 
 /// Returns if a peer's reply is overdue and the peer does not answer a ping.
@@ -362,14 +369,14 @@
 /// the answer needs parts that have not arrived, and then the peer still answers pings.
 async fn peer_overdue(host: &RouteHost, peer: SocketAddr, due: Duration) {
     sleep(due).await;
-    no_ping_reply(host, peer).await;
+    no_ping_reply(host, peer, sleep(PING_TIMEOUT)).await;
 }
 
-/// Returns if a peer does not answer a ping; never returns if it does.
-async fn no_ping_reply(host: &RouteHost, peer: SocketAddr) {
+/// Returns if a peer does not answer a ping before `timed_out`; never returns if it does.
+async fn no_ping_reply(host: &RouteHost, peer: SocketAddr, timed_out: impl Future<Output = ()>) {
     let endpoint = host.peer_endpoint(peer, TrafficPurpose::Gathering);
     let timed_out = async {
-        sleep(PING_TIMEOUT).await;
+        timed_out.await;
         // This host may have been the one that stalled, so its sockets are read first.
         for _ in 0..CANCELLATION_YIELDS {
             yield_now().await;
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -622,6 +622,38 @@
     })
 }
 
+/// Guards against losing the query that is delegated to a peer just after its last answer: it
+/// counted as alive for a tenth of a second, and a suspended peer was only noticed when its reply
+/// was overdue.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_peer_suspended_right_after_its_answer_loses_no_query() -> TestResult {
+    let RemoteFleet { targets: _targets, east, west, .. } =
+        &RemoteFleet::start(&["h-2", "h-3"]).await?;
+    for (round, suspended) in west.iter().cycle().take(4).enumerate() {
+        let answered = format!(
+            "peer={} zone=west shards=4 decision=delegated outcome=whole",
+            suspended.peer()
+        );
+        let before = east.logged(&answered);
+        let answers = async || {
+            let answer = east.send("GET", "/all/", "id-warm", "").await;
+            answer.is_ok() && east.logged(&answered) > before
+        };
+        route::wait_for("the peer to gather a query", answers).await?;
+        suspended.signal(Signal::STOP)?;
+        for step in 0..4 {
+            let id = format!("id-{round}-{step}");
+            let answer = east.send("GET", "/all/", &id, "").await?;
+            assert_eq!(answer.status, 200, "{id}");
+            assert_eq!(answer.headers[headers::MISSING_PARTS], "0", "{id}");
+        }
+        suspended.signal(Signal::CONT)?;
+        // Until the front no longer suspects the peer.
+        sleep(Duration::from_millis(1600)).await;
+    }
+    Ok(())
+}
+
 /// Requests that are malformed, too large, or contain a second request must not reach a target.
 /// Each is answered or its connection is closed, and the host continues to serve.
 #[tokio::test(flavor = "multi_thread")]
