fix(edge): each gatherer of a zone is asked before one is asked again

Hypotheses: the front suspected both for another reason and gathered itself; the end of the delegation was logged otherwise; four independent random choices all fell on the other peer.

No suspicion but `silent`, no end but `silent` and `whole`. So the failure is the random choice: four queries after a stall may pass a peer over, and a burst may all go to one.

Change: a host asks the gatherers of a zone in passes, each once in random order.

--- a/crates/hawthorn-edge/src/process/fleet.rs
+++ b/crates/hawthorn-edge/src/process/fleet.rs
@@ -14,12 +14,14 @@
 use hawthorn_fleet::MemberTable;
 use hawthorn_fleet::member;
 use hawthorn_route::gatherers;
+use hawthorn_route::gatherers::GathererOrder;
 use hawthorn_route::gatherers::ZoneHost;
 use hawthorn_route::revision::StoreRevision;
 use hawthorn_types::ConfigRevision;
 use hawthorn_types::HostKey;
 use log::Level;
 use rand::RngExt;
+use smallvec::SmallVec;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
@@ -235,6 +237,7 @@
 pub struct GatherPeers {
     due: Duration,
     zones: HashMap<String, Vec<SocketAddr>>,
+    orders: HashMap<String, GathererOrder>,
 }
 
 impl GatherPeers {
@@ -251,9 +254,24 @@
         true
     }
 
-    /// The gatherers of a zone.
-    pub(crate) fn of_zone(&self, zone: &str) -> &[SocketAddr] {
-        self.zones.get(zone).map_or(&[], Vec::as_slice)
+    /// Selects the next gatherer of a zone to ask, among those for which `is_usable` holds.
+    pub(crate) fn select(
+        &self,
+        zone: &str,
+        is_usable: impl Fn(SocketAddr) -> bool,
+    ) -> Option<SocketAddr> {
+        let gatherers = self.zones.get(zone)?.iter().filter(|gatherer| is_usable(**gatherer));
+        let gatherers: SmallVec<[SocketAddr; 8]> = gatherers.copied().collect();
+        let mut rng = rand::rng();
+        match self.orders.get(zone) {
+            Some(order) => order.select(&gatherers, &mut rng),
+            None => GathererOrder::default().select(&gatherers, &mut rng),
+        }
+    }
+
+    /// Records that a gatherer of a zone is asked.
+    pub(crate) fn record(&mut self, zone: &str, gatherer: SocketAddr) {
+        self.orders.entry(zone.to_owned()).or_default().record(gatherer);
     }
 }
 
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -26,8 +26,6 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use log::Level;
-use rand::RngExt;
-use smallvec::SmallVec;
 use tokio::sync::oneshot;
 use tokio::task::yield_now;
 use tokio::time::sleep;
@@ -205,11 +203,7 @@
     if !host.routing.homes(route).allows(zone) {
         return None;
     }
-    let gatherers = host.gather_peers.borrow();
-    let peers = gatherers.of_zone(zone).iter().filter(|peer| !host.links.is_suspect(**peer));
-    let peers: SmallVec<[SocketAddr; 8]> = peers.copied().collect();
-    let index = rand::rng().random_range(0..peers.len().max(1));
-    peers.get(index).copied()
+    host.gather_peers.borrow().select(zone, |peer| !host.links.is_suspect(peer))
 }
 
 /// Time until the soft deadline as sent to a peer. If the peer's clock offset is unknown, it is
@@ -270,6 +264,7 @@
         .shards
         .iter()
         .for_each(|_| host.routing.zone_sent(&delegated.zone, now, service_time));
+    host.gather_peers.borrow_mut().record(&delegated.zone, delegated.peer);
     let peer = host.peer_endpoint(delegated.peer, TrafficPurpose::Gathering);
     let call = host.links.gather(&peer, message, left);
     let reply = tokio::select! {
--- a/crates/hawthorn-route/src/gatherers.rs
+++ b/crates/hawthorn-route/src/gatherers.rs
@@ -7,6 +7,12 @@
 //! the others, as many as the zone's query rate needs. If all hosts are needed, each gathers its
 //! own queries.
 
+use std::net::SocketAddr;
+
+use rand::Rng;
+use rand::RngExt;
+use smallvec::SmallVec;
+
 /// Queries per second that a host of [`DEFAULT_CAPACITY`] gathers. At this rate each target of
 /// its zone reports its load ten times a second, about as often as the load changes.
 const QUERY_RATE: f64 = 10.0;
@@ -47,3 +53,32 @@
     }
     gatherers
 }
+
+/// The order in which a host asks the gatherers of one zone: each once, at random, before any is
+/// asked again.
+///
+/// Handles bursts of queries, and gatherers that have stalled. With independent random choices a
+/// burst often goes to one gatherer, and a stalled one may stay unnoticed for many queries.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GathererOrder {
+    /// The gatherers that were asked in the current pass.
+    asked: SmallVec<[SocketAddr; 8]>,
+}
+
+impl GathererOrder {
+    /// Selects the gatherer for the next query; `None` if there are none.
+    pub fn select(&self, gatherers: &[SocketAddr], rng: &mut impl Rng) -> Option<SocketAddr> {
+        let not_asked = gatherers.iter().filter(|gatherer| !self.asked.contains(gatherer));
+        let not_asked: SmallVec<[SocketAddr; 8]> = not_asked.copied().collect();
+        let candidates = if not_asked.is_empty() { gatherers } else { &not_asked };
+        candidates.get(rng.random_range(0..candidates.len().max(1))).copied()
+    }
+
+    /// Records that a gatherer is asked. Its second turn begins a new pass.
+    pub fn record(&mut self, gatherer: SocketAddr) {
+        if self.asked.contains(&gatherer) {
+            self.asked.clear();
+        }
+        self.asked.push(gatherer);
+    }
+}
