fix(edge): a request whose time runs out before it is sent ejects no target

Callers saw: 503 `unreachable` with a Retry-After of 0.2 to 0.35 s for a request whose own time had run out within the host; and its target was backed off as if it could not be connected to, so that the requests of others went elsewhere, or were refused as `no-target` where it was the only one.

Cause: an attempt that found no time left was `not-sent`, like one without a connection.

Change: such an attempt ends as `expired`, says nothing of its target, is not repeated, and the refusal is `too-late`. E631 states why an attempt was not sent.

Result: a case of targets.rs; the same record as `not-sent` ejects the target (the case beside it).

--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -71,6 +71,21 @@
     }
 }
 
+/// Why an attempt has no answer.
+#[derive(Debug)]
+enum AttemptError {
+    /// The request's time ran out before it was sent.
+    Expired,
+    /// The exchange with the target failed.
+    Exchange(Error),
+}
+
+impl From<Error> for AttemptError {
+    fn from(error: Error) -> Self {
+        Self::Exchange(error)
+    }
+}
+
 /// An attempt to be made.
 pub(crate) struct AttemptPlan {
     pub(crate) host: Rc<RouteHost>,
@@ -108,7 +123,7 @@
         let exchange = async {
             match self.connection(end).await? {
                 Ok(connection) => Some(self.exchange(&target, &zone, connection, end).await),
-                Err(error) => Some(Err(error)),
+                Err(error) => Some(Err(error.into())),
             }
         };
         let abandon_timeout = async {
@@ -119,7 +134,7 @@
             biased;
             result = exchange => result,
             () = self.context.abandoned.cancelled() => None,
-            () = abandon_timeout => Some(Err(Error::TimedOut)),
+            () = abandon_timeout => Some(Err(Error::TimedOut.into())),
         };
         let now = host_now();
         let Some(result) = result else {
@@ -129,7 +144,7 @@
         if result.is_ok() {
             self.host.routing.zone_answered(&zone);
         }
-        if let Err(error @ Error::Broken(_)) = &result {
+        if let Err(AttemptError::Exchange(error @ Error::Broken(_))) = &result {
             // Logged here because attempts made for a peer's query have no other log line.
             edge_event!(
                 Level::Info,
@@ -141,6 +156,10 @@
                 self.context.identity.fingerprint
             );
         }
+        let not_sent = match &result {
+            Err(AttemptError::Exchange(Error::NotSent(text))) => Some(text.clone()),
+            _ => None,
+        };
         let reply = self.classify(result, now);
         if reply.end == AttemptEnd::Silent {
             self.pool.clear();
@@ -164,8 +183,9 @@
         self.host.metrics.count_attempt(reply.end, 1);
         let after = sent.saturating_sub(self.context.started);
         let elapsed = now.saturating_sub(sent);
+        let end = reply.end;
         let record =
-            AttemptRecord { service, target, zone, after, elapsed, end: reply.end, load, slowdown };
+            AttemptRecord { service, target, zone, after, elapsed, end, not_sent, load, slowdown };
         self.context.request_log.borrow_mut().add_attempt(record);
         reply
     }
@@ -178,17 +198,17 @@
         zone: &str,
         connection: PoolConnection,
         end: Instant,
-    ) -> Result<PoolAnswer, Error> {
+    ) -> Result<PoolAnswer, AttemptError> {
         // The remaining time is computed when the request is sent. The request may have waited
         // for one of the few connections that a slow target accepts, and would otherwise be sent
         // with a deadline that has passed for its caller.
         let now = host_now();
         let left = self.context.time_left(now);
         if left.is_zero() {
-            return Err(Error::NotSent("deadline passed before the request was sent".into()));
+            return Err(AttemptError::Expired);
         }
         if let Err(rejection) = self.host.routing.registry.borrow_mut().admit(self.key, now) {
-            return Err(Error::NotSent(format!("sending not permitted: {rejection}")));
+            return Err(Error::NotSent(format!("sending not permitted: {rejection}")).into());
         }
         let request = self.context.outgoing(target, left);
         let bytes = header_bytes(request.headers()) + self.context.body.len();
@@ -237,16 +257,17 @@
         self.host.routing.registry.borrow_mut().get_mut(self.key).map(with)
     }
 
-    fn classify(&self, result: Result<PoolAnswer, Error>, now: Duration) -> AttemptReply {
+    fn classify(&self, result: Result<PoolAnswer, AttemptError>, now: Duration) -> AttemptReply {
         let none = AttemptReply::without_answer;
         let answer = match result {
             Ok(answer) => answer,
-            Err(Error::NotSent(_)) => return none(AttemptEnd::NotSent),
-            Err(Error::TimedOut) => return none(AttemptEnd::Silent),
-            Err(Error::Broken(_)) => {
+            Err(AttemptError::Expired) => return none(AttemptEnd::Expired),
+            Err(AttemptError::Exchange(Error::NotSent(_))) => return none(AttemptEnd::NotSent),
+            Err(AttemptError::Exchange(Error::TimedOut)) => return none(AttemptEnd::Silent),
+            Err(AttemptError::Exchange(Error::Broken(_))) => {
                 return AttemptReply { crashed: true, ..none(AttemptEnd::Broken) };
             }
-            Err(Error::TooLarge) => return none(AttemptEnd::Broken),
+            Err(AttemptError::Exchange(Error::TooLarge)) => return none(AttemptEnd::Broken),
         };
         let head = target::read(answer.status, &answer.headers);
         if let Some((running, waiting, slots)) = head.load {
--- a/crates/hawthorn-edge/src/request/race.rs
+++ b/crates/hawthorn-edge/src/request/race.rs
@@ -306,6 +306,10 @@
                 self.refusal = RefusalReason::Unreachable;
                 AttemptReason::Unsent
             }
+            AttemptEnd::Expired => {
+                self.refusal = RefusalReason::TooLate;
+                return None;
+            }
             AttemptEnd::NotRun | AttemptEnd::Misdirected => {
                 if reply.end == AttemptEnd::NotRun {
                     self.context.load.borrow_mut().rejected += 1;
--- a/crates/hawthorn-edge/src/request/request_log.rs
+++ b/crates/hawthorn-edge/src/request/request_log.rs
@@ -26,6 +26,8 @@
     pub(crate) after: Duration,
     pub(crate) elapsed: Duration,
     pub(crate) end: AttemptEnd,
+    /// Why the request was not sent, if it was not.
+    pub(crate) not_sent: Option<String>,
     pub(crate) load: u32,
     pub(crate) slowdown: f64,
 }
@@ -159,11 +161,13 @@
         }
         for record in &self.attempts {
             let AttemptRecord { service, target, zone, end, load, .. } = record;
+            let error = record.not_sent.as_ref();
+            let error = error.map(|text| format!(" error=\"{text}\"")).unwrap_or_default();
             edge_event!(
                 Level::Info,
                 EdgeEvent::AttemptEnded,
                 "request={id} service={service} target={target} zone={zone} end={end} at_ms={:.1} \
-                 took_ms={:.1} load={load} speed={:.2}",
+                 took_ms={:.1} load={load} speed={:.2}{error}",
                 millis(record.after),
                 millis(record.elapsed),
                 record.slowdown
--- a/crates/hawthorn-route/src/outcome.rs
+++ b/crates/hawthorn-route/src/outcome.rs
@@ -14,6 +14,8 @@
     Failed,
     /// No connection to the target could be established, so that nothing was sent.
     NotSent,
+    /// The request's time ran out before it was sent.
+    Expired,
     /// The target rejected the request without executing it.
     NotRun,
     /// Another target listens on the address; it did not execute the request.
@@ -28,7 +30,7 @@
 impl AttemptEnd {
     /// Whether the target may have executed the request.
     pub fn may_have_run(self) -> bool {
-        !matches!(self, Self::NotSent | Self::NotRun | Self::Misdirected)
+        !matches!(self, Self::NotSent | Self::Expired | Self::NotRun | Self::Misdirected)
     }
 }
 
--- a/crates/hawthorn-route/src/target.rs
+++ b/crates/hawthorn-route/src/target.rs
@@ -140,6 +140,8 @@
                 self.failure_rate += (1.0 - self.failure_rate) * SAMPLE_WEIGHT / 2.0;
             }
             AttemptEnd::NotSent | AttemptEnd::Silent => self.back_off(now),
+            // Says nothing about the target.
+            AttemptEnd::Expired => {}
             AttemptEnd::Misdirected => self.phase = TargetPhase::Gone,
         }
     }
--- a/crates/hawthorn-route/tests/targets.rs
+++ b/crates/hawthorn-route/tests/targets.rs
@@ -383,6 +383,12 @@
             impair: |state| state.record_end(ms(990), ms(995), AttemptEnd::NotSent, SERVICE_TIME),
             last: true,
         },
+        Case {
+            name: "a request to the other expired",
+            targets: 2,
+            impair: |state| state.record_end(ms(990), ms(995), AttemptEnd::Expired, SERVICE_TIME),
+            last: false,
+        },
         Case {
             name: "the other leaves",
             targets: 2,
