fix(daemon): the last host of a fleet stops without a panic

Seen: `hawthornroute demo`, debug build: thread `fleet` panics with "attempt to subtract with overflow" as it stops; a release build wraps to a count of peers near 2^64.

Cause: the number of peers was the number of live records less one. A host that has announced its departure is not live in its own table; with no other host left the count is zero. With others left it was one short.

Change: MemberTable::live_peers counts live records other than the host's own. The same arithmetic was looked for in all crates: other subtractions of one follow a push or pair with an increment.

--- a/crates/hawthorn-daemon/src/process/fleet/worker.rs
+++ b/crates/hawthorn-daemon/src/process/fleet/worker.rs
@@ -149,13 +149,12 @@
         self.handover.observe(now, self.table.zone_view(now));
         let busy = Arc::clone(&self.busy.borrow());
         self.handover.tick(now, |bucket| busy.contains(&bucket));
-        let peers = self.table.records().filter(|record| record.is_live()).count() - 1;
         // A host never loses readiness once it has it. Otherwise hosts that learn of a newer
         // revision before they have its document would reject all callers until it arrives, on
         // every edit and in the whole tier. Answers state the revision that they are based on, so
         // serving from the older one is correct.
         let was_ready = self.status.borrow().ready;
-        let ready = was_ready || self.propagation.is_ready(peers);
+        let ready = was_ready || self.propagation.is_ready(self.table.live_peers());
         self.table.set_digest(now, self.propagation.digest(now, ready, 0));
         let confirmed_at =
             self.propagation.age(now).and_then(|age| Instant::now().checked_sub(age));
--- a/crates/hawthorn-fleet/src/member/mod.rs
+++ b/crates/hawthorn-fleet/src/member/mod.rs
@@ -272,6 +272,11 @@
         self.arena.iter()
     }
 
+    /// Number of other live members of the fleet.
+    pub fn live_peers(&self) -> usize {
+        self.records().filter(|record| record.key != self.me && record.is_live()).count()
+    }
+
     /// The live members of a zone, including this host; also those of a lost zone.
     pub fn hosts(&self, zone: &str) -> impl Iterator<Item = &MemberRecord> + use<'_> {
         let zone = self.zones.key(zone);
--- a/crates/hawthorn-fleet/tests/member.rs
+++ b/crates/hawthorn-fleet/tests/member.rs
@@ -328,6 +328,20 @@
     Ok(())
 }
 
+/// Guards against a count of peers that includes this host, and falls below zero once the host has
+/// left.
+#[test]
+fn a_host_that_left_does_not_count_as_its_own_peer() -> TestResult {
+    let mut sim = settled(12, 3, 3);
+    assert_eq!(sim.daemons[0].table.live_peers(), 2);
+    for index in 0..3 {
+        sim.act(index, |daemon, now| daemon.table.depart(now));
+        sim.run_for(ms(1_500));
+        assert_eq!(sim.daemons[2].table.live_peers(), 2 - (index + 1).min(2));
+    }
+    Ok(())
+}
+
 /// A day's 18,000 restarts of 4,000 daemons within one hour, as in a rolling update. Other hosts
 /// are not affected, and traffic stays within the budget of 5 KB a second.
 #[test]
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -131,3 +131,16 @@
     fleet.wait_for_revision(2).await?;
     fleet.check()
 }
+
+/// Guards against a panic of the fleet's thread when the last host stops: its own record has left by
+/// then, and the number of other hosts was the number of live records less one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_last_host_stops_without_a_panic() -> TestResult {
+    let mut fleet = TestFleet::start(FleetOptions::small()).await?;
+    for daemon in &mut fleet.daemons {
+        let status = daemon.stop(WAIT_TIMEOUT)?;
+        assert!(status.success(), "{status}: {}", daemon.log_tail());
+        assert!(!daemon.has_logged("panicked"), "{}", daemon.log_tail());
+    }
+    Ok(())
+}
