test(quarantine): a lease from before a restore of the store has a test of its own

Seen: the check that a quarantine entry's lease and its write are of the same era had no test.

Change: the stand-in can restore a copy between the grant of a lease and its holder's next call, and give the id out again; it tells the lease of a key's last write.

No product code changes.

--- a/crates/hawthorn-standin/src/route/store.rs
+++ b/crates/hawthorn-standin/src/route/store.rs
@@ -28,6 +28,7 @@
 
 /// Header with the number of the store's restores, in every answer.
 const ERA_HEADER: &str = "Store-Era";
+const LEASE_PATH: &str = "/-/kv-lease";
 const BASE64_ALPHABET: &[u8; 64] =
     b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
@@ -67,9 +68,25 @@
     watchers: Vec<IpAddr>,
     /// IP addresses whose calls are never answered.
     hung: HashSet<IpAddr>,
+    /// The copy to restore when the next lease has been granted.
+    restore_after_lease: Option<StoreCopy>,
+    /// The lease of the last write of each key that had one.
+    key_leases: BTreeMap<String, u64>,
 }
 
 impl StoreState {
+    fn restore(&mut self, copy: &StoreCopy) {
+        self.contents = copy.clone();
+        self.era += 1;
+        self.history.retain(|(revision, _, _)| *revision <= copy.revision);
+    }
+
+    fn grant_lease(&mut self) -> u64 {
+        let lease = self.contents.leases.last().map_or(1, |last| last + 1);
+        self.contents.leases.insert(lease);
+        lease
+    }
+
     fn put(&mut self, key: &str, value: Vec<u8>) {
         self.contents.revision += 1;
         let revision = self.contents.revision;
@@ -139,11 +156,19 @@
     /// Replaces the contents with an earlier copy: all later changes are lost, their revisions are
     /// given out again, and waiting watches are disconnected.
     pub fn restore(&self, copy: &StoreCopy) {
-        self.update(|state| {
-            state.contents = copy.clone();
-            state.era += 1;
-            state.history.retain(|(revision, _, _)| *revision <= copy.revision);
-        });
+        self.update(|state| state.restore(copy));
+    }
+
+    /// Restores a copy as soon as the next lease has been granted, before its holder knows it. The
+    /// lease's id is then given out again, to a caller that is not simulated.
+    pub fn restore_after_next_lease(&self, copy: StoreCopy) {
+        self.update(|state| state.restore_after_lease = Some(copy));
+    }
+
+    /// The lease of the last write of a key; `None` if it had none.
+    pub fn lease_of(&self, key: &str) -> Option<u64> {
+        let state = self.shared.state.lock().expect("no holder of the lock panics");
+        state.key_leases.get(key).copied()
     }
 
     /// All keys that start with `prefix`.
@@ -219,7 +244,18 @@
             std::future::pending::<()>().await;
         }
         let Some((status, body)) = answer else { return };
-        let era = shared.state.lock().expect("no holder of the lock panics").era;
+        let era = {
+            let mut state = shared.state.lock().expect("no holder of the lock panics");
+            let era = state.era;
+            if request.path() == LEASE_PATH
+                && let Some(copy) = state.restore_after_lease.take()
+            {
+                state.restore(&copy);
+                state.grant_lease();
+                shared.changed.notify_waiters();
+            }
+            era
+        };
         let headers =
             [("Content-Type", "application/json".to_owned()), (ERA_HEADER, era.to_string())];
         let answer = wire::answer(status, &headers, body.to_string().as_bytes());
@@ -235,7 +271,7 @@
         "/-/kv-range" => Some((200, page(request, shared))),
         "/-/kv-watch" => watch(request, shared).await,
         "/-/kv-key" => Some((200, item(request, shared))),
-        "/-/kv-lease" => Some((200, grant_lease(shared))),
+        LEASE_PATH => Some((200, grant_lease(shared))),
         "/-/kv-txn" => Some(write(request, shared)),
         _ => Some((404, json!({}))),
     }
@@ -243,9 +279,7 @@
 
 fn grant_lease(shared: &Shared) -> Value {
     let mut state = shared.state.lock().expect("no holder of the lock panics");
-    let lease = state.contents.leases.last().map_or(1, |last| last + 1);
-    state.contents.leases.insert(lease);
-    json!({ "lease": lease, "ttlMs": 600_000 })
+    json!({ "lease": state.grant_lease(), "ttlMs": 600_000 })
 }
 
 fn encode_item(key: &str, revision: u64, value: &[u8]) -> Value {
@@ -288,6 +322,9 @@
         if lease != 0 && !state.contents.leases.contains(&lease) {
             return (404, json!({}));
         }
+        if lease != 0 {
+            state.key_leases.insert(key.to_owned(), lease);
+        }
         state.put(key, decode_base64(text));
     }
     let revision = state.contents.revision;
--- a/tests/route_crashes.rs
+++ b/tests/route_crashes.rs
@@ -211,6 +211,27 @@
     Ok(())
 }
 
+/// Guards against an entry under another holder's lease: its own was granted before a restore of the
+/// store, which gave the id out again, so that the entry would end with the other lease.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lease_from_before_a_restore_is_replaced() -> TestResult {
+    let fleet = start_fleet().await?;
+    fleet.store.restore_after_next_lease(fleet.store.copy());
+    let crashing = format!("/all/{CRASHING_PATH}");
+    fleet.crash_on(&crashing);
+    // Each crash counts one strike; the third quarantines the request.
+    for round in 0..3 {
+        fleet.hosts[0].send("GET", &crashing, &format!("crash-{round}"), "").await?;
+        sleep(RETRY_DELAY).await;
+    }
+    // The first lease is the one that was granted before the restore.
+    let replaced = async || {
+        let keys = fleet.store.keys_with_prefix("quarantine/");
+        keys.iter().any(|key| fleet.store.lease_of(key).is_some_and(|lease| lease > 1))
+    };
+    route::wait_for("the entry to be written under a lease of its own", replaced).await
+}
+
 fn delete_quarantine(store: &RouteStore, _: &StoreCopy) {
     for key in store.keys_with_prefix("quarantine/") {
         store.delete(&key);
