--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -167,7 +167,7 @@
             WatchEnd::Failed(error) => Err(error),
         }
     };
-    // A peer may have learned of a restore of the store before the answer from before it arrived.
+    // The answer may be older than a restore of the store that a peer has reported meanwhile.
     let read = match read {
         Ok((read, _)) if read.as_of.era < host.mirror.borrow().as_of().era => Err(BAD_ANSWER),
         read => read,
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -22,8 +22,8 @@
 //! | [`quarantine`] | refusal of requests that crash targets |
 //! | [`reachability`] | detection of unreachable zones |
 //! | [`registry`] | all targets and their state |
-//! | [`revision`] | revisions of the store across its restores |
 //! | [`mod@retry_after`] | when a refused caller should retry |
+//! | [`revision`] | revisions of the store across its restores |
 //! | [`rollout`] | when a version of the routes comes into force |
 //! | [`scatter`] | where the part of each shard of a query is requested |
 //! | [`mod@send_deadline`] | the deadline for sending an answer |
--- a/crates/hawthorn-route/src/mirror.rs
+++ b/crates/hawthorn-route/src/mirror.rs
@@ -277,7 +277,8 @@
         if after.era > self.as_of.era {
             return MirrorUpdate { as_of: self.as_of, ..MirrorUpdate::default() };
         }
-        // Without a deletion after the restore, a later compaction would leave it out.
+        // A compaction after the restore may have dropped deletions since then, which the changes
+        // across the restore would lack.
         let restore = self.restore.as_ref().filter(|restore| restore.base == after);
         if let Some(restore) = restore.filter(|restore| self.compacted <= restore.first) {
             return self.since_restore(restore);
--- a/crates/hawthorn-route/src/revision.rs
+++ b/crates/hawthorn-route/src/revision.rs
@@ -1,7 +1,5 @@
 //! Revisions of the platform's store, ordered across restores of the store.
 
-use std::fmt;
-
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -29,9 +27,3 @@
         Self { era, number }
     }
 }
-
-impl fmt::Display for StoreRevision {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}:{}", self.era, self.number)
-    }
-}
