--- a/tests/store_restore.rs
+++ b/tests/store_restore.rs
@@ -209,6 +209,33 @@
     Ok(())
 }
 
+/// Guards against requests lost to a target that had left and that a restore brings back: a failed
+/// connection ejects it, as it does any other target.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_brought_back_by_a_restore_loses_no_request() -> TestResult {
+    /// Failed connections until the entry expires, if each ejects the target for 150 ms or more.
+    const MAX_FAILED: usize = EXPIRY_LIMIT.as_millis() as usize / 150 + 1;
+    let mut fleet = RestoredFleet::start().await?;
+    fleet.hosts.truncate(1);
+    let host = &fleet.hosts[0];
+    let copy = fleet.store.copy();
+    operator::remove(&fleet.store, "t-2");
+    let removed = async || host.logged("target=t-2 change=removed") > 0;
+    route::wait_for("the target to leave", removed).await?;
+    fleet.targets.pop().ok_or("the fleet has two targets")?.end();
+    fleet.store.restore(&copy);
+    let back = async || host.logged("store-restored") == 1;
+    route::wait_for("the new era", back).await?;
+    let started = Instant::now();
+    while started.elapsed() < EXPIRY_LIMIT {
+        assert_eq!(status(host, 1).await, Some(200), "after {:?}", started.elapsed());
+        sleep(Duration::from_millis(5)).await;
+    }
+    let failed = host.logged("target=t-2 zone=east end=not-sent");
+    assert!((1..=MAX_FAILED).contains(&failed), "{failed} requests to the target that had left");
+    Ok(())
+}
+
 /// Guards against a restore that takes too long to reach the hosts of a zone, as each needs the
 /// new state from the one that watches the store, over a narrow link.
 #[tokio::test(flavor = "multi_thread")]
