feat(route): customers with keys in the configuration; interfaces of the parts

Callers' keys of a configuration with customers are checked, removed and replaced by the customer's name towards targets and peers.

Configurations without customers are served as before.

--- a/crates/hawthorn-edge/src/connection/message.rs
+++ b/crates/hawthorn-edge/src/connection/message.rs
@@ -8,7 +8,7 @@
 
 /// Version of the message format. Hosts with two formats run side by side during a rolling
 /// update and cannot read each other's requests.
-pub const FORMAT: u32 = 0x6872_0004;
+pub const FORMAT: u32 = 0x6872_0005;
 
 /// Deadlines of a request by the receiver's clock, in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +19,15 @@
     pub soft_deadline_us: u64,
 }
 
+/// The customer of a peer's query. The caller's key is not sent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerCustomer {
+    /// Name of the customer.
+    pub name: String,
+    /// Index of the caller's key among the customer's keys, in the version of the query.
+    pub key_index: u16,
+}
+
 /// Request to another host to gather some shards of a query.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GatherRequest {
@@ -54,6 +63,8 @@
     pub soft_time_left_us: u64,
     /// Both deadlines by the receiver's clock, if the sender knows its offset.
     pub deadlines: Option<RequestDeadlines>,
+    /// The customer whose request it is, if callers need keys.
+    pub customer: Option<PeerCustomer>,
     /// A hash of the caller and the route, as in `RequestIdentity`.
     pub caller: u64,
     /// Whether any target has answered the query.
@@ -91,6 +102,9 @@
     OtherVersion,
     /// Nothing was sent: the peer is stopping.
     Stopping,
+    /// Nothing was sent: the peer's configuration was not confirmed recently, so that the caller's
+    /// key may have been revoked.
+    StaleKeys,
     /// Nothing was sent: the request has another format, or its deadlines are impossible.
     Unreadable,
 }
--- a/crates/hawthorn-edge/src/process/catalog.rs
+++ b/crates/hawthorn-edge/src/process/catalog.rs
@@ -10,7 +10,6 @@
 use hawthorn_route::mirror::MirrorUpdate;
 use hawthorn_route::registry::TargetChange;
 use hawthorn_route::revision::StoreRevision;
-use hawthorn_route::table::RouteTable;
 use log::Level;
 use tokio::time::sleep;
 
@@ -80,7 +79,7 @@
 fn apply_document(host: &RouteHost, item: &MirrorItem) {
     let Some(value) = &item.value else { return };
     match catalog::document(value) {
-        Ok(document) => host.routing.accept(RouteTable::new(document)),
+        Ok(document) => host.routing.accept(document),
         Err(error) => {
             let revision = item.revision;
             edge_event!(
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -10,6 +10,7 @@
 
 use hawthorn_fleet::MemberTable;
 use hawthorn_route::cold::claim::SlotClaim;
+use hawthorn_route::customer::RequestCustomer;
 use hawthorn_route::mirror::StoreMirror;
 use hawthorn_route::pace;
 use hawthorn_route::pace::BulkPacer;
@@ -87,6 +88,20 @@
     }
 }
 
+/// Margin of the age of the configuration below the time within which keys must be revoked: the
+/// time between the check and the write to the socket.
+const REVOCATION_MARGIN: Duration = Duration::from_millis(300);
+
+/// Why a customer's request may not be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum KeyRefusal {
+    /// The newest known configuration does not hold the key.
+    Revoked,
+    /// The configuration was not confirmed recently.
+    Stale,
+}
+
 /// State with the lifetime of the process.
 #[derive(Debug)]
 pub struct RouteHost {
@@ -196,6 +211,21 @@
         self.confirmed.get().map(|at| host_now().saturating_sub(at))
     }
 
+    /// Whether the configuration was confirmed recently enough for requests with keys.
+    pub fn keys_current(&self) -> bool {
+        let Some(revocation) = self.routing.settings.revocation else { return true };
+        let limit = revocation.within.saturating_sub(REVOCATION_MARGIN);
+        self.confirmed_age().is_some_and(|age| age < limit)
+    }
+
+    /// Why a request of a customer may not be sent to a target now; `None` if it may.
+    pub(crate) fn key_refusal(&self, customer: &RequestCustomer) -> Option<KeyRefusal> {
+        if !self.routing.holds_key(customer) {
+            return Some(KeyRefusal::Revoked);
+        }
+        (!self.keys_current()).then_some(KeyRefusal::Stale)
+    }
+
     /// The endpoint of a peer for one purpose.
     pub(crate) fn peer_endpoint(
         &self,
--- a/crates/hawthorn-edge/src/request/answer.rs
+++ b/crates/hawthorn-edge/src/request/answer.rs
@@ -66,6 +66,16 @@
         Self::plain(StatusCode::NOT_FOUND, "no-route")
     }
 
+    /// The caller's key is missing or unknown.
+    pub(crate) fn unknown_key() -> Self {
+        Self::plain(StatusCode::UNAUTHORIZED, "unknown-key")
+    }
+
+    /// The request has several keys.
+    pub(crate) fn several_keys() -> Self {
+        Self::plain(StatusCode::BAD_REQUEST, "several-keys")
+    }
+
     /// The body exceeds the configured limit.
     pub(crate) fn too_large() -> Self {
         Self::plain(StatusCode::PAYLOAD_TOO_LARGE, "too-large")
--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -28,6 +28,7 @@
 use crate::edge_event;
 use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
+use crate::process::host::KeyRefusal;
 use crate::process::host::RouteHost;
 use crate::process::quarantine;
 use crate::process::traffic::TrafficPurpose;
@@ -76,6 +77,8 @@
 enum AttemptError {
     /// The request's time ran out before it was sent.
     Expired,
+    /// The caller's key was revoked, or may have been, before the request was sent.
+    KeyRefused(KeyRefusal),
     /// The exchange with the target failed.
     Exchange(Error),
 }
@@ -158,6 +161,7 @@
         }
         let not_sent = match &result {
             Err(AttemptError::Exchange(Error::NotSent(text))) => Some(text.clone()),
+            Err(AttemptError::KeyRefused(refusal)) => Some(format!("key {refusal}")),
             _ => None,
         };
         let reply = self.classify(result, now);
@@ -210,6 +214,11 @@
         if let Err(rejection) = self.host.routing.registry.borrow_mut().admit(self.key, now) {
             return Err(Error::NotSent(format!("sending not permitted: {rejection}")).into());
         }
+        // The key may have been revoked since the request was admitted.
+        let customer = self.context.customer.as_ref();
+        if let Some(refusal) = customer.and_then(|customer| self.host.key_refusal(customer)) {
+            return Err(AttemptError::KeyRefused(refusal));
+        }
         let request = self.context.outgoing(target, left);
         let bytes = header_bytes(request.headers()) + self.context.body.len();
         self.host.traffic.count(TrafficPurpose::Targets, zone, bytes);
@@ -261,7 +270,9 @@
         let none = AttemptReply::without_answer;
         let answer = match result {
             Ok(answer) => answer,
-            Err(AttemptError::Expired) => return none(AttemptEnd::Expired),
+            Err(AttemptError::Expired | AttemptError::KeyRefused(_)) => {
+                return none(AttemptEnd::Expired);
+            }
             Err(AttemptError::Exchange(Error::NotSent(_))) => return none(AttemptEnd::NotSent),
             Err(AttemptError::Exchange(Error::TimedOut)) => return none(AttemptEnd::Silent),
             Err(AttemptError::Exchange(Error::Broken(_))) => {
--- a/crates/hawthorn-edge/src/request/context.rs
+++ b/crates/hawthorn-edge/src/request/context.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use hawthorn_route::admission::QueryLoad;
+use hawthorn_route::customer::RequestCustomer;
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::fingerprint::RequestFingerprint;
 use hawthorn_route::quarantine::Exposure;
@@ -44,6 +45,8 @@
     pub(crate) body: Bytes,
     pub(crate) attempt_id: Option<String>,
     pub(crate) route: Rc<RouteRule>,
+    /// The customer that holds the caller's key, if the request needs one.
+    pub(crate) customer: Option<RequestCustomer>,
     /// When the request arrived, which may be before it was read.
     pub(crate) started: Duration,
     /// When the answer must be sent to reach the caller within the target latency.
@@ -78,6 +81,9 @@
         *request.uri_mut() = self.uri.clone();
         let mut headers = self.headers.clone();
         hawthorn_platform::target::set_request_headers(&mut headers, target, left);
+        if let Some(customer) = &self.customer {
+            hawthorn_platform::target::set_customer(&mut headers, &customer.name);
+        }
         *request.headers_mut() = headers;
         request
     }
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -34,6 +34,7 @@
 use crate::connection::message::FORMAT;
 use crate::connection::message::GatherReply;
 use crate::connection::message::GatherRequest;
+use crate::connection::message::PeerCustomer;
 use crate::connection::message::Remainder;
 use crate::connection::message::RequestDeadlines;
 use crate::connection::peer::PeerError;
@@ -256,6 +257,10 @@
         time_left_us: left.as_micros() as u64,
         soft_time_left_us: soft_time_left_us(soft_time_left, deadlines.is_some()),
         deadlines,
+        customer: context.customer.as_ref().map(|customer| PeerCustomer {
+            name: customer.name.to_string(),
+            key_index: customer.key_index,
+        }),
         caller: context.identity.caller,
         answered: context.exposure.borrow().is_answered(),
     };
@@ -287,6 +292,7 @@
         Ok(GatherReply::Parts { .. }) => "partial",
         Ok(GatherReply::OtherVersion) => "other-version",
         Ok(GatherReply::Stopping) => "stopping",
+        Ok(GatherReply::StaleKeys) => "stale-keys",
         Ok(GatherReply::Unreadable) => "unreadable",
         Err(PeerError::NotSent) => "not-sent",
         Err(PeerError::NoReply) => "lost",
@@ -465,6 +471,18 @@
         );
         return Err((GatherReply::Unreadable, reply));
     }
+    let customer = match &message.customer {
+        None => None,
+        Some(PeerCustomer { name, key_index }) => {
+            let Some(customer) = table.customers().resolve(name, *key_index) else {
+                return Err((GatherReply::OtherVersion, reply));
+            };
+            if host.key_refusal(&customer).is_some() {
+                return Err((GatherReply::StaleKeys, reply));
+            }
+            Some(customer)
+        }
+    };
     let (Ok(method), Ok(uri)) = (message.method.parse(), message.uri.parse()) else {
         return Err((GatherReply::OtherVersion, reply));
     };
@@ -491,6 +509,7 @@
         body,
         attempt_id: message.attempt_id,
         route: Rc::clone(route),
+        customer,
         started,
         send_deadline: soft_deadline,
         deadline,
--- a/crates/hawthorn-edge/src/request/parts.rs
+++ b/crates/hawthorn-edge/src/request/parts.rs
@@ -411,7 +411,7 @@
             Ok(reply @ GatherReply::Parts { .. }) => {
                 self.add_parts(delegated.peer, &delegated.zone, reply);
             }
-            Ok(GatherReply::OtherVersion | GatherReply::Unreadable) => {
+            Ok(GatherReply::OtherVersion | GatherReply::StaleKeys | GatherReply::Unreadable) => {
                 self.redelegate(delegated, delegated.in_own_zone(self.host, &self.context.route));
             }
             Ok(GatherReply::Stopping) | Err(PeerError::NotSent) => {
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -7,12 +7,15 @@
 use std::time::Duration;
 
 use hawthorn_platform::caller;
+use hawthorn_platform::caller::CallerKey;
+use hawthorn_route::customer::RequestCustomer;
 use hawthorn_route::document::RouteDestination;
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::outcome::RefusalReason;
 use hawthorn_route::quarantine::RequestIdentity;
 use hawthorn_route::retry_after::retry_after;
 use hawthorn_route::send_deadline;
+use hawthorn_route::table::RouteTable;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -27,6 +30,7 @@
 
 use crate::connection::head::HeadWatch;
 use crate::process::clock::host_now;
+use crate::process::host::KeyRefusal;
 use crate::process::host::RouteHost;
 use crate::process::quarantine;
 use crate::process::quarantine::Admission;
@@ -114,6 +118,10 @@
     let Some(route) = table.find(name.unwrap_or_default(), head.uri.path()) else {
         return CallerAnswer::no_route();
     };
+    let customer = match identify(host, &table, route, &mut head.headers) {
+        Ok(customer) => customer,
+        Err(answer) => return *answer,
+    };
     if host.open_requests.get() > MAX_OPEN_REQUESTS {
         return CallerAnswer::refused(RefusalReason::HostFull);
     }
@@ -150,6 +158,7 @@
         body,
         attempt_id: caller_headers.attempt_id,
         route: Rc::clone(route),
+        customer,
         started,
         send_deadline,
         deadline: started + wait.saturating_sub(END_MARGIN),
@@ -172,6 +181,33 @@
     answer
 }
 
+/// The customer that holds the caller's key, if the request needs one; removes the key.
+fn identify(
+    host: &RouteHost,
+    table: &RouteTable,
+    route: &RouteRule,
+    headers: &mut HeaderMap,
+) -> Result<Option<RequestCustomer>, Box<CallerAnswer>> {
+    if table.customers().is_empty() {
+        return Ok(None);
+    }
+    let customer = match caller::key(headers) {
+        _ if route.exempt => Ok(None),
+        CallerKey::Missing => Err(CallerAnswer::unknown_key()),
+        CallerKey::Several => Err(CallerAnswer::several_keys()),
+        CallerKey::Given(key) => {
+            table.customers().identify(key).map(Some).ok_or_else(CallerAnswer::unknown_key)
+        }
+    };
+    caller::strip_identity(headers);
+    let customer = customer.map_err(Box::new)?;
+    match customer.as_ref().and_then(|customer| host.key_refusal(customer)) {
+        None => Ok(customer),
+        Some(KeyRefusal::Revoked) => Err(Box::new(CallerAnswer::unknown_key())),
+        Some(KeyRefusal::Stale) => Err(Box::new(CallerAnswer::refused(RefusalReason::StaleKeys))),
+    }
+}
+
 /// Sends the request to its route's destination.
 async fn dispatch(
     host: &Rc<RouteHost>,
--- a/crates/hawthorn-edge/src/settings.rs
+++ b/crates/hawthorn-edge/src/settings.rs
@@ -65,6 +65,13 @@
     /// Limits on requests to cold targets.
     #[serde(default, rename = "cold_targets")]
     pub cold: cold::Options,
+    /// Strict revocation of callers' keys; if missing, keys are checked against the configuration
+    /// in force, however old it is.
+    #[serde(default)]
+    pub revocation: Option<RevocationSettings>,
+    /// Limits on customers' requests.
+    #[serde(default)]
+    pub quota: QuotaSettings,
     /// The routing policy. Unlike elsewhere, an unknown key is an error here: a limit with a
     /// misspelled key would not be enforced.
     #[serde(default)]
@@ -177,6 +184,38 @@
     pub allowance: f64,
 }
 
+/// Strict revocation of callers' keys.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct RevocationSettings {
+    /// Time after the store acknowledged a version without a key, from which no request with the
+    /// key may run.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "within_ms")]
+    pub within: Duration,
+}
+
+/// How far customers' quotas may be exceeded.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default)]
+pub struct QuotaSettings {
+    /// Length of the sliding window.
+    #[serde_as(as = "DurationSeconds<u64>")]
+    #[serde(rename = "window_s")]
+    pub window: Duration,
+    /// Share of the quota by which it may be exceeded.
+    pub overshoot: f64,
+    /// Requests by which it may be exceeded in addition.
+    pub slack: f64,
+}
+
+impl Default for QuotaSettings {
+    fn default() -> Self {
+        Self { window: Duration::from_secs(5), overshoot: 0.0, slack: 0.0 }
+    }
+}
+
 impl RouteSettings {
     /// Parses and validates settings.
     ///
--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -17,8 +17,10 @@
 use hawthorn_route::budget::FleetView;
 use hawthorn_route::budget::RetryBudget;
 use hawthorn_route::budget::ServiceUse;
+use hawthorn_route::customer::RequestCustomer;
 use hawthorn_route::document::GatherRule;
 use hawthorn_route::document::RouteDestination;
+use hawthorn_route::document::RouteDocument;
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::document::WeightedService;
 use hawthorn_route::home::HomeZones;
@@ -76,7 +78,9 @@
     pub policy: Cell<RoutePolicy>,
     /// Versions of the routes, newest first.
     tables: RefCell<VecDeque<Rc<RouteTable>>>,
-    pending_tables: RefCell<PendingVersions<RouteTable>>,
+    pending_tables: RefCell<PendingVersions<Rc<RouteTable>>>,
+    /// The newest known version, which may not be in force yet.
+    newest_table: RefCell<Option<Rc<RouteTable>>>,
     /// Notified when a version is pending.
     pub table_pending: Notify,
     /// The registered targets.
@@ -121,6 +125,7 @@
             policy: Cell::new(settings.policy),
             tables: RefCell::default(),
             pending_tables: RefCell::default(),
+            newest_table: RefCell::default(),
             table_pending: Notify::new(),
             registry: RefCell::new(TargetRegistry::new(
                 settings.policy.targets,
@@ -157,8 +162,35 @@
         self.tables.borrow().iter().find(|table| table.version() == version).cloned()
     }
 
-    /// Applies a version, at once or after a delay; see [`rollout`].
-    pub fn accept(&self, table: RouteTable) {
+    /// The newest known version, which may not be in force yet. Keys that it no longer holds are
+    /// refused at once.
+    pub fn newest_table(&self) -> Option<Rc<RouteTable>> {
+        self.newest_table.borrow().clone()
+    }
+
+    /// Whether the customer of a request still holds its key in the newest known version.
+    pub fn holds_key(&self, customer: &RequestCustomer) -> bool {
+        self.newest_table().is_some_and(|table| table.customers().holds(customer))
+    }
+
+    /// Applies a version, at once or after a delay; see [`rollout`]. A version that is not newer
+    /// than the newest known one is ignored.
+    pub fn accept(&self, document: RouteDocument) {
+        let newest = self.newest_table();
+        if newest.as_ref().is_some_and(|newest| newest.version() >= document.version) {
+            return;
+        }
+        let (table, faults) = RouteTable::following(document, newest.as_deref());
+        for fault in faults {
+            edge_event!(
+                Level::Warn,
+                EdgeEvent::CustomersBroken,
+                "version={} error=\"{fault}\"",
+                table.version()
+            );
+        }
+        let table = Rc::new(table);
+        *self.newest_table.borrow_mut() = Some(Rc::clone(&table));
         let has_version = !self.tables.borrow().is_empty();
         let options = self.policy.get().rollout;
         let delay = rollout::delay(self.is_gatherer.get(), has_version, &options);
@@ -181,7 +213,7 @@
     ///
     /// A stale read or a slow peer may deliver an older version, which must not bring back routes
     /// that operators have replaced.
-    fn install(&self, table: RouteTable) {
+    fn install(&self, table: Rc<RouteTable>) {
         let mut tables = self.tables.borrow_mut();
         if tables.front().is_some_and(|held| held.version() >= table.version()) {
             return;
@@ -205,7 +237,7 @@
                 kept.join(",")
             );
         }
-        tables.push_front(Rc::new(table));
+        tables.push_front(table);
         tables.truncate(MAX_VERSIONS);
     }
 
--- a/crates/hawthorn-route/src/document.rs
+++ b/crates/hawthorn-route/src/document.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::customer::CustomerRule;
+
 /// One version of the operators' configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RouteDocument {
@@ -15,6 +17,8 @@
     pub services: Vec<ServiceRule>,
     /// Limits on what callers may send.
     pub limits: CallerLimits,
+    /// Customers, whose requests need a key. Without any, requests need none.
+    pub customers: Vec<CustomerRule>,
 }
 
 /// One route: the requests it matches and their destination.
@@ -39,6 +43,8 @@
     pub max_attempts: usize,
     /// Regions in which requests may be executed; `None` means all regions.
     pub homes: Option<Vec<String>>,
+    /// Whether requests need no key although there are customers.
+    pub exempt: bool,
     /// Destination of the requests.
     pub destination: RouteDestination,
 }
--- a/crates/hawthorn-route/src/outcome.rs
+++ b/crates/hawthorn-route/src/outcome.rs
@@ -52,6 +52,14 @@
     BudgetSpent,
     /// The host has reached its limit of concurrent requests.
     HostFull,
+    /// The configuration was not confirmed recently, so that the caller's key may have been revoked.
+    StaleKeys,
+    /// The customer's quota is exhausted.
+    OverQuota,
+    /// No host that holds a part of the customer's quota is reachable.
+    NoQuota,
+    /// More urgent requests use the capacity, and the request could not be answered in time.
+    Overloaded,
     /// The request is quarantined because it, or others of its caller, crashed targets.
     Quarantined,
 }
--- a/crates/hawthorn-route/src/retry_after.rs
+++ b/crates/hawthorn-route/src/retry_after.rs
@@ -36,6 +36,12 @@
         RefusalReason::HostFull => (0.05, 0.25),
         // The budget's window slides by a tenth of its length.
         RefusalReason::BudgetSpent => (0.1, 0.3),
+        // The next confirmation is at most this far away, unless the host is partitioned.
+        RefusalReason::StaleKeys => (0.3, 0.8),
+        // Used only if the time of the next token is unknown.
+        RefusalReason::OverQuota => (0.2, 0.5),
+        RefusalReason::NoQuota => (0.1, 0.3),
+        RefusalReason::Overloaded => (0.05, 0.25),
         RefusalReason::TooLate => (0.01, 0.05),
         // Used only if the end of the refusal term is unknown.
         RefusalReason::Quarantined => (1.0, 2.0),
--- a/crates/hawthorn-route/src/table.rs
+++ b/crates/hawthorn-route/src/table.rs
@@ -4,6 +4,8 @@
 use std::collections::HashSet;
 use std::rc::Rc;
 
+use crate::customer::CustomerFault;
+use crate::customer::CustomerTable;
 use crate::document::RouteDestination;
 use crate::document::RouteDocument;
 use crate::document::RouteRule;
@@ -21,11 +23,21 @@
     services: HashMap<String, ServiceRule>,
     /// Services that hold a shard of some route.
     shards: HashSet<String>,
+    customers: CustomerTable,
 }
 
 impl RouteTable {
-    /// Indexes the document's routes.
+    /// Indexes the document's routes, without a previous version.
     pub fn new(document: RouteDocument) -> Self {
+        Self::following(document, None).0
+    }
+
+    /// Indexes the document's routes and customers. Invalid parts of the customers keep their
+    /// state of the previous version; each is returned as a fault.
+    pub fn following(
+        document: RouteDocument,
+        previous: Option<&Self>,
+    ) -> (Self, Vec<CustomerFault>) {
         let mut by_host: HashMap<String, Vec<Rc<RouteRule>>> = HashMap::new();
         let mut by_name = HashMap::new();
         for route in &document.routes {
@@ -45,7 +57,10 @@
         });
         let top_priority = queries.clone().map(|(route, _)| route.priority).min();
         let shards = queries.flat_map(|(_, rule)| rule.shards.iter().cloned()).collect();
-        Self { document, by_host, by_name, top_priority, services, shards }
+        let previous = previous.map(Self::customers);
+        let (customers, faults) = CustomerTable::build(&document.customers, previous);
+        let table = Self { document, by_host, by_name, top_priority, services, shards, customers };
+        (table, faults)
     }
 
     /// Number of the version.
@@ -53,6 +68,11 @@
         self.document.version
     }
 
+    /// The customers of the version.
+    pub fn customers(&self) -> &CustomerTable {
+        &self.customers
+    }
+
     /// The configuration document.
     pub fn document(&self) -> &RouteDocument {
         &self.document
--- a/crates/hawthorn-route/tests/routes.rs
+++ b/crates/hawthorn-route/tests/routes.rs
@@ -20,6 +20,7 @@
         priority: 0,
         homes: None,
         max_attempts: 2,
+        exempt: false,
         destination: RouteDestination::Single("s".to_owned()),
     }
 }
--- a/crates/hawthorn-standin/src/route/operator.rs
+++ b/crates/hawthorn-standin/src/route/operator.rs
@@ -123,6 +123,28 @@
     store.put(CONFIGURATION_KEY, document.to_string().as_bytes());
 }
 
+/// A customer with its keys.
+pub fn customer(name: &str, keys: &[&str]) -> Value {
+    json!({ "name": name, "apiKeys": keys })
+}
+
+/// Writes a version of the configuration with customers.
+pub fn configure_customers(
+    store: &RouteStore,
+    version: u64,
+    routes: &[Value],
+    services: &[&str],
+    customers: &[Value],
+) {
+    let services: Vec<Value> = services
+        .iter()
+        .map(|name| json!({ "name": name, "healthPath": "/health", "maxConnections": 26 }))
+        .collect();
+    let document = json!({ "configVersion": version, "routes": routes, "services": services,
+                           "tenants": customers });
+    store.put(CONFIGURATION_KEY, document.to_string().as_bytes());
+}
+
 /// Marks a target as draining.
 pub fn drain(store: &RouteStore, id: &str, target: &RouteTarget, zone: &str) {
     store.put(&entry_key(id), &target.entry(zone, "draining"));
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -67,6 +67,9 @@
     wait_for_line(&host, "entry-broken").await?;
     operator::put_raw_configuration(&store, b"{}");
     wait_for_line(&host, "routes-broken").await?;
+    let keyless = [operator::customer("shop", &[])];
+    operator::configure_customers(&store, 4, &routes, &["s"], &keyless);
+    wait_for_line(&host, "customers-broken").await?;
     store.set_outage(RouteOutage::Unavailable);
     wait_for_line(&host, "store-lost").await?;
     store.set_outage(RouteOutage::None);
