fix(standin): oversized answers no longer stall the targets of a test

bad_answers_are_dropped_counted_and_never_delivered failed beside load: "oversized: counted 0 before, 0 after". No caller of a deployment was affected.

Cause: the stand-in targets of a test share one thread. Encoding the padding of an oversized answer as JSON takes 0.11 to 0.23 s in an unoptimized build (21 answers timed in one run beside load of 17), so that for seconds no target answered queries or status requests. The first query ended at its deadline and the others found no replica.

Ruled out: slow transfer of the answers, and one deadline that counts all replicas as lost; the stall alone explains the run.

Change: the padding is inserted into the encoded answer. The test and its checks are unchanged.

--- a/crates/hawthorn-standin/src/target/serving.rs
+++ b/crates/hawthorn-standin/src/target/serving.rs
@@ -220,7 +220,7 @@
     }
     if take_one(&mut state.faults.oversized_answers) {
         let padding = state.faults.oversized_bytes;
-        return Ok(wire::json(StatusCode::OK, &padded(answer, padding)));
+        return Ok(Response::new(Full::new(padded(answer, padding))));
     }
     Ok(wire::json(StatusCode::OK, &answer))
 }
@@ -231,15 +231,21 @@
     answer
 }
 
-fn padded(mut answer: ShardAnswer, padding: usize) -> ShardAnswer {
-    let text = "x".repeat(padding);
+/// The encoded answer with a match whose text has `padding` bytes.
+///
+/// The padding is inserted into the encoded answer: encoding two mebibytes takes 0.1 to 0.2 s in an
+/// unoptimized build, and blocks all targets of the process meanwhile.
+fn padded(mut answer: ShardAnswer, padding: usize) -> Bytes {
+    const PLACEHOLDER: &str = "-padding-";
     answer.matches.push(hawthorn_types::target::DocumentMatch {
         key: answer.searched.ranges().first().map_or(0, |range| range.start),
         id: "padding".to_owned(),
         score: 0.0,
-        text,
+        text: PLACEHOLDER.to_owned(),
     });
-    answer
+    let json = serde_json::to_string(&answer).expect("an answer has no key that is not a string");
+    let (before, after) = json.split_once(PLACEHOLDER).expect("the last match has this text");
+    Bytes::from([before.as_bytes(), &vec![b'x'; padding], after.as_bytes()].concat())
 }
 
 async fn run_attempt(shared: Arc<Shared>, run: TargetRun) -> Result<Reply, Unanswered> {
