fix(route): Debug output of the store's items omits their values

The configuration contains customers' keys. Items of the mirror, updates between hosts and answers of the store printed their values, so that a panic message or a debug line with one of them would have disclosed all keys.

--- a/crates/hawthorn-edge/src/connection/message.rs
+++ b/crates/hawthorn-edge/src/connection/message.rs
@@ -1,6 +1,8 @@
 //! Messages between hosts that route requests. They are sent by tarpc with bincode, which does
 //! not support tagged or flattened serde representations.
 
+use std::fmt;
+
 use hawthorn_route::mirror::RestoreBase;
 use hawthorn_route::revision::StoreRevision;
 use serde::Deserialize;
@@ -131,7 +133,7 @@
 }
 
 /// Changes of the store's items since a revision.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CatalogUpdate {
     /// Keys, revision numbers of their last changes, and values; `None` if deleted.
     pub items: Vec<(String, u64, Option<Vec<u8>>)>,
@@ -145,3 +147,15 @@
     /// Milliseconds since the store last confirmed this revision, possibly through other hosts.
     pub age_ms: u64,
 }
+
+impl fmt::Debug for CatalogUpdate {
+    /// Omits the items, which may contain callers' keys.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("CatalogUpdate")
+            .field("items", &self.items.len())
+            .field("as_of", &self.as_of)
+            .field("complete", &self.complete)
+            .finish_non_exhaustive()
+    }
+}
--- a/crates/hawthorn-route/src/mirror.rs
+++ b/crates/hawthorn-route/src/mirror.rs
@@ -14,6 +14,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashSet;
+use std::fmt;
 use std::mem;
 
 use serde::Deserialize;
@@ -25,7 +26,7 @@
 use crate::revision::StoreRevision;
 
 /// One item of the store, or its deletion.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct MirrorItem {
     /// Key of the item.
     pub key: String,
@@ -35,6 +36,37 @@
     pub value: Option<Vec<u8>>,
 }
 
+impl fmt::Debug for MirrorItem {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("MirrorItem")
+            .field("key", &self.key)
+            .field("revision", &self.revision)
+            .field("value", &ValueSize::of(self.value.as_deref()))
+            .finish()
+    }
+}
+
+/// Size of a value, in place of the value in `Debug` output: the configuration contains callers'
+/// keys.
+#[derive(Clone, Copy)]
+struct ValueSize(Option<usize>);
+
+impl ValueSize {
+    fn of(value: Option<&[u8]>) -> Self {
+        Self(value.map(<[u8]>::len))
+    }
+}
+
+impl fmt::Debug for ValueSize {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(bytes) => write!(formatter, "{bytes} bytes"),
+            None => formatter.write_str("deleted"),
+        }
+    }
+}
+
 /// Changed items up to a revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct MirrorUpdate {
@@ -66,12 +98,22 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 struct StoredItem {
     revision: u64,
     value: Option<Vec<u8>>,
 }
 
+impl fmt::Debug for StoredItem {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("StoredItem")
+            .field("revision", &self.revision)
+            .field("value", &ValueSize::of(self.value.as_deref()))
+            .finish()
+    }
+}
+
 /// All items, indexed by key and by revision.
 #[derive(Clone, Debug, Default)]
 pub struct StoreMirror {
--- a/crates/hawthorn-store/src/client/call.rs
+++ b/crates/hawthorn-store/src/client/call.rs
@@ -1,6 +1,7 @@
 //! Executes a call: waits for a connection, sends, backs off after 429, and fails at its
 //! deadline.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -68,13 +69,26 @@
 }
 
 /// Result of a call, before it is interpreted for its kind.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(super) enum CallReply {
     Answered(StatusCode, HeaderMap, Bytes),
     NotRun(NotRunCause),
     Uncertain(UncertainCause),
 }
 
+impl fmt::Debug for CallReply {
+    /// Omits the body, which may contain callers' keys.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Answered(status, _, body) => {
+                write!(formatter, "Answered({status}, {} bytes)", body.len())
+            }
+            Self::NotRun(cause) => write!(formatter, "NotRun({cause:?})"),
+            Self::Uncertain(cause) => write!(formatter, "Uncertain({cause:?})"),
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct CallExecutor {
     http: Client<HttpConnector, Full<Bytes>>,
--- a/crates/hawthorn-store/src/client/mod.rs
+++ b/crates/hawthorn-store/src/client/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod count;
 
+use std::fmt;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -80,7 +81,7 @@
 }
 
 /// An answer of a store with another API.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct StoreAnswer {
     /// HTTP status.
     pub status: StatusCode,
@@ -90,6 +91,17 @@
     pub body: Bytes,
 }
 
+impl fmt::Debug for StoreAnswer {
+    /// Omits the body, which may contain callers' keys.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("StoreAnswer")
+            .field("status", &self.status)
+            .field("bytes", &self.body.len())
+            .finish_non_exhaustive()
+    }
+}
+
 /// Outcome of a watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WatchOutcome {
