feat(route): mistakes in customers' keys, their rank, and who is quarantined

Mistakes in a configuration's customers were only partly decided: unusable keys and names that targets would not receive unchanged were accepted, faults came in random order, and customers that are all invalid would have opened the routes.

Each mistake now has one defined result and one fault, logged with escaped names. A customer's priority takes precedence in admission control; crashes are attributed to customers where there are any. E650 and a gauge report the customers in force, E630 names the request's customer, and a counter has requests refused for their key by reason. Keys are removed from requests also while a version without customers is in force, once one with customers was seen.

--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -383,6 +383,8 @@
         host.metrics.set_gauge("open-requests", host.open_requests.get() as u64);
         host.metrics.set_gauge("connections", host.connections.get() as u64);
         host.metrics.set_gauge("version", host.routing.table().map_or(0, |table| table.version()));
+        let customers = host.routing.table().map_or(0, |table| table.customers().iter().count());
+        host.metrics.set_gauge("customers", customers as u64);
         host.metrics.set_gauge("targets", host.routing.registry.borrow().iter().count() as u64);
         let evacuated = host.routing.registry.borrow().evacuations().iter().count();
         host.metrics.set_gauge("evacuated-zones", evacuated as u64);
--- a/crates/hawthorn-edge/src/process/metrics.rs
+++ b/crates/hawthorn-edge/src/process/metrics.rs
@@ -7,6 +7,7 @@
 
 use hawthorn_metrics::Error;
 use hawthorn_metrics::MetricExporter;
+use hawthorn_route::customer::KeyRejection;
 use hawthorn_route::outcome::AttemptEnd;
 use hawthorn_route::outcome::RefusalReason;
 use hawthorn_route::quarantine::ChangeKind;
@@ -32,6 +33,7 @@
     exporter: MetricExporter,
     requests: Counter<u64>,
     refusals: Counter<u64>,
+    key_rejections: Counter<u64>,
     attempts: Counter<u64>,
     extra_attempts: Counter<u64>,
     missing: Counter<u64>,
@@ -53,6 +55,7 @@
         let set = Self {
             requests: meter.u64_counter("hawthorn_route_requests").build(),
             refusals: meter.u64_counter("hawthorn_route_refusals").build(),
+            key_rejections: meter.u64_counter("hawthorn_route_key_rejections").build(),
             attempts: meter.u64_counter("hawthorn_route_attempts").build(),
             extra_attempts: meter.u64_counter("hawthorn_route_extra_attempts").build(),
             missing: meter.u64_counter("hawthorn_route_missing_parts").build(),
@@ -70,6 +73,7 @@
             exporter,
         };
         RefusalReason::iter().for_each(|reason| set.count_refusal(reason, 0));
+        KeyRejection::iter().for_each(|rejection| set.count_key_rejection(rejection, 0));
         AttemptEnd::iter().for_each(|end| set.count_attempt(end, 0));
         for reason in ["late", "retry", "budget-spent"] {
             set.count_extra(reason, 0);
@@ -116,6 +120,12 @@
         self.refusals.add(count, &[KeyValue::new("reason", <&'static str>::from(reason))]);
     }
 
+    /// Counts requests whose key was not accepted.
+    pub fn count_key_rejection(&self, rejection: KeyRejection, count: u64) {
+        let reason = <&'static str>::from(rejection);
+        self.key_rejections.add(count, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts attempts that ended.
     pub fn count_attempt(&self, end: AttemptEnd, count: u64) {
         self.attempts.add(count, &[KeyValue::new("end", <&'static str>::from(end))]);
--- a/crates/hawthorn-edge/src/request/answer.rs
+++ b/crates/hawthorn-edge/src/request/answer.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use hawthorn_platform::caller;
+use hawthorn_route::customer::KeyRejection;
 use hawthorn_route::outcome::RefusalReason;
 use http_body_util::Either;
 use http_body_util::Full;
@@ -66,14 +67,15 @@
         Self::plain(StatusCode::NOT_FOUND, "no-route")
     }
 
-    /// The caller's key is missing or unknown.
-    pub(crate) fn unknown_key() -> Self {
-        Self::plain(StatusCode::UNAUTHORIZED, "unknown-key")
-    }
-
-    /// The request has several keys.
-    pub(crate) fn several_keys() -> Self {
-        Self::plain(StatusCode::BAD_REQUEST, "several-keys")
+    /// The caller's key was not accepted; the request was not run.
+    pub(crate) fn key_rejected(rejection: KeyRejection) -> Self {
+        match rejection {
+            KeyRejection::Several => Self::plain(StatusCode::BAD_REQUEST, "several-keys"),
+            KeyRejection::Missing
+            | KeyRejection::Malformed
+            | KeyRejection::Unknown
+            | KeyRejection::Revoked => Self::plain(StatusCode::UNAUTHORIZED, "unknown-key"),
+        }
     }
 
     /// The body exceeds the configured limit.
--- a/crates/hawthorn-edge/src/request/context.rs
+++ b/crates/hawthorn-edge/src/request/context.rs
@@ -74,6 +74,13 @@
         self.deadline.saturating_sub(now)
     }
 
+    /// The priority of the request; 0 is the most urgent. The customer's takes precedence over the
+    /// route's.
+    pub(crate) fn priority(&self) -> u32 {
+        let customer = self.customer.as_ref();
+        customer.and_then(|customer| customer.priority).unwrap_or(self.route.priority)
+    }
+
     /// The request to a target.
     pub(crate) fn outgoing(&self, target: &str, left: Duration) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
--- a/crates/hawthorn-edge/src/request/request_log.rs
+++ b/crates/hawthorn-edge/src/request/request_log.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hawthorn_route::customer::log_name;
 use hawthorn_route::fingerprint::RequestFingerprint;
 use hawthorn_route::outcome::AttemptEnd;
 use log::Level;
@@ -58,6 +59,8 @@
     pub(crate) id: &'a str,
     pub(crate) fingerprint: RequestFingerprint,
     pub(crate) caller: Option<IpAddr>,
+    /// Name of the customer, if the request needed a key.
+    pub(crate) customer: Option<&'a str>,
     pub(crate) route: &'a str,
     pub(crate) version: u64,
     pub(crate) outcome: &'static str,
@@ -124,6 +127,8 @@
         let weight = if on_time && sampled { SAMPLE_INTERVAL } else { 1 };
         let RequestSummary { id, fingerprint, route, version, outcome, status, .. } = summary;
         let caller = summary.caller.map_or_else(|| "-".to_owned(), |caller| caller.to_string());
+        let customer = summary.customer.map(|name| format!(" customer=\"{}\"", log_name(name)));
+        let customer = customer.unwrap_or_default();
         let (received, all) = summary.parts.unwrap_or((0, 0));
         edge_event!(
             Level::Info,
@@ -131,7 +136,7 @@
             "request={id} route={route} version={version} outcome={outcome} status={status} \
              ms={:.1} left_ms={} early_ms={:.1} way_ms={:.1} unread_ms={:.1} \
              socket_ms={} parts={received}/{all} skipped={} weight={weight} caller={caller} \
-             fingerprint={fingerprint}",
+             fingerprint={fingerprint}{customer}",
             millis(summary.elapsed),
             summary.left.as_millis(),
             summary.early_ms,
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -8,6 +8,7 @@
 
 use hawthorn_platform::caller;
 use hawthorn_platform::caller::CallerKey;
+use hawthorn_route::customer::KeyRejection;
 use hawthorn_route::customer::RequestCustomer;
 use hawthorn_route::document::RouteDestination;
 use hawthorn_route::document::RouteRule;
@@ -148,8 +149,12 @@
     let send_deadline =
         send_deadline::send_deadline(&arrival, route.target_latency, lag, &departure);
     let fingerprint = context::fingerprint(&head.method, &head.headers, &head.uri, &body);
+    let identity = match &customer {
+        Some(customer) => RequestIdentity::of_customer(fingerprint, &customer.name, &route.name),
+        None => RequestIdentity::new(fingerprint, caller, &route.name),
+    };
     let context = Rc::new(RequestContext {
-        identity: RequestIdentity::new(fingerprint, caller, &route.name),
+        identity,
         exposure: RefCell::default(),
         caller,
         method: head.method,
@@ -188,26 +193,32 @@
     route: &RouteRule,
     headers: &mut HeaderMap,
 ) -> Result<Option<RequestCustomer>, Box<CallerAnswer>> {
-    if table.customers().is_empty() {
-        return Ok(None);
+    let needs_key = !table.customers().is_empty() && !route.exempt;
+    let customer = needs_key.then(|| find_customer(table, headers)).transpose();
+    if host.routing.has_seen_customers() {
+        caller::strip_identity(headers);
     }
-    let customer = match caller::key(headers) {
-        _ if route.exempt => Ok(None),
-        CallerKey::Missing => Err(CallerAnswer::unknown_key()),
-        CallerKey::Several => Err(CallerAnswer::several_keys()),
-        CallerKey::Given(key) => {
-            table.customers().identify(key).map(Some).ok_or_else(CallerAnswer::unknown_key)
-        }
+    let reject = |rejection| {
+        host.metrics.count_key_rejection(rejection, 1);
+        Box::new(CallerAnswer::key_rejected(rejection))
     };
-    caller::strip_identity(headers);
-    let customer = customer.map_err(Box::new)?;
+    let customer = customer.map_err(reject)?;
     match customer.as_ref().and_then(|customer| host.key_refusal(customer)) {
         None => Ok(customer),
-        Some(KeyRefusal::Revoked) => Err(Box::new(CallerAnswer::unknown_key())),
+        Some(KeyRefusal::Revoked) => Err(reject(KeyRejection::Revoked)),
         Some(KeyRefusal::Stale) => Err(Box::new(CallerAnswer::refused(RefusalReason::StaleKeys))),
     }
 }
 
+fn find_customer(table: &RouteTable, headers: &HeaderMap) -> Result<RequestCustomer, KeyRejection> {
+    match caller::key(headers) {
+        CallerKey::Missing => Err(KeyRejection::Missing),
+        CallerKey::Several => Err(KeyRejection::Several),
+        CallerKey::Malformed => Err(KeyRejection::Malformed),
+        CallerKey::Given(key) => table.customers().identify(key).ok_or(KeyRejection::Unknown),
+    }
+}
+
 /// Sends the request to its route's destination.
 async fn dispatch(
     host: &Rc<RouteHost>,
@@ -253,7 +264,7 @@
 
 impl<'a> AdmissionPermit<'a> {
     fn acquire(host: &'a RouteHost, context: &'a RequestContext) -> Option<Self> {
-        let urgent = host.routing.is_urgent(&context.route);
+        let urgent = host.routing.is_urgent(context.priority());
         let options = host.routing.policy.get().admission;
         let admitted = host.routing.admission.borrow_mut().admit(host_now(), urgent, &options);
         // A permit reports on drop, so none may be created for a refused query.
@@ -314,6 +325,7 @@
         id: context.attempt_id.as_deref().unwrap_or("-"),
         fingerprint: context.identity.fingerprint,
         caller: context.caller,
+        customer: context.customer.as_ref().map(|customer| &*customer.name),
         route: &rule.name,
         version,
         outcome: answer.outcome,
--- a/crates/hawthorn-edge/src/version/reachability.rs
+++ b/crates/hawthorn-edge/src/version/reachability.rs
@@ -91,9 +91,10 @@
         }
     }
 
-    /// Whether no scatter-gather route of the current version is more urgent than this one.
-    pub fn is_urgent(&self, route: &RouteRule) -> bool {
-        self.table().is_none_or(|table| table.is_urgent(route))
+    /// Whether no scatter-gather queries of the current version are more urgent than those with
+    /// this priority.
+    pub fn is_urgent(&self, priority: u32) -> bool {
+        self.table().is_none_or(|table| table.is_urgent(priority))
     }
 
     /// Rate of recent scatter-gather queries, per second.
--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -17,6 +17,7 @@
 use hawthorn_route::budget::FleetView;
 use hawthorn_route::budget::RetryBudget;
 use hawthorn_route::budget::ServiceUse;
+use hawthorn_route::customer::CustomerTable;
 use hawthorn_route::customer::RequestCustomer;
 use hawthorn_route::document::GatherRule;
 use hawthorn_route::document::RouteDestination;
@@ -81,6 +82,8 @@
     pending_tables: RefCell<PendingVersions<Rc<RouteTable>>>,
     /// The newest known version, which may not be in force yet.
     newest_table: RefCell<Option<Rc<RouteTable>>>,
+    /// Whether any version since the start of the process has defined customers.
+    has_seen_customers: Cell<bool>,
     /// Notified when a version is pending.
     pub table_pending: Notify,
     /// The registered targets.
@@ -126,6 +129,7 @@
             tables: RefCell::default(),
             pending_tables: RefCell::default(),
             newest_table: RefCell::default(),
+            has_seen_customers: Cell::new(false),
             table_pending: Notify::new(),
             registry: RefCell::new(TargetRegistry::new(
                 settings.policy.targets,
@@ -168,9 +172,20 @@
         self.newest_table.borrow().clone()
     }
 
-    /// Whether the customer of a request still holds its key in the newest known version.
+    /// Whether the customer of a request still holds its key in the newest known version. If that
+    /// version has no customers, no request needs a key.
     pub fn holds_key(&self, customer: &RequestCustomer) -> bool {
-        self.newest_table().is_some_and(|table| table.customers().holds(customer))
+        self.newest_table().is_some_and(|table| {
+            let customers = table.customers();
+            customers.is_empty() || customers.holds(customer)
+        })
+    }
+
+    /// Whether any version since the start of the process has defined customers, so that callers
+    /// may send keys. A version without customers may precede or follow it, and targets must not
+    /// receive keys then either.
+    pub fn has_seen_customers(&self) -> bool {
+        self.has_seen_customers.get()
     }
 
     /// Applies a version, at once or after a delay; see [`rollout`]. A version that is not newer
@@ -189,6 +204,9 @@
                 table.version()
             );
         }
+        if !table.customers().is_empty() {
+            self.has_seen_customers.set(true);
+        }
         let table = Rc::new(table);
         *self.newest_table.borrow_mut() = Some(Rc::clone(&table));
         let has_version = !self.tables.borrow().is_empty();
@@ -220,6 +238,8 @@
         }
         let (version, routes) = (table.version(), table.document().routes.len());
         edge_event!(Level::Info, EdgeEvent::RoutesInForce, "version={version} routes={routes}");
+        let replaced = tables.front().map(|held| held.customers());
+        log_customers(&table, replaced);
         let names: HashSet<&str> =
             table.document().routes.iter().map(|route| route.name.as_str()).collect();
         self.times.borrow_mut().retain(|name, _| names.contains(name.as_str()));
@@ -503,3 +523,20 @@
     let initial = (route.target_latency / INITIAL_TIME_DIVISOR).as_micros() as u64;
     with(all.entry(route.name.clone()).or_insert_with(|| ServiceTimes::new(initial)))
 }
+
+/// Logs the customers of a version that comes into force, unless neither it nor the version that
+/// it replaces defines any.
+fn log_customers(table: &RouteTable, replaced: Option<&CustomerTable>) {
+    let customers = table.customers();
+    if customers.is_empty() && replaced.is_none_or(CustomerTable::is_empty) {
+        return;
+    }
+    let (count, keys) = (customers.iter().count(), customers.key_count());
+    let exempt = table.document().routes.iter().filter(|route| route.exempt).count();
+    edge_event!(
+        Level::Info,
+        EdgeEvent::CustomersInForce,
+        "version={} customers={count} keys={keys} exempt_routes={exempt}",
+        table.version()
+    );
+}
--- a/crates/hawthorn-route/src/customer.rs
+++ b/crates/hawthorn-route/src/customer.rs
@@ -3,6 +3,7 @@
 //! Only digests of keys are kept, and they are compared in constant time, so that neither memory
 //! dumps nor response times disclose a key.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::fmt;
 use std::hash::Hash;
@@ -12,6 +13,8 @@
 use sha2::Digest;
 use sha2::Sha256;
 use strum::Display;
+use strum::EnumIter;
+use strum::IntoStaticStr;
 use subtle::ConstantTimeEq;
 
 /// Digest of a caller's key.
@@ -23,6 +26,12 @@
     pub fn of(key: &[u8]) -> Self {
         Self(Sha256::digest(key).into())
     }
+
+    /// Stands for a configured key that no request can contain: it is empty, too long or not
+    /// visible ASCII. It keeps the indices of the customer's other keys.
+    pub fn unusable() -> Self {
+        Self::of(b"")
+    }
 }
 
 impl PartialEq for KeyDigest {
@@ -91,13 +100,30 @@
     key: KeyDigest,
 }
 
-/// A part of a version's customers that is not applied as written.
-#[derive(Clone, Debug, PartialEq, Eq, Display)]
+/// Why the key of a request was not accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum KeyRejection {
+    /// The request has no key.
+    Missing,
+    /// The request has more than one key.
+    Several,
+    /// The key is empty, too long or not visible ASCII.
+    Malformed,
+    /// No customer of the version in force holds the key.
+    Unknown,
+    /// The key is in the version in force, but not in a newer version that the host knows.
+    Revoked,
+}
+
+/// A part of a version's customers that is not applied as written, or that operators should know
+/// of. Names are escaped, since they become part of log lines.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
 pub enum CustomerFault {
     /// Two customers hold the same key, which stays with its previous holder or is invalid.
     #[strum(to_string = "customers {0} and {1} hold the same key")]
     SharedKey(Rc<str>, Rc<str>),
-    /// The customer has no key, so that none of its requests is accepted.
+    /// The customer has no usable key, so that none of its requests is accepted.
     #[strum(to_string = "customer {0} has no key")]
     NoKeys(Rc<str>),
     /// A key moved from the first customer to the second.
@@ -109,11 +135,19 @@
     /// The rate or burst is negative or not a number; the previous quota stays in force.
     #[strum(to_string = "customer {0} has an invalid rate or burst")]
     Quota(Rc<str>),
+    /// A key of the customer is empty, too long or not visible ASCII; its other keys are valid.
+    #[strum(to_string = "customer {0} has a key that no request can contain")]
+    UnusableKey(Rc<str>),
+    /// The name cannot be sent to targets unchanged; the customer is not in force.
+    #[strum(to_string = "customer name {0} is empty, padded or has control characters")]
+    InvalidName(Rc<str>),
 }
 
 /// All customers of a version, indexed by key and by name.
 #[derive(Clone, Debug, Default)]
 pub struct CustomerTable {
+    /// Whether the version defines customers, even if none of them is valid.
+    is_defined: bool,
     customers: Vec<Customer>,
     by_name: HashMap<Rc<str>, usize>,
     /// Customer and index of each valid key.
@@ -122,72 +156,120 @@
 
 impl CustomerTable {
     /// Indexes the customers of a version. Invalid parts keep their state of the previous version;
-    /// each is returned as a fault.
+    /// each is returned as a fault, in a fixed order and once.
+    ///
+    /// Handles mistakes in operators' configurations: one wrong customer must not change who is
+    /// served as another one.
     pub fn build(rules: &[CustomerRule], previous: Option<&Self>) -> (Self, Vec<CustomerFault>) {
-        let mut table = Self::default();
-        let mut faults = Vec::new();
+        let mut table = Self { is_defined: !rules.is_empty(), ..Self::default() };
+        let mut faults = BTreeSet::new();
         for rule in rules {
-            if table.by_name.contains_key(&rule.name) {
-                faults.push(CustomerFault::DuplicateName(Rc::clone(&rule.name)));
-                continue;
-            }
-            if rule.keys.is_empty() {
-                faults.push(CustomerFault::NoKeys(Rc::clone(&rule.name)));
-            }
-            let before = previous.and_then(|previous| previous.named(&rule.name));
-            let quota = table_quota(rule).unwrap_or_else(|fault| {
-                faults.push(fault);
-                before.and_then(|customer| customer.quota)
-            });
-            table.by_name.insert(Rc::clone(&rule.name), table.customers.len());
-            table.customers.push(Customer {
-                name: Rc::clone(&rule.name),
-                priority: rule.priority,
-                quota,
-                keys: rule.keys.clone(),
-            });
+            table.add(rule, previous, &mut faults);
         }
         table.index_keys(previous, &mut faults);
-        (table, faults)
+        (table, faults.into_iter().collect())
     }
 
-    fn index_keys(&mut self, previous: Option<&Self>, faults: &mut Vec<CustomerFault>) {
-        let holder_before = |key: &KeyDigest| {
-            let previous = previous?;
-            let (customer, _) = previous.by_key.get(key)?;
-            Some(Rc::clone(&previous.customers[*customer].name))
-        };
-        let mut holders: HashMap<KeyDigest, Vec<(usize, u16)>> = HashMap::new();
-        for (customer, held) in self.customers.iter().enumerate() {
-            for (index, key) in held.keys.iter().enumerate() {
-                let holder = (customer, u16::try_from(index).unwrap_or(u16::MAX));
-                let others = holders.entry(*key).or_default();
-                if !others.iter().any(|(other, _)| *other == customer) {
-                    others.push(holder);
-                }
-            }
+    fn add(
+        &mut self,
+        rule: &CustomerRule,
+        previous: Option<&Self>,
+        faults: &mut BTreeSet<CustomerFault>,
+    ) {
+        let name = escaped(&rule.name);
+        if !is_valid_name(&rule.name) {
+            faults.insert(CustomerFault::InvalidName(name));
+            return;
+        }
+        if self.by_name.contains_key(&rule.name) {
+            faults.insert(CustomerFault::DuplicateName(name));
+            return;
+        }
+        let usable = rule.keys.iter().filter(|key| **key != KeyDigest::unusable()).count();
+        if usable < rule.keys.len() {
+            faults.insert(CustomerFault::UnusableKey(Rc::clone(&name)));
+        }
+        if usable == 0 {
+            faults.insert(CustomerFault::NoKeys(name));
         }
-        for (key, candidates) in holders {
-            let before = holder_before(&key);
-            let name = |customer: usize| Rc::clone(&self.customers[customer].name);
-            if let [first, second, ..] = candidates[..] {
-                faults.push(CustomerFault::SharedKey(name(first.0), name(second.0)));
-                let kept = candidates.iter().find(|(customer, _)| Some(name(*customer)) == before);
-                if let Some(kept) = kept {
-                    self.by_key.insert(key, *kept);
+        let before = previous.and_then(|previous| previous.named(&rule.name));
+        let quota = table_quota(rule).unwrap_or_else(|fault| {
+            faults.insert(fault);
+            before.and_then(|customer| customer.quota)
+        });
+        self.by_name.insert(Rc::clone(&rule.name), self.customers.len());
+        self.customers.push(Customer {
+            name: Rc::clone(&rule.name),
+            priority: rule.priority,
+            quota,
+            keys: rule.keys.clone(),
+        });
+    }
+
+    fn index_keys(&mut self, previous: Option<&Self>, faults: &mut BTreeSet<CustomerFault>) {
+        for (key, candidates) in self.candidates() {
+            let before = previous.and_then(|previous| previous.holder_name(&key));
+            let name = |customer: usize| &self.customers[customer].name;
+            let kept = match candidates[..] {
+                [holder] => {
+                    if let Some(before) = before.filter(|before| *before != name(holder.0)) {
+                        let (before, now) = (escaped(before), escaped(name(holder.0)));
+                        faults.insert(CustomerFault::MovedKey(before, now));
+                    }
+                    Some(holder)
                 }
-            } else if let [holder] = candidates[..] {
-                if let Some(before) = before.filter(|before| *before != name(holder.0)) {
-                    faults.push(CustomerFault::MovedKey(before, name(holder.0)));
+                _ => {
+                    for pair in candidates.windows(2) {
+                        let (first, second) = (escaped(name(pair[0].0)), escaped(name(pair[1].0)));
+                        faults.insert(CustomerFault::SharedKey(first, second));
+                    }
+                    candidates.into_iter().find(|(customer, _)| Some(name(*customer)) == before)
                 }
+            };
+            if let Some(holder) = kept {
                 self.by_key.insert(key, holder);
             }
         }
     }
 
-    /// Whether there are no customers, so that requests need no key.
+    /// The customers that hold each usable key, with the key's first index at each.
+    fn candidates(&self) -> HashMap<KeyDigest, Vec<(usize, u16)>> {
+        let unusable = KeyDigest::unusable();
+        let mut candidates: HashMap<KeyDigest, Vec<(usize, u16)>> = HashMap::new();
+        for (customer, held) in self.customers.iter().enumerate() {
+            // The index of a key is sent to peers with 16 bits; further keys are not accepted.
+            for (index, key) in (0..=u16::MAX).zip(&held.keys) {
+                let holders = candidates.entry(*key).or_default();
+                if holders.last().is_none_or(|(last, _)| *last != customer) {
+                    holders.push((customer, index));
+                }
+            }
+        }
+        candidates.remove(&unusable);
+        candidates
+    }
+
+    fn holder_name(&self, key: &KeyDigest) -> Option<&Rc<str>> {
+        let (customer, _) = self.by_key.get(key)?;
+        Some(&self.customers[*customer].name)
+    }
+
+    /// The number of keys that are accepted.
+    pub fn key_count(&self) -> usize {
+        self.by_key.len()
+    }
+
+    /// The most urgent priority of the customers' requests on a route with this priority; `None`
+    /// if no customer holds a key.
+    pub fn top_priority(&self, route: u32) -> Option<u32> {
+        let holders = self.by_key.values().map(|(customer, _)| &self.customers[*customer]);
+        holders.map(|customer| customer.priority.unwrap_or(route)).min()
+    }
+
+    /// Whether the version defines no customers, so that requests need no key. Customers that are
+    /// all invalid don't open the routes to everybody.
     pub fn is_empty(&self) -> bool {
-        self.customers.is_empty()
+        !self.is_defined
     }
 
     /// All customers.
@@ -238,7 +320,22 @@
     let CustomerRule { rate, burst, .. } = *rule;
     let valid = |value: f64| value.is_finite() && value >= 0.0;
     if !valid(rate) || !valid(burst) {
-        return Err(CustomerFault::Quota(Rc::clone(&rule.name)));
+        return Err(CustomerFault::Quota(escaped(&rule.name)));
     }
     Ok((rate > 0.0).then_some(CustomerQuota { rate, burst }))
 }
+
+/// Whether targets receive the name unchanged as a header value: HTTP does not permit control
+/// characters, and recipients remove surrounding blanks.
+fn is_valid_name(name: &str) -> bool {
+    !name.is_empty() && name.trim() == name && !name.chars().any(char::is_control)
+}
+
+fn escaped(name: &str) -> Rc<str> {
+    log_name(name).into()
+}
+
+/// A customer's name as part of a quoted value in a log line, which has no way to escape quotes.
+pub fn log_name(name: &str) -> String {
+    name.escape_debug().to_string().replace("\\\"", "\\u{22}")
+}
--- a/crates/hawthorn-route/src/quarantine/mod.rs
+++ b/crates/hawthorn-route/src/quarantine/mod.rs
@@ -76,7 +76,7 @@
 pub struct RequestIdentity {
     /// A hash of the request's content.
     pub fingerprint: RequestFingerprint,
-    /// A hash of the caller's address and the route's name.
+    /// A hash of the route's name and the caller: its customer, or its address if there is none.
     pub caller: u64,
     /// A hash of the route's name.
     pub route: u64,
@@ -91,6 +91,13 @@
         Self::with_caller_hash(fingerprint, caller, route)
     }
 
+    /// Creates the identity of a customer's request, which does not depend on the address: a
+    /// customer's callers may share proxies with others, and may use many addresses.
+    pub fn of_customer(fingerprint: RequestFingerprint, customer: &str, route: &str) -> Self {
+        let parts = [route.as_bytes(), b"customer", customer.as_bytes()];
+        Self::with_caller_hash(fingerprint, fingerprint::hash(&parts) as u64, route)
+    }
+
     /// Creates the identity of a request from a caller hash received from a peer.
     pub fn with_caller_hash(fingerprint: RequestFingerprint, caller: u64, route: &str) -> Self {
         Self { fingerprint, caller, route: fingerprint::hash(&[route.as_bytes()]) as u64 }
--- a/crates/hawthorn-route/src/table.rs
+++ b/crates/hawthorn-route/src/table.rs
@@ -18,7 +18,7 @@
     /// Routes by host, longest prefix first.
     by_host: HashMap<String, Vec<Rc<RouteRule>>>,
     by_name: HashMap<String, Rc<RouteRule>>,
-    /// Priority of the most urgent scatter-gather route.
+    /// Priority of the most urgent scatter-gather queries: the customer's, otherwise the route's.
     top_priority: Option<u32>,
     services: HashMap<String, ServiceRule>,
     /// Services that hold a shard of some route.
@@ -55,10 +55,14 @@
             RouteDestination::Gather(rule) => Some((route, rule)),
             RouteDestination::Single(_) | RouteDestination::Weighted(_) => None,
         });
-        let top_priority = queries.clone().map(|(route, _)| route.priority).min();
-        let shards = queries.flat_map(|(_, rule)| rule.shards.iter().cloned()).collect();
         let previous = previous.map(Self::customers);
         let (customers, faults) = CustomerTable::build(&document.customers, previous);
+        let priority = |route: &RouteRule| {
+            let needs_key = !customers.is_empty() && !route.exempt;
+            if needs_key { customers.top_priority(route.priority) } else { Some(route.priority) }
+        };
+        let top_priority = queries.clone().filter_map(|(route, _)| priority(route)).min();
+        let shards = queries.flat_map(|(_, rule)| rule.shards.iter().cloned()).collect();
         let table = Self { document, by_host, by_name, top_priority, services, shards, customers };
         (table, faults)
     }
@@ -90,9 +94,9 @@
         self.by_name.get(name)
     }
 
-    /// Whether no scatter-gather route is more urgent than this one.
-    pub fn is_urgent(&self, route: &RouteRule) -> bool {
-        self.top_priority.is_none_or(|top| route.priority <= top)
+    /// Whether no scatter-gather queries are more urgent than those with this priority.
+    pub fn is_urgent(&self, priority: u32) -> bool {
+        self.top_priority.is_none_or(|top| priority <= top)
     }
 
     /// Whether a service holds a shard of some route.
--- a/crates/hawthorn-standin/src/route/headers.rs
+++ b/crates/hawthorn-standin/src/route/headers.rs
@@ -19,3 +19,7 @@
 pub const NOT_RUN: &str = "hawthornroute-not-executed";
 /// Running requests, waiting requests and slots of the target.
 pub const LOAD: &str = "hawthornroute-server-load";
+/// The caller's key.
+pub const KEY: &str = "hawthornroute-credential";
+/// Name of the customer that holds the caller's key.
+pub const CUSTOMER: &str = "hawthornroute-tenant";
--- a/crates/hawthorn-standin/src/route/operator.rs
+++ b/crates/hawthorn-standin/src/route/operator.rs
@@ -35,6 +35,12 @@
     route
 }
 
+/// Makes a route need no key.
+pub fn exempt(mut route: Value) -> Value {
+    route["authExempt"] = json!(true);
+    route
+}
+
 /// Writes a version of the configuration.
 pub fn configure(store: &RouteStore, version: u64, routes: &[Value], services: &[&str]) {
     write(store, version, routes, services, None);
--- a/crates/hawthorn-standin/src/route/target.rs
+++ b/crates/hawthorn-standin/src/route/target.rs
@@ -64,6 +64,8 @@
     /// The last remaining time in milliseconds by attempt id, as in the header.
     times_left: HashMap<String, String>,
     requests: Vec<(String, String, Vec<u8>)>,
+    /// The headers of each request in `requests`.
+    request_headers: Vec<Vec<(String, String)>>,
     cancelled: usize,
     /// The path prefix that crashes the target, and the downtime after a crash.
     crashes_on: Option<(String, Duration)>,
@@ -102,6 +104,7 @@
             runs: HashMap::new(),
             times_left: HashMap::new(),
             requests: Vec::new(),
+            request_headers: Vec::new(),
             cancelled: 0,
             crashes_on: None,
             crashes: 0,
@@ -173,6 +176,12 @@
         self.state.lock().expect("no holder of the lock panics").requests.clone()
     }
 
+    /// The headers of all requests that ran, with lower-case names, in the order of
+    /// [`RouteTarget::requests`].
+    pub fn request_headers(&self) -> Vec<Vec<(String, String)>> {
+        self.state.lock().expect("no holder of the lock panics").request_headers.clone()
+    }
+
     /// Stops the target: closes its connections and releases its address.
     pub fn end(self) {
         drop(self.stop);
@@ -276,6 +285,7 @@
         state.times_left.insert(attempt.clone(), time_left.to_owned());
     }
     *state.runs.entry(attempt).or_default() += 1;
+    state.request_headers.push(request.all_headers.clone());
     state.requests.push((request.method.clone(), request.target.clone(), request.body.clone()));
 }
 
--- a/crates/hawthorn-standin/src/route/wire.rs
+++ b/crates/hawthorn-standin/src/route/wire.rs
@@ -14,8 +14,10 @@
     pub(super) method: String,
     /// Path and query string.
     pub(super) target: String,
-    /// Values by lower-case name.
+    /// Values by lower-case name; the last one if a name is repeated.
     pub(super) headers: HashMap<String, String>,
+    /// All headers as received, with lower-case names.
+    pub(super) all_headers: Vec<(String, String)>,
     pub(super) body: Vec<u8>,
 }
 
@@ -62,7 +64,9 @@
         ..WireRequest::default()
     };
     for (name, value) in lines.filter_map(|line| line.split_once(':')) {
-        request.headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+        let (name, value) = (name.to_ascii_lowercase(), value.trim().to_owned());
+        request.all_headers.push((name.clone(), value.clone()));
+        request.headers.insert(name, value);
     }
     let length = request.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
     while buffer.len() < length {
