--- a/src/explain_log.rs
+++ b/src/explain_log.rs
@@ -24,7 +24,8 @@
         return Ok(CommandExit::Success);
     }
     println!(
-        "no line tells of {}: it succeeded and was not sampled, or none of these hosts handled it",
+        "no line tells of {}: it succeeded and was not sampled, was refused for its key or before \
+         its body was read, or none of these hosts handled it",
         options.request
     );
     Ok(CommandExit::Incomplete)
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -70,6 +70,7 @@
     let keyless = [operator::customer("shop", &[])];
     operator::configure_customers(&store, 4, &routes, &["s"], &keyless);
     wait_for_line(&host, "customers-broken").await?;
+    wait_for_line(&host, "customers-in-force").await?;
     store.set_outage(RouteOutage::Unavailable);
     wait_for_line(&host, "store-lost").await?;
     store.set_outage(RouteOutage::None);
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -68,6 +68,8 @@
     ip: IpAddr,
     child: Child,
     log: Arc<Mutex<Vec<String>>>,
+    /// Lines on standard error.
+    errors: Arc<Mutex<Vec<String>>>,
     reader_paused: Arc<AtomicBool>,
     file: PathBuf,
     _files: TempDir,
@@ -131,9 +133,10 @@
         );
         std::fs::write(&file, text)?;
         let log = Arc::new(Mutex::new(Vec::new()));
+        let errors = Arc::new(Mutex::new(Vec::new()));
         let reader_paused = Arc::new(AtomicBool::new(false));
-        let child = spawn_route(&file, &log, &reader_paused)?;
-        Ok(Self { ip, child, log, reader_paused, file, _files: files })
+        let child = spawn_route(&file, &log, &errors, &reader_paused)?;
+        Ok(Self { ip, child, log, errors, reader_paused, file, _files: files })
     }
 
     /// Kills the process and waits for it to exit.
@@ -146,7 +149,7 @@
     /// Kills the process and starts it again at the same addresses.
     pub fn restart(&mut self) -> TestResult {
         self.kill()?;
-        self.child = spawn_route(&self.file, &self.log, &self.reader_paused)?;
+        self.child = spawn_route(&self.file, &self.log, &self.errors, &self.reader_paused)?;
         Ok(())
     }
 
@@ -184,6 +187,11 @@
         self.log.lock().expect("no thread panics while it holds the lock").clone()
     }
 
+    /// All lines on standard error so far.
+    pub fn error_lines(&self) -> Vec<String> {
+        self.errors.lock().expect("no thread panics while it holds the lock").clone()
+    }
+
     /// Stops reading the process's log lines, or resumes reading them.
     pub fn pause_log_reader(&self, pause: bool) {
         self.reader_paused.store(pause, Ordering::Relaxed);
@@ -222,6 +230,16 @@
     ) -> TestResult<RouteAnswer> {
         exchange(self.caller(), request(method, path, id, body)).await
     }
+
+    /// Sends a caller's request with more headers on a new connection.
+    pub async fn send_with(
+        &self,
+        path: &str,
+        id: &str,
+        headers: &[(&str, &str)],
+    ) -> TestResult<RouteAnswer> {
+        exchange(self.caller(), request_with("GET", path, id, headers, "")).await
+    }
 }
 
 /// Starts four hosts of zone `east` and one of zone `west`, with links that carry one large version
@@ -251,6 +269,7 @@
 fn spawn_route(
     file: &Path,
     log: &Arc<Mutex<Vec<String>>>,
+    errors: &Arc<Mutex<Vec<String>>>,
     reader_paused: &Arc<AtomicBool>,
 ) -> TestResult<Child> {
     let mut child = Command::new(super::program())
@@ -258,9 +277,17 @@
         .arg(file)
         .stdin(Stdio::null())
         .stdout(Stdio::piped())
-        .stderr(Stdio::inherit())
+        .stderr(Stdio::piped())
         .spawn()?;
     let output = child.stdout.take().ok_or("standard output is piped")?;
+    let error_output = child.stderr.take().ok_or("standard error is piped")?;
+    let errors = Arc::clone(errors);
+    std::thread::spawn(move || {
+        for line in BufReader::new(error_output).lines().map_while(Result::ok) {
+            eprintln!("{line}");
+            errors.lock().expect("no thread panics while it holds the lock").push(line);
+        }
+    });
     let (lines, reader_paused) = (Arc::clone(log), Arc::clone(reader_paused));
     std::thread::spawn(move || {
         for line in BufReader::new(output).lines().map_while(Result::ok) {
@@ -283,9 +310,22 @@
 
 /// The bytes of a caller's request.
 pub fn request(method: &str, path: &str, id: &str, body: &str) -> Vec<u8> {
+    request_with(method, path, id, &[], body)
+}
+
+/// The bytes of a caller's request with more headers.
+pub fn request_with(
+    method: &str,
+    path: &str,
+    id: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Vec<u8> {
+    let headers: String =
+        headers.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
     format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT_ID}: {id}\r\n\
-         {TIME_LEFT}: 2000\r\nContent-Length: {}\r\n\r\n{body}",
+         {TIME_LEFT}: 2000\r\n{headers}Content-Length: {}\r\n\r\n{body}",
         body.len()
     )
     .into_bytes()
