--- a/crates/hawthorn-edge/tests/settings.rs
+++ b/crates/hawthorn-edge/tests/settings.rs
@@ -1,6 +1,7 @@
 //! Settings, and the catalogue of log events.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use hawthorn_edge::process::events::EdgeEvent;
 use hawthorn_edge::settings::RouteSettings;
@@ -36,6 +37,15 @@
         ("{{/bounds.coldOvershoot}}", ""),
         ("{{#bounds.coldSlack}}slack = {{.}}", "slack = 5"),
         ("{{/bounds.coldSlack}}", ""),
+        ("{{#bounds.revokeStrict}}", ""),
+        ("{{bounds.revokeMs}}", "5000"),
+        ("{{/bounds.revokeStrict}}", ""),
+        ("{{#bounds.quotaWindowS}}window_s = {{.}}", "window_s = 5"),
+        ("{{/bounds.quotaWindowS}}", ""),
+        ("{{#bounds.quotaOvershoot}}overshoot = {{.}}", "overshoot = 0.1"),
+        ("{{/bounds.quotaOvershoot}}", ""),
+        ("{{#bounds.quotaSlack}}slack = {{.}}", "slack = 20"),
+        ("{{/bounds.quotaSlack}}", ""),
     ];
     let mut text = TEMPLATE.to_owned();
     for (name, value) in values {
@@ -55,6 +65,10 @@
     assert_eq!(settings.listen.metrics.port(), 9464);
     assert_eq!(settings.cold.limit(12.0), 23);
     assert_eq!(settings.zones.of("east"), Some("dar"));
+    let within = settings.revocation.map(|revocation| revocation.within);
+    assert_eq!(within, Some(Duration::from_secs(5)));
+    assert_eq!(settings.quota.window, Duration::from_secs(5));
+    assert_eq!(settings.quota.slack, 20.0);
 }
 
 #[test]
