fix(route): the age of the configuration is a lower bound at every hop

The age of a catalog update counted from the receipt of the reply, so that a reply delayed on the way, or read late by a suspended host, made old data appear new. A host that paced a reply could also send an older state with the age of a later one.

A reply now carries its age at the reply and the time for which the request was held, and the receiver counts from the sending of its request. The age is read together with the state. A confirmation of a revision that the mirror has not reached waits for it.

The fields of the message change. Hosts of two versions are expected to read the store instead of each other's updates during a rolling update; this was not run.

--- a/crates/hawthorn-edge/src/connection/message.rs
+++ b/crates/hawthorn-edge/src/connection/message.rs
@@ -142,6 +142,9 @@
     /// The state of an earlier era from which the items differ, if they are changes across a
     /// restore of the store.
     pub base: Option<RestoreBase>,
-    /// Milliseconds since the store last confirmed this revision, possibly through other hosts.
-    pub age_ms: u64,
+    /// Microseconds between the store's last confirmation of this revision, possibly through other
+    /// hosts, and the reply; `u64::MAX` if it was never confirmed.
+    pub age_us: u64,
+    /// Microseconds between the receipt of the request and the reply.
+    pub held_us: u64,
 }
--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -312,9 +312,21 @@
 /// A peer's request, with the channel for its reply.
 #[derive(Debug)]
 enum PeerRequest {
-    Gather { request: Box<GatherRequest>, arrived: Duration, reply: oneshot::Sender<GatherReply> },
-    Remainder { token: u64, request: RemainderRequest },
-    CatalogUpdate { after: StoreRevision, wait: Duration, reply: oneshot::Sender<CatalogUpdate> },
+    Gather {
+        request: Box<GatherRequest>,
+        arrived: Duration,
+        reply: oneshot::Sender<GatherReply>,
+    },
+    Remainder {
+        token: u64,
+        request: RemainderRequest,
+    },
+    CatalogUpdate {
+        after: StoreRevision,
+        wait: Duration,
+        received: Duration,
+        reply: oneshot::Sender<CatalogUpdate>,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -348,9 +360,11 @@
     async fn ping(self, _: Context) {}
 
     async fn catalog_update(self, _: Context, after: StoreRevision, wait_ms: u64) -> CatalogUpdate {
+        let received = host_now();
         let (reply, answer) = oneshot::channel();
         let wait = Duration::from_millis(wait_ms);
-        if self.requests.try_send(PeerRequest::CatalogUpdate { after, wait, reply }).is_err() {
+        let request = PeerRequest::CatalogUpdate { after, wait, received, reply };
+        if self.requests.try_send(request).is_err() {
             return CatalogUpdate::default();
         }
         answer.await.unwrap_or_default()
@@ -376,8 +390,8 @@
             tokio::task::spawn_local(delegate::serve_peer(host, *request, arrived, reply));
         }
         PeerRequest::Remainder { token, request } => host.remainders.request(token, request),
-        PeerRequest::CatalogUpdate { after, wait, reply } => {
-            tokio::task::spawn_local(store_sync::answer_peer(host, after, wait, reply));
+        PeerRequest::CatalogUpdate { after, wait, received, reply } => {
+            tokio::task::spawn_local(store_sync::answer_peer(host, after, wait, received, reply));
         }
     }
 }
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -10,10 +10,12 @@
 
 use hawthorn_fleet::MemberTable;
 use hawthorn_route::cold::claim::SlotClaim;
+use hawthorn_route::confirmation::StoreConfirmation;
 use hawthorn_route::customer::RequestCustomer;
 use hawthorn_route::mirror::StoreMirror;
 use hawthorn_route::pace;
 use hawthorn_route::pace::BulkPacer;
+use hawthorn_route::revision::StoreRevision;
 use hawthorn_route::send_deadline::LagMeter;
 use hawthorn_store::StoreClient;
 use hawthorn_store::client;
@@ -134,7 +136,7 @@
     /// Whether newer items are being fetched from a peer.
     pub catching_up: Cell<bool>,
     /// When the store last confirmed the mirror, possibly through other hosts.
-    confirmed: Cell<Option<Duration>>,
+    confirmation: RefCell<StoreConfirmation>,
     /// Whether the store's items were read completely at least once.
     pub catalog_read: Cell<bool>,
     /// Cancelled at the stop signal: the readiness probe fails, and each answer closes its
@@ -177,7 +179,7 @@
             bulk_pacer: RefCell::default(),
             mirror_advanced: Notify::new(),
             catching_up: Cell::new(false),
-            confirmed: Cell::new(None),
+            confirmation: RefCell::default(),
             metrics: EdgeMetrics::new()?,
             catalog_read: Cell::new(false),
             stopping: CancellationToken::new(),
@@ -201,14 +203,26 @@
         has_catalog && can_serve && !self.stopping.is_cancelled()
     }
 
-    /// Records that the store confirmed the mirror at `at`.
-    pub fn confirm(&self, at: Duration) {
-        self.confirmed.set(self.confirmed.get().max(Some(at)));
+    /// Records that the store had no revision above `revision` at `at`.
+    pub fn confirm(&self, revision: StoreRevision, at: Duration) {
+        let as_of = self.mirror.borrow().as_of();
+        self.confirmation.borrow_mut().record(revision, at, as_of);
+    }
+
+    /// Confirms the mirror as of the confirmations that waited for its present revision.
+    pub fn confirm_reached(&self) {
+        let as_of = self.mirror.borrow().as_of();
+        self.confirmation.borrow_mut().advance(as_of);
+    }
+
+    /// The time as of which the store confirmed the mirror; `None` if it never did.
+    pub fn confirmed_at(&self) -> Option<Duration> {
+        self.confirmation.borrow().confirmed_at()
     }
 
     /// How long ago the store confirmed the mirror; `None` if it never did.
     pub fn confirmed_age(&self) -> Option<Duration> {
-        self.confirmed.get().map(|at| host_now().saturating_sub(at))
+        self.confirmed_at().map(|at| host_now().saturating_sub(at))
     }
 
     /// Whether the configuration was confirmed recently enough for requests with keys.
--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -10,6 +10,7 @@
 use hawthorn_platform::store;
 use hawthorn_platform::store::ReadMode;
 use hawthorn_platform::store::StoreItems;
+use hawthorn_route::confirmation::PeerAge;
 use hawthorn_route::mirror;
 use hawthorn_route::mirror::MirrorItem;
 use hawthorn_route::mirror::MirrorUpdate;
@@ -175,7 +176,7 @@
     match read {
         Ok((read, complete)) => {
             log_store_state(reachable, None);
-            host.confirm(host_now());
+            let read_at = host_now();
             let count = read.items.len();
             let update =
                 MirrorUpdate { items: read.items, as_of: read.as_of, complete, base: None };
@@ -189,6 +190,7 @@
             );
             let as_of = update.as_of;
             let changed = apply(host, update);
+            host.confirm(as_of, read_at);
             let reread = complete && after != StoreRevision::NONE;
             if reread {
                 edge_event!(
@@ -232,28 +234,32 @@
     let after = host.mirror.borrow().wanted_after();
     let endpoint = host.peer_endpoint(peer, TrafficPurpose::Catalog);
     // A peer that does not answer becomes suspected, so another source is selected.
+    let sent = host_now();
     let Ok(update) = host.links.catalog_update(&endpoint, after, PEER_WATCH_TIMEOUT).await else {
         return PeerReply::Done;
     };
-    let age = Duration::from_millis(update.age_ms);
+    let age = Duration::from_micros(update.age_us);
     if age > MAX_CONFIRMED_AGE {
-        edge_event!(Level::Warn, EdgeEvent::PeerStale, "peer={peer} age_ms={}", update.age_ms);
+        edge_event!(Level::Warn, EdgeEvent::PeerStale, "peer={peer} age_ms={}", age.as_millis());
         host.links.suspect(peer, SuspicionReason::Stale);
     } else if update.as_of == StoreRevision::NONE {
         return PeerReply::Deferred;
     }
-    apply_from_peer(host, update);
+    apply_from_peer(host, update, sent);
     PeerReply::Done
 }
 
-fn apply_from_peer(host: &RouteHost, update: CatalogUpdate) {
-    let age = Duration::from_millis(update.age_ms);
-    if update.as_of == StoreRevision::NONE || update.age_ms == u64::MAX {
+/// Applies the reply to a request that was sent at `sent`.
+fn apply_from_peer(host: &RouteHost, update: CatalogUpdate, sent: Duration) {
+    if update.as_of == StoreRevision::NONE || update.age_us == u64::MAX {
         return;
     }
-    let confirmed = host_now().saturating_sub(age);
-    if update.as_of >= host.mirror.borrow().as_of() {
-        host.confirm(confirmed);
+    let micros = Duration::from_micros;
+    let age = PeerAge { age: micros(update.age_us), held: micros(update.held_us) };
+    if update.as_of >= host.mirror.borrow().as_of()
+        && let Some(confirmed) = age.confirmed_at(sent)
+    {
+        host.confirm(update.as_of, confirmed);
     }
     let items = update.items.into_iter();
     let items = items.map(|(key, revision, value)| MirrorItem { key, revision, value }).collect();
@@ -265,6 +271,7 @@
     let before = host.mirror.borrow().as_of();
     let changed = catalog::apply(host, update);
     if host.mirror.borrow().as_of() > before {
+        host.confirm_reached();
         host.mirror_advanced.notify_waiters();
     }
     changed
@@ -282,6 +289,7 @@
     sleep(CATCH_UP_DELAY).await;
     let after = host.mirror.borrow().wanted_after();
     let endpoint = host.peer_endpoint(peer, TrafficPurpose::Catalog);
+    let sent = host_now();
     if as_of > after
         && let Ok(update) = host.links.catalog_update(&endpoint, after, Duration::ZERO).await
         && update.as_of != StoreRevision::NONE
@@ -294,7 +302,7 @@
             update.as_of.number,
             update.as_of.era
         );
-        apply_from_peer(&host, update);
+        apply_from_peer(&host, update, sent);
     }
     host.catching_up.set(false);
 }
@@ -304,6 +312,7 @@
     host: Rc<RouteHost>,
     after: StoreRevision,
     wait: Duration,
+    received: Duration,
     mut reply: oneshot::Sender<CatalogUpdate>,
 ) {
     let until = host_now() + wait;
@@ -318,25 +327,30 @@
             () = reply.closed() => return,
         }
     }
-    let update = loop {
+    let (update, confirmed) = loop {
+        // A confirmation that arrives during the delay may be of a later revision.
+        let confirmed = host.confirmed_at();
         let update = host.mirror.borrow().since(after);
         let now = host_now();
         match host.reserve_bulk(now, update.bytes()) {
             Some(delay) => {
                 sleep(delay).await;
-                break update;
+                break (update, confirmed);
             }
             // The peer sends another request when its wait is over. A reply with its own revision
             // would confirm that there are no changes.
-            None if now + BULK_POLL_INTERVAL > until => break MirrorUpdate::default(),
+            None if now + BULK_POLL_INTERVAL > until => break (MirrorUpdate::default(), confirmed),
             None => sleep(BULK_POLL_INTERVAL).await,
         }
     };
-    let age_ms = host.confirmed_age().map_or(u64::MAX, |age| age.as_millis() as u64);
+    let now = host_now();
+    let micros_since = |at| now.saturating_sub(at).as_micros() as u64;
+    let age_us = confirmed.map_or(u64::MAX, micros_since);
+    let held_us = micros_since(received);
     let items = update.items.into_iter();
     let items = items.map(|item| (item.key, item.revision, item.value)).collect();
     let MirrorUpdate { as_of, complete, base, .. } = update;
-    let response = CatalogUpdate { items, as_of, complete, base, age_ms };
+    let response = CatalogUpdate { items, as_of, complete, base, age_us, held_us };
     // The peer may have disconnected.
     let _gone = reply.send(response);
 }
@@ -380,7 +394,7 @@
             Ordering::Greater => return WatchEnd::Lost,
             Ordering::Equal if as_of.number <= after.number => {
                 missed_checks = 0;
-                host.confirm(host_now());
+                host.confirm(as_of, host_now());
             }
             Ordering::Equal => missed_checks += 1,
             Ordering::Less => {}
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -6,6 +6,7 @@
 //! | [`budget`] | retry budgets: the number of extra attempts per service |
 //! | [`clock_offset`] | offsets of peers' clocks, and deadlines of gather requests |
 //! | [`cold`] | request limits of targets that have just started |
+//! | [`confirmation`] | when the store confirmed a host's mirror |
 //! | [`customer`] | customers of a configuration: keys, priorities and quotas |
 //! | [`document`] | the operators' configuration of routes, services and caller limits |
 //! | [`evacuation`] | zones that operators have evacuated |
@@ -42,6 +43,7 @@
 pub mod budget;
 pub mod clock_offset;
 pub mod cold;
+pub mod confirmation;
 pub mod customer;
 pub mod document;
 pub mod evacuation;
