feat(route): only linearizable reads and watches confirm where keys must be revoked in time

With [revocation] in the settings, serializable checks confirmed a configuration that may have been seconds old, so a revoked key could be served after the limit.

A watcher now reads the store's revision each 1.2 s by a small linearizable read, the first at once, and each confirms as of its sending; a watch confirms as of its start. An answer above the mirror's revision confirms once the mirror has reached it. A host that has used half of the limit does not wait for changes, and a host that cannot reach the store asks one of another zone. The ages up to which a source is used follow from the longer period. A host that is stale and has customers fails its readiness probe. within_ms must be between 3200 and 600000.

--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -10,6 +10,7 @@
 
 use hawthorn_fleet::MemberTable;
 use hawthorn_route::cold::claim::SlotClaim;
+use hawthorn_route::confirmation::ConfirmationPlan;
 use hawthorn_route::confirmation::StoreConfirmation;
 use hawthorn_route::customer::RequestCustomer;
 use hawthorn_route::mirror::StoreMirror;
@@ -90,10 +91,6 @@
     }
 }
 
-/// Margin of the age of the configuration below the time within which keys must be revoked: the
-/// time between the check and the write to the socket.
-const REVOCATION_MARGIN: Duration = Duration::from_millis(300);
-
 /// Why a customer's request may not be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -195,11 +192,12 @@
         })
     }
 
-    /// Whether the host accepts callers: it has routes and targets, its zones are reachable and
-    /// it is not stopping.
+    /// Whether the host accepts callers: it has routes and targets, its zones are reachable, it may
+    /// serve requests with keys if there are customers, and it is not stopping.
     pub fn is_ready(&self) -> bool {
         let has_catalog = self.catalog_read.get() && self.routing.table().is_some();
         let can_serve = !self.routing.unready.get() && !self.routing.may_be_unready.get();
+        let can_serve = can_serve && (self.keys_current() || !self.routing.has_customers());
         has_catalog && can_serve && !self.stopping.is_cancelled()
     }
 
@@ -227,9 +225,18 @@
 
     /// Whether the configuration was confirmed recently enough for requests with keys.
     pub fn keys_current(&self) -> bool {
-        let Some(revocation) = self.routing.settings.revocation else { return true };
-        let limit = revocation.within.saturating_sub(REVOCATION_MARGIN);
-        self.confirmed_age().is_some_and(|age| age < limit)
+        self.confirmation_plan().is_current(self.confirmed_age())
+    }
+
+    /// How this host has its mirror confirmed.
+    pub(crate) fn confirmation_plan(&self) -> ConfirmationPlan {
+        let revocation = self.routing.settings.revocation;
+        ConfirmationPlan::new(revocation.map(|revocation| revocation.within))
+    }
+
+    /// Whether the mirror should be confirmed without waiting for a change.
+    pub(crate) fn needs_refresh(&self) -> bool {
+        self.confirmation_plan().needs_refresh(self.confirmed_age())
     }
 
     /// Why a request of a customer may not be sent to a target now; `None` if it may.
@@ -388,6 +395,9 @@
         }
         if let Some(age) = host.confirmed_age() {
             host.metrics.set_gauge("catalog-age-ms", age.as_millis() as u64);
+            if host.routing.settings.revocation.is_some() {
+                host.metrics.set_gauge("keys-age-ms", age.as_millis() as u64);
+            }
         }
         host.metrics.set_gauge("hosts", host.routing.hosts.get() as u64);
         let (open, window) =
--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -23,6 +23,7 @@
 use http::StatusCode;
 use log::Level;
 use rand::RngExt;
+use rand::seq::IteratorRandom;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -50,22 +51,14 @@
 /// Time for which a peer may wait for an update before it replies; a peer that has stopped
 /// responding is noticed after it.
 const PEER_WATCH_TIMEOUT: Duration = Duration::from_millis(900);
-/// Interval of the checks that the store still answers this host, which a pending watch does
-/// not show. A check is a read that costs a tenth of a watch.
-const CHECK_PERIOD: Duration = Duration::from_millis(800);
 /// Timeout of a check: it takes a few milliseconds, and a few hundred if the store is slow.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Consecutive checks that show a newer revision without a result from the watch, after which
 /// the watch is considered lost.
 const MAX_MISSED_CHECKS: u32 = 2;
-/// A peer that the store has not confirmed for this long, over two checks, is not used as a
-/// source.
-/// With the read that follows, an update is applied within 3 s even if all watchers of a zone
-/// lose the store at the same time.
-const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(1800);
-/// Age of a host's data above which it reads the store itself if its source has no link capacity
-/// for the update. Above the age of its data between two checks by the source and two replies.
-const MAX_DEFERRED_AGE: Duration = Duration::from_millis(2500);
+/// Pause between two requests for a confirmation that do not wait for a change, so that a host
+/// without a current source does not load its peers.
+const REFRESH_PAUSE: Duration = Duration::from_millis(200);
 /// Pause of a host that is not a watcher of its zone and also fails to reach the store, in
 /// seconds. Its peers learn of the recovery first, and simultaneous requests of the fleet would
 /// overload a recovering store.
@@ -91,6 +84,15 @@
     Peer(SocketAddr),
 }
 
+/// What is known about the store between two polls.
+#[derive(Debug)]
+struct StoreAccess {
+    reachable: bool,
+    /// When the next read that confirms is due, if keys must be revoked in time. The reads continue
+    /// over the ends of watches, which would otherwise each cause one.
+    next_check: Duration,
+}
+
 enum WatchEnd {
     Update(StoreItems),
     /// The store lacks the changes after this host's revision: it compacted its history, or was
@@ -101,26 +103,26 @@
 
 /// Keeps the mirror up to date until the process exits.
 pub(crate) async fn follow(host: Rc<RouteHost>, client: StoreClient) {
-    let mut reachable = true;
+    let mut access = StoreAccess { reachable: true, next_check: host_now() };
     // The first read is a serializable one, which costs little; a snapshot from a peer would load
     // the peer's link.
-    poll_store(&host, &client, &mut reachable, true).await;
+    poll_store(&host, &client, &mut access, true).await;
     loop {
         match select_source(&host) {
             UpdateSource::Store { is_watcher } => {
-                poll_store(&host, &client, &mut reachable, is_watcher).await
+                poll_store(&host, &client, &mut access, is_watcher).await
             }
             UpdateSource::Peer(peer) => {
                 let reply = poll_peer(&host, peer).await;
                 let age = host.confirmed_age().unwrap_or_default();
-                if reply == PeerReply::Deferred && age > MAX_DEFERRED_AGE {
+                if reply == PeerReply::Deferred && age > host.confirmation_plan().max_deferred_age {
                     edge_event!(
                         Level::Warn,
                         EdgeEvent::UpdateDeferred,
                         "peer={peer} age_ms={}",
                         age.as_millis()
                     );
-                    poll_store(&host, &client, &mut reachable, false).await;
+                    poll_store(&host, &client, &mut access, false).await;
                 }
             }
         }
@@ -154,15 +156,16 @@
 async fn poll_store(
     host: &RouteHost,
     client: &StoreClient,
-    reachable: &mut bool,
+    access: &mut StoreAccess,
     is_watcher: bool,
 ) {
     let after = host.mirror.borrow().as_of();
+    let sent = host_now();
     let read = if after == StoreRevision::NONE {
         // The watch that follows returns at once the changes that a stale read lacks.
         read_all(client, ReadMode::Serializable).await.map(|all| (all, true))
     } else {
-        match watch(host, client, after).await {
+        match watch(host, client, access, after).await {
             WatchEnd::Update(update) => Ok((update, false)),
             WatchEnd::Lost => read_all(client, ReadMode::Linearizable).await.map(|all| (all, true)),
             WatchEnd::Failed(error) => Err(error),
@@ -175,7 +178,7 @@
     };
     match read {
         Ok((read, complete)) => {
-            log_store_state(reachable, None);
+            log_store_state(&mut access.reachable, None);
             let read_at = host_now();
             let count = read.items.len();
             let update =
@@ -190,7 +193,12 @@
             );
             let as_of = update.as_of;
             let changed = apply(host, update);
-            host.confirm(as_of, read_at);
+            match host.routing.settings.revocation {
+                None => host.confirm(as_of, read_at),
+                // The first read is serializable and may be seconds old.
+                Some(_) if after == StoreRevision::NONE => {}
+                Some(_) => host.confirm(as_of, sent),
+            }
             let reread = complete && after != StoreRevision::NONE;
             if reread {
                 edge_event!(
@@ -209,7 +217,8 @@
             }
         }
         Err(error) => {
-            log_store_state(reachable, Some(&error));
+            log_store_state(&mut access.reachable, Some(&error));
+            refresh_from_other_zone(host).await;
             let pause = if is_watcher {
                 MIN_PAUSE_S..MAX_PAUSE_S
             } else {
@@ -234,21 +243,51 @@
     let after = host.mirror.borrow().wanted_after();
     let endpoint = host.peer_endpoint(peer, TrafficPurpose::Catalog);
     // A peer that does not answer becomes suspected, so another source is selected.
+    let plan = host.confirmation_plan();
+    let wait = if host.needs_refresh() { Duration::ZERO } else { PEER_WATCH_TIMEOUT };
     let sent = host_now();
-    let Ok(update) = host.links.catalog_update(&endpoint, after, PEER_WATCH_TIMEOUT).await else {
+    let Ok(update) = host.links.catalog_update(&endpoint, after, wait).await else {
         return PeerReply::Done;
     };
     let age = Duration::from_micros(update.age_us);
-    if age > MAX_CONFIRMED_AGE {
+    if age > plan.max_source_age {
         edge_event!(Level::Warn, EdgeEvent::PeerStale, "peer={peer} age_ms={}", age.as_millis());
         host.links.suspect(peer, SuspicionReason::Stale);
     } else if update.as_of == StoreRevision::NONE {
         return PeerReply::Deferred;
     }
     apply_from_peer(host, update, sent);
+    if wait.is_zero() && host.needs_refresh() {
+        sleep(REFRESH_PAUSE).await;
+    }
     PeerReply::Done
 }
 
+/// Requests a confirmation from a random host of another zone, if this host needs one and cannot
+/// get it from the store.
+async fn refresh_from_other_zone(host: &RouteHost) {
+    if !host.needs_refresh() {
+        return;
+    }
+    let Some(peer) = other_zone_peer(host) else { return };
+    let after = host.mirror.borrow().wanted_after();
+    let endpoint = host.peer_endpoint(peer, TrafficPurpose::Catalog);
+    let sent = host_now();
+    if let Ok(update) = host.links.catalog_update(&endpoint, after, Duration::ZERO).await {
+        apply_from_peer(host, update, sent);
+    }
+}
+
+fn other_zone_peer(host: &RouteHost) -> Option<SocketAddr> {
+    let members = host.members.borrow();
+    let own_zone = &host.routing.settings.host.zone;
+    let zones = members.zones().filter(|zone| zone != own_zone);
+    let hosts = zones.flat_map(|zone| fleet::zone_hosts(&members, zone));
+    let peers =
+        hosts.filter_map(|other| Some(members.record_by_id(MemberId(other.id))?.place.peer));
+    peers.filter(|peer| !host.links.is_suspect(*peer)).choose(&mut rand::rng())
+}
+
 /// Applies the reply to a request that was sent at `sent`.
 fn apply_from_peer(host: &RouteHost, update: CatalogUpdate, sent: Duration) {
     if update.as_of == StoreRevision::NONE || update.age_us == u64::MAX {
@@ -318,8 +357,9 @@
     let until = host_now() + wait;
     if host.mirror.borrow().as_of() <= after {
         // Reply before this host's data becomes stale, so that the peer can change its source.
-        let age = host.confirmed_age().unwrap_or(MAX_CONFIRMED_AGE);
-        let wait = wait.min(MAX_CONFIRMED_AGE.saturating_sub(age));
+        let max_age = host.confirmation_plan().max_source_age;
+        let age = host.confirmed_age().unwrap_or(max_age);
+        let wait = wait.min(max_age.saturating_sub(age));
         let waited = timeout(wait, host.mirror_advanced.notified());
         tokio::select! {
             // The current state is the reply in either case.
@@ -379,22 +419,46 @@
 /// The store may not accept calls from this host, or the reply to the watch may be lost. Neither
 /// is noticed until the watch times out, and the zone keeps stale data; the checks detect both at
 /// a tenth of the cost of a watch.
-async fn watch(host: &RouteHost, client: &StoreClient, after: StoreRevision) -> WatchEnd {
+///
+/// Where keys must be revoked in time, the checks are linearizable reads, and each confirms the
+/// mirror as of its sending. The watch cannot: a long poll confirms only as of its start.
+async fn watch(
+    host: &RouteHost,
+    client: &StoreClient,
+    access: &mut StoreAccess,
+    after: StoreRevision,
+) -> WatchEnd {
+    let period = host.confirmation_plan().check_period;
+    let strict = host.routing.settings.revocation.is_some();
+    if !strict {
+        access.next_check = host_now() + period;
+    }
     let mut pending_watch = std::pin::pin!(wait_for_update(client, after));
     let mut missed_checks = 0;
     loop {
         tokio::select! {
             biased;
             end = pending_watch.as_mut() => return end,
-            () = sleep(CHECK_PERIOD) => {}
+            () = sleep(access.next_check.saturating_sub(host_now())) => {}
         }
+        let sent = host_now();
         // Without an answer, the age of this host's data grows, and its peers select other sources.
-        let Ok(Some(as_of)) = timeout(CHECK_TIMEOUT, check(client)).await else { continue };
+        let answer = timeout(CHECK_TIMEOUT, check(client, strict)).await;
+        access.next_check = if strict { sent + period } else { host_now() + period };
+        let Ok(Some(as_of)) = answer else {
+            refresh_from_other_zone(host).await;
+            continue;
+        };
+        if strict && as_of.era >= after.era {
+            host.confirm(as_of, sent);
+        }
         match as_of.era.cmp(&after.era) {
             Ordering::Greater => return WatchEnd::Lost,
             Ordering::Equal if as_of.number <= after.number => {
                 missed_checks = 0;
-                host.confirm(as_of, host_now());
+                if !strict {
+                    host.confirm(as_of, host_now());
+                }
             }
             Ordering::Equal => missed_checks += 1,
             Ordering::Less => {}
@@ -405,9 +469,14 @@
     }
 }
 
-/// The store's revision; may be seconds old.
-async fn check(client: &StoreClient) -> Option<StoreRevision> {
-    let read = client.read_path(CallKind::Get, store::serializable_path(), Duration::ZERO).await;
+/// The store's revision; may be seconds old if the read is not `linearizable`.
+async fn check(client: &StoreClient, linearizable: bool) -> Option<StoreRevision> {
+    let (kind, path) = if linearizable {
+        (CallKind::List, store::revision_path())
+    } else {
+        (CallKind::Get, store::serializable_path())
+    };
+    let read = client.read_path(kind, path, Duration::ZERO).await;
     match read {
         Ok(StoreAnswer { status: StatusCode::OK, headers, body }) => {
             store::as_of(&headers, &body).ok()
--- a/crates/hawthorn-edge/src/settings.rs
+++ b/crates/hawthorn-edge/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hawthorn_route::cold;
+use hawthorn_route::confirmation;
 use hawthorn_route::home::RegionMap;
 use hawthorn_route::policy;
 use hawthorn_route::policy::RoutePolicy;
@@ -247,6 +248,16 @@
         if settings.host.link_mbps.is_some_and(|mbps| mbps <= 0.0) {
             return Err(Error::Value("host.link_mbps", "must be positive"));
         }
+        if let Some(RevocationSettings { within }) = settings.revocation {
+            if within < confirmation::MIN_REVOCATION {
+                let why = "must be at least 3200: the configuration is confirmed every 1.2 s, and \
+                           0.5 s for the store, 1.2 s for a peer and 0.3 s of margin are needed";
+                return Err(Error::Value("revocation.within_ms", why));
+            }
+            if within > confirmation::MAX_REVOCATION {
+                return Err(Error::Value("revocation.within_ms", "must be at most 600000"));
+            }
+        }
         if settings.host.name.is_empty() {
             return Err(Error::Value("host.name", "must not be empty"));
         }
--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -168,6 +168,11 @@
         self.newest_table.borrow().clone()
     }
 
+    /// Whether the newest known version has customers.
+    pub fn has_customers(&self) -> bool {
+        self.newest_table().is_some_and(|table| !table.customers().is_empty())
+    }
+
     /// Whether the customer of a request still holds its key in the newest known version.
     pub fn holds_key(&self, customer: &RequestCustomer) -> bool {
         self.newest_table().is_some_and(|table| table.customers().holds(customer))
--- a/crates/hawthorn-route/src/confirmation.rs
+++ b/crates/hawthorn-route/src/confirmation.rs
@@ -14,6 +14,67 @@
 /// is safe: an unused confirmation leaves the state older than it is.
 const MAX_PENDING: usize = 8;
 
+/// Margin of the age of a configuration below the time within which keys must be revoked: the time
+/// between the check of the key and the write to the socket.
+const KEY_AGE_MARGIN: Duration = Duration::from_millis(300);
+/// Shortest time within which keys can be revoked: the period of the reads that confirm (1.2 s),
+/// the timeout of one (0.5 s), the wait of a peer's request (0.9 s), the time limit of its reply
+/// (0.3 s) and the margin (0.3 s). A shorter one would refuse allowed requests on calm days.
+pub const MIN_REVOCATION: Duration = Duration::from_millis(3200);
+/// Longest time within which keys are revoked; a longer one is probably a mistaken unit.
+pub const MAX_REVOCATION: Duration = Duration::from_secs(600);
+
+/// How often a host has its mirror confirmed, and up to which age it uses one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConfirmationPlan {
+    /// Period of a watcher's reads of the store.
+    pub check_period: Duration,
+    /// A peer with an older confirmation is not used as a source. Two periods without an answer,
+    /// and some delay.
+    pub max_source_age: Duration,
+    /// Age of a host's data above which it reads the store itself if its source has no link
+    /// capacity for an update.
+    pub max_deferred_age: Duration,
+    /// Age below which requests with keys are sent; any age if `None`.
+    pub max_key_age: Option<Duration>,
+}
+
+impl ConfirmationPlan {
+    /// The plan of a host that must apply revoked keys `within` a time; `None` if it need not.
+    pub fn new(within: Option<Duration>) -> Self {
+        let Some(within) = within else {
+            return Self {
+                check_period: Duration::from_millis(800),
+                // With the read that follows, an update is applied within 3 s even if all
+                // watchers of a zone lose the store at the same time.
+                max_source_age: Duration::from_millis(1800),
+                // Above the age of a host's data between two checks by the source and two replies.
+                max_deferred_age: Duration::from_millis(2500),
+                max_key_age: None,
+            };
+        };
+        let max_key_age = within.saturating_sub(KEY_AGE_MARGIN);
+        Self {
+            // A linearizable read costs ten times as much as a serializable one.
+            check_period: Duration::from_millis(1200),
+            max_source_age: Duration::from_millis(2700),
+            max_deferred_age: max_key_age / 2,
+            max_key_age: Some(max_key_age),
+        }
+    }
+
+    /// Whether requests with keys may be sent at this age of the configuration; `None` is the age
+    /// of one that was never confirmed.
+    pub fn is_current(&self, age: Option<Duration>) -> bool {
+        self.max_key_age.is_none_or(|limit| age.is_some_and(|age| age < limit))
+    }
+
+    /// Whether a host has used half of the age that keys allow, and should not wait for changes.
+    pub fn needs_refresh(&self, age: Option<Duration>) -> bool {
+        self.max_key_age.is_some_and(|limit| age.is_none_or(|age| age > limit / 2))
+    }
+}
+
 /// A state of the store that a peer reported, and how long the report took.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerAge {
--- a/crates/hawthorn-route/tests/confirmation.rs
+++ b/crates/hawthorn-route/tests/confirmation.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hawthorn_route::confirmation::ConfirmationPlan;
 use hawthorn_route::confirmation::PeerAge;
 use hawthorn_route::confirmation::StoreConfirmation;
 use hawthorn_route::revision::StoreRevision;
@@ -156,3 +157,30 @@
     confirmation.advance(StoreRevision::new(0, 100));
     assert_eq!(confirmation.confirmed_at(), Some(ms(100)));
 }
+
+/// Guards against a host that sends with an old key, and against one that refuses where keys need
+/// not be revoked in time.
+#[test]
+fn keys_are_current_up_to_the_limit() {
+    struct Case {
+        within: Option<u64>,
+        age: Option<u64>,
+        is_current: bool,
+        needs_refresh: bool,
+    }
+    let cases = [
+        Case { within: None, age: None, is_current: true, needs_refresh: false },
+        Case { within: None, age: Some(90_000), is_current: true, needs_refresh: false },
+        Case { within: Some(5000), age: None, is_current: false, needs_refresh: true },
+        Case { within: Some(5000), age: Some(2350), is_current: true, needs_refresh: false },
+        Case { within: Some(5000), age: Some(2351), is_current: true, needs_refresh: true },
+        Case { within: Some(5000), age: Some(4699), is_current: true, needs_refresh: true },
+        Case { within: Some(5000), age: Some(4700), is_current: false, needs_refresh: true },
+    ];
+    for case in &cases {
+        let (within, age) = (case.within.map(ms), case.age.map(ms));
+        let plan = ConfirmationPlan::new(within);
+        assert_eq!(plan.is_current(age), case.is_current, "{within:?} {age:?}");
+        assert_eq!(plan.needs_refresh(age), case.needs_refresh, "{within:?} {age:?}");
+    }
+}
--- a/crates/hawthorn-standin/src/route/store.rs
+++ b/crates/hawthorn-standin/src/route/store.rs
@@ -290,11 +290,12 @@
 fn page(request: &WireRequest, shared: &Shared) -> Value {
     let state = shared.state.lock().expect("no holder of the lock panics");
     let after = request.query("after").unwrap_or_default().replace("%2F", "/");
+    let prefix = request.query("prefix").unwrap_or_default().replace("%2F", "/");
     let mut items: Vec<Value> = state
         .contents
         .items
         .iter()
-        .filter(|(key, _)| key.as_str() > after.as_str())
+        .filter(|(key, _)| key.as_str() > after.as_str() && key.starts_with(&prefix))
         .take(PAGE_ITEMS + 1)
         .map(|(key, (revision, value))| encode_item(key, *revision, value))
         .collect();
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -92,7 +92,7 @@
         seeds: &[&RouteHost],
         metrics: u16,
     ) -> TestResult<Self> {
-        Self::start_with(name, zone, store, seeds, metrics, "")
+        Self::start_with(name, zone, store, seeds, metrics, "", "")
     }
 
     /// Starts a host whose link has this capacity, in Mbit/s.
@@ -104,7 +104,18 @@
         link_mbps: f64,
     ) -> TestResult<Self> {
         let link = format!("link_mbps = {link_mbps}\n");
-        Self::start_with(name, zone, store, seeds, METRICS_PORT, &link)
+        Self::start_with(name, zone, store, seeds, METRICS_PORT, &link, "")
+    }
+
+    /// Starts a host on which revoked keys must be refused `within` a time.
+    pub fn start_strict(
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        within: Duration,
+    ) -> TestResult<Self> {
+        let revocation = format!("[revocation]\nwithin_ms = {}\n", within.as_millis());
+        Self::start_with(name, zone, store, &[], METRICS_PORT, "", &revocation)
     }
 
     fn start_with(
@@ -114,6 +125,7 @@
         seeds: &[&RouteHost],
         metrics: u16,
         host_settings: &str,
+        tables: &str,
     ) -> TestResult<Self> {
         let ip = unique_loopback();
         let files = TempDir::new()?;
@@ -126,7 +138,7 @@
              [zones]\neast = \"r-east\"\nwest = \"r-west\"\n\
              [fleet]\nseeds = [{}]\n[store]\naddress = \"{store}\"\n\
              [targets]\nbeat_ms = 1200\nleave_ms = 3000\n[stop]\ngrace_ms = 6000\n\
-             [budget]\nshare = 0.2\nwindow_s = 10\nallowance = 20000\n",
+             [budget]\nshare = 0.2\nwindow_s = 10\nallowance = 20000\n{tables}",
             seeds.join(", ")
         );
         std::fs::write(&file, text)?;
@@ -222,6 +234,13 @@
     ) -> TestResult<RouteAnswer> {
         exchange(self.caller(), request(method, path, id, body)).await
     }
+
+    /// Sends a caller's request with an API key on a new connection.
+    pub async fn send_with_key(&self, path: &str, id: &str, key: &str) -> TestResult<RouteAnswer> {
+        let text = String::from_utf8(request("GET", path, id, ""))?;
+        let key = format!("\r\nHawthornroute-Credential: {key}\r\nHost");
+        exchange(self.caller(), text.replacen("\r\nHost", &key, 1).into_bytes()).await
+    }
 }
 
 /// Starts four hosts of zone `east` and one of zone `west`, with links that carry one large version
