fix(route): an attempt that is refused for its key is not reported as expired

An attempt whose key was revoked or could not be checked before the send ended as expired, so its caller got 503 too-late, and it took a permit at a cold target.

It ends as key-refused, ejects no target and does not count as sent. The key is also checked before the attempt is recorded at the target and its zone. If nothing ran, the caller gets 401 for a revoked key and 503 stale-keys otherwise. No test refuses a key between admission and sending yet.

--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -14,6 +14,7 @@
 use hawthorn_route::confirmation::StoreConfirmation;
 use hawthorn_route::customer::RequestCustomer;
 use hawthorn_route::mirror::StoreMirror;
+use hawthorn_route::outcome::RefusalReason;
 use hawthorn_route::pace;
 use hawthorn_route::pace::BulkPacer;
 use hawthorn_route::revision::StoreRevision;
@@ -101,6 +102,15 @@
     Stale,
 }
 
+impl From<KeyRefusal> for RefusalReason {
+    fn from(refusal: KeyRefusal) -> Self {
+        match refusal {
+            KeyRefusal::Revoked => Self::KeyRevoked,
+            KeyRefusal::Stale => Self::StaleKeys,
+        }
+    }
+}
+
 /// State with the lifetime of the process.
 #[derive(Debug)]
 pub struct RouteHost {
--- a/crates/hawthorn-edge/src/request/answer.rs
+++ b/crates/hawthorn-edge/src/request/answer.rs
@@ -46,6 +46,9 @@
     /// The request was not run at any target. The caller of this function must also call
     /// [`CallerAnswer::set_retry_after`].
     pub(crate) fn refused(reason: RefusalReason) -> Self {
+        if reason == RefusalReason::KeyRevoked {
+            return Self::unknown_key();
+        }
         let mut answer = Self::plain(StatusCode::SERVICE_UNAVAILABLE, reason.into());
         answer.refusal = Some(reason);
         answer
--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -64,11 +64,13 @@
     pub(crate) answer: Option<TargetAnswer>,
     /// Whether the connection closed while the request was in progress.
     pub(crate) crashed: bool,
+    /// Why the request was not sent, if its key was refused.
+    pub(crate) key_refusal: Option<KeyRefusal>,
 }
 
 impl AttemptReply {
     fn without_answer(end: AttemptEnd) -> Self {
-        Self { end, answer: None, crashed: false }
+        Self { end, answer: None, crashed: false, key_refusal: None }
     }
 }
 
@@ -114,7 +116,19 @@
         receiver
     }
 
+    fn key_refusal(&self) -> Option<KeyRefusal> {
+        self.host.key_refusal(self.context.customer.as_ref()?)
+    }
+
     async fn run(self) -> AttemptReply {
+        // Nothing is recorded at the target or its zone, which would appear not to answer.
+        if let Some(refusal) = self.key_refusal() {
+            self.host.metrics.count_attempt(AttemptEnd::KeyRefused, 1);
+            return AttemptReply {
+                key_refusal: Some(refusal),
+                ..AttemptReply::without_answer(AttemptEnd::KeyRefused)
+            };
+        }
         let sent = host_now();
         let left = self.context.time_left(sent);
         let had_free_slot = self.with_state(|state| state.has_free_slot(sent)).unwrap_or_default();
@@ -211,14 +225,14 @@
         if left.is_zero() {
             return Err(AttemptError::Expired);
         }
+        // The key may have been revoked since the request was admitted. Checked first, as admission
+        // at a cold target counts the request.
+        if let Some(refusal) = self.key_refusal() {
+            return Err(AttemptError::KeyRefused(refusal));
+        }
         if let Err(rejection) = self.host.routing.registry.borrow_mut().admit(self.key, now) {
             return Err(Error::NotSent(format!("sending not permitted: {rejection}")).into());
         }
-        // The key may have been revoked since the request was admitted.
-        let customer = self.context.customer.as_ref();
-        if let Some(refusal) = customer.and_then(|customer| self.host.key_refusal(customer)) {
-            return Err(AttemptError::KeyRefused(refusal));
-        }
         let request = self.context.outgoing(target, left);
         let bytes = header_bytes(request.headers()) + self.context.body.len();
         self.host.traffic.count(TrafficPurpose::Targets, zone, bytes);
@@ -270,8 +284,9 @@
         let none = AttemptReply::without_answer;
         let answer = match result {
             Ok(answer) => answer,
-            Err(AttemptError::Expired | AttemptError::KeyRefused(_)) => {
-                return none(AttemptEnd::Expired);
+            Err(AttemptError::Expired) => return none(AttemptEnd::Expired),
+            Err(AttemptError::KeyRefused(refusal)) => {
+                return AttemptReply { key_refusal: Some(refusal), ..none(AttemptEnd::KeyRefused) };
             }
             Err(AttemptError::Exchange(Error::NotSent(_))) => return none(AttemptEnd::NotSent),
             Err(AttemptError::Exchange(Error::TimedOut)) => return none(AttemptEnd::Silent),
@@ -320,6 +335,6 @@
             remaining: answer.remaining,
             receipt: head.receipt,
         };
-        AttemptReply { end, answer: Some(answer), crashed: false }
+        AttemptReply { answer: Some(answer), ..none(end) }
     }
 }
--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -150,7 +150,9 @@
         if step == GatherStep::Fail && run.race_skipped() {
             continue;
         }
-        if step != GatherStep::Wait || has_ended || left.is_zero() {
+        // The other attempts may all be refused for the key as well, and nothing be sent.
+        let may_be_unsent = step == GatherStep::Fail && run.is_key_refused() && run.awaited() > 0;
+        if (step != GatherStep::Wait && !may_be_unsent) || has_ended || left.is_zero() {
             break;
         }
         let wait = if soft_time_left.is_zero() { left } else { soft_time_left.min(left) };
@@ -161,6 +163,10 @@
             () = sleep(wait) => {}
         }
     }
+    if run.is_key_refused() && run.awaited() == 0 && context.sent.get() == 0 {
+        let sent = reply.send(GatherReply::StaleKeys);
+        return if sent.is_ok() { PeerEnd::Replied } else { PeerEnd::Left };
+    }
     let missing = run.state.shards - run.state.parts;
     let holds_remainder = policy.gathering.beyond_aim && run.awaited() > 0;
     let mut held = holds_remainder.then(|| host.remainders.hold());
--- a/crates/hawthorn-edge/src/request/parts.rs
+++ b/crates/hawthorn-edge/src/request/parts.rs
@@ -257,6 +257,11 @@
         self.awaited.len()
     }
 
+    /// Whether an attempt was last refused for the caller's key.
+    pub(super) fn is_key_refused(&self) -> bool {
+        matches!(self.refusal, Some(RefusalReason::StaleKeys | RefusalReason::KeyRevoked))
+    }
+
     /// Moves the received parts into a reply.
     pub(super) fn reply(&mut self, missing: usize, remainder: Option<Remainder>) -> GatherReply {
         let receipts = self.receipts.drain(..);
--- a/crates/hawthorn-edge/src/request/race.rs
+++ b/crates/hawthorn-edge/src/request/race.rs
@@ -310,6 +310,10 @@
                 self.refusal = RefusalReason::TooLate;
                 return None;
             }
+            AttemptEnd::KeyRefused => {
+                self.refusal = reply.key_refusal.map_or(RefusalReason::StaleKeys, Into::into);
+                return None;
+            }
             AttemptEnd::NotRun | AttemptEnd::Misdirected => {
                 if reply.end == AttemptEnd::NotRun {
                     self.context.load.borrow_mut().rejected += 1;
--- a/crates/hawthorn-route/src/outcome.rs
+++ b/crates/hawthorn-route/src/outcome.rs
@@ -16,6 +16,8 @@
     NotSent,
     /// The request's time ran out before it was sent.
     Expired,
+    /// The caller's key was revoked, or may have been, before the request was sent.
+    KeyRefused,
     /// The target rejected the request without executing it.
     NotRun,
     /// Another target listens on the address; it did not execute the request.
@@ -30,7 +32,10 @@
 impl AttemptEnd {
     /// Whether the target may have executed the request.
     pub fn may_have_run(self) -> bool {
-        !matches!(self, Self::NotSent | Self::Expired | Self::NotRun | Self::Misdirected)
+        !matches!(
+            self,
+            Self::NotSent | Self::Expired | Self::KeyRefused | Self::NotRun | Self::Misdirected
+        )
     }
 }
 
@@ -54,6 +59,8 @@
     HostFull,
     /// The configuration was not confirmed recently, so that the caller's key may have been revoked.
     StaleKeys,
+    /// The caller's key was revoked after the request was admitted.
+    KeyRevoked,
     /// The customer's quota is exhausted.
     OverQuota,
     /// No host that holds a part of the customer's quota is reachable.
--- a/crates/hawthorn-route/src/retry_after.rs
+++ b/crates/hawthorn-route/src/retry_after.rs
@@ -38,6 +38,8 @@
         RefusalReason::BudgetSpent => (0.1, 0.3),
         // The next confirmation is at most this far away, unless the host is partitioned.
         RefusalReason::StaleKeys => (0.3, 0.8),
+        // Answered with 401, which carries no time.
+        RefusalReason::KeyRevoked => (1.0, 2.0),
         // Used only if the time of the next token is unknown.
         RefusalReason::OverQuota => (0.2, 0.5),
         RefusalReason::NoQuota => (0.1, 0.3),
--- a/crates/hawthorn-route/src/target.rs
+++ b/crates/hawthorn-route/src/target.rs
@@ -141,7 +141,7 @@
             }
             AttemptEnd::NotSent | AttemptEnd::Silent => self.back_off(now),
             // Says nothing about the target.
-            AttemptEnd::Expired => {}
+            AttemptEnd::Expired | AttemptEnd::KeyRefused => {}
             AttemptEnd::Misdirected => self.phase = TargetPhase::Gone,
         }
     }
