--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -10,10 +10,14 @@
 
 use hawthorn_fleet::MemberTable;
 use hawthorn_route::cold::claim::SlotClaim;
+use hawthorn_route::confirmation::ConfirmationPlan;
+use hawthorn_route::confirmation::StoreConfirmation;
 use hawthorn_route::customer::RequestCustomer;
 use hawthorn_route::mirror::StoreMirror;
+use hawthorn_route::outcome::RefusalReason;
 use hawthorn_route::pace;
 use hawthorn_route::pace::BulkPacer;
+use hawthorn_route::revision::StoreRevision;
 use hawthorn_route::send_deadline::LagMeter;
 use hawthorn_store::StoreClient;
 use hawthorn_store::client;
@@ -88,10 +92,6 @@
     }
 }
 
-/// Margin of the age of the configuration below the time within which keys must be revoked: the
-/// time between the check and the write to the socket.
-const REVOCATION_MARGIN: Duration = Duration::from_millis(300);
-
 /// Why a customer's request may not be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -102,6 +102,15 @@
     Stale,
 }
 
+impl From<KeyRefusal> for RefusalReason {
+    fn from(refusal: KeyRefusal) -> Self {
+        match refusal {
+            KeyRefusal::Revoked => Self::KeyRevoked,
+            KeyRefusal::Stale => Self::StaleKeys,
+        }
+    }
+}
+
 /// State with the lifetime of the process.
 #[derive(Debug)]
 pub struct RouteHost {
@@ -134,7 +143,7 @@
     /// Whether newer items are being fetched from a peer.
     pub catching_up: Cell<bool>,
     /// When the store last confirmed the mirror, possibly through other hosts.
-    confirmed: Cell<Option<Duration>>,
+    confirmation: RefCell<StoreConfirmation>,
     /// Whether the store's items were read completely at least once.
     pub catalog_read: Cell<bool>,
     /// Cancelled at the stop signal: the readiness probe fails, and each answer closes its
@@ -177,7 +186,7 @@
             bulk_pacer: RefCell::default(),
             mirror_advanced: Notify::new(),
             catching_up: Cell::new(false),
-            confirmed: Cell::new(None),
+            confirmation: RefCell::default(),
             metrics: EdgeMetrics::new()?,
             catalog_read: Cell::new(false),
             stopping: CancellationToken::new(),
@@ -193,29 +202,51 @@
         })
     }
 
-    /// Whether the host accepts callers: it has routes and targets, its zones are reachable and
-    /// it is not stopping.
+    /// Whether the host accepts callers: it has routes and targets, its zones are reachable, it may
+    /// serve requests with keys if there are customers, and it is not stopping.
     pub fn is_ready(&self) -> bool {
         let has_catalog = self.catalog_read.get() && self.routing.table().is_some();
         let can_serve = !self.routing.unready.get() && !self.routing.may_be_unready.get();
+        let can_serve = can_serve && (self.keys_current() || !self.routing.has_customers());
         has_catalog && can_serve && !self.stopping.is_cancelled()
     }
 
-    /// Records that the store confirmed the mirror at `at`.
-    pub fn confirm(&self, at: Duration) {
-        self.confirmed.set(self.confirmed.get().max(Some(at)));
+    /// Records that the store had no revision above `revision` at `at`.
+    pub fn confirm(&self, revision: StoreRevision, at: Duration) {
+        let as_of = self.mirror.borrow().as_of();
+        self.confirmation.borrow_mut().record(revision, at, as_of);
+    }
+
+    /// Confirms the mirror as of the confirmations that waited for its present revision.
+    pub fn confirm_reached(&self) {
+        let as_of = self.mirror.borrow().as_of();
+        self.confirmation.borrow_mut().advance(as_of);
+    }
+
+    /// The time as of which the store confirmed the mirror; `None` if it never did.
+    pub fn confirmed_at(&self) -> Option<Duration> {
+        self.confirmation.borrow().confirmed_at()
     }
 
     /// How long ago the store confirmed the mirror; `None` if it never did.
     pub fn confirmed_age(&self) -> Option<Duration> {
-        self.confirmed.get().map(|at| host_now().saturating_sub(at))
+        self.confirmed_at().map(|at| host_now().saturating_sub(at))
     }
 
     /// Whether the configuration was confirmed recently enough for requests with keys.
     pub fn keys_current(&self) -> bool {
-        let Some(revocation) = self.routing.settings.revocation else { return true };
-        let limit = revocation.within.saturating_sub(REVOCATION_MARGIN);
-        self.confirmed_age().is_some_and(|age| age < limit)
+        self.confirmation_plan().is_current(self.confirmed_age())
+    }
+
+    /// How this host has its mirror confirmed.
+    pub(crate) fn confirmation_plan(&self) -> ConfirmationPlan {
+        let revocation = self.routing.settings.revocation;
+        ConfirmationPlan::new(revocation.map(|revocation| revocation.within))
+    }
+
+    /// Whether the mirror should be confirmed without waiting for a change.
+    pub(crate) fn needs_refresh(&self) -> bool {
+        self.confirmation_plan().needs_refresh(self.confirmed_age())
     }
 
     /// Why a request of a customer may not be sent to a target now; `None` if it may.
@@ -374,6 +405,9 @@
         }
         if let Some(age) = host.confirmed_age() {
             host.metrics.set_gauge("catalog-age-ms", age.as_millis() as u64);
+            if host.routing.settings.revocation.is_some() {
+                host.metrics.set_gauge("keys-age-ms", age.as_millis() as u64);
+            }
         }
         host.metrics.set_gauge("hosts", host.routing.hosts.get() as u64);
         let (open, window) =
--- a/crates/hawthorn-edge/src/request/answer.rs
+++ b/crates/hawthorn-edge/src/request/answer.rs
@@ -47,6 +47,9 @@
     /// The request was not run at any target. The caller of this function must also call
     /// [`CallerAnswer::set_retry_after`].
     pub(crate) fn refused(reason: RefusalReason) -> Self {
+        if reason == RefusalReason::KeyRevoked {
+            return Self::key_rejected(KeyRejection::Revoked);
+        }
         let mut answer = Self::plain(StatusCode::SERVICE_UNAVAILABLE, reason.into());
         answer.refusal = Some(reason);
         answer
