fix(route): gather a query anew where its targets are after a silent peer

Cause: a small host of a zone without targets delegates its queries to gatherers of zones with targets. When one of these did not answer, the query went to a gatherer of the host's own zone, as a retry. Without a gatherer in the own zone, the query ended in the same way because the host was too small to gather the shards itself, although another zone had all targets. A peer that fell silent while a connection to it was being opened also counted as an attempt.

A peer counts as an attempt only if a connection was open. E659 logs each such delegation.

With maxAttempts 1 the query still ends as 502, since the silent peer may have sent its attempt.

--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -1,5 +1,6 @@
 //! Calls between hosts that route requests, by tarpc over TCP.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -201,14 +202,17 @@
     }
 
     /// Sends a peer a request to gather shards; dropping the future cancels the call at the peer.
+    /// Sets `connected` before the request is handed to the connection.
     pub(crate) async fn gather(
         &self,
         endpoint: &PeerEndpoint,
         request: GatherRequest,
         left: Duration,
+        connected: &Cell<bool>,
     ) -> Result<GatherReply, PeerError> {
         let address = endpoint.address;
         let client = self.ready_client(endpoint).await?;
+        connected.set(true);
         let sent = host_now();
         let reply = client.gather(call_with_timeout(left), request).await;
         let timed = self.check_reply(address, reply)?;
--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -76,6 +76,8 @@
     AttemptBroken = 637,
     /// The quarantine state of a request, caller or route changed.
     QuarantineChanged = 638,
+    /// Shards that a peer did not gather were delegated to another one.
+    QueryRegathered = 659,
     /// A part of a version's customers was not applied as written.
     CustomersBroken = 651,
     /// A peer's message is malformed.
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -20,6 +20,7 @@
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::quarantine::Exposure;
 use hawthorn_route::quarantine::RequestIdentity;
+use hawthorn_route::regather;
 use hawthorn_route::scatter;
 use hawthorn_route::scatter::ZoneShards;
 use hyper::HeaderMap;
@@ -82,8 +83,10 @@
     pub(crate) zone: Rc<str>,
     /// Indices into the route's list of shards.
     pub(crate) shards: Vec<u16>,
-    /// Number of peers tried before.
+    /// Number of peers of the zone tried before.
     pub(crate) peers_tried: usize,
+    /// Number of zones tried before.
+    pub(crate) zones_tried: u8,
     /// Number of these that may have sent a first attempt.
     pub(crate) prior_attempts: u8,
     /// Maximum number of the shards that may be skipped if their parts cannot arrive in time.
@@ -100,18 +103,36 @@
 
 impl DelegatedShards {
     /// Delegates the same shards to another peer after one that may have sent a first attempt.
+    /// Its whole zone may be cut off, so that peers of other zones are tried first.
     pub(crate) fn after_unresponsive(&self, host: &RouteHost, route: &RouteRule) -> Option<Self> {
         let prior_attempts = self.prior_attempts + 1;
         if usize::from(prior_attempts) >= route.max_attempts {
             return None;
         }
-        Some(Self { prior_attempts, ..self.in_own_zone(host, route)? })
+        let next = self.in_zone_of_targets(host, route);
+        Some(Self { prior_attempts, ..next.or_else(|| self.in_own_zone(host, route))? })
     }
 
-    /// Delegates the same shards to another peer of their zone, or else to one in this host's
-    /// zone.
+    /// Delegates the same shards to another peer of their zone, or else to one in another zone
+    /// that has targets of them, or in this host's zone.
     pub(crate) fn retry(&self, host: &RouteHost, route: &RouteRule) -> Option<Self> {
-        self.another_peer(host, route).or_else(|| self.in_own_zone(host, route))
+        self.another_peer(host, route)
+            .or_else(|| self.in_zone_of_targets(host, route))
+            .or_else(|| self.in_own_zone(host, route))
+    }
+
+    /// Delegates the same shards to a peer of another zone with targets of them; see
+    /// [`regather`].
+    fn in_zone_of_targets(&self, host: &RouteHost, route: &RouteRule) -> Option<Self> {
+        let RouteDestination::Gather(rule) = &route.destination else { return None };
+        if self.zones_tried >= regather::MAX_ZONES {
+            return None;
+        }
+        let zones = host.routing.regather_zones(rule, &self.shards, route, &self.zone);
+        let mut zones = zones.into_iter();
+        let (peer, zone) = zones.find_map(|zone| Some((select_peer(host, &zone, route)?, zone)))?;
+        let zones_tried = self.zones_tried + 1;
+        Some(Self { peer, zone, peers_tried: 0, zones_tried, ..self.clone() })
     }
 
     /// Delegates the same shards to a gatherer of this host's zone, as their own zone may be
@@ -165,6 +186,7 @@
             zone,
             shards,
             peers_tried: 0,
+            zones_tried: 0,
             prior_attempts: 0,
             max_skipped: 0,
         })
@@ -271,13 +293,15 @@
         .for_each(|_| host.routing.zone_sent(&delegated.zone, now, service_time));
     host.gather_peers.borrow_mut().record(&delegated.zone, delegated.peer);
     let peer = host.peer_endpoint(delegated.peer, TrafficPurpose::Gathering);
-    let call = host.links.gather(&peer, message, left);
+    // Until a connection is open, nothing can have reached the peer.
+    let connected = Cell::new(false);
+    let call = host.links.gather(&peer, message, left, &connected);
     let reply = tokio::select! {
         biased;
         reply = call => reply,
         () = peer_unresponsive(host, delegated.peer) => {
             host.links.suspect(delegated.peer, SuspicionReason::Silent);
-            Err(PeerError::Unresponsive)
+            Err(if connected.get() { PeerError::Unresponsive } else { PeerError::NotSent })
         }
         () = peer_overdue(host, delegated.peer, soft_time_left + REPLY_GRACE) => {
             host.links.suspect(delegated.peer, SuspicionReason::Overdue);
--- a/crates/hawthorn-edge/src/request/parts.rs
+++ b/crates/hawthorn-edge/src/request/parts.rs
@@ -282,6 +282,24 @@
         }
     }
 
+    /// Delegates shards that another peer did not gather, and logs it.
+    fn delegate_anew(&self, previous: &DelegatedShards, next: DelegatedShards) {
+        edge_event!(
+            Level::Info,
+            EdgeEvent::QueryRegathered,
+            "request={} peer={} zone={} next={} next_zone={} shards={} attempts={} left_ms={}",
+            self.context.attempt_id.as_deref().unwrap_or("-"),
+            previous.peer,
+            previous.zone,
+            next.peer,
+            next.zone,
+            next.shards.len(),
+            next.prior_attempts,
+            self.context.time_left(host_now()).as_millis()
+        );
+        self.delegate(next);
+    }
+
     fn delegate(&self, delegated: DelegatedShards) {
         let (host, context, version) = (self.host, self.context, self.version);
         let soft_time_left = self.soft_deadline.saturating_sub(host_now());
@@ -398,7 +416,7 @@
     fn redelegate(&mut self, delegated: &DelegatedShards, next: Option<DelegatedShards>) {
         self.context.sent.set(self.context.sent.get() - delegated.shards.len());
         match next {
-            Some(next) => self.delegate(next),
+            Some(next) => self.delegate_anew(delegated, next),
             None => self.race_locally(&delegated.shards, usize::from(delegated.prior_attempts)),
         }
     }
@@ -419,7 +437,7 @@
             }
             Err(PeerError::Unresponsive) => {
                 match delegated.after_unresponsive(self.host, &self.context.route) {
-                    Some(next) => self.delegate(next),
+                    Some(next) => self.delegate_anew(delegated, next),
                     None => self
                         .race_locally(&delegated.shards, usize::from(delegated.prior_attempts) + 1),
                 }
--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -28,6 +28,7 @@
 use hawthorn_route::placement::PlacementView;
 use hawthorn_route::policy::RoutePolicy;
 use hawthorn_route::reachability::ZoneReachability;
+use hawthorn_route::regather;
 use hawthorn_route::registry::TargetKey;
 use hawthorn_route::registry::TargetRegistry;
 use hawthorn_route::rollout;
@@ -373,6 +374,22 @@
         })
     }
 
+    /// The zones in which shards may be gathered anew after a peer of the `silent` zone did not
+    /// answer; see [`regather::zones`].
+    pub fn regather_zones(
+        &self,
+        rule: &GatherRule,
+        shards: &[u16],
+        route: &RouteRule,
+        silent: &str,
+    ) -> Vec<Rc<str>> {
+        let now = host_now();
+        let names = shards.iter().filter_map(|shard| rule.shards.get(usize::from(*shard)));
+        self.with_view(route, &self.unreachable_zones(now), now, |view, _| {
+            regather::zones(view, names.map(String::as_str), silent)
+        })
+    }
+
     /// The shards of a query to skip under overload; see [`skip::skip`].
     pub fn skip(
         &self,
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -22,6 +22,7 @@
 //! | [`policy`] | the settings of all of these |
 //! | [`quarantine`] | refusal of requests that crash targets |
 //! | [`reachability`] | detection of unreachable zones |
+//! | [`regather`] | zones in which shards are gathered anew after a peer did not answer |
 //! | [`registry`] | all targets and their state |
 //! | [`mod@retry_after`] | when a refused caller should retry |
 //! | [`revision`] | revisions of the store across its restores |
@@ -58,6 +59,7 @@
 pub mod policy;
 pub mod quarantine;
 pub mod reachability;
+pub mod regather;
 pub mod registry;
 pub mod retry_after;
 pub mod revision;
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -152,6 +152,46 @@
     Ok(hosts.iter().flat_map(RouteHost::log_lines).collect())
 }
 
+/// A peer that gathers is suspended, and another one replaces it.
+async fn silent_peer_events() -> TestResult<Vec<String>> {
+    let store = RouteStore::start().await?;
+    let names = ["a", "b", "c"];
+    let mut targets = Vec::new();
+    for name in names {
+        let target = RouteTarget::start(&format!("t-{name}"), name).await?;
+        operator::register(&store, &format!("t-{name}"), &target, "west");
+        targets.push(target);
+    }
+    operator::configure(&store, 3, &[operator::scatter_gather("/all/", &names, 0.5)], &names);
+    let east = RouteHost::start("h-1", "east", store.address(), &[])?;
+    let first = RouteHost::start("h-2", "west", store.address(), &[&east])?;
+    let second = RouteHost::start("h-3", "west", store.address(), &[&east])?;
+    for host in [&east, &first, &second] {
+        host.wait_until_ready().await?;
+    }
+    let gathered = async || {
+        let answer = east.send("GET", "/all/", "id-0", "").await;
+        answer.is_ok()
+            && east.logged("zone=west change=up") == 2
+            && east.logged("outcome=whole") > 0
+    };
+    route::wait_for("a peer to gather", gathered).await?;
+    // Membership may detect the suspension before a query meets it, so it is repeated.
+    let replaced = async || {
+        if first.signal(Signal::STOP).is_err() {
+            return false;
+        }
+        for _ in 0..4 {
+            let _answer = east.send("GET", "/all/", "id-1", "").await;
+        }
+        let resumed = first.signal(Signal::CONT).is_ok();
+        sleep(Duration::from_millis(700)).await;
+        resumed && east.logged("query-regathered") > 0
+    };
+    route::wait_for("a peer to be replaced", replaced).await?;
+    Ok(east.log_lines())
+}
+
 /// The reader of a host's log stalls while every request writes log lines. The host continues to
 /// serve, and logs afterwards how many lines it dropped.
 async fn unread_log_events() -> TestResult<Vec<String>> {
@@ -257,18 +297,19 @@
 /// keys.
 #[tokio::test(flavor = "multi_thread")]
 async fn every_event_is_written_as_the_catalogue_says() -> TestResult {
-    let (single, isolated, two_zones, cold, restored, narrow, unread) = tokio::try_join!(
+    let (single, isolated, two_zones, cold, restored, narrow, unread, silent) = tokio::try_join!(
         single_host_events(),
         isolated_host_events(),
         two_zone_events(),
         cold_target_events(),
         restored_store_events(),
         narrow_link_events(),
-        unread_log_events()
+        unread_log_events(),
+        silent_peer_events()
     )?;
     let catalogue = catalogue();
     let mut written = BTreeSet::new();
-    for text in [single, isolated, two_zones, cold, restored, narrow, unread].concat() {
+    for text in [single, isolated, two_zones, cold, restored, narrow, unread, silent].concat() {
         let read = line::read(&text, "").ok_or_else(|| format!("not an event: {text}"))?;
         let keys = catalogue.get(&read.number).ok_or_else(|| format!("not listed: {text}"))?;
         for name in read.keys() {
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -107,6 +107,18 @@
         Self::start_with(name, zone, store, seeds, METRICS_PORT, &link)
     }
 
+    /// Starts a host with this share of a core.
+    pub fn start_with_core_share(
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        seeds: &[&RouteHost],
+        core_share: f64,
+    ) -> TestResult<Self> {
+        let share = format!("core_share = {core_share}\n");
+        Self::start_with(name, zone, store, seeds, METRICS_PORT, &share)
+    }
+
     fn start_with(
         name: &str,
         zone: &str,
