feat(route): kinds of payloads in membership datagrams

Cause: the only payload was the quarantine message, without a mark of its kind; zone reports and reports of targets are to follow.

Unknown kinds are logged (E640, debug) and ignored.

--- a/crates/hawthorn-edge/src/process/fleet.rs
+++ b/crates/hawthorn-edge/src/process/fleet.rs
@@ -16,6 +16,8 @@
 use hawthorn_route::gatherers;
 use hawthorn_route::gatherers::GathererOrder;
 use hawthorn_route::gatherers::ZoneHost;
+use hawthorn_route::payload;
+use hawthorn_route::payload::PayloadKind;
 use hawthorn_route::revision::StoreRevision;
 use hawthorn_types::ConfigRevision;
 use hawthorn_types::HostKey;
@@ -173,7 +175,7 @@
                 }
             }
             Some(FleetAction::PayloadReceived { from, payload }) => {
-                for reply in quarantine::receive(host, from, &payload) {
+                for reply in receive_payload(host, from, &payload) {
                     host.members.borrow_mut().send_payload(now, from, reply);
                 }
             }
@@ -182,6 +184,18 @@
     }
 }
 
+/// Handles a payload by its kind and returns the replies.
+fn receive_payload(host: &Rc<RouteHost>, from: SocketAddr, payload: &[u8]) -> Vec<Vec<u8>> {
+    let error = match payload::open(payload) {
+        Ok((PayloadKind::Quarantine, message)) => return quarantine::receive(host, from, message),
+        Ok((kind, _)) => format!("payload kind {kind:?} is not handled"),
+        Err(error) => error.to_string(),
+    };
+    // Hosts of a later version send further kinds during a rolling update.
+    edge_event!(Level::Debug, EdgeEvent::PeerMessageBroken, "from={from} error=\"{error}\"");
+    Vec::new()
+}
+
 fn send_payload(host: &RouteHost, peer: HostKey, payload: Vec<u8>, now: Duration) {
     let mut members = host.members.borrow_mut();
     if let Some(to) = members.record(peer).map(|record| record.place.peer) {
--- a/crates/hawthorn-edge/src/process/quarantine.rs
+++ b/crates/hawthorn-edge/src/process/quarantine.rs
@@ -12,6 +12,8 @@
 use hawthorn_platform::store;
 use hawthorn_route::fingerprint::RequestFingerprint;
 use hawthorn_route::outcome::AttemptEnd;
+use hawthorn_route::payload;
+use hawthorn_route::payload::PayloadKind;
 use hawthorn_route::quarantine;
 use hawthorn_route::quarantine::AttemptKind;
 use hawthorn_route::quarantine::AttemptOutcome;
@@ -427,5 +429,6 @@
 }
 
 fn encode(message: &QuarantineMessage) -> Vec<u8> {
-    postcard::to_stdvec(message).expect("plain data always encodes into memory")
+    let bytes = postcard::to_stdvec(message).expect("plain data always encodes into memory");
+    payload::wrap(PayloadKind::Quarantine, bytes)
 }
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`mirror`] | a host's mirror of the store |
 //! | [`outcome`] | outcomes of attempts, and reasons for refusing requests |
 //! | [`pace`] | pacing of bulk messages |
+//! | [`payload`] | kinds of payloads in membership datagrams |
 //! | [`placement`] | selection of the target of an attempt |
 //! | [`policy`] | the settings of all of these |
 //! | [`quarantine`] | refusal of requests that crash targets |
@@ -55,6 +56,7 @@
 pub mod mirror;
 pub mod outcome;
 pub mod pace;
+pub mod payload;
 pub mod placement;
 pub mod policy;
 pub mod quarantine;
