--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -78,6 +78,8 @@
     QuarantineChanged = 638,
     /// The customers of a version came into force.
     CustomersInForce = 650,
+    /// Shards that a peer did not gather were delegated to another one.
+    QueryRegathered = 659,
     /// A part of a version's customers was not applied as written.
     CustomersBroken = 651,
     /// A peer's message is malformed.
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -19,10 +19,12 @@
 //! | [`mirror`] | a host's mirror of the store |
 //! | [`outcome`] | outcomes of attempts, and reasons for refusing requests |
 //! | [`pace`] | pacing of bulk messages |
+//! | [`payload`] | kinds of payloads in membership datagrams |
 //! | [`placement`] | selection of the target of an attempt |
 //! | [`policy`] | the settings of all of these |
 //! | [`quarantine`] | refusal of requests that crash targets |
 //! | [`reachability`] | detection of unreachable zones |
+//! | [`regather`] | zones in which shards are gathered anew after a peer did not answer |
 //! | [`registry`] | all targets and their state |
 //! | [`mod@retry_after`] | when a refused caller should retry |
 //! | [`revision`] | revisions of the store across its restores |
@@ -56,10 +58,12 @@
 pub mod mirror;
 pub mod outcome;
 pub mod pace;
+pub mod payload;
 pub mod placement;
 pub mod policy;
 pub mod quarantine;
 pub mod reachability;
+pub mod regather;
 pub mod registry;
 pub mod retry_after;
 pub mod revision;
