refactor(route): one module for limits that are divided among hosts

Slots for cold targets and the retry budget each had their own division of a limit over the fleet, and quotas need both. Slot claims with configurable terms, the effective host count and the division into parts move to hawthorn_route::share.

The behavior of cold targets and of the retry budget does not change; their tests are unchanged.

--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -33,6 +33,7 @@
 use hawthorn_route::rollout;
 use hawthorn_route::rollout::PendingVersions;
 use hawthorn_route::scatter;
+use hawthorn_route::share;
 use hawthorn_route::skip;
 use hawthorn_route::table::RouteTable;
 use hawthorn_route::weight::WeightedRoundRobin;
@@ -466,7 +467,7 @@
         let max_connections = rule.map_or(1, |rule| rule.max_connections);
         let sharded = table.as_ref().is_some_and(|table| table.is_shard(service));
         let host_count = match (sharded, self.is_gatherer.get()) {
-            (false, _) => budget::effective_hosts(self.hosts.get()),
+            (false, _) => share::effective_hosts(self.hosts.get()),
             (true, true) => (self.gatherers.get() * self.fleet_zones.get()).max(MIN_GATHERERS),
             (true, false) => max_connections,
         };
--- a/crates/hawthorn-route/src/budget.rs
+++ b/crates/hawthorn-route/src/budget.rs
@@ -8,6 +8,8 @@
 
 use std::time::Duration;
 
+use crate::share;
+
 /// Number of spans that a window is divided into. One more span is counted, so that the counted
 /// time is never shorter than the window.
 const SPAN_COUNT: usize = 10;
@@ -35,9 +37,6 @@
 /// the allowance until then: two hundred hosts that each assume a fleet of eight would exceed
 /// the allowance.
 const DISCOVERY_TIME: Duration = Duration::from_secs(1);
-/// Minimum fleet size that allowances are divided by. A lower one would let a fleet of this
-/// size, whose hosts do not know each other yet, exceed the allowance.
-const MIN_HOSTS: usize = 8;
 
 /// The budget of each service for the whole fleet, as configured.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -75,11 +74,6 @@
     Shard,
 }
 
-/// The number of hosts that a shared resource is divided by.
-pub fn effective_hosts(hosts: usize) -> usize {
-    hosts.max(MIN_HOSTS)
-}
-
 /// One host's part of the fleet's budget, computed without coordination.
 ///
 /// Targets may fail while many hosts are killed and restarted. A restarted host has lost its
@@ -92,21 +86,21 @@
 /// use theirs. Gatherers therefore share most of a shard's allowance. The part of a new gatherer
 /// grows like that of a restarted host.
 pub fn host_share(fleet: &FleetBudget, view: &FleetView, service: ServiceUse) -> Options {
-    let (share, sharers) = if view.gatherers < view.hosts {
+    let (part, sharers) = if view.gatherers < view.hosts {
         (GATHERERS_SHARE, view.gatherers)
     } else {
         (1.0, view.hosts)
     };
     let discovering = view.awaiting_peers && view.running < DISCOVERY_TIME;
     let running = if discovering { Duration::ZERO } else { view.running };
-    let (share, sharers, since) = match (service, view.gathering) {
-        (ServiceUse::Shard, Some(gathering)) => (share, sharers, running.min(gathering)),
+    let (part, sharers, since) = match (service, view.gathering) {
+        (ServiceUse::Shard, Some(gathering)) => (part, sharers, running.min(gathering)),
         (ServiceUse::Shard, None) => (1.0 - GATHERERS_SHARE, view.hosts, running),
         (ServiceUse::Single, _) => (1.0, view.hosts, running),
     };
     let ramp_up = (since.as_secs_f64() / fleet.window.as_secs_f64().max(0.001)).min(1.0);
     let allowance =
-        fleet.allowance * USED_ALLOWANCE * share * ramp_up / effective_hosts(sharers) as f64;
+        fleet.allowance * USED_ALLOWANCE * part * ramp_up / share::effective_hosts(sharers) as f64;
     Options { window: fleet.window, share: fleet.share * USED_SHARE, allowance }
 }
 
--- a/crates/hawthorn-route/src/cold/mod.rs
+++ b/crates/hawthorn-route/src/cold/mod.rs
@@ -21,8 +21,10 @@
 use serde::Deserialize;
 
 use crate::document::ServiceRule;
+use crate::share;
 use crate::target::TargetState;
 
+pub use crate::share::SlotRight;
 pub use meter::SendMeter;
 
 /// Slots of a zone. With several, several gatherers can each use a part of the limit, and a
@@ -57,16 +59,7 @@
 
 /// The part of a limit that the holder of a slot may use.
 pub fn part(limit: u32, slot: u32) -> u32 {
-    limit / SLOTS + u32::from(slot < limit % SLOTS)
-}
-
-/// A slot that this host holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SlotRight {
-    /// Which of the zone's slots.
-    pub slot: u32,
-    /// From this time on, another host may use it.
-    pub until: Duration,
+    share::part(limit, slot, SLOTS)
 }
 
 /// The configured limit of a service's cold targets.
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -28,6 +28,7 @@
 //! | [`rollout`] | when a version of the routes comes into force |
 //! | [`scatter`] | where the part of each shard of a query is requested |
 //! | [`mod@send_deadline`] | the deadline for sending an answer |
+//! | [`share`] | division of a limit of the whole fleet among hosts |
 //! | [`skip`] | shards whose parts are not requested |
 //! | [`table`] | one version of the routes, indexed for lookups |
 //! | [`target`] | state of one target: registration, load, speed and failures |
@@ -64,6 +65,7 @@
 pub mod rollout;
 pub mod scatter;
 pub mod send_deadline;
+pub mod share;
 pub mod skip;
 pub mod table;
 pub mod target;
