feat(route): quotas of customers: shares, slots, holders and asking hosts

A limit on a customer's requests over all hosts cannot be divided statically among many small hosts. hawthorn_route::quota divides it into shares, one for each of several slots in the store, whose holders grant tokens; asking hosts keep them for 250 ms and remember denials.

--- a/crates/hawthorn-route/src/home.rs
+++ b/crates/hawthorn-route/src/home.rs
@@ -12,6 +12,13 @@
 }
 
 impl RegionMap {
+    /// The names of all zones, sorted.
+    pub fn zones(&self) -> Vec<&str> {
+        let mut zones: Vec<&str> = self.zones.keys().map(String::as_str).collect();
+        zones.sort_unstable();
+        zones
+    }
+
     /// The region of a zone, if known.
     pub fn of(&self, zone: &str) -> Option<&str> {
         self.zones.get(zone).map(String::as_str)
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -21,6 +21,7 @@
 //! | [`placement`] | selection of the target of an attempt |
 //! | [`policy`] | the settings of all of these |
 //! | [`quarantine`] | refusal of requests that crash targets |
+//! | [`quota`] | limits on customers' requests over all hosts |
 //! | [`reachability`] | detection of unreachable zones |
 //! | [`registry`] | all targets and their state |
 //! | [`mod@retry_after`] | when a refused caller should retry |
@@ -58,6 +59,7 @@
 pub mod placement;
 pub mod policy;
 pub mod quarantine;
+pub mod quota;
 pub mod reachability;
 pub mod registry;
 pub mod retry_after;
--- a/crates/hawthorn-route/src/policy.rs
+++ b/crates/hawthorn-route/src/policy.rs
@@ -13,6 +13,7 @@
 use crate::hedge;
 use crate::placement;
 use crate::quarantine;
+use crate::quota;
 use crate::reachability;
 use crate::registry;
 use crate::rollout;
@@ -77,6 +78,8 @@
     pub targets: registry::Options,
     /// When requests that crash targets are refused.
     pub quarantine: quarantine::Options,
+    /// Whether quotas are enforced.
+    pub quota: quota::Options,
     /// How answers are buffered.
     pub answers: AnswerOptions,
 }
@@ -132,7 +135,9 @@
     /// All values with their ranges.
     pub fn rows(&self) -> Vec<PolicyRow> {
         let Self { departure, placing, second_attempts, skipping, admission, .. } = self;
-        let Self { gatherers, gathering, zones, rollout, targets, quarantine, answers, .. } = self;
+        let Self {
+            gatherers, gathering, zones, rollout, targets, quarantine, quota, answers, ..
+        } = self;
         vec![
             switch("departure.on", departure.on),
             share("departure.least_share", departure.least_share),
@@ -174,6 +179,7 @@
             row("quarantine.crashes", f64::from(quarantine.crashes), 1.0, MAX_FACTOR),
             row("quarantine.term_s", quarantine.term.as_secs_f64(), 1.0, MAX_SECONDS),
             switch("quarantine.callers", quarantine.callers),
+            switch("quota.on", quota.on),
             row("answers.held_kb", f64::from(answers.held_kb), 1.0, MAX_KILOBYTES),
         ]
     }
--- a/crates/hawthorn-route/src/share.rs
+++ b/crates/hawthorn-route/src/share.rs
@@ -51,6 +51,11 @@
     /// A slot that has not changed for this long has no holder: the term, the time for which
     /// the last holder's use still counts, and a margin.
     fn stale_time(&self) -> Duration;
+    /// Whether a holder uses the slot until its term ends, although a later write failed or the
+    /// store was restored. No other host claims the slot before that.
+    fn keeps_term(&self) -> bool {
+        false
+    }
 }
 
 /// A slot that this host holds.
@@ -95,6 +100,8 @@
 struct HeldSlot {
     revision: u64,
     right: SlotRight,
+    /// When the slot is written again.
+    renewal: Duration,
 }
 
 /// One host's claim on one of a group of slots.
@@ -126,7 +133,8 @@
     /// Forgets all revisions and releases the slot if `era` is later than the known one.
     pub fn enter_era(&mut self, era: u64, now: Duration) {
         if era > self.era {
-            *self = Self { era, ..Self::with_terms(self.terms, now) };
+            let held = self.held.filter(|_| self.terms.keeps_term());
+            *self = Self { era, held, ..Self::with_terms(self.terms, now) };
         }
     }
 
@@ -156,8 +164,10 @@
     pub fn due_write(&mut self, now: Duration, rng: &mut impl Rng) -> Option<SlotWrite> {
         if let Some(held) = self.held {
             if now < held.right.until {
-                let renewal = held.right.until - self.terms.term() + self.terms.renewal();
-                let HeldSlot { revision, right } = held;
+                let HeldSlot { revision, right, renewal } = held;
+                // After a write without an answer, the revision read from the store is newer.
+                let keeps = self.terms.keeps_term();
+                let revision = if keeps { self.seen_revision(right.slot) } else { revision };
                 let revision = StoreRevision::new(self.era, revision);
                 let write = SlotWrite { slot: right.slot, revision, sent: now };
                 return (now >= renewal).then_some(write);
@@ -179,18 +189,26 @@
     /// Records the outcome of a write.
     pub fn record(&mut self, write: SlotWrite, outcome: WriteOutcome, now: Duration) {
         let WriteOutcome::Done(revision) = outcome else {
-            // A write without an answer may be executed later, and the holder would continue with
-            // an outdated revision. It starts a new claim instead.
-            self.held = None;
+            self.record_failure(now);
             return;
         };
         self.note(write.slot, revision, now);
         if write.revision.era != self.era || revision.era != self.era {
-            self.held = None;
+            self.record_failure(now);
             return;
         }
         let right = SlotRight { slot: write.slot, until: write.sent + self.terms.term() };
-        self.held = Some(HeldSlot { revision: revision.number, right });
+        let renewal = write.sent + self.terms.renewal();
+        self.held = Some(HeldSlot { revision: revision.number, right, renewal });
+    }
+
+    fn record_failure(&mut self, now: Duration) {
+        // A write without an answer may be executed later, and the holder would continue with an
+        // outdated revision. It starts a new claim instead, at once or when its term has ended.
+        match &mut self.held {
+            Some(held) if self.terms.keeps_term() => held.renewal = now + RETRY_TIMES.1,
+            held => *held = None,
+        }
     }
 
     /// The slot that this host holds.
@@ -198,6 +216,23 @@
         self.held.map(|held| held.right)
     }
 
+    /// The latest known revision of a slot; 0 if its key is not known to exist.
+    pub fn seen_revision(&self, slot: u32) -> u64 {
+        self.seen.get(slot as usize).map_or(0, |seen| seen.revision)
+    }
+
+    /// From when on a slot counts as vacant unless it changes.
+    pub fn vacant_from(&self, slot: u32) -> Duration {
+        self.seen.get(slot as usize).map_or(Duration::MAX, |seen| seen.vacant_from)
+    }
+
+    /// Treats a slot as vacant from `now` on, as its holder is known to be dead or never existed.
+    pub fn assume_vacant(&mut self, slot: u32, now: Duration) {
+        if let Some(seen) = self.seen.get_mut(slot as usize) {
+            seen.vacant_from = seen.vacant_from.min(now);
+        }
+    }
+
     /// Releases the slot.
     pub fn release(&mut self) {
         self.held = None;
