feat(edge): requests of customers with a quota need a token

It is answered with 429 above the quota and with 503 no-quota if no holder is reachable; tokens of requests that did not run return to the host.

Slots are claimed only if the version in force has a customer with a quota and policy.quota.on is set. Deployments without quotas make no additional calls.

--- a/crates/hawthorn-edge/src/connection/message.rs
+++ b/crates/hawthorn-edge/src/connection/message.rs
@@ -145,3 +145,16 @@
     /// Milliseconds since the store last confirmed this revision, possibly through other hosts.
     pub age_ms: u64,
 }
+
+/// The reply to a request for tokens of a customer's quota.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenReply {
+    /// Whether the peer holds a share of the quota.
+    pub holds: bool,
+    /// Number of tokens.
+    pub granted: u32,
+    /// Microseconds until the next token, if none was granted.
+    pub next_us: u64,
+    /// Microseconds for which the receiver should not ask again, if none was granted.
+    pub pause_us: u64,
+}
--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -32,11 +32,13 @@
 use crate::connection::message::GatherRequest;
 use crate::connection::message::Remainder;
 use crate::connection::message::TimedReply;
+use crate::connection::message::TokenReply;
 use crate::edge_event;
 use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
 use crate::process::host::RouteHost;
 use crate::process::loop_clock;
+use crate::process::quota;
 use crate::process::store_sync;
 use crate::process::traffic;
 use crate::process::traffic::TrafficCounter;
@@ -66,6 +68,7 @@
     use super::GatherRequest;
     use super::StoreRevision;
     use super::TimedReply;
+    use super::TokenReply;
 
     /// Calls that each host serves for its peers.
     #[tarpc::service]
@@ -79,6 +82,8 @@
         /// Returns changes of the store's items after a revision; waits up to `wait_ms` for
         /// one.
         async fn catalog_update(after: StoreRevision, wait_ms: u64) -> CatalogUpdate;
+        /// Returns up to `count` tokens of a customer's quota.
+        async fn take_tokens(customer: String, count: u32) -> TokenReply;
     }
 }
 use service::EdgePeer;
@@ -283,6 +288,19 @@
         self.check_reply(endpoint.address, reply)
     }
 
+    /// Requests tokens of a customer's quota from a peer that holds a share of it.
+    pub(crate) async fn take_tokens(
+        &self,
+        endpoint: &PeerEndpoint,
+        customer: &str,
+        count: u32,
+    ) -> Result<TokenReply, PeerError> {
+        let client = self.ready_client(endpoint).await?;
+        let call = call_with_timeout(ANSWER_TIMEOUT);
+        let reply = client.take_tokens(call, customer.to_owned(), count).await;
+        self.check_reply(endpoint.address, reply)
+    }
+
     async fn ready_client(&self, endpoint: &PeerEndpoint) -> Result<EdgePeerClient, PeerError> {
         let client = self.client(endpoint).await;
         client.inspect_err(|_| self.suspect(endpoint.address, SuspicionReason::NotConnected))
@@ -315,6 +333,7 @@
     Gather { request: Box<GatherRequest>, arrived: Duration, reply: oneshot::Sender<GatherReply> },
     Remainder { token: u64, request: RemainderRequest },
     CatalogUpdate { after: StoreRevision, wait: Duration, reply: oneshot::Sender<CatalogUpdate> },
+    TakeTokens { customer: String, count: u32, reply: oneshot::Sender<TokenReply> },
 }
 
 #[derive(Clone, Debug)]
@@ -355,6 +374,15 @@
         }
         answer.await.unwrap_or_default()
     }
+
+    async fn take_tokens(self, _: Context, customer: String, count: u32) -> TokenReply {
+        let (reply, answer) = oneshot::channel();
+        let request = PeerRequest::TakeTokens { customer, count, reply };
+        if self.requests.try_send(request).is_err() {
+            return TokenReply::default();
+        }
+        answer.await.unwrap_or_default()
+    }
 }
 
 /// Serves other hosts until the process exits.
@@ -379,6 +407,10 @@
         PeerRequest::CatalogUpdate { after, wait, reply } => {
             tokio::task::spawn_local(store_sync::answer_peer(host, after, wait, reply));
         }
+        PeerRequest::TakeTokens { customer, count, reply } => {
+            // The peer may have given up; its tokens then expire.
+            let _sent = reply.send(quota::grant(&host, &customer, count));
+        }
     }
 }
 
--- a/crates/hawthorn-edge/src/process/catalog.rs
+++ b/crates/hawthorn-edge/src/process/catalog.rs
@@ -19,6 +19,7 @@
 use crate::process::events::EdgeEvent;
 use crate::process::host::RouteHost;
 use crate::process::quarantine;
+use crate::process::quota;
 
 /// Time after a restore of the store in which its items are written again. The platform states
 /// about two seconds for targets.
@@ -42,6 +43,7 @@
         );
         host.restored.set(Some(host_now()));
         cold::reset_slots(host);
+        quota::reset_slots(host);
         quarantine::rewrite_lost(host);
     }
     changed.iter().for_each(|item| apply_item(host, item, as_of.era));
@@ -69,6 +71,7 @@
         CatalogKey::Entry(id) => apply_entry(host, id, item, revision),
         CatalogKey::Evacuation(zone) => apply_evacuation(host, zone, item, revision),
         CatalogKey::ColdSlot(zone, slot) => cold::apply_slot(host, zone, slot, item, revision),
+        CatalogKey::QuotaSlot(slot) => quota::apply_slot(host, slot, item, revision),
         CatalogKey::Quarantine(fingerprint) => {
             quarantine::apply_stored(host, fingerprint, item.value.as_deref());
         }
--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -78,6 +78,10 @@
     QuarantineChanged = 638,
     /// A part of a version's customers was not applied as written.
     CustomersBroken = 651,
+    /// The result of claiming, renewing or releasing a slot for quotas.
+    QuotaSlotWritten = 654,
+    /// A request exceeds its customer's quota.
+    QuotaExceeded = 655,
     /// A peer's message is malformed.
     PeerMessageBroken = 640,
     /// The peer that provides the store's items was not confirmed by the store recently.
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -44,6 +44,8 @@
 use crate::process::metrics::EdgeMetrics;
 use crate::process::quarantine;
 use crate::process::quarantine::QuarantineState;
+use crate::process::quota;
+use crate::process::quota::QuotaState;
 use crate::process::reachability;
 use crate::process::store_sync;
 use crate::process::traffic::TrafficAccount;
@@ -127,6 +129,8 @@
     pub(crate) restored: Cell<Option<Duration>>,
     /// This host's claim on a slot for cold targets.
     pub(crate) cold_claim: RefCell<SlotClaim>,
+    /// Slots and tokens for customers' quotas.
+    pub(crate) quota: QuotaState,
     /// Paces bulk messages on the host's link.
     bulk_pacer: RefCell<BulkPacer>,
     /// Notified when the mirror advances to a newer revision.
@@ -170,6 +174,7 @@
             links: PeerLinks::default(),
             remainders: RemainderTable::default(),
             cold_claim: RefCell::new(SlotClaim::new(host_now())),
+            quota: QuotaState::new(&settings),
             traffic: TrafficAccount::new(&settings.host.zone),
             mirror: RefCell::default(),
             restored: Cell::new(None),
@@ -321,6 +326,7 @@
     tasks.spawn_local(quarantine::save_refused(Rc::clone(&host), client.clone()));
     tasks.spawn_local(catalog::apply_pending(Rc::clone(&host)));
     tasks.spawn_local(cold::claim_slots(Rc::clone(&host), client.clone()));
+    tasks.spawn_local(quota::claim_slots(Rc::clone(&host), client.clone()));
     tasks.spawn_local(store_sync::follow(Rc::clone(&host), client));
     tasks.spawn_local(sweep(Rc::clone(&host)));
     tasks.spawn_local(reachability::watch(Rc::clone(&host)));
@@ -344,6 +350,7 @@
                 if let Some(settings) = reload() {
                     host.routing.budget.set(settings.budget);
                     host.routing.policy.set(settings.policy);
+                    host.routing.table_installed.notify_one();
                     host.grace.set(settings.stop.grace);
                 }
             }
@@ -402,11 +409,12 @@
     edge_event!(
         Level::Info,
         EdgeEvent::ZoneTraffic,
-        "targets={} gathering={} catalog={} membership={}",
+        "targets={} gathering={} catalog={} membership={} quota={}",
         bytes(TrafficPurpose::Targets),
         bytes(TrafficPurpose::Gathering),
         bytes(TrafficPurpose::Catalog),
-        bytes(TrafficPurpose::Membership)
+        bytes(TrafficPurpose::Membership),
+        bytes(TrafficPurpose::Quota)
     );
 }
 
--- a/crates/hawthorn-edge/src/process/metrics.rs
+++ b/crates/hawthorn-edge/src/process/metrics.rs
@@ -26,6 +26,20 @@
 /// Bucket bounds of the histogram of deviations from the send deadline, in seconds.
 const DEPARTURE_BOUNDS: [f64; 8] = [0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128];
 
+/// What happened to a token of a quota.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum TokenEnd {
+    /// A request of this host took it.
+    Granted,
+    /// A request of this host was refused without it.
+    Denied,
+    /// Its request did not run.
+    Returned,
+    /// This host granted it from a slot that it holds.
+    Issued,
+}
+
 /// All instruments of a host that routes requests.
 #[derive(Clone, Debug)]
 pub struct EdgeMetrics {
@@ -36,6 +50,7 @@
     extra_attempts: Counter<u64>,
     missing: Counter<u64>,
     quarantine: Counter<u64>,
+    quota: Counter<u64>,
     traffic: Counter<u64>,
     latency: Histogram<f64>,
     departure: Histogram<f64>,
@@ -57,6 +72,7 @@
             extra_attempts: meter.u64_counter("hawthorn_route_extra_attempts").build(),
             missing: meter.u64_counter("hawthorn_route_missing_parts").build(),
             quarantine: meter.u64_counter("hawthorn_route_quarantine_changes").build(),
+            quota: meter.u64_counter("hawthorn_route_quota_tokens").build(),
             traffic: meter.u64_counter("hawthorn_route_zone_bytes").build(),
             latency: meter
                 .f64_histogram("hawthorn_route_request_seconds")
@@ -75,6 +91,7 @@
             set.count_extra(reason, 0);
         }
         ChangeKind::iter().for_each(|kind| set.count_quarantine(kind, 0));
+        TokenEnd::iter().for_each(|end| set.count_tokens(end, 0));
         set.missing.add(0, &[]);
         Ok(set)
     }
@@ -136,6 +153,11 @@
         self.quarantine.add(count, &[KeyValue::new("change", <&'static str>::from(kind))]);
     }
 
+    /// Counts tokens of quotas.
+    pub fn count_tokens(&self, end: TokenEnd, count: u64) {
+        self.quota.add(count, &[KeyValue::new("end", <&'static str>::from(end))]);
+    }
+
     /// Exports the bytes between this host's zone and others.
     pub fn export_traffic(&self, account: &TrafficAccount) {
         account.export(&self.traffic);
--- a/crates/hawthorn-edge/src/process/mod.rs
+++ b/crates/hawthorn-edge/src/process/mod.rs
@@ -10,6 +10,7 @@
 pub mod loop_clock;
 pub mod metrics;
 pub mod quarantine;
+pub(crate) mod quota;
 pub mod reachability;
 pub mod store_sync;
 pub mod traffic;
--- a/crates/hawthorn-edge/src/process/traffic.rs
+++ b/crates/hawthorn-edge/src/process/traffic.rs
@@ -33,6 +33,8 @@
     Catalog,
     /// Heartbeats and member lists.
     Membership,
+    /// Requests for tokens of quotas, and the replies.
+    Quota,
 }
 
 /// One purpose's bytes to and from one zone.
--- a/crates/hawthorn-edge/src/request/answer.rs
+++ b/crates/hawthorn-edge/src/request/answer.rs
@@ -46,7 +46,11 @@
     /// The request was not run at any target. The caller of this function must also call
     /// [`CallerAnswer::set_retry_after`].
     pub(crate) fn refused(reason: RefusalReason) -> Self {
-        let mut answer = Self::plain(StatusCode::SERVICE_UNAVAILABLE, reason.into());
+        let status = match reason {
+            RefusalReason::OverQuota => StatusCode::TOO_MANY_REQUESTS,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let mut answer = Self::plain(status, reason.into());
         answer.refusal = Some(reason);
         answer
     }
@@ -56,6 +60,11 @@
         Self { refused_for: Some(left), ..Self::refused(RefusalReason::Quarantined) }
     }
 
+    /// The customer's quota is exhausted until the given time from now.
+    pub(crate) fn over_quota(next: Duration) -> Self {
+        Self { refused_for: Some(next), ..Self::refused(RefusalReason::OverQuota) }
+    }
+
     /// Sets the time after which the caller of a refused request should retry.
     pub(crate) fn set_retry_after(&mut self, after: Duration) {
         caller::set_retry_after(self.response.headers_mut(), after);
--- a/crates/hawthorn-edge/src/request/mod.rs
+++ b/crates/hawthorn-edge/src/request/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod forward;
 pub(crate) mod gather;
 mod parts;
+pub(crate) mod quota;
 pub(crate) mod race;
 pub(crate) mod remainder;
 pub(crate) mod request_log;
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -40,6 +40,7 @@
 use crate::request::context::CancelOnDrop;
 use crate::request::context::RequestContext;
 use crate::request::gather;
+use crate::request::quota;
 use crate::request::race::AttemptRace;
 use crate::request::race::RaceEnd;
 use crate::request::request_log::RequestSummary;
@@ -171,7 +172,14 @@
         request_log: RefCell::default(),
     });
     let cancel_guard = CancelOnDrop(Rc::clone(&context));
-    let mut answer = dispatch(host, &context, table.version()).await;
+    let mut answer = match quota::take_token(host, &context).await {
+        Ok(guard) => {
+            let answer = dispatch(host, &context, table.version()).await;
+            guard.finish(answer.refusal.is_some());
+            answer
+        }
+        Err(refusal) => *refusal,
+    };
     if answer.refusal == Some(RefusalReason::Quarantined) && answer.refused_for.is_none() {
         answer.refused_for = quarantine::refused_for(host, &context);
     }
--- a/crates/hawthorn-edge/src/settings.rs
+++ b/crates/hawthorn-edge/src/settings.rs
@@ -7,6 +7,7 @@
 use hawthorn_route::home::RegionMap;
 use hawthorn_route::policy;
 use hawthorn_route::policy::RoutePolicy;
+use hawthorn_route::quota::QuotaLimits;
 use hawthorn_route::send_deadline;
 use quick_error::quick_error;
 use serde::Deserialize;
@@ -38,6 +39,13 @@
 /// The maximum of `overshoot` and `slack` in the settings of cold targets.
 const MAX_COLD_EXCESS: f64 = 1000.0;
 
+/// The maximum window of quotas: as for the times of the policy, an hour.
+const MAX_QUOTA_WINDOW: Duration = Duration::from_secs(3600);
+/// The maximum share by which a quota may be exceeded; with more it would limit nothing.
+const MAX_QUOTA_OVERSHOOT: f64 = 10.0;
+/// The maximum number of requests by which a quota may be exceeded.
+const MAX_QUOTA_SLACK: f64 = 100_000.0;
+
 /// All settings. Unknown keys are ignored, so that older hosts can read newer files.
 #[derive(Clone, Debug, Deserialize)]
 pub struct RouteSettings {
@@ -216,6 +224,14 @@
     }
 }
 
+impl QuotaSettings {
+    /// The settings as the decisions use them.
+    pub fn limits(&self) -> QuotaLimits {
+        let Self { window, overshoot, slack } = *self;
+        QuotaLimits { window, overshoot, slack }
+    }
+}
+
 impl RouteSettings {
     /// Parses and validates settings.
     ///
@@ -238,6 +254,16 @@
                 "overshoot and slack must be between 0 and 1000",
             ));
         }
+        let QuotaSettings { window, overshoot, slack } = settings.quota;
+        if window.is_zero() || window > MAX_QUOTA_WINDOW {
+            return Err(Error::Value("quota.window_s", "must be between 1 and 3600"));
+        }
+        if !(0.0..=MAX_QUOTA_OVERSHOOT).contains(&overshoot) {
+            return Err(Error::Value("quota.overshoot", "must be between 0 and 10"));
+        }
+        if !(0.0..=MAX_QUOTA_SLACK).contains(&slack) {
+            return Err(Error::Value("quota.slack", "must be between 0 and 100000"));
+        }
         if settings.budget.window.is_zero() {
             return Err(Error::Value("budget.window_s", "must not be zero"));
         }
--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -84,6 +84,8 @@
     newest_table: RefCell<Option<Rc<RouteTable>>>,
     /// Notified when a version is pending.
     pub table_pending: Notify,
+    /// Notified when a version comes into force or the policy changes.
+    pub table_installed: Notify,
     /// The registered targets.
     pub registry: RefCell<TargetRegistry>,
     /// Notified when a request finds only cold targets.
@@ -128,6 +130,7 @@
             pending_tables: RefCell::default(),
             newest_table: RefCell::default(),
             table_pending: Notify::new(),
+            table_installed: Notify::new(),
             registry: RefCell::new(TargetRegistry::new(
                 settings.policy.targets,
                 &settings.host.zone,
@@ -240,6 +243,7 @@
         }
         tables.push_front(table);
         tables.truncate(MAX_VERSIONS);
+        self.table_installed.notify_one();
     }
 
     fn budget_options(&self, service: &str, now: Duration) -> budget::Options {
--- a/crates/hawthorn-edge/tests/settings.rs
+++ b/crates/hawthorn-edge/tests/settings.rs
@@ -87,6 +87,24 @@
             to: "overshoot = -1.0",
             named: "cold_targets",
         },
+        Case {
+            name: "quota without a window",
+            from: "[quota]\n",
+            to: "[quota]\nwindow_s = 0\n",
+            named: "quota.window_s",
+        },
+        Case {
+            name: "negative overshoot of quotas",
+            from: "[quota]\n",
+            to: "[quota]\novershoot = -0.1\n",
+            named: "quota.overshoot",
+        },
+        Case {
+            name: "absurd slack of quotas",
+            from: "[quota]\n",
+            to: "[quota]\nslack = 1e9\n",
+            named: "quota.slack",
+        },
         Case { name: "no name", from: "\"front-1\"", to: "\"\"", named: "host.name" },
         Case {
             name: "no core share",
--- a/crates/hawthorn-route/src/quota/asker.rs
+++ b/crates/hawthorn-route/src/quota/asker.rs
@@ -39,7 +39,7 @@
     /// The request may run.
     Run(QuotaToken),
     /// Ask these holders, in this order, for a number of tokens.
-    Ask(u32, SmallVec<[SocketAddr; 8]>),
+    Ask(u32, Vec<SocketAddr>),
     /// All holders denied a token recently; the next is available after this time.
     Denied(Duration),
     /// No holder is known.
@@ -115,7 +115,7 @@
         tokens.denials.retain(|denial| now < denial.until && holders.contains(&denial.holder));
         let denied =
             |holder: &SocketAddr| tokens.denials.iter().any(|denial| denial.holder == *holder);
-        let mut order: SmallVec<[SocketAddr; 8]> =
+        let mut order: Vec<SocketAddr> =
             holders.iter().filter(|holder| !denied(holder)).copied().collect();
         if order.is_empty() {
             let next = tokens.denials.iter().map(|denial| denial.next).min().unwrap_or_default();
