--- a/crates/hawthorn-standin/src/route/headers.rs
+++ b/crates/hawthorn-standin/src/route/headers.rs
@@ -3,6 +3,8 @@
 
 /// Identifies one attempt of a caller.
 pub const ATTEMPT_ID: &str = "hawthornroute-attempt-id";
+/// The caller's key.
+pub const KEY: &str = "hawthornroute-credential";
 /// Remaining milliseconds that the sender of the request waits for its answer.
 pub const TIME_LEFT: &str = "hawthornroute-deadline-ms";
 /// The target's signature of its answer.
--- a/crates/hawthorn-standin/src/route/operator.rs
+++ b/crates/hawthorn-standin/src/route/operator.rs
@@ -128,6 +128,18 @@
     json!({ "name": name, "apiKeys": keys })
 }
 
+/// A customer with one key and a quota.
+pub fn limited_customer(name: &str, key: &str, rate: f64, burst: f64) -> Value {
+    json!({ "name": name, "apiKeys": [key], "ratePerS": rate, "burstSize": burst })
+}
+
+/// Writes the holder of a slot for quotas.
+pub fn put_quota_holder(store: &RouteStore, slot: u32, peer: SocketAddr) {
+    let record = json!({ "host": "other", "zone": "other", "peer": peer, "instance": 1, "era": 0,
+                         "changes": 0, "released": false });
+    store.put(&format!("quota/{slot}"), record.to_string().as_bytes());
+}
+
 /// Writes a version of the configuration with customers.
 pub fn configure_customers(
     store: &RouteStore,
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -237,6 +237,25 @@
     Ok(hosts.iter().flat_map(RouteHost::log_lines).collect())
 }
 
+/// A customer far above its quota.
+async fn quota_events() -> TestResult<Vec<String>> {
+    let store = RouteStore::start().await?;
+    let target = RouteTarget::start("t-1", "s").await?;
+    operator::register(&store, "t-1", &target, "east");
+    let customers = [operator::limited_customer("shop", "key-1", 1.0, 0.0)];
+    let routes = [operator::single("/safe/", "s", "safe")];
+    operator::configure_customers(&store, 3, &routes, &["s"], &customers);
+    let host = RouteHost::start_with_quota("h-1", "east", store.address(), &[])?;
+    host.wait_until_ready().await?;
+    route::wait_for("a slot to be claimed", async || host.logged("E654") > 0).await?;
+    let exceeded = async || {
+        let _answer = route::send_with_key(host.caller(), "/safe/", "key-1").await;
+        host.logged("E655") > 0
+    };
+    route::wait_for("the quota to be exceeded", exceeded).await?;
+    Ok(host.log_lines())
+}
+
 /// The keys of each event, as listed in the catalogue.
 fn catalogue() -> BTreeMap<u16, BTreeSet<String>> {
     let page = include_str!("../docs/operators/events-route.md");
@@ -257,18 +276,19 @@
 /// keys.
 #[tokio::test(flavor = "multi_thread")]
 async fn every_event_is_written_as_the_catalogue_says() -> TestResult {
-    let (single, isolated, two_zones, cold, restored, narrow, unread) = tokio::try_join!(
+    let (single, isolated, two_zones, cold, restored, narrow, quota, unread) = tokio::try_join!(
         single_host_events(),
         isolated_host_events(),
         two_zone_events(),
         cold_target_events(),
         restored_store_events(),
         narrow_link_events(),
+        quota_events(),
         unread_log_events()
     )?;
     let catalogue = catalogue();
     let mut written = BTreeSet::new();
-    for text in [single, isolated, two_zones, cold, restored, narrow, unread].concat() {
+    for text in [single, isolated, two_zones, cold, restored, narrow, quota, unread].concat() {
         let read = line::read(&text, "").ok_or_else(|| format!("not an event: {text}"))?;
         let keys = catalogue.get(&read.number).ok_or_else(|| format!("not listed: {text}"))?;
         for name in read.keys() {
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -21,6 +21,7 @@
 
 use hawthorn_standin::route::RouteStore;
 use hawthorn_standin::route::headers::ATTEMPT_ID;
+use hawthorn_standin::route::headers::KEY;
 use hawthorn_standin::route::headers::TIME_LEFT;
 use hawthorn_standin::route::operator;
 use hawthorn_standin::route::operator::HOST;
@@ -44,6 +45,7 @@
 const METRICS_PORT: u16 = 9464;
 
 static NEXT_HOST: AtomicU32 = AtomicU32::new(0);
+static NEXT_REQUEST: AtomicU32 = AtomicU32::new(0);
 
 /// A loopback address that no other host of the tests on this machine uses. Hosts of one fleet
 /// all listen for peers at the same port, so each needs its own address.
@@ -107,6 +109,17 @@
         Self::start_with(name, zone, store, seeds, METRICS_PORT, &link)
     }
 
+    /// Starts a host with the platform's usual settings of quotas.
+    pub fn start_with_quota(
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        seeds: &[&RouteHost],
+    ) -> TestResult<Self> {
+        let quota = "[quota]\nwindow_s = 5\novershoot = 0.1\nslack = 20\n";
+        Self::start_with(name, zone, store, seeds, METRICS_PORT, quota)
+    }
+
     fn start_with(
         name: &str,
         zone: &str,
@@ -224,6 +237,16 @@
     }
 }
 
+/// Sends a request with a key.
+pub async fn send_with_key(at: SocketAddr, path: &str, key: &str) -> TestResult<RouteAnswer> {
+    let number = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
+    let head = format!(
+        "GET {path} HTTP/1.1\r\nHost: {HOST}\r\n{KEY}: {key}\r\n{ATTEMPT_ID}: id-{number}\r\n\
+         {TIME_LEFT}: 2000\r\nContent-Length: 0\r\n\r\n"
+    );
+    exchange(at, head.into_bytes()).await
+}
+
 /// Starts four hosts of zone `east` and one of zone `west`, with links that carry one large version
 /// of the configuration in some twenty seconds.
 pub async fn start_on_narrow_links(store: &RouteStore) -> TestResult<Vec<RouteHost>> {
