test(edge): render the template's tables of revocation and quotas

The template got these tables without the test's placeholders, so that two tests of the settings failed since. The test renders them, checks the values, and names the keys of invalid settings of quotas.

--- a/crates/hawthorn-edge/tests/settings.rs
+++ b/crates/hawthorn-edge/tests/settings.rs
@@ -36,6 +36,15 @@
         ("{{/bounds.coldOvershoot}}", ""),
         ("{{#bounds.coldSlack}}slack = {{.}}", "slack = 5"),
         ("{{/bounds.coldSlack}}", ""),
+        ("{{#bounds.revokeStrict}}[revocation]", "[revocation]"),
+        ("{{bounds.revokeMs}}", "5000"),
+        ("{{/bounds.revokeStrict}}", ""),
+        ("{{#bounds.quotaWindowS}}window_s = {{.}}", "window_s = 5"),
+        ("{{/bounds.quotaWindowS}}", ""),
+        ("{{#bounds.quotaOvershoot}}overshoot = {{.}}", "overshoot = 0.1"),
+        ("{{/bounds.quotaOvershoot}}", ""),
+        ("{{#bounds.quotaSlack}}slack = {{.}}", "slack = 20"),
+        ("{{/bounds.quotaSlack}}", ""),
     ];
     let mut text = TEMPLATE.to_owned();
     for (name, value) in values {
@@ -55,6 +64,10 @@
     assert_eq!(settings.listen.metrics.port(), 9464);
     assert_eq!(settings.cold.limit(12.0), 23);
     assert_eq!(settings.zones.of("east"), Some("dar"));
+    let within = settings.revocation.expect("the table is rendered").within;
+    assert_eq!(within.as_millis(), 5000);
+    let quota = settings.quota;
+    assert_eq!((quota.window.as_secs(), quota.overshoot, quota.slack), (5, 0.1, 20.0));
 }
 
 #[test]
@@ -89,20 +102,20 @@
         },
         Case {
             name: "quota without a window",
-            from: "[quota]\n",
-            to: "[quota]\nwindow_s = 0\n",
+            from: "window_s = 5\n",
+            to: "window_s = 0\n",
             named: "quota.window_s",
         },
         Case {
             name: "negative overshoot of quotas",
-            from: "[quota]\n",
-            to: "[quota]\novershoot = -0.1\n",
+            from: "overshoot = 0.1\n",
+            to: "overshoot = -0.1\n",
             named: "quota.overshoot",
         },
         Case {
             name: "absurd slack of quotas",
-            from: "[quota]\n",
-            to: "[quota]\nslack = 1e9\n",
+            from: "slack = 20\n",
+            to: "slack = 1e9\n",
             named: "quota.slack",
         },
         Case { name: "no name", from: "\"front-1\"", to: "\"\"", named: "host.name" },
