--- a/crates/hawthorn-edge/src/request/answer.rs
+++ b/crates/hawthorn-edge/src/request/answer.rs
@@ -50,7 +50,11 @@
         if reason == RefusalReason::KeyRevoked {
             return Self::key_rejected(KeyRejection::Revoked);
         }
-        let mut answer = Self::plain(StatusCode::SERVICE_UNAVAILABLE, reason.into());
+        let status = match reason {
+            RefusalReason::OverQuota => StatusCode::TOO_MANY_REQUESTS,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let mut answer = Self::plain(status, reason.into());
         answer.refusal = Some(reason);
         answer
     }
@@ -60,6 +64,11 @@
         Self { refused_for: Some(left), ..Self::refused(RefusalReason::Quarantined) }
     }
 
+    /// The customer's quota is exhausted until the given time from now.
+    pub(crate) fn over_quota(next: Duration) -> Self {
+        Self { refused_for: Some(next), ..Self::refused(RefusalReason::OverQuota) }
+    }
+
     /// Sets the time after which the caller of a refused request should retry.
     pub(crate) fn set_retry_after(&mut self, after: Duration) {
         caller::set_retry_after(self.response.headers_mut(), after);
--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -35,6 +35,7 @@
 use hawthorn_route::rollout;
 use hawthorn_route::rollout::PendingVersions;
 use hawthorn_route::scatter;
+use hawthorn_route::share;
 use hawthorn_route::skip;
 use hawthorn_route::table::RouteTable;
 use hawthorn_route::weight::WeightedRoundRobin;
@@ -87,6 +88,8 @@
     has_seen_customers: Cell<bool>,
     /// Notified when a version is pending.
     pub table_pending: Notify,
+    /// Notified when a version comes into force or the policy changes.
+    pub table_installed: Notify,
     /// The registered targets.
     pub registry: RefCell<TargetRegistry>,
     /// Notified when a request finds only cold targets.
@@ -132,6 +135,7 @@
             newest_table: RefCell::default(),
             has_seen_customers: Cell::new(false),
             table_pending: Notify::new(),
+            table_installed: Notify::new(),
             registry: RefCell::new(TargetRegistry::new(
                 settings.policy.targets,
                 &settings.host.zone,
@@ -265,6 +269,7 @@
         }
         tables.push_front(table);
         tables.truncate(MAX_VERSIONS);
+        self.table_installed.notify_one();
     }
 
     fn budget_options(&self, service: &str, now: Duration) -> budget::Options {
@@ -508,7 +513,7 @@
         let max_connections = rule.map_or(1, |rule| rule.max_connections);
         let sharded = table.as_ref().is_some_and(|table| table.is_shard(service));
         let host_count = match (sharded, self.is_gatherer.get()) {
-            (false, _) => budget::effective_hosts(self.hosts.get()),
+            (false, _) => share::effective_hosts(self.hosts.get()),
             (true, true) => (self.gatherers.get() * self.fleet_zones.get()).max(MIN_GATHERERS),
             (true, false) => max_connections,
         };
--- a/crates/hawthorn-edge/tests/settings.rs
+++ b/crates/hawthorn-edge/tests/settings.rs
@@ -1,7 +1,6 @@
 //! Settings, and the catalogue of log events.
 
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use hawthorn_edge::process::events::EdgeEvent;
 use hawthorn_edge::settings::RouteSettings;
@@ -37,7 +36,7 @@
         ("{{/bounds.coldOvershoot}}", ""),
         ("{{#bounds.coldSlack}}slack = {{.}}", "slack = 5"),
         ("{{/bounds.coldSlack}}", ""),
-        ("{{#bounds.revokeStrict}}", ""),
+        ("{{#bounds.revokeStrict}}[revocation]", "[revocation]"),
         ("{{bounds.revokeMs}}", "5000"),
         ("{{/bounds.revokeStrict}}", ""),
         ("{{#bounds.quotaWindowS}}window_s = {{.}}", "window_s = 5"),
@@ -65,10 +64,10 @@
     assert_eq!(settings.listen.metrics.port(), 9464);
     assert_eq!(settings.cold.limit(12.0), 23);
     assert_eq!(settings.zones.of("east"), Some("dar"));
-    let within = settings.revocation.map(|revocation| revocation.within);
-    assert_eq!(within, Some(Duration::from_secs(5)));
-    assert_eq!(settings.quota.window, Duration::from_secs(5));
-    assert_eq!(settings.quota.slack, 20.0);
+    let within = settings.revocation.expect("the table is rendered").within;
+    assert_eq!(within.as_millis(), 5000);
+    let quota = settings.quota;
+    assert_eq!((quota.window.as_secs(), quota.overshoot, quota.slack), (5, 0.1, 20.0));
 }
 
 #[test]
@@ -101,6 +100,24 @@
             to: "overshoot = -1.0",
             named: "cold_targets",
         },
+        Case {
+            name: "quota without a window",
+            from: "window_s = 5\n",
+            to: "window_s = 0\n",
+            named: "quota.window_s",
+        },
+        Case {
+            name: "negative overshoot of quotas",
+            from: "overshoot = 0.1\n",
+            to: "overshoot = -0.1\n",
+            named: "quota.overshoot",
+        },
+        Case {
+            name: "absurd slack of quotas",
+            from: "slack = 20\n",
+            to: "slack = 1e9\n",
+            named: "quota.slack",
+        },
         Case { name: "no name", from: "\"front-1\"", to: "\"\"", named: "host.name" },
         Case {
             name: "no core share",
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -23,6 +23,7 @@
 //! | [`placement`] | selection of the target of an attempt |
 //! | [`policy`] | the settings of all of these |
 //! | [`quarantine`] | refusal of requests that crash targets |
+//! | [`quota`] | limits on customers' requests over all hosts |
 //! | [`reachability`] | detection of unreachable zones |
 //! | [`regather`] | zones in which shards are gathered anew after a peer did not answer |
 //! | [`registry`] | all targets and their state |
@@ -31,6 +32,7 @@
 //! | [`rollout`] | when a version of the routes comes into force |
 //! | [`scatter`] | where the part of each shard of a query is requested |
 //! | [`mod@send_deadline`] | the deadline for sending an answer |
+//! | [`share`] | division of a limit of the whole fleet among hosts |
 //! | [`skip`] | shards whose parts are not requested |
 //! | [`table`] | one version of the routes, indexed for lookups |
 //! | [`target`] | state of one target: registration, load, speed and failures |
@@ -62,6 +64,7 @@
 pub mod placement;
 pub mod policy;
 pub mod quarantine;
+pub mod quota;
 pub mod reachability;
 pub mod regather;
 pub mod registry;
@@ -70,6 +73,7 @@
 pub mod rollout;
 pub mod scatter;
 pub mod send_deadline;
+pub mod share;
 pub mod skip;
 pub mod table;
 pub mod target;
--- a/crates/hawthorn-standin/src/route/headers.rs
+++ b/crates/hawthorn-standin/src/route/headers.rs
@@ -3,6 +3,8 @@
 
 /// Identifies one attempt of a caller.
 pub const ATTEMPT_ID: &str = "hawthornroute-attempt-id";
+/// The caller's key.
+pub const KEY: &str = "hawthornroute-credential";
 /// Remaining milliseconds that the sender of the request waits for its answer.
 pub const TIME_LEFT: &str = "hawthornroute-deadline-ms";
 /// The target's signature of its answer.
@@ -19,7 +21,5 @@
 pub const NOT_RUN: &str = "hawthornroute-not-executed";
 /// Running requests, waiting requests and slots of the target.
 pub const LOAD: &str = "hawthornroute-server-load";
-/// The caller's key.
-pub const KEY: &str = "hawthornroute-credential";
 /// Name of the customer that holds the caller's key.
 pub const CUSTOMER: &str = "hawthornroute-tenant";
