feat(route): a dispatcher orders requests while capacity is short

Cause: requests are admitted or rejected at once in two urgency classes, and less urgent work fills the queues of targets, which urgent requests with a short target latency cannot wait out. A customer that sends more than its share delays all others.

Change: hawthorn_route::dispatch decides which waiting request is sent: by priority, then by start-time fair queueing between customers, then first come, first served. It is bounded, rejects what would be late with the time until capacity is expected, reserves a share for less urgent priorities and recognizes retries. PlacementView::decisive_slot_wait is its signal of the targets' capacity, QueryAdmission::has_room its limit of queries in flight. policy.dispatch has the settings.

Result: not used by hosts yet; off by default.

--- a/crates/hawthorn-route/src/admission.rs
+++ b/crates/hawthorn-route/src/admission.rs
@@ -149,6 +149,19 @@
         admitted
     }
 
+    /// Whether the window has room for a query that waits its turn in the dispatcher.
+    pub fn has_room(&mut self, now: Duration, urgent: bool, options: &Options) -> bool {
+        self.release_due(now);
+        let size = self.window.size(&options.window());
+        let limit = if urgent { size } else { size * options.ordinary_share };
+        !options.on || f64::from(self.in_flight) < limit
+    }
+
+    /// Admits a query for which there is room. [`QueryAdmission::finish`] must follow.
+    pub fn admit_ordered(&mut self) {
+        self.in_flight += 1;
+    }
+
     /// Records the end of a query. `load` is `None` if its caller disconnected before any load
     /// was observed.
     pub fn finish(
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`clock_offset`] | offsets of peers' clocks, and deadlines of gather requests |
 //! | [`cold`] | request limits of targets that have just started |
 //! | [`customer`] | customers of a configuration: keys, priorities and quotas |
+//! | [`dispatch`] | order of a host's requests while capacity is short |
 //! | [`document`] | the operators' configuration of routes, services and caller limits |
 //! | [`evacuation`] | zones that operators have evacuated |
 //! | [`fingerprint`] | identification of requests with the same content |
@@ -43,6 +44,7 @@
 pub mod clock_offset;
 pub mod cold;
 pub mod customer;
+pub mod dispatch;
 pub mod document;
 pub mod evacuation;
 pub mod fingerprint;
--- a/crates/hawthorn-route/src/placement.rs
+++ b/crates/hawthorn-route/src/placement.rs
@@ -36,6 +36,16 @@
 /// less are equivalent, and the jitter keeps all hosts from selecting the same one.
 const SCORE_JITTER: f64 = 0.001;
 
+/// Estimates of the wait for a slot.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SlotWait {
+    /// The expected wait; zero at a target that has a free slot.
+    pub expected: Duration,
+    /// The wait if a target whose oldest request is long does not release its slots. Where long
+    /// and short work is mixed, many targets execute such a request without being paused.
+    pub cautious: Duration,
+}
+
 /// The state that a selection is based on.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementView<'a> {
@@ -92,6 +102,54 @@
         self.available_targets(service).map(|state| self.target_queue_wait(state)).min()
     }
 
+    /// The waits for a slot of a request sent now, over the targets of a service; `None` if none
+    /// is available. Unlike [`PlacementView::queue_wait`], they are not zero if all slots are busy
+    /// and no request is queued yet.
+    pub fn slot_wait(self, service: &str) -> Option<SlotWait> {
+        let target_wait = |state: &TargetState| {
+            let queued = self.target_queue_wait(state);
+            if state.has_free_slot(self.now) {
+                return SlotWait { expected: Duration::ZERO, cautious: queued };
+            }
+            let next_slot = self.queued_service_time / state.entry.slots.max(1);
+            let wait = queued.max(next_slot);
+            SlotWait { expected: wait, cautious: wait }
+        };
+        let waits = self.available_targets(service).map(target_wait);
+        waits.reduce(|a, b| SlotWait {
+            expected: a.expected.min(b.expected),
+            cautious: a.cautious.min(b.cautious),
+        })
+    }
+
+    /// The waits for slots at the slowest service that an answer needs, if `max_missing` services
+    /// may be missing from it. Zero if too few services are available: the request is then
+    /// refused for that reason, and waiting for a slot does not help.
+    pub fn decisive_slot_wait<'s>(
+        self,
+        services: impl Iterator<Item = &'s str>,
+        max_missing: usize,
+    ) -> SlotWait {
+        let (mut expected, mut cautious, mut unavailable) = (Vec::new(), Vec::new(), 0);
+        for service in services {
+            match self.slot_wait(service) {
+                Some(wait) => {
+                    expected.push(wait.expected);
+                    cautious.push(wait.cautious);
+                }
+                None => unavailable += 1,
+            }
+        }
+        let Some(tolerated) = max_missing.checked_sub(unavailable) else {
+            return SlotWait::default();
+        };
+        let decisive = |mut waits: Vec<Duration>| {
+            waits.sort_unstable_by(|a, b| b.cmp(a));
+            waits.get(tolerated).copied().unwrap_or_default()
+        };
+        SlotWait { expected: decisive(expected), cautious: decisive(cautious) }
+    }
+
     /// The queueing delay at one target.
     ///
     /// A paused target reports nothing, and its last report shows an empty queue. Or the load
--- a/crates/hawthorn-route/src/policy.rs
+++ b/crates/hawthorn-route/src/policy.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 
 use crate::admission;
+use crate::dispatch;
 use crate::gather;
 use crate::hedge;
 use crate::placement;
@@ -65,6 +66,8 @@
     pub skipping: skip::Options,
     /// Which queries are admitted.
     pub admission: admission::Options,
+    /// In which order requests are sent while capacity is short.
+    pub dispatch: dispatch::Options,
     /// Which shards are delegated to peers.
     pub gatherers: scatter::Options,
     /// Which partial answers are returned.
@@ -105,6 +108,10 @@
 const MAX_SECONDS: f64 = 3600.0;
 /// Maximum buffer per answer in kilobytes: a small host's memory.
 const MAX_KILOBYTES: f64 = 65_536.0;
+/// Maximum number of waiting requests: at 30 KB each, half of the memory of a host with 256 MB.
+const MAX_WAITING: f64 = 4096.0;
+/// Maximum share reserved for a less urgent priority: with more, it would not be less urgent.
+const MAX_RESERVED_SHARE: f64 = 0.5;
 /// Maximum number of shards of a query: their indexes have 16 bits.
 const MAX_SHARDS: f64 = 65_535.0;
 
@@ -132,7 +139,17 @@
     /// All values with their ranges.
     pub fn rows(&self) -> Vec<PolicyRow> {
         let Self { departure, placing, second_attempts, skipping, admission, .. } = self;
-        let Self { gatherers, gathering, zones, rollout, targets, quarantine, answers, .. } = self;
+        let Self {
+            dispatch,
+            gatherers,
+            gathering,
+            zones,
+            rollout,
+            targets,
+            quarantine,
+            answers,
+            ..
+        } = self;
         vec![
             switch("departure.on", departure.on),
             share("departure.least_share", departure.least_share),
@@ -161,6 +178,11 @@
             share("admission.fair_share", admission.fair_share),
             share("admission.turned_away_share", admission.turned_away_share),
             millis("admission.crowded_ms", admission.crowded_time),
+            switch("dispatch.on", dispatch.on),
+            row("dispatch.waiting_limit", f64::from(dispatch.waiting_limit), 1.0, MAX_WAITING),
+            row("dispatch.reserved_share", dispatch.reserved_share, 0.0, MAX_RESERVED_SHARE),
+            share("dispatch.standing_share", dispatch.standing_share),
+            millis("dispatch.expected_ms", dispatch.expected_time),
             switch("gatherers.on", gatherers.on),
             switch("gatherers.replaces_silent", gatherers.replaces_silent),
             row("gatherers.least_shards", gatherers.least_shards as f64, 1.0, MAX_SHARDS),
