test(route): the dispatcher under bursts, skew, slow targets, mixed work and saturation

Cause: the order of requests must hold for any load, not only in one deployment.

The goodput model has classes of queries with their own service times, target latencies and priorities, slow targets, and the dispatcher. The model showed three faults, which are mended: queries sent at the last moment were late and their work was wasted; the queues at the targets decided between customers of one priority; the first request of a flow held it back until it expired. The default of standing_share is 0.15 instead of 0.25.

--- a/crates/hawthorn-route/src/dispatch.rs
+++ b/crates/hawthorn-route/src/dispatch.rs
@@ -45,10 +45,14 @@
     /// less urgent request waits up to eight times longer, but none starves.
     pub reserved_share: f64,
     /// A less urgent request is sent while the wait at its targets is below this share of the
-    /// target latency of more urgent requests, and one of several customers while it is below
-    /// this share of their own. Slots are not preempted, so that a request waits for everything
-    /// that was sent before it.
+    /// target latency of more urgent requests. Slots are not preempted, so that an urgent request
+    /// waits for everything that was sent before it. With 0.25, urgent requests of 50 ms were
+    /// late behind one queued request of 20 ms; see tests/goodput.
     pub standing_share: f64,
+    /// A request of one of several customers is sent while the wait at its targets is below this
+    /// share of its own target latency. Above it, the queues at the targets would decide the
+    /// order, in which a flood of one customer delays the others.
+    pub equal_share: f64,
     /// For how long after a request of a priority more of them are expected.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "expected_ms")]
@@ -61,7 +65,8 @@
             on: false,
             waiting_limit: 1024,
             reserved_share: 0.125,
-            standing_share: 0.25,
+            standing_share: 0.15,
+            equal_share: 0.25,
             expected_time: Duration::from_secs(1),
         }
     }
@@ -330,8 +335,11 @@
     ) -> Option<TicketKey> {
         let found = loop {
             let decided = self.order().into_iter().find_map(|key| {
-                let expected = capacity(key);
                 let demand = &self.tickets[key].demand;
+                if now > demand.latest_send() {
+                    return Some((key, Some(Duration::ZERO)));
+                }
+                let expected = capacity(key);
                 match self.may_send(now, demand, expected, options) {
                     SendDecision::Send => Some((key, None)),
                     SendDecision::Late => Some((key, Some(expected.wait.expected))),
@@ -431,9 +439,7 @@
             return SendDecision::Late;
         }
         let Some(rank) = self.ranks.get(&demand.priority) else { return SendDecision::Send };
-        // Without a limit among equals, the queues at the targets would decide, in which a flood
-        // of one customer delays the others.
-        let among_equals = rank.target_latency.mul_f64(options.standing_share);
+        let among_equals = rank.target_latency.mul_f64(options.equal_share);
         let exceeds_equals = rank.arrivals.len() > 1 && expected > among_equals;
         let leaves_slots =
             rank.credit > 0.0 || cautious < self.wait_limit(now, demand.priority, options);
--- a/crates/hawthorn-route/src/policy.rs
+++ b/crates/hawthorn-route/src/policy.rs
@@ -182,6 +182,7 @@
             row("dispatch.waiting_limit", f64::from(dispatch.waiting_limit), 1.0, MAX_WAITING),
             row("dispatch.reserved_share", dispatch.reserved_share, 0.0, MAX_RESERVED_SHARE),
             share("dispatch.standing_share", dispatch.standing_share),
+            share("dispatch.equal_share", dispatch.equal_share),
             millis("dispatch.expected_ms", dispatch.expected_time),
             switch("gatherers.on", gatherers.on),
             switch("gatherers.replaces_silent", gatherers.replaces_silent),
--- a/crates/hawthorn-route/tests/goodput/fleet.rs
+++ b/crates/hawthorn-route/tests/goodput/fleet.rs
@@ -15,6 +15,14 @@
 use hawthorn_route::budget::FleetView;
 use hawthorn_route::budget::RetryBudget;
 use hawthorn_route::budget::ServiceUse;
+use hawthorn_route::dispatch::ArrivalDecision;
+use hawthorn_route::dispatch::Dispatcher;
+use hawthorn_route::dispatch::ExpectedCapacity;
+use hawthorn_route::dispatch::FlowName;
+use hawthorn_route::dispatch::RequestDemand;
+use hawthorn_route::dispatch::RetryIdentity;
+use hawthorn_route::dispatch::TicketKey;
+use hawthorn_route::fingerprint::RequestFingerprint;
 use hawthorn_route::gather::GatherState;
 use hawthorn_route::gather::GatherStep;
 use hawthorn_route::hedge;
@@ -45,6 +53,36 @@
 const BUDGET: FleetBudget =
     FleetBudget { window: Duration::from_secs(10), share: 0.2, allowance: 56.0 };
 
+/// Interval at which hosts check their waiting queries, in addition to each end of an attempt.
+const POLL_INTERVAL: Duration = Duration::from_millis(4);
+
+/// Queries of one route and customer.
+#[derive(Clone, Debug)]
+pub struct QueryClass {
+    pub priority: u32,
+    /// The customer or route whose share of the capacity the queries use.
+    pub flow: &'static str,
+    /// Index of the route, whose latencies are measured together.
+    pub route: usize,
+    /// Share of the queries.
+    pub share: f64,
+    /// Mean service time.
+    pub service_time: Duration,
+    pub target_latency: Duration,
+    /// Minimum share of the shards that an answer must cover.
+    pub min_share: f64,
+}
+
+/// A period in which the second targets of some shards are slow.
+#[derive(Clone, Copy, Debug)]
+pub struct Slowdown {
+    pub from: Duration,
+    pub until: Duration,
+    /// Number of shards, the last ones, and the factor on their second targets' service times.
+    pub shards: usize,
+    pub factor: f64,
+}
+
 /// Parameters of a simulation.
 #[derive(Clone, Debug)]
 pub struct Scenario {
@@ -56,14 +94,10 @@
     pub slots: u32,
     /// Maximum number of requests in the queue of a target.
     pub queue: u32,
-    /// Mean service time.
-    pub service_time: Duration,
-    pub target_latency: Duration,
+    /// The mix of queries; their shares add up to 1.
+    pub classes: Vec<QueryClass>,
+    pub slowdown: Option<Slowdown>,
     pub deadline: Duration,
-    /// Minimum share of the shards that an answer must cover.
-    pub min_share: f64,
-    /// Share of urgent queries.
-    pub urgent_share: f64,
     /// Queries per second, without retries.
     pub rate: f64,
     /// Maximum number of retries of a query.
@@ -82,23 +116,29 @@
     pub failed: u32,
 }
 
-/// The tallies of urgent and other queries.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+impl Tally {
+    /// Share of the queries that were answered in time.
+    pub fn share_in_time(&self) -> f64 {
+        f64::from(self.in_time) / f64::from(self.requested)
+    }
+}
+
+/// The tallies of the queries of each class.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Outcome {
-    pub urgent: Tally,
-    pub ordinary: Tally,
+    pub classes: Vec<Tally>,
 }
 
 impl Outcome {
     /// Queries per second, without retries.
     pub fn offered(&self, scenario: &Scenario) -> f64 {
-        f64::from(self.urgent.requested + self.ordinary.requested)
+        f64::from(self.classes.iter().map(|tally| tally.requested).sum::<u32>())
             / (scenario.duration - WARM_UP).as_secs_f64()
     }
 
     /// Queries answered in time per second.
     pub fn goodput(&self, scenario: &Scenario) -> f64 {
-        f64::from(self.urgent.in_time + self.ordinary.in_time)
+        f64::from(self.classes.iter().map(|tally| tally.in_time).sum::<u32>())
             / (scenario.duration - WARM_UP).as_secs_f64()
     }
 }
@@ -112,13 +152,15 @@
     AttemptLate { query: usize, shard: usize },
     SoftDeadline { query: usize },
     Deadline { query: usize },
+    Poll { host: usize },
 }
 
 /// A caller with one query, retried until it is answered or the retries are used up.
 struct Caller {
     /// When the caller first sent its query.
     started: Duration,
-    urgent: bool,
+    /// Index of its class.
+    class: usize,
     /// Number of times that the query was sent.
     tries: u32,
     settled: bool,
@@ -135,7 +177,9 @@
 
 struct Query {
     caller: usize,
+    class: usize,
     host: usize,
+    /// When the host received it; it may have waited since.
     started: Duration,
     state: GatherState,
     shards: Vec<ShardAttempts>,
@@ -163,12 +207,16 @@
     registry: TargetRegistry,
     /// The index of the target of each key.
     target_indexes: HashMap<TargetKey, usize>,
-    /// Latencies of all answered attempts.
-    times: ServiceTimes,
-    /// Latencies of attempts at targets with a free slot.
-    unqueued_times: ServiceTimes,
+    /// Latencies of all answered attempts, by route.
+    times: Vec<ServiceTimes>,
+    /// Latencies of attempts at targets with a free slot, by route.
+    unqueued_times: Vec<ServiceTimes>,
     budgets: Vec<RetryBudget>,
     admission: QueryAdmission,
+    dispatcher: Dispatcher,
+    /// Callers and start times of the waiting queries.
+    waiting: HashMap<TicketKey, (usize, Duration)>,
+    is_polling: bool,
 }
 
 struct Fleet<'a> {
@@ -212,14 +260,22 @@
                     target_indexes.insert(key, shard * 2 + replica);
                 }
             }
-            let initial = (scenario.target_latency / 8).as_micros() as u64;
+            let routes = 0..=scenario.classes.iter().map(|class| class.route).max().unwrap_or(0);
+            let initial = |route| {
+                let class = scenario.classes.iter().find(|class| class.route == route);
+                let class = class.expect("routes are numbered without gaps");
+                ServiceTimes::new((class.target_latency / 8).as_micros() as u64)
+            };
             Host {
                 registry,
                 target_indexes,
-                times: ServiceTimes::new(initial),
-                unqueued_times: ServiceTimes::new(initial),
+                times: routes.clone().map(initial).collect(),
+                unqueued_times: routes.map(initial).collect(),
                 budgets: vec![RetryBudget::default(); scenario.shards],
                 admission: QueryAdmission::default(),
+                dispatcher: Dispatcher::default(),
+                waiting: HashMap::new(),
+                is_polling: false,
             }
         };
         let hosts = (0..scenario.hosts).map(|_| host()).collect();
@@ -236,19 +292,30 @@
             targets,
             hosts,
             shard_names,
-            outcome: Outcome::default(),
+            outcome: Outcome { classes: vec![Tally::default(); scenario.classes.len()] },
         };
         let mut at = Duration::ZERO;
         while at < scenario.duration {
             let uniform: f64 = fleet.rng.random_range(f64::EPSILON..1.0);
             at += Duration::from_secs_f64(-uniform.ln() / scenario.rate);
-            let urgent = fleet.rng.random_bool(scenario.urgent_share);
-            fleet.callers.push(Caller { started: at, urgent, tries: 0, settled: false });
+            let class = fleet.random_class();
+            fleet.callers.push(Caller { started: at, class, tries: 0, settled: false });
             fleet.schedule(at, Event::Request { caller: fleet.callers.len() - 1 });
         }
         fleet
     }
 
+    fn random_class(&mut self) -> usize {
+        let mut left = 1.0;
+        for (index, class) in self.scenario.classes.iter().enumerate() {
+            if class.share >= left - 1e-9 || self.rng.random_bool(class.share / left) {
+                return index;
+            }
+            left -= class.share;
+        }
+        self.scenario.classes.len() - 1
+    }
+
     fn schedule(&mut self, at: Duration, event: Event) {
         self.sequence += 1;
         self.events.push(Reverse((at, self.sequence, event)));
@@ -263,6 +330,10 @@
             Event::AttemptLate { query, shard } => self.hedge(query, shard),
             Event::SoftDeadline { query } => self.step(query),
             Event::Deadline { query } => self.give_up(query),
+            Event::Poll { host } => {
+                self.hosts[host].is_polling = false;
+                self.pump(host);
+            }
         }
     }
 
@@ -274,12 +345,17 @@
         budget::host_share(&BUDGET, &view, ServiceUse::Shard)
     }
 
-    fn view<'h>(&self, host: &'h Host) -> PlacementView<'h> {
+    fn view<'h>(&self, host: &'h Host, class: usize) -> PlacementView<'h> {
         let micros = Duration::from_micros;
-        let (service_time, queued) =
-            (micros(host.times.median()), micros(host.unqueued_times.median()));
+        let classes = &self.scenario.classes;
+        let service_time = micros(host.times[classes[class].route].median());
+        // Queued requests are of all routes.
+        let unqueued = |class: &QueryClass| {
+            micros(host.unqueued_times[class.route].median()).mul_f64(class.share)
+        };
+        let queued = classes.iter().map(unqueued).sum();
         let (registry, target_latency, now) =
-            (&host.registry, self.scenario.target_latency, self.now);
+            (&host.registry, classes[class].target_latency, self.now);
         PlacementView {
             queued_service_time: queued,
             ..support::view(registry, service_time, target_latency, now)
@@ -289,27 +365,125 @@
     fn request(&mut self, caller: usize) {
         let scenario = self.scenario;
         let host_index = self.rng.random_range(0..scenario.hosts);
-        let urgent = self.callers[caller].urgent;
+        let class = &scenario.classes[self.callers[caller].class];
+        let urgent = class.priority == 0;
         self.callers[caller].tries += 1;
+        if scenario.policy.dispatch.on {
+            return self.arrive_ordered(caller, host_index);
+        }
         if !self.hosts[host_index].admission.admit(self.now, urgent, &scenario.policy.admission) {
             return self.refuse(caller, RefusalReason::HostFull);
         }
-        let state = GatherState {
-            shards: scenario.shards,
-            parts: 0,
-            lost: 0,
-            min_share: scenario.min_share,
-        };
+        self.start(caller, host_index, self.now);
+    }
+
+    fn demand(&self, caller: usize, host: usize) -> RequestDemand {
+        let class_index = self.callers[caller].class;
+        let class = &self.scenario.classes[class_index];
+        let service_time = self.hosts[host].unqueued_times[class.route].median();
+        let service_time = Duration::from_micros(service_time);
+        RequestDemand {
+            flow: FlowName::Customer(class.flow.into()),
+            priority: class.priority,
+            identity: RetryIdentity {
+                caller: caller as u64,
+                fingerprint: RequestFingerprint::default(),
+            },
+            target_latency: class.target_latency,
+            soft_deadline: self.now + class.target_latency,
+            deadline: self.now + self.scenario.deadline,
+            service_time,
+            slot_time: service_time * self.scenario.shards as u32,
+        }
+    }
+
+    fn capacity(&mut self, caller: usize, host: usize) -> ExpectedCapacity {
+        let class_index = self.callers[caller].class;
+        let class = &self.scenario.classes[class_index];
+        let shards = self.scenario.shards;
+        let state = GatherState { shards, parts: 0, lost: 0, min_share: class.min_share };
+        let view = self.view(&self.hosts[host], class_index);
+        let names = self.shard_names.iter().map(String::as_str);
+        let wait = view.decisive_slot_wait(names, state.max_missing());
+        let options = &self.scenario.policy.admission;
+        let admission = &mut self.hosts[host].admission;
+        let window_full = !admission.has_room(self.now, class.priority == 0, options);
+        ExpectedCapacity { wait, window_full }
+    }
+
+    fn arrive_ordered(&mut self, caller: usize, host: usize) {
+        let (now, options) = (self.now, self.scenario.policy.dispatch);
+        let (demand, capacity) = (self.demand(caller, host), self.capacity(caller, host));
+        let arrival = self.hosts[host].dispatcher.arrive(now, demand, capacity, &options);
+        if let Some((evicted, rejection)) = arrival.evicted {
+            self.reject_waiting(host, evicted, rejection.after);
+        }
+        match arrival.decision {
+            ArrivalDecision::Send => {
+                self.hosts[host].admission.admit_ordered();
+                self.start(caller, host, now);
+            }
+            ArrivalDecision::Wait(ticket) => {
+                self.hosts[host].waiting.insert(ticket, (caller, now));
+                self.pump(host);
+            }
+            ArrivalDecision::Reject(rejection) => self.reject(caller, rejection.after),
+        }
+    }
+
+    /// Sends the waiting queries of a host for which there is capacity.
+    fn pump(&mut self, host: usize) {
+        let (now, options) = (self.now, self.scenario.policy.dispatch);
+        loop {
+            let mut dispatcher = std::mem::take(&mut self.hosts[host].dispatcher);
+            let capacity = |ticket| {
+                let (caller, _) = self.hosts[host].waiting[&ticket];
+                self.capacity(caller, host)
+            };
+            let next = dispatcher.next(now, capacity, &options);
+            self.hosts[host].dispatcher = dispatcher;
+            let Some(ticket) = next else { break };
+            let (caller, started) =
+                self.hosts[host].waiting.remove(&ticket).expect("each ticket has a query");
+            self.hosts[host].admission.admit_ordered();
+            self.start(caller, host, started);
+        }
+        for (ticket, rejection) in self.hosts[host].dispatcher.expire(now) {
+            self.reject_waiting(host, ticket, rejection.after);
+        }
+        if self.hosts[host].dispatcher.waiting() > 0 && !self.hosts[host].is_polling {
+            self.hosts[host].is_polling = true;
+            self.schedule(now + POLL_INTERVAL, Event::Poll { host });
+        }
+    }
+
+    fn reject_waiting(&mut self, host: usize, ticket: TicketKey, after: Duration) {
+        let (caller, _) =
+            self.hosts[host].waiting.remove(&ticket).expect("each ticket has a query");
+        self.reject(caller, after);
+    }
+
+    fn reject(&mut self, caller: usize, after: Duration) {
+        let delay = after.mul_f64(self.rng.random_range(1.0..1.5));
+        self.retry(caller, delay, |tally| tally.refused += 1);
+    }
+
+    fn start(&mut self, caller: usize, host_index: usize, started: Duration) {
+        let scenario = self.scenario;
+        let class_index = self.callers[caller].class;
+        let class = &scenario.classes[class_index];
+        let state =
+            GatherState { shards: scenario.shards, parts: 0, lost: 0, min_share: class.min_share };
         let max_missing = state.max_missing();
         let skipped = {
             let host = &self.hosts[host_index];
             let numbered = (0_u16..).zip(self.shard_names.iter().map(String::as_str));
             if host.admission.is_overloaded(self.now) {
                 skip::skip(
-                    self.view(host),
+                    self.view(host, class_index),
                     numbered,
                     max_missing,
-                    scenario.target_latency,
+                    (started + class.target_latency).saturating_sub(self.now),
                     &scenario.policy.skipping,
                 )
             } else {
@@ -325,8 +499,9 @@
         let query = self.queries.len();
         self.queries.push(Query {
             caller,
+            class: class_index,
             host: host_index,
-            started: self.now,
+            started,
             state: GatherState { lost: skipped.len(), ..state },
             shards: (0..scenario.shards).map(shard).collect(),
             load: QueryLoad {
@@ -349,8 +524,12 @@
             self.launch(query, shard, false);
             self.schedule_hedge(query, shard);
         }
-        self.schedule(self.now + scenario.target_latency, Event::SoftDeadline { query });
-        self.schedule(self.now + scenario.deadline, Event::Deadline { query });
+        self.schedule(started + class.target_latency, Event::SoftDeadline { query });
+        self.schedule(started + scenario.deadline, Event::Deadline { query });
+    }
+
+    fn class(&self, query: usize) -> &QueryClass {
+        &self.scenario.classes[self.queries[query].class]
     }
 
     fn schedule_hedge(&mut self, query: usize, shard: usize) {
@@ -358,7 +537,9 @@
         let host = &self.hosts[self.queries[query].host];
         let fullness = host.budgets[shard].fullness(&options);
         let second = &self.scenario.policy.second_attempts;
-        let delay = hedge::delay(&host.times, self.scenario.target_latency, fullness, second);
+        let class = self.class(query);
+        let times = &host.times[class.route];
+        let delay = hedge::delay(times, class.target_latency, fullness, second);
         self.schedule(self.now + delay, Event::AttemptLate { query, shard });
     }
 
@@ -370,7 +551,7 @@
         let tried = &self.queries[query].shards[shard].tried;
         let placing = &scenario.policy.placing;
         let key = placement::select_target(
-            self.view(host),
+            self.view(host, self.queries[query].class),
             &self.shard_names[shard],
             tried,
             &mut rng,
@@ -408,7 +589,14 @@
     fn execute(&mut self, attempt: usize) {
         let factor = self.rng.random_range(0.5..1.5);
         let tail = if self.rng.random_bool(0.01) { 5.0 } else { 1.0 };
-        let duration = self.scenario.service_time.mul_f64(factor * tail);
+        let Attempt { query, shard, target, .. } = self.attempts[attempt];
+        let is_slow = self.scenario.slowdown.is_some_and(|slow| {
+            let in_period = (slow.from..slow.until).contains(&self.now);
+            in_period && target % 2 == 1 && shard >= self.scenario.shards - slow.shards
+        });
+        let slow_factor =
+            self.scenario.slowdown.filter(|_| is_slow).map_or(1.0, |slow| slow.factor);
+        let duration = self.class(query).service_time.mul_f64(factor * tail * slow_factor);
         self.schedule(self.now + duration, Event::Executed { attempt });
     }
 
@@ -442,8 +630,10 @@
     fn reply(&mut self, attempt: usize) {
         let Attempt { query, shard, key, sent, end, reported, .. } = self.attempts[attempt];
         let now = self.now;
-        let host = &mut self.hosts[self.queries[query].host];
-        let service_time = Duration::from_micros(host.times.median());
+        let route = self.class(query).route;
+        let host_index = self.queries[query].host;
+        let host = &mut self.hosts[host_index];
+        let service_time = Duration::from_micros(host.times[route].median());
         let state = host.registry.get_mut(key).expect("targets are never removed");
         let was_free = state.has_free_slot(sent);
         if let Some(load) = reported {
@@ -456,11 +646,19 @@
         }
         if end == AttemptEnd::Answered {
             let micros = now.saturating_sub(sent).as_micros() as u64;
-            host.times.record(micros);
+            host.times[route].record(micros);
             if was_free {
-                host.unqueued_times.record(micros);
+                host.unqueued_times[route].record(micros);
             }
         }
+        self.record_end(query, shard, end);
+        if self.hosts[host_index].dispatcher.waiting() > 0 {
+            self.pump(host_index);
+        }
+    }
+
+    /// Records the end of an attempt at a shard of a query.
+    fn record_end(&mut self, query: usize, shard: usize, end: AttemptEnd) {
         let record = &mut self.queries[query];
         let attempts = &mut record.shards[shard];
         attempts.in_flight -= 1;
@@ -495,13 +693,13 @@
         let mut rng = StdRng::from_rng(&mut self.rng);
         let placing = &self.scenario.policy.placing;
         let name = &self.shard_names[shard];
-        let next =
-            placement::select_target(self.view(host), name, &attempts.tried, &mut rng, placing);
+        let view = self.view(host, record.class);
+        let next = placement::select_target(view, name, &attempts.tried, &mut rng, placing);
         let state = next.and_then(|key| host.registry.get(key));
         let needs_room = self.scenario.policy.second_attempts.needs_room;
         if needs_room && state.is_some_and(|state| !hedge::has_capacity(state, self.now)) {
             if self.now + hedge::CAPACITY_POLL_INTERVAL
-                < record.started + self.scenario.target_latency
+                < record.started + self.class(query).target_latency
             {
                 self.schedule(
                     self.now + hedge::CAPACITY_POLL_INTERVAL,
@@ -519,7 +717,7 @@
         if record.ended.is_some() {
             return;
         }
-        let soft_deadline = record.started + self.scenario.target_latency;
+        let soft_deadline = record.started + self.class(query).target_latency;
         let soft_time_left = soft_deadline.saturating_sub(self.now);
         match record.state.step(soft_time_left, &self.scenario.policy.gathering) {
             GatherStep::Wait => {}
@@ -552,7 +750,8 @@
         self.queries[query].ended = Some(self.now);
         let record = &self.queries[query];
         let host = &self.hosts[record.host];
-        let view = self.view(host);
+        let view = self.view(host, record.class);
+        let target_latency = self.class(query).target_latency;
         let requested =
             (0..self.scenario.shards).filter(|shard| !record.shards[*shard].tried.is_empty());
         let waits =
@@ -561,13 +760,7 @@
         let elapsed = self.now.saturating_sub(record.started);
         let (host_index, now, scenario) = (record.host, self.now, self.scenario);
         let admission = &mut self.hosts[host_index].admission;
-        admission.finish(
-            now,
-            elapsed,
-            scenario.target_latency,
-            Some(&load),
-            &scenario.policy.admission,
-        );
+        admission.finish(now, elapsed, target_latency, Some(&load), &scenario.policy.admission);
     }
 
     fn refuse(&mut self, caller: usize, reason: RefusalReason) {
@@ -585,12 +778,12 @@
     }
 
     fn settle(&mut self, caller: usize, count: impl FnOnce(&mut Tally)) {
-        let Caller { started, urgent, settled, .. } = &mut self.callers[caller];
+        let Caller { started, class, settled, .. } = &mut self.callers[caller];
         assert!(!std::mem::replace(settled, true), "a query ends once");
         if *started < WARM_UP {
             return;
         }
-        let tally = if *urgent { &mut self.outcome.urgent } else { &mut self.outcome.ordinary };
+        let tally = &mut self.outcome.classes[*class];
         tally.requested += 1;
         count(tally);
     }
