feat(edge): requests wait for capacity in order, and late ones are refused

Cause: urgent requests wait at targets behind less urgent ones, and a customer that sends more than its share delays all others.

Change: with policy.dispatch.on, or if the configuration in force has customers, requests of a host's callers and queries of peers pass the dispatcher. Without both, the path is as before. A request for which there is capacity passes without being suspended; one task serves those that wait. They leave the queue with their caller. Refusals are 503 overloaded with the time until capacity is expected. A gatherer replies Overloaded, which is new, so that FORMAT is 0x68720006. E656, gauges dispatch-waiting and dispatch-oldest-ms, counter hawthorn_route_dispatch.

A request is late at its caller's deadline if that is before its target latency has passed.

Not measured on a deployment.

--- a/crates/hawthorn-edge/src/connection/message.rs
+++ b/crates/hawthorn-edge/src/connection/message.rs
@@ -8,7 +8,7 @@
 
 /// Version of the message format. Hosts with two formats run side by side during a rolling
 /// update and cannot read each other's requests.
-pub const FORMAT: u32 = 0x6872_0005;
+pub const FORMAT: u32 = 0x6872_0006;
 
 /// Deadlines of a request by the receiver's clock, in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,6 +105,11 @@
     /// Nothing was sent: the peer's configuration was not confirmed recently, so that the caller's
     /// key may have been revoked.
     StaleKeys,
+    /// Nothing was sent: more urgent requests use the capacity, and the parts would be late.
+    Overloaded {
+        /// Time until capacity is expected, in microseconds.
+        after_us: u64,
+    },
     /// Nothing was sent: the request has another format, or its deadlines are impossible.
     Unreadable,
 }
--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -76,6 +76,8 @@
     AttemptBroken = 637,
     /// The quarantine state of a request, caller or route changed.
     QuarantineChanged = 638,
+    /// Requests waited for capacity, or were rejected because it was short.
+    DispatchQueue = 656,
     /// A part of a version's customers was not applied as written.
     CustomersBroken = 651,
     /// A peer's message is malformed.
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -48,6 +48,8 @@
 use crate::process::store_sync;
 use crate::process::traffic::TrafficAccount;
 use crate::process::traffic::TrafficPurpose;
+use crate::request::dispatch;
+use crate::request::dispatch::DispatchQueue;
 use crate::request::remainder::RemainderTable;
 use crate::settings::RouteSettings;
 use crate::version::state::RoutingState;
@@ -152,6 +154,8 @@
     pub open_requests: Cell<usize>,
     /// Time between the stop signal and forced termination.
     pub grace: Cell<Duration>,
+    /// Requests that wait for capacity.
+    pub(crate) dispatch: DispatchQueue,
     /// Bytes of callers' request bodies in memory.
     pub body_bytes: Cell<usize>,
     /// Number of requests since the start, used to number and sample log lines.
@@ -187,6 +191,7 @@
             lag: Rc::default(),
             open_requests: Cell::new(0),
             grace: Cell::new(settings.stop.grace),
+            dispatch: DispatchQueue::default(),
             body_bytes: Cell::new(0),
             request_count: Cell::new(0),
             routing: RoutingState::new(settings),
@@ -322,6 +327,7 @@
     tasks.spawn_local(catalog::apply_pending(Rc::clone(&host)));
     tasks.spawn_local(cold::claim_slots(Rc::clone(&host), client.clone()));
     tasks.spawn_local(store_sync::follow(Rc::clone(&host), client));
+    tasks.spawn_local(dispatch::run(Rc::clone(&host)));
     tasks.spawn_local(sweep(Rc::clone(&host)));
     tasks.spawn_local(reachability::watch(Rc::clone(&host)));
     tasks.spawn_local(loop_clock::check_reads());
@@ -386,6 +392,7 @@
         host.metrics.set_gauge("targets", host.routing.registry.borrow().iter().count() as u64);
         let evacuated = host.routing.registry.borrow().evacuations().iter().count();
         host.metrics.set_gauge("evacuated-zones", evacuated as u64);
+        dispatch::report(&host);
         host.metrics.export_traffic(&host.traffic);
         if tick.is_multiple_of(TRAFFIC_SWEEPS) {
             log_traffic(&host.traffic);
--- a/crates/hawthorn-edge/src/process/metrics.rs
+++ b/crates/hawthorn-edge/src/process/metrics.rs
@@ -7,6 +7,7 @@
 
 use hawthorn_metrics::Error;
 use hawthorn_metrics::MetricExporter;
+use hawthorn_route::dispatch::DispatchCounts;
 use hawthorn_route::outcome::AttemptEnd;
 use hawthorn_route::outcome::RefusalReason;
 use hawthorn_route::quarantine::ChangeKind;
@@ -36,6 +37,7 @@
     extra_attempts: Counter<u64>,
     missing: Counter<u64>,
     quarantine: Counter<u64>,
+    dispatch: Counter<u64>,
     traffic: Counter<u64>,
     latency: Histogram<f64>,
     departure: Histogram<f64>,
@@ -57,6 +59,7 @@
             extra_attempts: meter.u64_counter("hawthorn_route_extra_attempts").build(),
             missing: meter.u64_counter("hawthorn_route_missing_parts").build(),
             quarantine: meter.u64_counter("hawthorn_route_quarantine_changes").build(),
+            dispatch: meter.u64_counter("hawthorn_route_dispatch").build(),
             traffic: meter.u64_counter("hawthorn_route_zone_bytes").build(),
             latency: meter
                 .f64_histogram("hawthorn_route_request_seconds")
@@ -75,6 +78,7 @@
             set.count_extra(reason, 0);
         }
         ChangeKind::iter().for_each(|kind| set.count_quarantine(kind, 0));
+        set.count_dispatch(&DispatchCounts::default());
         set.missing.add(0, &[]);
         Ok(set)
     }
@@ -136,6 +140,21 @@
         self.quarantine.add(count, &[KeyValue::new("change", <&'static str>::from(kind))]);
     }
 
+    /// Counts what happened to requests in the dispatcher.
+    pub fn count_dispatch(&self, change: &DispatchCounts) {
+        let DispatchCounts { requested, retried, queued, overtook, rejected } = *change;
+        let counts = [
+            ("requested", requested),
+            ("retried", retried),
+            ("queued", queued),
+            ("overtook", overtook),
+            ("rejected", rejected),
+        ];
+        for (name, count) in counts {
+            self.dispatch.add(count, &[KeyValue::new("event", name)]);
+        }
+    }
+
     /// Exports the bytes between this host's zone and others.
     pub fn export_traffic(&self, account: &TrafficAccount) {
         account.export(&self.traffic);
--- a/crates/hawthorn-edge/src/request/answer.rs
+++ b/crates/hawthorn-edge/src/request/answer.rs
@@ -56,6 +56,11 @@
         Self { refused_for: Some(left), ..Self::refused(RefusalReason::Quarantined) }
     }
 
+    /// Capacity is short, and expected after the given time.
+    pub(crate) fn overloaded(after: Duration) -> Self {
+        Self { refused_for: Some(after), ..Self::refused(RefusalReason::Overloaded) }
+    }
+
     /// Sets the time after which the caller of a refused request should retry.
     pub(crate) fn set_retry_after(&mut self, after: Duration) {
         caller::set_retry_after(self.response.headers_mut(), after);
--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -34,6 +34,7 @@
 use crate::process::traffic::TrafficPurpose;
 use crate::process::traffic::header_bytes;
 use crate::request::context::RequestContext;
+use crate::request::dispatch;
 use crate::request::request_log::AttemptRecord;
 
 /// Time for which an attempt may continue after its caller has been answered: two pauses of a
@@ -89,6 +90,15 @@
     }
 }
 
+/// An attempt whose start is recorded.
+#[derive(Debug)]
+struct BegunAttempt {
+    sent: Duration,
+    had_free_slot: bool,
+    /// Target, service and zone; `None` if the target is gone.
+    names: Option<(Rc<str>, Rc<str>, Rc<str>)>,
+}
+
 /// An attempt to be made.
 pub(crate) struct AttemptPlan {
     pub(crate) host: Rc<RouteHost>,
@@ -104,21 +114,31 @@
     /// updates the target's latency.
     pub(crate) fn start(self) -> oneshot::Receiver<AttemptReply> {
         let (sender, receiver) = oneshot::channel();
+        // The dispatcher decides on the next request of a burst before this task runs, and must
+        // know of the attempt by then.
+        let begun = dispatch::is_on(&self.host).then(|| self.begin());
         tokio::task::spawn_local(async move {
             let (host, context) = (Rc::clone(&self.host), Rc::clone(&self.context));
-            let reply = self.run().await;
+            let reply = self.run(begun).await;
             quarantine::record_end(&host, &context, reply.end, reply.crashed);
+            host.dispatch.wake();
             // The receiver is dropped if another attempt has won the race.
             let _unread = sender.send(reply);
         });
         receiver
     }
 
-    async fn run(self) -> AttemptReply {
+    /// Records the start of the attempt.
+    fn begin(&self) -> BegunAttempt {
         let sent = host_now();
-        let left = self.context.time_left(sent);
         let had_free_slot = self.with_state(|state| state.has_free_slot(sent)).unwrap_or_default();
-        let Some((target, service, zone)) = self.record_start(sent) else {
+        BegunAttempt { sent, had_free_slot, names: self.record_start(sent) }
+    }
+
+    async fn run(self, begun: Option<BegunAttempt>) -> AttemptReply {
+        let BegunAttempt { sent, had_free_slot, names } = begun.unwrap_or_else(|| self.begin());
+        let left = self.context.time_left(sent);
+        let Some((target, service, zone)) = names else {
             return AttemptReply::without_answer(AttemptEnd::NotSent);
         };
         self.host.routing.zone_sent(&zone, sent, self.service_time);
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -293,6 +293,7 @@
         Ok(GatherReply::OtherVersion) => "other-version",
         Ok(GatherReply::Stopping) => "stopping",
         Ok(GatherReply::StaleKeys) => "stale-keys",
+        Ok(GatherReply::Overloaded { .. }) => "overloaded",
         Ok(GatherReply::Unreadable) => "unreadable",
         Err(PeerError::NotSent) => "not-sent",
         Err(PeerError::NoReply) => "lost",
--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -25,6 +25,8 @@
 use crate::request::answer::CallerAnswer;
 use crate::request::context::RequestContext;
 use crate::request::delegate;
+use crate::request::dispatch;
+use crate::request::dispatch::NeededServices;
 use crate::request::parts::GatherPlan;
 use crate::request::parts::GatherRun;
 use crate::request::remainder;
@@ -74,7 +76,7 @@
         tried = run.trial(&scatter_plan).await;
         if tried.is_none() {
             run.record_load();
-            return failed(context, run.refusal);
+            return failed(context, run.refusal, run.refused_for);
         }
     }
     // A target has answered, so that waiting requests of the same subject may proceed.
@@ -99,7 +101,7 @@
             GatherStep::Wait => {}
             GatherStep::Fail => {
                 run.record_load();
-                return failed(context, run.refusal);
+                return failed(context, run.refusal, run.refused_for);
             }
         }
         let wait = if soft_time_left.is_zero() { context.time_left(now) } else { soft_time_left };
@@ -135,6 +137,26 @@
     let requested = shards.len();
     let needed = requested.saturating_sub(max_missing);
     let min_share = needed as f64 / requested.max(1) as f64;
+    if dispatch::is_on(host) {
+        let names = shards.iter().filter_map(|index| rule.shards.get(usize::from(*index)));
+        let needed = NeededServices {
+            services: names.map(|shard| shard.as_str().into()).collect(),
+            max_missing: max_skipped,
+            windowed: false,
+        };
+        let turn = tokio::select! {
+            biased;
+            turn = dispatch::wait_turn(host, context, needed) => turn,
+            () = reply.closed() => return PeerEnd::Left,
+        };
+        if let Err(rejection) = turn {
+            let after_us = rejection.after.as_micros() as u64;
+            return match reply.send(GatherReply::Overloaded { after_us }) {
+                Ok(()) => PeerEnd::Replied,
+                Err(_) => PeerEnd::Left,
+            };
+        }
+    }
     // Shards of a peer's query are never delegated again.
     let plan = GatherPlan { version: 0, soft_deadline, shards: requested, min_share };
     let mut run = GatherRun::new(host, context, rule, plan);
@@ -237,8 +259,16 @@
 }
 
 /// The answer if too few parts can arrive: a refusal only if no attempt may have run.
-fn failed(context: &RequestContext, refusal: Option<RefusalReason>) -> CallerAnswer {
+fn failed(
+    context: &RequestContext,
+    refusal: Option<RefusalReason>,
+    refused_for: Option<Duration>,
+) -> CallerAnswer {
     match refusal {
+        Some(RefusalReason::Overloaded) if context.sent.get() == 0 => {
+            let refused = CallerAnswer::refused(RefusalReason::Overloaded);
+            CallerAnswer { refused_for, ..refused }
+        }
         Some(reason) if context.sent.get() == 0 => CallerAnswer::refused(reason),
         _ => CallerAnswer::not_known(),
     }
--- a/crates/hawthorn-edge/src/request/mod.rs
+++ b/crates/hawthorn-edge/src/request/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod attempt;
 pub(crate) mod context;
 pub(crate) mod delegate;
+pub(crate) mod dispatch;
 pub(crate) mod forward;
 pub(crate) mod gather;
 mod parts;
--- a/crates/hawthorn-edge/src/request/parts.rs
+++ b/crates/hawthorn-edge/src/request/parts.rs
@@ -83,6 +83,8 @@
     /// Parts that peers may still deliver.
     held: Vec<HeldShards>,
     pub(super) refusal: Option<RefusalReason>,
+    /// Time until peers that refused their shards expect capacity.
+    pub(super) refused_for: Option<Duration>,
     pub(super) events: FuturesUnordered<LocalBoxFuture<'a, GatherEvent<'a>>>,
 }
 
@@ -109,6 +111,7 @@
             skipped: Vec::new(),
             held: Vec::new(),
             refusal: None,
+            refused_for: None,
             events: FuturesUnordered::new(),
         }
     }
@@ -414,6 +417,15 @@
             Ok(GatherReply::OtherVersion | GatherReply::StaleKeys | GatherReply::Unreadable) => {
                 self.redelegate(delegated, delegated.in_own_zone(self.host, &self.context.route));
             }
+            // Other gatherers of the zone use the same targets, so that asking them would only
+            // add load.
+            Ok(GatherReply::Overloaded { after_us }) => {
+                self.context.sent.set(self.context.sent.get() - delegated.shards.len());
+                self.refusal = Some(RefusalReason::Overloaded);
+                let after = Duration::from_micros(after_us);
+                self.refused_for = self.refused_for.max(Some(after));
+                self.state.lost += delegated.shards.len();
+            }
             Ok(GatherReply::Stopping) | Err(PeerError::NotSent) => {
                 self.redelegate(delegated, delegated.retry(self.host, &self.context.route));
             }
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -9,8 +9,10 @@
 use hawthorn_platform::caller;
 use hawthorn_platform::caller::CallerKey;
 use hawthorn_route::customer::RequestCustomer;
+use hawthorn_route::document::GatherRule;
 use hawthorn_route::document::RouteDestination;
 use hawthorn_route::document::RouteRule;
+use hawthorn_route::gather::GatherState;
 use hawthorn_route::outcome::RefusalReason;
 use hawthorn_route::quarantine::RequestIdentity;
 use hawthorn_route::retry_after::retry_after;
@@ -39,6 +41,8 @@
 use crate::request::context;
 use crate::request::context::CancelOnDrop;
 use crate::request::context::RequestContext;
+use crate::request::dispatch;
+use crate::request::dispatch::NeededServices;
 use crate::request::gather;
 use crate::request::race::AttemptRace;
 use crate::request::race::RaceEnd;
@@ -171,7 +175,7 @@
         request_log: RefCell::default(),
     });
     let cancel_guard = CancelOnDrop(Rc::clone(&context));
-    let mut answer = dispatch(host, &context, table.version()).await;
+    let mut answer = send(host, &context, table.version()).await;
     if answer.refusal == Some(RefusalReason::Quarantined) && answer.refused_for.is_none() {
         answer.refused_for = quarantine::refused_for(host, &context);
     }
@@ -209,11 +213,7 @@
 }
 
 /// Sends the request to its route's destination.
-async fn dispatch(
-    host: &Rc<RouteHost>,
-    context: &Rc<RequestContext>,
-    version: u64,
-) -> CallerAnswer {
+async fn send(host: &Rc<RouteHost>, context: &Rc<RequestContext>, version: u64) -> CallerAnswer {
     if context.time_left(host_now()).is_zero() {
         return CallerAnswer::refused(RefusalReason::TooLate);
     }
@@ -234,8 +234,9 @@
             }
         }
         RouteDestination::Gather(rule) => {
-            let Some(permit) = AdmissionPermit::acquire(host, context) else {
-                return CallerAnswer::refused(RefusalReason::HostFull);
+            let permit = match admit_query(host, context, rule).await {
+                Ok(permit) => permit,
+                Err(answer) => return *answer,
             };
             let answer = gather::gather(host, context, rule, version, admission).await;
             permit.finish(answer.parts.is_none());
@@ -244,6 +245,28 @@
     }
 }
 
+/// Admits a query: in order if requests are ordered, otherwise at once or not at all.
+async fn admit_query<'a>(
+    host: &'a RouteHost,
+    context: &'a Rc<RequestContext>,
+    rule: &GatherRule,
+) -> Result<AdmissionPermit<'a>, Box<CallerAnswer>> {
+    if !dispatch::is_on(host) {
+        return AdmissionPermit::acquire(host, context)
+            .ok_or_else(|| Box::new(CallerAnswer::refused(RefusalReason::HostFull)));
+    }
+    let (shards, min_share) = (rule.shards.len(), rule.min_share);
+    let needed = NeededServices {
+        services: rule.shards.iter().map(|shard| shard.as_str().into()).collect(),
+        max_missing: GatherState { shards, parts: 0, lost: 0, min_share }.max_missing(),
+        windowed: true,
+    };
+    match dispatch::wait_turn(host, context, needed).await {
+        Ok(()) => Ok(AdmissionPermit::ordered(host, context)),
+        Err(rejection) => Err(Box::new(CallerAnswer::overloaded(rejection.after))),
+    }
+}
+
 /// An admitted query in flight; reports its end to admission control on drop.
 struct AdmissionPermit<'a> {
     host: &'a RouteHost,
@@ -260,6 +283,12 @@
         if admitted { Some(Self { host, context, completed: false }) } else { None }
     }
 
+    /// The permit of a query that has waited its turn.
+    fn ordered(host: &'a RouteHost, context: &'a RequestContext) -> Self {
+        host.routing.admission.borrow_mut().admit_ordered();
+        Self { host, context, completed: false }
+    }
+
     /// Reports the load that a completed query observed; `failed` if it has no parts. The
     /// attempts that a failed query sent are still work for the targets.
     fn finish(mut self, failed: bool) {
@@ -283,10 +312,18 @@
             feedback,
             &self.host.routing.policy.get().admission,
         );
+        self.host.dispatch.wake();
     }
 }
 
 async fn single(host: &Rc<RouteHost>, context: &Rc<RequestContext>, service: &str) -> CallerAnswer {
+    if dispatch::is_on(host) {
+        let needed =
+            NeededServices { services: vec![service.into()], max_missing: 0, windowed: false };
+        if let Err(rejection) = dispatch::wait_turn(host, context, needed).await {
+            return CallerAnswer::overloaded(rejection.after);
+        }
+    }
     let race = AttemptRace::new(host, context, service).run();
     match timeout(context.time_left(host_now()), race).await {
         Ok(RaceEnd::Answered(answer) | RaceEnd::Failed(answer)) => {
--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -26,6 +26,7 @@
 use hawthorn_route::home::HomeZones;
 use hawthorn_route::placement;
 use hawthorn_route::placement::PlacementView;
+use hawthorn_route::placement::SlotWait;
 use hawthorn_route::policy::RoutePolicy;
 use hawthorn_route::reachability::ZoneReachability;
 use hawthorn_route::registry::TargetKey;
@@ -434,6 +435,25 @@
         })
     }
 
+    /// The waits for slots of a request that is sent now to one target of each service; see
+    /// [`PlacementView::decisive_slot_wait`].
+    pub fn slot_wait<'s>(
+        &self,
+        route: &RouteRule,
+        services: impl Iterator<Item = &'s str>,
+        max_missing: usize,
+        now: Duration,
+    ) -> SlotWait {
+        let execution_time = self.execution_time(route);
+        let gathers = matches!(route.destination, RouteDestination::Gather(_));
+        self.with_view(route, &self.unreachable_zones(now), now, |view, _| {
+            // The mean over queued requests covers only scatter-gather queries.
+            let queued = if gathers { view.queued_service_time } else { execution_time };
+            let view = PlacementView { queued_service_time: queued, ..view };
+            view.decisive_slot_wait(services, max_missing)
+        })
+    }
+
     /// The connection pool of a target, for a request of the route.
     pub fn pool(&self, key: TargetKey, route: &RouteRule) -> Option<Arc<TargetPool>> {
         let registry = self.registry.borrow();
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -237,6 +237,25 @@
     Ok(hosts.iter().flat_map(RouteHost::log_lines).collect())
 }
 
+/// A host whose only target has two slots and receives more requests than they can execute.
+async fn waiting_events() -> TestResult<Vec<String>> {
+    let store = RouteStore::start().await?;
+    let target = RouteTarget::start("t-1", "s").await?;
+    target.fail_always(Some(TargetFault::Slow(Duration::from_millis(200))));
+    operator::configure(&store, 3, &[operator::single("/safe/", "s", "safe")], &["s"]);
+    operator::register(&store, "t-1", &target, "east");
+    let policy = "[policy.dispatch]\non = true\n";
+    let host = RouteHost::start_with_policy("h-1", "east", store.address(), &[], policy)?;
+    host.wait_until_ready().await?;
+    let waited = async || {
+        let sends = ["a", "b", "c", "d", "e", "f"].map(|id| host.send("GET", "/safe/", id, ""));
+        let _answers = futures::future::join_all(sends).await;
+        host.logged("dispatch-queue") > 0
+    };
+    route::wait_for("the waiting requests to be logged", waited).await?;
+    Ok(host.log_lines())
+}
+
 /// The keys of each event, as listed in the catalogue.
 fn catalogue() -> BTreeMap<u16, BTreeSet<String>> {
     let page = include_str!("../docs/operators/events-route.md");
@@ -257,18 +276,19 @@
 /// keys.
 #[tokio::test(flavor = "multi_thread")]
 async fn every_event_is_written_as_the_catalogue_says() -> TestResult {
-    let (single, isolated, two_zones, cold, restored, narrow, unread) = tokio::try_join!(
+    let (single, isolated, two_zones, cold, restored, narrow, unread, waiting) = tokio::try_join!(
         single_host_events(),
         isolated_host_events(),
         two_zone_events(),
         cold_target_events(),
         restored_store_events(),
         narrow_link_events(),
-        unread_log_events()
+        unread_log_events(),
+        waiting_events()
     )?;
     let catalogue = catalogue();
     let mut written = BTreeSet::new();
-    for text in [single, isolated, two_zones, cold, restored, narrow, unread].concat() {
+    for text in [single, isolated, two_zones, cold, restored, narrow, unread, waiting].concat() {
         let read = line::read(&text, "").ok_or_else(|| format!("not an event: {text}"))?;
         let keys = catalogue.get(&read.number).ok_or_else(|| format!("not listed: {text}"))?;
         for name in read.keys() {
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -107,6 +107,17 @@
         Self::start_with(name, zone, store, seeds, METRICS_PORT, &link)
     }
 
+    /// Starts a host with these tables below `policy` in its settings.
+    pub fn start_with_policy(
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        seeds: &[&RouteHost],
+        policy: &str,
+    ) -> TestResult<Self> {
+        Self::start_with(name, zone, store, seeds, METRICS_PORT, policy)
+    }
+
     fn start_with(
         name: &str,
         zone: &str,
