--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -80,6 +80,8 @@
     CustomersInForce = 650,
     /// Shards that a peer did not gather were delegated to another one.
     QueryRegathered = 659,
+    /// Requests waited for capacity, or were rejected because it was short.
+    DispatchQueue = 656,
     /// A part of a version's customers was not applied as written.
     CustomersBroken = 651,
     /// The result of claiming, renewing or releasing a slot for quotas.
--- a/crates/hawthorn-edge/src/process/metrics.rs
+++ b/crates/hawthorn-edge/src/process/metrics.rs
@@ -8,6 +8,7 @@
 use hawthorn_metrics::Error;
 use hawthorn_metrics::MetricExporter;
 use hawthorn_route::customer::KeyRejection;
+use hawthorn_route::dispatch::DispatchCounts;
 use hawthorn_route::outcome::AttemptEnd;
 use hawthorn_route::outcome::RefusalReason;
 use hawthorn_route::quarantine::ChangeKind;
@@ -53,6 +54,7 @@
     missing: Counter<u64>,
     quarantine: Counter<u64>,
     quota: Counter<u64>,
+    dispatch: Counter<u64>,
     traffic: Counter<u64>,
     latency: Histogram<f64>,
     departure: Histogram<f64>,
@@ -76,6 +78,7 @@
             missing: meter.u64_counter("hawthorn_route_missing_parts").build(),
             quarantine: meter.u64_counter("hawthorn_route_quarantine_changes").build(),
             quota: meter.u64_counter("hawthorn_route_quota_tokens").build(),
+            dispatch: meter.u64_counter("hawthorn_route_dispatch").build(),
             traffic: meter.u64_counter("hawthorn_route_zone_bytes").build(),
             latency: meter
                 .f64_histogram("hawthorn_route_request_seconds")
@@ -96,6 +99,7 @@
         }
         ChangeKind::iter().for_each(|kind| set.count_quarantine(kind, 0));
         TokenEnd::iter().for_each(|end| set.count_tokens(end, 0));
+        set.count_dispatch(&DispatchCounts::default());
         set.missing.add(0, &[]);
         Ok(set)
     }
@@ -168,6 +172,21 @@
         self.quota.add(count, &[KeyValue::new("end", <&'static str>::from(end))]);
     }
 
+    /// Counts what happened to requests in the dispatcher.
+    pub fn count_dispatch(&self, change: &DispatchCounts) {
+        let DispatchCounts { requested, retried, queued, overtook, rejected } = *change;
+        let counts = [
+            ("requested", requested),
+            ("retried", retried),
+            ("queued", queued),
+            ("overtook", overtook),
+            ("rejected", rejected),
+        ];
+        for (name, count) in counts {
+            self.dispatch.add(count, &[KeyValue::new("event", name)]);
+        }
+    }
+
     /// Exports the bytes between this host's zone and others.
     pub fn export_traffic(&self, account: &TrafficAccount) {
         account.export(&self.traffic);
--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -34,6 +34,7 @@
 use crate::process::traffic::TrafficPurpose;
 use crate::process::traffic::header_bytes;
 use crate::request::context::RequestContext;
+use crate::request::dispatch;
 use crate::request::request_log::AttemptRecord;
 
 /// Time for which an attempt may continue after its caller has been answered: two pauses of a
@@ -91,6 +92,15 @@
     }
 }
 
+/// An attempt whose start is recorded.
+#[derive(Debug)]
+struct BegunAttempt {
+    sent: Duration,
+    had_free_slot: bool,
+    /// Target, service and zone; `None` if the target is gone.
+    names: Option<(Rc<str>, Rc<str>, Rc<str>)>,
+}
+
 /// An attempt to be made.
 pub(crate) struct AttemptPlan {
     pub(crate) host: Rc<RouteHost>,
@@ -106,10 +116,18 @@
     /// updates the target's latency.
     pub(crate) fn start(self) -> oneshot::Receiver<AttemptReply> {
         let (sender, receiver) = oneshot::channel();
+        let refused = self.refused_reply();
+        // The dispatcher decides on the next request of a burst before this task runs, and must
+        // know of the attempt by then.
+        let begun = (refused.is_none() && dispatch::is_on(&self.host)).then(|| self.begin());
         tokio::task::spawn_local(async move {
             let (host, context) = (Rc::clone(&self.host), Rc::clone(&self.context));
-            let reply = self.run().await;
+            let reply = match refused {
+                Some(reply) => reply,
+                None => self.run(begun).await,
+            };
             quarantine::record_end(&host, &context, reply.end, reply.crashed);
+            host.dispatch.wake();
             // The receiver is dropped if another attempt has won the race.
             let _unread = sender.send(reply);
         });
@@ -120,19 +138,28 @@
         self.host.key_refusal(self.context.customer.as_ref()?)
     }
 
-    async fn run(self) -> AttemptReply {
-        // Nothing is recorded at the target or its zone, which would appear not to answer.
-        if let Some(refusal) = self.key_refusal() {
-            self.host.metrics.count_attempt(AttemptEnd::KeyRefused, 1);
-            return AttemptReply {
-                key_refusal: Some(refusal),
-                ..AttemptReply::without_answer(AttemptEnd::KeyRefused)
-            };
-        }
+    /// The reply if the caller's key is refused before the start of the attempt. Nothing is recorded
+    /// at the target or its zone, which would appear not to answer.
+    fn refused_reply(&self) -> Option<AttemptReply> {
+        let refusal = self.key_refusal()?;
+        self.host.metrics.count_attempt(AttemptEnd::KeyRefused, 1);
+        Some(AttemptReply {
+            key_refusal: Some(refusal),
+            ..AttemptReply::without_answer(AttemptEnd::KeyRefused)
+        })
+    }
+
+    /// Records the start of the attempt.
+    fn begin(&self) -> BegunAttempt {
         let sent = host_now();
-        let left = self.context.time_left(sent);
         let had_free_slot = self.with_state(|state| state.has_free_slot(sent)).unwrap_or_default();
-        let Some((target, service, zone)) = self.record_start(sent) else {
+        BegunAttempt { sent, had_free_slot, names: self.record_start(sent) }
+    }
+
+    async fn run(self, begun: Option<BegunAttempt>) -> AttemptReply {
+        let BegunAttempt { sent, had_free_slot, names } = begun.unwrap_or_else(|| self.begin());
+        let left = self.context.time_left(sent);
+        let Some((target, service, zone)) = names else {
             return AttemptReply::without_answer(AttemptEnd::NotSent);
         };
         self.host.routing.zone_sent(&zone, sent, self.service_time);
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`cold`] | request limits of targets that have just started |
 //! | [`confirmation`] | when the store confirmed a host's mirror |
 //! | [`customer`] | customers of a configuration: keys, priorities and quotas |
+//! | [`dispatch`] | order of a host's requests while capacity is short |
 //! | [`document`] | the operators' configuration of routes, services and caller limits |
 //! | [`evacuation`] | zones that operators have evacuated |
 //! | [`fingerprint`] | identification of requests with the same content |
@@ -49,6 +50,7 @@
 pub mod cold;
 pub mod confirmation;
 pub mod customer;
+pub mod dispatch;
 pub mod document;
 pub mod evacuation;
 pub mod fingerprint;
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -297,6 +297,25 @@
     Ok(host.log_lines())
 }
 
+/// A host whose only target has two slots and receives more requests than they can execute.
+async fn waiting_events() -> TestResult<Vec<String>> {
+    let store = RouteStore::start().await?;
+    let target = RouteTarget::start("t-1", "s").await?;
+    target.fail_always(Some(TargetFault::Slow(Duration::from_millis(200))));
+    operator::configure(&store, 3, &[operator::single("/safe/", "s", "safe")], &["s"]);
+    operator::register(&store, "t-1", &target, "east");
+    let policy = "[policy.dispatch]\non = true\n";
+    let host = RouteHost::start_with_policy("h-1", "east", store.address(), &[], policy)?;
+    host.wait_until_ready().await?;
+    let waited = async || {
+        let sends = ["a", "b", "c", "d", "e", "f"].map(|id| host.send("GET", "/safe/", id, ""));
+        let _answers = futures::future::join_all(sends).await;
+        host.logged("dispatch-queue") > 0
+    };
+    route::wait_for("the waiting requests to be logged", waited).await?;
+    Ok(host.log_lines())
+}
+
 /// The keys of each event, as listed in the catalogue.
 fn catalogue() -> BTreeMap<u16, BTreeSet<String>> {
     let page = include_str!("../docs/operators/events-route.md");
@@ -317,7 +336,7 @@
 /// keys.
 #[tokio::test(flavor = "multi_thread")]
 async fn every_event_is_written_as_the_catalogue_says() -> TestResult {
-    let (single, isolated, two_zones, cold, restored, narrow, quota, unread, silent) = tokio::try_join!(
+    let (single, isolated, two_zones, cold, restored, narrow, quota, unread, silent, waiting) = tokio::try_join!(
         single_host_events(),
         isolated_host_events(),
         two_zone_events(),
@@ -326,11 +345,12 @@
         narrow_link_events(),
         quota_events(),
         unread_log_events(),
-        silent_peer_events()
+        silent_peer_events(),
+        waiting_events()
     )?;
     let catalogue = catalogue();
     let mut written = BTreeSet::new();
-    let all = [single, isolated, two_zones, cold, restored, narrow, quota, unread, silent];
+    let all = [single, isolated, two_zones, cold, restored, narrow, quota, unread, silent, waiting];
     for text in all.concat() {
         let read = line::read(&text, "").ok_or_else(|| format!("not an event: {text}"))?;
         let keys = catalogue.get(&read.number).ok_or_else(|| format!("not listed: {text}"))?;
