feat(route): select targets by expected completion time

The target with the lowest average latency received nearly all requests until it had a queue, a target that became ten times slower was known only after about ten answers, and a suspected pause had a fixed cost until its end.

With policy.placing.by_completion (off by default) the completion time is estimated from a fast and a slow average of the target's speed, its queue, the rest of its pause, its cold factor and its occupancy. Targets that can answer in time share the requests by speed and wait; the others are used only if none can. Another zone costs the same as before. Without the switch the score is the same.

--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -6,6 +6,7 @@
 //! | [`budget`] | retry budgets: the number of extra attempts per service |
 //! | [`clock_offset`] | offsets of peers' clocks, and deadlines of gather requests |
 //! | [`cold`] | request limits of targets that have just started |
+//! | [`completion`] | expected completion time of a request at a target |
 //! | [`customer`] | customers of a configuration: keys, priorities and quotas |
 //! | [`document`] | the operators' configuration of routes, services and caller limits |
 //! | [`evacuation`] | zones that operators have evacuated |
@@ -29,6 +30,7 @@
 //! | [`scatter`] | where the part of each shard of a query is requested |
 //! | [`mod@send_deadline`] | the deadline for sending an answer |
 //! | [`skip`] | shards whose parts are not requested |
+//! | [`speed`] | speed of a target, from the latencies of requests |
 //! | [`table`] | one version of the routes, indexed for lookups |
 //! | [`target`] | state of one target: registration, load, speed and failures |
 //! | [`weight`] | selection among the services of a weighted route |
@@ -42,6 +44,7 @@
 pub mod budget;
 pub mod clock_offset;
 pub mod cold;
+pub mod completion;
 pub mod customer;
 pub mod document;
 pub mod evacuation;
@@ -65,6 +68,7 @@
 pub mod scatter;
 pub mod send_deadline;
 pub mod skip;
+pub mod speed;
 pub mod table;
 pub mod target;
 pub mod weight;
--- a/crates/hawthorn-route/src/placement.rs
+++ b/crates/hawthorn-route/src/placement.rs
@@ -13,6 +13,7 @@
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
+use crate::completion;
 use crate::home::HomeZones;
 use crate::registry::TargetKey;
 use crate::registry::TargetRegistry;
@@ -120,14 +121,21 @@
     let registry = view.registry;
     let mut best: Option<(f64, TargetKey)> = None;
     let mut cold = false;
+    let pause = typical_pause(view, service, options);
     for key in registry.of_service(service) {
         let Some(state) = registry.get(*key).filter(|_| !tried.contains(key)) else { continue };
         if !view.is_eligible(state) {
             cold |= registry.is_local(state) && registry.cold().limit(state, view.now).is_some();
             continue;
         }
-        let Some(score) = score(view, state, options) else { continue };
-        let jittered = score + rng.random_range(0.0..SCORE_JITTER);
+        let Some(fixed) = fixed_costs(view, state, options) else { continue };
+        let latency = match pause {
+            Some(pause) => {
+                completion::cost(view, state, pause, options).draw(view.target_latency, rng)
+            }
+            None => latency(view, state, options) + rng.random_range(0.0..SCORE_JITTER),
+        };
+        let jittered = fixed + latency;
         if best.is_none_or(|(lowest, _)| jittered < lowest) {
             best = Some((jittered, *key));
         }
@@ -148,6 +156,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Options {
+    /// Whether the expected completion time decides; see [`completion`]. Otherwise the moving
+    /// average of the latency and fixed costs do.
+    pub by_completion: bool,
     /// Minimum cost of a target in another zone, in addition to the latency between zones:
     /// the cost of a small answer's cross-zone traffic, expressed as time.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
@@ -174,6 +185,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
+            by_completion: false,
             zone_cost: Duration::from_millis(30),
             zone_aim_share: 0.5,
             suspect_factor: 3.0,
@@ -184,16 +196,26 @@
     }
 }
 
+/// The typical pause of a service's targets if the expected completion time decides.
+fn typical_pause(view: PlacementView<'_>, service: &str, options: &Options) -> Option<Duration> {
+    options.by_completion.then(|| completion::typical_pause(view, service, options))
+}
+
 /// Expected latency of a request sent to a target now, plus costs, in seconds; `None` if the
-/// target accepts no requests.
+/// target accepts no requests. [`select_target`] adds a random value.
 pub fn score(view: PlacementView<'_>, state: &TargetState, options: &Options) -> Option<f64> {
-    let PlacementView { zone, service_time, target_latency, now, .. } = view;
-    let phase_cost = match state.phase {
-        TargetPhase::Ready => 0.0,
-        // Used only while no ready target is available.
-        TargetPhase::Leaving { until } if now < until => DRAINING_COST,
-        TargetPhase::Leaving { .. } | TargetPhase::Gone => return None,
+    let fixed = fixed_costs(view, state, options)?;
+    let latency = match typical_pause(view, &state.entry.service, options) {
+        Some(pause) => completion::cost(view, state, pause, options).mean(view.target_latency),
+        None => latency(view, state, options),
     };
+    Some(fixed + latency)
+}
+
+/// Expected latency in seconds, from the moving average, the load and the cost of a suspected
+/// pause.
+fn latency(view: PlacementView<'_>, state: &TargetState, options: &Options) -> f64 {
+    let PlacementView { service_time, now, .. } = view;
     let mut work = service_time.as_secs_f64() * state.slowdown().max(0.25);
     if now < state.cold_until {
         work *= options.cold_factor;
@@ -202,20 +224,34 @@
     let load = f64::from(state.load(now));
     let queued = (load + 1.0 - slots).max(0.0);
     // Among targets with free slots, prefers the one with the lowest load per slot.
-    let mut time = work * (1.0 + queued / slots + 0.1 * load / slots);
-    if *state.entry.zone != *zone {
-        time += options.zone_cost.max(target_latency.mul_f64(options.zone_aim_share)).as_secs_f64();
-    }
+    let time = work * (1.0 + queued / slots + 0.1 * load / slots);
     if state.oldest_wait(now).as_secs_f64() > options.suspect_factor * work.max(0.005) {
-        time += options.suspect_cost.as_secs_f64();
+        time + options.suspect_cost.as_secs_f64()
+    } else {
+        time
+    }
+}
+
+/// Costs that do not depend on the target's latency, in seconds; `None` if the target accepts no
+/// requests.
+fn fixed_costs(view: PlacementView<'_>, state: &TargetState, options: &Options) -> Option<f64> {
+    let PlacementView { zone, target_latency, now, .. } = view;
+    let mut cost = match state.phase {
+        TargetPhase::Ready => 0.0,
+        // Used only while no ready target is available.
+        TargetPhase::Leaving { until } if now < until => DRAINING_COST,
+        TargetPhase::Leaving { .. } | TargetPhase::Gone => return None,
+    };
+    if *state.entry.zone != *zone {
+        cost += options.zone_cost.max(target_latency.mul_f64(options.zone_aim_share)).as_secs_f64();
     }
     if view.registry.cold().limit(state, now).is_some() {
-        time += COLD_COST;
+        cost += COLD_COST;
     }
-    time += state.failure_rate() * options.failing_cost.as_secs_f64();
+    cost += state.failure_rate() * options.failing_cost.as_secs_f64();
     if now < state.backoff_until() {
         // Used only while all other targets are backed off too, earliest retry first.
-        time += BACKOFF_COST + (state.backoff_until() - now).as_secs_f64();
+        cost += BACKOFF_COST + (state.backoff_until() - now).as_secs_f64();
     }
-    Some(time + phase_cost)
+    Some(cost)
 }
--- a/crates/hawthorn-route/src/policy.rs
+++ b/crates/hawthorn-route/src/policy.rs
@@ -139,6 +139,7 @@
             share("departure.lag_share", departure.lag_share),
             share("departure.late_share", departure.late_share),
             share("departure.margin_share", departure.margin_share),
+            switch("placing.by_completion", placing.by_completion),
             millis("placing.zone_cost_ms", placing.zone_cost),
             share("placing.zone_aim_share", placing.zone_aim_share),
             factor("placing.suspect_factor", placing.suspect_factor),
--- a/crates/hawthorn-route/src/target.rs
+++ b/crates/hawthorn-route/src/target.rs
@@ -6,6 +6,7 @@
 use crate::document::TargetEntry;
 use crate::outcome::AttemptEnd;
 use crate::revision::StoreRevision;
+use crate::speed::TargetSpeed;
 
 /// How long a reported load is valid; afterwards only this host's own requests count. A request
 /// takes 5 to 150 ms, so the load is a different one after 100 ms.
@@ -61,6 +62,7 @@
     pub in_flight: Vec<Duration>,
     reported: Option<ReportedLoad>,
     slowdown: f64,
+    speed: TargetSpeed,
     failures: u32,
     backoff_until: Duration,
     /// Moving average of requests that failed, or whose connection broke.
@@ -96,6 +98,7 @@
             in_flight: Vec::new(),
             reported: None,
             slowdown: 1.0,
+            speed: TargetSpeed::default(),
             failures: 0,
             backoff_until: Duration::ZERO,
             failure_rate: 0.0,
@@ -105,6 +108,8 @@
 
     /// Records that a request was sent at `now`.
     pub fn record_sent(&mut self, now: Duration) {
+        let slots = f64::from(self.entry.slots.max(1));
+        self.speed.record_sent(now, self.outstanding(now), slots);
         self.in_flight.push(now);
     }
 
@@ -125,6 +130,10 @@
         if let Some(index) = self.in_flight.iter().position(|at| *at == sent) {
             self.in_flight.swap_remove(index);
         }
+        match end {
+            AttemptEnd::Answered => self.speed.record_answer(sent, now, typical),
+            _ => self.speed.record_unanswered(sent),
+        }
         match end {
             AttemptEnd::Answered => {
                 self.record_latency(now.saturating_sub(sent), typical);
@@ -162,6 +171,7 @@
         if let Some(index) = self.in_flight.iter().position(|at| *at == sent) {
             self.in_flight.swap_remove(index);
         }
+        self.speed.record_abandoned(sent, now, typical);
         let waited = now.saturating_sub(sent);
         if waited > typical {
             self.record_latency(waited, typical);
@@ -199,6 +209,31 @@
         self.slowdown
     }
 
+    /// Speed of the target, as observed by this host.
+    pub fn speed(&self) -> &TargetSpeed {
+        &self.speed
+    }
+
+    /// Number of requests that the target executes or queues, including those that this host
+    /// sent since the last report. The queue of an older report drains until the report expires.
+    pub fn outstanding(&self, now: Duration) -> f64 {
+        let own = self.in_flight.len() as f64;
+        let Some(reported) = self.reported else { return own };
+        let age = now.saturating_sub(reported.at);
+        let waiting = f64::from(reported.waiting);
+        let load = if age < LOAD_VALIDITY {
+            f64::from(reported.running) + waiting
+        } else if age < QUEUE_VALIDITY && reported.waiting > 0 {
+            let left = (QUEUE_VALIDITY - age).as_secs_f64();
+            let drained = left / (QUEUE_VALIDITY - LOAD_VALIDITY).as_secs_f64();
+            f64::from(reported.running) + waiting * drained
+        } else {
+            0.0
+        };
+        let sent_since = self.in_flight.iter().filter(|sent| **sent > reported.at).count() as f64;
+        own.max(load + sent_since)
+    }
+
     /// Number of requests that the target executes or queues, as far as known.
     pub fn load(&self, now: Duration) -> u32 {
         let own = self.in_flight.len() as u32;
--- a/crates/hawthorn-route/tests/policy.rs
+++ b/crates/hawthorn-route/tests/policy.rs
@@ -33,6 +33,10 @@
             text: "[placing]\nzone_cost_ms = 70000",
             messages: &["placing.zone_cost_ms", "60000"],
         },
+        Case {
+            text: "[placing]\nby_completion = 2",
+            messages: &["by_completion = 2", "expected a boolean"],
+        },
         Case {
             text: "[departure]\nlag_share = 1.2",
             messages: &["departure.lag_share: 1.2 is not within 0 to 1"],
