--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`clock_offset`] | offsets of peers' clocks, and deadlines of gather requests |
 //! | [`cold`] | request limits of targets that have just started |
 //! | [`confirmation`] | when the store confirmed a host's mirror |
+//! | [`completion`] | expected completion time of a request at a target |
 //! | [`customer`] | customers of a configuration: keys, priorities and quotas |
 //! | [`dispatch`] | order of a host's requests while capacity is short |
 //! | [`document`] | the operators' configuration of routes, services and caller limits |
@@ -35,6 +36,7 @@
 //! | [`mod@send_deadline`] | the deadline for sending an answer |
 //! | [`share`] | division of a limit of the whole fleet among hosts |
 //! | [`skip`] | shards whose parts are not requested |
+//! | [`speed`] | speed of a target, from the latencies of requests |
 //! | [`table`] | one version of the routes, indexed for lookups |
 //! | [`target`] | state of one target: registration, load, speed and failures |
 //! | [`weight`] | selection among the services of a weighted route |
@@ -49,6 +51,7 @@
 pub mod clock_offset;
 pub mod cold;
 pub mod confirmation;
+pub mod completion;
 pub mod customer;
 pub mod dispatch;
 pub mod document;
@@ -77,6 +80,7 @@
 pub mod send_deadline;
 pub mod share;
 pub mod skip;
+pub mod speed;
 pub mod table;
 pub mod target;
 pub mod weight;
