--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -6,8 +6,8 @@
 //! | [`budget`] | retry budgets: the number of extra attempts per service |
 //! | [`clock_offset`] | offsets of peers' clocks, and deadlines of gather requests |
 //! | [`cold`] | request limits of targets that have just started |
-//! | [`confirmation`] | when the store confirmed a host's mirror |
 //! | [`completion`] | expected completion time of a request at a target |
+//! | [`confirmation`] | when the store confirmed a host's mirror |
 //! | [`customer`] | customers of a configuration: keys, priorities and quotas |
 //! | [`dispatch`] | order of a host's requests while capacity is short |
 //! | [`document`] | the operators' configuration of routes, services and caller limits |
@@ -50,8 +50,8 @@
 pub mod budget;
 pub mod clock_offset;
 pub mod cold;
-pub mod confirmation;
 pub mod completion;
+pub mod confirmation;
 pub mod customer;
 pub mod dispatch;
 pub mod document;
