fix(route): an attempt refused for its key leaves no trace at zone and budget

A key may be refused when an attempt starts, or while it waits for a connection. The waiting attempt counted as unanswered at its zone, a refused hedge or retry used up the retry budget, and an attempt refused at its start had no E631 line.

The request is now withdrawn from the zone's count unless an answer has already removed it, the budget is returned to the span from which it was taken, and both refusals write E631 with end=key-refused.

--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -99,6 +99,8 @@
     pub(crate) pool: Arc<TargetPool>,
     /// The median latency of such an attempt.
     pub(crate) service_time: Duration,
+    /// When the attempt was taken from the retry budget, if it was.
+    pub(crate) budget_spent: Option<Duration>,
 }
 
 impl AttemptPlan {
@@ -121,21 +123,17 @@
     }
 
     async fn run(self) -> AttemptReply {
+        let sent = host_now();
         // Nothing is recorded at the target or its zone, which would appear not to answer.
         if let Some(refusal) = self.key_refusal() {
-            self.host.metrics.count_attempt(AttemptEnd::KeyRefused, 1);
-            return AttemptReply {
-                key_refusal: Some(refusal),
-                ..AttemptReply::without_answer(AttemptEnd::KeyRefused)
-            };
+            return self.refuse(refusal, sent);
         }
-        let sent = host_now();
         let left = self.context.time_left(sent);
         let had_free_slot = self.with_state(|state| state.has_free_slot(sent)).unwrap_or_default();
         let Some((target, service, zone)) = self.record_start(sent) else {
             return AttemptReply::without_answer(AttemptEnd::NotSent);
         };
-        self.host.routing.zone_sent(&zone, sent, self.service_time);
+        let mark = self.host.routing.zone_sent(&zone, sent, self.service_time);
         let end = Instant::now() + left + ABANDON_DELAY;
         let exchange = async {
             match self.connection(end).await? {
@@ -161,6 +159,10 @@
         if result.is_ok() {
             self.host.routing.zone_answered(&zone);
         }
+        if let Err(AttemptError::KeyRefused(_)) = &result {
+            self.host.routing.zone_withdrawn(&zone, mark);
+            self.refund();
+        }
         if let Err(AttemptError::Exchange(error @ Error::Broken(_))) = &result {
             // Logged here because attempts made for a peer's query have no other log line.
             edge_event!(
@@ -208,6 +210,36 @@
         reply
     }
 
+    /// Ends an attempt at its start, because the key is refused.
+    fn refuse(&self, refusal: KeyRefusal, now: Duration) -> AttemptReply {
+        self.refund();
+        let end = AttemptEnd::KeyRefused;
+        self.host.metrics.count_attempt(end, 1);
+        let record = self.with_state(|state| AttemptRecord {
+            service: Rc::clone(&state.entry.service),
+            target: Rc::clone(&state.entry.id),
+            zone: Rc::clone(&state.entry.zone),
+            after: now.saturating_sub(self.context.started),
+            elapsed: Duration::ZERO,
+            end,
+            not_sent: Some(format!("key {refusal}")),
+            load: state.load(now),
+            slowdown: state.slowdown(),
+        });
+        if let Some(record) = record {
+            self.context.request_log.borrow_mut().add_attempt(record);
+        }
+        AttemptReply { key_refusal: Some(refusal), ..AttemptReply::without_answer(end) }
+    }
+
+    /// Returns the attempt to the retry budget, as it was not sent.
+    fn refund(&self) {
+        let service = self.with_state(|state| Rc::clone(&state.entry.service));
+        if let (Some(spent), Some(service)) = (self.budget_spent, service) {
+            self.host.routing.refund(&service, spent, host_now());
+        }
+    }
+
     /// Sends the request and receives the answer: completely if it is a shard's part, otherwise
     /// up to the buffer limit of the pool.
     async fn exchange(
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -287,10 +287,9 @@
         answered: context.exposure.borrow().is_answered(),
     };
     let service_time = host.routing.service_time(&context.route);
-    delegated
-        .shards
-        .iter()
-        .for_each(|_| host.routing.zone_sent(&delegated.zone, now, service_time));
+    delegated.shards.iter().for_each(|_| {
+        host.routing.zone_sent(&delegated.zone, now, service_time);
+    });
     host.gather_peers.borrow_mut().record(&delegated.zone, delegated.peer);
     let peer = host.peer_endpoint(delegated.peer, TrafficPurpose::Gathering);
     // Until a connection is open, nothing can have reached the peer.
--- a/crates/hawthorn-edge/src/request/race.rs
+++ b/crates/hawthorn-edge/src/request/race.rs
@@ -290,7 +290,9 @@
         self.context.sent.set(self.context.sent.get() + 1);
         self.context.exposure.borrow_mut().record_sent(extra);
         let (host, context) = (Rc::clone(self.host), Rc::clone(self.context));
-        self.in_flight.push(AttemptPlan { host, context, key, pool, service_time }.start());
+        let budget_spent = extra.then_some(now);
+        let plan = AttemptPlan { host, context, key, pool, service_time, budget_spent };
+        self.in_flight.push(plan.start());
         LaunchResult::Made
     }
 
--- a/crates/hawthorn-edge/src/version/reachability.rs
+++ b/crates/hawthorn-edge/src/version/reachability.rs
@@ -8,6 +8,7 @@
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::placement;
 use hawthorn_route::reachability;
+use hawthorn_route::reachability::SentMark;
 use hawthorn_route::scatter;
 use rand::RngExt;
 
@@ -19,12 +20,21 @@
 
 impl RoutingState {
     /// Records that a request was sent to a target of the zone.
-    pub fn zone_sent(&self, zone: &str, now: Duration, service_time: Duration) {
+    pub fn zone_sent(&self, zone: &str, now: Duration, service_time: Duration) -> SentMark {
         let mut zones = self.zones.borrow_mut();
         if let Some(reachability) = zones.get_mut(zone) {
             reachability.sent(now, service_time);
-        } else {
-            zones.entry(zone.to_owned()).or_default().sent(now, service_time);
+            return reachability.mark();
+        }
+        let reachability = zones.entry(zone.to_owned()).or_default();
+        reachability.sent(now, service_time);
+        reachability.mark()
+    }
+
+    /// Takes back a recorded request for which nothing was sent.
+    pub fn zone_withdrawn(&self, zone: &str, mark: SentMark) {
+        if let Some(reachability) = self.zones.borrow_mut().get_mut(zone) {
+            reachability.withdraw(mark);
         }
     }
 
--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -303,6 +303,14 @@
         budgets.entry(service.to_owned()).or_default().spend(now, &options)
     }
 
+    /// Returns an extra attempt that was spent at `spent` and not sent.
+    pub fn refund(&self, service: &str, spent: Duration, now: Duration) {
+        let options = self.budget_options(service, now);
+        if let Some(budget) = self.budgets.borrow_mut().get_mut(service) {
+            budget.refund(spent, now, &options);
+        }
+    }
+
     /// The remaining share of a service's budget, 0 to 1.
     pub fn fullness(&self, service: &str) -> f64 {
         let options = self.budget_options(service, host_now());
--- a/crates/hawthorn-route/src/budget.rs
+++ b/crates/hawthorn-route/src/budget.rs
@@ -124,6 +124,12 @@
     newest: u64,
 }
 
+/// Number of the span that contains `at`, since time zero.
+fn span_number(at: Duration, options: &Options) -> u64 {
+    let length = (options.window / SPAN_COUNT as u32).max(Duration::from_millis(1));
+    (at.as_nanos() / length.as_nanos()) as u64
+}
+
 impl Default for RetryBudget {
     fn default() -> Self {
         Self { spans: [SpanCounts::default(); SPAN_COUNT + 1], newest: 0 }
@@ -132,8 +138,7 @@
 
 impl RetryBudget {
     fn advance(&mut self, now: Duration, options: &Options) {
-        let length = (options.window / SPAN_COUNT as u32).max(Duration::from_millis(1));
-        let current = (now.as_nanos() / length.as_nanos()) as u64;
+        let current = span_number(now, options);
         let passed = current.saturating_sub(self.newest).min(self.spans.len() as u64);
         for step in 1..=passed {
             let index = (current - (passed - step)) as usize % self.spans.len();
@@ -160,6 +165,16 @@
         true
     }
 
+    /// Returns the extra attempt that was taken at `spent` and not sent, if it still counts.
+    pub fn refund(&mut self, spent: Duration, now: Duration, options: &Options) {
+        self.advance(now, options);
+        let number = span_number(spent, options);
+        if number + self.spans.len() as u64 > self.newest {
+            let index = number as usize % self.spans.len();
+            self.spans[index].extra_attempts = self.spans[index].extra_attempts.saturating_sub(1);
+        }
+    }
+
     fn remaining(&self, options: &Options) -> f64 {
         let requests: u32 = self.spans.iter().map(|span| span.requests).sum();
         let extra_attempts: u32 = self.spans.iter().map(|span| span.extra_attempts).sum();
--- a/crates/hawthorn-route/src/reachability.rs
+++ b/crates/hawthorn-route/src/reachability.rs
@@ -42,10 +42,19 @@
     }
 }
 
+/// When a request was recorded at a zone, relative to its answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SentMark {
+    /// Number of the zone's answers before the request.
+    answers: u32,
+}
+
 /// Reachability of one zone's targets.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ZoneReachability {
     unanswered: u32,
+    /// Number of answers since the start.
+    answers: u32,
     /// When the zone becomes suspected, and when it becomes unreachable, unless something
     /// answers.
     thresholds: Option<(Duration, Duration)>,
@@ -61,9 +70,26 @@
         self.thresholds.get_or_insert((suspected, unreachable));
     }
 
+    /// Identifies the requests that were recorded since the last answer.
+    pub fn mark(&self) -> SentMark {
+        SentMark { answers: self.answers }
+    }
+
+    /// Takes back a request that was recorded at `mark` and ended before anything was sent. The other requests keep the thresholds.
+    pub fn withdraw(&mut self, mark: SentMark) {
+        // An answer since then has already removed the request from the count.
+        if mark.answers != self.answers || self.unanswered == 0 {
+            return;
+        }
+        self.unanswered -= 1;
+        if self.unanswered == 0 {
+            self.thresholds = None;
+        }
+    }
+
     /// Records an answer from the zone, by a target or another host there.
     pub fn answered(&mut self) {
-        *self = Self::default();
+        *self = Self { answers: self.answers.wrapping_add(1), ..Self::default() };
     }
 
     /// Whether the zone is unreachable, so that no requests are sent there.
--- a/crates/hawthorn-route/tests/budget.rs
+++ b/crates/hawthorn-route/tests/budget.rs
@@ -304,3 +304,31 @@
     let total = 15.0 * gatherer + 180.0 * other;
     assert!(total <= 430.0 * 0.5 + 0.1, "{total}");
 }
+
+/// Guards against a budget that refused keys use up, and against a refund that raises a later
+/// window's budget.
+#[test]
+fn an_attempt_that_was_not_sent_is_refunded_to_its_window() {
+    struct Case {
+        name: &'static str,
+        refunded_ms: u64,
+        /// Extra attempts that can be made then.
+        left: usize,
+    }
+    let cases = [
+        Case { name: "at once", refunded_ms: 100, left: 1 },
+        Case { name: "in the same window", refunded_ms: 9000, left: 1 },
+        // The attempts of the earlier window no longer count, and the refund adds nothing.
+        Case { name: "in a later window", refunded_ms: 30_000, left: 4 },
+    ];
+    let ms = Duration::from_millis;
+    for case in &cases {
+        let mut budget = RetryBudget::default();
+        (0..4).for_each(|_| assert!(budget.spend(ms(100), &OPTIONS), "{}", case.name));
+        assert!(!budget.spend(ms(100), &OPTIONS), "{}", case.name);
+        let now = ms(case.refunded_ms);
+        budget.refund(ms(100), now, &OPTIONS);
+        let left = (0..9).filter(|_| budget.spend(now, &OPTIONS)).count();
+        assert_eq!(left, case.left, "{}", case.name);
+    }
+}
--- a/crates/hawthorn-route/tests/targets.rs
+++ b/crates/hawthorn-route/tests/targets.rs
@@ -415,3 +415,22 @@
         assert_eq!(view.is_last_target("s", keys[0], &[]), case.last, "{}", case.name);
     }
 }
+
+/// Guards against a zone that counts as unreachable because requests that waited for a connection
+/// were refused for their keys, and against a withdrawal that hides other requests.
+#[test]
+fn withdrawn_requests_do_not_count_at_their_zone() {
+    let mut reachability = ZoneReachability::default();
+    let early = reachability.mark();
+    (0..6).for_each(|_| reachability.sent(ms(0), ms(10)));
+    (0..6).for_each(|_| reachability.withdraw(early));
+    (0..5).for_each(|_| reachability.sent(ms(0), ms(10)));
+    assert!(!reachability.is_suspected(ms(5000)));
+    reachability.sent(ms(0), ms(10));
+    assert!(reachability.is_unreachable(ms(5000)));
+    reachability.answered();
+    // The answer has already removed it from the count.
+    (0..6).for_each(|_| reachability.sent(ms(5000), ms(10)));
+    reachability.withdraw(early);
+    assert!(reachability.is_unreachable(ms(9000)));
+}
