feat(route): events, a counter and the retry time of stale keys

Operators could not see when a host refuses requests with keys, nor how many and why, and callers of a stale host were told to retry at a fixed time.

E652 keys-stale and E653 keys-current log each change with age and limit; a host that starts logs nothing unless its first confirmation takes longer than the limit. hawthorn_route_key_refusals counts refused requests by cause, and a key revoked after admission also counts as a key rejection, as other 401s do. Retry-After of stale-keys is the time until the next attempt to have the configuration confirmed, with jitter.

--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -78,6 +78,10 @@
     QuarantineChanged = 638,
     /// The customers of a version came into force.
     CustomersInForce = 650,
+    /// Requests with keys are refused, as the configuration was not confirmed recently.
+    KeysStale = 652,
+    /// Requests with keys are served again.
+    KeysCurrent = 653,
     /// Shards that a peer did not gather were delegated to another one.
     QueryRegathered = 659,
     /// A part of a version's customers was not applied as written.
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -11,7 +11,10 @@
 use hawthorn_fleet::MemberTable;
 use hawthorn_route::cold::claim::SlotClaim;
 use hawthorn_route::confirmation::ConfirmationPlan;
+use hawthorn_route::confirmation::KeyChange;
+use hawthorn_route::confirmation::KeyChangeReport;
 use hawthorn_route::confirmation::StoreConfirmation;
+use hawthorn_route::customer::KeyRefusalCause;
 use hawthorn_route::customer::RequestCustomer;
 use hawthorn_route::mirror::StoreMirror;
 use hawthorn_route::outcome::RefusalReason;
@@ -111,6 +114,16 @@
     }
 }
 
+impl KeyRefusal {
+    /// The cause of the refusal of a request that had been admitted.
+    pub(crate) fn before_sending(self) -> KeyRefusalCause {
+        match self {
+            Self::Revoked => KeyRefusalCause::RevokedBeforeSending,
+            Self::Stale => KeyRefusalCause::StaleBeforeSending,
+        }
+    }
+}
+
 /// State with the lifetime of the process.
 #[derive(Debug)]
 pub struct RouteHost {
@@ -144,6 +157,10 @@
     pub catching_up: Cell<bool>,
     /// When the store last confirmed the mirror, possibly through other hosts.
     confirmation: RefCell<StoreConfirmation>,
+    /// Reports when the keys of customers become stale and current.
+    key_changes: RefCell<KeyChangeReport>,
+    /// When the next confirmation is expected, if it can be foreseen.
+    next_confirmation: Cell<Option<Duration>>,
     /// Whether the store's items were read completely at least once.
     pub catalog_read: Cell<bool>,
     /// Cancelled at the stop signal: the readiness probe fails, and each answer closes its
@@ -187,6 +204,8 @@
             mirror_advanced: Notify::new(),
             catching_up: Cell::new(false),
             confirmation: RefCell::default(),
+            key_changes: RefCell::new(KeyChangeReport::new(host_now())),
+            next_confirmation: Cell::new(None),
             metrics: EdgeMetrics::new()?,
             catalog_read: Cell::new(false),
             stopping: CancellationToken::new(),
@@ -215,12 +234,40 @@
     pub fn confirm(&self, revision: StoreRevision, at: Duration) {
         let as_of = self.mirror.borrow().as_of();
         self.confirmation.borrow_mut().record(revision, at, as_of);
+        self.report_key_change();
     }
 
     /// Confirms the mirror as of the confirmations that waited for its present revision.
     pub fn confirm_reached(&self) {
         let as_of = self.mirror.borrow().as_of();
         self.confirmation.borrow_mut().advance(as_of);
+        self.report_key_change();
+    }
+
+    /// Records when the next confirmation is expected.
+    pub(crate) fn expect_confirmation(&self, at: Duration) {
+        self.next_confirmation.set(Some(at));
+    }
+
+    /// When the next confirmation is expected; may have passed.
+    pub(crate) fn next_confirmation(&self) -> Option<Duration> {
+        self.next_confirmation.get()
+    }
+
+    /// Logs if the keys have become stale or current since the last call.
+    pub(crate) fn report_key_change(&self) {
+        let plan = self.confirmation_plan();
+        let (confirmed, now) = (self.confirmed_at(), host_now());
+        let Some(change) = self.key_changes.borrow_mut().observe(&plan, confirmed, now) else {
+            return;
+        };
+        let (level, event) = match change {
+            KeyChange::Stale => (Level::Warn, EdgeEvent::KeysStale),
+            KeyChange::Current => (Level::Info, EdgeEvent::KeysCurrent),
+        };
+        let age_ms = confirmed.map_or(-1, |at| now.saturating_sub(at).as_millis() as i64);
+        let limit_ms = plan.max_key_age.map_or(0, |limit| limit.as_millis());
+        edge_event!(level, event, "age_ms={age_ms} limit_ms={limit_ms}");
     }
 
     /// The time as of which the store confirmed the mirror; `None` if it never did.
@@ -254,7 +301,11 @@
         if !self.routing.holds_key(customer) {
             return Some(KeyRefusal::Revoked);
         }
-        (!self.keys_current()).then_some(KeyRefusal::Stale)
+        let refusal = (!self.keys_current()).then_some(KeyRefusal::Stale);
+        if refusal.is_some() {
+            self.report_key_change();
+        }
+        refusal
     }
 
     /// The endpoint of a peer for one purpose.
@@ -394,6 +445,7 @@
     let mut tick: u32 = 0;
     loop {
         host.routing.sweep(host_now());
+        host.report_key_change();
         quarantine::sweep(&host);
         catalog::sweep(&host);
         if host.is_ready() != ready {
--- a/crates/hawthorn-edge/src/process/metrics.rs
+++ b/crates/hawthorn-edge/src/process/metrics.rs
@@ -7,6 +7,7 @@
 
 use hawthorn_metrics::Error;
 use hawthorn_metrics::MetricExporter;
+use hawthorn_route::customer::KeyRefusalCause;
 use hawthorn_route::customer::KeyRejection;
 use hawthorn_route::outcome::AttemptEnd;
 use hawthorn_route::outcome::RefusalReason;
@@ -34,6 +35,7 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     key_rejections: Counter<u64>,
+    key_refusals: Counter<u64>,
     attempts: Counter<u64>,
     extra_attempts: Counter<u64>,
     missing: Counter<u64>,
@@ -56,6 +58,7 @@
             requests: meter.u64_counter("hawthorn_route_requests").build(),
             refusals: meter.u64_counter("hawthorn_route_refusals").build(),
             key_rejections: meter.u64_counter("hawthorn_route_key_rejections").build(),
+            key_refusals: meter.u64_counter("hawthorn_route_key_refusals").build(),
             attempts: meter.u64_counter("hawthorn_route_attempts").build(),
             extra_attempts: meter.u64_counter("hawthorn_route_extra_attempts").build(),
             missing: meter.u64_counter("hawthorn_route_missing_parts").build(),
@@ -74,6 +77,7 @@
         };
         RefusalReason::iter().for_each(|reason| set.count_refusal(reason, 0));
         KeyRejection::iter().for_each(|rejection| set.count_key_rejection(rejection, 0));
+        KeyRefusalCause::iter().for_each(|cause| set.count_key_refusal(cause, 0));
         AttemptEnd::iter().for_each(|end| set.count_attempt(end, 0));
         for reason in ["late", "retry", "budget-spent"] {
             set.count_extra(reason, 0);
@@ -126,6 +130,11 @@
         self.key_rejections.add(count, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts requests that were refused because their key may have been or was revoked.
+    pub fn count_key_refusal(&self, cause: KeyRefusalCause, count: u64) {
+        self.key_refusals.add(count, &[KeyValue::new("cause", <&'static str>::from(cause))]);
+    }
+
     /// Counts attempts that ended.
     pub fn count_attempt(&self, end: AttemptEnd, count: u64) {
         self.attempts.add(count, &[KeyValue::new("end", <&'static str>::from(end))]);
--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -224,8 +224,10 @@
             } else {
                 MIN_NON_WATCHER_PAUSE_S..MAX_NON_WATCHER_PAUSE_S
             };
-            let seconds = rand::rng().random_range(pause);
-            sleep(Duration::from_secs_f64(seconds)).await;
+            let pause = Duration::from_secs_f64(rand::rng().random_range(pause));
+            // The first check after the pause follows at once if it is overdue.
+            host.expect_confirmation(access.next_check.max(host_now() + pause));
+            sleep(pause).await;
         }
     }
 }
@@ -246,6 +248,7 @@
     let plan = host.confirmation_plan();
     let wait = if host.needs_refresh() { Duration::ZERO } else { PEER_WATCH_TIMEOUT };
     let sent = host_now();
+    host.expect_confirmation(sent + wait);
     let Ok(update) = host.links.catalog_update(&endpoint, after, wait).await else {
         return PeerReply::Done;
     };
@@ -258,6 +261,7 @@
     }
     apply_from_peer(host, update, sent);
     if wait.is_zero() && host.needs_refresh() {
+        host.expect_confirmation(host_now() + REFRESH_PAUSE);
         sleep(REFRESH_PAUSE).await;
     }
     PeerReply::Done
@@ -436,6 +440,7 @@
     let mut pending_watch = std::pin::pin!(wait_for_update(client, after));
     let mut missed_checks = 0;
     loop {
+        host.expect_confirmation(access.next_check);
         tokio::select! {
             biased;
             end = pending_watch.as_mut() => return end,
--- a/crates/hawthorn-edge/src/request/answer.rs
+++ b/crates/hawthorn-edge/src/request/answer.rs
@@ -13,6 +13,7 @@
 use hyper::StatusCode;
 use hyper::header;
 
+use crate::process::host::KeyRefusal;
 use crate::request::attempt::TargetAnswer;
 use crate::request::context;
 use crate::request::context::RequestContext;
@@ -27,6 +28,8 @@
     pub(crate) response: Response<AnswerBody>,
     pub(crate) outcome: &'static str,
     pub(crate) refusal: Option<RefusalReason>,
+    /// Why the key was refused, if the request is refused for it after its admission.
+    pub(crate) key_refusal: Option<KeyRefusal>,
     /// The remaining time of the refusal, if known.
     pub(crate) refused_for: Option<Duration>,
     /// Number of parts received, and of all shards.
@@ -41,16 +44,26 @@
         let body = Either::Left(Full::new(Bytes::from_static(outcome.as_bytes())));
         let mut response = Response::new(body);
         *response.status_mut() = status;
-        Self { response, outcome, refusal: None, refused_for: None, parts: None, due: None }
+        Self {
+            response,
+            outcome,
+            refusal: None,
+            key_refusal: None,
+            refused_for: None,
+            parts: None,
+            due: None,
+        }
     }
 
     /// The request was not run at any target. The caller of this function must also call
     /// [`CallerAnswer::set_retry_after`].
     pub(crate) fn refused(reason: RefusalReason) -> Self {
         if reason == RefusalReason::KeyRevoked {
-            return Self::key_rejected(KeyRejection::Revoked);
+            let key_refusal = Some(KeyRefusal::Revoked);
+            return Self { key_refusal, ..Self::key_rejected(KeyRejection::Revoked) };
         }
         let mut answer = Self::plain(StatusCode::SERVICE_UNAVAILABLE, reason.into());
+        answer.key_refusal = (reason == RefusalReason::StaleKeys).then_some(KeyRefusal::Stale);
         answer.refusal = Some(reason);
         answer
     }
@@ -121,7 +134,15 @@
         let mut response = Response::new(body);
         *response.status_mut() = answer.status;
         *response.headers_mut() = headers;
-        Self { response, outcome, refusal: None, refused_for: None, parts: None, due: None }
+        Self {
+            response,
+            outcome,
+            refusal: None,
+            key_refusal: None,
+            refused_for: None,
+            parts: None,
+            due: None,
+        }
     }
 
     /// The records merged from the parts of a query.
@@ -132,6 +153,7 @@
             response,
             outcome,
             refusal: None,
+            key_refusal: None,
             refused_for: None,
             parts: Some((parts, shards)),
             due: None,
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -8,12 +8,14 @@
 
 use hawthorn_platform::caller;
 use hawthorn_platform::caller::CallerKey;
+use hawthorn_route::customer::KeyRefusalCause;
 use hawthorn_route::customer::KeyRejection;
 use hawthorn_route::customer::RequestCustomer;
 use hawthorn_route::document::RouteDestination;
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::outcome::RefusalReason;
 use hawthorn_route::quarantine::RequestIdentity;
+use hawthorn_route::retry_after::after_confirmation;
 use hawthorn_route::retry_after::retry_after;
 use hawthorn_route::send_deadline;
 use hawthorn_route::table::RouteTable;
@@ -95,7 +97,7 @@
     host.metrics.count_request(answer.outcome, host_now().saturating_sub(started));
     if let Some(reason) = answer.refusal {
         let unready = host.unready_since.get().map(|since| host_now().saturating_sub(since));
-        let after = answer.refused_for;
+        let after = answer.refused_for.or_else(|| until_confirmed(&host, reason));
         answer.set_retry_after(
             after.unwrap_or_else(|| retry_after(reason, unready, &mut rand::rng())),
         );
@@ -104,6 +106,12 @@
     answer.response
 }
 
+/// The time until a stale configuration is expected to be confirmed, if it can be foreseen.
+fn until_confirmed(host: &RouteHost, reason: RefusalReason) -> Option<Duration> {
+    let expected = host.next_confirmation().filter(|_| reason == RefusalReason::StaleKeys);
+    after_confirmation(expected, host_now(), &mut rand::rng())
+}
+
 async fn admit(
     host: &Rc<RouteHost>,
     request: Request<Incoming>,
@@ -177,6 +185,12 @@
     });
     let cancel_guard = CancelOnDrop(Rc::clone(&context));
     let mut answer = dispatch(host, &context, table.version()).await;
+    if let Some(refusal) = answer.key_refusal {
+        host.metrics.count_key_refusal(refusal.before_sending(), 1);
+        if refusal == KeyRefusal::Revoked {
+            host.metrics.count_key_rejection(KeyRejection::Revoked, 1);
+        }
+    }
     if answer.refusal == Some(RefusalReason::Quarantined) && answer.refused_for.is_none() {
         answer.refused_for = quarantine::refused_for(host, &context);
     }
@@ -206,7 +220,10 @@
     match customer.as_ref().and_then(|customer| host.key_refusal(customer)) {
         None => Ok(customer),
         Some(KeyRefusal::Revoked) => Err(reject(KeyRejection::Revoked)),
-        Some(KeyRefusal::Stale) => Err(Box::new(CallerAnswer::refused(RefusalReason::StaleKeys))),
+        Some(KeyRefusal::Stale) => {
+            host.metrics.count_key_refusal(KeyRefusalCause::StaleAtAdmission, 1);
+            Err(Box::new(CallerAnswer::refused(RefusalReason::StaleKeys)))
+        }
     }
 }
 
--- a/crates/hawthorn-route/src/confirmation.rs
+++ b/crates/hawthorn-route/src/confirmation.rs
@@ -126,3 +126,42 @@
         self.confirmed
     }
 }
+
+/// A change between current and stale keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyChange {
+    /// Requests with keys are refused from now on.
+    Stale,
+    /// They are served again.
+    Current,
+}
+
+/// Reports each change between current and stale keys once.
+///
+/// Handles a host that has just started: it refuses keys until its first confirmation, which is
+/// reported only if it takes longer than the limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyChangeReport {
+    started: Duration,
+    current: bool,
+}
+
+impl KeyChangeReport {
+    /// The report of a host that started at `started`.
+    pub fn new(started: Duration) -> Self {
+        Self { started, current: true }
+    }
+
+    /// The change since the last call, for a mirror that was confirmed as of `confirmed`.
+    pub fn observe(
+        &mut self,
+        plan: &ConfirmationPlan,
+        confirmed: Option<Duration>,
+        now: Duration,
+    ) -> Option<KeyChange> {
+        let age = now.saturating_sub(confirmed.unwrap_or(self.started));
+        let current = plan.is_current(Some(age));
+        let change = if current { KeyChange::Current } else { KeyChange::Stale };
+        (std::mem::replace(&mut self.current, current) != current).then_some(change)
+    }
+}
--- a/crates/hawthorn-route/src/customer.rs
+++ b/crates/hawthorn-route/src/customer.rs
@@ -100,6 +100,18 @@
     key: KeyDigest,
 }
 
+/// At which point the key of a request that was not sent to any target was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum KeyRefusalCause {
+    /// The configuration was not confirmed recently when the request arrived.
+    StaleAtAdmission,
+    /// The configuration was no longer recent when an attempt was due.
+    StaleBeforeSending,
+    /// The key was revoked between admission and sending.
+    RevokedBeforeSending,
+}
+
 /// Why the key of a request was not accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/hawthorn-route/src/retry_after.rs
+++ b/crates/hawthorn-route/src/retry_after.rs
@@ -36,7 +36,7 @@
         RefusalReason::HostFull => (0.05, 0.25),
         // The budget's window slides by a tenth of its length.
         RefusalReason::BudgetSpent => (0.1, 0.3),
-        // The next confirmation is at most this far away, unless the host is partitioned.
+        // Used only if a confirmation is overdue; see [`after_confirmation`].
         RefusalReason::StaleKeys => (0.3, 0.8),
         // Answered with 401, which carries no time.
         RefusalReason::KeyRevoked => (1.0, 2.0),
@@ -58,3 +58,16 @@
         _ => delay,
     }
 }
+
+/// The delay after which a caller should retry whose key could not be checked because the
+/// configuration is stale: until the host expects its next confirmation, with jitter. `None` if
+/// no confirmation is expected, or it is overdue.
+pub fn after_confirmation(
+    expected: Option<Duration>,
+    now: Duration,
+    rng: &mut impl Rng,
+) -> Option<Duration> {
+    // A call to the store takes up to 20 ms on calm days; the rest spreads the retries.
+    let jitter = Duration::from_secs_f64(rng.random_range(0.02..0.25));
+    Some(expected?.checked_sub(now)? + jitter)
+}
--- a/crates/hawthorn-route/tests/confirmation.rs
+++ b/crates/hawthorn-route/tests/confirmation.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use hawthorn_route::confirmation::ConfirmationPlan;
+use hawthorn_route::confirmation::KeyChange;
+use hawthorn_route::confirmation::KeyChangeReport;
 use hawthorn_route::confirmation::PeerAge;
 use hawthorn_route::confirmation::StoreConfirmation;
 use hawthorn_route::revision::StoreRevision;
@@ -184,3 +186,32 @@
         assert_eq!(plan.needs_refresh(age), case.needs_refresh, "{within:?} {age:?}");
     }
 }
+
+/// Guards against a change that is reported twice or not at all, and against a report of each start,
+/// at which the first confirmation is still awaited.
+#[test]
+fn changes_of_the_keys_are_reported_once() {
+    struct Case {
+        now: u64,
+        confirmed: Option<u64>,
+        change: Option<KeyChange>,
+    }
+    let cases = [
+        Case { now: 1000, confirmed: None, change: None },
+        Case { now: 5699, confirmed: None, change: None },
+        Case { now: 5700, confirmed: None, change: Some(KeyChange::Stale) },
+        Case { now: 6000, confirmed: None, change: None },
+        Case { now: 6100, confirmed: Some(6050), change: Some(KeyChange::Current) },
+        Case { now: 7000, confirmed: Some(6050), change: None },
+        Case { now: 10_750, confirmed: Some(6050), change: Some(KeyChange::Stale) },
+        Case { now: 11_000, confirmed: Some(10_900), change: Some(KeyChange::Current) },
+    ];
+    let plan = ConfirmationPlan::new(Some(ms(5000)));
+    let mut report = KeyChangeReport::new(ms(1000));
+    for case in &cases {
+        let change = report.observe(&plan, case.confirmed.map(ms), ms(case.now));
+        assert_eq!(change, case.change, "at {}", case.now);
+    }
+    let mut report = KeyChangeReport::new(ms(1000));
+    assert_eq!(report.observe(&ConfirmationPlan::new(None), None, ms(900_000)), None);
+}
--- a/crates/hawthorn-route/tests/retry_after.rs
+++ b/crates/hawthorn-route/tests/retry_after.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hawthorn_route::outcome::RefusalReason;
+use hawthorn_route::retry_after::after_confirmation;
 use hawthorn_route::retry_after::retry_after;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -79,3 +80,29 @@
         assert!(range >= ms(30), "{reason}: {range:?}");
     }
 }
+
+/// Guards against callers of a host with a stale configuration that retry before its next attempt
+/// to have it confirmed, and against a time that has passed.
+#[test]
+fn callers_refused_for_stale_keys_retry_after_the_next_confirmation() {
+    struct Case {
+        expected: Option<u64>,
+        /// Bounds of the delay, ms.
+        bounds: Option<(u64, u64)>,
+    }
+    let cases = [
+        Case { expected: None, bounds: None },
+        Case { expected: Some(4999), bounds: None },
+        Case { expected: Some(5000), bounds: Some((20, 250)) },
+        Case { expected: Some(6200), bounds: Some((1220, 1450)) },
+    ];
+    let mut rng = StdRng::seed_from_u64(7);
+    for case in &cases {
+        for _ in 0..100 {
+            let delay = after_confirmation(case.expected.map(ms), ms(5000), &mut rng);
+            let within = case.bounds.map(|(min, max)| ms(min)..ms(max));
+            let is_within = delay.zip(within).map(|(delay, within)| within.contains(&delay));
+            assert_eq!(is_within, case.bounds.map(|_| true), "{:?}: {delay:?}", case.expected);
+        }
+    }
+}
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -278,6 +278,27 @@
     Ok(hosts.iter().flat_map(RouteHost::log_lines).collect())
 }
 
+/// A host on which keys must be revoked in time, while the store does not answer, and afterwards.
+async fn stale_key_events() -> TestResult<Vec<String>> {
+    let store = RouteStore::start().await?;
+    let routes = [operator::single("/safe/", "s", "safe")];
+    operator::configure_customers(
+        &store,
+        3,
+        &routes,
+        &["s"],
+        &[operator::customer("shop", &["k"])],
+    );
+    let within = Duration::from_millis(3200);
+    let host = RouteHost::start_strict("h-1", "east", store.address(), &[], within)?;
+    host.wait_until_ready().await?;
+    store.set_outage(RouteOutage::Hang);
+    wait_for_line(&host, "keys-stale").await?;
+    store.set_outage(RouteOutage::None);
+    wait_for_line(&host, "keys-current").await?;
+    Ok(host.log_lines())
+}
+
 /// The keys of each event, as listed in the catalogue.
 fn catalogue() -> BTreeMap<u16, BTreeSet<String>> {
     let page = include_str!("../docs/operators/events-route.md");
@@ -298,7 +319,7 @@
 /// keys.
 #[tokio::test(flavor = "multi_thread")]
 async fn every_event_is_written_as_the_catalogue_says() -> TestResult {
-    let (single, isolated, two_zones, cold, restored, narrow, unread, silent) = tokio::try_join!(
+    let (single, isolated, two_zones, cold, restored, narrow, unread, silent, stale) = tokio::try_join!(
         single_host_events(),
         isolated_host_events(),
         two_zone_events(),
@@ -306,11 +327,14 @@
         restored_store_events(),
         narrow_link_events(),
         unread_log_events(),
-        silent_peer_events()
+        silent_peer_events(),
+        stale_key_events()
     )?;
     let catalogue = catalogue();
     let mut written = BTreeSet::new();
-    for text in [single, isolated, two_zones, cold, restored, narrow, unread, silent].concat() {
+    let lines =
+        [single, isolated, two_zones, cold, restored, narrow, unread, silent, stale].concat();
+    for text in lines {
         let read = line::read(&text, "").ok_or_else(|| format!("not an event: {text}"))?;
         let keys = catalogue.get(&read.number).ok_or_else(|| format!("not listed: {text}"))?;
         for name in read.keys() {
--- a/tests/route_revocation.rs
+++ b/tests/route_revocation.rs
@@ -39,7 +39,7 @@
         let customers = [operator::customer("shop", &["old", "new"])];
         operator::configure_customers(&store, 3, &routes(), &["s"], &customers);
         operator::register(&store, "t-1", &target, "east");
-        let host = RouteHost::start_strict("h-1", "east", store.address(), WITHIN)?;
+        let host = RouteHost::start_strict("h-1", "east", store.address(), &[], WITHIN)?;
         host.wait_until_ready().await?;
         Ok(Self { store, target, host })
     }
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -115,10 +115,11 @@
         name: &str,
         zone: &str,
         store: SocketAddr,
+        seeds: &[&RouteHost],
         within: Duration,
     ) -> TestResult<Self> {
         let revocation = format!("[revocation]\nwithin_ms = {}\n", within.as_millis());
-        Self::start_with(name, zone, store, &[], METRICS_PORT, "", &revocation)
+        Self::start_with(name, zone, store, seeds, METRICS_PORT, "", &revocation)
     }
 
     /// Starts a host with this share of a core.
