fix(route): a host without the store is confirmed by any peer that is

A host that could not reach the store asked one random host of another zone after each failed check. In a fleet with a single zone it asked nobody and became stale while other hosts were confirmed, and where most hosts are cut off a random one is as well.

It now asks up to three hosts of its zone and three of others, every 0.3 s once half of the limit is used, the one that was useful last first.

--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -20,6 +20,7 @@
 use hawthorn_route::outcome::RefusalReason;
 use hawthorn_route::pace;
 use hawthorn_route::pace::BulkPacer;
+use hawthorn_route::refresh::RefreshOrder;
 use hawthorn_route::revision::StoreRevision;
 use hawthorn_route::send_deadline::LagMeter;
 use hawthorn_store::StoreClient;
@@ -124,6 +125,15 @@
     }
 }
 
+/// Peers that may confirm this host's configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PeerGroup {
+    /// The other hosts of this host's zone.
+    OwnZone,
+    /// The hosts of all other zones.
+    OtherZones,
+}
+
 /// State with the lifetime of the process.
 #[derive(Debug)]
 pub struct RouteHost {
@@ -159,6 +169,8 @@
     confirmation: RefCell<StoreConfirmation>,
     /// Reports when the keys of customers become stale and current.
     key_changes: RefCell<KeyChangeReport>,
+    /// The peers that were asked for a confirmation, of this host's zone and of others.
+    refresh_orders: [RefCell<RefreshOrder<SocketAddr>>; 2],
     /// When the next confirmation is expected, if it can be foreseen.
     next_confirmation: Cell<Option<Duration>>,
     /// Whether the store's items were read completely at least once.
@@ -205,6 +217,7 @@
             catching_up: Cell::new(false),
             confirmation: RefCell::default(),
             key_changes: RefCell::new(KeyChangeReport::new(host_now())),
+            refresh_orders: Default::default(),
             next_confirmation: Cell::new(None),
             metrics: EdgeMetrics::new()?,
             catalog_read: Cell::new(false),
@@ -244,6 +257,11 @@
         self.report_key_change();
     }
 
+    /// The order in which peers are asked for a confirmation.
+    pub(crate) fn refresh_order(&self, peers: PeerGroup) -> &RefCell<RefreshOrder<SocketAddr>> {
+        &self.refresh_orders[peers as usize]
+    }
+
     /// Records when the next confirmation is expected.
     pub(crate) fn expect_confirmation(&self, at: Duration) {
         self.next_confirmation.set(Some(at));
--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -23,7 +23,6 @@
 use http::StatusCode;
 use log::Level;
 use rand::RngExt;
-use rand::seq::IteratorRandom;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -35,6 +34,7 @@
 use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
 use crate::process::fleet;
+use crate::process::host::PeerGroup;
 use crate::process::host::RouteHost;
 use crate::process::traffic::TrafficPurpose;
 
@@ -59,6 +59,13 @@
 /// Pause between two requests for a confirmation that do not wait for a change, so that a host
 /// without a current source does not load its peers.
 const REFRESH_PAUSE: Duration = Duration::from_millis(200);
+/// Number of peers of its own zone, and of other zones, that a host asks for a confirmation after
+/// a failed call to the store. Most of them may be cut off from it as well.
+const REFRESH_PEERS: usize = 3;
+/// Interval of these requests while the configuration needs a confirmation, so that several fit into
+/// the half of the limit that is left then. With two peers after each failed check only, the fleet
+/// of the model in `revocation_fleet.rs` refused allowed requests if one host reached the store.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(300);
 /// Pause of a host that is not a watcher of its zone and also fails to reach the store, in
 /// seconds. Its peers learn of the recovery first, and simultaneous requests of the fleet would
 /// overload a recovering store.
@@ -218,7 +225,7 @@
         }
         Err(error) => {
             log_store_state(&mut access.reachable, Some(&error));
-            refresh_from_other_zone(host).await;
+            refresh_from_peers(host).await;
             let pause = if is_watcher {
                 MIN_PAUSE_S..MAX_PAUSE_S
             } else {
@@ -227,7 +234,7 @@
             let pause = Duration::from_secs_f64(rand::rng().random_range(pause));
             // The first check after the pause follows at once if it is overdue.
             host.expect_confirmation(access.next_check.max(host_now() + pause));
-            sleep(pause).await;
+            pause_with_refresh(host, pause).await;
         }
     }
 }
@@ -267,13 +274,34 @@
     PeerReply::Done
 }
 
-/// Requests a confirmation from a random host of another zone, if this host needs one and cannot
-/// get it from the store.
-async fn refresh_from_other_zone(host: &RouteHost) {
-    if !host.needs_refresh() {
-        return;
+/// Requests a confirmation from peers, if this host needs one and cannot get it from the store:
+/// from hosts of its own zone, which may have selected another watcher, or else of other zones.
+async fn refresh_from_peers(host: &RouteHost) {
+    for peers in [PeerGroup::OwnZone, PeerGroup::OtherZones] {
+        for _ in 0..REFRESH_PEERS {
+            if !host.needs_refresh() {
+                return;
+            }
+            let candidates = refresh_peers(host, peers);
+            let order = host.refresh_order(peers);
+            let selected = order.borrow_mut().select(&candidates, &mut rand::rng());
+            let Some(peer) = selected else { break };
+            refresh_from(host, peer).await;
+            order.borrow_mut().record(peer, !host.needs_refresh());
+        }
     }
-    let Some(peer) = other_zone_peer(host) else { return };
+}
+
+/// Pauses the calls to the store, but not the requests to peers.
+async fn pause_with_refresh(host: &RouteHost, pause: Duration) {
+    let until = host_now() + pause;
+    while host_now() < until {
+        sleep(REFRESH_INTERVAL.min(until.saturating_sub(host_now()))).await;
+        refresh_from_peers(host).await;
+    }
+}
+
+async fn refresh_from(host: &RouteHost, peer: SocketAddr) {
     let after = host.mirror.borrow().wanted_after();
     let endpoint = host.peer_endpoint(peer, TrafficPurpose::Catalog);
     let sent = host_now();
@@ -282,14 +310,16 @@
     }
 }
 
-fn other_zone_peer(host: &RouteHost) -> Option<SocketAddr> {
+fn refresh_peers(host: &RouteHost, peers: PeerGroup) -> Vec<SocketAddr> {
     let members = host.members.borrow();
-    let own_zone = &host.routing.settings.host.zone;
-    let zones = members.zones().filter(|zone| zone != own_zone);
+    let own = &host.routing.settings.host;
+    let in_own_zone = peers == PeerGroup::OwnZone;
+    let zones = members.zones().filter(|zone| (*zone == own.zone) == in_own_zone);
     let hosts = zones.flat_map(|zone| fleet::zone_hosts(&members, zone));
+    let hosts = hosts.filter(|other| other.id != MemberId::of(&own.name).0);
     let peers =
         hosts.filter_map(|other| Some(members.record_by_id(MemberId(other.id))?.place.peer));
-    peers.filter(|peer| !host.links.is_suspect(*peer)).choose(&mut rand::rng())
+    peers.filter(|peer| !host.links.is_suspect(*peer)).collect()
 }
 
 /// Applies the reply to a request that was sent at `sent`.
@@ -445,13 +475,19 @@
             biased;
             end = pending_watch.as_mut() => return end,
             () = sleep(access.next_check.saturating_sub(host_now())) => {}
+            // The next check may come too late if the peers asked after the last one had no recent
+            // confirmation.
+            () = sleep(REFRESH_INTERVAL), if host.needs_refresh() => {
+                refresh_from_peers(host).await;
+                continue;
+            }
         }
         let sent = host_now();
         // Without an answer, the age of this host's data grows, and its peers select other sources.
         let answer = timeout(CHECK_TIMEOUT, check(client, strict)).await;
         access.next_check = if strict { sent + period } else { host_now() + period };
         let Ok(Some(as_of)) = answer else {
-            refresh_from_other_zone(host).await;
+            refresh_from_peers(host).await;
             continue;
         };
         if strict && as_of.era >= after.era {
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod policy;
 pub mod quarantine;
 pub mod reachability;
+pub mod refresh;
 pub mod regather;
 pub mod registry;
 pub mod retry_after;
