test(route): revocation with several hosts, restarts, delegation and waiting requests

Guards against hosts that each read the store, hosts and zones that become stale because only their own path to it hangs, a restarted host that serves a revoked key, a stale gatherer that runs a query, and a key that is sent although it was revoked while its request waited for a connection.

The stand-in of the store counts linearizable reads and hangs the calls of given addresses.

--- a/crates/hawthorn-standin/src/route/store.rs
+++ b/crates/hawthorn-standin/src/route/store.rs
@@ -64,6 +64,8 @@
     compacted: u64,
     outage: RouteOutage,
     calls: usize,
+    /// Number of linearizable reads; watches do not count.
+    linearizable_reads: usize,
     /// IP addresses of the waiting watches.
     watchers: Vec<IpAddr>,
     /// IP addresses whose calls are never answered.
@@ -195,6 +197,21 @@
         self.update(|state| state.hung = state.watchers.iter().copied().collect());
     }
 
+    /// Stops answering these IP addresses, also the calls that wait; others are served.
+    pub fn hang(&self, addresses: &[IpAddr]) {
+        self.update(|state| state.hung = addresses.iter().copied().collect());
+    }
+
+    /// IP addresses of the waiting watches.
+    pub fn watchers(&self) -> Vec<IpAddr> {
+        self.shared.state.lock().expect("no holder of the lock panics").watchers.clone()
+    }
+
+    /// Number of linearizable reads since the start.
+    pub fn linearizable_reads(&self) -> usize {
+        self.shared.state.lock().expect("no holder of the lock panics").linearizable_reads
+    }
+
     /// Number of waiting watches.
     pub fn waiting_watches(&self) -> usize {
         self.shared.state.lock().expect("no holder of the lock panics").watchers.len()
@@ -220,6 +237,10 @@
         let outage = {
             let mut state = shared.state.lock().expect("no holder of the lock panics");
             state.calls += 1;
+            let is_read = ["/-/kv-range", "/-/kv-key"].contains(&request.path());
+            if is_read && request.query("serializable").is_none() {
+                state.linearizable_reads += 1;
+            }
             if request.path() == "/-/kv-watch" {
                 state.watchers.extend(caller);
                 watching = true;
--- a/tests/route_revocation.rs
+++ b/tests/route_revocation.rs
@@ -2,12 +2,15 @@
 
 mod support;
 
+use std::net::IpAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use hawthorn_standin::route::RouteStore;
 use hawthorn_standin::route::RouteTarget;
 use hawthorn_standin::route::operator;
 use hawthorn_standin::route::store::RouteOutage;
+use hawthorn_standin::route::target::TargetFault;
 use rustix::process::Signal;
 use serde_json::Value;
 use serde_json::json;
@@ -126,3 +129,217 @@
     assert!(calls <= 14, "{calls}");
     Ok(())
 }
+
+/// A limit that leaves time for reads by way of other hosts.
+const RELAYED_WITHIN: Duration = Duration::from_secs(5);
+
+/// A store, a target and several hosts, the first of which is the seed of the others.
+struct KeyedFleet {
+    store: RouteStore,
+    target: RouteTarget,
+    hosts: Vec<RouteHost>,
+}
+
+impl KeyedFleet {
+    async fn start(zones: &[&str]) -> TestResult<Self> {
+        let store = RouteStore::start().await?;
+        let target = RouteTarget::start("t-1", "s").await?;
+        let customers = [operator::customer("shop", &["old", "new"])];
+        operator::configure_customers(&store, 3, &routes(), &["s"], &customers);
+        operator::register(&store, "t-1", &target, "east");
+        let mut hosts: Vec<RouteHost> = Vec::new();
+        for (index, zone) in zones.iter().enumerate() {
+            let seeds: Vec<&RouteHost> = hosts.first().into_iter().collect();
+            let (name, address) = (format!("h-{index}"), store.address());
+            hosts.push(RouteHost::start_strict(&name, zone, address, &seeds, RELAYED_WITHIN)?);
+        }
+        for host in &hosts {
+            host.wait_until_ready().await?;
+        }
+        // Until membership has settled, each host watches.
+        let watches = async || store.waiting_watches() == 2;
+        route::wait_for("two hosts to watch", watches).await?;
+        Ok(Self { store, target, hosts })
+    }
+
+    /// Sends a keyed request to each host every 100 ms.
+    async fn assert_served(&self, time: Duration, when: &str) -> TestResult {
+        let started = Instant::now();
+        while started.elapsed() < time {
+            for (index, host) in self.hosts.iter().enumerate() {
+                let answer = host.send_with_key("/keyed/", "id-served", "new").await?;
+                let elapsed = started.elapsed();
+                assert_eq!(answer.status, 200, "{when}, host {index} after {elapsed:?}");
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        Ok(())
+    }
+
+    /// Revokes the key `old`, and checks that no host serves it after the limit.
+    async fn assert_revoked_in_time(&self, when: &str) -> TestResult {
+        let customers = [operator::customer("shop", &["new"])];
+        operator::configure_customers(&self.store, 4, &routes(), &["s"], &customers);
+        sleep(RELAYED_WITHIN).await;
+        for (index, host) in self.hosts.iter().enumerate() {
+            let answer = host.send_with_key("/keyed/", "id-revoked", "old").await?;
+            assert_eq!(answer.status, 401, "{when}, host {index}");
+        }
+        assert_eq!(self.target.runs("id-revoked"), 0, "{when}");
+        Ok(())
+    }
+}
+
+fn address(host: &RouteHost) -> IpAddr {
+    host.caller().ip()
+}
+
+/// Guards against hosts that each read the store, whose cost would grow with the fleet, and against
+/// hosts that become stale because they do not.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_hosts_of_a_zone_share_its_reads() -> TestResult {
+    let fleet = KeyedFleet::start(&["east", "east", "east", "west"]).await?;
+    let (started, before) = (Instant::now(), fleet.store.linearizable_reads());
+    fleet.assert_served(Duration::from_secs(6), "calm").await?;
+    let reads = fleet.store.linearizable_reads() - before;
+    // In each of two zones one each 1.2 s, and one at the beginning of the interval.
+    let allowed = 2 * (started.elapsed().as_secs_f64() / 1.2 + 1.0) as usize;
+    assert!(reads <= allowed, "{reads} of {allowed}");
+    Ok(())
+}
+
+/// Guards against a host that becomes stale, or serves a revoked key, because its own path to the
+/// store hangs while other hosts of its zone are confirmed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_watcher_without_the_store_is_confirmed_by_its_zone() -> TestResult {
+    let fleet = KeyedFleet::start(&["east", "east", "east"]).await?;
+    let hung = *fleet.store.watchers().first().ok_or("two hosts watch")?;
+    fleet.store.hang(&[hung]);
+    fleet.assert_served(Duration::from_secs(12), "a watcher is cut off").await?;
+    fleet.assert_revoked_in_time("a watcher is cut off").await
+}
+
+/// Guards against a zone that becomes stale, or serves a revoked key, because none of its hosts can
+/// reach the store while another zone can.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_without_the_store_is_confirmed_by_another_zone() -> TestResult {
+    let fleet = KeyedFleet::start(&["east", "east", "west"]).await?;
+    fleet.store.hang(&[address(&fleet.hosts[0]), address(&fleet.hosts[1])]);
+    fleet.assert_served(Duration::from_secs(12), "a zone is cut off").await?;
+    fleet.assert_revoked_in_time("a zone is cut off").await
+}
+
+/// Guards against a restarted host that refuses valid keys although it is ready, and against one
+/// that serves a key that was revoked while it was down.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_host_serves_at_once_and_refuses_a_revoked_key() -> TestResult {
+    let mut keyed = KeyedHost::start().await?;
+    assert_eq!(keyed.status("/keyed/", "old", "id-1").await?, 200);
+    keyed.host.kill()?;
+    keyed.revoke();
+    keyed.host.restart()?;
+    keyed.host.wait_until_ready().await?;
+    let ready = Instant::now();
+    assert_eq!(keyed.status("/keyed/", "old", "id-2").await?, 401);
+    assert_eq!(keyed.status("/keyed/", "new", "id-3").await?, 200);
+    assert!(ready.elapsed() < Duration::from_secs(1), "{:?}", ready.elapsed());
+    assert_eq!(keyed.target.runs("id-2"), 0);
+    Ok(())
+}
+
+/// Sum of the series of a metric with this label.
+fn count(metrics: &str, series: &str, label: &str) -> TestResult<u64> {
+    let lines = metrics.lines().filter(|line| line.starts_with(series) && line.contains(label));
+    let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+    Ok(values.collect::<Vec<_>>().first().copied().ok_or("no such series")?)
+}
+
+/// Guards against a query that fails, or whose key is not checked, because the peer that it is
+/// delegated to is stale. The hosts have different limits, so that only one of them is.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stale_gatherer_runs_nothing_and_another_one_does() -> TestResult {
+    let store = RouteStore::start().await?;
+    let names = ["a", "b", "c"];
+    let mut targets = Vec::new();
+    for name in names {
+        let target = RouteTarget::start(&format!("t-{name}"), name).await?;
+        operator::register(&store, &format!("t-{name}"), &target, "west");
+        targets.push(target);
+    }
+    let routes = [operator::scatter_gather("/all/", &names, 1.0)];
+    let customers = [operator::customer("shop", &["new"])];
+    operator::configure_customers(&store, 3, &routes, &names, &customers);
+    let long = Duration::from_secs(60);
+    let east = RouteHost::start_strict("h-1", "east", store.address(), &[], long)?;
+    let stale = RouteHost::start_strict("h-2", "west", store.address(), &[&east], WITHIN)?;
+    let current = RouteHost::start_strict("h-3", "west", store.address(), &[&east], long)?;
+    for host in [&east, &stale, &current] {
+        host.wait_until_ready().await?;
+    }
+    let gathered = async || {
+        let answer = east.send_with_key("/all/", "id-0", "new").await;
+        answer.is_ok()
+            && east.logged("zone=west change=up") == 2
+            && east.logged("outcome=whole") > 0
+    };
+    route::wait_for("a peer to gather", gathered).await?;
+    store.set_outage(RouteOutage::Hang);
+    route::wait_for("one host to be stale", async || stale.logged("E652") > 0).await?;
+    let series = "hawthorn_route_attempts_total";
+    let before = count(&stale.metrics().await?, series, "end=\"answered\"")?;
+    let mut number = 0;
+    while east.logged("outcome=stale-keys") < 3 {
+        number += 1;
+        assert!(number < 200, "no query was delegated to the stale host");
+        let answer = east.send_with_key("/all/", &format!("id-{number}"), "new").await?;
+        assert_eq!(answer.status, 200, "query {number}");
+    }
+    assert_eq!(count(&stale.metrics().await?, series, "end=\"answered\"")?, before);
+    assert!(current.is_ready().await);
+    Ok(())
+}
+
+/// Guards against a request that is sent with a key that was revoked while the request waited for a
+/// connection to its target.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_revoked_while_a_request_waits_is_not_sent() -> TestResult {
+    let keyed = KeyedHost::start().await?;
+    let version = |number: u64, keys: &[&str]| {
+        let service = json!({ "name": "s", "healthPath": "/health", "maxConnections": 1 });
+        let customers = [operator::customer("shop", keys)];
+        json!({ "configVersion": number, "routes": routes(), "services": [service],
+                "tenants": customers })
+    };
+    let configure = |document: Value| {
+        operator::put_raw_configuration(&keyed.store, document.to_string().as_bytes());
+    };
+    configure(version(4, &["old", "new"]));
+    let line = "customers-in-force: version=4";
+    route::wait_for(line, async || keyed.host.logged(line) == 1).await?;
+    keyed.target.fail_next(&[TargetFault::Slow(Duration::from_secs(1))]);
+    let holder = async {
+        assert_eq!(keyed.status("/keyed/", "new", "id-holder").await?, 200);
+        TestResult::Ok(())
+    };
+    let waiting = async {
+        sleep(Duration::from_millis(200)).await;
+        let status = keyed.status("/keyed/", "old", "id-waiting").await?;
+        TestResult::Ok(status)
+    };
+    let revocation = async {
+        sleep(Duration::from_millis(400)).await;
+        configure(version(5, &["new"]));
+        TestResult::Ok(())
+    };
+    let ((), status, ()) = tokio::try_join!(holder, waiting, revocation)?;
+    assert_eq!(status, 401);
+    assert_eq!(keyed.target.runs("id-waiting"), 0);
+    let metrics = keyed.host.metrics().await?;
+    let cause = "cause=\"revoked-before-sending\"";
+    assert_eq!(count(&metrics, "hawthorn_route_key_refusals_total", cause)?, 1);
+    let reason = "reason=\"revoked\"";
+    assert_eq!(count(&metrics, "hawthorn_route_key_rejections_total", reason)?, 1);
+    let line = "end=key-refused";
+    route::wait_for("the attempt to be logged", async || keyed.host.logged(line) == 1).await?;
+    Ok(())
+}
