test(route): hedges with a revoked key, and the range of the retry time

Guards against a hedge that is sent although the key was revoked after the first attempt, one that is refused without an E631 line, and a Retry-After of stale-keys beyond the next check.

--- a/tests/route_revocation.rs
+++ b/tests/route_revocation.rs
@@ -72,7 +72,9 @@
         let answer = keyed.host.send_with_key("/keyed/", "id-2", key).await?;
         assert_eq!(answer.status, 503, "{key}");
         assert_eq!(answer.body, b"stale-keys", "{key}");
-        assert!(answer.headers.contains_key("retry-after"), "{key}");
+        let retry_after = answer.headers.get("retry-after").ok_or("no time of the retry")?;
+        // The period of the checks and the jitter.
+        assert!((0.02..1.45).contains(&retry_after.parse::<f64>()?), "{key}: {retry_after}");
     }
     assert_eq!(keyed.target.runs("id-2"), 0);
     assert_eq!(keyed.status("/exempt/", "old", "id-3").await?, 200);
@@ -299,6 +301,37 @@
     Ok(())
 }
 
+/// Guards against a hedge that is sent with a key that was revoked after the first attempt, and one
+/// that is refused without a log line.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hedge_is_not_sent_with_a_revoked_key() -> TestResult {
+    let keyed = KeyedHost::start().await?;
+    let second = RouteTarget::start("t-2", "s").await?;
+    operator::register(&keyed.store, "t-2", &second, "east");
+    let line = "E620 target-changed: target=t-2";
+    route::wait_for(line, async || keyed.host.logged(line) == 1).await?;
+    // After an update, the next watch is delayed, and the revocation would arrive after the hedge.
+    route::wait_for("the host to watch", async || keyed.store.waiting_watches() == 1).await?;
+    for target in [&keyed.target, &second] {
+        target.fail_next(&[TargetFault::Slow(Duration::from_secs(1))]);
+    }
+    let request = async { keyed.status("/keyed/", "old", "id-1").await };
+    let revocation = async {
+        route::wait_for("the first attempt", async || {
+            keyed.target.runs("id-1") + second.runs("id-1") == 1
+        })
+        .await?;
+        keyed.revoke();
+        TestResult::Ok(())
+    };
+    let (status, ()) = tokio::try_join!(request, revocation)?;
+    // The first attempt was sent before the revocation.
+    assert_eq!(status, 200);
+    assert_eq!(keyed.target.runs("id-1") + second.runs("id-1"), 1);
+    let line = "end=key-refused";
+    route::wait_for("the hedge to be logged", async || keyed.host.logged(line) == 1).await
+}
+
 /// Guards against a request that is sent with a key that was revoked while the request waited for a
 /// connection to its target.
 #[tokio::test(flavor = "multi_thread")]
