--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod reachability;
+pub mod refresh;
 pub mod regather;
 pub mod registry;
 pub mod retry_after;
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::FutureExt;
 use hawthorn_edge::process::events::EdgeEvent;
 use hawthorn_report::line;
 use hawthorn_standin::route::RouteStore;
@@ -316,6 +317,27 @@
     Ok(host.log_lines())
 }
 
+/// A host on which keys must be revoked in time, while the store does not answer, and afterwards.
+async fn stale_key_events() -> TestResult<Vec<String>> {
+    let store = RouteStore::start().await?;
+    let routes = [operator::single("/safe/", "s", "safe")];
+    operator::configure_customers(
+        &store,
+        3,
+        &routes,
+        &["s"],
+        &[operator::customer("shop", &["k"])],
+    );
+    let within = Duration::from_millis(3200);
+    let host = RouteHost::start_strict("h-1", "east", store.address(), &[], within)?;
+    host.wait_until_ready().await?;
+    store.set_outage(RouteOutage::Hang);
+    wait_for_line(&host, "keys-stale").await?;
+    store.set_outage(RouteOutage::None);
+    wait_for_line(&host, "keys-current").await?;
+    Ok(host.log_lines())
+}
+
 /// The keys of each event, as listed in the catalogue.
 fn catalogue() -> BTreeMap<u16, BTreeSet<String>> {
     let page = include_str!("../docs/operators/events-route.md");
@@ -336,22 +358,23 @@
 /// keys.
 #[tokio::test(flavor = "multi_thread")]
 async fn every_event_is_written_as_the_catalogue_says() -> TestResult {
-    let (single, isolated, two_zones, cold, restored, narrow, quota, unread, silent, waiting) = tokio::try_join!(
-        single_host_events(),
-        isolated_host_events(),
-        two_zone_events(),
-        cold_target_events(),
-        restored_store_events(),
-        narrow_link_events(),
-        quota_events(),
-        unread_log_events(),
-        silent_peer_events(),
-        waiting_events()
-    )?;
+    let scenarios = [
+        single_host_events().boxed_local(),
+        isolated_host_events().boxed_local(),
+        two_zone_events().boxed_local(),
+        cold_target_events().boxed_local(),
+        restored_store_events().boxed_local(),
+        narrow_link_events().boxed_local(),
+        quota_events().boxed_local(),
+        unread_log_events().boxed_local(),
+        silent_peer_events().boxed_local(),
+        waiting_events().boxed_local(),
+        stale_key_events().boxed_local(),
+    ];
+    let logs = futures::future::try_join_all(scenarios).await?;
     let catalogue = catalogue();
     let mut written = BTreeSet::new();
-    let all = [single, isolated, two_zones, cold, restored, narrow, quota, unread, silent, waiting];
-    for text in all.concat() {
+    for text in logs.concat() {
         let read = line::read(&text, "").ok_or_else(|| format!("not an event: {text}"))?;
         let keys = catalogue.get(&read.number).ok_or_else(|| format!("not listed: {text}"))?;
         for name in read.keys() {
