feat(route): reports within a zone of zones and gatherers that do not answer

Each host of a zone finds out alone that zones are unreachable, over several seconds, and callers are moved to the hosts that have not noticed yet.

Adds the decisions of shared reports: what a host reports, how long a report counts, what confirms it, when the hosts of a zone fail their readiness probes together and return, and when and to whom messages are sent. Nothing uses them yet.

--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -35,6 +35,7 @@
 //! | [`table`] | one version of the routes, indexed for lookups |
 //! | [`target`] | state of one target: registration, load, speed and failures |
 //! | [`weight`] | selection among the services of a weighted route |
+//! | [`zone_report`] | reports within a zone of zones and gatherers that do not answer |
 //!
 //! Nothing here opens a socket, reads a clock or starts a thread. Time is a
 //! [`Duration`](std::time::Duration) since an arbitrary fixed instant of the host.
@@ -74,3 +75,4 @@
 pub mod table;
 pub mod target;
 pub mod weight;
+pub mod zone_report;
--- a/crates/hawthorn-route/src/reachability.rs
+++ b/crates/hawthorn-route/src/reachability.rs
@@ -46,6 +46,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ZoneReachability {
     unanswered: u32,
+    /// When the first of them was sent.
+    first: Option<Duration>,
     /// When the zone becomes suspected, and when it becomes unreachable, unless something
     /// answers.
     thresholds: Option<(Duration, Duration)>,
@@ -56,6 +58,7 @@
     /// zone.
     pub fn sent(&mut self, now: Duration, typical: Duration) {
         self.unanswered = self.unanswered.saturating_add(1);
+        self.first.get_or_insert(now);
         let suspected = now + SUSPECT_DELAY.max(typical * SUSPECT_FACTOR);
         let unreachable = now + UNREACHABLE_DELAY.max(typical * UNREACHABLE_FACTOR);
         self.thresholds.get_or_insert((suspected, unreachable));
@@ -66,6 +69,18 @@
         *self = Self::default();
     }
 
+    /// The number of requests since the last answer.
+    pub fn unanswered(&self) -> u32 {
+        self.unanswered
+    }
+
+    /// If the zone is suspected, when the first of these requests was sent, and when they had
+    /// remained unanswered for long enough.
+    pub fn suspicion(&self, now: Duration) -> Option<(Duration, Duration)> {
+        let (suspected, _) = self.thresholds.filter(|_| self.is_suspected(now))?;
+        Some((self.first?, suspected))
+    }
+
     /// Whether the zone is unreachable, so that no requests are sent there.
     pub fn is_unreachable(&self, now: Duration) -> bool {
         self.unanswered >= MIN_UNANSWERED
