feat(edge): the hosts of a zone share what does not answer, and are ready or not together

Each host found out alone that zones were unreachable or a gatherer silent. On a fleet of 133 hosts, half of the hosts of a zone without targets failed their readiness probes only 5 s after the zone was cut off, and the balancer uses all hosts of a zone until half of them have.

Hosts now send their findings to the live hosts of their zone in membership datagrams, at once after a change and each 500 ms while they last. What another host reports is probed at once; a confirmed gatherer gets no queries, and a confirmed partition or half of the zone's hosts make a host fail its probe.

--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -135,8 +135,8 @@
 #[derive(Debug, Default)]
 pub struct PeerLinks {
     links: RefCell<HashMap<(SocketAddr, TrafficPurpose), OpenLink>>,
-    /// When each suspected peer failed to answer.
-    suspects: RefCell<HashMap<SocketAddr, Instant>>,
+    /// When each suspected peer failed to answer, and how.
+    suspects: RefCell<HashMap<SocketAddr, (Instant, SuspicionReason)>>,
     /// The time of each peer's last reply.
     last_answers: RefCell<HashMap<SocketAddr, Instant>>,
     /// The clock offset of each peer.
@@ -147,7 +147,19 @@
     /// Whether the peer failed to answer a call during the last [`SUSPECT_DURATION`].
     pub(crate) fn is_suspect(&self, address: SocketAddr) -> bool {
         let suspects = self.suspects.borrow();
-        suspects.get(&address).is_some_and(|at| at.elapsed() < SUSPECT_DURATION)
+        suspects.get(&address).is_some_and(|(at, _)| at.elapsed() < SUSPECT_DURATION)
+    }
+
+    /// The suspected peers that did not answer, how long ago that was, and how long ago they last
+    /// answered.
+    pub(crate) fn unanswered(&self) -> Vec<(SocketAddr, Duration, Option<Duration>)> {
+        let suspects = self.suspects.borrow();
+        let answers = self.last_answers.borrow();
+        let answered_for = |address| answers.get(address).map(Instant::elapsed);
+        let silent = suspects.iter().filter(|(_, (at, reason))| {
+            *reason != SuspicionReason::Stale && at.elapsed() < SUSPECT_DURATION
+        });
+        silent.map(|(address, (at, _))| (*address, at.elapsed(), answered_for(address))).collect()
     }
 
     /// Marks the peer as suspected and closes its connections.
@@ -164,8 +176,8 @@
             );
         }
         let mut suspects = self.suspects.borrow_mut();
-        suspects.retain(|_, at| at.elapsed() < SUSPECT_DURATION);
-        suspects.insert(address, Instant::now());
+        suspects.retain(|_, (at, _)| at.elapsed() < SUSPECT_DURATION);
+        suspects.insert(address, (Instant::now(), reason));
         self.links.borrow_mut().retain(|(peer, _), _| *peer != address);
     }
 
--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -78,6 +78,9 @@
     QuarantineChanged = 638,
     /// The customers of a version came into force.
     CustomersInForce = 650,
+    /// Hosts of this zone reported a zone or a gatherer that does not answer, or made this host
+    /// fail its readiness probe.
+    ZoneReport = 658,
     /// Shards that a peer did not gather were delegated to another one.
     QueryRegathered = 659,
     /// A part of a version's customers was not applied as written.
--- a/crates/hawthorn-edge/src/process/fleet.rs
+++ b/crates/hawthorn-edge/src/process/fleet.rs
@@ -34,6 +34,7 @@
 use crate::process::quarantine;
 use crate::process::store_sync;
 use crate::process::traffic::TrafficPurpose;
+use crate::process::zone_reports;
 use crate::settings::RouteSettings;
 use crate::version::state::RoutingState;
 
@@ -95,6 +96,7 @@
         let due = host_now() + wake;
         let received = tokio::select! {
             () = host.quarantine.gossip_due.notified() => None,
+            () = host.zone_reports.send_due.notified() => None,
             received = socket.recv_from(&mut datagram) => received.ok(),
             () = sleep(wake) => {
                 host.lag.borrow_mut().record(host_now().saturating_sub(due));
@@ -112,7 +114,8 @@
             );
         }
         tick(&host, now);
-        for (peer, payload) in quarantine::gossip_messages(&host) {
+        let reports = host.zone_reports.take_outgoing();
+        for (peer, payload) in quarantine::gossip_messages(&host).into_iter().chain(reports) {
             host.members.borrow_mut().send_payload(now, peer, payload);
         }
         run_actions(&host, &socket, now).await;
@@ -188,6 +191,10 @@
 fn receive_payload(host: &Rc<RouteHost>, from: SocketAddr, payload: &[u8]) -> Vec<Vec<u8>> {
     let error = match payload::open(payload) {
         Ok((PayloadKind::Quarantine, message)) => return quarantine::receive(host, from, message),
+        Ok((PayloadKind::ZoneReports, message)) => {
+            zone_reports::receive(host, from, message);
+            return Vec::new();
+        }
         Ok((kind, _)) => format!("payload kind {kind:?} is not handled"),
         Err(error) => error.to_string(),
     };
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -52,6 +52,7 @@
 use crate::process::store_sync;
 use crate::process::traffic::TrafficAccount;
 use crate::process::traffic::TrafficPurpose;
+use crate::process::zone_reports::ZoneReportState;
 use crate::request::remainder::RemainderTable;
 use crate::settings::RouteSettings;
 use crate::version::state::RoutingState;
@@ -132,6 +133,8 @@
     pub mirror: RefCell<StoreMirror>,
     /// The quarantine of requests that crash targets.
     pub quarantine: QuarantineState,
+    /// What the hosts of this zone report as unreachable.
+    pub zone_reports: ZoneReportState,
     /// When this host learned that the store was restored, until all items count as written again.
     pub(crate) restored: Cell<Option<Duration>>,
     /// This host's claim on a slot for cold targets.
@@ -183,6 +186,7 @@
             mirror: RefCell::default(),
             restored: Cell::new(None),
             quarantine: QuarantineState::default(),
+            zone_reports: ZoneReportState::default(),
             bulk_pacer: RefCell::default(),
             mirror_advanced: Notify::new(),
             catching_up: Cell::new(false),
@@ -207,6 +211,7 @@
     pub fn is_ready(&self) -> bool {
         let has_catalog = self.catalog_read.get() && self.routing.table().is_some();
         let can_serve = !self.routing.unready.get() && !self.routing.may_be_unready.get();
+        let can_serve = can_serve && !self.zone_reports.is_unready();
         let can_serve = can_serve && (self.keys_current() || !self.routing.has_customers());
         has_catalog && can_serve && !self.stopping.is_cancelled()
     }
--- a/crates/hawthorn-edge/src/process/mod.rs
+++ b/crates/hawthorn-edge/src/process/mod.rs
@@ -13,3 +13,4 @@
 pub mod reachability;
 pub mod store_sync;
 pub mod traffic;
+pub mod zone_reports;
--- a/crates/hawthorn-edge/src/process/reachability.rs
+++ b/crates/hawthorn-edge/src/process/reachability.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::future::join;
 use futures::future::join_all;
 use hawthorn_fleet::MemberHealth;
 use log::Level;
@@ -17,6 +18,7 @@
 use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
 use crate::process::host::RouteHost;
+use crate::process::zone_reports;
 
 /// Interval of the checks: a balancer probes readiness once a second and should get a recent
 /// result.
@@ -25,7 +27,7 @@
 const DEMAND_DECAY: f64 = 0.986;
 /// Timeout of a connection that probes a suspected zone: many round trips between zones. The
 /// operating system accepts connections also while the process of the other host is busy.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
+pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// Checks the zones until the process exits.
 ///
@@ -38,7 +40,8 @@
         sleep(CHECK_PERIOD).await;
         let routing = &host.routing;
         let suspected = routing.suspected_zones(host_now());
-        join_all(suspected.iter().map(|zone| probe_zone(&host, zone))).await;
+        let probes = join_all(suspected.iter().map(|zone| probe_zone(&host, zone)));
+        join(probes, zone_reports::probe_reported(&host, &suspected)).await;
         let now = host_now();
         let unreachable = routing.unreachable_zones(now);
         for zone in unreachable.iter().filter(|zone| !reported.contains(zone)) {
@@ -56,7 +59,8 @@
         if routing.unready.replace(stranded) != stranded {
             edge_event!(Level::Warn, EdgeEvent::HostStranded, "stranded={stranded}");
         }
-        let unready = stranded || routing.may_be_unready.get();
+        zone_reports::update(&host);
+        let unready = stranded || routing.may_be_unready.get() || host.zone_reports.is_unready();
         let since = host.unready_since.get().unwrap_or(now);
         host.unready_since.set(unready.then_some(since));
         reported = unreachable;
@@ -64,17 +68,21 @@
 }
 
 /// Probes a zone by connecting to a host there. If the zone is considered unreachable or has no
-/// known host, also to a target, as all its hosts may be down while its targets are up.
-async fn probe_zone(host: &RouteHost, zone: &str) {
+/// known host, also to a target, as all its hosts may be down while its targets are up. Returns
+/// whether one of them answered; `None` if neither is known.
+pub(crate) async fn probe_zone(host: &RouteHost, zone: &str) -> Option<bool> {
     let peer = any_peer(host, zone);
     let unreachable = host.routing.unreachable_zones(host_now()).iter().any(|name| name == zone);
     let target = host.routing.any_target(zone).filter(|_| unreachable || peer.is_none());
     let probes = peer.into_iter().chain(target).map(|address| async move {
         matches!(timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await, Ok(Ok(_)))
     });
-    if join_all(probes).await.contains(&true) {
+    let results = join_all(probes).await;
+    let answered = results.contains(&true);
+    if answered {
         host.routing.zone_answered(zone);
     }
+    (!results.is_empty()).then_some(answered)
 }
 
 /// The address of a random live host of a zone.
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -226,7 +226,8 @@
     if !host.routing.homes(route).allows(zone) {
         return None;
     }
-    host.gather_peers.borrow().select(zone, |peer| !host.links.is_suspect(peer))
+    let is_usable = |peer| !host.links.is_suspect(peer) && !host.zone_reports.suspects(peer);
+    host.gather_peers.borrow().select(zone, is_usable)
 }
 
 /// Time until the soft deadline as sent to a peer. If the peer's clock offset is unknown, it is
--- a/crates/hawthorn-edge/src/version/reachability.rs
+++ b/crates/hawthorn-edge/src/version/reachability.rs
@@ -8,9 +8,12 @@
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::placement;
 use hawthorn_route::reachability;
+use hawthorn_route::reachability::ZoneReachability;
 use hawthorn_route::scatter;
+use hawthorn_route::zone_report::RequestDemand;
 use rand::RngExt;
 
+use crate::process::clock::host_now;
 use crate::version::state::RoutingState;
 
 /// Seconds of requests that the decayed counts represent. They are halved every five seconds,
@@ -31,10 +34,15 @@
     /// Records that a host or target of the zone answered.
     pub fn zone_answered(&self, zone: &str) {
         if let Some(reachability) = self.zones.borrow_mut().get_mut(zone) {
-            reachability.answered();
+            reachability.answered_at(host_now());
         }
     }
 
+    /// Calls `visit` with the reachability of each zone to which requests were sent.
+    pub fn visit_reachability(&self, mut visit: impl FnMut(&str, &ZoneReachability)) {
+        self.zones.borrow().iter().for_each(|(zone, reachability)| visit(zone, reachability));
+    }
+
     /// The zones that are considered unreachable.
     pub fn unreachable_zones(&self, now: Duration) -> Vec<String> {
         let zones = self.zones.borrow();
@@ -118,33 +126,39 @@
     /// Whether this host should fail its readiness probe if these zones are unreachable; see
     /// [`reachability::should_fail_readiness`].
     pub fn should_fail_readiness(&self, unreachable: &[String], now: Duration) -> bool {
-        let Some(table) = self.table().filter(|_| !unreachable.is_empty()) else {
+        if unreachable.is_empty() {
             return false;
-        };
-        let zones = {
-            let registry = self.registry.borrow();
-            let own_zone = std::iter::once(self.settings.host.zone.as_str());
-            registry
-                .iter()
-                .map(|(_, state)| &*state.entry.zone)
-                .chain(own_zone)
-                .collect::<HashSet<_>>()
-                .len()
-        };
+        }
+        let (total, lost) = self.count_demand_without(unreachable, now);
+        let share = if total > 0.0 { lost / total } else { 0.0 };
+        reachability::should_fail_readiness(self.zones().len(), unreachable.len(), share)
+    }
+
+    /// The zones of all known targets, and this host's own.
+    pub fn zones(&self) -> HashSet<String> {
+        let registry = self.registry.borrow();
+        let own_zone = std::iter::once(self.settings.host.zone.clone());
+        registry.iter().map(|(_, state)| state.entry.zone.to_string()).chain(own_zone).collect()
+    }
+
+    /// The recent requests, and how many of them cannot be answered without these zones.
+    pub fn demand_without(&self, unreachable: &[String], now: Duration) -> RequestDemand {
+        let (total, lost) = self.count_demand_without(unreachable, now);
+        // Conversions of floating-point numbers saturate.
+        RequestDemand { total: (total * 100.0) as u32, lost: (lost * 100.0) as u32 }
+    }
+
+    fn count_demand_without(&self, unreachable: &[String], now: Duration) -> (f64, f64) {
+        let Some(table) = self.table() else { return (0.0, 0.0) };
         let demand = self.demand.borrow();
         let demand_of = |route: &RouteRule| demand.get(&route.name).copied().unwrap_or_default();
         let routes = &table.document().routes;
         let total: f64 = routes.iter().map(demand_of).sum();
-        let lost: f64 = routes
-            .iter()
-            .filter(|route| !self.can_answer(route, unreachable, now))
-            .map(demand_of)
-            .sum();
-        reachability::should_fail_readiness(
-            zones,
-            unreachable.len(),
-            if total > 0.0 { lost / total } else { 0.0 },
-        )
+        if unreachable.is_empty() {
+            return (total, 0.0);
+        }
+        let lost = routes.iter().filter(|route| !self.can_answer(route, unreachable, now));
+        (total, lost.map(demand_of).sum())
     }
 
     /// Whether a route can be answered without these zones.
--- a/crates/hawthorn-route/src/policy.rs
+++ b/crates/hawthorn-route/src/policy.rs
@@ -168,6 +168,7 @@
             switch("gathering.beyond_aim", gathering.beyond_aim),
             switch("zones.step_aside", zones.step_aside),
             switch("zones.while_in_doubt", zones.while_in_doubt),
+            switch("zones.shared", zones.shared),
             row("rollout.hold_ms", rollout.hold.as_millis() as f64, 0.0, MAX_HOLD_MILLIS),
             millis("targets.last_use_ms", targets.last_use),
             switch("quarantine.on", quarantine.on),
--- a/crates/hawthorn-route/src/reachability.rs
+++ b/crates/hawthorn-route/src/reachability.rs
@@ -34,11 +34,14 @@
     /// Whether it does so while these zones are only suspected. The balancer acts on the second
     /// failed probe.
     pub while_in_doubt: bool,
+    /// Whether the hosts of a zone share what they find unreachable, and are ready or not
+    /// together.
+    pub shared: bool,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { step_aside: true, while_in_doubt: true }
+        Self { step_aside: true, while_in_doubt: true, shared: true }
     }
 }
 
@@ -51,6 +54,7 @@
     /// When the zone becomes suspected, and when it becomes unreachable, unless something
     /// answers.
     thresholds: Option<(Duration, Duration)>,
+    last_answer: Option<Duration>,
 }
 
 impl ZoneReachability {
@@ -69,6 +73,16 @@
         *self = Self::default();
     }
 
+    /// The same, with its time.
+    pub fn answered_at(&mut self, now: Duration) {
+        *self = Self { last_answer: Some(now), ..Self::default() };
+    }
+
+    /// The time of the last answer.
+    pub fn last_answer(&self) -> Option<Duration> {
+        self.last_answer
+    }
+
     /// The number of requests since the last answer.
     pub fn unanswered(&self) -> u32 {
         self.unanswered
--- a/crates/hawthorn-route/src/zone_report/book.rs
+++ b/crates/hawthorn-route/src/zone_report/book.rs
@@ -128,12 +128,15 @@
 }
 
 impl ReportBook {
-    /// Records this host's own evidence, which is not older than the subject's last answer.
+    /// Records this host's own evidence, unless the subject has answered since.
     pub fn observe(&mut self, subject: &ReportSubject, evidence: OwnEvidence) {
         if !subject.is_valid() {
             return;
         }
         let own = self.own.entry(subject.clone()).or_default();
+        if own.answered.is_some_and(|answered| answered >= evidence.suspected) {
+            return;
+        }
         own.evidence = Some(evidence);
         own.is_clearance = false;
     }
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -85,7 +85,8 @@
     Ok(host.log_lines())
 }
 
-/// A host that can reach none of its targets, all of which are in two other zones.
+/// Hosts that can reach none of their targets, all of which are in two other zones. Only one of
+/// them has requests.
 async fn isolated_host_events() -> TestResult<Vec<String>> {
     let store = RouteStore::start().await?;
     let mut targets = Vec::new();
@@ -96,15 +97,18 @@
     }
     operator::configure(&store, 3, &[operator::single("/safe/", "s", "safe")], &["s"]);
     let host = RouteHost::start("h-1", "east", store.address(), &[])?;
+    let idle = RouteHost::start("h-2", "east", store.address(), &[&host])?;
     host.wait_until_ready().await?;
+    idle.wait_until_ready().await?;
+    wait_for_line(&host, "host=h-2 zone=east change=up").await?;
     // Nothing listens at the targets' addresses from here on.
     targets.drain(..).for_each(RouteTarget::end);
     let stranded = async || {
         let _refused = host.send("GET", "/safe/", "id-1", "").await;
-        host.logged("host-stranded") > 0
+        host.logged("host-stranded") > 0 && idle.logged("zone-report") > 0
     };
-    route::wait_for("the host to log that it is stranded", stranded).await?;
-    Ok(host.log_lines())
+    route::wait_for("the hosts to log that they are stranded", stranded).await?;
+    Ok([host.log_lines(), idle.log_lines()].concat())
 }
 
 /// The store stops answering the hosts of zone `east` that watch it. A host of zone `west`, which
