--- a/crates/hawthorn-route/tests/zone_report.rs
+++ b/crates/hawthorn-route/tests/zone_report.rs
@@ -449,3 +449,26 @@
     assert!(schedule.take_due(&message(1500, Vec::new()), ms(1500)), "the end is sent");
     assert!(!schedule.take_due(&message(2500, Vec::new()), ms(2500)), "and not renewed");
 }
+
+/// Guards against messages that are longer than the cost in docs/design/partitions.md assumes.
+#[test]
+fn messages_are_as_short_as_the_page_says() {
+    struct Case {
+        zones: u32,
+        bytes: usize,
+    }
+    for Case { zones, bytes } in [Case { zones: 1, bytes: 39 }, Case { zones: 12, bytes: 303 }] {
+        let reports = (0..zones).map(|index| Report {
+            subject: ReportSubject::Zone(format!("zone-{index:05}")),
+            unanswered: 200,
+            ..report(Finding::Unreachable, 60_000)
+        });
+        let demand = RequestDemand { total: 100_000, lost: 90_000 };
+        let reports = reports.collect();
+        let sequence = 1 << 40;
+        let message = ZoneMessage { sequence, fails_alone: true, demand, reports };
+        let message = postcard::to_allocvec(&message).expect("a message is encoded");
+        let payload = payload::wrap(PayloadKind::ZoneReports, message);
+        assert!(payload.len() <= bytes, "{zones}: {}", payload.len());
+    }
+}
