--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -82,6 +82,9 @@
     KeysStale = 652,
     /// Requests with keys are served again.
     KeysCurrent = 653,
+    /// Hosts of this zone reported a zone or a gatherer that does not answer, or made this host
+    /// fail its readiness probe.
+    ZoneReport = 658,
     /// Shards that a peer did not gather were delegated to another one.
     QueryRegathered = 659,
     /// Requests waited for capacity, or were rejected because it was short.
--- a/crates/hawthorn-edge/src/process/mod.rs
+++ b/crates/hawthorn-edge/src/process/mod.rs
@@ -14,3 +14,4 @@
 pub mod reachability;
 pub mod store_sync;
 pub mod traffic;
+pub mod zone_reports;
--- a/crates/hawthorn-route/src/reachability.rs
+++ b/crates/hawthorn-route/src/reachability.rs
@@ -34,11 +34,14 @@
     /// Whether it does so while these zones are only suspected. The balancer acts on the second
     /// failed probe.
     pub while_in_doubt: bool,
+    /// Whether the hosts of a zone share what they find unreachable, and are ready or not
+    /// together.
+    pub shared: bool,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { step_aside: true, while_in_doubt: true }
+        Self { step_aside: true, while_in_doubt: true, shared: true }
     }
 }
 
@@ -55,9 +58,12 @@
     unanswered: u32,
     /// Number of answers since the start.
     answers: u32,
+    /// When the first of them was sent.
+    first: Option<Duration>,
     /// When the zone becomes suspected, and when it becomes unreachable, unless something
     /// answers.
     thresholds: Option<(Duration, Duration)>,
+    last_answer: Option<Duration>,
 }
 
 impl ZoneReachability {
@@ -65,6 +71,7 @@
     /// zone.
     pub fn sent(&mut self, now: Duration, typical: Duration) {
         self.unanswered = self.unanswered.saturating_add(1);
+        self.first.get_or_insert(now);
         let suspected = now + SUSPECT_DELAY.max(typical * SUSPECT_FACTOR);
         let unreachable = now + UNREACHABLE_DELAY.max(typical * UNREACHABLE_FACTOR);
         self.thresholds.get_or_insert((suspected, unreachable));
@@ -75,7 +82,8 @@
         SentMark { answers: self.answers }
     }
 
-    /// Takes back a request that was recorded at `mark` and ended before anything was sent. The other requests keep the thresholds.
+    /// Takes back a request that was recorded at `mark` and ended before anything was sent. The other
+    /// requests keep the thresholds.
     pub fn withdraw(&mut self, mark: SentMark) {
         // An answer since then has already removed the request from the count.
         if mark.answers != self.answers || self.unanswered == 0 {
@@ -83,6 +91,7 @@
         }
         self.unanswered -= 1;
         if self.unanswered == 0 {
+            self.first = None;
             self.thresholds = None;
         }
     }
@@ -92,6 +101,29 @@
         *self = Self { answers: self.answers.wrapping_add(1), ..Self::default() };
     }
 
+    /// The same, with its time.
+    pub fn answered_at(&mut self, now: Duration) {
+        let answers = self.answers.wrapping_add(1);
+        *self = Self { answers, last_answer: Some(now), ..Self::default() };
+    }
+
+    /// The time of the last answer.
+    pub fn last_answer(&self) -> Option<Duration> {
+        self.last_answer
+    }
+
+    /// The number of requests since the last answer.
+    pub fn unanswered(&self) -> u32 {
+        self.unanswered
+    }
+
+    /// If the zone is suspected, when the first of these requests was sent, and when they had
+    /// remained unanswered for long enough.
+    pub fn suspicion(&self, now: Duration) -> Option<(Duration, Duration)> {
+        let (suspected, _) = self.thresholds.filter(|_| self.is_suspected(now))?;
+        Some((self.first?, suspected))
+    }
+
     /// Whether the zone is unreachable, so that no requests are sent there.
     pub fn is_unreachable(&self, now: Duration) -> bool {
         self.unanswered >= MIN_UNANSWERED
