--- a/crates/hawthorn-edge/src/process/quota.rs
+++ b/crates/hawthorn-edge/src/process/quota.rs
@@ -12,10 +12,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hawthorn_fleet::MemberId;
 use hawthorn_platform::catalog;
 use hawthorn_platform::catalog::CatalogKey;
 use hawthorn_platform::store;
 use hawthorn_route::customer::CustomerQuota;
+use hawthorn_route::customer::log_name;
 use hawthorn_route::mirror::MirrorItem;
 use hawthorn_route::quota::QuotaLimits;
 use hawthorn_route::quota::QuotaShare;
@@ -26,6 +28,7 @@
 use hawthorn_route::quota::slots::SlotRecord;
 use hawthorn_route::revision::StoreRevision;
 use hawthorn_route::share::WriteOutcome;
+use hawthorn_route::table::RouteTable;
 use hawthorn_store::StoreClient;
 use hawthorn_store::client::CallKind;
 use hawthorn_store::client::StoreAnswer;
@@ -109,7 +112,8 @@
         }
         logged.insert(Rc::clone(customer), now);
         let next = next.as_millis();
-        edge_event!(Level::Warn, EdgeEvent::QuotaExceeded, "customer={customer} next_ms={next}");
+        let name = log_name(customer);
+        edge_event!(Level::Warn, EdgeEvent::QuotaExceeded, "customer=\"{name}\" next_ms={next}");
     }
 }
 
@@ -153,9 +157,8 @@
 
 /// Whether this host can claim slots and the version in force has a customer with a quota.
 fn is_wanted(host: &RouteHost) -> bool {
-    let has_quota = |table: Rc<hawthorn_route::table::RouteTable>| {
-        table.customers().iter().any(|customer| customer.quota.is_some())
-    };
+    let has_quota =
+        |table: Rc<RouteTable>| table.customers().iter().any(|customer| customer.quota.is_some());
     host.routing.policy.get().quota.on && host.routing.table().is_some_and(has_quota)
 }
 
@@ -196,7 +199,7 @@
 fn is_first_of_zone(host: &RouteHost) -> bool {
     let members = host.members.borrow();
     let settings = &host.routing.settings.host;
-    let me = hawthorn_fleet::MemberId::of(&settings.name).0;
+    let me = MemberId::of(&settings.name).0;
     let hosts = fleet::zone_hosts(&members, &settings.zone);
     let first = hosts.iter().min_by_key(|other| (Reverse(other.capacity), other.id));
     first.is_none_or(|first| first.id == me)
