fix(route): slots for quotas are renewed each 3 s

With 1.6 s, each slot cost twice as many paid calls. docs/CAPACITY.md has the cost of keys, quotas, reports and the dispatcher.

--- a/crates/hawthorn-route/src/quota/slots.rs
+++ b/crates/hawthorn-route/src/quota/slots.rs
@@ -45,8 +45,8 @@
     /// The terms of a number of slots.
     pub fn of(slots: u32) -> Self {
         // Each renewal is a paid call and a change that all watchers of the store receive. With a
-        // renewal each 6 s, a zone that is cut off has at least 14 s of the term left.
-        let (term, renewal) = if slots > 1 { (20_000, 6000) } else { (4000, 1600) };
+        // renewal each 3 s, a zone that is cut off has at least 17 s of the term left.
+        let (term, renewal) = if slots > 1 { (20_000, 3000) } else { (4000, 1600) };
         Self { term: Duration::from_millis(term), renewal: Duration::from_millis(renewal) }
     }
 }
