--- a/crates/hawthorn-edge/src/request/dispatch.rs
+++ b/crates/hawthorn-edge/src/request/dispatch.rs
@@ -136,16 +136,13 @@
 fn demand(host: &RouteHost, context: &RequestContext, needed: &NeededServices) -> RequestDemand {
     let route = &context.route;
     let service_time = host.routing.execution_time(route);
-    let (flow, priority) = match &context.customer {
-        Some(customer) => {
-            let priority = customer.priority.unwrap_or(route.priority);
-            (FlowName::Customer(Rc::clone(&customer.name)), priority)
-        }
-        None => (FlowName::Route(route.name.as_str().into()), route.priority),
+    let flow = match &context.customer {
+        Some(customer) => FlowName::Customer(Rc::clone(&customer.name)),
+        None => FlowName::Route(route.name.as_str().into()),
     };
     RequestDemand {
         flow,
-        priority,
+        priority: context.priority(),
         identity: RetryIdentity {
             caller: context.identity.caller,
             fingerprint: context.identity.fingerprint,
