--- a/crates/hawthorn-edge/src/connection/message.rs
+++ b/crates/hawthorn-edge/src/connection/message.rs
@@ -65,12 +65,12 @@
     pub soft_time_left_us: u64,
     /// Both deadlines by the receiver's clock, if the sender knows its offset.
     pub deadlines: Option<RequestDeadlines>,
-    /// The customer whose request it is, if callers need keys.
-    pub customer: Option<PeerCustomer>,
     /// A hash of the caller and the route, as in `RequestIdentity`.
     pub caller: u64,
     /// Whether any target has answered the query.
     pub answered: bool,
+    /// The customer whose request it is, if callers need keys.
+    pub customer: Option<PeerCustomer>,
 }
 
 /// Queue load at the shards that a peer gathered.
@@ -104,6 +104,8 @@
     OtherVersion,
     /// Nothing was sent: the peer is stopping.
     Stopping,
+    /// Nothing was sent: the request has another format, or its deadlines are impossible.
+    Unreadable,
     /// Nothing was sent: the peer's configuration was not confirmed recently, so that the caller's
     /// key may have been revoked.
     StaleKeys,
@@ -112,8 +114,6 @@
         /// Time until capacity is expected, in microseconds.
         after_us: u64,
     },
-    /// Nothing was sent: the request has another format, or its deadlines are impossible.
-    Unreadable,
 }
 
 /// Parts that had not arrived when a peer replied.
