perf(edge): the update of zone reports does not copy all targets' zones

Cause: each host updates its zone reports ten times a second, and each time copied the zone's name of every known target, up to 73,000, to count the zones; so did each received message.

Change: zones are counted only while one is confirmed unreachable (without one, the count cannot make a host unready), by reference; whether a reported zone is known ends at its first target.

Result: zone_report, zone_report_fleet and partition_zones pass. The saving was not measured.

--- a/crates/hawthorn-edge/src/process/zone_reports.rs
+++ b/crates/hawthorn-edge/src/process/zone_reports.rs
@@ -93,8 +93,7 @@
         edge_event!(Level::Debug, EdgeEvent::PeerMessageBroken, "from={from} error=\"{error}\"");
         return;
     }
-    let zones = host.routing.zones();
-    message.reports.retain(|report| is_known(host, &zones, &report.subject));
+    message.reports.retain(|report| is_known(host, &report.subject));
     let now = host_now();
     sync_own_knowledge(host, now);
     let unknown = host.zone_reports.book.borrow_mut().receive(from, &message, now);
@@ -115,9 +114,9 @@
 
 /// Whether a subject is a zone or host of this fleet. Others would be counted as unreachable, and
 /// a host would open connections to any address.
-fn is_known(host: &RouteHost, zones: &HashSet<String>, subject: &ReportSubject) -> bool {
+fn is_known(host: &RouteHost, subject: &ReportSubject) -> bool {
     match subject {
-        ReportSubject::Zone(zone) => zones.contains(zone),
+        ReportSubject::Zone(zone) => host.routing.is_known_zone(zone),
         ReportSubject::Gatherer(address) => {
             let is_own = *address == host.routing.settings.listen.peers;
             !is_own && host.members.borrow().zone_of_peer(*address).is_some()
@@ -254,7 +253,8 @@
     let zones: Vec<String> = zones_of(&confirmed).cloned().collect();
     let view = ZoneView {
         live: zone_peers(host).len() + 1,
-        zones: routing.zones().len(),
+        // Not counted without need: this runs ten times a second, with up to 73,000 known targets.
+        zones: if zones.is_empty() { 0 } else { routing.zone_count() },
         confirmed: zones.len(),
         fails_alone: fails_alone(host),
         demand: routing.demand_without(&zones, now),
--- a/crates/hawthorn-edge/src/version/reachability.rs
+++ b/crates/hawthorn-edge/src/version/reachability.rs
@@ -141,14 +141,21 @@
         }
         let (total, lost) = self.count_demand_without(unreachable, now);
         let share = if total > 0.0 { lost / total } else { 0.0 };
-        reachability::should_fail_readiness(self.zones().len(), unreachable.len(), share)
+        reachability::should_fail_readiness(self.zone_count(), unreachable.len(), share)
     }
 
-    /// The zones of all known targets, and this host's own.
-    pub fn zones(&self) -> HashSet<String> {
+    /// The number of zones of all known targets, and this host's own.
+    pub fn zone_count(&self) -> usize {
         let registry = self.registry.borrow();
-        let own_zone = std::iter::once(self.settings.host.zone.clone());
-        registry.iter().map(|(_, state)| state.entry.zone.to_string()).chain(own_zone).collect()
+        let zones = registry.iter().map(|(_, state)| &*state.entry.zone);
+        zones.chain([&*self.settings.host.zone]).collect::<HashSet<&str>>().len()
+    }
+
+    /// Whether any known target is in this zone, or this host is.
+    pub fn is_known_zone(&self, zone: &str) -> bool {
+        let registry = self.registry.borrow();
+        let has_target = || registry.iter().any(|(_, state)| *state.entry.zone == *zone);
+        *self.settings.host.zone == *zone || has_target()
     }
 
     /// The recent requests, and how many of them cannot be answered without these zones.
