refactor(edge): the newest events are listed by number

Cause: E650 to E659 were listed between E638 and E640, in the order of their merges. The numbers and names are unchanged; no order of variants is encoded.

--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -76,34 +76,34 @@
     AttemptBroken = 637,
     /// The quarantine state of a request, caller or route changed.
     QuarantineChanged = 638,
+    /// A peer's message is malformed.
+    PeerMessageBroken = 640,
+    /// The peer that provides the store's items was not confirmed by the store recently.
+    PeerStale = 642,
+    /// This host fetched newer items from a peer than its own source had.
+    CaughtUp = 643,
+    /// The peer that provides the store's items has no link capacity for an update, and this host
+    /// reads the store itself.
+    UpdateDeferred = 644,
     /// The customers of a version came into force.
     CustomersInForce = 650,
+    /// A part of a version's customers was not applied as written.
+    CustomersBroken = 651,
     /// Requests with keys are refused, as the configuration was not confirmed recently.
     KeysStale = 652,
     /// Requests with keys are served again.
     KeysCurrent = 653,
+    /// The result of claiming, renewing or releasing a slot for quotas.
+    QuotaSlotWritten = 654,
+    /// A request exceeds its customer's quota.
+    QuotaExceeded = 655,
+    /// Requests waited for capacity, or were rejected because it was short.
+    DispatchQueue = 656,
     /// Hosts of this zone reported a zone or a gatherer that does not answer, or made this host
     /// fail its readiness probe.
     ZoneReport = 658,
     /// Shards that a peer did not gather were delegated to another one.
     QueryRegathered = 659,
-    /// Requests waited for capacity, or were rejected because it was short.
-    DispatchQueue = 656,
-    /// A part of a version's customers was not applied as written.
-    CustomersBroken = 651,
-    /// The result of claiming, renewing or releasing a slot for quotas.
-    QuotaSlotWritten = 654,
-    /// A request exceeds its customer's quota.
-    QuotaExceeded = 655,
-    /// A peer's message is malformed.
-    PeerMessageBroken = 640,
-    /// The peer that provides the store's items was not confirmed by the store recently.
-    PeerStale = 642,
-    /// This host fetched newer items from a peer than its own source had.
-    CaughtUp = 643,
-    /// The peer that provides the store's items has no link capacity for an update, and this host
-    /// reads the store itself.
-    UpdateDeferred = 644,
     /// A host of the fleet came up, went down or is leaving.
     PeerChanged = 641,
 }
