refactor(route): one function records a zone's answer

Cause: the answer of a zone was recorded by two functions with the same body, with and without its time, and only tests still used the one without: they tested another function than the hosts run.

Change: the remaining one takes the time. The tests' expectations are unchanged.

Result: targets and zone_report_fleet pass.

--- a/crates/hawthorn-edge/src/version/reachability.rs
+++ b/crates/hawthorn-edge/src/version/reachability.rs
@@ -44,7 +44,7 @@
     /// Records that a host or target of the zone answered.
     pub fn zone_answered(&self, zone: &str) {
         if let Some(reachability) = self.zones.borrow_mut().get_mut(zone) {
-            reachability.answered_at(host_now());
+            reachability.answered(host_now());
         }
     }
 
--- a/crates/hawthorn-route/src/reachability.rs
+++ b/crates/hawthorn-route/src/reachability.rs
@@ -97,12 +97,7 @@
     }
 
     /// Records an answer from the zone, by a target or another host there.
-    pub fn answered(&mut self) {
-        *self = Self { answers: self.answers.wrapping_add(1), ..Self::default() };
-    }
-
-    /// The same, with its time.
-    pub fn answered_at(&mut self, now: Duration) {
+    pub fn answered(&mut self, now: Duration) {
         let answers = self.answers.wrapping_add(1);
         *self = Self { answers, last_answer: Some(now), ..Self::default() };
     }
--- a/crates/hawthorn-route/tests/targets.rs
+++ b/crates/hawthorn-route/tests/targets.rs
@@ -268,7 +268,7 @@
         (0..case.sent).for_each(|_| reachability.sent(ms(0), ms(case.typical_ms)));
         assert_eq!(reachability.is_suspected(ms(case.now_ms)), case.suspected, "{}", case.name);
         assert_eq!(reachability.is_unreachable(ms(case.now_ms)), case.unreachable, "{}", case.name);
-        reachability.answered();
+        reachability.answered(ms(case.now_ms));
         assert!(!reachability.is_suspected(ms(case.now_ms)), "{}", case.name);
         assert!(!reachability.is_unreachable(ms(case.now_ms)), "{}", case.name);
     }
@@ -428,7 +428,7 @@
     assert!(!reachability.is_suspected(ms(5000)));
     reachability.sent(ms(0), ms(10));
     assert!(reachability.is_unreachable(ms(5000)));
-    reachability.answered();
+    reachability.answered(ms(5000));
     // The answer has already removed it from the count.
     (0..6).for_each(|_| reachability.sent(ms(5000), ms(10)));
     reachability.withdraw(early);
--- a/crates/hawthorn-route/tests/zone_report_fleet.rs
+++ b/crates/hawthorn-route/tests/zone_report_fleet.rs
@@ -101,7 +101,7 @@
 
 impl Host {
     fn answered(&mut self, zone: usize, now: u64) {
-        self.zones[zone].answered();
+        self.zones[zone].answered(at(now));
         self.book.record_answer(&subject(zone), at(now));
     }
 
