--- a/crates/hawthorn-edge/tests/message_format.rs
+++ b/crates/hawthorn-edge/tests/message_format.rs
@@ -69,7 +69,8 @@
 
 /// Guards against hosts that become peers although they cannot read each other's calls: each query
 /// delegated between them would be lost. A change of a message changes its bytes here, and needs a
-/// new [`MESSAGE_FORMAT`].
+/// new [`MESSAGE_FORMAT`]. Like bincode, which is used between hosts, postcard encodes fields and
+/// variants by position.
 #[test]
 fn a_new_layout_has_a_new_format() {
     let tokens = TokenReply { holds: true, granted: 1, next_us: 2, pause_us: 3 };
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -27,6 +27,7 @@
 //! | [`quarantine`] | refusal of requests that crash targets |
 //! | [`quota`] | limits on customers' requests over all hosts |
 //! | [`reachability`] | detection of unreachable zones |
+//! | [`refresh`] | which peers a host asks for a confirmation |
 //! | [`regather`] | zones in which shards are gathered anew after a peer did not answer |
 //! | [`registry`] | all targets and their state |
 //! | [`mod@retry_after`] | when a refused caller should retry |
