--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -296,14 +296,11 @@
     }
 }
 
-/// Sends a request with a key.
+/// Sends a request with an API key and an id of its own to an address.
 pub async fn send_with_key(at: SocketAddr, path: &str, key: &str) -> TestResult<RouteAnswer> {
     let number = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
-    let head = format!(
-        "GET {path} HTTP/1.1\r\nHost: {HOST}\r\n{KEY}: {key}\r\n{ATTEMPT_ID}: id-{number}\r\n\
-         {TIME_LEFT}: 2000\r\nContent-Length: 0\r\n\r\n"
-    );
-    exchange(at, head.into_bytes()).await
+    let id = format!("id-{number}");
+    exchange(at, request_with("GET", path, &id, &[(KEY, key)], "")).await
 }
 
 /// Starts four hosts of zone `east` and one of zone `west`, with links that carry one large version
