--- a/crates/hawthorn-route/src/completion.rs
+++ b/crates/hawthorn-route/src/completion.rs
@@ -27,8 +27,7 @@
 /// target in another zone or one that is late.
 const IN_TIME_COST_SHARE: f64 = 0.1;
 /// Among targets in time, one whose wait is longer by a tenth of its service time gets a fifth of
-/// the requests. A power of 2 made a tenth more answers late in a trial with the model of
-/// `tests/uneven`.
+/// the requests. With a power of 2, a tenth more answers are late (model of `tests/uneven`).
 const WAIT_POWER: f64 = 16.0;
 /// Minimum time without answers after which a target may be paused.
 const MIN_SILENCE: Duration = Duration::from_millis(15);
--- a/crates/hawthorn-route/src/speed.rs
+++ b/crates/hawthorn-route/src/speed.rs
@@ -30,8 +30,8 @@
 const HOLD_TIME: Duration = Duration::from_millis(500);
 /// Time after that in which the difference of an estimate from the typical speed halves without
 /// answers. A target that gets no requests because it was slow is tried again after some seconds.
-/// In trials with the model of `tests/uneven`, 2 s sent more requests to a target that was still
-/// ten times slower, and with 4 s more answers were late close to the capacity.
+/// With 2 s, more requests go to a target that is still ten times slower, and with 4 s more answers
+/// are late close to the capacity (model of `tests/uneven`).
 const HALF_LIFE: Duration = Duration::from_secs(3);
 /// Weights of a longer and of a shorter sample in the pause length. Most requests are sent
 /// after a pause has begun and show only its rest, so the length follows the longer samples.
