--- a/review/standins/src/customer_returns.rs
+++ b/review/standins/src/customer_returns.rs
@@ -122,10 +122,12 @@
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| {
             let (sent, record) = (Arc::clone(sent), Arc::clone(record));
-            let front = fronts[caller % fronts.len()];
+            let host = caller % fronts.len();
+            let front = fronts[host];
             std::thread::spawn(move || {
                 for request in 0..REQUESTS {
                     let id = format!("{number}-{caller:02}-{request:02}");
+                    record.line(&format!("caller: attempt {id} is sent to host {host}"));
                     let at = Instant::now();
                     let status = exchange(front, &id).unwrap_or(0);
                     record.line(&format!("caller: attempt {id} is answered {status}"));
