feat(edge): answers that echo another attempt are logged

Two hypotheses fit what callers and targets see: the host takes the answer to another attempt for the one that is due, or it answers 503 for an attempt that it gave up and that runs later. The logs cannot tell them apart: E631 has `end=not-run` in both cases, and an answer with another id leaves no line at all.

E639 `answer-mismatched` is written when an answer echoes another id than that of the request that it arrived for, or none, with its status and whether it states that nothing ran. What the host concludes is unchanged.

--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -76,6 +76,8 @@
     AttemptBroken = 637,
     /// The quarantine state of a request, caller or route changed.
     QuarantineChanged = 638,
+    /// A target's answer does not echo the id of the request to which it was due.
+    AnswerMismatched = 639,
     /// A peer's message is malformed.
     PeerMessageBroken = 640,
     /// The peer that provides the store's items was not confirmed by the store recently.
--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hawthorn_platform::target;
 use hawthorn_platform::target::ExecutionStatus;
+use hawthorn_platform::target::TargetHeaders;
 use hawthorn_pool::Error;
 use hawthorn_pool::PoolAnswer;
 use hawthorn_pool::PoolConnection;
@@ -333,6 +334,23 @@
         self.host.routing.registry.borrow_mut().get_mut(self.key).map(with)
     }
 
+    /// Logs an answer that echoes another id than that of this request, or none.
+    fn log_mismatch(&self, answer: &PoolAnswer, head: &TargetHeaders) {
+        let names =
+            self.with_state(|state| (Rc::clone(&state.entry.service), Rc::clone(&state.entry.id)));
+        let Some((service, target)) = names else { return };
+        let answered = head.attempt_id.as_ref().map(|id| String::from_utf8_lossy(id.as_bytes()));
+        edge_event!(
+            Level::Warn,
+            EdgeEvent::AnswerMismatched,
+            "request={} service={service} target={target} answered={} status={} not_run={}",
+            self.context.attempt_id.as_deref().unwrap_or("-"),
+            answered.as_deref().unwrap_or("-"),
+            answer.status.as_u16(),
+            head.execution != ExecutionStatus::Ran
+        );
+    }
+
     fn classify(&self, result: Result<PoolAnswer, AttemptError>, now: Duration) -> AttemptReply {
         let none = AttemptReply::without_answer;
         let answer = match result {
@@ -349,6 +367,11 @@
             Err(AttemptError::Exchange(Error::TooLarge)) => return none(AttemptEnd::Broken),
         };
         let head = target::read(answer.status, &answer.headers);
+        let own = self.context.attempt_id.as_deref().map(str::as_bytes);
+        let echoed = head.attempt_id.as_ref().map(HeaderValue::as_bytes);
+        if echoed != own {
+            self.log_mismatch(&answer, &head);
+        }
         if let Some((running, waiting, slots)) = head.load {
             let load = ReportedLoad { running, waiting, slots, at: now };
             self.with_state(|state| state.report_load(load));
@@ -370,8 +393,6 @@
         // An answer to an earlier request, duplicated or late, may arrive in place of this one,
         // and a caller would get another caller's records. Targets echo the attempt id, so it is
         // compared.
-        let own = self.context.attempt_id.as_deref().map(str::as_bytes);
-        let echoed = head.attempt_id.as_ref().map(HeaderValue::as_bytes);
         if echoed.is_some() && echoed != own {
             self.pool.clear();
             return none(AttemptEnd::Broken);
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -54,6 +54,10 @@
     second.fail_next(&[TargetFault::Disconnect]);
     host.send("GET", "/safe/", "id-broken", "").await?;
     wait_for_line(&host, "attempt-broken").await?;
+    first.fail_next(&[TargetFault::WrongAttemptId]);
+    second.fail_next(&[TargetFault::WrongAttemptId]);
+    host.send("GET", "/safe/", "id-mismatched", "").await?;
+    wait_for_line(&host, "answer-mismatched").await?;
     for target in [&first, &second] {
         target.fail_always(Some(TargetFault::TruncatedBody(1 << 20)));
     }
