fix(daemon): the answer to another call acknowledges no order

Cause: the owner took any answer with status 200 as the acknowledgement of `/intent`, and accepted any answer to `/cancel`, also the extra answer to a search or a probe that arrives where that answer is due.

What operators would have seen: a target that drains and is empty counts as switched off although its order to switch off was lost.

Shown by the pool's `only_an_answer_without_a_body_acknowledges`; the function is new, so the test has no earlier form that failed.

--- a/crates/hawthorn-daemon/src/owner/attempt.rs
+++ b/crates/hawthorn-daemon/src/owner/attempt.rs
@@ -156,5 +156,5 @@
     let body = serde_json::to_vec(&cancel).expect("a cancellation has only string keys");
     // The outcome of the cancellation shows in how the attempt ends.
     let answer = pool.exchange(Method::POST, "/cancel", body, CANCEL_TIMEOUT).await;
-    let _answer = answer.map(UnverifiedAnswer::accept);
+    let _status = answer.map(UnverifiedAnswer::accept_empty);
 }
--- a/crates/hawthorn-daemon/src/owner/intent.rs
+++ b/crates/hawthorn-daemon/src/owner/intent.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hawthorn_pool::UnverifiedAnswer;
 use hawthorn_types::ConfigRevision;
 use hawthorn_types::DesiredState;
 use hawthorn_types::TargetKey;
@@ -239,7 +240,8 @@
         let state = order.state;
         tokio::spawn(async move {
             let answer = pool.exchange(Method::POST, "/intent", body, ORDER_TIMEOUT).await;
-            let is_done = answer.is_ok_and(|answer| answer.accept().status == StatusCode::OK);
+            let is_done = answer.ok().and_then(UnverifiedAnswer::accept_empty);
+            let is_done = is_done == Some(StatusCode::OK);
             let completion = OrderCompletion { target: key, state, is_done };
             let _stopped = completions.send(TaskCompletion::Order(completion)).await;
         });
--- a/crates/hawthorn-pool/src/lib.rs
+++ b/crates/hawthorn-pool/src/lib.rs
@@ -425,6 +425,12 @@
         Ok(self)
     }
 
+    /// Accepts the answer if it has no body, and returns its status; for calls whose answers are
+    /// the only ones of the target without a body.
+    pub fn accept_empty(self) -> Option<StatusCode> {
+        self.body.is_empty().then(|| self.accept().status)
+    }
+
     /// Accepts the answer as the one to the request. Its connection returns to the pool, after
     /// the remaining body if there is one.
     pub fn accept(self) -> PoolAnswer {
--- a/crates/hawthorn-pool/tests/connection.rs
+++ b/crates/hawthorn-pool/tests/connection.rs
@@ -130,6 +130,29 @@
     }
 }
 
+/// Guards against the answer to another call that is taken as the acknowledgement of an order.
+#[tokio::test]
+async fn only_an_answer_without_a_body_acknowledges() {
+    struct Case {
+        body_bytes: usize,
+        acknowledged: bool,
+        opened: usize,
+    }
+    let cases = [
+        Case { body_bytes: 0, acknowledged: true, opened: 1 },
+        Case { body_bytes: 1, acknowledged: false, opened: 3 },
+        Case { body_bytes: 2 * OPTIONS.max_buffered_bytes, acknowledged: false, opened: 3 },
+    ];
+    for Case { body_bytes, acknowledged, opened } in cases {
+        let (pool, count) = answered_pool(body_bytes).await;
+        for _ in 0..3 {
+            let answer = pool.send(request("/"), TIMEOUT).await.expect("the target answers");
+            assert_eq!(answer.accept_empty().is_some(), acknowledged, "{body_bytes} bytes");
+        }
+        assert_eq!(count.load(Ordering::Relaxed), opened, "{body_bytes} bytes");
+    }
+}
+
 /// Guards against requests that get each other's answers: after an answer of another request,
 /// the connection's next answer belongs to the request before.
 #[tokio::test]
