fix(edge): a stopping host answers every request that it has read

Cause: a stopping host accepts each request on its open connections until it exits, whatever its answer will take, and nothing ends a request before the exit: not one that waits for a connection to a target, nor one in the dispatcher.

Callers saw their connection end without an answer 1.5 s after they had sent a request that may run once, with 8.5 s left, although it had never reached a target and could have run elsewhere.

Change: `hawthorn_route::shutdown` has the moments of a stop. A request whose answer would arrive after the exit, by the 90th percentile of its route's latency, is refused at once: 503 `stopping`, with the time until the balancer has moved its callers. One that waits in the pool or in the dispatcher is refused when the time from sending to answer, a new histogram without the wait, no longer fits. The count of attempts that wait for a connection tells the two apart; they are not sent once the caller is answered. A peer refuses what it cannot gather before it exits, and the front asks another. Not changed: a query whose shards a peer already gathers loses them at its exit.

It works because the refusal and the ban on sending are one step of a single thread: what is refused as unsent has no attempt that can still be sent.

--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -23,6 +23,7 @@
 use hawthorn_route::refresh::RefreshOrder;
 use hawthorn_route::revision::StoreRevision;
 use hawthorn_route::send_deadline::LagMeter;
+use hawthorn_route::shutdown::ShutdownSchedule;
 use hawthorn_store::StoreClient;
 use hawthorn_store::client;
 use log::Level;
@@ -65,14 +66,6 @@
 use crate::settings::RouteSettings;
 use crate::version::state::RoutingState;
 
-/// Time after the stop signal during which callers still connect: the balancer probes once a
-/// second and removes a host after two failed probes.
-const BALANCER_DRAIN_TIME: Duration = Duration::from_millis(2600);
-/// Share of the grace period after which idle connections are closed. Until then, callers can
-/// close them after a response with `Connection: close`.
-const IDLE_CLOSE_SHARE: f64 = 0.75;
-/// Share of the grace period after which the process exits with requests still open.
-const FORCED_END_SHARE: f64 = 0.96;
 /// Interval at which expired state is removed and gauges are updated.
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
 const BYTES_PER_MEGABIT: f64 = 125_000.0;
@@ -187,6 +180,8 @@
     /// Cancelled at the stop signal: the readiness probe fails, and each answer closes its
     /// connection.
     pub stopping: CancellationToken,
+    /// The schedule of the stop, once it has been signalled.
+    pub(crate) shutdown: Cell<Option<ShutdownSchedule>>,
     /// Cancelled when idle connections are to be closed.
     pub closing: CancellationToken,
     /// Number of open connections of callers.
@@ -235,6 +230,7 @@
             metrics: EdgeMetrics::new()?,
             catalog_read: Cell::new(false),
             stopping: CancellationToken::new(),
+            shutdown: Cell::new(None),
             closing: CancellationToken::new(),
             connections: Cell::new(0),
             unready_since: Cell::new(None),
@@ -543,28 +539,25 @@
 /// has reacted, closes each connection with an answer that announces it, and closes idle
 /// connections only when callers have had most of the grace period to do so themselves.
 async fn stop(host: &Rc<RouteHost>) {
+    let schedule = ShutdownSchedule::new(host_now(), host.grace.get());
+    host.shutdown.set(Some(schedule));
     host.stopping.cancel();
     let open = host.open_requests.get();
     let connections = host.connections.get();
     edge_event!(Level::Info, EdgeEvent::HostStopping, "open={open} connections={connections}");
-    let grace = host.grace.get();
-    let started = host_now();
-    let elapsed = || host_now().saturating_sub(started);
     loop {
+        let now = host_now();
         let idle = host.connections.get() == 0;
-        if elapsed() >= BALANCER_DRAIN_TIME && idle {
+        if (now >= schedule.drained_at() && idle) || now >= schedule.exit_at() {
             break;
         }
-        if elapsed() >= grace.mul_f64(IDLE_CLOSE_SHARE) {
+        if now >= schedule.idle_close_at() {
             host.closing.cancel();
         }
-        if elapsed() >= grace.mul_f64(FORCED_END_SHARE) {
-            break;
-        }
         sleep(STOP_POLL_INTERVAL).await;
     }
     let cut = host.open_requests.get();
     let level = if cut == 0 { Level::Info } else { Level::Error };
-    let millis = elapsed().as_millis();
+    let millis = host_now().saturating_sub(schedule.started()).as_millis();
     edge_event!(level, EdgeEvent::HostStopped, "cut={cut} ms={millis}");
 }
--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -37,6 +37,7 @@
 use crate::request::context::RequestContext;
 use crate::request::dispatch;
 use crate::request::request_log::AttemptRecord;
+use crate::request::stopping::WaitingAttempt;
 
 /// Time for which an attempt may continue after its caller has been answered: two pauses of a
 /// target. Closing its connection at once would cost a new connection for every hedge; a target
@@ -302,6 +303,10 @@
                 RouteDestination::Gather(_) => answer.collect(MAX_PART_BYTES).await?,
                 RouteDestination::Single(_) | RouteDestination::Weighted(_) => answer,
             };
+            if answer.status().is_success() {
+                let elapsed = host_now().saturating_sub(now);
+                self.host.routing.record_exchange(&self.context.route, elapsed);
+            }
             Ok(answer.accept())
         };
         let answer = timeout_at(end, answer).await.unwrap_or(Err(Error::TimedOut.into()))?;
@@ -317,12 +322,13 @@
     /// queue.
     async fn connection(&self, end: Instant) -> Option<Result<PoolConnection, Error>> {
         let no_connection = |_| Err(Error::NotSent("no free connection in time".into()));
+        let _waiting = WaitingAttempt::new(&self.context);
         tokio::select! {
             biased;
+            () = self.context.answered.cancelled() => None,
             connection = timeout_at(end, self.pool.acquire()) => {
                 Some(connection.unwrap_or_else(no_connection))
             }
-            () = self.context.answered.cancelled() => None,
         }
     }
 
--- a/crates/hawthorn-edge/src/request/context.rs
+++ b/crates/hawthorn-edge/src/request/context.rs
@@ -57,8 +57,10 @@
     pub(crate) abandoned: CancellationToken,
     /// Cancelled when the caller has been answered.
     pub(crate) answered: CancellationToken,
-    /// Number of attempts that may have run at a target.
+    /// Number of attempts that may have run at a target or may still be sent.
     pub(crate) sent: Cell<usize>,
+    /// Number of attempts in `sent` that wait for a connection to their target.
+    pub(crate) waiting: Cell<usize>,
     /// Number of shards skipped because their parts could not arrive in time.
     pub(crate) skipped: Cell<usize>,
     /// Attempts that may already have been made at each shard, by another host.
@@ -74,6 +76,12 @@
         self.deadline.saturating_sub(now)
     }
 
+    /// Whether no target can have received the request. This stays so if no further attempt is
+    /// sent.
+    pub(crate) fn is_unsent(&self) -> bool {
+        self.sent.get() == self.waiting.get()
+    }
+
     /// The priority of the request; 0 is the most urgent. The customer's takes precedence over the
     /// route's.
     pub(crate) fn priority(&self) -> u32 {
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -54,6 +54,7 @@
 use crate::request::gather::PeerShards;
 use crate::request::request_log::DelegationRecord;
 use crate::request::request_log::RequestLog;
+use crate::request::stopping;
 
 /// Time by which a peer replies before the soft deadline: the network delay between zones and
 /// the processing of the reply. Used for the first request to a peer, before its
@@ -487,6 +488,9 @@
     let RouteDestination::Gather(rule) = &route.destination else {
         return Err((GatherReply::OtherVersion, reply));
     };
+    if stopping::is_too_late(host, route) {
+        return Err((GatherReply::Stopping, reply));
+    }
     if message.shards.iter().any(|shard_index| usize::from(*shard_index) >= rule.shards.len()) {
         let (route, shards) = (&message.route, rule.shards.len());
         edge_event!(
@@ -541,6 +545,7 @@
         abandoned: CancellationToken::new(),
         answered: CancellationToken::new(),
         sent: Cell::new(0),
+        waiting: Cell::new(0),
         skipped: Cell::new(0),
         prior_attempts: usize::from(message.prior_attempts),
         load: RefCell::default(),
--- a/crates/hawthorn-edge/src/request/gather.rs
+++ b/crates/hawthorn-edge/src/request/gather.rs
@@ -32,6 +32,7 @@
 use crate::request::remainder;
 use crate::request::remainder::HeldRemainder;
 use crate::request::remainder::RemainderRequest;
+use crate::request::stopping;
 
 /// How the gathering for a peer ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -148,6 +149,12 @@
             biased;
             turn = dispatch::wait_turn(host, context, needed) => turn,
             () = reply.closed() => return PeerEnd::Left,
+            () = stopping::sending_ended(host, &context.route) => {
+                return match reply.send(GatherReply::Stopping) {
+                    Ok(()) => PeerEnd::Replied,
+                    Err(_) => PeerEnd::Left,
+                };
+            }
         };
         if let Err(rejection) = turn {
             let after_us = rejection.after.as_micros() as u64;
--- a/crates/hawthorn-edge/src/request/mod.rs
+++ b/crates/hawthorn-edge/src/request/mod.rs
@@ -13,3 +13,4 @@
 pub(crate) mod remainder;
 pub(crate) mod request_log;
 pub(crate) mod serve;
+pub(crate) mod stopping;
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -51,6 +51,7 @@
 use crate::request::race::AttemptRace;
 use crate::request::race::RaceEnd;
 use crate::request::request_log::RequestSummary;
+use crate::request::stopping;
 
 /// Maximum number of open requests, above which the host refuses: at 30 KB each with their
 /// attempts, a quarter of a small host's memory.
@@ -101,7 +102,9 @@
     }
     host.metrics.count_request(answer.outcome, host_now().saturating_sub(started));
     if let Some(reason) = answer.refusal {
-        let unready = host.unready_since.get().map(|since| host_now().saturating_sub(since));
+        let stopped = host.shutdown.get().map(|schedule| schedule.started());
+        let unready = host.unready_since.get().or(stopped);
+        let unready = unready.map(|since| host_now().saturating_sub(since));
         let after = answer.refused_for.or_else(|| until_confirmed(&host, reason));
         answer.set_retry_after(
             after.unwrap_or_else(|| retry_after(reason, unready, &mut rand::rng())),
@@ -183,6 +186,7 @@
         abandoned: CancellationToken::new(),
         answered: CancellationToken::new(),
         sent: Cell::new(0),
+        waiting: Cell::new(0),
         skipped: Cell::new(0),
         prior_attempts: 0,
         load: RefCell::default(),
@@ -191,7 +195,8 @@
     let cancel_guard = CancelOnDrop(Rc::clone(&context));
     let mut answer = match quota::take_token(host, &context).await {
         Ok(guard) => {
-            let answer = send(host, &context, table.version()).await;
+            let sending = send(host, &context, table.version());
+            let answer = stopping::answer_before_exit(host, &context, sending).await;
             guard.finish(answer.refusal.is_some());
             answer
         }
--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -100,6 +100,8 @@
     times: RefCell<HashMap<String, ServiceTimes>>,
     /// Latencies of attempts that found a free slot: execution time without queueing.
     execution_times: RefCell<HashMap<String, ServiceTimes>>,
+    /// Times from the sending of a request until its answer, without the wait for a connection.
+    exchange_times: RefCell<HashMap<String, ServiceTimes>>,
     round_robins: RefCell<HashMap<String, WeightedRoundRobin>>,
     pub(super) rng: RefCell<StdRng>,
     pub(super) zones: RefCell<HashMap<String, ZoneReachability>>,
@@ -147,6 +149,7 @@
             budgets: RefCell::default(),
             times: RefCell::default(),
             execution_times: RefCell::default(),
+            exchange_times: RefCell::default(),
             round_robins: RefCell::default(),
             rng: RefCell::new(StdRng::seed_from_u64(rand::rng().random())),
             zones: RefCell::default(),
@@ -255,6 +258,7 @@
             table.document().routes.iter().map(|route| route.name.as_str()).collect();
         self.times.borrow_mut().retain(|name, _| names.contains(name.as_str()));
         self.execution_times.borrow_mut().retain(|name, _| names.contains(name.as_str()));
+        self.exchange_times.borrow_mut().retain(|name, _| names.contains(name.as_str()));
         self.round_robins.borrow_mut().retain(|name, _| names.contains(name.as_str()));
         self.budgets.borrow_mut().retain(|name, _| table.service(name).is_some());
         let services = &table.document().services;
@@ -333,6 +337,17 @@
         Duration::from_micros(self.times(route, |times| times.median()))
     }
 
+    /// Records the time from the sending of a request until its answer.
+    pub fn record_exchange(&self, route: &RouteRule, elapsed: Duration) {
+        let micros = elapsed.as_micros() as u64;
+        with_times(&self.exchange_times, route, |times| times.record(micros));
+    }
+
+    /// The 90th percentile of the time from the sending of a request until its answer.
+    pub fn exchange_time(&self, route: &RouteRule) -> Duration {
+        Duration::from_micros(with_times(&self.exchange_times, route, |times| times.p90()))
+    }
+
     /// Records the latency of an attempt that found a free slot, as far as known.
     pub fn record_execution(&self, route: &RouteRule, micros: u64) {
         with_times(&self.execution_times, route, |times| times.record(micros));
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -82,6 +82,7 @@
 pub mod scatter;
 pub mod send_deadline;
 pub mod share;
+pub mod shutdown;
 pub mod skip;
 pub mod speed;
 pub mod table;
--- a/crates/hawthorn-route/src/outcome.rs
+++ b/crates/hawthorn-route/src/outcome.rs
@@ -54,6 +54,8 @@
     Unreachable,
     /// The time left is too short for an answer.
     TooLate,
+    /// The host is stopping, and the answer would not arrive before it exits.
+    Stopping,
     /// The retry budget is exhausted.
     BudgetSpent,
     /// The host has reached its limit of concurrent requests.
--- a/crates/hawthorn-route/src/retry_after.rs
+++ b/crates/hawthorn-route/src/retry_after.rs
@@ -18,7 +18,7 @@
 
 /// The delay after which a refused caller should retry, with jitter. `not_ready_for` is how
 /// long this host has been failing its readiness probe because other hosts serve its callers
-/// better, if it does.
+/// better or it is stopping, if it does.
 pub fn retry_after(
     reason: RefusalReason,
     not_ready_for: Option<Duration>,
@@ -45,6 +45,8 @@
         RefusalReason::NoQuota => (0.1, 0.3),
         RefusalReason::Overloaded => (0.05, 0.25),
         RefusalReason::TooLate => (0.01, 0.05),
+        // Other hosts serve the caller as soon as the balancer has reacted.
+        RefusalReason::Stopping => (0.01, 0.1),
         // Used only if the end of the refusal term is unknown.
         RefusalReason::Quarantined => (1.0, 2.0),
     };
@@ -54,7 +56,9 @@
     match reason {
         // Callers of a partitioned zone that retry at once reach the same zone and are refused
         // for good. After the balancer has reacted, another zone serves them.
-        RefusalReason::NoTarget | RefusalReason::Unreachable => until_moved + delay,
+        RefusalReason::NoTarget | RefusalReason::Unreachable | RefusalReason::Stopping => {
+            until_moved + delay
+        }
         _ => delay,
     }
 }
--- a/crates/hawthorn-route/tests/retry_after.rs
+++ b/crates/hawthorn-route/tests/retry_after.rs
@@ -51,6 +51,18 @@
             not_ready_for: None,
             bounds: (200, 350),
         },
+        Case {
+            name: "stopped a second ago",
+            reason: RefusalReason::Stopping,
+            not_ready_for: Some(1000),
+            bounds: (1210, 1300),
+        },
+        Case {
+            name: "stopped long ago",
+            reason: RefusalReason::Stopping,
+            not_ready_for: Some(4300),
+            bounds: (10, 100),
+        },
         Case {
             name: "host full",
             reason: RefusalReason::HostFull,
