fix(route): a customer that returns has spent its tokens

Cause: the holder of a slot for quotas dropped the buckets of customers that a version of the configuration lacks, with what they had spent, and gave a customer that it did not know a full bucket. A holder that starts while the customer is missing did so too, whatever the holder before it had granted.

What the other customers saw: a customer that one version lacks by mistake has its whole burst again with the next version, 456 requests in a window that allows 267.5, and again with each such pair of versions.

Change: a missing customer is kept with its bucket for as long as grants count, and returns to it. One that is new to a holder gets no more than the holder's start allows until the grants of earlier holders no longer count.

The scenarios Returned and ReturnedHerds, and the table of `a_customer_that_returns_has_spent_its_tokens`, pass.

It works because what was granted leaves the bucket only with the time in which it counts, and no longer with the version under which it was granted.

--- a/crates/hawthorn-route/src/quota/holder.rs
+++ b/crates/hawthorn-route/src/quota/holder.rs
@@ -86,22 +86,34 @@
     }
 }
 
+/// A customer that the configuration in force lacks.
+#[derive(Clone, Debug)]
+struct AbsentCustomer {
+    /// Its bucket, if it had a share at this slot.
+    bucket: Option<TokenBucket>,
+    since: Duration,
+}
+
 /// The token buckets of the holder of one slot.
 #[derive(Clone, Debug)]
 pub struct TokenHolder {
     start: HolderStart,
     started: Duration,
-    configured: bool,
+    /// The time in which grants count; see [`QuotaLimits::counted`](super::QuotaLimits::counted).
+    counted: Duration,
     buckets: HashMap<Rc<str>, TokenBucket>,
     /// Customers of the configuration, also those without a share at this slot.
     known: Vec<Rc<str>>,
+    /// Customers that were in the configuration less than `counted` ago. One that returns has
+    /// spent what it had spent: a version that lacks it by mistake is soon replaced.
+    absent: HashMap<Rc<str>, AbsentCustomer>,
 }
 
 impl TokenHolder {
-    /// A holder from `now` on.
-    pub fn new(start: HolderStart, now: Duration) -> Self {
-        let buckets = HashMap::new();
-        Self { start, started: now, configured: false, buckets, known: Vec::new() }
+    /// A holder from `now` on, whose grants count for the time `counted`.
+    pub fn new(start: HolderStart, counted: Duration, now: Duration) -> Self {
+        let (buckets, absent) = (HashMap::new(), HashMap::new());
+        Self { start, started: now, counted, buckets, known: Vec::new(), absent }
     }
 
     /// When this host became the holder.
@@ -112,7 +124,8 @@
     /// Applies the shares of a configuration; `None` is a customer without a share at this slot.
     ///
     /// Buckets are clamped to a lower limit at once. A customer whose number of shares rose
-    /// starts empty at the slots that it did not use before.
+    /// starts empty at the slots that it did not use before. One that returns soon has the bucket
+    /// that it had.
     pub fn configure(
         &mut self,
         shares: impl IntoIterator<Item = (Rc<str>, Option<QuotaShare>)>,
@@ -120,10 +133,16 @@
     ) {
         let mut previous = std::mem::take(&mut self.buckets);
         let known = std::mem::take(&mut self.known);
+        self.absent.retain(|_, customer| now < customer.since + self.counted);
+        // A customer that an earlier holder knew may have spent its tokens there.
+        let is_settled = now >= self.started + self.counted;
         for (customer, share) in shares {
             self.known.push(Rc::clone(&customer));
+            let returned = self.absent.remove(&customer);
+            let was_known = returned.is_some() || known.contains(&customer);
             let Some(share) = share else { continue };
-            let bucket = match previous.remove(&customer) {
+            let bucket = previous.remove(&customer).or(returned.and_then(|absent| absent.bucket));
+            let bucket = match bucket {
                 Some(mut bucket) => {
                     bucket.fill(now);
                     bucket.share = share;
@@ -132,8 +151,8 @@
                 }
                 None => {
                     let tokens = match self.start {
-                        _ if known.contains(&customer) => 0.0,
-                        _ if self.configured => share.capacity,
+                        _ if was_known => 0.0,
+                        _ if is_settled => share.capacity,
                         HolderStart::Full => share.capacity,
                         HolderStart::Allowance => share.allowance,
                         HolderStart::Empty => 0.0,
@@ -143,7 +162,12 @@
             };
             self.buckets.insert(customer, bucket);
         }
-        self.configured = true;
+        for customer in known {
+            if !self.known.contains(&customer) {
+                let bucket = previous.remove(&customer);
+                self.absent.insert(customer, AbsentCustomer { bucket, since: now });
+            }
+        }
     }
 
     /// Grants up to `count` tokens; `None` if the customer has no share at this slot.
--- a/crates/hawthorn-route/src/quota/slots.rs
+++ b/crates/hawthorn-route/src/quota/slots.rs
@@ -322,7 +322,7 @@
         slot.changes = write.record.changes;
         slot.record = Some(write.record);
         if let Some(start) = write.start {
-            slot.holder = Some(TokenHolder::new(start, now));
+            slot.holder = Some(TokenHolder::new(start, self.limits.counted(), now));
             self.configure_slot(write.slot, now);
         }
     }
--- a/crates/hawthorn-route/tests/quota.rs
+++ b/crates/hawthorn-route/tests/quota.rs
@@ -10,6 +10,8 @@
 use hawthorn_route::quota::QuotaShare;
 use hawthorn_route::quota::asker::TokenAsker;
 use hawthorn_route::quota::asker::TokenPlan;
+use hawthorn_route::quota::holder::HolderStart;
+use hawthorn_route::quota::holder::TokenHolder;
 use hawthorn_route::quota::slots::Candidacy;
 use hawthorn_route::quota::slots::QuotaSlots;
 use hawthorn_route::quota::slots::SlotRecord;
@@ -36,6 +38,8 @@
 const DURATION: Duration = Duration::from_secs(45);
 const FAULT_FROM: Duration = Duration::from_secs(15);
 const FAULT_UNTIL: Duration = Duration::from_secs(30);
+/// How long a version without the customers is in force.
+const ABSENCE: Duration = Duration::from_secs(1);
 /// Longest time between a token and its request, and of the store's changes to a host.
 const MAX_LAG_MS: u64 = 40;
 
@@ -61,6 +65,10 @@
     Growing,
     /// The rate and burst are lowered to a fifth.
     Lowered,
+    /// Versions without the customers come into force and are taken back, three times.
+    Returned,
+    /// The same, while half of the hosts are restarted.
+    ReturnedHerds,
     /// The store is restored from a copy.
     Restored,
     /// The store is restored from a copy, while half of the hosts are restarted.
@@ -68,6 +76,13 @@
 }
 
 impl Scenario {
+    /// Whether the version in force lacks the customers.
+    fn lacks_customers(self, now: Duration) -> bool {
+        let absences = [0, 2000, 4000].map(|start| FAULT_FROM + ms(start));
+        matches!(self, Self::Returned | Self::ReturnedHerds)
+            && absences.iter().any(|start| (*start..*start + ABSENCE).contains(&now))
+    }
+
     /// Whether requests count for the served part: those of the partition, if there is one.
     fn counts(self, now: Duration) -> bool {
         !matches!(self, Self::Halves | Self::ZoneCut | Self::StoreLost)
@@ -186,12 +201,31 @@
         customers.iter().enumerate().map(named).collect()
     }
 
-    fn restart(&mut self, index: usize, customers: &[SimCustomer], now: Duration) {
+    fn restart(
+        &mut self,
+        index: usize,
+        scenario: Scenario,
+        customers: &[SimCustomer],
+        now: Duration,
+    ) {
         let mut host = self.host(index, now);
-        host.slots.configure(self.shares(customers), now);
+        host.slots.configure(self.shares_at(scenario, customers, now), now);
         self.hosts[index] = host;
     }
 
+    /// The shares of the version in force.
+    fn shares_at(
+        &self,
+        scenario: Scenario,
+        customers: &[SimCustomer],
+        now: Duration,
+    ) -> Vec<(Rc<str>, QuotaShare)> {
+        match scenario.lacks_customers(now) {
+            true => Vec::new(),
+            false => self.shares(customers),
+        }
+    }
+
     /// Whether a zone receives the store's changes, perhaps through another zone.
     fn hears_store(&self, zone: usize) -> bool {
         let same_group = |other: &usize| self.groups[*other] == self.groups[zone];
@@ -345,7 +379,7 @@
             }
         }
         let herd = match scenario {
-            Scenario::Herds | Scenario::RestoredHerds => 0.5,
+            Scenario::Herds | Scenario::RestoredHerds | Scenario::ReturnedHerds => 0.5,
             Scenario::AllRestarted => 1.0,
             _ => 0.0,
         };
@@ -357,10 +391,18 @@
         if herd > 0.0 && (at(FAULT_FROM + ms(1000)) || at(FAULT_FROM + ms(3800))) {
             for index in 0..self.hosts.len() {
                 if !self.hosts[index].alive {
-                    self.restart(index, customers, now);
+                    self.restart(index, scenario, customers, now);
                 }
             }
         }
+        if step > 0 && scenario.lacks_customers(now) != scenario.lacks_customers(STEP * (step - 1))
+        {
+            let shares = self.shares_at(scenario, customers, now);
+            for host in &mut self.hosts {
+                host.slots.configure(shares.clone(), now);
+                host.asker.forget_denials();
+            }
+        }
         if matches!(scenario, Scenario::Restored | Scenario::RestoredHerds)
             && at(FAULT_FROM + ms(500))
         {
@@ -387,7 +429,7 @@
             for index in 0..self.hosts.len() {
                 let runs = index < self.hosts.len() / share;
                 if runs && !self.hosts[index].alive {
-                    self.restart(index, customers, now);
+                    self.restart(index, scenario, customers, now);
                 }
                 self.hosts[index].alive = runs;
             }
@@ -427,6 +469,9 @@
                 *bucket = (*bucket + rate * STEP.as_secs_f64()).min(burst.max(1.0));
                 // The first claims take less than a second; callers are not served before.
                 let counts = now >= ms(1000) && (customer.demand >= 1.0 || scenario.counts(now));
+                if scenario.lacks_customers(now) {
+                    continue;
+                }
                 let arrivals = self.poisson(rate * customer.demand * STEP.as_secs_f64());
                 for _ in 0..arrivals {
                     let Some(host) = self.alive_host() else { continue };
@@ -515,6 +560,51 @@
     proptest::sample::select(Scenario::iter().collect::<Vec<_>>())
 }
 
+/// Guards against a customer that gets its burst anew with each version of the configuration that
+/// lacks it, by an operator's mistake, and the next one that has it again.
+#[test]
+fn a_customer_that_returns_has_spent_its_tokens() {
+    struct Case {
+        name: &'static str,
+        start: HolderStart,
+        /// Whether the holder knew the customer before it was missing.
+        was_known: bool,
+        absence: Duration,
+        /// Greatest number of tokens at its return.
+        most: f64,
+    }
+    let quota = CustomerQuota { rate: 5.0, burst: 200.0 };
+    let share = QuotaShare::of(quota, &LIMITS, 1);
+    let refilled = share.refill + 1.0;
+    let (short, long) = (Duration::from_secs(1), LIMITS.counted());
+    let case =
+        |name, start, was_known, absence, most| Case { name, start, was_known, absence, most };
+    let cases = [
+        case("soon", HolderStart::Full, true, short, refilled),
+        case("after a window", HolderStart::Full, true, long, share.capacity),
+        case("to a new holder", HolderStart::Allowance, false, short, share.allowance),
+        case("to another new holder", HolderStart::Empty, false, short, 0.0),
+    ];
+    for Case { name, start, was_known, absence, most } in cases {
+        let customer: Rc<str> = Rc::from("shop");
+        let other = || (Rc::from("other"), Some(share));
+        let mut holder = TokenHolder::new(start, LIMITS.counted(), Duration::ZERO);
+        if was_known {
+            holder.configure([other(), (Rc::clone(&customer), Some(share))], Duration::ZERO);
+            let spent = holder.take(&customer, 1000, Duration::ZERO).expect("it has a share");
+            assert_eq!(spent.granted, share.capacity as u32, "{name}");
+        }
+        holder.configure([other()], Duration::ZERO);
+        assert!(holder.take(&customer, 1, Duration::ZERO).is_none(), "{name}: it is missing");
+        holder.configure([other(), (Rc::clone(&customer), Some(share))], absence);
+        let granted = holder.take(&customer, 1000, absence).expect("it has a share").granted;
+        assert!(f64::from(granted) <= most, "{name}: {granted} tokens, {most} at most");
+        if absence == long {
+            assert_eq!(granted, share.capacity as u32, "{name}: nothing counts any longer");
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 40, ..ProptestConfig::default() })]
     /// Guards against exceeding a quota through partitions, restarts and changes.
