fix(edge): a service that returns has spent its retry budget

Cause: the budget of a service was dropped with the first version that lacks the service.

What targets would have seen: extra attempts beyond the budget after an operator's mistake, while they fail or are slow.

Test: `a_service_that_returns_has_spent_its_budget` failed before (3 extra attempts a second later, where 0 are left).

--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -260,7 +260,6 @@
         self.execution_times.borrow_mut().retain(|name, _| names.contains(name.as_str()));
         self.exchange_times.borrow_mut().retain(|name, _| names.contains(name.as_str()));
         self.round_robins.borrow_mut().retain(|name, _| names.contains(name.as_str()));
-        self.budgets.borrow_mut().retain(|name, _| table.service(name).is_some());
         let services = &table.document().services;
         let kept = self.registry.borrow_mut().limit_cold(services, &self.settings.cold);
         if !kept.is_empty() {
@@ -570,8 +569,19 @@
         }
     }
 
+    /// Removes the budgets of services that no version has, once nothing in them counts: a
+    /// service that is missing by mistake is soon back, and has spent what it had spent.
+    fn sweep_budgets(&self, now: Duration) {
+        let Some(table) = self.table() else { return };
+        self.budgets.borrow_mut().retain(|service, budget| {
+            table.service(service).is_some()
+                || !budget.is_unused(now, &self.budget_options(service, now))
+        });
+    }
+
     /// Removes targets that have left, and their connection pools.
     pub fn sweep(&self, now: Duration) {
+        self.sweep_budgets(now);
         let gone = self.registry.borrow_mut().sweep(now, self.settings.targets.drain_time);
         let mut pools = self.pools.borrow_mut();
         for key in gone {
--- a/crates/hawthorn-edge/tests/catalog.rs
+++ b/crates/hawthorn-edge/tests/catalog.rs
@@ -1,8 +1,10 @@
 //! The registered targets of a host after updates from the store.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use hawthorn_edge::process::catalog;
+use hawthorn_edge::process::clock::host_now;
 use hawthorn_edge::process::host::RouteHost;
 use hawthorn_edge::settings::RouteSettings;
 use hawthorn_route::mirror::MirrorItem;
@@ -10,6 +12,7 @@
 use hawthorn_route::revision::StoreRevision;
 use hawthorn_route::target::TargetPhase;
 use hawthorn_standin::route::operator;
+use serde_json::json;
 
 const SETTINGS: &str = r#"
 [host]
@@ -108,3 +111,38 @@
         assert_eq!(ready_ids(&host), ["a", "c"], "{}", case.name);
     }
 }
+
+/// The configuration of one route to one service.
+fn configuration(version: u64, service: &str) -> MirrorItem {
+    let document = json!({
+        "configVersion": version,
+        "routes": [operator::single("/safe/", service, "safe")],
+        "services": [{ "name": service, "healthPath": "/health", "maxConnections": 26 }],
+    });
+    let value = Some(document.to_string().into_bytes());
+    MirrorItem { key: "op/config".to_owned(), revision: version, value }
+}
+
+/// Guards against retry storms after an operator's mistake: a service that one version lacks, and
+/// that is back a second later, would have its whole retry budget again.
+#[test]
+fn a_service_that_returns_has_spent_its_budget() {
+    let host = host();
+    // The host's part of the allowance has grown to the whole by then.
+    let now = host_now() + Duration::from_secs(100);
+    let configure = |version, service, now| {
+        catalog::apply(&host, full_read(vec![configuration(version, service)], version));
+        host.routing.apply_pending(now);
+        host.routing.sweep(now);
+    };
+    let spend_all = |now| (0..1000).take_while(|_| host.routing.spend("s", now)).count();
+    configure(3, "s", now);
+    let spent = spend_all(now);
+    assert!(spent > 0, "the host has a part of the allowance");
+    configure(4, "other", now);
+    configure(5, "s", now + Duration::from_secs(1));
+    assert_eq!(spend_all(now + Duration::from_secs(1)), 0, "a second later");
+    configure(6, "other", now + Duration::from_secs(2));
+    configure(7, "s", now + Duration::from_secs(20));
+    assert_eq!(spend_all(now + Duration::from_secs(20)), spent, "after its window");
+}
--- a/crates/hawthorn-route/src/budget.rs
+++ b/crates/hawthorn-route/src/budget.rs
@@ -169,6 +169,12 @@
         }
     }
 
+    /// Whether the window has neither requests nor extra attempts.
+    pub fn is_unused(&mut self, now: Duration, options: &Options) -> bool {
+        self.advance(now, options);
+        self.spans.iter().all(|span| span.requests == 0 && span.extra_attempts == 0)
+    }
+
     fn remaining(&self, options: &Options) -> f64 {
         let requests: u32 = self.spans.iter().map(|span| span.requests).sum();
         let extra_attempts: u32 = self.spans.iter().map(|span| span.extra_attempts).sum();
