fix(route): a request that all targets rejected is refused at once

Cause: until a target answers, a request gets two extra attempts; the next one was held until an attempt in flight ends, also if none was in flight. Nothing could release it, and it was checked each 2 ms until the deadline.

Change: `quarantine::decide` holds an attempt only for others in flight; otherwise it is exhausted, the race ends, and the caller is refused or told that nothing is known. Rejections still count as attempts without an answer: not counting them would spend more of the retry budget while targets are full.

--- a/crates/hawthorn-edge/src/request/race.rs
+++ b/crates/hawthorn-edge/src/request/race.rs
@@ -77,6 +77,8 @@
     BudgetSpent,
     /// The attempt waits until others of the request have ended.
     Held,
+    /// As many extra attempts as are sent without an answer have ended without one.
+    Exhausted,
     /// The request is quarantined.
     Quarantined,
     /// The request may crash its target, and no other target of the shard would be left.
@@ -245,6 +247,7 @@
                 self.held = Some(reason);
                 return LaunchResult::Held;
             }
+            Permit::Exhausted => return LaunchResult::Exhausted,
             Permit::Refuse(_) => {
                 self.refusal = RefusalReason::Quarantined;
                 return LaunchResult::Quarantined;
--- a/crates/hawthorn-route/src/quarantine/mod.rs
+++ b/crates/hawthorn-route/src/quarantine/mod.rs
@@ -131,6 +131,8 @@
     Send,
     /// Wait until attempts in flight have ended.
     Hold,
+    /// Don't send it: no target has answered the attempts before, and none is in flight.
+    Exhausted,
     /// Don't send it: the request is refused for the given duration.
     Refuse(Duration),
 }
@@ -189,7 +191,11 @@
     match kind {
         _ if one_at_a_time && exposure.in_flight() > 0 => Permit::Hold,
         AttemptKind::Extra if !one_at_a_time && exposure.extra() >= MAX_UNANSWERED_EXTRA => {
-            Permit::Hold
+            if exposure.in_flight() > 0 {
+                Permit::Hold
+            } else {
+                Permit::Exhausted
+            }
         }
         _ => Permit::Send,
     }
--- a/crates/hawthorn-route/tests/quarantine.rs
+++ b/crates/hawthorn-route/tests/quarantine.rs
@@ -93,6 +93,24 @@
     assert_eq!(host.permit(&request, AttemptKind::Extra, at(40)), Permit::Send);
 }
 
+/// Guards against an attempt that is held although nothing is in flight that could release it.
+#[test]
+fn an_attempt_is_held_only_for_others_in_flight() {
+    let mut host = Host::default();
+    let request = identity("/a", 1);
+    host.exposure.record_sent(false);
+    host.end(&request, AttemptOutcome::Other, at(1));
+    for _ in 0..MAX_UNANSWERED_EXTRA {
+        assert_eq!(host.permit(&request, AttemptKind::Extra, at(2)), Permit::Send);
+        host.exposure.record_sent(true);
+    }
+    assert_eq!(host.permit(&request, AttemptKind::Extra, at(2)), Permit::Hold);
+    for _ in 0..MAX_UNANSWERED_EXTRA {
+        host.end(&request, AttemptOutcome::Other, at(3));
+    }
+    assert_eq!(host.permit(&request, AttemptKind::Extra, at(3)), Permit::Exhausted);
+}
+
 /// Guards against a fan-out that continues at all shards after crashes.
 #[test]
 fn after_a_crash_one_attempt_is_made_at_a_time() {
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -172,6 +172,38 @@
     Ok(())
 }
 
+/// Guards against a request that all its targets have rejected and that is held until its deadline:
+/// it is known not to have run, and its caller could repeat it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_all_targets_reject_is_refused_at_once() -> TestResult {
+    let store = RouteStore::start().await?;
+    let routes = [
+        operator::single("/safe/", "s", "safe"),
+        operator::single("/once/", "s", "unsafe"),
+        operator::scatter_gather("/all/", &["s"], 1.0),
+    ];
+    operator::configure(&store, 3, &routes, &["s"]);
+    let mut targets = Vec::new();
+    for id in ["t-1", "t-2", "t-3", "t-4", "t-5"] {
+        let target = RouteTarget::start(id, "s").await?;
+        target.fail_always(Some(TargetFault::Rejected));
+        operator::register(&store, id, &target, "east");
+        targets.push(target);
+    }
+    let host = RouteHost::start("h-1", "east", store.address(), &[])?;
+    host.wait_until_ready().await?;
+    for (method, path) in [("GET", "/safe/"), ("POST", "/once/"), ("GET", "/all/")] {
+        let started = Instant::now();
+        let answer = host.send(method, path, "id-1", "").await?;
+        assert_eq!(answer.status, 503, "{path}");
+        assert!(answer.headers.contains_key("retry-after"), "{path}");
+        // The deadline is 1.5 s.
+        let elapsed = started.elapsed();
+        assert!(elapsed < Duration::from_millis(500), "{path}: refused after {elapsed:?}");
+    }
+    Ok(())
+}
+
 /// A host is stopped while a request runs. The request must be answered, the answer closes the
 /// connection, and the process exits within its grace period.
 #[tokio::test(flavor = "multi_thread")]
