fix(edge): a target's 408, 429 or 503 is no promise by itself

Cause: an answer of a target that states nothing about the execution counts as run, and its status was forwarded whatever it is. For a request that may run once, 408, 429 and 503 then promise that it has not run and never will, which nobody knows.

Change: such a request ends as 502 `not-known`, without the stamp. Requests that may be repeated get the target's status and stamp as before. 421 always states that nothing ran.

Test: `a_status_of_a_target_promises_nothing_by_itself` failed before (408 for a request that ran).

--- a/crates/hawthorn-edge/src/request/race.rs
+++ b/crates/hawthorn-edge/src/request/race.rs
@@ -5,6 +5,7 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use hawthorn_platform::caller;
 use hawthorn_route::hedge;
 use hawthorn_route::outcome::AttemptEnd;
 use hawthorn_route::outcome::RefusalReason;
@@ -327,8 +328,13 @@
                 AttemptReason::Retry
             }
             AttemptEnd::Failed => {
-                let client_error =
-                    reply.answer.as_ref().is_some_and(|a| a.status.is_client_error());
+                let status = reply.answer.as_ref().map(|answer| answer.status);
+                let client_error = status.is_some_and(|status| status.is_client_error());
+                if !self.context.route.idempotent && status.is_some_and(caller::promises_not_run) {
+                    // The target did not state that the request did not run, so the promise would
+                    // be this host's.
+                    return Some(RaceEnd::Unknown);
+                }
                 self.failure = reply.answer;
                 if client_error || !self.context.route.idempotent {
                     return self.failure.take().map(RaceEnd::Failed);
--- a/crates/hawthorn-standin/src/route/target.rs
+++ b/crates/hawthorn-standin/src/route/target.rs
@@ -45,6 +45,8 @@
     NoContentLength,
     /// The request runs and is answered with status 500.
     ServerError,
+    /// The request runs and is answered with this status.
+    RanWithStatus(u16),
     /// The request runs for the given time.
     Slow(Duration),
     /// The request runs, and the answer has a body of the given number of bytes, with a
@@ -361,7 +363,11 @@
         (headers::LOAD, "1,0,2".to_owned()),
     ];
     let body = records(&service);
-    let status = if fault == Some(TargetFault::ServerError) { 500 } else { 200 };
+    let status = match fault {
+        Some(TargetFault::ServerError) => 500,
+        Some(TargetFault::RanWithStatus(status)) => status,
+        _ => 200,
+    };
     let answer = wire::answer(status, &headers, &body);
     let sent = match fault {
         Some(TargetFault::Disconnect) => return false,
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -172,6 +172,26 @@
     Ok(())
 }
 
+/// Guards against a promise that the host cannot keep: a target answers 503 without stating that it
+/// did not run the request, and its caller would repeat a request that may run once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_status_of_a_target_promises_nothing_by_itself() -> TestResult {
+    for status in [408, 429, 503] {
+        let pair = start_pair().await?;
+        pair.fail_always(Some(TargetFault::RanWithStatus(status)));
+        let answer = pair.host.send("POST", "/once/", "once", "").await?;
+        assert_eq!((answer.status, pair.runs("once")), (502, 1), "{status}: may run once");
+        assert!(
+            !answer.headers.contains_key(headers::RECEIPT),
+            "{status}: another status's receipt"
+        );
+        let answer = pair.host.send("GET", "/safe/", "safe", "").await?;
+        assert_eq!(answer.status, status, "{status}: may be repeated");
+        assert!(answer.headers.contains_key(headers::RECEIPT), "{status}: may be repeated");
+    }
+    Ok(())
+}
+
 /// Guards against a request that all its targets have rejected and that is held until its deadline:
 /// it is known not to have run, and its caller could repeat it.
 #[tokio::test(flavor = "multi_thread")]
