fix(edge): keys and names that callers state never reach a target

Cause: the caller's key and its own `Hawthornroute-Tenant` were removed only once a host had seen a version with customers since its start.

What targets saw: after a version that lacks the customers by mistake, a restarted host passes on keys, and names that callers chose, which targets trust.

Change: both are always removed.

Test: `without_customers_headers_are_forwarded_unchanged` demanded the contrary, that both reach a target of a deployment without customers. It is replaced by `without_customers_only_headers_of_the_tier_are_replaced`, which checks each header that the tier sets or removes, and that all others arrive unchanged. It failed before (the key arrived).

--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -217,7 +217,8 @@
     answer
 }
 
-/// The customer that holds the caller's key, if the request needs one; removes the key.
+/// The customer that holds the caller's key, if the request needs one; removes the key, and what
+/// the caller states about who it is.
 fn identify(
     host: &RouteHost,
     table: &RouteTable,
@@ -226,9 +227,9 @@
 ) -> Result<Option<RequestCustomer>, Box<CallerAnswer>> {
     let needs_key = !table.customers().is_empty() && !route.exempt;
     let customer = needs_key.then(|| find_customer(table, headers)).transpose();
-    if host.routing.has_seen_customers() {
-        caller::strip_identity(headers);
-    }
+    // Also if the version in force has no customers: it may lack them by mistake, and targets
+    // trust the name.
+    caller::strip_identity(headers);
     let reject = |rejection| {
         host.metrics.count_key_rejection(rejection, 1);
         Box::new(CallerAnswer::key_rejected(rejection))
--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -85,8 +85,6 @@
     pending_tables: RefCell<PendingVersions<Rc<RouteTable>>>,
     /// The newest known version, which may not be in force yet.
     newest_table: RefCell<Option<Rc<RouteTable>>>,
-    /// Whether any version since the start of the process has defined customers.
-    has_seen_customers: Cell<bool>,
     /// Notified when a version is pending.
     pub table_pending: Notify,
     /// Notified when a version comes into force or the policy changes.
@@ -136,7 +134,6 @@
             tables: RefCell::default(),
             pending_tables: RefCell::default(),
             newest_table: RefCell::default(),
-            has_seen_customers: Cell::new(false),
             table_pending: Notify::new(),
             table_installed: Notify::new(),
             registry: RefCell::new(TargetRegistry::new(
@@ -195,13 +192,6 @@
         })
     }
 
-    /// Whether any version since the start of the process has defined customers, so that callers
-    /// may send keys. A version without customers may precede or follow it, and targets must not
-    /// receive keys then either.
-    pub fn has_seen_customers(&self) -> bool {
-        self.has_seen_customers.get()
-    }
-
     /// Applies a version, at once or after a delay; see [`rollout`]. A version that is not newer
     /// than the newest known one is ignored.
     pub fn accept(&self, document: RouteDocument) {
@@ -218,9 +208,6 @@
                 table.version()
             );
         }
-        if !table.customers().is_empty() {
-            self.has_seen_customers.set(true);
-        }
         let table = Rc::new(table);
         *self.newest_table.borrow_mut() = Some(Rc::clone(&table));
         let has_version = !self.tables.borrow().is_empty();
--- a/tests/route_keys.rs
+++ b/tests/route_keys.rs
@@ -211,20 +211,41 @@
     Ok(())
 }
 
-/// Guards against a change for deployments without customers: their callers' headers reach targets
-/// as before.
+/// Guards against callers that state who they are by a header of their own, and keys that leave a
+/// host that knows no customers, as after a restart under a version that lacks them by mistake.
+/// All other headers reach the target unchanged.
 #[tokio::test(flavor = "multi_thread")]
-async fn without_customers_headers_are_forwarded_unchanged() -> TestResult {
+async fn without_customers_only_headers_of_the_tier_are_replaced() -> TestResult {
     let store = RouteStore::start().await?;
     let target = RouteTarget::start("t-1", "s").await?;
     operator::configure(&store, 3, &routes(), &["s"]);
     operator::register(&store, "t-1", &target, "east");
     let host = RouteHost::start("h-1", "east", store.address(), &[])?;
     host.wait_until_ready().await?;
-    let sent = [(headers::KEY, "x"), (headers::CUSTOMER, "y")];
+    struct Case {
+        name: &'static str,
+        sent: &'static str,
+        received: &'static [&'static str],
+    }
+    let cases = [
+        Case { name: headers::KEY, sent: "x", received: &[] },
+        Case { name: headers::CUSTOMER, sent: "y", received: &[] },
+        Case { name: headers::EXPECTED_TARGET, sent: "t-9", received: &["t-1"] },
+        Case { name: "authorization", sent: "Bearer z", received: &["Bearer z"] },
+        Case { name: "cookie", sent: "a=b", received: &["a=b"] },
+        Case { name: "x-forwarded-for", sent: "10.0.0.1", received: &["10.0.0.1"] },
+        Case { name: "hawthornroute-other", sent: "v", received: &["v"] },
+    ];
+    let sent: Vec<(&str, &str)> = cases.iter().map(|case| (case.name, case.sent)).collect();
     assert_eq!(host.send_with("/keyed/", "id-1", &sent).await?.status, 200);
-    assert_eq!(received(&target, headers::KEY), [["x"]]);
-    assert_eq!(received(&target, headers::CUSTOMER), [["y"]]);
+    for case in cases {
+        assert_eq!(received(&target, case.name), [case.received], "{}", case.name);
+    }
+    let [time_left] = &received(&target, headers::TIME_LEFT)[..] else {
+        return Err("one request ran".into());
+    };
+    assert_eq!(time_left.len(), 1, "{time_left:?}");
+    assert_eq!(received(&target, headers::ATTEMPT_ID), [["id-1"]]);
     assert_eq!(host.logged("E650") + host.logged("E651"), 0);
     Ok(())
 }
