fix(route): a change of the retry budget's window keeps its counts in order

Cause: the spans of a budget are numbered by their length. After SIGHUP with a longer window the number of the current span is smaller than that of the newest one, so that no span expires until the time since boot has grown by the same factor; with a shorter one all counts are dropped at once.

What targets would have seen: retries against credit that is minutes old, or a second allowance at the moment of the change.

Change: a change of the length moves all counts to the current span.

Test: `credit_expires_after_a_change_of_the_window` failed before (4 attempts at the change to a shorter window, where the budget was spent).

--- a/crates/hawthorn-route/src/budget.rs
+++ b/crates/hawthorn-route/src/budget.rs
@@ -116,23 +116,33 @@
     spans: [SpanCounts; SPAN_COUNT + 1],
     /// Number of the newest span since time zero.
     newest: u64,
+    /// Length of the spans; zero before the first use.
+    span_length: Duration,
+}
+
+/// Length of the spans of a window.
+fn span_length(options: &Options) -> Duration {
+    (options.window / SPAN_COUNT as u32).max(Duration::from_millis(1))
 }
 
 /// Number of the span that contains `at`, since time zero.
 fn span_number(at: Duration, options: &Options) -> u64 {
-    let length = (options.window / SPAN_COUNT as u32).max(Duration::from_millis(1));
-    (at.as_nanos() / length.as_nanos()) as u64
+    (at.as_nanos() / span_length(options).as_nanos()) as u64
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self { spans: [SpanCounts::default(); SPAN_COUNT + 1], newest: 0 }
+        let spans = [SpanCounts::default(); SPAN_COUNT + 1];
+        Self { spans, newest: 0, span_length: Duration::ZERO }
     }
 }
 
 impl RetryBudget {
     fn advance(&mut self, now: Duration, options: &Options) {
         let current = span_number(now, options);
+        if self.span_length != span_length(options) {
+            self.renumber(current, options);
+        }
         let passed = current.saturating_sub(self.newest).min(self.spans.len() as u64);
         for step in 1..=passed {
             let index = (current - (passed - step)) as usize % self.spans.len();
@@ -141,6 +151,24 @@
         self.newest = self.newest.max(current);
     }
 
+    /// Moves all counts to the current span, as the spans of another window have other numbers.
+    fn renumber(&mut self, current: u64, options: &Options) {
+        let counts =
+            SpanCounts { requests: self.requests(), extra_attempts: self.extra_attempts() };
+        self.spans = [SpanCounts::default(); SPAN_COUNT + 1];
+        self.spans[current as usize % self.spans.len()] = counts;
+        self.newest = current;
+        self.span_length = span_length(options);
+    }
+
+    fn requests(&self) -> u32 {
+        self.spans.iter().map(|span| span.requests).sum()
+    }
+
+    fn extra_attempts(&self) -> u32 {
+        self.spans.iter().map(|span| span.extra_attempts).sum()
+    }
+
     /// Records a caller's request for the service.
     pub fn earn(&mut self, now: Duration, options: &Options) {
         self.advance(now, options);
@@ -172,19 +200,17 @@
     /// Whether the window has neither requests nor extra attempts.
     pub fn is_unused(&mut self, now: Duration, options: &Options) -> bool {
         self.advance(now, options);
-        self.spans.iter().all(|span| span.requests == 0 && span.extra_attempts == 0)
+        self.requests() == 0 && self.extra_attempts() == 0
     }
 
     fn remaining(&self, options: &Options) -> f64 {
-        let requests: u32 = self.spans.iter().map(|span| span.requests).sum();
-        let extra_attempts: u32 = self.spans.iter().map(|span| span.extra_attempts).sum();
-        options.allowance + options.share * f64::from(requests) - f64::from(extra_attempts)
+        let earned = options.share * f64::from(self.requests());
+        options.allowance + earned - f64::from(self.extra_attempts())
     }
 
     /// Remaining part of the window's budget, 0 to 1.
     pub fn fullness(&self, options: &Options) -> f64 {
-        let requests: u32 = self.spans.iter().map(|span| span.requests).sum();
-        let total = options.allowance + options.share * f64::from(requests);
+        let total = options.allowance + options.share * f64::from(self.requests());
         if total <= 0.0 { 0.0 } else { (self.remaining(options) / total).clamp(0.0, 1.0) }
     }
 }
--- a/crates/hawthorn-route/tests/budget.rs
+++ b/crates/hawthorn-route/tests/budget.rs
@@ -31,6 +31,26 @@
     assert!((160..=165).contains(&extras), "{extras} extra attempts of 1000 requests");
 }
 
+/// Guards against credit that does not expire, or expires late, after operators have changed the
+/// length of the window: the targets would be retried more than the new budget allows.
+#[test]
+fn credit_expires_after_a_change_of_the_window() {
+    for window in [WINDOW / 4, WINDOW * 2, WINDOW * 6] {
+        let changed = Options { window, ..OPTIONS };
+        let mut budget = RetryBudget::default();
+        let started = Duration::from_secs(100);
+        (0..1000).for_each(|_| budget.earn(started, &OPTIONS));
+        let spend_all = |budget: &mut RetryBudget, now, options| {
+            (0..1000).take_while(|_| budget.spend(now, options)).count()
+        };
+        let spent = spend_all(&mut budget, started, &OPTIONS);
+        assert_eq!(spent, 164, "{window:?}: before the change");
+        assert_eq!(spend_all(&mut budget, started, &changed), 0, "{window:?}: at the change");
+        let later = started + window * 2;
+        assert_eq!(spend_all(&mut budget, later, &changed), 4, "{window:?}: after a window");
+    }
+}
+
 /// Guards against a burst of extra attempts from a host that was idle for a minute: unspent
 /// budget must not accumulate.
 #[test]
