fix(edge): a token of an earlier process names no query

Cause: the tokens by which peers request the remainder of a query start at 0 in each process.

What a caller could have got: a request for a remainder that crosses the restart of its peer names another query there, whose parts are merged into the answer.

Change: each process starts at a random number.

--- a/crates/hawthorn-edge/src/request/remainder.rs
+++ b/crates/hawthorn-edge/src/request/remainder.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::RngExt;
 use tokio::sync::oneshot;
 
 use crate::connection::message::GatherReply;
@@ -20,33 +21,43 @@
 
 /// A peer's request for more parts.
 #[derive(Debug)]
-pub(crate) struct RemainderRequest {
+pub struct RemainderRequest {
     /// Number of parts that the answer needs.
-    pub(crate) needed: usize,
+    pub needed: usize,
     /// Channel for the reply.
-    pub(crate) reply: oneshot::Sender<GatherReply>,
+    pub reply: oneshot::Sender<GatherReply>,
 }
 
 type HeldMap = Rc<RefCell<HashMap<u64, oneshot::Sender<RemainderRequest>>>>;
 
 /// Queries that were replied to and are held for further requests.
-#[derive(Debug, Default)]
-pub(crate) struct RemainderTable {
+#[derive(Debug)]
+pub struct RemainderTable {
     held: HeldMap,
     next: Cell<u64>,
 }
 
+impl Default for RemainderTable {
+    /// Tokens begin with a random number: a request that arrives after a restart of this host
+    /// must not name a query of the new process.
+    fn default() -> Self {
+        Self { held: HeldMap::default(), next: Cell::new(rand::rng().random()) }
+    }
+}
+
 /// A held query; released on drop.
 #[derive(Debug)]
-pub(crate) struct HeldRemainder {
-    pub(crate) token: u64,
-    pub(crate) requested: oneshot::Receiver<RemainderRequest>,
+pub struct HeldRemainder {
+    /// Names the query in requests of the peer.
+    pub token: u64,
+    /// The peer's request.
+    pub requested: oneshot::Receiver<RemainderRequest>,
     held: HeldMap,
 }
 
 impl RemainderTable {
     /// Registers a query under a new token.
-    pub(crate) fn hold(&self) -> HeldRemainder {
+    pub fn hold(&self) -> HeldRemainder {
         let token = self.next.get();
         self.next.set(token.wrapping_add(1));
         let (sender, requested) = oneshot::channel();
@@ -56,7 +67,7 @@
 
     /// Passes a request to a held query. If the query is no longer held, the request is
     /// dropped, which the peer receives as [`GatherReply::Stopping`].
-    pub(crate) fn request(&self, token: u64, request: RemainderRequest) {
+    pub fn request(&self, token: u64, request: RemainderRequest) {
         if let Some(sender) = self.held.borrow_mut().remove(&token) {
             // The query may just have ended.
             let _ended = sender.send(request);
