refactor(edge): the names of an attempt's target are a type

Target, service and zone were a tuple, which the exchange took apart and the log line of an answer to another request looked up again. No change of behaviour.

--- a/crates/hawthorn-edge/src/request/attempt.rs
+++ b/crates/hawthorn-edge/src/request/attempt.rs
@@ -96,13 +96,21 @@
     }
 }
 
+/// The target of an attempt, for logs and counters.
+#[derive(Debug)]
+struct TargetNames {
+    target: Rc<str>,
+    service: Rc<str>,
+    zone: Rc<str>,
+}
+
 /// An attempt whose start is recorded.
 #[derive(Debug)]
 struct BegunAttempt {
     sent: Duration,
     had_free_slot: bool,
-    /// Target, service and zone; `None` if the target is gone.
-    names: Option<(Rc<str>, Rc<str>, Rc<str>)>,
+    /// `None` if the target is gone.
+    names: Option<TargetNames>,
 }
 
 /// An attempt to be made.
@@ -155,14 +163,14 @@
     async fn run(self, begun: Option<BegunAttempt>) -> AttemptReply {
         let BegunAttempt { sent, had_free_slot, names } = begun.unwrap_or_else(|| self.begin());
         let left = self.context.time_left(sent);
-        let Some((target, service, zone)) = names else {
+        let Some(names) = names else {
             return AttemptReply::without_answer(AttemptEnd::NotSent);
         };
-        let mark = self.host.routing.zone_sent(&zone, sent, self.service_time);
+        let mark = self.host.routing.zone_sent(&names.zone, sent, self.service_time);
         let end = Instant::now() + left + ABANDON_DELAY;
         let exchange = async {
             match self.connection(end).await? {
-                Ok(connection) => Some(self.exchange(&target, &zone, connection, end).await),
+                Ok(connection) => Some(self.exchange(&names, connection, end).await),
                 Err(error) => Some(Err(error.into())),
             }
         };
@@ -181,6 +189,7 @@
             self.with_state(|state| state.record_abandoned(sent, now, self.service_time));
             return AttemptReply::without_answer(AttemptEnd::Silent);
         };
+        let TargetNames { target, service, zone } = names;
         if matches!(result, Ok(_) | Err(AttemptError::Mismatched)) {
             self.host.routing.zone_answered(&zone);
         }
@@ -269,8 +278,7 @@
     /// up to the buffer limit of the pool.
     async fn exchange(
         &self,
-        target: &str,
-        zone: &str,
+        names: &TargetNames,
         connection: PoolConnection,
         end: Instant,
     ) -> Result<PoolAnswer, AttemptError> {
@@ -290,13 +298,13 @@
         if let Err(rejection) = self.host.routing.registry.borrow_mut().admit(self.key, now) {
             return Err(Error::NotSent(format!("sending not permitted: {rejection}")).into());
         }
-        let request = self.context.outgoing(target, left);
+        let request = self.context.outgoing(&names.target, left);
         let bytes = header_bytes(request.headers()) + self.context.body.len();
-        self.host.traffic.count(TrafficPurpose::Targets, zone, bytes);
+        self.host.traffic.count(TrafficPurpose::Targets, &names.zone, bytes);
         let answer = async {
             let answer = connection.send(request).await?;
             if !self.is_own(answer.headers()) {
-                self.log_mismatch(target, &answer);
+                self.log_mismatch(names, &answer);
                 return Err(AttemptError::Mismatched);
             }
             let answer = match self.context.route.destination {
@@ -311,7 +319,7 @@
         };
         let answer = timeout_at(end, answer).await.unwrap_or(Err(Error::TimedOut.into()))?;
         let bytes = header_bytes(&answer.headers) + answer.body.len();
-        self.host.traffic.count(TrafficPurpose::Targets, zone, bytes);
+        self.host.traffic.count(TrafficPurpose::Targets, &names.zone, bytes);
         Ok(answer)
     }
 
@@ -332,11 +340,15 @@
         }
     }
 
-    fn record_start(&self, sent: Duration) -> Option<(Rc<str>, Rc<str>, Rc<str>)> {
+    fn record_start(&self, sent: Duration) -> Option<TargetNames> {
         self.with_state(|state| {
             state.record_sent(sent);
             let entry = &state.entry;
-            (Rc::clone(&entry.id), Rc::clone(&entry.service), Rc::clone(&entry.zone))
+            TargetNames {
+                target: Rc::clone(&entry.id),
+                service: Rc::clone(&entry.service),
+                zone: Rc::clone(&entry.zone),
+            }
         })
     }
 
@@ -356,17 +368,16 @@
         target::attempt_id(headers) == target::attempt_id(&self.context.headers)
     }
 
-    fn log_mismatch(&self, target: &str, answer: &UnverifiedAnswer) {
-        let service = self.with_state(|state| Rc::clone(&state.entry.service));
+    fn log_mismatch(&self, names: &TargetNames, answer: &UnverifiedAnswer) {
+        let TargetNames { target, service, .. } = names;
         let echoed = target::attempt_id(answer.headers());
         let echoed = echoed.map(|id| String::from_utf8_lossy(id.as_bytes()));
         let execution = target::read(answer.status(), answer.headers()).execution;
         edge_event!(
             Level::Warn,
             EdgeEvent::AnswerMismatched,
-            "request={} service={} target={target} answered={} status={} not_run={}",
+            "request={} service={service} target={target} answered={} status={} not_run={}",
             self.context.attempt_id.as_deref().unwrap_or("-"),
-            service.as_deref().unwrap_or("-"),
             echoed.as_deref().unwrap_or("-"),
             answer.status().as_u16(),
             execution != ExecutionStatus::Ran
