fix(edge): a rejected part is retried once a peer has replied

The replies of peers that gather other shards of the query were not counted as in flight, although they show that targets run it.

Callers would have got answers without a shard whose other target had room, or 502, while targets reject.

Change: the context counts the peers whose replies are awaited, and an attempt is held for them.

Test: `a_rejected_part_is_retried_once_a_peer_has_replied` failed before (the answer lacks shard c, whose second target was free).

--- a/crates/hawthorn-edge/src/process/quarantine.rs
+++ b/crates/hawthorn-edge/src/process/quarantine.rs
@@ -115,7 +115,13 @@
 pub(crate) fn permit(host: &RouteHost, context: &RequestContext, kind: AttemptKind) -> Permit {
     let table = host.quarantine.table.borrow();
     let exposure = context.exposure.borrow();
-    quarantine::decide(&table, &context.identity, &exposure, kind, host_now(), &options(host))
+    let permit =
+        quarantine::decide(&table, &context.identity, &exposure, kind, host_now(), &options(host));
+    match permit {
+        // The reply may show that targets have answered.
+        Permit::Exhausted if context.awaited_peers.get() > 0 => Permit::Hold,
+        permit => permit,
+    }
 }
 
 /// Whether a request must not be sent to the last healthy target of a shard; see
--- a/crates/hawthorn-edge/src/request/context.rs
+++ b/crates/hawthorn-edge/src/request/context.rs
@@ -61,6 +61,8 @@
     pub(crate) sent: Cell<usize>,
     /// Number of attempts in `sent` that wait for a connection to their target.
     pub(crate) waiting: Cell<usize>,
+    /// Number of peers whose replies are awaited.
+    pub(crate) awaited_peers: Cell<usize>,
     /// Number of shards skipped because their parts could not arrive in time.
     pub(crate) skipped: Cell<usize>,
     /// Attempts that may already have been made at each shard, by another host.
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -546,6 +546,7 @@
         answered: CancellationToken::new(),
         sent: Cell::new(0),
         waiting: Cell::new(0),
+        awaited_peers: Cell::new(0),
         skipped: Cell::new(0),
         prior_attempts: usize::from(message.prior_attempts),
         load: RefCell::default(),
--- a/crates/hawthorn-edge/src/request/parts.rs
+++ b/crates/hawthorn-edge/src/request/parts.rs
@@ -49,6 +49,22 @@
     Remainder(HeldShards, Result<GatherReply, PeerError>),
 }
 
+/// Counts a peer whose reply is awaited, until it is dropped.
+struct AwaitedPeer<'a>(&'a RequestContext);
+
+impl<'a> AwaitedPeer<'a> {
+    fn new(context: &'a RequestContext) -> Self {
+        context.awaited_peers.set(context.awaited_peers.get() + 1);
+        Self(context)
+    }
+}
+
+impl Drop for AwaitedPeer<'_> {
+    fn drop(&mut self) {
+        self.0.awaited_peers.set(self.0.awaited_peers.get() - 1);
+    }
+}
+
 /// Parameters of a [`GatherRun`].
 #[derive(Clone, Copy, Debug)]
 pub(super) struct GatherPlan {
@@ -314,6 +330,7 @@
         // The peer may send attempts before its reply arrives.
         context.sent.set(context.sent.get() + delegated.shards.len());
         let max_missing = self.state.max_missing();
+        let awaited = AwaitedPeer::new(context);
         let request = async move {
             let reply = delegate::request_gather(
                 host,
@@ -324,6 +341,7 @@
                 soft_time_left,
             )
             .await;
+            drop(awaited);
             GatherEvent::Delegated(delegated, reply)
         };
         self.events.push(request.boxed_local());
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -187,6 +187,7 @@
         answered: CancellationToken::new(),
         sent: Cell::new(0),
         waiting: Cell::new(0),
+        awaited_peers: Cell::new(0),
         skipped: Cell::new(0),
         prior_attempts: 0,
         load: RefCell::default(),
--- a/tests/route_parts.rs
+++ b/tests/route_parts.rs
@@ -55,3 +55,55 @@
     }
     Ok(())
 }
+
+/// Guards against a shard that is given up after the rejections of other shards, while a peer's
+/// parts are on their way: they show that targets run the query, and permit further attempts.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rejected_part_is_retried_once_a_peer_has_replied() -> TestResult {
+    let store = RouteStore::start().await?;
+    let names = ["a", "b", "c", "d", "e", "f", "g"];
+    let mut rejecting = Vec::new();
+    let mut others = Vec::new();
+    for (index, name) in names.iter().enumerate() {
+        let zone = if index < 3 { "east" } else { "west" };
+        for copy in 1..=2 {
+            let id = format!("t-{name}{copy}");
+            let target = RouteTarget::start(&id, name).await?;
+            operator::register(&store, &id, &target, zone);
+            if zone == "east" && id != "t-c2" {
+                rejecting.push(target);
+            } else {
+                // The peer replies after all rejections.
+                let slow = Duration::from_millis(if zone == "west" { 100 } else { 0 });
+                target.fail_always(Some(TargetFault::Slow(slow)));
+                others.push(target);
+            }
+        }
+    }
+    operator::configure(&store, 3, &[operator::scatter_gather("/all/", &names, 0.5)], &names);
+    let east = RouteHost::start("h-1", "east", store.address(), &[])?;
+    let west = RouteHost::start("h-2", "west", store.address(), &[&east])?;
+    for host in [&east, &west] {
+        host.wait_until_ready().await?;
+    }
+    let gathered = async || {
+        let answer = east.send("GET", "/all/", "id-0", "").await;
+        answer.is_ok() && east.logged("zone=west shards=4 decision=delegated") > 0
+    };
+    route::wait_for("the peer to gather", gathered).await?;
+    // Either target of shard c may be tried first.
+    for round in 0..8 {
+        rejecting.iter().for_each(|target| target.fail_always(Some(TargetFault::Rejected)));
+        let id = format!("id-{}", round + 1);
+        let answer = east.send("GET", "/all/", &id, "").await?;
+        assert_eq!(answer.status, 200, "{id}");
+        let receipts = &answer.headers[headers::PART_RECEIPTS];
+        assert!(receipts.contains("t-c2."), "{id}: {receipts}");
+        // The host forgets the rejections.
+        rejecting.iter().for_each(|target| target.fail_always(None));
+        for repeat in 0..4 {
+            east.send("GET", "/all/", &format!("calm-{round}-{repeat}"), "").await?;
+        }
+    }
+    Ok(())
+}
