fix(edge): a rejected part waits for a peer's remainder too

Callers saw 502 for a query that could be answered: a shard was given up because its target had rejected the part, although a peer still owed the parts that it had not got when it first replied.

The request for the remainder of a peer's parts was not counted, so that between the two replies no peer was awaited and the attempt was given up.

Change: a remainder is counted as an awaited peer from its request to its reply.

It works because the remainder's parts mark the query as answered, which permits the held attempt.

--- a/crates/hawthorn-edge/src/request/parts.rs
+++ b/crates/hawthorn-edge/src/request/parts.rs
@@ -261,9 +261,11 @@
         for held in held {
             let remaining = usize::from(held.remainder.parts);
             self.state.lost -= remaining;
+            let awaited = AwaitedPeer::new(context);
             let request = async move {
                 let reply =
                     delegate::request_remainder(host, context, &held, needed.min(remaining)).await;
+                drop(awaited);
                 GatherEvent::Remainder(held, reply)
             };
             self.events.push(request.boxed_local());
--- a/crates/hawthorn-standin/src/route/target.rs
+++ b/crates/hawthorn-standin/src/route/target.rs
@@ -28,6 +28,8 @@
 pub enum TargetFault {
     /// The request is rejected as not run.
     Rejected,
+    /// The request waits for the given time and is rejected as not run.
+    RejectedAfter(Duration),
     /// The request runs, and the connection is closed without an answer.
     Disconnect,
     /// The request runs and is never answered.
@@ -295,7 +297,13 @@
             }
             continue;
         }
-        if fault == Some(TargetFault::Rejected) {
+        let rejected_after = match fault {
+            Some(TargetFault::Rejected) => Some(Duration::ZERO),
+            Some(TargetFault::RejectedAfter(delay)) => Some(delay),
+            _ => None,
+        };
+        if let Some(delay) = rejected_after {
+            sleep(delay).await;
             let response_headers = [(headers::NOT_RUN, "1".to_owned()), echo];
             if stream.write_all(&wire::answer(503, &response_headers, b"")).await.is_err() {
                 return;
