fix(edge): a stopping host waits for its peers' queries

Callers saw 502, or an answer without some parts, for a query whose shards a stopping host gathered for another one.

Cause: a stopping host exits once it has no connections of callers, 2.6 s after the signal at the earliest. Queries of peers did not count, so that a host that only gathers exited in the midst of them, with up to half of its grace period left.

Change: the host counts the queries that it gathers and exits when none is left, or at the end of its schedule as before. It has to be idle for two polls, as a reply is written after its query has ended.

Result: the query is answered whole, and the host still exits within its grace period.

--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -192,6 +192,8 @@
     pub lag: Rc<RefCell<LagMeter>>,
     /// Number of open requests.
     pub open_requests: Cell<usize>,
+    /// Number of peers' queries whose shards this host gathers.
+    pub(crate) peer_queries: Cell<usize>,
     /// Time between the stop signal and forced termination.
     pub grace: Cell<Duration>,
     /// Requests that wait for capacity.
@@ -236,6 +238,7 @@
             unready_since: Cell::new(None),
             lag: Rc::default(),
             open_requests: Cell::new(0),
+            peer_queries: Cell::new(0),
             grace: Cell::new(settings.stop.grace),
             dispatch: DispatchQueue::default(),
             body_bytes: Cell::new(0),
@@ -545,12 +548,16 @@
     let open = host.open_requests.get();
     let connections = host.connections.get();
     edge_event!(Level::Info, EdgeEvent::HostStopping, "open={open} connections={connections}");
+    let mut was_idle = false;
     loop {
         let now = host_now();
-        let idle = host.connections.get() == 0;
-        if (now >= schedule.drained_at() && idle) || now >= schedule.exit_at() {
+        let idle = host.connections.get() == 0 && host.peer_queries.get() == 0;
+        // The reply to a peer is written after its query has ended.
+        let replied = idle && was_idle;
+        if (now >= schedule.drained_at() && replied) || now >= schedule.exit_at() {
             break;
         }
+        was_idle = idle;
         if now >= schedule.idle_close_at() {
             host.closing.cancel();
         }
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -416,6 +416,22 @@
     }
 }
 
+/// Counts a peer's query whose shards this host gathers, until it is dropped.
+struct PeerQuery(Rc<RouteHost>);
+
+impl PeerQuery {
+    fn new(host: &Rc<RouteHost>) -> Self {
+        host.peer_queries.set(host.peer_queries.get() + 1);
+        Self(Rc::clone(host))
+    }
+}
+
+impl Drop for PeerQuery {
+    fn drop(&mut self) {
+        self.0.peer_queries.set(self.0.peer_queries.get() - 1);
+    }
+}
+
 /// Gathers shards for a peer; stops when the peer no longer waits. The request arrived at this
 /// host at `arrived` or later.
 pub(crate) async fn serve_peer(
@@ -424,6 +440,7 @@
     arrived: Duration,
     reply: oneshot::Sender<GatherReply>,
 ) {
+    let _query = PeerQuery::new(&host);
     // A host that was stalled would send attempts for a query that its sender has since delegated
     // to another host. The cancellation is still unread behind the request: the first yield reads
     // the sockets, the second processes the calls.
--- a/tests/route_stop.rs
+++ b/tests/route_stop.rs
@@ -78,17 +78,17 @@
         }
         Ok(answers)
     }
+}
 
-    async fn wait_until_ended(&mut self) -> TestResult {
-        let started = Instant::now();
-        while !self.host.has_ended() {
-            if started.elapsed() > GRACE {
-                return Err("the host did not exit within its grace period".into());
-            }
-            sleep(Duration::from_millis(20)).await;
+async fn wait_until_ended(host: &mut RouteHost) -> TestResult {
+    let started = Instant::now();
+    while !host.has_ended() {
+        if started.elapsed() > GRACE {
+            return Err("the host did not exit within its grace period".into());
         }
-        Ok(())
+        sleep(Duration::from_millis(20)).await;
     }
+    Ok(())
 }
 
 /// Guards against requests that end with their connection when the host exits: those that wait
@@ -101,7 +101,7 @@
     fleet.host.signal(Signal::TERM)?;
     sleep(Duration::from_secs(3)).await;
     let answers = fleet.send_on(&mut streams, "late").await?;
-    fleet.wait_until_ended().await?;
+    wait_until_ended(&mut fleet.host).await?;
     let (mut refused, mut unknown) = (0, 0);
     for (id, answer) in &answers {
         match answer.status {
@@ -142,3 +142,41 @@
     }
     Ok(())
 }
+
+/// Guards against queries that lose the shards of a stopping peer: it has no callers of its own, and
+/// exited before its reply.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_peer_replies_before_it_exits() -> TestResult {
+    let store = RouteStore::start().await?;
+    let names = ["a", "b", "c", "d"];
+    let mut targets = Vec::new();
+    for name in names {
+        let target = RouteTarget::start(&format!("t-{name}"), name).await?;
+        operator::register(&store, &format!("t-{name}"), &target, "west");
+        targets.push(target);
+    }
+    let mut rule = operator::scatter_gather("/all/", &names, 1.0);
+    rule["timeoutMs"] = json!(10_000);
+    operator::configure(&store, 3, &[rule], &names);
+    let east = RouteHost::start("h-1", "east", store.address(), &[])?;
+    let mut west = RouteHost::start("h-2", "west", store.address(), &[&east])?;
+    for host in [&east, &west] {
+        host.wait_until_ready().await?;
+    }
+    let gathered = async || {
+        let answer = east.send("GET", "/all/", "id-0", "").await;
+        answer.is_ok() && east.logged("zone=west shards=4 decision=delegated") > 0
+    };
+    route::wait_for("the peer to gather", gathered).await?;
+    let work = Duration::from_millis(3500);
+    targets.iter().for_each(|target| target.fail_always(Some(TargetFault::Slow(work))));
+    let mut stream = TcpStream::connect(east.caller()).await?;
+    let request = String::from_utf8(route::request("GET", "/all/", "id-1", ""))?;
+    stream.write_all(request.replace(": 2000\r\n", ": 9000\r\n").as_bytes()).await?;
+    let runs = async || targets.iter().all(|target| target.runs("id-1") == 1);
+    route::wait_for("the parts to run", runs).await?;
+    west.signal(Signal::TERM)?;
+    let answer = timeout(route::WAIT_TIMEOUT, route::read_answer(&mut stream)).await??;
+    assert_eq!(answer.status, 200);
+    wait_until_ended(&mut west).await
+}
