fix(route): the age of an update bounds the last use of a draining target

Targets saw requests after they had drained, and their callers a failure where the target had gone.

Cause: a draining target stays the last resort of its service for 1.5 s from the moment at which the host learns of it. Updates may be 1.8 s old, so that both exceed the 3 s for which a target serves. A host that has just started knows nothing of the age: it sent requests to targets that had been draining for any time.

Ruled out: a shorter last resort for all, which would take a target from callers that can serve.

Evidence: a host that starts with one draining target sends it a request and answers 200 on, where the new test of processes fails. Late updates are shown by a table without processes only, and not on the old code, which has no such parameter.

Change: the store's last confirmation of the entries bounds the beginning of the drain, so the last use ends `leave_ms`, less a margin for the way, after that confirmation at the latest, and at once without one. An entry that is removed after a longer silence of the store may only have expired: its target stays the last resort for 1.5 s, as before.

--- a/crates/hawthorn-edge/src/process/catalog.rs
+++ b/crates/hawthorn-edge/src/process/catalog.rs
@@ -46,6 +46,7 @@
         quota::reset_slots(host);
         quarantine::rewrite_lost(host);
     }
+    host.routing.registry.borrow_mut().set_confirmed_at(host.confirmed_at());
     changed.iter().for_each(|item| apply_item(host, item, as_of.era));
     host.catalog_read.set(true);
     !changed.is_empty()
@@ -60,6 +61,7 @@
         host.restored.set(None);
         let deleted = host.mirror.borrow_mut().expire_unconfirmed();
         let era = host.mirror.borrow().as_of().era;
+        host.routing.registry.borrow_mut().set_confirmed_at(host.confirmed_at());
         deleted.iter().for_each(|item| apply_item(host, item, era));
     }
 }
--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -139,6 +139,7 @@
             registry: RefCell::new(TargetRegistry::new(
                 settings.policy.targets,
                 &settings.host.zone,
+                settings.targets.drain_time,
             )),
             cold_wanted: Notify::new(),
             settings,
--- a/crates/hawthorn-route/benches/query.rs
+++ b/crates/hawthorn-route/benches/query.rs
@@ -28,7 +28,8 @@
 
 /// Shards with one target in each of three zones.
 fn shards(count: usize) -> (TargetRegistry, GatherRule) {
-    let mut registry = TargetRegistry::new(registry::Options::default(), "east");
+    let mut registry =
+        TargetRegistry::new(registry::Options::default(), "east", support::DRAIN_TIME);
     for shard in 0..count {
         for zone in ZONES {
             let entry = support::entry(&format!("t{shard}-{zone}"), &format!("s{shard}"), zone);
--- a/crates/hawthorn-route/src/registry.rs
+++ b/crates/hawthorn-route/src/registry.rs
@@ -77,10 +77,17 @@
     Cold,
 }
 
+/// Time between the decision to send a request and its arrival at the target.
+const SEND_MARGIN: Duration = Duration::from_millis(300);
+
 /// All targets, indexed by key, id and service.
 #[derive(Debug, Default)]
 pub struct TargetRegistry {
     options: Options,
+    /// How long a draining target continues to serve.
+    drain_time: Duration,
+    /// The time as of which the known entries were last confirmed.
+    confirmed_at: Option<Duration>,
     targets: SlotMap<TargetKey, TargetState>,
     by_id: HashMap<Rc<str>, TargetKey>,
     by_service: HashMap<Rc<str>, TargetKeys>,
@@ -91,9 +98,42 @@
 }
 
 impl TargetRegistry {
-    /// Creates the empty registry of a host in `zone`.
-    pub fn new(options: Options, zone: &str) -> Self {
-        Self { options, zone: zone.to_owned(), ..Self::default() }
+    /// Creates the empty registry of a host in `zone`; draining targets continue to serve for
+    /// `drain_time`.
+    pub fn new(options: Options, zone: &str, drain_time: Duration) -> Self {
+        Self { options, zone: zone.to_owned(), drain_time, ..Self::default() }
+    }
+
+    /// Sets the time as of which the known entries were confirmed, before an update is applied:
+    /// its changes were made later.
+    pub fn set_confirmed_at(&mut self, confirmed_at: Option<Duration>) {
+        self.confirmed_at = confirmed_at;
+    }
+
+    /// Until when a target may receive requests that is learnt at `now` to be draining.
+    ///
+    /// Handles late updates: the target may have been draining since the entries were last
+    /// confirmed, or for any time if they never were.
+    fn draining_until(&self, now: Duration) -> Duration {
+        (now + self.options.last_use).min(self.served_until().unwrap_or(now))
+    }
+
+    /// Until when a target may receive requests whose entry is learnt at `now` to be removed.
+    fn removed_until(&self, now: Duration) -> Duration {
+        let until = now + self.options.last_use;
+        match self.served_until() {
+            Some(served_until) if served_until > now => until.min(served_until),
+            // The store was out of reach for as long as entries take to expire: the target may be
+            // healthy, and its entry return.
+            _ => until,
+        }
+    }
+
+    /// Until when a target serves that has been draining since the entries were last confirmed;
+    /// `None` if they never were.
+    fn served_until(&self) -> Option<Duration> {
+        let served = self.drain_time.saturating_sub(SEND_MARGIN);
+        Some(self.confirmed_at?.saturating_add(served))
     }
 
     /// The targets of a service, in any phase.
@@ -127,6 +167,7 @@
         revision: StoreRevision,
         now: Duration,
     ) -> TargetChange {
+        let draining_until = self.draining_until(now);
         if let Some(key) = self.by_id.get(&entry.id).copied() {
             let state = &mut self.targets[key];
             if revision < state.revision {
@@ -136,7 +177,7 @@
                 && state.entry.service == entry.service
                 && (state.entry.born == entry.born || entry.born.is_none());
             if same {
-                return Self::update(state, entry, revision, now, self.options);
+                return Self::update(state, entry, revision, now, draining_until);
             }
             self.drop_target(key);
         }
@@ -145,7 +186,7 @@
         let service = Rc::clone(&entry.service);
         let mut state = TargetState::new(entry, revision, now);
         if draining {
-            state.phase = TargetPhase::Leaving { until: now + self.options.last_use };
+            state.phase = TargetPhase::Leaving { until: draining_until };
         }
         let key = self.targets.insert(state);
         self.by_id.insert(id, key);
@@ -158,7 +199,7 @@
         mut entry: TargetEntry,
         revision: StoreRevision,
         now: Duration,
-        options: Options,
+        draining_until: Duration,
     ) -> TargetChange {
         // A restored store may hold the entry from before the target began to drain.
         entry.draining |= state.entry.draining && revision.era > state.revision.era;
@@ -173,7 +214,7 @@
         match (previous_phase, draining) {
             (TargetPhase::Ready, false) => TargetChange::None,
             (TargetPhase::Ready, true) => {
-                state.phase = TargetPhase::Leaving { until: now + options.last_use };
+                state.phase = TargetPhase::Leaving { until: draining_until };
                 TargetChange::Draining
             }
             (_, true) => TargetChange::None,
@@ -186,6 +227,7 @@
 
     /// Removes an entry, as of `revision`.
     pub fn remove(&mut self, id: &str, revision: StoreRevision, now: Duration) -> TargetChange {
+        let removed_until = self.removed_until(now);
         let Some(key) = self.by_id.get(id).copied() else {
             return TargetChange::None;
         };
@@ -196,7 +238,7 @@
         state.revision = revision;
         match state.phase {
             TargetPhase::Ready => {
-                state.phase = TargetPhase::Leaving { until: now + self.options.last_use };
+                state.phase = TargetPhase::Leaving { until: removed_until };
                 TargetChange::Removed
             }
             // It receives no requests any more; `sweep` removes it later.
--- a/crates/hawthorn-route/tests/cold.rs
+++ b/crates/hawthorn-route/tests/cold.rs
@@ -40,7 +40,8 @@
 
 /// Targets of service `s`, given their zones and whether each is cold for three seconds.
 fn registry(targets: &[(&str, bool)], rate: Option<f64>) -> TargetRegistry {
-    let mut registry = TargetRegistry::new(registry::Options::default(), "east");
+    let mut registry =
+        TargetRegistry::new(registry::Options::default(), "east", support::DRAIN_TIME);
     for (number, (zone, cold)) in targets.iter().enumerate() {
         let mut entry = support::entry(&format!("t{number}"), "s", zone);
         entry.cold = if *cold { ms(3000) } else { Duration::ZERO };
--- a/crates/hawthorn-route/tests/completion.rs
+++ b/crates/hawthorn-route/tests/completion.rs
@@ -39,7 +39,8 @@
 
 /// A service with a target in each of `zones`.
 fn service(zones: &[&str]) -> TargetRegistry {
-    let mut registry = TargetRegistry::new(registry::Options::default(), "east");
+    let mut registry =
+        TargetRegistry::new(registry::Options::default(), "east", support::DRAIN_TIME);
     for (index, zone) in zones.iter().enumerate() {
         let entry = support::entry(&format!("t{index}"), "s", zone);
         registry.put(entry, support::revision(1), Duration::ZERO);
--- a/crates/hawthorn-route/tests/evacuation.rs
+++ b/crates/hawthorn-route/tests/evacuation.rs
@@ -21,7 +21,8 @@
 const ZONES: [&str; 3] = ["east", "west", "south"];
 
 fn registry(shards: usize) -> TargetRegistry {
-    let mut registry = TargetRegistry::new(registry::Options::default(), "east");
+    let mut registry =
+        TargetRegistry::new(registry::Options::default(), "east", support::DRAIN_TIME);
     for shard in 0..shards {
         for zone in ZONES {
             let id = format!("t{shard}-{zone}");
--- a/crates/hawthorn-route/tests/goodput/fleet.rs
+++ b/crates/hawthorn-route/tests/goodput/fleet.rs
@@ -249,7 +249,8 @@
         let shard_names: Vec<String> =
             (0..scenario.shards).map(|shard| format!("s{shard}")).collect();
         let host = || {
-            let mut registry = TargetRegistry::new(scenario.policy.targets, "east");
+            let mut registry =
+                TargetRegistry::new(scenario.policy.targets, "east", support::DRAIN_TIME);
             let mut target_indexes = HashMap::new();
             for (shard, name) in shard_names.iter().enumerate() {
                 for replica in 0..if shard < scenario.halved { 1 } else { 2 } {
--- a/crates/hawthorn-route/tests/regather.rs
+++ b/crates/hawthorn-route/tests/regather.rs
@@ -55,7 +55,8 @@
         },
     ];
     for Case { name, shards, unreachable, zones } in cases {
-        let mut registry = TargetRegistry::new(registry::Options::default(), "east");
+        let mut registry =
+            TargetRegistry::new(registry::Options::default(), "east", support::DRAIN_TIME);
         for (shard, in_zones) in shards.iter().enumerate() {
             for (index, zone) in in_zones.iter().enumerate() {
                 let id = format!("t{shard}-{index}");
--- a/crates/hawthorn-route/tests/scatter.rs
+++ b/crates/hawthorn-route/tests/scatter.rs
@@ -23,7 +23,8 @@
 
 /// Targets of shards `s0`, `s1`, ..., given the zones of each shard's targets.
 fn registry(shards: &[&[&str]]) -> TargetRegistry {
-    let mut registry = TargetRegistry::new(registry::Options::default(), "east");
+    let mut registry =
+        TargetRegistry::new(registry::Options::default(), "east", support::DRAIN_TIME);
     for (shard, zones) in shards.iter().enumerate() {
         for (index, zone) in zones.iter().enumerate() {
             let entry = support::entry(&format!("t{shard}-{index}"), &format!("s{shard}"), zone);
--- a/crates/hawthorn-route/tests/skip.rs
+++ b/crates/hawthorn-route/tests/skip.rs
@@ -19,7 +19,8 @@
 /// Targets of shards `s0`, `s1`, ..., given the queue lengths that each shard's targets reported at
 /// `reported`.
 fn registry(waiting: &[&[u32]], reported: Duration) -> TargetRegistry {
-    let mut registry = TargetRegistry::new(registry::Options::default(), "east");
+    let mut registry =
+        TargetRegistry::new(registry::Options::default(), "east", support::DRAIN_TIME);
     for (shard, targets) in waiting.iter().enumerate() {
         for (index, waiting) in targets.iter().enumerate() {
             let entry = support::entry(&format!("t{shard}-{index}"), &format!("s{shard}"), "east");
--- a/crates/hawthorn-route/tests/support/mod.rs
+++ b/crates/hawthorn-route/tests/support/mod.rs
@@ -10,6 +10,9 @@
 use hawthorn_route::registry::TargetRegistry;
 use hawthorn_route::revision::StoreRevision;
 
+/// How long a draining target continues to serve.
+pub const DRAIN_TIME: Duration = Duration::from_secs(3);
+
 static NO_REGIONS: LazyLock<RegionMap> = LazyLock::new(RegionMap::default);
 
 /// A revision of the store's first era.
--- a/crates/hawthorn-route/tests/targets.rs
+++ b/crates/hawthorn-route/tests/targets.rs
@@ -30,7 +30,7 @@
 }
 
 fn score(state: &TargetState, now: Duration) -> Option<f64> {
-    let registry = TargetRegistry::new(registry::Options::default(), "east");
+    let registry = TargetRegistry::new(registry::Options::default(), "east", support::DRAIN_TIME);
     let target_latency = Duration::from_millis(120);
     let view = support::view(&registry, SERVICE_TIME, target_latency, now);
     placement::score(view, state, &placement::Options::default())
@@ -111,6 +111,48 @@
     assert!(score(&state, ms(1)).is_none());
 }
 
+/// Guards against requests to a target that has drained: the update that it drains may arrive
+/// seconds after its report, and a host that has just started does not know since when it does.
+#[test]
+fn a_late_update_shortens_the_last_use_of_a_target() {
+    struct Case {
+        name: &'static str,
+        confirmed: Option<Duration>,
+        removed: bool,
+        /// The last use after the update at 10 s.
+        until: Duration,
+    }
+    let cases = [
+        Case { name: "prompt", confirmed: Some(ms(9500)), removed: false, until: ms(11_500) },
+        Case { name: "late", confirmed: Some(ms(8200)), removed: false, until: ms(10_900) },
+        Case { name: "too late", confirmed: Some(ms(6000)), removed: false, until: ms(8700) },
+        Case { name: "never confirmed", confirmed: None, removed: false, until: ms(10_000) },
+        Case { name: "removed", confirmed: Some(ms(9500)), removed: true, until: ms(11_500) },
+        Case { name: "removed, late", confirmed: Some(ms(8200)), removed: true, until: ms(10_900) },
+        // An entry that expired while the store was out of reach.
+        Case { name: "expired", confirmed: Some(ms(6000)), removed: true, until: ms(11_500) },
+    ];
+    let now = ms(10_000);
+    for case in cases {
+        let mut registry =
+            TargetRegistry::new(registry::Options::default(), "east", support::DRAIN_TIME);
+        registry.put(entry("a", "east"), support::revision(5), ms(0));
+        registry.set_confirmed_at(case.confirmed);
+        if case.removed {
+            registry.remove("a", support::revision(6), now);
+        } else {
+            let draining = TargetEntry { draining: true, ..entry("a", "east") };
+            registry.put(draining, support::revision(6), now);
+        }
+        let key = registry.of_service("s")[0];
+        let phase = registry.get(key).expect("it is known").phase;
+        assert_eq!(phase, TargetPhase::Leaving { until: case.until }, "{}", case.name);
+        let before = case.until.saturating_sub(ms(1)).max(now);
+        assert_eq!(registry.permit(key, before).is_ok(), before < case.until, "{}", case.name);
+        assert!(registry.permit(key, case.until).is_err(), "{}", case.name);
+    }
+}
+
 #[test]
 fn changes_of_a_target_are_applied_by_revision() {
     struct Case {
@@ -178,7 +220,8 @@
         },
     ];
     for case in cases {
-        let mut registry = TargetRegistry::new(registry::Options::default(), "east");
+        let mut registry =
+            TargetRegistry::new(registry::Options::default(), "east", support::DRAIN_TIME);
         registry.put(with(|_| {}), support::revision(5), ms(0));
         assert_eq!((case.apply)(&mut registry), case.change, "{}", case.name);
         let ready = registry.of_service("s").iter().filter_map(|key| registry.get(*key));
@@ -192,7 +235,8 @@
 #[test]
 fn a_draining_target_is_not_ready_again_after_a_restore() {
     let draining = || TargetEntry { draining: true, ..entry("a", "east") };
-    let mut registry = TargetRegistry::new(registry::Options::default(), "east");
+    let mut registry =
+        TargetRegistry::new(registry::Options::default(), "east", support::DRAIN_TIME);
     registry.put(entry("a", "east"), support::revision(5), ms(0));
     registry.put(draining(), support::revision(9), ms(10));
     let era_1 = |number| StoreRevision::new(1, number);
@@ -209,7 +253,8 @@
 /// when its entry returns two seconds later.
 #[test]
 fn a_target_returns_after_its_entry_expired() {
-    let mut registry = TargetRegistry::new(registry::Options::default(), "east");
+    let mut registry =
+        TargetRegistry::new(registry::Options::default(), "east", support::DRAIN_TIME);
     registry.put(entry("a", "east"), support::revision(5), ms(0));
     registry.remove("a", support::revision(6), ms(1000));
     assert_eq!(
@@ -222,7 +267,8 @@
 /// misdirected. The old target accepts no requests, and is dropped once its entry is removed.
 #[test]
 fn a_target_whose_address_was_reassigned_is_dropped() {
-    let mut registry = TargetRegistry::new(registry::Options::default(), "east");
+    let mut registry =
+        TargetRegistry::new(registry::Options::default(), "east", support::DRAIN_TIME);
     registry.put(entry("a", "east"), support::revision(5), ms(0));
     let key = registry.of_service("s")[0];
     let state = registry.get_mut(key).expect("it was registered");
@@ -403,7 +449,8 @@
         },
     ];
     for case in cases {
-        let mut registry = TargetRegistry::new(registry::Options::default(), "east");
+        let mut registry =
+            TargetRegistry::new(registry::Options::default(), "east", support::DRAIN_TIME);
         for id in ["a", "b", "c"].iter().take(case.targets) {
             registry.put(entry(id, "east"), support::revision(1), ms(0));
         }
--- a/crates/hawthorn-route/tests/uneven/model.rs
+++ b/crates/hawthorn-route/tests/uneven/model.rs
@@ -312,7 +312,8 @@
 impl Host {
     fn new(index: usize, zoned: bool) -> Self {
         let zone = if zoned { ZONES[index % TARGETS] } else { "east" };
-        let mut registry = TargetRegistry::new(registry::Options::default(), zone);
+        let mut registry =
+            TargetRegistry::new(registry::Options::default(), zone, support::DRAIN_TIME);
         for (target, own_zone) in ZONES.iter().enumerate() {
             let zone = if zoned { own_zone } else { "east" };
             let entry = support::entry(&format!("t{target}"), "s", zone);
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -396,6 +396,21 @@
     Ok(())
 }
 
+/// Guards against requests to a target that has been draining for longer than it continues to serve:
+/// a host that has just started does not know since when it does.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_drains_before_the_start_receives_nothing() -> TestResult {
+    let store = RouteStore::start().await?;
+    let target = RouteTarget::start("t-1", "s").await?;
+    operator::configure(&store, 3, &[operator::single("/safe/", "s", "safe")], &["s"]);
+    operator::drain(&store, "t-1", &target, "east");
+    let host = RouteHost::start("h-1", "east", store.address(), &[])?;
+    host.wait_until_ready().await?;
+    assert_eq!(host.send("GET", "/safe/", "id-1", "").await?.status, 503);
+    assert_eq!(target.all_runs(), 0);
+    Ok(())
+}
+
 /// Guards against an unnoticed end of the task that reads the store, when the store compacts its
 /// history between two watches while a target is removed and a version is written.
 #[tokio::test(flavor = "multi_thread")]
