fix(pool): idle connections that a target has closed are released

Operators saw a host keep descriptors that it no longer used: after a peak of the load, connections that their targets had closed for idleness stayed half-closed until the host ended.

Cause: an idle connection is not driven, so its end is noticed when it is next acquired. The one used last is acquired first, so that the others are never acquired again once the load falls.

Ruled out: the callers' connections, which make up most of the descriptors and follow the callers.

Change: each host checks its idle connections every 5 s, with one read each, and closes those that have ended.

--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -71,6 +71,8 @@
 const BYTES_PER_MEGABIT: f64 = 125_000.0;
 /// Number of sweeps between two log lines on cross-zone traffic.
 const TRAFFIC_SWEEPS: u32 = 10;
+/// Number of sweeps between two checks of idle connections, each of which is one read.
+const CONNECTION_SWEEPS: u32 = 10;
 /// Interval at which a stopping process checks whether it is done.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -514,6 +516,9 @@
         if tick.is_multiple_of(TRAFFIC_SWEEPS) {
             log_traffic(&host.traffic);
         }
+        if tick.is_multiple_of(CONNECTION_SWEEPS) {
+            host.routing.sweep_connections();
+        }
         tick = tick.wrapping_add(1);
         sleep(SWEEP_PERIOD).await;
     }
--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -567,6 +567,11 @@
         });
     }
 
+    /// Closes idle connections that targets have closed.
+    pub(crate) fn sweep_connections(&self) {
+        self.pools.borrow().values().for_each(|pool| pool.sweep());
+    }
+
     /// Removes targets that have left, and their connection pools.
     pub fn sweep(&self, now: Duration) {
         self.sweep_budgets(now);
--- a/crates/hawthorn-pool/src/lib.rs
+++ b/crates/hawthorn-pool/src/lib.rs
@@ -123,9 +123,13 @@
 
 impl IdleSenders {
     fn count(&self) -> usize {
+        self.remove_closed();
+        self.0.lock().expect("no holder of the lock panics").len()
+    }
+
+    fn remove_closed(&self) {
         let mut idle = self.0.lock().expect("no holder of the lock panics");
         idle.retain_mut(|sender| !sender.is_closed());
-        idle.len()
     }
 
     fn put(&self, mut sender: DrivenSender) {
@@ -330,6 +334,14 @@
         self.idle.clear();
     }
 
+    /// Closes the idle connections that the target has closed.
+    ///
+    /// Those used last are used first, so that the others would stay half-closed after a peak of
+    /// the load, and keep their descriptors.
+    pub fn sweep(&self) {
+        self.idle.remove_closed();
+    }
+
     /// Waits for an idle connection or opens one within the limit.
     ///
     /// Handles a slow target, for whose few connections requests queue here. Build the
--- a/crates/hawthorn-pool/tests/connection.rs
+++ b/crates/hawthorn-pool/tests/connection.rs
@@ -1,6 +1,8 @@
 //! When requests are written, and which connections are reused.
 
 use std::io::ErrorKind;
+use std::io::Read;
+use std::net::Shutdown;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -15,6 +17,7 @@
 use hyper::Request;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 const OPTIONS: Options = Options {
@@ -87,6 +90,24 @@
     sent.abort();
 }
 
+/// Guards against descriptors that stay in use after a peak of the load: the connections that are
+/// idle since then are never acquired again, and stay half-closed when the target closes them.
+#[tokio::test]
+async fn idle_connections_closed_by_the_target_are_released() {
+    let (pool, ends) = pool().await;
+    for end in &ends {
+        end.shutdown(Shutdown::Write).expect("the connection is open");
+    }
+    // The runtime learns of it when it next waits.
+    sleep(Duration::from_millis(1)).await;
+    pool.sweep();
+    for mut end in ends {
+        end.set_read_timeout(Some(TIMEOUT)).expect("the time is not zero");
+        let read = end.read(&mut [0; 1]).expect("the connection ends in time");
+        assert_eq!(read, 0, "the pool closes its end");
+    }
+}
+
 /// A pool of connections to a target that answers every request with a body of this size, and
 /// the number of connections that the target has accepted.
 async fn answered_pool(body_bytes: usize) -> (TargetPool, Arc<AtomicUsize>) {
