fix(soak): faults that replace several targets cannot wait for each other

Two crashes that overlap reserved the addresses of their targets in different orders, and could wait for each other, so that the run would not end. They reserve in one order now. The same commit brings the imports of the new crate into the house style.

--- a/crates/hawthorn-soak/src/callers.rs
+++ b/crates/hawthorn-soak/src/callers.rs
@@ -1,5 +1,6 @@
 //! Callers: their requests, connections and retries.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -61,7 +62,7 @@
 /// Share of the callers that send two requests at once.
 const PIPELINED_SHARE: f64 = 0.03;
 /// Shortest and longest time that callers wait, in milliseconds.
-const WAIT_MS: std::ops::Range<u64> = 700..2500;
+const WAIT_MS: Range<u64> = 700..2500;
 /// Number of retries of a request.
 const MAX_RETRIES: usize = 2;
 /// Time for which callers keep a connection that they do not use.
--- a/crates/hawthorn-soak/src/check/mod.rs
+++ b/crates/hawthorn-soak/src/check/mod.rs
@@ -23,6 +23,7 @@
 use crate::catalog::RouteKind;
 use crate::history::HostKey;
 use crate::history::RequestKey;
+use crate::history::SentRequest;
 use crate::history::SoakHistory;
 use crate::history::TargetArrival;
 use crate::plan::SoakPlan;
@@ -169,7 +170,7 @@
     }
 
     /// All requests with their keys.
-    fn requests(&self) -> impl Iterator<Item = (RequestKey, &'a crate::history::SentRequest)> {
+    fn requests(&self) -> impl Iterator<Item = (RequestKey, &'a SentRequest)> {
         let requests = self.history.requests.iter().enumerate();
         requests.map(|(number, request)| (RequestKey(number as u32), request))
     }
--- a/crates/hawthorn-soak/src/faults.rs
+++ b/crates/hawthorn-soak/src/faults.rs
@@ -143,7 +143,11 @@
         // A stride without a common divisor selects targets of all services and zones.
         let stride = if slots.len().is_multiple_of(7) { 11 } else { 7 };
         let first = self.fault.subject as usize;
-        (0..number).map(|step| &slots[(first + step * stride) % slots.len()]).collect()
+        let mut indices: Vec<usize> =
+            (0..number).map(|step| (first + step * stride) % slots.len()).collect();
+        // Faults that reserve several slots do so in one order, and never wait for each other.
+        indices.sort_unstable();
+        indices.into_iter().map(|index| &slots[index]).collect()
     }
 
     fn slot(&self) -> &'a TargetSlot {
@@ -266,8 +270,7 @@
         let _reserved = slot.reserve().await;
         self.fleet.drain(slot).await;
         sleep(DRAIN_TIME + DRAIN_REST).await;
-        self.replace(slot).await?;
-        Ok(())
+        self.replace(slot).await
     }
 
     async fn remove(&self) -> Result<(), fleet::Error> {
@@ -277,8 +280,7 @@
             self.fleet.remove_entry(slot, key).await;
         }
         sleep(DRAIN_TIME + DRAIN_REST).await;
-        self.replace(slot).await?;
-        Ok(())
+        self.replace(slot).await
     }
 
     /// Ends the target of a slot, and starts another one of its service there.
--- a/crates/hawthorn-soak/src/run.rs
+++ b/crates/hawthorn-soak/src/run.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use crate::balancer::FrontBalancer;
@@ -99,13 +100,14 @@
     restarts_end.cancel();
     let stopping = join_all(fleet.hosts.iter().map(|host| host.stop()));
     // A host that is still there has been killed by its grace period.
-    let _stopped = tokio::time::timeout(STOP_TIMEOUT, stopping).await;
+    let _stopped = timeout(STOP_TIMEOUT, stopping).await;
     sleep(LAST_RUNS).await;
     let history = fleet.recorder.take();
     let violations = check::check(&history, &plan);
     Ok(RunOutcome { history, violations })
 }
 
+/// Lets callers send their load, and applies the faults in their time.
 async fn load_and_disturb(
     plan: &Arc<SoakPlan>,
     fleet: &SharedFleet,
