fix(soak): duplicated rejections, second bursts and idle connections are part of the traffic

The traffic was too tame: hardly a target rejected anything while it answered twice, a second burst of a quota was within the tolerance of the check, and no caller came back to a stopping host on a connection that it had not used meanwhile.

Change: `target-duplicate` also rejects; bursts are five times the rate; a route with few connections has a time-out beyond the grace period; three in ten requests on a kept connection use the one that was idle longest.

--- a/crates/hawthorn-soak/src/callers.rs
+++ b/crates/hawthorn-soak/src/callers.rs
@@ -63,10 +63,14 @@
 const PIPELINED_SHARE: f64 = 0.03;
 /// Shortest and longest time that callers wait, in milliseconds.
 const WAIT_MS: Range<u64> = 700..2500;
+/// How much longer callers wait on a route whose requests may wait long for a connection.
+const CAPPED_PATIENCE: u32 = 3;
+/// Share of the requests on a kept connection that use the one that was idle longest.
+const OLDEST_SHARE: f64 = 0.3;
 /// Number of retries of a request.
 const MAX_RETRIES: usize = 2;
 /// Time for which callers keep a connection that they do not use.
-const MAX_IDLE: Duration = Duration::from_secs(4);
+const MAX_IDLE: Duration = Duration::from_secs(6);
 /// Interval at which callers without requests close idle connections.
 const PAUSE_PERIOD: Duration = Duration::from_millis(100);
 /// Number of connections that the callers of a zone keep without using them.
@@ -216,7 +220,8 @@
             true => (current + KEYS - 1) % KEYS,
             false => current,
         };
-        let wait = Duration::from_millis(rng.random_range(WAIT_MS));
+        let patience = if route == RouteKind::Capped { CAPPED_PATIENCE } else { 1 };
+        let wait = Duration::from_millis(rng.random_range(WAIT_MS)) * patience;
         let leaves = rng.random_bool(LEAVING_SHARE);
         let slow = rng.random_bool(SLOW_SHARE);
         CallerRequest {
@@ -231,7 +236,7 @@
     /// A connection that was used before, or a new one.
     async fn connection(&self, zone: usize, rng: &mut ChaCha8Rng) -> Option<CallerConnection> {
         if rng.random_bool(KEPT_SHARE) {
-            while let Some(mut connection) = self.take_kept(zone) {
+            while let Some(mut connection) = self.take_kept(zone, rng) {
                 match connection.is_quiet() {
                     Ok(true) => return Some(connection),
                     Ok(false) => {}
@@ -242,10 +247,14 @@
         self.balancer.connect(zone, rng).await
     }
 
-    /// The connection that was used last, so that others are closed once the load falls.
-    fn take_kept(&self, zone: usize) -> Option<CallerConnection> {
+    /// The connection that was used last, or the one that was idle longest, whose host may have begun
+    /// to stop since then.
+    fn take_kept(&self, zone: usize, rng: &mut ChaCha8Rng) -> Option<CallerConnection> {
         self.close_idle(zone);
         let mut kept = self.kept[zone].lock().expect("no holder of the lock panics");
+        if !kept.is_empty() && rng.random_bool(OLDEST_SHARE) {
+            return Some(kept.remove(0).connection);
+        }
         Some(kept.pop()?.connection)
     }
 
--- a/crates/hawthorn-soak/src/catalog.rs
+++ b/crates/hawthorn-soak/src/catalog.rs
@@ -1,6 +1,7 @@
 //! Versions of the configuration, and what each allows.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use hawthorn_standin::route::operator;
 use serde::Deserialize;
@@ -20,14 +21,19 @@
 pub const MIN_SHARD_SHARE: f64 = 0.75;
 /// Maximum number of targets that a request may run on, for each shard of a gathered one.
 pub const MAX_ATTEMPTS: usize = 2;
-/// Longest time that the operator wants a request kept waiting, in milliseconds.
-pub const ROUTE_TIMEOUT_MS: u64 = 1500;
+/// Longest time that the operator wants a request kept waiting.
+const ROUTE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// That time on a route whose requests may wait long for one of few connections.
+const CAPPED_TIMEOUT: Duration = Duration::from_secs(8);
 /// Least number of connections that a target accepts.
 pub const MIN_CONNECTIONS: usize = 16;
 /// Number of connections that a target of the capped service accepts.
 const CAPPED_CONNECTIONS: usize = 4;
 /// Number of customers.
 pub const CUSTOMERS: usize = 4;
+/// Burst of a quota relative to its rate: more than a window's tolerance, so that a burst that is
+/// granted twice shows.
+pub const BURST_RATIO: f64 = 5.0;
 /// Number of keys that a customer ever holds; a version holds one of them.
 pub const KEYS: usize = 4;
 
@@ -90,6 +96,11 @@
         request.attempt_id().repeat(1 + request.0 as usize % 20)
     }
 
+    /// Longest time that the operator wants its requests kept waiting.
+    pub fn timeout(self) -> Duration {
+        if self == Self::Capped { CAPPED_TIMEOUT } else { ROUTE_TIMEOUT }
+    }
+
     /// Whether its requests may run more than once.
     pub fn is_idempotent(self) -> bool {
         matches!(self, Self::Open | Self::CappedSafe | Self::Gathered)
@@ -162,7 +173,8 @@
             RouteKind::Gathered => SHARDS.map(str::to_owned).to_vec(),
         };
         let customer = |number: usize| {
-            let quota = (number == 0).then_some(QuotaLimit { rate: 30.0, burst: 15.0 });
+            let limit = QuotaLimit { rate: 20.0, burst: 20.0 * BURST_RATIO };
+            let quota = (number == 0).then_some(limit);
             (number, SoakCustomer { key: 0, quota })
         };
         Self {
@@ -252,7 +264,7 @@
             }
             _ => operator::single(&kind.prefix(), names[0], class),
         };
-        route["timeoutMs"] = json!(ROUTE_TIMEOUT_MS);
+        route["timeoutMs"] = json!(kind.timeout().as_millis() as u64);
         route["maxAttempts"] = json!(MAX_ATTEMPTS);
         if !kind.needs_key() {
             route = operator::exempt(route);
--- a/crates/hawthorn-soak/src/check/stops.rs
+++ b/crates/hawthorn-soak/src/check/stops.rs
@@ -6,7 +6,6 @@
 use super::Promise;
 use super::STABILITY;
 use super::Violation;
-use crate::catalog::ROUTE_TIMEOUT_MS;
 use crate::history::EndKind;
 use crate::history::HostEventKind;
 use crate::history::HostKey;
@@ -29,7 +28,7 @@
         if end.kind != EndKind::Closed {
             continue;
         }
-        let time_left = request.time_left.min(Duration::from_millis(ROUTE_TIMEOUT_MS));
+        let time_left = request.time_left.min(request.route.timeout());
         let arrivals = view.arrivals(key);
         let was_sound = arrivals
             .iter()
--- a/crates/hawthorn-soak/src/faults.rs
+++ b/crates/hawthorn-soak/src/faults.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::catalog::BURST_RATIO;
 use crate::catalog::CUSTOMERS;
 use crate::catalog::KEYS;
 use crate::catalog::QuotaLimit;
@@ -333,7 +334,10 @@
                 FaultKind::TargetSlow => doses.slow = share,
                 FaultKind::TargetTruncate => doses.truncate = share,
                 FaultKind::TargetGarble => doses.garble = share,
-                FaultKind::TargetDuplicate => doses.duplicate = share,
+                FaultKind::TargetDuplicate => {
+                    // A copy of a rejection is told from the answer that it precedes by its id only.
+                    (doses.duplicate, doses.reject) = (share, share / 2.0);
+                }
                 FaultKind::TargetNoId => doses.no_id = share,
                 FaultKind::TargetOtherId => doses.other_id = share,
                 FaultKind::TargetSilent => doses.silent = share,
@@ -457,9 +461,9 @@
 
 fn change_quota(version: &mut SoakVersion, fault: &PlannedFault) {
     let number = fault.subject as usize % CUSTOMERS;
-    let rate = (10.0 + fault.dose * 60.0).round();
+    let rate = (10.0 + fault.dose * 30.0).round();
     if let Some(customer) = version.customers.get_mut(&number) {
-        customer.quota = Some(QuotaLimit { rate, burst: (rate / 2.0).round() });
+        customer.quota = Some(QuotaLimit { rate, burst: rate * BURST_RATIO });
     }
 }
 
