feat(edge): log lines and a counter for what updates of the configuration cost

Now E614 has the bytes of a read and is written above debug from 64 KiB on, E645 the same for an update of a peer with its times, E646 what a gatherer had sent for a query that its sender withdrew, and hawthorn_route_store_bytes_total counts the bodies by kind of call.

--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -87,6 +87,10 @@
     /// The peer that provides the store's items has no link capacity for an update, and this host
     /// reads the store itself.
     UpdateDeferred = 644,
+    /// A peer's update of the store's items arrived.
+    UpdateReceived = 645,
+    /// A peer stopped waiting for the shards that this host gathers for it.
+    QueryWithdrawn = 646,
     /// The customers of a version came into force.
     CustomersInForce = 650,
     /// A part of a version's customers was not applied as written.
--- a/crates/hawthorn-edge/src/process/metrics.rs
+++ b/crates/hawthorn-edge/src/process/metrics.rs
@@ -111,6 +111,15 @@
     /// Exports the client's calls to the store, by kind and outcome. The store bills each call.
     pub fn observe_store_calls(&self, client: StoreClient) {
         let meter = self.exporter.meter();
+        let bytes_client = client.clone();
+        let bytes = meter.u64_observable_counter("hawthorn_route_store_bytes");
+        let bytes = bytes.with_callback(move |observer| {
+            for (kind, count) in bytes_client.counts().bytes() {
+                observer.observe(count, &[KeyValue::new("kind", <&'static str>::from(kind))]);
+            }
+        });
+        // The provider keeps the callbacks, so the instruments can be dropped.
+        let _instrument = bytes.build();
         let calls = meter.u64_observable_counter("hawthorn_route_store_calls");
         let calls = calls.with_callback(move |observer| {
             for (kind, outcome, count) in client.counts().iter() {
@@ -121,7 +130,6 @@
                 observer.observe(count, &labels);
             }
         });
-        // The provider keeps the callback, so the instrument can be dropped.
         let _instrument = calls.build();
     }
 
--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -78,6 +78,9 @@
 /// Interval at which a bulk message is retried while the link has no capacity for it.
 const BULK_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Size of an update from which on its arrival is logged above the debug level.
+const LARGE_UPDATE_BYTES: usize = 64 * 1024;
+
 /// The error of an answer that is not usable.
 const BAD_ANSWER: ReadError = ReadError::NoAnswer(UncertainCause::BadAnswer);
 
@@ -190,10 +193,11 @@
             let count = read.items.len();
             let update =
                 MirrorUpdate { items: read.items, as_of: read.as_of, complete, base: None };
+            let bytes = update.bytes();
             edge_event!(
-                Level::Debug,
+                update_level(bytes),
                 EdgeEvent::StoreNews,
-                "after={} as_of={} era={} items={count} whole={complete}",
+                "after={} as_of={} era={} items={count} bytes={bytes} whole={complete}",
                 after.number,
                 update.as_of.number,
                 update.as_of.era
@@ -266,7 +270,7 @@
     } else if update.as_of == StoreRevision::NONE {
         return PeerReply::Deferred;
     }
-    apply_from_peer(host, update, sent);
+    apply_from_peer(host, peer, update, sent);
     if wait.is_zero() && host.needs_refresh() {
         host.expect_confirmation(host_now() + REFRESH_PAUSE);
         sleep(REFRESH_PAUSE).await;
@@ -306,7 +310,7 @@
     let endpoint = host.peer_endpoint(peer, TrafficPurpose::Catalog);
     let sent = host_now();
     if let Ok(update) = host.links.catalog_update(&endpoint, after, Duration::ZERO).await {
-        apply_from_peer(host, update, sent);
+        apply_from_peer(host, peer, update, sent);
     }
 }
 
@@ -322,13 +326,14 @@
     peers.filter(|peer| !host.links.is_suspect(*peer)).collect()
 }
 
-/// Applies the reply to a request that was sent at `sent`.
-fn apply_from_peer(host: &RouteHost, update: CatalogUpdate, sent: Duration) {
+/// Applies the reply to a request that was sent to `peer` at `sent`.
+fn apply_from_peer(host: &RouteHost, peer: SocketAddr, update: CatalogUpdate, sent: Duration) {
     if update.as_of == StoreRevision::NONE || update.age_us == u64::MAX {
         return;
     }
     let micros = Duration::from_micros;
-    let age = PeerAge { age: micros(update.age_us), held: micros(update.held_us) };
+    let held_us = update.held_us;
+    let age = PeerAge { age: micros(update.age_us), held: micros(held_us) };
     if update.as_of >= host.mirror.borrow().as_of()
         && let Some(confirmed) = age.confirmed_at(sent)
     {
@@ -337,7 +342,29 @@
     let items = update.items.into_iter();
     let items = items.map(|(key, revision, value)| MirrorItem { key, revision, value }).collect();
     let CatalogUpdate { as_of, complete, base, .. } = update;
-    apply(host, MirrorUpdate { items, as_of, complete, base });
+    let update = MirrorUpdate { items, as_of, complete, base };
+    let bytes = update.bytes();
+    if bytes > 0 {
+        let held = micros(held_us);
+        let travelled = host_now().saturating_sub(sent).saturating_sub(held);
+        edge_event!(
+            update_level(bytes),
+            EdgeEvent::UpdateReceived,
+            "peer={peer} as_of={} era={} items={} bytes={bytes} held_ms={} travelled_ms={} \
+             whole={complete}",
+            as_of.number,
+            as_of.era,
+            update.items.len(),
+            held.as_millis(),
+            travelled.as_millis()
+        );
+    }
+    apply(host, update);
+}
+
+/// Level of the log line on an update with this many bytes.
+fn update_level(bytes: usize) -> Level {
+    if bytes >= LARGE_UPDATE_BYTES { Level::Info } else { Level::Debug }
 }
 
 fn apply(host: &RouteHost, update: MirrorUpdate) -> bool {
@@ -375,7 +402,7 @@
             update.as_of.number,
             update.as_of.era
         );
-        apply_from_peer(&host, update, sent);
+        apply_from_peer(&host, peer, update, sent);
     }
     host.catching_up.set(false);
 }
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -448,6 +448,7 @@
         yield_now().await;
     }
     if reply.is_closed() {
+        log_withdrawn(message.attempt_id.as_deref(), message.shards.len(), arrived, 0, 0);
         return;
     }
     if let Err((refusal, reply)) = serve_gather(&host, message, arrived, reply).await {
@@ -456,6 +457,18 @@
     }
 }
 
+/// Logs that a peer no longer waits for its shards, for which this host made `sent` attempts that
+/// may run, `extra` of all its attempts beyond the first of a shard.
+fn log_withdrawn(request: Option<&str>, shards: usize, arrived: Duration, sent: usize, extra: u32) {
+    edge_event!(
+        Level::Info,
+        EdgeEvent::QueryWithdrawn,
+        "request={} shards={shards} after_ms={:.1} sent={sent} extra={extra}",
+        request.unwrap_or("-"),
+        host_now().saturating_sub(arrived).as_secs_f64() * 1000.0
+    );
+}
+
 /// The deadlines of a request that is processed at `now`; `None` if it has another format or
 /// its deadlines are impossible.
 fn local_deadlines(
@@ -574,9 +587,13 @@
         (usize::from(message.max_missing), usize::from(message.max_skipped));
     let peer_shards =
         PeerShards { shards: &message.shards, max_missing, max_skipped, soft_deadline };
-    if gather::gather_for_peer(host, &context, rule, &peer_shards, reply).await == PeerEnd::Replied
-    {
-        context.answered.cancel();
+    match gather::gather_for_peer(host, &context, rule, &peer_shards, reply).await {
+        PeerEnd::Replied => context.answered.cancel(),
+        PeerEnd::Left => {
+            let (sent, extra) = (context.sent.get(), context.exposure.borrow().extra());
+            let request = context.attempt_id.as_deref();
+            log_withdrawn(request, message.shards.len(), arrived, sent, extra);
+        }
     }
     drop(cancel_guard);
     context.request_log.borrow().write_missing(context.attempt_id.as_deref().unwrap_or("-"));
--- a/crates/hawthorn-store/src/client/call.rs
+++ b/crates/hawthorn-store/src/client/call.rs
@@ -203,7 +203,11 @@
             _ if status == StatusCode::SERVICE_UNAVAILABLE => {
                 CallReply::Uncertain(UncertainCause::Outage)
             }
-            Ok(body) => CallReply::Answered(status, headers, body.to_bytes()),
+            Ok(body) => {
+                let body = body.to_bytes();
+                self.counts.add_bytes(call.kind, body.len());
+                CallReply::Answered(status, headers, body)
+            }
             Err(_) => CallReply::Uncertain(UncertainCause::ConnectionLost),
         }
     }
--- a/crates/hawthorn-store/src/client/count.rs
+++ b/crates/hawthorn-store/src/client/count.rs
@@ -58,6 +58,8 @@
 /// Counters of a client, one for each kind and outcome.
 #[derive(Debug, Default)]
 pub struct CallCounts {
+    /// Bytes of answers by kind.
+    bytes: [AtomicU64; CallKind::COUNT],
     cells: [[AtomicU64; CallOutcome::COUNT]; CallKind::COUNT],
 }
 
@@ -76,6 +78,12 @@
             .filter(|(_, _, count)| *count > 0)
     }
 
+    /// Bytes of the bodies that the store returned, by kind; those that are not zero.
+    pub fn bytes(&self) -> impl Iterator<Item = (CallKind, u64)> {
+        let bytes = |kind: CallKind| self.bytes[kind as usize].load(Ordering::Relaxed);
+        CallKind::iter().map(move |kind| (kind, bytes(kind))).filter(|(_, bytes)| *bytes > 0)
+    }
+
     /// Number of exchanges of all kinds that were sent to the store.
     pub fn sent(&self) -> u64 {
         let sent = |outcome: &CallOutcome| {
@@ -84,6 +92,10 @@
         self.iter().filter(|(_, outcome, _)| sent(outcome)).map(|(_, _, count)| count).sum()
     }
 
+    pub(super) fn add_bytes(&self, kind: CallKind, bytes: usize) {
+        self.bytes[kind as usize].fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
     pub(super) fn add(&self, kind: CallKind, outcome: CallOutcome) {
         self.cells[kind as usize][outcome as usize].fetch_add(1, Ordering::Relaxed);
     }
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -159,6 +159,14 @@
         hosts[3].logged("parts-missing: request=id-2 shards=a:late") > 0
     };
     route::wait_for("the missing shard to be logged", partial).await?;
+    // A caller that leaves withdraws its query from the peer.
+    targets.iter().for_each(|target| target.fail_always(Some(TargetFault::NoAnswer)));
+    let mut caller = TcpStream::connect(hosts[0].caller()).await?;
+    caller.write_all(&route::request("GET", "/all/", "id-3", "")).await?;
+    let sent = async || targets.iter().any(|target| target.runs("id-3") > 0);
+    route::wait_for("the query to be sent", sent).await?;
+    drop(caller);
+    wait_for_line(&hosts[3], "query-withdrawn").await?;
     Ok(hosts.iter().flat_map(RouteHost::log_lines).collect())
 }
 
