feat(edge): a host may advertise another address to its peers

listen.peers_advertised, as the daemon of the own interface has it: for hosts behind an address translation, and for tests that put a link with faults between two hosts.

--- a/crates/hawthorn-edge/src/process/fleet.rs
+++ b/crates/hawthorn-edge/src/process/fleet.rs
@@ -64,7 +64,7 @@
     let place = MemberPlace {
         host: settings.host.name.clone(),
         zone: settings.host.zone.clone(),
-        peer: settings.listen.peers,
+        peer: settings.listen.peer_address(),
         capacity: (settings.host.core_share * settings.host.cores * 1000.0) as u32,
     };
     let options = member::Options {
--- a/crates/hawthorn-edge/src/process/quota.rs
+++ b/crates/hawthorn-edge/src/process/quota.rs
@@ -75,7 +75,7 @@
         let me = SlotRecord {
             host: settings.host.name.clone(),
             zone: settings.host.zone.clone(),
-            peer: settings.listen.peers,
+            peer: settings.listen.peer_address(),
             instance: rand::rng().random(),
             era: 0,
             changes: 0,
--- a/crates/hawthorn-edge/src/process/zone_reports.rs
+++ b/crates/hawthorn-edge/src/process/zone_reports.rs
@@ -118,7 +118,7 @@
     match subject {
         ReportSubject::Zone(zone) => host.routing.is_known_zone(zone),
         ReportSubject::Gatherer(address) => {
-            let is_own = *address == host.routing.settings.listen.peers;
+            let is_own = *address == host.routing.settings.listen.peer_address();
             !is_own && host.members.borrow().zone_of_peer(*address).is_some()
         }
     }
@@ -296,7 +296,7 @@
     }
     let message = postcard::to_allocvec(&message).expect("a message has only encodable parts");
     let payload = payload::wrap(PayloadKind::ZoneReports, message);
-    let receivers = schedule.receivers(zone_peers(host), routing.settings.listen.peers);
+    let receivers = schedule.receivers(zone_peers(host), routing.settings.listen.peer_address());
     let outgoing = receivers.into_iter().map(|peer| (peer, payload.clone()));
     state.outgoing.replace(outgoing.collect());
     state.send_due.notify_one();
--- a/crates/hawthorn-edge/src/request/quota.rs
+++ b/crates/hawthorn-edge/src/request/quota.rs
@@ -109,7 +109,7 @@
     let take_local = || host.quota.asker.borrow_mut().take_local(customer, host_now());
     let mut next: Option<Duration> = None;
     for holder in order {
-        let reply = if *holder == host.routing.settings.listen.peers {
+        let reply = if *holder == host.routing.settings.listen.peer_address() {
             let sent = host_now();
             let reply = quota::grant(host, customer, count);
             record(host, customer, *holder, reply, sent);
--- a/crates/hawthorn-edge/src/settings.rs
+++ b/crates/hawthorn-edge/src/settings.rs
@@ -117,10 +117,20 @@
     pub ready: SocketAddr,
     /// Address for other hosts of the fleet.
     pub peers: SocketAddr,
+    /// The address at which other hosts reach `peers`, if it differs.
+    #[serde(default)]
+    pub peers_advertised: Option<SocketAddr>,
     /// Address of the metrics page.
     pub metrics: SocketAddr,
 }
 
+impl ListenSettings {
+    /// The address at which other hosts of the fleet reach this one.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peers_advertised.unwrap_or(self.peers)
+    }
+}
+
 /// Settings that apply to all callers.
 #[serde_as]
 #[derive(Clone, Copy, Debug, Deserialize)]
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -65,6 +65,37 @@
     pub body: Vec<u8>,
 }
 
+/// Settings of a host that differ from the usual ones.
+#[derive(Clone, Debug)]
+pub struct HostOptions {
+    /// Port of the metrics endpoint.
+    pub metrics_port: u16,
+    /// Lines of the table `host`.
+    pub host: String,
+    /// The address at which other hosts reach it, if not its own.
+    pub advertised: Option<SocketAddr>,
+    /// Further tables.
+    pub tables: String,
+}
+
+impl Default for HostOptions {
+    fn default() -> Self {
+        Self {
+            metrics_port: METRICS_PORT,
+            host: String::new(),
+            advertised: None,
+            tables: String::new(),
+        }
+    }
+}
+
+impl HostOptions {
+    /// A host with this share of a core.
+    pub fn with_core_share(core_share: f64) -> Self {
+        Self { host: format!("core_share = {core_share}\n"), ..Self::default() }
+    }
+}
+
 /// A running `route` process; killed when dropped.
 pub struct RouteHost {
     ip: IpAddr,
@@ -85,7 +116,7 @@
         store: SocketAddr,
         seeds: &[&RouteHost],
     ) -> TestResult<Self> {
-        Self::start_with_metrics_port(name, zone, store, seeds, METRICS_PORT)
+        Self::start_with(name, zone, store, seeds, &HostOptions::default())
     }
 
     /// Starts a host with its metrics endpoint at this port.
@@ -96,7 +127,8 @@
         seeds: &[&RouteHost],
         metrics: u16,
     ) -> TestResult<Self> {
-        Self::start_with(name, zone, store, seeds, metrics, "", "")
+        let options = HostOptions { metrics_port: metrics, ..HostOptions::default() };
+        Self::start_with(name, zone, store, seeds, &options)
     }
 
     /// Starts a host whose link has this capacity, in Mbit/s.
@@ -107,8 +139,9 @@
         seeds: &[&RouteHost],
         link_mbps: f64,
     ) -> TestResult<Self> {
-        let link = format!("link_mbps = {link_mbps}\n");
-        Self::start_with(name, zone, store, seeds, METRICS_PORT, &link, "")
+        let options =
+            HostOptions { host: format!("link_mbps = {link_mbps}\n"), ..HostOptions::default() };
+        Self::start_with(name, zone, store, seeds, &options)
     }
 
     /// Starts a host on which revoked keys must be refused `within` a time.
@@ -120,7 +153,8 @@
         within: Duration,
     ) -> TestResult<Self> {
         let revocation = format!("[revocation]\nwithin_ms = {}\n", within.as_millis());
-        Self::start_with(name, zone, store, seeds, METRICS_PORT, "", &revocation)
+        let options = HostOptions { tables: revocation, ..HostOptions::default() };
+        Self::start_with(name, zone, store, seeds, &options)
     }
 
     /// Starts a host with this share of a core.
@@ -131,8 +165,8 @@
         seeds: &[&RouteHost],
         core_share: f64,
     ) -> TestResult<Self> {
-        let share = format!("core_share = {core_share}\n");
-        Self::start_with(name, zone, store, seeds, METRICS_PORT, &share, "")
+        let options = HostOptions::with_core_share(core_share);
+        Self::start_with(name, zone, store, seeds, &options)
     }
 
     /// Starts a host with the platform's usual settings of quotas.
@@ -142,8 +176,9 @@
         store: SocketAddr,
         seeds: &[&RouteHost],
     ) -> TestResult<Self> {
-        let quota = "[quota]\nwindow_s = 5\novershoot = 0.1\nslack = 20\n";
-        Self::start_with(name, zone, store, seeds, METRICS_PORT, "", quota)
+        let quota = "[quota]\nwindow_s = 5\novershoot = 0.1\nslack = 20\n".to_owned();
+        let options = HostOptions { tables: quota, ..HostOptions::default() };
+        Self::start_with(name, zone, store, seeds, &options)
     }
 
     /// Starts a host with these tables below `policy` in its settings.
@@ -154,26 +189,29 @@
         seeds: &[&RouteHost],
         policy: &str,
     ) -> TestResult<Self> {
-        Self::start_with(name, zone, store, seeds, METRICS_PORT, "", policy)
+        let options = HostOptions { tables: policy.to_owned(), ..HostOptions::default() };
+        Self::start_with(name, zone, store, seeds, &options)
     }
 
-    fn start_with(
+    /// Starts a host with these options.
+    pub fn start_with(
         name: &str,
         zone: &str,
         store: SocketAddr,
         seeds: &[&RouteHost],
-        metrics: u16,
-        host_settings: &str,
-        tables: &str,
+        options: &HostOptions,
     ) -> TestResult<Self> {
+        let HostOptions { metrics_port, host, advertised, tables } = options;
+        let advertised = advertised.map(|at| format!("peers_advertised = \"{at}\"\n"));
+        let advertised = advertised.unwrap_or_default();
         let ip = unique_loopback();
         let files = TempDir::new()?;
         let file = files.path().join("settings.toml");
         let seeds: Vec<String> = seeds.iter().map(|host| format!("\"{}:1\"", host.ip)).collect();
         let text = format!(
-            "[host]\nname = \"{name}\"\nzone = \"{zone}\"\n{host_settings}[listen]\n\
+            "[host]\nname = \"{name}\"\nzone = \"{zone}\"\n{host}[listen]\n\
              callers = \"{ip}:{CALLER_PORT}\"\nready = \"{ip}:{READY_PORT}\"\n\
-             peers = \"{ip}:{PEER_PORT}\"\nmetrics = \"{ip}:{metrics}\"\n\
+             peers = \"{ip}:{PEER_PORT}\"\n{advertised}metrics = \"{ip}:{metrics_port}\"\n\
              [zones]\neast = \"r-east\"\nwest = \"r-west\"\n\
              [fleet]\nseeds = [{}]\n[store]\naddress = \"{store}\"\n\
              [targets]\nbeat_ms = 1200\nleave_ms = 3000\n[stop]\ngrace_ms = 6000\n\
