fix(edge): a check of the store does not transfer the configuration

Cause: a host that watches the store confirms its data every 0.8 s by a cheap read, for which it read the configuration's key. The answer is the whole configuration, in base64: 1.2 MB at 4,251 routes, each 0.8 s, over a link that carries 1.4 MB in that time. From some 3,000 routes on the read did not fit into its 0.5 s, and no data was ever confirmed again.

An idle host received 6,122,172 bytes in 5 s in a_configuration_is_not_read_again_while_nothing_changes, which failed before; it passes.

Change: the read is of a prefix that no key has, as with strict revocation, in its cheap form. Its answer has the store's revision and nothing else, whatever the store holds.

--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -539,12 +539,9 @@
 
 /// The store's revision; may be seconds old if the read is not `linearizable`.
 async fn check(client: &StoreClient, linearizable: bool) -> Option<StoreRevision> {
-    let (kind, path) = if linearizable {
-        (CallKind::List, store::revision_path())
-    } else {
-        (CallKind::Get, store::serializable_path())
-    };
-    let read = client.read_path(kind, path, Duration::ZERO).await;
+    let mode = if linearizable { ReadMode::Linearizable } else { ReadMode::Serializable };
+    let path = store::revision_path(mode);
+    let read = client.read_path(CallKind::List, path, Duration::ZERO).await;
     match read {
         Ok(StoreAnswer { status: StatusCode::OK, headers, body }) => {
             store::as_of(&headers, &body).ok()
