fix(store): a read takes as long as its bytes arrive

Cause: a call to the store had 0.5 s, whatever its answer weighs. A configuration of 4,251 routes is 1.2 MB in base64; a link of 14 Mbit/s that carries requests too needs about a second for it. The read was cut and begun again from its first byte, and a host without peers never had a configuration. A watch was given up as lost if two checks saw a newer revision while its answer was still arriving.

What callers saw: hosts that keep an old version while their reads fail (CONFIG), and load on the store and the links from reads that never end.

Change: the deadline bounds a call until its body begins; after it a read goes on while bytes arrive (0.5 s without one ends it, 10 s in all, the size limit as before). Writes, leases and the calls of the own interface keep their one deadline, as their bodies are short. A watch whose bytes arrive does not count as lost.

--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -2,6 +2,7 @@
 //! that watches the store.
 
 use std::cmp::Ordering;
+use std::mem;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -496,6 +497,7 @@
     }
     let mut pending_watch = std::pin::pin!(wait_for_update(client, after));
     let mut missed_checks = 0;
+    let mut received = client.counts().bytes_of(CallKind::Watch);
     loop {
         host.expect_confirmation(access.next_check);
         tokio::select! {
@@ -528,7 +530,13 @@
                     host.confirm(as_of, host_now());
                 }
             }
-            Ordering::Equal => missed_checks += 1,
+            Ordering::Equal => {
+                // A long answer that is still arriving is not lost.
+                let before = mem::replace(&mut received, client.counts().bytes_of(CallKind::Watch));
+                if received == before {
+                    missed_checks += 1;
+                }
+            }
             Ordering::Less => {}
         }
         if missed_checks >= MAX_MISSED_CHECKS {
--- a/crates/hawthorn-store/src/client/call.rs
+++ b/crates/hawthorn-store/src/client/call.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::HeaderMap;
 use http::Method;
 use http::Request;
@@ -14,6 +15,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -51,6 +53,8 @@
     path: String,
     body: Bytes,
     server_wait: Duration,
+    /// Whether the body of the answer may have any size.
+    long_body: bool,
 }
 
 impl StoreCall {
@@ -59,13 +63,25 @@
     }
 
     pub(super) fn with_body(kind: CallKind, method: Method, path: String, body: Vec<u8>) -> Self {
-        Self { kind, method, path, body: body.into(), server_wait: Duration::ZERO }
+        Self {
+            kind,
+            method,
+            path,
+            body: body.into(),
+            server_wait: Duration::ZERO,
+            long_body: false,
+        }
     }
 
     /// Sets how long the store may wait before it answers, which extends the deadline.
     pub(super) fn with_server_wait(self, server_wait: Duration) -> Self {
         Self { server_wait, ..self }
     }
+
+    /// Lets the body of the answer arrive after the deadline.
+    pub(super) fn with_long_body(self) -> Self {
+        Self { long_body: true, ..self }
+    }
 }
 
 /// Result of a call, before it is interpreted for its kind.
@@ -168,17 +184,14 @@
             self.counts.add(call.kind, CallOutcome::QueueFull);
             return CallReply::NotRun(NotRunCause::QueueFull);
         }
-        let reply = match timeout_at(deadline, self.send(call)).await {
-            Ok(reply) => reply,
-            Err(_) => CallReply::Uncertain(UncertainCause::Timeout),
-        };
+        let reply = self.send(call, deadline).await;
         self.counts.add(call.kind, outcome_of(&reply));
         reply
     }
 
     /// Sends the request once. Only a failure to connect guarantees that the store did not
     /// receive it.
-    async fn send(&self, call: &StoreCall) -> CallReply {
+    async fn send(&self, call: &StoreCall, deadline: Instant) -> CallReply {
         let request = Request::builder()
             .method(call.method.clone())
             .uri(format!("http://{}{}", self.address, call.path))
@@ -187,28 +200,54 @@
         let Ok(request) = request else {
             return CallReply::NotRun(NotRunCause::BadRequest);
         };
-        let response = match self.http.request(request).await {
-            Ok(response) => response,
-            Err(error) if error.is_connect() => {
+        let response = match timeout_at(deadline, self.http.request(request)).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) if error.is_connect() => {
                 return CallReply::NotRun(NotRunCause::Unreachable);
             }
-            Err(_) => return CallReply::Uncertain(UncertainCause::ConnectionLost),
+            Ok(Err(_)) => return CallReply::Uncertain(UncertainCause::ConnectionLost),
+            Err(_) => return CallReply::Uncertain(UncertainCause::Timeout),
         };
         let status = response.status();
         let headers = response.headers().clone();
-        let limit = self.options.max_value * ANSWER_SIZE_FACTOR;
         // The body of a 503 is read as well: a connection with an unread body is closed, and
         // an outage would cause a burst of reconnects.
-        match Limited::new(response.into_body(), limit).collect().await {
+        match self.read_body(call, response.into_body(), deadline).await {
             _ if status == StatusCode::SERVICE_UNAVAILABLE => {
                 CallReply::Uncertain(UncertainCause::Outage)
             }
-            Ok(body) => {
-                let body = body.to_bytes();
-                self.counts.add_bytes(call.kind, body.len());
-                CallReply::Answered(status, headers, body)
+            Ok(body) => CallReply::Answered(status, headers, body),
+            Err(cause) => CallReply::Uncertain(cause),
+        }
+    }
+
+    /// Reads a body: until the deadline, or for as long as its bytes arrive if it may be long.
+    async fn read_body(
+        &self,
+        call: &StoreCall,
+        body: Incoming,
+        deadline: Instant,
+    ) -> Result<Bytes, UncertainCause> {
+        let Options { max_value, body_stall, body_deadline, .. } = self.options;
+        let mut body = Limited::new(body, max_value * ANSWER_SIZE_FACTOR);
+        let mut bytes = BytesMut::new();
+        let last = Instant::now() + body_deadline;
+        loop {
+            let stalled = last.min(Instant::now() + body_stall);
+            let until = if call.long_body { deadline.max(stalled) } else { deadline };
+            let Ok(frame) = timeout_at(until, body.frame()).await else {
+                return Err(UncertainCause::Timeout);
+            };
+            match frame {
+                None => return Ok(bytes.freeze()),
+                Some(Err(_)) => return Err(UncertainCause::ConnectionLost),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.counts.add_bytes(call.kind, data.len());
+                        bytes.extend_from_slice(&data);
+                    }
+                }
             }
-            Err(_) => CallReply::Uncertain(UncertainCause::ConnectionLost),
         }
     }
 
--- a/crates/hawthorn-store/src/client/count.rs
+++ b/crates/hawthorn-store/src/client/count.rs
@@ -78,10 +78,14 @@
             .filter(|(_, _, count)| *count > 0)
     }
 
+    /// Bytes of the bodies that the store returned to calls of a kind, as far as they have arrived.
+    pub fn bytes_of(&self, kind: CallKind) -> u64 {
+        self.bytes[kind as usize].load(Ordering::Relaxed)
+    }
+
     /// Bytes of the bodies that the store returned, by kind; those that are not zero.
     pub fn bytes(&self) -> impl Iterator<Item = (CallKind, u64)> {
-        let bytes = |kind: CallKind| self.bytes[kind as usize].load(Ordering::Relaxed);
-        CallKind::iter().map(move |kind| (kind, bytes(kind))).filter(|(_, bytes)| *bytes > 0)
+        CallKind::iter().map(|kind| (kind, self.bytes_of(kind))).filter(|(_, bytes)| *bytes > 0)
     }
 
     /// Number of exchanges of all kinds that were sent to the store.
--- a/crates/hawthorn-store/src/client/mod.rs
+++ b/crates/hawthorn-store/src/client/mod.rs
@@ -43,8 +43,13 @@
     pub max_calls: usize,
     /// Maximum number of concurrent watches; each uses a connection and counts as a call.
     pub max_watches: usize,
-    /// Deadline of a call, including the wait for a connection and all backoffs.
+    /// Deadline of a call, including the wait for a connection and all backoffs. A body of any
+    /// size may take longer, as long as its bytes arrive.
     pub call_deadline: Duration,
+    /// Maximum time without a byte of such a body.
+    pub body_stall: Duration,
+    /// Maximum time for such a body.
+    pub body_deadline: Duration,
     /// Minimum time until the deadline when a call is sent: a few response times of a healthy
     /// store.
     pub min_exchange: Duration,
@@ -69,6 +74,8 @@
             max_calls: 16,
             max_watches: 4,
             call_deadline: Duration::from_millis(500),
+            body_stall: Duration::from_millis(500),
+            body_deadline: Duration::from_secs(10),
             min_exchange: Duration::from_millis(20),
             connect_timeout: Duration::from_millis(200),
             min_backoff: Duration::from_millis(10),
@@ -155,7 +162,8 @@
         path: String,
         server_wait: Duration,
     ) -> Result<StoreAnswer, ReadError> {
-        match self.executor.call(StoreCall::read(kind, path).with_server_wait(server_wait)).await {
+        let call = StoreCall::read(kind, path).with_server_wait(server_wait).with_long_body();
+        match self.executor.call(call).await {
             CallReply::Answered(status, headers, body) => Ok(StoreAnswer { status, headers, body }),
             CallReply::NotRun(cause) => Err(ReadError::NotRun(cause)),
             CallReply::Uncertain(cause) => Err(ReadError::NoAnswer(cause)),
--- a/crates/hawthorn-store/tests/client.rs
+++ b/crates/hawthorn-store/tests/client.rs
@@ -29,6 +29,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
@@ -205,3 +207,58 @@
     assert_eq!(client.counts().sent(), 2);
     Ok(())
 }
+
+/// How a body arrives, in pieces of 1 KiB.
+struct BodyCase {
+    name: &'static str,
+    /// Pieces that arrive, of as many as the head states.
+    pieces: usize,
+    stated: usize,
+    /// Time between two pieces.
+    gap: Duration,
+    is_read: bool,
+}
+
+/// Guards against a read that is cut although its body arrives, and against one that never ends.
+#[tokio::test]
+async fn a_long_body_is_read_for_as_long_as_it_arrives() -> TestResult {
+    const PIECE: [u8; 1024] = [b'x'; 1024];
+    let case = |name, pieces, stated, gap, is_read| {
+        let gap = Duration::from_millis(gap);
+        BodyCase { name, pieces, stated, gap, is_read }
+    };
+    let cases = [
+        case("longer than a call may take", 20, 20, 30, true),
+        case("stops in the middle", 3, 20, 10, false),
+        case("without end", usize::MAX, usize::MAX / 2048, 10, false),
+        case("larger than any answer", 400, 400, 0, false),
+    ];
+    for BodyCase { name, pieces, stated, gap, is_read } in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await?;
+            let mut request = [0; 1024];
+            let _read = stream.read(&mut request).await?;
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", stated * 1024);
+            stream.write_all(head.as_bytes()).await?;
+            for _ in 0..pieces {
+                stream.write_all(&PIECE).await?;
+                tokio::time::sleep(gap).await;
+            }
+            pending::<std::io::Result<()>>().await
+        });
+        let options = Options {
+            body_stall: Duration::from_millis(200),
+            body_deadline: Duration::from_secs(1),
+            max_value: 64 * 1024,
+            ..options()
+        };
+        let client = StoreClient::new(address, options);
+        let read = client.read_path(CallKind::List, "/long".to_owned(), Duration::ZERO);
+        let read = tokio::time::timeout(Duration::from_secs(3), read).await;
+        let read = read.map_err(|_| format!("{name}: no end"))?;
+        assert_eq!(read.is_ok(), is_read, "{name}: {read:?}");
+    }
+    Ok(())
+}
