test(standin): the store encodes values with the base64 library

Its own encoder took so long for a value of 0.9 MB, in a build for tests and under the store's lock, that sixteen hosts which start together waited longer than a call may take: one run of slow_links beside load of 7 ended with "waited 10s for the host to become ready".

--- a/crates/hawthorn-standin/src/route/store.rs
+++ b/crates/hawthorn-standin/src/route/store.rs
@@ -10,6 +10,8 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
 use serde_json::Value;
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
@@ -29,8 +31,6 @@
 /// Header with the number of the store's restores, in every answer.
 const ERA_HEADER: &str = "Store-Era";
 const LEASE_PATH: &str = "/-/kv-lease";
-const BASE64_ALPHABET: &[u8; 64] =
-    b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
 /// Kinds of outage.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -314,7 +314,7 @@
 
 fn encode_item(key: &str, revision: u64, value: &[u8]) -> Value {
     json!({ "key": key, "revision": revision, "created": revision, "lease": 0,
-            "value": encode_base64(value) })
+            "value": BASE64_STANDARD.encode(value) })
 }
 
 fn page(request: &WireRequest, shared: &Shared) -> Value {
@@ -356,7 +356,8 @@
         if lease != 0 {
             state.key_leases.insert(key.to_owned(), lease);
         }
-        state.put(key, decode_base64(text));
+        let Ok(value) = BASE64_STANDARD.decode(text) else { return (400, json!({})) };
+        state.put(key, value);
     }
     let revision = state.contents.revision;
     drop(state);
@@ -418,29 +419,3 @@
         .collect();
     Some((200, json!({ "events": events, "asOf": state.contents.revision })))
 }
-
-fn decode_base64(text: &str) -> Vec<u8> {
-    let digit = |byte: u8| BASE64_ALPHABET.iter().position(|digit| *digit == byte);
-    let digits: Vec<usize> = text.bytes().filter_map(digit).collect();
-    let mut bytes = Vec::new();
-    for chunk in digits.chunks(4) {
-        let bits =
-            chunk.iter().enumerate().fold(0, |bits, (at, digit)| bits | digit << (18 - 6 * at));
-        bytes.extend((1..chunk.len()).map(|place| (bits >> (24 - 8 * place)) as u8));
-    }
-    bytes
-}
-
-/// Encodes as standard base64 with padding.
-fn encode_base64(bytes: &[u8]) -> String {
-    let mut text = String::new();
-    for chunk in bytes.chunks(3) {
-        let byte = |at: usize| u32::from(chunk.get(at).copied().unwrap_or(0));
-        let bits = byte(0) << 16 | byte(1) << 8 | byte(2);
-        for place in 0..4 {
-            let digit = (bits >> (18 - 6 * place) & 63) as usize;
-            text.push(if place <= chunk.len() { char::from(BASE64_ALPHABET[digit]) } else { '=' });
-        }
-    }
-    text
-}
