fix(route): hosts send each other what changed in a large value

Cause: the host that watches the store for its zone sent each of the others the whole configuration for each version, also if one route of 2,851 had changed: 0.7 MB to twenty hosts over half of 14 Mbit/s takes 16 s. The followers were told that there is no capacity (E644) and read the store themselves, 0.9 MB each, which filled their own links too.

Change: a value of 2 KiB or more is sent as a zstd frame, with the value that the reader holds as its prefix. The mirror keeps four replaced values for that, within an era; what it sends is encoded once for all readers of the same state.

The format of messages rises to 7.

--- a/crates/hawthorn-edge/src/connection/message.rs
+++ b/crates/hawthorn-edge/src/connection/message.rs
@@ -4,13 +4,14 @@
 use std::fmt;
 
 use hawthorn_route::mirror::RestoreBase;
+use hawthorn_route::packing::ItemValue;
 use hawthorn_route::revision::StoreRevision;
 use serde::Deserialize;
 use serde::Serialize;
 
 /// Version of the message format. Hosts with two formats run side by side during a rolling
 /// update and cannot read each other's requests.
-pub const FORMAT: u32 = 0x6872_0006;
+pub const FORMAT: u32 = 0x6872_0007;
 
 /// Deadlines of a request by the receiver's clock, in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -140,8 +141,8 @@
 /// Changes of the store's items since a revision.
 #[derive(Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CatalogUpdate {
-    /// Keys, revision numbers of their last changes, and values; `None` if deleted.
-    pub items: Vec<(String, u64, Option<Vec<u8>>)>,
+    /// Keys, revision numbers of their last changes, and values.
+    pub items: Vec<(String, u64, ItemValue)>,
     /// The store's revision up to which the changes are complete.
     pub as_of: StoreRevision,
     /// Whether this is a full snapshot.
@@ -156,6 +157,13 @@
     pub held_us: u64,
 }
 
+impl CatalogUpdate {
+    /// Total size of keys and values as sent, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.items.iter().map(|(key, _, value)| key.len() + value.len()).sum()
+    }
+}
+
 impl fmt::Debug for CatalogUpdate {
     /// Omits the items, which may contain callers' keys.
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -20,6 +20,7 @@
 use hawthorn_route::outcome::RefusalReason;
 use hawthorn_route::pace;
 use hawthorn_route::pace::BulkPacer;
+use hawthorn_route::packing::ValuePacker;
 use hawthorn_route::refresh::RefreshOrder;
 use hawthorn_route::revision::StoreRevision;
 use hawthorn_route::send_deadline::LagMeter;
@@ -163,6 +164,8 @@
     pub(crate) cold_claim: RefCell<SlotClaim>,
     /// Slots and tokens for customers' quotas.
     pub(crate) quota: QuotaState,
+    /// Packs large values for peers.
+    pub(crate) packer: RefCell<ValuePacker>,
     /// Paces bulk messages on the host's link.
     bulk_pacer: RefCell<BulkPacer>,
     /// Notified when the mirror advances to a newer revision.
@@ -224,6 +227,7 @@
             restored: Cell::new(None),
             quarantine: QuarantineState::default(),
             zone_reports: ZoneReportState::default(),
+            packer: RefCell::default(),
             bulk_pacer: RefCell::default(),
             mirror_advanced: Notify::new(),
             catching_up: Cell::new(false),
--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -15,6 +15,9 @@
 use hawthorn_route::mirror;
 use hawthorn_route::mirror::MirrorItem;
 use hawthorn_route::mirror::MirrorUpdate;
+use hawthorn_route::mirror::StoreMirror;
+use hawthorn_route::packing;
+use hawthorn_route::packing::ItemValue;
 use hawthorn_route::revision::StoreRevision;
 use hawthorn_store::ReadError;
 use hawthorn_store::StoreClient;
@@ -340,11 +343,8 @@
     {
         host.confirm(update.as_of, confirmed);
     }
-    let items = update.items.into_iter();
-    let items = items.map(|(key, revision, value)| MirrorItem { key, revision, value }).collect();
-    let CatalogUpdate { as_of, complete, base, .. } = update;
-    let update = MirrorUpdate { items, as_of, complete, base };
     let bytes = update.bytes();
+    let CatalogUpdate { items, as_of, complete, base, .. } = update;
     if bytes > 0 {
         let held = micros(held_us);
         let travelled = host_now().saturating_sub(sent).saturating_sub(held);
@@ -355,14 +355,43 @@
              whole={complete}",
             as_of.number,
             as_of.era,
-            update.items.len(),
+            items.len(),
             held.as_millis(),
             travelled.as_millis()
         );
     }
+    let items = match unpack(&host.mirror.borrow(), as_of, items) {
+        Ok(items) => items,
+        Err(error) => {
+            edge_event!(Level::Warn, EdgeEvent::PeerMessageBroken, "from={peer} error=\"{error}\"");
+            host.mirror.borrow_mut().request_snapshot();
+            return;
+        }
+    };
+    let update = MirrorUpdate { items, as_of, complete, base };
     apply(host, update);
 }
 
+/// Unpacks the items of an update, except those that the mirror has at a later revision.
+fn unpack(
+    mirror: &StoreMirror,
+    as_of: StoreRevision,
+    items: Vec<(String, u64, ItemValue)>,
+) -> Result<Vec<MirrorItem>, packing::Error> {
+    let is_known = |key: &str, revision: u64| {
+        as_of.era == mirror.as_of().era
+            && mirror.revision_of(key).is_some_and(|known| known >= revision)
+    };
+    // A snapshot states by its items which others were deleted.
+    let unknown = items.into_iter().map(|(key, revision, value)| {
+        if is_known(&key, revision) && matches!(value, ItemValue::Packed(_)) {
+            return Ok(MirrorItem { key, revision, value: None });
+        }
+        packing::unpack(mirror, key, revision, value)
+    });
+    unknown.collect()
+}
+
 /// Level of the log line on an update with this many bytes.
 fn update_level(bytes: usize) -> Level {
     if bytes >= LARGE_UPDATE_BYTES { Level::Info } else { Level::Debug }
@@ -429,10 +458,10 @@
             () = reply.closed() => return,
         }
     }
-    let (update, confirmed) = loop {
+    let (mut response, confirmed) = loop {
         // A confirmation that arrives during the delay may be of a later revision.
         let confirmed = host.confirmed_at();
-        let update = host.mirror.borrow().since(after);
+        let update = packed_update(&host, after);
         let now = host_now();
         match host.reserve_bulk(now, update.bytes()) {
             Some(delay) => {
@@ -441,22 +470,34 @@
             }
             // The peer sends another request when its wait is over. A reply with its own revision
             // would confirm that there are no changes.
-            None if now + BULK_POLL_INTERVAL > until => break (MirrorUpdate::default(), confirmed),
+            None if now + BULK_POLL_INTERVAL > until => {
+                break (CatalogUpdate::default(), confirmed);
+            }
             None => sleep(BULK_POLL_INTERVAL).await,
         }
     };
     let now = host_now();
     let micros_since = |at| now.saturating_sub(at).as_micros() as u64;
-    let age_us = confirmed.map_or(u64::MAX, micros_since);
-    let held_us = micros_since(received);
-    let items = update.items.into_iter();
-    let items = items.map(|item| (item.key, item.revision, item.value)).collect();
-    let MirrorUpdate { as_of, complete, base, .. } = update;
-    let response = CatalogUpdate { items, as_of, complete, base, age_us, held_us };
+    response.age_us = confirmed.map_or(u64::MAX, micros_since);
+    response.held_us = micros_since(received);
     // The peer may have disconnected.
     let _gone = reply.send(response);
 }
 
+/// The changes after a revision, for a peer.
+fn packed_update(host: &RouteHost, after: StoreRevision) -> CatalogUpdate {
+    let mirror = host.mirror.borrow();
+    let MirrorUpdate { items, as_of, complete, base } = mirror.since(after);
+    // Only the changes within an era tell which values the peer holds.
+    let held = if complete || base.is_some() { StoreRevision::NONE } else { after };
+    let mut packer = host.packer.borrow_mut();
+    let items = items.into_iter().map(|item| {
+        let value = packer.pack(&mirror, &item, held);
+        (item.key, item.revision, value)
+    });
+    CatalogUpdate { items: items.collect(), as_of, complete, base, age_us: 0, held_us: 0 }
+}
+
 /// Logs when the store becomes unreachable and when it is reachable again.
 fn log_store_state(reachable: &mut bool, error: Option<&ReadError>) {
     match error {
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod merge;
 pub mod mirror;
 pub mod outcome;
+pub mod packing;
 pub mod pace;
 pub mod payload;
 pub mod placement;
--- a/crates/hawthorn-route/src/mirror.rs
+++ b/crates/hawthorn-route/src/mirror.rs
@@ -14,6 +14,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::fmt;
 use std::mem;
 
@@ -23,6 +24,7 @@
 
 use crate::gatherers;
 use crate::gatherers::ZoneHost;
+use crate::packing::MIN_PACKED_BYTES;
 use crate::revision::StoreRevision;
 
 /// One item of the store, or its deletion.
@@ -129,6 +131,19 @@
     restore: Option<SeenRestore>,
     /// Whether the changes across a restore did not lead to the sender's state.
     is_diverged: bool,
+    /// Whether an update could not be read, as it differs from a state that this mirror lacks.
+    needs_snapshot: bool,
+    /// Large values that were replaced lately, oldest first.
+    earlier: VecDeque<EarlierValue>,
+}
+
+/// A large value that was replaced, for differences from it.
+#[derive(Clone, Debug)]
+struct EarlierValue {
+    key: String,
+    stored: StoredItem,
+    /// Revision of the change that replaced it.
+    replaced: u64,
 }
 
 /// The difference that a restore of the store made to a mirror.
@@ -142,6 +157,10 @@
     changed: BTreeSet<String>,
 }
 
+/// Maximum number of replaced values that a mirror keeps, and their maximum total size in bytes.
+const MAX_EARLIER: usize = 4;
+const MAX_EARLIER_BYTES: usize = 4 << 20;
+
 /// Number of revisions for which deletions are kept: about two hours at two changes a day for
 /// each of 73,000 targets.
 const KEPT_DELETIONS: u64 = 12_000;
@@ -156,7 +175,36 @@
     /// The revision after which this host needs updates from a peer. [`StoreRevision::NONE`]
     /// requests a snapshot.
     pub fn wanted_after(&self) -> StoreRevision {
-        if self.is_diverged { StoreRevision::NONE } else { self.as_of }
+        if self.is_diverged || self.needs_snapshot { StoreRevision::NONE } else { self.as_of }
+    }
+
+    /// Requests a snapshot, as an update could not be read.
+    pub fn request_snapshot(&mut self) {
+        self.needs_snapshot = true;
+    }
+
+    /// The revision of an item, also if it was deleted.
+    pub fn revision_of(&self, key: &str) -> Option<u64> {
+        self.items.get(key).map(|stored| stored.revision)
+    }
+
+    /// The value of an item at a revision of the present era, if it is still held.
+    pub fn value_at(&self, key: &str, revision: u64) -> Option<&[u8]> {
+        let earlier = self.earlier.iter().filter(|earlier| earlier.key == key);
+        let all = earlier.map(|earlier| &earlier.stored).chain(self.items.get(key));
+        all.filter(|stored| stored.revision == revision).find_map(|stored| stored.value.as_deref())
+    }
+
+    /// The replaced value that a mirror with all changes up to `after` holds, with its revision.
+    pub fn earlier_value(&self, key: &str, after: StoreRevision) -> Option<(u64, &[u8])> {
+        if after.era != self.as_of.era {
+            return None;
+        }
+        let held = self.earlier.iter().find(|earlier| {
+            let held = earlier.stored.revision..earlier.replaced;
+            earlier.key == key && held.contains(&after.number)
+        });
+        held.and_then(|held| Some((held.stored.revision, held.stored.value.as_deref()?)))
     }
 
     /// Whether the store has an item, as far as this host knows.
@@ -208,6 +256,7 @@
                 self.put(&item);
                 changed.push(item);
             }
+            self.needs_snapshot = false;
             // A snapshot does not include earlier deletions: readers with an older revision
             // receive a snapshot too, as they would otherwise keep deleted items.
             self.compacted = self.compacted.max(update.as_of.number);
@@ -233,7 +282,10 @@
         let mut earlier = mem::take(&mut self.unconfirmed);
         earlier.append(&mut self.items);
         self.by_revision.clear();
+        // The restored store gives out their revisions again.
+        self.earlier.clear();
         self.is_diverged = false;
+        self.needs_snapshot = false;
         self.as_of = snapshot.as_of;
         self.compacted = snapshot.as_of.number;
         let mut changed = Vec::new();
@@ -292,10 +344,24 @@
         self.unconfirmed.remove(&item.key);
         if let Some(before) = self.items.insert(item.key.clone(), stored) {
             self.by_revision.remove(&(before.revision, item.key.clone()));
+            self.keep_earlier(&item.key, before, item.revision);
         }
         self.by_revision.insert((item.revision, item.key.clone()));
     }
 
+    fn keep_earlier(&mut self, key: &str, stored: StoredItem, replaced: u64) {
+        if stored.value.as_ref().is_none_or(|value| value.len() < MIN_PACKED_BYTES) {
+            return;
+        }
+        self.earlier.push_back(EarlierValue { key: key.to_owned(), stored, replaced });
+        let size = |earlier: &EarlierValue| earlier.stored.value.as_ref().map_or(0, Vec::len);
+        while self.earlier.len() > MAX_EARLIER
+            || self.earlier.iter().map(size).sum::<usize>() > MAX_EARLIER_BYTES
+        {
+            self.earlier.pop_front();
+        }
+    }
+
     fn compact(&mut self) {
         let until = self.as_of.number.saturating_sub(KEPT_DELETIONS);
         if until <= self.compacted {
