fix(edge): a gatherer makes one attempt until its peer has committed to it

Cause: a host that has no reply to a ping within 20 ms takes its gatherer for silent and has another one gather the same shards, and counts one attempt for the first, as one that stands still sends no more. But the reply may be late at the host that asks: its link is full, or its loop busy. Then the gatherer is at work, makes second attempts until it reads the cancellation, and the next one adds a third. Class: what another host does is inferred from this host's own silence.

Change: a gather request has a token. Its sender commits to the gatherer, by this token, when the reply to its ping has come, and replaces only those that it has not committed to. Until the commit a gatherer makes one attempt at each shard; attempts that did not run are not counted. Once committed, a gatherer is never replaced, as before. So the count is right however late anything is read; it costs one small message a delegated query. The format of messages rises to 8.

--- a/crates/hawthorn-edge/src/connection/message.rs
+++ b/crates/hawthorn-edge/src/connection/message.rs
@@ -11,7 +11,7 @@
 
 /// Version of the message format. Hosts with two formats run side by side during a rolling
 /// update and cannot read each other's requests.
-pub const FORMAT: u32 = 0x6872_0007;
+pub const FORMAT: u32 = 0x6872_0008;
 
 /// Deadlines of a request by the receiver's clock, in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,6 +60,9 @@
     /// Attempts that may already have been made at each shard, by a peer that stopped
     /// responding.
     pub prior_attempts: u8,
+    /// Names the query in the sender's commit. Until it arrives, the sender may have another host
+    /// gather the same shards, and the receiver makes one attempt at each at most.
+    pub commit_token: Option<u64>,
     /// Time until the deadline when the request was sent, in microseconds.
     pub time_left_us: u64,
     /// Time until the soft deadline when the request was sent, in microseconds.
--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -80,6 +80,8 @@
         async fn remainder(token: u64, needed: u16) -> GatherReply;
         /// Liveness check.
         async fn ping();
+        /// States that no other host will gather the shards of a query.
+        async fn commit(token: u64);
         /// Returns changes of the store's items after a revision; waits up to `wait_ms` for
         /// one.
         async fn catalog_update(after: StoreRevision, wait_ms: u64) -> CatalogUpdate;
@@ -279,6 +281,14 @@
         alive
     }
 
+    /// Tells a peer that no other host will gather the shards of its query. Without this message the
+    /// peer makes no further attempts, so that a failure needs no handling.
+    pub(crate) async fn commit(&self, endpoint: &PeerEndpoint, token: u64) {
+        if let Ok(client) = self.client(endpoint).await {
+            let _lost = client.commit(call_with_timeout(ANSWER_TIMEOUT), token).await;
+        }
+    }
+
     /// How much longer the peer counts as alive after its last reply; `None` if it does not.
     pub(crate) fn alive_for(&self, address: SocketAddr) -> Option<Duration> {
         let last_answers = self.last_answers.borrow();
@@ -351,6 +361,7 @@
         arrived: Duration,
         reply: oneshot::Sender<GatherReply>,
     },
+    Commit(u64),
     Remainder {
         token: u64,
         request: RemainderRequest,
@@ -398,6 +409,11 @@
 
     async fn ping(self, _: Context) {}
 
+    async fn commit(self, _: Context, token: u64) {
+        // A rejected commit only prevents further attempts.
+        let _rejected = self.requests.try_send(PeerRequest::Commit(token));
+    }
+
     async fn catalog_update(self, _: Context, after: StoreRevision, wait_ms: u64) -> CatalogUpdate {
         let received = host_now();
         let (reply, answer) = oneshot::channel();
@@ -435,8 +451,11 @@
     let host = Rc::clone(host);
     match request {
         PeerRequest::Gather { request, arrived, reply } => {
-            tokio::task::spawn_local(delegate::serve_peer(host, *request, arrived, reply));
+            // Before the query is begun: its commit may be next in the queue.
+            let commit = host.commits.expect(request.commit_token);
+            tokio::task::spawn_local(delegate::serve_peer(host, *request, arrived, commit, reply));
         }
+        PeerRequest::Commit(token) => host.commits.commit(token),
         PeerRequest::Remainder { token, request } => host.remainders.request(token, request),
         PeerRequest::CatalogUpdate { after, wait, received, reply } => {
             tokio::task::spawn_local(store_sync::answer_peer(host, after, wait, received, reply));
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -61,6 +61,7 @@
 use crate::process::traffic::TrafficAccount;
 use crate::process::traffic::TrafficPurpose;
 use crate::process::zone_reports::ZoneReportState;
+use crate::request::commit::CommitTable;
 use crate::request::dispatch;
 use crate::request::dispatch::DispatchQueue;
 use crate::request::remainder::RemainderTable;
@@ -150,6 +151,8 @@
     pub links: PeerLinks,
     /// Queries of peers that were replied to, and may be asked for more parts.
     pub(crate) remainders: RemainderTable,
+    /// Queries of peers that have not committed to this host.
+    pub(crate) commits: CommitTable,
     /// Bytes to and from other zones.
     pub traffic: TrafficAccount,
     /// This host's mirror of the store's items.
@@ -220,6 +223,7 @@
             gather_peers: RefCell::default(),
             links: PeerLinks::default(),
             remainders: RemainderTable::default(),
+            commits: CommitTable::default(),
             cold_claim: RefCell::new(SlotClaim::new(host_now())),
             quota: QuotaState::new(&settings),
             traffic: TrafficAccount::new(&settings.host.zone),
--- a/crates/hawthorn-edge/src/request/context.rs
+++ b/crates/hawthorn-edge/src/request/context.rs
@@ -22,6 +22,7 @@
 use hyper::header::HeaderName;
 use tokio_util::sync::CancellationToken;
 
+use crate::request::commit::QueryCommit;
 use crate::request::request_log::RequestLog;
 
 /// Times that a task yields to the event loop before the cancellation of a query has taken
@@ -67,6 +68,8 @@
     pub(crate) skipped: Cell<usize>,
     /// Attempts that may already have been made at each shard, by another host.
     pub(crate) prior_attempts: usize,
+    /// Whether this host may make more than one attempt at each shard.
+    pub(crate) commit: QueryCommit,
     /// Queue load reported with its answers.
     pub(crate) load: RefCell<QueryLoad>,
     pub(crate) request_log: RefCell<RequestLog>,
--- a/crates/hawthorn-edge/src/request/delegate.rs
+++ b/crates/hawthorn-edge/src/request/delegate.rs
@@ -27,6 +27,7 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use log::Level;
+use rand::RngExt;
 use tokio::sync::oneshot;
 use tokio::task::yield_now;
 use tokio::time::sleep;
@@ -45,6 +46,7 @@
 use crate::process::events::EdgeEvent;
 use crate::process::host::RouteHost;
 use crate::process::traffic::TrafficPurpose;
+use crate::request::commit::QueryCommit;
 use crate::request::context;
 use crate::request::context::CANCELLATION_YIELDS;
 use crate::request::context::CancelOnDrop;
@@ -265,6 +267,9 @@
                 soft_deadline_us: soft_deadline.as_micros() as u64,
             }
         });
+    // Only a silent peer is replaced.
+    let is_replaceable = host.routing.policy.get().gatherers.replaces_silent;
+    let commit_token = is_replaceable.then(|| rand::rng().random());
     let message = GatherRequest {
         format: FORMAT,
         method: context.method.to_string(),
@@ -278,6 +283,7 @@
         max_missing: u16::try_from(max_missing).unwrap_or(u16::MAX),
         max_skipped: u16::try_from(delegated.max_skipped).unwrap_or(u16::MAX),
         prior_attempts: delegated.prior_attempts,
+        commit_token,
         time_left_us: left.as_micros() as u64,
         soft_time_left_us: soft_time_left_us(soft_time_left, deadlines.is_some()),
         deadlines,
@@ -300,7 +306,7 @@
     let reply = tokio::select! {
         biased;
         reply = call => reply,
-        () = peer_unresponsive(host, delegated.peer) => {
+        () = peer_unresponsive(host, delegated.peer, commit_token) => {
             host.links.suspect(delegated.peer, SuspicionReason::Silent);
             Err(if connected.get() { PeerError::Unresponsive } else { PeerError::NotSent })
         }
@@ -347,7 +353,7 @@
     let reply = tokio::select! {
         biased;
         reply = call => reply,
-        () = peer_unresponsive(host, held.peer) => {
+        () = peer_unresponsive(host, held.peer, None) => {
             host.links.suspect(held.peer, SuspicionReason::Silent);
             Err(PeerError::Unresponsive)
         }
@@ -367,16 +373,16 @@
     reply
 }
 
-/// Returns if a peer does not answer a ping; never returns otherwise.
+/// Returns if a peer does not answer a ping; never returns otherwise, and then commits to the peer
+/// for the query of `commit_token`.
 ///
 /// A query delegated to a peer is lost if the peer is stalled or lost power, or if its network
 /// path drops packets. Without a ping reply, another peer is tried while there is time. A peer
-/// answers a ping before it starts on the request sent just before. A peer that stalls later,
-/// after it made attempts, is not replaced, as the attempts of two peers could exceed the route's
-/// maximum.
+/// answers a ping before it starts on the request sent just before. A peer that stalls later, after
+/// the commit, is not replaced, as the attempts of two peers could exceed the route's maximum.
 ///
 /// A peer that answered recently may be busy rather than stalled, so its ping has more time.
-async fn peer_unresponsive(host: &RouteHost, peer: SocketAddr) {
+async fn peer_unresponsive(host: &RouteHost, peer: SocketAddr, commit_token: Option<u64>) {
     if !host.routing.policy.get().gatherers.replaces_silent {
         return std::future::pending().await;
     }
@@ -386,7 +392,7 @@
             sleep(left).await;
         }
     };
-    no_ping_reply(host, peer, timed_out).await;
+    no_ping_reply(host, peer, commit_token, timed_out).await;
 }
 
 /// Returns if a peer's reply is overdue and the peer does not answer a ping.
@@ -396,11 +402,16 @@
 /// the answer needs parts that have not arrived, and then the peer still answers pings.
 async fn peer_overdue(host: &RouteHost, peer: SocketAddr, due: Duration) {
     sleep(due).await;
-    no_ping_reply(host, peer, sleep(PING_TIMEOUT)).await;
+    no_ping_reply(host, peer, None, sleep(PING_TIMEOUT)).await;
 }
 
 /// Returns if a peer does not answer a ping before `timed_out`; never returns if it does.
-async fn no_ping_reply(host: &RouteHost, peer: SocketAddr, timed_out: impl Future<Output = ()>) {
+async fn no_ping_reply(
+    host: &RouteHost,
+    peer: SocketAddr,
+    commit_token: Option<u64>,
+    timed_out: impl Future<Output = ()>,
+) {
     let endpoint = host.peer_endpoint(peer, TrafficPurpose::Gathering);
     let timed_out = async {
         timed_out.await;
@@ -411,7 +422,12 @@
     };
     tokio::select! {
         biased;
-        alive = host.links.ping(&endpoint) => if alive { std::future::pending().await },
+        alive = host.links.ping(&endpoint) => if alive {
+            if let Some(token) = commit_token {
+                host.links.commit(&endpoint, token).await;
+            }
+            std::future::pending().await
+        },
         () = timed_out => {}
     }
 }
@@ -438,6 +454,7 @@
     host: Rc<RouteHost>,
     message: GatherRequest,
     arrived: Duration,
+    commit: QueryCommit,
     reply: oneshot::Sender<GatherReply>,
 ) {
     let _query = PeerQuery::new(&host);
@@ -451,7 +468,7 @@
         log_withdrawn(message.attempt_id.as_deref(), message.shards.len(), arrived, 0, 0);
         return;
     }
-    if let Err((refusal, reply)) = serve_gather(&host, message, arrived, reply).await {
+    if let Err((refusal, reply)) = serve_gather(&host, message, arrived, commit, reply).await {
         // The peer may have disconnected.
         let _gone = reply.send(refusal);
     }
@@ -494,6 +511,7 @@
     host: &Rc<RouteHost>,
     message: GatherRequest,
     arrived: Duration,
+    commit: QueryCommit,
     reply: oneshot::Sender<GatherReply>,
 ) -> Result<(), (GatherReply, oneshot::Sender<GatherReply>)> {
     let started = host_now();
@@ -579,6 +597,7 @@
         awaited_peers: Cell::new(0),
         skipped: Cell::new(0),
         prior_attempts: usize::from(message.prior_attempts),
+        commit,
         load: RefCell::default(),
         request_log: RefCell::new(RequestLog::default()),
     });
--- a/crates/hawthorn-edge/src/request/mod.rs
+++ b/crates/hawthorn-edge/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod answer;
 pub(crate) mod attempt;
+pub(crate) mod commit;
 pub(crate) mod context;
 pub(crate) mod delegate;
 pub(crate) mod dispatch;
--- a/crates/hawthorn-edge/src/request/race.rs
+++ b/crates/hawthorn-edge/src/request/race.rs
@@ -26,7 +26,7 @@
 use crate::request::context::CANCELLATION_YIELDS;
 use crate::request::context::RequestContext;
 
-/// Interval at which an attempt that waits for others of its request is rechecked.
+/// Interval at which an attempt that waits is rechecked.
 const HELD_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
 /// Waits until an attempt is late.
@@ -76,7 +76,7 @@
     /// There is no other target.
     NoTarget,
     BudgetSpent,
-    /// The attempt waits until others of the request have ended.
+    /// The attempt waits until others of the request have ended, or for the commit of its peer.
     Held,
     /// As many extra attempts as are sent without an answer have ended without one.
     Exhausted,
@@ -96,6 +96,8 @@
     tried: TargetKeys,
     /// Number of attempts that may have run or may still run.
     attempts: usize,
+    /// Those of them that other hosts may have made.
+    prior_attempts: usize,
     in_flight: FuturesUnordered<oneshot::Receiver<AttemptReply>>,
     failure: Option<TargetAnswer>,
     refusal: RefusalReason,
@@ -103,7 +105,7 @@
     hedge_allowed: bool,
     /// An attempt is late, and no other target had capacity for a hedge.
     no_capacity: bool,
-    /// The reason for an attempt that waits until others of the request have ended.
+    /// The reason for an attempt that waits; see [`LaunchResult::Held`].
     held: Option<AttemptReason>,
 }
 
@@ -120,6 +122,7 @@
             first_target: None,
             tried: TargetKeys::new(),
             attempts: context.prior_attempts,
+            prior_attempts: context.prior_attempts,
             in_flight: FuturesUnordered::new(),
             failure: None,
             refusal: RefusalReason::NoTarget,
@@ -139,6 +142,7 @@
     /// Counts attempts that another host may have made.
     pub(crate) fn with_prior_attempts(mut self, prior_attempts: usize) -> Self {
         self.attempts += prior_attempts;
+        self.prior_attempts += prior_attempts;
         self
     }
 
@@ -241,6 +245,10 @@
         self.held = None;
         let now = host_now();
         let extra = matches!(reason, AttemptReason::Retry | AttemptReason::Late);
+        if self.attempts > self.prior_attempts && !self.context.commit.is_given() {
+            self.held = Some(reason);
+            return LaunchResult::Held;
+        }
         let kind = if extra { AttemptKind::Extra } else { AttemptKind::First };
         match quarantine::permit(self.host, self.context, kind) {
             Permit::Send => {}
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -41,6 +41,7 @@
 use crate::process::quarantine::Admission;
 use crate::request::answer::AnswerBody;
 use crate::request::answer::CallerAnswer;
+use crate::request::commit::QueryCommit;
 use crate::request::context;
 use crate::request::context::CancelOnDrop;
 use crate::request::context::RequestContext;
@@ -190,6 +191,7 @@
         awaited_peers: Cell::new(0),
         skipped: Cell::new(0),
         prior_attempts: 0,
+        commit: QueryCommit::given(),
         load: RefCell::default(),
         request_log: RefCell::default(),
     });
--- a/crates/hawthorn-edge/tests/message_format.rs
+++ b/crates/hawthorn-edge/tests/message_format.rs
@@ -49,6 +49,7 @@
         max_missing: 6,
         max_skipped: 7,
         prior_attempts: 8,
+        commit_token: Some(15),
         time_left_us: 9,
         soft_time_left_us: 10,
         deadlines: Some(RequestDeadlines { deadline_us: 11, soft_deadline_us: 12 }),
@@ -87,5 +88,5 @@
     bytes.extend(encoded(&update()));
     bytes.extend(encoded(&tokens));
     let digest = xxhash_rust::xxh3::xxh3_64(&bytes);
-    assert_eq!((MESSAGE_FORMAT, format!("{digest:016x}").as_str()), (7, "9261f9eb6d40dd05"));
+    assert_eq!((MESSAGE_FORMAT, format!("{digest:016x}").as_str()), (8, "412ef84e5304abf7"));
 }
--- a/crates/hawthorn-fleet/src/message.rs
+++ b/crates/hawthorn-fleet/src/message.rs
@@ -27,7 +27,7 @@
 
 /// The version of datagrams and of calls between hosts. Other versions are rejected, so that hosts
 /// with different formats never become peers.
-pub const MESSAGE_FORMAT: u8 = 7;
+pub const MESSAGE_FORMAT: u8 = 8;
 
 /// Identifies a host across the fleet: a hash of the host's name.
 #[derive(
