fix(edge): a late update of the configuration says nothing about its source's queries

Cause: a request for an update had 0.3 s beyond its wait, whatever the update weighs. One that took longer was cut and begun again elsewhere, and its source counted as one that does not answer: its connections were closed, and it got no queries for 1.5 s.

Change: an update may take 5 s as long as its bytes arrive; 0.3 s without one end it, as before. A source that then answers a ping, or has no recent data, is passed over for updates only, and only that connection is closed. One that does not answer the ping counts as down, as before.

--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -23,6 +24,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio_util::codec::LengthDelimitedCodec;
 use tokio_util::sync::CancellationToken;
@@ -54,8 +56,11 @@
 /// Time for which a peer that did not answer is not used; by then the membership protocol has
 /// determined whether it is alive.
 const SUSPECT_DURATION: Duration = Duration::from_millis(1500);
-/// Time limit for a reply on the store's items or to a ping, in addition to the requested wait.
+/// Time limit for a reply to a ping, and without a byte of a reply on the store's items, in addition
+/// to the requested wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum time for an update of the store's items, in addition to the requested wait.
+const MAX_TRANSFER: Duration = Duration::from_secs(5);
 /// A peer that answered within this time counts as alive although it does not answer a ping in
 /// time: longer than the typical gap between two replies of a busy peer.
 const LIVENESS_TTL: Duration = Duration::from_millis(100);
@@ -118,6 +123,15 @@
     Overdue,
     /// The store has not confirmed its items recently.
     Stale,
+    /// An update of the store's items stopped arriving, although the peer answers a ping.
+    Late,
+}
+
+impl SuspicionReason {
+    /// Whether only updates of the store's items are concerned. The peer may gather.
+    fn is_of_updates(self) -> bool {
+        matches!(self, Self::Stale | Self::Late)
+    }
 }
 
 /// A peer's address, and the traffic counter for one purpose.
@@ -142,8 +156,10 @@
 #[derive(Debug, Default)]
 pub struct PeerLinks {
     links: RefCell<HashMap<(SocketAddr, TrafficPurpose), OpenLink>>,
-    /// When each suspected peer failed to answer, and how.
-    suspects: RefCell<HashMap<SocketAddr, (Instant, SuspicionReason)>>,
+    /// When each suspected peer failed to answer.
+    suspects: RefCell<HashMap<SocketAddr, Instant>>,
+    /// When each peer failed as a source of updates.
+    suspected_sources: RefCell<HashMap<SocketAddr, Instant>>,
     /// The time of each peer's last reply.
     last_answers: RefCell<HashMap<SocketAddr, Instant>>,
     /// The clock offset of each peer.
@@ -153,8 +169,13 @@
 impl PeerLinks {
     /// Whether the peer failed to answer a call during the last [`SUSPECT_DURATION`].
     pub(crate) fn is_suspect(&self, address: SocketAddr) -> bool {
-        let suspects = self.suspects.borrow();
-        suspects.get(&address).is_some_and(|(at, _)| at.elapsed() < SUSPECT_DURATION)
+        is_recent(&self.suspects, address)
+    }
+
+    /// Whether the peer failed to answer during the last [`SUSPECT_DURATION`], or had no recent
+    /// update.
+    pub(crate) fn is_suspect_source(&self, address: SocketAddr) -> bool {
+        self.is_suspect(address) || is_recent(&self.suspected_sources, address)
     }
 
     /// The suspected peers that did not answer, how long ago that was, and how long ago they last
@@ -163,18 +184,18 @@
         let suspects = self.suspects.borrow();
         let answers = self.last_answers.borrow();
         let answered_for = |address| answers.get(address).map(Instant::elapsed);
-        let silent = suspects.iter().filter(|(_, (at, reason))| {
-            *reason != SuspicionReason::Stale && at.elapsed() < SUSPECT_DURATION
-        });
-        silent.map(|(address, (at, _))| (*address, at.elapsed(), answered_for(address))).collect()
+        let silent = suspects.iter().filter(|(_, at)| at.elapsed() < SUSPECT_DURATION);
+        silent.map(|(address, at)| (*address, at.elapsed(), answered_for(address))).collect()
     }
 
-    /// Marks the peer as suspected and closes its connections.
+    /// Marks the peer as suspected and closes the connections concerned.
     ///
     /// After a connection breaks without a reset, or the peer loses power, every further call on
     /// it would run into its time limit.
     pub(crate) fn suspect(&self, address: SocketAddr, reason: SuspicionReason) {
-        if !self.is_suspect(address) {
+        let of_updates = reason.is_of_updates();
+        let suspects = if of_updates { &self.suspected_sources } else { &self.suspects };
+        if !is_recent(suspects, address) {
             let reason: &str = reason.into();
             edge_event!(
                 Level::Info,
@@ -182,10 +203,12 @@
                 "peer={address} change=suspected reason={reason}"
             );
         }
-        let mut suspects = self.suspects.borrow_mut();
-        suspects.retain(|_, (at, _)| at.elapsed() < SUSPECT_DURATION);
-        suspects.insert(address, (Instant::now(), reason));
-        self.links.borrow_mut().retain(|(peer, _), _| *peer != address);
+        let mut suspects = suspects.borrow_mut();
+        suspects.retain(|_, at| at.elapsed() < SUSPECT_DURATION);
+        suspects.insert(address, Instant::now());
+        let is_closed = |purpose| !of_updates || purpose == TrafficPurpose::Catalog;
+        let mut links = self.links.borrow_mut();
+        links.retain(|(peer, purpose), _| *peer != address || !is_closed(*purpose));
     }
 
     async fn client(&self, endpoint: &PeerEndpoint) -> Result<EdgePeerClient, PeerError> {
@@ -301,7 +324,8 @@
     }
 
     /// Requests from a peer the changes of the store's items after a revision; the peer waits up
-    /// to `wait` for one.
+    /// to `wait` for one. An update may take as long as its bytes arrive. The peer is not suspected
+    /// if it connects and does not reply in time.
     pub(crate) async fn catalog_update(
         &self,
         endpoint: &PeerEndpoint,
@@ -309,9 +333,16 @@
         wait: Duration,
     ) -> Result<CatalogUpdate, PeerError> {
         let client = self.ready_client(endpoint).await?;
-        let call = call_with_timeout(wait + ANSWER_TIMEOUT);
-        let reply = client.catalog_update(call, after, wait.as_millis() as u64).await;
-        self.check_reply(endpoint.address, reply)
+        let call = call_with_timeout(wait + MAX_TRANSFER);
+        let reply = tokio::select! {
+            biased;
+            reply = client.catalog_update(call, after, wait.as_millis() as u64) => reply,
+            () = transfer_stalled(&endpoint.counter, wait) => return Err(PeerError::NoReply),
+        };
+        if reply.is_ok() {
+            self.record_answer(endpoint.address);
+        }
+        reply.map_err(|_| PeerError::NoReply)
     }
 
     /// Requests tokens of a customer's quota from a peer that holds a share of it.
@@ -347,6 +378,23 @@
     }
 }
 
+/// Whether a peer is in the map, with a time within [`SUSPECT_DURATION`].
+fn is_recent(suspects: &RefCell<HashMap<SocketAddr, Instant>>, address: SocketAddr) -> bool {
+    suspects.borrow().get(&address).is_some_and(|at| at.elapsed() < SUSPECT_DURATION)
+}
+
+/// Returns if no byte of an update arrives for [`ANSWER_TIMEOUT`] once the peer's `wait` is over.
+async fn transfer_stalled(received: &TrafficCounter, wait: Duration) {
+    sleep(wait).await;
+    loop {
+        let before = received.load(Ordering::Relaxed);
+        sleep(ANSWER_TIMEOUT).await;
+        if received.load(Ordering::Relaxed) == before {
+            return;
+        }
+    }
+}
+
 fn call_with_timeout(left: Duration) -> Context {
     let mut call = context::current();
     call.deadline = Instant::now() + left;
--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -32,6 +32,7 @@
 use tokio::time::timeout;
 
 use crate::connection::message::CatalogUpdate;
+use crate::connection::peer::PeerError;
 use crate::connection::peer::SuspicionReason;
 use crate::edge_event;
 use crate::process::catalog;
@@ -151,8 +152,9 @@
     let me = MemberId::of(&host.routing.settings.host.name);
     let address = |id| members.record_by_id(MemberId(id)).map(|record| record.place.peer);
     let ranked = mirror::rank(&fleet::zone_hosts(&members, zone));
-    let is_usable =
-        |id: &u64| *id == me.0 || address(*id).is_some_and(|peer| !host.links.is_suspect(peer));
+    let is_usable = |id: &u64| {
+        *id == me.0 || address(*id).is_some_and(|peer| !host.links.is_suspect_source(peer))
+    };
     let answering: Vec<u64> = ranked.iter().copied().filter(is_usable).collect();
     let zones = members.zones().count();
     let source = answering.iter().copied().find(|id| *id != me.0).and_then(address);
@@ -258,13 +260,12 @@
 
 async fn poll_peer(host: &RouteHost, peer: SocketAddr) -> PeerReply {
     let after = host.mirror.borrow().wanted_after();
-    let endpoint = host.peer_endpoint(peer, TrafficPurpose::Catalog);
     // A peer that does not answer becomes suspected, so another source is selected.
     let plan = host.confirmation_plan();
     let wait = if host.needs_refresh() { Duration::ZERO } else { PEER_WATCH_TIMEOUT };
     let sent = host_now();
     host.expect_confirmation(sent + wait);
-    let Ok(update) = host.links.catalog_update(&endpoint, after, wait).await else {
+    let Some(update) = fetch_update(host, peer, after, wait).await else {
         return PeerReply::Done;
     };
     let age = Duration::from_micros(update.age_us);
@@ -282,6 +283,30 @@
     PeerReply::Done
 }
 
+/// Requests the changes after a revision from a peer, and suspects a peer that does not reply.
+///
+/// A late update is no sign that the peer is down: its link or this host's may be full, while it
+/// answers queries.
+async fn fetch_update(
+    host: &RouteHost,
+    peer: SocketAddr,
+    after: StoreRevision,
+    wait: Duration,
+) -> Option<CatalogUpdate> {
+    let endpoint = host.peer_endpoint(peer, TrafficPurpose::Catalog);
+    match host.links.catalog_update(&endpoint, after, wait).await {
+        Ok(update) => Some(update),
+        Err(PeerError::NotSent) => None,
+        Err(PeerError::NoReply | PeerError::Unresponsive) => {
+            let endpoint = host.peer_endpoint(peer, TrafficPurpose::Gathering);
+            let is_alive = host.links.ping(&endpoint).await;
+            let reason = if is_alive { SuspicionReason::Late } else { SuspicionReason::NoReply };
+            host.links.suspect(peer, reason);
+            None
+        }
+    }
+}
+
 /// Requests a confirmation from peers, if this host needs one and cannot get it from the store:
 /// from hosts of its own zone, which may have selected another watcher, or else of other zones.
 async fn refresh_from_peers(host: &RouteHost) {
@@ -311,9 +336,8 @@
 
 async fn refresh_from(host: &RouteHost, peer: SocketAddr) {
     let after = host.mirror.borrow().wanted_after();
-    let endpoint = host.peer_endpoint(peer, TrafficPurpose::Catalog);
     let sent = host_now();
-    if let Ok(update) = host.links.catalog_update(&endpoint, after, Duration::ZERO).await {
+    if let Some(update) = fetch_update(host, peer, after, Duration::ZERO).await {
         apply_from_peer(host, peer, update, sent);
     }
 }
@@ -327,7 +351,7 @@
     let hosts = hosts.filter(|other| other.id != MemberId::of(&own.name).0);
     let peers =
         hosts.filter_map(|other| Some(members.record_by_id(MemberId(other.id))?.place.peer));
-    peers.filter(|peer| !host.links.is_suspect(*peer)).collect()
+    peers.filter(|peer| !host.links.is_suspect_source(*peer)).collect()
 }
 
 /// Applies the reply to a request that was sent to `peer` at `sent`.
@@ -418,10 +442,9 @@
     }
     sleep(CATCH_UP_DELAY).await;
     let after = host.mirror.borrow().wanted_after();
-    let endpoint = host.peer_endpoint(peer, TrafficPurpose::Catalog);
     let sent = host_now();
     if as_of > after
-        && let Ok(update) = host.links.catalog_update(&endpoint, after, Duration::ZERO).await
+        && let Some(update) = fetch_update(&host, peer, after, Duration::ZERO).await
         && update.as_of != StoreRevision::NONE
     {
         edge_event!(
--- a/tests/slow_links.rs
+++ b/tests/slow_links.rs
@@ -31,13 +31,14 @@
 /// Bytes per second that a host may receive for control.
 const CONTROL_RATE: f64 = 5_000.0;
 
+fn large_route(number: usize) -> Value {
+    let name: String = route::random_words(number as u64, 2).collect();
+    operator::single(&format!("/{name}/"), "s", "safe")
+}
+
 /// The routes of a large configuration; `/changed/` leads to a service.
 fn large_routes(service: &str) -> Vec<Value> {
-    let route = |number: usize| {
-        let name: String = route::random_words(number as u64, 2).collect();
-        operator::single(&format!("/{name}/"), "s", "safe")
-    };
-    let mut routes: Vec<Value> = (0..ROUTES).map(route).collect();
+    let mut routes: Vec<Value> = (0..ROUTES).map(large_route).collect();
     routes.push(operator::single("/changed/", service, "safe"));
     routes
 }
@@ -137,6 +138,57 @@
     Ok(())
 }
 
+/// Guards against an update that is cut and begun again as it takes longer than a reply may, until
+/// its reader fetches all from the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_update_over_a_slow_link_is_not_begun_again() -> TestResult {
+    let store = RouteStore::start().await?;
+    let target = RouteTarget::start("t-1", "s").await?;
+    operator::register(&store, "t-1", &target, "east");
+    operator::configure(&store, 1, &large_routes("s"), &["s"]);
+    let east = NetworkLocation::zone("east");
+    let mut network = StandinNetwork::new(NetworkOptions::dar_port());
+    let sources = [(IpAddr::V4(Ipv4Addr::LOCALHOST), east.clone())];
+    let link = network.link_host(east.clone(), &sources).await?;
+    // Hosts with little capacity watch the store for their zones, as the others gather.
+    let options =
+        HostOptions { advertised: Some(link.address()), ..HostOptions::with_core_share(0.1) };
+    let at = store.address();
+    let far = RouteHost::start("h-far", "west", at, &[])?;
+    let source = RouteHost::start_with("h-source", "east", at, &[&far], &options)?;
+    link.set_upstream(source.peer());
+    let reader = RouteHost::start_with_core_share("h-reader", "east", at, &[&far], 0.9)?;
+    for host in [&far, &source, &reader] {
+        host.wait_until_ready().await?;
+    }
+    let follows = async || {
+        let watchers = store.watchers();
+        watchers.contains(&source.caller().ip()) && !watchers.contains(&reader.caller().ip())
+    };
+    route::wait_for("the reader to follow the source", follows).await?;
+    for control in network.controls(&east, &east) {
+        control.set_faults(|faults| {
+            let delay = Duration::from_millis(20);
+            faults.throttle = Some(ThrottleRate { chunk_bytes: 1024, delay });
+        });
+    }
+    let before = store_bytes(&reader).await?;
+    // All names are new, so that the update is long.
+    let mut routes: Vec<Value> = (0..ROUTES).map(|number| large_route(number + ROUTES)).collect();
+    routes.push(operator::single("/new/", "s", "safe"));
+    operator::configure(&store, 2, &routes, &["s"]);
+    let applied = async || {
+        let answer = reader.send("GET", "/new/", "id", "").await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    };
+    route::wait_for("the version to be in force", applied).await?;
+    let read = store_bytes(&reader).await? - before;
+    let lines = reader.log_lines();
+    let lines: Vec<_> = lines.iter().filter(|line| line.contains("reason=")).collect();
+    assert!(read < CONTROL_RATE * 2.0, "{read} bytes from the store: {lines:#?}");
+    Ok(())
+}
+
 /// A small host in zone `north` that delegates its queries to two hosts of zone `south`, one of them
 /// behind a slow link. Each shard has three targets in `south`.
 struct SlowGatherer {
