fix(pool): the head of an answer is limited before it is complete

Cause: the HTTP library reads interim responses (1xx) for as long as they arrive, in one poll. A target that sends them without end keeps the one thread that serves: no other request, no timer and no log line of the host runs meanwhile.

What callers saw: nothing of that host until the target stops: a request with a timeout of 1.5 s had no answer after 10 s, nor had any other request. A stack of the process showed the library's parser below DrivenSender::poll, twice 0.3 s apart.

Change: a connection to a target reads 64 KiB at most until the head of an answer is complete; then it appears to end, which breaks the exchange. Bodies keep their own limits.

endless_bytes_of_a_target_end_with_their_request: nine kinds of endless bytes, in heads and bodies, with a request that may run once, one that may run again and a query that may miss the shard. Each ends within its timeout and 0.5 s, with 502, or an answer that is cut, or for bytes behind a complete answer with that answer; the target sees its connection closed; the host's memory grows by less than 4 MiB; a request to another target is answered. Its first forms expected that a second query always reaches the target after a complete answer with noise behind it: it may be written to the connection that is about to break, and then does not run there; the traces are the counts of runs at the target.

--- a/crates/hawthorn-pool/src/driven.rs
+++ b/crates/hawthorn-pool/src/driven.rs
@@ -21,12 +21,21 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::client::conn::http1;
 use hyper::client::conn::http1::Connection;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use tokio::io::Join;
 use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedWriteHalf;
 
-type TargetConnection = Connection<TokioIo<TcpStream>, Full<Bytes>>;
+use crate::head_limit::HeadBudget;
+use crate::head_limit::LimitedReader;
+
+type TargetConnection = Connection<TokioIo<TargetStream>, Full<Bytes>>;
+
+/// A connection to a target whose answers' heads are limited.
+pub(crate) type TargetStream = Join<LimitedReader, OwnedWriteHalf>;
 
 /// A connection and the sender that submits requests to it.
 #[derive(Debug)]
@@ -34,11 +43,17 @@
     sender: SendRequest<Full<Bytes>>,
     /// `None` once the connection has closed.
     connection: Option<TargetConnection>,
+    head_budget: HeadBudget,
 }
 
 impl DrivenSender {
-    pub(crate) fn new(sender: SendRequest<Full<Bytes>>, connection: TargetConnection) -> Self {
-        Self { sender, connection: Some(connection) }
+    /// Begins to speak HTTP on an open connection.
+    pub(crate) async fn handshake(stream: TcpStream) -> hyper::Result<Self> {
+        let head_budget = HeadBudget::new();
+        let (reader, writer) = stream.into_split();
+        let stream = tokio::io::join(LimitedReader::new(reader, head_budget.clone()), writer);
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        Ok(Self { sender, connection: Some(connection), head_budget })
     }
 
     /// Reads and writes as much as possible without waiting.
@@ -71,8 +86,11 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> hyper::Result<Response<Incoming>> {
+        self.head_budget.begin();
         let response = self.sender.send_request(request);
-        self.drive(response).await
+        let response = self.drive(response).await;
+        self.head_budget.end();
+        response
     }
 
     /// Drives the connection until a future that depends on it is ready.
--- a/crates/hawthorn-pool/src/lib.rs
+++ b/crates/hawthorn-pool/src/lib.rs
@@ -13,6 +13,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 
 mod driven;
+mod head_limit;
 mod remaining;
 
 use std::net::SocketAddr;
@@ -30,10 +31,8 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
 use hyper::header;
 use hyper::header::HeaderMap;
-use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
@@ -271,13 +270,12 @@
         let connect = async {
             let stream = TcpStream::connect(self.address).await.map_err(|e| e.to_string())?;
             enable_dead_peer_detection(&stream).map_err(|e| e.to_string())?;
-            http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())
+            DrivenSender::handshake(stream).await.map_err(|e| e.to_string())
         };
-        let (sender, connection) = tokio::time::timeout(self.options.connect_timeout, connect)
+        tokio::time::timeout(self.options.connect_timeout, connect)
             .await
             .map_err(|_| Error::NotSent("connecting took too long".into()))?
-            .map_err(Error::NotSent)?;
-        Ok(DrivenSender::new(sender, connection))
+            .map_err(Error::NotSent)
     }
 
     /// Sends a request of the product's own API and returns its answer, fully buffered,
--- a/crates/hawthorn-standin/src/route/target.rs
+++ b/crates/hawthorn-standin/src/route/target.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -57,6 +58,67 @@
     /// The request runs, and the connection is closed after half of a body of the given
     /// number of bytes.
     TruncatedBody(usize),
+    /// The request runs, and bytes that are no answer follow until the caller closes.
+    Endless(EndlessBytes),
+}
+
+/// Bytes that are no answer, without end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndlessBytes {
+    /// Bytes that are no HTTP, without a line break.
+    Noise,
+    /// Empty lines in place of a head.
+    EmptyLines,
+    /// Interim responses (100) in place of a head.
+    InterimHeads,
+    /// A head with one value that never ends.
+    HeaderValue,
+    /// A head with more and more fields.
+    HeaderFields,
+    /// A body of chunks, after the head of the request's own answer.
+    Chunks,
+    /// A body that ends with the connection, after the head of the request's own answer.
+    UnframedBody,
+    /// One extension of a chunk that never ends, after the head of the request's own answer.
+    ChunkExtension,
+    /// The complete answer, and then noise.
+    AfterAnswer,
+}
+
+impl EndlessBytes {
+    /// What precedes the endless bytes, and these.
+    fn encode(self, headers: &[(&str, String)], body: &[u8]) -> (Vec<u8>, Vec<u8>) {
+        const REPEATED: usize = 16 * 1024;
+        let fields: String =
+            headers.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
+        let chunked = format!("HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n");
+        let repeat = |text: &str| text.repeat(REPEATED / text.len()).into_bytes();
+        let chunk = format!("400\r\n{}\r\n", "x".repeat(0x400));
+        match self {
+            Self::Noise => (Vec::new(), vec![0x7f; REPEATED]),
+            Self::EmptyLines => (Vec::new(), repeat("\r\n")),
+            Self::InterimHeads => (Vec::new(), repeat("HTTP/1.1 100 Continue\r\n\r\n")),
+            Self::HeaderValue => (b"HTTP/1.1 200 OK\r\nX-Long: ".to_vec(), repeat("x")),
+            Self::HeaderFields => (b"HTTP/1.1 200 OK\r\n".to_vec(), repeat("X-Field: x\r\n")),
+            Self::Chunks => (chunked.into_bytes(), repeat(&chunk)),
+            Self::UnframedBody => {
+                (format!("HTTP/1.1 200 OK\r\n{fields}\r\n").into_bytes(), repeat("x"))
+            }
+            Self::ChunkExtension => {
+                ([chunked.as_bytes(), b"1;a=".as_slice()].concat(), repeat("x"))
+            }
+            Self::AfterAnswer => (wire::answer(200, headers, body), vec![0x7f; REPEATED]),
+        }
+    }
+}
+
+/// Endless bytes that a target sent until its caller closed the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndedFlood {
+    /// Time until the connection was closed.
+    pub after: Duration,
+    /// Bytes accepted by the operating system.
+    pub bytes: usize,
 }
 
 /// An answer of another request, sent where the answer to this one is due. It reports a full
@@ -111,6 +173,7 @@
     /// The headers of each request in `requests`.
     request_headers: Vec<Vec<(String, String)>>,
     cancelled: usize,
+    floods: Vec<EndedFlood>,
     /// The path prefix that crashes the target, and the downtime after a crash.
     crashes_on: Option<(String, Duration)>,
     crashes: usize,
@@ -150,6 +213,7 @@
             requests: Vec::new(),
             request_headers: Vec::new(),
             cancelled: 0,
+            floods: Vec::new(),
             crashes_on: None,
             crashes: 0,
         }));
@@ -203,6 +267,11 @@
         self.state.lock().expect("no holder of the lock panics").cancelled
     }
 
+    /// The endless bytes that ended because the connection was closed.
+    pub fn floods(&self) -> Vec<EndedFlood> {
+        self.state.lock().expect("no holder of the lock panics").floods.clone()
+    }
+
     /// Makes requests whose path starts with `path` crash the target: it closes all
     /// connections and accepts none for `down`.
     pub fn crash_on(&self, path: &str, down: Duration) {
@@ -400,6 +469,12 @@
             sleep(pause).await;
             stream.write_all(second).await
         }
+        Some(TargetFault::Endless(endless)) => {
+            let (first, repeated) = endless.encode(&headers, &body);
+            let flood = send_without_end(stream, &first, &repeated).await;
+            state.lock().expect("no holder of the lock panics").floods.push(flood);
+            return false;
+        }
         Some(TargetFault::TruncatedBody(bytes)) => {
             let answer = wire::answer(200, &headers, &vec![b'x'; bytes]);
             let _sent = stream.write_all(&answer[..answer.len() / 2]).await;
@@ -416,6 +491,21 @@
     sent.is_ok()
 }
 
+/// Sends until the caller closes the connection.
+async fn send_without_end(stream: &mut TcpStream, first: &[u8], repeated: &[u8]) -> EndedFlood {
+    /// Leaves the processor to the host under test.
+    const GAP: Duration = Duration::from_millis(1);
+    let started = Instant::now();
+    let mut bytes = 0;
+    let mut next = first;
+    while stream.write_all(next).await.is_ok() {
+        bytes += next.len();
+        next = repeated;
+        sleep(GAP).await;
+    }
+    EndedFlood { after: started.elapsed(), bytes }
+}
+
 /// The body that targets of a service answer with: three records and a remainder.
 pub fn records(service: &str) -> Vec<u8> {
     let mut body = Vec::new();
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -295,6 +295,14 @@
         Ok(rustix::process::kill_process(pid, signal)?)
     }
 
+    /// The memory that the process has in use, in KiB.
+    pub fn resident_kb(&self) -> TestResult<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let words = line.and_then(|line| line.split_whitespace().next());
+        Ok(words.ok_or("no resident size")?.parse()?)
+    }
+
     /// Whether the process has exited.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
