feat(edge): a log line for each request that is rejected for good

404, 413 and 400 by the host wrote no line, 401 only a counter, and what the HTTP library answers itself (400, 414, 431) left no trace at all, so that logs could not tell whether a rejection came from an old version, from one that was received and is not in force, or from the library.

E660 has the request's id, the outcome, the first segment of its path, the version in force and the newest received, and the time since the store confirmed it; at most 20 lines a second, the rest counted in `unlogged`. E635 covers heads that the library rejects. No decision changes.

route_events brings a host to write both.

--- a/crates/hawthorn-edge/src/connection/listen.rs
+++ b/crates/hawthorn-edge/src/connection/listen.rs
@@ -27,6 +27,7 @@
 use crate::connection::open::OpenBody;
 use crate::connection::open::OpenRequest;
 use crate::edge_event;
+use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
 use crate::process::host::RouteHost;
 use crate::request::serve;
@@ -107,9 +108,12 @@
             connection.await
         }
     };
-    // Disconnects and malformed requests are not errors of this host; the log line of the
-    // request records them.
-    drop(result);
+    // A disconnect is not an error of this host; the log line of the request records it.
+    if let Err(error) = result
+        && error.is_parse()
+    {
+        log_malformed_head(&host, &error);
+    }
     host.connections.set(host.connections.get() - 1);
 }
 
@@ -122,6 +126,17 @@
     let _written = timeout(REJECT_TIMEOUT, stream.write_all(SLOW_HEAD_RESPONSE)).await;
 }
 
+/// Records a head that the HTTP library has rejected, with 400, 414 or 431.
+fn log_malformed_head(host: &RouteHost, error: &hyper::Error) {
+    host.metrics.count_request("malformed-head", Duration::ZERO);
+    let Some(unlogged) = host.rejection_log.take(host_now()) else { return };
+    edge_event!(
+        Level::Info,
+        EdgeEvent::HeadRefused,
+        "outcome=malformed-head error=\"{error}\" unlogged={unlogged}"
+    );
+}
+
 /// Serves the pages for readiness and metrics.
 pub(crate) async fn pages(host: Rc<RouteHost>, listener: TcpListener) {
     loop {
--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -68,7 +68,7 @@
     ShardsDelegated = 633,
     /// A streamed answer was cut off.
     AnswerCut = 634,
-    /// A request head took too long to arrive.
+    /// A request head took too long to arrive, or is malformed or too large.
     HeadRefused = 635,
     /// Shards gathered by this host that have no part in the answer.
     PartsMissing = 636,
@@ -110,6 +110,8 @@
     ZoneReport = 658,
     /// Shards that a peer did not gather were delegated to another one.
     QueryRegathered = 659,
+    /// A request was rejected for good, as it does not fit the configuration.
+    RequestRejected = 660,
     /// A host of the fleet came up, went down or is leaving.
     PeerChanged = 641,
 }
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -64,6 +64,7 @@
 use crate::request::commit::CommitTable;
 use crate::request::dispatch;
 use crate::request::dispatch::DispatchQueue;
+use crate::request::rejection::RejectionLog;
 use crate::request::remainder::RemainderTable;
 use crate::settings::RouteSettings;
 use crate::version::state::RoutingState;
@@ -208,6 +209,8 @@
     pub(crate) dispatch: DispatchQueue,
     /// Bytes of callers' request bodies in memory.
     pub body_bytes: Cell<usize>,
+    /// Limits the log lines on rejected requests.
+    pub(crate) rejection_log: RejectionLog,
     /// Number of requests since the start, used to number and sample log lines.
     pub request_count: Cell<u32>,
 }
@@ -252,6 +255,7 @@
             grace: Cell::new(settings.stop.grace),
             dispatch: DispatchQueue::default(),
             body_bytes: Cell::new(0),
+            rejection_log: RejectionLog::default(),
             request_count: Cell::new(0),
             routing: RoutingState::new(settings),
         })
--- a/crates/hawthorn-edge/src/request/mod.rs
+++ b/crates/hawthorn-edge/src/request/mod.rs
@@ -11,6 +11,7 @@
 mod parts;
 pub(crate) mod quota;
 pub(crate) mod race;
+pub(crate) mod rejection;
 pub mod remainder;
 pub(crate) mod request_log;
 pub(crate) mod serve;
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -30,6 +30,7 @@
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
@@ -51,6 +52,7 @@
 use crate::request::quota;
 use crate::request::race::AttemptRace;
 use crate::request::race::RaceEnd;
+use crate::request::rejection;
 use crate::request::request_log::RequestSummary;
 use crate::request::stopping;
 
@@ -134,11 +136,12 @@
     let (mut head, body) = request.into_parts();
     let name = head.headers.get(header::HOST).and_then(|value| value.to_str().ok());
     let Some(route) = table.find(name.unwrap_or_default(), head.uri.path()) else {
-        return CallerAnswer::no_route();
+        return reject(host, &head, &table, CallerAnswer::no_route());
     };
     let customer = match identify(host, &table, route, &mut head.headers) {
         Ok(customer) => customer,
-        Err(answer) => return *answer,
+        Err(answer) if answer.refusal.is_some() => return *answer,
+        Err(answer) => return reject(host, &head, &table, *answer),
     };
     if host.open_requests.get() > MAX_OPEN_REQUESTS {
         return CallerAnswer::refused(RefusalReason::HostFull);
@@ -151,9 +154,11 @@
     let wait = caller_headers.time_left.map_or(route.timeout, |left| left.min(route.timeout));
     let limits = table.document().limits;
     let body = match timeout(wait, Limited::new(body, limits.body_bytes).collect()).await {
-        Err(_) => return CallerAnswer::slow_body(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return CallerAnswer::too_large(),
-        Ok(Err(_)) => return CallerAnswer::unreadable(),
+        Err(_) => return reject(host, &head, &table, CallerAnswer::slow_body()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            return reject(host, &head, &table, CallerAnswer::too_large());
+        }
+        Ok(Err(_)) => return reject(host, &head, &table, CallerAnswer::unreadable()),
         Ok(Ok(body)) => body.to_bytes(),
     };
     let _guard = BodyBytesGuard::new(Rc::clone(host), body.len());
@@ -220,6 +225,17 @@
     answer
 }
 
+/// Logs the rejection of a request that was compared with `table`.
+fn reject(
+    host: &RouteHost,
+    head: &Parts,
+    table: &RouteTable,
+    answer: CallerAnswer,
+) -> CallerAnswer {
+    rejection::log(host, head, table.version(), &answer);
+    answer
+}
+
 /// The customer that holds the caller's key, if the request needs one; removes the key, and what
 /// the caller states about who it is.
 fn identify(
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -65,7 +65,12 @@
     wait_for_line(&host, "answer-cut").await?;
     let mut slow = TcpStream::connect(host.caller()).await?;
     slow.write_all(b"GET /safe/ HT").await?;
-    wait_for_line(&host, "head-refused").await?;
+    wait_for_line(&host, "head-refused: outcome=slow-head").await?;
+    let mut malformed = TcpStream::connect(host.caller()).await?;
+    malformed.write_all(b"no HTTP\r\n\r\n").await?;
+    wait_for_line(&host, "head-refused: outcome=malformed-head").await?;
+    host.send("GET", "/absent/other/", "id-absent", "").await?;
+    wait_for_line(&host, "request-rejected: request=id-absent outcome=no-route").await?;
     UdpSocket::bind("127.0.0.1:0").await?.send_to(b"nonsense", host.peer()).await?;
     wait_for_line(&host, "peer-message-broken").await?;
     operator::put_raw_entry(&store, "other", b"{}");
