test(edge): requests that a newer version allows are rejected for good

A host that has not reached the store for 3 s answers 404 for a route, 401 for a key and 413 for a body that a version written since then allows:

route: RouteAnswer { status: 404, ... body: no-route } left: 404 right: 503

A host that has received the version, and applies it 1 s later than those that gather, answers the same until then:

received before it is in force left: [false, false, false]

Callers retry none of these statuses, so that the answer is final for them.

--- /dev/null
+++ b/tests/route_rejections.rs
@@ -0,0 +1,187 @@
+//! Real `route` processes that reject requests for good: only if no version that may be in force
+//! allows them.
+
+mod support;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use hawthorn_standin::route::RouteStore;
+use hawthorn_standin::route::RouteTarget;
+use hawthorn_standin::route::operator;
+use hawthorn_standin::route::store::RouteOutage;
+use serde_json::json;
+use support::TestResult;
+use support::route;
+use support::route::HostOptions;
+use support::route::RouteAnswer;
+use support::route::RouteHost;
+use tokio::time::sleep;
+
+/// Time within which a version is in force on every host that reaches the store.
+const APPLY_TIME: Duration = Duration::from_millis(3000);
+/// Maximum size of a request body in the first version.
+const BODY_LIMIT: usize = 1024;
+
+/// A request that the first version rejects and the second one allows.
+struct Case {
+    name: &'static str,
+    path: &'static str,
+    key: &'static str,
+    body_bytes: usize,
+    /// Status and body of its rejection.
+    rejection: (u16, &'static str),
+}
+
+const CASES: [Case; 3] = [
+    Case {
+        name: "route",
+        path: "/added/",
+        key: "known",
+        body_bytes: 0,
+        rejection: (404, "no-route"),
+    },
+    Case {
+        name: "key",
+        path: "/kept/",
+        key: "added",
+        body_bytes: 0,
+        rejection: (401, "unknown-key"),
+    },
+    Case {
+        name: "body",
+        path: "/kept/",
+        key: "known",
+        body_bytes: BODY_LIMIT + 1,
+        rejection: (413, "too-large"),
+    },
+];
+
+impl Case {
+    async fn send(&self, host: &RouteHost) -> TestResult<RouteAnswer> {
+        route::post_with_key(host.caller(), self.path, self.key, &"x".repeat(self.body_bytes)).await
+    }
+
+    fn is_rejected(&self, answer: &RouteAnswer) -> bool {
+        let (status, body) = self.rejection;
+        answer.status == status && answer.body == body.as_bytes()
+    }
+}
+
+/// Writes the first version, or the second one, which allows more.
+fn write_version(store: &RouteStore, version: u64) {
+    let first = version == 1;
+    let mut routes = vec![operator::single("/kept/", "s", "safe")];
+    let mut keys = vec!["known"];
+    if !first {
+        routes.push(operator::single("/added/", "s", "safe"));
+        keys.push("added");
+    }
+    let document = json!({
+        "configVersion": version, "routes": routes,
+        "services": [{ "name": "s", "healthPath": "/health", "maxConnections": 26 }],
+        "tenants": [operator::customer("shop", &keys)],
+        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": BODY_LIMIT * if first { 1 } else { 4 },
+                    "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000 },
+    });
+    operator::put_raw_configuration(store, document.to_string().as_bytes());
+}
+
+async fn start_store() -> TestResult<(RouteStore, RouteTarget)> {
+    let store = RouteStore::start().await?;
+    let target = RouteTarget::start("t-1", "s").await?;
+    operator::register(&store, "t-1", &target, "east");
+    write_version(&store, 1);
+    Ok((store, target))
+}
+
+fn options(tables: &str) -> HostOptions {
+    let apply_ms = APPLY_TIME.as_millis();
+    let tables = format!("[configuration]\napply_ms = {apply_ms}\n{tables}");
+    HostOptions { tables, ..HostOptions::default() }
+}
+
+/// Guards against a host that does not reach the store and ends requests for good that a version
+/// allows which it cannot know.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_may_lack_a_version_rejects_nothing_for_good() -> TestResult {
+    let (store, _target) = start_store().await?;
+    let host = RouteHost::start_with("h-1", "east", store.address(), &[], &options(""))?;
+    host.wait_until_ready().await?;
+    for case in &CASES {
+        let answer = case.send(&host).await?;
+        assert!(case.is_rejected(&answer), "{} at first: {answer:?}", case.name);
+    }
+    store.set_outage(RouteOutage::Hang);
+    store.hang_watchers();
+    write_version(&store, 2);
+    sleep(APPLY_TIME).await;
+    for case in &CASES {
+        let answer = case.send(&host).await?;
+        assert_eq!(answer.status, 503, "{}: {answer:?}", case.name);
+        assert_eq!(answer.body, b"stale-configuration", "{}", case.name);
+        assert!(answer.headers.contains_key("retry-after"), "{}: {answer:?}", case.name);
+    }
+    store.set_outage(RouteOutage::None);
+    for case in &CASES {
+        let served = async || match case.send(&host).await {
+            Ok(answer) => {
+                assert!(!case.is_rejected(&answer), "{} after the outage", case.name);
+                answer.status == 200
+            }
+            Err(_) => false,
+        };
+        route::wait_for(case.name, served).await?;
+    }
+    Ok(())
+}
+
+/// Guards against a host that ends requests for good by the version in force although it has
+/// received one that allows them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_that_is_not_in_force_yet_prevents_rejections() -> TestResult {
+    /// Delay after which hosts that do not gather apply a version.
+    const HOLD: Duration = Duration::from_secs(1);
+    let (store, _target) = start_store().await?;
+    let policy = format!("[policy.rollout]\nhold_ms = {}\n", HOLD.as_millis());
+    let mut hosts: Vec<RouteHost> = Vec::new();
+    for number in 0..4 {
+        let core_share = if number < 3 { 1.0 } else { 0.1 };
+        let host = format!("core_share = {core_share}\n");
+        let options = HostOptions { host, ..options(&policy) };
+        let seeds: Vec<&RouteHost> = hosts.first().into_iter().collect();
+        let (name, at) = (format!("h-{number}"), store.address());
+        hosts.push(RouteHost::start_with(&name, "east", at, &seeds, &options)?);
+    }
+    for host in &hosts {
+        host.wait_until_ready().await?;
+    }
+    let small = &hosts[3];
+    route::wait_for("the hosts to meet", async || small.logged("change=up") == 3).await?;
+    write_version(&store, 2);
+    let mut received = [false; CASES.len()];
+    let mut served = [false; CASES.len()];
+    let started = Instant::now();
+    while served.contains(&false) {
+        assert!(started.elapsed() < route::WAIT_TIMEOUT, "served: {served:?}");
+        for (index, case) in CASES.iter().enumerate() {
+            let answer = case.send(small).await?;
+            served[index] = answer.status == 200;
+            if case.is_rejected(&answer) {
+                assert!(!received[index], "{} after the receipt: {answer:?}", case.name);
+            } else if !served[index] {
+                assert_eq!(answer.status, 503, "{}: {answer:?}", case.name);
+                assert_eq!(answer.body, b"not-in-force", "{}", case.name);
+                let after = answer.headers.get("retry-after").ok_or("no time of the retry")?;
+                assert!(after.parse::<f64>()? <= HOLD.as_secs_f64(), "{}: {after}", case.name);
+                received[index] = true;
+            }
+        }
+        // What neither version allows is rejected for good.
+        let absent = small.send_with_key("/absent/", "id-absent", "known").await?;
+        assert_eq!(absent.status, 404, "{absent:?}");
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(received, [true; CASES.len()], "received before it is in force");
+    Ok(())
+}
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -349,6 +349,18 @@
     exchange(at, request_with("GET", path, &id, &[(KEY, key)], "")).await
 }
 
+/// Sends a request with an API key, a body and an id of its own to an address.
+pub async fn post_with_key(
+    at: SocketAddr,
+    path: &str,
+    key: &str,
+    body: &str,
+) -> TestResult<RouteAnswer> {
+    let number = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
+    let id = format!("id-{number}");
+    exchange(at, request_with("POST", path, &id, &[(KEY, key)], body)).await
+}
+
 /// Starts four hosts of zone `east` and one of zone `west`, with links that carry one large version
 /// of the configuration in some twenty seconds.
 pub async fn start_on_narrow_links(store: &RouteStore) -> TestResult<Vec<RouteHost>> {
