fix(edge): a request is rejected for good only if no version in force can allow it

Callers saw 404, 401 and 413, which they never retry, for routes, keys and bodies that a confirmed version allows. A host judged by the version in force there, whatever its age, and whatever newer one it had received; every other answer that rests on old data is 503 with Retry-After.

Change: hawthorn_route::rejection judges by the time since the store confirmed the newest received version and by whether that version allows the request. Above configuration.apply_ms, the time within which a version is in force on every host that reaches the store, or if the newest version allows it, the answer is 503 (stale-configuration, not-in-force). A revoked key is judged with at least the age up to which keys are accepted.

Why it works: any version that must be in force was acknowledged at least apply_ms before, so a host that was confirmed since then has received it.

The test of revocation prints the answer where it fails; its check is unchanged.

--- a/crates/hawthorn-edge/src/request/answer.rs
+++ b/crates/hawthorn-edge/src/request/answer.rs
@@ -87,6 +87,12 @@
         Self { refused_for: Some(after), ..Self::refused(RefusalReason::Overloaded) }
     }
 
+    /// A version that is not in force yet allows the request; it is due after the given time, if
+    /// known.
+    pub(crate) fn not_in_force(due: Option<Duration>) -> Self {
+        Self { refused_for: due, ..Self::refused(RefusalReason::NotInForce) }
+    }
+
     /// Sets the time after which the caller of a refused request should retry.
     pub(crate) fn set_retry_after(&mut self, after: Duration) {
         caller::set_retry_after(self.response.headers_mut(), after);
--- a/crates/hawthorn-edge/src/request/rejection.rs
+++ b/crates/hawthorn-edge/src/request/rejection.rs
@@ -1,10 +1,21 @@
-//! Log lines on requests that are rejected for good, with what this host knew of the configuration.
+//! Requests that do not fit the configuration: whether they are rejected for good, and the log line
+//! on what this host knew.
 
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use hawthorn_platform::caller;
+use hawthorn_platform::caller::CallerKey;
+use hawthorn_route::customer::KeyRejection;
+use hawthorn_route::customer::RequestCustomer;
 use hawthorn_route::customer::log_name;
+use hawthorn_route::document::RouteRule;
+use hawthorn_route::outcome::RefusalReason;
+use hawthorn_route::rejection;
+use hawthorn_route::rejection::KnownVersions;
+use hawthorn_route::rejection::Outcome;
+use hawthorn_route::table::RouteTable;
 use hyper::header;
 use hyper::http::request::Parts;
 use log::Level;
@@ -21,6 +32,110 @@
 /// Maximum number of characters that are logged of a text from a caller.
 const MAX_TEXT: usize = 64;
 
+/// What is wrong with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RequestFault {
+    /// No route matches.
+    NoRoute,
+    /// Its key is not accepted.
+    Key(KeyRejection),
+    /// Its body exceeds the limit.
+    BodyTooLarge { limit: usize },
+    /// Its body did not arrive in time.
+    SlowBody,
+    /// Its body could not be read completely.
+    UnreadableBody,
+}
+
+impl RequestFault {
+    /// Whether a version that is newer than the one with this fault allows the request.
+    fn is_absent_in(self, table: &RouteTable, head: &Parts) -> bool {
+        match self {
+            Self::NoRoute | Self::Key(_) => find(table, head).is_ok(),
+            Self::BodyTooLarge { limit } => table.document().limits.body_bytes > limit,
+            Self::SlowBody | Self::UnreadableBody => false,
+        }
+    }
+
+    fn answer(self) -> CallerAnswer {
+        match self {
+            Self::NoRoute => CallerAnswer::no_route(),
+            Self::Key(rejection) => CallerAnswer::key_rejected(rejection),
+            Self::BodyTooLarge { .. } => CallerAnswer::too_large(),
+            Self::SlowBody => CallerAnswer::slow_body(),
+            Self::UnreadableBody => CallerAnswer::unreadable(),
+        }
+    }
+}
+
+/// The route of a request in a version, and the customer that holds the caller's key if the route
+/// needs one.
+pub(crate) fn find(
+    table: &RouteTable,
+    head: &Parts,
+) -> Result<(Rc<RouteRule>, Option<RequestCustomer>), RequestFault> {
+    let name = head.headers.get(header::HOST).and_then(|value| value.to_str().ok());
+    let route = table.find(name.unwrap_or_default(), head.uri.path());
+    let route = Rc::clone(route.ok_or(RequestFault::NoRoute)?);
+    if table.customers().is_empty() || route.exempt {
+        return Ok((route, None));
+    }
+    let customer = match caller::key(&head.headers) {
+        CallerKey::Missing => Err(KeyRejection::Missing),
+        CallerKey::Several => Err(KeyRejection::Several),
+        CallerKey::Malformed => Err(KeyRejection::Malformed),
+        CallerKey::Given(key) => table.customers().identify(key).ok_or(KeyRejection::Unknown),
+    };
+    Ok((route, Some(customer.map_err(RequestFault::Key)?)))
+}
+
+/// The answer to a request that does not fit the version in force: it is rejected for good only if
+/// no version that may be in force allows it.
+pub(crate) fn reject(
+    host: &RouteHost,
+    table: &RouteTable,
+    head: &Parts,
+    fault: RequestFault,
+) -> CallerAnswer {
+    let newest = host.routing.newest_table();
+    let newest = newest.filter(|newest| newest.version() > table.version());
+    let newest_allows = newest.is_some_and(|newest| fault.is_absent_in(&newest, head));
+    let outcome = match fault {
+        RequestFault::SlowBody | RequestFault::UnreadableBody => Outcome::Rejected,
+        RequestFault::Key(KeyRejection::Revoked) => judge_revocation(host),
+        RequestFault::NoRoute | RequestFault::Key(_) | RequestFault::BodyTooLarge { .. } => {
+            judge(host, newest_allows, host.routing.settings.configuration.apply_limit)
+        }
+    };
+    let answer = match outcome {
+        Outcome::Rejected => fault.answer(),
+        Outcome::NotInForce => CallerAnswer::not_in_force(until_in_force(host)),
+        Outcome::Unconfirmed => CallerAnswer::refused(RefusalReason::StaleConfiguration),
+    };
+    if let (Outcome::Rejected, RequestFault::Key(rejection)) = (outcome, fault) {
+        host.metrics.count_key_rejection(rejection, 1);
+    }
+    log(host, head, table.version(), &answer);
+    answer
+}
+
+/// Judges a request whose key was revoked; a newer version may hold the key again.
+pub(crate) fn judge_revocation(host: &RouteHost) -> Outcome {
+    let apply_limit = host.routing.settings.configuration.apply_limit;
+    // A configuration that is recent enough to send requests with keys is so for this, too.
+    let max_key_age = host.confirmation_plan().max_key_age.unwrap_or_default();
+    judge(host, false, apply_limit.max(max_key_age))
+}
+
+fn judge(host: &RouteHost, newest_allows: bool, apply_limit: Duration) -> Outcome {
+    let known = KnownVersions { confirmed_age: host.confirmed_age(), newest_allows };
+    rejection::judge(known, apply_limit)
+}
+
+fn until_in_force(host: &RouteHost) -> Option<Duration> {
+    host.routing.next_in_force().map(|due| due.saturating_sub(host_now()))
+}
+
 /// Limits the number of log lines on rejected requests.
 #[derive(Debug, Default)]
 pub(crate) struct RejectionLog {
@@ -47,8 +162,7 @@
     }
 }
 
-/// Logs the rejection of a request that was compared with a version of the routes.
-pub(crate) fn log(host: &RouteHost, head: &Parts, version: u64, answer: &CallerAnswer) {
+fn log(host: &RouteHost, head: &Parts, version: u64, answer: &CallerAnswer) {
     let Some(unlogged) = host.rejection_log.take(host_now()) else { return };
     let headers = caller::read(&head.headers);
     let name = head.headers.get(header::HOST).map(|name| String::from_utf8_lossy(name.as_bytes()));
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -7,20 +7,18 @@
 use std::time::Duration;
 
 use hawthorn_platform::caller;
-use hawthorn_platform::caller::CallerKey;
 use hawthorn_route::customer::KeyRefusalCause;
 use hawthorn_route::customer::KeyRejection;
-use hawthorn_route::customer::RequestCustomer;
 use hawthorn_route::document::GatherRule;
 use hawthorn_route::document::RouteDestination;
 use hawthorn_route::document::RouteRule;
 use hawthorn_route::gather::GatherState;
 use hawthorn_route::outcome::RefusalReason;
 use hawthorn_route::quarantine::RequestIdentity;
+use hawthorn_route::rejection::Outcome;
 use hawthorn_route::retry_after::after_confirmation;
 use hawthorn_route::retry_after::retry_after;
 use hawthorn_route::send_deadline;
-use hawthorn_route::table::RouteTable;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -30,7 +28,6 @@
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
-use hyper::http::request::Parts;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
@@ -53,6 +50,7 @@
 use crate::request::race::AttemptRace;
 use crate::request::race::RaceEnd;
 use crate::request::rejection;
+use crate::request::rejection::RequestFault;
 use crate::request::request_log::RequestSummary;
 use crate::request::stopping;
 
@@ -134,15 +132,24 @@
         return CallerAnswer::refused(RefusalReason::NoConfiguration);
     };
     let (mut head, body) = request.into_parts();
-    let name = head.headers.get(header::HOST).and_then(|value| value.to_str().ok());
-    let Some(route) = table.find(name.unwrap_or_default(), head.uri.path()) else {
-        return reject(host, &head, &table, CallerAnswer::no_route());
-    };
-    let customer = match identify(host, &table, route, &mut head.headers) {
-        Ok(customer) => customer,
-        Err(answer) if answer.refusal.is_some() => return *answer,
-        Err(answer) => return reject(host, &head, &table, *answer),
+    let (route, customer) = match rejection::find(&table, &head) {
+        Ok(found) => found,
+        Err(fault) => return rejection::reject(host, &table, &head, fault),
     };
+    // Also if the version in force has no customers: it may lack them by mistake, and targets
+    // trust the name.
+    caller::strip_identity(&mut head.headers);
+    match customer.as_ref().and_then(|customer| host.key_refusal(customer)) {
+        None => {}
+        Some(KeyRefusal::Revoked) => {
+            let fault = RequestFault::Key(KeyRejection::Revoked);
+            return rejection::reject(host, &table, &head, fault);
+        }
+        Some(KeyRefusal::Stale) => {
+            host.metrics.count_key_refusal(KeyRefusalCause::StaleAtAdmission, 1);
+            return CallerAnswer::refused(RefusalReason::StaleKeys);
+        }
+    }
     if host.open_requests.get() > MAX_OPEN_REQUESTS {
         return CallerAnswer::refused(RefusalReason::HostFull);
     }
@@ -154,11 +161,14 @@
     let wait = caller_headers.time_left.map_or(route.timeout, |left| left.min(route.timeout));
     let limits = table.document().limits;
     let body = match timeout(wait, Limited::new(body, limits.body_bytes).collect()).await {
-        Err(_) => return reject(host, &head, &table, CallerAnswer::slow_body()),
+        Err(_) => return rejection::reject(host, &table, &head, RequestFault::SlowBody),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            return reject(host, &head, &table, CallerAnswer::too_large());
+            let fault = RequestFault::BodyTooLarge { limit: limits.body_bytes };
+            return rejection::reject(host, &table, &head, fault);
+        }
+        Ok(Err(_)) => {
+            return rejection::reject(host, &table, &head, RequestFault::UnreadableBody);
         }
-        Ok(Err(_)) => return reject(host, &head, &table, CallerAnswer::unreadable()),
         Ok(Ok(body)) => body.to_bytes(),
     };
     let _guard = BodyBytesGuard::new(Rc::clone(host), body.len());
@@ -184,7 +194,7 @@
         headers: head.headers,
         body,
         attempt_id: caller_headers.attempt_id,
-        route: Rc::clone(route),
+        route,
         customer,
         started,
         send_deadline,
@@ -213,7 +223,12 @@
     if let Some(refusal) = answer.key_refusal {
         host.metrics.count_key_refusal(refusal.before_sending(), 1);
         if refusal == KeyRefusal::Revoked {
-            host.metrics.count_key_rejection(KeyRejection::Revoked, 1);
+            match rejection::judge_revocation(host) {
+                Outcome::Rejected => host.metrics.count_key_rejection(KeyRejection::Revoked, 1),
+                Outcome::NotInForce | Outcome::Unconfirmed => {
+                    answer = CallerAnswer::refused(RefusalReason::StaleConfiguration);
+                }
+            }
         }
     }
     if answer.refusal == Some(RefusalReason::Quarantined) && answer.refused_for.is_none() {
@@ -225,54 +240,6 @@
     answer
 }
 
-/// Logs the rejection of a request that was compared with `table`.
-fn reject(
-    host: &RouteHost,
-    head: &Parts,
-    table: &RouteTable,
-    answer: CallerAnswer,
-) -> CallerAnswer {
-    rejection::log(host, head, table.version(), &answer);
-    answer
-}
-
-/// The customer that holds the caller's key, if the request needs one; removes the key, and what
-/// the caller states about who it is.
-fn identify(
-    host: &RouteHost,
-    table: &RouteTable,
-    route: &RouteRule,
-    headers: &mut HeaderMap,
-) -> Result<Option<RequestCustomer>, Box<CallerAnswer>> {
-    let needs_key = !table.customers().is_empty() && !route.exempt;
-    let customer = needs_key.then(|| find_customer(table, headers)).transpose();
-    // Also if the version in force has no customers: it may lack them by mistake, and targets
-    // trust the name.
-    caller::strip_identity(headers);
-    let reject = |rejection| {
-        host.metrics.count_key_rejection(rejection, 1);
-        Box::new(CallerAnswer::key_rejected(rejection))
-    };
-    let customer = customer.map_err(reject)?;
-    match customer.as_ref().and_then(|customer| host.key_refusal(customer)) {
-        None => Ok(customer),
-        Some(KeyRefusal::Revoked) => Err(reject(KeyRejection::Revoked)),
-        Some(KeyRefusal::Stale) => {
-            host.metrics.count_key_refusal(KeyRefusalCause::StaleAtAdmission, 1);
-            Err(Box::new(CallerAnswer::refused(RefusalReason::StaleKeys)))
-        }
-    }
-}
-
-fn find_customer(table: &RouteTable, headers: &HeaderMap) -> Result<RequestCustomer, KeyRejection> {
-    match caller::key(headers) {
-        CallerKey::Missing => Err(KeyRejection::Missing),
-        CallerKey::Several => Err(KeyRejection::Several),
-        CallerKey::Malformed => Err(KeyRejection::Malformed),
-        CallerKey::Given(key) => table.customers().identify(key).ok_or(KeyRejection::Unknown),
-    }
-}
-
 /// Sends the request to its route's destination.
 async fn send(host: &Rc<RouteHost>, context: &Rc<RequestContext>, version: u64) -> CallerAnswer {
     if context.time_left(host_now()).is_zero() {
--- a/crates/hawthorn-edge/src/settings.rs
+++ b/crates/hawthorn-edge/src/settings.rs
@@ -40,6 +40,10 @@
 /// The maximum of `overshoot` and `slack` in the settings of cold targets.
 const MAX_COLD_EXCESS: f64 = 1000.0;
 
+/// Shortest and longest time within which versions are in force: a value outside is probably a
+/// mistaken unit.
+const MIN_APPLY_LIMIT: Duration = Duration::from_millis(500);
+const MAX_APPLY_LIMIT: Duration = Duration::from_secs(600);
 /// The maximum window of quotas: as for the times of the policy, an hour.
 const MAX_QUOTA_WINDOW: Duration = Duration::from_secs(3600);
 /// The maximum share by which a quota may be exceeded; with more it would limit nothing.
@@ -65,6 +69,9 @@
     pub fleet: FleetSettings,
     /// The platform's store.
     pub store: StoreSettings,
+    /// When versions of the configuration come into force.
+    #[serde(default)]
+    pub configuration: ConfigurationSettings,
     /// Settings that apply to all targets.
     pub targets: TargetSettings,
     /// Settings of the shutdown.
@@ -165,6 +172,24 @@
     pub address: SocketAddr,
 }
 
+/// When versions of the configuration come into force.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default)]
+pub struct ConfigurationSettings {
+    /// Time after the store acknowledged a version, within which it is in force on every host that
+    /// reaches the store.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "apply_ms")]
+    pub apply_limit: Duration,
+}
+
+impl Default for ConfigurationSettings {
+    fn default() -> Self {
+        Self { apply_limit: Duration::from_secs(3) }
+    }
+}
+
 /// Settings that apply to all targets.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize)]
@@ -294,6 +319,9 @@
                 return Err(Error::Value("revocation.within_ms", "must be at most 600000"));
             }
         }
+        if !(MIN_APPLY_LIMIT..=MAX_APPLY_LIMIT).contains(&settings.configuration.apply_limit) {
+            return Err(Error::Value("configuration.apply_ms", "must be between 500 and 600000"));
+        }
         if settings.host.name.is_empty() {
             return Err(Error::Value("host.name", "must not be empty"));
         }
--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -229,6 +229,11 @@
         self.pending_tables.borrow().next_due()
     }
 
+    /// When the newest known version comes into force, if it is not yet.
+    pub fn next_in_force(&self) -> Option<Duration> {
+        self.pending_tables.borrow().last_due()
+    }
+
     /// Applies a version unless the current one is as new.
     ///
     /// A stale read or a slow peer may deliver an older version, which must not bring back routes
--- a/crates/hawthorn-edge/tests/settings.rs
+++ b/crates/hawthorn-edge/tests/settings.rs
@@ -27,6 +27,8 @@
         ("{{seedNodes|json}}", "[\"10.1.0.9:8106\",\"10.2.0.21:8106\"]"),
         ("{{platform.address|json}}", "\"10.200.1.7:8102\""),
         ("{{heartbeatMs}}", "1200"),
+        ("{{#bounds.configApplyMs}}apply_ms = {{.}}", "apply_ms = 5000"),
+        ("{{/bounds.configApplyMs}}", ""),
         ("{{bounds.drainMs}}", "3000"),
         ("{{bounds.graceS}}", "6"),
         ("{{bounds.retryBudgetRatio}}", "0.2"),
@@ -61,6 +63,7 @@
     assert_eq!(settings.fleet.seeds.len(), 2);
     assert_eq!(settings.host.link_mbps, Some(21.0));
     assert_eq!(settings.stop.grace.as_secs(), 6);
+    assert_eq!(settings.configuration.apply_limit.as_secs(), 5);
     assert_eq!(settings.listen.metrics.port(), 9464);
     assert_eq!(settings.cold.limit(12.0), 23);
     assert_eq!(settings.zones.of("east"), Some("dar"));
@@ -118,6 +121,12 @@
             to: "slack = 1e9\n",
             named: "quota.slack",
         },
+        Case {
+            name: "seconds for milliseconds",
+            from: "apply_ms = 5000",
+            to: "apply_ms = 5",
+            named: "configuration.apply_ms",
+        },
         Case { name: "no name", from: "\"front-1\"", to: "\"\"", named: "host.name" },
         Case {
             name: "no core share",
--- a/crates/hawthorn-route/src/lib.rs
+++ b/crates/hawthorn-route/src/lib.rs
@@ -29,6 +29,7 @@
 //! | [`reachability`] | detection of unreachable zones |
 //! | [`refresh`] | which peers a host asks for a confirmation |
 //! | [`regather`] | zones in which shards are gathered anew after a peer did not answer |
+//! | [`rejection`] | whether a request may be rejected for good |
 //! | [`registry`] | all targets and their state |
 //! | [`mod@retry_after`] | when a refused caller should retry |
 //! | [`revision`] | revisions of the store across its restores |
@@ -77,6 +78,7 @@
 pub mod refresh;
 pub mod regather;
 pub mod registry;
+pub mod rejection;
 pub mod retry_after;
 pub mod revision;
 pub mod rollout;
--- a/crates/hawthorn-route/src/outcome.rs
+++ b/crates/hawthorn-route/src/outcome.rs
@@ -72,4 +72,9 @@
     Overloaded,
     /// The request is quarantined because it, or others of its caller, crashed targets.
     Quarantined,
+    /// The request does not fit the configuration, which was not confirmed recently: a newer version
+    /// may allow it.
+    StaleConfiguration,
+    /// A version that is not in force yet allows the request.
+    NotInForce,
 }
--- a/crates/hawthorn-route/src/retry_after.rs
+++ b/crates/hawthorn-route/src/retry_after.rs
@@ -49,6 +49,10 @@
         RefusalReason::Stopping => (0.01, 0.1),
         // Used only if the end of the refusal term is unknown.
         RefusalReason::Quarantined => (1.0, 2.0),
+        // A retry reaches another host, which may have a newer version.
+        RefusalReason::StaleConfiguration => (0.05, 0.25),
+        // Used only if the time at which the version comes into force is unknown.
+        RefusalReason::NotInForce => (0.05, 0.25),
     };
     let delay = Duration::from_secs_f64(rng.random_range(min..max));
     let until_moved =
--- a/crates/hawthorn-route/src/rollout.rs
+++ b/crates/hawthorn-route/src/rollout.rs
@@ -64,6 +64,11 @@
         due
     }
 
+    /// When the newest version is due.
+    pub fn last_due(&self) -> Option<Duration> {
+        self.versions.back().map(|(due, _)| *due)
+    }
+
     /// When the next version is due.
     pub fn next_due(&self) -> Option<Duration> {
         self.versions.front().map(|(due, _)| *due)
--- a/tests/route_revocation.rs
+++ b/tests/route_revocation.rs
@@ -185,7 +185,7 @@
         sleep(RELAYED_WITHIN).await;
         for (index, host) in self.hosts.iter().enumerate() {
             let answer = host.send_with_key("/keyed/", "id-revoked", "old").await?;
-            assert_eq!(answer.status, 401, "{when}, host {index}");
+            assert_eq!(answer.status, 401, "{when}, host {index}: {answer:?}");
         }
         assert_eq!(self.target.runs("id-revoked"), 0, "{when}");
         Ok(())
