fix(edge): limits of open connections follow the version in force

Cause: `handle_connection` read `limits` from the version in force when the connection opened (or the defaults, if there was none) and kept them for the connection's life, as hyper's `max_buf_size` and `header_read_timeout`.

What callers saw after operators had raised a limit, on a connection that was already open: 431, which no caller retries, for a head that the configuration allows; 408 for a head that arrives within the configured time; the end of a connection that was idle for less than the configured time. After a limit had been lowered, the old one stayed in force on open connections.

Change: `RoutingState::limits` publishes the limits of the version in force. `HeadWatch::close_due` replaces hyper's timer: it applies the head and idle time in force, and starts again when they change.

Why it works: no time limit or size of an earlier version is kept for a request. A close for idle time or a small buffer is due only while no head is incomplete, and the sockets are read once more before it; a request that arrives meanwhile is served. The size leaves out optional white space, so it never exceeds what the caller sent.

The stand-in target reads heads of up to 1 MiB, so that a head above 64 KiB can be served.

Not covered: hyper's own 431 for a head above 64 KiB and above the buffer, if the limit is raised while that head is arriving, or if the host does not have the raised version yet. A head of more than the limit and less than the buffer that never ends is answered 408 at the head time, no longer 431 at once.

--- a/crates/hawthorn-edge/src/connection/head.rs
+++ b/crates/hawthorn-edge/src/connection/head.rs
@@ -1,5 +1,5 @@
 //! Monitors a caller's connection: when a request head starts to arrive, how long it takes, the
-//! round-trip time, and when the response is sent.
+//! round-trip time, when the response is sent, and how long the connection is idle.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -9,6 +9,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use hawthorn_route::document::CallerLimits;
 use hawthorn_route::send_deadline::CallerRtt;
 use hawthorn_route::send_deadline::LagMeter;
 use hawthorn_route::send_deadline::RequestArrival;
@@ -19,6 +20,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 use tokio::task::yield_now;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
@@ -36,14 +38,35 @@
     pub(crate) in_socket: Duration,
 }
 
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionPhase {
+    /// No request, since the last write.
+    Idle(Instant),
+    /// A head is incomplete, since its first byte.
+    Head(Instant),
+    /// A request is being answered: bytes that arrive belong to its body.
+    Answering,
+}
+
+/// Why a connection is to be closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CloseReason {
+    /// A head has been incomplete for longer than this limit.
+    SlowHead(Duration),
+    /// The connection has been idle for longer than the limit.
+    Idle,
+    /// The limit on the size of a head exceeds the connection's buffer.
+    SmallBuffer,
+}
+
 /// Timing of the request heads on one connection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct HeadWatch {
-    /// When the first byte of an incomplete head arrived.
-    head_started: Cell<Option<Instant>>,
-    /// Whether a request is being answered: bytes that arrive belong to its body.
-    answering: Cell<bool>,
+    phase: Cell<ConnectionPhase>,
     changed: Notify,
+    /// Whether the connection closes after the current request.
+    closing: Cell<bool>,
     /// Number of heads received on the connection.
     head_count: Cell<u32>,
     /// When the last head arrived at the socket, which may be before it was read.
@@ -60,7 +83,17 @@
 impl HeadWatch {
     /// Creates the watch of a connection that has received nothing.
     pub(crate) fn new(lag: Rc<RefCell<LagMeter>>) -> Self {
-        Self { lag, ..Self::default() }
+        Self {
+            phase: Cell::new(ConnectionPhase::Idle(Instant::now())),
+            changed: Notify::new(),
+            closing: Cell::default(),
+            head_count: Cell::default(),
+            arrived: Cell::default(),
+            unread: Cell::default(),
+            rtt: Cell::default(),
+            next_send_time: Cell::default(),
+            lag,
+        }
     }
 
     /// Arrival time and round-trip time of the last head.
@@ -84,24 +117,35 @@
         if let Some(due) = self.next_send_time.take() {
             self.lag.borrow_mut().record(host_now().saturating_sub(due));
         }
+        // The end of a long answer is written after its body was dropped.
+        if let ConnectionPhase::Idle(_) = self.phase.get() {
+            self.phase.set(ConnectionPhase::Idle(Instant::now()));
+        }
     }
 
     /// Records that a head is complete.
     pub(crate) fn head_complete(&self) {
-        self.answering.set(true);
-        self.head_started.set(None);
-        self.changed.notify_one();
+        self.enter(ConnectionPhase::Answering);
     }
 
     /// Records that the answer was sent; further bytes belong to the next head.
     pub(crate) fn answered(&self) {
-        self.answering.set(false);
+        self.enter(ConnectionPhase::Idle(Instant::now()));
+    }
+
+    /// Records that the connection closes after the current request.
+    pub(crate) fn close(&self) {
+        self.closing.set(true);
+    }
+
+    fn enter(&self, phase: ConnectionPhase) {
+        self.phase.set(phase);
+        self.changed.notify_one();
     }
 
     fn on_read(&self, stream: &TcpStream) {
-        if !self.answering.get() && self.head_started.get().is_none() {
-            self.head_started.set(Some(Instant::now()));
-            self.changed.notify_one();
+        if let ConnectionPhase::Idle(_) = self.phase.get() {
+            self.enter(ConnectionPhase::Head(Instant::now()));
             self.head_began(stream);
         }
     }
@@ -128,27 +172,60 @@
         }
     }
 
-    /// Returns when a head has been incomplete for longer than `limit`.
+    /// Returns when the connection, with a buffer of `buffer_bytes`, is to be closed by the limits
+    /// in force.
     ///
-    /// Without the limit, callers could hold connections open by sending a byte now and then,
-    /// possibly as an attack. The host itself may have been stalled while the rest of a head was
-    /// in its sockets, so the sockets are read first.
-    pub(crate) async fn head_timed_out(&self, limit: Duration) {
+    /// Without the limit on heads, callers could hold connections open by sending a byte now and
+    /// then, possibly as an attack. The host itself may have been stalled while a request was in
+    /// its sockets, so the sockets are read first.
+    pub(crate) async fn close_due(
+        &self,
+        limits: &mut watch::Receiver<CallerLimits>,
+        buffer_bytes: usize,
+    ) -> CloseReason {
         loop {
-            let Some(head_started) = self.head_started.get() else {
-                self.changed.notified().await;
-                continue;
+            let in_force = *limits.borrow_and_update();
+            let phase = self.phase.get();
+            let due = self.next_close(&in_force, buffer_bytes);
+            let expired = async {
+                match due {
+                    Some((at, _)) => sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
             };
             tokio::select! {
-                () = sleep_until(head_started + limit) => {}
+                () = expired => {}
                 () = self.changed.notified() => continue,
+                // The host, which owns the sender, outlives the connection.
+                Ok(()) = limits.changed() => continue,
             }
             for _ in 0..SOCKET_READ_YIELDS {
                 yield_now().await;
             }
-            if self.head_started.get() == Some(head_started) {
-                return;
+            if let Some((_, reason)) = due
+                && self.phase.get() == phase
+                && *limits.borrow() == in_force
+            {
+                return reason;
+            }
+        }
+    }
+
+    /// When and why the connection is to be closed if nothing changes.
+    fn next_close(
+        &self,
+        limits: &CallerLimits,
+        buffer_bytes: usize,
+    ) -> Option<(Instant, CloseReason)> {
+        let small = limits.head_bytes > buffer_bytes;
+        match self.phase.get() {
+            ConnectionPhase::Head(since) => {
+                Some((since + limits.head_time, CloseReason::SlowHead(limits.head_time)))
             }
+            _ if self.closing.get() => None,
+            _ if small => Some((Instant::now(), CloseReason::SmallBuffer)),
+            ConnectionPhase::Idle(since) => Some((since + limits.idle_time, CloseReason::Idle)),
+            ConnectionPhase::Answering => None,
         }
     }
 }
--- a/crates/hawthorn-edge/src/connection/listen.rs
+++ b/crates/hawthorn-edge/src/connection/listen.rs
@@ -14,7 +14,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use log::Level;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -23,6 +22,7 @@
 use tokio::time::timeout;
 
 use crate::connection::head::CallerStream;
+use crate::connection::head::CloseReason;
 use crate::connection::head::HeadWatch;
 use crate::connection::open::OpenBody;
 use crate::connection::open::OpenRequest;
@@ -32,8 +32,9 @@
 use crate::process::host::RouteHost;
 use crate::request::serve;
 
-/// The minimum buffer size for a request head that the HTTP library accepts.
-const MIN_HEAD_BUFFER: usize = 8192;
+/// Minimum size in bytes of a connection's buffer, which holds a request head. A limit raised above
+/// the size closes the connection.
+const MIN_HEAD_BUFFER: usize = 64 * 1024;
 /// Pause after a connection could not be accepted, usually because file descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Response to a caller whose request head took too long.
@@ -75,7 +76,8 @@
 /// every attempt of the request.
 async fn handle_connection(host: Rc<RouteHost>, stream: TcpStream) {
     host.connections.set(host.connections.get() + 1);
-    let limits = host.routing.table().map(|table| table.document().limits).unwrap_or_default();
+    let mut limits = host.routing.limits.subscribe();
+    let buffer_bytes = limits.borrow().head_bytes.max(MIN_HEAD_BUFFER);
     let watch = Rc::new(HeadWatch::new(Rc::clone(&host.lag)));
     let caller = stream.peer_addr().ok().map(|address| address.ip());
     let service = {
@@ -90,23 +92,28 @@
         })
     };
     let mut connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // Measured from the end of the previous answer, so it also limits idle connections.
-        .header_read_timeout(limits.idle_time)
-        .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER))
+        // The watch applies the time limits in force.
+        .header_read_timeout(None)
+        .max_buf_size(buffer_bytes)
         .auto_date_header(false)
         .serve_connection(CallerStream::new(stream, Rc::clone(&watch)), service);
-    let result = tokio::select! {
-        result = &mut connection => result,
-        () = watch.head_timed_out(limits.head_time) => {
-            let stream = connection.into_parts().io.into_inner();
-            reject_head(&host, stream, limits.head_time).await;
-            Ok(())
-        }
-        () = host.closing.cancelled() => {
-            std::pin::Pin::new(&mut connection).graceful_shutdown();
-            connection.await
+    let mut closing = false;
+    let result = loop {
+        tokio::select! {
+            biased;
+            result = &mut connection => break result,
+            reason = watch.close_due(&mut limits, buffer_bytes) => {
+                if let CloseReason::SlowHead(limit) = reason {
+                    let stream = connection.into_parts().io.into_inner();
+                    reject_head(&host, stream, limit).await;
+                    break Ok(());
+                }
+            }
+            () = host.closing.cancelled(), if !closing => {}
         }
+        closing = true;
+        watch.close();
+        std::pin::Pin::new(&mut connection).graceful_shutdown();
     };
     // A disconnect is not an error of this host; the log line of the request records it.
     if let Err(error) = result
--- a/crates/hawthorn-edge/src/request/answer.rs
+++ b/crates/hawthorn-edge/src/request/answer.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// The head exceeds the configured limit.
+    pub(crate) fn head_too_large() -> Self {
+        Self::plain(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head-too-large")
+    }
+
     /// The body exceeds the configured limit.
     pub(crate) fn too_large() -> Self {
         Self::plain(StatusCode::PAYLOAD_TOO_LARGE, "too-large")
--- a/crates/hawthorn-edge/src/request/mod.rs
+++ b/crates/hawthorn-edge/src/request/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod dispatch;
 pub(crate) mod forward;
 pub(crate) mod gather;
+mod head_size;
 mod parts;
 pub(crate) mod quota;
 pub(crate) mod race;
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -49,6 +49,7 @@
 use crate::request::dispatch;
 use crate::request::dispatch::NeededServices;
 use crate::request::gather;
+use crate::request::head_size;
 use crate::request::quota;
 use crate::request::race::AttemptRace;
 use crate::request::race::RaceEnd;
@@ -134,6 +135,9 @@
         return CallerAnswer::refused(RefusalReason::NoConfiguration);
     };
     let (mut head, body) = request.into_parts();
+    if head_size::head_bytes(&head) > table.document().limits.head_bytes {
+        return reject(host, &head, &table, CallerAnswer::head_too_large());
+    }
     let name = head.headers.get(header::HOST).and_then(|value| value.to_str().ok());
     let Some(route) = table.find(name.unwrap_or_default(), head.uri.path()) else {
         return reject(host, &head, &table, CallerAnswer::no_route());
--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -19,6 +19,7 @@
 use hawthorn_route::budget::ServiceUse;
 use hawthorn_route::customer::CustomerTable;
 use hawthorn_route::customer::RequestCustomer;
+use hawthorn_route::document::CallerLimits;
 use hawthorn_route::document::GatherRule;
 use hawthorn_route::document::RouteDestination;
 use hawthorn_route::document::RouteDocument;
@@ -46,6 +47,7 @@
 use rand::rngs::StdRng;
 use slotmap::SecondaryMap;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::edge_event;
 use crate::process::clock::host_now;
@@ -85,6 +87,8 @@
     pending_tables: RefCell<PendingVersions<Rc<RouteTable>>>,
     /// The newest known version, which may not be in force yet.
     newest_table: RefCell<Option<Rc<RouteTable>>>,
+    /// The limits on callers of the current version.
+    pub limits: watch::Sender<CallerLimits>,
     /// Notified when a version is pending.
     pub table_pending: Notify,
     /// Notified when a version comes into force or the policy changes.
@@ -134,6 +138,7 @@
             tables: RefCell::default(),
             pending_tables: RefCell::default(),
             newest_table: RefCell::default(),
+            limits: watch::Sender::default(),
             table_pending: Notify::new(),
             table_installed: Notify::new(),
             registry: RefCell::new(TargetRegistry::new(
@@ -259,6 +264,8 @@
                 kept.join(",")
             );
         }
+        let limits = table.document().limits;
+        self.limits.send_if_modified(|held| std::mem::replace(held, limits) != limits);
         tables.push_front(table);
         tables.truncate(MAX_VERSIONS);
         self.table_installed.notify_one();
--- a/crates/hawthorn-standin/src/route/operator.rs
+++ b/crates/hawthorn-standin/src/route/operator.rs
@@ -46,6 +46,36 @@
     write(store, version, routes, services, None);
 }
 
+/// Limits on what callers may send.
+#[derive(Clone, Copy, Debug)]
+pub struct LimitValues {
+    /// Maximum size of a request's head, in bytes.
+    pub head_bytes: usize,
+    /// Maximum time from the first byte of a head to its last, in milliseconds.
+    pub head_ms: u64,
+    /// Maximum idle time of a connection, in milliseconds.
+    pub idle_ms: u64,
+}
+
+impl Default for LimitValues {
+    fn default() -> Self {
+        Self { head_bytes: 16_384, head_ms: 3000, idle_ms: 15_000 }
+    }
+}
+
+/// Writes a version of the configuration with limits on what callers may send.
+pub fn configure_limits(
+    store: &RouteStore,
+    version: u64,
+    routes: &[Value],
+    services: &[&str],
+    limits: &LimitValues,
+) {
+    let limits = json!({ "maxHeaderBytes": limits.head_bytes, "maxBodyBytes": 262_144,
+                         "headerTimeoutMs": limits.head_ms, "idleTimeoutMs": limits.idle_ms });
+    write(store, version, routes, services, Some(limits));
+}
+
 /// Writes a version of the configuration with a time limit for reading headers.
 pub fn configure_header_timeout(
     store: &RouteStore,
@@ -54,9 +84,8 @@
     services: &[&str],
     header_timeout_ms: u64,
 ) {
-    let limits = json!({ "maxHeaderBytes": 16384, "maxBodyBytes": 262_144,
-                         "headerTimeoutMs": header_timeout_ms, "idleTimeoutMs": 15_000 });
-    write(store, version, routes, services, Some(limits));
+    let limits = LimitValues { head_ms: header_timeout_ms, ..LimitValues::default() };
+    configure_limits(store, version, routes, services, &limits);
 }
 
 fn write(
--- a/crates/hawthorn-standin/src/route/wire.rs
+++ b/crates/hawthorn-standin/src/route/wire.rs
@@ -6,7 +6,7 @@
 use tokio::net::TcpStream;
 
 /// Maximum size of a request head in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+const MAX_HEAD_BYTES: usize = 1024 * 1024;
 
 /// A parsed request.
 #[derive(Clone, Debug, Default)]
