--- a/crates/hawthorn-edge/src/request/rejection.rs
+++ b/crates/hawthorn-edge/src/request/rejection.rs
@@ -25,6 +25,7 @@
 use crate::process::events::EdgeEvent;
 use crate::process::host::RouteHost;
 use crate::request::answer::CallerAnswer;
+use crate::request::head_size;
 
 /// Maximum number of lines in one second, so that callers cannot fill the log.
 const MAX_LINES: u32 = 20;
@@ -35,6 +36,8 @@
 /// What is wrong with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RequestFault {
+    /// Its head exceeds the limit.
+    HeadTooLarge,
     /// No route matches.
     NoRoute,
     /// Its key is not accepted.
@@ -51,7 +54,7 @@
     /// Whether a version that is newer than the one with this fault allows the request.
     fn is_absent_in(self, table: &RouteTable, head: &Parts) -> bool {
         match self {
-            Self::NoRoute | Self::Key(_) => find(table, head).is_ok(),
+            Self::HeadTooLarge | Self::NoRoute | Self::Key(_) => find(table, head).is_ok(),
             Self::BodyTooLarge { limit } => table.document().limits.body_bytes > limit,
             Self::SlowBody | Self::UnreadableBody => false,
         }
@@ -59,6 +62,7 @@
 
     fn answer(self) -> CallerAnswer {
         match self {
+            Self::HeadTooLarge => CallerAnswer::head_too_large(),
             Self::NoRoute => CallerAnswer::no_route(),
             Self::Key(rejection) => CallerAnswer::key_rejected(rejection),
             Self::BodyTooLarge { .. } => CallerAnswer::too_large(),
@@ -74,6 +78,9 @@
     table: &RouteTable,
     head: &Parts,
 ) -> Result<(Rc<RouteRule>, Option<RequestCustomer>), RequestFault> {
+    if head_size::head_bytes(head) > table.document().limits.head_bytes {
+        return Err(RequestFault::HeadTooLarge);
+    }
     let name = head.headers.get(header::HOST).and_then(|value| value.to_str().ok());
     let route = table.find(name.unwrap_or_default(), head.uri.path());
     let route = Rc::clone(route.ok_or(RequestFault::NoRoute)?);
@@ -103,7 +110,10 @@
     let outcome = match fault {
         RequestFault::SlowBody | RequestFault::UnreadableBody => Outcome::Rejected,
         RequestFault::Key(KeyRejection::Revoked) => judge_revocation(host),
-        RequestFault::NoRoute | RequestFault::Key(_) | RequestFault::BodyTooLarge { .. } => {
+        RequestFault::HeadTooLarge
+        | RequestFault::NoRoute
+        | RequestFault::Key(_)
+        | RequestFault::BodyTooLarge { .. } => {
             judge(host, newest_allows, host.routing.settings.configuration.apply_limit)
         }
     };
--- a/tests/route_rejections.rs
+++ b/tests/route_rejections.rs
@@ -20,6 +20,8 @@
 
 /// Time within which a version is in force on every host that reaches the store.
 const APPLY_TIME: Duration = Duration::from_millis(3000);
+/// Maximum size of a request head in the first version.
+const HEAD_LIMIT: usize = 1024;
 /// Maximum size of a request body in the first version.
 const BODY_LIMIT: usize = 1024;
 
@@ -27,16 +29,19 @@
 struct Case {
     name: &'static str,
     path: &'static str,
+    /// Bytes added to the path.
+    path_bytes: usize,
     key: &'static str,
     body_bytes: usize,
     /// Status and body of its rejection.
     rejection: (u16, &'static str),
 }
 
-const CASES: [Case; 3] = [
+const CASES: [Case; 4] = [
     Case {
         name: "route",
         path: "/added/",
+        path_bytes: 0,
         key: "known",
         body_bytes: 0,
         rejection: (404, "no-route"),
@@ -44,13 +49,23 @@
     Case {
         name: "key",
         path: "/kept/",
+        path_bytes: 0,
         key: "added",
         body_bytes: 0,
         rejection: (401, "unknown-key"),
     },
+    Case {
+        name: "head",
+        path: "/kept/",
+        path_bytes: HEAD_LIMIT,
+        key: "known",
+        body_bytes: 0,
+        rejection: (431, "head-too-large"),
+    },
     Case {
         name: "body",
         path: "/kept/",
+        path_bytes: 0,
         key: "known",
         body_bytes: BODY_LIMIT + 1,
         rejection: (413, "too-large"),
@@ -59,7 +74,8 @@
 
 impl Case {
     async fn send(&self, host: &RouteHost) -> TestResult<RouteAnswer> {
-        route::post_with_key(host.caller(), self.path, self.key, &"x".repeat(self.body_bytes)).await
+        let path = format!("{}{}", self.path, "x".repeat(self.path_bytes));
+        route::post_with_key(host.caller(), &path, self.key, &"x".repeat(self.body_bytes)).await
     }
 
     fn is_rejected(&self, answer: &RouteAnswer) -> bool {
@@ -71,6 +87,7 @@
 /// Writes the first version, or the second one, which allows more.
 fn write_version(store: &RouteStore, version: u64) {
     let first = version == 1;
+    let factor = if first { 1 } else { 4 };
     let mut routes = vec![operator::single("/kept/", "s", "safe")];
     let mut keys = vec!["known"];
     if !first {
@@ -81,7 +98,7 @@
         "configVersion": version, "routes": routes,
         "services": [{ "name": "s", "healthPath": "/health", "maxConnections": 26 }],
         "tenants": [operator::customer("shop", &keys)],
-        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": BODY_LIMIT * if first { 1 } else { 4 },
+        "limits": { "maxHeaderBytes": HEAD_LIMIT * factor, "maxBodyBytes": BODY_LIMIT * factor,
                     "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000 },
     });
     operator::put_raw_configuration(store, document.to_string().as_bytes());
