fix(edge): a silent source of updates is suspected at once

Each silent source cost up to 1.5 s, also when the follower had been without an answer for long.

What callers saw: hosts whose first-ranked sources are suspended while the store is well answer 404 for the routes of a new version for longer than the 3 s of the small sites (DENIED, CONFIG).

Evidence: a_version_is_in_force_in_time_beside_silent_sources is new: a zone of eight hosts, the first two, three or four by rank suspended 0.1 s before a version is written.

Change: the source is suspected for updates at once; the ping runs beside and decides only whether the peer is suspected for queries too. The source after a silent one is asked for what it has, without waiting for a change: 0.3 s for each further silent source. Not if a call to the store failed and nothing was confirmed since: a store that is down is not called sooner because sources are skipped faster.

Why it works: what is waited for is now one long poll and 0.3 s for each silent source.

--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -123,7 +123,7 @@
     Overdue,
     /// The store has not confirmed its items recently.
     Stale,
-    /// An update of the store's items stopped arriving, although the peer answers a ping.
+    /// An update of the store's items did not arrive.
     Late,
 }
 
--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -106,6 +106,15 @@
     /// When the next read that confirms is due, if keys must be revoked in time. The reads continue
     /// over the ends of watches, which would otherwise each cause one.
     next_check: Duration,
+    /// When a call last failed.
+    failed_at: Option<Duration>,
+}
+
+impl StoreAccess {
+    /// Whether the store was confirmed, by itself or by a peer, since a call last failed.
+    fn is_trusted(&self, confirmed: Option<Duration>) -> bool {
+        self.failed_at.is_none_or(|failed| confirmed.is_some_and(|at| at > failed))
+    }
 }
 
 enum WatchEnd {
@@ -118,17 +127,24 @@
 
 /// Keeps the mirror up to date until the process exits.
 pub(crate) async fn follow(host: Rc<RouteHost>, client: StoreClient) {
-    let mut access = StoreAccess { reachable: true, next_check: host_now() };
+    let mut access = StoreAccess { reachable: true, next_check: host_now(), failed_at: None };
     // The first read is a serializable one, which costs little; a snapshot from a peer would load
     // the peer's link.
     poll_store(&host, &client, &mut access, true).await;
+    let mut last_reply = PeerReply::Done;
     loop {
         match select_source(&host) {
             UpdateSource::Store { is_watcher } => {
-                poll_store(&host, &client, &mut access, is_watcher).await
+                poll_store(&host, &client, &mut access, is_watcher).await;
+                last_reply = PeerReply::Done;
             }
             UpdateSource::Peer(peer) => {
-                let reply = poll_peer(&host, peer).await;
+                // While the store is down, hosts without a source call it no sooner.
+                let is_overdue =
+                    last_reply == PeerReply::Missing && access.is_trusted(host.confirmed_at());
+                let wait = if is_overdue { Duration::ZERO } else { PEER_WATCH_TIMEOUT };
+                let reply = poll_peer(&host, peer, wait).await;
+                last_reply = reply;
                 let age = host.confirmed_age().unwrap_or_default();
                 if reply == PeerReply::Deferred && age > host.confirmation_plan().max_deferred_age {
                     edge_event!(
@@ -170,7 +186,7 @@
 }
 
 async fn poll_store(
-    host: &RouteHost,
+    host: &Rc<RouteHost>,
     client: &StoreClient,
     access: &mut StoreAccess,
     is_watcher: bool,
@@ -235,6 +251,7 @@
         }
         Err(error) => {
             log_store_state(&mut access.reachable, Some(&error));
+            access.failed_at = Some(host_now());
             refresh_from_peers(host).await;
             let pause = if is_watcher {
                 MIN_PAUSE_S..MAX_PAUSE_S
@@ -252,21 +269,24 @@
 /// What became of a request for an update.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PeerReply {
-    /// The peer sent the update, or did not answer.
+    /// The peer sent the update, or has none that is recent.
     Done,
+    /// The peer did not answer.
+    Missing,
     /// The peer's link had no capacity for the update.
     Deferred,
 }
 
-async fn poll_peer(host: &RouteHost, peer: SocketAddr) -> PeerReply {
+/// Requests an update from a peer, which waits up to `wait` for one.
+async fn poll_peer(host: &Rc<RouteHost>, peer: SocketAddr, wait: Duration) -> PeerReply {
     let after = host.mirror.borrow().wanted_after();
     // A peer that does not answer becomes suspected, so another source is selected.
     let plan = host.confirmation_plan();
-    let wait = if host.needs_refresh() { Duration::ZERO } else { PEER_WATCH_TIMEOUT };
+    let wait = if host.needs_refresh() { Duration::ZERO } else { wait };
     let sent = host_now();
     host.expect_confirmation(sent + wait);
     let Some(update) = fetch_update(host, peer, after, wait).await else {
-        return PeerReply::Done;
+        return PeerReply::Missing;
     };
     let age = Duration::from_micros(update.age_us);
     if age > plan.max_source_age {
@@ -286,9 +306,9 @@
 /// Requests the changes after a revision from a peer, and suspects a peer that does not reply.
 ///
 /// A late update is no sign that the peer is down: its link or this host's may be full, while it
-/// answers queries.
+/// answers queries. The next source is not delayed by the ping that decides it.
 async fn fetch_update(
-    host: &RouteHost,
+    host: &Rc<RouteHost>,
     peer: SocketAddr,
     after: StoreRevision,
     wait: Duration,
@@ -298,18 +318,24 @@
         Ok(update) => Some(update),
         Err(PeerError::NotSent) => None,
         Err(PeerError::NoReply | PeerError::Unresponsive) => {
-            let endpoint = host.peer_endpoint(peer, TrafficPurpose::Gathering);
-            let is_alive = host.links.ping(&endpoint).await;
-            let reason = if is_alive { SuspicionReason::Late } else { SuspicionReason::NoReply };
-            host.links.suspect(peer, reason);
+            host.links.suspect(peer, SuspicionReason::Late);
+            tokio::task::spawn_local(suspect_unless_alive(Rc::clone(host), peer));
             None
         }
     }
 }
 
+/// Suspects a peer also for queries if it does not answer a ping.
+async fn suspect_unless_alive(host: Rc<RouteHost>, peer: SocketAddr) {
+    let endpoint = host.peer_endpoint(peer, TrafficPurpose::Gathering);
+    if !host.links.ping(&endpoint).await {
+        host.links.suspect(peer, SuspicionReason::NoReply);
+    }
+}
+
 /// Requests a confirmation from peers, if this host needs one and cannot get it from the store:
 /// from hosts of its own zone, which may have selected another watcher, or else of other zones.
-async fn refresh_from_peers(host: &RouteHost) {
+async fn refresh_from_peers(host: &Rc<RouteHost>) {
     for peers in [PeerGroup::OwnZone, PeerGroup::OtherZones] {
         for _ in 0..REFRESH_PEERS {
             if !host.needs_refresh() {
@@ -326,7 +352,7 @@
 }
 
 /// Pauses the calls to the store, but not the requests to peers.
-async fn pause_with_refresh(host: &RouteHost, pause: Duration) {
+async fn pause_with_refresh(host: &Rc<RouteHost>, pause: Duration) {
     let until = host_now() + pause;
     while host_now() < until {
         sleep(REFRESH_INTERVAL.min(until.saturating_sub(host_now()))).await;
@@ -334,7 +360,7 @@
     }
 }
 
-async fn refresh_from(host: &RouteHost, peer: SocketAddr) {
+async fn refresh_from(host: &Rc<RouteHost>, peer: SocketAddr) {
     let after = host.mirror.borrow().wanted_after();
     let sent = host_now();
     if let Some(update) = fetch_update(host, peer, after, Duration::ZERO).await {
@@ -549,7 +575,7 @@
 /// Where keys must be revoked in time, the checks are linearizable reads, and each confirms the
 /// mirror as of its sending. The watch cannot: a long poll confirms only as of its start.
 async fn watch(
-    host: &RouteHost,
+    host: &Rc<RouteHost>,
     client: &StoreClient,
     access: &mut StoreAccess,
     after: StoreRevision,
--- /dev/null
+++ b/tests/silent_sources.rs
@@ -0,0 +1,119 @@
+//! Hosts whose sources of updates have gone silent while the store is well.
+
+mod support;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::future;
+use hawthorn_fleet::MemberId;
+use hawthorn_route::gatherers::ZoneHost;
+use hawthorn_route::mirror;
+use hawthorn_standin::route::RouteStore;
+use hawthorn_standin::route::RouteTarget;
+use hawthorn_standin::route::operator;
+use rustix::process::Signal;
+use support::TestResult;
+use support::route;
+use support::route::RouteHost;
+use tokio::time::sleep;
+
+/// Time within which a version is in force on all hosts.
+const APPLY_LIMIT: Duration = Duration::from_secs(3);
+/// Time for which the hosts have followed their sources before these go silent.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+/// Time after which all threads of a suspended process have stopped.
+const STOP_TIME: Duration = Duration::from_millis(100);
+/// Interval at which a host is asked for the new route.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A zone of eight hosts that follow one of them, and a host of another zone.
+struct FollowingZone {
+    store: RouteStore,
+    _target: RouteTarget,
+    _far: RouteHost,
+    /// In the order in which they are asked for updates.
+    hosts: Vec<RouteHost>,
+}
+
+impl FollowingZone {
+    const HOSTS: usize = 8;
+
+    async fn start() -> TestResult<Self> {
+        let store = RouteStore::start().await?;
+        let target = RouteTarget::start("t-1", "s").await?;
+        operator::register(&store, "t-1", &target, "east");
+        operator::configure(&store, 1, &[operator::single("/old/", "s", "safe")], &["s"]);
+        let far = RouteHost::start("h-far", "west", store.address(), &[])?;
+        let name = |number| format!("h-{number}");
+        let id = |number| MemberId::of(&name(number)).0;
+        let zone: Vec<_> = (0..Self::HOSTS).map(|n| ZoneHost { id: id(n), capacity: 0 }).collect();
+        let ranked = mirror::rank(&zone);
+        let mut hosts = Vec::new();
+        for number in 0..Self::HOSTS {
+            let host = RouteHost::start(&name(number), "east", store.address(), &[&far])?;
+            hosts.push((ranked.iter().position(|ranked| *ranked == id(number)), host));
+        }
+        hosts.sort_by_key(|(rank, _)| *rank);
+        let hosts: Vec<RouteHost> = hosts.into_iter().map(|(_, host)| host).collect();
+        for host in hosts.iter().chain([&far]) {
+            host.wait_until_ready().await?;
+        }
+        let zone = Self { store, _target: target, _far: far, hosts };
+        zone.settle().await?;
+        Ok(zone)
+    }
+
+    /// Waits until one host of each zone has watched the store for some time.
+    async fn settle(&self) -> TestResult {
+        let (started, mut settled) = (Instant::now(), Instant::now());
+        while settled.elapsed() < SETTLE_TIME {
+            let watchers = self.store.watchers();
+            if watchers.len() != 2 || !watchers.contains(&self.hosts[0].caller().ip()) {
+                settled = Instant::now();
+            }
+            if started.elapsed() > 2 * route::WAIT_TIMEOUT {
+                return Err("other hosts watch the store, too".into());
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+        Ok(())
+    }
+}
+
+/// The time from `written` until a host serves the new route.
+async fn applied_after(host: &RouteHost, written: Instant) -> TestResult<Duration> {
+    while written.elapsed() < route::WAIT_TIMEOUT {
+        if host.send("GET", "/new/", "id", "").await?.status == 200 {
+            return Ok(written.elapsed());
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+    Err("the version is not in force".into())
+}
+
+/// Guards against hosts that keep an old version while they ask one silent source after another.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_is_in_force_in_time_beside_silent_sources() -> TestResult {
+    let mut late = Vec::new();
+    for silent in [2, 3, 4] {
+        let zone = FollowingZone::start().await?;
+        let (sources, followers) = zone.hosts.split_at(silent);
+        for source in sources {
+            source.signal(Signal::STOP)?;
+        }
+        sleep(STOP_TIME).await;
+        let written = Instant::now();
+        operator::configure(&zone.store, 2, &[operator::single("/new/", "s", "safe")], &["s"]);
+        let times = followers.iter().map(|host| applied_after(host, written));
+        let times = future::try_join_all(times).await?;
+        println!("{silent} silent sources: {times:?}");
+        for (host, time) in followers.iter().zip(&times).filter(|(_, time)| **time >= APPLY_LIMIT) {
+            let mut lines = host.log_lines();
+            lines.retain(|line| line.contains("change=suspected"));
+            late.push((silent, *time, lines));
+        }
+    }
+    assert!(late.is_empty(), "{late:#?}");
+    Ok(())
+}
