fix(edge): a host whose sources are silent reads the store itself in time

Cause: a follower asked one source after another for as long as there were some that it did not suspect. Nothing bounded the sum of their time limits: only sources without link capacity led to the store by the age of the host's data.

Evidence: hosts_with_many_silent_sources_read_the_store is new: ten of sixteen hosts of a zone are suspended before a version is written.

Change: after a source that did not answer, a host whose data was not confirmed for max_silent_age reads the store in place of one more peer (E644, which states the reason now). A request that is being answered is not given up. max_silent_age is 2 s, below max_deferred_age (2.5 s): one request of 0.3 s and the rollout's delay of 0.6 s may follow, and 3 s are stated. With one silent source data is at most about 2 s old (a check of 0.8 s, a wait of 0.9 s, a time limit of 0.3 s), so that the loss of one source sends few hosts to the store. With strict revocation it is half of the age that keys allow, as max_deferred_age.

The store is read so only if no call to it failed since the last confirmation: one such read for each outage of the store and host; then sources are asked as before.

--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -84,8 +84,8 @@
     PeerStale = 642,
     /// This host fetched newer items from a peer than its own source had.
     CaughtUp = 643,
-    /// The peer that provides the store's items has no link capacity for an update, and this host
-    /// reads the store itself.
+    /// The peer that provides the store's items has no link capacity for an update, or peers did not
+    /// answer, and this host reads the store itself.
     UpdateDeferred = 644,
     /// A peer's update of the store's items arrived.
     UpdateReceived = 645,
--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -139,27 +139,47 @@
                 last_reply = PeerReply::Done;
             }
             UpdateSource::Peer(peer) => {
-                // While the store is down, hosts without a source call it no sooner.
-                let is_overdue =
-                    last_reply == PeerReply::Missing && access.is_trusted(host.confirmed_at());
-                let wait = if is_overdue { Duration::ZERO } else { PEER_WATCH_TIMEOUT };
-                let reply = poll_peer(&host, peer, wait).await;
-                last_reply = reply;
-                let age = host.confirmed_age().unwrap_or_default();
-                if reply == PeerReply::Deferred && age > host.confirmation_plan().max_deferred_age {
-                    edge_event!(
-                        Level::Warn,
-                        EdgeEvent::UpdateDeferred,
-                        "peer={peer} age_ms={}",
-                        age.as_millis()
-                    );
-                    poll_store(&host, &client, &mut access, false).await;
-                }
+                last_reply = follow_peer(&host, &client, &mut access, peer, last_reply).await;
             }
         }
     }
 }
 
+/// Requests an update from a peer, or reads the store itself if the data of this host has not been
+/// confirmed for too long. Returns the peer's reply to the last request.
+async fn follow_peer(
+    host: &Rc<RouteHost>,
+    client: &StoreClient,
+    access: &mut StoreAccess,
+    peer: SocketAddr,
+    last_reply: PeerReply,
+) -> PeerReply {
+    let plan = host.confirmation_plan();
+    // While the store is down, hosts without a source call it no sooner.
+    let is_overdue = last_reply == PeerReply::Missing && access.is_trusted(host.confirmed_at());
+    let age = host.confirmed_age().unwrap_or_default();
+    let (reply, max_age) = if is_overdue && age > plan.max_silent_age {
+        (PeerReply::Missing, plan.max_silent_age)
+    } else {
+        let wait = if is_overdue { Duration::ZERO } else { PEER_WATCH_TIMEOUT };
+        match poll_peer(host, peer, wait).await {
+            PeerReply::Deferred => (PeerReply::Deferred, plan.max_deferred_age),
+            reply => return reply,
+        }
+    };
+    let age = host.confirmed_age().unwrap_or_default();
+    if age > max_age {
+        let (reason, age_ms): (&str, _) = (reply.into(), age.as_millis());
+        edge_event!(
+            Level::Warn,
+            EdgeEvent::UpdateDeferred,
+            "peer={peer} reason={reason} age_ms={age_ms}"
+        );
+        poll_store(host, client, access, false).await;
+    }
+    PeerReply::Done
+}
+
 /// Selects the store if this host is a watcher of its zone, or else the first watcher that
 /// answers.
 fn select_source(host: &RouteHost) -> UpdateSource {
@@ -267,7 +287,8 @@
 }
 
 /// What became of a request for an update.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
 enum PeerReply {
     /// The peer sent the update, or has none that is recent.
     Done,
--- a/crates/hawthorn-route/src/confirmation.rs
+++ b/crates/hawthorn-route/src/confirmation.rs
@@ -35,6 +35,9 @@
     /// Age of a host's data above which it reads the store itself if its source has no link
     /// capacity for an update.
     pub max_deferred_age: Duration,
+    /// Age of a host's data above which it reads the store itself, and asks no further peer, if its
+    /// source did not answer.
+    pub max_silent_age: Duration,
     /// Age below which requests with keys are sent; any age if `None`.
     pub max_key_age: Option<Duration>,
 }
@@ -50,6 +53,9 @@
                 max_source_age: Duration::from_millis(1800),
                 // Above the age of a host's data between two checks by the source and two replies.
                 max_deferred_age: Duration::from_millis(2500),
+                // With the last request to a peer (0.3 s) and the delay of a rollout, an update is
+                // applied within 3 s.
+                max_silent_age: Duration::from_millis(2000),
                 max_key_age: None,
             };
         };
@@ -59,6 +65,7 @@
             check_period: Duration::from_millis(1200),
             max_source_age: Duration::from_millis(2700),
             max_deferred_age: max_key_age / 2,
+            max_silent_age: max_key_age / 2,
             max_key_age: Some(max_key_age),
         }
     }
--- a/tests/silent_sources.rs
+++ b/tests/silent_sources.rs
@@ -27,7 +27,7 @@
 /// Interval at which a host is asked for the new route.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// A zone of eight hosts that follow one of them, and a host of another zone.
+/// A zone of hosts that follow one of them, and a host of another zone.
 struct FollowingZone {
     store: RouteStore,
     _target: RouteTarget,
@@ -37,9 +37,7 @@
 }
 
 impl FollowingZone {
-    const HOSTS: usize = 8;
-
-    async fn start() -> TestResult<Self> {
+    async fn start(count: usize) -> TestResult<Self> {
         let store = RouteStore::start().await?;
         let target = RouteTarget::start("t-1", "s").await?;
         operator::register(&store, "t-1", &target, "east");
@@ -47,10 +45,10 @@
         let far = RouteHost::start("h-far", "west", store.address(), &[])?;
         let name = |number| format!("h-{number}");
         let id = |number| MemberId::of(&name(number)).0;
-        let zone: Vec<_> = (0..Self::HOSTS).map(|n| ZoneHost { id: id(n), capacity: 0 }).collect();
+        let zone: Vec<_> = (0..count).map(|n| ZoneHost { id: id(n), capacity: 0 }).collect();
         let ranked = mirror::rank(&zone);
         let mut hosts = Vec::new();
-        for number in 0..Self::HOSTS {
+        for number in 0..count {
             let host = RouteHost::start(&name(number), "east", store.address(), &[&far])?;
             hosts.push((ranked.iter().position(|ranked| *ranked == id(number)), host));
         }
@@ -92,28 +90,44 @@
     Err("the version is not in force".into())
 }
 
+/// Suspends the first `silent` sources of a zone before a version is written, and returns the
+/// hosts in which it is in force too late.
+async fn late_hosts(count: usize, silent: usize) -> TestResult<Vec<String>> {
+    let zone = FollowingZone::start(count).await?;
+    let (sources, followers) = zone.hosts.split_at(silent);
+    for source in sources {
+        source.signal(Signal::STOP)?;
+    }
+    sleep(STOP_TIME).await;
+    let written = Instant::now();
+    operator::configure(&zone.store, 2, &[operator::single("/new/", "s", "safe")], &["s"]);
+    let times = followers.iter().map(|host| applied_after(host, written));
+    let times = future::try_join_all(times).await?;
+    println!("{silent} silent sources: {times:?}");
+    let late = followers.iter().zip(times).filter(|(_, time)| *time >= APPLY_LIMIT);
+    let describe = |(host, time): (&RouteHost, Duration)| {
+        let mut lines = host.log_lines();
+        lines.retain(|line| line.contains("change=suspected") || line.contains("E644"));
+        format!("{silent} silent sources, in force after {time:?}: {lines:#?}")
+    };
+    Ok(late.map(describe).collect())
+}
+
 /// Guards against hosts that keep an old version while they ask one silent source after another.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_version_is_in_force_in_time_beside_silent_sources() -> TestResult {
     let mut late = Vec::new();
     for silent in [2, 3, 4] {
-        let zone = FollowingZone::start().await?;
-        let (sources, followers) = zone.hosts.split_at(silent);
-        for source in sources {
-            source.signal(Signal::STOP)?;
-        }
-        sleep(STOP_TIME).await;
-        let written = Instant::now();
-        operator::configure(&zone.store, 2, &[operator::single("/new/", "s", "safe")], &["s"]);
-        let times = followers.iter().map(|host| applied_after(host, written));
-        let times = future::try_join_all(times).await?;
-        println!("{silent} silent sources: {times:?}");
-        for (host, time) in followers.iter().zip(&times).filter(|(_, time)| **time >= APPLY_LIMIT) {
-            let mut lines = host.log_lines();
-            lines.retain(|line| line.contains("change=suspected"));
-            late.push((silent, *time, lines));
-        }
+        late.extend(late_hosts(8, silent).await?);
     }
     assert!(late.is_empty(), "{late:#?}");
     Ok(())
 }
+
+/// Guards against hosts that ask silent sources for as long as there are any.
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_with_many_silent_sources_read_the_store() -> TestResult {
+    let late = late_hosts(16, 10).await?;
+    assert!(late.is_empty(), "{late:#?}");
+    Ok(())
+}
