fix(serve): a request whose time ran out on the host is not a bad request

Cause: `deadline-past` (400) stood for two things: a deadline of 0, which is wrong, and a deadline that passed while the tier had the request: before its claim, between claim and dispatch, between two owners, or on the way to an owner. An owner's `unknown-caller` (403) meant that its table of callers was full.

What callers saw: 400 without a time to come back for a proper non-idempotent request, when the claim, the store or an owner took most of its time; 403 for a caller that the configuration has.

Evidence, on:

a_short_deadline_is_no_fault_of_the_request (real processes): 3 ms: CallerAnswer { .. outcome: NotRun(DeadlinePast), retry_after_ms: None .. }, status 400 a_deadline_that_passed_before_the_claim_is_no_fault_of_the_request: left: Some(NotRun(DeadlinePast)), right: Some(NotRun(ExpiredInQueue)) an_owner_rejects_no_request_as_wrong: late: Refused { reason: DeadlinePast, retry_after: 5ms }

Change: these are `expired-in-queue` and, for the table of callers, `queue-full`: 503 with `Retry-After`. The claim client uses the cause that it had for it, `Unavailable(Expired)`. The numbers and spellings of the reasons are as before.

Why it works: `deadline-past` is now decided in the fronts' checks only, by the stated 0. What runs is unchanged: the same sends are refused, at the same points, as not run.

Ruled out: queries. Their deadline is compared at admission with the start of the request, so only a stated 0 is `deadline-past`; what expires later is a missing range.

--- a/crates/hawthorn-daemon/src/request/once.rs
+++ b/crates/hawthorn-daemon/src/request/once.rs
@@ -165,10 +165,10 @@
             let remaining =
                 checked.deadline.saturating_sub(front.now()).saturating_sub(ANSWER_RESERVE);
             if remaining.is_zero() {
-                return OnceOutcome::NotRun(RefusalReason::DeadlinePast);
+                return OnceOutcome::NotRun(RefusalReason::ExpiredInQueue);
             }
             let Ok(permit) = grant.dispatch(Instant::now(), unix_now()) else {
-                return OnceOutcome::NotRun(RefusalReason::DeadlinePast);
+                return OnceOutcome::NotRun(RefusalReason::ExpiredInQueue);
             };
             match send_to_owner(front, checked, request, host, remaining, permit.expires_at()).await
             {
--- a/crates/hawthorn-decide/src/owner/admission.rs
+++ b/crates/hawthorn-decide/src/owner/admission.rs
@@ -58,7 +58,7 @@
     pub(super) fn admit_piece(&self, now: TickTime, piece: &QueuedPiece) -> admit::Outcome {
         let min_retry = self.options.admit.min_retry_after;
         if piece.caller.0 >= self.options.queue.caller_limit {
-            return refuse(RefusalReason::UnknownCaller, self.options.admit.max_retry_after);
+            return refuse(RefusalReason::QueueFull, self.options.admit.max_retry_after);
         }
         // Two pieces with one key would be indistinguishable when they finish.
         if self.by_key.contains_key(&piece.piece) {
@@ -81,7 +81,7 @@
         let min_retry = self.options.admit.min_retry_after;
         let max_retry = self.options.admit.max_retry_after;
         if deadline <= now {
-            return refuse(RefusalReason::DeadlinePast, min_retry);
+            return refuse(RefusalReason::ExpiredInQueue, min_retry);
         }
         // Ownership moved while the front still sent here. The front learns of the new owner within
         // a short time, so it may retry soon.
--- a/crates/hawthorn-decide/tests/owner.rs
+++ b/crates/hawthorn-decide/tests/owner.rs
@@ -78,6 +78,33 @@
     }
 }
 
+struct OwnerRefusalCase {
+    name: &'static str,
+    piece: QueuedPiece,
+    reason: RefusalReason,
+}
+
+/// Guards against a proper request that is rejected as wrong because of the owner's state.
+#[test]
+fn an_owner_rejects_no_request_as_wrong() {
+    let caller_limit = owner::Options::default().queue.caller_limit;
+    let late = QueuedPiece { deadline: TickTime(0), ..piece(1, true) };
+    let further = QueuedPiece { caller: CallerKey(caller_limit), ..piece(2, true) };
+    let case = |name, piece, reason| OwnerRefusalCase { name, piece, reason };
+    let cases = [
+        case("late", late, RefusalReason::ExpiredInQueue),
+        case("more callers than the limit", further, RefusalReason::QueueFull),
+    ];
+    for case in cases {
+        let mut owner = OwnerState::new(owner::Options::default(), 9);
+        owner.set_targets(TickTime(0), &records([DesiredState::Serve; 3]));
+        let outcome = owner.submit(TickTime(0), case.piece);
+        let is_expected = matches!(outcome, admit::Outcome::Refused { reason, .. }
+            if reason == case.reason);
+        assert!(is_expected, "{}: {outcome:?}", case.name);
+    }
+}
+
 struct EndCase {
     result: AttemptResult,
     search: Option<PieceResult>,
--- a/crates/hawthorn-store/src/claim/client.rs
+++ b/crates/hawthorn-store/src/claim/client.rs
@@ -110,13 +110,13 @@
         let stamp = RequestStamp::parse(&request.request_id);
         let stamp = stamp.map_err(|_| RefusalReason::BadRequestId)?;
         stamp.check(request.unix_now, &self.options)?;
-        if request.deadline <= Instant::now() {
-            return Err(RefusalReason::DeadlinePast);
-        }
         Ok(stamp)
     }
 
     async fn record(&self, request: ClaimRequest, stamp: RequestStamp) -> Outcome {
+        if request.deadline <= Instant::now() {
+            return Outcome::Unavailable(UnavailableCause::Expired);
+        }
         let bucket = bucket_of(&request.caller, &request.request_id, self.options.buckets);
         let (reply, receiver) = oneshot::channel();
         let decided = Arc::new(AtomicBool::new(false));
--- a/crates/hawthorn-store/src/claim/mod.rs
+++ b/crates/hawthorn-store/src/claim/mod.rs
@@ -118,7 +118,7 @@
     /// Possibly recorded, but never dispatched: this send did not run the request and will
     /// not. If there is an entry, it is removed in the background.
     Uncertain,
-    /// The request id or the deadline is not valid for a claim.
+    /// The request id is not valid for a claim.
     Refused(RefusalReason),
 }
 
--- a/crates/hawthorn-store/tests/claim.rs
+++ b/crates/hawthorn-store/tests/claim.rs
@@ -293,6 +293,18 @@
     Ok(())
 }
 
+/// Guards against a proper request that is rejected as wrong because this host was slow.
+#[tokio::test(start_paused = true)]
+async fn a_deadline_that_passed_before_the_claim_is_no_fault_of_the_request() {
+    let client = client(&FakeStore::new(LATENCY), 1);
+    let request = ClaimRequest { deadline: Instant::now(), ..request("1700000000-a") };
+    let outcome = client.claim(request).await;
+    let expected = CallerOutcome::NotRun(RefusalReason::ExpiredInQueue);
+    assert_eq!(outcome.refusal(), Some(expected));
+    let retry_after = client.retry_after(&outcome);
+    assert!(retry_after.is_some(), "{outcome:?}");
+}
+
 /// Guards against a claim deleted while a host with a slow clock still accepts its id, so that
 /// the order runs again if it is sent again.
 #[tokio::test(start_paused = true)]
--- a/crates/hawthorn-types/src/reason.rs
+++ b/crates/hawthorn-types/src/reason.rs
@@ -34,7 +34,7 @@
         UnknownCaller,
         /// The service is not named in the inventory.
         UnknownService,
-        /// The deadline is zero or already past.
+        /// The deadline is zero.
         DeadlinePast,
         /// The caller's request id is longer than allowed or malformed.
         BadRequestId,
@@ -48,7 +48,7 @@
         CallerOverShare,
         /// No target that holds the key is reachable.
         NoTarget,
-        /// The deadline passed while the request still waited in a queue.
+        /// The deadline passed before the request was sent to a target.
         ExpiredInQueue,
         /// The host is stopping and accepts no new requests.
         Stopping,
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -138,6 +138,24 @@
     fleet.check()
 }
 
+/// Guards against a proper request that is rejected as wrong because its deadline passed here.
+#[tokio::test]
+async fn a_short_deadline_is_no_fault_of_the_request() -> TestResult {
+    let fleet = TestFleet::start(FleetOptions::small()).await?;
+    for deadline_ms in (1..=60).cycle().take(240) {
+        let mut request = fleet.once("agent-desk", KEY_SPACE / 3);
+        request.deadline_ms = deadline_ms;
+        let body = serde_json::to_vec(&request)?;
+        let at = fleet.daemons[0].caller;
+        let (status, body) = wire::call(at, Method::POST, "/v1/request", body).await?;
+        let answer: hawthorn_types::CallerAnswer = serde_json::from_slice(&body)?;
+        assert_ne!(status, StatusCode::BAD_REQUEST, "{deadline_ms} ms: {answer:?}");
+        let is_refused = matches!(answer.outcome, CallerOutcome::NotRun(_));
+        assert_eq!(is_refused, answer.retry_after_ms.is_some(), "{deadline_ms} ms: {answer:?}");
+    }
+    fleet.check()
+}
+
 /// A client that sends the head of a request and then stalls within the body must not hold its
 /// connection forever, and must receive the reason for the rejection.
 #[tokio::test]
