fix(serve): an id slightly ahead of the host's clock is not refused for good

Cause: `request-id-in-future` was decided by one host's wall clock. A host whose clock is behind, or was stepped back, refused every recent request id.

What callers saw: 400 for a proper non-idempotent request that every other host executes; in the body nevertheless `retry_after_ms`, at any distance.

Change: an id that is ahead by no more than `margin`, 5 minutes, by which hosts' clocks may differ, is refused as `clock-uncertain`: 503 with `Retry-After`.

Why it works, and why nothing runs twice: the same ids are granted and refused as before, so only what the caller is told differs, and fewer refusals than before ask for a retry. A host that is behind by at most the margin grants such an id when its clock has reached it, at a real age below 5 minutes; its claim is kept for 15.

`request-id-too-old` stays final. It refuses a recent id only if the host's clock is about 10 minutes ahead, beyond the margin: such a host may have deleted claims of ids that other hosts still accept, and a caller that is asked to send again could have its request executed twice.

Remains: a clock that is behind by more than 5 minutes refuses recent ids with 400, and no host knows the clocks of others.

--- a/crates/hawthorn-store/src/claim/client.rs
+++ b/crates/hawthorn-store/src/claim/client.rs
@@ -101,7 +101,7 @@
             Outcome::Unavailable(_) | Outcome::Uncertain => {
                 Some(self.options.release_delay * UNCERTAIN_RELEASE_DELAYS)
             }
-            Outcome::Refused(RefusalReason::RequestIdInFuture) => Some(self.options.skew),
+            Outcome::Refused(RefusalReason::ClockUncertain) => Some(self.options.skew),
             Outcome::Granted(_) | Outcome::HeldEarlier | Outcome::Refused(_) => None,
         }
     }
--- a/crates/hawthorn-store/src/claim/stamp.rs
+++ b/crates/hawthorn-store/src/claim/stamp.rs
@@ -89,12 +89,19 @@
     /// An id older than the window would find no claim and run a second time. It is refused as
     /// not run, which is true of this send.
     ///
+    /// An id ahead of this clock by no more than clocks may differ is refused for now only, as this
+    /// clock may be behind. An id that is too old is refused for good: if it is recent, this clock
+    /// is ahead by more than the margin, and claims may be deleted too early.
+    ///
     /// # Errors
-    /// The reason for the refusal: the id is too old, or too far in the future.
+    /// The reason for the refusal: the id is too old, or ahead of this clock.
     pub fn check(&self, unix_now: Duration, options: &Options) -> Result<(), RefusalReason> {
         let created = Duration::from_secs(self.second);
         if created > unix_now.saturating_add(options.skew) {
-            return Err(RefusalReason::RequestIdInFuture);
+            return Err(match created <= unix_now.saturating_add(options.margin) {
+                true => RefusalReason::ClockUncertain,
+                false => RefusalReason::RequestIdInFuture,
+            });
         }
         if unix_now > self.expires_at(options) {
             return Err(RefusalReason::RequestIdTooOld);
--- a/crates/hawthorn-types/src/reason.rs
+++ b/crates/hawthorn-types/src/reason.rs
@@ -66,6 +66,8 @@
         OwnerUnreachable,
         /// The configuration lacks what the request names, and may be an old one.
         StaleConfiguration,
+        /// The caller's request id is ahead of the host's clock by no more than clocks may differ.
+        ClockUncertain,
     }
 }
 
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -3,6 +3,10 @@
 
 mod support;
 
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
 use hawthorn_types::CallerOutcome;
 use hawthorn_types::KEY_SPACE;
 use hawthorn_types::RefusalReason;
@@ -138,6 +142,24 @@
     fleet.check()
 }
 
+/// Guards against a proper request that is rejected for good because the host's clock is behind.
+#[tokio::test]
+async fn an_id_slightly_ahead_is_retried() -> TestResult {
+    const AHEAD: Duration = Duration::from_secs(60);
+    let fleet = TestFleet::start(FleetOptions::small()).await?;
+    let mut request = fleet.once("agent-desk", KEY_SPACE / 3);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH)?;
+    request.request_id = format!("{}-ahead", (now + AHEAD).as_secs());
+    let at = fleet.daemons[0].caller;
+    let body = serde_json::to_vec(&request)?;
+    let (status, body) = wire::call(at, Method::POST, "/v1/request", body).await?;
+    let answer: hawthorn_types::CallerAnswer = serde_json::from_slice(&body)?;
+    assert_eq!(answer.outcome, CallerOutcome::NotRun(RefusalReason::ClockUncertain));
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
+    assert!(answer.retry_after_ms.is_some(), "{answer:?}");
+    fleet.check()
+}
+
 /// Guards against a proper request that is rejected as wrong because its deadline passed here.
 #[tokio::test]
 async fn a_short_deadline_is_no_fault_of_the_request() -> TestResult {
