fix(serve): a host without a configuration states when to retry

Cause: both checks of a request refused `no-configuration` with no delay; only admission stated one.

What callers saw: 503 without `Retry-After`, which the callers' page promises with each, and `not-run` without `retry_after_ms`, which stands for "would be refused again".

Change: the reason has a default delay, 2 s, as the others that wait for the fleet.

Why it works: a start takes less than 1 s, and the default applies wherever a refusal states no delay.

Run: the tests of hawthorn-daemon; end_to_end, partition, intent, store; clippy, fmt.

--- a/crates/hawthorn-daemon/src/request/front.rs
+++ b/crates/hawthorn-daemon/src/request/front.rs
@@ -289,6 +289,7 @@
         | RefusalReason::TargetRefused => Some(Duration::from_millis(100)),
         RefusalReason::NoTarget
         | RefusalReason::OwnerUnreachable
+        | RefusalReason::NoConfiguration
         | RefusalReason::StaleConfiguration => Some(Duration::from_secs(2)),
         _ => None,
     }
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -142,6 +142,26 @@
     fleet.check()
 }
 
+/// Guards against a refusal without a time to retry by a host that has no configuration yet.
+#[tokio::test]
+async fn a_host_without_configuration_states_when_to_retry() -> TestResult {
+    let unused = std::net::TcpListener::bind(("127.0.0.1", 0))?;
+    let options = FleetOptions {
+        hosts: vec![1, 0, 0],
+        platform: Some(unused.local_addr()?),
+        ..FleetOptions::small()
+    };
+    let fleet = TestFleet::start_unready(options).await?;
+    let query = fleet.send(0, fleet.query("agent-desk")).await?;
+    let request = fleet.send_once(0, fleet.once("agent-desk", KEY_SPACE / 3)).await?;
+    for answer in [query, request] {
+        let expected = CallerOutcome::NotRun(RefusalReason::NoConfiguration);
+        assert_eq!(answer.outcome, expected, "{answer:?}");
+        assert!(answer.retry_after_ms.is_some(), "{answer:?}");
+    }
+    Ok(())
+}
+
 /// Guards against a proper request that is rejected for good because the host's clock is behind.
 #[tokio::test]
 async fn an_id_slightly_ahead_is_retried() -> TestResult {
