--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -3,6 +3,10 @@
 
 mod support;
 
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
 use hawthorn_types::CallerOutcome;
 use hawthorn_types::KEY_SPACE;
 use hawthorn_types::RefusalReason;
@@ -138,6 +142,62 @@
     fleet.check()
 }
 
+/// Guards against a refusal without a time to retry by a host that has no configuration yet.
+#[tokio::test]
+async fn a_host_without_configuration_states_when_to_retry() -> TestResult {
+    let unused = std::net::TcpListener::bind(("127.0.0.1", 0))?;
+    let options = FleetOptions {
+        hosts: vec![1, 0, 0],
+        platform: Some(unused.local_addr()?),
+        ..FleetOptions::small()
+    };
+    let fleet = TestFleet::start_unready(options).await?;
+    let query = fleet.send(0, fleet.query("agent-desk")).await?;
+    let request = fleet.send_once(0, fleet.once("agent-desk", KEY_SPACE / 3)).await?;
+    for answer in [query, request] {
+        let expected = CallerOutcome::NotRun(RefusalReason::NoConfiguration);
+        assert_eq!(answer.outcome, expected, "{answer:?}");
+        assert!(answer.retry_after_ms.is_some(), "{answer:?}");
+    }
+    Ok(())
+}
+
+/// Guards against a proper request that is rejected for good because the host's clock is behind.
+#[tokio::test]
+async fn an_id_slightly_ahead_is_retried() -> TestResult {
+    const AHEAD: Duration = Duration::from_secs(60);
+    let fleet = TestFleet::start(FleetOptions::small()).await?;
+    let mut request = fleet.once("agent-desk", KEY_SPACE / 3);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH)?;
+    request.request_id = format!("{}-ahead", (now + AHEAD).as_secs());
+    let at = fleet.daemons[0].caller;
+    let body = serde_json::to_vec(&request)?;
+    let (status, body) = wire::call(at, Method::POST, "/v1/request", body).await?;
+    let answer: hawthorn_types::CallerAnswer = serde_json::from_slice(&body)?;
+    assert_eq!(answer.outcome, CallerOutcome::NotRun(RefusalReason::ClockUncertain));
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
+    assert!(answer.retry_after_ms.is_some(), "{answer:?}");
+    fleet.check()
+}
+
+/// Guards against a proper request that is rejected as wrong because its deadline passed here.
+#[tokio::test]
+async fn a_short_deadline_is_no_fault_of_the_request() -> TestResult {
+    let fleet = TestFleet::start(FleetOptions::small()).await?;
+    for deadline_ms in (1..=60).cycle().take(240) {
+        let mut request = fleet.once("agent-desk", KEY_SPACE / 3);
+        request.deadline_ms = deadline_ms;
+        let body = serde_json::to_vec(&request)?;
+        let at = fleet.daemons[0].caller;
+        let (status, body) = wire::call(at, Method::POST, "/v1/request", body).await?;
+        let answer: hawthorn_types::CallerAnswer = serde_json::from_slice(&body)?;
+        assert_ne!(status, StatusCode::BAD_REQUEST, "{deadline_ms} ms: {answer:?}");
+        let is_refused = matches!(answer.outcome, CallerOutcome::NotRun(_));
+        assert_eq!(is_refused, answer.retry_after_ms.is_some(), "{deadline_ms} ms: {answer:?}");
+    }
+    fleet.check()
+}
+
 /// A client that sends the head of a request and then stalls within the body must not hold its
 /// connection forever, and must receive the reason for the rejection.
 #[tokio::test]
