fix(edge): the body of a rejected request is not read as the next request

Cause: an answer given before the body was read (404, 401, 413, 503 host-full, no-configuration) left the connection open, and what arrived of the body later counted as the beginning of the next head.

Change: what a rejected request still sends is read for up to 20 ms and 64 KiB, which covers a body that follows its head; if it is not complete by then, the answer closes the connection. Receiving and running a request are separate functions now.

Why it works: a connection is used again only after the whole body was read.

--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -6,9 +6,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hawthorn_platform::caller;
+use hawthorn_platform::caller::CallerHeaders;
 use hawthorn_route::customer::KeyRefusalCause;
 use hawthorn_route::customer::KeyRejection;
+use hawthorn_route::customer::RequestCustomer;
 use hawthorn_route::document::GatherRule;
 use hawthorn_route::document::RouteDestination;
 use hawthorn_route::document::RouteRule;
@@ -19,6 +22,7 @@
 use hawthorn_route::retry_after::after_confirmation;
 use hawthorn_route::retry_after::retry_after;
 use hawthorn_route::send_deadline;
+use hawthorn_route::table::RouteTable;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -28,6 +32,7 @@
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
@@ -64,6 +69,10 @@
 /// travels to the caller.
 const END_MARGIN: Duration = Duration::from_millis(4);
 
+/// Limits on the rest of a body that is read after its request was rejected.
+const MAX_DRAIN_BYTES: usize = 64 * 1024;
+const DRAIN_TIME: Duration = Duration::from_millis(20);
+
 /// Counts a caller's body while it is in memory.
 struct BodyBytesGuard(Rc<RouteHost>, usize);
 
@@ -94,10 +103,18 @@
     caller: Option<IpAddr>,
 ) -> Response<AnswerBody> {
     let started = watch.arrival().arrived;
-    let mut answer = admit(&host, request, watch, caller).await;
+    let (head, mut body) = request.into_parts();
+    let mut is_unread = false;
+    let mut answer = match receive(&host, head, &mut body).await {
+        Ok(received) => run(&host, received, watch, caller).await,
+        Err(answer) => {
+            is_unread = !drain(&mut body).await;
+            *answer
+        }
+    };
     watch.set_send_time(answer.due);
     // Callers of a host that fails its readiness probe are better served by another.
-    if host.stopping.is_cancelled() || host.routing.unready.get() {
+    if is_unread || host.stopping.is_cancelled() || host.routing.unready.get() {
         let close = HeaderValue::from_static("close");
         answer.response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -121,57 +138,83 @@
     after_confirmation(expected, host_now(), &mut rand::rng())
 }
 
-async fn admit(
+/// Reads the rest of a body that is not needed; false if it does not arrive at once. It would be
+/// taken for the head of the next request.
+async fn drain(body: &mut Incoming) -> bool {
+    let rest = Limited::new(body, MAX_DRAIN_BYTES).collect();
+    timeout(DRAIN_TIME, rest).await.is_ok_and(|rest| rest.is_ok())
+}
+
+/// A request whose body was read, with the version that it is served by.
+struct ReceivedRequest {
+    table: Rc<RouteTable>,
+    route: Rc<RouteRule>,
+    customer: Option<RequestCustomer>,
+    head: Parts,
+    headers: CallerHeaders,
+    /// How long its caller waits.
+    wait: Duration,
+    body: Bytes,
+    _guard: BodyBytesGuard,
+}
+
+/// Receives a request that fits the configuration; otherwise returns the answer.
+async fn receive(
     host: &Rc<RouteHost>,
-    request: Request<Incoming>,
-    watch: &HeadWatch,
-    caller: Option<IpAddr>,
-) -> CallerAnswer {
-    let arrival = watch.arrival();
+    mut head: Parts,
+    body: &mut Incoming,
+) -> Result<ReceivedRequest, Box<CallerAnswer>> {
+    let refused = |reason| Err(Box::new(CallerAnswer::refused(reason)));
     let Some(table) = host.routing.table() else {
-        return CallerAnswer::refused(RefusalReason::NoConfiguration);
-    };
-    let (mut head, body) = request.into_parts();
-    let (route, customer) = match rejection::find(&table, &head) {
-        Ok(found) => found,
-        Err(fault) => return rejection::reject(host, &table, &head, fault),
+        return refused(RefusalReason::NoConfiguration);
     };
+    let reject = |head: &Parts, fault| Box::new(rejection::reject(host, &table, head, fault));
+    let (route, customer) = rejection::find(&table, &head).map_err(|fault| reject(&head, fault))?;
     // Also if the version in force has no customers: it may lack them by mistake, and targets
     // trust the name.
     caller::strip_identity(&mut head.headers);
     match customer.as_ref().and_then(|customer| host.key_refusal(customer)) {
         None => {}
         Some(KeyRefusal::Revoked) => {
-            let fault = RequestFault::Key(KeyRejection::Revoked);
-            return rejection::reject(host, &table, &head, fault);
+            return Err(reject(&head, RequestFault::Key(KeyRejection::Revoked)));
         }
         Some(KeyRefusal::Stale) => {
             host.metrics.count_key_refusal(KeyRefusalCause::StaleAtAdmission, 1);
-            return CallerAnswer::refused(RefusalReason::StaleKeys);
+            return refused(RefusalReason::StaleKeys);
         }
     }
     if host.open_requests.get() > MAX_OPEN_REQUESTS {
-        return CallerAnswer::refused(RefusalReason::HostFull);
+        return refused(RefusalReason::HostFull);
     }
     let content_length = content_length(&head.headers);
     if host.body_bytes.get() + content_length > MAX_BODY_BYTES {
-        return CallerAnswer::refused(RefusalReason::HostFull);
+        return refused(RefusalReason::HostFull);
     }
-    let caller_headers = caller::read(&head.headers);
-    let wait = caller_headers.time_left.map_or(route.timeout, |left| left.min(route.timeout));
+    let headers = caller::read(&head.headers);
+    let wait = headers.time_left.map_or(route.timeout, |left| left.min(route.timeout));
     let limits = table.document().limits;
     let body = match timeout(wait, Limited::new(body, limits.body_bytes).collect()).await {
-        Err(_) => return rejection::reject(host, &table, &head, RequestFault::SlowBody),
+        Err(_) => return Err(reject(&head, RequestFault::SlowBody)),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let fault = RequestFault::BodyTooLarge { limit: limits.body_bytes };
-            return rejection::reject(host, &table, &head, fault);
-        }
-        Ok(Err(_)) => {
-            return rejection::reject(host, &table, &head, RequestFault::UnreadableBody);
+            return Err(reject(&head, RequestFault::BodyTooLarge { limit: limits.body_bytes }));
         }
+        Ok(Err(_)) => return Err(reject(&head, RequestFault::UnreadableBody)),
         Ok(Ok(body)) => body.to_bytes(),
     };
-    let _guard = BodyBytesGuard::new(Rc::clone(host), body.len());
+    let guard = BodyBytesGuard::new(Rc::clone(host), body.len());
+    Ok(ReceivedRequest { table, route, customer, head, headers, wait, body, _guard: guard })
+}
+
+/// Runs a request, and logs how it ended.
+async fn run(
+    host: &Rc<RouteHost>,
+    received: ReceivedRequest,
+    watch: &HeadWatch,
+    caller: Option<IpAddr>,
+) -> CallerAnswer {
+    let ReceivedRequest { table, route, customer, mut head, headers, wait, body, _guard } =
+        received;
+    let arrival = watch.arrival();
     context::strip_connection(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
     head.headers.remove(header::EXPECT);
@@ -193,7 +236,7 @@
         uri: head.uri,
         headers: head.headers,
         body,
-        attempt_id: caller_headers.attempt_id,
+        attempt_id: headers.attempt_id,
         route,
         customer,
         started,
--- a/tests/route_rejections.rs
+++ b/tests/route_rejections.rs
@@ -16,7 +16,11 @@
 use support::route::HostOptions;
 use support::route::RouteAnswer;
 use support::route::RouteHost;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 /// Time within which a version is in force on every host that reaches the store.
 const APPLY_TIME: Duration = Duration::from_millis(3000);
@@ -202,3 +206,42 @@
     assert_eq!(received, [true; CASES.len()], "received before it is in force");
     Ok(())
 }
+
+/// Guards against the body of a rejected request that is taken for the head of the next one.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_body_of_a_rejected_request_is_not_taken_for_another_request() -> TestResult {
+    struct Case {
+        name: &'static str,
+        /// Number of bytes of the body that are sent after the answer.
+        late: usize,
+        closes: bool,
+    }
+    let cases = [
+        Case { name: "sent at once", late: 0, closes: false },
+        Case { name: "sent late", late: 400, closes: true },
+    ];
+    let (store, _target) = start_store().await?;
+    let host = RouteHost::start_with("h-1", "east", store.address(), &[], &options(""))?;
+    host.wait_until_ready().await?;
+    for case in cases {
+        let mut stream = TcpStream::connect(host.caller()).await?;
+        let request = route::request("POST", "/absent/", "id-1", &"x".repeat(800));
+        let (first, late) = request.split_at(request.len() - case.late);
+        stream.write_all(first).await?;
+        let answer = route::read_answer(&mut stream).await?;
+        assert_eq!(answer.status, 404, "{}", case.name);
+        let closes = answer.headers.get("connection").is_some_and(|value| value == "close");
+        assert_eq!(closes, case.closes, "{}: {answer:?}", case.name);
+        if closes {
+            // The host may have closed the connection.
+            let _sent = stream.write_all(late).await;
+            let mut rest = Vec::new();
+            let _ended = timeout(route::WAIT_TIMEOUT, stream.read_to_end(&mut rest)).await?;
+            assert!(rest.is_empty(), "{}: {}", case.name, String::from_utf8_lossy(&rest));
+        } else {
+            stream.write_all(&route::request("GET", "/absent/", "id-2", "")).await?;
+            assert_eq!(route::read_answer(&mut stream).await?.status, 404, "{}", case.name);
+        }
+    }
+    Ok(())
+}
