fix(edge): the progress of an update is counted on its own connection

Cause: whether an update still arrives was read from the counter of all catalog bytes to and from its source's zone. Bytes of another transfer with that zone, in either direction, counted as progress, so that a silent source was noticed only when the call ended, 5 s after its wait.

What callers saw: a host that fetches a version over a slow link from a peer that announced it, while its own source is silent, stays without the version for up to 5.9 s, although the store would answer (DENIED, CONFIG).

Evidence: a_slow_transfer_does_not_hide_a_silent_source is new: the source of the reader is suspended as the reader has sent its request, and another host of the zone sends it 400 new routes at 12.8 KB/s.

Change: each connection to a peer counts the bytes that arrive on it; transfer_stalled reads that counter. The counters of zones, which the metrics export, count as before.

Why it works: nothing arrives on the connection of a silent source, so it is noticed 0.3 s after its wait, and the reader, then second in rank, reads the store.

--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -149,6 +149,8 @@
 #[derive(Clone, Debug)]
 struct OpenLink {
     client: EdgePeerClient,
+    /// Bytes that arrived on this connection.
+    received: TrafficCounter,
     ended: CancellationToken,
 }
 
@@ -212,18 +214,24 @@
     }
 
     async fn client(&self, endpoint: &PeerEndpoint) -> Result<EdgePeerClient, PeerError> {
+        Ok(self.link(endpoint).await?.client)
+    }
+
+    /// The open connection to a peer for a purpose; opened if there is none.
+    async fn link(&self, endpoint: &PeerEndpoint) -> Result<OpenLink, PeerError> {
         let key = (endpoint.address, endpoint.purpose);
         // Without the check of `ended`, the first query to a peer restarted in a rolling update
         // would be lost on the old connection, whose end no call has noticed yet.
         if let Some(link) = self.links.borrow().get(&key)
             && !link.ended.is_cancelled()
         {
-            return Ok(link.client.clone());
+            return Ok(link.clone());
         }
         let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(endpoint.address)).await;
         let Ok(Ok(stream)) = connected else { return Err(PeerError::NotSent) };
         hawthorn_pool::enable_dead_peer_detection(&stream).map_err(|_| PeerError::NotSent)?;
-        let stream = traffic::counted(stream, &endpoint.counter);
+        let received = TrafficCounter::default();
+        let stream = traffic::counted(stream, &endpoint.counter, &received);
         let transport = tarpc::serde_transport::new(
             LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream),
             Bincode::default(),
@@ -236,11 +244,11 @@
             let _ended = new_client.dispatch.await;
             drop(guard);
         });
-        let client = new_client.client;
+        let link = OpenLink { client: new_client.client, received, ended };
         let mut links = self.links.borrow_mut();
         links.retain(|_, link| !link.ended.is_cancelled());
-        links.insert(key, OpenLink { client: client.clone(), ended });
-        Ok(client)
+        links.insert(key, link.clone());
+        Ok(link)
     }
 
     /// Sends a peer a request to gather shards; dropping the future cancels the call at the peer.
@@ -332,12 +340,12 @@
         after: StoreRevision,
         wait: Duration,
     ) -> Result<CatalogUpdate, PeerError> {
-        let client = self.ready_client(endpoint).await?;
+        let OpenLink { client, received, .. } = self.ready_link(endpoint).await?;
         let call = call_with_timeout(wait + MAX_TRANSFER);
         let reply = tokio::select! {
             biased;
             reply = client.catalog_update(call, after, wait.as_millis() as u64) => reply,
-            () = transfer_stalled(&endpoint.counter, wait) => return Err(PeerError::NoReply),
+            () = transfer_stalled(&received, wait) => return Err(PeerError::NoReply),
         };
         if reply.is_ok() {
             self.record_answer(endpoint.address);
@@ -359,8 +367,12 @@
     }
 
     async fn ready_client(&self, endpoint: &PeerEndpoint) -> Result<EdgePeerClient, PeerError> {
-        let client = self.client(endpoint).await;
-        client.inspect_err(|_| self.suspect(endpoint.address, SuspicionReason::NotConnected))
+        Ok(self.ready_link(endpoint).await?.client)
+    }
+
+    async fn ready_link(&self, endpoint: &PeerEndpoint) -> Result<OpenLink, PeerError> {
+        let link = self.link(endpoint).await;
+        link.inspect_err(|_| self.suspect(endpoint.address, SuspicionReason::NotConnected))
     }
 
     fn check_reply<T>(
@@ -383,7 +395,8 @@
     suspects.borrow().get(&address).is_some_and(|at| at.elapsed() < SUSPECT_DURATION)
 }
 
-/// Returns if no byte of an update arrives for [`ANSWER_TIMEOUT`] once the peer's `wait` is over.
+/// Returns if no byte arrives on the connection for [`ANSWER_TIMEOUT`] once the peer's `wait` is
+/// over.
 async fn transfer_stalled(received: &TrafficCounter, wait: Duration) {
     sleep(wait).await;
     loop {
--- a/crates/hawthorn-edge/src/process/traffic.rs
+++ b/crates/hawthorn-edge/src/process/traffic.rs
@@ -110,15 +110,23 @@
 /// A connection whose bytes are counted in both directions.
 pub type CountedStream = Pin<Box<InspectReader<InspectWriter<TcpStream, CountBytes>, CountBytes>>>;
 
-/// Wraps a connection, to count its bytes in both directions.
-pub fn counted(stream: TcpStream, counter: &TrafficCounter) -> CountedStream {
-    let count = || -> CountBytes {
-        let counter = Arc::clone(counter);
-        Box::new(move |bytes: &[u8]| {
-            counter.fetch_add(bytes.len() as u64, Ordering::Relaxed);
-        })
-    };
-    Box::pin(InspectReader::new(InspectWriter::new(stream, count()), count()))
+/// Wraps a connection, to add its bytes in both directions to `counter`, and those that arrive also
+/// to `received`.
+pub fn counted(
+    stream: TcpStream,
+    counter: &TrafficCounter,
+    received: &TrafficCounter,
+) -> CountedStream {
+    let (sent_total, total, received) =
+        (Arc::clone(counter), Arc::clone(counter), Arc::clone(received));
+    let count_sent: CountBytes = Box::new(move |bytes| {
+        sent_total.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+    });
+    let count_received: CountBytes = Box::new(move |bytes| {
+        total.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        received.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+    });
+    Box::pin(InspectReader::new(InspectWriter::new(stream, count_sent), count_received))
 }
 
 /// The size of headers on the wire, in bytes.
--- a/tests/silent_sources.rs
+++ b/tests/silent_sources.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -9,12 +11,17 @@
 use hawthorn_fleet::MemberId;
 use hawthorn_route::gatherers::ZoneHost;
 use hawthorn_route::mirror;
+use hawthorn_standin::proxy::NetworkLocation;
+use hawthorn_standin::proxy::NetworkOptions;
+use hawthorn_standin::proxy::StandinNetwork;
+use hawthorn_standin::proxy::ThrottleRate;
 use hawthorn_standin::route::RouteStore;
 use hawthorn_standin::route::RouteTarget;
 use hawthorn_standin::route::operator;
 use rustix::process::Signal;
 use support::TestResult;
 use support::route;
+use support::route::HostOptions;
 use support::route::RouteHost;
 use tokio::time::sleep;
 
@@ -79,10 +86,10 @@
     }
 }
 
-/// The time from `written` until a host serves the new route.
-async fn applied_after(host: &RouteHost, written: Instant) -> TestResult<Duration> {
+/// The time from `written` until a host serves a new route.
+async fn applied_after(host: &RouteHost, path: &str, written: Instant) -> TestResult<Duration> {
     while written.elapsed() < route::WAIT_TIMEOUT {
-        if host.send("GET", "/new/", "id", "").await?.status == 200 {
+        if host.send("GET", path, "id", "").await?.status == 200 {
             return Ok(written.elapsed());
         }
         sleep(POLL_INTERVAL).await;
@@ -101,7 +108,7 @@
     sleep(STOP_TIME).await;
     let written = Instant::now();
     operator::configure(&zone.store, 2, &[operator::single("/new/", "s", "safe")], &["s"]);
-    let times = followers.iter().map(|host| applied_after(host, written));
+    let times = followers.iter().map(|host| applied_after(host, "/new/", written));
     let times = future::try_join_all(times).await?;
     println!("{silent} silent sources: {times:?}");
     let late = followers.iter().zip(times).filter(|(_, time)| *time >= APPLY_LIMIT);
@@ -131,3 +138,60 @@
     assert!(late.is_empty(), "{late:#?}");
     Ok(())
 }
+
+/// Guards against a silent source that is noticed late because bytes of another host of its zone
+/// arrive.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_transfer_does_not_hide_a_silent_source() -> TestResult {
+    /// Random routes, which one host of the zone sends in several seconds.
+    const ROUTES: u64 = 400;
+    const THROTTLE: ThrottleRate =
+        ThrottleRate { chunk_bytes: 256, delay: Duration::from_millis(20) };
+    let store = RouteStore::start().await?;
+    let target = RouteTarget::start("t-1", "s").await?;
+    operator::register(&store, "t-1", &target, "east");
+    let new_route = |path: &str| operator::single(path, "s", "safe");
+    operator::configure(&store, 1, &[new_route("/old/")], &["s"]);
+    let mut names = ["h-0", "h-1", "h-2"];
+    let ranked =
+        mirror::rank(&names.map(|name| ZoneHost { id: MemberId::of(name).0, capacity: 0 }));
+    names.sort_by_key(|name| ranked.iter().position(|id| *id == MemberId::of(name).0));
+    let east = NetworkLocation::zone("east");
+    let mut network = StandinNetwork::new(NetworkOptions::dar_port());
+    let addresses = [(IpAddr::V4(Ipv4Addr::LOCALHOST), east.clone())];
+    let link = network.link_host(east.clone(), &addresses).await?;
+    // In a fleet with a single zone, two hosts watch the store.
+    let source = RouteHost::start(names[0], "east", store.address(), &[])?;
+    let options = HostOptions { advertised: Some(link.address()), ..HostOptions::default() };
+    let slow = RouteHost::start_with(names[1], "east", store.address(), &[&source], &options)?;
+    link.set_upstream(slow.peer());
+    let reader = RouteHost::start(names[2], "east", store.address(), &[&source])?;
+    for host in [&source, &slow, &reader] {
+        host.wait_until_ready().await?;
+    }
+    let follows = async || {
+        let watchers = store.watchers();
+        watchers.len() == 2 && !watchers.contains(&reader.caller().ip())
+    };
+    sleep(SETTLE_TIME).await;
+    route::wait_for("the reader to follow", follows).await?;
+    for control in network.controls(&east, &east) {
+        control.set_faults(|faults| faults.throttle = Some(THROTTLE));
+    }
+    // The reader sends its next request as soon as it has this version.
+    operator::configure(&store, 2, &[new_route("/new/")], &["s"]);
+    applied_after(&reader, "/new/", Instant::now()).await?;
+    source.signal(Signal::STOP)?;
+    let mut routes = vec![new_route("/newer/")];
+    for number in 0..ROUTES {
+        let name: String = route::random_words(number, 24).collect();
+        routes.push(new_route(&format!("/{name}/")));
+    }
+    operator::configure(&store, 3, &routes, &["s"]);
+    let time = applied_after(&reader, "/newer/", Instant::now()).await?;
+    println!("beside a slow transfer: {time:?}");
+    let mut lines = reader.log_lines();
+    lines.retain(|line| ["E641", "E643", "E645"].iter().any(|event| line.contains(event)));
+    assert!(time < APPLY_LIMIT, "in force after {time:?}: {lines:#?}");
+    Ok(())
+}
