fix(edge): a host that cannot read the newest version rejects nothing for good

Cause: the mirror advances with a version that is unreadable (E611), so that the store confirms the host, while it serves by the version before.

What callers saw: 404, 401 and 413 for what the unreadable version allows, for as long as no readable one follows. A host of an older build may read a version less than its neighbours do.

Change: such a host counts as unconfirmed when a request is judged.

--- a/crates/hawthorn-edge/src/process/catalog.rs
+++ b/crates/hawthorn-edge/src/process/catalog.rs
@@ -84,8 +84,12 @@
 fn apply_document(host: &RouteHost, item: &MirrorItem) {
     let Some(value) = &item.value else { return };
     match catalog::document(value) {
-        Ok(document) => host.routing.accept(document),
+        Ok(document) => {
+            host.routing.newest_unreadable.set(false);
+            host.routing.accept(document);
+        }
         Err(error) => {
+            host.routing.newest_unreadable.set(true);
             let revision = item.revision;
             edge_event!(
                 Level::Error,
--- a/crates/hawthorn-edge/src/request/rejection.rs
+++ b/crates/hawthorn-edge/src/request/rejection.rs
@@ -138,8 +138,10 @@
 }
 
 fn judge(host: &RouteHost, newest_allows: bool, apply_limit: Duration) -> Outcome {
-    let known = KnownVersions { confirmed_age: host.confirmed_age(), newest_allows };
-    rejection::judge(known, apply_limit)
+    // The store has confirmed a version that this host could not read.
+    let is_unreadable = host.routing.newest_unreadable.get();
+    let confirmed_age = host.confirmed_age().filter(|_| !is_unreadable);
+    rejection::judge(KnownVersions { confirmed_age, newest_allows }, apply_limit)
 }
 
 fn until_in_force(host: &RouteHost) -> Option<Duration> {
--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -87,6 +87,8 @@
     pending_tables: RefCell<PendingVersions<Rc<RouteTable>>>,
     /// The newest known version, which may not be in force yet.
     newest_table: RefCell<Option<Rc<RouteTable>>>,
+    /// Whether the newest received version is unreadable.
+    pub newest_unreadable: Cell<bool>,
     /// The limits on callers of the current version.
     pub limits: watch::Sender<CallerLimits>,
     /// Notified when a version is pending.
@@ -138,6 +140,7 @@
             tables: RefCell::default(),
             pending_tables: RefCell::default(),
             newest_table: RefCell::default(),
+            newest_unreadable: Cell::new(false),
             limits: watch::Sender::default(),
             table_pending: Notify::new(),
             table_installed: Notify::new(),
--- a/tests/route_rejections.rs
+++ b/tests/route_rejections.rs
@@ -207,6 +207,29 @@
     Ok(())
 }
 
+/// Guards against a host that ends requests for good by an old version because it cannot read the
+/// newest one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_cannot_read_a_version_rejects_nothing_for_good() -> TestResult {
+    let (store, _target) = start_store().await?;
+    let host = RouteHost::start_with("h-1", "east", store.address(), &[], &options(""))?;
+    host.wait_until_ready().await?;
+    operator::put_raw_configuration(&store, br#"{ "configVersion": 2, "routes": "unknown" }"#);
+    for case in &CASES {
+        let refused = async || {
+            let answer = case.send(&host).await;
+            answer.is_ok_and(|answer| answer.body == b"stale-configuration")
+        };
+        route::wait_for(case.name, refused).await?;
+    }
+    write_version(&store, 3);
+    for case in &CASES {
+        let served = async || case.send(&host).await.is_ok_and(|answer| answer.status == 200);
+        route::wait_for(case.name, served).await?;
+    }
+    Ok(())
+}
+
 /// Guards against the body of a rejected request that is taken for the head of the next one.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_body_of_a_rejected_request_is_not_taken_for_another_request() -> TestResult {
