--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -41,8 +41,8 @@
 use crate::process::events::EdgeEvent;
 use crate::process::host::RouteHost;
 use crate::process::loop_clock;
+use crate::process::peer_updates;
 use crate::process::quota;
-use crate::process::store_sync;
 use crate::process::traffic;
 use crate::process::traffic::TrafficCounter;
 use crate::process::traffic::TrafficPurpose;
@@ -519,7 +519,7 @@
         PeerRequest::Commit(token) => host.commits.commit(token),
         PeerRequest::Remainder { token, request } => host.remainders.request(token, request),
         PeerRequest::CatalogUpdate { after, wait, received, reply } => {
-            tokio::task::spawn_local(store_sync::answer_peer(host, after, wait, received, reply));
+            tokio::task::spawn_local(peer_updates::answer_peer(host, after, wait, received, reply));
         }
         PeerRequest::TakeTokens { customer, count, reply } => {
             // The peer may have given up; its tokens then expire.
