test(sources): hosts reach the store again after a failed call, with real processes

Here the first eight sources of a zone of twelve hosts, and the host of the other zone, pass no byte of TCP from one moment on, while their heartbeats pass; pings go over TCP and stay unanswered as well. The store answers 503 for 3 s from then on, so each follower has a failed call (checked: E612); a version is written as it is back. No source may go down in the membership (checked: E641 change=down), as its followers would read the store then.

--- a/tests/silent_sources.rs
+++ b/tests/silent_sources.rs
@@ -11,6 +11,7 @@
 use hawthorn_fleet::MemberId;
 use hawthorn_route::gatherers::ZoneHost;
 use hawthorn_route::mirror;
+use hawthorn_standin::proxy::HostLink;
 use hawthorn_standin::proxy::NetworkLocation;
 use hawthorn_standin::proxy::NetworkOptions;
 use hawthorn_standin::proxy::StandinNetwork;
@@ -18,6 +19,7 @@
 use hawthorn_standin::route::RouteStore;
 use hawthorn_standin::route::RouteTarget;
 use hawthorn_standin::route::operator;
+use hawthorn_standin::route::store::RouteOutage;
 use rustix::process::Signal;
 use support::TestResult;
 use support::route;
@@ -45,19 +47,34 @@
 
 impl FollowingZone {
     async fn start(count: usize) -> TestResult<Self> {
+        Self::start_behind(count, &[]).await
+    }
+
+    /// The first link is that of the host of the other zone, the others those of the first sources.
+    async fn start_behind(count: usize, links: &[HostLink]) -> TestResult<Self> {
         let store = RouteStore::start().await?;
         let target = RouteTarget::start("t-1", "s").await?;
         operator::register(&store, "t-1", &target, "east");
         operator::configure(&store, 1, &[operator::single("/old/", "s", "safe")], &["s"]);
-        let far = RouteHost::start("h-far", "west", store.address(), &[])?;
+        let start = |name: &str, zone, seeds: &[&RouteHost], link: Option<&HostLink>| {
+            let advertised = link.map(HostLink::address);
+            let options = HostOptions { advertised, ..HostOptions::default() };
+            let host = RouteHost::start_with(name, zone, store.address(), seeds, &options)?;
+            if let Some(link) = link {
+                link.set_upstream(host.peer());
+            }
+            TestResult::Ok(host)
+        };
+        let far = start("h-far", "west", &[], links.first())?;
         let name = |number| format!("h-{number}");
         let id = |number| MemberId::of(&name(number)).0;
         let zone: Vec<_> = (0..count).map(|n| ZoneHost { id: id(n), capacity: 0 }).collect();
         let ranked = mirror::rank(&zone);
         let mut hosts = Vec::new();
         for number in 0..count {
-            let host = RouteHost::start(&name(number), "east", store.address(), &[&far])?;
-            hosts.push((ranked.iter().position(|ranked| *ranked == id(number)), host));
+            let rank = ranked.iter().position(|ranked| *ranked == id(number)).unwrap_or(count);
+            let host = start(&name(number), "east", &[&far], links.get(1 + rank))?;
+            hosts.push((rank, host));
         }
         hosts.sort_by_key(|(rank, _)| *rank);
         let hosts: Vec<RouteHost> = hosts.into_iter().map(|(_, host)| host).collect();
@@ -195,3 +212,52 @@
     assert!(time < APPLY_LIMIT, "in force after {time:?}: {lines:#?}");
     Ok(())
 }
+
+/// Guards against a failed call to the store after which a host asks silent sources for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_call_to_the_store_does_not_keep_a_host_with_silent_sources() -> TestResult {
+    const SILENT: usize = 8;
+    const OUTAGE: Duration = Duration::from_secs(3);
+    const RETURN_LIMIT: Duration = Duration::from_secs(8);
+    const SILENCE: ThrottleRate = ThrottleRate { chunk_bytes: 1, delay: Duration::from_secs(3600) };
+    let east = NetworkLocation::zone("east");
+    let mut network = StandinNetwork::new(NetworkOptions::dar_port());
+    let addresses = [(IpAddr::V4(Ipv4Addr::LOCALHOST), east.clone())];
+    let mut links = Vec::new();
+    for _ in 0..=SILENT {
+        links.push(network.link_host(east.clone(), &addresses).await?);
+    }
+    let zone = FollowingZone::start_behind(12, &links).await?;
+    for control in network.controls(&east, &east) {
+        control.set_faults(|faults| faults.throttle = Some(SILENCE));
+    }
+    zone.store.set_outage(RouteOutage::Unavailable);
+    sleep(OUTAGE).await;
+    let followers = &zone.hosts[SILENT..];
+    for host in followers {
+        let failed = host.log_lines().iter().any(|line| line.contains("E612"));
+        assert!(failed, "no call to the store failed: {:#?}", host.log_lines());
+    }
+    operator::configure(&zone.store, 2, &[operator::single("/new/", "s", "safe")], &["s"]);
+    zone.store.set_outage(RouteOutage::None);
+    let returned = Instant::now();
+    let times = followers.iter().map(|host| applied_after(host, "/new/", returned));
+    let times = future::join_all(times).await;
+    println!("after a failed call: {times:?}");
+    for host in followers {
+        let mut lines = host.log_lines();
+        lines.retain(|line| line.contains("E641") && line.contains("change=down"));
+        assert!(lines.is_empty(), "sources left the membership: {lines:#?}");
+    }
+    let is_late = |time: &TestResult<Duration>| !matches!(time, Ok(time) if *time < RETURN_LIMIT);
+    let late = followers.iter().zip(&times).filter(|(_, time)| is_late(time));
+    let describe = |(host, time): (&RouteHost, &TestResult<Duration>)| {
+        let events = ["E612", "E613", "E641", "E643", "E644"];
+        let mut lines = host.log_lines();
+        lines.retain(|line| events.iter().any(|event| line.contains(event)));
+        format!("in force after {time:?}: {lines:#?}")
+    };
+    let late: Vec<_> = late.map(describe).collect();
+    assert!(late.is_empty(), "{late:#?}");
+    Ok(())
+}
