revert(edge): two checks without an answer no longer end the watch of the store

Cause: a watch that stays open notices within 0.8 s, by its checks, that the store is back; a host that has given it up is in its pause of 1.5 to 2.5 s, after requests to peers that have nothing newer, when the store returns.

The time after which a host with silent sources reads the store again, and the stale check, stay, with their tests.

--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -354,11 +354,6 @@
         refusal
     }
 
-    /// Whether this host should ask peers for a confirmation, as it cannot read the store.
-    pub(crate) fn needs_peers(&self) -> bool {
-        self.confirmation_plan().needs_peers(self.confirmed_age())
-    }
-
     /// The endpoint of a peer for one purpose.
     pub(crate) fn peer_endpoint(
         &self,
--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -60,9 +60,6 @@
 /// Consecutive checks that show a newer revision without a result from the watch, after which
 /// the watch is considered lost.
 const MAX_MISSED_CHECKS: u32 = 2;
-/// Consecutive checks without an answer, after which the watch is not waited for either: the host
-/// may be cut off from the store, while peers are not.
-const MAX_FAILED_CHECKS: u32 = 2;
 /// Pause between two requests for a confirmation that do not wait for a change, so that a host
 /// without a current source does not load its peers.
 const REFRESH_PAUSE: Duration = Duration::from_millis(200);
@@ -359,7 +356,7 @@
 async fn refresh_from_peers(host: &Rc<RouteHost>) {
     for peers in [PeerGroup::OwnZone, PeerGroup::OtherZones] {
         for _ in 0..REFRESH_PEERS {
-            if !host.needs_peers() {
+            if !host.needs_refresh() {
                 return;
             }
             let candidates = refresh_peers(host, peers);
@@ -367,7 +364,7 @@
             let selected = order.borrow_mut().select(&candidates, &mut rand::rng());
             let Some(peer) = selected else { break };
             refresh_from(host, peer).await;
-            order.borrow_mut().record(peer, !host.needs_peers());
+            order.borrow_mut().record(peer, !host.needs_refresh());
         }
     }
 }
@@ -377,9 +374,7 @@
     let until = host_now() + pause;
     while host_now() < until {
         sleep(REFRESH_INTERVAL.min(until.saturating_sub(host_now()))).await;
-        if host.needs_refresh() {
-            refresh_from_peers(host).await;
-        }
+        refresh_from_peers(host).await;
     }
 }
 
@@ -550,7 +545,7 @@
     // Whether the last check was a read of an earlier state than the mirror's.
     let mut is_stale = false;
     let mut pending_watch = std::pin::pin!(wait_for_update(client, after));
-    let (mut missed_checks, mut failed_checks) = (0, 0);
+    let mut missed_checks = 0;
     let mut received = client.counts().bytes_of(CallKind::Watch);
     loop {
         host.expect_confirmation(access.next_check);
@@ -574,14 +569,9 @@
         // A long answer that is still arriving is not lost.
         let is_arriving = mem::replace(&mut received, bytes) != bytes;
         let Ok(Some(as_of)) = answer else {
-            failed_checks += 1;
-            if failed_checks >= MAX_FAILED_CHECKS && !is_arriving {
-                return WatchEnd::Failed(ReadError::NoAnswer(UncertainCause::Timeout));
-            }
             refresh_from_peers(host).await;
             continue;
         };
-        failed_checks = 0;
         is_stale = !linearizable && as_of < host.mirror.borrow().as_of();
         if !is_stale && as_of.era >= after.era {
             host.confirm(as_of, sent);
--- a/crates/hawthorn-route/src/confirmation.rs
+++ b/crates/hawthorn-route/src/confirmation.rs
@@ -85,11 +85,6 @@
         failed_ago.is_none_or(|ago| ago >= STORE_RETRY_DELAY)
     }
 
-    /// Whether a host that cannot read the store should ask peers for a confirmation.
-    pub fn needs_peers(&self, age: Option<Duration>) -> bool {
-        self.needs_refresh(age) || age.is_none_or(|age| age > self.max_silent_age)
-    }
-
     /// Whether a host has used half of the age that keys allow, and should not wait for changes.
     pub fn needs_refresh(&self, age: Option<Duration>) -> bool {
         self.max_key_age.is_some_and(|limit| age.is_none_or(|age| age > limit / 2))
