--- a/crates/hawthorn-edge/src/request/rejection.rs
+++ b/crates/hawthorn-edge/src/request/rejection.rs
@@ -108,14 +108,14 @@
     let newest = newest.filter(|newest| newest.version() > table.version());
     let newest_allows = newest.is_some_and(|newest| fault.is_absent_in(&newest, head));
     let outcome = match fault {
-        RequestFault::SlowBody | RequestFault::UnreadableBody => Outcome::Rejected,
-        RequestFault::Key(KeyRejection::Revoked) => judge_revocation(host),
+        // The newest version has revoked the key.
+        RequestFault::Key(KeyRejection::Revoked)
+        | RequestFault::SlowBody
+        | RequestFault::UnreadableBody => Outcome::Rejected,
         RequestFault::HeadTooLarge
         | RequestFault::NoRoute
         | RequestFault::Key(_)
-        | RequestFault::BodyTooLarge { .. } => {
-            judge(host, newest_allows, host.routing.settings.configuration.apply_limit)
-        }
+        | RequestFault::BodyTooLarge { .. } => judge(host, newest_allows),
     };
     let answer = match outcome {
         Outcome::Rejected => fault.answer(),
@@ -129,18 +129,11 @@
     answer
 }
 
-/// Judges a request whose key was revoked; a newer version may hold the key again.
-pub(crate) fn judge_revocation(host: &RouteHost) -> Outcome {
-    let apply_limit = host.routing.settings.configuration.apply_limit;
-    // A configuration that is recent enough to send requests with keys is so for this, too.
-    let max_key_age = host.confirmation_plan().max_key_age.unwrap_or_default();
-    judge(host, false, apply_limit.max(max_key_age))
-}
-
-fn judge(host: &RouteHost, newest_allows: bool, apply_limit: Duration) -> Outcome {
+fn judge(host: &RouteHost, newest_allows: bool) -> Outcome {
     // The store has confirmed a version that this host could not read.
     let is_unreadable = host.routing.newest_unreadable.get();
     let confirmed_age = host.confirmed_age().filter(|_| !is_unreadable);
+    let apply_limit = host.routing.settings.configuration.apply_limit;
     rejection::judge(KnownVersions { confirmed_age, newest_allows }, apply_limit)
 }
 
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -18,7 +18,6 @@
 use hawthorn_route::gather::GatherState;
 use hawthorn_route::outcome::RefusalReason;
 use hawthorn_route::quarantine::RequestIdentity;
-use hawthorn_route::rejection::Outcome;
 use hawthorn_route::retry_after::after_confirmation;
 use hawthorn_route::retry_after::retry_after;
 use hawthorn_route::send_deadline;
@@ -266,12 +265,7 @@
     if let Some(refusal) = answer.key_refusal {
         host.metrics.count_key_refusal(refusal.before_sending(), 1);
         if refusal == KeyRefusal::Revoked {
-            match rejection::judge_revocation(host) {
-                Outcome::Rejected => host.metrics.count_key_rejection(KeyRejection::Revoked, 1),
-                Outcome::NotInForce | Outcome::Unconfirmed => {
-                    answer = CallerAnswer::refused(RefusalReason::StaleConfiguration);
-                }
-            }
+            host.metrics.count_key_rejection(KeyRejection::Revoked, 1);
         }
     }
     if answer.refusal == Some(RefusalReason::Quarantined) && answer.refused_for.is_none() {
