feat(edge): log lines for panics, received versions and lost watches

The record of the incident cannot tell why a host did not have a version: a task that panics writes to standard error only, no line says from where a version came or that it came, and a watch of the store that is given up is silent.

E605 duty=task and hawthorn_route_panics_total for each panic; E617 version-received with the revision and the sender; E618 watch-lost; E640 of an update states this host's revision and the update's.

--- a/crates/hawthorn-edge/src/process/catalog.rs
+++ b/crates/hawthorn-edge/src/process/catalog.rs
@@ -1,5 +1,7 @@
 //! Applies changes of the store's items to the routing state.
 
+use std::fmt;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,8 +27,26 @@
 /// about two seconds for targets.
 const REWRITE_TIME: Duration = Duration::from_millis(2500);
 
+/// Where an update comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpdateOrigin {
+    /// The store.
+    Store,
+    /// A host of the fleet.
+    Peer(SocketAddr),
+}
+
+impl fmt::Display for UpdateOrigin {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store => formatter.write_str("store"),
+            Self::Peer(address) => address.fmt(formatter),
+        }
+    }
+}
+
 /// Applies an update from the store or from a peer; true if anything changed.
-pub fn apply(host: &RouteHost, update: MirrorUpdate) -> bool {
+pub fn apply(host: &RouteHost, update: MirrorUpdate, origin: UpdateOrigin) -> bool {
     let before = host.mirror.borrow().as_of();
     let changed = host.mirror.borrow_mut().apply(update);
     let as_of = host.mirror.borrow().as_of();
@@ -47,7 +67,7 @@
         quarantine::rewrite_lost(host);
     }
     host.routing.registry.borrow_mut().set_confirmed_at(host.confirmed_at());
-    changed.iter().for_each(|item| apply_item(host, item, as_of.era));
+    changed.iter().for_each(|item| apply_item(host, item, as_of.era, origin));
     host.catalog_read.set(true);
     !changed.is_empty()
 }
@@ -62,14 +82,14 @@
         let deleted = host.mirror.borrow_mut().expire_unconfirmed();
         let era = host.mirror.borrow().as_of().era;
         host.routing.registry.borrow_mut().set_confirmed_at(host.confirmed_at());
-        deleted.iter().for_each(|item| apply_item(host, item, era));
+        deleted.iter().for_each(|item| apply_item(host, item, era, UpdateOrigin::Store));
     }
 }
 
-fn apply_item(host: &RouteHost, item: &MirrorItem, era: u64) {
+fn apply_item(host: &RouteHost, item: &MirrorItem, era: u64, origin: UpdateOrigin) {
     let revision = StoreRevision::new(era, item.revision);
     match catalog::key(&item.key) {
-        CatalogKey::Document => apply_document(host, item),
+        CatalogKey::Document => apply_document(host, item, origin),
         CatalogKey::Entry(id) => apply_entry(host, id, item, revision),
         CatalogKey::Evacuation(zone) => apply_evacuation(host, zone, item, revision),
         CatalogKey::ColdSlot(zone, slot) => cold::apply_slot(host, zone, slot, item, revision),
@@ -81,10 +101,17 @@
     }
 }
 
-fn apply_document(host: &RouteHost, item: &MirrorItem) {
+fn apply_document(host: &RouteHost, item: &MirrorItem, origin: UpdateOrigin) {
     let Some(value) = &item.value else { return };
     match catalog::document(value) {
         Ok(document) => {
+            edge_event!(
+                Level::Info,
+                EdgeEvent::VersionReceived,
+                "version={} revision={} from={origin}",
+                document.version,
+                item.revision
+            );
             host.routing.newest_unreadable.set(false);
             host.routing.accept(document);
         }
--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -40,6 +40,10 @@
     StoreReread = 615,
     /// The store was restored from a copy, and this host's mirror entered the new era.
     StoreRestored = 616,
+    /// A version of the routes arrived.
+    VersionReceived = 617,
+    /// A watch of the store did not return changes that reads of the store show.
+    WatchLost = 618,
     /// The entry of a target changed.
     TargetChanged = 620,
     /// An entry in the store is unreadable.
--- a/crates/hawthorn-edge/src/process/logs.rs
+++ b/crates/hawthorn-edge/src/process/logs.rs
@@ -24,6 +24,7 @@
 
 use crate::process::clock;
 use crate::process::events::EdgeEvent;
+use crate::process::panics;
 
 /// Capacity of the queue: about the number of lines logged in a second at peak load if every
 /// request fails.
@@ -105,7 +106,7 @@
     }
 }
 
-/// Sends all log lines of the process to standard output.
+/// Sends all log lines of the process, and its panics, to standard output.
 ///
 /// # Errors
 /// When a logger is already set, or the thread cannot be started.
@@ -124,6 +125,7 @@
         .build(Root::builder().appender("ring").build(LIBRARY_LEVEL))
         .map_err(|source| Error::Config(Box::new(source)))?;
     log4rs::init_config(config).map_err(|source| Error::Config(Box::new(source)))?;
+    panics::report();
     Ok(LogWriter { queue, thread: Some(thread) })
 }
 
--- a/crates/hawthorn-edge/src/process/metrics.rs
+++ b/crates/hawthorn-edge/src/process/metrics.rs
@@ -20,6 +20,7 @@
 use opentelemetry::metrics::Histogram;
 use strum::IntoEnumIterator;
 
+use crate::process::panics;
 use crate::process::traffic::TrafficAccount;
 
 /// Bucket bounds of the latency histogram, in seconds.
@@ -105,6 +106,10 @@
         TokenEnd::iter().for_each(|end| set.count_tokens(end, 0));
         set.count_dispatch(&DispatchCounts::default());
         set.missing.add(0, &[]);
+        let panics = meter.u64_observable_counter("hawthorn_route_panics");
+        // The provider keeps the callback, so the instrument can be dropped.
+        let _instrument =
+            panics.with_callback(|observer| observer.observe(panics::count(), &[])).build();
         Ok(set)
     }
 
--- a/crates/hawthorn-edge/src/process/mod.rs
+++ b/crates/hawthorn-edge/src/process/mod.rs
@@ -9,6 +9,7 @@
 pub mod logs;
 pub mod loop_clock;
 pub mod metrics;
+pub mod panics;
 pub(crate) mod peer_updates;
 pub mod quarantine;
 pub(crate) mod quota;
--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -35,6 +35,7 @@
 use crate::connection::peer::SuspicionReason;
 use crate::edge_event;
 use crate::process::catalog;
+use crate::process::catalog::UpdateOrigin;
 use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
 use crate::process::fleet;
@@ -242,7 +243,7 @@
                 update.as_of.era
             );
             let as_of = update.as_of;
-            let changed = apply(host, update);
+            let changed = apply(host, update, UpdateOrigin::Store);
             match host.routing.settings.revocation {
                 None => host.confirm(as_of, read_at),
                 // The first read is serializable and may be seconds old.
@@ -431,13 +432,19 @@
     let items = match unpack(&host.mirror.borrow(), as_of, items) {
         Ok(items) => items,
         Err(error) => {
-            edge_event!(Level::Warn, EdgeEvent::PeerMessageBroken, "from={peer} error=\"{error}\"");
+            edge_event!(
+                Level::Warn,
+                EdgeEvent::PeerMessageBroken,
+                "from={peer} after={} as_of={} error=\"{error}\"",
+                host.mirror.borrow().as_of().number,
+                as_of.number
+            );
             host.mirror.borrow_mut().request_snapshot();
             return;
         }
     };
     let update = MirrorUpdate { items, as_of, complete, base };
-    apply(host, update);
+    apply(host, update, UpdateOrigin::Peer(peer));
 }
 
 /// Unpacks the items of an update, except those that the mirror has at a later revision.
@@ -465,9 +472,9 @@
     if bytes >= LARGE_UPDATE_BYTES { Level::Info } else { Level::Debug }
 }
 
-fn apply(host: &RouteHost, update: MirrorUpdate) -> bool {
+fn apply(host: &RouteHost, update: MirrorUpdate, origin: UpdateOrigin) -> bool {
     let before = host.mirror.borrow().as_of();
-    let changed = catalog::apply(host, update);
+    let changed = catalog::apply(host, update, origin);
     if host.mirror.borrow().as_of() > before {
         host.confirm_reached();
         host.mirror_advanced.notify_waiters();
@@ -585,6 +592,14 @@
             Ordering::Less => {}
         }
         if missed_checks >= MAX_MISSED_CHECKS {
+            edge_event!(
+                Level::Warn,
+                EdgeEvent::WatchLost,
+                "after={} as_of={} era={}",
+                after.number,
+                as_of.number,
+                as_of.era
+            );
             return WatchEnd::Failed(ReadError::NoAnswer(UncertainCause::Timeout));
         }
     }
--- a/crates/hawthorn-edge/tests/catalog.rs
+++ b/crates/hawthorn-edge/tests/catalog.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hawthorn_edge::process::catalog;
+use hawthorn_edge::process::catalog::UpdateOrigin;
 use hawthorn_edge::process::clock::host_now;
 use hawthorn_edge::process::host::RouteHost;
 use hawthorn_edge::settings::RouteSettings;
@@ -70,9 +71,17 @@
 #[test]
 fn a_target_missing_from_a_second_snapshot_is_removed() {
     let host = host();
-    catalog::apply(&host, full_read(vec![valid_entry("a", 1), valid_entry("b", 2)], 2));
+    catalog::apply(
+        &host,
+        full_read(vec![valid_entry("a", 1), valid_entry("b", 2)], 2),
+        UpdateOrigin::Store,
+    );
     assert_eq!(ready_ids(&host), ["a", "b"]);
-    catalog::apply(&host, full_read(vec![valid_entry("b", 2), valid_entry("c", 5)], 5));
+    catalog::apply(
+        &host,
+        full_read(vec![valid_entry("b", 2), valid_entry("c", 5)], 5),
+        UpdateOrigin::Store,
+    );
     assert_eq!(ready_ids(&host), ["b", "c"]);
 }
 
@@ -107,7 +116,7 @@
     for case in cases {
         let host = host();
         let items = vec![valid_entry("a", 1), entry("b", 2, case.text), valid_entry("c", 3)];
-        catalog::apply(&host, full_read(items, 3));
+        catalog::apply(&host, full_read(items, 3), UpdateOrigin::Store);
         assert_eq!(ready_ids(&host), ["a", "c"], "{}", case.name);
     }
 }
@@ -131,7 +140,11 @@
     // The host's part of the allowance has grown to the whole by then.
     let now = host_now() + Duration::from_secs(100);
     let configure = |version, service, now| {
-        catalog::apply(&host, full_read(vec![configuration(version, service)], version));
+        catalog::apply(
+            &host,
+            full_read(vec![configuration(version, service)], version),
+            UpdateOrigin::Store,
+        );
         host.routing.apply_pending(now);
         host.routing.sweep(now);
     };
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -285,6 +285,23 @@
     Ok(host.log_lines())
 }
 
+/// The answer to a waiting watch is lost, while the store answers other calls.
+async fn lost_watch_events() -> TestResult<Vec<String>> {
+    let store = RouteStore::start().await?;
+    let route = |prefix| [operator::single(prefix, "s", "safe")];
+    operator::configure(&store, 3, &route("/old/"), &["s"]);
+    let host = RouteHost::start("h-1", "east", store.address(), &[])?;
+    host.wait_until_ready().await?;
+    route::wait_for("a watch", async || store.waiting_watches() == 1).await?;
+    store.hang_watchers();
+    operator::configure(&store, 4, &route("/new/"), &["s"]);
+    route::wait_for("its answer", async || store.waiting_watches() == 0).await?;
+    store.hang(&[]);
+    wait_for_line(&host, "watch-lost").await?;
+    wait_for_line(&host, "version-received: version=4").await?;
+    Ok(host.log_lines())
+}
+
 /// A zone whose hosts have no link capacity for several versions in succession.
 async fn narrow_link_events() -> TestResult<Vec<String>> {
     let store = RouteStore::start().await?;
@@ -385,6 +402,7 @@
         two_zone_events().boxed_local(),
         cold_target_events().boxed_local(),
         restored_store_events().boxed_local(),
+        lost_watch_events().boxed_local(),
         narrow_link_events().boxed_local(),
         quota_events().boxed_local(),
         unread_log_events().boxed_local(),
