--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -400,7 +400,7 @@
 }
 
 /// Applies the reply to a request that was sent to `peer` at `sent`.
-fn apply_from_peer(host: &RouteHost, peer: SocketAddr, update: CatalogUpdate, sent: Duration) {
+pub fn apply_from_peer(host: &RouteHost, peer: SocketAddr, update: CatalogUpdate, sent: Duration) {
     if update.as_of == StoreRevision::NONE || update.age_us == u64::MAX {
         return;
     }
--- a/crates/hawthorn-edge/tests/catalog.rs
+++ b/crates/hawthorn-edge/tests/catalog.rs
@@ -3,13 +3,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hawthorn_edge::connection::message::CatalogUpdate;
 use hawthorn_edge::process::catalog;
 use hawthorn_edge::process::catalog::UpdateOrigin;
 use hawthorn_edge::process::clock::host_now;
 use hawthorn_edge::process::host::RouteHost;
+use hawthorn_edge::process::store_sync;
 use hawthorn_edge::settings::RouteSettings;
 use hawthorn_route::mirror::MirrorItem;
 use hawthorn_route::mirror::MirrorUpdate;
+use hawthorn_route::packing::ItemValue;
+use hawthorn_route::packing::PackedValue;
 use hawthorn_route::revision::StoreRevision;
 use hawthorn_route::target::TargetPhase;
 use hawthorn_standin::route::operator;
@@ -159,3 +163,21 @@
     configure(7, "s", now + Duration::from_secs(20));
     assert_eq!(spend_all(now + Duration::from_secs(20)), spent, "after its window");
 }
+
+/// Guards against a task that ends, and an update that is not requested again, if a value cannot be
+/// read.
+#[test]
+fn an_update_that_cannot_be_read_is_requested_as_a_snapshot() {
+    let host = host();
+    catalog::apply(&host, full_read(vec![valid_entry("a", 1)], 7), UpdateOrigin::Store);
+    let packed = PackedValue { base: Some(6), length: 1, frame: Vec::new() };
+    let update = CatalogUpdate {
+        items: vec![(operator::entry_key("b"), 8, ItemValue::Packed(packed))],
+        as_of: StoreRevision::new(0, 8),
+        ..CatalogUpdate::default()
+    };
+    store_sync::apply_from_peer(&host, SocketAddr::from(([127, 0, 0, 1], 9)), update, host_now());
+    let mirror = host.mirror.borrow();
+    assert_eq!(mirror.as_of(), StoreRevision::new(0, 7));
+    assert_eq!(mirror.wanted_after(), StoreRevision::NONE);
+}
