fix(edge): an update that cannot be read no longer ends the task that fetches it

Callers of a host saw an old version after the newer one was confirmed: 404 for routes that the other hosts had, and requests run by the service of before.

Cause: apply_from_peer matched on unpack(&host.mirror.borrow(), ..). The task of catch_up ended in a panic, which the runtime keeps to itself; its flag catching_up stayed set, so that the process never asked a peer again. In the task that follows the store the same panic would have ended the process.

The result is computed before the match.

--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -429,17 +429,20 @@
             travelled.as_millis()
         );
     }
-    let items = match unpack(&host.mirror.borrow(), as_of, items) {
+    // The match would keep the mirror borrowed.
+    let unpacked = unpack(&host.mirror.borrow(), as_of, items);
+    let items = match unpacked {
         Ok(items) => items,
         Err(error) => {
+            let mut mirror = host.mirror.borrow_mut();
             edge_event!(
                 Level::Warn,
                 EdgeEvent::PeerMessageBroken,
                 "from={peer} after={} as_of={} error=\"{error}\"",
-                host.mirror.borrow().as_of().number,
+                mirror.as_of().number,
                 as_of.number
             );
-            host.mirror.borrow_mut().request_snapshot();
+            mirror.request_snapshot();
             return;
         }
     };
