fix(edge): a task that ends early does not stop a host from catching up for good

The flag that lets one task at a time catch up with a peer was reset in the task's last line, so that any other end of the task left it set, for the life of the process: what made one unreadable update an old configuration for hours.

A guard resets it on drop. E643 caught-up is logged once the update is applied, not before it is read.

a_task_that_ends_early_does_not_prevent_the_next_one ends the holder by a panic; without the guard the second acquire had no way to succeed. The other flags held across an await were read: gossip_scheduled is reset after a sleep alone, pending trials, permits and commits have guards.

--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -399,10 +399,16 @@
     peers.filter(|peer| !host.links.is_suspect_source(*peer)).collect()
 }
 
-/// Applies the reply to a request that was sent to `peer` at `sent`.
-pub fn apply_from_peer(host: &RouteHost, peer: SocketAddr, update: CatalogUpdate, sent: Duration) {
+/// Applies the reply to a request that was sent to `peer` at `sent`. False if it has no update, or
+/// one that cannot be read: a snapshot is requested then.
+pub fn apply_from_peer(
+    host: &RouteHost,
+    peer: SocketAddr,
+    update: CatalogUpdate,
+    sent: Duration,
+) -> bool {
     if update.as_of == StoreRevision::NONE || update.age_us == u64::MAX {
-        return;
+        return false;
     }
     let micros = Duration::from_micros;
     let held_us = update.held_us;
@@ -443,11 +449,12 @@
                 as_of.number
             );
             mirror.request_snapshot();
-            return;
+            return false;
         }
     };
     let update = MirrorUpdate { items, as_of, complete, base };
     apply(host, update, UpdateOrigin::Peer(peer));
+    true
 }
 
 /// Unpacks the items of an update, except those that the mirror has at a later revision.
@@ -485,15 +492,35 @@
     changed
 }
 
+/// Marks the host as catching up until it is dropped, however the task ends.
+#[derive(Debug)]
+pub struct CatchUpGuard {
+    host: Rc<RouteHost>,
+}
+
+impl CatchUpGuard {
+    /// Returns `None` if another task is catching up.
+    pub fn acquire(host: &Rc<RouteHost>) -> Option<Self> {
+        (!host.catching_up.replace(true)).then(|| Self { host: Rc::clone(host) })
+    }
+}
+
+impl Drop for CatchUpGuard {
+    fn drop(&mut self) {
+        self.host.catching_up.set(false);
+    }
+}
+
 /// Fetches newer items from a peer whose heartbeat announced them, if this host's own source
 /// has not delivered them after a delay.
 ///
 /// If the watcher of a zone loses the store without noticing, the zone would otherwise keep an
 /// older configuration while others have a newer one.
 pub(crate) async fn catch_up(host: Rc<RouteHost>, peer: SocketAddr, as_of: StoreRevision) {
-    if as_of <= host.mirror.borrow().as_of() || host.catching_up.replace(true) {
+    if as_of <= host.mirror.borrow().as_of() {
         return;
     }
+    let Some(_guard) = CatchUpGuard::acquire(&host) else { return };
     sleep(CATCH_UP_DELAY).await;
     let after = host.mirror.borrow().wanted_after();
     let sent = host_now();
@@ -501,17 +528,18 @@
         && let Some(update) = fetch_update(&host, peer, after, Duration::ZERO).await
         && update.as_of != StoreRevision::NONE
     {
-        edge_event!(
-            Level::Info,
-            EdgeEvent::CaughtUp,
-            "peer={peer} after={} as_of={} era={}",
-            after.number,
-            update.as_of.number,
-            update.as_of.era
-        );
-        apply_from_peer(&host, peer, update, sent);
+        let CatalogUpdate { as_of, .. } = update;
+        if apply_from_peer(&host, peer, update, sent) {
+            edge_event!(
+                Level::Info,
+                EdgeEvent::CaughtUp,
+                "peer={peer} after={} as_of={} era={}",
+                after.number,
+                as_of.number,
+                as_of.era
+            );
+        }
     }
-    host.catching_up.set(false);
 }
 
 /// Logs when the store becomes unreachable and when it is reachable again.
--- a/crates/hawthorn-edge/tests/catalog.rs
+++ b/crates/hawthorn-edge/tests/catalog.rs
@@ -1,6 +1,8 @@
 //! The registered targets of a host after updates from the store.
 
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::rc::Rc;
 use std::time::Duration;
 
 use hawthorn_edge::connection::message::CatalogUpdate;
@@ -9,6 +11,7 @@
 use hawthorn_edge::process::clock::host_now;
 use hawthorn_edge::process::host::RouteHost;
 use hawthorn_edge::process::store_sync;
+use hawthorn_edge::process::store_sync::CatchUpGuard;
 use hawthorn_edge::settings::RouteSettings;
 use hawthorn_route::mirror::MirrorItem;
 use hawthorn_route::mirror::MirrorUpdate;
@@ -176,8 +179,23 @@
         as_of: StoreRevision::new(0, 8),
         ..CatalogUpdate::default()
     };
-    store_sync::apply_from_peer(&host, SocketAddr::from(([127, 0, 0, 1], 9)), update, host_now());
+    let peer = SocketAddr::from(([127, 0, 0, 1], 9));
+    assert!(!store_sync::apply_from_peer(&host, peer, update, host_now()));
     let mirror = host.mirror.borrow();
     assert_eq!(mirror.as_of(), StoreRevision::new(0, 7));
     assert_eq!(mirror.wanted_after(), StoreRevision::NONE);
 }
+
+/// Guards against a host that never catches up again, because the task that did so has ended early.
+#[test]
+fn a_task_that_ends_early_does_not_prevent_the_next_one() {
+    let host = Rc::new(host());
+    let task = CatchUpGuard::acquire(&host).expect("no task is catching up");
+    assert!(CatchUpGuard::acquire(&host).is_none());
+    let ended = std::panic::catch_unwind(AssertUnwindSafe(move || {
+        let _task = task;
+        panic!("the task ends");
+    }));
+    assert!(ended.is_err());
+    assert!(CatchUpGuard::acquire(&host).is_some());
+}
