fix(edge): a value is sent as its difference only from one that the reader states to hold

Cause: the sender took the revision up to which a reader has all changes for proof of the values that it holds: any number from its own 240 up to its own 260 was to hold 240. A host that receives several changes as one skips versions, which in quick succession all followers do, so that the reader may hold 250 and never had 240.

A request states its large values with their revisions, era included, and the sender uses one that it holds too. Hosts of the build before ask by the call without that statement, which stays, and get values that stand alone. An update of an earlier era is dropped before it is read.

--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -12,6 +12,7 @@
 use futures::StreamExt;
 use hawthorn_route::clock_offset::Exchange;
 use hawthorn_route::clock_offset::PeerClock;
+use hawthorn_route::mirror::HeldValue;
 use hawthorn_route::revision::StoreRevision;
 use log::Level;
 use tarpc::client;
@@ -42,6 +43,7 @@
 use crate::process::host::RouteHost;
 use crate::process::loop_clock;
 use crate::process::peer_updates;
+use crate::process::peer_updates::UpdateRequest;
 use crate::process::quota;
 use crate::process::traffic;
 use crate::process::traffic::TrafficCounter;
@@ -72,6 +74,7 @@
     use super::CatalogUpdate;
     use super::GatherReply;
     use super::GatherRequest;
+    use super::HeldValue;
     use super::StoreRevision;
     use super::TimedReply;
     use super::TokenReply;
@@ -87,11 +90,17 @@
         async fn ping();
         /// States that no other host will gather the shards of a query.
         async fn commit(token: u64);
-        /// Returns changes of the store's items after a revision; waits up to `wait_ms` for
-        /// one.
+        /// As `changes_since`, for hosts of earlier versions, which do not state what they hold.
         async fn catalog_update(after: StoreRevision, wait_ms: u64) -> CatalogUpdate;
         /// Returns up to `count` tokens of a customer's quota.
         async fn take_tokens(customer: String, count: u32) -> TokenReply;
+        /// Returns changes of the store's items after a revision; waits up to `wait_ms` for one.
+        /// Values may be differences from those that the caller holds.
+        async fn changes_since(
+            after: StoreRevision,
+            held: Vec<HeldValue>,
+            wait_ms: u64,
+        ) -> CatalogUpdate;
     }
 }
 use service::EdgePeer;
@@ -337,14 +346,14 @@
     pub(crate) async fn catalog_update(
         &self,
         endpoint: &PeerEndpoint,
-        after: StoreRevision,
-        wait: Duration,
+        request: UpdateRequest,
     ) -> Result<CatalogUpdate, PeerError> {
+        let UpdateRequest { after, held, wait } = request;
         let OpenLink { client, received, .. } = self.ready_link(endpoint).await?;
         let call = call_with_timeout(wait + MAX_TRANSFER);
         let reply = tokio::select! {
             biased;
-            reply = client.catalog_update(call, after, wait.as_millis() as u64) => reply,
+            reply = client.changes_since(call, after, held, wait.as_millis() as u64) => reply,
             () = transfer_stalled(&received, wait) => return Err(PeerError::NoReply),
         };
         if reply.is_ok() {
@@ -428,8 +437,7 @@
         request: RemainderRequest,
     },
     CatalogUpdate {
-        after: StoreRevision,
-        wait: Duration,
+        request: UpdateRequest,
         received: Duration,
         reply: oneshot::Sender<CatalogUpdate>,
     },
@@ -445,6 +453,24 @@
     requests: mpsc::Sender<PeerRequest>,
 }
 
+impl PeerServer {
+    async fn update(
+        &self,
+        after: StoreRevision,
+        held: Vec<HeldValue>,
+        wait_ms: u64,
+    ) -> CatalogUpdate {
+        let received = host_now();
+        let (reply, answer) = oneshot::channel();
+        let request = UpdateRequest { after, held, wait: Duration::from_millis(wait_ms) };
+        let request = PeerRequest::CatalogUpdate { request, received, reply };
+        if self.requests.try_send(request).is_err() {
+            return CatalogUpdate::default();
+        }
+        answer.await.unwrap_or_default()
+    }
+}
+
 impl EdgePeer for PeerServer {
     async fn gather(self, _: Context, request: GatherRequest) -> TimedReply {
         let received = host_now();
@@ -476,14 +502,17 @@
     }
 
     async fn catalog_update(self, _: Context, after: StoreRevision, wait_ms: u64) -> CatalogUpdate {
-        let received = host_now();
-        let (reply, answer) = oneshot::channel();
-        let wait = Duration::from_millis(wait_ms);
-        let request = PeerRequest::CatalogUpdate { after, wait, received, reply };
-        if self.requests.try_send(request).is_err() {
-            return CatalogUpdate::default();
-        }
-        answer.await.unwrap_or_default()
+        self.update(after, Vec::new(), wait_ms).await
+    }
+
+    async fn changes_since(
+        self,
+        _: Context,
+        after: StoreRevision,
+        held: Vec<HeldValue>,
+        wait_ms: u64,
+    ) -> CatalogUpdate {
+        self.update(after, held, wait_ms).await
     }
 
     async fn take_tokens(self, _: Context, customer: String, count: u32) -> TokenReply {
@@ -518,8 +547,8 @@
         }
         PeerRequest::Commit(token) => host.commits.commit(token),
         PeerRequest::Remainder { token, request } => host.remainders.request(token, request),
-        PeerRequest::CatalogUpdate { after, wait, received, reply } => {
-            tokio::task::spawn_local(peer_updates::answer_peer(host, after, wait, received, reply));
+        PeerRequest::CatalogUpdate { request, received, reply } => {
+            tokio::task::spawn_local(peer_updates::answer_peer(host, request, received, reply));
         }
         PeerRequest::TakeTokens { customer, count, reply } => {
             // The peer may have given up; its tokens then expire.
--- a/crates/hawthorn-edge/src/process/peer_updates.rs
+++ b/crates/hawthorn-edge/src/process/peer_updates.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hawthorn_route::mirror::HeldValue;
 use hawthorn_route::mirror::MirrorUpdate;
 use hawthorn_route::revision::StoreRevision;
 use tokio::sync::oneshot;
@@ -16,14 +17,25 @@
 /// Interval at which a bulk message is retried while the link has no capacity for it.
 const BULK_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// A peer's request for changes of the store's items.
+#[derive(Debug)]
+pub(crate) struct UpdateRequest {
+    /// The revision up to which the peer has all changes.
+    pub(crate) after: StoreRevision,
+    /// Large values that it holds.
+    pub(crate) held: Vec<HeldValue>,
+    /// How long it waits for a change.
+    pub(crate) wait: Duration,
+}
+
 /// Replies to a peer when there is an update or its wait is over.
 pub(crate) async fn answer_peer(
     host: Rc<RouteHost>,
-    after: StoreRevision,
-    wait: Duration,
+    request: UpdateRequest,
     received: Duration,
     mut reply: oneshot::Sender<CatalogUpdate>,
 ) {
+    let UpdateRequest { after, held, wait } = request;
     let until = host_now() + wait;
     if host.mirror.borrow().as_of() <= after {
         // Reply before this host's data becomes stale, so that the peer can change its source.
@@ -40,7 +52,7 @@
     let (mut response, confirmed) = loop {
         // A confirmation that arrives during the delay may be of a later revision.
         let confirmed = host.confirmed_at();
-        let update = packed_update(&host, after);
+        let update = packed_update(&host, after, &held);
         let now = host_now();
         match host.reserve_bulk(now, update.bytes()) {
             Some(delay) => {
@@ -63,12 +75,10 @@
     let _gone = reply.send(response);
 }
 
-/// The changes after a revision, for a peer.
-fn packed_update(host: &RouteHost, after: StoreRevision) -> CatalogUpdate {
+/// The changes after a revision, for a peer that holds some values.
+fn packed_update(host: &RouteHost, after: StoreRevision, held: &[HeldValue]) -> CatalogUpdate {
     let mirror = host.mirror.borrow();
     let MirrorUpdate { items, as_of, complete, base } = mirror.since(after);
-    // Only the changes within an era tell which values the peer holds.
-    let held = if complete || base.is_some() { StoreRevision::NONE } else { after };
     let mut packer = host.packer.borrow_mut();
     let items = items.into_iter().map(|item| {
         let value = packer.pack(&mirror, &item, held);
--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -41,6 +41,7 @@
 use crate::process::fleet;
 use crate::process::host::PeerGroup;
 use crate::process::host::RouteHost;
+use crate::process::peer_updates::UpdateRequest;
 use crate::process::traffic::TrafficPurpose;
 
 /// Timeout of a watch of the store. A lost reply is noticed only after it; a longer timeout
@@ -333,7 +334,8 @@
     wait: Duration,
 ) -> Option<CatalogUpdate> {
     let endpoint = host.peer_endpoint(peer, TrafficPurpose::Catalog);
-    match host.links.catalog_update(&endpoint, after, wait).await {
+    let held = host.mirror.borrow().held_values();
+    match host.links.catalog_update(&endpoint, UpdateRequest { after, held, wait }).await {
         Ok(update) => Some(update),
         Err(PeerError::NotSent) => None,
         Err(PeerError::NoReply | PeerError::Unresponsive) => {
@@ -410,6 +412,10 @@
     if update.as_of == StoreRevision::NONE || update.age_us == u64::MAX {
         return false;
     }
+    // The values that it differs from are those of an earlier era.
+    if update.as_of.era < host.mirror.borrow().as_of().era {
+        return false;
+    }
     let micros = Duration::from_micros;
     let held_us = update.held_us;
     let age = PeerAge { age: micros(update.age_us), held: micros(held_us) };
--- a/crates/hawthorn-route/src/mirror.rs
+++ b/crates/hawthorn-route/src/mirror.rs
@@ -106,6 +106,12 @@
     value: Option<Vec<u8>>,
 }
 
+impl StoredItem {
+    fn is_large(&self) -> bool {
+        self.value.as_ref().is_some_and(|value| value.len() >= MIN_PACKED_BYTES)
+    }
+}
+
 impl fmt::Debug for StoredItem {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter
@@ -133,6 +139,8 @@
     is_diverged: bool,
     /// Whether an update could not be read, as it differs from a state that this mirror lacks.
     needs_snapshot: bool,
+    /// Keys of the items with large values.
+    large: BTreeSet<String>,
     /// Large values that were replaced lately, oldest first.
     earlier: VecDeque<EarlierValue>,
 }
@@ -142,8 +150,15 @@
 struct EarlierValue {
     key: String,
     stored: StoredItem,
-    /// Revision of the change that replaced it.
-    replaced: u64,
+}
+
+/// A value that a mirror holds, from which others may send differences.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldValue {
+    /// Key of the item.
+    pub key: String,
+    /// Revision of the value.
+    pub revision: StoreRevision,
 }
 
 /// The difference that a restore of the store made to a mirror.
@@ -160,6 +175,8 @@
 /// Maximum number of replaced values that a mirror keeps, and their maximum total size in bytes.
 const MAX_EARLIER: usize = 4;
 const MAX_EARLIER_BYTES: usize = 4 << 20;
+/// Maximum number of held values that a request for an update states.
+const MAX_STATED: usize = 16;
 
 /// Number of revisions for which deletions are kept: about two hours at two changes a day for
 /// each of 73,000 targets.
@@ -195,16 +212,26 @@
         all.filter(|stored| stored.revision == revision).find_map(|stored| stored.value.as_deref())
     }
 
-    /// The replaced value that a mirror with all changes up to `after` holds, with its revision.
-    pub fn earlier_value(&self, key: &str, after: StoreRevision) -> Option<(u64, &[u8])> {
-        if after.era != self.as_of.era {
-            return None;
+    /// The large values that this host holds, for its next request for an update; none if it needs a
+    /// snapshot.
+    ///
+    /// The revision up to which a host has all changes does not tell them: it may have received
+    /// several changes of an item as one.
+    pub fn held_values(&self) -> Vec<HeldValue> {
+        if self.wanted_after() == StoreRevision::NONE {
+            return Vec::new();
         }
-        let held = self.earlier.iter().find(|earlier| {
-            let held = earlier.stored.revision..earlier.replaced;
-            earlier.key == key && held.contains(&after.number)
+        let held = self.large.iter().filter_map(|key| {
+            let revision = StoreRevision::new(self.as_of.era, self.items.get(key)?.revision);
+            Some(HeldValue { key: key.clone(), revision })
         });
-        held.and_then(|held| Some((held.stored.revision, held.stored.value.as_deref()?)))
+        held.take(MAX_STATED).collect()
+    }
+
+    /// A value that another host has stated to hold, if this host holds it too.
+    pub fn shared_value(&self, held: &HeldValue) -> Option<&[u8]> {
+        let same_era = held.revision.era == self.as_of.era;
+        same_era.then(|| self.value_at(&held.key, held.revision.number)).flatten()
     }
 
     /// Whether the store has an item, as far as this host knows.
@@ -282,6 +309,7 @@
         let mut earlier = mem::take(&mut self.unconfirmed);
         earlier.append(&mut self.items);
         self.by_revision.clear();
+        self.large.clear();
         // The restored store gives out their revisions again.
         self.earlier.clear();
         self.is_diverged = false;
@@ -342,18 +370,23 @@
     fn put(&mut self, item: &MirrorItem) {
         let stored = StoredItem { revision: item.revision, value: item.value.clone() };
         self.unconfirmed.remove(&item.key);
+        if stored.is_large() {
+            self.large.insert(item.key.clone());
+        } else {
+            self.large.remove(&item.key);
+        }
         if let Some(before) = self.items.insert(item.key.clone(), stored) {
             self.by_revision.remove(&(before.revision, item.key.clone()));
-            self.keep_earlier(&item.key, before, item.revision);
+            self.keep_earlier(&item.key, before);
         }
         self.by_revision.insert((item.revision, item.key.clone()));
     }
 
-    fn keep_earlier(&mut self, key: &str, stored: StoredItem, replaced: u64) {
-        if stored.value.as_ref().is_none_or(|value| value.len() < MIN_PACKED_BYTES) {
+    fn keep_earlier(&mut self, key: &str, stored: StoredItem) {
+        if !stored.is_large() {
             return;
         }
-        self.earlier.push_back(EarlierValue { key: key.to_owned(), stored, replaced });
+        self.earlier.push_back(EarlierValue { key: key.to_owned(), stored });
         let size = |earlier: &EarlierValue| earlier.stored.value.as_ref().map_or(0, Vec::len);
         while self.earlier.len() > MAX_EARLIER
             || self.earlier.iter().map(size).sum::<usize>() > MAX_EARLIER_BYTES
--- a/crates/hawthorn-route/src/packing.rs
+++ b/crates/hawthorn-route/src/packing.rs
@@ -17,6 +17,7 @@
 use zstd::stream::read::Decoder;
 use zstd::stream::write::Encoder;
 
+use crate::mirror::HeldValue;
 use crate::mirror::MirrorItem;
 use crate::mirror::StoreMirror;
 use crate::revision::StoreRevision;
@@ -109,20 +110,21 @@
 }
 
 impl ValuePacker {
-    /// The value of an item of `mirror` for a reader that holds all changes up to `after`;
-    /// [`StoreRevision::NONE`] if it may hold none.
+    /// The value of an item of `mirror` for a reader that states which values it holds.
     pub fn pack(
         &mut self,
         mirror: &StoreMirror,
         item: &MirrorItem,
-        after: StoreRevision,
+        held: &[HeldValue],
     ) -> ItemValue {
         let Some(value) = &item.value else { return ItemValue::Deleted };
         if value.len() < MIN_PACKED_BYTES || value.len() > MAX_VALUE_BYTES {
             return ItemValue::Plain(value.clone());
         }
-        let (base, prefix) = match mirror.earlier_value(&item.key, after) {
-            Some((revision, earlier)) => (Some(revision), earlier),
+        let stated = held.iter().find(|held| held.key == item.key);
+        let shared = stated.and_then(|held| Some((held, mirror.shared_value(held)?)));
+        let (base, prefix) = match shared {
+            Some((held, value)) => (Some(held.revision.number), value),
             None => (None, &[][..]),
         };
         let revision = StoreRevision::new(mirror.as_of().era, item.revision);
--- a/crates/hawthorn-route/tests/packing.rs
+++ b/crates/hawthorn-route/tests/packing.rs
@@ -43,9 +43,9 @@
     mirror
 }
 
-fn packed(sender: &StoreMirror, after: StoreRevision) -> PackedValue {
+fn packed(sender: &StoreMirror, reader: &StoreMirror) -> PackedValue {
     let item = sender.with_prefix(KEY).next().expect("the item is there");
-    match ValuePacker::default().pack(sender, &item, after) {
+    match ValuePacker::default().pack(sender, &item, &reader.held_values()) {
         ItemValue::Packed(packed) => packed,
         other => panic!("not packed: {other:?}"),
     }
@@ -72,7 +72,7 @@
     ];
     for Case { name, held, base, max_bytes } in cases {
         let reader = mirror(&values[..held]);
-        let packed = packed(&sender, reader.as_of());
+        let packed = packed(&sender, &reader);
         assert_eq!(packed.base, base, "{name}");
         assert!(packed.frame.len() <= max_bytes, "{name}: {} bytes", packed.frame.len());
         let item = packing::unpack(&reader, KEY.to_owned(), 3, ItemValue::Packed(packed));
@@ -80,6 +80,47 @@
     }
 }
 
+/// Guards against a difference from a value that the reader skipped: it has received several changes
+/// as one.
+#[test]
+fn a_difference_is_from_a_value_that_both_hold() {
+    struct Case {
+        name: &'static str,
+        /// Revisions at which the reader has received the value.
+        reader: &'static [u64],
+        sender: &'static [u64],
+        base: Option<u64>,
+    }
+    let cases = [
+        Case { name: "the sender skipped it", reader: &[1, 5], sender: &[1, 3, 8], base: None },
+        Case { name: "both skipped", reader: &[1, 5], sender: &[3, 8], base: None },
+        Case {
+            name: "the reader skipped it",
+            reader: &[1, 3],
+            sender: &[1, 3, 5, 8],
+            base: Some(3),
+        },
+        Case { name: "the reader just started", reader: &[5], sender: &[1, 8], base: None },
+        Case { name: "none is newer", reader: &[1, 8], sender: &[3, 8], base: Some(8) },
+    ];
+    let mirror = |revisions: &[u64]| {
+        let mut mirror = StoreMirror::default();
+        for revision in revisions {
+            let text = value(*revision, 3);
+            let complete = mirror.as_of() == StoreRevision::NONE;
+            mirror.apply(MirrorUpdate { complete, ..update(0, *revision, &text) });
+        }
+        mirror
+    };
+    for Case { name, reader, sender, base } in cases {
+        let (reader, sender) = (mirror(reader), mirror(sender));
+        let packed = packed(&sender, &reader);
+        assert_eq!(packed.base, base, "{name}");
+        let item = packing::unpack(&reader, KEY.to_owned(), 8, ItemValue::Packed(packed));
+        assert_eq!(item.expect(name).value, Some(value(8, 3)), "{name}");
+    }
+}
+
 /// Guards against a value restored from another base, or one that fills a reader's memory.
 #[test]
 fn a_packed_value_that_does_not_fit_is_an_error() {
@@ -100,7 +141,7 @@
         case("too long", mirror(&[&first]), |packed| packed.length = u32::MAX),
     ];
     for Case { name, reader, change } in cases {
-        let mut packed = packed(&sender, StoreRevision::new(0, 1));
+        let mut packed = packed(&sender, &mirror(&[&first]));
         change(&mut packed);
         let item = packing::unpack(&reader, KEY.to_owned(), 2, ItemValue::Packed(packed));
         assert!(item.is_err(), "{name}");
@@ -114,8 +155,10 @@
     let mut sender = mirror(&[&first, &second]);
     let snapshot = MirrorUpdate { complete: true, ..update(1, 2, &first) };
     sender.apply(snapshot);
-    assert_eq!(packed(&sender, StoreRevision::new(0, 1)).base, None);
-    assert_eq!(packed(&sender, StoreRevision::new(1, 1)).base, None);
+    assert_eq!(packed(&sender, &mirror(&[&first])).base, None);
+    let mut restored = mirror(&[&first]);
+    restored.apply(MirrorUpdate { complete: true, ..update(1, 1, &first) });
+    assert_eq!(packed(&sender, &restored).base, None);
 }
 
 /// Guards against a mirror that asks for the same unreadable difference again.
@@ -125,6 +168,7 @@
     let mut reader = mirror(&[&first]);
     reader.request_snapshot();
     assert_eq!(reader.wanted_after(), StoreRevision::NONE);
+    assert_eq!(reader.held_values(), []);
     reader.apply(MirrorUpdate { complete: true, ..update(0, 2, &second) });
     assert_eq!(reader.wanted_after(), StoreRevision::new(0, 2));
 }
