--- a/tests/silent_sources.rs
+++ b/tests/silent_sources.rs
@@ -40,7 +40,7 @@
 struct FollowingZone {
     store: RouteStore,
     _target: RouteTarget,
-    _far: RouteHost,
+    far: RouteHost,
     /// In the order in which they are asked for updates.
     hosts: Vec<RouteHost>,
 }
@@ -81,7 +81,7 @@
         for host in hosts.iter().chain([&far]) {
             host.wait_until_ready().await?;
         }
-        let zone = Self { store, _target: target, _far: far, hosts };
+        let zone = Self { store, _target: target, far, hosts };
         zone.settle().await?;
         Ok(zone)
     }
@@ -261,3 +261,27 @@
     assert!(late.is_empty(), "{late:#?}");
     Ok(())
 }
+
+/// Guards against a host that pauses its calls to a store that answers, because a watch was lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_watch_is_replaced_in_time() -> TestResult {
+    let zone = FollowingZone::start(3).await?;
+    let (reader, sources) = zone.hosts.split_last().ok_or("no host")?;
+    for source in sources.iter().chain([&zone.far]) {
+        source.signal(Signal::STOP)?;
+    }
+    let address = reader.caller().ip();
+    let watches = async || zone.store.watchers().contains(&address);
+    route::wait_for("the last host to watch the store itself", watches).await?;
+    zone.store.hang(&[address]);
+    operator::configure(&zone.store, 2, &[operator::single("/new/", "s", "safe")], &["s"]);
+    let is_answered = async || !zone.store.watchers().contains(&address);
+    route::wait_for("the answer to the watch", is_answered).await?;
+    zone.store.hang(&[]);
+    let time = applied_after(reader, "/new/", Instant::now()).await?;
+    println!("after a lost watch: {time:?}");
+    let mut lines = reader.log_lines();
+    lines.retain(|line| ["E612", "E613", "E618", "E641"].iter().any(|event| line.contains(event)));
+    assert!(time < APPLY_LIMIT, "in force after {time:?}: {lines:#?}");
+    Ok(())
+}
