fix(edge): a lost watch is replaced without a pause while the store answers

Callers of a host that watches the store got old versions for up to 4.6 s where 3 s are asked.

Cause: a watch whose answer is lost is noticed by two checks that show a newer revision. It was then treated as a failed call: store-lost, and a pause of 1.5 to 2.5 s on a host that is not its zone's watcher, 0.25 to 0.6 s on one that is. The checks had just shown that the store answers. Class: a missing answer of one call taken for the state of a peer.

The next watch follows at once and returns the changes; if it is lost too, the pause remains.

--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -120,7 +120,9 @@
     Update(StoreItems),
     /// The store lacks the changes after this host's revision: it compacted its history, or was
     /// restored from a copy.
-    Lost,
+    HistoryLost,
+    /// The store answers, but not this watch.
+    WatchLost,
     Failed(ReadError),
 }
 
@@ -216,9 +218,17 @@
         // The watch that follows returns at once the changes that a stale read lacks.
         read_all(client, ReadMode::Serializable).await.map(|all| (all, true))
     } else {
-        match watch(host, client, access, after).await {
+        let mut end = watch(host, client, access, after).await;
+        if matches!(end, WatchEnd::WatchLost) {
+            // The store answers: the next watch returns the changes at once.
+            end = watch(host, client, access, after).await;
+        }
+        match end {
             WatchEnd::Update(update) => Ok((update, false)),
-            WatchEnd::Lost => read_all(client, ReadMode::Linearizable).await.map(|all| (all, true)),
+            WatchEnd::HistoryLost => {
+                read_all(client, ReadMode::Linearizable).await.map(|all| (all, true))
+            }
+            WatchEnd::WatchLost => Err(ReadError::NoAnswer(UncertainCause::Timeout)),
             WatchEnd::Failed(error) => Err(error),
         }
     };
@@ -621,7 +631,7 @@
             host.confirm(as_of, sent);
         }
         match as_of.era.cmp(&after.era) {
-            Ordering::Greater => return WatchEnd::Lost,
+            Ordering::Greater => return WatchEnd::HistoryLost,
             Ordering::Equal if is_stale => {}
             Ordering::Equal if as_of.number <= after.number => missed_checks = 0,
             Ordering::Equal if is_arriving => {}
@@ -637,7 +647,7 @@
                 as_of.number,
                 as_of.era
             );
-            return WatchEnd::Failed(ReadError::NoAnswer(UncertainCause::Timeout));
+            return WatchEnd::WatchLost;
         }
     }
 }
@@ -664,11 +674,11 @@
     match answer.status {
         StatusCode::OK => match parse_items(&answer) {
             // The revisions were given out again, and the events do not follow this host's state.
-            Ok(update) if update.as_of.era > after.era => WatchEnd::Lost,
+            Ok(update) if update.as_of.era > after.era => WatchEnd::HistoryLost,
             Ok(update) => WatchEnd::Update(update),
             Err(error) => WatchEnd::Failed(error),
         },
-        StatusCode::GONE => WatchEnd::Lost,
+        StatusCode::GONE => WatchEnd::HistoryLost,
         _ => WatchEnd::Failed(BAD_ANSWER),
     }
 }
