fix(pool): an empty answer without a stated end is no answer

Callers of route got 200 with content-length: 0, or a merged answer that counted the shard as covered, from a target that stopped after the head of an answer without a length. In serve, such an answer acknowledged an order.

Cause: an answer that states neither a length nor chunks ends with its connection. A close right after the head does not tell an empty body from a target that stopped there, and was taken for the former.

A head that is cut anywhere else is an error of the HTTP library. The new test of the pool failed before on 'nothing stated'.

The end is stated by a length, by chunks, or by a status or method without a body.

--- a/crates/hawthorn-pool/src/lib.rs
+++ b/crates/hawthorn-pool/src/lib.rs
@@ -30,6 +30,7 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderMap;
@@ -214,8 +215,12 @@
             }
         })?;
         let (head, mut incoming) = response.into_parts();
+        let is_end_stated = is_end_stated(&head.headers, &incoming);
         let (body, complete) =
             busy.sender.drive(buffer_body(&mut incoming, max_buffered_bytes)).await?;
+        if complete && body.is_empty() && !is_end_stated {
+            return Err(Error::Broken("neither a length nor a body after the head".into()));
+        }
         let incoming = (!complete).then_some(incoming);
         Ok(UnverifiedAnswer { status: head.status, headers: head.headers, body, incoming, busy })
     }
@@ -376,6 +381,15 @@
     }
 }
 
+/// Whether an answer states where its body ends. Otherwise it ends with its connection, which does
+/// not tell an empty body from a target that stopped after the head.
+fn is_end_stated(headers: &HeaderMap, incoming: &Incoming) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
+        // A status or method without a body.
+        || incoming.is_end_stream()
+}
+
 /// Reads a body until its end or until more than `max_bytes` are buffered. The flag is true
 /// if the body ended.
 async fn buffer_body(incoming: &mut Incoming, max_bytes: usize) -> Result<(Bytes, bool), Error> {
--- a/crates/hawthorn-pool/tests/connection.rs
+++ b/crates/hawthorn-pool/tests/connection.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hawthorn_pool::Error;
 use hawthorn_pool::Options;
 use hawthorn_pool::TargetPool;
 use http_body_util::Full;
@@ -174,6 +175,47 @@
     }
 }
 
+/// Guards against a target that stops after the head of its answer, and is taken to have answered
+/// with an empty body.
+#[tokio::test]
+async fn an_empty_body_has_a_stated_end() {
+    struct Case {
+        name: &'static str,
+        answer: &'static str,
+        body: Option<&'static str>,
+    }
+    let cases = [
+        Case { name: "nothing stated", answer: "HTTP/1.1 200 OK\r\n\r\n", body: None },
+        Case { name: "a failure", answer: "HTTP/1.1 500 -\r\n\r\n", body: None },
+        Case { name: "a body", answer: "HTTP/1.1 200 OK\r\n\r\nx", body: Some("x") },
+        Case { name: "no body by status", answer: "HTTP/1.1 204 -\r\n\r\n", body: Some("") },
+        Case {
+            name: "a length",
+            answer: "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+            body: Some(""),
+        },
+        Case {
+            name: "chunks",
+            answer: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+            body: Some(""),
+        },
+    ];
+    for Case { name, answer, body } in cases {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let pool = TargetPool::new(listener.local_addr().expect("the listener is bound"), OPTIONS);
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("the pool connects");
+            let _request = stream.read(&mut [0; 1024]).await.expect("the pool sends");
+            stream.write_all(answer.as_bytes()).await.expect("the pool reads");
+        });
+        match (pool.send(request("/"), TIMEOUT).await, body) {
+            (Ok(answer), Some(body)) => assert_eq!(answer.body(), body, "{name}"),
+            (Err(Error::Broken(_)), None) => {}
+            (other, _) => panic!("{name}: {other:?}"),
+        }
+    }
+}
+
 /// Guards against requests that get each other's answers: after an answer of another request,
 /// the connection's next answer belongs to the request before.
 #[tokio::test]
