fix(serve): a process stops with a worker that has panicked

A worker thread logged E105 and stopped the process after its future had returned; after a panic it did neither, and the process served on without membership, its store or its targets, as the comment says it must not.

Nobody has reported it.

Other tasks of serve: pulls, orders and probes report back by a message, and what awaits it has a time limit or is repeated (read, not run).

--- a/crates/hawthorn-daemon/src/process/daemon.rs
+++ b/crates/hawthorn-daemon/src/process/daemon.rs
@@ -3,7 +3,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread;
 use std::time::Duration;
 
 use dropshot::ConfigDropshot;
@@ -43,6 +42,7 @@
 use crate::process::sample;
 use crate::process::store;
 use crate::process::sweep;
+use crate::process::worker;
 use crate::request::api;
 use crate::request::front::FrontContext;
 use crate::request::front::FrontParts;
@@ -267,10 +267,10 @@
     };
     let options = hawthorn_intent::reconcile::Options::default();
     let (drift, reconcile_worker) = reconcile::start(options, inputs, stop.clone());
-    spawn_worker("fleet", stop, fleet_worker)?;
-    spawn_worker("owner", stop, owner_worker)?;
-    spawn_worker("store", stop, store_worker)?;
-    spawn_worker("reconcile", stop, reconcile_worker)?;
+    worker::spawn("fleet", stop, fleet_worker)?;
+    worker::spawn("owner", stop, owner_worker)?;
+    worker::spawn("store", stop, store_worker)?;
+    worker::spawn("reconcile", stop, reconcile_worker)?;
     Ok(WorkerSet { owner, fleet, links, views, drift, peer_address })
 }
 
@@ -284,25 +284,6 @@
     }
 }
 
-/// Runs a worker on its own thread. If a worker ends while the process is not stopping, an
-/// invariant is broken, and the process stops instead of serving without it.
-fn spawn_worker(
-    name: &'static str,
-    stop: &CancellationToken,
-    worker: impl Future<Output = ()> + Send + 'static,
-) -> Result<(), Error> {
-    let runtime = Builder::new_current_thread().enable_all().build()?;
-    let stop = stop.clone();
-    thread::Builder::new().name(name.into()).spawn(move || {
-        runtime.block_on(worker);
-        if !stop.is_cancelled() {
-            crate::log_event!(Level::Error, LogEvent::WorkerEnded, "worker {name}");
-            stop.cancel();
-        }
-    })?;
-    Ok(())
-}
-
 /// Binds the same address for TCP and UDP. With port 0 the system chooses a UDP port that may be in
 /// use for TCP; another one is tried then.
 async fn bind_peer(address: SocketAddr) -> Result<(SocketAddr, UdpSocket), Error> {
--- a/crates/hawthorn-daemon/src/process/mod.rs
+++ b/crates/hawthorn-daemon/src/process/mod.rs
@@ -13,3 +13,4 @@
 pub mod sample;
 pub mod store;
 pub mod sweep;
+pub mod worker;
