test: a panic of a host fails each test with real processes, and the soak

RouteHost checks standard error when it is dropped, and the soak has a promise for E605 duty=task, with its case.

--- a/crates/hawthorn-soak/src/check/hosts.rs
+++ b/crates/hawthorn-soak/src/check/hosts.rs
@@ -1,4 +1,4 @@
-//! Hosts: none ends by itself, all answer their probes, and use no more after the faults than before.
+//! Hosts: none ends by itself or has a task that panics, all answer their probes, and use no more after the faults than before.
 
 use std::time::Duration;
 
@@ -20,6 +20,7 @@
     hosts
         .flat_map(|host| {
             let mut violations = exits(view, host);
+            violations.extend(panics(view, host));
             violations.extend(silences(view, host));
             violations.extend(growth(view, host));
             violations
@@ -44,12 +45,26 @@
             HostEventKind::Exited(_)
             | HostEventKind::Suspended
             | HostEventKind::Resumed
-            | HostEventKind::Reloaded => {}
+            | HostEventKind::Reloaded
+            | HostEventKind::Panicked => {}
         }
     }
     violations
 }
 
+fn panics(view: &HistoryView<'_>, host: HostKey) -> impl Iterator<Item = Violation> {
+    let events = view.history.host_events.iter();
+    let panics =
+        events.filter(move |event| event.host == host && event.kind == HostEventKind::Panicked);
+    panics.map(move |event| Violation {
+        promise: Promise::Panic,
+        at: event.at,
+        request: None,
+        host: Some(host),
+        detail: "a task panicked, see E605 in its log".to_owned(),
+    })
+}
+
 fn silences(view: &HistoryView<'_>, host: HostKey) -> Vec<Violation> {
     let mut violations = Vec::new();
     let mut unanswered = 0;
--- a/crates/hawthorn-soak/src/check/mod.rs
+++ b/crates/hawthorn-soak/src/check/mod.rs
@@ -87,6 +87,8 @@
     Deadline,
     /// A host's process ended by itself.
     Exit,
+    /// A task of a host panicked.
+    Panic,
     /// A host did not answer its readiness probe.
     Unresponsive,
     /// A host's memory or descriptors did not come back after the faults.
--- a/crates/hawthorn-soak/src/history.rs
+++ b/crates/hawthorn-soak/src/history.rs
@@ -251,6 +251,8 @@
     Reloaded,
     /// It ended, with this exit code; `None` if a signal ended it.
     Exited(Option<i32>),
+    /// One of its tasks panicked, and it went on.
+    Panicked,
 }
 
 /// A version of the configuration, and when the store acknowledged it.
--- a/crates/hawthorn-soak/src/report.rs
+++ b/crates/hawthorn-soak/src/report.rs
@@ -121,7 +121,7 @@
 }
 
 /// The time of a host's log line, by its own clock.
-fn line_time(line: &str) -> Option<f64> {
+pub(crate) fn line_time(line: &str) -> Option<f64> {
     line.split(' ').next()?.parse().ok()
 }
 
--- a/crates/hawthorn-soak/src/run.rs
+++ b/crates/hawthorn-soak/src/run.rs
@@ -22,8 +22,12 @@
 use crate::fleet::SharedFleet;
 use crate::fleet::SoakFleet;
 use crate::history::Disruption;
+use crate::history::HostEvent;
+use crate::history::HostEventKind;
 use crate::history::SoakHistory;
+use crate::host::SoakHost;
 use crate::plan::SoakPlan;
+use crate::report;
 
 /// Time in which all hosts become ready.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -39,6 +43,8 @@
 const USAGE_PERIOD: Duration = Duration::from_millis(370);
 /// Scheduling delay above which the machine counts as disturbed.
 const MAX_LAG: Duration = Duration::from_millis(250);
+/// In a host's log lines on panics.
+const PANIC_LINE: &str = "E605 duty-failed: duty=task";
 
 quick_error! {
     /// Why a plan could not be run.
@@ -102,11 +108,26 @@
     // A host that is still there has been killed by its grace period.
     let _stopped = timeout(STOP_TIMEOUT, stopping).await;
     sleep(LAST_RUNS).await;
-    let history = fleet.recorder.take();
+    let mut history = fleet.recorder.take();
+    record_panics(&fleet, &mut history);
     let violations = check::check(&history, &plan);
     Ok(RunOutcome { history, violations })
 }
 
+/// Adds the panics in the hosts' logs, which nothing else shows.
+fn record_panics(fleet: &SoakFleet, history: &mut SoakHistory) {
+    for spec in fleet.hosts.iter().map(SoakHost::spec) {
+        let log = std::fs::read_to_string(spec.log()).unwrap_or_default();
+        for line in log.lines().filter(|line| line.contains(PANIC_LINE)) {
+            let at = report::line_time(line).unwrap_or_default() - history.log_start;
+            let at = Duration::from_secs_f64(at.max(0.0));
+            let kind = HostEventKind::Panicked;
+            history.host_events.push(HostEvent { host: spec.key, at, kind });
+        }
+    }
+    history.host_events.sort_by_key(|event| event.at);
+}
+
 /// Lets callers send their load, and applies the faults in their time.
 async fn load_and_disturb(
     plan: &Arc<SoakPlan>,
--- a/crates/hawthorn-soak/tests/checks.rs
+++ b/crates/hawthorn-soak/tests/checks.rs
@@ -592,6 +592,9 @@
         broken("an end of its own", Promise::Exit, |run| {
             run.event(1, 9000, HostEventKind::Exited(Some(101)));
         }),
+        broken("a task that panics", Promise::Panic, |run| {
+            run.event(1, 9000, HostEventKind::Panicked);
+        }),
         broken("two probes without an answer", Promise::Unresponsive, |run| {
             for probe in run.history.probes.iter_mut().skip(10).take(2) {
                 probe.status = None;
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -442,6 +442,10 @@
         // Fails if the process has already exited.
         let _killed = self.child.kill();
         let _waited = self.child.wait();
+        // The process goes on without a task that has panicked, and answers as if nothing were wrong.
+        let mut errors = self.error_lines();
+        errors.retain(|line| line.contains("panicked at"));
+        assert!(std::thread::panicking() || errors.is_empty(), "{errors:#?}");
     }
 }
 
