--- a/crates/hawthorn-edge/src/process/fleet.rs
+++ b/crates/hawthorn-edge/src/process/fleet.rs
@@ -28,6 +28,7 @@
 use tokio::time::sleep;
 
 use crate::edge_event;
+use crate::process::catch_up;
 use crate::process::clock::host_now;
 use crate::process::events::EdgeEvent;
 use crate::process::host::RouteHost;
@@ -222,7 +223,7 @@
     drop(members);
     // Only the watchers of a zone fetch from other zones; the others get it from them.
     if same_zone || store_sync::watches_store(host) {
-        tokio::task::spawn_local(store_sync::catch_up(Rc::clone(host), address, as_of));
+        tokio::task::spawn_local(catch_up::catch_up(Rc::clone(host), address, as_of));
     }
 }
 
--- a/crates/hawthorn-edge/src/process/mod.rs
+++ b/crates/hawthorn-edge/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! State and tasks with the lifetime of the process.
 
 pub mod catalog;
+pub mod catch_up;
 pub mod clock;
 pub(crate) mod cold;
 pub mod events;
--- a/crates/hawthorn-edge/src/process/store_sync.rs
+++ b/crates/hawthorn-edge/src/process/store_sync.rs
@@ -77,9 +77,6 @@
 /// overload a recovering store.
 const MIN_NON_WATCHER_PAUSE_S: f64 = 1.5;
 const MAX_NON_WATCHER_PAUSE_S: f64 = 2.5;
-/// Delay before a host that learns of a newer revision from a heartbeat requests it from the
-/// sender, so that its own source can deliver the update first.
-const CATCH_UP_DELAY: Duration = Duration::from_millis(250);
 
 /// Size of an update from which on its arrival is logged above the debug level.
 const LARGE_UPDATE_BYTES: usize = 64 * 1024;
@@ -337,7 +334,7 @@
 ///
 /// A late update is no sign that the peer is down: its link or this host's may be full, while it
 /// answers queries. The next source is not delayed by the ping that decides it.
-async fn fetch_update(
+pub(crate) async fn fetch_update(
     host: &Rc<RouteHost>,
     peer: SocketAddr,
     after: StoreRevision,
@@ -508,56 +505,6 @@
     changed
 }
 
-/// Marks the host as catching up until it is dropped, however the task ends.
-#[derive(Debug)]
-pub struct CatchUpGuard {
-    host: Rc<RouteHost>,
-}
-
-impl CatchUpGuard {
-    /// Returns `None` if another task is catching up.
-    pub fn acquire(host: &Rc<RouteHost>) -> Option<Self> {
-        (!host.catching_up.replace(true)).then(|| Self { host: Rc::clone(host) })
-    }
-}
-
-impl Drop for CatchUpGuard {
-    fn drop(&mut self) {
-        self.host.catching_up.set(false);
-    }
-}
-
-/// Fetches newer items from a peer whose heartbeat announced them, if this host's own source
-/// has not delivered them after a delay.
-///
-/// If the watcher of a zone loses the store without noticing, the zone would otherwise keep an
-/// older configuration while others have a newer one.
-pub(crate) async fn catch_up(host: Rc<RouteHost>, peer: SocketAddr, as_of: StoreRevision) {
-    if as_of <= host.mirror.borrow().as_of() {
-        return;
-    }
-    let Some(_guard) = CatchUpGuard::acquire(&host) else { return };
-    sleep(CATCH_UP_DELAY).await;
-    let after = host.mirror.borrow().wanted_after();
-    let sent = host_now();
-    if as_of > after
-        && let Some(update) = fetch_update(&host, peer, after, Duration::ZERO).await
-        && update.as_of != StoreRevision::NONE
-    {
-        let CatalogUpdate { as_of, .. } = update;
-        if apply_from_peer(&host, peer, update, sent) {
-            edge_event!(
-                Level::Info,
-                EdgeEvent::CaughtUp,
-                "peer={peer} after={} as_of={} era={}",
-                after.number,
-                as_of.number,
-                as_of.era
-            );
-        }
-    }
-}
-
 /// Logs when the store becomes unreachable and when it is reachable again.
 fn log_store_state(reachable: &mut bool, error: Option<&ReadError>) {
     match error {
