--- a/tests/version_differences.rs
+++ b/tests/version_differences.rs
@@ -19,6 +19,10 @@
 const APPLY_LIMIT: Duration = Duration::from_secs(3);
 /// Interval at which a host is asked for the new route.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time without faults after which a host must have each version in time.
+const CALM_TIME: Duration = Duration::from_secs(4);
+/// Time after which a host has begun its next watch.
+const WATCH_DELAY: Duration = Duration::from_millis(400);
 /// Number of routes with which hosts send differences of a version.
 const ROUTES: u64 = 60;
 
@@ -55,9 +59,9 @@
 /// Hosts of three zones. The reader has versions 2 and 3, the sender 1 and 3; the store answers
 /// neither, and the third host is suspended.
 struct SkippedVersion {
-    _store: RouteStore,
+    store: RouteStore,
     _target: RouteTarget,
-    _relay: RouteHost,
+    relay: RouteHost,
     _sender: RouteHost,
     reader: RouteHost,
     /// The time after which the reader had version 3.
@@ -94,8 +98,7 @@
         reader.signal(Signal::CONT)?;
         let applied_after = applied_after(&reader, 3).await?;
         println!("version 3: {applied_after:?}");
-        let (_store, _target, _relay, _sender) = (store, target, relay, sender);
-        Ok(Self { _store, _target, _relay, _sender, reader, applied_after })
+        Ok(Self { store, _target: target, relay, _sender: sender, reader, applied_after })
     }
 }
 
@@ -116,3 +119,29 @@
     assert_eq!(reader.logged("peer-message-broken"), 0, "{:#?}", reader.log_lines());
     Ok(())
 }
+
+/// Guards against a host that depends on its own watch alone after an update that it could not read:
+/// the answer to a watch is lost, and reads that may be old do not show it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_in_touch_has_each_version_in_time() -> TestResult {
+    let SkippedVersion { store, relay, reader, .. } = &SkippedVersion::play().await?;
+    relay.signal(Signal::CONT)?;
+    store.hang(&[]);
+    let address = reader.caller().ip();
+    sleep(CALM_TIME).await;
+    configure(store, 4);
+    applied_after(reader, 4).await?;
+    sleep(WATCH_DELAY).await;
+    // Calls that were never answered count as watches, too.
+    let watches = || store.watchers().into_iter().filter(|watcher| *watcher == address).count();
+    let waiting = watches();
+    store.set_stale_reads(Some(store.copy()));
+    store.hang(&[address]);
+    configure(store, 5);
+    route::wait_for("the answer to the watch", async || watches() < waiting).await?;
+    store.hang(&[]);
+    let time = applied_after(reader, 5).await?;
+    println!("version 5: {time:?}");
+    assert!(time < APPLY_LIMIT, "version 5 after {time:?}: {:#?}", reader.log_lines());
+    Ok(())
+}
