--- a/crates/hawthorn-soak/src/check/hosts.rs
+++ b/crates/hawthorn-soak/src/check/hosts.rs
@@ -1,4 +1,5 @@
-//! Hosts: none ends by itself or has a task that panics, all answer their probes, and use no more after the faults than before.
+//! Hosts: none ends by itself or has a task that panics, all answer their probes, and use no more
+//! after the faults than before.
 
 use std::time::Duration;
 
