fix(edge): a revoked key is told from one that was never seen once its revocation is in force

Callers with a revoked key got 503 stale-configuration with a time to retry from hosts that knew of the revocation, and 401 from others.

Cause: such a host answers 401 while the version without the key is pending, as the version in force holds it. Once the newer version is in force, the lookup finds no holder, and the key counted as one that a version unknown here may hold: 503 above an age of configuration.apply_ms, 3 s. Class: what was known is lost when a version takes effect.

A process remembers the last 4,096 keys that versions removed during its life and that none has held since. All others are 503 as before; a key that a version gives back is accepted again at once.

--- a/crates/hawthorn-edge/src/request/rejection.rs
+++ b/crates/hawthorn-edge/src/request/rejection.rs
@@ -104,11 +104,12 @@
     head: &Parts,
     fault: RequestFault,
 ) -> CallerAnswer {
+    let fault = with_revocation(host, head, fault);
     let newest = host.routing.newest_table();
     let newest = newest.filter(|newest| newest.version() > table.version());
     let newest_allows = newest.is_some_and(|newest| fault.is_absent_in(&newest, head));
     let outcome = match fault {
-        // The newest version has revoked the key.
+        // Only a version that operators write later could allow it.
         RequestFault::Key(KeyRejection::Revoked)
         | RequestFault::SlowBody
         | RequestFault::UnreadableBody => Outcome::Rejected,
@@ -129,6 +130,18 @@
     answer
 }
 
+/// Tells a key that a known version has revoked from one that this host has never seen.
+fn with_revocation(host: &RouteHost, head: &Parts, fault: RequestFault) -> RequestFault {
+    match (fault, caller::key(&head.headers)) {
+        (RequestFault::Key(KeyRejection::Unknown), CallerKey::Given(key))
+            if host.routing.is_revoked(key) =>
+        {
+            RequestFault::Key(KeyRejection::Revoked)
+        }
+        _ => fault,
+    }
+}
+
 fn judge(host: &RouteHost, newest_allows: bool) -> Outcome {
     // The store has confirmed a version that this host could not read.
     let is_unreadable = host.routing.newest_unreadable.get();
--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -19,6 +19,7 @@
 use hawthorn_route::budget::ServiceUse;
 use hawthorn_route::customer::CustomerTable;
 use hawthorn_route::customer::RequestCustomer;
+use hawthorn_route::customer::RevokedKeys;
 use hawthorn_route::document::CallerLimits;
 use hawthorn_route::document::GatherRule;
 use hawthorn_route::document::RouteDestination;
@@ -87,6 +88,8 @@
     pending_tables: RefCell<PendingVersions<Rc<RouteTable>>>,
     /// The newest known version, which may not be in force yet.
     newest_table: RefCell<Option<Rc<RouteTable>>>,
+    /// Keys that are no longer in the newest known version.
+    revoked_keys: RefCell<RevokedKeys>,
     /// Whether the newest received version is unreadable.
     pub newest_unreadable: Cell<bool>,
     /// The limits on callers of the current version.
@@ -140,6 +143,7 @@
             tables: RefCell::default(),
             pending_tables: RefCell::default(),
             newest_table: RefCell::default(),
+            revoked_keys: RefCell::default(),
             newest_unreadable: Cell::new(false),
             limits: watch::Sender::default(),
             table_pending: Notify::new(),
@@ -201,6 +205,11 @@
         })
     }
 
+    /// Whether a known version has revoked the key.
+    pub fn is_revoked(&self, key: &[u8]) -> bool {
+        self.revoked_keys.borrow().contains(key)
+    }
+
     /// Applies a version, at once or after a delay; see [`rollout`]. A version that is not newer
     /// than the newest known one is ignored.
     pub fn accept(&self, document: RouteDocument) {
@@ -217,6 +226,9 @@
                 table.version()
             );
         }
+        if let Some(newest) = newest {
+            self.revoked_keys.borrow_mut().update(newest.customers(), table.customers());
+        }
         let table = Rc::new(table);
         *self.newest_table.borrow_mut() = Some(Rc::clone(&table));
         let has_version = !self.tables.borrow().is_empty();
--- a/crates/hawthorn-route/src/customer.rs
+++ b/crates/hawthorn-route/src/customer.rs
@@ -5,6 +5,8 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::fmt;
 use std::hash::Hash;
 use std::hash::Hasher;
@@ -124,7 +126,7 @@
     Malformed,
     /// No customer of the version in force holds the key.
     Unknown,
-    /// The key is in the version in force, but not in a newer version that the host knows.
+    /// A version that the host knows has removed the key, and no newer one that it knows holds it.
     Revoked,
 }
 
@@ -328,6 +330,44 @@
     }
 }
 
+/// Maximum number of revoked keys that are remembered, so that operators who rotate keys for months
+/// do not fill the memory of a small host.
+pub const MAX_REVOKED_KEYS: usize = 4096;
+
+/// Keys that a version held and a newer one removed, over the life of the process.
+///
+/// Handles callers that still use a revoked key while the host cannot reach the store: a key that
+/// was never seen may be in a version that the host lacks, a removed one was revoked.
+#[derive(Clone, Debug, Default)]
+pub struct RevokedKeys {
+    keys: HashSet<KeyDigest>,
+    /// The same, in the order of their removal.
+    order: VecDeque<KeyDigest>,
+}
+
+impl RevokedKeys {
+    /// Records the keys that `next` removes, and forgets those that it holds again.
+    pub fn update(&mut self, previous: &CustomerTable, next: &CustomerTable) {
+        let is_held = |key: &KeyDigest| next.by_key.contains_key(key);
+        self.keys.retain(|key| !is_held(key));
+        self.order.retain(|key| !is_held(key));
+        for key in previous.by_key.keys().filter(|key| !is_held(key)) {
+            if self.keys.insert(*key) {
+                self.order.push_back(*key);
+            }
+        }
+        let excess = self.order.len().saturating_sub(MAX_REVOKED_KEYS);
+        for key in self.order.drain(..excess) {
+            self.keys.remove(&key);
+        }
+    }
+
+    /// Whether a version removed the key, and no newer one holds it.
+    pub fn contains(&self, key: &[u8]) -> bool {
+        self.keys.contains(&KeyDigest::of(key))
+    }
+}
+
 fn table_quota(rule: &CustomerRule) -> Result<Option<CustomerQuota>, CustomerFault> {
     let CustomerRule { rate, burst, .. } = *rule;
     let valid = |value: f64| value.is_finite() && value >= 0.0;
--- a/crates/hawthorn-route/tests/customers.rs
+++ b/crates/hawthorn-route/tests/customers.rs
@@ -8,6 +8,8 @@
 use hawthorn_route::customer::CustomerRule;
 use hawthorn_route::customer::CustomerTable;
 use hawthorn_route::customer::KeyDigest;
+use hawthorn_route::customer::MAX_REVOKED_KEYS;
+use hawthorn_route::customer::RevokedKeys;
 use hawthorn_route::customer::log_name;
 use hawthorn_route::document::GatherRule;
 use hawthorn_route::document::RouteDestination;
@@ -419,3 +421,53 @@
         assert!(!output.contains(&secret), "{secret} in {output}");
     }
 }
+
+/// Guards against a revoked key that is taken for one that was never seen, and against a key that
+/// stays revoked after operators have given it back. Each case has the keys of successive versions,
+/// and which of the keys `a` and `b` are revoked after the last one.
+#[test]
+fn removed_keys_are_revoked_until_a_version_holds_them() {
+    struct Case {
+        name: &'static str,
+        versions: &'static [&'static [&'static str]],
+        revoked: [bool; 2],
+    }
+    let cases = [
+        Case { name: "never held", versions: &[&[], &[]], revoked: [false, false] },
+        Case { name: "held", versions: &[&["a"], &["a"]], revoked: [false, false] },
+        Case { name: "removed", versions: &[&["a", "b"], &["b"]], revoked: [true, false] },
+        Case { name: "later versions", versions: &[&["a"], &["b"], &["c"]], revoked: [true, true] },
+        Case { name: "given back", versions: &[&["a"], &[], &["a"]], revoked: [false, false] },
+        Case {
+            name: "given back and removed",
+            versions: &[&["a"], &[], &["a"], &[]],
+            revoked: [true, false],
+        },
+    ];
+    for case in cases {
+        let mut revoked = RevokedKeys::default();
+        for pair in case.versions.windows(2) {
+            let (before, after) = (build(&[rule("x", pair[0])]), build(&[rule("x", pair[1])]));
+            revoked.update(&before, &after);
+        }
+        assert_eq!(
+            ["a", "b"].map(|key| revoked.contains(key.as_bytes())),
+            case.revoked,
+            "{}",
+            case.name
+        );
+    }
+}
+
+/// Guards against the memory that the keys of years would take.
+#[test]
+fn the_number_of_revoked_keys_is_bounded() {
+    let mut revoked = RevokedKeys::default();
+    let table = |key: &str| build(&[rule("x", &[key])]);
+    for number in 0..=MAX_REVOKED_KEYS {
+        revoked.update(&table(&format!("key-{number}")), &build(&[]));
+    }
+    assert!(!revoked.contains(b"key-0"));
+    assert!(revoked.contains(b"key-1"));
+    assert!(revoked.contains(format!("key-{MAX_REVOKED_KEYS}").as_bytes()));
+}
--- a/tests/route_revocation.rs
+++ b/tests/route_revocation.rs
@@ -82,6 +82,22 @@
     Ok(())
 }
 
+/// Guards against a host that no longer knows a revoked key as such once the version that revoked it
+/// is in force, and that asks its callers to retry while it cannot reach the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_without_the_store_refuses_a_revoked_key_for_good() -> TestResult {
+    let keyed = KeyedHost::start().await?;
+    keyed.revoke();
+    let is_revoked = async || keyed.status("/keyed/", "old", "id-1").await.is_ok_and(|s| s == 401);
+    route::wait_for("the key to be revoked", is_revoked).await?;
+    keyed.store.set_outage(RouteOutage::Hang);
+    sleep(WITHIN).await;
+    assert_eq!(keyed.status("/keyed/", "old", "id-2").await?, 401);
+    assert_eq!(keyed.status("/keyed/", "never-seen", "id-3").await?, 503);
+    assert_eq!(keyed.status("/keyed/", "new", "id-4").await?, 503);
+    Ok(())
+}
+
 /// Guards against a host that remains stale after the store has returned, and against one that
 /// serves a key that was revoked meanwhile.
 #[tokio::test(flavor = "multi_thread")]
