--- a/tests/cut_answers.rs
+++ b/tests/cut_answers.rs
@@ -151,6 +151,10 @@
     fn cuts(&self) -> usize {
         self.places.lock().expect("no holder of the lock panics").len()
     }
+
+    fn forget_places(&self) {
+        self.places.lock().expect("no holder of the lock panics").clear();
+    }
 }
 
 async fn relay(
@@ -325,35 +329,70 @@
     Ok(())
 }
 
-/// Guards against an answer that ends early and is taken for a complete one by `serve`.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_cut_answer_of_a_shard_is_searched_again() -> TestResult {
-    let options = FleetOptions { hosts: vec![1, 1, 1], ..FleetOptions::poland() };
-    let fleet = TestFleet::start(options).await?;
-    let armed: Arc<Mutex<Option<AnswerCut>>> = Arc::default();
-    let mut relays = HashMap::new();
-    for target in &fleet.deployment.targets {
-        let armed = Arc::clone(&armed);
-        let select = move |request: &WireRequest| {
-            let mut armed = armed.lock().expect("no holder of the lock panics");
-            if request.path() == "/search" { armed.take() } else { None }
+/// Hosts of `serve`, and relays that cut an answer of their targets on one path.
+struct CutFleet {
+    fleet: TestFleet,
+    relays: HashMap<SocketAddr, CuttingRelay>,
+    /// The cut of the next answer.
+    armed: Arc<Mutex<Option<AnswerCut>>>,
+}
+
+impl CutFleet {
+    async fn start(path: &'static str) -> TestResult<Self> {
+        let options = FleetOptions { hosts: vec![1, 1, 1], ..FleetOptions::poland() };
+        let fleet = TestFleet::start(options).await?;
+        let armed: Arc<Mutex<Option<AnswerCut>>> = Arc::default();
+        let mut relays = HashMap::new();
+        for target in &fleet.deployment.targets {
+            let armed = Arc::clone(&armed);
+            let select = move |request: &WireRequest| {
+                let mut armed = armed.lock().expect("no holder of the lock panics");
+                if request.path() == path { armed.take() } else { None }
+            };
+            let upstream = target.standin.address();
+            relays.insert(upstream, CuttingRelay::start(upstream, Arc::new(select)).await?);
+        }
+        let inventory =
+            fleet.deployment.inventory_toml_via(|target| relays[&target.standin.address()].address);
+        let proposed = ProposedEdit {
+            base: 1,
+            edit_id: "relays".to_owned(),
+            author: "test".to_owned(),
+            changed_at: 0,
+            inventory,
+            rules: fleet.deployment.rules_toml(),
         };
-        let upstream = target.standin.address();
-        relays.insert(upstream, CuttingRelay::start(upstream, Arc::new(select)).await?);
+        edit::edit(&fleet.store(), &proposed, &edit::Options::default()).await?;
+        fleet.wait_for_revision(2).await?;
+        fleet.wait_until_ready().await?;
+        Ok(Self { fleet, relays, armed })
     }
-    let inventory =
-        fleet.deployment.inventory_toml_via(|target| relays[&target.standin.address()].address);
-    let proposed = ProposedEdit {
-        base: 1,
-        edit_id: "relays".to_owned(),
-        author: "test".to_owned(),
-        changed_at: 0,
-        inventory,
-        rules: fleet.deployment.rules_toml(),
-    };
-    edit::edit(&fleet.store(), &proposed, &edit::Options::default()).await?;
-    fleet.wait_for_revision(2).await?;
-    fleet.wait_until_ready().await?;
+
+    fn arm(&self, cut: AnswerCut) {
+        *self.armed.lock().expect("no holder of the lock panics") = Some(cut);
+    }
+
+    fn is_armed(&self) -> bool {
+        self.armed.lock().expect("no holder of the lock panics").is_some()
+    }
+
+    /// Number of different cuts that were made.
+    fn cuts(&self) -> usize {
+        self.relays.values().map(CuttingRelay::cuts).sum()
+    }
+
+    /// Where an answer on the path was last cut after this number of bytes.
+    fn place(&self, path: &str, bytes: usize) -> Option<CutPlace> {
+        self.relays.values().find_map(|relay| relay.place(path, bytes))
+    }
+
+    fn forget_places(&self) {
+        self.relays.values().for_each(CuttingRelay::forget_places);
+    }
+}
+
+/// The cuts of the answers of `serve` targets, each at several numbers of bytes.
+fn serve_cuts() -> impl Iterator<Item = AnswerCut> {
     let (framing, end) = (AnswerFraming::Length, ConnectionEnd::Close);
     let base = AnswerCut { status: 200, framing, end, bytes: 0 };
     let cuts = [
@@ -362,20 +401,55 @@
         AnswerCut { framing: AnswerFraming::Unstated, ..base },
         AnswerCut { framing: AnswerFraming::Unstated, end: ConnectionEnd::Reset, ..base },
         AnswerCut { framing: AnswerFraming::Chunked, ..base },
+        AnswerCut { framing: AnswerFraming::Chunked, end: ConnectionEnd::Reset, ..base },
     ];
-    let made = || relays.values().map(CuttingRelay::cuts).sum::<usize>();
+    let bytes = (0..MAX_ANSWER_BYTES).step_by(SERVE_STEP);
+    cuts.into_iter().flat_map(move |cut| bytes.clone().map(move |bytes| AnswerCut { bytes, ..cut }))
+}
+
+/// Guards against an answer that ends early and is taken for a complete one by `serve`.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_answer_of_a_shard_is_searched_again() -> TestResult {
+    let cut_fleet = CutFleet::start("/search").await?;
+    let fleet = &cut_fleet.fleet;
     let mut answers = 0;
-    for (number, cut) in cuts.into_iter().enumerate() {
-        for bytes in (0..MAX_ANSWER_BYTES).step_by(SERVE_STEP) {
-            *armed.lock().expect("no holder of the lock panics") = Some(AnswerCut { bytes, ..cut });
-            let asked = Instant::now();
-            let answer = fleet.send(number % 3, fleet.query("claim-desk")).await?;
-            assert_eq!(answer.outcome, CallerOutcome::Answer, "{cut:?} at {bytes}: {answer:?}");
-            assert!(is_complete(&answer), "{cut:?} at {bytes}, {:?}: {answer:?}", asked.elapsed());
-            assert!(armed.lock().expect("no holder of the lock panics").is_none(), "not searched");
-            answers += 1;
+    for (number, cut) in serve_cuts().enumerate() {
+        cut_fleet.arm(cut);
+        let asked = Instant::now();
+        let answer = fleet.send(number % 3, fleet.query("claim-desk")).await?;
+        assert_eq!(answer.outcome, CallerOutcome::Answer, "{cut:?}: {answer:?}");
+        assert!(is_complete(&answer), "{cut:?}, {:?}: {answer:?}", asked.elapsed());
+        assert!(!cut_fleet.is_armed(), "not searched");
+        answers += 1;
+    }
+    println!("{answers} answers, {} different cuts", cut_fleet.cuts());
+    fleet.check()
+}
+
+/// Guards against an answer that ends early and is taken for the result of a request that may run
+/// once, and against one that is stated not to have run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_answer_of_a_request_that_ran_once_is_unknown() -> TestResult {
+    let cut_fleet = CutFleet::start("/run").await?;
+    let fleet = &cut_fleet.fleet;
+    let mut places = BTreeMap::new();
+    for (key, cut) in (0..).zip(serve_cuts()) {
+        cut_fleet.forget_places();
+        cut_fleet.arm(cut);
+        let answer = fleet.send_once(key as usize % 3, fleet.once("claim-desk", key)).await?;
+        let place =
+            cut_fleet.place("/run", cut.bytes).ok_or_else(|| format!("not sent: {answer:?}"))?;
+        match answer.outcome {
+            CallerOutcome::Answer => assert_eq!(place, CutPlace::Complete, "{cut:?}: {answer:?}"),
+            CallerOutcome::Unknown(_) => {
+                assert!(!cut.must_be_complete(place), "{cut:?}: {answer:?}");
+            }
+            CallerOutcome::NotRun(_) | CallerOutcome::Failed(_) => {
+                return Err(format!("{cut:?} {place:?}: {answer:?}").into());
+            }
         }
+        *places.entry(format!("{place:?}")).or_insert(0) += 1;
     }
-    println!("{answers} answers, {} different cuts", made());
+    println!("{places:?}");
     fleet.check()
 }
