fix(edge): reports of a zone's hosts are evaluated once for many probes

While half of a large fleet was cut off, and for seconds after it was back, small hosts stood still for up to 7.8 s: their callers got 504, and requests were run by versions up to 11 s old after they had been replaced.

Cause: each subject of each received report that the host had no own evidence of started a task, which evaluated all reports of the zone when it ended: also the tasks of a subject that was being probed already, which end at once. An evaluation took a pass over all reports for each subject. On a host that is late a probe proves nothing, so that the subject stays unknown and each further message does the same: the load keeps itself up. Class: work for each message that grows with all messages.

Compared and ruled out: parsing and indexing 4,250 routes take 10 ms, a difference 1.4 ms (trial, release build), too little for such gaps on a tenth of a core.

Evaluations after probes are at least 50 ms apart, as messages of the host leave no sooner; the first follows at once. Subjects that are being probed start no task. An evaluation passes over the reports once.

--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -60,6 +60,7 @@
 use crate::process::store_sync;
 use crate::process::traffic::TrafficAccount;
 use crate::process::traffic::TrafficPurpose;
+use crate::process::zone_reports;
 use crate::process::zone_reports::ZoneReportState;
 use crate::request::commit::CommitTable;
 use crate::request::dispatch;
@@ -454,6 +455,7 @@
     tasks.spawn_local(dispatch::run(Rc::clone(&host)));
     tasks.spawn_local(sweep(Rc::clone(&host)));
     tasks.spawn_local(reachability::watch(Rc::clone(&host)));
+    tasks.spawn_local(zone_reports::update_after_probes(Rc::clone(&host)));
     tasks.spawn_local(loop_clock::check_reads());
     let policy = host.routing.policy.get().summary();
     let name = &host.routing.settings.host.name;
--- a/crates/hawthorn-edge/src/process/zone_reports.rs
+++ b/crates/hawthorn-edge/src/process/zone_reports.rs
@@ -21,9 +21,11 @@
 use hawthorn_route::zone_report::readiness::ReturnGate;
 use hawthorn_route::zone_report::readiness::UnreadyCause;
 use hawthorn_route::zone_report::readiness::ZoneView;
+use hawthorn_route::zone_report::schedule::MIN_SEND_GAP;
 use hawthorn_route::zone_report::schedule::SendSchedule;
 use log::Level;
 use tokio::sync::Notify;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::edge_event;
@@ -37,6 +39,8 @@
 /// A probe that took longer than its timeout by this much failed because this host was suspended
 /// or short of processor time.
 const MAX_PROBE_DELAY: Duration = Duration::from_millis(100);
+/// Minimum time between two updates after probes: messages of this host leave no sooner.
+const MIN_UPDATE_GAP: Duration = MIN_SEND_GAP;
 
 /// Reports of this host and of the others of its zone.
 #[derive(Debug, Default)]
@@ -52,6 +56,8 @@
     outgoing: RefCell<Vec<(SocketAddr, Vec<u8>)>>,
     /// Notified when there is an outgoing payload.
     pub(crate) send_due: Notify,
+    /// Notified when a probe of a reported subject has ended.
+    update_due: Notify,
 }
 
 impl ZoneReportState {
@@ -96,7 +102,8 @@
     message.reports.retain(|report| is_known(host, &report.subject));
     let now = host_now();
     sync_own_knowledge(host, now);
-    let unknown = host.zone_reports.book.borrow_mut().receive(from, &message, now);
+    let mut unknown = host.zone_reports.book.borrow_mut().receive(from, &message, now);
+    unknown.retain(|subject| !host.zone_reports.probing.borrow().contains(subject));
     for subject in unknown {
         edge_event!(
             Level::Debug,
@@ -107,11 +114,23 @@
         let host = Rc::clone(host);
         tokio::task::spawn_local(async move {
             probe(&host, subject).await;
-            update(&host);
+            host.zone_reports.update_due.notify_one();
         });
     }
 }
 
+/// Updates the state after probes of reported subjects, until the process exits.
+///
+/// Handles a partition that many hosts report at the same time: an update evaluates all reports of
+/// the zone, and one for each message would leave a small host no time for anything else.
+pub(crate) async fn update_after_probes(host: Rc<RouteHost>) {
+    loop {
+        host.zone_reports.update_due.notified().await;
+        update(&host);
+        sleep(MIN_UPDATE_GAP).await;
+    }
+}
+
 /// Whether a subject is a zone or host of this fleet. Others would be counted as unreachable, and
 /// a host would open connections to any address.
 fn is_known(host: &RouteHost, subject: &ReportSubject) -> bool {
--- a/crates/hawthorn-route/src/zone_report/book.rs
+++ b/crates/hawthorn-route/src/zone_report/book.rs
@@ -105,6 +105,21 @@
     expires: Duration,
 }
 
+/// Other hosts that report one subject.
+#[derive(Clone, Copy, Debug, Default)]
+struct ReporterCount {
+    all: usize,
+    /// Those whose reports have been known for [`CONFIRM_DELAY`].
+    settled: usize,
+}
+
+impl ReporterCount {
+    fn with(self, report: &ReceivedReport, now: Duration) -> Self {
+        let is_settled = now >= report.known + CONFIRM_DELAY;
+        Self { all: self.all + 1, settled: self.settled + usize::from(is_settled) }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct ReporterRecord {
     sequence: u64,
@@ -238,14 +253,24 @@
 
     /// How certain it is that a subject does not answer, by findings of at least `least`.
     pub fn standing(&self, subject: &ReportSubject, least: Finding, now: Duration) -> Standing {
+        let others = self.counting(least, now).filter(|report| report.subject == *subject);
+        let count = others.fold(ReporterCount::default(), |count, report| count.with(report, now));
+        self.standing_by(subject, count, least, now)
+    }
+
+    fn standing_by(
+        &self,
+        subject: &ReportSubject,
+        others: ReporterCount,
+        least: Finding,
+        now: Duration,
+    ) -> Standing {
         let own = self.own.get(subject);
-        let others = || self.counting(least, now).filter(|report| report.subject == *subject);
-        let has_others = others().next().is_some();
-        let settled = others().filter(|report| now >= report.known + CONFIRM_DELAY).count();
+        let has_others = others.all > 0;
         let is_own_finding =
             own.and_then(|own| own.evidence(now)).is_some_and(|evidence| evidence.finding >= least);
         let has_failed_probe = own.is_some_and(|own| own.failed_probes(now).is_some());
-        if settled >= 2 || (has_others && (is_own_finding || has_failed_probe)) {
+        if others.settled >= 2 || (has_others && (is_own_finding || has_failed_probe)) {
             Standing::Confirmed
         } else if has_others || is_own_finding {
             Standing::Reported
@@ -263,9 +288,16 @@
 
     /// The confirmed subjects.
     pub fn confirmed(&self, least: Finding, now: Duration) -> BTreeSet<ReportSubject> {
-        let mut subjects = self.subjects(now);
-        subjects.retain(|subject| self.standing(subject, least, now) == Standing::Confirmed);
-        subjects
+        // One pass over the reports of all hosts, of which there may be hundreds.
+        let mut counts: BTreeMap<&ReportSubject, ReporterCount> = BTreeMap::new();
+        for report in self.counting(least, now) {
+            let count = counts.entry(&report.subject).or_default();
+            *count = count.with(report, now);
+        }
+        let confirmed = counts.into_iter().filter(|(subject, count)| {
+            self.standing_by(subject, *count, least, now) == Standing::Confirmed
+        });
+        confirmed.map(|(subject, _)| subject.clone()).collect()
     }
 
     /// The number of other hosts that would fail their readiness probe by themselves.
@@ -319,7 +351,8 @@
             return Some(report(finding, unanswered, first, suspected, held));
         }
         if let Some((first, last)) = own.failed_probes(now) {
-            let is_reported = self.reporters(subject, Finding::Suspected, now).0 > 0;
+            let mut others = self.counting(Finding::Suspected, now);
+            let is_reported = others.any(|other| other.subject == *subject);
             return is_reported.then(|| report(Finding::Suspected, 1, first, first, last));
         }
         let answered = own.answered.filter(|at| own.is_clearance && now < *at + REPORT_TTL)?;
