--- a/tests/zone_reports.rs
+++ b/tests/zone_reports.rs
@@ -71,7 +71,7 @@
     }
 }
 
-/// Reports of `count` members from `first` on that do not answer at this moment.
+/// A message of reports of the members from `first` on, none of which answers at this moment.
 fn message(peers: &[SocketAddr], first: usize, sequence: u64) -> Vec<u8> {
     let subjects = peers.iter().cycle().skip(first).take(MAX_REPORTS);
     let reports = subjects.map(|peer| Report {
@@ -87,8 +87,8 @@
     payload::wrap(PayloadKind::ZoneReports, message)
 }
 
-/// Takes part in the zone as its silent members until it is dropped; sends reports to `host` after
-/// `quiet`.
+/// Runs the members until it is dropped. After `quiet`, they send reports to `host` as often as hosts
+/// may.
 async fn run_members(mut members: Vec<SilentMember>, host: SocketAddr, quiet: Duration) {
     let started = Instant::now();
     let peers: Vec<SocketAddr> = members.iter().map(|member| member.peer).collect();
