--- a/tests/zone_reports.rs
+++ b/tests/zone_reports.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -31,7 +32,7 @@
 
 /// Number of other hosts in the zone.
 const REPORTERS: u8 = 35;
-/// Time for which they send reports.
+/// Time for which callers send requests beside the reports.
 const REPORT_TIME: Duration = Duration::from_secs(3);
 /// Target latency of the route.
 const TARGET_LATENCY: Duration = Duration::from_millis(400);
@@ -46,9 +47,7 @@
 
 impl SilentMember {
     async fn start(number: u8, seed: SocketAddr) -> TestResult<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let peer = listener.local_addr()?;
-        let socket = UdpSocket::bind(peer).await?;
+        let (listener, socket, peer) = bind().await?;
         let (host, zone) = (format!("silent-{number}"), "east".to_owned());
         let place = MemberPlace { host, zone, peer, capacity: 0 };
         let mut table = MemberTable::new(place, 1, member::Options::default(), number.into());
@@ -71,6 +70,20 @@
     }
 }
 
+/// Binds the same address for TCP and UDP. The port that the system chooses may be in use for UDP;
+/// another one is tried then.
+async fn bind() -> TestResult<(TcpListener, UdpSocket, SocketAddr)> {
+    loop {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let peer = listener.local_addr()?;
+        match UdpSocket::bind(peer).await {
+            Ok(socket) => return Ok((listener, socket, peer)),
+            Err(error) if error.kind() == ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error.into()),
+        }
+    }
+}
+
 /// A message of reports of the members from `first` on, none of which answers at this moment.
 fn message(peers: &[SocketAddr], first: usize, sequence: u64) -> Vec<u8> {
     let subjects = peers.iter().cycle().skip(first).take(MAX_REPORTS);
@@ -87,7 +100,7 @@
     payload::wrap(PayloadKind::ZoneReports, message)
 }
 
-/// Runs the members until it is dropped. After `quiet`, they send reports to `host` as often as hosts
+/// Runs the members without end. After `quiet`, they send reports to `host` as often as hosts
 /// may.
 async fn run_members(mut members: Vec<SilentMember>, host: SocketAddr, quiet: Duration) {
     let started = Instant::now();
