--- a/review/standins-2/src/hosts.rs
+++ b/review/standins-2/src/hosts.rs
@@ -7,6 +7,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -27,8 +28,13 @@
 
 unsafe extern "C" {
     safe fn kill(pid: i32, signal: i32) -> i32;
+    safe fn prctl(option: i32, value: u64) -> i32;
 }
 
+/// The option with which a process gets a signal when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 /// A loopback network that no other process uses: hosts listen at fixed ports, each at its own
 /// address of it.
 static NETWORK: OnceLock<u8> = OnceLock::new();
@@ -110,14 +116,16 @@
 
     fn spawn(&mut self) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
-        let child = Command::new("target/release/hawthornroute")
-            .arg("route")
-            .env("HAWTHORNROUTE_BOOT", &self.settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        self.child = Some(child);
+        let mut command = Command::new("target/release/hawthornroute");
+        command.arg("route").env("HAWTHORNROUTE_BOOT", &self.settings);
+        command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+        let ends_with_parent = || {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        };
+        // SAFETY: the call is a system call only, which is allowed between fork and exec.
+        unsafe { command.pre_exec(ends_with_parent) };
+        self.child = Some(command.spawn()?);
         Ok(())
     }
 
