test: crowds of clients that complete nothing and read nothing

What callers saw: a process of the users' trial ran out of memory, and every caller of its host lost its requests.

These tests start one real process each on a loopback address, on a "machine" of 64 MB or 256 descriptors (the keys `memory_mb` and `max_fds` of the settings, which the code as it stands ignores), 112 MB for `serve`. They check that the process lives, the peak of its resident memory and what its sockets hold unread, its descriptors, and that ordinary requests are answered meanwhile, by a caller that returns after a refusal. No time and no share of served requests is checked. A mutex has them run one at a time.

Two cases were given a larger crowd before any change of the product, as they did not show the fault: tiny chunks (100 callers, 57 MB) and unread answers (400 callers with 512 KiB, 47 MB: the kernel's send buffers took them). Crowds and bounds stay from here on.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
 //! stand-ins.
 #![allow(dead_code, reason = "each test file uses only part of the harness")]
 
+pub mod crowd;
 pub mod daemon;
 pub mod fleet;
 pub mod load;
--- a/tests/support/route.rs
+++ b/tests/support/route.rs
@@ -289,6 +289,21 @@
         SocketAddr::new(self.ip, PEER_PORT)
     }
 
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// The address of its readiness endpoint.
+    pub fn ready(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, READY_PORT)
+    }
+
+    /// The address of its metrics endpoint.
+    pub fn metrics_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, METRICS_PORT)
+    }
+
     /// Sends a signal to this process.
     pub fn signal(&self, signal: Signal) -> TestResult {
         let pid = Pid::from_raw(i32::try_from(self.child.id())?).ok_or("a child has an id")?;
