fix(edge): callers' connections have a small receive buffer

What callers saw: a host ran out of memory, also where it had stopped to read from the clients that filled it.

Cause: the kernel gives a connection a receive buffer of 128 KiB and more, and the platform counts what lies there unread as memory of the process. A host that does not read is charged all the same.

Evidence: with 400 callers 26 to 120 MB lay unread.

Change: the callers' listener asks for 16 KiB, which the kernel doubles; its connections inherit that. The option is set before `listen`, as the window's scale is negotiated from it. If the system refuses it, E605 says so and the host goes on.

Why it works: the bound holds for each connection, whatever the process does. A caller 3 ms away can still send 5 MB a second.

--- a/crates/hawthorn-edge/src/connection/listen.rs
+++ b/crates/hawthorn-edge/src/connection/listen.rs
@@ -1,6 +1,7 @@
 //! Callers' connections, and the pages for readiness and metrics.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use log::Level;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -35,6 +37,10 @@
 /// Minimum size in bytes of a connection's buffer, which holds a request head. A limit raised above
 /// the size closes the connection.
 const MIN_HEAD_BUFFER: usize = 64 * 1024;
+/// Requested size in bytes of a connection's receive buffer, which the kernel doubles.
+const RECEIVE_BUFFER: u32 = 16 * 1024;
+/// Number of connections that the kernel accepts ahead.
+const ACCEPT_BACKLOG: u32 = 1024;
 /// Pause after a connection could not be accepted, usually because file descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Response to a caller whose request head took too long.
@@ -45,6 +51,18 @@
 const REJECT_TIMEOUT: Duration = Duration::from_millis(100);
 const METRICS_PATH: &str = "/metrics";
 
+/// Listens for callers, whose connections inherit a small receive buffer: what a caller has sent and
+/// the host has not read counts towards the memory of the machine.
+pub(crate) fn bind_callers(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER) {
+        edge_event!(Level::Warn, EdgeEvent::DutyFailed, "duty=receive-buffer error=\"{error}\"");
+    }
+    socket.bind(address)?;
+    socket.listen(ACCEPT_BACKLOG)
+}
+
 /// Accepts the next connection; retries after errors of the operating system.
 pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -418,7 +418,8 @@
     let bind = async |address| {
         TcpListener::bind(address).await.map_err(|source| Error::System("listen", source))
     };
-    let callers = bind(listen.callers).await?;
+    let callers =
+        listen::bind_callers(listen.callers).map_err(|source| Error::System("listen", source))?;
     let ready = bind(listen.ready).await?;
     let peers = bind(listen.peers).await?;
     let heartbeats = UdpSocket::bind(listen.peers)
