fix(edge): unfinished requests count towards a limit

What callers saw: a process ran out of memory by many large bodies of legal size, most of which stopped just short of their end.

Cause: only bodies that were already complete counted (32 MB on any machine). Bodies that were still arriving counted nothing, chunked ones declared nothing, heads were not counted at all, and each connection could have a buffer of 64 KiB and more.

Change: each read of a caller's connection is granted before it is made, from an eighth of the machine's memory (`host.memory_mb`, new, 256 if not set; the template passes `limits.memoryMb` on). The first 4 KiB of a request are always granted, so that requests without a large head or body don't depend on the others. If there is no room, the connection that has stalled for longest is closed (no byte for 0.25 s, or slower than 64 KiB/s after 0.5 s); if none has stalled, the request that asks is refused. Complete requests hold three quarters at most. A request that is alone is granted all. Refused requests get 503 `host-full` with Retry-After, were not run, and their rest is read and dropped within the bounds that existed. The number of open requests follows from the memory, too. Bodies are copied out of the read buffer, as a small chunk could keep a large one alive. E661, hawthorn_route_evictions_total and a gauge show what happens.

The decisions are a crate of their own, hawthorn-connections, without sockets and clock, with tests of each way out; `serve` will use it, too.

Why it works: what is reserved is what was read, at the one place where callers' bytes enter, and it is released when the request is answered, refused, or its connection ends, whichever is first.

--- a/crates/hawthorn-edge/src/connection/head.rs
+++ b/crates/hawthorn-edge/src/connection/head.rs
@@ -3,18 +3,23 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
+use hawthorn_connections::budget::READ_BYTES;
+use hawthorn_connections::table::ConnectionSlot;
 use hawthorn_route::document::CallerLimits;
 use hawthorn_route::send_deadline::CallerRtt;
 use hawthorn_route::send_deadline::LagMeter;
 use hawthorn_route::send_deadline::RequestArrival;
 use hawthorn_route::send_deadline::RttMeter;
 use hyper::rt::Read;
+use hyper::rt::ReadBuf;
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
 use hyper_util::rt::TokioIo;
@@ -133,6 +138,16 @@
         self.enter(ConnectionPhase::Idle(Instant::now()));
     }
 
+    /// Whether a head is incomplete.
+    pub(crate) fn is_in_head(&self) -> bool {
+        matches!(self.phase.get(), ConnectionPhase::Head(_))
+    }
+
+    /// Whether a request is being received or answered.
+    pub(crate) fn is_answering(&self) -> bool {
+        self.phase.get() == ConnectionPhase::Answering
+    }
+
     /// Records that the connection closes after the current request.
     pub(crate) fn close(&self) {
         self.closing.set(true);
@@ -230,16 +245,32 @@
     }
 }
 
-/// A caller's connection that notifies its watch of reads and writes.
+/// A caller's connection that notifies its watch of reads and writes, and reads what its slot grants.
 #[derive(Debug)]
 pub(crate) struct CallerStream {
     stream: TokioIo<TcpStream>,
     watch: Rc<HeadWatch>,
+    slot: Rc<ConnectionSlot>,
 }
 
 impl CallerStream {
-    pub(crate) fn new(stream: TcpStream, watch: Rc<HeadWatch>) -> Self {
-        Self { stream: TokioIo::new(stream), watch }
+    pub(crate) fn new(stream: TcpStream, watch: Rc<HeadWatch>, slot: Rc<ConnectionSlot>) -> Self {
+        Self { stream: TokioIo::new(stream), watch, slot }
+    }
+
+    /// Reads as much as the slot grants.
+    fn poll_read_granted(
+        &mut self,
+        context: &mut Context<'_>,
+        mut buffer: ReadBufCursor<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let granted = ready!(self.slot.poll_grant(context, buffer.remaining().min(READ_BYTES)));
+        let mut bytes = [MaybeUninit::uninit(); READ_BYTES];
+        let mut part = ReadBuf::uninit(&mut bytes[..granted]);
+        ready!(Pin::new(&mut self.stream).poll_read(context, part.unfilled()))?;
+        buffer.put_slice(part.filled());
+        self.slot.received(part.filled().len());
+        Poll::Ready(Ok(()))
     }
 
     pub(crate) fn into_inner(self) -> TcpStream {
@@ -253,7 +284,7 @@
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<std::io::Result<()>> {
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read = self.poll_read_granted(context, buffer);
         if read.is_ready() {
             self.watch.on_read(self.stream.inner());
         }
--- a/crates/hawthorn-edge/src/connection/listen.rs
+++ b/crates/hawthorn-edge/src/connection/listen.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hawthorn_connections::table::ConnectionSlot;
 use hawthorn_platform::process::READY_PATH;
+use hawthorn_route::outcome::RefusalReason;
+use hawthorn_route::retry_after::retry_after;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -43,10 +46,7 @@
 const ACCEPT_BACKLOG: u32 = 1024;
 /// Pause after a connection could not be accepted, usually because file descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Response to a caller whose request head took too long.
-const SLOW_HEAD_RESPONSE: &[u8] = b"HTTP/1.1 408 Request Timeout\r\n\
-    content-length: 9\r\nconnection: close\r\n\r\nslow-head";
-/// Time limit for writing the response to a slow head. It fits into one packet, so a caller
+/// Time limit for writing the response to an incomplete head. It fits into one packet, so a caller
 /// that reads receives it at once.
 const REJECT_TIMEOUT: Duration = Duration::from_millis(100);
 const METRICS_PATH: &str = "/metrics";
@@ -80,11 +80,12 @@
 pub(crate) async fn callers(host: Rc<RouteHost>, listener: TcpListener) {
     loop {
         let stream = accept(&listener).await;
+        let slot = host.callers.open().await;
         if let Err(error) = hawthorn_pool::enable_dead_peer_detection(&stream) {
             edge_event!(Level::Warn, EdgeEvent::DutyFailed, "duty=socket error=\"{error}\"");
             continue;
         }
-        tokio::task::spawn_local(handle_connection(Rc::clone(&host), stream));
+        tokio::task::spawn_local(handle_connection(Rc::clone(&host), stream, Rc::new(slot)));
     }
 }
 
@@ -92,19 +93,18 @@
 ///
 /// A caller that disconnects ends the connection, which drops its request's future and with it
 /// every attempt of the request.
-async fn handle_connection(host: Rc<RouteHost>, stream: TcpStream) {
-    host.connections.set(host.connections.get() + 1);
+async fn handle_connection(host: Rc<RouteHost>, stream: TcpStream, slot: Rc<ConnectionSlot>) {
     let mut limits = host.routing.limits.subscribe();
     let buffer_bytes = limits.borrow().head_bytes.max(MIN_HEAD_BUFFER);
     let watch = Rc::new(HeadWatch::new(Rc::clone(&host.lag)));
     let caller = stream.peer_addr().ok().map(|address| address.ip());
     let service = {
-        let (host, watch) = (Rc::clone(&host), Rc::clone(&watch));
+        let (host, watch, slot) = (Rc::clone(&host), Rc::clone(&watch), Rc::clone(&slot));
         service_fn(move |request| {
-            let open = OpenRequest::new(Rc::clone(&host), Rc::clone(&watch));
-            let (host, watch) = (Rc::clone(&host), Rc::clone(&watch));
+            let open = OpenRequest::new(Rc::clone(&host), Rc::clone(&watch), Rc::clone(&slot));
+            let (host, watch, slot) = (Rc::clone(&host), Rc::clone(&watch), Rc::clone(&slot));
             async move {
-                let answer = serve::serve(host, request, &watch, caller).await;
+                let answer = serve::serve(host, request, &watch, &slot, caller).await;
                 Ok::<_, Infallible>(answer.map(|body| OpenBody::new(body, open)))
             }
         })
@@ -114,8 +114,8 @@
         .header_read_timeout(None)
         .max_buf_size(buffer_bytes)
         .auto_date_header(false)
-        .serve_connection(CallerStream::new(stream, Rc::clone(&watch)), service);
-    let mut closing = false;
+        .serve_connection(CallerStream::new(stream, Rc::clone(&watch), Rc::clone(&slot)), service);
+    let (mut closing, mut evicted) = (false, false);
     let result = loop {
         tokio::select! {
             biased;
@@ -123,10 +123,23 @@
             reason = watch.close_due(&mut limits, buffer_bytes) => {
                 if let CloseReason::SlowHead(limit) = reason {
                     let stream = connection.into_parts().io.into_inner();
-                    reject_head(&host, stream, limit).await;
+                    reject_head(&host, stream, HeadFault::Slow(limit)).await;
                     break Ok(());
                 }
             }
+            () = slot.evicted().cancelled(), if !evicted => {
+                evicted = true;
+                if watch.is_in_head() {
+                    let stream = connection.into_parts().io.into_inner();
+                    reject_head(&host, stream, HeadFault::Evicted).await;
+                    break Ok(());
+                }
+                // A request that is being received is answered as refused.
+                if watch.is_answering() && !slot.is_unsent() {
+                    continue;
+                }
+                break Ok(());
+            }
             () = host.closing.cancelled(), if !closing => {}
         }
         closing = true;
@@ -139,16 +152,54 @@
     {
         log_malformed_head(&host, &error);
     }
-    host.connections.set(host.connections.get() - 1);
 }
 
-/// Rejects a caller whose request head took too long; no part of the request was run.
-async fn reject_head(host: &RouteHost, mut stream: TcpStream, limit: Duration) {
-    host.metrics.count_request("slow-head", limit);
-    let millis = limit.as_millis();
-    edge_event!(Level::Info, EdgeEvent::HeadRefused, "outcome=slow-head limit_ms={millis}");
+/// Why a request is rejected before its head is complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HeadFault {
+    /// It took longer than this limit.
+    Slow(Duration),
+    /// Its connection is closed to make room for others.
+    Evicted,
+}
+
+impl HeadFault {
+    fn response(self) -> String {
+        let (status, outcome) = match self {
+            Self::Slow(_) => ("408 Request Timeout", "slow-head"),
+            Self::Evicted => ("503 Service Unavailable", "host-full"),
+        };
+        let retry_after = match self {
+            Self::Slow(_) => String::new(),
+            Self::Evicted => {
+                let after = retry_after(RefusalReason::HostFull, None, &mut rand::rng());
+                format!("retry-after: {:.3}\r\n", after.as_secs_f64())
+            }
+        };
+        let length = outcome.len();
+        format!(
+            "HTTP/1.1 {status}\r\ncontent-length: {length}\r\n{retry_after}connection: close\r\n\r\n\
+             {outcome}"
+        )
+    }
+}
+
+/// Rejects a caller whose request head is incomplete; no part of the request was run.
+async fn reject_head(host: &RouteHost, mut stream: TcpStream, fault: HeadFault) {
+    match fault {
+        HeadFault::Slow(limit) => {
+            host.metrics.count_request("slow-head", limit);
+            let millis = limit.as_millis();
+            edge_event!(Level::Info, EdgeEvent::HeadRefused, "outcome=slow-head limit_ms={millis}");
+        }
+        HeadFault::Evicted => {
+            host.metrics.count_request(RefusalReason::HostFull.into(), Duration::ZERO);
+            host.metrics.count_refusal(RefusalReason::HostFull, 1);
+        }
+    }
     // A caller that does not read the response is disconnected.
-    let _written = timeout(REJECT_TIMEOUT, stream.write_all(SLOW_HEAD_RESPONSE)).await;
+    let response = fault.response();
+    let _written = timeout(REJECT_TIMEOUT, stream.write_all(response.as_bytes())).await;
 }
 
 /// Records a head that the HTTP library has rejected, with 400, 414 or 431.
--- a/crates/hawthorn-edge/src/connection/open.rs
+++ b/crates/hawthorn-edge/src/connection/open.rs
@@ -6,6 +6,7 @@
 use std::task::Poll;
 
 use bytes::Bytes;
+use hawthorn_connections::table::ConnectionSlot;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
@@ -19,13 +20,14 @@
 pub(crate) struct OpenRequest {
     host: Rc<RouteHost>,
     watch: Rc<HeadWatch>,
+    slot: Rc<ConnectionSlot>,
 }
 
 impl OpenRequest {
-    pub(crate) fn new(host: Rc<RouteHost>, watch: Rc<HeadWatch>) -> Self {
+    pub(crate) fn new(host: Rc<RouteHost>, watch: Rc<HeadWatch>, slot: Rc<ConnectionSlot>) -> Self {
         host.open_requests.set(host.open_requests.get() + 1);
         watch.head_complete();
-        Self { host, watch }
+        Self { host, watch, slot }
     }
 }
 
@@ -33,6 +35,7 @@
     fn drop(&mut self) {
         self.host.open_requests.set(self.host.open_requests.get() - 1);
         self.watch.answered();
+        self.slot.answered();
     }
 }
 
--- a/crates/hawthorn-edge/src/process/events.rs
+++ b/crates/hawthorn-edge/src/process/events.rs
@@ -116,6 +116,8 @@
     QueryRegathered = 659,
     /// A request was rejected for good, as it does not fit the configuration.
     RequestRejected = 660,
+    /// A connection was closed to make room for others.
+    ConnectionEvicted = 661,
     /// A host of the fleet came up, went down or is leaving.
     PeerChanged = 641,
 }
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -4,10 +4,13 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use hawthorn_connections::table::ConnectionTable;
+use hawthorn_connections::table::EvictionCause;
 use hawthorn_fleet::MemberTable;
 use hawthorn_route::cold::claim::SlotClaim;
 use hawthorn_route::confirmation::ConfirmationPlan;
@@ -29,6 +32,7 @@
 use hawthorn_store::client;
 use log::Level;
 use quick_error::quick_error;
+use strum::IntoEnumIterator;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
@@ -39,6 +43,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::connection::evictions;
 use crate::connection::listen;
 use crate::connection::peer;
 use crate::connection::peer::PeerEndpoint;
@@ -194,22 +199,22 @@
     pub(crate) shutdown: Cell<Option<ShutdownSchedule>>,
     /// Cancelled when idle connections are to be closed.
     pub closing: CancellationToken,
-    /// Number of open connections of callers.
-    pub connections: Cell<usize>,
+    /// Open connections of callers.
+    pub callers: Arc<ConnectionTable>,
     /// Since when the readiness probe has failed because of unreachable zones.
     pub unready_since: Cell<Option<Duration>>,
     /// Scheduling delay of this host.
     pub lag: Rc<RefCell<LagMeter>>,
     /// Number of open requests.
     pub open_requests: Cell<usize>,
+    /// Number of open requests above which requests are refused.
+    pub(crate) max_open_requests: usize,
     /// Number of peers' queries whose shards this host gathers.
     pub(crate) peer_queries: Cell<usize>,
     /// Time between the stop signal and forced termination.
     pub grace: Cell<Duration>,
     /// Requests that wait for capacity.
     pub(crate) dispatch: DispatchQueue,
-    /// Bytes of callers' request bodies in memory.
-    pub body_bytes: Cell<usize>,
     /// Limits the log lines on rejected requests.
     pub(crate) rejection_log: RejectionLog,
     /// Number of requests since the start, used to number and sample log lines.
@@ -248,14 +253,17 @@
             stopping: CancellationToken::new(),
             shutdown: Cell::new(None),
             closing: CancellationToken::new(),
-            connections: Cell::new(0),
+            callers: ConnectionTable::new(
+                settings.host.caller_connections(),
+                evictions::logger("callers"),
+            ),
             unready_since: Cell::new(None),
             lag: Rc::default(),
             open_requests: Cell::new(0),
+            max_open_requests: settings.host.max_open_requests(),
             peer_queries: Cell::new(0),
             grace: Cell::new(settings.stop.grace),
             dispatch: DispatchQueue::default(),
-            body_bytes: Cell::new(0),
             rejection_log: RejectionLog::default(),
             request_count: Cell::new(0),
             routing: RoutingState::new(settings),
@@ -519,7 +527,12 @@
         host.metrics.set_gauge("queries", u64::from(open));
         host.metrics.set_gauge("query-window", window as u64);
         host.metrics.set_gauge("open-requests", host.open_requests.get() as u64);
-        host.metrics.set_gauge("connections", host.connections.get() as u64);
+        host.callers.relieve();
+        host.metrics.set_gauge("connections", host.callers.count() as u64);
+        host.metrics.set_gauge("callers-held-bytes", host.callers.held() as u64);
+        for cause in EvictionCause::iter() {
+            host.metrics.count_evictions(cause, host.callers.take_evictions(cause));
+        }
         host.metrics.set_gauge("version", host.routing.table().map_or(0, |table| table.version()));
         let customers = host.routing.table().map_or(0, |table| table.customers().iter().count());
         host.metrics.set_gauge("customers", customers as u64);
@@ -566,12 +579,12 @@
     host.shutdown.set(Some(schedule));
     host.stopping.cancel();
     let open = host.open_requests.get();
-    let connections = host.connections.get();
+    let connections = host.callers.count();
     edge_event!(Level::Info, EdgeEvent::HostStopping, "open={open} connections={connections}");
     let mut was_idle = false;
     loop {
         let now = host_now();
-        let idle = host.connections.get() == 0 && host.peer_queries.get() == 0;
+        let idle = host.callers.count() == 0 && host.peer_queries.get() == 0;
         // The reply to a peer is written after its query has ended.
         let replied = idle && was_idle;
         if (now >= schedule.drained_at() && replied) || now >= schedule.exit_at() {
--- a/crates/hawthorn-edge/src/process/metrics.rs
+++ b/crates/hawthorn-edge/src/process/metrics.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use hawthorn_connections::table::EvictionCause;
 use hawthorn_metrics::Error;
 use hawthorn_metrics::MetricExporter;
 use hawthorn_route::customer::KeyRefusalCause;
@@ -55,6 +56,7 @@
     attempts: Counter<u64>,
     extra_attempts: Counter<u64>,
     missing: Counter<u64>,
+    evictions: Counter<u64>,
     quarantine: Counter<u64>,
     quota: Counter<u64>,
     dispatch: Counter<u64>,
@@ -80,6 +82,7 @@
             attempts: meter.u64_counter("hawthorn_route_attempts").build(),
             extra_attempts: meter.u64_counter("hawthorn_route_extra_attempts").build(),
             missing: meter.u64_counter("hawthorn_route_missing_parts").build(),
+            evictions: meter.u64_counter("hawthorn_route_evictions").build(),
             quarantine: meter.u64_counter("hawthorn_route_quarantine_changes").build(),
             quota: meter.u64_counter("hawthorn_route_quota_tokens").build(),
             dispatch: meter.u64_counter("hawthorn_route_dispatch").build(),
@@ -105,6 +108,7 @@
         ChangeKind::iter().for_each(|kind| set.count_quarantine(kind, 0));
         TokenEnd::iter().for_each(|end| set.count_tokens(end, 0));
         set.count_dispatch(&DispatchCounts::default());
+        EvictionCause::iter().for_each(|cause| set.count_evictions(cause, 0));
         set.missing.add(0, &[]);
         let panics = meter.u64_observable_counter("hawthorn_route_panics");
         // The provider keeps the callback, so the instrument can be dropped.
@@ -184,6 +188,11 @@
         self.missing.add(parts as u64, &[]);
     }
 
+    /// Counts connections that were closed to make room for others, by what was short.
+    pub fn count_evictions(&self, cause: EvictionCause, count: u64) {
+        self.evictions.add(count, &[KeyValue::new("cause", <&'static str>::from(cause))]);
+    }
+
     /// Counts changes of quarantine records.
     pub fn count_quarantine(&self, kind: ChangeKind, count: u64) {
         self.quarantine.add(count, &[KeyValue::new("change", <&'static str>::from(kind))]);
--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hawthorn_connections::body::BodyBuffer;
+use hawthorn_connections::table::ConnectionSlot;
 use hawthorn_platform::caller;
 use hawthorn_platform::caller::CallerHeaders;
 use hawthorn_route::customer::KeyRefusalCause;
@@ -23,8 +25,6 @@
 use hawthorn_route::send_deadline;
 use hawthorn_route::table::RouteTable;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
@@ -58,12 +58,6 @@
 use crate::request::request_log::RequestSummary;
 use crate::request::stopping;
 
-/// Maximum number of open requests, above which the host refuses: at 30 KB each with their
-/// attempts, a quarter of a small host's memory.
-const MAX_OPEN_REQUESTS: usize = 2000;
-/// Maximum total size of callers' bodies in memory, above which the host refuses: an eighth of
-/// the memory of a host with 256 MB.
-const MAX_BODY_BYTES: usize = 32 << 20;
 /// Margin between a request's deadline and the end of its caller's wait, in which the answer
 /// travels to the caller.
 const END_MARGIN: Duration = Duration::from_millis(4);
@@ -72,22 +66,6 @@
 const MAX_DRAIN_BYTES: usize = 64 * 1024;
 const DRAIN_TIME: Duration = Duration::from_millis(20);
 
-/// Counts a caller's body while it is in memory.
-struct BodyBytesGuard(Rc<RouteHost>, usize);
-
-impl BodyBytesGuard {
-    fn new(host: Rc<RouteHost>, bytes: usize) -> Self {
-        host.body_bytes.set(host.body_bytes.get() + bytes);
-        Self(host, bytes)
-    }
-}
-
-impl Drop for BodyBytesGuard {
-    fn drop(&mut self) {
-        self.0.body_bytes.set(self.0.body_bytes.get() - self.1);
-    }
-}
-
 /// The declared length of a body; 0 for a chunked one.
 fn content_length(headers: &HeaderMap) -> usize {
     let length = headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
@@ -99,14 +77,17 @@
     host: Rc<RouteHost>,
     request: Request<Incoming>,
     watch: &HeadWatch,
+    slot: &ConnectionSlot,
     caller: Option<IpAddr>,
 ) -> Response<AnswerBody> {
     let started = watch.arrival().arrived;
     let (head, mut body) = request.into_parts();
     let mut is_unread = false;
-    let mut answer = match receive(&host, head, &mut body).await {
-        Ok(received) => run(&host, received, watch, caller).await,
+    let mut answer = match receive(&host, slot, head, &mut body).await {
+        // Allocated once the body is complete: connections that receive one need less memory.
+        Ok(received) => Box::pin(run(&host, received, watch, caller)).await,
         Err(answer) => {
+            slot.discard();
             is_unread = !drain(&mut body).await;
             *answer
         }
@@ -137,11 +118,35 @@
     after_confirmation(expected, host_now(), &mut rand::rng())
 }
 
-/// Reads the rest of a body that is not needed; false if it does not arrive at once. It would be
-/// taken for the head of the next request.
+/// Reads and drops the rest of a body that is not needed; false if it does not arrive at once. It
+/// would be taken for the head of the next request.
 async fn drain(body: &mut Incoming) -> bool {
-    let rest = Limited::new(body, MAX_DRAIN_BYTES).collect();
-    timeout(DRAIN_TIME, rest).await.is_ok_and(|rest| rest.is_ok())
+    let rest = async {
+        let mut left = MAX_DRAIN_BYTES;
+        while let Some(frame) = body.frame().await {
+            let read = frame.ok().map(|frame| frame.data_ref().map_or(0, Bytes::len));
+            match read.and_then(|bytes| left.checked_sub(bytes)) {
+                Some(rest) => left = rest,
+                None => return false,
+            }
+        }
+        true
+    };
+    timeout(DRAIN_TIME, rest).await.unwrap_or(false)
+}
+
+async fn read_body(
+    body: &mut Incoming,
+    length: usize,
+    max_bytes: usize,
+) -> Result<Bytes, RequestFault> {
+    let mut buffer = BodyBuffer::new(length, max_bytes);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| RequestFault::UnreadableBody)?;
+        let Ok(data) = frame.into_data() else { continue };
+        buffer.extend(&data).map_err(|_| RequestFault::BodyTooLarge { limit: max_bytes })?;
+    }
+    Ok(buffer.into_bytes().into())
 }
 
 /// A request whose body was read, with the version that it is served by.
@@ -154,12 +159,12 @@
     /// How long its caller waits.
     wait: Duration,
     body: Bytes,
-    _guard: BodyBytesGuard,
 }
 
 /// Receives a request that fits the configuration; otherwise returns the answer.
 async fn receive(
     host: &Rc<RouteHost>,
+    slot: &ConnectionSlot,
     mut head: Parts,
     body: &mut Incoming,
 ) -> Result<ReceivedRequest, Box<CallerAnswer>> {
@@ -182,26 +187,24 @@
             return refused(RefusalReason::StaleKeys);
         }
     }
-    if host.open_requests.get() > MAX_OPEN_REQUESTS {
-        return refused(RefusalReason::HostFull);
-    }
-    let content_length = content_length(&head.headers);
-    if host.body_bytes.get() + content_length > MAX_BODY_BYTES {
+    let length = content_length(&head.headers);
+    if host.open_requests.get() > host.max_open_requests || !slot.admits(length) {
         return refused(RefusalReason::HostFull);
     }
     let headers = caller::read(&head.headers);
     let wait = headers.time_left.map_or(route.timeout, |left| left.min(route.timeout));
     let limits = table.document().limits;
-    let body = match timeout(wait, Limited::new(body, limits.body_bytes).collect()).await {
-        Err(_) => return Err(reject(&head, RequestFault::SlowBody)),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            return Err(reject(&head, RequestFault::BodyTooLarge { limit: limits.body_bytes }));
+    let body = tokio::select! {
+        biased;
+        body = timeout(wait, read_body(body, length, limits.body_bytes)) => {
+            body.unwrap_or(Err(RequestFault::SlowBody)).map_err(|fault| reject(&head, fault))?
         }
-        Ok(Err(_)) => return Err(reject(&head, RequestFault::UnreadableBody)),
-        Ok(Ok(body)) => body.to_bytes(),
+        () = slot.evicted().cancelled() => return refused(RefusalReason::HostFull),
     };
-    let guard = BodyBytesGuard::new(Rc::clone(host), body.len());
-    Ok(ReceivedRequest { table, route, customer, head, headers, wait, body, _guard: guard })
+    if !slot.complete() {
+        return refused(RefusalReason::HostFull);
+    }
+    Ok(ReceivedRequest { table, route, customer, head, headers, wait, body })
 }
 
 /// Runs a request, and logs how it ended.
@@ -211,8 +214,7 @@
     watch: &HeadWatch,
     caller: Option<IpAddr>,
 ) -> CallerAnswer {
-    let ReceivedRequest { table, route, customer, mut head, headers, wait, body, _guard } =
-        received;
+    let ReceivedRequest { table, route, customer, mut head, headers, wait, body } = received;
     let arrival = watch.arrival();
     context::strip_connection(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
--- a/crates/hawthorn-edge/src/settings.rs
+++ b/crates/hawthorn-edge/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hawthorn_connections::budget;
 use hawthorn_route::cold;
 use hawthorn_route::confirmation;
 use hawthorn_route::home::RegionMap;
@@ -37,6 +38,12 @@
     }
 }
 
+/// Least memory with which a host can serve.
+const MIN_MEMORY_MB: u64 = 32;
+const MAX_MEMORY_MB: u64 = 1 << 20;
+/// Memory of an open request with its attempts.
+const REQUEST_BYTES: usize = 32 * 1024;
+
 /// The maximum of `overshoot` and `slack` in the settings of cold targets.
 const MAX_COLD_EXCESS: f64 = 1000.0;
 
@@ -107,6 +114,9 @@
     /// Number of cores; 1 if not given.
     #[serde(default = "one")]
     pub cores: f64,
+    /// Memory of the machine in MiB; limits what callers' connections and requests hold.
+    #[serde(default = "default_memory")]
+    pub memory_mb: u64,
     /// Link bandwidth in Mbit/s; bulk messages are not paced if not given.
     pub link_mbps: Option<f64>,
 }
@@ -115,6 +125,26 @@
     1.0
 }
 
+fn default_memory() -> u64 {
+    256
+}
+
+impl HostSettings {
+    fn memory_bytes(&self) -> usize {
+        usize::try_from(self.memory_mb).unwrap_or(usize::MAX).saturating_mul(1 << 20)
+    }
+
+    /// Limits on callers' connections: an eighth of the memory for requests.
+    pub fn caller_connections(&self) -> budget::Options {
+        budget::Options { max_bytes: self.memory_bytes() / 8, ..budget::Options::default() }
+    }
+
+    /// Maximum number of open requests: a quarter of the memory.
+    pub fn max_open_requests(&self) -> usize {
+        self.memory_bytes() / 4 / REQUEST_BYTES
+    }
+}
+
 /// The addresses on which the host listens.
 #[derive(Clone, Debug, Deserialize)]
 pub struct ListenSettings {
@@ -306,6 +336,9 @@
         if !(settings.host.core_share > 0.0 && settings.host.cores > 0.0) {
             return Err(Error::Value("host.core_share", "must be positive"));
         }
+        if !(MIN_MEMORY_MB..=MAX_MEMORY_MB).contains(&settings.host.memory_mb) {
+            return Err(Error::Value("host.memory_mb", "must be between 32 and 1048576"));
+        }
         if settings.host.link_mbps.is_some_and(|mbps| mbps <= 0.0) {
             return Err(Error::Value("host.link_mbps", "must be positive"));
         }
--- a/crates/hawthorn-edge/tests/settings.rs
+++ b/crates/hawthorn-edge/tests/settings.rs
@@ -15,6 +15,8 @@
         ("{{zone|json}}", "\"east\""),
         ("{{limits.cpuShare}}", "0.25"),
         ("{{limits.cpuCores}}", "1"),
+        ("{{#limits.memoryMb}}memory_mb = {{.}}", "memory_mb = 112"),
+        ("{{/limits.memoryMb}}", ""),
         ("{{#limits.linkMbps}}link_mbps = {{.}}", "link_mbps = 21.0"),
         ("{{/limits.linkMbps}}", ""),
         ("{{#zones}}{{@}} = {{.|json}}", "east = \"dar\""),
@@ -127,6 +129,12 @@
             to: "apply_ms = 5",
             named: "configuration.apply_ms",
         },
+        Case {
+            name: "bytes for MiB",
+            from: "memory_mb = 112",
+            to: "memory_mb = 117440512",
+            named: "host.memory_mb",
+        },
         Case { name: "no name", from: "\"front-1\"", to: "\"\"", named: "host.name" },
         Case {
             name: "no core share",
--- a/tests/route_events.rs
+++ b/tests/route_events.rs
@@ -18,7 +18,11 @@
 use rustix::process::Signal;
 use strum::IntoEnumIterator;
 use support::TestResult;
+use support::crowd;
+use support::crowd::Crowd;
+use support::crowd::Framing;
 use support::route;
+use support::route::HostOptions;
 use support::route::RouteHost;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -355,6 +359,22 @@
     Ok(host.log_lines())
 }
 
+/// A host whose memory for requests is used by callers that stop short of the end of theirs.
+async fn stalled_caller_events() -> TestResult<Vec<String>> {
+    const CALLERS: usize = 20;
+    const BODY_BYTES: usize = 262_144;
+    let store = RouteStore::start().await?;
+    operator::configure(&store, 3, &[operator::single("/safe/", "s", "safe")], &["s"]);
+    let options = HostOptions { host: "memory_mb = 32\n".to_owned(), ..HostOptions::default() };
+    let host = RouteHost::start_with("h-1", "east", store.address(), &[], &options)?;
+    host.wait_until_ready().await?;
+    let request = crowd::request("/safe/", "id-stalled", Framing::Length, BODY_BYTES);
+    let stalled = Crowd::send(host.caller(), CALLERS, &crowd::unfinished(request)).await;
+    wait_for_line(&host, "connection-evicted").await?;
+    drop(stalled);
+    Ok(host.log_lines())
+}
+
 /// A host on which keys must be revoked in time, while the store does not answer, and afterwards.
 async fn stale_key_events() -> TestResult<Vec<String>> {
     let store = RouteStore::start().await?;
@@ -409,6 +429,7 @@
         silent_peer_events().boxed_local(),
         waiting_events().boxed_local(),
         stale_key_events().boxed_local(),
+        stalled_caller_events().boxed_local(),
     ];
     let logs = futures::future::try_join_all(scenarios).await?;
     let catalogue = catalogue();
