fix(edge): memory of finished requests returns to the system

What callers saw: three seconds after a crowd had left, the process still held its peak, and a second crowd with bodies of other sizes came on top.

Cause: glibc raises the size from which it maps blocks on their own once such a block was freed; later bodies of that size come from the heap, where free pages between small blocks are kept.

With other C libraries it does nothing.

Why it works: large bodies get blocks that are unmapped when they are freed, and what small blocks leave is returned before the next crowd needs it.

--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -82,6 +82,8 @@
 const TRAFFIC_SWEEPS: u32 = 10;
 /// Number of sweeps between two checks of idle connections, each of which is one read.
 const CONNECTION_SWEEPS: u32 = 10;
+/// Minimum interval between two searches of the heap for free pages.
+const TRIM_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which a stopping process checks whether it is done.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -399,6 +401,8 @@
     reload: impl Fn() -> Option<RouteSettings> + 'static,
 ) -> Result<(), Error> {
     loop_clock::record_start();
+    // Before the first large block is freed.
+    let _kept_by_other_libraries = hawthorn_malloc::unmap_large_blocks();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .on_thread_park(loop_clock::record_park)
@@ -463,6 +467,7 @@
     tasks.spawn_local(store_sync::follow(Rc::clone(&host), client));
     tasks.spawn_local(dispatch::run(Rc::clone(&host)));
     tasks.spawn_local(sweep(Rc::clone(&host)));
+    tasks.spawn_local(trim_memory(Rc::clone(&host)));
     tasks.spawn_local(reachability::watch(Rc::clone(&host)));
     tasks.spawn_local(zone_reports::update_after_probes(Rc::clone(&host)));
     tasks.spawn_local(loop_clock::check_reads());
@@ -499,6 +504,15 @@
     Ok(())
 }
 
+/// Returns memory to the system after requests with large heads or bodies have ended.
+async fn trim_memory(host: Rc<RouteHost>) {
+    loop {
+        host.callers.released().await;
+        hawthorn_malloc::trim();
+        sleep(TRIM_INTERVAL).await;
+    }
+}
+
 /// Removes targets that have left, and updates the gauges.
 async fn sweep(host: Rc<RouteHost>) {
     let mut ready = false;
