fix(edge): answers that callers do not take count towards a limit

What callers saw: a process ran out of memory by answers that nobody read.

Cause: an answer is buffered up to `policy.answers.held_kb` before it is sent, whatever the size of the machine and the number of callers; what the HTTP library holds for a connection that does not take it counted nowhere. The library also read up to 400 KB ahead from a target whose answer is streamed.

Evidence: 40 callers, answers of 8 MB, held_kb = 16384: 361 MB on a machine of 64 MB.

One answer is buffered up to 1/256 of the memory at most (1 MB on a machine of 256), the rest is streamed. The pool reads 64 KiB ahead.

--- a/crates/hawthorn-edge/src/connection/head.rs
+++ b/crates/hawthorn-edge/src/connection/head.rs
@@ -258,6 +258,13 @@
         Self { stream: TokioIo::new(stream), watch, slot }
     }
 
+    fn on_written(&self, written: &Poll<std::io::Result<usize>>) {
+        if let Poll::Ready(result) = written {
+            self.watch.on_write();
+            self.slot.sent(*result.as_ref().unwrap_or(&0));
+        }
+    }
+
     /// Reads as much as the slot grants.
     fn poll_read_granted(
         &mut self,
@@ -299,9 +306,7 @@
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        if written.is_ready() {
-            self.watch.on_write();
-        }
+        self.on_written(&written);
         written
     }
 
@@ -309,7 +314,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        if flushed.is_ready() {
+            self.slot.flushed();
+        }
+        flushed
     }
 
     fn poll_shutdown(
@@ -329,9 +338,7 @@
         parts: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
-        if written.is_ready() {
-            self.watch.on_write();
-        }
+        self.on_written(&written);
         written
     }
 }
--- a/crates/hawthorn-edge/src/connection/open.rs
+++ b/crates/hawthorn-edge/src/connection/open.rs
@@ -43,12 +43,12 @@
 #[derive(Debug)]
 pub(crate) struct OpenBody {
     body: AnswerBody,
-    _open: OpenRequest,
+    open: OpenRequest,
 }
 
 impl OpenBody {
     pub(crate) fn new(body: AnswerBody, open: OpenRequest) -> Self {
-        Self { body, _open: open }
+        Self { body, open }
     }
 }
 
@@ -60,7 +60,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        if let Poll::Ready(Some(Ok(frame))) = &frame {
+            self.open.slot.hold(frame.data_ref().map_or(0, Bytes::len));
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/hawthorn-edge/src/settings.rs
+++ b/crates/hawthorn-edge/src/settings.rs
@@ -43,6 +43,8 @@
 const MAX_MEMORY_MB: u64 = 1 << 20;
 /// Memory of an open request with its attempts.
 const REQUEST_BYTES: usize = 32 * 1024;
+/// Number of answers of the maximum size that fit into the memory.
+const MIN_BUFFERED_ANSWERS: usize = 256;
 
 /// The maximum of `overshoot` and `slack` in the settings of cold targets.
 const MAX_COLD_EXCESS: f64 = 1000.0;
@@ -134,7 +136,7 @@
         usize::try_from(self.memory_mb).unwrap_or(usize::MAX).saturating_mul(1 << 20)
     }
 
-    /// Limits on callers' connections: an eighth of the memory for requests.
+    /// Limits on callers' connections: an eighth of the memory for requests and answers.
     pub fn caller_connections(&self) -> budget::Options {
         budget::Options { max_bytes: self.memory_bytes() / 8, ..budget::Options::default() }
     }
@@ -143,6 +145,11 @@
     pub fn max_open_requests(&self) -> usize {
         self.memory_bytes() / 4 / REQUEST_BYTES
     }
+
+    /// Maximum number of bytes of an answer that are buffered, whatever the policy.
+    pub fn max_buffered_answer(&self) -> usize {
+        self.memory_bytes() / MIN_BUFFERED_ANSWERS
+    }
 }
 
 /// The addresses on which the host listens.
--- a/crates/hawthorn-edge/src/version/state.rs
+++ b/crates/hawthorn-edge/src/version/state.rs
@@ -546,9 +546,10 @@
         let share = max_connections as f64 * CONNECTION_SHARE / host_count as f64;
         let mut pools = self.pools.borrow_mut();
         if !pools.contains_key(key) {
+            let buffered = self.policy.get().answers.held_kb as usize * 1024;
             let options = hawthorn_pool::Options {
                 max_connections: (share.round() as usize).max(1),
-                max_buffered_bytes: self.policy.get().answers.held_kb as usize * 1024,
+                max_buffered_bytes: buffered.min(self.settings.host.max_buffered_answer()),
                 connect_timeout: CONNECT_TIMEOUT,
             };
             pools.insert(key, Arc::new(TargetPool::new(entry.address, options)));
--- a/crates/hawthorn-pool/src/driven.rs
+++ b/crates/hawthorn-pool/src/driven.rs
@@ -32,6 +32,9 @@
 use crate::head_limit::HeadBudget;
 use crate::head_limit::LimitedReader;
 
+/// Maximum number of bytes that are read ahead of what the caller of an answer takes.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+
 type TargetConnection = Connection<TokioIo<TargetStream>, Full<Bytes>>;
 
 /// A connection to a target whose answers' heads are limited.
@@ -52,7 +55,10 @@
         let head_budget = HeadBudget::new();
         let (reader, writer) = stream.into_split();
         let stream = tokio::io::join(LimitedReader::new(reader, head_budget.clone()), writer);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await?;
         Ok(Self { sender, connection: Some(connection), head_budget })
     }
 
