fix(edge): connections to each port are limited

What callers saw: nothing yet. Whoever opens enough connections, at any port, takes the descriptors that a host needs for its store, its targets, its peers and ordinary callers.

Cause: no listener had a limit; the pages for readiness and metrics had no time limit for a head, and a buffer of 400 KB for it.

Evidence: 419 descriptors of 256, by 400 idle connections or unfinished heads at the callers' port, the pages, or the peers' port.

Change: `host.max_fds` (new; the process's own limit if not set; the template passes `limits.maxFds` on). 200 are for files and the runtime; of the rest, callers get half, at most an eighth of the memory at 16 KiB each, other hosts a quarter, each page 16 connections. At the limit the connection that has been idle or stalled for longest is closed, once it has been for 0.25 s; requests that are being served are not cut off. A host that accepts no further connection waits with the accepted one, so that others stay in the kernel's queue. Heads for the pages have 3 s and 8 KiB.

Not limited: what incomplete frames at the peers' port hold, up to 16 MB each.

--- a/crates/hawthorn-edge/src/connection/listen.rs
+++ b/crates/hawthorn-edge/src/connection/listen.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hawthorn_connections::budget;
 use hawthorn_connections::table::ConnectionSlot;
+use hawthorn_connections::table::ConnectionTable;
 use hawthorn_platform::process::READY_PATH;
 use hawthorn_route::outcome::RefusalReason;
 use hawthorn_route::retry_after::retry_after;
@@ -18,6 +20,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
 use log::Level;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -26,6 +29,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::connection::evictions;
 use crate::connection::head::CallerStream;
 use crate::connection::head::CloseReason;
 use crate::connection::head::HeadWatch;
@@ -44,6 +48,12 @@
 const RECEIVE_BUFFER: u32 = 16 * 1024;
 /// Number of connections that the kernel accepts ahead.
 const ACCEPT_BACKLOG: u32 = 1024;
+/// Maximum number of connections to each of the pages, which are polled by a few clients.
+const MAX_PAGE_CONNECTIONS: usize = 16;
+/// Time limit for the head of a request for a page.
+const PAGE_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// Maximum size in bytes of such a head: the least that the HTTP library supports.
+const PAGE_HEAD_BYTES: usize = 8 * 1024;
 /// Pause after a connection could not be accepted, usually because file descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time limit for writing the response to an incomplete head. It fits into one packet, so a caller
@@ -214,18 +224,25 @@
 }
 
 /// Serves the pages for readiness and metrics.
-pub(crate) async fn pages(host: Rc<RouteHost>, listener: TcpListener) {
+pub(crate) async fn pages(host: Rc<RouteHost>, name: &'static str, listener: TcpListener) {
+    let options = budget::Options::with_max_connections(MAX_PAGE_CONNECTIONS);
+    let table = ConnectionTable::new(options, evictions::logger(name));
     loop {
         let stream = accept(&listener).await;
+        let slot = table.open().await;
         let host = Rc::clone(&host);
+        let service = service_fn(move |request| {
+            let page = page(&host, &request);
+            async move { Ok::<_, Infallible>(page) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(PAGE_HEAD_TIMEOUT)
+            .max_buf_size(PAGE_HEAD_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
         tokio::task::spawn_local(async move {
-            let service = service_fn(move |request| {
-                let page = page(&host, &request);
-                async move { Ok::<_, Infallible>(page) }
-            });
             // Clients of these pages poll, so a failed response is not retried.
-            let _ended =
-                http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            let _ended = slot.evicted().run_until_cancelled(connection).await;
         });
     }
 }
--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -10,6 +10,8 @@
 use std::time::Instant;
 
 use futures::StreamExt;
+use hawthorn_connections::table::ConnectionSlot;
+use hawthorn_connections::table::ConnectionTable;
 use hawthorn_route::clock_offset::Exchange;
 use hawthorn_route::clock_offset::PeerClock;
 use hawthorn_route::mirror::HeldValue;
@@ -28,8 +30,10 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio_util::codec::LengthDelimitedCodec;
+use tokio_util::io::InspectReader;
 use tokio_util::sync::CancellationToken;
 
+use crate::connection::evictions;
 use crate::connection::listen;
 use crate::connection::message::CatalogUpdate;
 use crate::connection::message::GatherReply;
@@ -529,11 +533,21 @@
 pub(crate) async fn serve(host: Rc<RouteHost>, listener: TcpListener) {
     let (requests, mut receiver) = mpsc::channel::<PeerRequest>(REQUEST_QUEUE_LEN);
     let server = PeerServer { requests };
-    loop {
-        tokio::select! {
-            Some(request) = receiver.recv() => dispatch(&host, request),
-            stream = listen::accept(&listener) => serve_connection(stream, server.clone()),
+    let serve_requests = async {
+        while let Some(request) = receiver.recv().await {
+            dispatch(&host, request);
         }
+    };
+    tokio::join!(serve_requests, accept_peers(&host, &listener, &server));
+}
+
+async fn accept_peers(host: &RouteHost, listener: &TcpListener, server: &PeerServer) {
+    let options = host.routing.settings.host.peer_connections();
+    let table = ConnectionTable::new(options, evictions::logger("peers"));
+    loop {
+        let stream = listen::accept(listener).await;
+        let slot = table.open().await;
+        serve_connection(stream, slot, server.clone());
     }
 }
 
@@ -557,11 +571,13 @@
     }
 }
 
-fn serve_connection(stream: TcpStream, server: PeerServer) {
+fn serve_connection(stream: TcpStream, slot: ConnectionSlot, server: PeerServer) {
     if let Err(error) = hawthorn_pool::enable_dead_peer_detection(&stream) {
         edge_event!(Level::Warn, EdgeEvent::DutyFailed, "duty=peer-socket error=\"{error}\"");
         return;
     }
+    let evicted = slot.evicted().clone();
+    let stream = InspectReader::new(stream, move |_| slot.touch());
     let transport = tarpc::serde_transport::new(
         LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream),
         Bincode::default(),
@@ -570,5 +586,5 @@
         BaseChannel::with_defaults(transport).execute(server.serve()).for_each(|call| async move {
             tokio::spawn(call);
         });
-    tokio::spawn(calls);
+    tokio::spawn(evicted.run_until_cancelled_owned(calls));
 }
--- a/crates/hawthorn-edge/src/process/host.rs
+++ b/crates/hawthorn-edge/src/process/host.rs
@@ -441,12 +441,12 @@
     // would otherwise continue with state that is no longer updated.
     let mut tasks = JoinSet::new();
     tasks.spawn_local(listen::callers(Rc::clone(&host), callers));
-    tasks.spawn_local(listen::pages(Rc::clone(&host), ready));
+    tasks.spawn_local(listen::pages(Rc::clone(&host), "ready", ready));
     // The host serves without the metrics page if its port is already in use on this machine, as
     // requests do not depend on metrics.
     match bind(listen.metrics).await {
         Ok(metrics_listener) => {
-            tasks.spawn_local(listen::pages(Rc::clone(&host), metrics_listener));
+            tasks.spawn_local(listen::pages(Rc::clone(&host), "metrics", metrics_listener));
         }
         Err(error) => {
             edge_event!(Level::Error, EdgeEvent::DutyFailed, "duty=metrics error=\"{error}\"");
--- a/crates/hawthorn-edge/src/settings.rs
+++ b/crates/hawthorn-edge/src/settings.rs
@@ -12,6 +12,8 @@
 use hawthorn_route::quota::QuotaLimits;
 use hawthorn_route::send_deadline;
 use quick_error::quick_error;
+use rustix::process::Resource;
+use rustix::process::getrlimit;
 use serde::Deserialize;
 use serde_with::DurationMilliSeconds;
 use serde_with::DurationSeconds;
@@ -38,9 +40,15 @@
     }
 }
 
-/// Least memory with which a host can serve.
+/// Least memory and descriptors with which a host can serve.
 const MIN_MEMORY_MB: u64 = 32;
 const MAX_MEMORY_MB: u64 = 1 << 20;
+const MIN_DESCRIPTORS: u64 = 256;
+const MAX_DESCRIPTORS: u64 = 1 << 20;
+/// Descriptors that are not for connections.
+const RESERVED_DESCRIPTORS: usize = 200;
+/// Memory of an open connection without a request.
+const CONNECTION_BYTES: usize = 16 * 1024;
 /// Memory of an open request with its attempts.
 const REQUEST_BYTES: usize = 32 * 1024;
 /// Number of answers of the maximum size that fit into the memory.
@@ -119,6 +127,10 @@
     /// Memory of the machine in MiB; limits what callers' connections and requests hold.
     #[serde(default = "default_memory")]
     pub memory_mb: u64,
+    /// Maximum number of open descriptors; limits the number of connections. The limit of the
+    /// process if not given.
+    #[serde(default = "process_descriptors")]
+    pub max_fds: u64,
     /// Link bandwidth in Mbit/s; bulk messages are not paced if not given.
     pub link_mbps: Option<f64>,
 }
@@ -131,14 +143,35 @@
     256
 }
 
+fn process_descriptors() -> u64 {
+    let limit = getrlimit(Resource::Nofile).current.unwrap_or(MAX_DESCRIPTORS);
+    limit.clamp(MIN_DESCRIPTORS, MAX_DESCRIPTORS)
+}
+
 impl HostSettings {
     fn memory_bytes(&self) -> usize {
         usize::try_from(self.memory_mb).unwrap_or(usize::MAX).saturating_mul(1 << 20)
     }
 
-    /// Limits on callers' connections: an eighth of the memory for requests and answers.
+    /// Descriptors for connections. The rest is for files, listeners and the runtime.
+    fn connection_descriptors(&self) -> usize {
+        usize::try_from(self.max_fds).unwrap_or(usize::MAX).saturating_sub(RESERVED_DESCRIPTORS)
+    }
+
+    /// Limits on callers' connections: half of the descriptors, an eighth of the memory for the
+    /// connections themselves and another for requests and answers.
     pub fn caller_connections(&self) -> budget::Options {
-        budget::Options { max_bytes: self.memory_bytes() / 8, ..budget::Options::default() }
+        let by_memory = self.memory_bytes() / 8 / CONNECTION_BYTES;
+        budget::Options {
+            max_connections: (self.connection_descriptors() / 2).min(by_memory),
+            max_bytes: self.memory_bytes() / 8,
+            ..budget::Options::default()
+        }
+    }
+
+    /// Limits on connections of other hosts: a quarter of the descriptors.
+    pub fn peer_connections(&self) -> budget::Options {
+        budget::Options::with_max_connections(self.connection_descriptors() / 4)
     }
 
     /// Maximum number of open requests: a quarter of the memory.
@@ -346,6 +379,9 @@
         if !(MIN_MEMORY_MB..=MAX_MEMORY_MB).contains(&settings.host.memory_mb) {
             return Err(Error::Value("host.memory_mb", "must be between 32 and 1048576"));
         }
+        if !(MIN_DESCRIPTORS..=MAX_DESCRIPTORS).contains(&settings.host.max_fds) {
+            return Err(Error::Value("host.max_fds", "must be between 256 and 1048576"));
+        }
         if settings.host.link_mbps.is_some_and(|mbps| mbps <= 0.0) {
             return Err(Error::Value("host.link_mbps", "must be positive"));
         }
--- a/crates/hawthorn-edge/tests/settings.rs
+++ b/crates/hawthorn-edge/tests/settings.rs
@@ -17,6 +17,8 @@
         ("{{limits.cpuCores}}", "1"),
         ("{{#limits.memoryMb}}memory_mb = {{.}}", "memory_mb = 112"),
         ("{{/limits.memoryMb}}", ""),
+        ("{{#limits.maxFds}}max_fds = {{.}}", "max_fds = 2870"),
+        ("{{/limits.maxFds}}", ""),
         ("{{#limits.linkMbps}}link_mbps = {{.}}", "link_mbps = 21.0"),
         ("{{/limits.linkMbps}}", ""),
         ("{{#zones}}{{@}} = {{.|json}}", "east = \"dar\""),
@@ -135,6 +137,12 @@
             to: "memory_mb = 117440512",
             named: "host.memory_mb",
         },
+        Case {
+            name: "too few descriptors",
+            from: "max_fds = 2870",
+            to: "max_fds = 64",
+            named: "host.max_fds",
+        },
         Case { name: "no name", from: "\"front-1\"", to: "\"\"", named: "host.name" },
         Case {
             name: "no core share",
