fix(edge): bodies of delegated queries count towards a limit

What callers saw: nothing yet. Each host passes the bodies of gathered queries on to the gatherers of other zones, and holds no more of them than it may; a gatherer holds those of all hosts.

Cause: what peers send counted nowhere. The queue of their calls has 1,024 places of up to 256 KiB.

Change: bodies of peers' queries hold an eighth of the gatherer's memory; a query for which there is no room is answered `overloaded`, so that its host gathers elsewhere or goes without. One is always taken.

A second test, of callers that read long answers slowly, passes on as well: their requests end at the deadline or by the kernel's time-out. It stays as a guard.

--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -5,6 +5,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -15,6 +17,8 @@
 use hawthorn_route::clock_offset::Exchange;
 use hawthorn_route::clock_offset::PeerClock;
 use hawthorn_route::mirror::HeldValue;
+use hawthorn_route::outcome::RefusalReason;
+use hawthorn_route::retry_after::retry_after;
 use hawthorn_route::revision::StoreRevision;
 use log::Level;
 use tarpc::client;
@@ -432,6 +436,7 @@
 enum PeerRequest {
     Gather {
         request: Box<GatherRequest>,
+        body: PeerBodyGuard,
         arrived: Duration,
         reply: oneshot::Sender<GatherReply>,
     },
@@ -452,12 +457,55 @@
     },
 }
 
+/// Bodies of peers' queries in memory. Each of many hosts may send its callers' bodies to this one.
+#[derive(Clone, Debug)]
+struct PeerBodies {
+    held: Arc<AtomicUsize>,
+    max_bytes: usize,
+}
+
+impl PeerBodies {
+    /// Counts a body; `None` if there is no room for it.
+    fn reserve(&self, bytes: usize) -> Option<PeerBodyGuard> {
+        let before = self.held.fetch_add(bytes, Ordering::Relaxed);
+        let guard = PeerBodyGuard { held: Arc::clone(&self.held), bytes };
+        (before == 0 || before + bytes <= self.max_bytes).then_some(guard)
+    }
+}
+
+/// Counts the body of a peer's query until it is dropped.
+#[derive(Debug)]
+pub(crate) struct PeerBodyGuard {
+    held: Arc<AtomicUsize>,
+    bytes: usize,
+}
+
+impl Drop for PeerBodyGuard {
+    fn drop(&mut self) {
+        self.held.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
 #[derive(Clone, Debug)]
 struct PeerServer {
     requests: mpsc::Sender<PeerRequest>,
+    bodies: PeerBodies,
 }
 
 impl PeerServer {
+    async fn gather_shards(
+        &self,
+        request: GatherRequest,
+        body: PeerBodyGuard,
+        arrived: Duration,
+    ) -> GatherReply {
+        let (reply, answer) = oneshot::channel();
+        let request = PeerRequest::Gather { request: Box::new(request), body, arrived, reply };
+        let queued = self.requests.try_send(request).is_ok();
+        let reply = if queued { answer.await.ok() } else { None };
+        reply.unwrap_or(GatherReply::Stopping)
+    }
+
     async fn update(
         &self,
         after: StoreRevision,
@@ -480,11 +528,13 @@
         let received = host_now();
         let received_us = received.as_micros() as u64;
         let arrived = received.saturating_sub(loop_clock::busy_for(received));
-        let (reply, answer) = oneshot::channel();
-        let request = PeerRequest::Gather { request: Box::new(request), arrived, reply };
-        let queued = self.requests.try_send(request).is_ok();
-        let reply = if queued { answer.await.ok() } else { None };
-        let reply = reply.unwrap_or(GatherReply::Stopping);
+        let reply = match self.bodies.reserve(request.body.len()) {
+            Some(body) => self.gather_shards(request, body, arrived).await,
+            None => {
+                let after = retry_after(RefusalReason::HostFull, None, &mut rand::rng());
+                GatherReply::Overloaded { after_us: after.as_micros() as u64 }
+            }
+        };
         TimedReply { received_us, replied_us: host_now().as_micros() as u64, reply }
     }
 
@@ -532,7 +582,8 @@
 /// Serves other hosts until the process exits.
 pub(crate) async fn serve(host: Rc<RouteHost>, listener: TcpListener) {
     let (requests, mut receiver) = mpsc::channel::<PeerRequest>(REQUEST_QUEUE_LEN);
-    let server = PeerServer { requests };
+    let max_bytes = host.routing.settings.host.max_peer_bodies();
+    let server = PeerServer { requests, bodies: PeerBodies { held: Arc::default(), max_bytes } };
     let serve_requests = async {
         while let Some(request) = receiver.recv().await {
             dispatch(&host, request);
@@ -554,10 +605,13 @@
 fn dispatch(host: &Rc<RouteHost>, request: PeerRequest) {
     let host = Rc::clone(host);
     match request {
-        PeerRequest::Gather { request, arrived, reply } => {
+        PeerRequest::Gather { request, body, arrived, reply } => {
             // Before the query is begun: its commit may be next in the queue.
             let commit = host.commits.expect(request.commit_token);
-            tokio::task::spawn_local(delegate::serve_peer(host, *request, arrived, commit, reply));
+            tokio::task::spawn_local(async move {
+                delegate::serve_peer(host, *request, arrived, commit, reply).await;
+                drop(body);
+            });
         }
         PeerRequest::Commit(token) => host.commits.commit(token),
         PeerRequest::Remainder { token, request } => host.remainders.request(token, request),
--- a/crates/hawthorn-edge/src/settings.rs
+++ b/crates/hawthorn-edge/src/settings.rs
@@ -174,6 +174,11 @@
         budget::Options::with_max_connections(self.connection_descriptors() / 4)
     }
 
+    /// Maximum number of bytes of the bodies of other hosts' queries: an eighth of the memory.
+    pub fn max_peer_bodies(&self) -> usize {
+        self.memory_bytes() / 8
+    }
+
     /// Maximum number of open requests: a quarter of the memory.
     pub fn max_open_requests(&self) -> usize {
         self.memory_bytes() / 4 / REQUEST_BYTES
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::future::join_all;
 use hawthorn_standin::route::RouteStore;
 use hawthorn_standin::route::RouteTarget;
 use hawthorn_standin::route::operator;
@@ -62,7 +63,16 @@
         route["timeoutMs"] = json!(ROUTE_TIMEOUT_MS);
         route
     };
-    routes.map(with_time).to_vec()
+    let mut routes = routes.map(with_time).to_vec();
+    routes.push(brief_route());
+    routes
+}
+
+/// A route of the same service as `/once/`, whose requests end soon.
+fn brief_route() -> Value {
+    let mut route = operator::single("/brief/", "s", "unsafe");
+    route["timeoutMs"] = json!(1500);
+    route
 }
 
 const SERVICES: [&str; 5] = ["s", "a", "b", "held", "ordinary"];
@@ -274,6 +284,92 @@
     Ok(())
 }
 
+/// Guards against callers that read a long answer slowly, and keep the connections that its target
+/// accepts for longer than they said that they wait.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_readers_leave_the_target_to_others() -> TestResult {
+    /// More than the kernel's send buffer takes.
+    const ANSWER_BYTES: usize = 8 << 20;
+    /// More than the target accepts.
+    const READERS: usize = 40;
+    const RECEIVE_BYTES: u32 = 16_384;
+    let mut fleet = CrowdedHost::start(ALL_DESCRIPTORS).await?;
+    let long = TargetFault::SlowBody(ANSWER_BYTES, Duration::ZERO);
+    fleet.target("s").fail_always(Some(long));
+    let watch = fleet.watch();
+    let request = crowd::request("/brief/", "id-slow", Framing::Length, 0);
+    let slow = Crowd::send_with(fleet.host.caller(), READERS, &request, Some(RECEIVE_BYTES)).await;
+    let slow = slow.trickle();
+    let answered = async || {
+        let answer = fleet.host.send("POST", "/once/", "id-ordinary", "").await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    };
+    route::wait_for("an answer of the same target", answered).await?;
+    let failures = fleet.check("slow readers", watch, ALL_DESCRIPTORS).await?;
+    drop(slow);
+    assert!(failures.is_empty(), "{failures:#?}");
+    Ok(())
+}
+
+/// Guards against a gatherer that runs out of memory by the bodies that many hosts pass on to it, each
+/// of which holds no more than it may.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_of_delegated_queries_stay_within_the_memory_of_a_gatherer() -> TestResult {
+    const FRONTS: usize = 20;
+    /// More bodies than a front may hold.
+    const CALLERS: usize = 20;
+    const SHARDS: [&str; 4] = ["f-1", "f-2", "f-3", "f-4"];
+    let _turn = ONE_AT_A_TIME.lock().await;
+    let store = RouteStore::start().await?;
+    let mut route = operator::scatter_gather("/far/", &SHARDS, 0.5);
+    route["timeoutMs"] = json!(ROUTE_TIMEOUT_MS);
+    operator::configure(&store, 3, &[route], &SHARDS);
+    let mut targets = Vec::new();
+    for shard in SHARDS {
+        let target = RouteTarget::start(&format!("t-{shard}"), shard).await?;
+        operator::register(&store, &format!("t-{shard}"), &target, "west");
+        targets.push(target);
+    }
+    let host = format!("memory_mb = {MACHINE_MB}\nmax_fds = {ALL_DESCRIPTORS}\n");
+    let options = HostOptions { host, ..HostOptions::default() };
+    let start = |name: &str, zone, seeds: &[&RouteHost]| {
+        RouteHost::start_with(name, zone, store.address(), seeds, &options)
+    };
+    let mut gatherer = start("h-west", "west", &[])?;
+    gatherer.wait_until_ready().await?;
+    let mut fronts = Vec::new();
+    for number in 0..FRONTS {
+        fronts.push(start(&format!("h-{number}"), "east", &[&gatherer])?);
+    }
+    for front in &fronts {
+        front.wait_until_ready().await?;
+        let delegated = async || {
+            let _answer = front.send("GET", "/far/", "id-first", "").await;
+            front.logged("shards-delegated") > 0
+        };
+        route::wait_for("the query to be delegated", delegated).await?;
+    }
+    targets.iter().for_each(|target| target.fail_always(Some(TargetFault::NoAnswer)));
+    let watch = UsageWatch::start(gatherer.id(), SocketAddr::new(gatherer.caller().ip(), 0));
+    let request = crowd::request("/far/", "id-far", Framing::Length, BODY_BYTES);
+    let crowds = fronts.iter().map(|front| Crowd::send(front.caller(), CALLERS, &request));
+    let crowds = join_all(crowds).await;
+    targets.iter().for_each(|target| target.fail_always(None));
+    for host in fronts.iter().chain([&gatherer]) {
+        let answered = async || {
+            let answer = host.send("GET", "/far/", "id-ordinary", "").await;
+            answer.is_ok_and(|answer| answer.status == 200)
+        };
+        route::wait_for("an answer to an ordinary query", answered).await?;
+    }
+    let used = watch.finish().await?;
+    println!("gatherer: {used:?}");
+    assert!(!gatherer.has_ended(), "the process has ended");
+    assert!(used.resident_kb + used.unread_kb <= MACHINE_MB * 1024, "{used:?}");
+    drop(crowds);
+    Ok(())
+}
+
 /// Guards against a host without descriptors for its store, its targets and ordinary callers,
 /// whichever of its ports the connections are opened to.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/support/crowd.rs
+++ b/tests/support/crowd.rs
@@ -128,6 +128,33 @@
     }
 }
 
+impl Crowd {
+    /// Has each client read a few bytes now and then, until the crowd is dropped.
+    pub fn trickle(self) -> SlowCrowd {
+        const READ_BYTES: usize = 4096;
+        const READ_INTERVAL: Duration = Duration::from_millis(100);
+        let reader = tokio::spawn(async move {
+            loop {
+                for stream in &self.streams {
+                    // The process may have closed the connection.
+                    let _read = stream.try_read(&mut [0; READ_BYTES]);
+                }
+                sleep(READ_INTERVAL).await;
+            }
+        });
+        SlowCrowd(reader)
+    }
+}
+
+/// A crowd that reads slowly; its connections close when it is dropped.
+pub struct SlowCrowd(JoinHandle<()>);
+
+impl Drop for SlowCrowd {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// What a process used at most since its start or since the watch began.
 #[derive(Clone, Copy, Debug)]
 pub struct PeakUse {
