fix(serve): all request bodies together are limited

What callers saw: a daemon ran out of memory by bodies that stop short of their end.

Cause: each body is limited (`limits.max_body_bytes`), all of them together were not.

Change: `limits.body_memory_bytes` (new, 16 MiB if not set, 1 MiB to 1 GiB). The decisions are those of `route`: the first 4 KiB of a body are always read, one that has stalled makes room, one for which there is none is refused with 503 `queue-full` and a time to come back, a single one is always read. Freed memory returns to the system as in `route`.

The text of the error that lists the known keys has one more; the test that compares it follows.

--- a/crates/hawthorn-daemon/src/process/daemon.rs
+++ b/crates/hawthorn-daemon/src/process/daemon.rs
@@ -9,6 +9,7 @@
 use dropshot::HandlerTaskMode;
 use dropshot::HttpServer;
 use dropshot::ServerBuilder;
+use hawthorn_connections::table::ConnectionTable;
 use hawthorn_fleet::MemberPlace;
 use hawthorn_intent::DaemonSettings;
 use hawthorn_store::ClaimClient;
@@ -62,6 +63,9 @@
 /// leave it open.
 const MAX_BIND_RETRIES: u32 = 16;
 
+/// Minimum interval between two searches of the heap for free pages.
+const TRIM_INTERVAL: Duration = Duration::from_millis(100);
+
 quick_error! {
     /// Reason why the process could not start.
     #[derive(Debug)]
@@ -135,6 +139,8 @@
 /// If an address cannot be bound or a thread cannot be started.
 pub fn start(settings: DaemonSettings) -> Result<DaemonProcess<Serving>, Error> {
     crate::log_event!(Level::Info, LogEvent::Starting, "host {}", settings.host);
+    // Before the first large block is freed.
+    let _kept_by_other_libraries = hawthorn_malloc::unmap_large_blocks();
     let stop = CancellationToken::new();
     let runtime = Builder::new_multi_thread()
         .worker_threads(options::front_threads())
@@ -175,6 +181,7 @@
     let http = serve_callers(&settings, &front)?;
     let caller_address = http.local_addr();
     runtime.spawn(refresh::run(Arc::clone(&front), stop.clone()));
+    runtime.spawn(trim_memory(Arc::clone(front.bodies()), stop.clone()));
     runtime.spawn(sample::run(Arc::clone(&front), stop.clone()));
     runtime.spawn(sweep::run(store, options::claims(&settings), Arc::clone(&front), stop.clone()));
     let peer = workers.peer_address;
@@ -193,6 +200,14 @@
     })
 }
 
+/// Returns memory to the system after requests with large bodies have ended.
+async fn trim_memory(bodies: Arc<ConnectionTable>, stop: CancellationToken) {
+    while stop.run_until_cancelled(bodies.released()).await.is_some() {
+        hawthorn_malloc::trim();
+        tokio::time::sleep(TRIM_INTERVAL).await;
+    }
+}
+
 fn listen_error(what: &'static str, address: SocketAddr, error: &dyn std::fmt::Display) -> Error {
     Error::Listen(what, address, error.to_string())
 }
--- a/crates/hawthorn-daemon/src/process/options.rs
+++ b/crates/hawthorn-daemon/src/process/options.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hawthorn_connections::budget;
 use hawthorn_fleet::MemberPlace;
 use hawthorn_fleet::handover;
 use hawthorn_fleet::member;
@@ -56,6 +57,10 @@
             max_bytes: usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX),
             timeout: limits.slow_client,
         },
+        bodies: budget::Options {
+            max_bytes: usize::try_from(limits.body_memory_bytes).unwrap_or(usize::MAX),
+            ..budget::Options::default()
+        },
         admit: admit::Options { max_in_flight: limits.front_queue, ..admit::Options::default() },
         track: track::Options::default(),
         max_limit: limits.max_limit,
--- a/crates/hawthorn-daemon/src/request/api.rs
+++ b/crates/hawthorn-daemon/src/request/api.rs
@@ -51,7 +51,8 @@
 async fn run_query(context: ApiContext, body: StreamingBody) -> ApiResponse {
     let front = context.context();
     let _held = front.hold_open();
-    let answer = match body::read::<SearchQuery>(body, front.body_options()).await {
+    let slot = front.bodies().open().await;
+    let answer = match body::read::<SearchQuery>(body, front.body_options(), &slot).await {
         Ok(query) => crate::request::query::answer(front, query).await,
         Err(reason) => front.refuse(None, reason, None),
     };
@@ -66,13 +67,14 @@
 async fn run_request(context: ApiContext, body: StreamingBody) -> ApiResponse {
     let front = Arc::clone(context.context());
     let held = front.hold_open();
-    let answer = match body::read::<OnceRequest>(body, front.body_options()).await {
+    let slot = front.bodies().open().await;
+    let answer = match body::read::<OnceRequest>(body, front.body_options(), &slot).await {
         // Runs in a separate task: a caller that disconnects must not abort a request between its
         // claim and its run, or its outcome would be lost.
         Ok(once) => {
             let runner = Arc::clone(&front);
             let task = tokio::spawn(async move {
-                let _held = held;
+                let (_held, _slot) = (held, slot);
                 crate::request::once::answer(&runner, once).await
             });
             task.await.map_err(|error| HttpError::for_internal_error(error.to_string()))?
--- a/crates/hawthorn-daemon/src/request/body.rs
+++ b/crates/hawthorn-daemon/src/request/body.rs
@@ -5,6 +5,9 @@
 use dropshot::StreamingBody;
 use futures::StreamExt;
 use futures::pin_mut;
+use hawthorn_connections::body::BodyBuffer;
+use hawthorn_connections::budget::READ_BYTES;
+use hawthorn_connections::table::ConnectionSlot;
 use hawthorn_types::RefusalReason;
 use serde::de::DeserializeOwned;
 
@@ -18,31 +21,40 @@
     pub timeout: Duration,
 }
 
-/// Reads the body and parses it as JSON.
+/// Reads the body and parses it as JSON. The slot counts it against the memory for all bodies.
 ///
 /// # Errors
-/// [`RefusalReason::BodyTooLarge`], [`RefusalReason::SlowClient`] or
+/// [`RefusalReason::BodyTooLarge`], [`RefusalReason::SlowClient`], [`RefusalReason::QueueFull`] or
 /// [`RefusalReason::BadRequest`].
 pub async fn read<T: DeserializeOwned>(
     body: StreamingBody,
     options: Options,
+    slot: &ConnectionSlot,
 ) -> Result<T, RefusalReason> {
-    let bytes = tokio::time::timeout(options.timeout, collect(body, options.max_bytes))
+    let bytes = tokio::time::timeout(options.timeout, collect(body, options.max_bytes, slot))
         .await
         .map_err(|_| RefusalReason::SlowClient)??;
+    if !slot.complete() {
+        return Err(RefusalReason::QueueFull);
+    }
     serde_json::from_slice(&bytes).map_err(|_| RefusalReason::BadRequest)
 }
 
-async fn collect(body: StreamingBody, max_bytes: usize) -> Result<Vec<u8>, RefusalReason> {
+async fn collect(
+    body: StreamingBody,
+    max_bytes: usize,
+    slot: &ConnectionSlot,
+) -> Result<Vec<u8>, RefusalReason> {
     let stream = body.into_stream();
     pin_mut!(stream);
-    let mut bytes = Vec::new();
-    while let Some(chunk) = stream.next().await {
+    let mut buffer = BodyBuffer::new(0, max_bytes);
+    let evicted = RefusalReason::QueueFull;
+    loop {
+        slot.grant(READ_BYTES).await.map_err(|_| evicted)?;
+        let next = slot.evicted().run_until_cancelled(stream.next()).await.ok_or(evicted)?;
+        let Some(chunk) = next else { return Ok(buffer.into_bytes()) };
         let chunk = chunk.map_err(|_| RefusalReason::BadRequest)?;
-        if bytes.len() + chunk.len() > max_bytes {
-            return Err(RefusalReason::BodyTooLarge);
-        }
-        bytes.extend_from_slice(&chunk);
+        slot.received(chunk.len());
+        buffer.extend(&chunk).map_err(|_| RefusalReason::BodyTooLarge)?;
     }
-    Ok(bytes)
 }
--- a/crates/hawthorn-daemon/src/request/front.rs
+++ b/crates/hawthorn-daemon/src/request/front.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use hawthorn_connections::budget;
+use hawthorn_connections::table::ConnectionTable;
 use hawthorn_plan::FrontLoad;
 use hawthorn_plan::RetryBudget;
 use hawthorn_plan::admit;
@@ -35,6 +37,8 @@
 pub struct Options {
     /// Limits of reading a request.
     pub body: body::Options,
+    /// Limits on all bodies that are being received or whose requests are being served.
+    pub bodies: budget::Options,
     /// Options of admission control.
     pub admit: admit::Options,
     /// Options of one query.
@@ -66,6 +70,7 @@
     pub(crate) budget: Mutex<RetryBudget>,
     pub(crate) claim_client: ClaimClient,
     pub(crate) metrics: MetricSet,
+    bodies: Arc<ConnectionTable>,
     synced: AtomicBool,
     stopping: AtomicBool,
     open: watch::Sender<u64>,
@@ -125,6 +130,7 @@
             budget: Mutex::default(),
             claim_client: parts.claim_client,
             metrics: parts.metrics,
+            bodies: ConnectionTable::new(parts.options.bodies, |_| {}),
             synced: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             open: watch::channel(0).0,
@@ -182,6 +188,11 @@
         self.options.body
     }
 
+    /// The bodies that are being received or whose requests are being served.
+    pub fn bodies(&self) -> &Arc<ConnectionTable> {
+        &self.bodies
+    }
+
     /// Metrics of the process.
     pub fn metrics(&self) -> &MetricSet {
         &self.metrics
--- a/crates/hawthorn-intent/src/settings/mod.rs
+++ b/crates/hawthorn-intent/src/settings/mod.rs
@@ -63,6 +63,8 @@
 pub struct LimitSettings {
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: u64,
+    /// Maximum size of all request bodies in memory, in bytes.
+    pub body_memory_bytes: u64,
     /// Maximum size of an answer from one target, in bytes.
     pub max_answer_bytes: u64,
     /// Maximum number of matches that a query may request.
@@ -87,6 +89,7 @@
     fn default() -> Self {
         Self {
             max_body_bytes: 64 * KIB,
+            body_memory_bytes: 16 * MIB,
             max_answer_bytes: MIB,
             max_limit: 1_000,
             max_request_id_bytes: 128,
--- a/crates/hawthorn-intent/src/settings/read.rs
+++ b/crates/hawthorn-intent/src/settings/read.rs
@@ -120,6 +120,11 @@
     let defaults = LimitSettings::default();
     LimitSettings {
         max_body_bytes: reader.within("max_body_bytes", defaults.max_body_bytes, KIB..=16 * MIB),
+        body_memory_bytes: reader.within(
+            "body_memory_bytes",
+            defaults.body_memory_bytes,
+            MIB..=1024 * MIB,
+        ),
         max_answer_bytes: reader.within(
             "max_answer_bytes",
             defaults.max_answer_bytes,
--- a/crates/hawthorn-intent/tests/check.rs
+++ b/crates/hawthorn-intent/tests/check.rs
@@ -90,7 +90,7 @@
     )?;
     insta::assert_snapshot!(report, @r#"
     daemon.toml:14: error: bad-address at platform: found "store.port.example:2390", expected an IP number with a port, such as "10.0.0.1:7000"
-    daemon.toml:19: error: unknown-key at limits.max_limt: found max_limt, expected one of max_body_bytes, max_answer_bytes, max_limit, max_request_id_bytes, max_deadline, slow_client, front_queue, group_queue, caller_queue
+    daemon.toml:19: error: unknown-key at limits.max_limt: found max_limt, expected one of max_body_bytes, body_memory_bytes, max_answer_bytes, max_limit, max_request_id_bytes, max_deadline, slow_client, front_queue, group_queue, caller_queue
     daemon.toml:20: error: wrong-unit at limits.slow_client: found 5, expected a whole number with a unit, us, ms, s, m or h, such as "50ms"
     inventory.toml:23: warning: one-zone at service[0].shards: found targets in one zone only for agent-desk/04, expected targets that serve in two zones or more
     inventory.toml:24: error: out-of-range at service[0].slots: found 0, expected 1 to 4096
