fix(pool): an answer with a status that cannot be final is no answer

What callers saw: a target in trouble answered 101, unasked, and its callers got that as the answer, with the target's receipt.

Cause: the HTTP library rejects statuses below 100 and skips 100, 102 and 103, but hands out 101, and any three digits from 600 on.

Change: the pool accepts 200 to 599. Anything else is a broken answer: the request may have run, so that callers get 502 and a request that may run once is not sent again; the connection is closed.

The bytes that the target sends behind such an answer, a complete answer of its own, reach nobody, as the connection is dropped with them.

--- a/crates/hawthorn-pool/src/lib.rs
+++ b/crates/hawthorn-pool/src/lib.rs
@@ -17,6 +17,7 @@
 mod remaining;
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -55,6 +56,10 @@
 /// several times the longest round trip between zones, including a retransmission.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Statuses of final answers. The HTTP library rejects those below 100 and skips interim ones, but
+/// not 101, which no request here asks for.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 quick_error! {
     /// Why an exchange with a target returned no answer.
     #[derive(Debug)]
@@ -215,6 +220,10 @@
             }
         })?;
         let (head, mut incoming) = response.into_parts();
+        // Dropping the connection also drops what follows such an answer.
+        if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+            return Err(Error::Broken(format!("status {} is not final", head.status.as_u16())));
+        }
         let is_end_stated = is_end_stated(&head.headers, &incoming);
         let (body, complete) =
             busy.sender.drive(buffer_body(&mut incoming, max_buffered_bytes)).await?;
--- a/crates/hawthorn-standin/src/route/target.rs
+++ b/crates/hawthorn-standin/src/route/target.rs
@@ -50,6 +50,8 @@
     ServerError,
     /// The request runs and is answered with this status.
     RanWithStatus(u16),
+    /// The request runs and is answered with this status, and then with its own answer.
+    StatusThenAnswer(u16),
     /// The request runs for the given time.
     Slow(Duration),
     /// The request runs, and the answer has a body of the given number of bytes, with a
@@ -483,6 +485,10 @@
         Some(TargetFault::DuplicateAnswer) => {
             stream.write_all(&[&answer[..], &answer].concat()).await
         }
+        Some(TargetFault::StatusThenAnswer(status)) => {
+            let first = wire::answer(status, &headers, &body);
+            stream.write_all(&[first, answer].concat()).await
+        }
         Some(TargetFault::Preceded(extra)) => {
             stream.write_all(&[extra.encode(&service), answer].concat()).await
         }
--- a/crates/hawthorn-standin/src/route/wire.rs
+++ b/crates/hawthorn-standin/src/route/wire.rs
@@ -87,7 +87,7 @@
 
 /// Encodes an answer with a content length.
 pub fn answer(status: u16, headers: &[(&str, String)], body: &[u8]) -> Vec<u8> {
-    let mut bytes = format!("HTTP/1.1 {status} -\r\nContent-Length: {}\r\n", body.len());
+    let mut bytes = format!("HTTP/1.1 {status:03} -\r\nContent-Length: {}\r\n", body.len());
     for (name, value) in headers {
         bytes.push_str(&format!("{name}: {value}\r\n"));
     }
--- a/tests/cut_answers.rs
+++ b/tests/cut_answers.rs
@@ -95,7 +95,7 @@
     }
 
     fn encode(&self, answer: &RouteAnswer) -> (Vec<u8>, usize) {
-        let mut head = format!("HTTP/1.1 {} -\r\n", self.status);
+        let mut head = format!("HTTP/1.1 {:03} -\r\n", self.status);
         let fields: BTreeMap<_, _> = answer.headers.iter().collect();
         for (name, value) in fields.into_iter().filter(|(name, _)| *name != "content-length") {
             head.push_str(&format!("{name}: {value}\r\n"));
@@ -391,6 +391,13 @@
     }
 }
 
+/// Complete answers of `serve` targets with a status that cannot be final.
+fn serve_statuses() -> impl Iterator<Item = AnswerCut> {
+    let (framing, end) = (AnswerFraming::Length, ConnectionEnd::Close);
+    let statuses = [0, 1, 99, 100, 101, 103, 199, 600, 999];
+    statuses.into_iter().map(move |status| AnswerCut { status, framing, end, bytes: usize::MAX })
+}
+
 /// The cuts of the answers of `serve` targets, each at several numbers of bytes.
 fn serve_cuts() -> impl Iterator<Item = AnswerCut> {
     let (framing, end) = (AnswerFraming::Length, ConnectionEnd::Close);
@@ -453,3 +460,29 @@
     println!("{places:?}");
     fleet.check()
 }
+
+/// Guards against an answer of a target with a status that cannot be final, such as 000 or 101, that
+/// a caller of `serve` gets as an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_status_that_cannot_be_final_answers_no_caller_of_serve() -> TestResult {
+    let cut_fleet = CutFleet::start("/search").await?;
+    let fleet = &cut_fleet.fleet;
+    for (number, answered) in serve_statuses().enumerate() {
+        cut_fleet.arm(answered);
+        let answer = fleet.send(number % 3, fleet.query("claim-desk")).await?;
+        assert_eq!(answer.outcome, CallerOutcome::Answer, "{answered:?}: {answer:?}");
+        assert!(is_complete(&answer), "{answered:?}: {answer:?}");
+        assert!(!cut_fleet.is_armed(), "not searched");
+    }
+    fleet.check()?;
+    let cut_fleet = CutFleet::start("/run").await?;
+    let fleet = &cut_fleet.fleet;
+    for (key, answered) in (0..).zip(serve_statuses()) {
+        cut_fleet.arm(answered);
+        let answer = fleet.send_once(key as usize % 3, fleet.once("claim-desk", key)).await?;
+        assert!(!cut_fleet.is_armed(), "not sent: {answer:?}");
+        let is_unknown = matches!(answer.outcome, CallerOutcome::Unknown(_));
+        assert!(is_unknown, "{answered:?}: {answer:?}");
+    }
+    fleet.check()
+}
