fix(edge): a connection that made room for others is closed

A caller whose request was refused for lack of memory sent the rest of it at once, got 503 on a connection that stayed open, and its next request was never read.

Cause: a connection is granted no more bytes once it is to make room. It was closed only if the rest of its request did not arrive within the bounds on what is read of a refused one.

Change: the answer on such a connection announces its end.

--- a/crates/hawthorn-edge/src/request/serve.rs
+++ b/crates/hawthorn-edge/src/request/serve.rs
@@ -93,8 +93,10 @@
         }
     };
     watch.set_send_time(answer.due);
-    // Callers of a host that fails its readiness probe are better served by another.
-    if is_unread || host.stopping.is_cancelled() || host.routing.unready.get() {
+    // Nothing more is read from a connection that makes room for others. Callers of a host that fails
+    // its readiness probe are better served by another.
+    let is_closing = is_unread || slot.evicted().is_cancelled();
+    if is_closing || host.stopping.is_cancelled() || host.routing.unready.get() {
         let close = HeaderValue::from_static("close");
         answer.response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -232,6 +232,52 @@
     Ok(())
 }
 
+/// Guards against a caller whose request was refused for lack of memory, and whose next request on the
+/// same connection is never read.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_callers_go_on_or_are_disconnected() -> TestResult {
+    const CALLERS: usize = 100;
+    const ROUNDS: usize = 4;
+    /// Less than a host reads of a refused request, so that its connection can stay open.
+    const LONG_BYTES: usize = 60_000;
+    let fleet = CrowdedHost::start(ALL_DESCRIPTORS).await?;
+    fleet.target("held").fail_always(Some(TargetFault::NoAnswer));
+    let held = crowd::request("/held/", "id-held", Framing::Length, BODY_BYTES);
+    let waiting = Crowd::send(fleet.host.caller(), CROWD, &held).await;
+    let at = fleet.host.caller();
+    let caller = async |number: usize| -> TestResult<usize> {
+        let mut refused = 0;
+        let mut stream = TcpStream::connect(at).await?;
+        for round in 0..ROUNDS {
+            let id = format!("id-{number}-{round}");
+            let request = crowd::request("/once/", &id, Framing::Length, LONG_BYTES);
+            if stream.write_all(&request).await.is_err() {
+                break;
+            }
+            match timeout(route::WAIT_TIMEOUT, route::read_answer(&mut stream)).await {
+                Err(_) => return Err(format!("{id} was not answered").into()),
+                Ok(Err(_closed)) => break,
+                Ok(Ok(answer)) if answer.status == 503 => {
+                    refused += 1;
+                    if !answer.headers.contains_key("retry-after") {
+                        return Err(format!("{id}: {answer:?}").into());
+                    }
+                    if answer.headers.get("connection").is_some_and(|value| value == "close") {
+                        break;
+                    }
+                }
+                Ok(Ok(_)) => {}
+            }
+        }
+        Ok(refused)
+    };
+    let refused = join_all((0..CALLERS).map(caller)).await;
+    let refused = refused.into_iter().collect::<TestResult<Vec<usize>>>()?;
+    println!("{} requests were refused", refused.iter().sum::<usize>());
+    drop(waiting);
+    Ok(())
+}
+
 /// Guards against a host that runs out of memory by heads that do not end.
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_without_an_end_stay_within_the_memory_of_a_host() -> TestResult {
