fix(edge): a connection that makes room is closed in time

What callers saw: nothing; found by reading.

Cause: others wait until a connection that makes room has ended. It ends once its refused request is answered, which a caller that takes no bytes can hold up until the kernel gives up the connection. And a gatherer whose limit on bodies a single large one exceeds rejected queries without a body.

Change: such a connection has 0.25 s for its answer and is then dropped. A body of length zero needs no room.

Evidence: none by a test. To hold up the answer a caller has to fill the kernel's send buffer to the last byte without leaving anything unsent in the process, which no test here does reliably.

--- a/crates/hawthorn-edge/src/connection/listen.rs
+++ b/crates/hawthorn-edge/src/connection/listen.rs
@@ -26,7 +26,9 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 
 use crate::connection::evictions;
@@ -48,6 +50,8 @@
 const RECEIVE_BUFFER: u32 = 16 * 1024;
 /// Number of connections that the kernel accepts ahead.
 const ACCEPT_BACKLOG: u32 = 1024;
+/// Time limit for answering a request whose connection makes room for others: they wait for it.
+const EVICTION_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum number of connections to each of the pages, which are polled by a few clients.
 const MAX_PAGE_CONNECTIONS: usize = 16;
 /// Time limit for the head of a request for a page.
@@ -125,7 +129,8 @@
         .max_buf_size(buffer_bytes)
         .auto_date_header(false)
         .serve_connection(CallerStream::new(stream, Rc::clone(&watch), Rc::clone(&slot)), service);
-    let (mut closing, mut evicted) = (false, false);
+    let mut closing = false;
+    let mut evicted_until = None;
     let result = loop {
         tokio::select! {
             biased;
@@ -137,8 +142,8 @@
                     break Ok(());
                 }
             }
-            () = slot.evicted().cancelled(), if !evicted => {
-                evicted = true;
+            () = slot.evicted().cancelled(), if evicted_until.is_none() => {
+                evicted_until = Some(Instant::now() + EVICTION_TIMEOUT);
                 if watch.is_in_head() {
                     let stream = connection.into_parts().io.into_inner();
                     reject_head(&host, stream, HeadFault::Evicted).await;
@@ -150,6 +155,7 @@
                 }
                 break Ok(());
             }
+            () = sleep_until_some(evicted_until) => break Ok(()),
             () = host.closing.cancelled(), if !closing => {}
         }
         closing = true;
@@ -164,6 +170,13 @@
     }
 }
 
+async fn sleep_until_some(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Why a request is rejected before its head is complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum HeadFault {
--- a/crates/hawthorn-edge/src/connection/peer.rs
+++ b/crates/hawthorn-edge/src/connection/peer.rs
@@ -469,7 +469,8 @@
     fn reserve(&self, bytes: usize) -> Option<PeerBodyGuard> {
         let before = self.held.fetch_add(bytes, Ordering::Relaxed);
         let guard = PeerBodyGuard { held: Arc::clone(&self.held), bytes };
-        (before == 0 || before + bytes <= self.max_bytes).then_some(guard)
+        let fits = bytes == 0 || before == 0 || before + bytes <= self.max_bytes;
+        fits.then_some(guard)
     }
 }
 
